--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/**/*.test.js'],
+  timeout: '3m',
+  concurrency: 6,
+  nodeArguments: ['--enable-source-maps'],
+};
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,2 @@
+/** Quotas, limits, fair queues and early refusal. */
+export {};
--- /dev/null
+++ b/packages/authentication/src/index.ts
@@ -0,0 +1,2 @@
+/** Bearer token digests and the shared-key challenge between processes. */
+export {};
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Load generator, stand-ins, trace replay, checker and reports. */
+export {};
--- /dev/null
+++ b/packages/claims/src/index.ts
@@ -0,0 +1,2 @@
+/** Ownership of jobs: claims, ownership epochs and retention. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The operator's command line, cranberryctl. */
+export {};
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+/** Configuration state, operator intents, plans and confirmation. */
+export {};
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,2 @@
+/** The control role: replicated log, configuration, claims, roster. */
+export {};
--- /dev/null
+++ b/packages/dispatcher/src/index.ts
@@ -0,0 +1,2 @@
+/** The dispatcher: answers callers, claims, places, collects. */
+export {};
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,2 @@
+/** Job table and collection of answers. */
+export {};
--- /dev/null
+++ b/packages/local/src/index.ts
@@ -0,0 +1,2 @@
+/** Every role in one process, and the demonstration. */
+export {};
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,2 @@
+/** Structured logs and decision log lines. */
+export {};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Roster of targets, dispatchers and control hosts; leases and leaving. */
+export {};
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,2 @@
+/** Histograms and counters served at /metrics. */
+export {};
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,2 @@
+/** Chooses the target of each task and watches target health. */
+export {};
--- /dev/null
+++ b/packages/random/src/index.ts
@@ -0,0 +1,22 @@
+/** Seeded random numbers. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+const fractionSteps = 0x1_0000_0000;
+
+/** Source of random numbers; the same seed gives the same numbers. */
+export interface RandomSource {
+  /** A number from 0 (inclusive) to 1 (exclusive). */
+  fraction(): number;
+  /** A whole number from 0 (inclusive) to `bound` (exclusive). */
+  below(bound: number): number;
+}
+
+/** Creates a random source from a seed. */
+export function createRandomSource(seed: number): RandomSource {
+  const generator = xoroshiro128plus(seed);
+  const fraction = (): number => (generator.next() >>> 0) / fractionSteps;
+  return {
+    fraction,
+    below: bound => Math.floor(fraction() * bound),
+  };
+}
--- /dev/null
+++ b/packages/replicated-log/src/index.ts
@@ -0,0 +1,2 @@
+/** The replicated log: leader election, replication, storage and snapshots. */
+export {};
--- /dev/null
+++ b/packages/retries/src/index.ts
@@ -0,0 +1,2 @@
+/** Retry budget, backoff and hedging policy. */
+export {};
--- /dev/null
+++ b/packages/sessions/src/index.ts
@@ -0,0 +1,2 @@
+/** Reliable message sessions that outlive a connection. */
+export {};
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+/** Reads and checks settings files in JSON with comments. */
+export {};
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,2 @@
+/** The sidecar beside each target: starts each task at most once. */
+export {};
--- /dev/null
+++ b/packages/timers/src/index.ts
@@ -0,0 +1,4 @@
+/** The timer service: system clock and manual clock. */
+export * from './manual-timer-service.js';
+export * from './system-timer-service.js';
+export * from './timer-service.js';
--- /dev/null
+++ b/packages/timers/src/manual-timer-service.ts
@@ -0,0 +1,102 @@
+import type { Milliseconds } from '@cranberryturn/types';
+
+import type { TimerService, TimerSubscription } from './timer-service.js';
+
+interface PendingTimer {
+  readonly order: number;
+  readonly callback: () => void;
+  readonly period: Milliseconds | undefined;
+  due: Milliseconds;
+}
+
+/** A timer service whose time moves only when a test moves it. */
+export interface ManualTimerService extends TimerService {
+  /** Moves time forward, runs what falls due in order, and lets promises settle in between. */
+  advance(duration: Milliseconds): Promise<void>;
+  /** Lets pending promises settle without moving time. */
+  settle(): Promise<void>;
+  /** Number of timers that wait. */
+  pendingTimers(): number;
+}
+
+const settleRounds = 8;
+const wallClockOffset: Milliseconds = 1_700_000_000_000;
+
+/** Creates a manual timer service that starts at time zero. */
+export function createManualTimerService(): ManualTimerService {
+  const pending = new Set<PendingTimer>();
+  let now: Milliseconds = 0;
+  let nextOrder = 0;
+
+  const subscribe = (
+    delay: Milliseconds,
+    callback: () => void,
+    period: Milliseconds | undefined,
+  ): TimerSubscription => {
+    const due = now + Math.max(0, delay);
+    const timer: PendingTimer = { order: nextOrder++, callback, period, due };
+    pending.add(timer);
+    return { cancel: () => void pending.delete(timer) };
+  };
+
+  const fire = (timer: PendingTimer): void => {
+    now = Math.max(now, timer.due);
+    if (timer.period === undefined) {
+      pending.delete(timer);
+    } else {
+      timer.due += timer.period;
+    }
+    timer.callback();
+  };
+
+  const advance = async (duration: Milliseconds): Promise<void> => {
+    const end = now + duration;
+    await settle();
+    for (;;) {
+      const next = earliestTimer(pending, end);
+      if (next === undefined) break;
+      fire(next);
+      await settle();
+    }
+    now = end;
+  };
+
+  return {
+    now: () => now,
+    wallClock: () => wallClockOffset + now,
+    after: (delay, callback) => subscribe(delay, callback, undefined),
+    every: (period, callback) =>
+      subscribe(period, callback, Math.max(1, period)),
+    advance,
+    settle,
+    pendingTimers: () => pending.size,
+  };
+}
+
+function earliestTimer(
+  pending: ReadonlySet<PendingTimer>,
+  end: Milliseconds,
+): PendingTimer | undefined {
+  let earliest: PendingTimer | undefined;
+  for (const timer of pending) {
+    if (timer.due > end) continue;
+    if (earliest === undefined || comesBefore(timer, earliest)) {
+      earliest = timer;
+    }
+  }
+  return earliest;
+}
+
+function comesBefore(left: PendingTimer, right: PendingTimer): boolean {
+  return (
+    left.due < right.due || (left.due === right.due && left.order < right.order)
+  );
+}
+
+async function settle(): Promise<void> {
+  for (let round = 0; round < settleRounds; round += 1) {
+    await new Promise<void>(resolve => {
+      setImmediate(resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/timers/src/timer-service.ts
@@ -0,0 +1,29 @@
+import type { Milliseconds } from '@cranberryturn/types';
+
+/** A subscription to the timer service. */
+export interface TimerSubscription {
+  /** Ends the subscription. Does nothing when it already ended. */
+  cancel(): void;
+}
+
+/** Source of time for every part. Parts subscribe to it and never read a clock themselves. */
+export interface TimerService {
+  /** Monotonic time in milliseconds, with fractions. */
+  now(): Milliseconds;
+  /** Wall-clock time in milliseconds since 1970. */
+  wallClock(): Milliseconds;
+  /** Calls `callback` once, `delay` milliseconds from now. */
+  after(delay: Milliseconds, callback: () => void): TimerSubscription;
+  /** Calls `callback` every `period` milliseconds. */
+  every(period: Milliseconds, callback: () => void): TimerSubscription;
+}
+
+/** Resolves after `delay` milliseconds. */
+export function sleep(
+  timers: TimerService,
+  delay: Milliseconds,
+): Promise<void> {
+  return new Promise(resolve => {
+    timers.after(delay, resolve);
+  });
+}
--- /dev/null
+++ b/packages/types/src/claims.ts
@@ -0,0 +1,75 @@
+import type {
+  BodyDigest,
+  DispatcherId,
+  Incarnation,
+  JobId,
+  LogIndex,
+  OwnershipEpoch,
+  ServiceName,
+  TargetId,
+  TeamName,
+} from './identifiers.js';
+import type { NetworkAddress } from './targets.js';
+
+/** One run of one dispatcher; ownership does not pass to a restarted dispatcher by itself. */
+export interface DispatcherIdentity {
+  readonly dispatcherId: DispatcherId;
+  readonly incarnation: Incarnation;
+}
+
+/** One run of one sidecar. */
+export interface TargetIdentity {
+  readonly targetId: TargetId;
+  readonly incarnation: Incarnation;
+}
+
+/** Asks to own a job. */
+export interface ClaimRequest {
+  readonly team: TeamName;
+  readonly jobId: JobId;
+  readonly service: ServiceName;
+  readonly digest: BodyDigest;
+  readonly owner: DispatcherIdentity;
+}
+
+/** How a claim request ended. */
+export enum ClaimOutcomeKind {
+  /** The caller of the port owns the job; no other owner ever had it in this epoch. */
+  Granted = 'granted',
+  /** Another dispatcher owns the job. */
+  Held = 'held',
+  /** The job exists with another body. */
+  Conflict = 'conflict',
+}
+
+/** The claim was granted. */
+export interface ClaimGranted {
+  readonly kind: ClaimOutcomeKind.Granted;
+  readonly epoch: OwnershipEpoch;
+  /** Position of the first claim of this job in the log. */
+  readonly claimedAt: LogIndex;
+  /** Sidecar runs that may hold starts of this job; needed on adoption only, when epoch > 1. */
+  readonly witnesses: readonly TargetIdentity[];
+}
+
+/** The job is owned by a dispatcher that is not known to be dead. */
+export interface ClaimHeld {
+  readonly kind: ClaimOutcomeKind.Held;
+  readonly epoch: OwnershipEpoch;
+  readonly owner: DispatcherIdentity;
+  readonly ownerAddress?: NetworkAddress | undefined;
+}
+
+/** The job identifier was used with another body. */
+export interface ClaimConflict {
+  readonly kind: ClaimOutcomeKind.Conflict;
+}
+
+/** Answer of the claim store. */
+export type ClaimOutcome = ClaimGranted | ClaimHeld | ClaimConflict;
+
+/** Asks to take over a job whose owner is presumed dead. Conditional on the epoch seen. */
+export interface AdoptRequest extends ClaimRequest {
+  /** Epoch of the owner that is presumed dead. */
+  readonly expectedEpoch: OwnershipEpoch;
+}
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,9 @@
+/** Types shared by every package. */
+export * from './attempts.js';
+export * from './claims.js';
+export * from './configuration.js';
+export * from './decisions.js';
+export * from './identifiers.js';
+export * from './jobs.js';
+export * from './roster.js';
+export * from './targets.js';
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,2 @@
+/** Messages between processes, their codec, connections and remote calls. */
+export {};
