Add settings schemas, bearer tokens and the shared-key handshake

Every role needs checked settings and a proof of identity before it can listen. Settings are JSON with comments, checked with strict schemas; the error lists every problem with its line, key, value found and values allowed. Tokens are kept as digests; the shared key is proved by both ends with both nonces, roles and names bound in.

--- /dev/null
+++ b/packages/authentication/src/authentication.test.ts
@@ -0,0 +1,138 @@
+import { chmodSync, mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import test from 'ava';
+
+import {
+  answerChallenge,
+  createChallenge,
+  createSharedKey,
+  createToken,
+  createTokenFinder,
+  digestToken,
+  findTokenOwner,
+  HandshakeSide,
+  type HandshakeTranscript,
+  parseSharedKeys,
+  readBearerToken,
+  readSharedKeyFile,
+  verifyChallengeAnswer,
+} from './index.js';
+
+const { Dialler, Listener } = HandshakeSide;
+
+function keysOf(...keys: string[]) {
+  return parseSharedKeys(keys.join('\n'), 'test.key')._unsafeUnwrap();
+}
+
+function transcript(): HandshakeTranscript {
+  return {
+    dialler: { role: 'sidecar', name: 'target-1', nonce: createChallenge() },
+    listener: { role: 'dispatcher', name: 'entry-1', nonce: createChallenge() },
+  };
+}
+
+test('a token finds its holder and no other', t => {
+  const tokens = [createToken(), createToken(), createToken()];
+  const holders = tokens.map((token, index) => ({
+    name: `team-${String(index)}`,
+    tokenDigests: [digestToken(createToken()), digestToken(token)],
+  }));
+  const find = createTokenFinder(holders);
+  for (const [index, token] of tokens.entries()) {
+    t.is(find(token)?.name, `team-${String(index)}`);
+    t.is(findTokenOwner(`${token}x`, holders), undefined);
+  }
+  t.is(find(undefined), undefined);
+  t.is(find(''), undefined);
+  t.is(findTokenOwner('any', [{ tokenDigests: ['sha256:12'] }]), undefined);
+});
+
+test('a bearer header is read, anything else is no token', t => {
+  t.is(readBearerToken('Bearer cbt_1'), 'cbt_1');
+  t.is(readBearerToken('bearer  cbt_1'), 'cbt_1');
+  t.is(readBearerToken('Basic cbt_1'), undefined);
+  t.is(readBearerToken('Bearer a b'), undefined);
+  t.is(readBearerToken(undefined), undefined);
+});
+
+test('both ends prove the same key', t => {
+  const keys = keysOf(createSharedKey());
+  const agreed = transcript();
+  for (const side of [Dialler, Listener]) {
+    const answer = answerChallenge(keys, agreed, side);
+    t.true(verifyChallengeAnswer(keys, agreed, side, answer).isOk());
+  }
+});
+
+test('a proof is refused for another key, side, name, role or nonce', t => {
+  const keys = keysOf(createSharedKey());
+  const agreed = transcript();
+  const answer = answerChallenge(keys, agreed, Dialler);
+  const { dialler } = agreed;
+  const altered: HandshakeTranscript[] = [
+    { ...agreed, dialler: { ...dialler, name: 'target-2' } },
+    { ...agreed, dialler: { ...dialler, role: 'control' } },
+    { ...agreed, dialler: { ...dialler, nonce: createChallenge() } },
+    { ...agreed, listener: transcript().listener },
+    { ...agreed, listener: { ...agreed.listener, nonce: dialler.nonce } },
+    { ...agreed, dialler: { ...dialler, nonce: 'short' } },
+  ];
+  for (const other of altered) {
+    t.true(verifyChallengeAnswer(keys, other, Dialler, answer).isErr());
+  }
+  t.true(verifyChallengeAnswer(keys, agreed, Listener, answer).isErr());
+  t.true(verifyChallengeAnswer(keys, agreed, Dialler, '').isErr());
+  const stranger = keysOf(createSharedKey());
+  const refused = verifyChallengeAnswer(stranger, agreed, Dialler, answer);
+  const error = refused._unsafeUnwrapErr();
+  t.like(error, { step: 'authenticate peer', peer: 'target-1' });
+  t.snapshot(error.message);
+});
+
+test('a rotation in three steps never refuses a peer', t => {
+  const [old, fresh] = [createSharedKey(), createSharedKey()];
+  const steps = [[old], [old, fresh], [fresh, old], [fresh]].map(lines =>
+    keysOf(...lines),
+  );
+  const agreed = transcript();
+  const accepts = (left: number, right: number): boolean => {
+    const [mine, theirs] = [steps[left], steps[right]];
+    if (mine === undefined || theirs === undefined) return false;
+    const answer = answerChallenge(theirs, agreed, Dialler);
+    return verifyChallengeAnswer(mine, agreed, Dialler, answer).isOk();
+  };
+  for (const step of [0, 1, 2]) {
+    t.true(accepts(step, step + 1));
+    t.true(accepts(step + 1, step));
+  }
+  t.false(accepts(0, 3));
+});
+
+test('a shared key file names what is wrong with it', t => {
+  const folder = mkdtempSync(join(tmpdir(), 'cranberry-key-'));
+  const write = (name: string, text: string, mode: number): string => {
+    const path = join(folder, name);
+    writeFileSync(path, text);
+    chmodSync(path, mode);
+    return path;
+  };
+  const key = createSharedKey();
+  const good = write('good', `# made today\n\n${key}\n`, 0o600);
+  t.is(readSharedKeyFile(good)._unsafeUnwrap().current.length, 32);
+  const wrong = [
+    join(folder, 'missing'),
+    write('open', key, 0o644),
+    write('empty', '# none\n', 0o600),
+    write('short', `${key}\ncbk_short\n`, 0o600),
+    write('three', `${key}\n${key}\n${key}\n`, 0o600),
+  ];
+  const messages = wrong.map(path =>
+    readSharedKeyFile(path)
+      ._unsafeUnwrapErr()
+      .message.replaceAll(`${folder}/`, ''),
+  );
+  t.snapshot(messages);
+  t.false(messages.join().includes(key));
+});
--- /dev/null
+++ b/packages/authentication/src/handshake.ts
@@ -0,0 +1,119 @@
+/** Mutual proof of the shared key between two processes: HMAC-SHA256 over both nonces and both names. */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
+
+import { AuthenticationError } from '@cranberryturn/errors';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { SharedKeys } from './shared-keys.js';
+
+const nonceBytes = 32;
+const minimumNonceCharacters = 43;
+const proofDomain = 'cranberryturn handshake 1';
+
+/** The two ends of a connection. */
+export enum HandshakeSide {
+  /** The process that opened the connection. */
+  Dialler = 'dialler',
+  /** The process that accepted the connection. */
+  Listener = 'listener',
+}
+
+/** What one end says about itself before it proves the key. */
+export interface HandshakeParty {
+  /** Role of the process, for example `sidecar`. */
+  readonly role: string;
+  /** Name of the process. */
+  readonly name: string;
+  /** Nonce that this end drew with `createChallenge`. */
+  readonly nonce: string;
+}
+
+/** Everything that both ends bind into their proofs. */
+export interface HandshakeTranscript {
+  readonly dialler: HandshakeParty;
+  readonly listener: HandshakeParty;
+}
+
+/** Draws a fresh nonce. Each connection needs its own. */
+export function createChallenge(): string {
+  return randomBytes(nonceBytes).toString('base64url');
+}
+
+/** Computes the proof that the end on `side` holds the key. */
+export function answerChallenge(
+  keys: SharedKeys,
+  transcript: HandshakeTranscript,
+  side: HandshakeSide,
+): string {
+  return computeProof(keys.current, transcript, side).toString('base64url');
+}
+
+/** Checks the proof given by the end on `side`. The current and the previous key are accepted. */
+export function verifyChallengeAnswer(
+  keys: SharedKeys,
+  transcript: HandshakeTranscript,
+  side: HandshakeSide,
+  answer: string,
+): Result<void, AuthenticationError> {
+  const given = Buffer.from(answer, 'base64url');
+  const party =
+    side === HandshakeSide.Dialler ? transcript.dialler : transcript.listener;
+  if (hasWeakNonce(transcript)) {
+    return err(
+      refusal(
+        party,
+        'sent no fresh nonce. Run the same version on both hosts.',
+      ),
+    );
+  }
+  const current = matches(computeProof(keys.current, transcript, side), given);
+  const previous =
+    keys.previous !== undefined &&
+    matches(computeProof(keys.previous, transcript, side), given);
+  if (current || previous) return ok(undefined);
+  return err(
+    refusal(
+      party,
+      'holds another shared key. Copy the same shared key file to both hosts and restart the process that has the old one.',
+    ),
+  );
+}
+
+function computeProof(
+  key: Buffer,
+  transcript: HandshakeTranscript,
+  side: HandshakeSide,
+): Buffer {
+  const { dialler, listener } = transcript;
+  const fields = [
+    proofDomain,
+    side,
+    dialler.role,
+    dialler.name,
+    dialler.nonce,
+    listener.role,
+    listener.name,
+    listener.nonce,
+  ];
+  // JSON keeps the borders between fields, so no two transcripts share an encoding.
+  return createHmac('sha256', key).update(JSON.stringify(fields)).digest();
+}
+
+function matches(expected: Buffer, given: Buffer): boolean {
+  return expected.length === given.length && timingSafeEqual(expected, given);
+}
+
+function hasWeakNonce({ dialler, listener }: HandshakeTranscript): boolean {
+  return (
+    dialler.nonce.length < minimumNonceCharacters ||
+    listener.nonce.length < minimumNonceCharacters ||
+    dialler.nonce === listener.nonce
+  );
+}
+
+function refusal(party: HandshakeParty, reason: string): AuthenticationError {
+  return new AuthenticationError(`The ${party.role} ${party.name} ${reason}`, {
+    step: 'authenticate peer',
+    peer: party.name,
+  });
+}
--- a/packages/authentication/src/index.ts
+++ b/packages/authentication/src/index.ts
@@ -1,2 +1,5 @@
-/** Bearer token digests and the shared-key challenge between processes. */
-export {};
+/** Bearer tokens of callers and operators, and the shared key between our processes. */
+export * from './handshake.js';
+export * from './read-shared-key-file.js';
+export * from './shared-keys.js';
+export * from './tokens.js';
--- /dev/null
+++ b/packages/settings/src/describe-issue.ts
@@ -0,0 +1,122 @@
+/** Turns an issue found by the schema into problems with a place and a hint. */
+import type { z } from 'zod';
+
+import { findKnownKeys } from './known-keys.js';
+import { findNearestName } from './nearest-name.js';
+import type { SettingsDocument } from './parse-document.js';
+import type { SettingsProblem } from './settings-error.js';
+import {
+  formatKeyPath,
+  type KeyPath,
+  positionOfKey,
+  positionOfValue,
+} from './text-positions.js';
+
+const longestValue = 60;
+const secretKey = /token|secret|password|authorization/i;
+
+/** Describes one issue; an issue about several unknown keys gives one problem for each. */
+export function describeIssue(
+  issue: z.core.$ZodIssue,
+  document: SettingsDocument,
+  schema: z.ZodType,
+): readonly SettingsProblem[] {
+  const path = issue.path.map(step =>
+    typeof step === 'number' ? step : String(step),
+  );
+  if (issue.code === 'unrecognized_keys') {
+    const known = findKnownKeys(schema, path);
+    return issue.keys.map(key => unknownKey(document, path, key, known));
+  }
+  return [
+    {
+      ...positionOfValue(document.text, document.root, path),
+      keyPath: formatKeyPath(path),
+      found: describeValue(document.value, path),
+      allowed: describeAllowed(issue),
+    },
+  ];
+}
+
+function unknownKey(
+  document: SettingsDocument,
+  path: KeyPath,
+  key: string,
+  known: readonly string[],
+): SettingsProblem {
+  const keyPath = [...path, key];
+  return {
+    ...positionOfKey(document.text, document.root, keyPath),
+    keyPath: formatKeyPath(keyPath),
+    found: 'an unknown key',
+    allowed: known.join(', '),
+    suggestion: findNearestName(key, known),
+  };
+}
+
+function describeAllowed(issue: z.core.$ZodIssue): string {
+  switch (issue.code) {
+    case 'invalid_type':
+      return describeType(issue.expected);
+    case 'too_small':
+      return describeBound(issue.origin, 'at least', Number(issue.minimum));
+    case 'too_big':
+      return describeBound(issue.origin, 'at most', Number(issue.maximum));
+    case 'invalid_value':
+      return issue.values.map(value => `"${String(value)}"`).join(', ');
+    case 'invalid_format':
+    case 'not_multiple_of':
+    case 'unrecognized_keys':
+    case 'invalid_union':
+    case 'invalid_key':
+    case 'invalid_element':
+    case 'custom':
+      return issue.message;
+  }
+}
+
+function describeType(expected: string): string {
+  switch (expected) {
+    case 'int':
+      return 'a whole number';
+    case 'number':
+      return 'a number';
+    case 'string':
+      return 'a text in double quotes';
+    case 'boolean':
+      return 'true or false';
+    case 'array':
+      return 'an array [ ... ]';
+    case 'object':
+      return 'an object { ... }';
+    default:
+      return expected;
+  }
+}
+
+function describeBound(origin: string, bound: string, limit: number): string {
+  const amount = limit.toLocaleString('en');
+  if (origin === 'array') return `${bound} ${amount} entries`;
+  if (origin === 'string') return `${bound} ${amount} characters`;
+  return `a number of ${bound} ${amount}`;
+}
+
+function describeValue(root: unknown, path: KeyPath): string {
+  const value = path.reduce<unknown>(
+    (current, step) =>
+      typeof current === 'object' && current !== null
+        ? (current as Record<string, unknown>)[step]
+        : undefined,
+    root,
+  );
+  if (value === undefined) return 'nothing';
+  if (typeof value === 'string' && path.some(isSecret)) {
+    return `a text of ${String(value.length)} characters`;
+  }
+  const text = JSON.stringify(value);
+  return text.length > longestValue ? `${text.slice(0, longestValue)}…` : text;
+}
+
+function isSecret(step: string | number): boolean {
+  return typeof step === 'string' && secretKey.test(step);
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,9 @@
 /** Reads and checks settings files in JSON with comments. */
-export {};
+export * from './parse-settings-text.js';
+export * from './read-settings-file.js';
+export * from './schemas/command-line-settings.js';
+export * from './schemas/control-settings.js';
+export * from './schemas/dispatcher-settings.js';
+export * from './schemas/local-settings.js';
+export * from './schemas/sidecar-settings.js';
+export * from './settings-error.js';
--- /dev/null
+++ b/packages/settings/src/parse-document.ts
@@ -0,0 +1,112 @@
+/** Parses JSON with comments into a tree that keeps positions. */
+import {
+  getNodeValue,
+  type Node,
+  type ParseError,
+  parseTree,
+  printParseErrorCode,
+} from 'jsonc-parser';
+
+import type { SettingsProblem } from './settings-error.js';
+import { formatKeyPath, type KeyPath, positionAt } from './text-positions.js';
+
+const byteOrderMark = '\uFEFF';
+const longestExcerpt = 20;
+
+/** A parsed settings text. */
+export interface SettingsDocument {
+  readonly text: string;
+  readonly root: Node | undefined;
+  readonly value: unknown;
+  readonly problems: readonly SettingsProblem[];
+}
+
+/** Parses `source`. Comments and trailing commas are allowed, repeated keys are not. */
+export function parseDocument(source: string): SettingsDocument {
+  const text = source.startsWith(byteOrderMark) ? source.slice(1) : source;
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  const syntax = errors.map(error => describeSyntaxError(text, error));
+  const repeated = root === undefined ? [] : findRepeatedKeys(text, root, []);
+  const value: unknown = root === undefined ? undefined : getNodeValue(root);
+  return { text, root, value, problems: [...syntax, ...repeated] };
+}
+
+function describeSyntaxError(text: string, error: ParseError): SettingsProblem {
+  const excerpt = text
+    .slice(error.offset, error.offset + longestExcerpt)
+    .split('\n')[0]
+    ?.trim();
+  return {
+    ...positionAt(text, error.offset),
+    keyPath: '',
+    found: excerpt ? `"${excerpt}"` : 'the end of the line or file',
+    allowed: allowedSyntax(printParseErrorCode(error.error)),
+  };
+}
+
+function allowedSyntax(code: string): string {
+  switch (code) {
+    case 'CommaExpected':
+      return 'a comma between two entries';
+    case 'ColonExpected':
+      return 'a colon after a key';
+    case 'PropertyNameExpected':
+      return 'a key in double quotes';
+    case 'ValueExpected':
+      return 'a value: an object, an array, a text, a number, true or false';
+    case 'CloseBraceExpected':
+      return 'a closing "}"';
+    case 'CloseBracketExpected':
+      return 'a closing "]"';
+    case 'EndOfFileExpected':
+      return 'nothing after the end of the settings object';
+    case 'UnexpectedEndOfComment':
+      return 'a closing "*/" of the comment';
+    case 'UnexpectedEndOfString':
+      return 'a closing double quote of the text';
+    case 'InvalidNumberFormat':
+    case 'UnexpectedEndOfNumber':
+      return 'a number in decimal digits';
+    default:
+      return 'JSON, with // or /* */ comments';
+  }
+}
+
+function findRepeatedKeys(
+  text: string,
+  node: Node,
+  path: KeyPath,
+): readonly SettingsProblem[] {
+  if (node.type === 'array') {
+    return (node.children ?? []).flatMap((child, index) =>
+      findRepeatedKeys(text, child, [...path, index]),
+    );
+  }
+  if (node.type !== 'object') return [];
+  const seen = new Set<string>();
+  return (node.children ?? []).flatMap(property => {
+    const [keyNode, valueNode] = property.children ?? [];
+    const key = String(keyNode?.value);
+    const keyPath = [...path, key];
+    const inner = valueNode ? findRepeatedKeys(text, valueNode, keyPath) : [];
+    if (!seen.has(key)) {
+      seen.add(key);
+      return inner;
+    }
+    return [repeatedKey(text, property, keyPath), ...inner];
+  });
+}
+
+function repeatedKey(
+  text: string,
+  property: Node,
+  path: KeyPath,
+): SettingsProblem {
+  return {
+    ...positionAt(text, property.offset),
+    keyPath: formatKeyPath(path),
+    found: 'the same key a second time',
+    allowed: 'each key once in an object',
+  };
+}
--- /dev/null
+++ b/packages/settings/src/parse-settings-text.ts
@@ -0,0 +1,32 @@
+/** Parses a settings text and checks it with a schema. */
+import { err, ok, type Result } from 'neverthrow';
+import type { z } from 'zod';
+
+import { describeIssue } from './describe-issue.js';
+import { parseDocument } from './parse-document.js';
+import { SettingsError, type SettingsProblem } from './settings-error.js';
+
+/** Parses JSON with comments and checks it. The error lists every problem, in the order of the file. */
+export function parseSettingsText<Schema extends z.ZodType>(
+  text: string,
+  fileName: string,
+  schema: Schema,
+): Result<z.output<Schema>, SettingsError> {
+  const document = parseDocument(text);
+  if (document.problems.length > 0) {
+    return err(new SettingsError(fileName, document.problems));
+  }
+  const checked = schema.safeParse(document.value);
+  if (checked.success) return ok(checked.data);
+  const problems = checked.error.issues.flatMap(issue =>
+    describeIssue(issue, document, schema),
+  );
+  return err(new SettingsError(fileName, problems.sort(compareProblems)));
+}
+
+function compareProblems(
+  left: SettingsProblem,
+  right: SettingsProblem,
+): number {
+  return left.line - right.line || left.column - right.column;
+}
--- /dev/null
+++ b/packages/settings/src/read-settings-file.ts
@@ -0,0 +1,34 @@
+/** Reads a settings file from the disk and checks it with a schema. */
+import { readFileSync } from 'node:fs';
+
+import { err, type Result } from 'neverthrow';
+import type { z } from 'zod';
+
+import { parseSettingsText } from './parse-settings-text.js';
+import { SettingsError } from './settings-error.js';
+
+/** Reads and checks the settings file at `path`. */
+export function readSettingsFile<Schema extends z.ZodType>(
+  path: string,
+  schema: Schema,
+): Result<z.output<Schema>, SettingsError> {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (cause) {
+    return err(unreadable(path, cause));
+  }
+  return parseSettingsText(text, path, schema);
+}
+
+function unreadable(path: string, cause: unknown): SettingsError {
+  const reason = cause instanceof Error ? cause.message : String(cause);
+  const problem = {
+    line: 1,
+    column: 1,
+    keyPath: '',
+    found: `no readable file (${reason})`,
+    allowed: 'the path of a settings file, given with --settings',
+  };
+  return new SettingsError(path, [problem], cause);
+}
--- /dev/null
+++ b/packages/settings/src/schemas/control-settings.ts
@@ -0,0 +1,85 @@
+/** Settings of `cranberry-control`. */
+import { z } from 'zod';
+
+import {
+  advertisedListenSchema,
+  controlPeerSchema,
+  listenAddressSchema,
+  logSchema,
+  nameSchema,
+  operatorsSchema,
+  pathSchema,
+  seedSchema,
+  stopSchema,
+  uniqueBy,
+} from './shared.js';
+
+const mostControlHosts = 7;
+
+const snapshotsSchema = z
+  .strictObject({
+    /** Entries of the log between two snapshots. */
+    everyEntries: z.int().min(16).max(10_000_000).default(10_000),
+  })
+  .prefault({});
+
+const timingsSchema = z
+  .strictObject({
+    leaderHeartbeatMilliseconds: z.int().min(10).max(10_000).default(100),
+    /** Silence of the leader after which an election starts. */
+    electionTimeoutMilliseconds: z.int().min(50).max(60_000).default(600),
+  })
+  .refine(
+    ({ leaderHeartbeatMilliseconds, electionTimeoutMilliseconds }) =>
+      electionTimeoutMilliseconds >= 3 * leaderHeartbeatMilliseconds,
+    {
+      path: ['electionTimeoutMilliseconds'],
+      error: 'at least three times leaderHeartbeatMilliseconds',
+    },
+  )
+  .prefault({});
+
+const peersSchema = z.strictObject({
+  /** Connections from other replicas and from dispatchers. */
+  listen: advertisedListenSchema,
+  /** Replicas of the first quorum; later ones are learned from the log. */
+  members: uniqueBy(controlPeerSchema, peer => peer.replicaId, 'replicaId')
+    .min(1)
+    .max(mostControlHosts),
+});
+
+/** Schema of the settings of a control replica. */
+export const controlSettingsSchema = z
+  .strictObject({
+    /** Name of the replica. A replaced or emptied replica takes a new one. */
+    replicaId: nameSchema,
+    host: nameSchema,
+    dataCentre: nameSchema,
+    region: nameSchema,
+    dataFolder: pathSchema,
+    peers: peersSchema,
+    /** True for a replica that joins a running quorum and is not among its first members. */
+    joining: z.boolean().default(false),
+    /** HTTP for operators, health checks and metrics. */
+    administration: listenAddressSchema,
+    operators: operatorsSchema.min(1),
+    sharedKeyFile: pathSchema,
+    /** Configuration that the first leader of an empty log proposes. */
+    initialConfigurationFile: pathSchema.optional(),
+    snapshots: snapshotsSchema,
+    timings: timingsSchema,
+    stop: stopSchema,
+    seed: seedSchema,
+    log: logSchema,
+  })
+  .refine(
+    ({ replicaId, peers, joining }) =>
+      joining || peers.members.some(member => member.replicaId === replicaId),
+    {
+      path: ['replicaId'],
+      error: 'one of peers.members, unless "joining" is true',
+    },
+  );
+
+/** Checked settings of a control replica. */
+export type ControlSettings = z.output<typeof controlSettingsSchema>;
--- /dev/null
+++ b/packages/settings/src/schemas/dispatcher-settings.ts
@@ -0,0 +1,72 @@
+/** Settings of `cranberry-dispatcher`. */
+import { z } from 'zod';
+
+import {
+  advertisedListenSchema,
+  controlPeerSchema,
+  heartbeatSchema,
+  listenAddressSchema,
+  logSchema,
+  nameSchema,
+  operatorsSchema,
+  pathSchema,
+  retentionSchema,
+  seedSchema,
+  stopSchema,
+  teamsSchema,
+  uniqueBy,
+} from './shared.js';
+
+const oneMebibyte = 1_048_576;
+const mostControlHosts = 7;
+
+const limitsSchema = z
+  .strictObject({
+    /** Largest body of a caller's request. */
+    bodyBytes: z
+      .int()
+      .min(1_024)
+      .max(256 * oneMebibyte)
+      .default(8 * oneMebibyte),
+    /** Longest time for a caller to send its body. */
+    bodyTimeoutMilliseconds: z.int().min(100).max(600_000).default(10_000),
+    /** Most connections of callers at the same time. */
+    callersConnections: z.int().min(1).max(100_000).default(4_096),
+    /** Most bytes of admitted bodies and answers held at the same time. */
+    heldBytes: z
+      .int()
+      .min(oneMebibyte)
+      .max(16_384 * oneMebibyte)
+      .default(256 * oneMebibyte),
+  })
+  .prefault({});
+
+/** Schema of the settings of a dispatcher. */
+export const dispatcherSettingsSchema = z.strictObject({
+  dispatcherId: nameSchema,
+  host: nameSchema,
+  rack: nameSchema.optional(),
+  dataCentre: nameSchema,
+  region: nameSchema,
+  /** HTTP for callers, health checks and metrics. */
+  callers: listenAddressSchema,
+  /** Connections from sidecars and other dispatchers. */
+  peers: advertisedListenSchema,
+  control: uniqueBy(controlPeerSchema, peer => peer.replicaId, 'replicaId')
+    .min(1)
+    .max(mostControlHosts),
+  sharedKeyFile: pathSchema,
+  teams: teamsSchema.min(1),
+  operators: operatorsSchema.default([]),
+  limits: limitsSchema,
+  retention: retentionSchema,
+  heartbeat: heartbeatSchema,
+  stop: stopSchema,
+  /** Most targets of one service that this dispatcher uses; all when absent. */
+  targetsPerService: z.int().min(1).optional(),
+  seed: seedSchema,
+  log: logSchema,
+});
+
+/** Checked settings of a dispatcher. */
+export type DispatcherSettings = z.output<typeof dispatcherSettingsSchema>;
--- /dev/null
+++ b/packages/settings/src/schemas/shared.ts
@@ -0,0 +1,179 @@
+/** Parts of settings that several roles share. */
+import { isIP } from 'node:net';
+
+import { LogFormat, LogLevel } from '@cranberryturn/types';
+import { z } from 'zod';
+
+const largestPort = 65_535;
+const oneMebibyte = 1_048_576;
+const oneHourMilliseconds = 3_600_000;
+const unspecifiedAddresses = new Set(['0.0.0.0', '::']);
+
+/** A name of a process, host, rack, data centre, service or team. */
+export const nameSchema = z
+  .string()
+  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, {
+    error:
+      'a name of 1 to 63 letters, digits, ".", "_" or "-" that starts with a letter or digit',
+  });
+
+/** A path of a file or folder, relative to the working folder of the process. */
+export const pathSchema = z.string().min(1);
+
+/** An IP address. Names are not looked up. */
+export const ipAddressSchema = z.string().refine(text => isIP(text) !== 0, {
+  error: 'an IP address such as 10.0.0.7 or ::1 (host names are not looked up)',
+});
+
+/** Address on which a process listens. Port 0 takes any free port. */
+export const listenAddressSchema = z.strictObject({
+  address: ipAddressSchema,
+  port: z.int().min(0).max(largestPort),
+});
+
+/** Address of another process. */
+export const peerAddressSchema = z.strictObject({
+  address: ipAddressSchema,
+  port: z.int().min(1).max(largestPort),
+});
+
+/** Listening address that other processes learn; an unspecified address needs `advertisedAddress`. */
+export const advertisedListenSchema = z
+  .strictObject({
+    ...listenAddressSchema.shape,
+    advertisedAddress: ipAddressSchema.optional(),
+  })
+  .refine(
+    ({ address, advertisedAddress }) =>
+      !unspecifiedAddresses.has(address) || advertisedAddress !== undefined,
+    {
+      path: ['advertisedAddress'],
+      error: 'the IP address that others dial, as this process listens on all',
+    },
+  );
+
+/** An address of a control replica. */
+export const controlPeerSchema = z.strictObject({
+  replicaId: nameSchema,
+  ...peerAddressSchema.shape,
+});
+
+/** Base address of an HTTP service. */
+export const urlSchema = z.string().refine(isHttpUrl, {
+  error: 'a URL such as http://127.0.0.1:8080',
+});
+
+/** Digest of a bearer token. */
+export const tokenDigestSchema = z.string().regex(/^sha256:[0-9a-f]{64}$/, {
+  error:
+    '"sha256:" and 64 hexadecimal digits, as printed by `cranberryctl token create`; never the token itself',
+});
+
+const tokenDigestsSchema = z.array(tokenDigestSchema).min(1);
+
+/** Teams and the digests of their tokens. */
+export const teamsSchema = uniqueBy(
+  z.strictObject({ team: nameSchema, tokenDigests: tokenDigestsSchema }),
+  entry => entry.team,
+  'team',
+);
+
+/** Operators and the digests of their tokens. */
+export const operatorsSchema = uniqueBy(
+  z.strictObject({ name: nameSchema, tokenDigests: tokenDigestsSchema }),
+  entry => entry.name,
+  'name',
+);
+
+/** Resources of a worker. */
+export const resourcesSchema = z.strictObject({
+  processors: z.number().positive().max(4096),
+  memoryMebibytes: z.int().min(1),
+  accelerators: z.int().min(0).default(0),
+});
+
+/** Logging of a process. */
+export const logSchema = z
+  .strictObject({
+    level: z.enum(LogLevel).default(LogLevel.Info),
+    /** Without a value: readable at a terminal, JSON otherwise. */
+    format: z.enum(LogFormat).optional(),
+    /** Without a file, lines go to the standard error output. */
+    file: pathSchema.optional(),
+    /** One JSON line for each routing and placement decision. Without a file, they go to the log. */
+    decisionFile: pathSchema.optional(),
+  })
+  .prefault({});
+
+/** How long and how much of finished answers is kept. */
+export const retentionSchema = z
+  .strictObject({
+    answersMilliseconds: z
+      .int()
+      .min(1_000)
+      .max(24 * oneHourMilliseconds)
+      .default(600_000),
+    answersBytes: z
+      .int()
+      .min(oneMebibyte)
+      .max(4096 * oneMebibyte)
+      .default(64 * oneMebibyte),
+  })
+  .prefault({});
+
+/** Heartbeats on connections between our processes. */
+export const heartbeatSchema = z
+  .strictObject({
+    intervalMilliseconds: z.int().min(10).max(60_000).default(1_000),
+    /** Silence after which a fresh connection is dialled. */
+    suspectAfterMilliseconds: z.int().min(20).max(300_000).default(3_000),
+  })
+  .refine(
+    ({ intervalMilliseconds, suspectAfterMilliseconds }) =>
+      suspectAfterMilliseconds >= 2 * intervalMilliseconds,
+    {
+      path: ['suspectAfterMilliseconds'],
+      error: 'at least twice intervalMilliseconds',
+    },
+  )
+  .prefault({});
+
+/** Planned stops. */
+export const stopSchema = z
+  .strictObject({
+    /** Longest time for work in flight to finish and be acknowledged. */
+    graceMilliseconds: z.int().min(0).max(oneHourMilliseconds).default(60_000),
+  })
+  .prefault({});
+
+/** Seed of the random numbers of a process; drawn at start and logged when absent. */
+export const seedSchema = z.int().min(0).optional();
+
+/** An array whose entries differ in one key. */
+export function uniqueBy<Entry extends z.ZodType>(
+  entry: Entry,
+  keyOf: (value: z.output<Entry>) => string,
+  keyName: string,
+): z.ZodArray<Entry> {
+  return z.array(entry).check(context => {
+    const seen = new Set<string>();
+    context.value.forEach((value, index) => {
+      const key = keyOf(value);
+      if (seen.has(key)) {
+        context.issues.push({
+          code: 'custom',
+          input: key,
+          path: [index, keyName],
+          message: `a ${keyName} that no earlier entry has`,
+        });
+      }
+      seen.add(key);
+    });
+  });
+}
+
+function isHttpUrl(text: string): boolean {
+  return (
+    URL.canParse(text) && ['http:', 'https:'].includes(new URL(text).protocol)
+  );
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -5,5 +5,6 @@
 export * from './decisions.js';
 export * from './identifiers.js';
 export * from './jobs.js';
+export * from './logging.js';
 export * from './roster.js';
 export * from './targets.js';
