Add structured logs, decision lines and metrics

Each role must log every decision and serve its measures. Metrics are plain numbers and HDR histograms on the hot path, gathered into a private prom-client registry only when they are read.

--- /dev/null
+++ b/packages/logger/src/decision-log.ts
@@ -0,0 +1,122 @@
+/** Writes one line for each routing or placement decision. */
+import { createWriteStream, type WriteStream } from 'node:fs';
+
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import {
+  type Decision,
+  type DecisionRecord,
+  type DecisionSink,
+  LogLevel,
+} from '@cranberryturn/types';
+
+import type { Logger } from './logger.js';
+
+const flushMilliseconds = 200;
+const flushCharacters = 65_536;
+const maximumUnwrittenBytes = 33_554_432;
+
+/** Where decisions go. */
+export interface DecisionLogOptions {
+  readonly logger: Logger;
+  /** Name of the process that decides. */
+  readonly process: string;
+  readonly timers: TimerService;
+  /** File that lines are added to. Without it, decisions go to `logger` at level info. */
+  readonly file?: string | undefined;
+}
+
+/** A decision log with its lifetime. */
+export interface DecisionLog {
+  /** Records one decision; costs next to nothing when decisions are not written. */
+  readonly record: DecisionSink;
+  /** Writes out what is buffered and closes the file. */
+  close(): Promise<void>;
+}
+
+/** Opens the decision log of a process. */
+export function createDecisionLog(options: DecisionLogOptions): DecisionLog {
+  if (options.file !== undefined)
+    return openDecisionFile(options, options.file);
+  const { logger } = options;
+  if (!logger.isEnabled(LogLevel.Info)) {
+    return { record: () => undefined, close: () => Promise.resolve() };
+  }
+  return {
+    record: (decision, requestId) => {
+      logger.info('decision', {
+        ...decision,
+        ...(requestId === undefined ? {} : { requestId }),
+      });
+    },
+    close: () => Promise.resolve(),
+  };
+}
+
+function openDecisionFile(
+  options: DecisionLogOptions,
+  file: string,
+): DecisionLog {
+  const { logger, timers } = options;
+  const stream = createWriteStream(file, { flags: 'a', mode: 0o640 });
+  let buffer = '';
+  let dropped = 0;
+  let failed = false;
+  let flushTimer: TimerSubscription | undefined;
+
+  stream.on('error', error => {
+    if (!failed)
+      logger.error('decision file cannot be written', { file, error });
+    failed = true;
+  });
+
+  const flush = (): void => {
+    flushTimer?.cancel();
+    flushTimer = undefined;
+    if (buffer === '' || failed) return;
+    stream.write(buffer);
+    buffer = '';
+    if (dropped > 0) logger.warn('decision lines dropped', { file, dropped });
+    dropped = 0;
+  };
+
+  const record: DecisionSink = (decision, requestId) => {
+    if (failed || stream.writableEnded) return;
+    if (stream.writableLength > maximumUnwrittenBytes) {
+      dropped += 1;
+      return;
+    }
+    buffer += `${JSON.stringify(toRecord(options, decision, requestId))}\n`;
+    if (buffer.length >= flushCharacters) flush();
+    else flushTimer ??= timers.after(flushMilliseconds, flush);
+  };
+
+  return {
+    record,
+    close: () => {
+      flush();
+      return closeStream(stream);
+    },
+  };
+}
+
+function closeStream(stream: WriteStream): Promise<void> {
+  if (stream.closed) return Promise.resolve();
+  return new Promise(resolve => {
+    stream.once('close', resolve);
+    stream.end();
+  });
+}
+
+/** Adds the header to a decision. */
+export function toRecord(
+  options: Pick<DecisionLogOptions, 'process' | 'timers'>,
+  decision: Decision,
+  requestId: string | undefined,
+): DecisionRecord {
+  return {
+    at: options.timers.wallClock(),
+    process: options.process,
+    ...(requestId === undefined ? {} : { requestId }),
+    ...decision,
+  };
+}
--- /dev/null
+++ b/packages/logger/src/memory-decision-log.ts
@@ -0,0 +1,37 @@
+/** A decision log that keeps its records in memory, for tests. */
+import type { TimerService } from '@cranberryturn/timers';
+import type { DecisionKind, DecisionRecord } from '@cranberryturn/types';
+
+import { type DecisionLog, toRecord } from './decision-log.js';
+
+/** Records of one kind. */
+export type RecordOf<Kind extends DecisionKind> = Extract<
+  DecisionRecord,
+  { readonly kind: Kind }
+>;
+
+/** A decision log whose records can be read back. */
+export interface MemoryDecisionLog extends DecisionLog {
+  readonly records: readonly DecisionRecord[];
+  /** Records of one kind, oldest first. */
+  ofKind<Kind extends DecisionKind>(kind: Kind): readonly RecordOf<Kind>[];
+}
+
+/** Creates a decision log in memory. */
+export function createMemoryDecisionLog(options: {
+  readonly process: string;
+  readonly timers: TimerService;
+}): MemoryDecisionLog {
+  const records: DecisionRecord[] = [];
+  return {
+    records,
+    record: (decision, requestId) => {
+      records.push(toRecord(options, decision, requestId));
+    },
+    ofKind: <Kind extends DecisionKind>(kind: Kind) =>
+      records.filter(
+        (record): record is RecordOf<Kind> => record.kind === kind,
+      ),
+    close: () => Promise.resolve(),
+  };
+}
--- /dev/null
+++ b/packages/logger/src/redact.ts
@@ -0,0 +1,49 @@
+/** Removes secrets from what is logged. */
+const redacted = '[redacted]';
+const deepestLevel = 6;
+const secretNames = new Set([
+  'authorization',
+  'cookie',
+  'key',
+  'password',
+  'secret',
+  'sharedkey',
+  'sharedkeys',
+  'token',
+  'tokens',
+  'bearertoken',
+]);
+const secretText = /\b(?:Bearer\s+\S+|cb[tk]_[A-Za-z0-9_-]+)/gi;
+
+/** Returns `value` with secrets replaced: fields by their name, and tokens or keys inside text. */
+export function redactSecrets(value: unknown, depth = 0): unknown {
+  if (typeof value === 'string') return value.replace(secretText, redacted);
+  if (typeof value !== 'object' || value === null) return value;
+  if (value instanceof Error) return describeError(value, depth);
+  if (depth >= deepestLevel) return '[too deep]';
+  if (Array.isArray(value)) {
+    return value.map(entry => redactSecrets(entry, depth + 1));
+  }
+  const entries = Object.entries(value).map(([name, entry]) => [
+    name,
+    secretNames.has(name.toLowerCase())
+      ? redacted
+      : redactSecrets(entry, depth + 1),
+  ]);
+  return Object.fromEntries(entries) as unknown;
+}
+
+/** Keeps what helps a reader of an error: name, message, step, peer and cause. */
+function describeError(error: Error, depth: number): unknown {
+  if (depth >= deepestLevel) return '[too deep]';
+  const { step, peer } = error as { step?: unknown; peer?: unknown };
+  return {
+    name: error.name,
+    message: redactSecrets(error.message),
+    ...(step === undefined ? {} : { step }),
+    ...(peer === undefined ? {} : { peer }),
+    ...(error.cause === undefined
+      ? {}
+      : { cause: redactSecrets(error.cause, depth + 1) }),
+  };
+}
--- /dev/null
+++ b/packages/metrics/src/distribution-recorder.ts
@@ -0,0 +1,87 @@
+/** Records values in HDR histograms: the recent ones for quantiles, and a count and a sum since start. */
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+import { build, type Histogram } from 'hdr-histogram-js';
+
+const windowMilliseconds: Milliseconds = 60_000;
+const stepsPerUnit = 1_000; // Histograms hold whole numbers: thousandths of the unit.
+const highestValue = 3_600_000;
+const significantDigits = 2;
+
+/** Summary of the recorded values. */
+export interface DistributionSummary {
+  /** Number of values since the start of the process. */
+  readonly count: number;
+  /** Sum of the values since the start of the process. */
+  readonly sum: number;
+  /** Number of values in the recent window. */
+  readonly recentCount: number;
+  readonly p50: number;
+  readonly p90: number;
+  readonly p99: number;
+  readonly p999: number;
+  readonly maximum: number;
+}
+
+/** Records the values of one quantity. */
+export interface DistributionRecorder {
+  record(value: number): void;
+  /** Quantiles cover the last one to two minutes; older values leave when a summary is taken. */
+  summarize(): DistributionSummary;
+}
+
+/** Creates a recorder for values from 0 to 3,600,000 with three decimal places. */
+export function createDistributionRecorder(
+  timers: TimerService,
+): DistributionRecorder {
+  let current = createHistogram();
+  let previous = createHistogram();
+  let rotatedAt = timers.now();
+  let count = 0;
+  let sum = 0;
+
+  const rotate = (): void => {
+    const age = timers.now() - rotatedAt;
+    if (age < windowMilliseconds) return;
+    [previous, current] = [current, previous];
+    current.reset();
+    rotatedAt = timers.now();
+  };
+
+  return {
+    record: value => {
+      const bounded = Math.min(Math.max(value, 0), highestValue);
+      current.recordValue(Math.round(bounded * stepsPerUnit));
+      count += 1;
+      sum += bounded;
+    },
+    summarize: () => {
+      const recent = createHistogram();
+      recent.add(previous);
+      recent.add(current);
+      rotate();
+      const quantile = (percentile: number): number =>
+        recent.getValueAtPercentile(percentile) / stepsPerUnit;
+      return {
+        count,
+        sum,
+        recentCount: recent.totalCount,
+        p50: quantile(50),
+        p90: quantile(90),
+        p99: quantile(99),
+        p999: quantile(99.9),
+        maximum: recent.maxValue / stepsPerUnit,
+      };
+    },
+  };
+}
+
+function createHistogram(): Histogram {
+  return build({
+    bitBucketSize: 32,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: highestValue * stepsPerUnit,
+    numberOfSignificantValueDigits: significantDigits,
+    useWebAssembly: false,
+  });
+}
--- /dev/null
+++ b/packages/metrics/src/expose-metrics.ts
@@ -0,0 +1,164 @@
+/** Writes a reading in the text format of Prometheus. */
+import {
+  Counter as PrometheusCounter,
+  Gauge as PrometheusGauge,
+  Registry,
+} from 'prom-client';
+
+import type { DistributionReading, MetricsReading } from './metrics.js';
+import { Distribution } from './names.js';
+
+const prefix = 'cranberry_';
+const microsecondsPerSecond = 1_000_000;
+const quantiles = [
+  ['0.5', 'p50'],
+  ['0.9', 'p90'],
+  ['0.99', 'p99'],
+  ['0.999', 'p999'],
+  ['1', 'maximum'],
+] as const;
+
+/** Writes a reading as text. Uses a registry of its own, so that several roles can live in one process. */
+export function exposeMetrics(reading: MetricsReading): Promise<string> {
+  const registry = new Registry();
+  registry.setDefaultLabels({ role: reading.role, process: reading.process });
+  addCounters(registry, reading);
+  addMessages(registry, reading);
+  addGauges(registry, reading);
+  addDistributions(registry, reading);
+  addProcess(registry);
+  return registry.metrics();
+}
+
+function addCounters(registry: Registry, reading: MetricsReading): void {
+  for (const [name, value] of Object.entries(reading.counters)) {
+    addCounter(registry, name, `Number of ${inWords(name)} since start.`).inc(
+      value,
+    );
+  }
+  const wasted = addCounter(
+    registry,
+    'wasted_messages',
+    'Messages that did no useful work, by kind.',
+    ['kind'],
+  );
+  for (const [kind, value] of Object.entries(reading.wasted)) {
+    wasted.inc({ kind }, value);
+  }
+}
+
+function addMessages(registry: Registry, reading: MetricsReading): void {
+  const labels = ['kind', 'direction'];
+  const messages = addCounter(
+    registry,
+    'messages',
+    'Messages between processes.',
+    labels,
+  );
+  const bytes = addCounter(
+    registry,
+    'message_bytes',
+    'Bytes of messages between processes.',
+    labels,
+  );
+  for (const { kind, direction, ...counts } of reading.messages) {
+    messages.inc({ kind, direction }, counts.messages);
+    bytes.inc({ kind, direction }, counts.bytes);
+  }
+}
+
+function addGauges(registry: Registry, reading: MetricsReading): void {
+  for (const { gauge, value } of reading.gauges) {
+    addGauge(registry, gauge, `Number of ${inWords(gauge)} now.`).set(value);
+  }
+}
+
+function addDistributions(registry: Registry, reading: MetricsReading): void {
+  for (const distribution of Object.values(Distribution)) {
+    const kept = reading.distributions.filter(
+      entry => entry.distribution === distribution,
+    );
+    if (kept.length > 0) addDistribution(registry, distribution, kept);
+  }
+}
+
+function addDistribution(
+  registry: Registry,
+  name: Distribution,
+  readings: readonly DistributionReading[],
+): void {
+  const words = inWords(name);
+  const recent = addGauge(
+    registry,
+    name,
+    `Quantiles of ${words} over the last one to two minutes.`,
+    ['service', 'quantile'],
+  );
+  const count = addCounter(
+    registry,
+    `${name}_count`,
+    `Values of ${words} since start.`,
+    ['service'],
+  );
+  const sum = addCounter(
+    registry,
+    `${name}_sum`,
+    `Sum of ${words} since start.`,
+    ['service'],
+  );
+  for (const reading of readings) {
+    const { service } = reading;
+    count.inc({ service }, reading.count);
+    sum.inc({ service }, reading.sum);
+    if (reading.recentCount === 0) continue;
+    for (const [quantile, field] of quantiles) {
+      recent.set({ service, quantile }, reading[field]);
+    }
+  }
+}
+
+function addProcess(registry: Registry): void {
+  addGauge(
+    registry,
+    'resident_memory_bytes',
+    'Resident memory of the process.',
+  ).set(process.memoryUsage.rss());
+  const { user, system } = process.cpuUsage();
+  addCounter(
+    registry,
+    'processor_seconds',
+    'Processor time of the process since start.',
+  ).inc((user + system) / microsecondsPerSecond);
+}
+
+function addCounter(
+  registry: Registry,
+  name: string,
+  help: string,
+  labelNames: string[] = [],
+): PrometheusCounter {
+  return new PrometheusCounter({
+    name: `${prefix}${name}_total`,
+    help,
+    labelNames,
+    registers: [registry],
+  });
+}
+
+function addGauge(
+  registry: Registry,
+  name: string,
+  help: string,
+  labelNames: string[] = [],
+): PrometheusGauge {
+  return new PrometheusGauge({
+    name: `${prefix}${name}`,
+    help,
+    labelNames,
+    registers: [registry],
+  });
+}
+
+function inWords(name: string): string {
+  return name.replaceAll('_', ' ');
+}
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,2 +1,4 @@
 /** Histograms and counters served at /metrics. */
-export {};
+export * from './distribution-recorder.js';
+export * from './metrics.js';
+export * from './names.js';
--- /dev/null
+++ b/packages/metrics/src/metrics.ts
@@ -0,0 +1,159 @@
+/** Counts and distributions of one process, kept as plain numbers and gathered when they are read. */
+import type { TimerService } from '@cranberryturn/timers';
+
+import {
+  createDistributionRecorder,
+  type DistributionRecorder,
+  type DistributionSummary,
+} from './distribution-recorder.js';
+import { exposeMetrics } from './expose-metrics.js';
+import {
+  Counter,
+  Direction,
+  type Distribution,
+  type Gauge,
+  WastedMessage,
+} from './names.js';
+
+/** Messages of one kind in one direction. */
+export interface MessageCount {
+  readonly kind: string;
+  readonly direction: Direction;
+  readonly messages: number;
+  readonly bytes: number;
+}
+
+/** Summary of one quantity, for one service where it is kept by service. */
+export interface DistributionReading extends DistributionSummary {
+  readonly distribution: Distribution;
+  readonly service: string;
+}
+
+/** Everything measured, at one moment. */
+export interface MetricsReading {
+  readonly role: string;
+  readonly process: string;
+  readonly counters: Readonly<Record<Counter, number>>;
+  readonly wasted: Readonly<Record<WastedMessage, number>>;
+  readonly messages: readonly MessageCount[];
+  readonly gauges: readonly { readonly gauge: Gauge; readonly value: number }[];
+  readonly distributions: readonly DistributionReading[];
+}
+
+/** What one process measures. */
+export interface Metrics {
+  count(counter: Counter, amount?: number): void;
+  countWasted(kind: WastedMessage, amount?: number): void;
+  /** Counts one message between processes. */
+  countMessage(kind: string, direction: Direction, bytes: number): void;
+  /** Records one value, by service where that helps. */
+  record(distribution: Distribution, value: number, service?: string): void;
+  /** Registers the source of a gauge; it is read only when the metrics are read. */
+  observe(gauge: Gauge, readValue: () => number): void;
+  read(): MetricsReading;
+  /** The text format of Prometheus, for `GET /metrics`. */
+  expose(): Promise<string>;
+}
+
+/** Media type of the text that `expose` returns. */
+export const metricsContentType = 'text/plain; version=0.0.4; charset=utf-8';
+
+interface MutableMessageCount {
+  readonly kind: string;
+  readonly direction: Direction;
+  messages: number;
+  bytes: number;
+}
+
+interface KeptDistribution {
+  readonly distribution: Distribution;
+  readonly service: string;
+  readonly recorder: DistributionRecorder;
+}
+
+/** Creates the metrics of a process. */
+export function createMetrics(options: {
+  readonly role: string;
+  /** Name of the process. */
+  readonly process: string;
+  readonly timers: TimerService;
+}): Metrics {
+  const counters = zeroes(Object.values(Counter));
+  const wasted = zeroes(Object.values(WastedMessage));
+  const gauges = new Map<Gauge, () => number>();
+  const received = new Map<string, MutableMessageCount>();
+  const sent = new Map<string, MutableMessageCount>();
+  const distributions = new Map<string, KeptDistribution>();
+
+  const keep = (distribution: Distribution, service: string) => {
+    const recorder = createDistributionRecorder(options.timers);
+    const kept = { distribution, service, recorder };
+    distributions.set(`${distribution} ${service}`, kept);
+    return kept;
+  };
+
+  const read = (): MetricsReading => ({
+    role: options.role,
+    process: options.process,
+    counters: { ...counters },
+    wasted: { ...wasted },
+    messages: [...received.values(), ...sent.values()].map(entry => ({
+      ...entry,
+    })),
+    gauges: [...gauges].map(([gauge, readValue]) => ({
+      gauge,
+      value: readValue(),
+    })),
+    distributions: [...distributions.values()].map(
+      ({ distribution, service, recorder }) => ({
+        distribution,
+        service,
+        ...recorder.summarize(),
+      }),
+    ),
+  });
+
+  return {
+    count: (counter, amount = 1) => {
+      counters[counter] += amount;
+    },
+    countWasted: (kind, amount = 1) => {
+      wasted[kind] += amount;
+    },
+    countMessage: (kind, direction, bytes) => {
+      const counts = direction === Direction.Sent ? sent : received;
+      const entry = counts.get(kind) ?? addMessageKind(counts, kind, direction);
+      entry.messages += 1;
+      entry.bytes += bytes;
+    },
+    record: (distribution, value, service = '') => {
+      const key = `${distribution} ${service}`;
+      const kept = distributions.get(key) ?? keep(distribution, service);
+      kept.recorder.record(value);
+    },
+    observe: (gauge, readValue) => {
+      gauges.set(gauge, readValue);
+    },
+    read,
+    expose: () => exposeMetrics(read()),
+  };
+}
+
+function zeroes<Name extends string>(
+  names: readonly Name[],
+): Record<Name, number> {
+  return Object.fromEntries(names.map(name => [name, 0])) as Record<
+    Name,
+    number
+  >;
+}
+
+function addMessageKind(
+  counts: Map<string, MutableMessageCount>,
+  kind: string,
+  direction: Direction,
+): MutableMessageCount {
+  const entry = { kind, direction, messages: 0, bytes: 0 };
+  counts.set(kind, entry);
+  return entry;
+}
