Add the program package: settings, signals and exit codes in one place

Every binary needs the same command line, check of settings, planned stop and exit codes. They stand once in runRoleProgram; a role gives its schema and a start function.

--- /dev/null
+++ b/packages/program/src/index.ts
@@ -0,0 +1,6 @@
+/** Command line, settings, signals and exit codes shared by the programs. */
+export * from './adapters/node-program-host.js';
+export * from './ports/program-host.js';
+export * from './product-version.js';
+export * from './role-environment.js';
+export * from './run-role-program.js';
--- /dev/null
+++ b/packages/program/src/run-role-program.test.ts
@@ -0,0 +1,157 @@
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { CranberryError } from '@cranberryturn/errors';
+import { sidecarSettingsSchema } from '@cranberryturn/settings';
+import test from 'ava';
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+
+import { type ProgramHost, type RunningRole, runRoleProgram } from './index.js';
+
+const folder = mkdtempSync(join(tmpdir(), 'cranberry-program-'));
+const logFile = join(folder, 'log.jsonl');
+
+const settings = {
+  targetId: 'target-1',
+  host: 'worker-1',
+  rack: 'rack-1',
+  dataCentre: 'north',
+  region: 'home',
+  service: 'lookup',
+  resources: { processors: 4, memoryMebibytes: 1024 },
+  slots: 8,
+  target: { url: 'http://127.0.0.1:8080' },
+  dispatchers: [{ address: '127.0.0.1', port: 7300 }],
+  sharedKeyFile: 'shared.key',
+  operations: { address: '127.0.0.1', port: 0 },
+  log: { file: logFile },
+};
+
+function writeSettings(name: string, value: unknown): string {
+  const path = join(folder, name);
+  writeFileSync(path, JSON.stringify(value));
+  return path;
+}
+
+const good = writeSettings('good.jsonc', settings);
+const bad = writeSettings('bad.jsonc', { ...settings, slots: 0, slot: 1 });
+
+function createHost(commandLine: readonly string[]) {
+  const output: string[] = [];
+  const exits: number[] = [];
+  let signal: (name: string) => void = () => undefined;
+  const host: ProgramHost = {
+    commandLine,
+    writeOutput: text => output.push(text),
+    writeError: text => output.push(text),
+    onStopSignal: handler => {
+      signal = handler;
+    },
+    exit: code => exits.push(code),
+  };
+  const text = (): string => output.join('').replaceAll(`${folder}/`, '');
+  return {
+    host,
+    exits,
+    text,
+    signal: () => {
+      signal('SIGTERM');
+    },
+  };
+}
+
+function describe(start: () => ResultAsync<RunningRole, CranberryError>) {
+  return {
+    name: 'cranberry-sidecar',
+    role: 'sidecar',
+    description: 'Announces one target and starts its tasks.',
+    schema: sidecarSettingsSchema,
+    processName: (checked: { targetId: string }) => checked.targetId,
+    start,
+  };
+}
+
+const addresses = { operations: { address: '::1', port: 7600 } };
+
+test('the command line is checked, and nothing starts', async t => {
+  const seen: unknown[] = [];
+  for (const commandLine of [
+    ['--settings', good, '--check-settings'],
+    ['--settings', bad, '--check-settings'],
+    ['--settings', bad],
+    ['--settings', join(folder, 'missing.jsonc')],
+    [],
+    ['--setings', good],
+    ['--settings', good, 'more'],
+    ['--help'],
+  ]) {
+    const { host, exits, text } = createHost(commandLine);
+    await runRoleProgram(
+      describe(() => {
+        throw new Error('started');
+      }),
+      host,
+    );
+    seen.push({ exits, text: text() });
+  }
+  t.snapshot(seen);
+});
+
+test('the version is printed', async t => {
+  const { host, exits, text } = createHost(['--version']);
+  await runRoleProgram(
+    describe(() => {
+      throw new Error('started');
+    }),
+    host,
+  );
+  t.regex(text(), /^\d+\.\d+\.\d+\n$/);
+  t.deepEqual(exits, [0]);
+});
+
+test('a role that cannot start says why', async t => {
+  const { host, exits, text } = createHost(['--settings', good]);
+  const error = new CranberryError('Port 7600 is taken.', { step: 'listen' });
+  await runRoleProgram(
+    describe(() => errAsync(error)),
+    host,
+  );
+  t.deepEqual(exits, [1]);
+  t.is(text(), 'cranberry-sidecar cannot start: Port 7600 is taken.\n');
+});
+
+test('the first signal stops as planned, the second exits at once', async t => {
+  const { host, exits, text, signal } = createHost(['--settings', good]);
+  let finish: () => void = () => undefined;
+  const stopped = new Promise<void>(resolve => {
+    finish = resolve;
+  });
+  const running = { addresses, stop: () => stopped };
+  const done = runRoleProgram(
+    describe(() => okAsync(running)),
+    host,
+  );
+  signal();
+  await new Promise(resolve => setImmediate(resolve));
+  t.deepEqual(exits, []);
+  signal();
+  t.deepEqual(exits, [1]);
+  finish();
+  await done;
+  t.deepEqual(exits, [1, 0]);
+  t.is(text(), 'cranberry-sidecar is ready: operations [::1]:7600\n');
+  t.true(readFileSync(logFile, 'utf8').includes('planned stop done'));
+});
+
+test('a stop that fails exits with a failure', async t => {
+  const { host, exits, signal } = createHost(['--settings', good]);
+  const stop = () => Promise.reject(new Error('disk'));
+  const done = runRoleProgram(
+    describe(() => okAsync({ addresses, stop })),
+    host,
+  );
+  signal();
+  await done;
+  t.deepEqual(exits, [1]);
+});
--- /dev/null
+++ b/packages/program/src/run-role-program.ts
@@ -0,0 +1,194 @@
+/** Runs one role as a program: reads the settings, starts, and stops as planned on a signal. */
+import type { CranberryError } from '@cranberryturn/errors';
+import { type LogSettings, readSettingsFile } from '@cranberryturn/settings';
+import type { NetworkAddress } from '@cranberryturn/types';
+import { Command, CommanderError } from 'commander';
+import type { ResultAsync } from 'neverthrow';
+import type { z } from 'zod';
+
+import { createNodeProgramHost } from './adapters/node-program-host.js';
+import type { ProgramHost } from './ports/program-host.js';
+import { readProductVersion } from './product-version.js';
+import {
+  closeRoleEnvironment,
+  createRoleEnvironment,
+  type RoleEnvironment,
+} from './role-environment.js';
+
+/** How a program ended. */
+export enum ExitCode {
+  /** A planned stop, or a check that passed. */
+  Success = 0,
+  /** The role could not start, or failed. */
+  Failure = 1,
+  /** The command line or the settings are not valid. */
+  InvalidSettings = 2,
+}
+
+/** A role that was started. */
+export interface RunningRole {
+  /** Addresses on which it listens, by purpose, for example `callers`. */
+  readonly addresses: Readonly<Record<string, NetworkAddress>>;
+  /** Planned stop: finishes what is in flight, then resolves. */
+  stop(): Promise<void>;
+}
+
+/** A role, as a program can run it. */
+export interface RoleProgram<
+  Schema extends z.ZodType<{ readonly log: LogSettings }>,
+> {
+  /** Name of the binary, for example `cranberry-dispatcher`. */
+  readonly name: string;
+  /** Name of the role, for example `dispatcher`. */
+  readonly role: string;
+  /** One sentence for `--help`. */
+  readonly description: string;
+  readonly schema: Schema;
+  /** Name of this process in logs and measures. */
+  processName(settings: z.output<Schema>): string;
+  start(
+    settings: z.output<Schema>,
+    environment: RoleEnvironment,
+  ): ResultAsync<RunningRole, CranberryError>;
+}
+
+interface ProgramOptions {
+  readonly settings: string;
+  readonly checkSettings?: boolean;
+}
+
+/** Runs `program` until it is stopped. The exit code is given to `host`. */
+export async function runRoleProgram<
+  Schema extends z.ZodType<{ readonly log: LogSettings }>,
+>(
+  program: RoleProgram<Schema>,
+  host: ProgramHost = createNodeProgramHost(),
+): Promise<void> {
+  const options = readCommandLine(program, host);
+  if (options === undefined) return;
+  const read = readSettingsFile(options.settings, program.schema);
+  if (read.isErr()) {
+    host.writeError(`${read.error.message}\n`);
+    host.exit(ExitCode.InvalidSettings);
+    return;
+  }
+  if (options.checkSettings === true) {
+    host.writeOutput(`Settings file ${options.settings} is valid.\n`);
+    host.exit(ExitCode.Success);
+    return;
+  }
+  await startRole(program, read.value, host);
+}
+
+function readCommandLine(
+  program: Pick<RoleProgram<never>, 'name' | 'description'>,
+  host: ProgramHost,
+): ProgramOptions | undefined {
+  const command = new Command(program.name)
+    .description(program.description)
+    .version(readProductVersion(), '-v, --version', 'print the version')
+    .requiredOption('-s, --settings <file>', 'settings, in JSON with comments')
+    .option('--check-settings', 'check the settings and exit')
+    .allowExcessArguments(false)
+    .exitOverride()
+    .configureOutput({
+      writeOut: text => {
+        host.writeOutput(text);
+      },
+      writeErr: text => {
+        host.writeError(text);
+      },
+    });
+  try {
+    command.parse(host.commandLine, { from: 'user' });
+    return command.opts<ProgramOptions>();
+  } catch (error) {
+    const code = error instanceof CommanderError ? error.exitCode : undefined;
+    host.exit(code === 0 ? ExitCode.Success : ExitCode.InvalidSettings);
+    return undefined;
+  }
+}
+
+async function startRole<
+  Schema extends z.ZodType<{ readonly log: LogSettings }>,
+>(
+  program: RoleProgram<Schema>,
+  settings: z.output<Schema>,
+  host: ProgramHost,
+): Promise<void> {
+  const environment = createRoleEnvironment({
+    role: program.role,
+    process: program.processName(settings),
+    log: settings.log,
+  });
+  const stopRequested = listenForSignals(host, environment);
+  const started = await program.start(settings, environment);
+  if (started.isErr()) {
+    const { error } = started;
+    environment.logger.error('start failed', { error });
+    await closeRoleEnvironment(environment);
+    host.writeError(`${program.name} cannot start: ${error.message}\n`);
+    host.exit(ExitCode.Failure);
+    return;
+  }
+  announce(program.name, started.value, host, environment);
+  const signal = await stopRequested;
+  await stopRole(started.value, signal, host, environment);
+}
+
+/** Resolves with the first signal; the second one ends the process at once. */
+function listenForSignals(
+  host: ProgramHost,
+  { logger }: RoleEnvironment,
+): Promise<string> {
+  return new Promise(resolve => {
+    let signals = 0;
+    host.onStopSignal(signal => {
+      signals += 1;
+      if (signals === 1) {
+        resolve(signal);
+        return;
+      }
+      logger.warn('second stop signal, exiting at once', { signal });
+      host.exit(ExitCode.Failure);
+    });
+  });
+}
+
+function announce(
+  name: string,
+  running: RunningRole,
+  host: ProgramHost,
+  { logger }: RoleEnvironment,
+): void {
+  const places = Object.entries(running.addresses).map(
+    ([purpose, { address, port }]) =>
+      `${purpose} ${formatAddress(address)}:${String(port)}`,
+  );
+  host.writeOutput(`${name} is ready: ${places.join(', ')}\n`);
+  logger.info('ready', { addresses: running.addresses });
+}
+
+function formatAddress(address: string): string {
+  return address.includes(':') ? `[${address}]` : address;
+}
+
+async function stopRole(
+  running: RunningRole,
+  signal: string,
+  host: ProgramHost,
+  environment: RoleEnvironment,
+): Promise<void> {
+  const { logger } = environment;
+  logger.info('planned stop begins', { signal });
+  let code = ExitCode.Success;
+  try {
+    await running.stop();
+    logger.info('planned stop done');
+  } catch (error) {
+    logger.error('planned stop failed', { error });
+    code = ExitCode.Failure;
+  }
+  await closeRoleEnvironment(environment);
+  host.exit(code);
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -5,5 +5,6 @@
 export * from './schemas/control-settings.js';
 export * from './schemas/dispatcher-settings.js';
 export * from './schemas/local-settings.js';
+export type { LogSettings } from './schemas/shared.js';
 export * from './schemas/sidecar-settings.js';
 export * from './settings-error.js';
--- a/packages/settings/src/schemas/shared.ts
+++ b/packages/settings/src/schemas/shared.ts
@@ -105,6 +105,9 @@
   })
   .prefault({});
 
+/** Checked settings of logging. */
+export type LogSettings = z.output<typeof logSchema>;
+
 /** How long and how much of finished answers is kept. */
 export const retentionSchema = z
   .strictObject({
