--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,2 +1,2 @@
 /** Ownership of jobs: claims, ownership epochs and retention. */
-export {};
+export * from './ports/claim-store.js';
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,2 +1,2 @@
 /** Configuration state, operator intents, plans and confirmation. */
-export {};
+export * from './ports/configuration-feed.js';
--- /dev/null
+++ b/packages/control-client/src/index.ts
@@ -0,0 +1,2 @@
+/** What dispatchers use to reach control: claims, roster and the configuration in force. */
+export {};
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,2 @@
 /** Roster of targets, dispatchers and control hosts; leases and leaving. */
-export {};
+export * from './ports/roster-feed.js';
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,3 @@
+/** Brings admission, placement, health and retries together for one dispatcher. */
+export * from './create-scheduler.js';
+export * from './ports/scheduler.js';
--- /dev/null
+++ b/packages/scheduling/src/ports/scheduler.ts
@@ -0,0 +1,166 @@
+import type {
+  AttemptKey,
+  AttemptResult,
+  AttemptStart,
+  ClusterConfiguration,
+  JobId,
+  JobRequest,
+  JsonText,
+  Milliseconds,
+  NotStartedReason,
+  OwnershipEpoch,
+  TargetId,
+  TargetIdentity,
+  TargetLoad,
+  TargetRecord,
+  TargetState,
+  TaskId,
+} from '@cranberryturn/types';
+import { Started } from '@cranberryturn/types';
+import type { Result } from 'neverthrow';
+
+/** Sends attempts to targets. */
+export interface AttemptSender {
+  startAttempt(target: TargetIdentity, attempt: AttemptStart): void;
+  cancelAttempts(
+    target: TargetIdentity,
+    attempts: readonly AttemptKey[],
+    reason: string,
+  ): void;
+}
+
+/** How a task ended for good. */
+export enum TaskFateKind {
+  Answered = 'answered',
+  /** The target was asked and failed. */
+  Failed = 'failed',
+  /** No target started the task, and none ever will. */
+  NotStarted = 'not-started',
+  /** A target may have started the task; nothing more will be heard of it. */
+  Unknown = 'unknown',
+}
+
+/** How a task ended for good. */
+export type TaskFate =
+  | { readonly kind: TaskFateKind.Answered; readonly answer: JsonText }
+  | { readonly kind: TaskFateKind.Failed; readonly reason: string }
+  | {
+      readonly kind: TaskFateKind.NotStarted;
+      readonly reason: string;
+      readonly cause?: NotStartedReason | undefined;
+    }
+  | { readonly kind: TaskFateKind.Unknown; readonly reason: string };
+
+/** Hears how each task ended. Called once for each task of a started job. */
+export interface TaskObserver {
+  taskEnded(jobId: JobId, taskId: TaskId, fate: TaskFate): void;
+}
+
+/** Why a job was refused. */
+export enum RefusalKind {
+  /** The team is over its quota. Answered with 429. */
+  QuotaExceeded = 'quota-exceeded',
+  /** The service is over its limit, or the queue is full. Answered with 503. */
+  Overloaded = 'overloaded',
+  /** The deadline cannot be met. Answered with 503. */
+  DeadlineTooClose = 'deadline-too-close',
+  /** No worker can ever hold a task of the job. Answered with 422. */
+  Impossible = 'impossible',
+  /** No target of the service is known. Answered with 503. */
+  NoTarget = 'no-target',
+}
+
+/** A refusal: nothing of the job was started, and nothing ever will be. */
+export interface JobRefusal {
+  readonly kind: RefusalKind;
+  readonly reason: string;
+  /** When the caller should come back; undefined when it never helps. */
+  readonly retryAfterMilliseconds: Milliseconds | undefined;
+}
+
+/** What to do with one task when a job starts. */
+export enum TaskPlanKind {
+  /** No target has started the task: place it. */
+  Place = 'place',
+  /** A target runs the task: wait for its result. */
+  Await = 'await',
+}
+
+/** What to do with one task when a job starts. */
+export type TaskPlan =
+  | { readonly kind: TaskPlanKind.Place; readonly taskId: TaskId }
+  | {
+      readonly kind: TaskPlanKind.Await;
+      readonly attempt: AttemptKey;
+      readonly target: TargetIdentity;
+    };
+
+/** One target as the scheduler sees it. */
+export interface TargetStatus {
+  readonly targetId: TargetId;
+  readonly state: TargetState;
+  readonly runningHere: number;
+  readonly ejected: boolean;
+}
+
+/** The state of a scheduler, for operators and metrics. */
+export interface SchedulerStatus {
+  readonly queuedTasks: number;
+  readonly runningTasks: number;
+  readonly targets: readonly TargetStatus[];
+}
+
+/**
+ * Decides which tasks are admitted, when and where each attempt starts, and
+ * whether it is tried again. One instance for each dispatcher.
+ */
+export interface Scheduler {
+  /**
+   * Decides at once, before the claim, whether the job is admitted. An admitted
+   * job holds its share of quotas and queue until it has ended or is released.
+   */
+  admitJob(job: JobRequest): Result<void, JobRefusal>;
+  /** Gives back an admission whose claim was not granted. */
+  releaseAdmission(jobId: JobId): void;
+  /** Starts an admitted job. Each task listed is reported to the observer once. */
+  startJob(
+    jobId: JobId,
+    epoch: OwnershipEpoch,
+    tasks: readonly TaskPlan[],
+  ): void;
+  /**
+   * Ends all tasks of a job: those that wait are reported as not started,
+   * those that run are stopped through the platform and reported as unknown.
+   */
+  cancelJob(jobId: JobId, reason: string): void;
+  /** A target run is registered at control and connected here. */
+  targetRegistered(target: TargetRecord, load: TargetLoad): void;
+  targetLoadReported(target: TargetIdentity, load: TargetLoad): void;
+  /** The connection is silent: nothing new is placed there, nothing is moved. */
+  targetSuspected(target: TargetIdentity): void;
+  targetResumed(target: TargetIdentity): void;
+  /** The run is gone for good: its running attempts end as unknown. */
+  targetLost(target: TargetIdentity): void;
+  attemptEnded(target: TargetIdentity, result: AttemptResult): void;
+  /** New limits; `dispatchers` is the number of dispatchers that share them. */
+  applyConfiguration(
+    configuration: ClusterConfiguration,
+    dispatchers: number,
+  ): void;
+  status(): SchedulerStatus;
+  /** Cancels all timers. */
+  stop(): void;
+}
+
+/** Whether a task with this fate may have been started. */
+export function mayHaveStarted(fate: TaskFate): Started {
+  switch (fate.kind) {
+    case TaskFateKind.Answered:
+    case TaskFateKind.Failed:
+      return Started.Yes;
+    case TaskFateKind.NotStarted:
+      return Started.No;
+    case TaskFateKind.Unknown:
+      return Started.Perhaps;
+  }
+}
--- /dev/null
+++ b/packages/wire/src/codec.ts
@@ -0,0 +1,28 @@
+import { CorruptionError } from '@cranberryturn/errors';
+import { Packr } from 'msgpackr';
+import { err, ok, type Result } from 'neverthrow';
+
+const packer = new Packr({ useRecords: false, variableMapSize: true });
+
+/** Encodes a message of our own processes. */
+export function encodeMessage(message: unknown): Uint8Array {
+  return packer.pack(message);
+}
+
+/** Decodes a frame from a peer that has proved that it holds the shared key. */
+export function decodeMessage<Message>(
+  frame: Uint8Array,
+  peer: string,
+): Result<Message, CorruptionError> {
+  try {
+    return ok(packer.unpack(frame) as Message);
+  } catch (cause) {
+    return err(
+      new CorruptionError(
+        `A frame from ${peer} cannot be decoded; check that both run the same version.`,
+        { step: 'decode frame', peer },
+        cause,
+      ),
+    );
+  }
+}
--- /dev/null
+++ b/packages/wire/src/fakes/memory-network.ts
@@ -0,0 +1,150 @@
+import { ConnectionError } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
+
+import { FrameQueue } from '../frame-queue.js';
+import type {
+  Connection,
+  ConnectionHandler,
+  Network,
+  PeerIdentity,
+} from '../ports/connection.js';
+
+/** One connection of a memory network, as a test sees it. */
+export interface MemoryConnection {
+  readonly from: string;
+  readonly to: string;
+  /** When true, frames in both directions vanish and neither end is told. */
+  silent: boolean;
+  /** Ends the connection for both ends. */
+  cut(): void;
+}
+
+/** A network in memory whose faults a test sets. */
+export interface MemoryNetwork {
+  /** The network as one process sees it. */
+  join(self: PeerIdentity): Network;
+  /** All connections ever opened, oldest first. */
+  readonly connections: readonly MemoryConnection[];
+  /** Refuses new connections to a port while it is in this set. */
+  readonly closedPorts: Set<number>;
+  /** Frames delivered so far. */
+  framesDelivered(): number;
+}
+
+interface MemoryListener {
+  readonly identity: PeerIdentity;
+  readonly handler: ConnectionHandler;
+  readonly accepted: MemoryConnection[];
+}
+
+const firstEphemeralPort = 40_000;
+
+/** Creates a network in memory with a fixed one-way delay. */
+export function createMemoryNetwork(
+  timers: TimerService,
+  delayMilliseconds: Milliseconds = 0,
+): MemoryNetwork {
+  const listeners = new Map<number, MemoryListener>();
+  const connections: MemoryConnection[] = [];
+  const closedPorts = new Set<number>();
+  let nextPort = firstEphemeralPort;
+  let delivered = 0;
+
+  const deliver = (
+    link: MemoryConnection,
+    queue: FrameQueue,
+    frame: Uint8Array,
+  ): void => {
+    if (link.silent) return;
+    const copy = Uint8Array.from(frame);
+    timers.after(delayMilliseconds, () => {
+      if (link.silent) return;
+      delivered += 1;
+      queue.push(copy);
+    });
+  };
+
+  const connect = (self: PeerIdentity, listener: MemoryListener) => {
+    const near = new FrameQueue();
+    const far = new FrameQueue();
+    const link: MemoryConnection = {
+      from: self.name,
+      to: listener.identity.name,
+      silent: false,
+      cut: () => {
+        near.end();
+        far.end();
+      },
+    };
+    connections.push(link);
+    listener.accepted.push(link);
+    const end = (
+      peer: PeerIdentity,
+      incoming: FrameQueue,
+      outgoing: FrameQueue,
+    ): Connection => ({
+      peer,
+      send: frame => {
+        deliver(link, outgoing, frame);
+      },
+      receive: () => incoming.read(),
+      close: () => {
+        incoming.end();
+        if (!link.silent) outgoing.end();
+      },
+    });
+    listener.handler(end(self, far, near));
+    return end(listener.identity, near, far);
+  };
+
+  const dial = (self: PeerIdentity, address: NetworkAddress) => {
+    const listener = listeners.get(address.port);
+    if (listener === undefined || closedPorts.has(address.port)) {
+      return errAsync(refuseDial(address));
+    }
+    const opened = new Promise<Connection>(resolve => {
+      timers.after(delayMilliseconds * 2, () => {
+        resolve(connect(self, listener));
+      });
+    });
+    return ResultAsync.fromSafePromise(opened).andThen(connection =>
+      closedPorts.has(address.port) ? err(refuseDial(address)) : ok(connection),
+    );
+  };
+
+  return {
+    connections,
+    closedPorts,
+    framesDelivered: () => delivered,
+    join: self => ({
+      dial: address => dial(self, address),
+      listen: (address, handler) => {
+        const port = address.port === 0 ? nextPort++ : address.port;
+        const listener: MemoryListener = {
+          identity: self,
+          handler,
+          accepted: [],
+        };
+        listeners.set(port, listener);
+        return okAsync({
+          address: { address: address.address, port },
+          close: () => {
+            listeners.delete(port);
+            for (const link of listener.accepted) link.cut();
+            return Promise.resolve();
+          },
+        });
+      },
+    }),
+  };
+}
+
+function refuseDial(address: NetworkAddress): ConnectionError {
+  const name = `${address.address}:${String(address.port)}`;
+  return new ConnectionError(`No connection to ${name}.`, {
+    step: 'dial',
+    peer: name,
+  });
+}
--- /dev/null
+++ b/packages/wire/src/frame-queue.ts
@@ -0,0 +1,43 @@
+/** A queue of frames between a callback-based source and one asynchronous reader. */
+export class FrameQueue {
+  readonly #frames: Uint8Array[] = [];
+  #ended = false;
+  #wake: (() => void) | undefined;
+
+  push(frame: Uint8Array): void {
+    if (this.#ended) return;
+    this.#frames.push(frame);
+    this.#wakeReader();
+  }
+
+  end(): void {
+    this.#ended = true;
+    this.#wakeReader();
+  }
+
+  /** The next frame, or undefined once the queue has ended and is empty. */
+  async next(): Promise<Uint8Array | undefined> {
+    for (;;) {
+      const frame = this.#frames.shift();
+      if (frame !== undefined || this.#ended) return frame;
+      await new Promise<void>(resolve => {
+        this.#wake = resolve;
+      });
+    }
+  }
+
+  /** Yields each frame until the queue has ended and is empty. */
+  async *read(): AsyncGenerator<Uint8Array, void, undefined> {
+    for (;;) {
+      const frame = await this.next();
+      if (frame === undefined) return;
+      yield frame;
+    }
+  }
+
+  #wakeReader(): void {
+    const wake = this.#wake;
+    this.#wake = undefined;
+    wake?.();
+  }
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,2 +1,12 @@
 /** Messages between processes, their codec, connections and remote calls. */
-export {};
+export * from './adapters/web-socket-network.js';
+export * from './codec.js';
+export * from './fakes/memory-network.js';
+export * from './frame-queue.js';
+export * from './frame-writer.js';
+export * from './handshake.js';
+export * from './messages/control-messages.js';
+export * from './messages/dispatcher-messages.js';
+export * from './messages/target-messages.js';
+export * from './ports/connection.js';
+export * from './remote-calls.js';
--- /dev/null
+++ b/packages/wire/src/messages/control-messages.ts
@@ -0,0 +1,104 @@
+import type {
+  AdoptRequest,
+  ClaimOutcome,
+  ClaimRequest,
+  ClusterConfiguration,
+  DispatcherRecord,
+  JobId,
+  LogIndex,
+  Milliseconds,
+  OwnershipEpoch,
+  ReplicaId,
+  Roster,
+  TargetAnnouncement,
+  TargetIdentity,
+  TeamName,
+} from '@cranberryturn/types';
+
+/** The calls that dispatchers make to control. */
+export enum ControlMethod {
+  Claim = 'claim',
+  Adopt = 'adopt',
+  FinishClaims = 'finish-claims',
+  RegisterDispatcher = 'register-dispatcher',
+  RegisterTarget = 'register-target',
+  RetireTarget = 'retire-target',
+  Watch = 'watch',
+}
+
+/** A job that its owner has answered. */
+export interface FinishedClaim {
+  readonly team: TeamName;
+  readonly jobId: JobId;
+  readonly epoch: OwnershipEpoch;
+}
+
+/** A call from a dispatcher to control. */
+export type ControlCall =
+  | { readonly method: ControlMethod.Claim; readonly claim: ClaimRequest }
+  | { readonly method: ControlMethod.Adopt; readonly adopt: AdoptRequest }
+  | {
+      readonly method: ControlMethod.FinishClaims;
+      readonly finished: readonly FinishedClaim[];
+    }
+  | {
+      readonly method: ControlMethod.RegisterDispatcher;
+      readonly dispatcher: DispatcherRecord;
+    }
+  | {
+      readonly method: ControlMethod.RegisterTarget;
+      readonly target: TargetAnnouncement;
+    }
+  | {
+      /** The run is gone for good: its process said so, or a later run replaced it. */
+      readonly method: ControlMethod.RetireTarget;
+      readonly target: TargetIdentity;
+    }
+  | {
+      readonly method: ControlMethod.Watch;
+      /** Version of the configuration that the caller already has. */
+      readonly configurationVersion: number;
+      readonly rosterVersion: number;
+    };
+
+/** How control answered a call. */
+export enum ControlReplyKind {
+  Claim = 'claim',
+  Done = 'done',
+  /** Nothing was done and nothing will be. */
+  NotLeader = 'not-leader',
+  /** The work may be done later. */
+  Unknown = 'unknown',
+}
+
+/** The answer of control. */
+export type ControlReply =
+  | { readonly kind: ControlReplyKind.Claim; readonly outcome: ClaimOutcome }
+  | { readonly kind: ControlReplyKind.Done; readonly index: LogIndex }
+  | {
+      readonly kind: ControlReplyKind.NotLeader;
+      readonly leader?: ReplicaId | undefined;
+    }
+  | { readonly kind: ControlReplyKind.Unknown; readonly reason: string };
+
+/** The kinds of notice from control to its followers. */
+export enum ControlNoticeKind {
+  Configuration = 'configuration',
+  Roster = 'roster',
+  Freshness = 'freshness',
+}
+
+/** A notice from control to a follower. */
+export type ControlNotice =
+  | {
+      readonly kind: ControlNoticeKind.Configuration;
+      readonly configuration: ClusterConfiguration;
+    }
+  | { readonly kind: ControlNoticeKind.Roster; readonly roster: Roster }
+  | {
+      readonly kind: ControlNoticeKind.Freshness;
+      /** Age of the proof that the leader still had its majority. */
+      readonly proofAgeMilliseconds: Milliseconds;
+      readonly configurationVersion: number;
+      readonly leader?: ReplicaId | undefined;
+    };
--- /dev/null
+++ b/packages/wire/src/messages/target-messages.ts
@@ -0,0 +1,87 @@
+import type {
+  AttemptKey,
+  AttemptResult,
+  AttemptStart,
+  ConfigurationVersion,
+  JobId,
+  OwnershipEpoch,
+  TargetAnnouncement,
+  TargetLoad,
+} from '@cranberryturn/types';
+
+/** The kinds of message from a dispatcher to a sidecar. */
+export enum ToTargetKind {
+  StartAttempt = 'start',
+  CancelAttempts = 'cancel',
+  FenceJob = 'fence',
+  ReleaseJobs = 'release',
+  ApplySettings = 'settings',
+}
+
+/** A message from a dispatcher to a sidecar. */
+export type ToTargetMessage =
+  | {
+      readonly kind: ToTargetKind.StartAttempt;
+      readonly attempt: AttemptStart;
+      readonly requestId?: string | undefined;
+    }
+  | {
+      readonly kind: ToTargetKind.CancelAttempts;
+      readonly attempts: readonly AttemptKey[];
+      readonly reason: string;
+    }
+  | {
+      /** Refuses every start of this job below the epoch, and asks for what is known of it. */
+      readonly kind: ToTargetKind.FenceJob;
+      readonly jobId: JobId;
+      readonly epoch: OwnershipEpoch;
+    }
+  | {
+      /** The jobs were answered; their answers may be dropped after the retention time. */
+      readonly kind: ToTargetKind.ReleaseJobs;
+      readonly jobIds: readonly JobId[];
+    }
+  | {
+      readonly kind: ToTargetKind.ApplySettings;
+      readonly version: ConfigurationVersion;
+      readonly slots: number | undefined;
+      readonly draining: boolean;
+    };
+
+/** The kinds of message from a sidecar to a dispatcher. */
+export enum FromTargetKind {
+  Announce = 'announce',
+  AttemptEnded = 'ended',
+  LoadReport = 'load',
+  JobEvidence = 'evidence',
+}
+
+/** What a sidecar run knows of a job after it was fenced. */
+export interface JobEvidence {
+  readonly jobId: JobId;
+  readonly epoch: OwnershipEpoch;
+  /** Attempts that ended here and are still kept. */
+  readonly ended: readonly AttemptResult[];
+  /** Attempts that are running here; their results follow. */
+  readonly running: readonly AttemptKey[];
+  /** Attempts that started here and whose answers were dropped. */
+  readonly forgotten: readonly AttemptKey[];
+}
+
+/** A message from a sidecar to a dispatcher. */
+export type FromTargetMessage =
+  | {
+      readonly kind: FromTargetKind.Announce;
+      readonly announcement: TargetAnnouncement;
+      readonly load: TargetLoad;
+    }
+  | {
+      readonly kind: FromTargetKind.AttemptEnded;
+      readonly result: AttemptResult;
+      readonly load: TargetLoad;
+    }
+  | { readonly kind: FromTargetKind.LoadReport; readonly load: TargetLoad }
+  | {
+      readonly kind: FromTargetKind.JobEvidence;
+      readonly evidence: JobEvidence;
+    };
--- /dev/null
+++ b/packages/wire/src/remote-calls.ts
@@ -0,0 +1,163 @@
+import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+
+import { decodeMessage } from './codec.js';
+import { FrameWriter } from './frame-writer.js';
+import type { Connection } from './ports/connection.js';
+
+enum CallFrameKind {
+  Call = 'call',
+  Reply = 'reply',
+  Notice = 'notice',
+}
+
+type CallFrame =
+  | {
+      readonly kind: CallFrameKind.Call;
+      readonly call: number;
+      readonly body: unknown;
+    }
+  | {
+      readonly kind: CallFrameKind.Reply;
+      readonly call: number;
+      readonly body: unknown;
+    }
+  | { readonly kind: CallFrameKind.Notice; readonly body: unknown };
+
+interface PendingCall {
+  readonly resolve: (
+    result: Result<unknown, ConnectionError | TimeoutError>,
+  ) => void;
+  readonly expiry: TimerSubscription;
+}
+
+/** How this end answers the calls and notices of the other end. */
+export interface RemoteCallHandlers {
+  /** Answers one call. Must not throw. */
+  readonly handleCall: (body: unknown) => Promise<unknown>;
+  /** Receives one notice. */
+  readonly handleNotice?: (body: unknown) => void;
+}
+
+/** Calls over one connection, in both directions at the same time. */
+export interface RemoteCalls {
+  readonly connection: Connection;
+  /**
+   * Calls the other end. After a ConnectionError or a TimeoutError the work
+   * may have been done.
+   */
+  call<Reply>(
+    body: unknown,
+    timeout: Milliseconds,
+  ): ResultAsync<Reply, ConnectionError | TimeoutError>;
+  /** Tells the other end something without an answer. */
+  notify(body: unknown): void;
+  /** Resolves when the connection has ended. */
+  readonly ended: Promise<void>;
+  /** Time of the last frame received. */
+  lastReceived(): Milliseconds;
+}
+
+/** Starts to serve calls on a connection. */
+export function serveRemoteCalls(
+  connection: Connection,
+  timers: TimerService,
+  handlers: RemoteCallHandlers,
+): RemoteCalls {
+  const pending = new Map<number, PendingCall>();
+  const writer = new FrameWriter<CallFrame>(connection);
+  const peer = connection.peer.name;
+  let nextCall = 1;
+  let open = true;
+  let lastReceived = timers.now();
+
+  const answer = async (call: number, body: unknown): Promise<void> => {
+    const reply = await handlers.handleCall(body);
+    writer.write({ kind: CallFrameKind.Reply, call, body: reply });
+  };
+
+  const settle = (call: number, body: unknown): void => {
+    const waiting = pending.get(call);
+    if (waiting === undefined) return;
+    pending.delete(call);
+    waiting.expiry.cancel();
+    waiting.resolve(ok(body));
+  };
+
+  const handle = (frame: CallFrame): void => {
+    switch (frame.kind) {
+      case CallFrameKind.Call:
+        void answer(frame.call, frame.body);
+        return;
+      case CallFrameKind.Reply:
+        settle(frame.call, frame.body);
+        return;
+      case CallFrameKind.Notice:
+        handlers.handleNotice?.(frame.body);
+        return;
+    }
+  };
+
+  const read = async (): Promise<void> => {
+    for await (const bytes of connection.receive()) {
+      lastReceived = timers.now();
+      const frames = decodeMessage<readonly CallFrame[]>(bytes, peer);
+      if (frames.isErr()) break;
+      for (const frame of frames.value) handle(frame);
+    }
+    connection.close();
+    open = false;
+    failPending(pending, peer);
+  };
+
+  const call = (
+    body: unknown,
+    timeout: Milliseconds,
+  ): Promise<Result<unknown, ConnectionError | TimeoutError>> => {
+    if (!open) return Promise.resolve(err(describeEnd(peer)));
+    const number = nextCall++;
+    return new Promise(resolve => {
+      const expiry = timers.after(timeout, () => {
+        pending.delete(number);
+        resolve(err(describeTimeout(peer, timeout)));
+      });
+      pending.set(number, { resolve, expiry });
+      writer.write({ kind: CallFrameKind.Call, call: number, body });
+    });
+  };
+
+  return {
+    connection,
+    call: <Reply>(body: unknown, timeout: Milliseconds) =>
+      new ResultAsync(call(body, timeout)).map(reply => reply as Reply),
+    notify: body => {
+      writer.write({ kind: CallFrameKind.Notice, body });
+    },
+    ended: read(),
+    lastReceived: () => lastReceived,
+  };
+}
+
+function failPending(pending: Map<number, PendingCall>, peer: string): void {
+  for (const waiting of pending.values()) {
+    waiting.expiry.cancel();
+    waiting.resolve(err(describeEnd(peer)));
+  }
+  pending.clear();
+}
+
+function describeEnd(peer: string): ConnectionError {
+  return new ConnectionError(`The connection to ${peer} ended.`, {
+    step: 'call',
+    peer,
+  });
+}
+
+function describeTimeout(peer: string, timeout: Milliseconds): TimeoutError {
+  return new TimeoutError(
+    `${peer} did not answer within ${String(timeout)} ms.`,
+    { step: 'call', peer },
+  );
+}
