Define the ports and the interface of the replicated log

Other packages wait for these contracts: the disk below one data folder, the link between replicas, the state machine, and the interface of the log.

--- /dev/null
+++ b/packages/replicated-log/src/entries.ts
@@ -0,0 +1,39 @@
+/** Entries of the replicated log. */
+import type { LogIndex, Milliseconds, Term } from '@cranberryturn/types';
+
+import type { Member } from './members.js';
+
+/** What an entry holds. */
+export enum EntryKind {
+  /** A command for the state machine. */
+  Command = 'command',
+  /** The whole list of members from here on; also the first entry of each term. */
+  Members = 'members',
+}
+
+interface EntryBase {
+  readonly index: LogIndex;
+  readonly term: Term;
+  readonly leaderTime: Milliseconds;
+}
+
+/** An entry with a command for the state machine. */
+export interface CommandEntry extends EntryBase {
+  readonly kind: EntryKind.Command;
+  readonly command: Uint8Array;
+}
+
+/** An entry that replaces the list of members. */
+export interface MembersEntry extends EntryBase {
+  readonly kind: EntryKind.Members;
+  readonly members: readonly Member[];
+}
+
+/** One entry of the log. */
+export type LogEntry = CommandEntry | MembersEntry;
+
+/** Position of an entry: equal positions in two logs mean equal logs up to there. */
+export interface LogPosition {
+  readonly index: LogIndex;
+  readonly term: Term;
+}
--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -1,2 +1,8 @@
 /** The replicated log: leader election, replication, storage and snapshots. */
-export {};
+export * from './adapters/file-log-disk.js';
+export * from './entries.js';
+export * from './log-types.js';
+export * from './members.js';
+export * from './ports/log-disk.js';
+export * from './ports/peer-link.js';
+export * from './ports/state-machine.js';
