--- a/packages/settings/src/describe-issue.ts
+++ b/packages/settings/src/describe-issue.ts
@@ -1,7 +1,7 @@
 /** Turns an issue found by the schema into problems with a place and a hint. */
 import type { z } from 'zod';
 
-import { findKnownKeys } from './known-keys.js';
+import { findKnownKeys, findNumberRange } from './schema-lookup.js';
 import { findNearestName } from './nearest-name.js';
 import type { SettingsDocument } from './parse-document.js';
 import type { SettingsProblem } from './settings-error.js';
@@ -33,7 +33,7 @@
       ...positionOfValue(document.text, document.root, path),
       keyPath: formatKeyPath(path),
       found: describeValue(document.value, path),
-      allowed: describeAllowed(issue),
+      allowed: describeAllowed(issue, schema, path),
     },
   ];
 }
@@ -54,14 +54,24 @@
   };
 }
 
-function describeAllowed(issue: z.core.$ZodIssue): string {
+function describeAllowed(
+  issue: z.core.$ZodIssue,
+  schema: z.ZodType,
+  path: KeyPath,
+): string {
   switch (issue.code) {
     case 'invalid_type':
-      return describeType(issue.expected);
+      return findNumberRange(schema, path) ?? describeType(issue.expected);
     case 'too_small':
-      return describeBound(issue.origin, 'at least', Number(issue.minimum));
+      return (
+        findNumberRange(schema, path) ??
+        describeBound(issue.origin, 'at least', Number(issue.minimum))
+      );
     case 'too_big':
-      return describeBound(issue.origin, 'at most', Number(issue.maximum));
+      return (
+        findNumberRange(schema, path) ??
+        describeBound(issue.origin, 'at most', Number(issue.maximum))
+      );
     case 'invalid_value':
       return issue.values.map(value => `"${String(value)}"`).join(', ');
     case 'invalid_format':
@@ -77,10 +87,6 @@
 
 function describeType(expected: string): string {
   switch (expected) {
-    case 'int':
-      return 'a whole number';
-    case 'number':
-      return 'a number';
     case 'string':
       return 'a text in double quotes';
     case 'boolean':
@@ -96,9 +102,8 @@
 
 function describeBound(origin: string, bound: string, limit: number): string {
   const amount = limit.toLocaleString('en');
-  if (origin === 'array') return `${bound} ${amount} entries`;
   if (origin === 'string') return `${bound} ${amount} characters`;
-  return `a number of ${bound} ${amount}`;
+  return limit === 1 ? `${bound} 1 entry` : `${bound} ${amount} entries`;
 }
 
 function describeValue(root: unknown, path: KeyPath): string {
--- /dev/null
+++ b/packages/settings/src/schemas/initial-configuration.ts
@@ -0,0 +1,39 @@
+/** The configuration that the first leader of an empty log proposes. */
+import { z } from 'zod';
+
+import { nameSchema, uniqueBy } from './shared.js';
+
+const oneHourMilliseconds = 3_600_000;
+
+const limitSchema = z.number().positive().optional();
+
+const serviceSchema = z.strictObject({
+  service: nameSchema,
+  concurrencyLimit: z.int().min(1).optional(),
+  startsPerSecondLimit: limitSchema,
+  queueLimit: z.int().min(1).default(2_000),
+  defaultDeadlineMilliseconds: z
+    .int()
+    .min(1)
+    .max(oneHourMilliseconds)
+    .default(10_000),
+  retryBudgetPercent: z.number().min(0).max(100).default(10),
+});
+
+const teamSchema = z.strictObject({
+  team: nameSchema,
+  weight: z.number().positive().default(1),
+  concurrencyQuota: z.int().min(1).optional(),
+  startsPerSecondQuota: limitSchema,
+});
+
+/** Schema of the file named by `initialConfigurationFile`. */
+export const initialConfigurationSchema = z.strictObject({
+  services: uniqueBy(serviceSchema, entry => entry.service, 'service').default(
+    [],
+  ),
+  teams: uniqueBy(teamSchema, entry => entry.team, 'team').default([]),
+});
+
+/** Checked initial configuration. */
+export type InitialConfiguration = z.output<typeof initialConfigurationSchema>;
