Add the stand-in target and platform

Dispatchers and sidecars need something to run tasks on before a platform exists. The stand-in target answers POST /tasks, echoes job and task so that crossed answers show, and counts every start itself, so that a double start is found without trusting the logs of our own processes. Faults: fail all, slow, hang, flap, drop the connection. The stand-in platform gives leases, lagged usage, checkpoint, throttle and stop over HTTP.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,7 @@
-/** Load generator, stand-ins, trace replay, checker and reports. */
-export {};
+/** Load generator, stand-ins, trace replay, invariant checker and reports. */
+export * from './stand-ins/running-tasks.js';
+export * from './stand-ins/start-counts.js';
+export * from './stand-ins/start-stand-in-platform.js';
+export * from './stand-ins/start-stand-in-target.js';
+export * from './stand-ins/target-fault.js';
+export * from './stand-ins/task-payload.js';
--- /dev/null
+++ b/packages/bench/src/stand-ins/stand-ins.test.ts
@@ -0,0 +1,100 @@
+import { createSystemTimerService } from '@cranberryturn/timers';
+import test from 'ava';
+import { request } from 'undici';
+
+import {
+  PlatformAct,
+  startStandInPlatform,
+} from './start-stand-in-platform.js';
+import {
+  type StandInTarget,
+  startStandInTarget,
+} from './start-stand-in-target.js';
+import { TargetFaultKind, TaskTreatment, treatTask } from './target-fault.js';
+
+const timers = createSystemTimerService();
+
+async function postTask(
+  target: StandInTarget,
+  taskId: string,
+  payload: unknown,
+): Promise<{ status: number; body: unknown }> {
+  const reply = await request(`${target.url}/tasks`, {
+    method: 'POST',
+    headers: {
+      'cranberry-job-id': 'job',
+      'cranberry-task-id': taskId,
+      'cranberry-attempt': '2',
+    },
+    body: JSON.stringify(payload),
+  });
+  return { status: reply.statusCode, body: await reply.body.json() };
+}
+
+async function startTarget(): Promise<StandInTarget> {
+  return startStandInTarget({ targetId: 'worker', timers, seed: 1 });
+}
+
+test('a stand-in target echoes job and task and counts every start', async t => {
+  const target = await startTarget();
+  const payload = { runMilliseconds: 1, answerBytes: 3 };
+  const first = await postTask(target, 'a', payload);
+  await postTask(target, 'a', payload);
+  const failed = await postTask(target, 'b', { ...payload, failure: 'broken' });
+  const wrong = await postTask(target, 'c', { runMilliseconds: 'long' });
+  t.snapshot({
+    first,
+    failed,
+    wrong: wrong.status,
+    starts: target.starts.list(),
+  });
+  await target.close();
+});
+
+test('a stand-in target shows the fault that is set', async t => {
+  const target = await startTarget();
+  target.setFault({ kind: TargetFaultKind.FailAll });
+  t.is((await postTask(target, 'a', { runMilliseconds: 1 })).status, 500);
+  target.setFault({ kind: TargetFaultKind.DropConnection });
+  await t.throwsAsync(postTask(target, 'b', { runMilliseconds: 1 }));
+  target.setFault({ kind: TargetFaultKind.Hang });
+  const hanging = postTask(target, 'c', { runMilliseconds: 1 });
+  while (target.running.count() === 0) await new Promise(setImmediate);
+  t.true(target.running.stop('job', 'c'));
+  t.is((await hanging).status, 503);
+  t.is(target.starts.total(), 3);
+  await target.close();
+});
+
+test('a flapping target alternates, healthy first', t => {
+  const fault = { kind: TargetFaultKind.Flap, periodMilliseconds: 10 } as const;
+  const treatments = [0, 9, 10, 19, 20].map(at => treatTask(fault, at));
+  const { Run, Fail } = TaskTreatment;
+  t.deepEqual(treatments, [Run, Run, Fail, Fail, Run]);
+});
+
+test('the platform stops a task and says when there was none', async t => {
+  const target = await startTarget();
+  const platform = await startStandInPlatform({
+    timers,
+    targets: [target],
+    usageLagMilliseconds: 500,
+    leaseMilliseconds: 5_000,
+  });
+  const running = postTask(target, 'a', { runMilliseconds: 60_000 });
+  while (target.running.count() === 0) await new Promise(setImmediate);
+  const stop = (): Promise<unknown> =>
+    request(`${platform.url}/workers/worker/${PlatformAct.Stop}`, {
+      method: 'POST',
+      body: JSON.stringify({ jobId: 'job', taskId: 'a' }),
+    });
+  await stop();
+  t.is((await running).status, 503);
+  await stop();
+  t.deepEqual(
+    platform.acts.map(act => act.applied),
+    [true, false],
+  );
+  await platform.close();
+  await target.close();
+});
