Extend the claim, roster and control messages

Cause: adoption is only safe when an owner places work on runs that a later adopter will ask, and followers need deltas rather than whole states. Change: grants carry the roster version and whether the job was answered; claims can be refused; notices carry configuration and roster changes; dispatchers can retire and report the version in force; intents are types. Conclusion: the contract that control and its clients build against.

--- a/packages/membership/src/ports/roster-feed.ts
+++ b/packages/membership/src/ports/roster-feed.ts
@@ -1,5 +1,6 @@
 import type { TimeoutError, UnavailableError } from '@cranberryturn/errors';
 import type {
+  DispatcherIdentity,
   DispatcherRecord,
   LogIndex,
   Roster,
@@ -23,6 +24,10 @@
   registerDispatcher(
     dispatcher: DispatcherRecord,
   ): ResultAsync<LogIndex, RegistrationError>;
+  /** Says that this run of a dispatcher stops and has answered all of its jobs. */
+  retireDispatcher(
+    dispatcher: DispatcherIdentity,
+  ): ResultAsync<LogIndex, RegistrationError>;
   registerTarget(
     target: TargetAnnouncement,
   ): ResultAsync<LogIndex, RegistrationError>;
--- a/packages/types/src/claims.ts
+++ b/packages/types/src/claims.ts
@@ -4,6 +4,7 @@
   Incarnation,
   JobId,
   LogIndex,
+  Milliseconds,
   OwnershipEpoch,
   ServiceName,
   TargetId,
@@ -30,6 +31,8 @@
   readonly service: ServiceName;
   readonly digest: BodyDigest;
   readonly owner: DispatcherIdentity;
+  /** Wall-clock time at which the caller first submitted the job, where the caller says so. */
+  readonly submittedAt?: Milliseconds | undefined;
 }
 
 /** How a claim request ended. */
@@ -40,6 +43,16 @@
   Held = 'held',
   /** The job exists with another body. */
   Conflict = 'conflict',
+  /** The job was not claimed, and this request never will be. */
+  Refused = 'refused',
+}
+
+/** Why control refused a claim. */
+export enum ClaimRefusal {
+  /** First submitted so long ago that an earlier claim may have been forgotten. */
+  TooOld = 'too-old',
+  /** Control holds as many claims as it may. */
+  TableFull = 'table-full',
 }
 
 /** The claim was granted. */
@@ -50,6 +63,13 @@
   readonly claimedAt: LogIndex;
   /** Sidecar runs that may hold starts of this job; needed on adoption only, when epoch > 1. */
   readonly witnesses: readonly TargetIdentity[];
+  /**
+   * Roster at the moment of the grant. The owner starts tasks of this job only once its own roster
+   * is at least that new, and only on runs with `registeredAt` up to it: an adopter knows no others.
+   */
+  readonly rosterVersion: number;
+  /** An owner already answered the job: answers may be gathered, but nothing may be started. */
+  readonly finished: boolean;
 }
 
 /** The job is owned by a dispatcher that is not known to be dead. */
@@ -57,6 +77,7 @@
   readonly kind: ClaimOutcomeKind.Held;
   readonly epoch: OwnershipEpoch;
   readonly owner: DispatcherIdentity;
+  /** Undefined when that run of the dispatcher was replaced or left: the job may be adopted at once. */
   readonly ownerAddress?: NetworkAddress | undefined;
 }
 
@@ -65,8 +86,15 @@
   readonly kind: ClaimOutcomeKind.Conflict;
 }
 
+/** The job was not claimed. */
+export interface ClaimRefused {
+  readonly kind: ClaimOutcomeKind.Refused;
+  readonly reason: ClaimRefusal;
+}
+
 /** Answer of the claim store. */
-export type ClaimOutcome = ClaimGranted | ClaimHeld | ClaimConflict;
+export type ClaimOutcome =
+  ClaimGranted | ClaimHeld | ClaimConflict | ClaimRefused;
 
 /** Asks to take over a job whose owner is presumed dead. Conditional on the epoch seen. */
 export interface AdoptRequest extends ClaimRequest {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -4,6 +4,7 @@
 export * from './configuration.js';
 export * from './decisions.js';
 export * from './identifiers.js';
+export * from './intents.js';
 export * from './jobs.js';
 export * from './logging.js';
 export * from './roster.js';
--- a/packages/types/src/roster.ts
+++ b/packages/types/src/roster.ts
@@ -1,4 +1,4 @@
-import type { DispatcherIdentity } from './claims.js';
+import type { DispatcherIdentity, TargetIdentity } from './claims.js';
 import type { LogIndex, ReplicaId } from './identifiers.js';
 import type { NetworkAddress, TargetAnnouncement } from './targets.js';
 
@@ -15,9 +15,21 @@
 
 /** All processes known to control. */
 export interface Roster {
-  /** Raised with each change of the roster. */
+  /** Position in the log of the last change of the roster; 0 before the first. */
   readonly version: number;
   readonly dispatchers: readonly DispatcherRecord[];
   readonly targets: readonly TargetRecord[];
   readonly leader?: ReplicaId | undefined;
 }
+
+/** What changed in the roster since an earlier version. */
+export interface RosterChanges {
+  readonly baseVersion: number;
+  readonly version: number;
+  /** All dispatchers. */
+  readonly dispatchers: readonly DispatcherRecord[];
+  /** Runs registered since the base version. */
+  readonly registered: readonly TargetRecord[];
+  /** Runs retired since the base version. */
+  readonly retired: readonly TargetIdentity[];
+}
--- a/packages/wire/src/messages/control-messages.ts
+++ b/packages/wire/src/messages/control-messages.ts
@@ -3,6 +3,8 @@
   ClaimOutcome,
   ClaimRequest,
   ClusterConfiguration,
+  ConfigurationChange,
+  DispatcherIdentity,
   DispatcherRecord,
   JobId,
   LogIndex,
@@ -10,7 +12,9 @@
   OwnershipEpoch,
   ReplicaId,
   Roster,
+  RosterChanges,
   TargetAnnouncement,
+  TargetId,
   TargetIdentity,
   TeamName,
 } from '@cranberryturn/types';
@@ -21,6 +25,7 @@
   Adopt = 'adopt',
   FinishClaims = 'finish-claims',
   RegisterDispatcher = 'register-dispatcher',
+  RetireDispatcher = 'retire-dispatcher',
   RegisterTarget = 'register-target',
   RetireTarget = 'retire-target',
   Watch = 'watch',
@@ -45,6 +50,11 @@
       readonly method: ControlMethod.RegisterDispatcher;
       readonly dispatcher: DispatcherRecord;
     }
+  | {
+      /** The run of the dispatcher is stopping and has answered all of its jobs. */
+      readonly method: ControlMethod.RetireDispatcher;
+      readonly dispatcher: DispatcherIdentity;
+    }
   | {
       readonly method: ControlMethod.RegisterTarget;
       readonly target: TargetAnnouncement;
@@ -84,7 +94,9 @@
 /** The kinds of notice from control to its followers. */
 export enum ControlNoticeKind {
   Configuration = 'configuration',
+  ConfigurationChanges = 'configuration-changes',
   Roster = 'roster',
+  RosterChanges = 'roster-changes',
   Freshness = 'freshness',
 }
 
@@ -94,7 +106,16 @@
       readonly kind: ControlNoticeKind.Configuration;
       readonly configuration: ClusterConfiguration;
     }
+  | {
+      /** Consecutive changes; the first one follows the version that the follower has. */
+      readonly kind: ControlNoticeKind.ConfigurationChanges;
+      readonly changes: readonly ConfigurationChange[];
+    }
   | { readonly kind: ControlNoticeKind.Roster; readonly roster: Roster }
+  | {
+      readonly kind: ControlNoticeKind.RosterChanges;
+      readonly changes: RosterChanges;
+    }
   | {
       readonly kind: ControlNoticeKind.Freshness;
       /** Age of the proof that the leader still had its majority. */
@@ -102,3 +123,12 @@
       readonly configurationVersion: number;
       readonly leader?: ReplicaId | undefined;
     };
+
+/** What a dispatcher tells the leader on its heartbeat, without an answer. */
+export interface InForceReport {
+  readonly dispatcher: DispatcherIdentity;
+  /** Version of the configuration that the dispatcher has in force. */
+  readonly configurationVersion: number;
+  /** Sidecars served by this dispatcher that have not confirmed that version. */
+  readonly targetsBehind: readonly TargetId[];
+}
