Create tokens and shared keys with cranberryctl

Settings hold digests only, so operators need a command that makes tokens and key files. A secret file is for its owner only and never overwritten.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,2 @@
 /** The operator's command line, cranberryctl. */
-export {};
+export * from './run-cranberryctl.js';
--- /dev/null
+++ b/packages/cli/src/run-cranberryctl.ts
@@ -0,0 +1,32 @@
+/** The operator's command line. */
+import {
+  ExitCode,
+  type ProgramHost,
+  readProductVersion,
+} from '@cranberryturn/program';
+import { Command, CommanderError } from 'commander';
+
+import { addSecretCommands } from './secret-commands.js';
+
+/** Runs one command of `cranberryctl`. The exit code is given to `host` when it is not 0. */
+export async function runCranberryctl(host: ProgramHost): Promise<void> {
+  const program = new Command('cranberryctl')
+    .description('States intents, confirms plans and shows what is in force.')
+    .version(readProductVersion(), '-v, --version', 'print the version')
+    .exitOverride()
+    .configureOutput({
+      writeOut: text => {
+        host.writeOutput(text);
+      },
+      writeErr: text => {
+        host.writeError(text);
+      },
+    });
+  addSecretCommands(program, host);
+  try {
+    await program.parseAsync(host.commandLine, { from: 'user' });
+  } catch (error) {
+    if (!(error instanceof CommanderError)) throw error;
+    if (error.exitCode !== 0) host.exit(ExitCode.InvalidSettings);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/write-secret-file.ts
@@ -0,0 +1,30 @@
+/** Writes secrets to files that only their owner can read. */
+import { writeFileSync } from 'node:fs';
+
+import { InvalidInputError } from '@cranberryturn/errors';
+import { Result } from 'neverthrow';
+
+const ownerOnly = 0o600;
+
+/** Writes `text` to a new file. Fails when the file exists: a secret is never overwritten. */
+export function writeSecretFile(
+  path: string,
+  text: string,
+): Result<void, InvalidInputError> {
+  const write = Result.fromThrowable(
+    () => {
+      writeFileSync(path, text, { flag: 'wx', mode: ownerOnly });
+    },
+    cause => cannotWrite(path, cause),
+  );
+  return write();
+}
+
+function cannotWrite(path: string, cause: unknown): InvalidInputError {
+  const { code, message } = cause as NodeJS.ErrnoException;
+  const text =
+    code === 'EEXIST'
+      ? `${path} exists already and is left as it is. Choose another name, or move the file away first.`
+      : `${path} cannot be written (${message}). Choose a folder that exists and that you may write to.`;
+  return new InvalidInputError(text, { step: 'write secret file' }, cause);
+}
