Add sessions, the sidecar and the job table; name the submission of a claim

A dispatcher that has forgotten a finished job could be granted its own claim again and start the tasks twice. A claim now names the submission it was granted to, so that a repeated call and a later submission differ.

Sessions carry messages over as many connections as it takes, with sequence numbers and acknowledgements. The sidecar is the last gate before a start: it remembers what it started, refuses fenced epochs and keeps answers.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,2 +1,4 @@
 /** Job table and collection of answers. */
-export {};
+export * from './collect-answers.js';
+export * from './digest-job.js';
+export * from './job-table.js';
--- /dev/null
+++ b/packages/sessions/src/accept-sessions.ts
@@ -0,0 +1,80 @@
+/** The accepting end of sessions: one session for each run of each peer. */
+import type { TimerService } from '@cranberryturn/timers';
+import type { Connection, PeerIdentity } from '@cranberryturn/wire';
+
+import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
+import {
+  Session,
+  SessionEndReason,
+  type SessionListener,
+  type SessionTimes,
+} from './session.js';
+
+/** What the accepting end is built from. */
+export interface AcceptSessionsOptions<Outgoing, Incoming> {
+  readonly timers: TimerService;
+  readonly times: SessionTimes;
+  /** Called for each new run of a peer, before its first message. */
+  readonly startSession: (
+    peer: PeerIdentity,
+    send: (message: Outgoing) => void,
+  ) => SessionListener<Incoming>;
+}
+
+/** The accepting end of sessions. */
+export interface SessionAcceptor<Outgoing, Incoming> {
+  /** Serves a connection until it ends. */
+  acceptConnection(connection: Connection): Promise<void>;
+  sessions(): readonly Session<Outgoing, Incoming>[];
+  /** Ends all sessions. */
+  close(): void;
+}
+
+/** Accepts sessions. A connection of a known run resumes its session. */
+export function acceptSessions<Outgoing, Incoming>(
+  options: AcceptSessionsOptions<Outgoing, Incoming>,
+): SessionAcceptor<Outgoing, Incoming> {
+  const byPeer = new Map<string, Session<Outgoing, Incoming>>();
+
+  const sessionWith = (peer: PeerIdentity): Session<Outgoing, Incoming> => {
+    const known = byPeer.get(peer.name);
+    if (known?.peer.incarnation === peer.incarnation) return known;
+    let created: Session<Outgoing, Incoming> | undefined = undefined;
+    const listener = options.startSession(peer, message => {
+      created?.send(message);
+    });
+    created = new Session<Outgoing, Incoming>({
+      peer,
+      timers: options.timers,
+      times: options.times,
+      listener,
+    });
+    byPeer.set(peer.name, created);
+    known?.end(SessionEndReason.PeerRestarted);
+    return created;
+  };
+
+  const acceptConnection = async (connection: Connection): Promise<void> => {
+    const frames = connection
+      .receive()
+      [Symbol.asyncIterator]() as AsyncIterableIterator<Uint8Array>;
+    const open = await readOpenFrame(connection, frames);
+    if (open.isErr()) {
+      connection.close();
+      return;
+    }
+    const session = sessionWith(connection.peer);
+    sendOpenFrame(connection, session.received);
+    await session.serveConnection(connection, frames, open.value.received);
+  };
+
+  return {
+    acceptConnection,
+    sessions: () => [...byPeer.values()],
+    close: () => {
+      for (const session of byPeer.values()) {
+        session.end(SessionEndReason.ClosedHere);
+      }
+    },
+  };
+}
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -1,2 +1,4 @@
 /** Reliable message sessions that outlive a connection. */
-export {};
+export * from './accept-sessions.js';
+export * from './open-session.js';
+export * from './session.js';
--- /dev/null
+++ b/packages/sessions/src/open-session.ts
@@ -0,0 +1,137 @@
+/** The dialling end of a session: one task keeps it connected. */
+import type { RandomSource } from '@cranberryturn/random';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import type { Connection, Network } from '@cranberryturn/wire';
+import { err, ok, type Result } from 'neverthrow';
+
+import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
+import {
+  Session,
+  SessionEndReason,
+  type SessionListener,
+  type SessionTimes,
+} from './session.js';
+
+const minimumBackoffMilliseconds: Milliseconds = 50;
+const maximumBackoffMilliseconds: Milliseconds = 1_000;
+const openTimeoutMilliseconds: Milliseconds = 1_000;
+
+/** What the dialling end is built from. */
+export interface OpenSessionOptions<Outgoing, Incoming> {
+  readonly network: Network;
+  readonly address: NetworkAddress;
+  readonly timers: TimerService;
+  readonly random: RandomSource;
+  readonly times: SessionTimes;
+  /** Called for each new run of the peer, before its first message. */
+  readonly startSession: (
+    peer: Connection['peer'],
+    send: (message: Outgoing) => void,
+  ) => SessionListener<Incoming>;
+}
+
+/** The dialling end of a session to one address. */
+export interface SessionDialer<Outgoing, Incoming> {
+  /** The session with the present run of the peer, when there is one. */
+  current(): Session<Outgoing, Incoming> | undefined;
+  /** Ends the session and stops dialling. */
+  close(): void;
+}
+
+interface OpenedConnection {
+  readonly connection: Connection;
+  readonly frames: AsyncIterableIterator<Uint8Array>;
+  readonly peerReceived: number;
+}
+
+/** Keeps a session with the process at an address, over as many connections as it takes. */
+export function openSession<Outgoing, Incoming>(
+  options: OpenSessionOptions<Outgoing, Incoming>,
+): SessionDialer<Outgoing, Incoming> {
+  const { timers } = options;
+  let session: Session<Outgoing, Incoming> | undefined;
+  let closed = false;
+
+  const sessionWith = (connection: Connection): Session<Outgoing, Incoming> => {
+    const { peer } = connection;
+    if (session?.peer.incarnation === peer.incarnation) return session;
+    session?.end(SessionEndReason.PeerRestarted);
+    let created: Session<Outgoing, Incoming> | undefined = undefined;
+    const listener = options.startSession(peer, message => {
+      created?.send(message);
+    });
+    created = new Session<Outgoing, Incoming>({
+      peer,
+      timers,
+      times: options.times,
+      listener,
+    });
+    session = created;
+    return created;
+  };
+
+  const connectOnce = async (): Promise<Result<void, Error>> => {
+    const dialled = await options.network.dial(options.address);
+    if (dialled.isErr()) return err(dialled.error);
+    const connection = dialled.value;
+    const next = sessionWith(connection);
+    const opened = await exchange(connection, next, timers);
+    if (opened.isErr()) return err(opened.error);
+    if (closed) {
+      connection.close();
+      return ok(undefined);
+    }
+    void next.serveConnection(
+      connection,
+      opened.value.frames,
+      opened.value.peerReceived,
+    );
+    await next.waitUntilSuspected();
+    return ok(undefined);
+  };
+
+  const maintain = async (): Promise<void> => {
+    let backoff = minimumBackoffMilliseconds;
+    for (;;) {
+      const outcome = await connectOnce();
+      if (closed) return;
+      if (outcome.isOk()) {
+        backoff = minimumBackoffMilliseconds;
+        continue;
+      }
+      await sleep(timers, backoff * (0.5 + options.random.fraction()));
+      backoff = Math.min(backoff * 2, maximumBackoffMilliseconds);
+    }
+  };
+
+  void maintain();
+  return {
+    current: () => session,
+    close: () => {
+      closed = true;
+      session?.end(SessionEndReason.ClosedHere);
+    },
+  };
+}
+
+async function exchange(
+  connection: Connection,
+  session: Session<never, never> | Session<unknown, unknown>,
+  timers: TimerService,
+): Promise<Result<OpenedConnection, Error>> {
+  const expiry = timers.after(openTimeoutMilliseconds, () => {
+    connection.close();
+  });
+  sendOpenFrame(connection, session.received);
+  const frames = connection
+    .receive()
+    [Symbol.asyncIterator]() as AsyncIterableIterator<Uint8Array>;
+  const open = await readOpenFrame(connection, frames);
+  expiry.cancel();
+  return open.map(frame => ({
+    connection,
+    frames,
+    peerReceived: frame.received,
+  }));
+}
--- /dev/null
+++ b/packages/sessions/src/session.ts
@@ -0,0 +1,289 @@
+/** A reliable, ordered exchange of messages between two process runs. */
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+import {
+  type Connection,
+  decodeMessage,
+  encodeMessage,
+  type PeerIdentity,
+} from '@cranberryturn/wire';
+
+import { MessageWindow } from './message-window.js';
+import { type SessionFrame, SessionFrameKind } from './session-frames.js';
+
+/** Times of a session. */
+export interface SessionTimes {
+  /** Longest time without sending a frame. */
+  readonly heartbeatMilliseconds: Milliseconds;
+  /** Silence after which the connection is suspected. */
+  readonly suspicionMilliseconds: Milliseconds;
+}
+
+/** Times that keep the control traffic of a process below its budget. */
+export const defaultSessionTimes: SessionTimes = {
+  heartbeatMilliseconds: 1_000,
+  suspicionMilliseconds: 3_000,
+};
+
+/** Why a session ended. */
+export enum SessionEndReason {
+  /** The peer runs again with a new incarnation and has forgotten the session. */
+  PeerRestarted = 'peer-restarted',
+  /** This process closed the session. */
+  ClosedHere = 'closed-here',
+}
+
+/** Hears what happens in a session. */
+export interface SessionListener<Incoming> {
+  /** Called once for each message of the peer, in order. */
+  messageReceived(message: Incoming): void;
+  /** A connection carries the session, for the first time or again. */
+  connected(): void;
+  /** The peer is silent or the connection ended; nothing is lost yet. */
+  suspected(): void;
+  /** No further message will arrive. */
+  ended(reason: SessionEndReason): void;
+}
+
+/** Counts of one session. */
+export interface SessionCounts {
+  readonly framesSent: number;
+  readonly heartbeatsSent: number;
+  readonly messagesSent: number;
+  readonly messagesResent: number;
+  readonly duplicatesReceived: number;
+  readonly connections: number;
+}
+
+/** What a session is built from. */
+export interface SessionOptions<Incoming> {
+  readonly peer: PeerIdentity;
+  readonly timers: TimerService;
+  readonly times: SessionTimes;
+  readonly listener: SessionListener<Incoming>;
+}
+
+type MutableCounts = { -readonly [Key in keyof SessionCounts]: number };
+
+/** One session. It lives as long as both process runs do, over any number of connections. */
+export class Session<Outgoing, Incoming> {
+  readonly peer: PeerIdentity;
+  readonly #timers: TimerService;
+  readonly #times: SessionTimes;
+  readonly #listener: SessionListener<Incoming>;
+  readonly #window = new MessageWindow<Outgoing>();
+  readonly #ticker: TimerSubscription;
+  readonly #counts: MutableCounts = {
+    framesSent: 0,
+    heartbeatsSent: 0,
+    messagesSent: 0,
+    messagesResent: 0,
+    duplicatesReceived: 0,
+    connections: 0,
+  };
+  #connection: Connection | undefined;
+  #flushScheduled = false;
+  #ended = false;
+  #suspected = false;
+  #lastSent: Milliseconds;
+  #lastReceived: Milliseconds;
+  #wakeWhenSuspected: (() => void) | undefined;
+
+  constructor(options: SessionOptions<Incoming>) {
+    this.peer = options.peer;
+    this.#timers = options.timers;
+    this.#times = options.times;
+    this.#listener = options.listener;
+    this.#lastSent = options.timers.now();
+    this.#lastReceived = this.#lastSent;
+    this.#ticker = options.timers.every(
+      options.times.heartbeatMilliseconds / 2,
+      () => {
+        this.#tick();
+      },
+    );
+  }
+
+  get counts(): SessionCounts {
+    return this.#counts;
+  }
+
+  get isEnded(): boolean {
+    return this.#ended;
+  }
+
+  /** Number of messages that the peer has not acknowledged. */
+  get unacknowledged(): number {
+    return this.#window.unacknowledged;
+  }
+
+  /** Last message received in order. */
+  get received(): number {
+    return this.#window.received;
+  }
+
+  /** Sends a message, now or over a later connection. */
+  send(message: Outgoing): void {
+    if (this.#ended) return;
+    this.#window.push(message);
+    this.#counts.messagesSent += 1;
+    this.#scheduleFlush();
+  }
+
+  /**
+   * Carries the session over this connection from now on, and reads it until
+   * it ends. `peerReceived` comes from the Open frame of the peer.
+   */
+  async serveConnection(
+    connection: Connection,
+    frames: AsyncIterable<Uint8Array>,
+    peerReceived: number,
+  ): Promise<void> {
+    const previous = this.#connection;
+    this.#connection = connection;
+    this.#counts.connections += 1;
+    this.#lastReceived = this.#timers.now();
+    this.#suspected = false;
+    previous?.close();
+    this.#window.acknowledge(peerReceived);
+    this.#counts.messagesResent += this.#window.rewind();
+    this.#listener.connected();
+    this.#scheduleFlush();
+    await this.#read(connection, frames);
+    connection.close();
+    if (this.#connection !== connection) return;
+    this.#connection = undefined;
+    this.#suspect();
+  }
+
+  /** Resolves when the session has no live connection, or has ended. */
+  async waitUntilSuspected(): Promise<void> {
+    if (this.#suspected || this.#ended) return;
+    await new Promise<void>(resolve => {
+      this.#wakeWhenSuspected = resolve;
+    });
+  }
+
+  /** Ends the session. Messages that were not acknowledged may be lost. */
+  end(reason: SessionEndReason): void {
+    if (this.#ended) return;
+    this.#flush();
+    this.#ended = true;
+    this.#ticker.cancel();
+    this.#connection?.close();
+    this.#wake();
+    this.#listener.ended(reason);
+  }
+
+  async #read(
+    connection: Connection,
+    frames: AsyncIterable<Uint8Array>,
+  ): Promise<void> {
+    for await (const bytes of frames) {
+      if (this.#ended) return;
+      const frame = decodeMessage<SessionFrame<Incoming>>(
+        bytes,
+        this.peer.name,
+      );
+      if (frame.isErr()) return;
+      if (connection === this.#connection) this.#noteAlive();
+      this.#handle(frame.value);
+    }
+  }
+
+  #handle(frame: SessionFrame<Incoming>): void {
+    this.#window.acknowledge(frame.received);
+    switch (frame.kind) {
+      case SessionFrameKind.Open:
+        return;
+      case SessionFrameKind.Data:
+        this.#accept(frame.sequence, frame.messages);
+        return;
+      case SessionFrameKind.Heartbeat:
+        if (frame.silenceMilliseconds < this.#times.suspicionMilliseconds) {
+          return;
+        }
+        this.#suspect();
+        return;
+    }
+  }
+
+  #accept(first: number, messages: readonly Incoming[]): void {
+    let sequence = first;
+    for (const message of messages) {
+      if (this.#window.receive(sequence)) {
+        this.#listener.messageReceived(message);
+      } else {
+        this.#counts.duplicatesReceived += 1;
+      }
+      sequence += 1;
+    }
+    if (this.#window.mustAcknowledge) this.#sendHeartbeat();
+  }
+
+  #noteAlive(): void {
+    this.#lastReceived = this.#timers.now();
+    if (!this.#suspected) return;
+    this.#suspected = false;
+    this.#listener.connected();
+  }
+
+  #tick(): void {
+    const now = this.#timers.now();
+    const silence = now - this.#lastReceived;
+    if (now - this.#lastSent >= this.#times.heartbeatMilliseconds / 2) {
+      this.#sendHeartbeat();
+    }
+    if (silence >= this.#times.suspicionMilliseconds) this.#suspect();
+  }
+
+  #suspect(): void {
+    this.#wake();
+    if (this.#suspected || this.#ended) return;
+    this.#suspected = true;
+    this.#listener.suspected();
+  }
+
+  #wake(): void {
+    const wake = this.#wakeWhenSuspected;
+    this.#wakeWhenSuspected = undefined;
+    wake?.();
+  }
+
+  #scheduleFlush(): void {
+    if (this.#flushScheduled || this.#connection === undefined) return;
+    this.#flushScheduled = true;
+    setImmediate(() => {
+      this.#flush();
+    });
+  }
+
+  #flush(): void {
+    this.#flushScheduled = false;
+    if (this.#connection === undefined || this.#ended) return;
+    const batch = this.#window.takeUnsent();
+    if (batch.messages.length === 0) return;
+    this.#transmit({
+      kind: SessionFrameKind.Data,
+      sequence: batch.sequence,
+      received: this.#window.confirmReceived(),
+      messages: batch.messages,
+    });
+  }
+
+  #sendHeartbeat(): void {
+    if (this.#connection === undefined || this.#ended) return;
+    this.#counts.heartbeatsSent += 1;
+    this.#transmit({
+      kind: SessionFrameKind.Heartbeat,
+      received: this.#window.confirmReceived(),
+      silenceMilliseconds: this.#timers.now() - this.#lastReceived,
+    });
+  }
+
+  #transmit(frame: SessionFrame<Outgoing>): void {
+    this.#counts.framesSent += 1;
+    this.#lastSent = this.#timers.now();
+    this.#connection?.send(encodeMessage(frame));
+  }
+}
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -1,2 +1,7 @@
 /** The sidecar beside each target: starts each task at most once. */
-export {};
+export * from './adapters/http-target.js';
+export * from './attempt-ledger.js';
+export * from './ports/platform.js';
+export * from './ports/target.js';
+export * from './run-attempts.js';
+export * from './start-sidecar.js';
--- /dev/null
+++ b/packages/sidecar/src/run-attempts.ts
@@ -0,0 +1,298 @@
+/** Runs attempts on the target within its slots. */
+import type { TimerService } from '@cranberryturn/timers';
+import {
+  type AttemptKey,
+  AttemptOutcome,
+  type AttemptResult,
+  type AttemptStart,
+  DecisionKind,
+  type DecisionSink,
+  type DispatcherId,
+  type Milliseconds,
+  NotStartedReason,
+  type TargetAnnouncement,
+  type TargetLoad,
+} from '@cranberryturn/types';
+
+import { type AttemptLedger, StartPermission } from './attempt-ledger.js';
+import {
+  type TargetFailure,
+  TargetFailureKind,
+  type TargetPort,
+} from './ports/target.js';
+
+/** What a runner is built from. */
+export interface AttemptRunnerOptions {
+  readonly announcement: TargetAnnouncement;
+  readonly target: TargetPort;
+  readonly ledger: AttemptLedger;
+  readonly timers: TimerService;
+  readonly decisions: DecisionSink;
+  /** Number of attempts that may wait for a slot. */
+  readonly queueLimit: number;
+  /** Hears how each attempt ended, and which dispatchers to tell. */
+  readonly attemptEnded: (
+    result: AttemptResult,
+    dispatchers: readonly DispatcherId[],
+  ) => void;
+}
+
+interface WaitingAttempt {
+  readonly attempt: AttemptStart;
+  readonly received: Milliseconds;
+  readonly requestId: string | undefined;
+}
+
+interface RunningAttempt {
+  readonly attempt: AttemptStart;
+  readonly abort: AbortController;
+}
+
+/** Runs attempts. A start that was refused is never run. */
+export class AttemptRunner {
+  readonly #options: AttemptRunnerOptions;
+  readonly #waiting: WaitingAttempt[] = [];
+  readonly #running = new Set<RunningAttempt>();
+  #slots: number;
+  #draining = false;
+  #wakeWhenIdle: (() => void) | undefined;
+
+  constructor(options: AttemptRunnerOptions) {
+    this.#options = options;
+    this.#slots = options.announcement.slots;
+  }
+
+  /** The load to report. */
+  get load(): TargetLoad {
+    return {
+      freeSlots: Math.max(0, this.#slots - this.#running.size),
+      queuedTasks: this.#waiting.length,
+      draining: this.#draining,
+    };
+  }
+
+  /** Starts an attempt, lets it wait for a slot, or refuses it for good. */
+  acceptAttempt(attempt: AttemptStart, requestId: string | undefined): void {
+    const refusal = this.#findRefusal(attempt);
+    if (refusal !== undefined) {
+      this.#refuse(attempt, refusal);
+      return;
+    }
+    const received = this.#options.timers.now();
+    this.#waiting.push({ attempt, received, requestId });
+    this.#fillSlots();
+  }
+
+  /** Ends attempts that wait, and stops those that run. */
+  cancelAttempts(keys: readonly AttemptKey[], reason: string): void {
+    for (const key of keys) this.#cancelAttempt(key, reason);
+    this.#fillSlots();
+  }
+
+  changeSlots(slots: number): void {
+    this.#slots = slots;
+    this.#fillSlots();
+  }
+
+  /** Refuses new attempts from now on, or accepts them again. */
+  changeDraining(draining: boolean): void {
+    if (this.#draining === draining) return;
+    this.#draining = draining;
+    const { targetId, incarnation } = this.#options.announcement;
+    if (!draining) return;
+    this.#options.decisions({
+      kind: DecisionKind.Leaving,
+      target: targetId,
+      incarnation,
+    });
+    for (const { attempt } of this.#waiting.splice(0)) {
+      this.#refuse(attempt, NotStartedReason.Draining);
+    }
+  }
+
+  /** Resolves when no attempt waits or runs. */
+  async waitUntilIdle(): Promise<void> {
+    if (this.#waiting.length === 0 && this.#running.size === 0) return;
+    await new Promise<void>(resolve => {
+      this.#wakeWhenIdle = resolve;
+    });
+  }
+
+  #findRefusal(attempt: AttemptStart): NotStartedReason | undefined {
+    if (attempt.service !== this.#options.announcement.service) {
+      return NotStartedReason.WrongService;
+    }
+    if (this.#draining) return NotStartedReason.Draining;
+    const room = this.#slots + this.#options.queueLimit - this.#running.size;
+    if (this.#waiting.length >= room) return NotStartedReason.Busy;
+    return undefined;
+  }
+
+  #fillSlots(): void {
+    while (this.#running.size < this.#slots) {
+      const next = this.#waiting.shift();
+      if (next === undefined) return;
+      this.#startAttempt(next);
+    }
+  }
+
+  #startAttempt(waiting: WaitingAttempt): void {
+    const { attempt, requestId } = waiting;
+    const waited = this.#options.timers.now() - waiting.received;
+    if (waited >= attempt.remainingMilliseconds) {
+      this.#refuse(attempt, NotStartedReason.DeadlinePassed);
+      return;
+    }
+    const permission = this.#options.ledger.recordStart(
+      attempt,
+      attempt.dispatcher,
+      attempt.idempotent,
+    );
+    const refusal = describePermission(permission);
+    if (refusal !== undefined) {
+      this.#refuse(attempt, refusal);
+      return;
+    }
+    const { targetId, incarnation } = this.#options.announcement;
+    this.#options.decisions(
+      {
+        kind: DecisionKind.Started,
+        ...keyOf(attempt),
+        target: targetId,
+        incarnation,
+        idempotent: attempt.idempotent,
+      },
+      requestId,
+    );
+    const running: RunningAttempt = {
+      attempt: {
+        ...attempt,
+        remainingMilliseconds: attempt.remainingMilliseconds - waited,
+      },
+      abort: new AbortController(),
+    };
+    this.#running.add(running);
+    void this.#runAttempt(running);
+  }
+
+  async #runAttempt(running: RunningAttempt): Promise<void> {
+    const { attempt, abort } = running;
+    const { timers, target } = this.#options;
+    const started = timers.now();
+    const answer = await target.runAttempt(attempt, abort.signal);
+    const runMilliseconds = timers.now() - started;
+    this.#running.delete(running);
+    answer.match(
+      text => {
+        this.#end({
+          ...keyOf(attempt),
+          outcome: AttemptOutcome.Answered,
+          answer: text,
+          runMilliseconds,
+        });
+      },
+      failure => {
+        this.#endFailed(attempt, failure, runMilliseconds);
+      },
+    );
+    this.#fillSlots();
+    this.#noteIdle();
+  }
+
+  #endFailed(
+    attempt: AttemptStart,
+    failure: TargetFailure,
+    runMilliseconds: Milliseconds,
+  ): void {
+    if (failure.kind === TargetFailureKind.NotReached) {
+      this.#options.ledger.withdrawStart(attempt);
+      this.#refuse(attempt, NotStartedReason.TargetUnreachable);
+      return;
+    }
+    this.#end({
+      ...keyOf(attempt),
+      outcome: AttemptOutcome.Failed,
+      reason: failure.reason,
+      runMilliseconds,
+    });
+  }
+
+  #end(result: AttemptResult): void {
+    this.#logEnd(result, undefined);
+    this.#options.attemptEnded(result, this.#options.ledger.recordEnd(result));
+  }
+
+  #refuse(attempt: AttemptStart, reason: NotStartedReason): void {
+    const result: AttemptResult = {
+      ...keyOf(attempt),
+      outcome: AttemptOutcome.NotStarted,
+      reason,
+    };
+    this.#logEnd(result, reason);
+    this.#options.attemptEnded(result, [attempt.dispatcher]);
+    this.#noteIdle();
+  }
+
+  #logEnd(result: AttemptResult, reason: string | undefined): void {
+    this.#options.decisions({
+      kind: DecisionKind.Ended,
+      ...keyOf(result),
+      target: this.#options.announcement.targetId,
+      outcome: result.outcome,
+      reason,
+    });
+  }
+
+  #cancelAttempt(key: AttemptKey, reason: string): void {
+    const position = this.#waiting.findIndex(one =>
+      isSameAttempt(one.attempt, key),
+    );
+    const [waiting] = position < 0 ? [] : this.#waiting.splice(position, 1);
+    if (waiting !== undefined) {
+      this.#refuse(waiting.attempt, NotStartedReason.Cancelled);
+      return;
+    }
+    for (const running of this.#running) {
+      if (!isSameAttempt(running.attempt, key)) continue;
+      running.abort.abort(new Error(reason));
+    }
+  }
+
+  #noteIdle(): void {
+    if (this.#waiting.length > 0 || this.#running.size > 0) return;
+    const wake = this.#wakeWhenIdle;
+    this.#wakeWhenIdle = undefined;
+    wake?.();
+  }
+}
+
+function keyOf(attempt: AttemptKey): AttemptKey {
+  return {
+    jobId: attempt.jobId,
+    taskId: attempt.taskId,
+    attempt: attempt.attempt,
+    epoch: attempt.epoch,
+  };
+}
+
+function isSameAttempt(left: AttemptKey, right: AttemptKey): boolean {
+  return (
+    left.jobId === right.jobId &&
+    left.taskId === right.taskId &&
+    left.attempt === right.attempt &&
+    left.epoch === right.epoch
+  );
+}
+
+function describePermission(
+  permission: StartPermission,
+): NotStartedReason | undefined {
+  switch (permission) {
+    case StartPermission.Granted:
+      return undefined;
+    case StartPermission.Fenced:
+      return NotStartedReason.Fenced;
+    case StartPermission.AlreadyStarted:
+      return NotStartedReason.AlreadyStarted;
+  }
+}
--- a/packages/types/src/claims.ts
+++ b/packages/types/src/claims.ts
@@ -30,6 +30,8 @@
   readonly service: ServiceName;
   readonly digest: BodyDigest;
   readonly owner: DispatcherIdentity;
+  /** Differs for each submission; the same in every repetition of one call. */
+  readonly submissionId: string;
 }
 
 /** How a claim request ended. */
@@ -46,6 +48,12 @@
 export interface ClaimGranted {
   readonly kind: ClaimOutcomeKind.Granted;
   readonly epoch: OwnershipEpoch;
+  /**
+   * Submission to which this epoch was granted. When it is not the one asked
+   * with, an earlier submission to the same owner run may have started tasks:
+   * the owner adopts the job with the next epoch before it starts anything.
+   */
+  readonly submissionId: string;
   /** Position of the first claim of this job in the log. */
   readonly claimedAt: LogIndex;
   /** Sidecar runs that may hold starts of this job; needed on adoption only, when epoch > 1. */
--- a/packages/wire/src/messages/target-messages.ts
+++ b/packages/wire/src/messages/target-messages.ts
@@ -4,6 +4,7 @@
   AttemptStart,
   ConfigurationVersion,
   JobId,
+  Milliseconds,
   OwnershipEpoch,
   TargetAnnouncement,
   TargetLoad,
@@ -14,7 +15,6 @@
   StartAttempt = 'start',
   CancelAttempts = 'cancel',
   FenceJob = 'fence',
-  ReleaseJobs = 'release',
   ApplySettings = 'settings',
 }
 
@@ -36,11 +36,6 @@
       readonly jobId: JobId;
       readonly epoch: OwnershipEpoch;
     }
-  | {
-      /** The jobs were answered; their answers may be dropped after the retention time. */
-      readonly kind: ToTargetKind.ReleaseJobs;
-      readonly jobIds: readonly JobId[];
-    }
   | {
       readonly kind: ToTargetKind.ApplySettings;
       readonly version: ConfigurationVersion;
@@ -66,6 +61,8 @@
   readonly running: readonly AttemptKey[];
   /** Attempts that started here and whose answers were dropped. */
   readonly forgotten: readonly AttemptKey[];
+  /** How far back this run remembers every start. */
+  readonly rememberedMilliseconds: Milliseconds;
 }
 
 /** A message from a sidecar to a dispatcher. */
