--- /dev/null
+++ b/packages/bench/src/checker/check-limits.ts
@@ -0,0 +1,128 @@
+/** Checks limits on concurrency and on starts a second over all processes. */
+import type { JobId, Milliseconds } from '@cranberryturn/types';
+
+import { type DecisionIndex, nameTask } from './index-decisions.js';
+import {
+  type CheckedLimit,
+  LimitScope,
+  type Violation,
+  ViolationKind,
+} from './violation.js';
+
+const windowMilliseconds: Milliseconds = 1_000;
+
+interface LoadChange {
+  readonly at: Milliseconds;
+  readonly change: 1 | -1;
+}
+
+/** Finds limits that were overrun by more than their slack. */
+export function checkLimits(
+  index: DecisionIndex,
+  limits: readonly CheckedLimit[],
+): Violation[] {
+  return limits.flatMap(limit => [
+    ...checkConcurrency(index, limit),
+    ...checkStartRate(index, limit),
+  ]);
+}
+
+function checkConcurrency(
+  index: DecisionIndex,
+  limit: CheckedLimit,
+): Violation[] {
+  if (limit.concurrency === undefined) return [];
+  const peak = findPeak(listLoadChanges(index, limit));
+  const allowed = limit.concurrency * (1 + limit.slack);
+  if (peak <= allowed) return [];
+  return [
+    overrun(
+      limit,
+      `${String(peak)} tasks ran at the same time, ${String(limit.concurrency)} are allowed`,
+    ),
+  ];
+}
+
+function listLoadChanges(
+  index: DecisionIndex,
+  limit: CheckedLimit,
+): LoadChange[] {
+  const open = new Map<string, number>();
+  const changes: LoadChange[] = [];
+  for (const start of index.started) {
+    if (!isCovered(index, limit, start.jobId)) continue;
+    changes.push({ at: start.at, change: 1 });
+    const name = nameTask(start.jobId, start.taskId);
+    open.set(name, (open.get(name) ?? 0) + 1);
+  }
+  for (const end of index.ended) {
+    const name = nameTask(end.jobId, end.taskId);
+    const left = open.get(name) ?? 0;
+    if (left === 0) continue;
+    open.set(name, left - 1);
+    changes.push({ at: end.at, change: -1 });
+  }
+  return changes;
+}
+
+function findPeak(changes: LoadChange[]): number {
+  // An end at the moment of a start frees the slot first.
+  changes.sort((a, b) => a.at - b.at || a.change - b.change);
+  let running = 0;
+  let peak = 0;
+  for (const { change } of changes) {
+    running += change;
+    peak = Math.max(peak, running);
+  }
+  return peak;
+}
+
+function checkStartRate(
+  index: DecisionIndex,
+  limit: CheckedLimit,
+): Violation[] {
+  if (limit.startsPerSecond === undefined) return [];
+  const times = index.started
+    .filter(start => isCovered(index, limit, start.jobId))
+    .map(start => start.at);
+  const most = countMostInWindow(times);
+  if (most <= limit.startsPerSecond * (1 + limit.slack)) return [];
+  return [
+    overrun(
+      limit,
+      `${String(most)} starts in one second, ${String(limit.startsPerSecond)} are allowed`,
+    ),
+  ];
+}
+
+function countMostInWindow(times: readonly Milliseconds[]): number {
+  let first = 0;
+  let most = 0;
+  times.forEach((time, last) => {
+    while (time - (times[first] ?? time) >= windowMilliseconds) first += 1;
+    most = Math.max(most, last - first + 1);
+  });
+  return most;
+}
+
+function isCovered(
+  index: DecisionIndex,
+  limit: CheckedLimit,
+  jobId: JobId,
+): boolean {
+  const job = index.admitted.get(jobId);
+  switch (limit.scope) {
+    case LimitScope.Service:
+      return job?.service === limit.name;
+    case LimitScope.Team:
+      return job?.team === limit.name;
+  }
+}
+
+function overrun(limit: CheckedLimit, detail: string): Violation {
+  return {
+    kind: ViolationKind.LimitOverrun,
+    subject: `${limit.scope} ${limit.name}`,
+    detail,
+  };
+}
