--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -5,6 +5,7 @@
 export * from './stand-ins/start-stand-in-target.js';
 export * from './stand-ins/target-fault.js';
 export * from './stand-ins/task-payload.js';
+export * from './stand-ins/usage-history.js';
 export * from './checker/check-decisions.js';
 export * from './checker/read-decision-log.js';
 export * from './checker/violation.js';
--- a/packages/bench/src/stand-ins/start-stand-in-target.ts
+++ b/packages/bench/src/stand-ins/start-stand-in-target.ts
@@ -118,8 +118,8 @@
   state: TargetState,
   context: TaskContext,
 ): Promise<Response> {
-  const jobId = context.req.header(jobIdHeader);
-  const taskId = context.req.header(taskIdHeader);
+  const jobId = readName(context, jobIdHeader);
+  const taskId = readName(context, taskIdHeader);
   if (jobId === undefined || taskId === undefined) {
     return context.json(
       { error: `Send ${jobIdHeader}, ${taskIdHeader}.` },
@@ -162,6 +162,12 @@
   return context.json(answer);
 }
 
+/** Names in headers are percent-encoded. */
+function readName(context: TaskContext, header: string): string | undefined {
+  const value = context.req.header(header);
+  return value === undefined ? undefined : decodeURIComponent(value);
+}
+
 function chooseRunTime(state: TargetState, payload: TaskPayload): Milliseconds {
   const { minimumMilliseconds, maximumMilliseconds } =
     state.options.runTime ?? defaultRunTime;
