Tie the start of a job to the runs that an adopter would ask

An adopter asks the runs that were registered when the job was claimed. The scheduler now starts tasks of a claimed job only on those. A grant tells the age of the claim, so that a run which remembers less cannot disclaim a start.

--- a/packages/jobs/src/collect-answers.ts
+++ b/packages/jobs/src/collect-answers.ts
@@ -51,14 +51,13 @@
     this.#started = combineStarted(this.#started, started);
   }
 
-  /** The whole result, once every task has a fate. */
-  get result(): JobResult | undefined {
-    if (this.#ended.size < this.#taskIds.length) return undefined;
-    return this.composeResult();
+  /** Whether every task has a fate. */
+  get isWhole(): boolean {
+    return this.#ended.size >= this.#taskIds.length;
   }
 
   /** The result as far as it is known; failed unless every task was answered. */
-  composeResult(): JobResult {
+  composeResult(deadlinePassed: boolean): JobResult {
     const answers = this.#composeAnswers();
     if (this.#failure === undefined && answers !== undefined) {
       return { jobId: this.#jobId, outcome: JobOutcome.Complete, answers };
@@ -68,6 +67,7 @@
       outcome: JobOutcome.Failed,
       reason: this.#failure ?? 'Not every task was answered.',
       started: this.#started,
+      deadlinePassed,
     };
   }
 
--- a/packages/scheduling/src/active-work.ts
+++ b/packages/scheduling/src/active-work.ts
@@ -5,7 +5,6 @@
   type AttemptResult,
   type JobRequest,
   type Milliseconds,
-  type OwnershipEpoch,
   type TargetIdentity,
   type TargetLoad,
   type TargetRecord,
@@ -13,13 +12,17 @@
   type TaskRequest,
 } from '@cranberryturn/types';
 
-import { type TaskFate, TaskFateKind } from './ports/scheduler.js';
+import {
+  type JobOwnership,
+  type TaskFate,
+  TaskFateKind,
+} from './ports/scheduler.js';
 
 /** Work in progress. */
 export interface ActiveJob {
   readonly request: JobRequest;
   readonly deadline: Milliseconds;
-  epoch: OwnershipEpoch;
+  ownership: JobOwnership;
   readonly open: Map<string, ActiveTask>;
   expiry: TimerSubscription | undefined;
 }
--- a/packages/scheduling/src/create-scheduler.ts
+++ b/packages/scheduling/src/create-scheduler.ts
@@ -9,7 +9,6 @@
   type JobId,
   type JobRequest,
   type Milliseconds,
-  type OwnershipEpoch,
   type TargetIdentity,
   type TargetLoad,
   type TargetRecord,
@@ -27,6 +26,7 @@
 } from './active-work.js';
 import {
   type AttemptSender,
+  type JobOwnership,
   type JobRefusal,
   RefusalKind,
   type Scheduler,
@@ -80,7 +80,7 @@
     this.#jobs.set(job.jobId, {
       request: job,
       deadline,
-      epoch: 0,
+      ownership: { epoch: 0, registeredUpTo: undefined },
       open: new Map(),
       expiry: undefined,
     });
@@ -93,12 +93,12 @@
 
   startJob(
     jobId: JobId,
-    epoch: OwnershipEpoch,
+    ownership: JobOwnership,
     plans: readonly TaskPlan[],
   ): void {
     const job = this.#jobs.get(jobId);
     if (job === undefined) return;
-    job.epoch = epoch;
+    job.ownership = ownership;
     for (const plan of plans) this.#addTask(job, plan);
     const remaining = job.deadline - this.#options.timers.now();
     job.expiry = this.#options.timers.after(remaining, () => {
@@ -229,7 +229,7 @@
   #place(): void {
     const waiting: ActiveTask[] = [];
     for (const task of this.#queue) {
-      const candidates = this.#candidates(task.job.request);
+      const candidates = this.#candidates(task.job);
       const target = leastLoaded(candidates);
       if (target === undefined) {
         waiting.push(task);
@@ -240,10 +240,12 @@
     this.#queue = waiting;
   }
 
-  #candidates(job: JobRequest): ActiveTarget[] {
+  #candidates(job: ActiveJob): ActiveTarget[] {
     return [...this.#targets.values()].filter(
       target =>
-        target.record.service === job.service &&
+        target.record.service === job.request.service &&
+        target.record.registeredAt <=
+          (job.ownership.registeredUpTo ?? Infinity) &&
         target.state === TargetState.Active &&
         !target.load.draining &&
         target.running.size < target.record.slots,
@@ -279,7 +281,7 @@
       jobId: task.job.request.jobId,
       taskId: task.task.taskId,
       attempt: task.attempt,
-      epoch: task.job.epoch,
+      epoch: task.job.ownership.epoch,
     };
   }
 
--- a/packages/scheduling/src/ports/scheduler.ts
+++ b/packages/scheduling/src/ports/scheduler.ts
@@ -6,6 +6,7 @@
   JobId,
   JobRequest,
   JsonText,
+  LogIndex,
   Milliseconds,
   NotStartedReason,
   OwnershipEpoch,
@@ -95,6 +96,13 @@
       readonly target: TargetIdentity;
     };
 
+/** What a dispatcher may do with a job that it owns. */
+export interface JobOwnership {
+  readonly epoch: OwnershipEpoch;
+  /** Tasks may start only on runs registered up to this position; undefined means on any run. */
+  readonly registeredUpTo: LogIndex | undefined;
+}
+
 /** One target as the scheduler sees it. */
 export interface TargetStatus {
   readonly targetId: TargetId;
@@ -122,10 +130,13 @@
   admitJob(job: JobRequest): Result<void, JobRefusal>;
   /** Gives back an admission whose claim was not granted. */
   releaseAdmission(jobId: JobId): void;
-  /** Starts an admitted job. Each task listed is reported to the observer once. */
+  /**
+   * Starts an admitted job. Each task listed is reported to the observer once,
+   * also when the deadline passes first. Tasks that are not listed have ended.
+   */
   startJob(
     jobId: JobId,
-    epoch: OwnershipEpoch,
+    ownership: JobOwnership,
     tasks: readonly TaskPlan[],
   ): void;
   /**
--- a/packages/types/src/claims.ts
+++ b/packages/types/src/claims.ts
@@ -69,6 +69,8 @@
   readonly submissionId: string;
   /** Position of the first claim of this job in the log. */
   readonly claimedAt: LogIndex;
+  /** Time since the first claim of this job, by the leader's clock. */
+  readonly ageMilliseconds: Milliseconds;
   /** Sidecar runs that may hold starts of this job; needed on adoption only, when epoch > 1. */
   readonly witnesses: readonly TargetIdentity[];
   /**
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -71,6 +71,8 @@
   readonly outcome: JobOutcome.Failed;
   readonly reason: string;
   readonly started: Started;
+  /** Whether the job failed because its deadline passed. */
+  readonly deadlinePassed: boolean;
 }
 
 /** The whole result of a job. */
