Add the open-loop load of the two deployments

Response times are only comparable when a stall is charged to every job that should have been sent in it. The generator sends at intended times from a seeded plan and measures from them; ideal = longest task + caller round trip.

--- /dev/null
+++ b/packages/bench/src/load/create-http-job-client.ts
@@ -0,0 +1,151 @@
+/** Submits jobs to dispatchers over HTTP, in turn as the balancer of a platform does. */
+import { JobOutcome, Started, type TeamName } from '@cranberryturn/types';
+import { Agent } from 'undici';
+import { z } from 'zod';
+
+import {
+  type JobClient,
+  SubmissionOutcome,
+  type SubmissionReply,
+} from './job-client.js';
+import type { PlannedJob } from './plan-load.js';
+
+/** Where and as whom jobs are submitted. */
+export interface HttpJobClientOptions {
+  /** Base addresses of the dispatchers. */
+  readonly urls: readonly string[];
+  /** Bearer token of a team. */
+  readonly tokenOf: (team: TeamName) => string;
+}
+
+const replySchema = z.object({
+  outcome: z.enum(JobOutcome).optional(),
+  started: z.enum(Started).optional(),
+  reason: z.string().optional(),
+  answers: z
+    .array(
+      z.object({
+        taskId: z.string(),
+        answer: z.object({ jobId: z.string(), taskId: z.string() }),
+      }),
+    )
+    .default([]),
+});
+const okStatus = 200;
+const brokenStatus = 0;
+const brokenReply = { outcome: SubmissionOutcome.Broken, answers: [] };
+
+/** Creates a client over HTTP. */
+export function createHttpJobClient(options: HttpJobClientOptions): JobClient {
+  const agent = new Agent({
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  let turn = 0;
+
+  const nextUrl = (): string => {
+    turn = (turn + 1) % options.urls.length;
+    return options.urls[turn] ?? '';
+  };
+
+  const submitJob = async (job: PlannedJob): Promise<SubmissionReply> => {
+    try {
+      const response = await agent.request({
+        origin: nextUrl(),
+        path: `/v1/services/${job.service}/jobs`,
+        method: 'POST',
+        headers: composeHeaders(options, job),
+        body: JSON.stringify(composeBody(job)),
+      });
+      const text = await response.body.text();
+      return readReply(response.statusCode, text);
+    } catch (cause) {
+      return { ...brokenReply, status: brokenStatus, reason: String(cause) };
+    }
+  };
+
+  const cancelJob = async (job: PlannedJob): Promise<void> => {
+    try {
+      const response = await agent.request({
+        origin: nextUrl(),
+        path: `/v1/services/${job.service}/jobs/${job.jobId}`,
+        method: 'DELETE',
+        headers: composeHeaders(options, job),
+      });
+      await response.body.dump();
+    } catch {
+      // The submission itself shows how the job ended.
+    }
+  };
+
+  return { submitJob, cancelJob, close: () => agent.destroy() };
+}
+
+function composeHeaders(
+  options: HttpJobClientOptions,
+  job: PlannedJob,
+): Record<string, string> {
+  return {
+    'content-type': 'application/json',
+    authorization: `Bearer ${options.tokenOf(job.team)}`,
+  };
+}
+
+/** The body with which a planned job is submitted. */
+export function composeBody(job: PlannedJob): unknown {
+  return {
+    jobId: job.jobId,
+    idempotent: job.idempotent,
+    deadlineMilliseconds: job.deadlineMilliseconds,
+    tasks: job.tasks.map(task => ({
+      taskId: task.taskId,
+      payload: {
+        runMilliseconds: task.runMilliseconds,
+        answerBytes: task.answerBytes,
+      },
+      declared: task.declared,
+    })),
+  };
+}
+
+/** Reads the reply of a dispatcher. */
+export function readReply(status: number, text: string): SubmissionReply {
+  const parsed = replySchema.safeParse(parseJson(text));
+  if (!parsed.success) {
+    return { ...brokenReply, status, reason: parsed.error.message };
+  }
+  const { outcome, started, reason, answers } = parsed.data;
+  return {
+    outcome: classify(status, outcome),
+    status,
+    jobOutcome: outcome,
+    started,
+    reason,
+    answers: answers.map(({ taskId, answer }) => ({
+      taskId,
+      echoedJobId: answer.jobId,
+      echoedTaskId: answer.taskId,
+    })),
+  };
+}
+
+function classify(
+  status: number,
+  outcome: JobOutcome | undefined,
+): SubmissionOutcome {
+  if (status === okStatus && outcome === JobOutcome.Complete) {
+    return SubmissionOutcome.Complete;
+  }
+  return outcome === JobOutcome.Failed
+    ? SubmissionOutcome.Failed
+    : SubmissionOutcome.Refused;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/load/plan-load.ts
@@ -0,0 +1,170 @@
+/** Plans an open-loop load: what arrives when, from a seed. */
+import { createRandomSource, type RandomSource } from '@cranberryturn/random';
+import type {
+  DeclaredResources,
+  JobId,
+  Milliseconds,
+  ServiceName,
+  TaskId,
+  TeamName,
+} from '@cranberryturn/types';
+
+import {
+  countSlots,
+  type DeploymentShape,
+  longRunMaximumMilliseconds,
+  longRunMinimumMilliseconds,
+  meanWorkMilliseconds,
+  type RequestShape,
+  type RunTimeShape,
+} from './deployment-shape.js';
+
+/** One task of a planned job. */
+export interface PlannedTask {
+  readonly taskId: TaskId;
+  readonly runMilliseconds: Milliseconds;
+  readonly answerBytes: number;
+  readonly declared?: DeclaredResources | undefined;
+}
+
+/** One job that a caller will submit. */
+export interface PlannedJob {
+  /** When the caller intends to submit, from the start of the load. */
+  readonly at: Milliseconds;
+  readonly jobId: JobId;
+  readonly request: string;
+  readonly service: ServiceName;
+  readonly team: TeamName;
+  readonly idempotent: boolean;
+  readonly deadlineMilliseconds: Milliseconds;
+  readonly tasks: readonly PlannedTask[];
+}
+
+/** Everything that callers will submit. */
+export interface LoadPlan {
+  readonly seed: number;
+  readonly shape: DeploymentShape;
+  readonly jobs: readonly PlannedJob[];
+}
+
+/** A time in which arrivals come faster. */
+export interface Burst {
+  readonly at: Milliseconds;
+  readonly durationMilliseconds: Milliseconds;
+  /** Arrival rate as a multiple of the usual one. */
+  readonly factor: number;
+}
+
+/** What a load is planned from. */
+export interface LoadOptions {
+  readonly shape: DeploymentShape;
+  readonly seed: number;
+  readonly durationMilliseconds: Milliseconds;
+  /** Part of the slots that the load keeps busy on average. */
+  readonly loadFraction: number;
+  readonly bursts?: readonly Burst[] | undefined;
+  /** Share of tasks whose declared run time is off by 10x, half of them either way. */
+  readonly misdeclaredShare?: number | undefined;
+  readonly deadlineMilliseconds?: Milliseconds | undefined;
+  /** Start of each job identifier, so that plans can share a run. */
+  readonly prefix?: string | undefined;
+}
+
+const defaultDeadlineMilliseconds: Milliseconds = 30_000;
+const misdeclarationFactor = 10;
+
+/** Plans the arrivals of a load. The same options give the same plan. */
+export function planLoad(options: LoadOptions): LoadPlan {
+  const { shape, seed } = options;
+  const random = createRandomSource(seed);
+  const capacity = countSlots(shape) * options.loadFraction;
+  const meanGap = meanWorkMilliseconds(shape) / capacity;
+  const jobs: PlannedJob[] = [];
+  let at = 0;
+  for (;;) {
+    at += (drawExponential(random) * meanGap) / rateFactor(options.bursts, at);
+    if (at >= options.durationMilliseconds) break;
+    jobs.push(planJob(options, random, at, jobs.length));
+  }
+  return { seed, shape, jobs };
+}
+
+function drawExponential(random: RandomSource): number {
+  return -Math.log(1 - random.fraction());
+}
+
+function rateFactor(
+  bursts: readonly Burst[] | undefined,
+  at: Milliseconds,
+): number {
+  const burst = bursts?.find(
+    one => at >= one.at && at < one.at + one.durationMilliseconds,
+  );
+  return burst?.factor ?? 1;
+}
+
+function planJob(
+  options: LoadOptions,
+  random: RandomSource,
+  at: Milliseconds,
+  position: number,
+): PlannedJob {
+  const { shape } = options;
+  const request = chooseRequest(shape.requests, random);
+  const spread = request.maximumTasks - request.minimumTasks + 1;
+  const tasks = request.minimumTasks + random.below(spread);
+  return {
+    at,
+    jobId: `${options.prefix ?? shape.name}-${String(options.seed)}-${String(position)}`,
+    request: request.name,
+    service: shape.service,
+    team: request.team,
+    idempotent: request.idempotent,
+    deadlineMilliseconds:
+      options.deadlineMilliseconds ?? defaultDeadlineMilliseconds,
+    tasks: Array.from({ length: tasks }, (_, task) =>
+      planTask(options, random, request, task),
+    ),
+  };
+}
+
+function chooseRequest(
+  requests: readonly RequestShape[],
+  random: RandomSource,
+): RequestShape {
+  const total = requests.reduce((sum, one) => sum + one.weight, 0);
+  let left = random.fraction() * total;
+  for (const request of requests) {
+    left -= request.weight;
+    if (left < 0) return request;
+  }
+  throw new RangeError('A deployment shape needs a request with a weight.');
+}
+
+function planTask(
+  options: LoadOptions,
+  random: RandomSource,
+  request: RequestShape,
+  position: number,
+): PlannedTask {
+  const runMilliseconds = drawRunTime(request.runTime, random);
+  const misdeclared = random.fraction() < (options.misdeclaredShare ?? 0);
+  const factor =
+    random.below(2) === 0 ? 1 / misdeclarationFactor : misdeclarationFactor;
+  return {
+    taskId: `task-${String(position)}`,
+    runMilliseconds,
+    answerBytes: request.answerBytes,
+    declared: {
+      processors: 1,
+      runMilliseconds: runMilliseconds * (misdeclared ? factor : 1),
+    },
+  };
+}
+
+function drawRunTime(shape: RunTimeShape, random: RandomSource): Milliseconds {
+  const long = random.fraction() < shape.longShare;
+  const lowest = long ? longRunMinimumMilliseconds : shape.minimumMilliseconds;
+  const highest = long ? longRunMaximumMilliseconds : shape.maximumMilliseconds;
+  return Math.round(lowest + random.fraction() * (highest - lowest));
+}
--- /dev/null
+++ b/packages/bench/src/load/summarize-load.ts
@@ -0,0 +1,130 @@
+/** Summarises a load: response against the ideal, and how the jobs ended. */
+import { JobOutcome, type Milliseconds } from '@cranberryturn/types';
+import { build, type Histogram } from 'hdr-histogram-js';
+
+import type { ObservedReply } from '../checker/violation.js';
+import { SubmissionOutcome } from './job-client.js';
+import type { PlannedJob } from './plan-load.js';
+import type { CompletedSubmission } from './run-load.js';
+
+/** Quantiles of one quantity. */
+export interface Quantiles {
+  readonly p50: number;
+  readonly p99: number;
+  readonly p999: number;
+  readonly maximum: number;
+}
+
+/** What is reported of a load. */
+export interface LoadSummary {
+  readonly jobs: number;
+  readonly tasks: number;
+  readonly complete: number;
+  readonly failed: number;
+  readonly refused: number;
+  readonly broken: number;
+  /** Response divided by the ideal, over the complete jobs. */
+  readonly responseOverIdeal: Quantiles;
+  readonly responseMilliseconds: Quantiles;
+  /** The first reasons for failures, refusals and broken replies. */
+  readonly reasons: readonly string[];
+}
+
+const stepsPerUnit = 1_000;
+const highestValue = 3_600_000;
+const reasonsKept = 5;
+
+/**
+ * Summarises submissions. The delay between caller and dispatcher, which a
+ * loopback run does not have, is added to the response and to the ideal.
+ */
+export function summarizeLoad(
+  submissions: readonly CompletedSubmission[],
+  callerDelayMilliseconds: Milliseconds,
+): LoadSummary {
+  const ratios = createHistogram();
+  const responses = createHistogram();
+  for (const { job, reply, responseMilliseconds } of submissions) {
+    if (reply.outcome !== SubmissionOutcome.Complete) continue;
+    const response = responseMilliseconds + 2 * callerDelayMilliseconds;
+    const ideal = idealMilliseconds(job, callerDelayMilliseconds);
+    ratios.recordValue(toSteps(response / ideal));
+    responses.recordValue(toSteps(response));
+  }
+  return {
+    jobs: submissions.length,
+    tasks: submissions.reduce((sum, one) => sum + one.job.tasks.length, 0),
+    complete: countOutcome(submissions, SubmissionOutcome.Complete),
+    failed: countOutcome(submissions, SubmissionOutcome.Failed),
+    refused: countOutcome(submissions, SubmissionOutcome.Refused),
+    broken: countOutcome(submissions, SubmissionOutcome.Broken),
+    responseOverIdeal: readQuantiles(ratios),
+    responseMilliseconds: readQuantiles(responses),
+    reasons: listReasons(submissions),
+  };
+}
+
+/** The fastest response that run times and network allow: all tasks at once, the longest decides. */
+export function idealMilliseconds(
+  job: PlannedJob,
+  callerDelayMilliseconds: Milliseconds,
+): Milliseconds {
+  const longest = Math.max(...job.tasks.map(task => task.runMilliseconds));
+  return longest + 2 * callerDelayMilliseconds;
+}
+
+/** The replies in the form that the invariant checker takes. */
+export function observeReplies(
+  submissions: readonly CompletedSubmission[],
+): readonly ObservedReply[] {
+  return submissions
+    .filter(({ reply }) => reply.outcome !== SubmissionOutcome.Broken)
+    .map(({ job, reply }) => ({
+      jobId: job.jobId,
+      askedTasks: job.tasks.map(task => task.taskId),
+      outcome: reply.jobOutcome ?? JobOutcome.Failed,
+      started: reply.started,
+      answers: reply.answers,
+    }));
+}
+
+function createHistogram(): Histogram {
+  return build({
+    bitBucketSize: 32,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: highestValue * stepsPerUnit,
+    numberOfSignificantValueDigits: 3,
+    useWebAssembly: false,
+  });
+}
+
+function toSteps(value: number): number {
+  return Math.round(Math.min(Math.max(value, 0), highestValue) * stepsPerUnit);
+}
+
+function readQuantiles(histogram: Histogram): Quantiles {
+  const read = (percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / stepsPerUnit;
+  return {
+    p50: read(50),
+    p99: read(99),
+    p999: read(99.9),
+    maximum: histogram.maxValue / stepsPerUnit,
+  };
+}
+
+function countOutcome(
+  submissions: readonly CompletedSubmission[],
+  outcome: SubmissionOutcome,
+): number {
+  return submissions.filter(({ reply }) => reply.outcome === outcome).length;
+}
+
+function listReasons(submissions: readonly CompletedSubmission[]): string[] {
+  const reasons = submissions
+    .filter(({ reply }) => reply.outcome !== SubmissionOutcome.Complete)
+    .map(
+      ({ reply }) => `${String(reply.status)}: ${reply.reason ?? 'no reason'}`,
+    );
+  return [...new Set(reasons)].slice(0, reasonsKept);
+}
