Prove the shared key on every connection between processes

Any process that could reach the port was accepted by its word. Both ends now send a nonce with their hello and a proof over both hellos after it; a wrong key, a foreign protocol or an oversized first frame ends the socket, and the listener reports the peer that was refused. createWebSocketNetwork takes the keys. The proof costs one more frame in each direction for each connection.

--- a/packages/authentication/src/authentication.test.ts
+++ b/packages/authentication/src/authentication.test.ts
@@ -12,6 +12,7 @@
   createTokenFinder,
   digestToken,
   findTokenOwner,
+  type HandshakeParty,
   HandshakeSide,
   type HandshakeTranscript,
   parseSharedKeys,
@@ -26,10 +27,14 @@
   return parseSharedKeys(keys.join('\n'), 'test.key')._unsafeUnwrap();
 }
 
+function party(role: string, name: string): HandshakeParty {
+  return { role, name, incarnation: 'run-1', nonce: createChallenge() };
+}
+
 function transcript(): HandshakeTranscript {
   return {
-    dialler: { role: 'sidecar', name: 'target-1', nonce: createChallenge() },
-    listener: { role: 'dispatcher', name: 'entry-1', nonce: createChallenge() },
+    dialler: party('sidecar', 'target-1'),
+    listener: party('dispatcher', 'entry-1'),
   };
 }
 
@@ -74,6 +79,7 @@
   const altered: HandshakeTranscript[] = [
     { ...agreed, dialler: { ...dialler, name: 'target-2' } },
     { ...agreed, dialler: { ...dialler, role: 'control' } },
+    { ...agreed, dialler: { ...dialler, incarnation: 'run-2' } },
     { ...agreed, dialler: { ...dialler, nonce: createChallenge() } },
     { ...agreed, listener: transcript().listener },
     { ...agreed, listener: { ...agreed.listener, nonce: dialler.nonce } },
--- a/packages/authentication/src/handshake.ts
+++ b/packages/authentication/src/handshake.ts
@@ -24,6 +24,8 @@
   readonly role: string;
   /** Name of the process. */
   readonly name: string;
+  /** Identifies one run of the process. */
+  readonly incarnation: string;
   /** Nonce that this end drew with `createChallenge`. */
   readonly nonce: string;
 }
@@ -90,9 +92,11 @@
     side,
     dialler.role,
     dialler.name,
+    dialler.incarnation,
     dialler.nonce,
     listener.role,
     listener.name,
+    listener.incarnation,
     listener.nonce,
   ];
   // JSON keeps the borders between fields, so no two transcripts share an encoding.
--- /dev/null
+++ b/packages/wire/src/adapters/authenticate-socket.ts
@@ -0,0 +1,131 @@
+/** Exchanges names and proofs of the shared key on a fresh socket. */
+import {
+  answerChallenge,
+  createChallenge,
+  HandshakeSide,
+  type SharedKeys,
+  verifyChallengeAnswer,
+} from '@cranberryturn/authentication';
+import { AuthenticationError, ConnectionError } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+import { err, ok, type Result } from 'neverthrow';
+
+import { decodeMessage, encodeMessage } from '../codec.js';
+import {
+  composeHello,
+  composeTranscript,
+  type HelloFrame,
+  isHelloFrame,
+  isProofFrame,
+  maximumHandshakeFrameBytes,
+  protocolVersion,
+} from '../handshake.js';
+import type { PeerIdentity } from '../ports/connection.js';
+import type { SocketReader } from './web-socket-connection.js';
+
+/** Longest time from an open socket to the proof of the peer. */
+export const handshakeTimeoutMilliseconds: Milliseconds = 2_000;
+
+/** Why a peer was not accepted. */
+export type HandshakeError = ConnectionError | AuthenticationError;
+
+/** What one end needs to prove itself and to check the other. */
+export interface HandshakeOptions {
+  readonly self: PeerIdentity;
+  readonly keys: SharedKeys;
+  readonly timers: TimerService;
+}
+
+/** Proves the key to the peer and checks its proof. Ends the socket on any failure. */
+export async function authenticateSocket(
+  options: HandshakeOptions,
+  reader: SocketReader,
+  side: HandshakeSide,
+  peerAddress: string,
+): Promise<Result<PeerIdentity, HandshakeError>> {
+  const expiry = options.timers.after(handshakeTimeoutMilliseconds, () => {
+    reader.socket.terminate();
+  });
+  const checked = await exchangeProofs(options, reader, side, peerAddress);
+  expiry.cancel();
+  if (checked.isErr()) reader.socket.terminate();
+  return checked;
+}
+
+async function exchangeProofs(
+  options: HandshakeOptions,
+  reader: SocketReader,
+  side: HandshakeSide,
+  peerAddress: string,
+): Promise<Result<PeerIdentity, HandshakeError>> {
+  const own = composeHello(options.self, createChallenge());
+  reader.socket.send(encodeMessage(own));
+  const hello = (await readHandshakeFrame(reader, peerAddress)).andThen(frame =>
+    checkHello(frame, peerAddress),
+  );
+  if (hello.isErr()) return err(hello.error);
+  const peer = hello.value;
+  const transcript =
+    side === HandshakeSide.Dialler
+      ? composeTranscript(own, peer)
+      : composeTranscript(peer, own);
+  const proof = answerChallenge(options.keys, transcript, side);
+  reader.socket.send(encodeMessage({ proof }));
+  const answer = await readHandshakeFrame(reader, peer.name);
+  if (answer.isErr()) return err(answer.error);
+  const peerProof = isProofFrame(answer.value) ? answer.value.proof : '';
+  const { role, name, incarnation } = peer;
+  return verifyChallengeAnswer(
+    options.keys,
+    transcript,
+    otherSide(side),
+    peerProof,
+  ).map(() => ({ role, name, incarnation }));
+}
+
+async function readHandshakeFrame(
+  reader: SocketReader,
+  peer: string,
+): Promise<Result<unknown, HandshakeError>> {
+  const frame = await reader.frames.next();
+  if (frame === undefined) {
+    return err(
+      new AuthenticationError(
+        `${peer} closed the connection before it proved the shared key; if this lasts, compare the shared key files of both hosts.`,
+        { step: 'handshake', peer },
+      ),
+    );
+  }
+  if (frame.byteLength > maximumHandshakeFrameBytes) {
+    return err(notOurs(peer));
+  }
+  return decodeMessage<unknown>(frame, peer).mapErr(() => notOurs(peer));
+}
+
+function checkHello(
+  frame: unknown,
+  peerAddress: string,
+): Result<HelloFrame, HandshakeError> {
+  if (!isHelloFrame(frame)) return err(notOurs(peerAddress));
+  if (frame.protocol === protocolVersion) return ok(frame);
+  return err(
+    new ConnectionError(
+      `${frame.name} speaks protocol ${String(frame.protocol)}, this process ${String(protocolVersion)}; install the same version on both.`,
+      { step: 'handshake', peer: frame.name },
+    ),
+  );
+}
+
+function notOurs(peer: string): ConnectionError {
+  return new ConnectionError(
+    `${peer} does not speak the protocol of cranberryturn; check that the address in the settings is the right one.`,
+    { step: 'handshake', peer },
+  );
+}
+
+function otherSide(side: HandshakeSide): HandshakeSide {
+  return side === HandshakeSide.Dialler
+    ? HandshakeSide.Listener
+    : HandshakeSide.Dialler;
+}
--- a/packages/wire/src/adapters/web-socket-network.ts
+++ b/packages/wire/src/adapters/web-socket-network.ts
@@ -1,40 +1,35 @@
-import type { AddressInfo } from 'node:net';
+/** The network of one process over WebSockets. */
+import { type AddressInfo, isIPv6 } from 'node:net';
 
-import { AuthenticationError, ConnectionError } from '@cranberryturn/errors';
-import type { TimerService } from '@cranberryturn/timers';
-import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { HandshakeSide } from '@cranberryturn/authentication';
+import { ConnectionError } from '@cranberryturn/errors';
+import type { NetworkAddress } from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import { WebSocket, WebSocketServer } from 'ws';
 
-import { decodeMessage, encodeMessage } from '../codec.js';
-import {
-  composeHello,
-  type HelloFrame,
-  protocolVersion,
-} from '../handshake.js';
 import type {
   Connection,
   ConnectionHandler,
   Listener,
   Network,
-  PeerIdentity,
 } from '../ports/connection.js';
+import {
+  authenticateSocket,
+  type HandshakeError,
+  type HandshakeOptions,
+  handshakeTimeoutMilliseconds,
+} from './authenticate-socket.js';
 import {
   createWebSocketConnection,
   readSocket,
-  type SocketReader,
 } from './web-socket-connection.js';
 
-const handshakeTimeoutMilliseconds: Milliseconds = 2_000;
 const maximumFrameBytes = 64 * 1_048_576;
-const bootstrapPeer = 'an unknown peer';
-
-type HandshakeError = ConnectionError | AuthenticationError;
 
-/** What a process tells of itself on every connection. */
-export interface WebSocketNetworkOptions {
-  readonly self: PeerIdentity;
-  readonly timers: TimerService;
+/** What a process needs to open and accept connections. */
+export interface WebSocketNetworkOptions extends HandshakeOptions {
+  /** Hears of each process that was refused because it did not prove the shared key. */
+  readonly peerRefused?: ((error: HandshakeError) => void) | undefined;
 }
 
 /** Creates the network of one process over WebSockets. */
@@ -52,7 +47,7 @@
   options: WebSocketNetworkOptions,
   address: NetworkAddress,
 ): Promise<Result<Connection, HandshakeError>> {
-  const name = `${address.address}:${String(address.port)}`;
+  const name = formatAddress(address);
   const socket = new WebSocket(`ws://${name}`, {
     perMessageDeflate: false,
     maxPayload: maximumFrameBytes,
@@ -68,7 +63,9 @@
       ),
     );
   }
-  return introduce(options, reader);
+  const { Dialler } = HandshakeSide;
+  const peer = await authenticateSocket(options, reader, Dialler, name);
+  return peer.map(identity => createWebSocketConnection(reader, identity));
 }
 
 function waitForOpen(socket: WebSocket): Promise<boolean> {
@@ -82,52 +79,6 @@
   });
 }
 
-async function introduce(
-  options: WebSocketNetworkOptions,
-  reader: SocketReader,
-): Promise<Result<Connection, HandshakeError>> {
-  reader.socket.send(encodeMessage(composeHello(options.self)));
-  const expiry = options.timers.after(handshakeTimeoutMilliseconds, () => {
-    reader.socket.terminate();
-  });
-  const first = await readFirstFrame(reader);
-  expiry.cancel();
-  const hello = first.andThen(checkHello);
-  if (hello.isErr()) {
-    reader.socket.terminate();
-    return err(hello.error);
-  }
-  const { role, name, incarnation } = hello.value;
-  return ok(createWebSocketConnection(reader, { role, name, incarnation }));
-}
-
-async function readFirstFrame(
-  reader: SocketReader,
-): Promise<Result<HelloFrame, HandshakeError>> {
-  const first = await reader.frames.next();
-  if (first === undefined) {
-    return err(
-      new ConnectionError(
-        'The peer closed the connection before it said who it is.',
-        { step: 'handshake', peer: bootstrapPeer },
-      ),
-    );
-  }
-  return decodeMessage<HelloFrame>(first, bootstrapPeer).mapErr(
-    error => new ConnectionError(error.message, error, error),
-  );
-}
-
-function checkHello(hello: HelloFrame): Result<HelloFrame, ConnectionError> {
-  if (hello.protocol === protocolVersion) return ok(hello);
-  return err(
-    new ConnectionError(
-      `${hello.name} speaks protocol ${String(hello.protocol)}, this process ${String(protocolVersion)}; install the same version on both.`,
-      { step: 'handshake', peer: hello.name },
-    ),
-  );
-}
-
 async function listen(
   options: WebSocketNetworkOptions,
   address: NetworkAddress,
@@ -143,14 +94,16 @@
   if (failure !== undefined) {
     return err(
       new ConnectionError(
-        `Cannot listen on ${address.address}:${String(address.port)}; choose a free port in the settings.`,
+        `Cannot listen on ${formatAddress(address)}; choose a free port in the settings.`,
         { step: 'listen' },
         failure,
       ),
     );
   }
-  server.on('connection', socket => {
-    void acceptSocket(options, socket, handler);
+  server.on('connection', (socket, request) => {
+    const { remoteAddress, remotePort } = request.socket;
+    const name = `${remoteAddress ?? 'unknown'}:${String(remotePort)}`;
+    void acceptSocket(options, socket, name, handler);
   });
   const bound = server.address() as AddressInfo;
   return ok({
@@ -162,10 +115,23 @@
 async function acceptSocket(
   options: WebSocketNetworkOptions,
   socket: WebSocket,
+  name: string,
   handler: ConnectionHandler,
 ): Promise<void> {
-  const connection = await introduce(options, readSocket(socket));
-  if (connection.isOk()) handler(connection.value);
+  const reader = readSocket(socket);
+  const { Listener: side } = HandshakeSide;
+  const peer = await authenticateSocket(options, reader, side, name);
+  peer.match(
+    identity => {
+      handler(createWebSocketConnection(reader, identity));
+    },
+    error => options.peerRefused?.(error),
+  );
+}
+
+function formatAddress({ address, port }: NetworkAddress): string {
+  const host = isIPv6(address) ? `[${address}]` : address;
+  return `${host}:${String(port)}`;
 }
 
 function waitForListening(server: WebSocketServer): Promise<Error | undefined> {
