--- /dev/null
+++ b/packages/replicated-log/src/core/append-handler.ts
@@ -0,0 +1,89 @@
+/** Takes heartbeats and entries of the leader. */
+import type { LogIndex, ReplicaId } from '@cranberryturn/types';
+
+import type { LogEntry, LogPosition } from '../entries.js';
+import {
+  PeerReplyKind,
+  type AppendEntriesMessage,
+  type HeartbeatMessage,
+  type PeerReply,
+} from '../ports/peer-link.js';
+import { stoppedReply } from './replies.js';
+import type { Replica } from './replica.js';
+
+/** Takes a heartbeat. */
+export async function handleHeartbeat(
+  replica: Replica,
+  from: ReplicaId,
+  message: HeartbeatMessage,
+): Promise<PeerReply> {
+  replica.observeTerm(message.term);
+  if (message.term === replica.term) {
+    replica.followLeader(from);
+    replica.followerProofAt = replica.now() - message.proofAge;
+    replica.commitUpTo(message.commitIndex);
+  }
+  const { term } = replica;
+  if (!(await replica.hardStateSynced())) return stoppedReply(replica);
+  return { kind: PeerReplyKind.HeartbeatAnswer, term };
+}
+
+/** Stores entries that fit; the reply to a success waits until they are synced. */
+export async function handleAppendEntries(
+  replica: Replica,
+  from: ReplicaId,
+  message: AppendEntriesMessage,
+): Promise<PeerReply> {
+  replica.observeTerm(message.term);
+  if (message.term < replica.term) {
+    return await answer(replica, false, replica.commitIndex);
+  }
+  replica.followLeader(from);
+  const mayMatch = findMismatch(replica, message.previous);
+  if (mayMatch !== undefined) return await answer(replica, false, mayMatch);
+  storeNewEntries(replica, message.entries);
+  const matchIndex = message.previous.index + message.entries.length;
+  replica.commitUpTo(Math.min(message.commitIndex, matchIndex));
+  const synced = await replica.store.whenSynced();
+  if (synced.isErr()) return stoppedReply(replica);
+  const isCurrent = replica.term === message.term;
+  return await answer(replica, isCurrent, matchIndex);
+}
+
+async function answer(
+  replica: Replica,
+  success: boolean,
+  matchIndex: LogIndex,
+): Promise<PeerReply> {
+  const { term } = replica;
+  if (!(await replica.hardStateSynced())) return stoppedReply(replica);
+  return { kind: PeerReplyKind.AppendAnswer, term, success, matchIndex };
+}
+
+/** Undefined when `previous` matches; otherwise the highest index that may match. */
+function findMismatch(
+  replica: Replica,
+  previous: LogPosition,
+): LogIndex | undefined {
+  const { store, commitIndex } = replica;
+  if (previous.index <= commitIndex) return undefined;
+  if (previous.index > store.last.index) return store.last.index;
+  const conflictTerm = store.termAt(previous.index);
+  if (conflictTerm === previous.term) return undefined;
+  let index = previous.index - 1;
+  while (index > commitIndex && store.termAt(index) === conflictTerm) {
+    index -= 1;
+  }
+  return Math.max(index, commitIndex);
+}
+
+/** Skips what is here already; only a conflict voids former entries. */
+function storeNewEntries(replica: Replica, entries: readonly LogEntry[]): void {
+  const { store, commitIndex } = replica;
+  const firstNew = entries.findIndex(
+    entry =>
+      entry.index > commitIndex && store.termAt(entry.index) !== entry.term,
+  );
+  if (firstNew === -1) return;
+  void store.append(entries.slice(firstNew));
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/applier.ts
@@ -0,0 +1,189 @@
+/** Applies committed entries, answers proposals, and takes snapshots. */
+import { CranberryError, TimeoutError } from '@cranberryturn/errors';
+import type { LogIndex, Milliseconds, Term } from '@cranberryturn/types';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import { EntryKind, type CommandEntry, type LogEntry } from '../entries.js';
+import {
+  LogEventKind,
+  LogUnavailableError,
+  type LogEvent,
+  type ProposalResult,
+} from '../log-types.js';
+import type { StateMachine } from '../ports/state-machine.js';
+import type { Replica } from './replica.js';
+import { SnapshotTaker } from './snapshot-taker.js';
+
+type ProposalError = LogUnavailableError | TimeoutError;
+
+interface PendingProposal<Outcome> {
+  readonly term: Term;
+  readonly deadline: Milliseconds;
+  readonly finish: (
+    result: Result<ProposalResult<Outcome>, ProposalError>,
+  ) => void;
+}
+
+/** Owner of the state machine of one replica. */
+export class Applier<Outcome> {
+  readonly #replica: Replica;
+  readonly #stateMachine: StateMachine<Outcome>;
+  readonly #publish: (event: LogEvent<Outcome>) => void;
+  readonly #snapshotTaker: SnapshotTaker;
+  readonly #pending = new Map<LogIndex, PendingProposal<Outcome>>();
+  #expiryPlanned = false;
+  #appliedIndex: LogIndex;
+
+  constructor(
+    replica: Replica,
+    stateMachine: StateMachine<Outcome>,
+    publish: (event: LogEvent<Outcome>) => void,
+  ) {
+    this.#replica = replica;
+    this.#stateMachine = stateMachine;
+    this.#publish = publish;
+    this.#snapshotTaker = new SnapshotTaker(replica, stateMachine);
+    this.#appliedIndex = replica.commitIndex;
+  }
+
+  /** Last index that the state machine holds. */
+  get appliedIndex(): LogIndex {
+    return this.#appliedIndex;
+  }
+
+  /** Waits until the command appended at `index` in `term` is applied. */
+  awaitOutcome(
+    index: LogIndex,
+    term: Term,
+  ): ResultAsync<ProposalResult<Outcome>, ProposalError> {
+    const { proposeTimeout } = this.#replica.tuning;
+    const deadline = this.#replica.now() + proposeTimeout;
+    this.#planExpiry(proposeTimeout);
+    return new ResultAsync(
+      new Promise(finish => {
+        this.#pending.set(index, { term, deadline, finish });
+      }),
+    );
+  }
+
+  /** Applies everything committed that is not applied yet. */
+  applyCommitted(): void {
+    const { store } = this.#replica;
+    while (this.#appliedIndex < this.#replica.commitIndex) {
+      if (this.#replica.isStopped) return;
+      const entry = store.entryAt(this.#appliedIndex + 1);
+      if (entry === undefined) return;
+      this.#appliedIndex = entry.index;
+      this.#applyEntry(entry);
+    }
+    this.#snapshotTaker.takeWhenDue(this.#appliedIndex);
+  }
+
+  /** Replaces the state by a snapshot of the leader. */
+  restore(state: Uint8Array, lastIndex: LogIndex): void {
+    this.#stateMachine.restore(state, lastIndex);
+    this.#appliedIndex = lastIndex;
+    this.#publish({ kind: LogEventKind.Restored, lastIndex });
+  }
+
+  /** Answers every waiting proposal: it may be committed by another leader. */
+  abandonProposals(): void {
+    const waiting = [...this.#pending.values()];
+    this.#pending.clear();
+    for (const proposal of waiting) {
+      proposal.finish(err(leadershipLost()));
+    }
+  }
+
+  #applyEntry(entry: LogEntry): void {
+    if (entry.kind === EntryKind.Command) {
+      const outcome = this.#applyCommand(entry);
+      if (outcome.isErr()) {
+        this.#replica.fail(outcome.error);
+        return;
+      }
+      this.#answer(entry, outcome.value);
+      this.#publish({
+        kind: LogEventKind.Applied,
+        entry,
+        outcome: outcome.value,
+      });
+    }
+    this.#snapshotTaker.noteApplied(entry);
+  }
+
+  #applyCommand(entry: CommandEntry): Result<Outcome, CranberryError> {
+    try {
+      return ok(this.#stateMachine.apply(entry));
+    } catch (cause) {
+      return err(describeApplyFailure(entry, cause));
+    }
+  }
+
+  #answer(entry: CommandEntry, outcome: Outcome): void {
+    const proposal = this.#pending.get(entry.index);
+    if (proposal === undefined) return;
+    this.#pending.delete(entry.index);
+    const isOurs = proposal.term === entry.term;
+    proposal.finish(
+      isOurs ? ok({ index: entry.index, outcome }) : err(overwritten()),
+    );
+  }
+
+  /** One timer serves all proposals: they wait equally long, so the oldest expires first. */
+  #planExpiry(delay: Milliseconds): void {
+    if (this.#expiryPlanned) return;
+    this.#expiryPlanned = true;
+    this.#replica.parts.timers.after(delay, () => {
+      this.#expiryPlanned = false;
+      this.#expireProposals();
+    });
+  }
+
+  #expireProposals(): void {
+    const now = this.#replica.now();
+    for (const [index, proposal] of this.#pending) {
+      if (proposal.deadline > now) {
+        this.#planExpiry(proposal.deadline - now);
+        return;
+      }
+      this.#pending.delete(index);
+      proposal.finish(err(proposalTimedOut()));
+    }
+  }
+}
+
+function leadershipLost(): LogUnavailableError {
+  return new LogUnavailableError(
+    'This replica lost the lead before the command was committed; it may still be. Ask the new leader.',
+    { step: 'propose command' },
+    true,
+  );
+}
+
+function overwritten(): LogUnavailableError {
+  return new LogUnavailableError(
+    'Another leader put another entry in the place of the command: it was not committed. Propose it again.',
+    { step: 'propose command' },
+    false,
+  );
+}
+
+function proposalTimedOut(): TimeoutError {
+  return new TimeoutError(
+    'The command was not committed in time; it may still be. Check that a majority of control hosts runs, and ask again under the same request identifier.',
+    { step: 'propose command' },
+  );
+}
+
+function describeApplyFailure(
+  entry: CommandEntry,
+  cause: unknown,
+): CranberryError {
+  const reason = cause instanceof Error ? cause.message : String(cause);
+  return new CranberryError(
+    `The state machine could not apply entry ${String(entry.index)}: ${reason}. This replica stops rather than differ from the others; report the entry with its index.`,
+    { step: 'apply entry' },
+    cause,
+  );
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/founding.ts
@@ -0,0 +1,114 @@
+/** Founding of a log: nobody votes until every founding member has named its data folder. */
+import { ConflictError } from '@cranberryturn/errors';
+import type { ReplicaId } from '@cranberryturn/types';
+
+import type { LogDisk } from '../ports/log-disk.js';
+import {
+  PeerMessageKind,
+  PeerReplyKind,
+  type IdentifiedReply,
+  type PeerReply,
+} from '../ports/peer-link.js';
+import {
+  writeIdentity,
+  type FounderFolder,
+  type Identity,
+} from '../storage/identity.js';
+import { callPeer } from './peer-calls.js';
+import type { Replica } from './replica.js';
+
+/**
+ * Founds the log of one replica. A founding member that lost its data folder finds that another
+ * member knows it by another folder, and stops instead of voting a second time.
+ */
+export class Founding {
+  readonly #replica: Replica;
+  readonly #disk: LogDisk;
+  #identity: Identity;
+
+  constructor(replica: Replica, disk: LogDisk, identity: Identity) {
+    this.#replica = replica;
+    this.#disk = disk;
+    this.#identity = identity;
+  }
+
+  /** Asks the other founding members until all have answered; at once when that was done before. */
+  async run(): Promise<void> {
+    const replica = this.#replica;
+    while (!replica.isStopped) {
+      if (this.#identity.founders !== undefined) {
+        replica.store.found(this.#identity.foundingMembers);
+        replica.postponeElection();
+        return;
+      }
+      const founders = await this.#askFounders();
+      if (founders === undefined) {
+        await replica.changed.wait(replica.tuning.heartbeatInterval);
+        continue;
+      }
+      const founded = { ...this.#identity, founders };
+      const written = await writeIdentity(this.#disk, founded);
+      if (written.isErr()) {
+        replica.fail(written.error);
+        return;
+      }
+      this.#identity = founded;
+    }
+  }
+
+  /** Answers another founding member. */
+  identify(from: ReplicaId): IdentifiedReply {
+    const known = this.#identity.founders?.find(
+      founder => founder.replicaId === from,
+    );
+    return {
+      kind: PeerReplyKind.Identified,
+      folderId: this.#identity.folderId,
+      knownFolderId: known?.folderId,
+    };
+  }
+
+  async #askFounders(): Promise<readonly FounderFolder[] | undefined> {
+    const { replicaId, folderId, foundingMembers } = this.#identity;
+    const others = foundingMembers.filter(
+      member => member.replicaId !== replicaId,
+    );
+    const answers = await Promise.all(
+      others.map(member => this.#askFounder(member.replicaId)),
+    );
+    const folders = answers.filter(answer => answer !== undefined);
+    if (folders.length < others.length) return undefined;
+    return [{ replicaId, folderId }, ...folders];
+  }
+
+  async #askFounder(peer: ReplicaId): Promise<FounderFolder | undefined> {
+    const { folderId } = this.#identity;
+    const reply = await callPeer(this.#replica, peer, {
+      kind: PeerMessageKind.Identify,
+      to: peer,
+      term: this.#replica.term,
+      folderId,
+    });
+    if (reply.isErr()) return undefined;
+    if (isStranger(reply.value, folderId)) {
+      this.#replica.fail(lostFolder(this.#identity.replicaId, peer));
+      return undefined;
+    }
+    if (reply.value.kind !== PeerReplyKind.Identified) return undefined;
+    return { replicaId: peer, folderId: reply.value.folderId };
+  }
+}
+
+/** True when the log was founded before, with another data folder of this replica. */
+function isStranger(reply: PeerReply, folderId: string): boolean {
+  if (reply.kind === PeerReplyKind.Refused) return reply.wrongIdentity;
+  if (reply.kind !== PeerReplyKind.Identified) return false;
+  return reply.knownFolderId !== undefined && reply.knownFolderId !== folderId;
+}
+
+function lostFolder(replicaId: ReplicaId, peer: ReplicaId): ConflictError {
+  return new ConflictError(
+    `Replica "${replicaId}" took part in the log with another data folder, as "${peer}" knows. It must not vote again under this identity: start it with a blank data folder to join under a new one, and replace "${replicaId}" by that.`,
+    { step: 'found replicated log', peer },
+  );
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/heartbeats.ts
@@ -0,0 +1,42 @@
+/** Heartbeats of a leader: they prove its majority and never wait for a disk. */
+import { PeerMessageKind, PeerReplyKind } from '../ports/peer-link.js';
+import type { Leadership } from './leadership.js';
+import { callPeer } from './peer-calls.js';
+import type { PeerProgress } from './peer-progress.js';
+import type { Replica } from './replica.js';
+
+/** Sends a heartbeat in each interval, and at once when a proof is wanted. */
+export async function sendHeartbeats(
+  replica: Replica,
+  leadership: Leadership,
+  peer: PeerProgress,
+): Promise<void> {
+  while (leadership.isActive && peer.isActive) {
+    void sendHeartbeat(replica, leadership, peer);
+    await peer.heartbeatWanted.wait(replica.tuning.heartbeatInterval);
+  }
+}
+
+async function sendHeartbeat(
+  replica: Replica,
+  leadership: Leadership,
+  peer: PeerProgress,
+): Promise<void> {
+  const sentAt = replica.now();
+  const sentRound = leadership.round;
+  const reply = await callPeer(replica, peer.replicaId, {
+    kind: PeerMessageKind.Heartbeat,
+    to: peer.replicaId,
+    term: leadership.term,
+    commitIndex: Math.min(peer.matchIndex, replica.commitIndex),
+    proofAge: sentAt - leadership.majorityContactAt(),
+  });
+  if (!leadership.isActive) return;
+  if (reply.isErr()) return;
+  if (reply.value.kind !== PeerReplyKind.HeartbeatAnswer) return;
+  replica.observeTerm(reply.value.term);
+  if (reply.value.term !== leadership.term) return;
+  peer.noteContact(sentAt);
+  peer.answeredRound = Math.max(peer.answeredRound, sentRound);
+  leadership.changed.notify();
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/leadership.ts
@@ -0,0 +1,180 @@
+/** One leadership: progress of the peers, the commit rule, and the check that a majority follows. */
+import type {
+  LogIndex,
+  Milliseconds,
+  ReplicaId,
+  Term,
+} from '@cranberryturn/types';
+
+import { EntryKind, type LogEntry } from '../entries.js';
+import type { Member } from '../members.js';
+import { sendHeartbeats } from './heartbeats.js';
+import { PeerProgress } from './peer-progress.js';
+import { replicateToPeer } from './replication.js';
+import type { Replica } from './replica.js';
+import { Signal } from './signal.js';
+import { superviseLeadership } from './supervision.js';
+
+/** Leads with the current term: starts the loops of the peers and writes the first entry of the term. */
+export function startLeadership(replica: Replica): void {
+  const leadership = new Leadership(replica);
+  replica.becomeLeader(leadership);
+  leadership.appendMembers(replica.store.members);
+  void superviseLeadership(replica, leadership);
+}
+
+/** State of one leadership; ends when the replica steps down or stops. */
+export class Leadership {
+  readonly term: Term;
+  readonly peers = new Map<ReplicaId, PeerProgress>();
+  /** Notified at every answer of a peer, every commit, and at the end. */
+  readonly changed: Signal;
+  /** Notified at the end only. */
+  readonly ended: Signal;
+  /** First entry of the term: once it is committed, so is all of former terms. */
+  readonly firstIndex: LogIndex;
+  /** Newest round of leadership proofs. */
+  round = 0;
+  isActive = true;
+  /** Proposals are refused during a handover. */
+  isTransferring = false;
+  readonly #replica: Replica;
+
+  constructor(replica: Replica) {
+    this.#replica = replica;
+    this.term = replica.term;
+    this.firstIndex = replica.store.last.index + 1;
+    this.changed = new Signal(replica.parts.timers);
+    this.ended = new Signal(replica.parts.timers);
+  }
+
+  /** Appends a command; returns its index. */
+  appendCommand(command: Uint8Array): LogIndex {
+    return this.#append({
+      kind: EntryKind.Command,
+      ...this.#nextPosition(),
+      command,
+    });
+  }
+
+  /** Appends a list of members, in force from now on; returns its index. */
+  appendMembers(members: readonly Member[]): LogIndex {
+    const index = this.#append({
+      kind: EntryKind.Members,
+      ...this.#nextPosition(),
+      members,
+    });
+    this.#followMembers();
+    return index;
+  }
+
+  /** Commits what a majority of voters has synced, if it is of this term. */
+  advanceCommit(): void {
+    if (!this.isActive) return;
+    const { store } = this.#replica;
+    const reached = this.#reachedByMajority(
+      peer => peer.matchIndex,
+      store.syncedIndex,
+    );
+    if (reached <= this.#replica.commitIndex) return;
+    if (store.termAt(reached) !== this.term) return;
+    this.#replica.commitUpTo(reached);
+    this.changed.notify();
+    this.#stepDownWhenRemoved();
+  }
+
+  /** Newest time at which a majority of voters is known to have followed this leader. */
+  majorityContactAt(): Milliseconds {
+    return this.#reachedByMajority(
+      peer => peer.contactSentAt,
+      this.#replica.now(),
+    );
+  }
+
+  /** Newest round of proofs that a majority of voters has answered. */
+  majorityRound(): number {
+    return this.#reachedByMajority(peer => peer.answeredRound, this.round);
+  }
+
+  /** Steps down when no majority answered for an election timeout. */
+  checkMajority(): void {
+    if (!this.isActive) return;
+    const silence = this.#replica.now() - this.majorityContactAt();
+    if (silence > this.#replica.tuning.minimumElectionTimeout) {
+      this.#replica.stepDown();
+    }
+  }
+
+  /** Ends all loops of this leadership. */
+  end(): void {
+    this.isActive = false;
+    for (const peer of this.peers.values()) peer.end();
+    this.changed.notify();
+    this.ended.notify();
+  }
+
+  /** The highest value that a majority of voters has reached. */
+  #reachedByMajority(
+    ofPeer: (peer: PeerProgress) => number,
+    ofThisReplica: number,
+  ): number {
+    const values = this.#replica.voters().map(voter => {
+      if (voter.replicaId === this.#replica.replicaId) return ofThisReplica;
+      const peer = this.peers.get(voter.replicaId);
+      return peer === undefined ? 0 : ofPeer(peer);
+    });
+    values.sort((left, right) => right - left);
+    return values[this.#replica.quorum() - 1] ?? 0;
+  }
+
+  #nextPosition(): { index: LogIndex; term: Term; leaderTime: Milliseconds } {
+    const { store, parts } = this.#replica;
+    return {
+      index: store.last.index + 1,
+      term: this.term,
+      leaderTime: Math.max(parts.timers.wallClock(), store.lastLeaderTime),
+    };
+  }
+
+  #append(entry: LogEntry): LogIndex {
+    void this.#replica.store.append([entry]);
+    for (const peer of this.peers.values()) peer.entriesWanted.notify();
+    return entry.index;
+  }
+
+  #followMembers(): void {
+    const wanted = new Set(
+      this.#replica.store.members.map(member => member.replicaId),
+    );
+    wanted.delete(this.#replica.replicaId);
+    for (const [replicaId, peer] of this.peers) {
+      if (wanted.has(replicaId)) continue;
+      peer.end();
+      this.peers.delete(replicaId);
+    }
+    for (const replicaId of wanted) {
+      if (!this.peers.has(replicaId)) this.#startPeer(replicaId);
+    }
+  }
+
+  #startPeer(replicaId: ReplicaId): void {
+    const peer = new PeerProgress(
+      this.#replica.parts.timers,
+      replicaId,
+      this.#replica.store.last.index,
+      this.#replica.now(),
+    );
+    this.peers.set(replicaId, peer);
+    void replicateToPeer(this.#replica, this, peer);
+    void sendHeartbeats(this.#replica, this, peer);
+  }
+
+  #stepDownWhenRemoved(): void {
+    const { store, replicaId, commitIndex } = this.#replica;
+    if (store.membersIndex > commitIndex) return;
+    const isMember = store.members.some(
+      member => member.replicaId === replicaId,
+    );
+    if (!isMember) this.#replica.stepDown();
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/membership.ts
@@ -0,0 +1,151 @@
+/** Changes of members: one at a time, through the log. */
+import {
+  ConflictError,
+  InvalidInputError,
+  TimeoutError,
+} from '@cranberryturn/errors';
+import type { LogIndex } from '@cranberryturn/types';
+import { err, ok, type Result } from 'neverthrow';
+
+import { LogUnavailableError } from '../log-types.js';
+import {
+  MemberChangeKind,
+  MemberRole,
+  type Member,
+  type MemberChange,
+} from '../members.js';
+import type { Leadership } from './leadership.js';
+import { notLeading } from './proposals.js';
+import type { Replica } from './replica.js';
+
+type MemberChangeError =
+  LogUnavailableError | TimeoutError | ConflictError | InvalidInputError;
+
+const step = 'change members';
+
+/** Changes one member; resolves with the index of the entry once it is committed. */
+export async function changeMembers(
+  replica: Replica,
+  change: MemberChange,
+): Promise<Result<LogIndex, MemberChangeError>> {
+  const { leadership } = replica;
+  if (leadership === undefined) return err(notLeading(replica));
+  const waited = await awaitReadiness(replica, leadership, change);
+  if (waited.isErr()) return err(waited.error);
+  if (replica.store.membersIndex > replica.commitIndex) {
+    return err(changeInProgress());
+  }
+  const planned = planMemberChange(replica.store.members, change);
+  if (planned.isErr()) return err(planned.error);
+  const index = leadership.appendMembers(planned.value);
+  return await awaitCommit(replica, leadership, index);
+}
+
+/** Computes the list of members after a change. */
+export function planMemberChange(
+  members: readonly Member[],
+  change: MemberChange,
+): Result<readonly Member[], InvalidInputError> {
+  const { replicaId } = change;
+  const member = members.find(known => known.replicaId === replicaId);
+  if (change.kind === MemberChangeKind.AddLearner) {
+    if (member !== undefined) {
+      return err(invalidChange(`"${replicaId}" is a member already`));
+    }
+    const role = MemberRole.Learner;
+    return ok([...members, { replicaId, role, address: change.address }]);
+  }
+  if (member === undefined) {
+    return err(invalidChange(`"${replicaId}" is not a member`));
+  }
+  const others = members.filter(known => known !== member);
+  if (change.kind === MemberChangeKind.Promote) {
+    return ok([...others, { ...member, role: MemberRole.Voter }]);
+  }
+  if (!others.some(known => known.role === MemberRole.Voter)) {
+    return err(invalidChange(`"${replicaId}" is the last voter`));
+  }
+  return ok(others);
+}
+
+/** Waits for the first commit of the term, and until a learner to promote has synced all of it. */
+async function awaitReadiness(
+  replica: Replica,
+  leadership: Leadership,
+  change: MemberChange,
+): Promise<Result<void, LogUnavailableError | TimeoutError>> {
+  const isReady = (): boolean =>
+    replica.commitIndex >= leadership.firstIndex &&
+    isCaughtUp(replica, leadership, change);
+  await leadership.changed.waitUntil(
+    () => !leadership.isActive || isReady(),
+    replica.tuning.proposeTimeout,
+  );
+  if (!leadership.isActive) return err(notLeading(replica));
+  if (!isReady()) return err(notReady(change));
+  return ok();
+}
+
+function isCaughtUp(
+  replica: Replica,
+  leadership: Leadership,
+  change: MemberChange,
+): boolean {
+  if (change.kind !== MemberChangeKind.Promote) return true;
+  const peer = leadership.peers.get(change.replicaId);
+  // A replica that is no peer is reported by the plan.
+  if (peer === undefined) return true;
+  return peer.matchIndex >= replica.commitIndex;
+}
+
+async function awaitCommit(
+  replica: Replica,
+  leadership: Leadership,
+  index: LogIndex,
+): Promise<Result<LogIndex, LogUnavailableError | TimeoutError>> {
+  await leadership.changed.waitUntil(
+    () => !leadership.isActive || replica.commitIndex >= index,
+    replica.tuning.proposeTimeout,
+  );
+  if (replica.commitIndex >= index && replica.term === leadership.term) {
+    return ok(index);
+  }
+  if (!leadership.isActive) return err(outcomeUnknown());
+  return err(notCommitted());
+}
+
+function invalidChange(reason: string): InvalidInputError {
+  return new InvalidInputError(
+    `The members were not changed: ${reason}. Check the status of control for its members.`,
+    { step },
+  );
+}
+
+function changeInProgress(): ConflictError {
+  return new ConflictError(
+    'Another change of members is not committed yet. Ask again when it is.',
+    { step },
+  );
+}
+
+function notReady(change: MemberChange): TimeoutError {
+  return new TimeoutError(
+    `The members were not changed: "${change.replicaId}" has not synced the whole log yet, or no majority answers. Check that its host runs, and ask again.`,
+    { step, peer: change.replicaId },
+  );
+}
+
+function outcomeUnknown(): LogUnavailableError {
+  return new LogUnavailableError(
+    'This replica lost the lead before the change of members was committed; it may still be. Check the status of control.',
+    { step },
+    true,
+  );
+}
+
+function notCommitted(): TimeoutError {
+  return new TimeoutError(
+    'The change of members was not committed in time; it may still be. Check that a majority of control hosts runs.',
+    { step },
+  );
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/proposals.ts
@@ -0,0 +1,43 @@
+/** Proposals of commands through the leader. */
+import type { TimeoutError } from '@cranberryturn/errors';
+import { errAsync, type ResultAsync } from 'neverthrow';
+
+import { LogUnavailableError, type ProposalResult } from '../log-types.js';
+import type { Applier } from './applier.js';
+import type { Replica } from './replica.js';
+
+/** Appends a command and waits until it is committed and applied. */
+export function proposeCommand<Outcome>(
+  replica: Replica,
+  applier: Applier<Outcome>,
+  command: Uint8Array,
+): ResultAsync<ProposalResult<Outcome>, LogUnavailableError | TimeoutError> {
+  replica.leadership?.checkMajority();
+  const { leadership } = replica;
+  if (leadership === undefined) return errAsync(notLeading(replica));
+  if (leadership.isTransferring) return errAsync(handingOver());
+  const index = leadership.appendCommand(command);
+  return applier.awaitOutcome(index, leadership.term);
+}
+
+/** The error of a replica that does not lead. */
+export function notLeading(replica: Replica): LogUnavailableError {
+  const advice =
+    replica.leader === undefined
+      ? 'No leader is known; ask again within two seconds.'
+      : `Ask the leader "${replica.leader}".`;
+  return new LogUnavailableError(
+    `Replica "${replica.replicaId}" does not lead the replicated log. ${advice}`,
+    { step: 'propose command', peer: replica.leader },
+    false,
+    replica.leader,
+  );
+}
+
+function handingOver(): LogUnavailableError {
+  return new LogUnavailableError(
+    'This replica is handing over the lead. Ask again within two seconds.',
+    { step: 'propose command' },
+    false,
+  );
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/service.ts
@@ -0,0 +1,180 @@
+/** One replica as its program sees it. */
+import type {
+  ConflictError,
+  InvalidInputError,
+  TimeoutError,
+} from '@cranberryturn/errors';
+import type { LogIndex, Milliseconds, ReplicaId } from '@cranberryturn/types';
+import { ResultAsync } from 'neverthrow';
+
+import {
+  LogEventKind,
+  ReplicaRole,
+  type LeadershipProof,
+  type LogEvent,
+  type LogStatus,
+  type LogSubscription,
+  type LogUnavailableError,
+  type ProposalResult,
+  type ReplicatedLog,
+} from '../log-types.js';
+import type { MemberChange } from '../members.js';
+import {
+  PeerMessageKind,
+  type PeerMessage,
+  type PeerReply,
+} from '../ports/peer-link.js';
+import type { StateMachine } from '../ports/state-machine.js';
+import { handleAppendEntries, handleHeartbeat } from './append-handler.js';
+import { Applier } from './applier.js';
+import { runElections } from './election.js';
+import type { Founding } from './founding.js';
+import { changeMembers } from './membership.js';
+import { proposeCommand } from './proposals.js';
+import { confirmLeadership } from './read-index.js';
+import { stoppedReply, wrongIdentityReply } from './replies.js';
+import type { Replica } from './replica.js';
+import { SnapshotReceiver } from './snapshot-receiver.js';
+import { transferLeadership } from './transfer.js';
+import { handlePreVote, handleTimeoutNow, handleVote } from './vote-handler.js';
+
+/** Joins the parts of one replica behind the interface of the log. */
+export class ReplicatedLogService<Outcome> implements ReplicatedLog<Outcome> {
+  readonly #replica: Replica;
+  readonly #founding: Founding;
+  readonly #applier: Applier<Outcome>;
+  readonly #snapshotReceiver: SnapshotReceiver;
+  readonly #listeners = new Set<(event: LogEvent<Outcome>) => void>();
+  #loops: Promise<unknown> = Promise.resolve();
+
+  constructor(
+    replica: Replica,
+    stateMachine: StateMachine<Outcome>,
+    founding: Founding,
+  ) {
+    this.#replica = replica;
+    this.#founding = founding;
+    this.#applier = new Applier(replica, stateMachine, event => {
+      this.#publish(event);
+    });
+    this.#snapshotReceiver = new SnapshotReceiver(replica, this.#applier);
+    replica.hooks = {
+      onCommitted: () => {
+        this.#applier.applyCommitted();
+      },
+      onRoleChanged: () => {
+        this.#publish({
+          kind: LogEventKind.RoleChanged,
+          status: this.#describe(),
+        });
+      },
+      onLeadershipLost: () => {
+        this.#applier.abandonProposals();
+      },
+    };
+  }
+
+  /** Starts the loops of the replica. */
+  start(): void {
+    const founded = this.#founding.run();
+    const elections = founded.then(() => runElections(this.#replica));
+    this.#loops = Promise.allSettled([founded, elections]);
+  }
+
+  propose(
+    command: Uint8Array,
+  ): ResultAsync<ProposalResult<Outcome>, LogUnavailableError | TimeoutError> {
+    return proposeCommand(this.#replica, this.#applier, command);
+  }
+
+  status(): LogStatus {
+    this.#replica.leadership?.checkMajority();
+    return this.#describe();
+  }
+
+  confirmLeadership(): ResultAsync<
+    LeadershipProof,
+    LogUnavailableError | TimeoutError
+  > {
+    return new ResultAsync(confirmLeadership(this.#replica));
+  }
+
+  subscribe(listener: (event: LogEvent<Outcome>) => void): LogSubscription {
+    this.#listeners.add(listener);
+    return { cancel: () => void this.#listeners.delete(listener) };
+  }
+
+  changeMembers(
+    change: MemberChange,
+  ): ResultAsync<
+    LogIndex,
+    LogUnavailableError | TimeoutError | ConflictError | InvalidInputError
+  > {
+    return new ResultAsync(changeMembers(this.#replica, change));
+  }
+
+  transferLeadership(): ResultAsync<ReplicaId, LogUnavailableError> {
+    return transferLeadership(this.#replica);
+  }
+
+  async handlePeerMessage(
+    from: ReplicaId,
+    message: PeerMessage,
+  ): Promise<PeerReply> {
+    const replica = this.#replica;
+    if (replica.isStopped) return stoppedReply(replica);
+    if (message.to !== replica.replicaId) return wrongIdentityReply(replica);
+    switch (message.kind) {
+      case PeerMessageKind.Identify:
+        return this.#founding.identify(from);
+      case PeerMessageKind.PreVote:
+        return await handlePreVote(replica, message);
+      case PeerMessageKind.Vote:
+        return await handleVote(replica, from, message);
+      case PeerMessageKind.Heartbeat:
+        return await handleHeartbeat(replica, from, message);
+      case PeerMessageKind.AppendEntries:
+        return await handleAppendEntries(replica, from, message);
+      case PeerMessageKind.InstallSnapshot:
+        return await this.#snapshotReceiver.handle(from, message);
+      case PeerMessageKind.TimeoutNow:
+        return await handleTimeoutNow(replica, from, message);
+    }
+  }
+
+  async stop(): Promise<void> {
+    this.#replica.stop();
+    await this.#loops;
+    await this.#replica.store.whenIdle();
+    await this.#replica.parts.disk.close();
+  }
+
+  #describe(): LogStatus {
+    const { replicaId, role, term, leader, commitIndex, store, failure } =
+      this.#replica;
+    return {
+      replicaId,
+      role,
+      term,
+      leader,
+      commitIndex,
+      appliedIndex: this.#applier.appliedIndex,
+      lastIndex: store.last.index,
+      snapshotIndex: store.snapshot.last.index,
+      members: store.members,
+      leadershipProvedAt: this.#provedAt(),
+      failure,
+    };
+  }
+
+  #provedAt(): Milliseconds | undefined {
+    if (this.#replica.role === ReplicaRole.Leader) {
+      return this.#replica.leadership?.majorityContactAt();
+    }
+    return this.#replica.followerProofAt;
+  }
+
+  #publish(event: LogEvent<Outcome>): void {
+    for (const listener of this.#listeners) listener(event);
+  }
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/supervision.ts
@@ -0,0 +1,33 @@
+/** Watches one leadership: majority contact and the disk of the leader. */
+import type { Leadership } from './leadership.js';
+import type { Replica } from './replica.js';
+import { transferLeadership } from './transfer.js';
+
+/** Checks twice in each heartbeat interval until the leadership ends. */
+export async function superviseLeadership(
+  replica: Replica,
+  leadership: Leadership,
+): Promise<void> {
+  const interval = replica.tuning.heartbeatInterval / 2;
+  let nextCheck = replica.now() + interval;
+  while (leadership.isActive) {
+    const rest = nextCheck - replica.now();
+    if (rest > 0) {
+      await leadership.ended.wait(rest);
+      continue;
+    }
+    nextCheck += interval;
+    leadership.checkMajority();
+    handOverWhenDiskHangs(replica, leadership);
+  }
+}
+
+/** A leader whose disk hangs can't vote or count itself: another voter leads better. */
+function handOverWhenDiskHangs(replica: Replica, leadership: Leadership): void {
+  if (!leadership.isActive || leadership.isTransferring) return;
+  if (replica.voters().length === 1) return;
+  if (replica.store.writingFor() <= replica.tuning.diskHangLimit) return;
+  void transferLeadership(replica).then(result => {
+    if (result.isErr() && leadership.isActive) replica.stepDown();
+  });
+}
--- /dev/null
+++ b/packages/replicated-log/src/core/vote-handler.ts
@@ -0,0 +1,87 @@
+/** Answers pre-votes, votes and handovers. */
+import type { ReplicaId } from '@cranberryturn/types';
+
+import type { LogPosition } from '../entries.js';
+import { ReplicaRole } from '../log-types.js';
+import {
+  PeerReplyKind,
+  type PeerReply,
+  type PreVoteMessage,
+  type TimeoutNowMessage,
+  type VoteMessage,
+} from '../ports/peer-link.js';
+import { standForElection } from './election.js';
+import { stoppedReply } from './replies.js';
+import type { Replica } from './replica.js';
+
+/** Tells whether this replica would vote for the sender. Changes nothing. */
+export async function handlePreVote(
+  replica: Replica,
+  message: PreVoteMessage,
+): Promise<PeerReply> {
+  const granted =
+    message.term > replica.term &&
+    mayVote(replica) &&
+    !hearsLeader(replica) &&
+    isUpToDate(replica, message.last);
+  const { term } = replica;
+  if (!(await replica.hardStateSynced())) return stoppedReply(replica);
+  return { kind: PeerReplyKind.VoteAnswer, term, granted };
+}
+
+/** Votes at most once in a term; the vote is synced before the reply. */
+export async function handleVote(
+  replica: Replica,
+  from: ReplicaId,
+  message: VoteMessage,
+): Promise<PeerReply> {
+  replica.observeTerm(message.term);
+  const isFree = replica.votedFor === undefined || replica.votedFor === from;
+  const granted =
+    message.term === replica.term &&
+    replica.role === ReplicaRole.Follower &&
+    isFree &&
+    mayVote(replica) &&
+    isUpToDate(replica, message.last);
+  if (granted && replica.votedFor === undefined) {
+    replica.enterTerm(replica.term, from);
+  }
+  if (granted) replica.postponeElection();
+  const { term } = replica;
+  if (!(await replica.hardStateSynced())) return stoppedReply(replica);
+  return { kind: PeerReplyKind.VoteAnswer, term, granted };
+}
+
+/** Stands at once when the leader of the current term asks for it. */
+export async function handleTimeoutNow(
+  replica: Replica,
+  from: ReplicaId,
+  message: TimeoutNowMessage,
+): Promise<PeerReply> {
+  const isFromLeader = message.term === replica.term && replica.leader === from;
+  if (isFromLeader && replica.isVoter()) void standForElection(replica);
+  const { term } = replica;
+  if (!(await replica.hardStateSynced())) return stoppedReply(replica);
+  return { kind: PeerReplyKind.TimeoutNowAnswer, term };
+}
+
+/**
+ * A replica votes only once it holds a synced part of the log that names members: a blank one
+ * can't know what it would vote away. Learners may vote: a candidate asks them only when its own
+ * log, which must be as new as theirs, has made them voters.
+ */
+function mayVote(replica: Replica): boolean {
+  return replica.store.members.length > 0;
+}
+
+function hearsLeader(replica: Replica): boolean {
+  if (replica.role === ReplicaRole.Leader) return true;
+  const silence = replica.now() - replica.lastLeaderContact;
+  return silence < replica.tuning.minimumElectionTimeout;
+}
+
+function isUpToDate(replica: Replica, candidate: LogPosition): boolean {
+  const { last } = replica.store;
+  if (candidate.term !== last.term) return candidate.term > last.term;
+  return candidate.index >= last.index;
+}
--- /dev/null
+++ b/packages/replicated-log/src/fakes/memory-log-disk.ts
@@ -0,0 +1,245 @@
+/** Fake disk: files in memory that lose unsynced bytes in a crash, with seeded faults. */
+import { StorageError } from '@cranberryturn/errors';
+import type { RandomSource } from '@cranberryturn/random';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import type { LogDisk } from '../ports/log-disk.js';
+
+/** Fake disk with the faults that a test sets. */
+export interface MemoryLogDisk extends LogDisk {
+  /** Every sync and replace takes this long from now on. */
+  setSyncDelay(delay: Milliseconds): void;
+  /** Syncs and replaces do not end until they are released. */
+  hang(): void;
+  /** Ends what hangs. */
+  release(): void;
+  /** Every sync and replace fails from now on. */
+  failSyncs(): void;
+  /** The process dies within the operation that comes after `operations` more that change files. */
+  dieAfter(operations: number): void;
+  /** Number of operations so far that change files. */
+  operations(): number;
+  /** Number of syncs so far. */
+  syncs(): number;
+  /** The process dies: what the calls in flight wait for never comes. */
+  crash(): void;
+  /** The disk as the next process finds it: unsynced bytes are lost, torn or kept, as the seed says. */
+  afterCrash(random: RandomSource): MemoryLogDisk;
+  /** Flips a bit of the byte at `offset`. */
+  corruptByte(file: string, offset: number): void;
+  /** Current content of a file. */
+  content(file: string): Uint8Array;
+  /** Names of the files. */
+  files(): readonly string[];
+}
+
+interface StoredFile {
+  bytes: Uint8Array;
+  /** Bytes at the start that a crash can't take. */
+  syncedLength: number;
+  /** The name itself survives a crash. */
+  nameSynced: boolean;
+}
+
+const emptyBytes = new Uint8Array(0);
+
+/** Creates an empty fake disk. */
+export function createMemoryLogDisk(timers: TimerService): MemoryLogDisk {
+  return buildDisk(timers, new Map());
+}
+
+function buildDisk(
+  timers: TimerService,
+  files: Map<string, StoredFile>,
+): MemoryLogDisk {
+  let syncDelay: Milliseconds = 0;
+  let hanging: Promise<void> | undefined;
+  let releaseHanging: () => void = () => undefined;
+  let syncsFail = false;
+  let isDead = false;
+  let operationsLeft = Number.POSITIVE_INFINITY;
+  let operationCount = 0;
+  let syncCount = 0;
+
+  const fileOf = (name: string): StoredFile => {
+    const known = files.get(name);
+    if (known !== undefined) return known;
+    const created = { bytes: emptyBytes, syncedLength: 0, nameSynced: false };
+    files.set(name, created);
+    return created;
+  };
+
+  const syncNames = (): void => {
+    for (const file of files.values()) file.nameSynced = true;
+  };
+
+  const waitForSync = async (): Promise<Result<void, StorageError>> => {
+    syncCount += 1;
+    if (syncDelay > 0) await sleep(timers, syncDelay);
+    if (hanging !== undefined) await hanging;
+    if (isDead) await never();
+    return syncsFail ? err(syncFailure()) : ok();
+  };
+
+  /** Runs a change unless the process has died; a death lets `half` of the change happen. */
+  const change = (
+    work: () => Promise<Result<void, StorageError>>,
+    half?: () => void,
+  ): ResultAsync<void, StorageError> =>
+    new ResultAsync(
+      (async () => {
+        if (isDead) return await never();
+        operationCount += 1;
+        operationsLeft -= 1;
+        if (operationsLeft < 0) {
+          isDead = true;
+          half?.();
+          return await never();
+        }
+        return await work();
+      })(),
+    );
+
+  const inspect = <Value>(
+    value: () => Value,
+  ): ResultAsync<Value, StorageError> =>
+    new ResultAsync(
+      (async () => {
+        if (isDead) return await never();
+        return await Promise.resolve(ok(value()));
+      })(),
+    );
+
+  const appendBytes = (name: string, bytes: Uint8Array): void => {
+    const file = fileOf(name);
+    const joined = new Uint8Array(file.bytes.length + bytes.length);
+    joined.set(file.bytes, 0);
+    joined.set(bytes, file.bytes.length);
+    file.bytes = joined;
+  };
+
+  return {
+    list: () => inspect(() => [...files.keys()].sort()),
+    read: name => inspect(() => files.get(name)?.bytes.slice()),
+    append: (name, bytes) =>
+      change(
+        () => {
+          appendBytes(name, bytes);
+          return Promise.resolve(ok());
+        },
+        () => {
+          appendBytes(name, bytes.subarray(0, bytes.length / 2));
+        },
+      ),
+    sync: name =>
+      change(async () => {
+        const file = fileOf(name);
+        const { length } = file.bytes;
+        const waited = await waitForSync();
+        if (waited.isErr()) return waited;
+        file.syncedLength = Math.max(file.syncedLength, length);
+        file.nameSynced = true;
+        return ok();
+      }),
+    truncate: (name, length) =>
+      change(() => {
+        const file = fileOf(name);
+        file.bytes = file.bytes.slice(0, length);
+        file.syncedLength = length;
+        return Promise.resolve(ok());
+      }),
+    replace: (name, bytes) =>
+      change(async () => {
+        const waited = await waitForSync();
+        if (waited.isErr()) return waited;
+        const copy = bytes.slice();
+        files.set(name, {
+          bytes: copy,
+          syncedLength: copy.length,
+          nameSynced: true,
+        });
+        syncNames();
+        return ok();
+      }),
+    remove: name =>
+      change(() => {
+        files.delete(name);
+        return Promise.resolve(ok());
+      }),
+    close: () => inspect(() => undefined),
+    setSyncDelay: delay => {
+      syncDelay = delay;
+    },
+    hang: () => {
+      hanging = new Promise(resolve => {
+        releaseHanging = resolve;
+      });
+    },
+    release: () => {
+      hanging = undefined;
+      releaseHanging();
+    },
+    failSyncs: () => {
+      syncsFail = true;
+    },
+    dieAfter: operations => {
+      operationsLeft = operations;
+    },
+    operations: () => operationCount,
+    syncs: () => syncCount,
+    crash: () => {
+      isDead = true;
+    },
+    afterCrash: random => {
+      isDead = true;
+      return buildDisk(timers, loseUnsynced(files, random));
+    },
+    corruptByte: (name, offset) => {
+      const { bytes } = fileOf(name);
+      bytes[offset] = (bytes[offset] ?? 0) ^ 1;
+    },
+    content: name => fileOf(name).bytes.slice(),
+    files: () => [...files.keys()].sort(),
+  };
+}
+
+function loseUnsynced(
+  files: ReadonlyMap<string, StoredFile>,
+  random: RandomSource,
+): Map<string, StoredFile> {
+  const kept = new Map<string, StoredFile>();
+  for (const [name, file] of files) {
+    if (!file.nameSynced && random.below(2) === 0) continue;
+    const bytes = tearTail(file, random);
+    kept.set(name, { bytes, syncedLength: bytes.length, nameSynced: true });
+  }
+  return kept;
+}
+
+/** Keeps a random part of the unsynced bytes; some of them may hold garbage. */
+function tearTail(file: StoredFile, random: RandomSource): Uint8Array {
+  const unsynced = file.bytes.length - file.syncedLength;
+  const keptLength = file.syncedLength + random.below(unsynced + 1);
+  const bytes = file.bytes.slice(0, keptLength);
+  const isGarbled = random.below(3) === 0;
+  if (isGarbled && keptLength > file.syncedLength) {
+    const start =
+      file.syncedLength + random.below(keptLength - file.syncedLength);
+    bytes.fill(0, start, Math.min(keptLength, start + 8));
+  }
+  return bytes;
+}
+
+function syncFailure(): StorageError {
+  return new StorageError(
+    'The fake disk was told to fail. Look at the test that set the fault.',
+    { step: 'sync file' },
+  );
+}
+
+/** A call of a dead process never ends. */
+function never(): Promise<never> {
+  return new Promise<never>(() => undefined);
+}
--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -6,3 +6,5 @@
 export * from './ports/log-disk.js';
 export * from './ports/peer-link.js';
 export * from './ports/state-machine.js';
+export * from './open-replicated-log.js';
+export * from './tuning.js';
--- /dev/null
+++ b/packages/replicated-log/src/open-replicated-log.ts
@@ -0,0 +1,99 @@
+/** Opens one replica of the log. */
+import { InvalidInputError, type StorageError } from '@cranberryturn/errors';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import { Founding } from './core/founding.js';
+import { Replica } from './core/replica.js';
+import { ReplicatedLogService } from './core/service.js';
+import {
+  StartKind,
+  type FoundStart,
+  type JoinStart,
+  type OpenLogError,
+  type ReplicatedLog,
+  type ReplicatedLogOptions,
+} from './log-types.js';
+import { HardStateWriter } from './storage/hard-state.js';
+import { openIdentity } from './storage/identity.js';
+import { openStore } from './storage/open-store.js';
+import type { SegmentWriterEvents } from './storage/segment-writer.js';
+import { defaultLogTuning } from './tuning.js';
+
+/** Opens the log of a data folder and starts to take part. */
+export function openReplicatedLog<Outcome>(
+  options: ReplicatedLogOptions<Outcome>,
+): ResultAsync<ReplicatedLog<Outcome>, OpenLogError> {
+  return new ResultAsync(openLog(options));
+}
+
+async function openLog<Outcome>(
+  options: ReplicatedLogOptions<Outcome>,
+): Promise<Result<ReplicatedLog<Outcome>, OpenLogError>> {
+  const { disk, timers, random, link, stateMachine } = options;
+  const checked = checkStart(options.start);
+  if (checked.isErr()) return err(checked.error);
+  const tuning = { ...defaultLogTuning, ...options.tuning };
+  const identity = await openIdentity(disk, random, options.start);
+  if (identity.isErr()) return err(identity.error);
+  const events = new DeferredEvents();
+  const opened = await openStore(
+    disk,
+    timers,
+    events,
+    tuning.maximumSegmentBytes,
+  );
+  if (opened.isErr()) return err(opened.error);
+  const { store, hardState, snapshot } = opened.value;
+  if (snapshot !== undefined) {
+    stateMachine.restore(snapshot.state, snapshot.meta.last.index);
+  }
+  const hardStateWriter = new HardStateWriter(disk);
+  // A rename read here may not be synced yet: writing again syncs the whole folder.
+  const synced = await hardStateWriter.save(hardState);
+  if (synced.isErr()) return err(synced.error);
+  const replica = new Replica({
+    replicaId: identity.value.replicaId,
+    disk,
+    link,
+    timers,
+    random,
+    tuning,
+    store,
+    hardStateWriter,
+    hardState,
+  });
+  events.replica = replica;
+  const founding = new Founding(replica, disk, identity.value);
+  const service = new ReplicatedLogService(replica, stateMachine, founding);
+  service.start();
+  return ok(service);
+}
+
+/** Passes the events of the writer on to the replica, which is created after it. */
+class DeferredEvents implements SegmentWriterEvents {
+  replica: Replica | undefined;
+
+  onSynced(): void {
+    this.replica?.leadership?.advanceCommit();
+  }
+
+  onFailure(error: StorageError): void {
+    this.replica?.fail(error);
+  }
+}
+
+function checkStart(
+  start: FoundStart | JoinStart,
+): Result<void, InvalidInputError> {
+  if (start.kind === StartKind.Join) return ok();
+  const isMember = start.members.some(
+    member => member.replicaId === start.replicaId,
+  );
+  if (isMember) return ok();
+  return err(
+    new InvalidInputError(
+      `Replica "${start.replicaId}" is not among the founding members. Name it there, or let it join.`,
+      { step: 'open replicated log' },
+    ),
+  );
+}
--- a/packages/replicated-log/src/ports/peer-link.ts
+++ b/packages/replicated-log/src/ports/peer-link.ts
@@ -155,6 +155,8 @@
 export interface RefusedReply {
   readonly kind: PeerReplyKind.Refused;
   readonly reason: string;
+  /** The message was meant for an identity that no longer lives at this address. */
+  readonly wrongIdentity: boolean;
 }
 
 /** Reply to a message between replicas. */
--- /dev/null
+++ b/packages/replicated-log/src/storage/identity.ts
@@ -0,0 +1,86 @@
+/** The identity of a replica: created with its data folder, and never used with another. */
+import { CorruptionError, type StorageError } from '@cranberryturn/errors';
+import type { RandomSource } from '@cranberryturn/random';
+import type { ReplicaId } from '@cranberryturn/types';
+import { err, ok, type Result } from 'neverthrow';
+
+import { StartKind, type FoundStart, type JoinStart } from '../log-types.js';
+import type { Member } from '../members.js';
+import type { LogDisk } from '../ports/log-disk.js';
+import { corruptFile, readSealedFile, writeSealedFile } from './sealed-file.js';
+
+const identityFile = 'identity';
+const identityWords = 2;
+const wordBound = 0x1_0000_0000;
+const wordDigits = 8;
+
+/** The data folder of a founding member. */
+export interface FounderFolder {
+  readonly replicaId: ReplicaId;
+  readonly folderId: string;
+}
+
+/** What the identity file holds. */
+export interface Identity {
+  readonly replicaId: ReplicaId;
+  /** Random name of this data folder. */
+  readonly folderId: string;
+  /** Members that founded the log; empty for a replica that joined. */
+  readonly foundingMembers: readonly Member[];
+  /** Data folders of the founding members; undefined until all have answered. */
+  readonly founders?: readonly FounderFolder[] | undefined;
+}
+
+/** Reads the identity of a data folder, and creates it in a blank one. */
+export async function openIdentity(
+  disk: LogDisk,
+  random: RandomSource,
+  start: FoundStart | JoinStart,
+): Promise<Result<Identity, StorageError | CorruptionError>> {
+  const stored = await readSealedFile<Identity>(disk, identityFile);
+  if (stored.isErr()) return err(stored.error);
+  if (stored.value !== undefined) return ok(stored.value);
+  const files = await disk.list();
+  if (files.isErr()) return err(files.error);
+  if (files.value.length > 0) return err(corruptFile(identityFile, 0));
+  const identity = createIdentity(random, start);
+  const written = await writeIdentity(disk, identity);
+  return written.map(() => identity);
+}
+
+/** Replaces the identity file; synced when it resolves. */
+export function writeIdentity(
+  disk: LogDisk,
+  identity: Identity,
+): Promise<Result<void, StorageError>> {
+  return Promise.resolve(writeSealedFile(disk, identityFile, identity));
+}
+
+function createIdentity(
+  random: RandomSource,
+  start: FoundStart | JoinStart,
+): Identity {
+  const folderId = randomDigits(random);
+  switch (start.kind) {
+    case StartKind.Found:
+      return {
+        replicaId: start.replicaId,
+        folderId,
+        foundingMembers: start.members,
+      };
+    case StartKind.Join:
+      return {
+        replicaId: `${start.host}-${folderId}`,
+        folderId,
+        foundingMembers: [],
+      };
+  }
+}
+
+function randomDigits(random: RandomSource): string {
+  let digits = '';
+  for (let word = 0; word < identityWords; word += 1) {
+    digits += random.below(wordBound).toString(16).padStart(wordDigits, '0');
+  }
+  return digits;
+}
--- /dev/null
+++ b/packages/replicated-log/src/storage/open-store.ts
@@ -0,0 +1,132 @@
+/** Reads a data folder and opens the stored log in it. */
+import { CorruptionError, type StorageError } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { LogEntry, LogPosition } from '../entries.js';
+import type { LogDisk } from '../ports/log-disk.js';
+import { readHardState, type HardState } from './hard-state.js';
+import { LogStore } from './log-store.js';
+import { RecordKind, type LogRecord } from './record-codec.js';
+import { readSegments } from './segment-reader.js';
+import { SegmentWriter, type SegmentWriterEvents } from './segment-writer.js';
+import {
+  emptySnapshotMeta,
+  readNewestSnapshot,
+  type Snapshot,
+} from './snapshot-files.js';
+
+/** What stands in a data folder. */
+export interface OpenedStore {
+  readonly store: LogStore;
+  readonly hardState: HardState;
+  readonly snapshot: Snapshot | undefined;
+}
+
+/** Opens the log of a data folder: what it holds afterwards is synced. */
+export async function openStore(
+  disk: LogDisk,
+  timers: TimerService,
+  events: SegmentWriterEvents,
+  maximumSegmentBytes: number,
+): Promise<Result<OpenedStore, StorageError | CorruptionError>> {
+  const snapshot = await readNewestSnapshot(disk);
+  if (snapshot.isErr()) return err(snapshot.error);
+  const stored = await readSegments(disk);
+  if (stored.isErr()) return err(stored.error);
+  const hardState = await readHardState(disk);
+  if (hardState.isErr()) return err(hardState.error);
+  const meta = snapshot.value?.meta ?? emptySnapshotMeta;
+  const entries = replayRecords(stored.value.records, meta.last);
+  if (entries.isErr()) return err(entries.error);
+  const writer = new SegmentWriter(
+    disk,
+    timers,
+    events,
+    maximumSegmentBytes,
+    stored.value,
+  );
+  if (entries.value.length === 0 && stored.value.records.length > 0) {
+    void writer.write([{ kind: RecordKind.Reset, position: meta.last }]);
+  }
+  const store = new LogStore(writer, {
+    snapshot: meta,
+    entries: entries.value,
+  });
+  return ok({
+    store,
+    hardState: raiseTerm(hardState.value, store.last),
+    snapshot: snapshot.value,
+  });
+}
+
+/** Rebuilds the entries that follow the snapshot. */
+function replayRecords(
+  records: readonly LogRecord[],
+  snapshot: LogPosition,
+): Result<readonly LogEntry[], CorruptionError> {
+  let base: LogPosition | undefined;
+  let entries: LogEntry[] = [];
+  for (const record of records) {
+    if (record.kind === RecordKind.Reset) {
+      base = record.position;
+      entries = [];
+      continue;
+    }
+    const { entry } = record;
+    const first = entries[0]?.index ?? (base?.index ?? snapshot.index) + 1;
+    const next = first + entries.length;
+    if (entry.index > next) {
+      if (entry.index > snapshot.index + 1) return err(missingEntries(next));
+      base = undefined;
+      entries = [];
+    } else if (entry.index < first) {
+      base = undefined;
+      entries = [];
+    } else {
+      entries.length = entry.index - first;
+    }
+    entries.push(entry);
+  }
+  if (base !== undefined && base.index > snapshot.index) {
+    return err(missingSnapshot(base));
+  }
+  return ok(entriesAfter(entries, base, snapshot));
+}
+
+function entriesAfter(
+  entries: readonly LogEntry[],
+  base: LogPosition | undefined,
+  snapshot: LogPosition,
+): readonly LogEntry[] {
+  if (snapshot.index === 0) return entries;
+  const atSnapshot = entries.findIndex(entry => entry.index === snapshot.index);
+  if (atSnapshot !== -1) {
+    const sameTerm = entries[atSnapshot]?.term === snapshot.term;
+    return sameTerm ? entries.slice(atSnapshot + 1) : [];
+  }
+  const followsReset =
+    base?.index === snapshot.index && base.term === snapshot.term;
+  const followsSnapshot = entries[0]?.index === snapshot.index + 1;
+  return followsSnapshot && (followsReset || base === undefined) ? entries : [];
+}
+
+/** An entry of a term proves that the term was reached; no vote in it was ever answered. */
+function raiseTerm(hardState: HardState, last: LogPosition): HardState {
+  if (last.term <= hardState.term) return hardState;
+  return { term: last.term };
+}
+
+function missingEntries(index: number): CorruptionError {
+  return new CorruptionError(
+    `The replicated log misses entries from index ${String(index)} on: a segment file is gone. This replica stays stopped: give the host a blank data folder and replace the replica by a new one.`,
+    { step: 'read replicated log' },
+  );
+}
+
+function missingSnapshot(base: LogPosition): CorruptionError {
+  return new CorruptionError(
+    `The replicated log continues a snapshot up to index ${String(base.index)}, and that snapshot file is gone. This replica stays stopped: give the host a blank data folder and replace the replica by a new one.`,
+    { step: 'read replicated log' },
+  );
+}
--- /dev/null
+++ b/packages/replicated-log/src/tuning.ts
@@ -0,0 +1,18 @@
+/** Default times and sizes of the log. */
+import type { LogTuning } from './log-types.js';
+
+/** Tuning for hosts that reach each other within a few milliseconds and sync within a hundred. */
+export const defaultLogTuning: LogTuning = {
+  heartbeatInterval: 100,
+  minimumElectionTimeout: 400,
+  maximumElectionTimeout: 800,
+  peerTimeout: 500,
+  proposeTimeout: 5_000,
+  diskHangLimit: 1_000,
+  maximumBatchBytes: 1024 * 1024,
+  maximumSegmentBytes: 16 * 1024 * 1024,
+  snapshotEntries: 100_000,
+  snapshotBytes: 64 * 1024 * 1024,
+  trailingEntries: 10_000,
+  snapshotChunkBytes: 256 * 1024,
+};
