Add the claim table and the roster state

Cause: ownership of jobs and the runs that may hold starts must be decided by committed entries alone. Conclusion: the state machine of control can be composed of them.

--- /dev/null
+++ b/packages/claims/src/apply-claim.ts
@@ -0,0 +1,188 @@
+/** Applies committed claims, adoptions and reports of answered jobs to the claim table. */
+import {
+  type AdoptRequest,
+  type ClaimGranted,
+  type ClaimHeld,
+  type ClaimOutcome,
+  ClaimOutcomeKind,
+  ClaimRefusal,
+  type ClaimRequest,
+  type DispatcherIdentity,
+  type JobId,
+  type LogIndex,
+  type Milliseconds,
+  type NetworkAddress,
+  type OwnershipEpoch,
+  type ServiceName,
+  type TargetIdentity,
+  type TeamName,
+} from '@cranberryturn/types';
+
+import {
+  type ClaimRecord,
+  type ClaimRetention,
+  type ClaimTable,
+  composeClaimKey,
+} from './claim-table.js';
+
+/** What the roster tells about owners and runs of sidecars. */
+export interface ClaimRoster {
+  readonly version: number;
+  /** Undefined when that run of the dispatcher is not the registered one. */
+  findOwnerAddress(owner: DispatcherIdentity): NetworkAddress | undefined;
+  /** Runs of a service that were not retired before a position in the log. */
+  listWitnesses(service: ServiceName, since: LogIndex): TargetIdentity[];
+}
+
+/** Everything besides the table on which an outcome depends. */
+export interface ClaimContext {
+  readonly index: LogIndex;
+  /** Time of the leader stamped on the entry. */
+  readonly leaderTime: Milliseconds;
+  readonly roster: ClaimRoster;
+  readonly retention: ClaimRetention;
+}
+
+/** Asks to own a job; the same owner asking again gets the same outcome. */
+export function applyClaim(
+  table: ClaimTable,
+  claim: ClaimRequest,
+  context: ClaimContext,
+): ClaimOutcome {
+  const key = composeClaimKey(claim.team, claim.jobId);
+  const record = findRecord(table, key);
+  if (record === undefined) return createClaim(table, key, claim, context);
+  if (!isSameJob(record, claim)) return { kind: ClaimOutcomeKind.Conflict };
+  if (!isSameOwner(record.owner, claim.owner)) return hold(record, context);
+  return grant(table, key, record, context);
+}
+
+/** Takes a job over if its epoch is still the expected one. */
+export function applyAdoption(
+  table: ClaimTable,
+  adopt: AdoptRequest,
+  context: ClaimContext,
+): ClaimOutcome {
+  const key = composeClaimKey(adopt.team, adopt.jobId);
+  const record = findRecord(table, key);
+  // The claim was forgotten, so nothing tells which tasks have started.
+  if (record === undefined) return refuse(ClaimRefusal.TooOld);
+  if (!isSameJob(record, adopt)) return { kind: ClaimOutcomeKind.Conflict };
+  if (isSameOwner(record.owner, adopt.owner)) {
+    return grant(table, key, record, context);
+  }
+  if (record.epoch !== adopt.expectedEpoch) return hold(record, context);
+  record.owner = adopt.owner;
+  record.epoch += 1;
+  renewUnfinished(table, key, record, context.leaderTime);
+  return grant(table, key, record, context);
+}
+
+/** Records that the owner in this epoch has answered its job. */
+export function applyFinish(
+  table: ClaimTable,
+  team: TeamName,
+  jobId: JobId,
+  epoch: OwnershipEpoch,
+  leaderTime: Milliseconds,
+): void {
+  const key = composeClaimKey(team, jobId);
+  const record = table.unfinished.get(key);
+  if (record?.epoch !== epoch) return;
+  record.changedTime = leaderTime;
+  table.unfinished.delete(key);
+  table.finished.set(key, record);
+}
+
+function createClaim(
+  table: ClaimTable,
+  key: string,
+  claim: ClaimRequest,
+  context: ClaimContext,
+): ClaimOutcome {
+  const { index, leaderTime, retention } = context;
+  const { submittedAt } = claim;
+  if (
+    submittedAt !== undefined &&
+    leaderTime - submittedAt >= retention.finishedMilliseconds
+  ) {
+    return refuse(ClaimRefusal.TooOld);
+  }
+  if (table.unfinished.size + table.finished.size >= retention.maximumClaims) {
+    return refuse(ClaimRefusal.TableFull);
+  }
+  const record: ClaimRecord = {
+    team: claim.team,
+    jobId: claim.jobId,
+    service: claim.service,
+    digest: claim.digest,
+    claimedAt: index,
+    owner: claim.owner,
+    epoch: 1,
+    changedTime: leaderTime,
+  };
+  table.unfinished.set(key, record);
+  return grant(table, key, record, context);
+}
+
+function grant(
+  table: ClaimTable,
+  key: string,
+  record: ClaimRecord,
+  { roster }: ClaimContext,
+): ClaimGranted {
+  return {
+    kind: ClaimOutcomeKind.Granted,
+    epoch: record.epoch,
+    claimedAt: record.claimedAt,
+    witnesses:
+      record.epoch > 1
+        ? roster.listWitnesses(record.service, record.claimedAt)
+        : [],
+    rosterVersion: roster.version,
+    finished: table.finished.has(key),
+  };
+}
+
+function hold(record: ClaimRecord, { roster }: ClaimContext): ClaimHeld {
+  return {
+    kind: ClaimOutcomeKind.Held,
+    epoch: record.epoch,
+    owner: record.owner,
+    ownerAddress: roster.findOwnerAddress(record.owner),
+  };
+}
+
+function refuse(reason: ClaimRefusal): ClaimOutcome {
+  return { kind: ClaimOutcomeKind.Refused, reason };
+}
+
+/** Keeps the map in order of time: a renewed claim moves to its end. A finished claim stays finished. */
+function renewUnfinished(
+  table: ClaimTable,
+  key: string,
+  record: ClaimRecord,
+  leaderTime: Milliseconds,
+): void {
+  if (!table.unfinished.delete(key)) return;
+  record.changedTime = leaderTime;
+  table.unfinished.set(key, record);
+}
+
+function findRecord(table: ClaimTable, key: string): ClaimRecord | undefined {
+  return table.unfinished.get(key) ?? table.finished.get(key);
+}
+
+function isSameJob(record: ClaimRecord, claim: ClaimRequest): boolean {
+  return record.digest === claim.digest && record.service === claim.service;
+}
+
+function isSameOwner(
+  left: DispatcherIdentity,
+  right: DispatcherIdentity,
+): boolean {
+  return (
+    left.dispatcherId === right.dispatcherId &&
+    left.incarnation === right.incarnation
+  );
+}
--- /dev/null
+++ b/packages/membership/src/apply-roster-changes.ts
@@ -0,0 +1,25 @@
+/** Applies what changed to a roster that a follower holds. */
+import type { Roster, RosterChanges } from '@cranberryturn/types';
+
+/** Returns the later roster, or undefined when the changes do not start at this roster. */
+export function applyRosterChanges(
+  roster: Roster,
+  changes: RosterChanges,
+): Roster | undefined {
+  if (roster.version < changes.baseVersion) return undefined;
+  if (roster.version > changes.version) return undefined;
+  const targets = new Map(
+    roster.targets.map(target => [target.targetId, target]),
+  );
+  for (const run of changes.retired) {
+    const known = targets.get(run.targetId);
+    if (known?.incarnation === run.incarnation) targets.delete(run.targetId);
+  }
+  for (const target of changes.registered) targets.set(target.targetId, target);
+  return {
+    ...roster,
+    version: changes.version,
+    dispatchers: changes.dispatchers,
+    targets: [...targets.values()],
+  };
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,4 @@
 /** Roster of targets, dispatchers and control hosts; leases and leaving. */
+export * from './apply-roster-changes.js';
 export * from './ports/roster-feed.js';
+export * from './roster-state.js';
--- /dev/null
+++ b/packages/membership/src/roster-state.ts
@@ -0,0 +1,305 @@
+/** The roster as built from committed registrations, with the runs that were retired not long ago. */
+import type {
+  DispatcherId,
+  DispatcherIdentity,
+  DispatcherRecord,
+  Incarnation,
+  LogIndex,
+  Milliseconds,
+  NetworkAddress,
+  Roster,
+  RosterChanges,
+  ServiceName,
+  TargetAnnouncement,
+  TargetId,
+  TargetIdentity,
+  TargetRecord,
+} from '@cranberryturn/types';
+
+/** A run of a sidecar that was replaced or left. */
+export interface RetiredTarget extends TargetIdentity {
+  readonly service: ServiceName;
+  readonly registeredAt: LogIndex;
+  readonly retiredAt: LogIndex;
+  readonly retiredTime: Milliseconds;
+}
+
+/** A run of a dispatcher that was replaced or left. */
+export interface RetiredDispatcher extends DispatcherIdentity {
+  readonly registeredAt: LogIndex;
+  readonly retiredTime: Milliseconds;
+}
+
+/** A dispatcher with the position at which its run was registered. */
+export interface RegisteredDispatcher extends DispatcherRecord {
+  readonly registeredAt: LogIndex;
+}
+
+/** How long retired runs are remembered. */
+export interface RosterRetention {
+  /** At least as long as any claim is kept. */
+  readonly retiredMilliseconds: Milliseconds;
+  readonly maximumRetired: number;
+}
+
+/** Retention used when the settings name none. */
+export const defaultRosterRetention: RosterRetention = {
+  retiredMilliseconds: 3_600_000,
+  maximumRetired: 50_000,
+};
+
+/** The roster and the retired runs. */
+export interface RosterState {
+  version: number;
+  readonly dispatchers: Map<DispatcherId, RegisteredDispatcher>;
+  readonly targets: Map<TargetId, TargetRecord>;
+  /** Runs by target and incarnation, in order of retirement. */
+  readonly retiredTargets: Map<string, RetiredTarget>;
+  readonly retiredDispatchers: Map<string, RetiredDispatcher>;
+  /** Runs retired up to here are forgotten. */
+  forgottenUpTo: LogIndex;
+}
+
+/** A roster state as plain data. */
+export interface RosterSnapshot {
+  readonly version: number;
+  readonly dispatchers: readonly RegisteredDispatcher[];
+  readonly targets: readonly TargetRecord[];
+  readonly retiredTargets: readonly RetiredTarget[];
+  readonly retiredDispatchers: readonly RetiredDispatcher[];
+  readonly forgottenUpTo: LogIndex;
+}
+
+/** Position and time of a committed entry. */
+export interface RosterMoment {
+  readonly index: LogIndex;
+  readonly leaderTime: Milliseconds;
+}
+
+/** Stands for runs that were forgotten; nobody can reach it, so the fate of their tasks stays unknown. */
+export const forgottenRun: TargetIdentity = {
+  targetId: 'forgotten runs',
+  incarnation: 'forgotten',
+};
+
+/** Creates an empty roster. */
+export function createRosterState(): RosterState {
+  return {
+    version: 0,
+    dispatchers: new Map(),
+    targets: new Map(),
+    retiredTargets: new Map(),
+    retiredDispatchers: new Map(),
+    forgottenUpTo: 0,
+  };
+}
+
+/** Copies a roster into plain data. */
+export function captureRosterState(state: RosterState): RosterSnapshot {
+  return {
+    version: state.version,
+    dispatchers: [...state.dispatchers.values()],
+    targets: [...state.targets.values()],
+    retiredTargets: [...state.retiredTargets.values()],
+    retiredDispatchers: [...state.retiredDispatchers.values()],
+    forgottenUpTo: state.forgottenUpTo,
+  };
+}
+
+/** Builds a roster from plain data. */
+export function restoreRosterState(snapshot: RosterSnapshot): RosterState {
+  const { version, forgottenUpTo } = snapshot;
+  return {
+    version,
+    forgottenUpTo,
+    dispatchers: new Map(
+      snapshot.dispatchers.map(record => [record.dispatcherId, record]),
+    ),
+    targets: new Map(snapshot.targets.map(record => [record.targetId, record])),
+    retiredTargets: new Map(
+      snapshot.retiredTargets.map(run => [composeTargetKey(run), run]),
+    ),
+    retiredDispatchers: new Map(
+      snapshot.retiredDispatchers.map(run => [composeDispatcherKey(run), run]),
+    ),
+  };
+}
+
+/** Registers a run of a dispatcher and retires the earlier one. Returns the position of its registration. */
+export function registerDispatcher(
+  state: RosterState,
+  dispatcher: DispatcherRecord,
+  moment: RosterMoment,
+): LogIndex {
+  const retired = state.retiredDispatchers.get(
+    composeDispatcherKey(dispatcher),
+  );
+  if (retired !== undefined) return retired.registeredAt;
+  const known = state.dispatchers.get(dispatcher.dispatcherId);
+  if (known?.incarnation === dispatcher.incarnation) return known.registeredAt;
+  if (known !== undefined) retireDispatcher(state, known, moment);
+  const { dispatcherId, incarnation, address } = dispatcher;
+  state.dispatchers.set(dispatcherId, {
+    dispatcherId,
+    incarnation,
+    address,
+    registeredAt: moment.index,
+  });
+  state.version = moment.index;
+  return moment.index;
+}
+
+/** Takes a run of a dispatcher off the roster. */
+export function retireDispatcher(
+  state: RosterState,
+  dispatcher: DispatcherIdentity,
+  moment: RosterMoment,
+): void {
+  const known = state.dispatchers.get(dispatcher.dispatcherId);
+  if (known?.incarnation !== dispatcher.incarnation) return;
+  const { dispatcherId, incarnation, registeredAt } = known;
+  state.dispatchers.delete(dispatcherId);
+  state.retiredDispatchers.set(composeDispatcherKey(known), {
+    dispatcherId,
+    incarnation,
+    registeredAt,
+    retiredTime: moment.leaderTime,
+  });
+  state.version = moment.index;
+}
+
+/** Registers a run of a sidecar and retires the earlier one. Returns the position of its registration. */
+export function registerTarget(
+  state: RosterState,
+  target: TargetAnnouncement,
+  moment: RosterMoment,
+): LogIndex {
+  const retired = state.retiredTargets.get(composeTargetKey(target));
+  if (retired !== undefined) return retired.registeredAt;
+  const known = state.targets.get(target.targetId);
+  if (known?.incarnation === target.incarnation) return known.registeredAt;
+  if (known !== undefined) retireTarget(state, known, moment);
+  state.targets.set(target.targetId, { ...target, registeredAt: moment.index });
+  state.version = moment.index;
+  return moment.index;
+}
+
+/** Takes a run of a sidecar off the roster; it stays a witness of the jobs claimed before. */
+export function retireTarget(
+  state: RosterState,
+  target: TargetIdentity,
+  moment: RosterMoment,
+): void {
+  const known = state.targets.get(target.targetId);
+  if (known?.incarnation !== target.incarnation) return;
+  const { targetId, incarnation, service, registeredAt } = known;
+  state.targets.delete(targetId);
+  state.retiredTargets.set(composeTargetKey(known), {
+    targetId,
+    incarnation,
+    service,
+    registeredAt,
+    retiredAt: moment.index,
+    retiredTime: moment.leaderTime,
+  });
+  state.version = moment.index;
+}
+
+/** Forgets retired runs whose retention has passed, and the oldest ones above the bound. */
+export function dropRetiredRuns(
+  state: RosterState,
+  retention: RosterRetention,
+  now: Milliseconds,
+): void {
+  const horizon = now - retention.retiredMilliseconds;
+  const { retiredTargets, retiredDispatchers } = state;
+  for (const [key, run] of retiredTargets) {
+    const crowded = retiredTargets.size > retention.maximumRetired;
+    if (run.retiredTime >= horizon && !crowded) break;
+    retiredTargets.delete(key);
+    state.forgottenUpTo = run.retiredAt;
+  }
+  for (const [key, run] of retiredDispatchers) {
+    const crowded = retiredDispatchers.size > retention.maximumRetired;
+    if (run.retiredTime >= horizon && !crowded) break;
+    retiredDispatchers.delete(key);
+  }
+}
+
+/** Address of an owner; undefined when that run is not the registered one. */
+export function findDispatcherAddress(
+  state: RosterState,
+  owner: DispatcherIdentity,
+): NetworkAddress | undefined {
+  const known = state.dispatchers.get(owner.dispatcherId);
+  return known?.incarnation === owner.incarnation ? known.address : undefined;
+}
+
+/** Runs of a service that were not retired before `since`. */
+export function listWitnesses(
+  state: RosterState,
+  service: ServiceName,
+  since: LogIndex,
+): TargetIdentity[] {
+  const runs = [
+    ...state.targets.values(),
+    ...[...state.retiredTargets.values()].filter(run => run.retiredAt >= since),
+  ];
+  const witnesses = runs
+    .filter(run => run.service === service)
+    .map(({ targetId, incarnation }) => ({ targetId, incarnation }));
+  return state.forgottenUpTo >= since
+    ? [...witnesses, forgottenRun]
+    : witnesses;
+}
+
+/** The roster as followers see it. */
+export function composeRoster(state: RosterState): Roster {
+  return {
+    version: state.version,
+    dispatchers: listDispatchers(state),
+    targets: [...state.targets.values()],
+  };
+}
+
+/** What changed after `since`; undefined when that is too long ago to tell. */
+export function composeRosterChanges(
+  state: RosterState,
+  since: number,
+): RosterChanges | undefined {
+  if (since === 0 || since > state.version) return undefined;
+  if (state.forgottenUpTo > since) return undefined;
+  return {
+    baseVersion: since,
+    version: state.version,
+    dispatchers: listDispatchers(state),
+    registered: [...state.targets.values()].filter(
+      target => target.registeredAt > since,
+    ),
+    retired: [...state.retiredTargets.values()]
+      .filter(run => run.retiredAt > since)
+      .map(({ targetId, incarnation }) => ({ targetId, incarnation })),
+  };
+}
+
+function listDispatchers(state: RosterState): readonly DispatcherRecord[] {
+  return [...state.dispatchers.values()].map(
+    ({ dispatcherId, incarnation, address }) => ({
+      dispatcherId,
+      incarnation,
+      address,
+    }),
+  );
+}
+
+function composeTargetKey(run: TargetIdentity): string {
+  return composeRunKey(run.targetId, run.incarnation);
+}
+
+function composeDispatcherKey(run: DispatcherIdentity): string {
+  return composeRunKey(run.dispatcherId, run.incarnation);
+}
+
+function composeRunKey(name: string, incarnation: Incarnation): string {
+  return `${name} ${incarnation}`;
+}
