Add intents, plans and confirmation

Cause: operators need to see every effect before anything changes, and of two confirms on one base version only one may win.

--- /dev/null
+++ b/packages/configuration/src/list-effects.ts
@@ -0,0 +1,212 @@
+/** Lists every difference between two configurations as effects. */
+import {
+  type ClusterConfiguration,
+  type ServiceName,
+  type TargetId,
+  type WorkerConfiguration,
+  WorkerState,
+} from '@cranberryturn/types';
+
+import { type Effect, EffectKind } from './effects.js';
+
+type WorkerIndex = ReadonlyMap<TargetId, WorkerConfiguration>;
+
+/** Whether a declared worker receives new work. */
+export function receivesWork(
+  configuration: ClusterConfiguration,
+  worker: Pick<WorkerConfiguration, 'state' | 'rack' | 'dataCentre'>,
+): boolean {
+  return (
+    worker.state === WorkerState.Active &&
+    !configuration.drainedRacks.includes(worker.rack) &&
+    !configuration.drainedDataCentres.includes(worker.dataCentre)
+  );
+}
+
+/** Lists the effects in a fixed order. */
+export function listEffects(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): readonly Effect[] {
+  const known: WorkerIndex = new Map(
+    before.workers.map(worker => [worker.targetId, worker]),
+  );
+  return [
+    ...listDrainEffects(before, after),
+    ...after.workers.flatMap(worker => compareWorker(known, worker)),
+    ...after.workers.flatMap(worker =>
+      compareReceiving(before, after, known, worker),
+    ),
+    ...listCapacityEffects(before, after),
+    ...listServiceEffects(before, after),
+    ...listTeamEffects(before, after),
+    ...listControlHostEffects(before, after),
+  ];
+}
+
+function listDrainEffects(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): readonly Effect[] {
+  const added = (left: readonly string[], right: readonly string[]) =>
+    right.filter(name => !left.includes(name));
+  return [
+    ...added(before.drainedRacks, after.drainedRacks).map(rack => ({
+      kind: EffectKind.RackDrained as const,
+      rack,
+    })),
+    ...added(after.drainedRacks, before.drainedRacks).map(rack => ({
+      kind: EffectKind.RackUndrained as const,
+      rack,
+    })),
+    ...added(before.drainedDataCentres, after.drainedDataCentres).map(
+      dataCentre => ({
+        kind: EffectKind.DataCentreDrained as const,
+        dataCentre,
+      }),
+    ),
+    ...added(after.drainedDataCentres, before.drainedDataCentres).map(
+      dataCentre => ({
+        kind: EffectKind.DataCentreUndrained as const,
+        dataCentre,
+      }),
+    ),
+  ];
+}
+
+function compareWorker(
+  known: WorkerIndex,
+  after: WorkerConfiguration,
+): readonly Effect[] {
+  const before = known.get(after.targetId);
+  if (before === undefined) {
+    return [{ kind: EffectKind.WorkerDeclared, worker: after }];
+  }
+  if (isEqual(before, after)) return [];
+  return [{ kind: EffectKind.WorkerChanged, before, after }];
+}
+
+function compareReceiving(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+  known: WorkerIndex,
+  worker: WorkerConfiguration,
+): readonly Effect[] {
+  const { targetId, service } = worker;
+  // A target without a declaration receives work wherever its rack and data centre do.
+  const received = receivesWork(
+    before,
+    known.get(targetId) ?? { ...worker, state: WorkerState.Active },
+  );
+  const receives = receivesWork(after, worker);
+  if (received === receives) return [];
+  const kind = receives ? EffectKind.WorkerResumes : EffectKind.WorkerStops;
+  return [{ kind, targetId, service }];
+}
+
+function listCapacityEffects(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): readonly Effect[] {
+  const services = new Set(
+    [...before.workers, ...after.workers].map(worker => worker.service),
+  );
+  return [...services].sort().flatMap(service => {
+    const workersBefore = countReceiving(before, service);
+    const workersAfter = countReceiving(after, service);
+    if (workersBefore === workersAfter) return [];
+    const kind = EffectKind.CapacityChanged as const;
+    return [{ kind, service, workersBefore, workersAfter }];
+  });
+}
+
+function countReceiving(
+  configuration: ClusterConfiguration,
+  service: ServiceName,
+): number {
+  return configuration.workers.filter(
+    worker => worker.service === service && receivesWork(configuration, worker),
+  ).length;
+}
+
+function listServiceEffects(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): readonly Effect[] {
+  const { set, removed } = compareByKey(
+    before.services,
+    after.services,
+    entry => entry.service,
+  );
+  return [
+    ...set.map(pair => ({ kind: EffectKind.ServiceSet as const, ...pair })),
+    ...removed.map(({ service }) => ({
+      kind: EffectKind.ServiceRemoved as const,
+      service,
+    })),
+  ];
+}
+
+function listTeamEffects(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): readonly Effect[] {
+  const { set, removed } = compareByKey(
+    before.teams,
+    after.teams,
+    entry => entry.team,
+  );
+  return [
+    ...set.map(pair => ({ kind: EffectKind.TeamSet as const, ...pair })),
+    ...removed.map(({ team }) => ({
+      kind: EffectKind.TeamRemoved as const,
+      team,
+    })),
+  ];
+}
+
+function listControlHostEffects(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): readonly Effect[] {
+  const { set, removed } = compareByKey(
+    before.controlHosts,
+    after.controlHosts,
+    entry => entry.replicaId,
+  );
+  return [
+    ...set.map(pair => ({
+      kind: EffectKind.ControlHostAdded as const,
+      controlHost: pair.after,
+    })),
+    ...removed.map(({ replicaId }) => ({
+      kind: EffectKind.ControlHostRemoved as const,
+      replicaId,
+    })),
+  ];
+}
+
+function compareByKey<Entry>(
+  before: readonly Entry[],
+  after: readonly Entry[],
+  keyOf: (entry: Entry) => string,
+): {
+  readonly set: readonly {
+    readonly before?: Entry | undefined;
+    readonly after: Entry;
+  }[];
+  readonly removed: readonly Entry[];
+} {
+  const set = after.flatMap(entry => {
+    const known = before.find(candidate => keyOf(candidate) === keyOf(entry));
+    return isEqual(known, entry) ? [] : [{ before: known, after: entry }];
+  });
+  const removed = before.filter(
+    entry => !after.some(candidate => keyOf(candidate) === keyOf(entry)),
+  );
+  return { set, removed };
+}
+
+function isEqual(left: unknown, right: unknown): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
+}
--- a/packages/types/src/intents.ts
+++ b/packages/types/src/intents.ts
@@ -35,11 +35,20 @@
   ReplaceControlHost = 'replace-control-host',
 }
 
+/** Where a target says that it runs. */
+export interface AnnouncedWorker {
+  readonly service: ServiceName;
+  readonly rack: RackName;
+  readonly dataCentre: DataCentreName;
+}
+
 /** An intent about one worker that is known already. */
 export interface WorkerIntent {
   readonly kind:
     IntentKind.RemoveWorker | IntentKind.DrainWorker | IntentKind.UndrainWorker;
   readonly targetId: TargetId;
+  /** What the target announced, for one that no operator declared; filled in when the plan is made. */
+  readonly announced?: AnnouncedWorker | undefined;
 }
 
 /** Declares a worker, or changes its declaration. */
