Keep the submission of each granted epoch in the claim table

Cause: an owner that forgot a job must not take its own old grant for a new one. Change: a grant names its submission; adoption by the same owner raises the epoch. Conclusion: only the very same adoption repeats its outcome.

--- a/packages/claims/src/apply-claim.ts
+++ b/packages/claims/src/apply-claim.ts
@@ -68,11 +68,10 @@
   // The claim was forgotten, so nothing tells which tasks have started.
   if (record === undefined) return refuse(ClaimRefusal.TooOld);
   if (!isSameJob(record, adopt)) return { kind: ClaimOutcomeKind.Conflict };
-  if (isSameOwner(record.owner, adopt.owner)) {
-    return grant(table, key, record, context);
-  }
+  if (wasGrantedTo(record, adopt)) return grant(table, key, record, context);
   if (record.epoch !== adopt.expectedEpoch) return hold(record, context);
   record.owner = adopt.owner;
+  record.submissionId = adopt.submissionId;
   record.epoch += 1;
   renewUnfinished(table, key, record, context.leaderTime);
   return grant(table, key, record, context);
@@ -118,6 +117,7 @@
     digest: claim.digest,
     claimedAt: index,
     owner: claim.owner,
+    submissionId: claim.submissionId,
     epoch: 1,
     changedTime: leaderTime,
   };
@@ -134,6 +134,7 @@
   return {
     kind: ClaimOutcomeKind.Granted,
     epoch: record.epoch,
+    submissionId: record.submissionId,
     claimedAt: record.claimedAt,
     witnesses:
       record.epoch > 1
@@ -177,6 +178,15 @@
   return record.digest === claim.digest && record.service === claim.service;
 }
 
+/** Whether the current epoch was granted to this very adoption, whose answer was lost. */
+function wasGrantedTo(record: ClaimRecord, adopt: AdoptRequest): boolean {
+  return (
+    record.epoch === adopt.expectedEpoch + 1 &&
+    record.submissionId === adopt.submissionId &&
+    isSameOwner(record.owner, adopt.owner)
+  );
+}
+
 function isSameOwner(
   left: DispatcherIdentity,
   right: DispatcherIdentity,
--- a/packages/claims/src/claim-table.ts
+++ b/packages/claims/src/claim-table.ts
@@ -21,6 +21,8 @@
   /** Position in the log of the first claim. */
   readonly claimedAt: LogIndex;
   owner: DispatcherIdentity;
+  /** Submission to which the current epoch was granted. */
+  submissionId: string;
   epoch: OwnershipEpoch;
   /** Time of the leader at the last grant, or at the answer once the job is finished. */
   changedTime: Milliseconds;
--- a/packages/configuration/src/apply-intent.ts
+++ b/packages/configuration/src/apply-intent.ts
@@ -178,22 +178,26 @@
 
 function setLimit(
   configuration: ClusterConfiguration,
-  { kind: _kind, service, ...limits }: SetLimitIntent,
+  intent: SetLimitIntent,
 ): Applied {
+  const { service } = intent;
   const declared = configuration.services.find(
     entry => entry.service === service,
   );
   if (declared === undefined) {
     return refuse(`Service ${service} is not declared; use set-service first.`);
   }
-  const changed = Object.entries(limits)
-    .filter(([, limit]) => limit !== undefined)
-    .map(([name, limit]) => [name, limit ?? undefined]);
+  const limits = Object.entries(intent)
+    .filter(([name, value]) => name !== 'kind' && value !== undefined)
+    .map(([name, value]) => [
+      name,
+      (value as string | number | null) ?? undefined,
+    ]);
   return ok({
     ...configuration,
     services: replaceByKey(
       configuration.services,
-      { ...declared, ...Object.fromEntries(changed) },
+      { ...declared, ...Object.fromEntries(limits) },
       entry => entry.service,
     ),
   });
--- a/packages/configuration/src/intent-schema.ts
+++ b/packages/configuration/src/intent-schema.ts
@@ -6,6 +6,7 @@
 
 const largestPort = 65_535;
 const largestCount = 10_000_000;
+const fieldsWithoutLimit = 2;
 const longestDeadlineMilliseconds = 3_600_000;
 
 const nameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, {
@@ -73,9 +74,9 @@
     defaultDeadlineMilliseconds: deadlineSchema.optional(),
     retryBudgetPercent: retryBudgetSchema.optional(),
   })
-  .refine(({ kind: _kind, service: _service, ...limits }) =>
-    Object.values(limits).some(limit => limit !== undefined),
-  );
+  .refine(intent => countFields(intent) > fieldsWithoutLimit, {
+    error: 'name at least one limit',
+  });
 
 /** Schema of every intent. */
 export const intentSchema = z.discriminatedUnion('kind', [
@@ -140,3 +141,7 @@
     ),
   );
 }
+
+function countFields(entry: object): number {
+  return Object.values(entry).filter(value => value !== undefined).length;
+}
