Add control nodes and the client that dispatchers use

Cause: dispatchers need claims, the roster and the configuration in force over connections that may fall silent, from control hosts that may be cut off. Change: one state machine of control over its log, group commit of the operations of one turn, a feed with deltas and freshness proofs; a client with one task for each control host that follows the leader and leaves a host whose proof is older than 1.5 s. Conclusion: the path works over a log of one replica in memory; the replicated log takes its place behind the same interface.

--- /dev/null
+++ b/packages/control-client/src/call-leader.ts
@@ -0,0 +1,170 @@
+/** Calls the leader of control: follows redirects, and asks other hosts again with backoff. */
+import {
+  type ConnectionError,
+  TimeoutError,
+  UnavailableError,
+} from '@cranberryturn/errors';
+import type { RandomSource } from '@cranberryturn/random';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, ReplicaId } from '@cranberryturn/types';
+import {
+  type ControlCall,
+  type ControlReply,
+  ControlReplyKind,
+  type RemoteCalls,
+} from '@cranberryturn/wire';
+import { err, ok, type Result } from 'neverthrow';
+
+import { computeBackoff } from './compute-backoff.js';
+import type { ControlHost } from './control-host.js';
+
+const attemptTimeout: Milliseconds = 1_000;
+const firstPause: Milliseconds = 10;
+const longestPause: Milliseconds = 500;
+
+/** A reply that settles the call. */
+export type SettledReply = Extract<
+  ControlReply,
+  { readonly kind: ControlReplyKind.Claim | ControlReplyKind.Done }
+>;
+
+/** What a call needs. */
+export interface LeaderCalls {
+  readonly timers: TimerService;
+  readonly random: RandomSource;
+  readonly hosts: () => readonly ControlHost[];
+  /** Longest time for one call with all its attempts. */
+  readonly callTimeout: Milliseconds;
+  readonly isStopped: () => boolean;
+  /** Last known leader. */
+  leader: ReplicaId | undefined;
+}
+
+enum AttemptKind {
+  Settled = 'settled',
+  /** Another host leads; ask there at once. */
+  Redirected = 'redirected',
+  Failed = 'failed',
+}
+
+type Attempt =
+  | { readonly kind: AttemptKind.Settled; readonly reply: SettledReply }
+  | { readonly kind: AttemptKind.Redirected }
+  | { readonly kind: AttemptKind.Failed; readonly mayHaveHappened: boolean };
+
+/** Makes one idempotent call. After an error the work may have been done. */
+export async function callLeader(
+  calls: LeaderCalls,
+  call: ControlCall,
+): Promise<Result<SettledReply, UnavailableError | TimeoutError>> {
+  const { timers, random } = calls;
+  const expiresAt = timers.now() + calls.callTimeout;
+  let mayHaveHappened = false;
+  let redirects = 0;
+  let failures = 0;
+  while (timers.now() < expiresAt && !calls.isStopped()) {
+    const host = chooseHost(calls, failures);
+    const attempt = await attemptCall(calls, host, call, expiresAt);
+    if (attempt.kind === AttemptKind.Settled) return ok(attempt.reply);
+    if (attempt.kind === AttemptKind.Failed) {
+      mayHaveHappened ||= attempt.mayHaveHappened;
+    } else if (redirects < calls.hosts().length) {
+      redirects += 1;
+      continue;
+    }
+    const pause = computeBackoff(failures, firstPause, longestPause);
+    failures += 1;
+    redirects = 0;
+    await sleep(timers, pause * (0.5 + random.fraction() / 2));
+  }
+  return err(describeFailure(call, calls.callTimeout, mayHaveHappened));
+}
+
+function chooseHost(
+  { hosts, leader }: LeaderCalls,
+  failures: number,
+): RemoteCalls | undefined {
+  const connected = hosts().flatMap(host => host.calls() ?? []);
+  const leading = connected.find(
+    calls => calls.connection.peer.name === leader,
+  );
+  return leading ?? connected[failures % Math.max(1, connected.length)];
+}
+
+async function attemptCall(
+  calls: LeaderCalls,
+  host: RemoteCalls | undefined,
+  call: ControlCall,
+  expiresAt: Milliseconds,
+): Promise<Attempt> {
+  if (host === undefined) {
+    return { kind: AttemptKind.Failed, mayHaveHappened: false };
+  }
+  const startedAt = calls.timers.now();
+  const timeout = Math.min(attemptTimeout, expiresAt - startedAt);
+  const reply = await host.call<ControlReply>(call, timeout);
+  if (reply.isErr()) {
+    handleSilence(calls, host, reply.error, startedAt);
+    return { kind: AttemptKind.Failed, mayHaveHappened: true };
+  }
+  return readReply(calls, host, reply.value);
+}
+
+/** A connection that brought nothing since the call was made is replaced by a fresh one. */
+function handleSilence(
+  calls: LeaderCalls,
+  host: RemoteCalls,
+  error: ConnectionError | TimeoutError,
+  startedAt: Milliseconds,
+): void {
+  if (calls.leader === host.connection.peer.name) calls.leader = undefined;
+  if (error instanceof TimeoutError && host.lastReceived() <= startedAt) {
+    host.connection.close();
+  }
+}
+
+function readReply(
+  calls: LeaderCalls,
+  host: RemoteCalls,
+  reply: ControlReply,
+): Attempt {
+  switch (reply.kind) {
+    case ControlReplyKind.Claim:
+    case ControlReplyKind.Done:
+      calls.leader = host.connection.peer.name;
+      return { kind: AttemptKind.Settled, reply };
+    case ControlReplyKind.NotLeader: {
+      const known = reply.leader;
+      const isElsewhere =
+        known !== undefined && known !== host.connection.peer.name;
+      calls.leader = isElsewhere ? known : undefined;
+      return isElsewhere && isConnected(calls, known)
+        ? { kind: AttemptKind.Redirected }
+        : { kind: AttemptKind.Failed, mayHaveHappened: false };
+    }
+    case ControlReplyKind.Unknown:
+      return { kind: AttemptKind.Failed, mayHaveHappened: true };
+  }
+}
+
+function isConnected({ hosts }: LeaderCalls, replica: ReplicaId): boolean {
+  return hosts().some(host => host.calls()?.connection.peer.name === replica);
+}
+
+function describeFailure(
+  call: ControlCall,
+  timeout: Milliseconds,
+  mayHaveHappened: boolean,
+): UnavailableError | TimeoutError {
+  const step = call.method;
+  if (mayHaveHappened) {
+    return new TimeoutError(
+      `Control did not settle the call ${step} within ${String(timeout)} ms; it may still be done. Ask again.`,
+      { step },
+    );
+  }
+  return new UnavailableError(
+    `No control host with a majority could be reached for the call ${step} within ${String(timeout)} ms; check the control hosts and the network.`,
+    { step },
+  );
+}
--- /dev/null
+++ b/packages/control-client/src/create-control-client.ts
@@ -0,0 +1,219 @@
+/** Creates what a dispatcher uses to reach control. */
+import type { ClaimError, ClaimStore } from '@cranberryturn/claims';
+import type { ConfigurationFeed } from '@cranberryturn/configuration';
+import { UnavailableError } from '@cranberryturn/errors';
+import type {
+  RegistrationError,
+  RosterFeed,
+  RosterStore,
+} from '@cranberryturn/membership';
+import type { RandomSource } from '@cranberryturn/random';
+import type { TimerService } from '@cranberryturn/timers';
+import type {
+  ClaimOutcome,
+  ConfigurationVersion,
+  DispatcherIdentity,
+  LogIndex,
+  Milliseconds,
+  NetworkAddress,
+  ReplicaId,
+  TargetId,
+} from '@cranberryturn/types';
+import {
+  type ControlCall,
+  ControlMethod,
+  ControlReplyKind,
+  type InForceReport,
+  type Network,
+} from '@cranberryturn/wire';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+
+import { batchFinishedClaims } from './batch-finished-claims.js';
+import {
+  callLeader,
+  type LeaderCalls,
+  type SettledReply,
+} from './call-leader.js';
+import { keepHosts } from './keep-hosts.js';
+import { holdLatest } from './hold-latest.js';
+import { maximumProofAge, watchControl } from './watch-control.js';
+
+const defaultCallTimeout: Milliseconds = 5_000;
+const reportInterval: Milliseconds = 1_000;
+
+/** What the client needs. */
+export interface ControlClientOptions {
+  readonly network: Network;
+  readonly timers: TimerService;
+  readonly random: RandomSource;
+  /** This run of the dispatcher. */
+  readonly self: DispatcherIdentity;
+  /** Hosts to dial first; later ones are learned from the configuration. */
+  readonly controlHosts: readonly {
+    readonly replicaId: ReplicaId;
+    readonly address: NetworkAddress;
+  }[];
+  /** Longest time for one call with all its attempts. */
+  readonly callTimeout?: Milliseconds | undefined;
+  /** Sidecars that have not confirmed a version of the configuration. */
+  readonly listTargetsBehind?: (
+    version: ConfigurationVersion,
+  ) => readonly TargetId[];
+  /** Called when another control host is watched or none. */
+  readonly handleMove?: (host: string | undefined) => void;
+}
+
+/** Everything that control offers to a dispatcher. */
+export interface ControlClient {
+  readonly claims: ClaimStore;
+  readonly registry: RosterStore;
+  readonly configuration: ConfigurationFeed;
+  readonly roster: RosterFeed;
+  /** True while the watched control host proves a leader with a majority. */
+  isFresh(): boolean;
+  /** Reports answered jobs that still wait, then closes all connections. */
+  stop(): Promise<void>;
+}
+
+/** Creates the client and starts its tasks: one for each control host, one watch. */
+export function createControlClient(
+  options: ControlClientOptions,
+): ControlClient {
+  const { timers, random } = options;
+  const latest = holdLatest();
+  let stopped = false;
+  const isStopped = (): boolean => stopped;
+
+  const hosts = keepHosts({
+    ...options,
+    seeds: options.controlHosts.map(host => host.address),
+    configuration: latest.configuration,
+    handleNotice: (host, notice) => {
+      watch.handleNotice(host, notice);
+      const { leader } = latest.roster.current();
+      if (leader !== undefined) leaderCalls.leader = leader;
+    },
+  });
+  const leaderCalls: LeaderCalls = {
+    timers,
+    random,
+    hosts: hosts.list,
+    callTimeout: options.callTimeout ?? defaultCallTimeout,
+    isStopped,
+    leader: undefined,
+  };
+  const watch = watchControl({
+    timers,
+    hosts: hosts.list,
+    latest,
+    isStopped,
+    firstHost: random.below(Math.max(1, options.controlHosts.length)),
+    handleMove: options.handleMove ?? (() => undefined),
+  });
+
+  const report = (): void => {
+    const leading = hosts
+      .list()
+      .flatMap(host => host.calls() ?? [])
+      .find(calls => calls.connection.peer.name === leaderCalls.leader);
+    leading?.notify(composeReport(options, latest.configuration));
+  };
+  const unsubscribe = latest.configuration.subscribe(report);
+  const reporting = timers.every(reportInterval, report);
+
+  const call = (body: ControlCall) => callLeader(leaderCalls, body);
+  const finished = batchFinishedClaims(timers, async batch => {
+    const reply = await call({
+      method: ControlMethod.FinishClaims,
+      finished: batch,
+    });
+    return reply.isOk();
+  });
+
+  return {
+    claims: createClaimStore(call, finished.add),
+    registry: createRosterStore(call),
+    configuration: latest.configuration,
+    roster: latest.roster,
+    isFresh: () => {
+      const provedAt = watch.provedAt();
+      return (
+        provedAt !== undefined && timers.now() - provedAt <= maximumProofAge
+      );
+    },
+    stop: async () => {
+      await finished.flush();
+      stopped = true;
+      reporting.cancel();
+      unsubscribe();
+      hosts.stop();
+    },
+  };
+}
+
+type Call = (body: ControlCall) => Promise<Result<SettledReply, ClaimError>>;
+
+function createClaimStore(
+  call: Call,
+  addFinished: (finished: {
+    team: string;
+    jobId: string;
+    epoch: number;
+  }) => void,
+): ClaimStore {
+  const claim = (body: ControlCall) =>
+    new ResultAsync(call(body)).andThen(readClaim);
+  return {
+    claimJob: request => claim({ method: ControlMethod.Claim, claim: request }),
+    adoptJob: request => claim({ method: ControlMethod.Adopt, adopt: request }),
+    finishClaim: (team, jobId, epoch) => {
+      addFinished({ team, jobId, epoch });
+    },
+  };
+}
+
+function createRosterStore(call: Call): RosterStore {
+  const register = (body: ControlCall) =>
+    new ResultAsync(call(body)).andThen(readIndex);
+  return {
+    registerDispatcher: dispatcher =>
+      register({ method: ControlMethod.RegisterDispatcher, dispatcher }),
+    retireDispatcher: dispatcher =>
+      register({ method: ControlMethod.RetireDispatcher, dispatcher }),
+    registerTarget: target =>
+      register({ method: ControlMethod.RegisterTarget, target }),
+    retireTarget: target =>
+      register({ method: ControlMethod.RetireTarget, target }),
+  };
+}
+
+function readClaim(reply: SettledReply): Result<ClaimOutcome, ClaimError> {
+  return reply.kind === ControlReplyKind.Claim
+    ? ok(reply.outcome)
+    : err(describeWrongReply(reply));
+}
+
+function readIndex(reply: SettledReply): Result<LogIndex, RegistrationError> {
+  return reply.kind === ControlReplyKind.Done
+    ? ok(reply.index)
+    : err(describeWrongReply(reply));
+}
+
+function describeWrongReply(reply: SettledReply): UnavailableError {
+  return new UnavailableError(
+    `Control answered with ${reply.kind}, which is no answer to this call; run the same version on all hosts.`,
+    { step: 'read reply' },
+  );
+}
+
+function composeReport(
+  { self, listTargetsBehind }: ControlClientOptions,
+  configuration: ConfigurationFeed,
+): InForceReport {
+  const { version } = configuration.current();
+  return {
+    dispatcher: self,
+    configurationVersion: version,
+    targetsBehind: listTargetsBehind?.(version) ?? [],
+  };
+}
--- a/packages/control-client/src/index.ts
+++ b/packages/control-client/src/index.ts
@@ -1,2 +1,3 @@
 /** What dispatchers use to reach control: claims, roster and the configuration in force. */
-export {};
+export * from './create-control-client.js';
+export { maximumProofAge } from './watch-control.js';
--- /dev/null
+++ b/packages/control/src/batch-operations.ts
@@ -0,0 +1,84 @@
+/** Proposes the operations of one turn of the event loop as one entry of the log. */
+import type { TimeoutError } from '@cranberryturn/errors';
+import type {
+  LogUnavailableError,
+  ReplicatedLog,
+} from '@cranberryturn/replicated-log';
+import { LogUnavailableError as UnavailableLog } from '@cranberryturn/replicated-log';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+
+import {
+  type ControlOperation,
+  encodeOperations,
+  type OperationOutcome,
+} from './control-operations.js';
+import type { EntryOutcome } from './control-state.js';
+
+const maximumOperationsPerEntry = 1_024;
+
+/** Why an operation has no outcome. */
+export type ProposeError = LogUnavailableError | TimeoutError;
+
+/** Proposes operations. */
+export interface OperationProposer {
+  submit(
+    operation: ControlOperation,
+  ): ResultAsync<OperationOutcome, ProposeError>;
+}
+
+interface WaitingOperation {
+  readonly operation: ControlOperation;
+  readonly settle: (result: Result<OperationOutcome, ProposeError>) => void;
+}
+
+/** Creates a proposer on top of a log. */
+export function createOperationProposer(
+  log: Pick<ReplicatedLog<EntryOutcome>, 'propose'>,
+): OperationProposer {
+  let waiting: WaitingOperation[] = [];
+
+  const propose = async (batch: readonly WaitingOperation[]): Promise<void> => {
+    const command = encodeOperations(batch.map(entry => entry.operation));
+    const proposed = await log.propose(command);
+    for (const [position, entry] of batch.entries()) {
+      entry.settle(
+        proposed.andThen(({ outcome }) => pickOutcome(outcome, position)),
+      );
+    }
+  };
+
+  const flush = (): void => {
+    const operations = waiting;
+    waiting = [];
+    for (let from = 0; from < operations.length;) {
+      const batch = operations.slice(from, from + maximumOperationsPerEntry);
+      from += batch.length;
+      void propose(batch);
+    }
+  };
+
+  return {
+    submit: operation =>
+      new ResultAsync(
+        new Promise(settle => {
+          waiting.push({ operation, settle });
+          if (waiting.length === 1) setImmediate(flush);
+        }),
+      ),
+  };
+}
+
+function pickOutcome(
+  outcomes: EntryOutcome,
+  position: number,
+): Result<OperationOutcome, ProposeError> {
+  const outcome = outcomes[position];
+  if (outcome !== undefined) return ok(outcome);
+  return err(
+    new UnavailableLog(
+      'The log returned no outcome for an operation; ask again.',
+      { step: 'propose operations' },
+      true,
+    ),
+  );
+}
--- /dev/null
+++ b/packages/control/src/control-state.ts
@@ -0,0 +1,204 @@
+/** The state of control as one deterministic state machine over its log. */
+import {
+  applyAdoption,
+  applyClaim,
+  applyFinish,
+  captureClaimTable,
+  type ClaimContext,
+  type ClaimRetention,
+  type ClaimTable,
+  type ClaimTableSnapshot,
+  createClaimTable,
+  dropExpiredClaims,
+  restoreClaimTable,
+} from '@cranberryturn/claims';
+import {
+  applyConfirm,
+  applyInitialConfiguration,
+  captureConfigurationState,
+  type ConfigurationSnapshot,
+  type ConfigurationState,
+  createConfigurationState,
+  restoreConfigurationState,
+} from '@cranberryturn/configuration';
+import {
+  captureRosterState,
+  createRosterState,
+  dropRetiredRuns,
+  findDispatcherAddress,
+  listWitnesses,
+  registerDispatcher,
+  registerTarget,
+  restoreRosterState,
+  retireDispatcher,
+  retireTarget,
+  type RosterRetention,
+  type RosterSnapshot,
+  type RosterState,
+} from '@cranberryturn/membership';
+import type {
+  CommittedEntry,
+  StateMachine,
+} from '@cranberryturn/replicated-log';
+import { ControlMethod } from '@cranberryturn/wire';
+import { Packr } from 'msgpackr';
+
+import {
+  type ControlOperation,
+  type ControlWrite,
+  decodeOperations,
+  OperationKind,
+  type OperationOutcome,
+  OperationOutcomeKind,
+} from './control-operations.js';
+
+/** How much control remembers. */
+export interface ControlRetention {
+  readonly claims: ClaimRetention;
+  readonly roster: RosterRetention;
+}
+
+/** What one log entry did: one outcome for each of its operations. */
+export type EntryOutcome = readonly OperationOutcome[];
+
+/** The state machine, and the state that it has built. */
+export interface ControlState extends StateMachine<EntryOutcome> {
+  readonly claims: ClaimTable;
+  readonly roster: RosterState;
+  readonly configuration: ConfigurationState;
+}
+
+interface ControlSnapshot {
+  readonly format: number;
+  readonly claims: ClaimTableSnapshot;
+  readonly roster: RosterSnapshot;
+  readonly configuration: ConfigurationSnapshot;
+}
+
+const snapshotFormat = 1;
+const packer = new Packr({ useRecords: true, variableMapSize: true });
+
+/** Creates the state before the first entry. */
+export function createControlState(retention: ControlRetention): ControlState {
+  let claims = createClaimTable();
+  let roster = createRosterState();
+  let configuration = createConfigurationState();
+
+  const applyCall = (
+    call: ControlWrite,
+    entry: CommittedEntry,
+  ): OperationOutcome => {
+    switch (call.method) {
+      case ControlMethod.Claim:
+        return {
+          kind: OperationOutcomeKind.Claim,
+          outcome: applyClaim(
+            claims,
+            call.claim,
+            composeContext(roster, retention.claims, entry),
+          ),
+        };
+      case ControlMethod.Adopt:
+        return {
+          kind: OperationOutcomeKind.Claim,
+          outcome: applyAdoption(
+            claims,
+            call.adopt,
+            composeContext(roster, retention.claims, entry),
+          ),
+        };
+      case ControlMethod.FinishClaims:
+        for (const { team, jobId, epoch } of call.finished) {
+          applyFinish(claims, team, jobId, epoch, entry.leaderTime);
+        }
+        return complete(entry.index);
+      case ControlMethod.RegisterDispatcher:
+        return complete(registerDispatcher(roster, call.dispatcher, entry));
+      case ControlMethod.RetireDispatcher:
+        retireDispatcher(roster, call.dispatcher, entry);
+        return complete(entry.index);
+      case ControlMethod.RegisterTarget:
+        return complete(registerTarget(roster, call.target, entry));
+      case ControlMethod.RetireTarget:
+        retireTarget(roster, call.target, entry);
+        return complete(entry.index);
+    }
+  };
+
+  const applyOperation = (
+    operation: ControlOperation,
+    entry: CommittedEntry,
+  ): OperationOutcome => {
+    switch (operation.kind) {
+      case OperationKind.Call:
+        return applyCall(operation.call, entry);
+      case OperationKind.Confirm:
+        return {
+          kind: OperationOutcomeKind.Confirm,
+          outcome: applyConfirm(
+            configuration,
+            operation.request,
+            entry.leaderTime,
+          ),
+        };
+      case OperationKind.Initialize:
+        applyInitialConfiguration(configuration, operation.configuration);
+        return complete(entry.index);
+    }
+  };
+
+  return {
+    get claims() {
+      return claims;
+    },
+    get roster() {
+      return roster;
+    },
+    get configuration() {
+      return configuration;
+    },
+    apply: entry => {
+      dropExpiredClaims(claims, retention.claims, entry.leaderTime);
+      dropRetiredRuns(roster, retention.roster, entry.leaderTime);
+      return decodeOperations(entry.command).map(operation =>
+        applyOperation(operation, entry),
+      );
+    },
+    snapshot: () => {
+      const snapshot: ControlSnapshot = {
+        format: snapshotFormat,
+        claims: captureClaimTable(claims),
+        roster: captureRosterState(roster),
+        configuration: captureConfigurationState(configuration),
+      };
+      return packer.pack(snapshot);
+    },
+    restore: bytes => {
+      const snapshot = packer.unpack(bytes) as ControlSnapshot;
+      claims = restoreClaimTable(snapshot.claims);
+      roster = restoreRosterState(snapshot.roster);
+      configuration = restoreConfigurationState(snapshot.configuration);
+    },
+  };
+}
+
+function composeContext(
+  roster: RosterState,
+  retention: ClaimRetention,
+  { index, leaderTime }: CommittedEntry,
+): ClaimContext {
+  return {
+    index,
+    leaderTime,
+    retention,
+    roster: {
+      version: roster.version,
+      findOwnerAddress: owner => findDispatcherAddress(roster, owner),
+      listWitnesses: (service, since) => listWitnesses(roster, service, since),
+    },
+  };
+}
+
+function complete(index: number): OperationOutcome {
+  return { kind: OperationOutcomeKind.Done, index };
+}
--- /dev/null
+++ b/packages/control/src/fakes/memory-log.ts
@@ -0,0 +1,97 @@
+/** A log of one replica in memory, whose faults a test sets. */
+import {
+  type LogEvent,
+  LogEventKind,
+  type LogStatus,
+  LogUnavailableError,
+  MemberRole,
+  type ReplicatedLog,
+  ReplicaRole,
+  type StateMachine,
+} from '@cranberryturn/replicated-log';
+import type { TimerService } from '@cranberryturn/timers';
+import type { LogIndex, ReplicaId } from '@cranberryturn/types';
+import { errAsync, okAsync } from 'neverthrow';
+
+/** The log, with its faults. */
+export interface MemoryLog<Outcome> extends ReplicatedLog<Outcome> {
+  /** While false, every proposal is refused and nothing is applied. */
+  leading: boolean;
+  /** Commands applied so far. */
+  readonly commands: readonly Uint8Array[];
+}
+
+/** Creates a log that commits at once. */
+export function createMemoryLog<Outcome>(options: {
+  readonly replicaId: ReplicaId;
+  readonly stateMachine: StateMachine<Outcome>;
+  readonly timers: TimerService;
+}): MemoryLog<Outcome> {
+  const { replicaId, stateMachine, timers } = options;
+  const commands: Uint8Array[] = [];
+  const listeners = new Set<(event: LogEvent<Outcome>) => void>();
+  let provedAt = timers.now();
+  let lastIndex: LogIndex = 0;
+
+  const refuse = () =>
+    errAsync(
+      new LogUnavailableError(
+        `${replicaId} does not lead.`,
+        { step: 'propose' },
+        false,
+      ),
+    );
+
+  const log: MemoryLog<Outcome> = {
+    leading: true,
+    commands,
+    propose: command => {
+      if (!log.leading) return refuse();
+      commands.push(command);
+      lastIndex += 1;
+      const entry = {
+        index: lastIndex,
+        term: 1,
+        leaderTime: timers.wallClock(),
+        command,
+      };
+      const outcome = stateMachine.apply(entry);
+      for (const listener of listeners) {
+        listener({ kind: LogEventKind.Applied, entry, outcome });
+      }
+      return okAsync({ index: entry.index, outcome });
+    },
+    status: (): LogStatus => {
+      if (log.leading) provedAt = timers.now();
+      return {
+        replicaId,
+        role: log.leading ? ReplicaRole.Leader : ReplicaRole.Follower,
+        term: 1,
+        leader: log.leading ? replicaId : undefined,
+        commitIndex: lastIndex,
+        appliedIndex: lastIndex,
+        lastIndex,
+        snapshotIndex: 0,
+        members: [{ replicaId, role: MemberRole.Voter, address: '' }],
+        leadershipProvedAt: provedAt,
+      };
+    },
+    confirmLeadership: () =>
+      log.leading
+        ? okAsync({ readIndex: lastIndex, provedAt: timers.now() })
+        : refuse(),
+    subscribe: listener => {
+      listeners.add(listener);
+      return { cancel: () => void listeners.delete(listener) };
+    },
+    changeMembers: () => okAsync(lastIndex),
+    transferLeadership: () => refuse(),
+    handlePeerMessage: () =>
+      Promise.reject(new Error('A log in memory has no peers.')),
+    stop: () => {
+      log.leading = false;
+      return Promise.resolve();
+    },
+  };
+  return log;
+}
--- /dev/null
+++ b/packages/control/src/feed-followers.ts
@@ -0,0 +1,147 @@
+/** Feeds followers with the configuration, the roster and the proof that the leader has its majority. */
+import { listChangesSince } from '@cranberryturn/configuration';
+import { composeRoster, composeRosterChanges } from '@cranberryturn/membership';
+import type { LogStatus } from '@cranberryturn/replicated-log';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type { LogIndex, Milliseconds, Roster } from '@cranberryturn/types';
+import {
+  type ControlNotice,
+  ControlNoticeKind,
+  type RemoteCalls,
+} from '@cranberryturn/wire';
+
+import type { ControlState } from './control-state.js';
+
+const freshnessInterval: Milliseconds = 500;
+const coalescingDelay: Milliseconds = 10;
+const maximumDeltaChanges = 200;
+
+/** Age of the proof above which control feeds nobody. */
+export const maximumProofAge: Milliseconds = 1_500;
+
+/** The followers of one control replica. */
+export interface FollowerFeed {
+  /** Starts to feed a follower that has these versions. */
+  watch(
+    calls: RemoteCalls,
+    configurationVersion: number,
+    rosterVersion: number,
+  ): void;
+  forget(calls: RemoteCalls): void;
+  /** Says that the state may have changed. */
+  wake(): void;
+  appliedIndex(): LogIndex;
+  followers(): number;
+  stop(): void;
+}
+
+interface Follower {
+  readonly calls: RemoteCalls;
+  configurationVersion: number;
+  rosterVersion: number;
+}
+
+/** Creates the feed of one replica. */
+export function createFollowerFeed(options: {
+  readonly timers: TimerService;
+  readonly state: ControlState;
+  readonly status: () => LogStatus;
+}): FollowerFeed {
+  const { timers, state, status } = options;
+  const followers = new Map<RemoteCalls, Follower>();
+  let pending: TimerSubscription | undefined;
+  let roster: Roster = composeRoster(state.roster);
+
+  const proofAge = (): Milliseconds => {
+    const provedAt = status().leadershipProvedAt;
+    return provedAt === undefined ? Infinity : timers.now() - provedAt;
+  };
+
+  const currentRoster = (): Roster => {
+    if (roster.version !== state.roster.version) {
+      roster = composeRoster(state.roster);
+    }
+    return roster;
+  };
+
+  const flush = (): void => {
+    pending = undefined;
+    if (proofAge() > maximumProofAge) return;
+    for (const follower of followers.values()) {
+      feedConfiguration(follower, state);
+      feedRoster(follower, state, currentRoster);
+    }
+  };
+
+  const wake = (): void => {
+    if (followers.size === 0) return;
+    pending ??= timers.after(coalescingDelay, flush);
+  };
+
+  const composeFreshness = (): ControlNotice => ({
+    kind: ControlNoticeKind.Freshness,
+    proofAgeMilliseconds: Math.ceil(
+      Math.min(proofAge(), Number.MAX_SAFE_INTEGER),
+    ),
+    configurationVersion: state.configuration.configuration.version,
+    leader: status().leader,
+  });
+
+  const sendFreshness = (): void => {
+    const notice = composeFreshness();
+    for (const { calls } of followers.values()) calls.notify(notice);
+    // A proof that came back lets followers receive what they missed.
+    wake();
+  };
+
+  const heartbeat = timers.every(freshnessInterval, sendFreshness);
+
+  return {
+    watch: (calls, configurationVersion, rosterVersion) => {
+      followers.set(calls, { calls, configurationVersion, rosterVersion });
+      calls.notify(composeFreshness());
+      wake();
+    },
+    forget: calls => {
+      followers.delete(calls);
+    },
+    wake,
+    appliedIndex: () => status().appliedIndex,
+    followers: () => followers.size,
+    stop: () => {
+      heartbeat.cancel();
+      pending?.cancel();
+    },
+  };
+}
+
+function feedConfiguration(follower: Follower, state: ControlState): void {
+  const { configuration } = state.configuration;
+  if (configuration.version <= follower.configurationVersion) return;
+  const changes = listChangesSince(
+    state.configuration,
+    follower.configurationVersion,
+  );
+  const isDelta =
+    changes !== undefined && changes.length <= maximumDeltaChanges;
+  const notice: ControlNotice = isDelta
+    ? { kind: ControlNoticeKind.ConfigurationChanges, changes }
+    : { kind: ControlNoticeKind.Configuration, configuration };
+  follower.calls.notify(notice);
+  follower.configurationVersion = configuration.version;
+}
+
+function feedRoster(
+  follower: Follower,
+  state: ControlState,
+  currentRoster: () => Roster,
+): void {
+  if (state.roster.version <= follower.rosterVersion) return;
+  const changes = composeRosterChanges(state.roster, follower.rosterVersion);
+  const notice: ControlNotice =
+    changes === undefined
+      ? { kind: ControlNoticeKind.Roster, roster: currentRoster() }
+      : { kind: ControlNoticeKind.RosterChanges, changes };
+  follower.calls.notify(notice);
+  follower.rosterVersion = state.roster.version;
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,2 +1,7 @@
 /** The control role: replicated log, configuration, claims, roster. */
-export {};
+export * from './control-operations.js';
+export * from './control-state.js';
+export * from './fakes/memory-log.js';
+export * from './in-force-table.js';
+export * from './parse-address.js';
+export * from './start-control.js';
--- /dev/null
+++ b/packages/control/src/serve-follower.ts
@@ -0,0 +1,85 @@
+/** Serves one connection of a dispatcher: its calls, and the notices it watches for. */
+import type { TimerService } from '@cranberryturn/timers';
+import {
+  type Connection,
+  type ControlCall,
+  ControlMethod,
+  type ControlReply,
+  ControlReplyKind,
+  type InForceReport,
+  serveRemoteCalls,
+} from '@cranberryturn/wire';
+
+import type { OperationProposer, ProposeError } from './batch-operations.js';
+import {
+  type ControlWrite,
+  OperationKind,
+  type OperationOutcome,
+  OperationOutcomeKind,
+} from './control-operations.js';
+import type { FollowerFeed } from './feed-followers.js';
+
+/** What a connection of a dispatcher needs. */
+export interface FollowerServices {
+  readonly timers: TimerService;
+  readonly proposer: OperationProposer;
+  readonly feed: FollowerFeed;
+  readonly observeOutcome: (call: ControlWrite, reply: ControlReply) => void;
+  readonly receiveReport: (report: InForceReport) => void;
+}
+
+/** Serves a connection until it ends. */
+export async function serveFollower(
+  connection: Connection,
+  services: FollowerServices,
+): Promise<void> {
+  const { timers, feed } = services;
+
+  const handleCall = async (call: ControlCall): Promise<ControlReply> => {
+    if (call.method === ControlMethod.Watch) {
+      feed.watch(calls, call.configurationVersion, call.rosterVersion);
+      return { kind: ControlReplyKind.Done, index: feed.appliedIndex() };
+    }
+    const reply = await write(call, services.proposer);
+    services.observeOutcome(call, reply);
+    return reply;
+  };
+
+  const calls = serveRemoteCalls(connection, timers, {
+    handleCall: body => handleCall(body as ControlCall),
+    handleNotice: body => {
+      services.receiveReport(body as InForceReport);
+    },
+  });
+  await calls.ended;
+  feed.forget(calls);
+}
+
+async function write(
+  call: ControlWrite,
+  proposer: OperationProposer,
+): Promise<ControlReply> {
+  const submitted = await proposer.submit({ kind: OperationKind.Call, call });
+  return submitted.match(composeReply, composeRefusal);
+}
+
+function composeReply(outcome: OperationOutcome): ControlReply {
+  switch (outcome.kind) {
+    case OperationOutcomeKind.Claim:
+      return { kind: ControlReplyKind.Claim, outcome: outcome.outcome };
+    case OperationOutcomeKind.Done:
+      return { kind: ControlReplyKind.Done, index: outcome.index };
+    case OperationOutcomeKind.Confirm:
+      return {
+        kind: ControlReplyKind.Unknown,
+        reason: 'a confirm is no call of a dispatcher',
+      };
+  }
+}
+
+function composeRefusal(error: ProposeError): ControlReply {
+  if ('mayHaveHappened' in error && !error.mayHaveHappened) {
+    return { kind: ControlReplyKind.NotLeader, leader: error.leader };
+  }
+  return { kind: ControlReplyKind.Unknown, reason: error.message };
+}
--- /dev/null
+++ b/packages/control/src/start-control.ts
@@ -0,0 +1,258 @@
+/** Starts one replica of control. */
+import { defaultClaimRetention } from '@cranberryturn/claims';
+import {
+  type ConnectionError,
+  type CranberryError,
+} from '@cranberryturn/errors';
+import type { Logger } from '@cranberryturn/logger';
+import { defaultRosterRetention } from '@cranberryturn/membership';
+import {
+  type LogEvent,
+  LogEventKind,
+  type LogStatus,
+  type OpenLogError,
+  type PeerLink,
+  type ReplicatedLog,
+  ReplicaRole,
+  type StateMachine,
+} from '@cranberryturn/replicated-log';
+import type { TimerService } from '@cranberryturn/timers';
+import {
+  type ClusterConfiguration,
+  type DecisionSink,
+  emptyConfiguration,
+  type NetworkAddress,
+  type ReplicaId,
+} from '@cranberryturn/types';
+import {
+  type Connection,
+  type Listener,
+  type Network,
+  ProcessRole,
+} from '@cranberryturn/wire';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+
+import { createWirePeerLink, servePeer } from './adapters/wire-peer-link.js';
+import {
+  createOperationProposer,
+  type OperationProposer,
+} from './batch-operations.js';
+import { OperationKind } from './control-operations.js';
+import {
+  type ControlRetention,
+  type ControlState,
+  createControlState,
+  type EntryOutcome,
+} from './control-state.js';
+import { createFollowerFeed, type FollowerFeed } from './feed-followers.js';
+import { createInForceTable, type InForceTable } from './in-force-table.js';
+import { parseAddress } from './parse-address.js';
+import { recordClaim } from './record-claim.js';
+import { serveFollower } from './serve-follower.js';
+
+/** Opens the log of this replica. */
+export type LogOpener = (
+  stateMachine: StateMachine<EntryOutcome>,
+  link: PeerLink,
+) => ResultAsync<ReplicatedLog<EntryOutcome>, OpenLogError>;
+
+/** What a replica of control needs. */
+export interface ControlOptions {
+  /** Connections from other replicas and from dispatchers. */
+  readonly listen: NetworkAddress;
+  readonly network: Network;
+  readonly timers: TimerService;
+  readonly openLog: LogOpener;
+  /** Replicas known before the log tells of them. */
+  readonly peers: readonly {
+    readonly replicaId: ReplicaId;
+    readonly address: NetworkAddress;
+  }[];
+  /** Configuration that the first leader of an empty log proposes. */
+  readonly initialConfiguration?: Omit<ClusterConfiguration, 'version'>;
+  readonly retention?: Partial<ControlRetention>;
+  readonly logger: Logger;
+  readonly decisions: DecisionSink;
+}
+
+/** One running replica of control. */
+export interface ControlNode {
+  /** Address of its listener. */
+  readonly address: NetworkAddress;
+  readonly state: ControlState;
+  readonly log: ReplicatedLog<EntryOutcome>;
+  readonly proposer: OperationProposer;
+  readonly feed: FollowerFeed;
+  /** Versions that dispatchers reported to this replica; complete only at the leader. */
+  readonly inForce: InForceTable;
+  /** Planned stop: hands over the lead first. */
+  stop(): Promise<void>;
+}
+
+/** Why a replica did not start. */
+export type StartControlError = OpenLogError | ConnectionError;
+
+/** Starts a replica: opens its log, then serves its peers and followers. */
+export function startControl(
+  options: ControlOptions,
+): ResultAsync<ControlNode, StartControlError> {
+  return new ResultAsync(start(options));
+}
+
+async function start(
+  options: ControlOptions,
+): Promise<Result<ControlNode, StartControlError>> {
+  const { network, timers, logger } = options;
+  const state = createControlState({
+    claims: options.retention?.claims ?? defaultClaimRetention,
+    roster: options.retention?.roster ?? defaultRosterRetention,
+  });
+  const own: { log?: ReplicatedLog<EntryOutcome> } = {};
+  const link = createWirePeerLink({
+    network,
+    timers,
+    self: () => own.log?.status().replicaId ?? '',
+    findAddress: replica => findAddress(options, own.log?.status(), replica),
+  });
+  const opened = await options.openLog(state, link);
+  if (opened.isErr()) return err(opened.error);
+  const log = opened.value;
+  own.log = log;
+
+  const proposer = createOperationProposer(log);
+  const status = log.status.bind(log);
+  const feed = createFollowerFeed({ timers, state, status });
+  const inForce = createInForceTable(timers);
+  const node = { state, log, proposer, feed, inForce };
+  const subscription = log.subscribe(event => {
+    observeEvent(options, node, event);
+  });
+  initialize(options, node);
+  const listening = await network.listen(options.listen, connection => {
+    void serve(options, node, connection);
+  });
+  if (listening.isErr()) {
+    feed.stop();
+    await log.stop();
+    return err(listening.error);
+  }
+  const listener = listening.value;
+  logger.info('control replica started', {
+    replicaId: status().replicaId,
+    address: listener.address,
+  });
+  const stop = async (): Promise<void> => {
+    subscription.cancel();
+    await stopReplica(options, node, listener);
+    link.close();
+  };
+  return ok({ ...node, address: listener.address, stop });
+}
+
+type RunningReplica = Omit<ControlNode, 'address' | 'stop'>;
+
+async function serve(
+  options: ControlOptions,
+  node: RunningReplica,
+  connection: Connection,
+): Promise<void> {
+  const { timers, decisions } = options;
+  const { log, proposer, feed, inForce } = node;
+  if (connection.peer.role === ProcessRole.Control) {
+    await servePeer(connection, timers, ({ from, message }) =>
+      log.handlePeerMessage(from, message),
+    );
+    return;
+  }
+  await serveFollower(connection, {
+    timers,
+    proposer,
+    feed,
+    observeOutcome: (call, reply) => {
+      recordClaim(decisions, call, reply);
+    },
+    receiveReport: report => {
+      inForce.record(report);
+    },
+  });
+}
+
+function observeEvent(
+  options: ControlOptions,
+  node: RunningReplica,
+  event: LogEvent<EntryOutcome>,
+): void {
+  switch (event.kind) {
+    case LogEventKind.Applied:
+    case LogEventKind.Restored:
+      node.feed.wake();
+      return;
+    case LogEventKind.RoleChanged:
+      logRole(options.logger, event.status);
+      node.feed.wake();
+      initialize(options, node);
+      return;
+  }
+}
+
+/** Proposes the first configuration; a log that has one ignores it. */
+function initialize(options: ControlOptions, node: RunningReplica): void {
+  const { initialConfiguration } = options;
+  if (node.log.status().role !== ReplicaRole.Leader) return;
+  if (
+    node.state.configuration.configuration.version > emptyConfiguration.version
+  )
+    return;
+  if (initialConfiguration === undefined) return;
+  void node.proposer
+    .submit({
+      kind: OperationKind.Initialize,
+      configuration: initialConfiguration,
+    })
+    .orTee((error: CranberryError) => {
+      options.logger.warn('first configuration not proposed', { error });
+    });
+}
+
+function logRole(logger: Logger, status: LogStatus): void {
+  const { replicaId, role, term, leader, failure } = status;
+  if (failure !== undefined) {
+    logger.error('control replica stopped', { replicaId, error: failure });
+    return;
+  }
+  logger.info('control replica changed its role', {
+    replicaId,
+    role,
+    term,
+    leader,
+  });
+}
+
+function findAddress(
+  options: ControlOptions,
+  status: LogStatus | undefined,
+  replica: ReplicaId,
+): NetworkAddress | undefined {
+  const member = status?.members.find(entry => entry.replicaId === replica);
+  const learned =
+    member === undefined ? undefined : parseAddress(member.address);
+  return (
+    learned ?? options.peers.find(peer => peer.replicaId === replica)?.address
+  );
+}
+
+async function stopReplica(
+  { logger }: ControlOptions,
+  { log, feed }: RunningReplica,
+  listener: Listener,
+): Promise<void> {
+  if (log.status().role === ReplicaRole.Leader) {
+    const handed = await log.transferLeadership();
+    if (handed.isErr()) {
+      logger.warn('the lead was not handed over', { error: handed.error });
+    }
+  }
+  feed.stop();
+  await listener.close();
+  await log.stop();
+}
--- /dev/null
+++ b/packages/wire/src/dial-within.ts
@@ -0,0 +1,44 @@
+import {
+  type AuthenticationError,
+  ConnectionError,
+} from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { err, type Result, ResultAsync } from 'neverthrow';
+
+import type { Connection, Dialer } from './ports/connection.js';
+
+type DialResult = Result<Connection, ConnectionError | AuthenticationError>;
+
+/** Dials, and gives up after `timeout`; a connection that opens later is closed. */
+export function dialWithin(
+  dialer: Dialer,
+  timers: TimerService,
+  address: NetworkAddress,
+  timeout: Milliseconds,
+): ResultAsync<Connection, ConnectionError | AuthenticationError> {
+  const dialled = new Promise<DialResult>(resolve => {
+    let late = false;
+    const expiry = timers.after(timeout, () => {
+      late = true;
+      resolve(err(describeTimeout(address, timeout)));
+    });
+    void dialer.dial(address).then(result => {
+      expiry.cancel();
+      if (late && result.isOk()) result.value.close();
+      resolve(result);
+    });
+  });
+  return new ResultAsync(dialled);
+}
+
+function describeTimeout(
+  { address, port }: NetworkAddress,
+  timeout: Milliseconds,
+): ConnectionError {
+  const peer = `${address}:${String(port)}`;
+  return new ConnectionError(
+    `${peer} did not accept a connection within ${String(timeout)} ms.`,
+    { step: 'dial', peer },
+  );
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,6 +1,7 @@
 /** Messages between processes, their codec, connections and remote calls. */
 export * from './adapters/web-socket-network.js';
 export * from './codec.js';
+export * from './dial-within.js';
 export * from './fakes/memory-network.js';
 export * from './frame-queue.js';
 export * from './frame-writer.js';
