--- a/packages/claims/src/apply-claim.ts
+++ b/packages/claims/src/apply-claim.ts
@@ -116,6 +116,7 @@
     service: claim.service,
     digest: claim.digest,
     claimedAt: index,
+    claimedTime: leaderTime,
     owner: claim.owner,
     submissionId: claim.submissionId,
     epoch: 1,
@@ -129,13 +130,14 @@
   table: ClaimTable,
   key: string,
   record: ClaimRecord,
-  { roster }: ClaimContext,
+  { leaderTime, roster }: ClaimContext,
 ): ClaimGranted {
   return {
     kind: ClaimOutcomeKind.Granted,
     epoch: record.epoch,
     submissionId: record.submissionId,
     claimedAt: record.claimedAt,
+    ageMilliseconds: leaderTime - record.claimedTime,
     witnesses:
       record.epoch > 1
         ? roster.listWitnesses(record.service, record.claimedAt)
--- a/packages/claims/src/claim-table.ts
+++ b/packages/claims/src/claim-table.ts
@@ -20,6 +20,8 @@
   readonly digest: BodyDigest;
   /** Position in the log of the first claim. */
   readonly claimedAt: LogIndex;
+  /** Time of the leader at the first claim. */
+  readonly claimedTime: Milliseconds;
   owner: DispatcherIdentity;
   /** Submission to which the current epoch was granted. */
   submissionId: string;
