--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -2,6 +2,7 @@
 export type { HandshakeError } from './adapters/authenticate-socket.js';
 export * from './adapters/web-socket-network.js';
 export * from './codec.js';
+export * from './dial-within.js';
 export * from './fakes/memory-network.js';
 export * from './frame-queue.js';
 export * from './frame-writer.js';
