--- /dev/null
+++ b/packages/dispatcher/src/assemble-adoption-plan.ts
@@ -0,0 +1,121 @@
+/** Decides what becomes of each task of an adopted job. */
+import {
+  type TaskFate,
+  TaskFateKind,
+  type TaskPlan,
+  TaskPlanKind,
+} from '@cranberryturn/scheduling';
+import {
+  AttemptOutcome,
+  type AttemptResult,
+  type ClaimGranted,
+  type TargetIdentity,
+  type TaskId,
+} from '@cranberryturn/types';
+import type { JobEvidence } from '@cranberryturn/wire';
+
+/** What one witness said; undefined when it could not be reached. */
+export interface WitnessStatement {
+  readonly witness: TargetIdentity;
+  readonly evidence: JobEvidence | undefined;
+}
+
+/** A task whose fate is already known. */
+export interface EndedTask {
+  readonly taskId: TaskId;
+  readonly fate: TaskFate;
+}
+
+/** What becomes of each task of an adopted job. */
+export interface AdoptionPlan {
+  readonly ended: readonly EndedTask[];
+  readonly plans: readonly TaskPlan[];
+}
+
+/**
+ * Plans the adoption of a job. A task is placed only when every witness
+ * disclaims it; silence of a witness is never taken as a disclaimer.
+ */
+export function assembleAdoptionPlan(
+  taskIds: readonly TaskId[],
+  grant: ClaimGranted,
+  statements: readonly WitnessStatement[],
+): AdoptionPlan {
+  const ended: EndedTask[] = [];
+  const plans: TaskPlan[] = [];
+  for (const taskId of taskIds) {
+    const plan =
+      findRunning(taskId, statements) ??
+      findEnded(taskId, statements) ??
+      planUnseen(taskId, grant, statements);
+    if ('fate' in plan) {
+      ended.push(plan);
+    } else {
+      plans.push(plan);
+    }
+  }
+  return { ended, plans };
+}
+
+function findRunning(
+  taskId: TaskId,
+  statements: readonly WitnessStatement[],
+): TaskPlan | undefined {
+  for (const { witness, evidence } of statements) {
+    const attempt = evidence?.running.find(one => one.taskId === taskId);
+    if (attempt === undefined) continue;
+    return { kind: TaskPlanKind.Await, attempt, target: witness };
+  }
+  return undefined;
+}
+
+function findEnded(
+  taskId: TaskId,
+  statements: readonly WitnessStatement[],
+): EndedTask | undefined {
+  for (const { witness, evidence } of statements) {
+    const result = evidence?.ended.find(one => one.taskId === taskId);
+    if (result !== undefined) return { taskId, fate: describeFate(result) };
+    if (evidence?.forgotten.some(one => one.taskId === taskId) !== true) {
+      continue;
+    }
+    const reason = `Target ${witness.targetId} ran it, and its answer is no longer kept.`;
+    return { taskId, fate: { kind: TaskFateKind.Failed, reason } };
+  }
+  return undefined;
+}
+
+function planUnseen(
+  taskId: TaskId,
+  grant: ClaimGranted,
+  statements: readonly WitnessStatement[],
+): TaskPlan | EndedTask {
+  const doubtful = statements.find(one => !canDisclaim(one, grant));
+  if (doubtful !== undefined) {
+    const reason = `It may have been started on target ${doubtful.witness.targetId}, which cannot tell any more.`;
+    return { taskId, fate: { kind: TaskFateKind.Unknown, reason } };
+  }
+  if (!grant.finished) return { kind: TaskPlanKind.Place, taskId };
+  const reason =
+    'The job was answered before, and its answer is no longer kept.';
+  return { taskId, fate: { kind: TaskFateKind.Unknown, reason } };
+}
+
+function canDisclaim(
+  { evidence }: WitnessStatement,
+  grant: ClaimGranted,
+): boolean {
+  if (evidence === undefined) return false;
+  return evidence.rememberedMilliseconds >= grant.ageMilliseconds;
+}
+
+function describeFate(result: AttemptResult): TaskFate {
+  switch (result.outcome) {
+    case AttemptOutcome.Answered:
+      return { kind: TaskFateKind.Answered, answer: result.answer };
+    case AttemptOutcome.Failed:
+      return { kind: TaskFateKind.Failed, reason: result.reason };
+    case AttemptOutcome.NotStarted:
+      return { kind: TaskFateKind.NotStarted, reason: result.reason };
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/callers/answers.ts
@@ -0,0 +1,122 @@
+/** HTTP answers to callers. */
+import {
+  JobOutcome,
+  type JobResult,
+  type Milliseconds,
+  Started,
+} from '@cranberryturn/types';
+
+import {
+  type Submission,
+  SubmissionKind,
+  SubmissionRefusal,
+} from '../submission.js';
+import { readCallerJobId } from './job-identifiers.js';
+
+/** HTTP statuses that callers get. */
+export enum CallerStatus {
+  Ok = 200,
+  BadRequest = 400,
+  Unauthorized = 401,
+  NotFound = 404,
+  Conflict = 409,
+  TooLarge = 413,
+  Unprocessable = 422,
+  TooManyRequests = 429,
+  BadGateway = 502,
+  Unavailable = 503,
+  GatewayTimeout = 504,
+}
+
+/** An answer, ready to be sent. The body is JSON text. */
+export interface CallerAnswer {
+  readonly status: CallerStatus;
+  readonly body: string;
+  readonly retryAfterMilliseconds?: Milliseconds | undefined;
+}
+
+const millisecondsPerSecond = 1_000;
+
+/** Composes the refusal of a request: nothing was started, and nothing ever will be. */
+export function composeRefusal(
+  status: CallerStatus,
+  reason: string,
+  jobId?: string,
+  retryAfterMilliseconds?: Milliseconds,
+): CallerAnswer {
+  const body = JSON.stringify({
+    jobId,
+    outcome: JobOutcome.Failed,
+    reason,
+    started: Started.No,
+  });
+  return { status, body, retryAfterMilliseconds };
+}
+
+/** Composes the answer to a job or to a request that must run at most once. */
+export function composeSubmissionAnswer(
+  submission: Submission,
+  jobId: string,
+): CallerAnswer {
+  switch (submission.kind) {
+    case SubmissionKind.Result:
+      return composeResultAnswer(submission.result);
+    case SubmissionKind.Conflict:
+      return composeRefusal(
+        CallerStatus.Conflict,
+        `Job "${jobId}" was submitted before with another body; choose another jobId.`,
+        jobId,
+      );
+    case SubmissionKind.Refused:
+      return composeRefusal(
+        chooseRefusalStatus(submission.refusal),
+        submission.reason,
+        jobId,
+        submission.retryAfterMilliseconds,
+      );
+  }
+}
+
+/** Composes the answer for a job that has a result. */
+export function composeResultAnswer(result: JobResult): CallerAnswer {
+  const jobId = readCallerJobId(result.jobId);
+  if (result.outcome === JobOutcome.Complete) {
+    const answers = result.answers.map(
+      one => `{"taskId":${JSON.stringify(one.taskId)},"answer":${one.answer}}`,
+    );
+    const body = `{"jobId":${JSON.stringify(jobId)},"outcome":"complete","answers":[${answers.join(',')}]}`;
+    return { status: CallerStatus.Ok, body };
+  }
+  const { reason, started, outcome } = result;
+  return {
+    status: chooseFailureStatus(result.started, result.deadlinePassed),
+    body: JSON.stringify({ jobId, outcome, reason, started }),
+    retryAfterMilliseconds:
+      started === Started.No ? millisecondsPerSecond : undefined,
+  };
+}
+
+/** The value of the Retry-After header, in whole seconds. */
+export function composeRetryAfter(milliseconds: Milliseconds): string {
+  return String(Math.max(1, Math.ceil(milliseconds / millisecondsPerSecond)));
+}
+
+function chooseFailureStatus(
+  started: Started,
+  deadlinePassed: boolean,
+): CallerStatus {
+  if (started === Started.No) return CallerStatus.Unavailable;
+  return deadlinePassed ? CallerStatus.GatewayTimeout : CallerStatus.BadGateway;
+}
+
+function chooseRefusalStatus(refusal: SubmissionRefusal): CallerStatus {
+  switch (refusal) {
+    case SubmissionRefusal.QuotaExceeded:
+      return CallerStatus.TooManyRequests;
+    case SubmissionRefusal.Unavailable:
+      return CallerStatus.Unavailable;
+    case SubmissionRefusal.Impossible:
+    case SubmissionRefusal.TooOld:
+      return CallerStatus.Unprocessable;
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/dispatcher-links.ts
@@ -0,0 +1,97 @@
+/** Calls between dispatchers. */
+import { ConnectionError, type CranberryError } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import {
+  type Connection,
+  type DispatcherCall,
+  type DispatcherReply,
+  type Network,
+  type RemoteCalls,
+  serveRemoteCalls,
+} from '@cranberryturn/wire';
+import { err, type Result, ResultAsync } from 'neverthrow';
+
+/** What the links are built from. */
+export interface DispatcherLinksOptions {
+  readonly network: Network;
+  readonly timers: TimerService;
+  /** Answers a call of another dispatcher. */
+  readonly handleCall: (call: DispatcherCall) => Promise<DispatcherReply>;
+}
+
+/** Connections to other dispatchers, dialled when they are needed. */
+export class DispatcherLinks {
+  readonly #options: DispatcherLinksOptions;
+  readonly #links = new Map<string, Promise<RemoteCalls | undefined>>();
+  readonly #open = new Set<Connection>();
+
+  constructor(options: DispatcherLinksOptions) {
+    this.#options = options;
+  }
+
+  /** Calls another dispatcher. The work may have been done after an error. */
+  call(
+    address: NetworkAddress,
+    call: DispatcherCall,
+    timeout: Milliseconds,
+  ): ResultAsync<DispatcherReply, CranberryError> {
+    return new ResultAsync(this.#call(address, call, timeout));
+  }
+
+  /** Serves a connection that another dispatcher opened. */
+  serve(connection: Connection): RemoteCalls {
+    this.#open.add(connection);
+    const calls = serveRemoteCalls(connection, this.#options.timers, {
+      handleCall: body => this.#options.handleCall(body as DispatcherCall),
+    });
+    void calls.ended.then(() => this.#open.delete(connection));
+    return calls;
+  }
+
+  close(): void {
+    for (const connection of this.#open) connection.close();
+  }
+
+  async #call(
+    address: NetworkAddress,
+    call: DispatcherCall,
+    timeout: Milliseconds,
+  ): Promise<Result<DispatcherReply, CranberryError>> {
+    const name = describeAddress(address);
+    const calls = await this.#connect(name, address);
+    if (calls === undefined) {
+      return err(
+        new ConnectionError(`The dispatcher at ${name} cannot be reached.`, {
+          step: 'call dispatcher',
+          peer: name,
+        }),
+      );
+    }
+    return calls.call<DispatcherReply>(call, timeout);
+  }
+
+  #connect(
+    name: string,
+    address: NetworkAddress,
+  ): Promise<RemoteCalls | undefined> {
+    const known = this.#links.get(name);
+    if (known !== undefined) return known;
+    const link = this.#dial(address).then(calls => {
+      if (calls === undefined) this.#links.delete(name);
+      void calls?.ended.then(() => this.#links.delete(name));
+      return calls;
+    });
+    this.#links.set(name, link);
+    return link;
+  }
+
+  async #dial(address: NetworkAddress): Promise<RemoteCalls | undefined> {
+    const connection = await this.#options.network.dial(address);
+    return connection.isOk() ? this.serve(connection.value) : undefined;
+  }
+}
+
+function describeAddress(address: NetworkAddress): string {
+  return `${address.address}:${String(address.port)}`;
+}
--- /dev/null
+++ b/packages/dispatcher/src/gather-evidence.ts
@@ -0,0 +1,57 @@
+/** Asks every run that may have started tasks of a job, after fencing it there. */
+import type { RosterFeed } from '@cranberryturn/membership';
+import type {
+  ClaimGranted,
+  JobId,
+  Milliseconds,
+  TargetIdentity,
+} from '@cranberryturn/types';
+
+import type { WitnessStatement } from './assemble-adoption-plan.js';
+import type { TargetDirectory } from './target-directory.js';
+
+/** What is needed to gather evidence. */
+export interface GatherEvidenceOptions {
+  readonly jobId: JobId;
+  readonly grant: ClaimGranted;
+  readonly targets: TargetDirectory;
+  readonly roster: RosterFeed;
+  /** Longest time to wait for a run that is silent. */
+  readonly timeoutMilliseconds: Milliseconds;
+}
+
+/** Fences the job at each witness and gathers what they know of it. */
+export function gatherEvidence(
+  options: GatherEvidenceOptions,
+): Promise<readonly WitnessStatement[]> {
+  return Promise.all(
+    options.grant.witnesses.map(witness => askWitness(options, witness)),
+  );
+}
+
+async function askWitness(
+  options: GatherEvidenceOptions,
+  witness: TargetIdentity,
+): Promise<WitnessStatement> {
+  const { jobId, grant, targets, roster, timeoutMilliseconds } = options;
+  if (isGone(roster, witness) && !targets.isConnected(witness)) {
+    return { witness, evidence: undefined };
+  }
+  const evidence = await targets.fenceJob(
+    witness,
+    jobId,
+    grant.epoch,
+    timeoutMilliseconds,
+  );
+  return { witness, evidence };
+}
+
+function isGone(roster: RosterFeed, witness: TargetIdentity): boolean {
+  return !roster
+    .current()
+    .targets.some(
+      one =>
+        one.targetId === witness.targetId &&
+        one.incarnation === witness.incarnation,
+    );
+}
--- a/packages/dispatcher/src/index.ts
+++ b/packages/dispatcher/src/index.ts
@@ -1,2 +1,3 @@
 /** The dispatcher: answers callers, claims, places, collects. */
-export {};
+export * from './ports/control.js';
+export * from './start-dispatcher.js';
--- /dev/null
+++ b/packages/dispatcher/src/own-job.ts
@@ -0,0 +1,148 @@
+/** Gains the ownership of a job, or the result from the dispatcher that owns it. */
+import type { TimerService } from '@cranberryturn/timers';
+import {
+  type ClaimGranted,
+  type ClaimHeld,
+  type ClaimOutcome,
+  ClaimOutcomeKind,
+  type ClaimRequest,
+  type JobResult,
+  type Milliseconds,
+  type OwnershipEpoch,
+} from '@cranberryturn/types';
+import { DispatcherMethod, DispatcherReplyKind } from '@cranberryturn/wire';
+
+import type { DispatcherLinks } from './dispatcher-links.js';
+import type { ControlPort } from './ports/control.js';
+
+const mostRounds = 5;
+
+/** What is needed to own a job. */
+export interface OwnJobOptions {
+  readonly claim: ClaimRequest;
+  /** Time of the timer service at which the caller gives up. */
+  readonly deadline: Milliseconds;
+  readonly control: ControlPort;
+  readonly links: DispatcherLinks;
+  readonly timers: TimerService;
+}
+
+/** How it ended. */
+export enum OwnershipKind {
+  /** No task was ever started: all of them may be placed. */
+  Fresh = 'fresh',
+  /** Tasks may have been started by an earlier owner. */
+  Adopted = 'adopted',
+  /** Another dispatcher owns the job and gave its result. */
+  Joined = 'joined',
+  Conflict = 'conflict',
+  /** The claim was refused for good. */
+  Refused = 'refused',
+  /** Another dispatcher owned the job and gave no result: it may have been started. */
+  Elsewhere = 'elsewhere',
+  /** The claim has no outcome; nothing was started for this submission. */
+  Unavailable = 'unavailable',
+}
+
+/** How it ended. */
+export type Ownership =
+  | { readonly kind: OwnershipKind.Fresh; readonly grant: ClaimGranted }
+  | { readonly kind: OwnershipKind.Adopted; readonly grant: ClaimGranted }
+  | { readonly kind: OwnershipKind.Joined; readonly result: JobResult }
+  | { readonly kind: OwnershipKind.Conflict }
+  | { readonly kind: OwnershipKind.Refused; readonly reason: string }
+  | { readonly kind: OwnershipKind.Elsewhere; readonly reason: string }
+  | { readonly kind: OwnershipKind.Unavailable; readonly reason: string };
+
+/** Claims a job; joins its live owner, or adopts it from an owner that is gone. */
+export async function ownJob(options: OwnJobOptions): Promise<Ownership> {
+  const { claims } = options.control;
+  let outcome = await claims.claimJob(options.claim);
+  if (outcome.isErr()) {
+    return { kind: OwnershipKind.Unavailable, reason: outcome.error.message };
+  }
+  for (let round = 0; round < mostRounds; round += 1) {
+    if (outcome.isErr()) return describeElsewhere(outcome.error.message);
+    const settled = settleOutcome(options, outcome.value);
+    if (settled !== undefined) return settled;
+    const step = await joinOwner(options, outcome.value);
+    if (step.joined !== undefined) {
+      return { kind: OwnershipKind.Joined, result: step.joined };
+    }
+    if (options.timers.now() >= options.deadline) {
+      return describeElsewhere('Its owner did not answer by the deadline.');
+    }
+    outcome = await claims.adoptJob({
+      ...options.claim,
+      expectedEpoch: step.epoch,
+    });
+  }
+  return describeElsewhere('Other dispatchers keep adopting this job.');
+}
+
+function settleOutcome(
+  { claim }: OwnJobOptions,
+  outcome: ClaimOutcome,
+): Ownership | undefined {
+  switch (outcome.kind) {
+    case ClaimOutcomeKind.Granted:
+      return settleGrant(outcome, claim.submissionId);
+    case ClaimOutcomeKind.Conflict:
+      return { kind: OwnershipKind.Conflict };
+    case ClaimOutcomeKind.Refused:
+      return { kind: OwnershipKind.Refused, reason: outcome.reason };
+    case ClaimOutcomeKind.Held:
+      return undefined;
+  }
+}
+
+/** A grant to an earlier submission of this run must be adopted first. */
+function settleGrant(
+  grant: ClaimGranted,
+  submissionId: string,
+): Ownership | undefined {
+  if (grant.submissionId !== submissionId) return undefined;
+  return grant.epoch === 1
+    ? { kind: OwnershipKind.Fresh, grant }
+    : { kind: OwnershipKind.Adopted, grant };
+}
+
+interface JoinStep {
+  readonly joined: JobResult | undefined;
+  readonly epoch: OwnershipEpoch;
+}
+
+async function joinOwner(
+  options: OwnJobOptions,
+  outcome: ClaimOutcome,
+): Promise<JoinStep> {
+  if (outcome.kind !== ClaimOutcomeKind.Held) {
+    return { joined: undefined, epoch: (outcome as ClaimGranted).epoch };
+  }
+  return { joined: await askOwner(options, outcome), epoch: outcome.epoch };
+}
+
+async function askOwner(
+  { claim, links, deadline, timers }: OwnJobOptions,
+  held: ClaimHeld,
+): Promise<JobResult | undefined> {
+  if (held.ownerAddress === undefined) return undefined;
+  const reply = await links.call(
+    held.ownerAddress,
+    {
+      method: DispatcherMethod.JoinJob,
+      team: claim.team,
+      jobId: claim.jobId,
+      digest: claim.digest,
+    },
+    Math.max(1, deadline - timers.now()),
+  );
+  if (reply.isErr()) return undefined;
+  return reply.value.kind === DispatcherReplyKind.Result
+    ? reply.value.result
+    : undefined;
+}
+
+function describeElsewhere(reason: string): Ownership {
+  return { kind: OwnershipKind.Elsewhere, reason };
+}
--- /dev/null
+++ b/packages/dispatcher/src/register-target.ts
@@ -0,0 +1,51 @@
+/** Registers a run of a sidecar at control before any work is placed on it. */
+import type { RosterFeed, RosterStore } from '@cranberryturn/membership';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type {
+  Milliseconds,
+  TargetAnnouncement,
+  TargetRecord,
+} from '@cranberryturn/types';
+
+const retryMilliseconds: Milliseconds = 500;
+
+/** What the registration needs. */
+export interface RegisterTargetOptions {
+  readonly announcement: TargetAnnouncement;
+  readonly roster: RosterFeed;
+  readonly registrations: RosterStore;
+  readonly timers: TimerService;
+  /** Whether the run is still connected. */
+  readonly isWanted: () => boolean;
+}
+
+/** Registers the run, for as long as it is connected. Resolves with undefined when it no longer is. */
+export async function registerTarget(
+  options: RegisterTargetOptions,
+): Promise<TargetRecord | undefined> {
+  const { announcement } = options;
+  while (options.isWanted()) {
+    const known = findRecord(options.roster, announcement);
+    if (known !== undefined) return known;
+    const index = await options.registrations.registerTarget(announcement);
+    if (index.isOk()) {
+      const record = findRecord(options.roster, announcement);
+      return record ?? { ...announcement, registeredAt: index.value };
+    }
+    await sleep(options.timers, retryMilliseconds);
+  }
+  return undefined;
+}
+
+function findRecord(
+  roster: RosterFeed,
+  announcement: TargetAnnouncement,
+): TargetRecord | undefined {
+  return roster
+    .current()
+    .targets.find(
+      one =>
+        one.targetId === announcement.targetId &&
+        one.incarnation === announcement.incarnation,
+    );
+}
--- /dev/null
+++ b/packages/dispatcher/src/running-job.ts
@@ -0,0 +1,43 @@
+/** One job that runs in this dispatcher. */
+import { AnswerCollection, type JobEntry } from '@cranberryturn/jobs';
+import type { TimerService } from '@cranberryturn/timers';
+import type {
+  JobRequest,
+  Milliseconds,
+  OwnershipEpoch,
+} from '@cranberryturn/types';
+
+/** One job that runs in this dispatcher. */
+export interface RunningJob {
+  readonly request: JobRequest;
+  readonly requestId: string;
+  readonly arrived: Milliseconds;
+  readonly deadline: Milliseconds;
+  readonly collection: AnswerCollection;
+  readonly entry: JobEntry;
+  /** Epoch of the claim; undefined while there is none. */
+  claimedEpoch: OwnershipEpoch | undefined;
+  /** Longest time that a target took for a task. */
+  longestRun: Milliseconds;
+}
+
+/** Creates the record of a job that has just arrived. */
+export function createRunningJob(
+  request: JobRequest,
+  requestId: string,
+  entry: JobEntry,
+  timers: TimerService,
+): RunningJob {
+  const arrived = timers.now();
+  const taskIds = request.tasks.map(task => task.taskId);
+  return {
+    request,
+    requestId,
+    arrived,
+    deadline: arrived + request.deadlineMilliseconds,
+    collection: new AnswerCollection(request.jobId, taskIds),
+    entry,
+    claimedEpoch: undefined,
+    longestRun: 0,
+  };
+}
--- /dev/null
+++ b/packages/dispatcher/src/submission.ts
@@ -0,0 +1,44 @@
+/** How a submission ended, before it is turned into an HTTP answer. */
+import type { JobResult, Milliseconds } from '@cranberryturn/types';
+
+/** How a submission ended. */
+export enum SubmissionKind {
+  /** The job ran, here or elsewhere. */
+  Result = 'result',
+  /** Nothing of this submission was started, and nothing ever will be. */
+  Refused = 'refused',
+  /** The job identifier was used with another body. */
+  Conflict = 'conflict',
+}
+
+/** Why a submission was refused. Each has its HTTP status. */
+export enum SubmissionRefusal {
+  QuotaExceeded = 'quota-exceeded',
+  Unavailable = 'unavailable',
+  Impossible = 'impossible',
+  TooOld = 'too-old',
+}
+
+/** How a submission ended. */
+export type Submission =
+  | { readonly kind: SubmissionKind.Result; readonly result: JobResult }
+  | {
+      readonly kind: SubmissionKind.Refused;
+      readonly refusal: SubmissionRefusal;
+      readonly reason: string;
+      readonly retryAfterMilliseconds: Milliseconds | undefined;
+    }
+  | { readonly kind: SubmissionKind.Conflict };
+
+/** Composes a refusal that asks the caller to come back. */
+export function refuseForNow(
+  reason: string,
+  retryAfterMilliseconds: Milliseconds,
+): Submission {
+  return {
+    kind: SubmissionKind.Refused,
+    refusal: SubmissionRefusal.Unavailable,
+    reason,
+    retryAfterMilliseconds,
+  };
+}
--- a/packages/wire/src/messages/dispatcher-messages.ts
+++ b/packages/wire/src/messages/dispatcher-messages.ts
@@ -7,33 +7,38 @@
 
 /** The calls between dispatchers. */
 export enum DispatcherMethod {
+  /** Waits for the result of a job that the other dispatcher owns. */
   JoinJob = 'join-job',
+  /** Cancels a job and waits for its result. */
   CancelJob = 'cancel-job',
+  /** Asks for the result of a job without waiting. */
+  FindJob = 'find-job',
 }
 
 /** A call from one dispatcher to another. */
 export type DispatcherCall =
   | {
-      /** Waits for the result of a job that the other dispatcher owns. */
       readonly method: DispatcherMethod.JoinJob;
       readonly team: TeamName;
       readonly jobId: JobId;
       readonly digest: BodyDigest;
     }
   | {
-      readonly method: DispatcherMethod.CancelJob;
-      readonly team: TeamName;
+      readonly method: DispatcherMethod.CancelJob | DispatcherMethod.FindJob;
       readonly jobId: JobId;
     };
 
 /** How a call between dispatchers ended. */
 export enum DispatcherReplyKind {
   Result = 'result',
-  /** This run of the dispatcher does not own the job. */
+  /** The job runs there and has no result yet. */
+  Running = 'running',
+  /** This run of the dispatcher does not know the job. */
   NotOwner = 'not-owner',
 }
 
 /** The answer of a dispatcher to another. */
 export type DispatcherReply =
   | { readonly kind: DispatcherReplyKind.Result; readonly result: JobResult }
+  | { readonly kind: DispatcherReplyKind.Running }
   | { readonly kind: DispatcherReplyKind.NotOwner };
