Move the stand-ins into a package of their own

The local program and the bench both need the stand-in target; with it inside the bench, the bench could not use the local program without a cycle.

--- a/packages/bench/src/checker/check-starts.ts
+++ b/packages/bench/src/checker/check-starts.ts
@@ -6,7 +6,7 @@
   type TaskId,
 } from '@cranberryturn/types';
 
-import type { StartCount } from '../stand-ins/start-counts.js';
+import type { StartCount } from '@cranberryturn/stand-ins';
 import {
   type DecisionIndex,
   nameTask,
--- a/packages/bench/src/checker/violation.ts
+++ b/packages/bench/src/checker/violation.ts
@@ -9,7 +9,7 @@
   TeamName,
 } from '@cranberryturn/types';
 
-import type { StartCount } from '../stand-ins/start-counts.js';
+import type { StartCount } from '@cranberryturn/stand-ins';
 
 /** The kinds of violation. */
 export enum ViolationKind {
--- a/packages/dispatcher/src/ports/control.ts
+++ b/packages/dispatcher/src/ports/control.ts
@@ -8,5 +8,5 @@
   readonly claims: ClaimStore;
   readonly configuration: ConfigurationFeed;
   readonly roster: RosterFeed;
-  readonly registrations: RosterStore;
+  readonly registry: RosterStore;
 }
--- a/packages/dispatcher/src/register-target.ts
+++ b/packages/dispatcher/src/register-target.ts
@@ -13,7 +13,7 @@
 export interface RegisterTargetOptions {
   readonly announcement: TargetAnnouncement;
   readonly roster: RosterFeed;
-  readonly registrations: RosterStore;
+  readonly registry: RosterStore;
   readonly timers: TimerService;
   /** Whether the run is still connected. */
   readonly isWanted: () => boolean;
@@ -27,7 +27,7 @@
   while (options.isWanted()) {
     const known = findRecord(options.roster, announcement);
     if (known !== undefined) return known;
-    const index = await options.registrations.registerTarget(announcement);
+    const index = await options.registry.registerTarget(announcement);
     if (index.isOk()) {
       const record = findRecord(options.roster, announcement);
       return record ?? { ...announcement, registeredAt: index.value };
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -255,7 +255,7 @@
 ): Promise<void> {
   const record = { ...options.self, address };
   while (isWanted()) {
-    const done = await options.control.registrations.registerDispatcher(record);
+    const done = await options.control.registry.registerDispatcher(record);
     if (done.isOk()) return;
     await sleep(options.timers, registrationRetryMilliseconds);
   }
@@ -273,7 +273,7 @@
     leave();
     while (jobs.inFlight > 0) await sleep(options.timers, stopPollMilliseconds);
     await callers.close();
-    await options.control.registrations.retireDispatcher(options.self);
+    await options.control.registry.retireDispatcher(options.self);
     scheduler.stop();
     targets.close();
     links.close();
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -225,7 +225,7 @@
     const record = await registerTarget({
       announcement,
       roster: control.roster,
-      registrations: control.registrations,
+      registry: control.registry,
       timers,
       isWanted: () =>
         !this.#closed && this.#targets.has(describeRun(target.identity)),
