--- a/packages/dispatcher/src/index.ts
+++ b/packages/dispatcher/src/index.ts
@@ -1,3 +1,4 @@
 /** The dispatcher: answers callers, claims, places, collects. */
 export * from './ports/control.js';
 export * from './start-dispatcher.js';
+export * from './start-dispatcher-role.js';
--- /dev/null
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -0,0 +1,105 @@
+/** Starts a dispatcher from its settings. */
+import { createControlClient } from '@cranberryturn/control-client';
+import type { CranberryError } from '@cranberryturn/errors';
+import { Gauge, type Metrics } from '@cranberryturn/metrics';
+import {
+  chooseSeed,
+  createIncarnation,
+  createRoleNetwork,
+  type RoleEnvironment,
+  type RunningRole,
+} from '@cranberryturn/program';
+import { createRandomSource } from '@cranberryturn/random';
+import type { DispatcherSettings } from '@cranberryturn/settings';
+import type { DispatcherIdentity } from '@cranberryturn/types';
+import { type Network, ProcessRole } from '@cranberryturn/wire';
+import type { ResultAsync } from 'neverthrow';
+
+import { type Dispatcher, startDispatcher } from './start-dispatcher.js';
+
+/** Starts a dispatcher and its connections to control. */
+export function startDispatcherRole(
+  settings: DispatcherSettings,
+  environment: RoleEnvironment,
+): ResultAsync<RunningRole, CranberryError> {
+  const { dispatcherId } = settings;
+  const self = { dispatcherId, incarnation: createIncarnation() };
+  return createRoleNetwork(settings.sharedKeyFile, environment)
+    .map(join =>
+      join({
+        role: ProcessRole.Dispatcher,
+        name: dispatcherId,
+        incarnation: self.incarnation,
+      }),
+    )
+    .asyncAndThen(network => startParts(settings, environment, self, network));
+}
+
+function startParts(
+  settings: DispatcherSettings,
+  environment: RoleEnvironment,
+  self: DispatcherIdentity,
+  network: Network,
+): ResultAsync<RunningRole, CranberryError> {
+  const { timers, logger, metrics, decisions } = environment;
+  const seed = chooseSeed(settings.seed, environment);
+  const control = createControlClient({
+    network,
+    timers,
+    random: createRandomSource(seed),
+    self,
+    controlHosts: settings.control.map(({ replicaId, address, port }) => ({
+      replicaId,
+      address: { address, port },
+    })),
+    handleMove: host => {
+      logger.info('control host watched', { controlHost: host ?? 'none' });
+    },
+  });
+  return startDispatcher({
+    self,
+    callers: settings.callers,
+    peers: settings.peers,
+    teams: settings.teams,
+    limits: settings.limits,
+    retention: settings.retention,
+    network,
+    control,
+    timers,
+    seed,
+    metrics,
+    decisions: decisions.record,
+    sessionTimes: {
+      heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
+      suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
+    },
+  })
+    .map(dispatcher => {
+      observeDispatcher(metrics, dispatcher);
+      return {
+        addresses: {
+          callers: dispatcher.callersAddress,
+          peers: dispatcher.peersAddress,
+        },
+        stop: async () => {
+          await dispatcher.stop();
+          await control.stop();
+        },
+      };
+    })
+    .orTee(() => {
+      void control.stop();
+    });
+}
+
+function observeDispatcher(metrics: Metrics, dispatcher: Dispatcher): void {
+  const { scheduler, jobs } = dispatcher;
+  metrics.observe(Gauge.JobsOpen, () => jobs.inFlight);
+  metrics.observe(Gauge.TasksQueued, () => scheduler.status().queuedTasks);
+  metrics.observe(Gauge.TasksRunning, () => scheduler.status().runningTasks);
+  metrics.observe(Gauge.TargetsKnown, () => scheduler.status().targets.length);
+  metrics.observe(
+    Gauge.TargetsEjectedNow,
+    () => scheduler.status().targets.filter(target => target.ejected).length,
+  );
+}
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -2,6 +2,7 @@
 import type { CranberryError } from '@cranberryturn/errors';
 import type { ResultRetention } from '@cranberryturn/jobs';
 import type { Metrics } from '@cranberryturn/metrics';
+import { type HttpListener, listenForHttp } from '@cranberryturn/program';
 import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
 import {
   defaultSessionTimes,
@@ -28,7 +29,6 @@
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
-import { type HttpListener, listenForHttp } from './adapters/http-listener.js';
 import { type CallerTeam, serveCallers } from './callers/serve-callers.js';
 import { DispatcherLinks } from './dispatcher-links.js';
 import { JobService } from './job-service.js';
--- /dev/null
+++ b/packages/program/src/role-network.ts
@@ -0,0 +1,52 @@
+/** Creates what a role needs to take part: its run, its random numbers and its network. */
+import { randomInt, randomUUID } from 'node:crypto';
+
+import { readSharedKeyFile } from '@cranberryturn/authentication';
+import type { InvalidInputError } from '@cranberryturn/errors';
+import { Counter } from '@cranberryturn/metrics';
+import type { Incarnation } from '@cranberryturn/types';
+import {
+  createWebSocketNetwork,
+  type Network,
+  type PeerIdentity,
+} from '@cranberryturn/wire';
+import type { Result } from 'neverthrow';
+
+import type { RoleEnvironment } from './role-environment.js';
+
+const seedBound = 2 ** 31;
+
+/** Draws the identity of one run of a process. */
+export function createIncarnation(): Incarnation {
+  return randomUUID();
+}
+
+/** The seed of the settings, or a drawn one. It is logged, so that a run can be repeated. */
+export function chooseSeed(
+  seed: number | undefined,
+  { logger }: RoleEnvironment,
+): number {
+  const chosen = seed ?? randomInt(seedBound);
+  logger.info('random numbers seeded', { seed: chosen });
+  return chosen;
+}
+
+/** Creates networks for one process, whose peers must hold a key of the file. */
+export function createRoleNetwork(
+  sharedKeyFile: string,
+  environment: RoleEnvironment,
+): Result<(self: PeerIdentity) => Network, InvalidInputError> {
+  const { timers, logger, metrics } = environment;
+  return readSharedKeyFile(sharedKeyFile).map(
+    keys => self =>
+      createWebSocketNetwork({
+        self,
+        keys,
+        timers,
+        peerRefused: error => {
+          metrics.count(Counter.PeersRefused);
+          logger.warn('peer refused', { error });
+        },
+      }),
+  );
+}
--- /dev/null
+++ b/packages/program/src/serve-operations.ts
@@ -0,0 +1,44 @@
+/** Health checks and metrics over HTTP, for roles without another HTTP interface. */
+import type { ConnectionError } from '@cranberryturn/errors';
+import { type Metrics, metricsContentType } from '@cranberryturn/metrics';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { Hono } from 'hono';
+import type { ResultAsync } from 'neverthrow';
+
+import { type HttpListener, listenForHttp } from './adapters/http-listener.js';
+
+const okStatus = 200;
+const unavailableStatus = 503;
+const requestTimeoutMilliseconds: Milliseconds = 5_000;
+const maximumConnections = 64;
+
+/** What the interface shows. */
+export interface OperationsOptions {
+  readonly address: NetworkAddress;
+  readonly metrics: Metrics;
+  /** Whether the role does its work; false first thing in a planned stop. */
+  readonly isReady: () => boolean;
+}
+
+/** Serves `/healthz`, `/readyz` and `/metrics`. */
+export function serveOperations(
+  options: OperationsOptions,
+): ResultAsync<HttpListener, ConnectionError> {
+  const app = new Hono();
+  app.get('/healthz', context => context.json({ alive: true }));
+  app.get('/readyz', context => {
+    const ready = options.isReady();
+    return context.json({ ready }, ready ? okStatus : unavailableStatus);
+  });
+  app.get('/metrics', async context =>
+    context.body(await options.metrics.expose(), okStatus, {
+      'content-type': metricsContentType,
+    }),
+  );
+  return listenForHttp({
+    app,
+    address: options.address,
+    bodyTimeoutMilliseconds: requestTimeoutMilliseconds,
+    connections: maximumConnections,
+  });
+}
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -5,3 +5,4 @@
 export * from './ports/target.js';
 export * from './run-attempts.js';
 export * from './start-sidecar.js';
+export * from './start-sidecar-role.js';
--- /dev/null
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -0,0 +1,125 @@
+/** Starts a sidecar from its settings. */
+import type { CranberryError } from '@cranberryturn/errors';
+import { Gauge, type Metrics } from '@cranberryturn/metrics';
+import {
+  chooseSeed,
+  createIncarnation,
+  createRoleNetwork,
+  type RoleEnvironment,
+  type RunningRole,
+  serveOperations,
+} from '@cranberryturn/program';
+import { createRandomSource } from '@cranberryturn/random';
+import type { SidecarSettings } from '@cranberryturn/settings';
+import type { Incarnation, TargetAnnouncement } from '@cranberryturn/types';
+import { type Network, ProcessRole } from '@cranberryturn/wire';
+import { ResultAsync } from 'neverthrow';
+
+import { createHttpTarget } from './adapters/http-target.js';
+import { type Sidecar, startSidecar } from './start-sidecar.js';
+
+/** Starts a sidecar, with health checks and metrics. */
+export function startSidecarRole(
+  settings: SidecarSettings,
+  environment: RoleEnvironment,
+): ResultAsync<RunningRole, CranberryError> {
+  const incarnation = createIncarnation();
+  const announcement = composeAnnouncement(settings, incarnation);
+  const network = createRoleNetwork(settings.sharedKeyFile, environment).map(
+    join =>
+      join({ role: ProcessRole.Sidecar, name: settings.targetId, incarnation }),
+  );
+  return network.asyncAndThen(joined =>
+    serveSidecar(
+      settings,
+      environment,
+      createSidecar(settings, environment, announcement, joined),
+    ),
+  );
+}
+
+function createSidecar(
+  settings: SidecarSettings,
+  environment: RoleEnvironment,
+  announcement: TargetAnnouncement,
+  network: Network,
+): Sidecar {
+  const { timers, decisions, metrics } = environment;
+  const sidecar = startSidecar({
+    announcement,
+    dispatchers: settings.dispatchers,
+    network,
+    target: createHttpTarget({
+      url: settings.target.url,
+      connections: settings.connections,
+    }),
+    timers,
+    random: createRandomSource(chooseSeed(settings.seed, environment)),
+    decisions: decisions.record,
+    retention: {
+      startsMilliseconds: settings.retention.answersMilliseconds,
+      answersBytes: settings.retention.answersBytes,
+    },
+    queueLimit: settings.queuedTasks,
+    sessionTimes: {
+      heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
+      suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
+    },
+  });
+  observeSidecar(metrics, sidecar, settings.slots);
+  return sidecar;
+}
+
+function serveSidecar(
+  settings: SidecarSettings,
+  { metrics }: RoleEnvironment,
+  sidecar: Sidecar,
+): ResultAsync<RunningRole, CranberryError> {
+  let stopping = false;
+  const isReady = (): boolean => !stopping && sidecar.sessions().length > 0;
+  return serveOperations({ address: settings.operations, metrics, isReady })
+    .map(operations => ({
+      addresses: { operations: operations.address },
+      stop: async () => {
+        stopping = true;
+        await sidecar.stop();
+        await operations.close();
+      },
+    }))
+    .orTee(() => {
+      sidecar.kill();
+    });
+}
+
+function composeAnnouncement(
+  settings: SidecarSettings,
+  incarnation: Incarnation,
+): TargetAnnouncement {
+  const { targetId, service, host, rack, dataCentre } = settings;
+  const { resources, slots, connections } = settings;
+  return {
+    targetId,
+    incarnation,
+    service,
+    host,
+    rack,
+    dataCentre,
+    resources,
+    slots,
+    connections,
+  };
+}
+
+function observeSidecar(
+  metrics: Metrics,
+  sidecar: Sidecar,
+  slots: number,
+): void {
+  metrics.observe(Gauge.Slots, () => slots);
+  metrics.observe(
+    Gauge.SlotsInUse,
+    () => slots - sidecar.runner.load.freeSlots,
+  );
+  metrics.observe(Gauge.TasksQueued, () => sidecar.runner.load.queuedTasks);
+  metrics.observe(Gauge.Sessions, () => sidecar.sessions().length);
+}
