--- /dev/null
+++ b/packages/admission/src/divide-limit.ts
@@ -0,0 +1,55 @@
+/** Divides a limit between dispatchers by their demands. */
+
+/**
+ * Divides `limit` whole units: no one gets less than an equal part while it
+ * asks for more, and what nobody asks for is spread evenly. The parts add up to `limit`.
+ */
+export function divideLimit(
+  limit: number,
+  demands: readonly number[],
+): readonly number[] {
+  if (demands.length === 0) return [];
+  const shares = demands.map(() => 0);
+  let left = Math.max(0, Math.floor(limit));
+  let wanting = orderByDemand(demands);
+  while (wanting.length > 0) {
+    const equalPart = Math.floor(left / wanting.length);
+    const smallest = wanting[0] ?? 0;
+    const demand = Math.ceil(Math.max(0, demands[smallest] ?? 0));
+    if (demand > equalPart) break;
+    shares[smallest] = demand;
+    left -= demand;
+    wanting = wanting.slice(1);
+  }
+  const receivers = wanting.length > 0 ? wanting : demands.map((_, at) => at);
+  spreadEvenly(shares, receivers, left);
+  return shares;
+}
+
+/** The part number `position` of `parts` equal whole parts of a limit. */
+export function equalPart(
+  limit: number,
+  parts: number,
+  position: number,
+): number {
+  if (parts <= 0) return 0;
+  const base = Math.floor(limit / parts);
+  return position < limit % parts ? base + 1 : base;
+}
+
+function orderByDemand(demands: readonly number[]): readonly number[] {
+  return demands
+    .map((_, position) => position)
+    .sort((left, right) => (demands[left] ?? 0) - (demands[right] ?? 0));
+}
+
+function spreadEvenly(
+  shares: number[],
+  receivers: readonly number[],
+  units: number,
+): void {
+  receivers.forEach((receiver, position) => {
+    const part = equalPart(units, receivers.length, position);
+    shares[receiver] = (shares[receiver] ?? 0) + part;
+  });
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,2 +1,9 @@
 /** Quotas, limits, fair queues and early refusal. */
-export {};
+export * from './decide-admission.js';
+export * from './divide-limit.js';
+export * from './fair-queue.js';
+export * from './job-refusal.js';
+export * from './limit-gate.js';
+export * from './linked-list.js';
+export * from './ports/share-exchange.js';
+export * from './share-ledger.js';
--- /dev/null
+++ b/packages/admission/src/ports/share-exchange.ts
@@ -0,0 +1,34 @@
+/** How dispatchers lend each other parts of their limits. */
+import type { CranberryError } from '@cranberryturn/errors';
+import type { DispatcherId, Milliseconds } from '@cranberryturn/types';
+import type { ResultAsync } from 'neverthrow';
+
+/** Names a limit, for example `team/planning/concurrency`. */
+export type LimitKey = string;
+
+/** Units of one limit. */
+export interface LimitUnits {
+  readonly limit: LimitKey;
+  readonly units: number;
+}
+
+/** Asks a peer that its loans to the borrower become these, all limits at once. */
+export interface BorrowRequest {
+  readonly borrower: DispatcherId;
+  readonly wanted: readonly LimitUnits[];
+}
+
+/** What a peer lends from now on. */
+export interface BorrowReply {
+  readonly lent: readonly LimitUnits[];
+  /** Time for which the lender does without the units, from when it replied. */
+  readonly loanMilliseconds: Milliseconds;
+}
+
+/** Calls other dispatchers. */
+export interface ShareExchange {
+  borrow(
+    peer: DispatcherId,
+    request: BorrowRequest,
+  ): ResultAsync<BorrowReply, CranberryError>;
+}
--- a/packages/retries/src/index.ts
+++ b/packages/retries/src/index.ts
@@ -1,2 +1,3 @@
 /** Retry budget, backoff and hedging policy. */
-export {};
+export * from './decide-retry.js';
+export * from './retry-budget.js';
