Replace the interim scheduler

The interim scheduler placed first come, first served, scanned all targets for each task and never ended the rest of a failed job. The new one queues by team, places through the index, learns from outcomes, ends a job as soon as one of its tasks has no answer, and batches cancellations. A refusal because the job is fenced now ends as unknown, because the adopter may have started the task.

The port gains two optional parameters: the request identifier of an admission and the names of the dispatchers that share the limits.

--- /dev/null
+++ b/packages/scheduling/src/change-targets.ts
@@ -0,0 +1,95 @@
+/** Takes in what becomes of targets. */
+import {
+  createTargetEntry,
+  recordLoad,
+  type TargetEntry,
+} from '@cranberryturn/placement';
+import {
+  type TargetLoad,
+  type TargetRecord,
+  TargetState,
+} from '@cranberryturn/types';
+
+import { applyToTarget } from './apply-configuration.js';
+import { loseAttempt } from './end-attempts.js';
+import { placeTasks } from './place-tasks.js';
+import {
+  findPool,
+  findTarget,
+  type SchedulerContext,
+} from './scheduler-context.js';
+
+/** Adds a target run; earlier runs of the same target get no more tasks. */
+export function registerTarget(
+  context: SchedulerContext,
+  record: TargetRecord,
+  load: TargetLoad,
+): void {
+  const known = findTarget(context, record);
+  if (known !== undefined) {
+    changeTargetState(context, known, TargetState.Active);
+    takeLoad(context, known, load);
+    return;
+  }
+  const now = context.options.timers.now();
+  const tier = isNear(context, record) ? 0 : 1;
+  const entry = createTargetEntry(record, load, tier, now);
+  const runs = context.targets.get(record.targetId) ?? new Map();
+  for (const earlier of runs.values())
+    changeTargetState(context, earlier, TargetState.Gone);
+  context.targets.set(record.targetId, runs.set(record.incarnation, entry));
+  context.attempts.set(entry, new Set());
+  const pool = findPool(context, record.service);
+  pool.index.add(entry, now);
+  pool.health.add();
+  applyToTarget(context, entry);
+  placeTasks(context, pool);
+}
+
+/** Takes in a load report. */
+export function takeLoad(
+  context: SchedulerContext,
+  entry: TargetEntry,
+  load: TargetLoad,
+): void {
+  const now = context.options.timers.now();
+  const pool = findPool(context, entry.record.service);
+  recordLoad(entry, load, now);
+  pool.index.update(entry, now);
+  placeTasks(context, pool);
+}
+
+/** Changes whether a target may get tasks. */
+export function changeTargetState(
+  context: SchedulerContext,
+  entry: TargetEntry,
+  state: TargetState,
+): void {
+  entry.state = state;
+  const pool = findPool(context, entry.record.service);
+  pool.index.update(entry, context.options.timers.now());
+}
+
+/** Removes a run that is gone for good; its attempts end as unknown. */
+export function loseTarget(
+  context: SchedulerContext,
+  entry: TargetEntry,
+): void {
+  const { targetId, incarnation } = entry.record;
+  const pool = findPool(context, entry.record.service);
+  const runs = context.targets.get(targetId);
+  runs?.delete(incarnation);
+  if (runs?.size === 0) context.targets.delete(targetId);
+  pool.index.remove(entry);
+  pool.health.remove(entry);
+  pool.held.delete(entry);
+  const attempts = [...(context.attempts.get(entry) ?? [])];
+  const reason = `Target ${targetId} was lost while it ran the task.`;
+  for (const attempt of attempts) loseAttempt(context, attempt, reason);
+  context.attempts.delete(entry);
+}
+
+function isNear(context: SchedulerContext, record: TargetRecord): boolean {
+  const { dataCentre } = context.options;
+  return dataCentre === undefined || dataCentre === record.dataCentre;
+}
--- a/packages/scheduling/src/create-scheduler.ts
+++ b/packages/scheduling/src/create-scheduler.ts
@@ -1,94 +1,112 @@
-import type { TimerService } from '@cranberryturn/timers';
+/** Creates the scheduler of one dispatcher. */
+import {
+  type BorrowReply,
+  type BorrowRequest,
+  type JobRefusal,
+  ShareLedger,
+} from '@cranberryturn/admission';
+import type { TargetEntry } from '@cranberryturn/placement';
+import { createRandomSource } from '@cranberryturn/random';
+import type { TimerSubscription } from '@cranberryturn/timers';
 import {
-  type AttemptKey,
-  AttemptOutcome,
   type AttemptResult,
-  DecisionKind,
-  type DecisionSink,
+  type ClusterConfiguration,
   type DispatcherId,
+  emptyConfiguration,
   type JobId,
   type JobRequest,
-  type Milliseconds,
   type OwnershipEpoch,
   type TargetIdentity,
   type TargetLoad,
   type TargetRecord,
   TargetState,
 } from '@cranberryturn/types';
-import { err, ok, type Result } from 'neverthrow';
-
+import type { Result } from 'neverthrow';
+
+import { type ActiveAttempt, countWaiting } from './active-work.js';
+import { admitJob } from './admit-job.js';
+import { applyConfiguration, applyShares } from './apply-configuration.js';
+import { createCancelBatcher } from './cancel-batcher.js';
+import { endAttempt } from './end-attempts.js';
+import { endJob, forgetJob } from './end-jobs.js';
+import { placeTasks } from './place-tasks.js';
+import type {
+  Scheduler,
+  SchedulerStatus,
+  TaskPlan,
+} from './ports/scheduler.js';
 import {
-  type ActiveJob,
-  type ActiveTarget,
-  type ActiveTask,
-  describeFate,
-  describeRun,
-  leastLoaded,
-} from './active-work.js';
+  findPool,
+  findTarget,
+  type SchedulerContext,
+  type SchedulerOptions,
+} from './scheduler-context.js';
 import {
-  type AttemptSender,
-  type JobRefusal,
-  RefusalKind,
-  type Scheduler,
-  type SchedulerStatus,
-  type TaskFate,
-  TaskFateKind,
-  type TaskObserver,
-  type TaskPlan,
-  TaskPlanKind,
-} from './ports/scheduler.js';
-
-/** What a scheduler is built from. */
-export interface SchedulerOptions {
-  readonly dispatcherId: DispatcherId;
-  readonly timers: TimerService;
-  readonly seed: number;
-  readonly sender: AttemptSender;
-  readonly observer: TaskObserver;
-  readonly decisions: DecisionSink;
+  changeTargetState,
+  loseTarget,
+  registerTarget,
+  takeLoad,
+} from './change-targets.js';
+import { describeStatus } from './describe-status.js';
+import { startJob } from './start-job.js';
+import {
+  watchPeriodMilliseconds,
+  watchRunningTasks,
+} from './watch-running-tasks.js';
+
+/** A scheduler that shares limits with those of other dispatchers. */
+export interface SharingScheduler extends Scheduler {
+  /** Answers another dispatcher that asks for parts of limits. */
+  lendShares(request: BorrowRequest): BorrowReply;
+  /** Control counts this dispatcher among those that share the limits. */
+  confirmMembership(): void;
 }
 
-const noTargetRetryMilliseconds: Milliseconds = 1_000;
-
 /** Creates the scheduler of one dispatcher. */
-export function createScheduler(options: SchedulerOptions): Scheduler {
-  return new BasicScheduler(options);
+export function createScheduler(options: SchedulerOptions): SharingScheduler {
+  return new DispatcherScheduler(options);
 }
 
-class BasicScheduler implements Scheduler {
-  readonly #options: SchedulerOptions;
-  readonly #jobs = new Map<JobId, ActiveJob>();
-  readonly #targets = new Map<string, ActiveTarget>();
-  #queue: ActiveTask[] = [];
+class DispatcherScheduler implements SharingScheduler {
+  readonly #context: SchedulerContext;
+  readonly #watch: TimerSubscription;
 
   constructor(options: SchedulerOptions) {
-    this.#options = options;
+    const { timers, sender } = options;
+    this.#context = {
+      options,
+      random: createRandomSource(options.seed),
+      cancels: createCancelBatcher(timers, sender),
+      ledger: new ShareLedger({
+        dispatcherId: options.dispatcherId,
+        timers,
+        exchange: options.shareExchange,
+        membershipLeaseMilliseconds: options.membershipLeaseMilliseconds,
+      }),
+      jobs: new Map(),
+      pools: new Map(),
+      teams: new Map(),
+      targets: new Map(),
+      attempts: new Map(),
+      abandoned: new Set(),
+      configuration: emptyConfiguration,
+      dispatchers: 1,
+    };
+    this.#watch = timers.every(watchPeriodMilliseconds, () => {
+      applyShares(this.#context);
+      watchRunningTasks(this.#context);
+    });
   }
 
-  admitJob(job: JobRequest): Result<void, JobRefusal> {
-    const known = [...this.#targets.values()].some(
-      target => target.record.service === job.service,
-    );
-    if (!known) {
-      return err({
-        kind: RefusalKind.NoTarget,
-        reason: `No target of service "${job.service}" is connected; try again later.`,
-        retryAfterMilliseconds: noTargetRetryMilliseconds,
-      });
-    }
-    const deadline = this.#options.timers.now() + job.deadlineMilliseconds;
-    this.#jobs.set(job.jobId, {
-      request: job,
-      deadline,
-      epoch: 0,
-      open: new Map(),
-      expiry: undefined,
-    });
-    return ok(undefined);
+  admitJob(job: JobRequest, requestId?: string): Result<void, JobRefusal> {
+    return admitJob(this.#context, job, requestId);
   }
 
   releaseAdmission(jobId: JobId): void {
-    this.#jobs.delete(jobId);
+    const job = this.#context.jobs.get(jobId);
+    if (job === undefined || job.epoch > 0) return;
+    for (const task of job.open.values()) countWaiting(task, -1);
+    forgetJob(this.#context, job);
   }
 
   startJob(
@@ -96,202 +114,99 @@
     epoch: OwnershipEpoch,
     plans: readonly TaskPlan[],
   ): void {
-    const job = this.#jobs.get(jobId);
-    if (job === undefined) return;
-    job.epoch = epoch;
-    for (const plan of plans) this.#addTask(job, plan);
-    const remaining = job.deadline - this.#options.timers.now();
-    job.expiry = this.#options.timers.after(remaining, () => {
-      this.cancelJob(jobId, 'The deadline passed.');
-    });
-    this.#place();
+    const job = this.#context.jobs.get(jobId);
+    if (job === undefined || job.epoch > 0) return;
+    startJob(this.#context, job, epoch, plans);
   }
 
   cancelJob(jobId: JobId, reason: string): void {
-    const job = this.#jobs.get(jobId);
+    const job = this.#context.jobs.get(jobId);
     if (job === undefined) return;
-    this.#queue = this.#queue.filter(task => task.job !== job);
-    for (const task of [...job.open.values()]) {
-      if (task.target === undefined) {
-        this.#end(task, { kind: TaskFateKind.NotStarted, reason });
-        continue;
-      }
-      const keys = [this.#keyOf(task)];
-      this.#options.sender.cancelAttempts(task.target.record, keys, reason);
-      this.#end(task, { kind: TaskFateKind.Unknown, reason });
-    }
+    endJob(this.#context, job, reason);
+    placeTasks(this.#context, job.pool);
   }
 
   targetRegistered(record: TargetRecord, load: TargetLoad): void {
-    this.#targets.set(describeRun(record), {
-      record,
-      load,
-      state: TargetState.Active,
-      running: new Set(),
-    });
-    this.#place();
+    registerTarget(this.#context, record, load);
   }
 
   targetLoadReported(target: TargetIdentity, load: TargetLoad): void {
-    const known = this.#targets.get(describeRun(target));
-    if (known === undefined) return;
-    known.load = load;
-    this.#place();
+    const entry = findTarget(this.#context, target);
+    if (entry !== undefined) takeLoad(this.#context, entry, load);
   }
 
   targetSuspected(target: TargetIdentity): void {
-    this.#changeState(target, TargetState.Suspected);
+    const entry = findTarget(this.#context, target);
+    if (entry?.state !== TargetState.Active) return;
+    changeTargetState(this.#context, entry, TargetState.Suspected);
   }
 
   targetResumed(target: TargetIdentity): void {
-    this.#changeState(target, TargetState.Active);
-    this.#place();
+    const entry = findTarget(this.#context, target);
+    if (entry?.state !== TargetState.Suspected) return;
+    changeTargetState(this.#context, entry, TargetState.Active);
+    this.#placeOn(entry);
   }
 
   targetLost(target: TargetIdentity): void {
-    const known = this.#targets.get(describeRun(target));
-    if (known === undefined) return;
-    this.#targets.delete(describeRun(target));
-    const reason = `Target ${target.targetId} was lost while it ran the task.`;
-    for (const task of [...known.running]) {
-      this.#end(task, { kind: TaskFateKind.Unknown, reason });
-    }
+    const entry = findTarget(this.#context, target);
+    if (entry === undefined) return;
+    loseTarget(this.#context, entry);
+    this.#placeOn(entry);
   }
 
   attemptEnded(target: TargetIdentity, result: AttemptResult): void {
-    const task = this.#jobs.get(result.jobId)?.open.get(result.taskId);
-    if (task?.target === undefined || task.attempt !== result.attempt) return;
-    if (describeRun(task.target.record) !== describeRun(target)) return;
-    if (result.outcome === AttemptOutcome.NotStarted) {
-      task.target.running.delete(task);
-      task.target = undefined;
-      this.#queue.unshift(task);
-    } else {
-      this.#end(task, describeFate(result));
+    const entry = findTarget(this.#context, target);
+    if (entry === undefined) return;
+    for (const attempt of this.#context.attempts.get(entry) ?? []) {
+      if (!isResultOf(attempt, result)) continue;
+      endAttempt(this.#context, attempt, result);
+      this.#placeOn(entry);
+      return;
     }
-    this.#place();
   }
 
-  applyConfiguration(): void {
-    this.#place();
-  }
-
-  status(): SchedulerStatus {
-    const targets = [...this.#targets.values()];
-    return {
-      queuedTasks: this.#queue.length,
-      runningTasks: targets.reduce((sum, one) => sum + one.running.size, 0),
-      targets: targets.map(one => ({
-        targetId: one.record.targetId,
-        state: one.state,
-        runningHere: one.running.size,
-        ejected: false,
-      })),
-    };
+  applyConfiguration(
+    configuration: ClusterConfiguration,
+    dispatchers: number,
+    names?: readonly DispatcherId[],
+  ): void {
+    applyConfiguration(this.#context, configuration, dispatchers, names);
   }
 
-  stop(): void {
-    for (const job of this.#jobs.values()) job.expiry?.cancel();
+  lendShares(request: BorrowRequest): BorrowReply {
+    const reply = this.#context.ledger.lend(request);
+    applyShares(this.#context);
+    return reply;
   }
 
-  #changeState(target: TargetIdentity, state: TargetState): void {
-    const known = this.#targets.get(describeRun(target));
-    if (known !== undefined) known.state = state;
+  confirmMembership(): void {
+    this.#context.ledger.confirmMembership();
   }
 
-  #addTask(job: ActiveJob, plan: TaskPlan): void {
-    const taskId =
-      plan.kind === TaskPlanKind.Place ? plan.taskId : plan.attempt.taskId;
-    const request = job.request.tasks.find(one => one.taskId === taskId);
-    if (request === undefined) return;
-    const task: ActiveTask = {
-      job,
-      task: request,
-      attempt: 0,
-      target: undefined,
-    };
-    job.open.set(taskId, task);
-    if (plan.kind === TaskPlanKind.Place) {
-      this.#queue.push(task);
-      return;
-    }
-    const target = this.#targets.get(describeRun(plan.target));
-    task.attempt = plan.attempt.attempt;
-    if (target === undefined) {
-      const reason = `Target ${plan.target.targetId} is gone.`;
-      this.#end(task, { kind: TaskFateKind.Unknown, reason });
-      return;
-    }
-    task.target = target;
-    target.running.add(task);
+  status(): SchedulerStatus {
+    return describeStatus(this.#context);
   }
 
-  #place(): void {
-    const waiting: ActiveTask[] = [];
-    for (const task of this.#queue) {
-      const candidates = this.#candidates(task.job.request);
-      const target = leastLoaded(candidates);
-      if (target === undefined) {
-        waiting.push(task);
-        continue;
-      }
-      this.#startOn(target, task, candidates.length);
+  stop(): void {
+    this.#watch.cancel();
+    this.#context.ledger.stop();
+    this.#context.cancels.stop();
+    for (const job of this.#context.jobs.values()) {
+      job.expiry?.cancel();
+      for (const task of job.open.values()) task.backoff?.cancel();
     }
-    this.#queue = waiting;
   }
 
-  #candidates(job: JobRequest): ActiveTarget[] {
-    return [...this.#targets.values()].filter(
-      target =>
-        target.record.service === job.service &&
-        target.state === TargetState.Active &&
-        !target.load.draining &&
-        target.running.size < target.record.slots,
-    );
-  }
-
-  #startOn(target: ActiveTarget, task: ActiveTask, candidates: number): void {
-    task.attempt += 1;
-    task.target = target;
-    target.running.add(task);
-    const { request, deadline } = task.job;
-    const key = this.#keyOf(task);
-    this.#options.decisions({
-      kind: DecisionKind.Placed,
-      ...key,
-      target: target.record.targetId,
-      reason: 'most free slots',
-      candidates,
-    });
-    this.#options.sender.startAttempt(target.record, {
-      ...key,
-      service: request.service,
-      dispatcher: this.#options.dispatcherId,
-      payload: task.task.payload,
-      declared: task.task.declared,
-      idempotent: request.idempotent,
-      remainingMilliseconds: deadline - this.#options.timers.now(),
-    });
-  }
-
-  #keyOf(task: ActiveTask): AttemptKey {
-    return {
-      jobId: task.job.request.jobId,
-      taskId: task.task.taskId,
-      attempt: task.attempt,
-      epoch: task.job.epoch,
-    };
+  #placeOn(entry: TargetEntry): void {
+    placeTasks(this.#context, findPool(this.#context, entry.record.service));
   }
+}
 
-  #end(task: ActiveTask, fate: TaskFate): void {
-    const { job } = task;
-    const { jobId } = job.request;
-    task.target?.running.delete(task);
-    job.open.delete(task.task.taskId);
-    if (job.open.size === 0) {
-      job.expiry?.cancel();
-      this.#jobs.delete(jobId);
-    }
-    this.#options.observer.taskEnded(jobId, task.task.taskId, fate);
-  }
+function isResultOf(attempt: ActiveAttempt, result: AttemptResult): boolean {
+  return (
+    attempt.number === result.attempt &&
+    attempt.task.request.taskId === result.taskId &&
+    attempt.task.job.request.jobId === result.jobId
+  );
 }
--- /dev/null
+++ b/packages/scheduling/src/describe-status.ts
@@ -0,0 +1,26 @@
+/** Describes the state of a scheduler for operators and metrics. */
+import { HealthPhase } from '@cranberryturn/placement';
+
+import type { SchedulerStatus, TargetStatus } from './ports/scheduler.js';
+import type { SchedulerContext } from './scheduler-context.js';
+
+/** Describes the present state. */
+export function describeStatus(context: SchedulerContext): SchedulerStatus {
+  const targets: TargetStatus[] = [];
+  for (const runs of context.targets.values()) {
+    for (const entry of runs.values()) {
+      targets.push({
+        targetId: entry.record.targetId,
+        state: entry.state,
+        runningHere: entry.outstanding,
+        ejected: entry.health.phase === HealthPhase.Ejected,
+      });
+    }
+  }
+  const pools = [...context.pools.values()];
+  return {
+    queuedTasks: pools.reduce((sum, pool) => sum + pool.queuedTasks, 0),
+    runningTasks: pools.reduce((sum, pool) => sum + pool.gate.running, 0),
+    targets,
+  };
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,3 +1,10 @@
 /** Brings admission, placement, health and retries together for one dispatcher. */
 export * from './create-scheduler.js';
 export * from './ports/scheduler.js';
+export type { SchedulerOptions } from './scheduler-context.js';
+export type {
+  BorrowReply,
+  BorrowRequest,
+  LimitUnits,
+  ShareExchange,
+} from '@cranberryturn/admission';
--- /dev/null
+++ b/packages/scheduling/src/place-tasks.ts
@@ -0,0 +1,172 @@
+/** Places waiting tasks on targets for as long as there are free slots. */
+import type { ListNode } from '@cranberryturn/admission';
+import {
+  HealthPhase,
+  reserveResources,
+  type TargetEntry,
+} from '@cranberryturn/placement';
+import { DecisionKind, type Milliseconds } from '@cranberryturn/types';
+
+import {
+  type ActiveAttempt,
+  type ActiveJob,
+  type ActiveTask,
+  countWaiting,
+  queueNode,
+  runningNode,
+  type ServicePool,
+  TaskPhase,
+} from './active-work.js';
+import type { SchedulerContext } from './scheduler-context.js';
+
+/** Jobs that are passed over in one round because no free target can hold their next task. */
+const mostJobsSetAside = 16;
+
+/** Places the waiting tasks of a service in fair order until slots, limits or tasks run out. */
+export function placeTasks(context: SchedulerContext, pool: ServicePool): void {
+  if (pool.queuedTasks === 0 || !pool.index.hasFree()) return;
+  const now = context.options.timers.now();
+  const mayStart = (team: string): boolean =>
+    context.teams.get(team)?.mayStart(now) ?? true;
+  const setAside: ListNode<ActiveJob>[] = [];
+  while (pool.gate.mayStart(now) && pool.index.hasFree()) {
+    const node = pool.queue.next(mayStart);
+    if (node === undefined) break;
+    if (placeNextTask(context, pool, node.value, now)) continue;
+    pool.queue.remove(node);
+    setAside.push(node);
+    if (setAside.length >= mostJobsSetAside) break;
+  }
+  for (const node of setAside.reverse())
+    pool.queue.restore(node, node.value.placed);
+}
+
+/** Starts a second attempt of a running task elsewhere; false when there is no target for it. */
+export function startHedge(
+  context: SchedulerContext,
+  task: ActiveTask,
+): boolean {
+  const { pool } = task.job;
+  const target = chooseTarget(pool, task);
+  if (target === undefined) return false;
+  startAttempt(context, task, target, 'hedge of a slow attempt');
+  return true;
+}
+
+/** Records an attempt that occupies its target. */
+export function occupyTarget(
+  context: SchedulerContext,
+  task: ActiveTask,
+  target: TargetEntry,
+  attempt: Omit<ActiveAttempt, 'task' | 'target' | 'node'>,
+): void {
+  const { job } = task;
+  const { pool } = job;
+  const active: ActiveAttempt = { ...attempt, task, target, node: undefined };
+  task.attempts.push(active);
+  context.attempts.get(target)?.add(active);
+  task.phase = TaskPhase.Running;
+  task.lastAttempt = attempt.number;
+  target.outstanding += 1;
+  if (task.request.declared !== undefined)
+    reserveResources(target.reserved, task.request.declared, 1);
+  pool.running.append(runningNode(active));
+  pool.gate.taskStarted();
+  job.teamGate.taskStarted();
+  pool.index.update(target, attempt.startedAt);
+}
+
+function placeNextTask(
+  context: SchedulerContext,
+  pool: ServicePool,
+  job: ActiveJob,
+  now: Milliseconds,
+): boolean {
+  const task = job.waiting.at(-1);
+  if (task === undefined) return false;
+  const target = chooseTarget(pool, task);
+  if (target === undefined) return false;
+  job.waiting.pop();
+  countWaiting(task, -1);
+  if (!job.placed) pool.queue.markStarted(queueNode(job));
+  job.placed = true;
+  if (job.waiting.length === 0) pool.queue.remove(queueNode(job));
+  if (task.lastAttempt === 0) pool.budget.earn();
+  startAttempt(context, task, target, describeChoice(context, target), now);
+  return true;
+}
+
+function chooseTarget(
+  pool: ServicePool,
+  task: ActiveTask,
+): TargetEntry | undefined {
+  return pool.index.choose({
+    declared: task.request.declared,
+    excluded: task.excluded,
+    racks: task.job.racks,
+    repeatable: task.job.repeatable,
+  });
+}
+
+function startAttempt(
+  context: SchedulerContext,
+  task: ActiveTask,
+  target: TargetEntry,
+  reason: string,
+  now: Milliseconds = context.options.timers.now(),
+): void {
+  const { job } = task;
+  const { request, pool } = job;
+  const { dispatcherId, decisions, sender } = context.options;
+  const hedge = task.attempts.length > 0;
+  const number = task.lastAttempt + 1;
+  const key = {
+    jobId: request.jobId,
+    taskId: task.request.taskId,
+    attempt: number,
+    epoch: job.epoch,
+  };
+  occupyTarget(context, task, target, {
+    number,
+    epoch: job.epoch,
+    startedAt: now,
+    hedge,
+  });
+  countRack(job, target);
+  decisions(
+    {
+      kind: DecisionKind.Placed,
+      ...key,
+      target: target.record.targetId,
+      reason,
+      candidates: pool.index.weighed,
+    },
+    job.requestId,
+  );
+  sender.startAttempt(target.record, {
+    ...key,
+    service: request.service,
+    dispatcher: dispatcherId,
+    payload: task.request.payload,
+    declared: task.request.declared,
+    idempotent: request.idempotent,
+    remainingMilliseconds: job.deadline - now,
+  });
+}
+
+function countRack(job: ActiveJob, target: TargetEntry): void {
+  if (job.request.tasks.length === 1) return;
+  const { rack } = target.record;
+  job.racks.set(rack, (job.racks.get(rack) ?? 0) + 1);
+}
+
+function describeChoice(
+  context: SchedulerContext,
+  target: TargetEntry,
+): string {
+  if (target.health.phase === HealthPhase.Probed) return 'probe';
+  if (context.options.dataCentre === undefined) return 'most free slots';
+  return target.tier === 0
+    ? 'most free slots in this data centre'
+    : 'most free slots in another data centre';
+}
--- a/packages/scheduling/src/ports/scheduler.ts
+++ b/packages/scheduling/src/ports/scheduler.ts
@@ -1,12 +1,13 @@
+import type { JobRefusal } from '@cranberryturn/admission';
 import type {
   AttemptKey,
   AttemptResult,
   AttemptStart,
   ClusterConfiguration,
+  DispatcherId,
   JobId,
   JobRequest,
   JsonText,
-  Milliseconds,
   NotStartedReason,
   OwnershipEpoch,
   TargetId,
@@ -56,27 +57,7 @@
   taskEnded(jobId: JobId, taskId: TaskId, fate: TaskFate): void;
 }
 
-/** Why a job was refused. */
-export enum RefusalKind {
-  /** The team is over its quota. Answered with 429. */
-  QuotaExceeded = 'quota-exceeded',
-  /** The service is over its limit, or the queue is full. Answered with 503. */
-  Overloaded = 'overloaded',
-  /** The deadline cannot be met. Answered with 503. */
-  DeadlineTooClose = 'deadline-too-close',
-  /** No worker can ever hold a task of the job. Answered with 422. */
-  Impossible = 'impossible',
-  /** No target of the service is known. Answered with 503. */
-  NoTarget = 'no-target',
-}
-
-/** A refusal: nothing of the job was started, and nothing ever will be. */
-export interface JobRefusal {
-  readonly kind: RefusalKind;
-  readonly reason: string;
-  /** When the caller should come back; undefined when it never helps. */
-  readonly retryAfterMilliseconds: Milliseconds | undefined;
-}
+export { type JobRefusal, RefusalKind } from '@cranberryturn/admission';
 
 /** What to do with one task when a job starts. */
 export enum TaskPlanKind {
@@ -118,8 +99,9 @@
   /**
    * Decides at once, before the claim, whether the job is admitted. An admitted
    * job holds its share of quotas and queue until it has ended or is released.
+   * `requestId` is written to the decision lines of the job.
    */
-  admitJob(job: JobRequest): Result<void, JobRefusal>;
+  admitJob(job: JobRequest, requestId?: string): Result<void, JobRefusal>;
   /** Gives back an admission whose claim was not granted. */
   releaseAdmission(jobId: JobId): void;
   /** Starts an admitted job. Each task listed is reported to the observer once. */
@@ -142,10 +124,14 @@
   /** The run is gone for good: its running attempts end as unknown. */
   targetLost(target: TargetIdentity): void;
   attemptEnded(target: TargetIdentity, result: AttemptResult): void;
-  /** New limits; `dispatchers` is the number of dispatchers that share them. */
+  /**
+   * New limits; `dispatchers` is the number of dispatchers that share them, and
+   * `names` are their identifiers, which lets them divide small limits exactly.
+   */
   applyConfiguration(
     configuration: ClusterConfiguration,
     dispatchers: number,
+    names?: readonly DispatcherId[],
   ): void;
   status(): SchedulerStatus;
   /** Cancels all timers. */
--- /dev/null
+++ b/packages/scheduling/src/scheduler.test.ts
@@ -0,0 +1,134 @@
+import { AttemptOutcome, NotStartedReason } from '@cranberryturn/types';
+import test from 'ava';
+
+import {
+  createJob,
+  createSchedulerFixture,
+} from './fakes/scheduler-fixture.js';
+import { TaskFateKind, TaskPlanKind } from './ports/scheduler.js';
+
+test('a job is spread over racks and completes', t => {
+  const fixture = createSchedulerFixture();
+  for (const rack of ['rack-1', 'rack-2', 'rack-3'])
+    fixture.addTarget({ targetId: `worker-${rack}`, rack });
+  t.true(fixture.start(createJob('job-1', 3)));
+  t.is(new Set(fixture.sent.map(one => one.target.targetId)).size, 3);
+  for (const one of fixture.sent) fixture.answer(one);
+  t.is(fixture.fates.length, 3);
+  t.true(fixture.fates.every(one => one.fate.kind === TaskFateKind.Answered));
+  t.is(fixture.scheduler.status().runningTasks, 0);
+});
+
+test('decisions of a small scenario', async t => {
+  const fixture = createSchedulerFixture({ dataCentre: 'hoan-kiem' });
+  fixture.addTarget({ targetId: 'near', slots: 1 });
+  fixture.addTarget({ targetId: 'far', slots: 1, dataCentre: 'dong-da' });
+  fixture.start(createJob('job-1', 3));
+  fixture.refuse(fixture.sent[0], NotStartedReason.Draining);
+  fixture.answer(fixture.sent[1]);
+  fixture.fail(fixture.sent[2]);
+  await fixture.timers.advance(1);
+  t.snapshot(fixture.decisions);
+  t.snapshot(fixture.fates);
+  t.snapshot(fixture.cancelled);
+});
+
+test('tasks of jobs are placed again only when provably not started', t => {
+  for (const reason of Object.values(NotStartedReason)) {
+    const fixture = createSchedulerFixture();
+    fixture.addTarget({ targetId: 'worker-1' });
+    fixture.addTarget({ targetId: 'worker-2' });
+    fixture.start(createJob('job-1', 1));
+    fixture.refuse(fixture.sent[0], reason);
+    t.snapshot(
+      { placements: fixture.sent.length, fates: fixture.fates },
+      `after ${reason}`,
+    );
+  }
+});
+
+test('silence is not taken for a refusal: nothing moves while a target is suspected', async t => {
+  const fixture = createSchedulerFixture();
+  const first = fixture.addTarget({ targetId: 'worker-1' });
+  fixture.start(createJob('job-1', 1));
+  fixture.addTarget({ targetId: 'worker-2' });
+  fixture.scheduler.targetSuspected(first);
+  await fixture.timers.advance(5_000);
+  t.is(fixture.sent.length, 1);
+  t.is(fixture.fates.length, 0);
+  fixture.scheduler.targetLost(first);
+  t.is(fixture.sent.length, 1);
+  t.is(fixture.fates[0]?.fate.kind, TaskFateKind.Unknown);
+});
+
+test('a lost target ends its job at once, and the rest of the job is stopped', async t => {
+  const fixture = createSchedulerFixture();
+  const first = fixture.addTarget({ targetId: 'worker-1', slots: 1 });
+  fixture.addTarget({ targetId: 'worker-2', slots: 1 });
+  fixture.start(createJob('job-1', 4));
+  fixture.scheduler.targetLost(first);
+  await fixture.timers.advance(0);
+  t.deepEqual(fixture.fates.map(one => one.fate.kind).sort(), [
+    TaskFateKind.NotStarted,
+    TaskFateKind.NotStarted,
+    TaskFateKind.Unknown,
+    TaskFateKind.Unknown,
+  ]);
+  t.deepEqual(
+    fixture.cancelled.map(one => one.target.targetId),
+    ['worker-2'],
+  );
+});
+
+test('an adopted job waits for the attempts that run already', t => {
+  const fixture = createSchedulerFixture();
+  const target = fixture.addTarget();
+  const job = createJob('job-1', 3);
+  t.true(fixture.scheduler.admitJob(job).isOk());
+  const attempt = { jobId: 'job-1', taskId: 'task-2', attempt: 4, epoch: 1 };
+  fixture.scheduler.startJob('job-1', 2, [
+    { kind: TaskPlanKind.Place, taskId: 'task-1' },
+    { kind: TaskPlanKind.Await, attempt, target },
+  ]);
+  t.is(fixture.sent.length, 1);
+  t.is(fixture.scheduler.status().runningTasks, 2);
+  fixture.scheduler.attemptEnded(target, {
+    ...attempt,
+    outcome: AttemptOutcome.Answered,
+    answer: '1',
+    runMilliseconds: 1,
+  });
+  t.deepEqual(
+    fixture.fates.map(one => one.taskId),
+    ['task-2'],
+  );
+  t.is(fixture.scheduler.status().queuedTasks, 0);
+});
+
+test('late, doubled and reordered results change nothing', t => {
+  const fixture = createSchedulerFixture();
+  fixture.addTarget();
+  fixture.start(createJob('job-1', 2));
+  const [first, second] = fixture.sent;
+  fixture.answer(second);
+  fixture.answer(second);
+  fixture.fail(second);
+  t.is(fixture.fates.length, 1);
+  fixture.answer(first);
+  fixture.answer(first);
+  t.is(fixture.fates.length, 2);
+  t.is(fixture.scheduler.status().runningTasks, 0);
+});
+
+test('a job whose deadline passes ends at its deadline and not before', async t => {
+  const fixture = createSchedulerFixture();
+  fixture.addTarget({ slots: 1 });
+  fixture.start(createJob('job-1', 2, { deadlineMilliseconds: 500 }));
+  await fixture.timers.advance(499);
+  t.is(fixture.fates.length, 0);
+  await fixture.timers.advance(1);
+  t.deepEqual(
+    fixture.fates.map(one => one.fate.kind),
+    [TaskFateKind.Unknown, TaskFateKind.NotStarted],
+  );
+});
