--- /dev/null
+++ b/packages/bench/src/stand-ins/start-stand-in-platform.ts
@@ -0,0 +1,157 @@
+/** A platform for tests and measurements: leases, lagged usage, and acts on running tasks, over HTTP. */
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type {
+  JobId,
+  Milliseconds,
+  TargetId,
+  TaskId,
+} from '@cranberryturn/types';
+import { type Context, Hono } from 'hono';
+import { z } from 'zod';
+
+import { listenOnLoopback } from './listen-on-loopback.js';
+import { createUsageHistory } from './usage-history.js';
+import type { StandInTarget } from './start-stand-in-target.js';
+
+/** What a stand-in platform is built from. */
+export interface StandInPlatformOptions {
+  readonly timers: TimerService;
+  readonly targets: readonly PlatformTarget[];
+  /** Age of the usage that is reported. */
+  readonly usageLagMilliseconds: Milliseconds;
+  /** Time after which a lease that is not renewed ends and its task is stopped. */
+  readonly leaseMilliseconds: Milliseconds;
+}
+
+/** The part of a stand-in target that the platform acts on. */
+export type PlatformTarget = Pick<StandInTarget, 'targetId' | 'running'>;
+
+/** Acts of the platform on a lease. */
+export enum PlatformAct {
+  Renew = 'renew',
+  End = 'end',
+  Checkpoint = 'checkpoint',
+  Throttle = 'throttle',
+  Stop = 'stop',
+}
+
+/** One act that the platform was asked for. */
+export interface PlatformActRecord {
+  readonly act: PlatformAct;
+  readonly target: TargetId;
+  readonly jobId: JobId;
+  readonly taskId: TaskId;
+  /** False when the task did not run any more. */
+  readonly applied: boolean;
+}
+
+/** A running stand-in platform. */
+export interface StandInPlatform {
+  /** Base address; leases of a worker are at `/workers/{target}/leases`. */
+  readonly url: string;
+  /** Acts asked for so far, oldest first. */
+  readonly acts: readonly PlatformActRecord[];
+  close(): Promise<void>;
+}
+
+interface Lease {
+  readonly target: PlatformTarget;
+  readonly jobId: JobId;
+  readonly taskId: TaskId;
+  expiry: TimerSubscription;
+}
+
+const attemptSchema = z.object({ jobId: z.string(), taskId: z.string() });
+const actSchema = z.object({
+  /** Part of a processor that a throttled task may use. */
+  share: z.number().gt(0).max(1).default(1),
+});
+
+/** Starts a stand-in platform on a free port of the loopback address. */
+export async function startStandInPlatform(
+  options: StandInPlatformOptions,
+): Promise<StandInPlatform> {
+  const { timers, leaseMilliseconds } = options;
+  const targets = new Map(options.targets.map(one => [one.targetId, one]));
+  const usage = createUsageHistory(options);
+  const leases = new Map<string, Lease>();
+  const acts: PlatformActRecord[] = [];
+  let nextLease = 1;
+
+  const expire = (leaseId: string): TimerSubscription =>
+    timers.after(leaseMilliseconds, () => {
+      const lease = leases.get(leaseId);
+      leases.delete(leaseId);
+      lease?.target.running.stop(lease.jobId, lease.taskId);
+    });
+
+  const application = new Hono();
+  application.get('/workers/:target/usage', context => {
+    const target = targets.get(context.req.param('target'));
+    if (target === undefined) return notFound(context, 'worker');
+    return context.json(usage.read(target.targetId));
+  });
+  application.post('/workers/:target/leases', async context => {
+    const target = targets.get(context.req.param('target'));
+    if (target === undefined) return notFound(context, 'worker');
+    const attempt = attemptSchema.safeParse(await readBody(context));
+    if (!attempt.success) return context.json({ error: 'Name the task.' }, 400);
+    const leaseId = `lease-${String(nextLease++)}`;
+    leases.set(leaseId, { target, ...attempt.data, expiry: expire(leaseId) });
+    return context.json({ leaseId, expiresInMilliseconds: leaseMilliseconds });
+  });
+  for (const act of Object.values(PlatformAct)) {
+    application.post(`/workers/:target/leases/:lease/${act}`, async context => {
+      const leaseId = context.req.param('lease');
+      const lease = leases.get(leaseId);
+      if (lease === undefined) return notFound(context, 'lease');
+      const body = actSchema.safeParse(await readBody(context));
+      const applied = performAct(lease, act, body.data?.share ?? 1);
+      if (act === PlatformAct.Renew || act === PlatformAct.End) {
+        lease.expiry.cancel();
+      }
+      if (act === PlatformAct.Renew) lease.expiry = expire(leaseId);
+      if (act === PlatformAct.End) leases.delete(leaseId);
+      const { target, jobId, taskId } = lease;
+      acts.push({ act, target: target.targetId, jobId, taskId, applied });
+      return context.json({
+        applied,
+        leaseId,
+        expiresInMilliseconds: leaseMilliseconds,
+      });
+    });
+  }
+  const server = await listenOnLoopback(application.fetch);
+  return {
+    url: server.url,
+    acts,
+    close: () => {
+      usage.close();
+      for (const lease of leases.values()) lease.expiry.cancel();
+      return server.close();
+    },
+  };
+}
+
+function notFound(context: Context, what: string): Response {
+  return context.json({ error: `No such ${what}.` }, 404);
+}
+
+async function readBody(context: Context): Promise<unknown> {
+  return context.req.json().catch(() => ({}));
+}
+
+function performAct(lease: Lease, act: PlatformAct, share: number): boolean {
+  const { target, jobId, taskId } = lease;
+  switch (act) {
+    case PlatformAct.Renew:
+    case PlatformAct.End:
+      return true;
+    case PlatformAct.Checkpoint:
+      return target.running.has(jobId, taskId);
+    case PlatformAct.Throttle:
+      return target.running.throttle(jobId, taskId, 1 / share);
+    case PlatformAct.Stop:
+      return target.running.stop(jobId, taskId);
+  }
+}
--- a/packages/placement/src/target-index.ts
+++ b/packages/placement/src/target-index.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from '@cranberryturn/random';
 import type {
   DeclaredResources,
+  LogIndex,
   Milliseconds,
   RackName,
 } from '@cranberryturn/types';
@@ -22,6 +23,8 @@
   readonly racks: ReadonlyMap<RackName, number>;
   /** Whether the task may be run again elsewhere, so that it may probe a doubtful target. */
   readonly repeatable: boolean;
+  /** Only runs registered up to this position may take the task; undefined means any run. */
+  readonly registeredUpTo: LogIndex | undefined;
 }
 
 /** Number of preference tiers. */
@@ -186,6 +189,9 @@
     if (!need.repeatable && !health.probedByAnyTask) return false;
   }
   if (need.excluded.length > 0 && need.excluded.includes(entry)) return false;
+  if (need.registeredUpTo !== undefined) {
+    if (entry.record.registeredAt > need.registeredUpTo) return false;
+  }
   if (need.declared === undefined) return true;
   return fitsNow(entry.record.resources, entry.reserved, need.declared);
 }
--- a/packages/scheduling/src/active-work.ts
+++ b/packages/scheduling/src/active-work.ts
@@ -28,6 +28,8 @@
   TeamName,
 } from '@cranberryturn/types';
 
+import type { JobOwnership } from './ports/scheduler.js';
+
 /** Where a task stands. */
 export enum TaskPhase {
   /** It waits for a target. */
@@ -87,7 +89,8 @@
   readonly racks: Map<RackName, number>;
   /** Its place in the queue; created with the job. */
   node: ListNode<ActiveJob> | undefined;
-  epoch: OwnershipEpoch;
+  /** Undefined until the job is started. */
+  ownership: JobOwnership | undefined;
   /** Whether a task was placed. */
   placed: boolean;
   failed: boolean;
@@ -142,7 +145,7 @@
     waiting: [],
     racks: new Map(),
     node: undefined,
-    epoch: 0,
+    ownership: undefined,
     placed: false,
     failed: false,
     expiry: undefined,
--- a/packages/scheduling/src/create-scheduler.ts
+++ b/packages/scheduling/src/create-scheduler.ts
@@ -15,7 +15,6 @@
   emptyConfiguration,
   type JobId,
   type JobRequest,
-  type OwnershipEpoch,
   type TargetIdentity,
   type TargetLoad,
   type TargetRecord,
@@ -31,6 +30,7 @@
 import { endJob, forgetJob } from './end-jobs.js';
 import { placeTasks } from './place-tasks.js';
 import type {
+  JobOwnership,
   Scheduler,
   SchedulerStatus,
   TaskPlan,
@@ -104,19 +104,19 @@
 
   releaseAdmission(jobId: JobId): void {
     const job = this.#context.jobs.get(jobId);
-    if (job === undefined || job.epoch > 0) return;
+    if (job === undefined || job.ownership !== undefined) return;
     for (const task of job.open.values()) countWaiting(task, -1);
     forgetJob(this.#context, job);
   }
 
   startJob(
     jobId: JobId,
-    epoch: OwnershipEpoch,
+    ownership: JobOwnership,
     plans: readonly TaskPlan[],
   ): void {
     const job = this.#context.jobs.get(jobId);
-    if (job === undefined || job.epoch > 0) return;
-    startJob(this.#context, job, epoch, plans);
+    if (job === undefined || job.ownership !== undefined) return;
+    startJob(this.#context, job, ownership, plans);
   }
 
   cancelJob(jobId: JobId, reason: string): void {
--- a/packages/scheduling/src/fakes/scheduler-fixture.ts
+++ b/packages/scheduling/src/fakes/scheduler-fixture.ts
@@ -73,7 +73,11 @@
     const plans = job.tasks.map(
       ({ taskId }) => ({ kind: TaskPlanKind.Place, taskId }) as const,
     );
-    scheduler.startJob(job.jobId, 1, plans);
+    scheduler.startJob(
+      job.jobId,
+      { epoch: 1, registeredUpTo: undefined },
+      plans,
+    );
     return true;
   };
 
--- a/packages/scheduling/src/place-tasks.ts
+++ b/packages/scheduling/src/place-tasks.ts
@@ -105,6 +105,7 @@
     excluded: task.excluded,
     racks: task.job.racks,
     repeatable: task.job.repeatable,
+    registeredUpTo: task.job.ownership?.registeredUpTo,
   });
 }
 
@@ -120,15 +121,16 @@
   const { dispatcherId, decisions, sender } = context.options;
   const hedge = task.attempts.length > 0;
   const number = task.lastAttempt + 1;
+  const epoch = job.ownership?.epoch ?? 0;
   const key = {
     jobId: request.jobId,
     taskId: task.request.taskId,
     attempt: number,
-    epoch: job.epoch,
+    epoch,
   };
   occupyTarget(context, task, target, {
     number,
-    epoch: job.epoch,
+    epoch,
     startedAt: now,
     hedge,
   });
--- a/packages/scheduling/src/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler.test.ts
@@ -86,7 +86,7 @@
   const job = createJob('job-1', 3);
   t.true(fixture.scheduler.admitJob(job).isOk());
   const attempt = { jobId: 'job-1', taskId: 'task-2', attempt: 4, epoch: 1 };
-  fixture.scheduler.startJob('job-1', 2, [
+  fixture.scheduler.startJob('job-1', { epoch: 2, registeredUpTo: 5 }, [
     { kind: TaskPlanKind.Place, taskId: 'task-1' },
     { kind: TaskPlanKind.Await, attempt, target },
   ]);
@@ -105,6 +105,21 @@
   t.is(fixture.scheduler.status().queuedTasks, 0);
 });
 
+test('tasks of an adopted job go only to runs that an adopter would ask', t => {
+  const fixture = createSchedulerFixture();
+  fixture.addTarget({ targetId: 'worker-1', slots: 1, registeredAt: 4 });
+  fixture.addTarget({ targetId: 'worker-2', registeredAt: 6 });
+  t.true(fixture.scheduler.admitJob(createJob('job-1', 2)).isOk());
+  fixture.scheduler.startJob('job-1', { epoch: 2, registeredUpTo: 5 }, [
+    { kind: TaskPlanKind.Place, taskId: 'task-1' },
+    { kind: TaskPlanKind.Place, taskId: 'task-2' },
+  ]);
+  t.deepEqual(
+    fixture.sent.map(one => one.target.targetId),
+    ['worker-1'],
+  );
+});
+
 test('late, doubled and reordered results change nothing', t => {
   const fixture = createSchedulerFixture();
   fixture.addTarget();
--- a/packages/scheduling/src/start-job.ts
+++ b/packages/scheduling/src/start-job.ts
@@ -1,5 +1,5 @@
 /** Starts an admitted job once its claim is granted. */
-import type { OwnershipEpoch, TaskId } from '@cranberryturn/types';
+import type { TaskId } from '@cranberryturn/types';
 
 import {
   type ActiveJob,
@@ -11,8 +11,9 @@
 import { endJob, endTask, forgetJob } from './end-jobs.js';
 import { occupyTarget, placeTasks } from './place-tasks.js';
 import {
-  type TaskPlan,
+  type JobOwnership,
   TaskFateKind,
+  type TaskPlan,
   TaskPlanKind,
 } from './ports/scheduler.js';
 import { findTarget, type SchedulerContext } from './scheduler-context.js';
@@ -21,10 +22,10 @@
 export function startJob(
   context: SchedulerContext,
   job: ActiveJob,
-  epoch: OwnershipEpoch,
+  ownership: JobOwnership,
   plans: readonly TaskPlan[],
 ): void {
-  job.epoch = epoch;
+  job.ownership = ownership;
   dropUnplanned(job, plans);
   if (job.open.size === 0) {
     forgetJob(context, job);
