--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,5 @@
 /** Configuration state, operator intents, plans and confirmation. */
+export * from './administration-views.js';
 export * from './apply-configuration-changes.js';
 export * from './apply-control-host-intent.js';
 export * from './apply-intent.js';
--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -1,5 +1,5 @@
 /** Carries messages between the replicas of the log over the network of our own processes. */
-import { ConnectionError } from '@cranberryturn/errors';
+import { ConnectionError, type TimeoutError } from '@cranberryturn/errors';
 import type {
   PeerLink,
   PeerMessage,
@@ -18,16 +18,46 @@
   type RemoteCalls,
   serveRemoteCalls,
 } from '@cranberryturn/wire';
+import type {
+  AdministrationCall,
+  AdministrationReply,
+} from '../administration-calls.js';
 import { err, errAsync, ok, type Result, ResultAsync } from 'neverthrow';
 
 const callTimeout: Milliseconds = 2_000;
+const administrationTimeout: Milliseconds = 6_000;
 const silenceLimit: Milliseconds = 1_000;
 const dialTimeout: Milliseconds = 1_000;
 
-/** One message between replicas, with its sender. */
-export interface PeerEnvelope {
-  readonly from: ReplicaId;
-  readonly message: PeerMessage;
+/** What one replica asks of another. */
+export enum PeerEnvelopeKind {
+  /** A message of the log. */
+  Log = 'log',
+  /** A call of an operator, forwarded to the leader. */
+  Administration = 'administration',
+}
+
+/** One message between replicas. */
+export type PeerEnvelope =
+  | {
+      readonly kind: PeerEnvelopeKind.Log;
+      readonly from: ReplicaId;
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly kind: PeerEnvelopeKind.Administration;
+      readonly call: AdministrationCall;
+    };
+
+/** How a replica answers the messages of others. */
+export interface PeerHandlers {
+  readonly handleMessage: (
+    from: ReplicaId,
+    message: PeerMessage,
+  ) => Promise<PeerReply>;
+  readonly administer: (
+    call: AdministrationCall,
+  ) => Promise<AdministrationReply>;
 }
 
 /** What the link needs. */
@@ -42,6 +72,11 @@
 
 /** A link that can be closed. */
 export interface WirePeerLink extends PeerLink {
+  /** Asks the leader to carry out the call of an operator. */
+  administer(
+    leader: ReplicaId,
+    call: AdministrationCall,
+  ): ResultAsync<AdministrationReply, ConnectionError | TimeoutError>;
   close(): void;
 }
 
@@ -49,14 +84,26 @@
 export async function servePeer(
   connection: Connection,
   timers: TimerService,
-  handle: (envelope: PeerEnvelope) => Promise<PeerReply>,
+  handlers: PeerHandlers,
 ): Promise<void> {
   const calls = serveRemoteCalls(connection, timers, {
-    handleCall: body => handle(body as PeerEnvelope),
+    handleCall: body => handleEnvelope(handlers, body as PeerEnvelope),
   });
   await calls.ended;
 }
 
+async function handleEnvelope(
+  { handleMessage, administer }: PeerHandlers,
+  envelope: PeerEnvelope,
+): Promise<PeerReply | AdministrationReply> {
+  switch (envelope.kind) {
+    case PeerEnvelopeKind.Log:
+      return await handleMessage(envelope.from, envelope.message);
+    case PeerEnvelopeKind.Administration:
+      return await administer(envelope.call);
+  }
+}
+
 /** Creates a link that keeps one connection to each peer and replaces it when it falls silent. */
 export function createWirePeerLink(options: WirePeerLinkOptions): WirePeerLink {
   const { timers } = options;
@@ -109,24 +156,39 @@
     calls.connection.close();
   };
 
-  return {
-    call: (peer, message) => {
-      if (closed) return errAsync(unknownPeer(peer));
-      return new ResultAsync(findCalls(peer)).andThen(calls => {
-        const watch = timers.after(silenceLimit, () => {
-          dropSilent(peer, calls);
-        });
-        const envelope: PeerEnvelope = { from: options.self(), message };
-        return calls
-          .call<PeerReply>(envelope, callTimeout)
-          .andTee(() => {
-            watch.cancel();
-          })
-          .orTee(() => {
-            watch.cancel();
-          });
+  const send = <Reply>(
+    peer: ReplicaId,
+    envelope: PeerEnvelope,
+    timeout: Milliseconds,
+  ): ResultAsync<Reply, ConnectionError | TimeoutError> => {
+    if (closed) return errAsync(unknownPeer(peer));
+    return new ResultAsync(findCalls(peer)).andThen(calls => {
+      const watch = timers.after(silenceLimit, () => {
+        dropSilent(peer, calls);
       });
-    },
+      const cancelWatch = (): void => {
+        watch.cancel();
+      };
+      return calls
+        .call<Reply>(envelope, timeout)
+        .andTee(cancelWatch)
+        .orTee(cancelWatch);
+    });
+  };
+
+  return {
+    call: (peer, message) =>
+      send(
+        peer,
+        { kind: PeerEnvelopeKind.Log, from: options.self(), message },
+        callTimeout,
+      ),
+    administer: (leader, call) =>
+      send(
+        leader,
+        { kind: PeerEnvelopeKind.Administration, call },
+        administrationTimeout,
+      ),
     close: () => {
       closed = true;
       for (const calls of open.values()) calls.connection.close();
--- /dev/null
+++ b/packages/control/src/administer-control.ts
@@ -0,0 +1,130 @@
+/** Carries out the calls of operators at the leader. */
+import {
+  type ConfirmOutcome,
+  ConfirmOutcomeKind,
+  type ConfirmRequest,
+} from '@cranberryturn/configuration';
+import type { ReplicatedLog } from '@cranberryturn/replicated-log';
+import type { ConfigurationChange, Milliseconds } from '@cranberryturn/types';
+
+import {
+  type AdministrationCall,
+  AdministrationMethod,
+  type AdministrationReply,
+  AdministrationReplyKind,
+} from './administration-calls.js';
+import type { OperationProposer } from './batch-operations.js';
+import type { EntryOutcome } from './control-state.js';
+import { composeStatus, type StatusSources } from './compose-status.js';
+import { OperationKind, OperationOutcomeKind } from './control-operations.js';
+import { planChange } from './plan-change.js';
+
+/** What the calls need. */
+export interface AdministrationServices extends StatusSources {
+  readonly proposer: OperationProposer;
+  readonly log: Pick<ReplicatedLog<EntryOutcome>, 'confirmLeadership'>;
+}
+
+/** Carries out one call on this replica, which must lead. */
+export async function administerControl(
+  services: AdministrationServices,
+  call: AdministrationCall,
+): Promise<AdministrationReply> {
+  const { state, log, proposer } = services;
+  if (call.method === AdministrationMethod.Confirm) {
+    return await confirm(proposer, call.request);
+  }
+  // Reads prove the lead first, so that a deposed leader shows nothing old.
+  const proved = await log.confirmLeadership();
+  if (proved.isErr()) {
+    return refuse(AdministrationReplyKind.Unavailable, proved.error.message);
+  }
+  switch (call.method) {
+    case AdministrationMethod.Plan:
+      return planChange(state, call.input).match(
+        view => ({ kind: AdministrationReplyKind.Done, view }),
+        error => refuse(AdministrationReplyKind.Invalid, error.message),
+      );
+    case AdministrationMethod.Status:
+      return {
+        kind: AdministrationReplyKind.Done,
+        view: composeStatus(services),
+      };
+    case AdministrationMethod.History:
+      return {
+        kind: AdministrationReplyKind.Done,
+        view: {
+          changes: state.configuration.history.slice(-call.limit).reverse(),
+        },
+      };
+  }
+}
+
+/** Refuses a call with one sentence. */
+export function refuse(
+  kind: Exclude<AdministrationReplyKind, AdministrationReplyKind.Done>,
+  error: string,
+): AdministrationReply {
+  return { kind, refusal: { error } };
+}
+
+async function confirm(
+  proposer: OperationProposer,
+  request: ConfirmRequest,
+): Promise<AdministrationReply> {
+  const submitted = await proposer.submit({
+    kind: OperationKind.Confirm,
+    request,
+  });
+  if (submitted.isErr()) {
+    return refuse(
+      AdministrationReplyKind.Unavailable,
+      `${submitted.error.message} The change may still be accepted: send the same confirm again with the same request identifier.`,
+    );
+  }
+  const outcome = submitted.value;
+  if (outcome.kind !== OperationOutcomeKind.Confirm) {
+    return refuse(
+      AdministrationReplyKind.Unavailable,
+      'The log gave no outcome for this confirm; send it again with the same request identifier.',
+    );
+  }
+  return replyToConfirm(outcome.outcome);
+}
+
+function replyToConfirm(outcome: ConfirmOutcome): AdministrationReply {
+  switch (outcome.kind) {
+    case ConfirmOutcomeKind.Accepted: {
+      const { change } = outcome;
+      return {
+        kind: AdministrationReplyKind.Done,
+        view: { version: change.version, change },
+      };
+    }
+    case ConfirmOutcomeKind.Conflict: {
+      const { winner, currentVersion } = outcome;
+      const error = describeConflict(winner, currentVersion);
+      return {
+        kind: AdministrationReplyKind.Conflict,
+        refusal: { error, winner, currentVersion },
+      };
+    }
+    case ConfirmOutcomeKind.Rejected:
+      return refuse(AdministrationReplyKind.Invalid, outcome.reason);
+  }
+}
+
+function describeConflict(
+  winner: ConfigurationChange | undefined,
+  currentVersion: number,
+): string {
+  const advice = `Version ${String(currentVersion)} is current now; plan again. Nothing was changed.`;
+  if (winner === undefined) {
+    return `Other changes were accepted first, and the history no longer holds the one that won. ${advice}`;
+  }
+  return `${winner.operator} changed the configuration first: ${winner.intent.kind}, version ${String(winner.version)}, at ${formatTime(winner.at)}. ${advice}`;
+}
+
+function formatTime(time: Milliseconds): string {
+  return new Date(time).toISOString();
+}
--- /dev/null
+++ b/packages/control/src/administration-api.ts
@@ -0,0 +1,217 @@
+/** The administration API over HTTP, with health checks and metrics. */
+import {
+  createTokenFinder,
+  readBearerToken,
+} from '@cranberryturn/authentication';
+import type {
+  HistoryView,
+  RefusalView,
+  StatusView,
+} from '@cranberryturn/configuration';
+import { metricsContentType } from '@cranberryturn/metrics';
+import { type Context, Hono, type MiddlewareHandler } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import { z } from 'zod';
+
+import {
+  type AdministrationCall,
+  AdministrationMethod,
+  type AdministrationReply,
+  AdministrationReplyKind,
+} from './administration-calls.js';
+
+const maximumBodyBytes = 65_536;
+const maximumHistory = 1_000;
+const defaultHistory = 50;
+const retryAfterSeconds = '1';
+
+/** An operator and the digests of its tokens. */
+export interface Operator {
+  readonly name: string;
+  readonly tokenDigests: readonly string[];
+}
+
+/** What the API needs. */
+export interface AdministrationApiOptions {
+  readonly operators: readonly Operator[];
+  readonly administer: (
+    call: AdministrationCall,
+  ) => Promise<AdministrationReply>;
+  /** False once the replica has failed. */
+  readonly isAlive: () => boolean;
+  /** True while the replica serves and a leader with a majority is proved. */
+  readonly isReady: () => boolean;
+  readonly exposeMetrics: () => Promise<string>;
+  /** Called for each refused token. */
+  readonly handleRefusedToken: () => void;
+}
+
+/** Variables of a request whose token was checked. */
+export interface AdministrationVariables {
+  Variables: { operator: Operator };
+}
+
+type AdministrationContext = Context<AdministrationVariables>;
+
+const confirmSchema = z.strictObject({
+  requestId: z.string().min(8).max(128),
+});
+
+const historySchema = z.coerce
+  .number()
+  .int()
+  .min(1)
+  .max(maximumHistory)
+  .default(defaultHistory);
+
+/** Creates the API. */
+export function createAdministrationApi(
+  options: AdministrationApiOptions,
+): Hono<AdministrationVariables> {
+  const app = new Hono<AdministrationVariables>();
+  app.get('/healthz', context => answerCheck(context, options.isAlive()));
+  app.get('/readyz', context => answerCheck(context, options.isReady()));
+  app.get('/metrics', async context =>
+    context.body(await options.exposeMetrics(), 200, {
+      'content-type': metricsContentType,
+    }),
+  );
+  app.use('/v1/admin/*', checkToken(options));
+  app.use(
+    '/v1/admin/*',
+    bodyLimit({
+      maxSize: maximumBodyBytes,
+      onError: context =>
+        refuse(context, 413, {
+          error: `The body is larger than ${String(maximumBodyBytes)} bytes.`,
+        }),
+    }),
+  );
+  addPlanRoutes(app, options);
+  addReadRoutes(app, options);
+  app.notFound(context =>
+    refuse(context, 404, {
+      error: `There is no ${context.req.method} ${context.req.path}; see docs/operators.`,
+    }),
+  );
+  app.onError((error, context) =>
+    refuse(context, 500, {
+      error: `The call failed: ${error.message}. Look into the log of this control host.`,
+    }),
+  );
+  return app;
+}
+
+function addPlanRoutes(
+  app: Hono<AdministrationVariables>,
+  { administer }: AdministrationApiOptions,
+): void {
+  app.post('/v1/admin/plans', async context => {
+    const input = await readJson(context);
+    const reply = await administer({
+      method: AdministrationMethod.Plan,
+      input,
+    });
+    return answer(context, reply);
+  });
+  app.post('/v1/admin/plans/:planId/confirm', async context => {
+    const body = confirmSchema.safeParse(await readJson(context));
+    if (!body.success) {
+      return refuse(context, 400, {
+        error:
+          'The body must be {"requestId": "..."} with 8 to 128 characters, chosen by you and the same in each repetition. Nothing was changed.',
+      });
+    }
+    const reply = await administer({
+      method: AdministrationMethod.Confirm,
+      request: {
+        planId: context.req.param('planId'),
+        requestId: body.data.requestId,
+        operator: context.get('operator').name,
+      },
+    });
+    return answer(context, reply);
+  });
+}
+
+function addReadRoutes(
+  app: Hono<AdministrationVariables>,
+  { administer }: AdministrationApiOptions,
+): void {
+  app.get('/v1/admin/status', async context =>
+    answer(context, await administer({ method: AdministrationMethod.Status })),
+  );
+  app.get('/v1/admin/history', async context => {
+    const limit = historySchema.safeParse(context.req.query('limit'));
+    if (!limit.success) {
+      return refuse(context, 400, {
+        error: `"limit" must be a whole number from 1 to ${String(maximumHistory)}.`,
+      });
+    }
+    const reply = await administer({
+      method: AdministrationMethod.History,
+      limit: limit.data,
+    });
+    return answer(context, reply);
+  });
+}
+
+function checkToken(
+  options: AdministrationApiOptions,
+): MiddlewareHandler<AdministrationVariables> {
+  const findOperator = createTokenFinder(options.operators);
+  return async (context, next) => {
+    const token = readBearerToken(context.req.header('authorization'));
+    const operator = findOperator(token);
+    if (operator === undefined) {
+      options.handleRefusedToken();
+      return refuse(context, 401, {
+        error:
+          'The header Authorization must be "Bearer" and the token of an operator; create one with `cranberryctl token create` and add its digest to "operators" in the settings of each control host.',
+      });
+    }
+    context.set('operator', operator);
+    await next();
+    return undefined;
+  };
+}
+
+async function readJson(context: AdministrationContext): Promise<unknown> {
+  try {
+    return await context.req.json<unknown>();
+  } catch {
+    return undefined;
+  }
+}
+
+function answer(
+  context: AdministrationContext,
+  reply: AdministrationReply,
+): Response {
+  switch (reply.kind) {
+    case AdministrationReplyKind.Done:
+      return context.json(reply.view as StatusView | HistoryView, 200);
+    case AdministrationReplyKind.Conflict:
+      return refuse(context, 409, reply.refusal);
+    case AdministrationReplyKind.Invalid:
+      return refuse(context, 422, reply.refusal);
+    case AdministrationReplyKind.Unavailable:
+      context.header('Retry-After', retryAfterSeconds);
+      return refuse(context, 503, reply.refusal);
+  }
+}
+
+function refuse(
+  context: Context,
+  status: 400 | 401 | 404 | 409 | 413 | 422 | 500 | 503,
+  refusal: RefusalView,
+): Response {
+  return context.json(refusal, status);
+}
+
+function answerCheck(
+  context: AdministrationContext,
+  passed: boolean,
+): Response {
+  return passed ? context.text('ok', 200) : context.text('no', 503);
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,4 +1,6 @@
 /** The control role: replicated log, configuration, claims, roster. */
+export * from './administration-api.js';
+export * from './administration-calls.js';
 export * from './control-operations.js';
 export * from './control-state.js';
 export * from './fakes/memory-log.js';
--- /dev/null
+++ b/packages/control/src/plan-change.ts
@@ -0,0 +1,114 @@
+/** Answers an intent with the plan of what it will do. */
+import {
+  assembleChangePlan,
+  type ChangePlan,
+  describeEffect,
+  describeWarning,
+  listWarnings,
+  observeTargets,
+  parseIntent,
+  type PlanView,
+} from '@cranberryturn/configuration';
+import { InvalidInputError } from '@cranberryturn/errors';
+import { type Intent, IntentKind } from '@cranberryturn/types';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { ControlState } from './control-state.js';
+
+type PlanState = Pick<ControlState, 'configuration' | 'roster'>;
+
+/** Computes a plan; nothing is changed. */
+export function planChange(
+  state: PlanState,
+  input: unknown,
+): Result<PlanView, InvalidInputError> {
+  return parseIntent(input)
+    .map(intent => addAnnounced(state, intent))
+    .andThen(intent => checkPlace(state, intent))
+    .andThen(intent =>
+      assembleChangePlan(state.configuration.configuration, intent),
+    )
+    .map(plan => composeView(state, plan));
+}
+
+function composeView(state: PlanState, plan: ChangePlan): PlanView {
+  const { planId, intent, baseVersion, effects, after } = plan;
+  const observation = observeTargets(state.configuration.configuration, after, [
+    ...state.roster.targets.values(),
+  ]);
+  return {
+    planId,
+    intent,
+    baseVersion,
+    effects: effects.map(effect => ({
+      ...effect,
+      sentence: describeEffect(effect),
+    })),
+    warnings: listWarnings(plan, observation).map(warning => ({
+      ...warning,
+      sentence: describeWarning(warning),
+    })),
+    observation,
+  };
+}
+
+/** Completes an intent about a worker that only announced itself. */
+function addAnnounced(state: PlanState, intent: Intent): Intent {
+  switch (intent.kind) {
+    case IntentKind.RemoveWorker:
+    case IntentKind.DrainWorker: {
+      const target = state.roster.targets.get(intent.targetId);
+      if (target === undefined) return intent;
+      const { service, rack, dataCentre } = target;
+      return { ...intent, announced: { service, rack, dataCentre } };
+    }
+    default:
+      return intent;
+  }
+}
+
+/** Refuses to drain a place in which nothing was ever declared or announced. */
+function checkPlace(
+  state: PlanState,
+  intent: Intent,
+): Result<Intent, InvalidInputError> {
+  const places = [
+    ...state.configuration.configuration.workers,
+    ...state.roster.targets.values(),
+  ];
+  if (
+    intent.kind === IntentKind.DrainRack &&
+    !places.some(place => place.rack === intent.rack)
+  ) {
+    return refusePlace(
+      'rack',
+      intent.rack,
+      places.map(place => place.rack),
+    );
+  }
+  if (
+    intent.kind === IntentKind.DrainDataCentre &&
+    !places.some(place => place.dataCentre === intent.dataCentre)
+  ) {
+    return refusePlace(
+      'data centre',
+      intent.dataCentre,
+      places.map(place => place.dataCentre),
+    );
+  }
+  return ok(intent);
+}
+
+function refusePlace(
+  kind: string,
+  name: string,
+  known: readonly string[],
+): Result<never, InvalidInputError> {
+  const names = [...new Set(known)].sort().join(', ');
+  return err(
+    new InvalidInputError(
+      `No worker was declared or announced in ${kind} ${name}; known: ${names || 'none'}. Nothing was changed.`,
+      { step: 'plan change' },
+    ),
+  );
+}
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -32,6 +32,11 @@
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
+import { administerControl } from './administer-control.js';
+import type {
+  AdministrationCall,
+  AdministrationReply,
+} from './administration-calls.js';
 import { createWirePeerLink, servePeer } from './adapters/wire-peer-link.js';
 import {
   createOperationProposer,
@@ -45,6 +50,7 @@
   type EntryOutcome,
 } from './control-state.js';
 import { createFollowerFeed, type FollowerFeed } from './feed-followers.js';
+import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable, type InForceTable } from './in-force-table.js';
 import { parseAddress } from './parse-address.js';
 import { recordClaim } from './record-claim.js';
@@ -83,6 +89,10 @@
   readonly log: ReplicatedLog<EntryOutcome>;
   readonly proposer: OperationProposer;
   readonly feed: FollowerFeed;
+  /** Carries out a call of an operator at the leader, wherever that is. */
+  administer(call: AdministrationCall): Promise<AdministrationReply>;
+  /** Carries out a call of an operator here. */
+  administerHere(call: AdministrationCall): Promise<AdministrationReply>;
   /** Versions that dispatchers reported to this replica; complete only at the leader. */
   readonly inForce: InForceTable;
   /** Planned stop: hands over the lead first. */
@@ -123,7 +133,22 @@
   const status = log.status.bind(log);
   const feed = createFollowerFeed({ timers, state, status });
   const inForce = createInForceTable(timers);
-  const node = { state, log, proposer, feed, inForce };
+  const administerHere = (call: AdministrationCall) =>
+    administerControl({ state, log, status, inForce, timers, proposer }, call);
+  const administer = (call: AdministrationCall) =>
+    forwardToLeader(
+      { status, administerHere, administerAt: link.administer },
+      call,
+    );
+  const node = {
+    state,
+    log,
+    proposer,
+    feed,
+    administerHere,
+    administer,
+    inForce,
+  };
   const subscription = log.subscribe(event => {
     observeEvent(options, node, event);
   });
@@ -159,9 +184,10 @@
   const { timers, decisions } = options;
   const { log, proposer, feed, inForce } = node;
   if (connection.peer.role === ProcessRole.Control) {
-    await servePeer(connection, timers, ({ from, message }) =>
-      log.handlePeerMessage(from, message),
-    );
+    await servePeer(connection, timers, {
+      handleMessage: (from, message) => log.handlePeerMessage(from, message),
+      administer: node.administerHere,
+    });
     return;
   }
   await serveFollower(connection, {
