Add the administration of control

Change: a follower forwards each checked call to the leader over the connections of the replicas; reads prove the lead first; members of the log follow the configured control hosts one step at a time.

--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -62,9 +62,9 @@
 
 /** What the link needs. */
 export interface WirePeerLinkOptions {
-  readonly network: Network;
+  /** Undefined until the log has told the identity of this replica. */
+  readonly network: () => Network | undefined;
   readonly timers: TimerService;
-  /** Identity of this replica. */
   readonly self: () => ReplicaId;
   /** Address of a replica; undefined when it is not known. */
   readonly findAddress: (replica: ReplicaId) => NetworkAddress | undefined;
@@ -118,11 +118,11 @@
     peer: ReplicaId,
   ): Promise<Result<RemoteCalls, ConnectionError>> => {
     const address = options.findAddress(peer);
-    if (address === undefined) {
+    const network = options.network();
+    if (address === undefined || network === undefined) {
       dialling.delete(peer);
       return err(unknownPeer(peer));
     }
-    const { network } = options;
     const dialled = await dialWithin(network, timers, address, dialTimeout);
     dialling.delete(peer);
     if (dialled.isErr()) {
--- a/packages/control/src/control-node.test.ts
+++ b/packages/control/src/control-node.test.ts
@@ -27,11 +27,8 @@
   const node = (
     await startControl({
       listen: loopback,
-      network: network.join({
-        role: ProcessRole.Control,
-        name: 'c1',
-        incarnation: 'c1-run',
-      }),
+      joinNetwork: name =>
+        network.join({ role: ProcessRole.Control, name, incarnation: 'run' }),
       timers,
       peers: [],
       openLog: stateMachine =>
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,6 +1,7 @@
 /** The control role: replicated log, configuration, claims, roster. */
 export * from './administration-api.js';
 export * from './administration-calls.js';
+export * from './control-node.js';
 export * from './control-operations.js';
 export * from './control-state.js';
 export * from './fakes/memory-log.js';
--- a/packages/control/src/plan-change.ts
+++ b/packages/control/src/plan-change.ts
@@ -54,17 +54,16 @@
 
 /** Completes an intent about a worker that only announced itself. */
 function addAnnounced(state: PlanState, intent: Intent): Intent {
-  switch (intent.kind) {
-    case IntentKind.RemoveWorker:
-    case IntentKind.DrainWorker: {
-      const target = state.roster.targets.get(intent.targetId);
-      if (target === undefined) return intent;
-      const { service, rack, dataCentre } = target;
-      return { ...intent, announced: { service, rack, dataCentre } };
-    }
-    default:
-      return intent;
+  if (
+    intent.kind !== IntentKind.RemoveWorker &&
+    intent.kind !== IntentKind.DrainWorker
+  ) {
+    return intent;
   }
+  const target = state.roster.targets.get(intent.targetId);
+  if (target === undefined) return intent;
+  const { service, rack, dataCentre } = target;
+  return { ...intent, announced: { service, rack, dataCentre } };
 }
 
 /** Refuses to drain a place in which nothing was ever declared or announced. */
--- /dev/null
+++ b/packages/control/src/reconcile-members.ts
@@ -0,0 +1,126 @@
+/** Brings the members of the log to the control hosts of the configuration, one step at a time. */
+import type { Logger } from '@cranberryturn/logger';
+import {
+  type Member,
+  type MemberChange,
+  MemberChangeKind,
+  MemberRole,
+  type ReplicatedLog,
+  ReplicaRole,
+} from '@cranberryturn/replicated-log';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type {
+  ControlHostConfiguration,
+  Milliseconds,
+  ReplicaId,
+} from '@cranberryturn/types';
+
+import type { ControlState, EntryOutcome } from './control-state.js';
+import { formatAddress } from './parse-address.js';
+
+const checkInterval: Milliseconds = 250;
+
+/** The kinds of step. */
+export enum MemberStepKind {
+  Change = 'change',
+  /** The leader is to leave: another replica leads first and then removes it. */
+  HandOver = 'hand-over',
+}
+
+/** The next step towards the configured control hosts. */
+export type MemberStep =
+  | { readonly kind: MemberStepKind.Change; readonly change: MemberChange }
+  | { readonly kind: MemberStepKind.HandOver };
+
+/** What the task needs. */
+export interface ReconcileOptions {
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly log: ReplicatedLog<EntryOutcome>;
+  readonly state: Pick<ControlState, 'configuration'>;
+}
+
+/** Starts the task; it acts only while this replica leads. */
+export function reconcileMembers(options: ReconcileOptions): TimerSubscription {
+  let busy = false;
+  const act = async (): Promise<void> => {
+    if (busy) return;
+    busy = true;
+    await takeStep(options);
+    busy = false;
+  };
+  return options.timers.every(checkInterval, () => void act());
+}
+
+/** Finds the next step: add and promote first, remove last, so that no majority is ever smaller than needed. */
+export function findMemberStep(
+  wanted: readonly ControlHostConfiguration[],
+  members: readonly Member[],
+  leader: ReplicaId,
+): MemberStep | undefined {
+  if (wanted.length === 0) return undefined;
+  const missing = wanted.find(host => !findMember(members, host.replicaId));
+  if (missing !== undefined) {
+    return {
+      kind: MemberStepKind.Change,
+      change: {
+        kind: MemberChangeKind.AddLearner,
+        replicaId: missing.replicaId,
+        address: formatAddress(missing.address),
+      },
+    };
+  }
+  const learner = wanted.find(
+    host => findMember(members, host.replicaId)?.role === MemberRole.Learner,
+  );
+  if (learner !== undefined) {
+    const { replicaId } = learner;
+    const change = { kind: MemberChangeKind.Promote as const, replicaId };
+    return { kind: MemberStepKind.Change, change };
+  }
+  return findRemoval(wanted, members, leader);
+}
+
+function findRemoval(
+  wanted: readonly ControlHostConfiguration[],
+  members: readonly Member[],
+  leader: ReplicaId,
+): MemberStep | undefined {
+  const surplus = members.filter(
+    member => !wanted.some(host => host.replicaId === member.replicaId),
+  );
+  const other = surplus.find(member => member.replicaId !== leader);
+  if (other !== undefined) {
+    const { replicaId } = other;
+    const change = { kind: MemberChangeKind.Remove as const, replicaId };
+    return { kind: MemberStepKind.Change, change };
+  }
+  return surplus.length === 0 ? undefined : { kind: MemberStepKind.HandOver };
+}
+
+async function takeStep({
+  log,
+  state,
+  logger,
+}: ReconcileOptions): Promise<void> {
+  const { role, members, replicaId } = log.status();
+  if (role !== ReplicaRole.Leader) return;
+  const { controlHosts } = state.configuration.configuration;
+  const step = findMemberStep(controlHosts, members, replicaId);
+  if (step === undefined) return;
+  logger.info('control changes its members', { step });
+  const taken =
+    step.kind === MemberStepKind.Change
+      ? await log.changeMembers(step.change)
+      : await log.transferLeadership();
+  if (taken.isErr()) {
+    logger.info('the change of members waits', { step, error: taken.error });
+  }
+}
+
+function findMember(
+  members: readonly Member[],
+  replicaId: ReplicaId,
+): Member | undefined {
+  return members.find(member => member.replicaId === replicaId);
+}
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -1,25 +1,17 @@
 /** Starts one replica of control. */
 import { defaultClaimRetention } from '@cranberryturn/claims';
-import {
-  type ConnectionError,
-  type CranberryError,
-} from '@cranberryturn/errors';
+import type { CranberryError } from '@cranberryturn/errors';
 import type { Logger } from '@cranberryturn/logger';
 import { defaultRosterRetention } from '@cranberryturn/membership';
 import {
   type LogEvent,
   LogEventKind,
   type LogStatus,
-  type OpenLogError,
-  type PeerLink,
   type ReplicatedLog,
   ReplicaRole,
-  type StateMachine,
 } from '@cranberryturn/replicated-log';
 import type { TimerService } from '@cranberryturn/timers';
 import {
-  type ClusterConfiguration,
-  type DecisionSink,
   emptyConfiguration,
   type NetworkAddress,
   type ReplicaId,
@@ -33,75 +25,24 @@
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
 import { administerControl } from './administer-control.js';
-import type {
-  AdministrationCall,
-  AdministrationReply,
-} from './administration-calls.js';
+import type { AdministrationCall } from './administration-calls.js';
 import { createWirePeerLink, servePeer } from './adapters/wire-peer-link.js';
-import {
-  createOperationProposer,
-  type OperationProposer,
-} from './batch-operations.js';
+import { createOperationProposer } from './batch-operations.js';
+import type {
+  ControlNode,
+  ControlOptions,
+  StartControlError,
+} from './control-node.js';
 import { OperationKind } from './control-operations.js';
-import {
-  type ControlRetention,
-  type ControlState,
-  createControlState,
-  type EntryOutcome,
-} from './control-state.js';
-import { createFollowerFeed, type FollowerFeed } from './feed-followers.js';
+import { createControlState, type EntryOutcome } from './control-state.js';
+import { createFollowerFeed } from './feed-followers.js';
 import { forwardToLeader } from './forward-to-leader.js';
-import { createInForceTable, type InForceTable } from './in-force-table.js';
+import { createInForceTable } from './in-force-table.js';
 import { parseAddress } from './parse-address.js';
+import { reconcileMembers } from './reconcile-members.js';
 import { recordClaim } from './record-claim.js';
 import { serveFollower } from './serve-follower.js';
 
-/** Opens the log of this replica. */
-export type LogOpener = (
-  stateMachine: StateMachine<EntryOutcome>,
-  link: PeerLink,
-) => ResultAsync<ReplicatedLog<EntryOutcome>, OpenLogError>;
-
-/** What a replica of control needs. */
-export interface ControlOptions {
-  /** Connections from other replicas and from dispatchers. */
-  readonly listen: NetworkAddress;
-  readonly network: Network;
-  readonly timers: TimerService;
-  readonly openLog: LogOpener;
-  /** Replicas known before the log tells of them. */
-  readonly peers: readonly {
-    readonly replicaId: ReplicaId;
-    readonly address: NetworkAddress;
-  }[];
-  /** Configuration that the first leader of an empty log proposes. */
-  readonly initialConfiguration?: Omit<ClusterConfiguration, 'version'>;
-  readonly retention?: Partial<ControlRetention>;
-  readonly logger: Logger;
-  readonly decisions: DecisionSink;
-}
-
-/** One running replica of control. */
-export interface ControlNode {
-  /** Address of its listener. */
-  readonly address: NetworkAddress;
-  readonly state: ControlState;
-  readonly log: ReplicatedLog<EntryOutcome>;
-  readonly proposer: OperationProposer;
-  readonly feed: FollowerFeed;
-  /** Carries out a call of an operator at the leader, wherever that is. */
-  administer(call: AdministrationCall): Promise<AdministrationReply>;
-  /** Carries out a call of an operator here. */
-  administerHere(call: AdministrationCall): Promise<AdministrationReply>;
-  /** Versions that dispatchers reported to this replica; complete only at the leader. */
-  readonly inForce: InForceTable;
-  /** Planned stop: hands over the lead first. */
-  stop(): Promise<void>;
-}
-
-/** Why a replica did not start. */
-export type StartControlError = OpenLogError | ConnectionError;
-
 /** Starts a replica: opens its log, then serves its peers and followers. */
 export function startControl(
   options: ControlOptions,
@@ -112,14 +53,14 @@
 async function start(
   options: ControlOptions,
 ): Promise<Result<ControlNode, StartControlError>> {
-  const { network, timers, logger } = options;
+  const { timers, logger } = options;
   const state = createControlState({
     claims: options.retention?.claims ?? defaultClaimRetention,
     roster: options.retention?.roster ?? defaultRosterRetention,
   });
-  const own: { log?: ReplicatedLog<EntryOutcome> } = {};
+  const own: { log?: ReplicatedLog<EntryOutcome>; network?: Network } = {};
   const link = createWirePeerLink({
-    network,
+    network: () => own.network,
     timers,
     self: () => own.log?.status().replicaId ?? '',
     findAddress: replica => findAddress(options, own.log?.status(), replica),
@@ -127,7 +68,9 @@
   const opened = await options.openLog(state, link);
   if (opened.isErr()) return err(opened.error);
   const log = opened.value;
+  const network = options.joinNetwork(log.status().replicaId);
   own.log = log;
+  own.network = network;
 
   const proposer = createOperationProposer(log);
   const status = log.status.bind(log);
@@ -153,11 +96,13 @@
     observeEvent(options, node, event);
   });
   initialize(options, node);
+  const reconciler = reconcileMembers({ timers, logger, log, state });
   const listening = await network.listen(options.listen, connection => {
     void serve(options, node, connection);
   });
   if (listening.isErr()) {
     feed.stop();
+    reconciler.cancel();
     await log.stop();
     return err(listening.error);
   }
@@ -168,6 +113,7 @@
   });
   const stop = async (): Promise<void> => {
     subscription.cancel();
+    reconciler.cancel();
     await stopReplica(options, node, listener);
     link.close();
   };
