--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -10,7 +10,6 @@
   type ReplicatedLog,
   ReplicaRole,
 } from '@cranberryturn/replicated-log';
-import type { TimerService } from '@cranberryturn/timers';
 import {
   emptyConfiguration,
   type NetworkAddress,
