--- /dev/null
+++ b/packages/local/src/compose-settings.ts
@@ -0,0 +1,136 @@
+/** Derives the settings of every process of a local system. */
+import {
+  type ControlSettings,
+  controlSettingsSchema,
+  type DispatcherSettings,
+  dispatcherSettingsSchema,
+  type LocalSettings,
+  type SidecarSettings,
+  sidecarSettingsSchema,
+} from '@cranberryturn/settings';
+import type { NetworkAddress } from '@cranberryturn/types';
+
+const controlSeedOffset = 1_000;
+const sidecarSeedOffset = 2_000;
+
+/** Where the parts of a local system find each other. */
+export interface LocalPlaces {
+  readonly folder: string;
+  readonly sharedKeyFile: string;
+  readonly initialConfigurationFile: string;
+  /** One address for each control replica. */
+  readonly controlPeers: readonly NetworkAddress[];
+}
+
+/** One worker of a local system. */
+export interface LocalWorker {
+  readonly targetId: string;
+  readonly service: string;
+  readonly rack: string;
+  readonly dataCentre: string;
+}
+
+/** Lists the workers: as many in each rack as the settings say. */
+export function listWorkers(settings: LocalSettings): readonly LocalWorker[] {
+  return settings.services.flatMap(({ service, racks }) =>
+    racks.flatMap(({ rack, dataCentre, workers }) =>
+      Array.from({ length: workers }, (_, index) => ({
+        targetId: `${rack}-worker-${String(index + 1)}`,
+        service,
+        rack,
+        dataCentre,
+      })),
+    ),
+  );
+}
+
+/** Settings of each control replica. */
+export function composeControlSettings(
+  settings: LocalSettings,
+  places: LocalPlaces,
+): readonly ControlSettings[] {
+  const members = composeMembers(places);
+  return members.map(({ replicaId, address, port }, index) =>
+    controlSettingsSchema.parse({
+      replicaId,
+      host: replicaId,
+      dataCentre: firstDataCentre(settings),
+      region: settings.region,
+      dataFolder: `${places.folder}/${replicaId}`,
+      peers: { listen: { address, port }, members },
+      administration:
+        index === 0
+          ? settings.administration
+          : { address: settings.address, port: 0 },
+      operators: settings.operators,
+      sharedKeyFile: places.sharedKeyFile,
+      initialConfigurationFile: places.initialConfigurationFile,
+      seed: settings.seed + controlSeedOffset + index,
+      log: settings.log,
+    }),
+  );
+}
+
+/** Settings of each dispatcher. */
+export function composeDispatcherSettings(
+  settings: LocalSettings,
+  places: LocalPlaces,
+): readonly DispatcherSettings[] {
+  return settings.dispatchers.map((callers, index) =>
+    dispatcherSettingsSchema.parse({
+      dispatcherId: `dispatcher-${String(index + 1)}`,
+      host: `dispatcher-${String(index + 1)}`,
+      dataCentre: firstDataCentre(settings),
+      region: settings.region,
+      callers,
+      peers: { address: settings.address, port: 0 },
+      control: composeMembers(places),
+      sharedKeyFile: places.sharedKeyFile,
+      teams: settings.teams,
+      operators: settings.operators,
+      seed: settings.seed + index,
+      log: settings.log,
+    }),
+  );
+}
+
+/** Settings of the sidecar beside the target at `url`. */
+export function composeSidecarSettings(
+  settings: LocalSettings,
+  places: LocalPlaces,
+  worker: LocalWorker,
+  parts: {
+    readonly index: number;
+    readonly url: string;
+    readonly dispatchers: readonly NetworkAddress[];
+  },
+): SidecarSettings {
+  const service = settings.services.find(
+    entry => entry.service === worker.service,
+  );
+  return sidecarSettingsSchema.parse({
+    ...worker,
+    host: worker.targetId,
+    region: settings.region,
+    resources: service?.resources,
+    slots: service?.slots,
+    connections: service?.connections,
+    target: { url: parts.url },
+    dispatchers: parts.dispatchers,
+    sharedKeyFile: places.sharedKeyFile,
+    operations: { address: settings.address, port: 0 },
+    seed: settings.seed + sidecarSeedOffset + parts.index,
+    log: settings.log,
+  });
+}
+
+function composeMembers({ controlPeers }: LocalPlaces) {
+  return controlPeers.map((peer, index) => ({
+    replicaId: `control-${String(index + 1)}`,
+    ...peer,
+  }));
+}
+
+function firstDataCentre(settings: LocalSettings): string {
+  return settings.services[0]?.racks[0]?.dataCentre ?? settings.region;
+}
--- /dev/null
+++ b/packages/local/src/create-tokens.ts
@@ -0,0 +1,35 @@
+/** Creates the tokens that local settings leave out. */
+import { createToken, digestToken } from '@cranberryturn/authentication';
+import type { LocalSettings } from '@cranberryturn/settings';
+
+const localTeam = 'local-team';
+const localOperator = 'local-operator';
+
+/** Tokens created for one run. */
+export interface LocalTokens {
+  /** Token of the team; undefined when the settings name teams. */
+  readonly team?: string | undefined;
+  /** Token of the operator; undefined when the settings name operators. */
+  readonly operator?: string | undefined;
+}
+
+/** Completes settings without teams or operators by fresh ones. */
+export function createTokens(settings: LocalSettings): {
+  readonly settings: LocalSettings;
+  readonly tokens: LocalTokens;
+} {
+  const team = settings.teams.length === 0 ? createToken() : undefined;
+  const operator = settings.operators.length === 0 ? createToken() : undefined;
+  const teams =
+    team === undefined
+      ? settings.teams
+      : [{ team: localTeam, tokenDigests: [digestToken(team)] }];
+  const operators =
+    operator === undefined
+      ? settings.operators
+      : [{ name: localOperator, tokenDigests: [digestToken(operator)] }];
+  return {
+    settings: { ...settings, teams, operators },
+    tokens: { team, operator },
+  };
+}
--- /dev/null
+++ b/packages/local/src/start-local-system.ts
@@ -0,0 +1,219 @@
+/** Starts every role in one process, with stand-in targets, on loopback ports. */
+import { startControlRole } from '@cranberryturn/control';
+import { startDispatcherRole } from '@cranberryturn/dispatcher';
+import { type CranberryError, TimeoutError } from '@cranberryturn/errors';
+import { Gauge } from '@cranberryturn/metrics';
+import {
+  closeRoleEnvironment,
+  createRoleEnvironment,
+  type RoleEnvironment,
+  type RunningRole,
+} from '@cranberryturn/program';
+import type { LocalSettings } from '@cranberryturn/settings';
+import { startSidecarRole } from '@cranberryturn/sidecar';
+import { type StandInTarget, startStandInTarget } from '@cranberryturn/stand-ins';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+
+import {
+  composeControlSettings,
+  composeDispatcherSettings,
+  composeSidecarSettings,
+  listWorkers,
+  type LocalPlaces,
+  type LocalWorker,
+} from './compose-settings.js';
+import { createTokens, type LocalTokens } from './create-tokens.js';
+import { preparePlaces } from './prepare-places.js';
+
+const readyPollMilliseconds: Milliseconds = 20;
+const readyTimeoutMilliseconds: Milliseconds = 30_000;
+
+/** One role of a local system. */
+export interface LocalRole extends RunningRole {
+  readonly name: string;
+  readonly environment: RoleEnvironment;
+}
+
+/** A worker with its stand-in target. */
+export interface RunningWorker extends LocalWorker {
+  readonly target: StandInTarget;
+}
+
+/** A running local system. */
+export interface LocalSystem {
+  readonly tokens: LocalTokens;
+  readonly controls: readonly LocalRole[];
+  readonly dispatchers: readonly LocalRole[];
+  readonly workers: readonly RunningWorker[];
+  /** Planned stop of all roles: dispatchers, sidecars, then control. */
+  stop(): Promise<void>;
+}
+
+interface Parts {
+  readonly settings: LocalSettings;
+  readonly timers: TimerService;
+  readonly places: LocalPlaces;
+  readonly controls: LocalRole[];
+  readonly dispatchers: LocalRole[];
+  readonly sidecars: LocalRole[];
+  readonly workers: RunningWorker[];
+}
+
+/** Starts the whole system and waits until every dispatcher knows every worker. */
+export function startLocalSystem(
+  options: LocalSettings,
+  timers: TimerService,
+): ResultAsync<LocalSystem, CranberryError> {
+  return new ResultAsync(start(options, timers));
+}
+
+async function start(
+  options: LocalSettings,
+  timers: TimerService,
+): Promise<Result<LocalSystem, CranberryError>> {
+  const { settings, tokens } = createTokens(options);
+  const { places, remove } = await preparePlaces(settings);
+  const parts: Parts = {
+    settings,
+    timers,
+    places,
+    controls: [],
+    dispatchers: [],
+    sidecars: [],
+    workers: [],
+  };
+  const stop = async (): Promise<void> => {
+    await stopParts(parts);
+    remove();
+  };
+  const started = await startParts(parts);
+  if (started.isErr()) {
+    await stop();
+    return err(started.error);
+  }
+  const { controls, dispatchers, workers } = parts;
+  return ok({ tokens, controls, dispatchers, workers, stop });
+}
+
+async function startParts(
+  parts: Parts,
+): Promise<Result<void, CranberryError>> {
+  const { settings, places, timers } = parts;
+  for (const control of composeControlSettings(settings, places)) {
+    const { replicaId, log } = control;
+    const environment = createEnvironment('control', replicaId, log, timers);
+    const role = await startControlRole(control, environment);
+    if (role.isErr()) return err(role.error);
+    parts.controls.push({ ...role.value, name: replicaId, environment });
+  }
+  for (const dispatcher of composeDispatcherSettings(settings, places)) {
+    const { dispatcherId, log } = dispatcher;
+    const environment = createEnvironment(
+      'dispatcher',
+      dispatcherId,
+      log,
+      timers,
+    );
+    const role = await startDispatcherRole(dispatcher, environment);
+    if (role.isErr()) return err(role.error);
+    parts.dispatchers.push({ ...role.value, name: dispatcherId, environment });
+  }
+  for (const [index, worker] of listWorkers(settings).entries()) {
+    const started = await startWorker(parts, worker, index);
+    if (started.isErr()) return err(started.error);
+  }
+  return waitUntilReady(parts);
+}
+
+async function startWorker(
+  parts: Parts,
+  worker: LocalWorker,
+  index: number,
+): Promise<Result<void, CranberryError>> {
+  const { settings, places, timers } = parts;
+  const target = await startStandInTarget({
+    targetId: worker.targetId,
+    timers,
+    seed: settings.seed + index,
+    runTime: settings.services.find(
+      entry => entry.service === worker.service,
+    )?.runTime,
+  });
+  parts.workers.push({ ...worker, target });
+  const dispatchers = parts.dispatchers.flatMap(
+    role => role.addresses['peers'] ?? [],
+  );
+  const sidecar = composeSidecarSettings(settings, places, worker, {
+    index,
+    url: target.url,
+    dispatchers,
+  });
+  const { targetId } = worker;
+  const environment = createEnvironment(
+    'sidecar',
+    targetId,
+    sidecar.log,
+    timers,
+  );
+  const role = await startSidecarRole(sidecar, environment);
+  return role.map(running => {
+    parts.sidecars.push({ ...running, name: targetId, environment });
+  });
+}
+
+function createEnvironment(
+  role: string,
+  process: string,
+  log: LocalSettings['log'],
+  timers: TimerService,
+): RoleEnvironment {
+  return createRoleEnvironment({ role, process, log, timers });
+}
+
+async function waitUntilReady(
+  parts: Parts,
+): Promise<Result<void, CranberryError>> {
+  const { timers, dispatchers, workers } = parts;
+  const deadline = timers.now() + readyTimeoutMilliseconds;
+  const isReady = (): boolean =>
+    dispatchers.every(role => countTargets(role) === workers.length);
+  while (!isReady()) {
+    if (timers.now() > deadline) return err(notReady(parts));
+    await sleep(timers, readyPollMilliseconds);
+  }
+  return ok(undefined);
+}
+
+function countTargets({ environment }: LocalRole): number {
+  const { gauges } = environment.metrics.read();
+  return gauges.find(({ gauge }) => gauge === Gauge.TargetsKnown)?.value ?? 0;
+}
+
+function notReady({ dispatchers, workers }: Parts): TimeoutError {
+  const counts = dispatchers
+    .map(role => `${role.name} knows ${String(countTargets(role))}`)
+    .join(', ');
+  return new TimeoutError(
+    `Of ${String(workers.length)} workers ${counts} after ${String(readyTimeoutMilliseconds)} ms; start again with "log": { "level": "debug" } and look for the first error.`,
+    { step: 'start local system' },
+  );
+}
+
+async function stopParts(parts: Parts): Promise<void> {
+  const { dispatchers, sidecars, controls, workers } = parts;
+  for (const roles of [dispatchers, sidecars, controls]) {
+    await Promise.all(roles.map(role => role.stop()));
+  }
+  await Promise.all(workers.map(worker => worker.target.close()));
+  for (const { environment } of [...dispatchers, ...sidecars, ...controls]) {
+    await closeRoleEnvironment(environment);
+  }
+}
+
+/** Base address of an HTTP listener. */
+export function formatUrl({ address, port }: NetworkAddress): string {
+  const host = address.includes(':') ? `[${address}]` : address;
+  return `http://${host}:${String(port)}`;
+}
