--- /dev/null
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -0,0 +1,118 @@
+/** Serves the administration API of one replica over HTTP. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { serve } from '@hono/node-server';
+import { ConnectionError } from '@cranberryturn/errors';
+import { Counter, Gauge, type Metrics } from '@cranberryturn/metrics';
+import { ReplicaRole } from '@cranberryturn/replicated-log';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+
+import {
+  createAdministrationApi,
+  type Operator,
+} from '../administration-api.js';
+import type { ControlNode } from '../control-node.js';
+
+const maximumProofAge: Milliseconds = 1_500;
+
+/** A running administration API. */
+export interface AdministrationServer {
+  readonly address: NetworkAddress;
+  /** Fails `/readyz` from now on. */
+  beginStop(): void;
+  /** Waits for the calls in flight, then stops listening. */
+  close(): Promise<void>;
+}
+
+/** What the server needs. */
+export interface AdministrationServerOptions {
+  readonly node: ControlNode;
+  readonly operators: readonly Operator[];
+  readonly metrics: Metrics;
+  readonly timers: TimerService;
+}
+
+/** Starts to serve on `address`; port 0 takes any free port. */
+export function serveAdministration(
+  options: AdministrationServerOptions,
+  address: NetworkAddress,
+): ResultAsync<AdministrationServer, ConnectionError> {
+  const { node, metrics, timers } = options;
+  let stopping = false;
+  observeReplica(node, metrics);
+  const app = createAdministrationApi({
+    operators: options.operators,
+    administer: call => node.administer(call),
+    isAlive: () => node.log.status().failure === undefined,
+    isReady: () => !stopping && isProved(node, timers),
+    exposeMetrics: () => metrics.expose(),
+    handleRefusedToken: () => {
+      metrics.count(Counter.TokensRefused);
+    },
+  });
+  return new ResultAsync(listen(app.fetch, address)).map(server => ({
+    address: {
+      address: address.address,
+      port: (server.address() as AddressInfo).port,
+    },
+    beginStop: () => {
+      stopping = true;
+    },
+    close: () => closeServer(server),
+  }));
+}
+
+function isProved({ log }: ControlNode, timers: TimerService): boolean {
+  const { leadershipProvedAt } = log.status();
+  return (
+    leadershipProvedAt !== undefined &&
+    timers.now() - leadershipProvedAt <= maximumProofAge
+  );
+}
+
+function observeReplica({ log, state }: ControlNode, metrics: Metrics): void {
+  metrics.observe(
+    Gauge.ConfigurationVersion,
+    () => state.configuration.configuration.version,
+  );
+  metrics.observe(Gauge.LogIndex, () => log.status().appliedIndex);
+  metrics.observe(Gauge.Leading, () =>
+    log.status().role === ReplicaRole.Leader ? 1 : 0,
+  );
+  metrics.observe(Gauge.TargetsKnown, () => state.roster.targets.size);
+  metrics.observe(Gauge.JobsOpen, () => state.claims.unfinished.size);
+}
+
+function listen(
+  fetch: Parameters<typeof serve>[0]['fetch'],
+  { address, port }: NetworkAddress,
+): Promise<Result<Server, ConnectionError>> {
+  return new Promise(resolve => {
+    const server = serve({ fetch, hostname: address, port }, () => {
+      resolve(ok(server));
+    }) as Server;
+    server.once('error', cause => {
+      resolve(
+        err(
+          new ConnectionError(
+            `Cannot listen on ${address}:${String(port)} for operators; choose a free port as "administration" in the settings.`,
+            { step: 'listen for operators' },
+            cause,
+          ),
+        ),
+      );
+    });
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/control/src/binaries/cranberry-control.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+/** The binary `cranberry-control`. */
+import { runRoleProgram } from '@cranberryturn/program';
+import { controlSettingsSchema } from '@cranberryturn/settings';
+
+import { startControlRole } from '../start-control-role.js';
+
+await runRoleProgram({
+  name: 'cranberry-control',
+  role: 'control',
+  description:
+    'Keeps the configuration, the claims of jobs and the roster in a replicated log.',
+  schema: controlSettingsSchema,
+  processName: settings => settings.replicaId,
+  start: startControlRole,
+});
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -8,3 +8,5 @@
 export * from './in-force-table.js';
 export * from './parse-address.js';
 export * from './start-control.js';
+export * from './adapters/serve-administration.js';
+export * from './start-control-role.js';
