--- a/packages/local/src/compose-settings.ts
+++ b/packages/local/src/compose-settings.ts
@@ -23,7 +23,7 @@
 }
 
 /** One worker of a local system. */
-export interface LocalWorker {
+export interface WorkerPlan {
   readonly targetId: string;
   readonly service: string;
   readonly rack: string;
@@ -31,7 +31,7 @@
 }
 
 /** Lists the workers: as many in each rack as the settings say. */
-export function listWorkers(settings: LocalSettings): readonly LocalWorker[] {
+export function listWorkers(settings: LocalSettings): readonly WorkerPlan[] {
   return settings.services.flatMap(({ service, racks }) =>
     racks.flatMap(({ rack, dataCentre, workers }) =>
       Array.from({ length: workers }, (_, index) => ({
@@ -98,7 +98,7 @@
 export function composeSidecarSettings(
   settings: LocalSettings,
   places: LocalPlaces,
-  worker: LocalWorker,
+  worker: WorkerPlan,
   parts: {
     readonly index: number;
     readonly url: string;
--- /dev/null
+++ b/packages/local/src/start-local-role.ts
@@ -0,0 +1,55 @@
+/** Runs a local system as the role of a program. */
+import type { CranberryError } from '@cranberryturn/errors';
+import type {
+  ProgramHost,
+  RoleEnvironment,
+  RunningRole,
+} from '@cranberryturn/program';
+import type { LocalSettings } from '@cranberryturn/settings';
+import type { ResultAsync } from 'neverthrow';
+
+import type { LocalTokens } from './create-tokens.js';
+import { type LocalSystem, startLocalSystem } from './start-local-system.js';
+
+/** Starts the system, and prints the tokens that the settings leave out. */
+export function startLocalRole(
+  settings: LocalSettings,
+  { timers }: RoleEnvironment,
+  host: ProgramHost,
+): ResultAsync<RunningRole, CranberryError> {
+  return startLocalSystem(settings, timers).map(system => {
+    host.writeOutput(describeTokens(system.tokens));
+    return {
+      addresses: listAddresses(system),
+      stop: () => system.stop(),
+    };
+  });
+}
+
+function describeTokens({ team, operator }: LocalTokens): string {
+  const lines = [
+    ...(team === undefined ? [] : [`Token of a team for this run: ${team}\n`]),
+    ...(operator === undefined
+      ? []
+      : [`Token of an operator for this run: ${operator}\n`]),
+  ];
+  return lines.join('');
+}
+
+function listAddresses({
+  dispatchers,
+  controls,
+}: LocalSystem): RunningRole['addresses'] {
+  const callers = dispatchers.flatMap(({ name, addresses }) =>
+    addresses['callers'] === undefined ? [] : [[name, addresses['callers']]],
+  );
+  const operators = controls.flatMap(({ name, addresses }) =>
+    addresses['administration'] === undefined
+      ? []
+      : [[`${name} administration`, addresses['administration']]],
+  );
+  return Object.fromEntries([
+    ...callers,
+    ...operators,
+  ]) as RunningRole['addresses'];
+}
--- a/packages/local/src/start-local-system.ts
+++ b/packages/local/src/start-local-system.ts
@@ -11,7 +11,10 @@
 } from '@cranberryturn/program';
 import type { LocalSettings } from '@cranberryturn/settings';
 import { startSidecarRole } from '@cranberryturn/sidecar';
-import { type StandInTarget, startStandInTarget } from '@cranberryturn/stand-ins';
+import {
+  type StandInTarget,
+  startStandInTarget,
+} from '@cranberryturn/stand-ins';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -22,7 +25,7 @@
   composeSidecarSettings,
   listWorkers,
   type LocalPlaces,
-  type LocalWorker,
+  type WorkerPlan,
 } from './compose-settings.js';
 import { createTokens, type LocalTokens } from './create-tokens.js';
 import { preparePlaces } from './prepare-places.js';
@@ -37,7 +40,7 @@
 }
 
 /** A worker with its stand-in target. */
-export interface RunningWorker extends LocalWorker {
+export interface RunningWorker extends WorkerPlan {
   readonly target: StandInTarget;
 }
 
@@ -97,9 +100,7 @@
   return ok({ tokens, controls, dispatchers, workers, stop });
 }
 
-async function startParts(
-  parts: Parts,
-): Promise<Result<void, CranberryError>> {
+async function startParts(parts: Parts): Promise<Result<void, CranberryError>> {
   const { settings, places, timers } = parts;
   for (const control of composeControlSettings(settings, places)) {
     const { replicaId, log } = control;
@@ -129,7 +130,7 @@
 
 async function startWorker(
   parts: Parts,
-  worker: LocalWorker,
+  worker: WorkerPlan,
   index: number,
 ): Promise<Result<void, CranberryError>> {
   const { settings, places, timers } = parts;
@@ -137,9 +138,8 @@
     targetId: worker.targetId,
     timers,
     seed: settings.seed + index,
-    runTime: settings.services.find(
-      entry => entry.service === worker.service,
-    )?.runTime,
+    runTime: settings.services.find(entry => entry.service === worker.service)
+      ?.runTime,
   });
   parts.workers.push({ ...worker, target });
   const dispatchers = parts.dispatchers.flatMap(
--- /dev/null
+++ b/packages/local/src/system-client.ts
@@ -0,0 +1,114 @@
+/** Calls the HTTP interfaces of a local system, as a caller and as an operator. */
+import { randomUUID } from 'node:crypto';
+
+import type {
+  ConfirmView,
+  PlanView,
+  StatusView,
+} from '@cranberryturn/configuration';
+import { InvalidInputError, RefusedError } from '@cranberryturn/errors';
+import type { Intent, JobOutcome } from '@cranberryturn/types';
+import { request } from 'undici';
+
+import {
+  formatUrl,
+  type LocalRole,
+  type LocalSystem,
+} from './start-local-system.js';
+
+const okStatus = 200;
+
+/** A job as a caller submits it. */
+export interface SubmittedJob {
+  readonly jobId: string;
+  readonly service: string;
+  readonly taskIds: readonly string[];
+}
+
+/** The reply of a dispatcher to a submission. */
+export interface JobReply {
+  readonly status: number;
+  readonly outcome?: JobOutcome | undefined;
+  readonly reason?: string | undefined;
+  readonly answers?:
+    | readonly {
+        readonly taskId: string;
+        readonly answer: { readonly jobId: string; readonly taskId: string };
+      }[]
+    | undefined;
+}
+
+/** A caller and an operator of one local system. */
+export interface SystemClient {
+  /** Submits through one dispatcher and waits for the reply. */
+  submitJob(dispatcher: LocalRole, job: SubmittedJob): Promise<JobReply>;
+  planChange(intent: Intent): Promise<PlanView>;
+  confirmPlan(planId: string): Promise<ConfirmView>;
+  readStatus(): Promise<StatusView>;
+}
+
+/** Creates the client. Operators' calls go to the first control replica. */
+export function createSystemClient(system: LocalSystem): SystemClient {
+  const administration = urlOf(system.controls[0], 'administration');
+  const operate = async (
+    method: 'GET' | 'POST',
+    path: string,
+    body?: unknown,
+  ): Promise<unknown> => {
+    const reply = await call(
+      `${administration}/v1/admin/${path}`,
+      method,
+      system.tokens.operator,
+      body,
+    );
+    if (reply.status === okStatus) return reply.body;
+    throw new RefusedError(
+      `Control answered ${String(reply.status)} to ${path}: ${JSON.stringify(reply.body)}`,
+      { step: 'call administration', peer: 'control' },
+    );
+  };
+  return {
+    submitJob: async (dispatcher, job) => {
+      const url = `${urlOf(dispatcher, 'callers')}/v1/services/${job.service}/jobs`;
+      const reply = await call(url, 'POST', system.tokens.team, {
+        jobId: job.jobId,
+        tasks: job.taskIds.map(taskId => ({ taskId, payload: {} })),
+      });
+      return { ...(reply.body as object), status: reply.status };
+    },
+    planChange: async intent =>
+      (await operate('POST', 'plans', intent)) as PlanView,
+    confirmPlan: async planId =>
+      (await operate('POST', `plans/${encodeURIComponent(planId)}/confirm`, {
+        requestId: randomUUID(),
+      })) as ConfirmView,
+    readStatus: async () => (await operate('GET', 'status')) as StatusView,
+  };
+}
+
+function urlOf(role: LocalRole | undefined, purpose: string): string {
+  const address = role?.addresses[purpose];
+  if (address === undefined) {
+    throw new InvalidInputError(`No role listens for ${purpose}.`, {
+      step: 'find address',
+    });
+  }
+  return formatUrl(address);
+}
+
+async function call(
+  url: string,
+  method: 'GET' | 'POST',
+  token: string | undefined,
+  body: unknown,
+): Promise<{ readonly status: number; readonly body: unknown }> {
+  const response = await request(url, {
+    method,
+    headers: {
+      authorization: `Bearer ${token ?? ''}`,
+      'content-type': 'application/json',
+    },
+    body: body === undefined ? null : JSON.stringify(body),
+  });
+  return { status: response.statusCode, body: await response.body.json() };
+}
