--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -120,11 +120,9 @@
     const address = options.findAddress(peer);
     const network = options.network();
     if (address === undefined || network === undefined) {
-      dialling.delete(peer);
       return err(unknownPeer(peer));
     }
     const dialled = await dialWithin(network, timers, address, dialTimeout);
-    dialling.delete(peer);
     if (dialled.isErr()) {
       const { error } = dialled;
       return err(new ConnectionError(error.message, error, error));
@@ -145,9 +143,12 @@
   ): Promise<Result<RemoteCalls, ConnectionError>> => {
     const known = open.get(peer);
     if (known !== undefined) return Promise.resolve(ok(known));
-    const waiting = dialling.get(peer) ?? connect(peer);
-    dialling.set(peer, waiting);
-    return waiting;
+    const waiting = dialling.get(peer);
+    if (waiting !== undefined) return waiting;
+    const started = connect(peer);
+    dialling.set(peer, started);
+    void started.then(() => dialling.delete(peer));
+    return started;
   };
 
   const dropSilent = (peer: ReplicaId, calls: RemoteCalls): void => {
--- /dev/null
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -0,0 +1,187 @@
+/** Several replicas of control in one process, over a faulty network and disks in memory. */
+import {
+  createControlClient,
+  type ControlClient,
+} from '@cranberryturn/control-client';
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createRandomSource } from '@cranberryturn/random';
+import {
+  createMemoryLogDisk,
+  type FoundStart,
+  type JoinStart,
+  type LogTuning,
+  type MemoryLogDisk,
+  MemberRole,
+  openReplicatedLog,
+  ReplicaRole,
+  StartKind,
+} from '@cranberryturn/replicated-log';
+import type { TimerService } from '@cranberryturn/timers';
+import type { ControlHostConfiguration } from '@cranberryturn/types';
+import { ProcessRole } from '@cranberryturn/wire';
+
+import type { ControlNode } from '../control-node.js';
+import type { ControlRetention } from '../control-state.js';
+import { formatAddress } from '../parse-address.js';
+import { startControl } from '../start-control.js';
+import { createFaultyNetwork, type FaultyNetwork } from './faulty-network.js';
+
+const firstPort = 7_400;
+const loopback = '127.0.0.1';
+const oneWayDelayMilliseconds = 1;
+const incarnationBound = 1_000_000_000;
+
+/** What a cluster is made of. */
+export interface ControlClusterOptions {
+  readonly timers: TimerService;
+  readonly seed: number;
+  readonly size: number;
+  readonly tuning?: Partial<LogTuning>;
+  readonly retention?: Partial<ControlRetention>;
+}
+
+/** The cluster. Replicas are named by the host they run on: c1, c2 and so on. */
+export interface ControlCluster {
+  readonly network: FaultyNetwork;
+  /** Starts the replica of a founding host, on the disk that its last run left. */
+  start(host: string): Promise<ControlNode>;
+  /** Starts a replica with a blank disk on a new host; it waits to be added. */
+  startBlank(host: string): Promise<ControlNode>;
+  /** The process of a host dies; unsynced bytes may be lost. */
+  crash(host: string): Promise<void>;
+  /** Cuts a replica off from the other replicas, but not from dispatchers. */
+  cutFromReplicas(host: string): void;
+  nodes(): readonly ControlNode[];
+  findNode(host: string): ControlNode | undefined;
+  /** The replica that leads in the highest term. */
+  leader(): ControlNode | undefined;
+  /** A dispatcher that dials all founding hosts. */
+  connect(dispatcherId: string, incarnation?: string): ControlClient;
+  /** Where a host listens, as the configuration names it. */
+  describeHost(host: string, replicaId: string): ControlHostConfiguration;
+}
+
+/** Creates a cluster whose replicas are not started yet. */
+export function createControlCluster(
+  options: ControlClusterOptions,
+): ControlCluster {
+  const { timers } = options;
+  const random = createRandomSource(options.seed);
+  const network = createFaultyNetwork(timers, oneWayDelayMilliseconds);
+  const disks = new Map<string, MemoryLogDisk>();
+  const running = new Map<string, ControlNode>();
+  const founders = Array.from(
+    { length: options.size },
+    (_, position) => `c${String(position + 1)}`,
+  );
+  const addressOf = (host: string) => ({
+    address: loopback,
+    port: firstPort + Number(host.slice(1)),
+  });
+  const peers = founders.map(host => ({
+    replicaId: host,
+    address: addressOf(host),
+  }));
+
+  const launch = async (
+    host: string,
+    start: FoundStart | JoinStart,
+  ): Promise<ControlNode> => {
+    const disk = disks.get(host) ?? createMemoryLogDisk(timers);
+    disks.set(host, disk);
+    const started = await startControl({
+      listen: addressOf(host),
+      joinNetwork: name =>
+        network.join({
+          role: ProcessRole.Control,
+          name,
+          incarnation: String(random.below(incarnationBound)),
+        }),
+      timers,
+      openLog: (stateMachine, link) =>
+        openReplicatedLog({
+          disk,
+          link,
+          stateMachine,
+          timers,
+          random: createRandomSource(random.below(incarnationBound)),
+          start,
+          tuning: options.tuning,
+        }),
+      peers,
+      initialConfiguration: {
+        services: [],
+        teams: [],
+        workers: [],
+        drainedRacks: [],
+        drainedDataCentres: [],
+        controlHosts: peers.map(peer => ({ ...peer, host: peer.replicaId })),
+      },
+      ...(options.retention === undefined
+        ? {}
+        : { retention: options.retention }),
+      logger: createSilentLogger(),
+      decisions: () => undefined,
+    });
+    if (started.isErr()) throw started.error;
+    running.set(host, started.value);
+    return started.value;
+  };
+
+  const leader = (): ControlNode | undefined =>
+    [...running.values()]
+      .filter(node => node.log.status().role === ReplicaRole.Leader)
+      .sort((left, right) => right.log.status().term - left.log.status().term)
+      .at(0);
+
+  return {
+    network,
+    leader,
+    start: host =>
+      launch(host, {
+        kind: StartKind.Found,
+        replicaId: host,
+        members: peers.map(peer => ({
+          replicaId: peer.replicaId,
+          role: MemberRole.Voter,
+          address: formatAddress(peer.address),
+        })),
+      }),
+    startBlank: host => launch(host, { kind: StartKind.Join, host }),
+    crash: async host => {
+      const node = running.get(host);
+      const disk = disks.get(host);
+      if (node === undefined || disk === undefined) return;
+      running.delete(host);
+      disk.crash();
+      disks.set(host, disk.afterCrash(random));
+      await network.kill(node.log.status().replicaId);
+    },
+    cutFromReplicas: host => {
+      const name = running.get(host)?.log.status().replicaId ?? host;
+      for (const node of running.values()) {
+        const other = node.log.status().replicaId;
+        if (other !== name) network.cut(name, other);
+      }
+    },
+    nodes: () => [...running.values()],
+    findNode: host => running.get(host),
+    connect: (dispatcherId, incarnation = 'run-1') =>
+      createControlClient({
+        network: network.join({
+          role: ProcessRole.Dispatcher,
+          name: dispatcherId,
+          incarnation,
+        }),
+        timers,
+        random: createRandomSource(random.below(incarnationBound)),
+        self: { dispatcherId, incarnation },
+        controlHosts: peers,
+      }),
+    describeHost: (host, replicaId) => ({
+      replicaId,
+      host,
+      address: addressOf(host),
+    }),
+  };
+}
--- /dev/null
+++ b/packages/control/src/fakes/faulty-network.ts
@@ -0,0 +1,96 @@
+/** A network in memory between named processes, whose partitions and crashes a test sets. */
+import { ConnectionError } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+import {
+  createMemoryNetwork,
+  type Listener,
+  type Network,
+  type PeerIdentity,
+} from '@cranberryturn/wire';
+import { errAsync, ResultAsync } from 'neverthrow';
+
+/** The network with its faults. */
+export interface FaultyNetwork {
+  join(self: PeerIdentity): Network;
+  /** From now on nothing passes between the two, and neither is told. */
+  cut(left: string, right: string): void;
+  /** Ends all cuts; connections that were open during a cut stay silent for good. */
+  heal(): void;
+  /** The process is gone: its connections end and its port refuses. */
+  kill(name: string): Promise<void>;
+  /** Messages delivered so far. */
+  framesDelivered(): number;
+}
+
+/** Creates a network without faults. */
+export function createFaultyNetwork(
+  timers: TimerService,
+  delayMilliseconds: Milliseconds,
+): FaultyNetwork {
+  const memory = createMemoryNetwork(timers, delayMilliseconds);
+  const owners = new Map<number, string>();
+  const listeners = new Map<string, Listener>();
+  const dead = new Set<string>();
+  const cuts = new Set<string>();
+
+  const isCut = (left: string, right: string): boolean =>
+    cuts.has(composePair(left, right));
+
+  const join = (self: PeerIdentity): Network => {
+    const network = memory.join(self);
+    dead.delete(self.name);
+    return {
+      dial: address => {
+        const owner = owners.get(address.port) ?? '';
+        if (dead.has(self.name)) return errAsync(refuse(owner));
+        if (isCut(self.name, owner)) return waitForever();
+        return network.dial(address);
+      },
+      listen: (address, handler) =>
+        network.listen(address, handler).map(listener => {
+          owners.set(listener.address.port, self.name);
+          listeners.set(self.name, listener);
+          return listener;
+        }),
+    };
+  };
+
+  return {
+    join,
+    cut: (left, right) => {
+      cuts.add(composePair(left, right));
+      for (const connection of memory.connections) {
+        if (isCut(connection.from, connection.to)) connection.silent = true;
+      }
+    },
+    heal: () => {
+      cuts.clear();
+    },
+    kill: async name => {
+      dead.add(name);
+      await listeners.get(name)?.close();
+      for (const connection of memory.connections) {
+        if (connection.from === name || connection.to === name) {
+          connection.cut();
+        }
+      }
+    },
+    framesDelivered: memory.framesDelivered,
+  };
+}
+
+function composePair(left: string, right: string): string {
+  return [left, right].sort().join(' ');
+}
+
+function refuse(peer: string): ConnectionError {
+  return new ConnectionError(`No connection to ${peer}.`, {
+    step: 'dial',
+    peer,
+  });
+}
+
+function waitForever(): ResultAsync<never, never> {
+  return new ResultAsync(new Promise<never>(() => undefined));
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -10,3 +10,5 @@
 export * from './start-control.js';
 export * from './adapters/serve-administration.js';
 export * from './start-control-role.js';
+export * from './fakes/control-cluster.js';
+export * from './fakes/faulty-network.js';
--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -1,6 +1,7 @@
 /** The replicated log: leader election, replication, storage and snapshots. */
 export * from './adapters/file-log-disk.js';
 export * from './entries.js';
+export * from './fakes/memory-log-disk.js';
 export * from './log-types.js';
 export * from './members.js';
 export * from './ports/log-disk.js';
