Add plan, confirm, status and history to cranberryctl

Cause: operators act from a desk, lose answers and race each other. Change: one subcommand for each intent, identifiers that need no stored plan, several control hosts tried in turn with one request identifier, exit codes for each outcome, JSON on request. Conclusion: a lost answer is asked for again and gets the first outcome.

--- /dev/null
+++ b/packages/cli/src/operator-commands.test.ts
@@ -0,0 +1,238 @@
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { createToken, digestToken } from '@cranberryturn/authentication';
+import {
+  type AdministrationServer,
+  type ControlNode,
+  createMemoryLog,
+  serveAdministration,
+  startControl,
+} from '@cranberryturn/control';
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createMetrics } from '@cranberryturn/metrics';
+import type { ProgramHost } from '@cranberryturn/program';
+import { createSystemTimerService } from '@cranberryturn/timers';
+import { createMemoryNetwork, ProcessRole } from '@cranberryturn/wire';
+import test from 'ava';
+import { okAsync } from 'neverthrow';
+
+import { runCranberryctl } from './index.js';
+
+const loopback = { address: '127.0.0.1', port: 0 };
+const timers = createSystemTimerService();
+const folder = mkdtempSync(join(tmpdir(), 'cranberry-operator-'));
+
+interface Desk {
+  readonly node: ControlNode;
+  readonly server: AdministrationServer;
+  readonly settings: string;
+  close(): Promise<void>;
+  run(...commandLine: readonly string[]): Promise<Run>;
+}
+
+interface Run {
+  readonly exits: readonly number[];
+  readonly text: string;
+}
+
+async function runWith(
+  settings: string,
+  commandLine: readonly string[],
+): Promise<Run> {
+  const output: string[] = [];
+  const exits: number[] = [];
+  const host: ProgramHost = {
+    commandLine: ['--settings', settings, '--no-color', ...commandLine],
+    writeOutput: text => output.push(text),
+    writeError: text => output.push(text),
+    onStopSignal: () => undefined,
+    exit: code => exits.push(code),
+  };
+  await runCranberryctl(host);
+  return { exits, text: output.join('') };
+}
+
+function writeSettings(
+  name: string,
+  token: string,
+  administration: readonly string[],
+): string {
+  const tokenFile = join(folder, `${name}.token`);
+  const file = join(folder, `${name}.json`);
+  writeFileSync(tokenFile, token);
+  writeFileSync(
+    file,
+    JSON.stringify({ administration, tokenFile, timeoutMilliseconds: 4_000 }),
+  );
+  return file;
+}
+
+function urlOf({ address, port }: { address: string; port: number }): string {
+  return `http://${address}:${String(port)}`;
+}
+
+async function openDesk(name: string): Promise<Desk> {
+  const network = createMemoryNetwork(timers);
+  const started = await startControl({
+    listen: loopback,
+    joinNetwork: replica =>
+      network.join({
+        role: ProcessRole.Control,
+        name: replica,
+        incarnation: 'run',
+      }),
+    timers,
+    peers: [],
+    openLog: stateMachine =>
+      okAsync(createMemoryLog({ replicaId: 'c1', stateMachine, timers })),
+    logger: createSilentLogger(),
+    decisions: () => undefined,
+  });
+  const node = started._unsafeUnwrap();
+  const token = createToken();
+  const served = await serveAdministration(
+    {
+      node,
+      timers,
+      metrics: createMetrics({ role: 'control', process: 'c1', timers }),
+      operators: [{ name: 'linh', tokenDigests: [digestToken(token)] }],
+    },
+    loopback,
+  );
+  const server = served._unsafeUnwrap();
+  const settings = writeSettings(name, token, [urlOf(server.address)]);
+  return {
+    node,
+    server,
+    settings,
+    close: async () => {
+      await server.close();
+      await node.stop();
+    },
+    run: (...commandLine) => runWith(settings, commandLine),
+  };
+}
+
+function planIdIn(text: string): string {
+  return /cranberryctl confirm (\S+)/.exec(text)?.[1] ?? '';
+}
+
+/** Passes calls on, and loses the answer to the first confirm. */
+function startLossyHost(target: string): Promise<Server> {
+  let lost = false;
+  const server = createServer((incoming, outgoing) => {
+    const chunks: Buffer[] = [];
+    incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+    incoming.on('end', () => {
+      const loses = !lost && incoming.url?.endsWith('/confirm') === true;
+      lost ||= loses;
+      void fetch(`${target}${incoming.url ?? ''}`, {
+        method: incoming.method ?? 'GET',
+        headers: { authorization: incoming.headers.authorization ?? '' },
+        ...(chunks.length === 0 ? {} : { body: Buffer.concat(chunks) }),
+      }).then(async answer => {
+        const body = await answer.text();
+        if (loses) outgoing.destroy();
+        else outgoing.writeHead(answer.status).end(body);
+      });
+    });
+  });
+  return new Promise(resolve => {
+    server.listen(0, loopback.address, () => {
+      resolve(server);
+    });
+  });
+}
+
+test('an operator plans, confirms, waits and reads what happened', async t => {
+  const desk = await openDesk('whole');
+  const planned = await desk.run(
+    'plan',
+    'set-quota',
+    'traders',
+    '--weight',
+    '2',
+  );
+  t.snapshot(planned.text);
+  const confirmed = await desk.run('confirm', planIdIn(planned.text), '--wait');
+  t.snapshot(confirmed.text);
+  t.deepEqual([...planned.exits, ...confirmed.exits], []);
+  const status = await desk.run('status');
+  t.snapshot(status.text);
+  const history = await desk.run('--json', 'history');
+  const { changes } = JSON.parse(history.text) as {
+    changes: { operator: string; version: number }[];
+  };
+  t.is(changes[0]?.operator, 'linh');
+  t.is(changes[0]?.version, 1);
+  await desk.close();
+});
+
+test('the second of two plans on one base version exits with 3 and names the winner', async t => {
+  const desk = await openDesk('race');
+  const left = await desk.run('plan', 'set-service', 'register-svc');
+  const right = await desk.run('plan', 'set-service', 'marcacoes');
+  await desk.run('confirm', planIdIn(left.text));
+  const lost = await desk.run('confirm', planIdIn(right.text));
+  t.deepEqual(lost.exits, [3]);
+  t.regex(
+    lost.text,
+    /linh changed the configuration first: set-service, version 1/,
+  );
+  await desk.close();
+});
+
+test('intents that cannot be carried out exit with 2 and change nothing', async t => {
+  const desk = await openDesk('refused');
+  const refusals = [
+    await desk.run('plan', 'drain-worker', 'nobody'),
+    await desk.run('plan', 'drain-rack', 'nowhere'),
+    await desk.run('plan', 'set-quota', 'traders', '--weight', 'heavy'),
+    await desk.run('plan', 'set-limit', 'register-svc'),
+    await desk.run('confirm', 'v0~abc~0123456789abcdef'),
+  ];
+  t.deepEqual(
+    refusals.map(({ exits }) => exits),
+    refusals.map(() => [2]),
+  );
+  t.snapshot(refusals.map(({ text }) => text));
+  t.is(desk.node.state.configuration.configuration.version, 0);
+  await desk.close();
+});
+
+test('a lost answer is asked for again with the same request identifier', async t => {
+  const desk = await openDesk('lossy');
+  const lossy = await startLossyHost(urlOf(desk.server.address));
+  const { port } = lossy.address() as AddressInfo;
+  const planned = await desk.run('plan', 'set-quota', 'wards', '--weight', '1');
+  const settings = JSON.parse(readFileSync(desk.settings, 'utf8')) as {
+    administration: string[];
+  };
+  settings.administration = [
+    'http://127.0.0.1:1',
+    `http://127.0.0.1:${String(port)}`,
+  ];
+  const file = join(folder, 'lossy-2.json');
+  writeFileSync(file, JSON.stringify(settings));
+  const confirmed = await runWith(file, ['confirm', planIdIn(planned.text)]);
+  t.deepEqual(confirmed.exits, []);
+  t.regex(confirmed.text, /accepted as version 1/);
+  t.is(desk.node.state.configuration.configuration.version, 1);
+  lossy.close();
+  await desk.close();
+});
+
+test('a token that nobody holds is refused', async t => {
+  const desk = await openDesk('stranger');
+  const settings = writeSettings('stranger-2', createToken(), [
+    urlOf(desk.server.address),
+  ]);
+  const { exits, text } = await runWith(settings, ['status']);
+  t.deepEqual(exits, [2]);
+  t.regex(text, /cranberryctl token create/);
+  await desk.close();
+});
--- /dev/null
+++ b/packages/cli/src/plan-commands.ts
@@ -0,0 +1,244 @@
+/** The commands that state intents: `cranberryctl plan <intent>`. */
+import type { ProgramHost } from '@cranberryturn/program';
+import { type Intent, IntentKind } from '@cranberryturn/types';
+import { Command, InvalidArgumentError } from 'commander';
+
+import { openSession, type SessionOptions } from './command-session.js';
+import { renderPlan } from './render-plan.js';
+
+const defaultDeadlineMilliseconds = 10_000;
+const defaultQueueLimit = 1_000;
+const defaultRetryBudgetPercent = 10;
+const noLimit = 'none';
+
+type Options = Readonly<Record<string, string | number | undefined>>;
+type StateIntent = (
+  command: Command,
+  compose: (argument: string, options: Options) => unknown,
+) => void;
+
+/** Adds `plan` with one subcommand for each intent. */
+export function addPlanCommands(program: Command, host: ProgramHost): void {
+  const plan = program
+    .command('plan')
+    .description('state an intent and see every effect; nothing is changed');
+  const state: StateIntent = (command, compose) => {
+    plan.addCommand(
+      command
+        .copyInheritedSettings(plan)
+        .action(async (argument: string, options: Options) => {
+          const shared = program.opts<SessionOptions>();
+          await printPlan(host, shared, compose(argument, options) as Intent);
+        }),
+    );
+  };
+  addWorkerIntents(state);
+  addPlaceIntents(state);
+  addServiceIntents(state);
+  addTeamIntents(state);
+  addControlHostIntents(state);
+}
+
+async function printPlan(
+  host: ProgramHost,
+  options: SessionOptions,
+  intent: Intent,
+): Promise<void> {
+  const session = openSession(host, options);
+  if (session === undefined) return;
+  const planned = await session.client.plan(intent);
+  planned.match(
+    view => {
+      session.print(view, renderPlan(view, session.colors));
+    },
+    error => {
+      session.fail(error);
+    },
+  );
+}
+
+function addWorkerIntents(state: StateIntent): void {
+  state(
+    describe(IntentKind.AddWorker, '<worker>', 'declare a worker')
+      .requiredOption('--service <service>', 'service that it answers for')
+      .requiredOption('--rack <rack>', 'rack in which it sits')
+      .requiredOption('--data-centre <name>', 'its data centre')
+      .option('--slots <count>', 'overrides the announced slots', readNumber),
+    (targetId, { service, rack, dataCentre, slots }) => ({
+      kind: IntentKind.AddWorker,
+      worker: { targetId, service, rack, dataCentre, slots },
+    }),
+  );
+  const simple = [
+    [IntentKind.RemoveWorker, 'take a worker out of use'],
+    [IntentKind.DrainWorker, 'stop new work on a worker'],
+    [IntentKind.UndrainWorker, 'let a worker receive work again'],
+  ] as const;
+  for (const [kind, text] of simple) {
+    state(describe(kind, '<worker>', text), targetId => ({ kind, targetId }));
+  }
+}
+
+function addPlaceIntents(state: StateIntent): void {
+  const racks = [
+    [IntentKind.DrainRack, 'stop new work in a rack'],
+    [IntentKind.UndrainRack, 'let a rack receive work again'],
+  ] as const;
+  for (const [kind, text] of racks) {
+    state(describe(kind, '<rack>', text), rack => ({ kind, rack }));
+  }
+  const dataCentres = [
+    [IntentKind.DrainDataCentre, 'stop new work in a data centre'],
+    [IntentKind.UndrainDataCentre, 'let a data centre receive work again'],
+  ] as const;
+  for (const [kind, text] of dataCentres) {
+    state(describe(kind, '<data-centre>', text), dataCentre => ({
+      kind,
+      dataCentre,
+    }));
+  }
+}
+
+function addServiceIntents(state: StateIntent): void {
+  state(
+    describe(IntentKind.SetService, '<service>', 'declare a service')
+      .option(
+        '--concurrency <tasks>',
+        'most tasks at the same time',
+        readNumber,
+      )
+      .option('--starts-per-second <rate>', 'most starts a second', readNumber)
+      .option(
+        '--queue <tasks>',
+        'most admitted tasks that wait in one dispatcher',
+        readNumber,
+        defaultQueueLimit,
+      )
+      .option(
+        '--deadline <milliseconds>',
+        'deadline when the caller names none',
+        readNumber,
+        defaultDeadlineMilliseconds,
+      )
+      .option(
+        '--retry-budget <percent>',
+        'retries for each hundred first attempts',
+        readNumber,
+        defaultRetryBudgetPercent,
+      ),
+    (service, options) => ({
+      kind: IntentKind.SetService,
+      service: {
+        service,
+        concurrencyLimit: options['concurrency'],
+        startsPerSecondLimit: options['startsPerSecond'],
+        queueLimit: options['queue'],
+        defaultDeadlineMilliseconds: options['deadline'],
+        retryBudgetPercent: options['retryBudget'],
+      },
+    }),
+  );
+  state(
+    describe(IntentKind.SetLimit, '<service>', 'change limits of a service')
+      .option('--concurrency <tasks>', 'a number or "none"', readLimit)
+      .option('--starts-per-second <rate>', 'a number or "none"', readLimit)
+      .option('--queue <tasks>', 'waiting tasks', readNumber)
+      .option('--deadline <milliseconds>', 'default deadline', readNumber)
+      .option('--retry-budget <percent>', 'retry budget', readNumber),
+    (service, options) => ({
+      kind: IntentKind.SetLimit,
+      service,
+      concurrencyLimit: options['concurrency'],
+      startsPerSecondLimit: options['startsPerSecond'],
+      queueLimit: options['queue'],
+      defaultDeadlineMilliseconds: options['deadline'],
+      retryBudgetPercent: options['retryBudget'],
+    }),
+  );
+  state(
+    describe(IntentKind.RemoveService, '<service>', 'remove a service'),
+    service => ({ kind: IntentKind.RemoveService, service }),
+  );
+}
+
+function addTeamIntents(state: StateIntent): void {
+  state(
+    describe(IntentKind.SetQuota, '<team>', 'declare the quota of a team')
+      .requiredOption('--weight <weight>', 'share under contention', readNumber)
+      .option(
+        '--concurrency <tasks>',
+        'most tasks at the same time',
+        readNumber,
+      )
+      .option('--starts-per-second <rate>', 'most starts a second', readNumber),
+    (team, { weight, concurrency, startsPerSecond }) => ({
+      kind: IntentKind.SetQuota,
+      team: {
+        team,
+        weight,
+        concurrencyQuota: concurrency,
+        startsPerSecondQuota: startsPerSecond,
+      },
+    }),
+  );
+  state(describe(IntentKind.RemoveTeam, '<team>', 'remove a team'), team => ({
+    kind: IntentKind.RemoveTeam,
+    team,
+  }));
+}
+
+function addControlHostIntents(state: StateIntent): void {
+  state(
+    withAddress(
+      describe(IntentKind.AddControlHost, '<replica>', 'add a control replica'),
+    ),
+    (replicaId, options) => ({
+      kind: IntentKind.AddControlHost,
+      controlHost: composeControlHost(replicaId, options),
+    }),
+  );
+  state(
+    describe(IntentKind.RemoveControlHost, '<replica>', 'remove a replica'),
+    replicaId => ({ kind: IntentKind.RemoveControlHost, replicaId }),
+  );
+  state(
+    withAddress(
+      describe(
+        IntentKind.ReplaceControlHost,
+        '<replica>',
+        'put a blank host in the place of a replica',
+      ),
+    ).requiredOption('--by <replica>', 'identity that the blank host logged'),
+    (replicaId, options) => ({
+      kind: IntentKind.ReplaceControlHost,
+      replicaId,
+      replacement: composeControlHost(String(options['by']), options),
+    }),
+  );
+}
+
+function describe(kind: IntentKind, argument: string, text: string): Command {
+  return new Command(kind).argument(argument).description(text).exitOverride();
+}
+
+function withAddress(command: Command): Command {
+  return command
+    .requiredOption('--host <host>', 'name of the host')
+    .requiredOption('--address <ip>', 'IP address of the replica')
+    .requiredOption('--port <port>', 'port of the replica', readNumber);
+}
+
+function composeControlHost(replicaId: string, options: Options) {
+  const { host, address, port } = options;
+  return { replicaId, host, address: { address, port } };
+}
+
+function readNumber(text: string): number {
+  const value = Number(text);
+  if (text.trim() !== '' && Number.isFinite(value)) return value;
+  throw new InvalidArgumentError('It must be a number.');
+}
+
+function readLimit(text: string): number | null {
+  return text === noLimit ? null : readNumber(text);
+}
--- /dev/null
+++ b/packages/cli/src/read-commands.ts
@@ -0,0 +1,43 @@
+/** The commands that only read: `status` and `history`. */
+import type { ProgramHost } from '@cranberryturn/program';
+import type { Command } from 'commander';
+
+import { openSession, type SessionOptions } from './command-session.js';
+import { renderHistory, renderStatus } from './render-status.js';
+
+const defaultHistory = '20';
+
+/** Adds the commands. */
+export function addReadCommands(program: Command, host: ProgramHost): void {
+  program
+    .command('status')
+    .description('show control, dispatchers, workers and what is in force')
+    .action(async () => {
+      const session = openSession(host, program.opts<SessionOptions>());
+      if (session === undefined) return;
+      (await session.client.status()).match(
+        view => {
+          session.print(view, renderStatus(view, session.colors));
+        },
+        error => {
+          session.fail(error);
+        },
+      );
+    });
+  program
+    .command('history')
+    .description('show who changed what, and when')
+    .option('--limit <count>', 'most changes shown', defaultHistory)
+    .action(async (options: { readonly limit: string }) => {
+      const session = openSession(host, program.opts<SessionOptions>());
+      if (session === undefined) return;
+      (await session.client.history(Number(options.limit))).match(
+        view => {
+          session.print(view, renderHistory(view));
+        },
+        error => {
+          session.fail(error);
+        },
+      );
+    });
+}
--- a/packages/cli/src/run-cranberryctl.ts
+++ b/packages/cli/src/run-cranberryctl.ts
@@ -6,6 +6,9 @@
 } from '@cranberryturn/program';
 import { Command, CommanderError } from 'commander';
 
+import { addConfirmCommand } from './confirm-command.js';
+import { addPlanCommands } from './plan-commands.js';
+import { addReadCommands } from './read-commands.js';
 import { addSecretCommands } from './secret-commands.js';
 
 /** Runs one command of `cranberryctl`. The exit code is given to `host` when it is not 0. */
@@ -13,6 +16,9 @@
   const program = new Command('cranberryctl')
     .description('States intents, confirms plans and shows what is in force.')
     .version(readProductVersion(), '-v, --version', 'print the version')
+    .option('-s, --settings <file>', 'settings, in JSON with comments')
+    .option('--json', 'print JSON instead of text')
+    .option('--no-color', 'print without colours')
     .exitOverride()
     .configureOutput({
       writeOut: text => {
@@ -22,6 +28,9 @@
         host.writeError(text);
       },
     });
+  addPlanCommands(program, host);
+  addConfirmCommand(program, host);
+  addReadCommands(program, host);
   addSecretCommands(program, host);
   try {
     await program.parseAsync(host.commandLine, { from: 'user' });
