--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -12,3 +12,6 @@
 export * from './start-control-role.js';
 export * from './fakes/control-cluster.js';
 export * from './fakes/faulty-network.js';
+export * from './measures/measure-claims.js';
+export * from './measures/measure-followers.js';
+export * from './measures/measure-leaderless-time.js';
--- /dev/null
+++ b/packages/control/src/measures/measure-followers.ts
@@ -0,0 +1,151 @@
+/** Measures a change in force at many followers, the catch-up of a late one, and what a follower costs. */
+import { type ControlClient } from '@cranberryturn/control-client';
+import { sleep } from '@cranberryturn/timers';
+import { IntentKind, type Milliseconds } from '@cranberryturn/types';
+
+import {
+  AdministrationMethod,
+  type AdministrationReply,
+  AdministrationReplyKind,
+} from '../administration-calls.js';
+import { planChange } from '../plan-change.js';
+import {
+  type MeasuredControl,
+  startMeasuredControl,
+} from './start-measured-control.js';
+
+const pollInterval: Milliseconds = 1;
+const settleTime: Milliseconds = 3_000;
+const microsecondsPerMillisecond = 1_000;
+
+/** A change at many followers in this process. */
+export interface FollowersReading {
+  readonly followers: number;
+  /** From the confirm until the last follower has the change in force. */
+  readonly slowestMilliseconds: readonly Milliseconds[];
+  /** Frames and bytes between control and one follower, in both directions, for one change. */
+  readonly framesPerFollowerAndChange: number;
+  readonly bytesPerFollowerAndChange: number;
+  /** Processor time of both ends. */
+  readonly processorMillisecondsPerFollowerAndChange: number;
+  /** The same for one second without a change. */
+  readonly bytesPerFollowerAndSecond: number;
+  readonly processorMillisecondsPerFollowerAndSecond: number;
+}
+
+/** A follower that missed many changes. */
+export interface CatchUpReading {
+  readonly changes: number;
+  /** From the first dial until the last version is in force. */
+  readonly milliseconds: Milliseconds;
+  readonly bytes: number;
+}
+
+/** Connects followers and makes changes, one after the other. */
+export async function measureFollowers(options: {
+  readonly folder: string;
+  readonly followers: number;
+  readonly changes: number;
+}): Promise<FollowersReading> {
+  const control = await startMeasuredControl({ ...options, syncDelay: 0 });
+  const { timers, traffic } = control;
+  const clients = Array.from({ length: options.followers }, (_, number) =>
+    control.connect(`d${String(number)}`),
+  );
+  await waitForVersion(control, clients);
+  await sleep(timers, settleTime);
+  const idle = await measureCost(control, () => sleep(timers, settleTime));
+  const slowest: Milliseconds[] = [];
+  const before = { ...traffic };
+  const usage = process.cpuUsage();
+  for (let number = 0; number < options.changes; number += 1) {
+    const startedAt = timers.now();
+    await makeChange(control, number);
+    await waitForVersion(control, clients);
+    slowest.push(timers.now() - startedAt);
+  }
+  const spent = process.cpuUsage(usage);
+  const share = options.followers * options.changes;
+  const idleShare = options.followers * (settleTime / 1_000);
+  await Promise.all(clients.map(client => client.stop()));
+  await control.stop();
+  return {
+    followers: options.followers,
+    slowestMilliseconds: slowest,
+    framesPerFollowerAndChange: (traffic.frames - before.frames) / share,
+    bytesPerFollowerAndChange: (traffic.bytes - before.bytes) / share,
+    processorMillisecondsPerFollowerAndChange:
+      (spent.user + spent.system) / microsecondsPerMillisecond / share,
+    bytesPerFollowerAndSecond: idle.bytes / idleShare,
+    processorMillisecondsPerFollowerAndSecond: idle.processor / idleShare,
+  };
+}
+
+/** Makes changes while a follower is away, then lets it return with what it had. */
+export async function measureCatchUp(options: {
+  readonly folder: string;
+  readonly changes: number;
+}): Promise<CatchUpReading> {
+  const control = await startMeasuredControl({ ...options, syncDelay: 0 });
+  const { timers, traffic } = control;
+  for (let number = 0; number < options.changes; number += 1) {
+    await makeChange(control, number);
+  }
+  const before = traffic.bytes;
+  const startedAt = timers.now();
+  const late = control.connect('late');
+  await waitForVersion(control, [late]);
+  const milliseconds = timers.now() - startedAt;
+  const bytes = traffic.bytes - before;
+  await late.stop();
+  await control.stop();
+  return { changes: options.changes, milliseconds, bytes };
+}
+
+async function measureCost(
+  { traffic }: MeasuredControl,
+  work: () => Promise<void>,
+): Promise<{ bytes: number; processor: Milliseconds }> {
+  const before = traffic.bytes;
+  const usage = process.cpuUsage();
+  await work();
+  const { user, system } = process.cpuUsage(usage);
+  return {
+    bytes: traffic.bytes - before,
+    processor: (user + system) / microsecondsPerMillisecond,
+  };
+}
+
+async function makeChange(
+  { node }: MeasuredControl,
+  number: number,
+): Promise<void> {
+  const plan = planChange(node.state, {
+    kind: IntentKind.SetQuota,
+    team: { team: `team-${String(number)}`, weight: 1 },
+  });
+  if (plan.isErr()) throw plan.error;
+  const reply: AdministrationReply = await node.administer({
+    method: AdministrationMethod.Confirm,
+    request: {
+      planId: plan.value.planId,
+      requestId: `request-${String(number)}`,
+      operator: 'bench',
+    },
+  });
+  if (reply.kind !== AdministrationReplyKind.Done) {
+    throw new Error(reply.refusal.error);
+  }
+}
+
+async function waitForVersion(
+  { node, timers }: MeasuredControl,
+  clients: readonly ControlClient[],
+): Promise<void> {
+  const { version } = node.state.configuration.configuration;
+  while (
+    clients.some(client => client.configuration.current().version < version)
+  ) {
+    await sleep(timers, pollInterval);
+  }
+}
--- /dev/null
+++ b/packages/control/src/measures/measure-leaderless-time.ts
@@ -0,0 +1,53 @@
+/** Measures the time without a leader after a control host dies or is cut off, in simulated time. */
+import type { ManualTimerService } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+
+import { createControlCluster } from '../fakes/control-cluster.js';
+
+const warmUp: Milliseconds = 4_000;
+const step: Milliseconds = 10;
+const limit: Milliseconds = 10_000;
+
+/** How the leader is lost. */
+export enum LeaderLoss {
+  Crash = 'crash',
+  CutOff = 'cut-off',
+}
+
+/** Time until another replica leads, for one seed. The time is simulated, so it repeats. */
+export async function measureLeaderlessTime(options: {
+  readonly timers: ManualTimerService;
+  readonly seed: number;
+  readonly loss: LeaderLoss;
+}): Promise<Milliseconds> {
+  const { timers, seed, loss } = options;
+  const cluster = createControlCluster({ timers, seed, size: 3 });
+  const starts = ['c1', 'c2', 'c3'].map(host => cluster.start(host));
+  await timers.advance(warmUp);
+  await Promise.all(starts);
+  await timers.advance(warmUp);
+  const lost = cluster.leader()?.log.status();
+  if (lost === undefined) throw new Error('The cluster elected no leader.');
+  const startedAt = timers.now();
+  if (loss === LeaderLoss.Crash) await cluster.crash(lost.replicaId);
+  else cluster.cutFromReplicas(lost.replicaId);
+  const isReplaced = (): boolean => {
+    const found = cluster.leader()?.log.status();
+    return found !== undefined && found.term > lost.term;
+  };
+  while (!isReplaced() && timers.now() - startedAt < limit) {
+    await timers.advance(step);
+  }
+  const waited = timers.now() - startedAt;
+  await stopAll(timers, cluster);
+  return waited;
+}
+
+async function stopAll(
+  timers: ManualTimerService,
+  cluster: ReturnType<typeof createControlCluster>,
+): Promise<void> {
+  const stops = cluster.nodes().map(node => node.stop());
+  await timers.advance(warmUp);
+  await Promise.all(stops);
+}
--- /dev/null
+++ b/packages/control/src/measures/start-measured-control.ts
@@ -0,0 +1,131 @@
+/** Starts one replica of control in this process for measurements: a real file, a network in memory. */
+import {
+  type ControlClient,
+  createControlClient,
+} from '@cranberryturn/control-client';
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createRandomSource } from '@cranberryturn/random';
+import {
+  createFileLogDisk,
+  MemberRole,
+  openReplicatedLog,
+  ReplicaRole,
+  StartKind,
+} from '@cranberryturn/replicated-log';
+import {
+  createSystemTimerService,
+  sleep,
+  type TimerService,
+} from '@cranberryturn/timers';
+import { emptyConfiguration, type Milliseconds } from '@cranberryturn/types';
+import {
+  createMemoryNetwork,
+  type Network,
+  ProcessRole,
+} from '@cranberryturn/wire';
+
+import type { ControlNode } from '../control-node.js';
+import { startControl } from '../start-control.js';
+import { delaySyncs } from './delayed-disk.js';
+
+const replicaId = 'c1';
+const pollInterval: Milliseconds = 5;
+
+/** What passed over the network. */
+export interface TrafficCount {
+  frames: number;
+  bytes: number;
+}
+
+/** One replica with its network. */
+export interface MeasuredControl {
+  readonly timers: TimerService;
+  readonly node: ControlNode;
+  /** Traffic from control to its followers and back. */
+  readonly traffic: TrafficCount;
+  connect(dispatcherId: string): ControlClient;
+  stop(): Promise<void>;
+}
+
+/** Starts the replica and waits until it leads. */
+export async function startMeasuredControl(options: {
+  readonly folder: string;
+  /** Added to each synced write. */
+  readonly syncDelay: Milliseconds;
+}): Promise<MeasuredControl> {
+  const timers = createSystemTimerService();
+  const network = createMemoryNetwork(timers);
+  const traffic: TrafficCount = { frames: 0, bytes: 0 };
+  const join = (role: ProcessRole, name: string): Network =>
+    countTraffic(network.join({ role, name, incarnation: 'run-1' }), traffic);
+  const started = await startControl({
+    listen: { address: '127.0.0.1', port: 0 },
+    joinNetwork: name => join(ProcessRole.Control, name),
+    timers,
+    openLog: (stateMachine, link) =>
+      openReplicatedLog({
+        disk: delaySyncs(
+          createFileLogDisk(options.folder),
+          timers,
+          options.syncDelay,
+        ),
+        link,
+        stateMachine,
+        timers,
+        random: createRandomSource(1),
+        start: {
+          kind: StartKind.Found,
+          replicaId,
+          members: [{ replicaId, role: MemberRole.Voter, address: '' }],
+        },
+      }),
+    peers: [],
+    initialConfiguration: emptyConfiguration,
+    logger: createSilentLogger(),
+    decisions: () => undefined,
+  });
+  if (started.isErr()) throw started.error;
+  const node = started.value;
+  while (
+    node.log.status().role !== ReplicaRole.Leader ||
+    node.state.configuration.configuration.version === 0
+  ) {
+    await sleep(timers, pollInterval);
+  }
+  let seed = 1;
+  return {
+    timers,
+    node,
+    traffic,
+    connect: dispatcherId =>
+      createControlClient({
+        network: join(ProcessRole.Dispatcher, dispatcherId),
+        timers,
+        random: createRandomSource(seed++),
+        self: { dispatcherId, incarnation: 'run-1' },
+        controlHosts: [{ replicaId, address: node.address }],
+      }),
+    stop: () => node.stop(),
+  };
+}
+
+/** Counts every frame that is sent over a network. */
+function countTraffic(network: Network, traffic: TrafficCount): Network {
+  const count = <Sender extends { send(frame: Uint8Array): void }>(
+    connection: Sender,
+  ): Sender => ({
+    ...connection,
+    send: (frame: Uint8Array) => {
+      traffic.frames += 1;
+      traffic.bytes += frame.byteLength;
+      connection.send(frame);
+    },
+  });
+  return {
+    dial: address => network.dial(address).map(count),
+    listen: (address, handler) =>
+      network.listen(address, connection => {
+        handler(count(connection));
+      }),
+  };
+}
