--- /dev/null
+++ b/packages/bench/src/report/format-table.ts
@@ -0,0 +1,44 @@
+/** Tables for a terminal and for Markdown. */
+
+/** Formats rows in columns of equal width, the first column to the left. */
+export function formatTable(
+  headings: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const all = [headings, ...rows];
+  const widths = headings.map((_, column) =>
+    Math.max(...all.map(row => (row[column] ?? '').length)),
+  );
+  return all
+    .map(row =>
+      widths
+        .map((width, column) => alignCell(row[column] ?? '', width, column))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
+
+/** Formats rows as a Markdown table. */
+export function formatMarkdownTable(
+  headings: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const line = (cells: readonly string[]): string => `| ${cells.join(' | ')} |`;
+  return [
+    line(headings),
+    line(headings.map(() => '---')),
+    ...rows.map(line),
+  ].join('\n');
+}
+
+/** Formats a number with three significant digits and a comma for thousands. */
+export function formatNumber(value: number): string {
+  if (!Number.isFinite(value)) return 'n/a';
+  if (Math.abs(value) >= 1_000) return Math.round(value).toLocaleString('en');
+  return String(Number(value.toPrecision(3)));
+}
+
+function alignCell(text: string, width: number, column: number): string {
+  return column === 0 ? text.padEnd(width) : text.padStart(width);
+}
--- /dev/null
+++ b/packages/bench/src/results/fit-line.ts
@@ -0,0 +1,65 @@
+/** Least-squares line through measured points. */
+
+/** One measured point. */
+export interface MeasuredPoint {
+  readonly size: number;
+  readonly value: number;
+}
+
+/** A line through measured points, and how far the points lie from it. */
+export interface FittedLine {
+  /** Growth of the value for each unit of size. */
+  readonly slope: number;
+  /** Value at size zero. */
+  readonly intercept: number;
+  /** Root of the mean squared distance between points and line, in the unit of the value. */
+  readonly residual: number;
+  /** Share of the variance that the line explains, from 0 to 1. */
+  readonly determination: number;
+}
+
+const significantDigits = 6;
+
+/** Fits a line. Fails the caller's assumption when there are fewer than two sizes. */
+export function fitLine(points: readonly MeasuredPoint[]): FittedLine {
+  const sizes = points.map(point => point.size);
+  const values = points.map(point => point.value);
+  const meanSize = mean(sizes);
+  const meanValue = mean(values);
+  const spread = sum(sizes.map(size => (size - meanSize) ** 2));
+  if (spread === 0) {
+    throw new RangeError('A line needs points at two sizes or more.');
+  }
+  const covariance = sum(
+    points.map(({ size, value }) => (size - meanSize) * (value - meanValue)),
+  );
+  const slope = covariance / spread;
+  const intercept = meanValue - slope * meanSize;
+  const left = sum(
+    points.map(({ size, value }) => (value - intercept - slope * size) ** 2),
+  );
+  const total = sum(values.map(value => (value - meanValue) ** 2));
+  return {
+    slope: round(slope),
+    intercept: round(intercept),
+    residual: round(Math.sqrt(left / points.length)),
+    determination: total === 0 ? 1 : round(1 - left / total),
+  };
+}
+
+/** The value of the line at a size. */
+export function valueAt(line: FittedLine, size: number): number {
+  return line.intercept + line.slope * size;
+}
+
+function mean(numbers: readonly number[]): number {
+  return sum(numbers) / numbers.length;
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, one) => total + one, 0);
+}
+
+function round(value: number): number {
+  return Number(value.toPrecision(significantDigits));
+}
