Add the harness that measures slopes in fresh processes

Each size is measured in its own process after a collection, with the load in another process, so that the memory of one size does not hide in the next. Frames and bytes are counted at the network port.

--- /dev/null
+++ b/packages/bench/src/slopes/count-traffic.ts
@@ -0,0 +1,51 @@
+/** Counts the frames and bytes of a network. */
+import type { Connection, Network } from '@cranberryturn/wire';
+
+import type { TrafficCount } from './reading.js';
+
+/** A network whose traffic is counted, sent and received together. */
+export interface CountedNetwork {
+  readonly network: Network;
+  count(): TrafficCount;
+}
+
+/** Wraps a network so that its frames are counted. Handshakes are left out. */
+export function countTraffic(network: Network): CountedNetwork {
+  let messages = 0;
+  let bytes = 0;
+
+  const add = (frame: Uint8Array): void => {
+    messages += 1;
+    bytes += frame.byteLength;
+  };
+
+  async function* read(connection: Connection): AsyncGenerator<Uint8Array> {
+    for await (const frame of connection.receive()) {
+      add(frame);
+      yield frame;
+    }
+  }
+
+  const wrap = (connection: Connection): Connection => ({
+    peer: connection.peer,
+    send: frame => {
+      add(frame);
+      connection.send(frame);
+    },
+    receive: () => read(connection),
+    close: () => {
+      connection.close();
+    },
+  });
+
+  return {
+    network: {
+      dial: address => network.dial(address).map(wrap),
+      listen: (address, handler) =>
+        network.listen(address, connection => {
+          handler(wrap(connection));
+        }),
+    },
+    count: () => ({ messages, bytes }),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/parts/start-measured-sidecar.ts
@@ -0,0 +1,66 @@
+/** Starts a real sidecar as the process under measure. */
+import { createRandomSource } from '@cranberryturn/random';
+import {
+  createHttpTarget,
+  startSidecar,
+  type TargetPort,
+} from '@cranberryturn/sidecar';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { createWebSocketNetwork } from '@cranberryturn/wire';
+
+import { countTraffic } from '../count-traffic.js';
+import type { TrafficCount } from '../reading.js';
+import { announceTarget, nameSidecar } from './identities.js';
+
+/** A real sidecar whose traffic is counted. */
+export interface MeasuredSidecar {
+  traffic(): TrafficCount;
+  /** Resolves once a session with every dispatcher stands. */
+  waitForSessions(): Promise<void>;
+}
+
+const retainedMilliseconds: Milliseconds = 600_000;
+const retainedBytes = 64 * 1_048_576;
+const pollMilliseconds: Milliseconds = 20;
+const settleMilliseconds: Milliseconds = 1_000;
+
+/** Starts a sidecar that dials these dispatchers. */
+export function startMeasuredSidecar(options: {
+  readonly timers: TimerService;
+  readonly seed: number;
+  readonly dispatchers: readonly NetworkAddress[];
+  readonly target: NetworkAddress;
+}): MeasuredSidecar {
+  const { timers, dispatchers } = options;
+  const counted = countTraffic(
+    createWebSocketNetwork({ self: nameSidecar(0), timers }),
+  );
+  const target: TargetPort = createHttpTarget({
+    url: `http://${options.target.address}:${String(options.target.port)}`,
+    connections: 64,
+  });
+  const sidecar = startSidecar({
+    announcement: announceTarget(0),
+    dispatchers,
+    network: counted.network,
+    target,
+    timers,
+    random: createRandomSource(options.seed),
+    decisions: () => undefined,
+    retention: {
+      startsMilliseconds: retainedMilliseconds,
+      answersBytes: retainedBytes,
+    },
+    queueLimit: 8,
+  });
+  return {
+    traffic: counted.count,
+    waitForSessions: async () => {
+      while (sidecar.sessions().length < dispatchers.length) {
+        await sleep(timers, pollMilliseconds);
+      }
+      await sleep(timers, settleMilliseconds);
+    },
+  };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/side-process.ts
@@ -0,0 +1,54 @@
+/** Main module of a process under measure, and of its counterpart. Started by the bench only. */
+import { createSystemTimerService } from '@cranberryturn/timers';
+
+import { readProcess } from './reading.js';
+import type { ScenarioSide } from './scenario.js';
+import { findScenario } from './scenarios.js';
+import {
+  SideName,
+  SideOrder,
+  type SideReply,
+  type SideRequest,
+} from './side-messages.js';
+
+const timers = createSystemTimerService();
+let running: ScenarioSide | undefined;
+
+process.on('message', (request: SideRequest) => {
+  handleRequest(request)
+    .catch((cause: unknown): SideReply => ({ error: String(cause) }))
+    .then(reply => process.send?.(reply))
+    .catch(() => process.exit(1));
+});
+process.on('disconnect', () => process.exit(0));
+
+async function handleRequest(request: SideRequest): Promise<SideReply> {
+  switch (request.order) {
+    case SideOrder.Start: {
+      running = await startSide(request);
+      return { addresses: running.addresses };
+    }
+    case SideOrder.Ready:
+      await requireRunning().ready();
+      return {};
+    case SideOrder.Read:
+      return { reading: readProcess(timers.now(), requireRunning().traffic()) };
+    case SideOrder.Work:
+      return { units: await requireRunning().work() };
+  }
+}
+
+async function startSide(request: SideRequest): Promise<ScenarioSide> {
+  const scenario = findScenario(request.scenario);
+  const start =
+    request.side === SideName.Measured
+      ? scenario.startMeasured
+      : scenario.startCounterpart;
+  if (start === undefined) throw new Error('This scenario has no counterpart.');
+  return start(request);
+}
+
+function requireRunning(): ScenarioSide {
+  if (running === undefined) throw new Error('The side was not started.');
+  return running;
+}
