--- /dev/null
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -0,0 +1,204 @@
+/** Carries messages between the replicas of the log over the network of our own processes. */
+import { ConnectionError, type TimeoutError } from '@cranberryturn/errors';
+import type {
+  PeerLink,
+  PeerMessage,
+  PeerReply,
+} from '@cranberryturn/replicated-log';
+import type { TimerService } from '@cranberryturn/timers';
+import type {
+  Milliseconds,
+  NetworkAddress,
+  ReplicaId,
+} from '@cranberryturn/types';
+import {
+  type Connection,
+  dialWithin,
+  type Network,
+  type RemoteCalls,
+  serveRemoteCalls,
+} from '@cranberryturn/wire';
+import type {
+  AdministrationCall,
+  AdministrationReply,
+} from '../administration-calls.js';
+import { err, errAsync, ok, type Result, ResultAsync } from 'neverthrow';
+
+const callTimeout: Milliseconds = 2_000;
+const administrationTimeout: Milliseconds = 6_000;
+const silenceLimit: Milliseconds = 1_000;
+const dialTimeout: Milliseconds = 1_000;
+
+/** What one replica asks of another. */
+export enum PeerEnvelopeKind {
+  /** A message of the log. */
+  Log = 'log',
+  /** A call of an operator, forwarded to the leader. */
+  Administration = 'administration',
+}
+
+/** One message between replicas. */
+export type PeerEnvelope =
+  | {
+      readonly kind: PeerEnvelopeKind.Log;
+      readonly from: ReplicaId;
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly kind: PeerEnvelopeKind.Administration;
+      readonly call: AdministrationCall;
+    };
+
+/** How a replica answers the messages of others. */
+export interface PeerHandlers {
+  readonly handleMessage: (
+    from: ReplicaId,
+    message: PeerMessage,
+  ) => Promise<PeerReply>;
+  readonly administer: (
+    call: AdministrationCall,
+  ) => Promise<AdministrationReply>;
+}
+
+/** What the link needs. */
+export interface WirePeerLinkOptions {
+  /** Undefined until the log has told the identity of this replica. */
+  readonly network: () => Network | undefined;
+  readonly timers: TimerService;
+  readonly self: () => ReplicaId;
+  /** Address of a replica; undefined when it is not known. */
+  readonly findAddress: (replica: ReplicaId) => NetworkAddress | undefined;
+}
+
+/** A link that can be closed. */
+export interface WirePeerLink extends PeerLink {
+  /** Asks the leader to carry out the call of an operator. */
+  administer(
+    leader: ReplicaId,
+    call: AdministrationCall,
+  ): ResultAsync<AdministrationReply, ConnectionError | TimeoutError>;
+  close(): void;
+}
+
+/** Handles the messages of other replicas on one connection until it ends. */
+export async function servePeer(
+  connection: Connection,
+  timers: TimerService,
+  handlers: PeerHandlers,
+): Promise<void> {
+  const calls = serveRemoteCalls(connection, timers, {
+    handleCall: body => handleEnvelope(handlers, body as PeerEnvelope),
+  });
+  await calls.ended;
+}
+
+async function handleEnvelope(
+  { handleMessage, administer }: PeerHandlers,
+  envelope: PeerEnvelope,
+): Promise<PeerReply | AdministrationReply> {
+  switch (envelope.kind) {
+    case PeerEnvelopeKind.Log:
+      return await handleMessage(envelope.from, envelope.message);
+    case PeerEnvelopeKind.Administration:
+      return await administer(envelope.call);
+  }
+}
+
+/** Creates a link that keeps one connection to each peer and replaces it when it falls silent. */
+export function createWirePeerLink(options: WirePeerLinkOptions): WirePeerLink {
+  const { timers } = options;
+  const open = new Map<ReplicaId, RemoteCalls>();
+  const dialling = new Map<
+    ReplicaId,
+    Promise<Result<RemoteCalls, ConnectionError>>
+  >();
+  let closed = false;
+
+  const connect = async (
+    peer: ReplicaId,
+  ): Promise<Result<RemoteCalls, ConnectionError>> => {
+    const address = options.findAddress(peer);
+    const network = options.network();
+    if (address === undefined || network === undefined) {
+      dialling.delete(peer);
+      return err(unknownPeer(peer));
+    }
+    const dialled = await dialWithin(network, timers, address, dialTimeout);
+    dialling.delete(peer);
+    if (dialled.isErr()) {
+      const { error } = dialled;
+      return err(new ConnectionError(error.message, error, error));
+    }
+    const calls = serveRemoteCalls(dialled.value, timers, {
+      handleCall: () => Promise.resolve(undefined),
+    });
+    if (closed) calls.connection.close();
+    open.set(peer, calls);
+    void calls.ended.then(() => {
+      if (open.get(peer) === calls) open.delete(peer);
+    });
+    return ok(calls);
+  };
+
+  const findCalls = (
+    peer: ReplicaId,
+  ): Promise<Result<RemoteCalls, ConnectionError>> => {
+    const known = open.get(peer);
+    if (known !== undefined) return Promise.resolve(ok(known));
+    const waiting = dialling.get(peer) ?? connect(peer);
+    dialling.set(peer, waiting);
+    return waiting;
+  };
+
+  const dropSilent = (peer: ReplicaId, calls: RemoteCalls): void => {
+    if (timers.now() - calls.lastReceived() < silenceLimit) return;
+    if (open.get(peer) === calls) open.delete(peer);
+    calls.connection.close();
+  };
+
+  const send = <Reply>(
+    peer: ReplicaId,
+    envelope: PeerEnvelope,
+    timeout: Milliseconds,
+  ): ResultAsync<Reply, ConnectionError | TimeoutError> => {
+    if (closed) return errAsync(unknownPeer(peer));
+    return new ResultAsync(findCalls(peer)).andThen(calls => {
+      const watch = timers.after(silenceLimit, () => {
+        dropSilent(peer, calls);
+      });
+      const cancelWatch = (): void => {
+        watch.cancel();
+      };
+      return calls
+        .call<Reply>(envelope, timeout)
+        .andTee(cancelWatch)
+        .orTee(cancelWatch);
+    });
+  };
+
+  return {
+    call: (peer, message) =>
+      send(
+        peer,
+        { kind: PeerEnvelopeKind.Log, from: options.self(), message },
+        callTimeout,
+      ),
+    administer: (leader, call) =>
+      send(
+        leader,
+        { kind: PeerEnvelopeKind.Administration, call },
+        administrationTimeout,
+      ),
+    close: () => {
+      closed = true;
+      for (const calls of open.values()) calls.connection.close();
+    },
+  };
+}
+
+function unknownPeer(peer: ReplicaId): ConnectionError {
+  return new ConnectionError(
+    `No address of replica ${peer} is known, or this replica is stopping.`,
+    { step: 'find replica', peer },
+  );
+}
