--- /dev/null
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -0,0 +1,25 @@
+#!/usr/bin/env node
+/** The command line of the bench. */
+import { CranberryError } from '@cranberryturn/errors';
+import { Command } from 'commander';
+
+import { addCheckCommand } from '../commands/check-command.js';
+import { addReportCommand } from '../commands/report-command.js';
+import { addRunCommand } from '../commands/run-command.js';
+import { addSlopesCommand } from '../commands/slopes-command.js';
+
+const program = new Command('cranberry-bench').description(
+  'Measures cranberryturn on this machine and checks what it promises.',
+);
+addRunCommand(program);
+addSlopesCommand(program);
+addCheckCommand(program);
+addReportCommand(program);
+
+try {
+  await program.parseAsync();
+} catch (error) {
+  const text = error instanceof CranberryError ? error.message : String(error);
+  process.stderr.write(`${text}\n`);
+  process.exitCode = 1;
+}
--- /dev/null
+++ b/packages/bench/src/commands/check-command.ts
@@ -0,0 +1,42 @@
+/** `cranberry-bench check`: the invariants over saved decision logs. */
+import type { Command } from 'commander';
+
+import { checkDecisions } from '../checker/check-decisions.js';
+import { readDecisionLog } from '../checker/read-decision-log.js';
+import { statedCheckOptions } from '../checker/violation.js';
+import { print } from './shared-options.js';
+
+/** Adds the command. */
+export function addCheckCommand(program: Command): void {
+  program
+    .command('check')
+    .description('check the promises over the decision logs of all processes')
+    .argument('<logs...>', 'decision logs of one run, one for each process')
+    .option('--strict', 'count a repeat of an idempotent task as a violation')
+    .action(check);
+}
+
+async function check(
+  paths: readonly string[],
+  options: { readonly strict?: boolean },
+): Promise<void> {
+  const logs = await Promise.all(
+    paths.map(async path => {
+      const log = await readDecisionLog(path);
+      if (log.isErr()) throw log.error;
+      return log.value;
+    }),
+  );
+  const records = logs.flat();
+  const violations = checkDecisions(records, {
+    ...statedCheckOptions,
+    idempotentTasksMayRepeat: options.strict !== true,
+  });
+  for (const one of violations) {
+    print(`${one.kind}: ${one.subject}: ${one.detail}`);
+  }
+  print(
+    `${String(records.length)} decisions, ${String(violations.length)} violations`,
+  );
+  if (violations.length > 0) process.exitCode = 1;
+}
--- a/packages/bench/src/load/load.test.ts
+++ b/packages/bench/src/load/load.test.ts
@@ -104,7 +104,7 @@
   );
   t.is(summary.complete, 3);
   t.true(summary.responseOverIdeal.p50 > 9.8);
-  t.is(observeReplies(submissions)[0]?.answers[0]?.echoedJobId, 'job-0');
+  t.is(observeReplies(submissions)[0]?.jobId, `${first.team}/job-0`);
 });
 
 test('replies of dispatchers are told apart', t => {
--- a/packages/bench/src/load/summarize-load.ts
+++ b/packages/bench/src/load/summarize-load.ts
@@ -80,7 +80,7 @@
   return submissions
     .filter(({ reply }) => reply.outcome !== SubmissionOutcome.Broken)
     .map(({ job, reply }) => ({
-      jobId: job.jobId,
+      jobId: nameJobInLogs(job),
       askedTasks: job.tasks.map(task => task.taskId),
       outcome: reply.jobOutcome ?? JobOutcome.Failed,
       started: reply.started,
@@ -88,6 +88,11 @@
     }));
 }
 
+/** The name of a job in the decision logs, which is unique over teams. */
+export function nameJobInLogs(job: PlannedJob): string {
+  return `${job.team}/${job.jobId}`;
+}
+
 function createHistogram(): Histogram {
   return build({
     bitBucketSize: 32,
--- /dev/null
+++ b/packages/bench/src/run/load-case.ts
@@ -0,0 +1,74 @@
+/** One case of a load measurement. */
+import type { Milliseconds } from '@cranberryturn/types';
+
+import type { DeploymentShape } from '../load/deployment-shape.js';
+import type { LoadOptions } from '../load/plan-load.js';
+
+/** What happens while a load runs. */
+export enum LoadEvent {
+  Calm = 'calm',
+  /** One worker fails every task at once. */
+  FailingWorker = 'one worker fails all',
+  /** One worker dies a quarter into the load. */
+  DeadWorker = 'one worker dies',
+  /** One worker takes ten times as long. */
+  SlowWorker = 'one worker is 10x slow',
+  /** Arrivals come ten times as fast for a short time. */
+  Burst = 'burst of 10x',
+  /** A third of the declared run times is off by ten. */
+  Misdeclared = 'misdeclared sizes',
+}
+
+/** Which policy places the tasks. */
+export enum Policy {
+  Product = 'product',
+  /** Random placement, the baseline. */
+  Random = 'random',
+}
+
+/** One case of a load measurement. */
+export interface LoadCase {
+  readonly shape: DeploymentShape;
+  readonly event: LoadEvent;
+  readonly policy: Policy;
+  readonly seed: number;
+  readonly durationMilliseconds: Milliseconds;
+}
+
+/** Part of the slots that a load keeps busy on average. */
+export const measuredLoadFraction = 0.7;
+
+const burstDurationMilliseconds: Milliseconds = 500;
+const burstFactor = 10;
+const misdeclaredShare = 1 / 3;
+
+/** What the load of a case is planned from. */
+export function describeLoad(load: LoadCase): LoadOptions {
+  const { shape, seed, durationMilliseconds } = load;
+  const usual = {
+    shape,
+    seed,
+    durationMilliseconds,
+    loadFraction: measuredLoadFraction,
+  };
+  switch (load.event) {
+    case LoadEvent.Calm:
+    case LoadEvent.FailingWorker:
+    case LoadEvent.DeadWorker:
+    case LoadEvent.SlowWorker:
+      return usual;
+    case LoadEvent.Burst:
+      return {
+        ...usual,
+        bursts: [
+          {
+            at: durationMilliseconds / 4,
+            durationMilliseconds: burstDurationMilliseconds,
+            factor: burstFactor,
+          },
+        ],
+      };
+    case LoadEvent.Misdeclared:
+      return { ...usual, misdeclaredShare };
+  }
+}
--- /dev/null
+++ b/packages/bench/src/run/measure-load-case.ts
@@ -0,0 +1,140 @@
+/** Runs one case of a load measurement on the real processes. */
+import { TargetFaultKind } from '@cranberryturn/stand-ins';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+
+import { createRandomScheduler } from '../baseline/create-random-scheduler.js';
+import { checkDecisions } from '../checker/check-decisions.js';
+import { statedCheckOptions, type Violation } from '../checker/violation.js';
+import { createHttpJobClient } from '../load/create-http-job-client.js';
+import type { JobClient } from '../load/job-client.js';
+import { planLoad } from '../load/plan-load.js';
+import { type CompletedSubmission, runLoad } from '../load/run-load.js';
+import {
+  type LoadSummary,
+  observeReplies,
+  summarizeLoad,
+} from '../load/summarize-load.js';
+import {
+  type BenchSystem,
+  startBenchSystem,
+} from '../system/start-bench-system.js';
+import {
+  compareMessages,
+  type MessageSummary,
+  readMessages,
+} from './count-messages.js';
+import { describeLoad, type LoadCase, LoadEvent, Policy } from './load-case.js';
+
+/** What a case gave. */
+export interface LoadCaseResult {
+  readonly deployment: string;
+  readonly event: LoadEvent;
+  readonly policy: Policy;
+  readonly seed: number;
+  readonly load: LoadSummary;
+  readonly messages: MessageSummary;
+  /** Processor time of all roles, targets and callers together, for each task. */
+  readonly processorMillisecondsPerTask: Milliseconds;
+  readonly violations: readonly Violation[];
+}
+
+const dispatchers = 2;
+const warmUpMilliseconds: Milliseconds = 2_000;
+const affectedWorker = 0;
+const slowFactor = 10;
+const microsecondsPerMillisecond = 1_000;
+
+/** Starts a system, warms it up, runs the load and checks every invariant. */
+export async function measureLoadCase(
+  load: LoadCase,
+  timers: TimerService,
+): Promise<LoadCaseResult> {
+  const { shape, seed, event, policy } = load;
+  const system = await startBenchSystem({
+    shape,
+    dispatchers,
+    seed,
+    timers,
+    createScheduler:
+      policy === Policy.Random ? createRandomScheduler : undefined,
+  });
+  const client = createHttpJobClient({
+    urls: system.urls,
+    tokenOf: system.tokenOf,
+  });
+  const warmUp = await warm(load, client, timers);
+  const before = readMessages(system);
+  const processor = process.cpuUsage();
+  const plan = planLoad(describeLoad(load));
+  const happening = applyEvent(load, system, timers);
+  const submissions = await runLoad(plan, { client, timers });
+  await happening;
+  const { user, system: kernel } = process.cpuUsage(processor);
+  const summary = summarizeLoad(submissions, shape.callerDelayMilliseconds);
+  const messages = compareMessages(before, readMessages(system), summary.tasks);
+  const violations = check(system, [...warmUp, ...submissions]);
+  await client.close();
+  await system.stop();
+  return {
+    deployment: shape.name,
+    event,
+    policy,
+    seed,
+    load: summary,
+    messages,
+    processorMillisecondsPerTask:
+      (user + kernel) / microsecondsPerMillisecond / summary.tasks,
+    violations,
+  };
+}
+
+async function warm(
+  { shape, seed }: LoadCase,
+  client: JobClient,
+  timers: TimerService,
+): Promise<readonly CompletedSubmission[]> {
+  const plan = planLoad({
+    shape,
+    seed,
+    durationMilliseconds: warmUpMilliseconds,
+    loadFraction: 0.5,
+    prefix: 'warm-up',
+  });
+  return runLoad(plan, { client, timers });
+}
+
+async function applyEvent(
+  { event, durationMilliseconds }: LoadCase,
+  system: BenchSystem,
+  timers: TimerService,
+): Promise<void> {
+  const target = system.workers[affectedWorker]?.target;
+  switch (event) {
+    case LoadEvent.Calm:
+    case LoadEvent.Burst:
+    case LoadEvent.Misdeclared:
+      return;
+    case LoadEvent.FailingWorker:
+      target?.setFault({ kind: TargetFaultKind.FailAll });
+      return;
+    case LoadEvent.SlowWorker:
+      target?.setFault({ kind: TargetFaultKind.Slow, factor: slowFactor });
+      return;
+    case LoadEvent.DeadWorker:
+      await sleep(timers, durationMilliseconds / 4);
+      await system.killWorker(affectedWorker);
+      return;
+  }
+}
+
+function check(
+  system: BenchSystem,
+  submissions: readonly CompletedSubmission[],
+): Violation[] {
+  return checkDecisions(system.records, {
+    ...statedCheckOptions,
+    startCounts: system.workers.flatMap(({ target }) => target.starts.list()),
+    replies: observeReplies(submissions),
+  });
+}
--- a/packages/bench/src/slopes/parts/stand-in-dispatcher.ts
+++ b/packages/bench/src/slopes/parts/stand-in-dispatcher.ts
@@ -15,6 +15,7 @@
 } from '@cranberryturn/wire';
 
 import { nameDispatcher } from './identities.js';
+import { measuredKeys } from './measured-keys.js';
 
 /** A running stand-in dispatcher. */
 export interface StandInDispatcher {
@@ -38,6 +39,7 @@
   });
   const network = createWebSocketNetwork({
     self: nameDispatcher(number),
+    keys: measuredKeys,
     timers,
   });
   const acceptor = acceptSessions<ToTargetMessage, FromTargetMessage>({
--- a/packages/bench/src/slopes/parts/start-measured-sidecar.ts
+++ b/packages/bench/src/slopes/parts/start-measured-sidecar.ts
@@ -12,6 +12,7 @@
 import { countTraffic } from '../count-traffic.js';
 import type { TrafficCount } from '../reading.js';
 import { announceTarget, nameSidecar } from './identities.js';
+import { measuredKeys } from './measured-keys.js';
 
 /** A real sidecar whose traffic is counted. */
 export interface MeasuredSidecar {
@@ -34,7 +35,11 @@
 }): MeasuredSidecar {
   const { timers, dispatchers } = options;
   const counted = countTraffic(
-    createWebSocketNetwork({ self: nameSidecar(0), timers }),
+    createWebSocketNetwork({
+      self: nameSidecar(0),
+      keys: measuredKeys,
+      timers,
+    }),
   );
   const target: TargetPort = createHttpTarget({
     url: `http://${options.target.address}:${String(options.target.port)}`,
--- a/packages/bench/src/slopes/scenarios/sidecar-starts.ts
+++ b/packages/bench/src/slopes/scenarios/sidecar-starts.ts
@@ -2,7 +2,7 @@
 import { createSystemTimerService, sleep } from '@cranberryturn/timers';
 import type { AttemptStart } from '@cranberryturn/types';
 
-import { startStandInTarget } from '../../stand-ins/start-stand-in-target.js';
+import { startStandInTarget } from '@cranberryturn/stand-ins';
 import { measuredService, nameDispatcher } from '../parts/identities.js';
 import { startStandInDispatcher } from '../parts/stand-in-dispatcher.js';
 import { startMeasuredSidecar } from '../parts/start-measured-sidecar.js';
--- /dev/null
+++ b/packages/bench/src/system/start-bench-roles.ts
@@ -0,0 +1,174 @@
+/** Starts the real roles of a measured system inside this process. */
+import { type ControlNode, startControl } from '@cranberryturn/control';
+import {
+  type ControlClient,
+  createControlClient,
+} from '@cranberryturn/control-client';
+import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
+import { createMetrics, type Metrics } from '@cranberryturn/metrics';
+import { createRandomSource } from '@cranberryturn/random';
+import {
+  createFileLogDisk,
+  MemberRole,
+  openReplicatedLog,
+  StartKind,
+} from '@cranberryturn/replicated-log';
+import type { Scheduler, SchedulerOptions } from '@cranberryturn/scheduling';
+import {
+  createHttpTarget,
+  type Sidecar,
+  startSidecar,
+} from '@cranberryturn/sidecar';
+import type {
+  ClusterConfiguration,
+  Milliseconds,
+  NetworkAddress,
+  TargetAnnouncement,
+} from '@cranberryturn/types';
+import { ProcessRole } from '@cranberryturn/wire';
+
+import type { BenchContext, BenchTeam } from './bench-context.js';
+import { findFreePort } from './find-free-port.js';
+
+/** Creates the scheduler of a dispatcher. */
+export type SchedulerFactory = (options: SchedulerOptions) => Scheduler;
+
+/** A dispatcher with what only it uses. */
+export interface BenchDispatcher {
+  readonly dispatcher: Dispatcher;
+  readonly control: ControlClient;
+  readonly metrics: Metrics;
+}
+
+/** How one dispatcher is set up. */
+export interface BenchDispatcherOptions {
+  readonly dispatcherId: string;
+  readonly controlAddress: NetworkAddress;
+  readonly teams: readonly BenchTeam[];
+  readonly seed: number;
+  readonly createScheduler?: SchedulerFactory | undefined;
+}
+
+const mebibyte = 1_048_576;
+const retentionMilliseconds: Milliseconds = 600_000;
+const sidecarQueueLimit = 2;
+const replicaId = 'control-1';
+const anyPort: NetworkAddress = { address: '127.0.0.1', port: 0 };
+
+/** Starts control with one replica that syncs its log in `folder`. */
+export async function startBenchControl(
+  context: BenchContext,
+  folder: string,
+  seed: number,
+  initialConfiguration: Omit<ClusterConfiguration, 'version'>,
+): Promise<ControlNode> {
+  const { timers, logger } = context;
+  const port = await findFreePort();
+  const address = `127.0.0.1:${String(port)}`;
+  const member = { replicaId, role: MemberRole.Voter, address };
+  const started = await startControl({
+    listen: { address: '127.0.0.1', port },
+    joinNetwork: name =>
+      context.join({
+        role: ProcessRole.Control,
+        name,
+        incarnation: 'run-1',
+      }),
+    timers,
+    openLog: (stateMachine, link) =>
+      openReplicatedLog({
+        disk: createFileLogDisk(folder),
+        link,
+        stateMachine,
+        timers,
+        random: createRandomSource(seed),
+        start: { kind: StartKind.Found, replicaId, members: [member] },
+      }),
+    peers: [],
+    initialConfiguration,
+    logger,
+    decisions: context.decisionsOf(replicaId),
+  });
+  if (started.isErr()) throw started.error;
+  return started.value;
+}
+
+/** Starts one dispatcher. */
+export async function startBenchDispatcher(
+  context: BenchContext,
+  options: BenchDispatcherOptions,
+): Promise<BenchDispatcher> {
+  const { timers } = context;
+  const { dispatcherId, seed } = options;
+  const self = { dispatcherId, incarnation: 'run-1' };
+  const network = context.join({
+    role: ProcessRole.Dispatcher,
+    name: dispatcherId,
+    incarnation: self.incarnation,
+  });
+  const metrics = createMetrics({
+    role: ProcessRole.Dispatcher,
+    process: dispatcherId,
+    timers,
+  });
+  const control = createControlClient({
+    network,
+    timers,
+    random: createRandomSource(seed),
+    self,
+    controlHosts: [{ replicaId, address: options.controlAddress }],
+  });
+  const started = await startDispatcher({
+    self,
+    callers: anyPort,
+    peers: anyPort,
+    teams: options.teams,
+    limits: {
+      bodyBytes: 8 * mebibyte,
+      bodyTimeoutMilliseconds: 10_000,
+      callersConnections: 4_096,
+    },
+    retention: {
+      answersMilliseconds: retentionMilliseconds,
+      answersBytes: 64 * mebibyte,
+    },
+    network,
+    control,
+    timers,
+    seed,
+    metrics,
+    decisions: context.decisionsOf(dispatcherId),
+    createScheduler: options.createScheduler,
+  });
+  if (started.isErr()) throw started.error;
+  return { dispatcher: started.value, control, metrics };
+}
+
+/** Starts the sidecar of one target. */
+export function startBenchSidecar(
+  context: BenchContext,
+  announcement: TargetAnnouncement,
+  url: string,
+  dispatchers: readonly NetworkAddress[],
+  seed: number,
+): Sidecar {
+  const { targetId, incarnation, connections } = announcement;
+  return startSidecar({
+    announcement,
+    dispatchers,
+    network: context.join({
+      role: ProcessRole.Sidecar,
+      name: targetId,
+      incarnation,
+    }),
+    target: createHttpTarget({ url, connections }),
+    timers: context.timers,
+    random: createRandomSource(seed),
+    decisions: context.decisionsOf(targetId),
+    retention: {
+      startsMilliseconds: retentionMilliseconds,
+      answersBytes: 8 * mebibyte,
+    },
+    queueLimit: sidecarQueueLimit,
+  });
+}
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -3,7 +3,11 @@
 import type { ResultRetention } from '@cranberryturn/jobs';
 import type { Metrics } from '@cranberryturn/metrics';
 import { type HttpListener, listenForHttp } from '@cranberryturn/program';
-import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
+import {
+  createScheduler,
+  type Scheduler,
+  type SchedulerOptions,
+} from '@cranberryturn/scheduling';
 import {
   defaultSessionTimes,
   type SessionTimes,
@@ -61,6 +65,9 @@
   readonly metrics: Metrics;
   readonly decisions: DecisionSink;
   readonly sessionTimes?: SessionTimes | undefined;
+  /** Creates another scheduler than that of the product, to compare policies. */
+  readonly createScheduler?:
+    ((options: SchedulerOptions) => Scheduler) | undefined;
 }
 
 /** A running dispatcher. */
@@ -154,7 +161,8 @@
     metrics,
     decisions,
   });
-  const scheduler = createScheduler({
+  const create = options.createScheduler ?? createScheduler;
+  const scheduler = create({
     dispatcherId: self.dispatcherId,
     timers,
     seed: options.seed,
