Run the whole path in one process: a job of 20 answered through two dispatchers

Until now no part had met another. The local program starts control, dispatchers, sidecars and stand-in targets on loopback ports. The first run showed that a sidecar's announcement was lost: a session handed out its send function before it existed, so what was sent at once vanished. The session now creates its listener itself.

--- a/packages/local/src/index.ts
+++ b/packages/local/src/index.ts
@@ -1,2 +1,4 @@
 /** Every role in one process, and the demonstration. */
-export {};
+export * from './find-free-ports.js';
+export * from './local-parts.js';
+export * from './start-local-cluster.js';
--- a/packages/sessions/src/accept-sessions.ts
+++ b/packages/sessions/src/accept-sessions.ts
@@ -6,19 +6,15 @@
 import {
   Session,
   SessionEndReason,
-  type SessionListener,
   type SessionTimes,
+  type StartSession,
 } from './session.js';
 
 /** What the accepting end is built from. */
 export interface AcceptSessionsOptions<Outgoing, Incoming> {
   readonly timers: TimerService;
   readonly times: SessionTimes;
-  /** Called for each new run of a peer, before its first message. */
-  readonly startSession: (
-    peer: PeerIdentity,
-    send: (message: Outgoing) => void,
-  ) => SessionListener<Incoming>;
+  readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
 /** The accepting end of sessions. */
@@ -39,15 +35,11 @@
   const sessionWith = (peer: PeerIdentity): Session<Outgoing, Incoming> => {
     const known = byPeer.get(peer.name);
     if (known?.peer.incarnation === peer.incarnation) return known;
-    let created: Session<Outgoing, Incoming> | undefined = undefined;
-    const listener = options.startSession(peer, message => {
-      created?.send(message);
-    });
-    created = new Session<Outgoing, Incoming>({
+    const created = new Session<Outgoing, Incoming>({
       peer,
       timers: options.timers,
       times: options.times,
-      listener,
+      startSession: options.startSession,
     });
     byPeer.set(peer.name, created);
     known?.end(SessionEndReason.PeerRestarted);
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -9,8 +9,8 @@
 import {
   Session,
   SessionEndReason,
-  type SessionListener,
   type SessionTimes,
+  type StartSession,
 } from './session.js';
 
 const minimumBackoffMilliseconds: Milliseconds = 50;
@@ -24,11 +24,7 @@
   readonly timers: TimerService;
   readonly random: RandomSource;
   readonly times: SessionTimes;
-  /** Called for each new run of the peer, before its first message. */
-  readonly startSession: (
-    peer: Connection['peer'],
-    send: (message: Outgoing) => void,
-  ) => SessionListener<Incoming>;
+  readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
 /** The dialling end of a session to one address. */
@@ -57,15 +53,11 @@
     const { peer } = connection;
     if (session?.peer.incarnation === peer.incarnation) return session;
     session?.end(SessionEndReason.PeerRestarted);
-    let created: Session<Outgoing, Incoming> | undefined = undefined;
-    const listener = options.startSession(peer, message => {
-      created?.send(message);
-    });
-    created = new Session<Outgoing, Incoming>({
+    const created = new Session<Outgoing, Incoming>({
       peer,
       timers,
       times: options.times,
-      listener,
+      startSession: options.startSession,
     });
     session = created;
     return created;
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -56,13 +56,19 @@
 }
 
 /** What a session is built from. */
-export interface SessionOptions<Incoming> {
+export interface SessionOptions<Outgoing, Incoming> {
   readonly peer: PeerIdentity;
   readonly timers: TimerService;
   readonly times: SessionTimes;
-  readonly listener: SessionListener<Incoming>;
+  readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
+/** Called for each new run of a peer, before its first message. It may already send. */
+export type StartSession<Outgoing, Incoming> = (
+  peer: PeerIdentity,
+  send: (message: Outgoing) => void,
+) => SessionListener<Incoming>;
+
 type MutableCounts = { -readonly [Key in keyof SessionCounts]: number };
 
 /** One session. It lives as long as both process runs do, over any number of connections. */
@@ -89,11 +95,10 @@
   #lastReceived: Milliseconds;
   #wakeWhenSuspected: (() => void) | undefined;
 
-  constructor(options: SessionOptions<Incoming>) {
+  constructor(options: SessionOptions<Outgoing, Incoming>) {
     this.peer = options.peer;
     this.#timers = options.timers;
     this.#times = options.times;
-    this.#listener = options.listener;
     this.#lastSent = options.timers.now();
     this.#lastReceived = this.#lastSent;
     this.#ticker = options.timers.every(
@@ -102,6 +107,9 @@
         this.#tick();
       },
     );
+    this.#listener = options.startSession(options.peer, message => {
+      this.send(message);
+    });
   }
 
   get counts(): SessionCounts {
