--- a/packages/local/src/compose-settings.ts
+++ b/packages/local/src/compose-settings.ts
@@ -12,6 +12,8 @@
 
 const controlSeedOffset = 1_000;
 const sidecarSeedOffset = 2_000;
+/** Sidecars stop after the dispatchers, when every job has been answered. */
+const sidecarGraceMilliseconds = 500;
 
 /** Where the parts of a local system find each other. */
 export interface LocalPlaces {
@@ -119,6 +121,7 @@
     dispatchers: parts.dispatchers,
     sharedKeyFile: places.sharedKeyFile,
     operations: { address: settings.address, port: 0 },
+    stop: { graceMilliseconds: sidecarGraceMilliseconds },
     seed: settings.seed + sidecarSeedOffset + parts.index,
     log: settings.log,
   });
--- a/packages/local/src/index.ts
+++ b/packages/local/src/index.ts
@@ -2,3 +2,5 @@
 export * from './find-free-ports.js';
 export * from './local-parts.js';
 export * from './start-local-cluster.js';
+export * from './run-demonstration.js';
+export * from './start-local-system.js';
--- a/packages/local/src/prepare-places.ts
+++ b/packages/local/src/prepare-places.ts
@@ -1,14 +1,13 @@
 /** Prepares what the processes of a local system share: folder, key, first configuration and ports. */
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { type AddressInfo, createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
 import { createSharedKey } from '@cranberryturn/authentication';
 import type { LocalSettings } from '@cranberryturn/settings';
-import type { NetworkAddress } from '@cranberryturn/types';
 
 import type { LocalPlaces } from './compose-settings.js';
+import { findFreePorts } from './find-free-ports.js';
 
 const ownerOnly = 0o600;
 
@@ -32,10 +31,9 @@
     initialConfigurationFile,
     JSON.stringify(composeConfiguration(settings), null, 2),
   );
-  const controlPeers = await findFreePorts(
-    settings.address,
-    settings.controlReplicas,
-  );
+  // Replicas must know each other's ports before they listen.
+  const ports = await findFreePorts(settings.address, settings.controlReplicas);
+  const controlPeers = ports.map(port => ({ address: settings.address, port }));
   const remove = (): void => {
     if (settings.dataFolder !== undefined) return;
     rmSync(folder, { recursive: true, force: true });
@@ -56,28 +54,3 @@
     teams: teams.map(({ team }) => ({ team })),
   };
 }
-
-/** Finds ports that are free at this moment; replicas must know each other's before they listen. */
-async function findFreePorts(
-  address: string,
-  count: number,
-): Promise<readonly NetworkAddress[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () => listenAnywhere(address)),
-  );
-  const ports = servers.map(server => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
-  return ports.map(port => ({ address, port }));
-}
-
-function listenAnywhere(address: string) {
-  return new Promise<ReturnType<typeof createServer>>((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, address, () => {
-      resolve(server);
-    });
-  });
-}
--- a/packages/program/src/index.ts
+++ b/packages/program/src/index.ts
@@ -1,6 +1,7 @@
 /** Command line, settings, signals and exit codes shared by the programs. */
 export * from './adapters/http-listener.js';
 export * from './adapters/node-program-host.js';
+export * from './finish-within.js';
 export * from './ports/program-host.js';
 export * from './product-version.js';
 export * from './role-environment.js';
--- a/packages/sidecar/src/start-sidecar-role.ts
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -5,6 +5,7 @@
   chooseSeed,
   createIncarnation,
   createRoleNetwork,
+  finishWithin,
   type RoleEnvironment,
   type RunningRole,
   serveOperations,
@@ -72,7 +73,7 @@
 
 function serveSidecar(
   settings: SidecarSettings,
-  { metrics }: RoleEnvironment,
+  { timers, logger, metrics }: RoleEnvironment,
   sidecar: Sidecar,
 ): ResultAsync<RunningRole, CranberryError> {
   let stopping = false;
@@ -82,7 +83,13 @@
       addresses: { operations: operations.address },
       stop: async () => {
         stopping = true;
-        await sidecar.stop();
+        const { graceMilliseconds } = settings.stop;
+        if (!(await finishWithin(timers, graceMilliseconds, sidecar.stop()))) {
+          logger.warn('stopped before every answer was acknowledged', {
+            graceMilliseconds,
+          });
+          sidecar.kill();
+        }
         await operations.close();
       },
     }))
