--- /dev/null
+++ b/packages/bench/src/policies/compare-policies.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+
+import { createProductPolicy } from './product-policy.js';
+import { runScenario } from './run-scenario.js';
+import { scenarios } from './scenarios.js';
+
+const seed = 20_261_203;
+const shortQueue = { queueLimit: 1, pushesCredits: false };
+
+function runProduct(name: string) {
+  const scenario = scenarios.find(one => one.name === name);
+  if (scenario === undefined) throw new Error(`No scenario "${name}".`);
+  return runScenario(scenario, createProductPolicy, seed, shortQueue);
+}
+
+for (const name of ['calm', 'calm, four data centres']) {
+  test(`targets hold: ${name} (seed ${String(seed)})`, t => {
+    const result = runProduct(name);
+    t.true(result.p50 <= 1.05, `p50 ${String(result.p50)}`);
+    t.true(result.p99 <= 1.5, `p99 ${String(result.p99)}`);
+    t.true(result.wastedShare <= 0.02, `wasted ${String(result.wastedShare)}`);
+    t.true(result.messagesPerTask <= 2.2);
+    t.is(result.failed + result.refused + result.open, 0);
+    t.is(result.doubleStarts, 0);
+  });
+}
+
+for (const name of ['one fails everything', 'one dies']) {
+  test(`targets hold: ${name} (seed ${String(seed)})`, t => {
+    const result = runProduct(name);
+    t.true(result.p99 <= 2, `p99 ${String(result.p99)}`);
+    t.true(result.wastedShare <= 0.1, `wasted ${String(result.wastedShare)}`);
+    t.is(result.doubleStarts, 0);
+    t.is(result.open, 0);
+  });
+}
--- /dev/null
+++ b/packages/bench/src/policies/event-clock.ts
@@ -0,0 +1,112 @@
+/** A manual clock that runs its timers at once, one after the other, without waiting for promises. */
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+
+interface ClockEvent {
+  readonly order: number;
+  readonly callback: () => void;
+  readonly period: Milliseconds | undefined;
+  due: Milliseconds;
+  cancelled: boolean;
+}
+
+/** A clock that is moved by its owner. */
+export interface EventClock extends TimerService {
+  /** Runs everything that falls due until `end`. */
+  runUntil(end: Milliseconds): void;
+}
+
+/** Creates a clock at time zero. */
+export function createEventClock(): EventClock {
+  const heap: ClockEvent[] = [];
+  let now: Milliseconds = 0;
+  let nextOrder = 0;
+
+  const subscribe = (
+    delay: Milliseconds,
+    callback: () => void,
+    period: Milliseconds | undefined,
+  ): TimerSubscription => {
+    const due = now + Math.max(0, delay);
+    const order = nextOrder++;
+    const event: ClockEvent = {
+      order,
+      callback,
+      period,
+      due,
+      cancelled: false,
+    };
+    pushEvent(heap, event);
+    return {
+      cancel: () => {
+        event.cancelled = true;
+      },
+    };
+  };
+
+  const fire = (event: ClockEvent): void => {
+    if (event.cancelled) return;
+    now = event.due;
+    if (event.period !== undefined) {
+      event.due += event.period;
+      pushEvent(heap, event);
+    }
+    event.callback();
+  };
+
+  return {
+    now: () => now,
+    wallClock: () => now,
+    after: (delay, callback) => subscribe(delay, callback, undefined),
+    every: (period, callback) => subscribe(period, callback, period),
+    runUntil: end => {
+      for (;;) {
+        const first = heap[0];
+        if (first === undefined || first.due > end) break;
+        popEvent(heap);
+        fire(first);
+      }
+      now = end;
+    },
+  };
+}
+
+function comesBefore(left: ClockEvent, right: ClockEvent): boolean {
+  if (left.due !== right.due) return left.due < right.due;
+  return left.order < right.order;
+}
+
+function pushEvent(heap: ClockEvent[], event: ClockEvent): void {
+  let position = heap.length;
+  heap.push(event);
+  while (position > 0) {
+    const parentPosition = (position - 1) >> 1;
+    const parent = heap[parentPosition];
+    if (parent === undefined || !comesBefore(event, parent)) break;
+    heap[position] = parent;
+    position = parentPosition;
+  }
+  heap[position] = event;
+}
+
+function popEvent(heap: ClockEvent[]): void {
+  const last = heap.pop();
+  if (last === undefined || heap.length === 0) return;
+  let position = 0;
+  for (;;) {
+    const child = earlierChild(heap, position);
+    const event = heap[child];
+    if (event === undefined || !comesBefore(event, last)) break;
+    heap[position] = event;
+    position = child;
+  }
+  heap[position] = last;
+}
+
+function earlierChild(heap: readonly ClockEvent[], position: number): number {
+  const left = position * 2 + 1;
+  const leftEvent = heap[left];
+  const rightEvent = heap[left + 1];
+  if (leftEvent === undefined || rightEvent === undefined) return left;
+  return comesBefore(rightEvent, leftEvent) ? left + 1 : left;
+}
--- /dev/null
+++ b/packages/bench/src/policies/fake-target.ts
@@ -0,0 +1,216 @@
+/** A target with its sidecar, reduced to slots, a short queue and a behaviour. */
+import type { TimerService } from '@cranberryturn/timers';
+import {
+  type AttemptKey,
+  AttemptOutcome,
+  type AttemptResult,
+  type AttemptStart,
+  type Milliseconds,
+  NotStartedReason,
+  type TargetLoad,
+  type TargetRecord,
+} from '@cranberryturn/types';
+
+/** How a fake target treats its tasks. */
+export enum TargetBehaviour {
+  Healthy = 'healthy',
+  /** It fails every task at once. */
+  FailsAtOnce = 'fails-at-once',
+  /** Its tasks take ten times as long. */
+  Slow = 'slow',
+  /** It fails every task at once for two seconds, then works for two. */
+  Flaps = 'flaps',
+}
+
+/** A message of a target to a dispatcher. */
+export interface TargetReport {
+  readonly result: AttemptResult | undefined;
+  readonly load: TargetLoad;
+  readonly credits: number;
+}
+
+/** What a fake target is built from. */
+export interface FakeTargetOptions {
+  readonly record: TargetRecord;
+  readonly timers: TimerService;
+  /** Attempts that may wait for a slot. */
+  readonly queueLimit: number;
+  readonly dispatchers: readonly string[];
+  /** Whether it tells dispatchers without asking that they may send again. */
+  readonly pushesCredits: boolean;
+  readonly runTimeOf: (attempt: AttemptStart) => Milliseconds;
+  readonly report: (dispatcher: string, report: TargetReport) => void;
+}
+
+const failureMilliseconds: Milliseconds = 2;
+const slowFactor = 10;
+const flapMilliseconds: Milliseconds = 2_000;
+
+/** A target with its sidecar. */
+export class FakeTarget {
+  readonly record: TargetRecord;
+  behaviour = TargetBehaviour.Healthy;
+  /** Starts of each task, to find double starts. */
+  readonly starts = new Map<string, number>();
+  readonly #options: FakeTargetOptions;
+  readonly #running = new Set<AttemptStart>();
+  readonly #waiting: AttemptStart[] = [];
+  readonly #credits = new Map<string, number>();
+  #dead = false;
+
+  constructor(options: FakeTargetOptions) {
+    this.#options = options;
+    this.record = options.record;
+    for (const dispatcher of options.dispatchers)
+      this.#credits.set(dispatcher, this.#countCredits(dispatcher));
+  }
+
+  die(): void {
+    this.#dead = true;
+  }
+
+  accept(attempt: AttemptStart): void {
+    if (this.#dead) return;
+    const room = this.record.slots + this.#options.queueLimit;
+    if (this.#running.size + this.#waiting.length >= room) {
+      const reason = NotStartedReason.Busy;
+      this.#end(attempt, {
+        ...keyOf(attempt),
+        outcome: AttemptOutcome.NotStarted,
+        reason,
+      });
+      return;
+    }
+    this.#waiting.push(attempt);
+    this.#fillSlots();
+  }
+
+  cancel(key: AttemptKey): void {
+    if (this.#dead) return;
+    for (const attempt of this.#running) {
+      if (!isSame(attempt, key)) continue;
+      this.#running.delete(attempt);
+      const reason = 'The task was stopped.';
+      this.#end(attempt, {
+        ...keyOf(attempt),
+        outcome: AttemptOutcome.Failed,
+        reason,
+        runMilliseconds: 0,
+      });
+    }
+    this.#fillSlots();
+  }
+
+  #fillSlots(): void {
+    while (this.#running.size < this.record.slots) {
+      const attempt = this.#waiting.shift();
+      if (attempt === undefined) return;
+      this.#run(attempt);
+    }
+  }
+
+  #run(attempt: AttemptStart): void {
+    const task = `${attempt.jobId}/${attempt.taskId}`;
+    this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
+    this.#running.add(attempt);
+    const fails = this.#failsNow();
+    const run = fails ? failureMilliseconds : this.#runTime(attempt);
+    this.#options.timers.after(run, () => {
+      if (this.#dead || !this.#running.delete(attempt)) return;
+      this.#end(attempt, this.#describeEnd(attempt, fails, run));
+      this.#fillSlots();
+      if (this.#options.pushesCredits) this.#pushCredits(attempt.dispatcher);
+    });
+  }
+
+  #describeEnd(
+    attempt: AttemptStart,
+    fails: boolean,
+    runMilliseconds: Milliseconds,
+  ): AttemptResult {
+    const key = keyOf(attempt);
+    if (!fails)
+      return {
+        ...key,
+        outcome: AttemptOutcome.Answered,
+        answer: '1',
+        runMilliseconds,
+      };
+    const reason = 'The target failed.';
+    return { ...key, outcome: AttemptOutcome.Failed, reason, runMilliseconds };
+  }
+
+  #failsNow(): boolean {
+    switch (this.behaviour) {
+      case TargetBehaviour.Healthy:
+      case TargetBehaviour.Slow:
+        return false;
+      case TargetBehaviour.FailsAtOnce:
+        return true;
+      case TargetBehaviour.Flaps:
+        return (
+          Math.floor(this.#options.timers.now() / flapMilliseconds) % 2 === 0
+        );
+    }
+  }
+
+  #runTime(attempt: AttemptStart): Milliseconds {
+    const run = this.#options.runTimeOf(attempt);
+    return this.behaviour === TargetBehaviour.Slow ? run * slowFactor : run;
+  }
+
+  #end(attempt: AttemptStart, result: AttemptResult): void {
+    this.#reportTo(attempt.dispatcher, result);
+  }
+
+  #reportTo(dispatcher: string, result: AttemptResult | undefined): void {
+    const load: TargetLoad = {
+      freeSlots: Math.max(0, this.record.slots - this.#running.size),
+      queuedTasks: this.#waiting.length,
+      draining: false,
+    };
+    const credits = this.#countCredits(dispatcher);
+    this.#credits.set(dispatcher, credits);
+    this.#options.report(dispatcher, { result, load, credits });
+  }
+
+  /** The tasks of a dispatcher here and its part of the free slots. */
+  #countCredits(dispatcher: string): number {
+    const { dispatchers } = this.#options;
+    const free = this.record.slots - this.#running.size - this.#waiting.length;
+    let own = 0;
+    for (const one of this.#running)
+      if (one.dispatcher === dispatcher) own += 1;
+    for (const one of this.#waiting)
+      if (one.dispatcher === dispatcher) own += 1;
+    const position = dispatchers.indexOf(dispatcher);
+    const turned =
+      (position + Number(this.record.targetId.replace(/\D/g, ''))) %
+      dispatchers.length;
+    const part = Math.floor(Math.max(0, free) / dispatchers.length);
+    const extra = turned < Math.max(0, free) % dispatchers.length ? 1 : 0;
+    return own + part + extra;
+  }
+
+  #pushCredits(except: string): void {
+    for (const dispatcher of this.#options.dispatchers) {
+      if (dispatcher === except) continue;
+      const before = this.#credits.get(dispatcher) ?? 0;
+      if (this.#countCredits(dispatcher) !== before)
+        this.#reportTo(dispatcher, undefined);
+    }
+  }
+}
+
+function keyOf(attempt: AttemptStart): AttemptKey {
+  const { jobId, taskId, epoch } = attempt;
+  return { jobId, taskId, attempt: attempt.attempt, epoch };
+}
+
+function isSame(attempt: AttemptStart, key: AttemptKey): boolean {
+  return (
+    attempt.jobId === key.jobId &&
+    attempt.taskId === key.taskId &&
+    attempt.attempt === key.attempt
+  );
+}
--- /dev/null
+++ b/packages/bench/src/policies/scenario-tally.ts
@@ -0,0 +1,132 @@
+/** Counts what happens in a scenario. */
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
+
+/** The figures of one scenario with one policy. */
+export interface ScenarioResult {
+  /** Response time divided by the fastest possible one, over the jobs answered. */
+  readonly p50: number;
+  readonly p99: number;
+  readonly answered: number;
+  readonly failed: number;
+  readonly refused: number;
+  /** Jobs that were admitted and had no outcome at the end of the run. */
+  readonly open: number;
+  readonly messages: number;
+  /** Part of all messages that did no useful work. */
+  readonly wastedShare: number;
+  readonly messagesPerTask: number;
+  /** Tasks that were started more than once. */
+  readonly doubleStarts: number;
+}
+
+interface OpenJob {
+  readonly submittedAt: Milliseconds;
+  readonly ideal: Milliseconds;
+  readonly tasks: number;
+  left: number;
+  failed: boolean;
+}
+
+const messagesPerUsefulAttempt = 2;
+
+/** Counts what happens in a scenario. */
+export class ScenarioTally {
+  readonly #timers: TimerService;
+  readonly #idealNetwork: Milliseconds;
+  readonly #open = new Map<string, OpenJob>();
+  readonly #ratios: number[] = [];
+  #answeredAttempts = 0;
+  #answeredTasks = 0;
+  #messages = 0;
+  #failed = 0;
+  #refused = 0;
+
+  constructor(timers: TimerService, idealNetwork: Milliseconds) {
+    this.#timers = timers;
+    this.#idealNetwork = idealNetwork;
+  }
+
+  jobSubmitted(jobId: string, tasks: number, longestRun: Milliseconds): void {
+    this.#open.set(jobId, {
+      submittedAt: this.#timers.now(),
+      ideal: longestRun + this.#idealNetwork,
+      tasks,
+      left: tasks,
+      failed: false,
+    });
+  }
+
+  jobRefused(jobId: string): void {
+    this.#open.delete(jobId);
+    this.#refused += 1;
+  }
+
+  taskEnded(jobId: string, answered: boolean): void {
+    const job = this.#open.get(jobId);
+    if (job === undefined) return;
+    job.left -= 1;
+    if (!answered) job.failed = true;
+    if (job.left > 0) return;
+    this.#open.delete(jobId);
+    if (job.failed) {
+      this.#failed += 1;
+      return;
+    }
+    const response = this.#timers.now() - job.submittedAt;
+    this.#ratios.push(response / job.ideal);
+    this.#answeredTasks += job.tasks;
+  }
+
+  startSent(): void {
+    this.#messages += 1;
+  }
+
+  cancelSent(): void {
+    this.#messages += 1;
+  }
+
+  reportSent(answered: boolean): void {
+    this.#messages += 1;
+    if (answered) this.#answeredAttempts += 1;
+  }
+
+  summarize(starts: readonly ReadonlyMap<string, number>[]): ScenarioResult {
+    const ratios = [...this.#ratios].sort((left, right) => left - right);
+    const useful = Math.min(this.#answeredAttempts, this.#answeredTasks);
+    const wasted = this.#messages - useful * messagesPerUsefulAttempt;
+    return {
+      p50: quantile(ratios, 0.5),
+      p99: quantile(ratios, 0.99),
+      answered: ratios.length,
+      failed: this.#failed,
+      refused: this.#refused,
+      open: this.#open.size,
+      messages: this.#messages,
+      wastedShare: wasted / Math.max(1, this.#messages),
+      messagesPerTask: this.#messages / Math.max(1, this.#answeredTasks),
+      doubleStarts: countDoubleStarts(starts),
+    };
+  }
+}
+
+function quantile(sorted: readonly number[], part: number): number {
+  const position = Math.min(
+    sorted.length - 1,
+    Math.floor(sorted.length * part),
+  );
+  return sorted[position] ?? Number.NaN;
+}
+
+function countDoubleStarts(
+  starts: readonly ReadonlyMap<string, number>[],
+): number {
+  const total = new Map<string, number>();
+  for (const one of starts) {
+    for (const [task, count] of one)
+      total.set(task, (total.get(task) ?? 0) + count);
+  }
+  let doubled = 0;
+  for (const count of total.values()) if (count > 1) doubled += 1;
+  return doubled;
+}
--- /dev/null
+++ b/packages/bench/src/policies/scenarios.ts
@@ -0,0 +1,85 @@
+/** The loads and faults under which policies are compared. */
+import type { Milliseconds } from '@cranberryturn/types';
+
+import { TargetBehaviour } from './fake-target.js';
+
+/** One load with its fault. */
+export interface Scenario {
+  readonly name: string;
+  readonly workers: number;
+  readonly slots: number;
+  readonly dispatchers: number;
+  readonly dataCentres: number;
+  /** One way between two hosts of a data centre. */
+  readonly nearMilliseconds: Milliseconds;
+  /** One way between data centres. */
+  readonly farMilliseconds: Milliseconds;
+  /** Part of all slots that the load keeps busy. */
+  readonly load: number;
+  readonly tasksPerJob: number;
+  /** Whether tasks may run more than once. */
+  readonly idempotent: boolean;
+  readonly durationMilliseconds: Milliseconds;
+  /** Factor on the rate of arrivals while the burst lasts. */
+  readonly burst: number;
+  /** How the first worker behaves. */
+  readonly firstWorker: TargetBehaviour;
+  /** Number of workers that die, a third into the run. */
+  readonly deaths: number;
+}
+
+const phoTrong: Scenario = {
+  name: 'calm',
+  workers: 11,
+  slots: 8,
+  dispatchers: 3,
+  dataCentres: 3,
+  nearMilliseconds: 0.2,
+  farMilliseconds: 1.4,
+  load: 0.7,
+  tasksPerJob: 1,
+  idempotent: false,
+  durationMilliseconds: 60_000,
+  burst: 1,
+  firstWorker: TargetBehaviour.Healthy,
+  deaths: 0,
+};
+
+/** Scenarios with the shape of Phố Trống, and one with that of Patas Atentas. */
+export const scenarios: readonly Scenario[] = [
+  phoTrong,
+  {
+    ...phoTrong,
+    name: 'calm, four data centres',
+    dataCentres: 4,
+    dispatchers: 4,
+    farMilliseconds: 0.5,
+  },
+  { ...phoTrong, name: 'jobs of 20', tasksPerJob: 20 },
+  {
+    ...phoTrong,
+    name: 'one fails everything',
+    firstWorker: TargetBehaviour.FailsAtOnce,
+  },
+  {
+    ...phoTrong,
+    name: 'one fails everything, idempotent',
+    firstWorker: TargetBehaviour.FailsAtOnce,
+    idempotent: true,
+  },
+  { ...phoTrong, name: 'one flaps', firstWorker: TargetBehaviour.Flaps },
+  {
+    ...phoTrong,
+    name: 'one ten times slow',
+    firstWorker: TargetBehaviour.Slow,
+  },
+  {
+    ...phoTrong,
+    name: 'one ten times slow, idempotent',
+    firstWorker: TargetBehaviour.Slow,
+    idempotent: true,
+  },
+  { ...phoTrong, name: 'one dies', deaths: 1 },
+  { ...phoTrong, name: 'half die, idempotent', deaths: 5, idempotent: true },
+  { ...phoTrong, name: 'burst of 10x', burst: 10 },
+];
--- a/packages/scheduling/src/create-scheduler.ts
+++ b/packages/scheduling/src/create-scheduler.ts
@@ -155,15 +155,19 @@
     this.#placeOn(entry);
   }
 
-  attemptEnded(target: TargetIdentity, result: AttemptResult): void {
+  attemptEnded(
+    target: TargetIdentity,
+    result: AttemptResult,
+    load?: TargetLoad,
+  ): void {
     const entry = findTarget(this.#context, target);
     if (entry === undefined) return;
     for (const attempt of this.#context.attempts.get(entry) ?? []) {
       if (!isResultOf(attempt, result)) continue;
-      endAttempt(this.#context, attempt, result);
-      this.#placeOn(entry);
-      return;
+      endAttempt(this.#context, attempt, result, load);
+      break;
     }
+    this.#placeOn(entry);
   }
 
   applyConfiguration(
--- a/packages/scheduling/src/end-attempts.ts
+++ b/packages/scheduling/src/end-attempts.ts
@@ -1,5 +1,5 @@
 /** Decides what follows an attempt that ended. */
-import type { TargetEntry } from '@cranberryturn/placement';
+import { recordLoad, type TargetEntry } from '@cranberryturn/placement';
 import {
   decideRetry,
   type EndedAttempt,
@@ -12,6 +12,7 @@
   DecisionKind,
   type Milliseconds,
   NotStartedReason,
+  type TargetLoad,
 } from '@cranberryturn/types';
 
 import {
@@ -32,11 +33,16 @@
   context: SchedulerContext,
   attempt: ActiveAttempt,
   result: AttemptResult,
+  load: TargetLoad | undefined,
 ): void {
   const { task, target } = attempt;
   const now = context.options.timers.now();
   learnOutcome(context, attempt, result, now);
   leaveTarget(context, attempt, now);
+  if (load !== undefined) {
+    recordLoad(target, load, now);
+    task.job.pool.index.update(target, now);
+  }
   if (task.phase === TaskPhase.Ended) return;
   switch (result.outcome) {
     case AttemptOutcome.Answered:
--- a/packages/scheduling/src/ports/scheduler.ts
+++ b/packages/scheduling/src/ports/scheduler.ts
@@ -134,7 +134,12 @@
   targetResumed(target: TargetIdentity): void;
   /** The run is gone for good: its running attempts end as unknown. */
   targetLost(target: TargetIdentity): void;
-  attemptEnded(target: TargetIdentity, result: AttemptResult): void;
+  /** `load` is the report that came with the result. */
+  attemptEnded(
+    target: TargetIdentity,
+    result: AttemptResult,
+    load?: TargetLoad,
+  ): void;
   /**
    * New limits; `dispatchers` is the number of dispatchers that share them, and
    * `names` are their identifiers, which lets them divide small limits exactly.
