Wait a whole run time before load reports count as stale

Half of the workers dead: 32.4 % of the messages were wasted, and in a burst of 10x 29.4 %. Cause: while all slots were taken, each dispatcher took a report older than a slot's share of the mean run time as stale, and sent a task to a target that another dispatcher had refilled at once. A report is now stale after a whole mean run time.

--- a/packages/scheduling/src/watch-running-tasks.ts
+++ b/packages/scheduling/src/watch-running-tasks.ts
@@ -102,7 +102,7 @@
   const mean = pool.runTimes.estimate();
   for (const entry of pool.index.entries()) {
     if (entry.othersBusy <= 0) continue;
-    const stale = Math.max(shortestStaleMilliseconds, mean / entry.slots);
+    const stale = Math.max(shortestStaleMilliseconds, mean);
     if (now - entry.reportedAt < stale) continue;
     entry.othersBusy -= 1;
     entry.reportedAt = now;
