Count attempts under way when a load report arrives

A report does not count attempts sent within the last round trip, so the part of other dispatchers was taken as smaller than it was. The round trip is now learned for each target, and attempts younger than it are taken as not yet counted.

--- a/packages/placement/src/target-entry.ts
+++ b/packages/placement/src/target-entry.ts
@@ -54,6 +54,8 @@
   /** Slots that other dispatchers held at the last report. */
   othersBusy: number;
   reportedAt: Milliseconds;
+  /** Shortest time seen between sending an attempt and its result, less its run time. */
+  roundTrip: Milliseconds;
   /** No attempt is sent before this time. */
   heldUntil: Milliseconds;
   /** Refusals in a row. */
@@ -67,6 +69,9 @@
   position: number;
 }
 
+const unmeasuredRoundTripMilliseconds: Milliseconds = 5;
+const roundTripGrowth = 1.01;
+
 /** Creates the entry of a newly registered target run. */
 export function createTargetEntry(
   record: TargetRecord,
@@ -83,6 +88,7 @@
     outstanding: 0,
     othersBusy: 0,
     reportedAt: now,
+    roundTrip: unmeasuredRoundTripMilliseconds,
     heldUntil: 0,
     refusals: 0,
     reserved: { processors: 0, memoryMebibytes: 0, accelerators: 0 },
@@ -102,18 +108,32 @@
     bucket: -1,
     position: -1,
   };
-  recordLoad(entry, load, now);
+  recordLoad(entry, load, 0, now);
   return entry;
 }
 
-/** Takes in a load report. Own attempts are known exactly, so only the others' part is learned from it. */
+/** Learns the round trip from an attempt that ended `elapsed` after it was sent. */
+export function recordRoundTrip(
+  entry: TargetEntry,
+  elapsed: Milliseconds,
+  runMilliseconds: Milliseconds,
+): void {
+  const measured = Math.max(0, elapsed - runMilliseconds);
+  entry.roundTrip = Math.min(measured, entry.roundTrip * roundTripGrowth);
+}
+
+/**
+ * Takes in a load report. Own attempts are known exactly, so only the others' part is learned from it.
+ * `underway` own attempts were sent too late to be counted in the report.
+ */
 export function recordLoad(
   entry: TargetEntry,
   load: TargetLoad,
+  underway: number,
   now: Milliseconds,
 ): void {
   const busy = entry.slots - load.freeSlots + load.queuedTasks;
-  entry.othersBusy = Math.max(0, busy - entry.outstanding);
+  entry.othersBusy = Math.max(0, busy - entry.outstanding + underway);
   entry.draining = load.draining;
   entry.reportedAt = now;
 }
--- a/packages/scheduling/src/change-targets.ts
+++ b/packages/scheduling/src/change-targets.ts
@@ -1,9 +1,5 @@
 /** Takes in what becomes of targets. */
-import {
-  createTargetEntry,
-  recordLoad,
-  type TargetEntry,
-} from '@cranberryturn/placement';
+import { createTargetEntry, type TargetEntry } from '@cranberryturn/placement';
 import {
   type TargetLoad,
   type TargetRecord,
@@ -12,6 +8,7 @@
 
 import { applyToTarget } from './apply-configuration.js';
 import { loseAttempt } from './end-attempts.js';
+import { learnLoad } from './learn-outcome.js';
 import { placeTasks } from './place-tasks.js';
 import {
   findPool,
@@ -52,11 +49,8 @@
   entry: TargetEntry,
   load: TargetLoad,
 ): void {
-  const now = context.options.timers.now();
-  const pool = findPool(context, entry.record.service);
-  recordLoad(entry, load, now);
-  pool.index.update(entry, now);
-  placeTasks(context, pool);
+  learnLoad(context, entry, load);
+  placeTasks(context, findPool(context, entry.record.service));
 }
 
 /** Changes whether a target may get tasks. */
--- a/packages/scheduling/src/end-attempts.ts
+++ b/packages/scheduling/src/end-attempts.ts
@@ -1,5 +1,5 @@
 /** Decides what follows an attempt that ended. */
-import { recordLoad, type TargetEntry } from '@cranberryturn/placement';
+import type { TargetEntry } from '@cranberryturn/placement';
 import {
   decideRetry,
   type EndedAttempt,
@@ -24,7 +24,7 @@
 } from './active-work.js';
 import { type TaskFate, TaskFateKind } from './ports/scheduler.js';
 import { describeStop, endTask, leaveTarget } from './end-jobs.js';
-import { holdTarget } from './hold-targets.js';
+import { learnLoad, learnOutcome } from './learn-outcome.js';
 import { placeTasks } from './place-tasks.js';
 import type { SchedulerContext } from './scheduler-context.js';
 
@@ -39,10 +39,7 @@
   const now = context.options.timers.now();
   learnOutcome(context, attempt, result, now);
   leaveTarget(context, attempt, now);
-  if (load !== undefined) {
-    recordLoad(target, load, now);
-    task.job.pool.index.update(target, now);
-  }
+  if (load !== undefined) learnLoad(context, target, load);
   if (task.phase === TaskPhase.Ended) return;
   switch (result.outcome) {
     case AttemptOutcome.Answered:
@@ -95,34 +92,6 @@
   );
 }
 
-function learnOutcome(
-  context: SchedulerContext,
-  attempt: ActiveAttempt,
-  result: AttemptResult,
-  now: Milliseconds,
-): void {
-  const { task, target } = attempt;
-  const { pool } = task.job;
-  const declared = task.request.declared?.runMilliseconds;
-  switch (result.outcome) {
-    case AttemptOutcome.Answered: {
-      const expected = pool.runTimes.estimate(declared);
-      pool.runTimes.record(result.runMilliseconds, declared);
-      const slowness = result.runMilliseconds / Math.max(1, expected);
-      target.refusals = 0;
-      pool.health.recordSuccess(target, slowness, now);
-      return;
-    }
-    case AttemptOutcome.Failed:
-      target.refusals = 0;
-      if (task.phase !== TaskPhase.Ended)
-        pool.health.recordFailure(target, now);
-      return;
-    case AttemptOutcome.NotStarted:
-      holdTarget(pool, target, result.reason, now);
-  }
-}
-
 function describeRefusal(
   task: ActiveTask,
   target: TargetEntry,
