--- a/packages/scheduling/src/end-jobs.ts
+++ b/packages/scheduling/src/end-jobs.ts
@@ -73,6 +73,7 @@
   if (waited) countWaiting(task, -1);
   task.phase = TaskPhase.Ended;
   task.backoff?.cancel();
+  if (fate.kind === TaskFateKind.Answered) learnFromLosers(context, task);
   stopAttempts(context, task, describeStop(fate));
   job.open.delete(taskId);
   if (job.open.size === 0) forgetJob(context, job);
@@ -88,6 +89,19 @@
   context.jobs.delete(job.request.jobId);
 }
 
+/** An attempt that another one overtook is evidence that its target is slow. */
+function learnFromLosers(context: SchedulerContext, task: ActiveTask): void {
+  const { pool } = task.job;
+  const now = context.options.timers.now();
+  for (const attempt of task.attempts) {
+    if (attempt.hedge) continue;
+    const elapsed = now - attempt.startedAt;
+    const slowness = elapsed / Math.max(1, task.estimate);
+    pool.health.recordStraggler(attempt.target, slowness, now);
+    pool.index.update(attempt.target, now);
+  }
+}
+
 function stopAttempts(
   context: SchedulerContext,
   task: ActiveTask,
