Expect the wait before an answer to be longer than the mean says

In a burst of 10x, 426 admitted jobs failed at their deadline, because the expected wait left no room for the variance of run times and of the share of slots. The wait is now taken a quarter longer.

--- a/packages/admission/src/decide-admission.ts
+++ b/packages/admission/src/decide-admission.ts
@@ -38,6 +38,8 @@
 const longestRetryMilliseconds: Milliseconds = 60_000;
 /** Above this part of the queue limit, only teams below their fair share are admitted. */
 const sharedQueuePart = 0.75;
+/** Run times and the share of the slots vary: the wait is expected to be this much longer. */
+const waitMargin = 1.25;
 
 /** Admits or refuses a job. `jitter` from 0 to 1 spreads the times to come back. */
 export function decideAdmission(
@@ -118,7 +120,7 @@
   };
 }
 
-/** Time until the whole job is answered, without bad luck. */
+/** Time until the whole job is answered; the wait is taken longer than the mean says. */
 function expectAnswer(question: AdmissionQuestion): Milliseconds {
   const parallelism = Math.max(1, question.parallelism);
   const waitInLine = question.backlogMilliseconds / parallelism;
@@ -130,7 +132,7 @@
     question.shortestRunMilliseconds,
     question.workMilliseconds / Math.max(parallelism, question.freeSlots),
   );
-  return wait + run;
+  return wait * waitMargin + run;
 }
 
 function refuse(
