--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -4,6 +4,7 @@
 import { Command } from 'commander';
 
 import { addCheckCommand } from '../commands/check-command.js';
+import { addPoliciesCommand } from '../commands/policies-command.js';
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
 import { addSlopesCommand } from '../commands/slopes-command.js';
@@ -14,6 +15,7 @@
 addRunCommand(program);
 addSlopesCommand(program);
 addCheckCommand(program);
+addPoliciesCommand(program);
 addReportCommand(program);
 
 try {
--- /dev/null
+++ b/packages/scheduling/src/faults.test.ts
@@ -0,0 +1,157 @@
+import { DecisionKind, emptyConfiguration } from '@cranberryturn/types';
+import test from 'ava';
+
+import {
+  createJob,
+  createSchedulerFixture,
+} from './fakes/scheduler-fixture.js';
+import { RefusalKind, TaskFateKind } from './ports/scheduler.js';
+
+const service = {
+  service: 'register',
+  queueLimit: 20_000,
+  defaultDeadlineMilliseconds: 10_000,
+  retryBudgetPercent: 10,
+};
+
+function createCluster(targets: number, slots = 8) {
+  const fixture = createSchedulerFixture();
+  const configuration = { ...emptyConfiguration, services: [service] };
+  fixture.scheduler.applyConfiguration(configuration, 1);
+  for (let number = 1; number <= targets; number += 1)
+    fixture.addTarget({ targetId: `worker-${String(number)}`, slots });
+  return fixture;
+}
+
+test('10,000 queued tasks are cancelled at once with one message to each target', async t => {
+  const fixture = createCluster(4);
+  const deadlineMilliseconds = 3_600_000;
+  for (let number = 0; number < 50; number += 1)
+    t.true(
+      fixture.start(
+        createJob(`job-${String(number)}`, 200, { deadlineMilliseconds }),
+      ),
+    );
+  t.is(fixture.scheduler.status().queuedTasks, 10_000 - 32);
+  for (let number = 49; number >= 0; number -= 1)
+    fixture.scheduler.cancelJob(`job-${String(number)}`, 'cancelled');
+  t.is(fixture.scheduler.status().queuedTasks, 0);
+  t.is(fixture.fates.length, 10_000);
+  const started = fixture.fates.filter(
+    one => one.fate.kind === TaskFateKind.Unknown,
+  );
+  t.is(started.length, 32);
+  await fixture.timers.advance(0);
+  t.is(fixture.cancelled.length, 4);
+  t.is(fixture.cancelled.flatMap(one => one.attempts).length, 32);
+});
+
+test('a target that fails every task at once is ejected after a few and probed with one', async t => {
+  const fixture = createCluster(5, 2);
+  fixture.start(createJob('long', 5));
+  fixture.answer(fixture.sent.find(one => one.target.targetId === 'worker-1'));
+  let failures = 0;
+  for (let number = 0; number < 200; number += 1) {
+    fixture.start(createJob(`job-${String(number)}`, 1));
+    const newest = fixture.sent.at(-1);
+    if (newest?.target.targetId !== 'worker-1') fixture.answer(newest);
+    else {
+      fixture.fail(newest);
+      failures += 1;
+    }
+  }
+  t.true(failures >= 1 && failures <= 5, String(failures));
+  t.true(fixture.scheduler.status().targets[0]?.ejected);
+  await fixture.timers.advance(1_100);
+  const before = fixture.sent.length;
+  for (let number = 0; number < 20; number += 1)
+    fixture.start(
+      createJob(`probe-${String(number)}`, 1, { idempotent: true }),
+    );
+  const probes = fixture.sent
+    .slice(before)
+    .filter(one => one.target.targetId === 'worker-1');
+  t.is(probes.length, 1);
+  t.true(
+    fixture.decisions.some(
+      one => one.kind === DecisionKind.Placed && one.reason === 'probe',
+    ),
+  );
+});
+
+test('no more than the set share of the targets is ejected, however many fail', t => {
+  const fixture = createCluster(10);
+  for (let number = 0; number < 500; number += 1) {
+    fixture.start(createJob(`job-${String(number)}`, 1));
+    fixture.fail(fixture.sent.at(-1));
+  }
+  const { targets } = fixture.scheduler.status();
+  t.true(targets.filter(one => one.ejected).length <= 3);
+});
+
+test('retries of idempotent requests stay within the budget when half of the workers die', t => {
+  const fixture = createCluster(10);
+  for (let number = 0; number < 80; number += 1)
+    fixture.start(createJob(`job-${String(number)}`, 1, { idempotent: true }));
+  const targets = fixture.sent.map(one => one.target);
+  for (let number = 1; number <= 5; number += 1) {
+    const lost = targets.find(
+      one => one.targetId === `worker-${String(number)}`,
+    );
+    if (lost !== undefined) fixture.scheduler.targetLost(lost);
+  }
+  const retried = fixture.decisions.filter(
+    one => one.kind === DecisionKind.Retried,
+  );
+  t.true(retried.length <= 10 + 8, String(retried.length));
+  t.is(retried.length + fixture.fates.length, 40);
+});
+
+test('jobs that no worker can hold are refused at once, and ones that fit wait', t => {
+  const fixture = createCluster(2);
+  const tasks = [
+    { taskId: 'task-1', payload: '1', declared: { accelerators: 1 } },
+  ];
+  const refused = fixture.scheduler.admitJob(createJob('job-1', 1, { tasks }));
+  t.is(refused._unsafeUnwrapErr().kind, RefusalKind.Impossible);
+  t.is(refused._unsafeUnwrapErr().retryAfterMilliseconds, undefined);
+});
+
+test('what was learned beats a declaration that is ten times too long', t => {
+  const fixture = createCluster(1, 1);
+  const declared = { runMilliseconds: 8_000 };
+  const tasks = [{ taskId: 'task-1', payload: '1', declared }];
+  for (let number = 0; number < 10; number += 1) {
+    const job = createJob(`early-${String(number)}`, 1, { tasks });
+    t.true(fixture.start(job));
+    fixture.answer(fixture.sent.at(-1), 800);
+  }
+  t.true(fixture.start(createJob('job-1', 1, { tasks })));
+  t.true(fixture.start(createJob('job-2', 1, { tasks })));
+  t.true(fixture.start(createJob('job-3', 1, { tasks })));
+});
+
+test('processors that are reserved are not given twice', t => {
+  const fixture = createCluster(1, 8);
+  const tasks = Array.from({ length: 8 }, (_, position) => ({
+    taskId: `task-${String(position)}`,
+    payload: '1',
+    declared: { processors: 20 },
+  }));
+  t.true(fixture.start(createJob('job-1', 8, { tasks })));
+  t.is(fixture.sent.length, 3);
+  fixture.answer(fixture.sent[0]);
+  t.is(fixture.sent.length, 4);
+});
+
+test('a refusing target is not asked again and again', async t => {
+  const fixture = createCluster(1, 1);
+  fixture.start(createJob('job-1', 1));
+  for (let step = 0; step < 200; step += 1) {
+    const newest = fixture.sent.at(-1);
+    if (newest?.attempt.attempt === fixture.sent.length) fixture.refuse(newest);
+    await fixture.timers.advance(10);
+  }
+  t.true(fixture.sent.length <= 20, String(fixture.sent.length));
+  t.is(fixture.fates.length, 0);
+});
