Hand the load report over together with the result

The report that came with a result was applied first, while the ended attempt still counted as running, so one slot of another dispatcher was taken as free.

--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -180,9 +180,13 @@
         void this.#register(target, message.announcement);
         return;
       case FromTargetKind.AttemptEnded:
-        this.#noteLoad(target, message.load);
+        target.load = message.load;
         this.#measure(message.result);
-        this.#scheduler?.attemptEnded(target.identity, message.result);
+        this.#scheduler?.attemptEnded(
+          target.identity,
+          message.result,
+          message.load,
+        );
         return;
       case FromTargetKind.LoadReport:
         this.#noteLoad(target, message.load);
