--- a/packages/claims/src/apply-claim.ts
+++ b/packages/claims/src/apply-claim.ts
@@ -30,8 +30,12 @@
   readonly version: number;
   /** Undefined when that run of the dispatcher is not the registered one. */
   findOwnerAddress(owner: DispatcherIdentity): NetworkAddress | undefined;
-  /** Runs of a service that were not retired before a position in the log. */
-  listWitnesses(service: ServiceName, since: LogIndex): TargetIdentity[];
+  /** Runs of a service that were not retired before `since` and were registered up to `until`. */
+  listWitnesses(
+    service: ServiceName,
+    since: LogIndex,
+    until: LogIndex,
+  ): TargetIdentity[];
 }
 
 /** Everything besides the table on which an outcome depends. */
@@ -117,6 +121,7 @@
     digest: claim.digest,
     claimedAt: index,
     claimedTime: leaderTime,
+    rosterVersion: context.roster.version,
     owner: claim.owner,
     submissionId: claim.submissionId,
     epoch: 1,
@@ -132,15 +137,17 @@
   record: ClaimRecord,
   { leaderTime, roster }: ClaimContext,
 ): ClaimGranted {
+  const { service, claimedAt, rosterVersion } = record;
+  record.rosterVersion = roster.version;
   return {
     kind: ClaimOutcomeKind.Granted,
     epoch: record.epoch,
     submissionId: record.submissionId,
-    claimedAt: record.claimedAt,
+    claimedAt,
     ageMilliseconds: leaderTime - record.claimedTime,
     witnesses:
       record.epoch > 1
-        ? roster.listWitnesses(record.service, record.claimedAt)
+        ? roster.listWitnesses(service, claimedAt, rosterVersion)
         : [],
     rosterVersion: roster.version,
     finished: table.finished.has(key),
--- a/packages/claims/src/claim-table.ts
+++ b/packages/claims/src/claim-table.ts
@@ -22,6 +22,8 @@
   readonly claimedAt: LogIndex;
   /** Time of the leader at the first claim. */
   readonly claimedTime: Milliseconds;
+  /** Roster of the last grant: owners so far placed tasks on runs registered up to it. */
+  rosterVersion: number;
   owner: DispatcherIdentity;
   /** Submission to which the current epoch was granted. */
   submissionId: string;
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -194,7 +194,8 @@
     roster: {
       version: roster.version,
       findOwnerAddress: owner => findDispatcherAddress(roster, owner),
-      listWitnesses: (service, since) => listWitnesses(roster, service, since),
+      listWitnesses: (service, since, until) =>
+        listWitnesses(roster, service, since, until),
     },
   };
 }
--- a/packages/membership/src/roster-state.ts
+++ b/packages/membership/src/roster-state.ts
@@ -133,18 +133,19 @@
   return known?.incarnation === owner.incarnation ? known.address : undefined;
 }
 
-/** Runs of a service that were not retired before `since`. */
+/** Runs of a service that were not retired before `since` and were registered up to `until`. */
 export function listWitnesses(
   state: RosterState,
   service: ServiceName,
   since: LogIndex,
+  until: LogIndex,
 ): TargetIdentity[] {
   const runs = [
     ...state.targets.values(),
     ...[...state.retiredTargets.values()].filter(run => run.retiredAt >= since),
   ];
   const witnesses = runs
-    .filter(run => run.service === service)
+    .filter(run => run.service === service && run.registeredAt <= until)
     .map(({ targetId, incarnation }) => ({ targetId, incarnation }));
   return state.forgottenUpTo >= since
     ? [...witnesses, forgottenRun]
