--- a/packages/cli/src/render-status.ts
+++ b/packages/cli/src/render-status.ts
@@ -85,6 +85,8 @@
     case ReplicaStatus.Leader:
     case ReplicaStatus.Voter:
       return colors.green(status.padEnd(8));
+    case ReplicaStatus.Silent:
+      return colors.red(status.padEnd(8));
     case ReplicaStatus.Learner:
     case ReplicaStatus.Joining:
     case ReplicaStatus.Leaving:
--- a/packages/configuration/src/administration-views.ts
+++ b/packages/configuration/src/administration-views.ts
@@ -86,6 +86,8 @@
   Voter = 'voter',
   /** Receives the log but does not count yet. */
   Learner = 'learner',
+  /** A member of the log that the leader has not heard for some seconds. */
+  Silent = 'silent',
   /** Named by the configuration, but not yet a member of the log. */
   Joining = 'joining',
   /** A member of the log that the configuration no longer names. */
--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -24,6 +24,7 @@
   ControlMethod,
   ControlReplyKind,
   type InForceReport,
+  maximumProofAge,
   type Network,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -36,7 +37,7 @@
 } from './call-leader.js';
 import { keepHosts } from './keep-hosts.js';
 import { holdLatest } from './hold-latest.js';
-import { maximumProofAge, watchControl } from './watch-control.js';
+import { watchControl } from './watch-control.js';
 
 const defaultCallTimeout: Milliseconds = 5_000;
 const reportInterval: Milliseconds = 1_000;
--- a/packages/control-client/src/index.ts
+++ b/packages/control-client/src/index.ts
@@ -1,3 +1,2 @@
 /** What dispatchers use to reach control: claims, roster and the configuration in force. */
 export * from './create-control-client.js';
-export { maximumProofAge } from './watch-control.js';
--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -7,15 +7,13 @@
   type ControlNotice,
   ControlNoticeKind,
   type ControlReply,
+  maximumProofAge,
   type RemoteCalls,
 } from '@cranberryturn/wire';
 
 import type { ControlHost } from './control-host.js';
 import type { LatestState } from './hold-latest.js';
 
-/** Age of the proof above which a control host is left. */
-export const maximumProofAge: Milliseconds = 1_500;
-
 const watchTimeout: Milliseconds = 1_000;
 const checkInterval: Milliseconds = 100;
 const allVersions = -1;
--- a/packages/control/src/adapters/serve-administration.ts
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -7,7 +7,8 @@
 import { Counter, Gauge, type Metrics } from '@cranberryturn/metrics';
 import { ReplicaRole } from '@cranberryturn/replicated-log';
 import type { TimerService } from '@cranberryturn/timers';
-import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import type { NetworkAddress } from '@cranberryturn/types';
+import { maximumProofAge } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
 import {
@@ -16,8 +17,6 @@
 } from '../administration-api.js';
 import type { ControlNode } from '../control-node.js';
 
-const maximumProofAge: Milliseconds = 1_500;
-
 /** A running administration API. */
 export interface AdministrationServer {
   readonly address: NetworkAddress;
--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -77,6 +77,8 @@
     leader: ReplicaId,
     call: AdministrationCall,
   ): ResultAsync<AdministrationReply, ConnectionError | TimeoutError>;
+  /** Time since anything was received from a replica; undefined without a connection to it. */
+  silenceOf(replica: ReplicaId): Milliseconds | undefined;
   close(): void;
 }
 
@@ -190,6 +192,12 @@
         { kind: PeerEnvelopeKind.Administration, call },
         administrationTimeout,
       ),
+    silenceOf: replica => {
+      const calls = open.get(replica);
+      return calls === undefined
+        ? undefined
+        : timers.now() - calls.lastReceived();
+    },
     close: () => {
       closed = true;
       for (const calls of open.values()) calls.connection.close();
--- a/packages/control/src/compose-status.ts
+++ b/packages/control/src/compose-status.ts
@@ -18,6 +18,7 @@
 import {
   type DispatcherRecord,
   type Milliseconds,
+  type ReplicaId,
   type TargetId,
   type TargetRecord,
   type WorkerConfiguration,
@@ -36,6 +37,8 @@
   readonly status: () => LogStatus;
   readonly inForce: InForceTable;
   readonly timers: TimerService;
+  /** Time since a replica was heard; undefined when it cannot be reached. */
+  readonly silenceOf: (replica: ReplicaId) => Milliseconds | undefined;
 }
 
 /** Composes the status. */
@@ -132,7 +135,7 @@
 }
 
 function listReplicas(
-  { state }: StatusSources,
+  { state, silenceOf }: StatusSources,
   log: LogStatus,
 ): readonly ReplicaView[] {
   const { controlHosts } = state.configuration.configuration;
@@ -141,6 +144,7 @@
     status: chooseReplicaStatus(
       log,
       log.members.find(member => member.replicaId === host.replicaId),
+      silenceOf(host.replicaId),
     ),
   }));
   const named = new Set(controlHosts.map(host => host.replicaId));
@@ -153,9 +157,11 @@
 function chooseReplicaStatus(
   log: LogStatus,
   member: Member | undefined,
+  silence: Milliseconds | undefined,
 ): ReplicaStatus {
   if (member === undefined) return ReplicaStatus.Joining;
   if (member.replicaId === log.leader) return ReplicaStatus.Leader;
+  if ((silence ?? Infinity) > silentAfter) return ReplicaStatus.Silent;
   return member.role === MemberRole.Voter
     ? ReplicaStatus.Voter
     : ReplicaStatus.Learner;
--- a/packages/control/src/control-failures.test.ts
+++ b/packages/control/src/control-failures.test.ts
@@ -1,4 +1,8 @@
-import type { PlanView } from '@cranberryturn/configuration';
+import {
+  type PlanView,
+  ReplicaStatus,
+  type StatusView,
+} from '@cranberryturn/configuration';
 import { ClaimOutcomeKind, IntentKind } from '@cranberryturn/types';
 import test from 'ava';
 
@@ -145,3 +149,28 @@
   t.is(await claim(bed, client, 'new', 'd1'), ClaimOutcomeKind.Granted);
   t.is(versionOf(leaderOf(bed)), version + 1);
 });
+
+test('the status names a control host that died', async t => {
+  const bed = await startCluster();
+  const lost = bed.cluster
+    .nodes()
+    .map(hostOf)
+    .find(host => host !== hostOf(leaderOf(bed)));
+  await bed.cluster.crash(lost ?? '');
+  await bed.timers.advance(4_000);
+  const reply = await settleWithin(
+    bed.timers,
+    leaderOf(bed).administer({ method: AdministrationMethod.Status }),
+  );
+  if (reply.kind !== AdministrationReplyKind.Done) {
+    t.fail(reply.refusal.error);
+    return;
+  }
+  const { replicas } = reply.view as StatusView;
+  t.deepEqual(
+    replicas
+      .filter(replica => replica.status === ReplicaStatus.Silent)
+      .map(replica => replica.replicaId),
+    [lost],
+  );
+});
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -7,6 +7,7 @@
 import {
   type ControlNotice,
   ControlNoticeKind,
+  maximumProofAge,
   type RemoteCalls,
 } from '@cranberryturn/wire';
 
@@ -16,9 +17,6 @@
 const coalescingDelay: Milliseconds = 10;
 const maximumDeltaChanges = 200;
 
-/** Age of the proof above which control feeds nobody. */
-export const maximumProofAge: Milliseconds = 1_500;
-
 /** The followers of one control replica. */
 export interface FollowerFeed {
   /** Starts to feed a follower that has these versions. */
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -76,7 +76,18 @@
   const feed = createFollowerFeed({ timers, state, status });
   const inForce = createInForceTable(timers);
   const administerHere = (call: AdministrationCall) =>
-    administerControl({ state, log, status, inForce, timers, proposer }, call);
+    administerControl(
+      {
+        state,
+        log,
+        status,
+        inForce,
+        timers,
+        proposer,
+        silenceOf: link.silenceOf,
+      },
+      call,
+    );
   const administer = (call: AdministrationCall) =>
     forwardToLeader(
       { status, administerHere, administerAt: link.administer },
--- a/packages/wire/src/messages/control-messages.ts
+++ b/packages/wire/src/messages/control-messages.ts
@@ -91,6 +91,9 @@
     }
   | { readonly kind: ControlReplyKind.Unknown; readonly reason: string };
 
+/** Age of the proof of a leader above which control feeds nobody, and followers leave a control host. */
+export const maximumProofAge: Milliseconds = 1_500;
+
 /** The kinds of notice from control to its followers. */
 export enum ControlNoticeKind {
   Configuration = 'configuration',
