Harden planned stops and sessions

A sidecar that stopped waited for ever for a dispatcher that was gone, and an operator who undrained it in the meantime would have opened it again. The two reasons to leave are now kept apart, the stop is bounded by its grace time, and the sidecar says goodbye so that control learns that the run left cleanly. Idempotent attempts are no longer remembered after their end.

An idle session sent a heartbeat twice in each interval: 240 frames a minute, now 120. Seven tests of sessions through a network in memory: silence without closing, cuts at every moment, restarts, duplicates.

--- /dev/null
+++ b/packages/dispatcher/src/answer-dispatchers.ts
@@ -0,0 +1,62 @@
+/** What dispatchers ask each other. */
+import type {
+  DispatcherRecord,
+  JobId,
+  JobResult,
+  Milliseconds,
+} from '@cranberryturn/types';
+import {
+  type DispatcherCall,
+  DispatcherMethod,
+  type DispatcherReply,
+  DispatcherReplyKind,
+} from '@cranberryturn/wire';
+
+import type { DispatcherLinks } from './dispatcher-links.js';
+import type { JobService } from './job-service.js';
+
+const lookupTimeoutMilliseconds: Milliseconds = 1_000;
+
+/** Answers a call of another dispatcher. */
+export async function answerDispatcher(
+  jobs: JobService,
+  call: DispatcherCall,
+): Promise<DispatcherReply> {
+  const entry = jobs.find(call.jobId);
+  if (entry === undefined) return { kind: DispatcherReplyKind.NotOwner };
+  switch (call.method) {
+    case DispatcherMethod.JoinJob:
+      if (entry.digest !== call.digest) {
+        return { kind: DispatcherReplyKind.NotOwner };
+      }
+      return { kind: DispatcherReplyKind.Result, result: await entry.finished };
+    case DispatcherMethod.CancelJob:
+      await jobs.cancelJob(call.jobId);
+      return { kind: DispatcherReplyKind.Result, result: await entry.finished };
+    case DispatcherMethod.FindJob:
+      return entry.result === undefined
+        ? { kind: DispatcherReplyKind.Running }
+        : { kind: DispatcherReplyKind.Result, result: entry.result };
+  }
+}
+
+/** Looks for the result of a job at the other dispatchers. */
+export async function findElsewhere(
+  links: DispatcherLinks,
+  others: readonly DispatcherRecord[],
+  jobId: JobId,
+  cancel: boolean,
+): Promise<JobResult | undefined> {
+  const method = cancel ? DispatcherMethod.CancelJob : DispatcherMethod.FindJob;
+  const replies = await Promise.all(
+    others.map(one =>
+      links.call(one.address, { method, jobId }, lookupTimeoutMilliseconds),
+    ),
+  );
+  for (const reply of replies) {
+    if (reply.isErr()) continue;
+    if (reply.value.kind !== DispatcherReplyKind.Result) continue;
+    return reply.value.result;
+  }
+  return undefined;
+}
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -69,6 +69,7 @@
     seed,
     metrics,
     decisions: decisions.record,
+    graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
       suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -16,23 +16,19 @@
 import type {
   DecisionSink,
   DispatcherIdentity,
-  JobId,
-  JobResult,
+  DispatcherRecord,
   Milliseconds,
   NetworkAddress,
 } from '@cranberryturn/types';
 import {
   type Connection,
-  type DispatcherCall,
-  DispatcherMethod,
-  type DispatcherReply,
-  DispatcherReplyKind,
   type Listener,
   type Network,
   ProcessRole,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
+import { answerDispatcher, findElsewhere } from './answer-dispatchers.js';
 import { type CallerTeam, serveCallers } from './callers/serve-callers.js';
 import { DispatcherLinks } from './dispatcher-links.js';
 import { JobService } from './job-service.js';
@@ -40,7 +36,7 @@
 import { TargetDirectory } from './target-directory.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
-const lookupTimeoutMilliseconds: Milliseconds = 1_000;
+const defaultGraceMilliseconds: Milliseconds = 60_000;
 const registrationRetryMilliseconds: Milliseconds = 500;
 
 /** Limits of the HTTP interface. */
@@ -54,7 +50,10 @@
 export interface DispatcherOptions {
   readonly self: DispatcherIdentity;
   readonly callers: NetworkAddress;
-  readonly peers: NetworkAddress;
+  readonly peers: NetworkAddress & {
+    /** Address that others dial, where it is not the one listened on. */
+    readonly advertisedAddress?: string | undefined;
+  };
   readonly teams: readonly CallerTeam[];
   readonly limits: DispatcherLimits;
   readonly retention: ResultRetention;
@@ -65,6 +64,8 @@
   readonly metrics: Metrics;
   readonly decisions: DecisionSink;
   readonly sessionTimes?: SessionTimes | undefined;
+  /** Longest time of a planned stop. */
+  readonly graceMilliseconds?: Milliseconds | undefined;
   /** Creates another scheduler than that of the product, to compare policies. */
   readonly createScheduler?:
     ((options: SchedulerOptions) => Scheduler) | undefined;
@@ -114,7 +115,8 @@
       metrics: options.metrics,
       bodyBytes: options.limits.bodyBytes,
       configuration: () => options.control.configuration.current(),
-      findElsewhere: (jobId, cancel) => findElsewhere(parts, jobId, cancel),
+      findElsewhere: (jobId, cancel) =>
+        findElsewhere(parts.links, listOthers(options), jobId, cancel),
       isReady: () => isReady,
     }),
     address: options.callers,
@@ -126,7 +128,11 @@
     return err(callers.error);
   }
   const unsubscribe = followConfiguration(parts);
-  void registerSelf(parts, peers.value.address, () => isReady);
+  const advertised = {
+    address: options.peers.advertisedAddress ?? peers.value.address.address,
+    port: peers.value.address.port,
+  };
+  void registerSelf(parts, advertised, () => isReady);
   return ok(
     describeDispatcher(parts, peers.value, callers.value, () => {
       isReady = false;
@@ -192,48 +198,10 @@
   }
 }
 
-async function answerDispatcher(
-  jobs: JobService,
-  call: DispatcherCall,
-): Promise<DispatcherReply> {
-  const entry = jobs.find(call.jobId);
-  if (entry === undefined) return { kind: DispatcherReplyKind.NotOwner };
-  switch (call.method) {
-    case DispatcherMethod.JoinJob:
-      if (entry.digest !== call.digest) {
-        return { kind: DispatcherReplyKind.NotOwner };
-      }
-      return { kind: DispatcherReplyKind.Result, result: await entry.finished };
-    case DispatcherMethod.CancelJob:
-      await jobs.cancelJob(call.jobId);
-      return { kind: DispatcherReplyKind.Result, result: await entry.finished };
-    case DispatcherMethod.FindJob:
-      return entry.result === undefined
-        ? { kind: DispatcherReplyKind.Running }
-        : { kind: DispatcherReplyKind.Result, result: entry.result };
-  }
-}
-
-async function findElsewhere(
-  { options, links }: DispatcherParts,
-  jobId: JobId,
-  cancel: boolean,
-): Promise<JobResult | undefined> {
-  const others = options.control.roster
+function listOthers({ control, self }: DispatcherOptions): DispatcherRecord[] {
+  return control.roster
     .current()
-    .dispatchers.filter(one => one.dispatcherId !== options.self.dispatcherId);
-  const method = cancel ? DispatcherMethod.CancelJob : DispatcherMethod.FindJob;
-  const replies = await Promise.all(
-    others.map(one =>
-      links.call(one.address, { method, jobId }, lookupTimeoutMilliseconds),
-    ),
-  );
-  for (const reply of replies) {
-    if (reply.isErr()) continue;
-    if (reply.value.kind !== DispatcherReplyKind.Result) continue;
-    return reply.value.result;
-  }
-  return undefined;
+    .dispatchers.filter(one => one.dispatcherId !== self.dispatcherId);
 }
 
 function followConfiguration({
@@ -279,7 +247,12 @@
   const stop = async (): Promise<void> => {
     jobs.stopAdmission();
     leave();
-    while (jobs.inFlight > 0) await sleep(options.timers, stopPollMilliseconds);
+    const giveUpAt =
+      options.timers.now() +
+      (options.graceMilliseconds ?? defaultGraceMilliseconds);
+    while (jobs.inFlight > 0 && options.timers.now() < giveUpAt) {
+      await sleep(options.timers, stopPollMilliseconds);
+    }
     await callers.close();
     await options.control.registry.retireDispatcher(options.self);
     scheduler.stop();
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -187,6 +187,9 @@
       case FromTargetKind.LoadReport:
         this.#noteLoad(target, message.load);
         return;
+      case FromTargetKind.Left:
+        this.#forgetLeft(target);
+        return;
       case FromTargetKind.JobEvidence:
         this.#waiters.settle(describeRun(target.identity), message.evidence);
         return;
@@ -252,6 +255,14 @@
     });
   }
 
+  /** Says so to control, which needs no lease of the run any more. */
+  #forgetLeft(target: ConnectedTarget): void {
+    target.registered = false;
+    target.send({ kind: ToTargetKind.AcknowledgeLeft });
+    this.#scheduler?.targetLost(target.identity);
+    void this.#options.control.registry.retireTarget(target.identity);
+  }
+
   #endSession(target: ConnectedTarget, reason: SessionEndReason): void {
     const run = describeRun(target.identity);
     this.#targets.delete(run);
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -120,6 +120,11 @@
     return this.#ended;
   }
 
+  /** Whether the peer is silent or the connection ended. */
+  get isSuspected(): boolean {
+    return this.#suspected;
+  }
+
   /** Number of messages that the peer has not acknowledged. */
   get unacknowledged(): number {
     return this.#window.unacknowledged;
@@ -239,7 +244,7 @@
   #tick(): void {
     const now = this.#timers.now();
     const silence = now - this.#lastReceived;
-    if (now - this.#lastSent >= this.#times.heartbeatMilliseconds / 2) {
+    if (now - this.#lastSent >= this.#times.heartbeatMilliseconds) {
       this.#sendHeartbeat();
     }
     if (silence >= this.#times.suspicionMilliseconds) this.#suspect();
--- /dev/null
+++ b/packages/sessions/src/sessions.test.ts
@@ -0,0 +1,215 @@
+import { createRandomSource } from '@cranberryturn/random';
+import {
+  createManualTimerService,
+  type ManualTimerService,
+} from '@cranberryturn/timers';
+import type { NetworkAddress } from '@cranberryturn/types';
+import {
+  createMemoryNetwork,
+  type MemoryNetwork,
+  ProcessRole,
+} from '@cranberryturn/wire';
+import test from 'ava';
+
+import { acceptSessions, type SessionAcceptor } from './accept-sessions.js';
+import { openSession, type SessionDialer } from './open-session.js';
+import { SessionEndReason, type SessionListener } from './session.js';
+
+const times = { heartbeatMilliseconds: 1_000, suspicionMilliseconds: 3_000 };
+const delayMilliseconds = 1;
+
+/** One end as a test sees it. */
+interface RecordedEnd {
+  readonly received: string[];
+  readonly events: string[];
+  send: (message: string) => void;
+}
+
+interface Pair {
+  readonly timers: ManualTimerService;
+  readonly network: MemoryNetwork;
+  readonly near: RecordedEnd;
+  readonly far: RecordedEnd;
+  readonly dialer: SessionDialer<string, string>;
+  readonly acceptor: SessionAcceptor<string, string>;
+}
+
+function createEnd(): RecordedEnd {
+  return { received: [], events: [], send: () => undefined };
+}
+
+function recordInto(end: RecordedEnd): SessionListener<string> {
+  return {
+    messageReceived: message => end.received.push(message),
+    connected: () => end.events.push('connected'),
+    suspected: () => end.events.push('suspected'),
+    ended: reason => end.events.push(reason),
+  };
+}
+
+async function acceptOn(
+  network: MemoryNetwork,
+  timers: ManualTimerService,
+  end: RecordedEnd,
+  incarnation: string,
+  port: number,
+) {
+  const acceptor = acceptSessions<string, string>({
+    timers,
+    times,
+    startSession: (_peer, send) => {
+      end.send = send;
+      return recordInto(end);
+    },
+  });
+  const self = { role: ProcessRole.Dispatcher, name: 'far', incarnation };
+  const listener = await network
+    .join(self)
+    .listen({ address: '127.0.0.1', port }, connection => {
+      void acceptor.acceptConnection(connection);
+    });
+  return { acceptor, listener: listener._unsafeUnwrap() };
+}
+
+function dialFrom(
+  network: MemoryNetwork,
+  timers: ManualTimerService,
+  end: RecordedEnd,
+  incarnation: string,
+  address: NetworkAddress,
+): SessionDialer<string, string> {
+  const self = { role: ProcessRole.Sidecar, name: 'near', incarnation };
+  return openSession<string, string>({
+    network: network.join(self),
+    address,
+    timers,
+    random: createRandomSource(1),
+    times,
+    startSession: (_peer, send) => {
+      end.send = send;
+      return recordInto(end);
+    },
+  });
+}
+
+async function startPair(): Promise<Pair> {
+  const timers = createManualTimerService();
+  const network = createMemoryNetwork(timers, delayMilliseconds);
+  const near = createEnd();
+  const far = createEnd();
+  const { acceptor, listener } = await acceptOn(
+    network,
+    timers,
+    far,
+    'far-1',
+    0,
+  );
+  const dialer = dialFrom(network, timers, near, 'near-1', listener.address);
+  await timers.advance(100);
+  return { timers, network, near, far, dialer, acceptor };
+}
+
+function closeAll({ dialer, acceptor }: Pair): void {
+  dialer.close();
+  acceptor.close();
+}
+
+test('messages arrive once, in order, in both directions', async t => {
+  const pair = await startPair();
+  for (const text of ['a', 'b', 'c']) pair.near.send(text);
+  for (const text of ['x', 'y']) pair.far.send(text);
+  await pair.timers.advance(10);
+  t.deepEqual(pair.far.received, ['a', 'b', 'c']);
+  t.deepEqual(pair.near.received, ['x', 'y']);
+  closeAll(pair);
+});
+
+test('a session that goes silent without closing is resumed beside the old connection', async t => {
+  const pair = await startPair();
+  const [first] = pair.network.connections;
+  if (first !== undefined) first.silent = true;
+  pair.near.send('lost on the silent connection');
+  pair.far.send('lost as well');
+  await pair.timers.advance(2_900);
+  t.deepEqual(pair.far.received, []);
+  t.is(pair.network.connections.length, 1);
+  await pair.timers.advance(1_200);
+  t.is(pair.network.connections.length, 2);
+  t.deepEqual(pair.far.received, ['lost on the silent connection']);
+  t.deepEqual(pair.near.received, ['lost as well']);
+  await pair.timers.advance(10_000);
+  t.is(pair.far.received.length, 1);
+  t.is(pair.network.connections.length, 2);
+  closeAll(pair);
+});
+
+test('frames that were delivered before the silence are not delivered twice', async t => {
+  const pair = await startPair();
+  pair.near.send('delivered, not acknowledged');
+  await pair.timers.advance(2);
+  const [first] = pair.network.connections;
+  if (first !== undefined) first.silent = true;
+  await pair.timers.advance(5_000);
+  t.deepEqual(pair.far.received, ['delivered, not acknowledged']);
+  t.is(pair.network.connections.length, 2);
+  closeAll(pair);
+});
+
+test('a connection that is cut is replaced at once and nothing is lost', async t => {
+  const pair = await startPair();
+  pair.network.connections[0]?.cut();
+  pair.near.send('sent while there is no connection');
+  await pair.timers.advance(50);
+  t.deepEqual(pair.far.received, ['sent while there is no connection']);
+  closeAll(pair);
+});
+
+test('cuts at every moment lose and double nothing', async t => {
+  const pair = await startPair();
+  const random = createRandomSource(7);
+  const expected: string[] = [];
+  for (let round = 0; round < 200; round += 1) {
+    const text = `message ${String(round)}`;
+    expected.push(text);
+    pair.near.send(text);
+    pair.far.send(text);
+    await pair.timers.advance(random.below(6));
+    if (random.below(4) === 0) pair.network.connections.at(-1)?.cut();
+  }
+  await pair.timers.advance(5_000);
+  t.deepEqual(pair.far.received, expected);
+  t.deepEqual(pair.near.received, expected);
+  closeAll(pair);
+});
+
+test('a restarted peer is a new session, and the old one ends', async t => {
+  const pair = await startPair();
+  const again = createEnd();
+  const port = 40_000;
+  pair.acceptor.close();
+  for (const connection of pair.network.connections) connection.cut();
+  const { acceptor } = await acceptOn(
+    pair.network,
+    pair.timers,
+    again,
+    'far-2',
+    port,
+  );
+  pair.near.send('for the old run');
+  await pair.timers.advance(200);
+  pair.near.send('for the new run');
+  await pair.timers.advance(50);
+  t.true(pair.near.events.includes(SessionEndReason.PeerRestarted));
+  t.deepEqual(again.received, ['for the new run']);
+  pair.dialer.close();
+  acceptor.close();
+});
+
+test('an idle session costs two small frames a second', async t => {
+  const pair = await startPair();
+  const before = pair.network.framesDelivered();
+  await pair.timers.advance(60_000);
+  const frames = pair.network.framesDelivered() - before;
+  t.true(frames <= 122, `${String(frames)} frames in a minute`);
+  closeAll(pair);
+});
--- a/packages/sidecar/src/attempt-ledger.ts
+++ b/packages/sidecar/src/attempt-ledger.ts
@@ -22,6 +22,7 @@
 
 interface TaskRecord {
   readonly key: AttemptKey;
+  readonly idempotent: boolean;
   /** Undefined while the attempt runs. */
   result: AttemptResult | undefined;
   answerDropped: boolean;
@@ -66,29 +67,38 @@
     const job = this.#touch(key.jobId);
     if (key.epoch < job.fencedBelow) return StartPermission.Fenced;
     const known = job.tasks.get(key.taskId);
-    if (known !== undefined && !(idempotent && known.result !== undefined)) {
-      return StartPermission.AlreadyStarted;
-    }
+    if (known !== undefined) return StartPermission.AlreadyStarted;
     job.watchers.add(dispatcher);
-    job.tasks.set(key.taskId, { key, result: undefined, answerDropped: false });
+    job.tasks.set(key.taskId, {
+      key,
+      idempotent,
+      result: undefined,
+      answerDropped: false,
+    });
     return StartPermission.Granted;
   }
 
   /** Forgets a start of which the target provably heard nothing. */
   withdrawStart(key: AttemptKey): void {
-    this.#jobs.get(key.jobId)?.tasks.delete(key.taskId);
+    const job = this.#jobs.get(key.jobId);
+    if (job !== undefined) this.#forgetTask(key.jobId, job, key.taskId);
   }
 
   /** Records how an attempt ended. Returns the dispatchers to tell. */
   recordEnd(result: AttemptResult): readonly DispatcherId[] {
     const job = this.#touch(result.jobId);
     const task = job.tasks.get(result.taskId);
-    if (task !== undefined) {
-      task.result = result;
-      this.#answerBytes += measureAnswer(result);
+    const dispatchers = [...job.watchers];
+    if (task === undefined) return dispatchers;
+    // An idempotent attempt may run again: nobody asks for it later.
+    if (task.idempotent) {
+      this.#forgetTask(result.jobId, job, result.taskId);
+      return dispatchers;
     }
+    task.result = result;
+    this.#answerBytes += measureAnswer(result);
     this.#dropOldAnswers();
-    return [...job.watchers];
+    return dispatchers;
   }
 
   /** Refuses later starts below the epoch and tells what is known of the job. */
@@ -133,6 +143,11 @@
     }
   }
 
+  #forgetTask(jobId: JobId, job: JobRecord, taskId: TaskId): void {
+    job.tasks.delete(taskId);
+    if (job.tasks.size === 0 && job.fencedBelow === 0) this.#jobs.delete(jobId);
+  }
+
   #remembered(): Milliseconds {
     const alive = this.#timers.now() - this.#created;
     return Math.min(alive, this.#retention.startsMilliseconds);
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -54,8 +54,8 @@
   readonly #waiting: WaitingAttempt[] = [];
   readonly #running = new Set<RunningAttempt>();
   #slots: number;
-  #draining = false;
-  #wakeWhenIdle: (() => void) | undefined;
+  #drainedByOperator = false;
+  #stopping = false;
 
   constructor(options: AttemptRunnerOptions) {
     this.#options = options;
@@ -67,7 +67,7 @@
     return {
       freeSlots: Math.max(0, this.#slots - this.#running.size),
       queuedTasks: this.#waiting.length,
-      draining: this.#draining,
+      draining: this.#isDraining,
     };
   }
 
@@ -94,12 +94,32 @@
     this.#fillSlots();
   }
 
-  /** Refuses new attempts from now on, or accepts them again. */
+  /** Refuses new attempts while operators drain the target, or accepts them again. */
   changeDraining(draining: boolean): void {
-    if (this.#draining === draining) return;
-    this.#draining = draining;
+    const before = this.#isDraining;
+    this.#drainedByOperator = draining;
+    if (!before) this.#beginLeaving();
+  }
+
+  /** Refuses new attempts from now on, whatever operators set. */
+  beginStop(): void {
+    const before = this.#isDraining;
+    this.#stopping = true;
+    if (!before) this.#beginLeaving();
+  }
+
+  /** Whether no attempt waits or runs. */
+  get isIdle(): boolean {
+    return this.#waiting.length === 0 && this.#running.size === 0;
+  }
+
+  get #isDraining(): boolean {
+    return this.#drainedByOperator || this.#stopping;
+  }
+
+  #beginLeaving(): void {
+    if (!this.#isDraining) return;
     const { targetId, incarnation } = this.#options.announcement;
-    if (!draining) return;
     this.#options.decisions({
       kind: DecisionKind.Leaving,
       target: targetId,
@@ -110,19 +130,11 @@
     }
   }
 
-  /** Resolves when no attempt waits or runs. */
-  async waitUntilIdle(): Promise<void> {
-    if (this.#waiting.length === 0 && this.#running.size === 0) return;
-    await new Promise<void>(resolve => {
-      this.#wakeWhenIdle = resolve;
-    });
-  }
-
   #findRefusal(attempt: AttemptStart): NotStartedReason | undefined {
     if (attempt.service !== this.#options.announcement.service) {
       return NotStartedReason.WrongService;
     }
-    if (this.#draining) return NotStartedReason.Draining;
+    if (this.#isDraining) return NotStartedReason.Draining;
     const room = this.#slots + this.#options.queueLimit - this.#running.size;
     if (this.#waiting.length >= room) return NotStartedReason.Busy;
     return undefined;
@@ -196,7 +208,6 @@
       },
     );
     this.#fillSlots();
-    this.#noteIdle();
   }
 
   #endFailed(
@@ -219,7 +230,8 @@
 
   #end(result: AttemptResult): void {
     this.#logEnd(result, undefined);
-    this.#options.attemptEnded(result, this.#options.ledger.recordEnd(result));
+    const dispatchers = this.#options.ledger.recordEnd(result);
+    this.#options.attemptEnded(result, dispatchers);
   }
 
   #refuse(attempt: AttemptStart, reason: NotStartedReason): void {
@@ -230,7 +242,6 @@
     };
     this.#logEnd(result, reason);
     this.#options.attemptEnded(result, [attempt.dispatcher]);
-    this.#noteIdle();
   }
 
   #logEnd(result: AttemptResult, reason: string | undefined): void {
@@ -257,13 +268,6 @@
       running.abort.abort(new Error(reason));
     }
   }
-
-  #noteIdle(): void {
-    if (this.#waiting.length > 0 || this.#running.size > 0) return;
-    const wake = this.#wakeWhenIdle;
-    this.#wakeWhenIdle = undefined;
-    wake?.();
-  }
 }
 
 function keyOf(attempt: AttemptKey): AttemptKey {
--- a/packages/sidecar/src/start-sidecar-role.ts
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -61,6 +61,7 @@
       answersBytes: settings.retention.answersBytes,
     },
     queueLimit: settings.queuedTasks,
+    graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
       suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -8,7 +8,7 @@
   type SessionListener,
   type SessionTimes,
 } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
+import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
   AttemptResult,
   DecisionSink,
@@ -30,7 +30,8 @@
 import { AttemptRunner } from './run-attempts.js';
 
 const forgetPeriodMilliseconds: Milliseconds = 1_000;
-const acknowledgementPollMilliseconds: Milliseconds = 50;
+const stopPollMilliseconds: Milliseconds = 10;
+const defaultGraceMilliseconds: Milliseconds = 60_000;
 
 /** What a sidecar is built from. */
 export interface SidecarOptions {
@@ -44,6 +45,8 @@
   readonly retention: LedgerRetention;
   readonly queueLimit: number;
   readonly sessionTimes?: SessionTimes | undefined;
+  /** Longest time of a planned stop. */
+  readonly graceMilliseconds?: Milliseconds | undefined;
 }
 
 /** A running sidecar. */
@@ -120,13 +123,18 @@
     for (const dialer of dialers) dialer.close();
   };
 
+  const tellAll = (message: FromTargetMessage): void => {
+    for (const send of senders.values()) send(message);
+  };
+
   const stop = async (): Promise<void> => {
-    runner.changeDraining(true);
-    for (const send of senders.values()) {
-      send({ kind: FromTargetKind.LoadReport, load: runner.load });
-    }
-    await runner.waitUntilIdle();
-    await waitForAcknowledgements(sessions, timers);
+    const grace = options.graceMilliseconds ?? defaultGraceMilliseconds;
+    const giveUpAt = timers.now() + grace;
+    runner.beginStop();
+    tellAll({ kind: FromTargetKind.LoadReport, load: runner.load });
+    await pollUntil(timers, giveUpAt, () => runner.isIdle);
+    if (runner.isIdle) tellAll({ kind: FromTargetKind.Left });
+    await pollUntil(timers, giveUpAt, () => sessions().every(isAcknowledged));
     kill();
     await options.target.close();
   };
@@ -175,17 +183,26 @@
     case ToTargetKind.ApplySettings:
       if (message.slots !== undefined) runner.changeSlots(message.slots);
       runner.changeDraining(message.draining);
+      send({ kind: FromTargetKind.LoadReport, load: runner.load });
+      return;
+    case ToTargetKind.AcknowledgeLeft:
       return;
   }
 }
 
-async function waitForAcknowledgements(
-  sessions: () => readonly Session<FromTargetMessage, ToTargetMessage>[],
+/** A session that is silent is not waited for: its dispatcher may be gone. */
+function isAcknowledged(
+  session: Session<FromTargetMessage, ToTargetMessage>,
+): boolean {
+  return session.unacknowledged === 0 || session.isSuspected;
+}
+
+async function pollUntil(
   timers: TimerService,
+  giveUpAt: Milliseconds,
+  isDone: () => boolean,
 ): Promise<void> {
-  while (sessions().some(session => session.unacknowledged > 0)) {
-    await new Promise<void>(resolve => {
-      timers.after(acknowledgementPollMilliseconds, resolve);
-    });
+  while (!isDone() && timers.now() < giveUpAt) {
+    await sleep(timers, stopPollMilliseconds);
   }
 }
--- a/packages/wire/src/messages/target-messages.ts
+++ b/packages/wire/src/messages/target-messages.ts
@@ -16,6 +16,7 @@
   CancelAttempts = 'cancel',
   FenceJob = 'fence',
   ApplySettings = 'settings',
+  AcknowledgeLeft = 'acknowledge-left',
 }
 
 /** A message from a dispatcher to a sidecar. */
@@ -41,7 +42,8 @@
       readonly version: ConfigurationVersion;
       readonly slots: number | undefined;
       readonly draining: boolean;
-    };
+    }
+  | { readonly kind: ToTargetKind.AcknowledgeLeft };
 
 /** The kinds of message from a sidecar to a dispatcher. */
 export enum FromTargetKind {
@@ -49,6 +51,7 @@
   AttemptEnded = 'ended',
   LoadReport = 'load',
   JobEvidence = 'evidence',
+  Left = 'left',
 }
 
 /** What a sidecar run knows of a job after it was fenced. */
@@ -81,4 +84,8 @@
   | {
       readonly kind: FromTargetKind.JobEvidence;
       readonly evidence: JobEvidence;
+    }
+  | {
+      /** Planned stop: nothing runs here, and nothing will be started any more. */
+      readonly kind: FromTargetKind.Left;
     };
