--- a/packages/claims/src/apply-claim.ts
+++ b/packages/claims/src/apply-claim.ts
@@ -23,6 +23,7 @@
   type ClaimRetention,
   type ClaimTable,
   composeClaimKey,
+  encodeClaim,
 } from './claim-table.js';
 
 /** What the roster tells about owners and runs of sidecars. */
@@ -74,11 +75,13 @@
   if (!isSameJob(record, adopt)) return { kind: ClaimOutcomeKind.Conflict };
   if (wasGrantedTo(record, adopt)) return grant(table, key, record, context);
   if (record.epoch !== adopt.expectedEpoch) return hold(record, context);
-  record.owner = adopt.owner;
-  record.submissionId = adopt.submissionId;
-  record.epoch += 1;
-  renewUnfinished(table, key, record, context.leaderTime);
-  return grant(table, key, record, context);
+  const adopted: ClaimRecord = {
+    ...record,
+    owner: adopt.owner,
+    submissionId: adopt.submissionId,
+    epoch: record.epoch + 1,
+  };
+  return grant(table, key, renew(table, key, adopted, context), context);
 }
 
 /** Records that the owner in this epoch has answered its job. */
@@ -90,11 +93,10 @@
   leaderTime: Milliseconds,
 ): void {
   const key = composeClaimKey(team, jobId);
-  const record = table.unfinished.get(key);
+  const record = table.unfinished.get(key)?.record;
   if (record?.epoch !== epoch) return;
-  record.changedTime = leaderTime;
   table.unfinished.delete(key);
-  table.finished.set(key, record);
+  table.finished.set(key, encodeClaim({ ...record, changedTime: leaderTime }));
 }
 
 function createClaim(
@@ -127,7 +129,6 @@
     epoch: 1,
     changedTime: leaderTime,
   };
-  table.unfinished.set(key, record);
   return grant(table, key, record, context);
 }
 
@@ -138,7 +139,12 @@
   { leaderTime, roster }: ClaimContext,
 ): ClaimGranted {
   const { service, claimedAt, rosterVersion } = record;
-  record.rosterVersion = roster.version;
+  const isFinished = table.finished.has(key);
+  // A claim that is there already keeps its place in the order of time.
+  (isFinished ? table.finished : table.unfinished).set(
+    key,
+    encodeClaim({ ...record, rosterVersion: roster.version }),
+  );
   return {
     kind: ClaimOutcomeKind.Granted,
     epoch: record.epoch,
@@ -150,7 +156,7 @@
         ? roster.listWitnesses(service, claimedAt, rosterVersion)
         : [],
     rosterVersion: roster.version,
-    finished: table.finished.has(key),
+    finished: isFinished,
   };
 }
 
@@ -167,20 +173,19 @@
   return { kind: ClaimOutcomeKind.Refused, reason };
 }
 
-/** Keeps the map in order of time: a renewed claim moves to its end. A finished claim stays finished. */
-function renewUnfinished(
+/** Lets the retention of an unfinished claim start again; it moves to the end of the order of time. */
+function renew(
   table: ClaimTable,
   key: string,
   record: ClaimRecord,
-  leaderTime: Milliseconds,
-): void {
-  if (!table.unfinished.delete(key)) return;
-  record.changedTime = leaderTime;
-  table.unfinished.set(key, record);
+  { leaderTime }: ClaimContext,
+): ClaimRecord {
+  if (!table.unfinished.delete(key)) return record;
+  return { ...record, changedTime: leaderTime };
 }
 
 function findRecord(table: ClaimTable, key: string): ClaimRecord | undefined {
-  return table.unfinished.get(key) ?? table.finished.get(key);
+  return (table.unfinished.get(key) ?? table.finished.get(key))?.record;
 }
 
 function isSameJob(record: ClaimRecord, claim: ClaimRequest): boolean {
--- a/packages/claims/src/claim-table.ts
+++ b/packages/claims/src/claim-table.ts
@@ -1,7 +1,9 @@
 /** The table of claimed jobs, built from committed operations only. */
 import type {
   BodyDigest,
+  DispatcherId,
   DispatcherIdentity,
+  Incarnation,
   JobId,
   LogIndex,
   Milliseconds,
@@ -9,8 +11,25 @@
   ServiceName,
   TeamName,
 } from '@cranberryturn/types';
+import { Packr } from 'msgpackr';
 
 const keySeparator = '\u0000';
+const packer = new Packr({ useRecords: false });
+
+type EncodedClaim = readonly [
+  team: TeamName,
+  jobId: JobId,
+  service: ServiceName,
+  digest: BodyDigest,
+  claimedAt: LogIndex,
+  claimedTime: Milliseconds,
+  rosterVersion: number,
+  dispatcherId: DispatcherId,
+  incarnation: Incarnation,
+  submissionId: string,
+  epoch: OwnershipEpoch,
+  changedTime: Milliseconds,
+];
 
 /** One claimed job. */
 export interface ClaimRecord {
@@ -23,13 +42,13 @@
   /** Time of the leader at the first claim. */
   readonly claimedTime: Milliseconds;
   /** Roster of the last grant: owners so far placed tasks on runs registered up to it. */
-  rosterVersion: number;
-  owner: DispatcherIdentity;
+  readonly rosterVersion: number;
+  readonly owner: DispatcherIdentity;
   /** Submission to which the current epoch was granted. */
-  submissionId: string;
-  epoch: OwnershipEpoch;
+  readonly submissionId: string;
+  readonly epoch: OwnershipEpoch;
   /** Time of the leader at the last grant, or at the answer once the job is finished. */
-  changedTime: Milliseconds;
+  readonly changedTime: Milliseconds;
 }
 
 /** How long and how many claims are kept. */
@@ -46,19 +65,25 @@
 export const defaultClaimRetention: ClaimRetention = {
   finishedMilliseconds: 600_000,
   unfinishedMilliseconds: 3_600_000,
-  maximumClaims: 1_000_000,
+  maximumClaims: 300_000,
 };
 
+/** A record with its encoded form, made once so that a snapshot only joins bytes. */
+export interface StoredClaim {
+  readonly record: ClaimRecord;
+  readonly encoded: Uint8Array;
+}
+
 /** All claims. Both maps are in order of `changedTime`. */
 export interface ClaimTable {
-  readonly unfinished: Map<string, ClaimRecord>;
-  readonly finished: Map<string, ClaimRecord>;
+  readonly unfinished: Map<string, StoredClaim>;
+  readonly finished: Map<string, StoredClaim>;
 }
 
-/** A claim table as plain data. */
+/** A claim table as bytes. */
 export interface ClaimTableSnapshot {
-  readonly unfinished: readonly ClaimRecord[];
-  readonly finished: readonly ClaimRecord[];
+  readonly unfinished: Uint8Array;
+  readonly finished: Uint8Array;
 }
 
 /** Creates an empty table. */
@@ -69,19 +94,38 @@
 /** Builds a table from a snapshot. */
 export function restoreClaimTable(snapshot: ClaimTableSnapshot): ClaimTable {
   return {
-    unfinished: indexRecords(snapshot.unfinished),
-    finished: indexRecords(snapshot.finished),
+    unfinished: decodeClaims(snapshot.unfinished),
+    finished: decodeClaims(snapshot.finished),
   };
 }
 
-/** Copies a table into plain data. */
+/** Joins the encoded claims of a table. */
 export function captureClaimTable(table: ClaimTable): ClaimTableSnapshot {
   return {
-    unfinished: [...table.unfinished.values()],
-    finished: [...table.finished.values()],
+    unfinished: joinClaims(table.unfinished),
+    finished: joinClaims(table.finished),
   };
 }
 
+/** Encodes a record as a list of its fields. */
+export function encodeClaim(record: ClaimRecord): StoredClaim {
+  const fields: EncodedClaim = [
+    record.team,
+    record.jobId,
+    record.service,
+    record.digest,
+    record.claimedAt,
+    record.claimedTime,
+    record.rosterVersion,
+    record.owner.dispatcherId,
+    record.owner.incarnation,
+    record.submissionId,
+    record.epoch,
+    record.changedTime,
+  ];
+  return { record, encoded: packer.pack(fields) };
+}
+
 /** Names a job among all teams. */
 export function composeClaimKey(team: TeamName, jobId: JobId): string {
   return `${team}${keySeparator}${jobId}`;
@@ -98,22 +142,55 @@
 }
 
 function dropOlder(
-  records: Map<string, ClaimRecord>,
+  claims: Map<string, StoredClaim>,
   horizon: Milliseconds,
 ): void {
-  for (const [key, record] of records) {
+  for (const [key, { record }] of claims) {
     if (record.changedTime >= horizon) return;
-    records.delete(key);
+    claims.delete(key);
+  }
+}
+
+function joinClaims(claims: ReadonlyMap<string, StoredClaim>): Uint8Array {
+  return Buffer.concat([...claims.values()].map(claim => claim.encoded));
+}
+
+function decodeClaims(bytes: Uint8Array): Map<string, StoredClaim> {
+  const claims = new Map<string, StoredClaim>();
+  if (bytes.byteLength === 0) return claims;
+  for (const fields of packer.unpackMultiple(bytes) as EncodedClaim[]) {
+    const record = readClaim(fields);
+    claims.set(composeClaimKey(record.team, record.jobId), encodeClaim(record));
   }
+  return claims;
 }
 
-function indexRecords(
-  records: readonly ClaimRecord[],
-): Map<string, ClaimRecord> {
-  return new Map(
-    records.map(record => [
-      composeClaimKey(record.team, record.jobId),
-      { ...record },
-    ]),
-  );
+function readClaim([
+  team,
+  jobId,
+  service,
+  digest,
+  claimedAt,
+  claimedTime,
+  rosterVersion,
+  dispatcherId,
+  incarnation,
+  submissionId,
+  epoch,
+  changedTime,
+]: EncodedClaim): ClaimRecord {
+  const owner = { dispatcherId, incarnation };
+  return {
+    team,
+    jobId,
+    service,
+    digest,
+    claimedAt,
+    claimedTime,
+    rosterVersion,
+    owner,
+    submissionId,
+    epoch,
+    changedTime,
+  };
 }
--- a/packages/control/src/measures/measure-claims.ts
+++ b/packages/control/src/measures/measure-claims.ts
@@ -1,9 +1,9 @@
 /** Measures claims a second and their latency against the number of claims in flight. */
 import { createDistributionRecorder } from '@cranberryturn/metrics';
-import type { Milliseconds } from '@cranberryturn/types';
+import { ClaimOutcomeKind, type Milliseconds } from '@cranberryturn/types';
 import { ControlMethod } from '@cranberryturn/wire';
 
-import { OperationKind } from '../control-operations.js';
+import { OperationKind, OperationOutcomeKind } from '../control-operations.js';
 import {
   type MeasuredControl,
   startMeasuredControl,
@@ -78,4 +78,9 @@
     },
   });
   if (claimed.isErr()) throw claimed.error;
+  const outcome = claimed.value;
+  const isGranted =
+    outcome.kind === OperationOutcomeKind.Claim &&
+    outcome.outcome.kind === ClaimOutcomeKind.Granted;
+  if (!isGranted) throw new Error('A claim of the measurement was refused.');
 }
