--- /dev/null
+++ b/packages/bench/src/fakes/memory-control.ts
@@ -0,0 +1,93 @@
+/** Control in memory for one dispatcher: grants every new claim at once. */
+import type { Dispatcher, DispatcherOptions } from '@cranberryturn/dispatcher';
+import {
+  type ClaimOutcome,
+  ClaimOutcomeKind,
+  type ClaimRequest,
+  type ClusterConfiguration,
+  emptyConfiguration,
+  type LogIndex,
+  type Roster,
+  type TargetAnnouncement,
+  type TargetRecord,
+} from '@cranberryturn/types';
+import { okAsync, type ResultAsync } from 'neverthrow';
+
+/** What a dispatcher needs of control. */
+export type ControlPort = DispatcherOptions['control'];
+
+/** A dispatcher of the measured kind, for callers of this module. */
+export type { Dispatcher };
+
+/** Control in memory, shared by the dispatchers of one test. */
+export interface MemoryControl extends ControlPort {
+  /** Claims asked for so far. */
+  claimsAsked(): number;
+}
+
+/** Creates control in memory. */
+export function createMemoryControl(
+  configuration: ClusterConfiguration = emptyConfiguration,
+): MemoryControl {
+  const owners = new Map<string, ClaimRequest>();
+  const rosterListeners = new Set<(roster: Roster) => void>();
+  let targets: readonly TargetRecord[] = [];
+  let version: LogIndex = 1;
+  let asked = 0;
+
+  const roster = (): Roster => ({ version, dispatchers: [], targets });
+
+  const claim = (request: ClaimRequest): ClaimOutcome => {
+    asked += 1;
+    const known = owners.get(request.jobId) ?? request;
+    owners.set(request.jobId, known);
+    if (known.digest !== request.digest) {
+      return { kind: ClaimOutcomeKind.Conflict };
+    }
+    return {
+      kind: ClaimOutcomeKind.Granted,
+      epoch: 1,
+      submissionId: known.submissionId,
+      claimedAt: version,
+      ageMilliseconds: 0,
+      witnesses: [],
+      rosterVersion: version,
+      finished: false,
+    };
+  };
+
+  const registerTarget = (
+    target: TargetAnnouncement,
+  ): ResultAsync<LogIndex, never> => {
+    version += 1;
+    targets = [...targets, { ...target, registeredAt: version }];
+    for (const listener of rosterListeners) listener(roster());
+    return okAsync(version);
+  };
+
+  return {
+    claims: {
+      claimJob: request => okAsync(claim(request)),
+      adoptJob: request => okAsync(claim(request)),
+      finishClaim: () => undefined,
+    },
+    configuration: {
+      current: () => configuration,
+      subscribe: () => () => undefined,
+    },
+    roster: {
+      current: roster,
+      subscribe: listener => {
+        rosterListeners.add(listener);
+        return () => void rosterListeners.delete(listener);
+      },
+    },
+    registry: {
+      registerDispatcher: () => okAsync(version),
+      retireDispatcher: () => okAsync(version),
+      registerTarget,
+      retireTarget: () => okAsync(version),
+    },
+    claimsAsked: () => asked,
+  };
+}
--- a/packages/bench/src/slopes/measure-scenario.ts
+++ b/packages/bench/src/slopes/measure-scenario.ts
@@ -27,7 +27,7 @@
 ): Promise<SizeReading> {
   const measured = startSideProcess();
   const counterpart =
-    scenario.startCounterpart === undefined ? undefined : startSideProcess();
+    scenario.loadCounterpart === undefined ? undefined : startSideProcess();
   const order = async (
     side: SideName,
     name: SideOrder,
--- /dev/null
+++ b/packages/bench/src/slopes/parts/job-load.ts
@@ -0,0 +1,18 @@
+/** The load of jobs that a dispatcher under measure serves. */
+
+/** Team of all measured jobs. */
+export const measuredTeam = 'measured-team';
+/** Token of the team; it protects nothing. */
+export const measuredToken = `cbt_${'A'.repeat(43)}`;
+/** Sidecars of a dispatcher that serves jobs. */
+export const busySidecars = 40;
+/** Jobs that a caller keeps open at the same time. */
+export const openJobs = 4;
+
+const measuredTasks = 16_000;
+const mostJobs = 4_000;
+
+/** Number of jobs of `tasks` tasks that are measured. */
+export function countJobs(tasks: number): number {
+  return Math.min(mostJobs, Math.round(measuredTasks / tasks));
+}
--- /dev/null
+++ b/packages/bench/src/slopes/parts/start-follower.ts
@@ -0,0 +1,29 @@
+/** A real client of control, as each dispatcher runs one. */
+import {
+  type ControlClient,
+  createControlClient,
+} from '@cranberryturn/control-client';
+import { createRandomSource } from '@cranberryturn/random';
+import type { TimerService } from '@cranberryturn/timers';
+import type { NetworkAddress } from '@cranberryturn/types';
+import { createWebSocketNetwork } from '@cranberryturn/wire';
+
+import { nameDispatcher } from './identities.js';
+import { measuredKeys } from './measured-keys.js';
+
+/** Starts a client that follows the replica at an address. */
+export function startFollower(
+  number: number,
+  address: NetworkAddress,
+  timers: TimerService,
+  seed: number,
+): ControlClient {
+  const self = nameDispatcher(number);
+  return createControlClient({
+    network: createWebSocketNetwork({ self, keys: measuredKeys, timers }),
+    timers,
+    random: createRandomSource(seed + number),
+    self: { dispatcherId: self.name, incarnation: self.incarnation },
+    controlHosts: [{ replicaId: 'control-1', address }],
+  });
+}
--- a/packages/bench/src/slopes/parts/start-measured-sidecar.ts
+++ b/packages/bench/src/slopes/parts/start-measured-sidecar.ts
@@ -6,7 +6,11 @@
   type TargetPort,
 } from '@cranberryturn/sidecar';
 import { sleep, type TimerService } from '@cranberryturn/timers';
-import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import {
+  DecisionKind,
+  type Milliseconds,
+  type NetworkAddress,
+} from '@cranberryturn/types';
 import { createWebSocketNetwork } from '@cranberryturn/wire';
 
 import { countTraffic } from '../count-traffic.js';
@@ -17,6 +21,8 @@
 /** A real sidecar whose traffic is counted. */
 export interface MeasuredSidecar {
   traffic(): TrafficCount;
+  /** Attempts that have ended so far. */
+  ended(): number;
   /** Resolves once a session with every dispatcher stands. */
   waitForSessions(): Promise<void>;
 }
@@ -45,6 +51,7 @@
     url: `http://${options.target.address}:${String(options.target.port)}`,
     connections: 64,
   });
+  let ended = 0;
   const sidecar = startSidecar({
     announcement: announceTarget(0),
     dispatchers,
@@ -52,7 +59,9 @@
     target,
     timers,
     random: createRandomSource(options.seed),
-    decisions: () => undefined,
+    decisions: decision => {
+      if (decision.kind === DecisionKind.Ended) ended += 1;
+    },
     retention: {
       startsMilliseconds: retainedMilliseconds,
       answersBytes: retainedBytes,
@@ -61,6 +70,7 @@
   });
   return {
     traffic: counted.count,
+    ended: () => ended,
     waitForSessions: async () => {
       while (sidecar.sessions().length < dispatchers.length) {
         await sleep(timers, pollMilliseconds);
--- a/packages/bench/src/slopes/scenario.ts
+++ b/packages/bench/src/slopes/scenario.ts
@@ -22,6 +22,9 @@
   traffic(): TrafficCount;
 }
 
+/** Starts one side. */
+export type StartSide = (input: ScenarioInput) => Promise<ScenarioSide>;
+
 /** Which side starts first and tells its address to the other. */
 export enum FirstSide {
   Measured = 'measured',
@@ -38,7 +41,10 @@
   readonly sizes: readonly number[];
   readonly unit: WorkUnit;
   readonly first: FirstSide;
-  readonly startMeasured: (input: ScenarioInput) => Promise<ScenarioSide>;
-  readonly startCounterpart?:
-    ((input: ScenarioInput) => Promise<ScenarioSide>) | undefined;
+  /** Loads only the code that the side needs, so that its memory is its own. */
+  readonly loadMeasured: () => Promise<StartSide>;
+  readonly loadCounterpart?: (() => Promise<StartSide>) | undefined;
 }
+
+/** Traffic of a side that sends nothing. */
+export const noTraffic: TrafficCount = { messages: 0, bytes: 0 };
--- a/packages/bench/src/slopes/scenarios.ts
+++ b/packages/bench/src/slopes/scenarios.ts
@@ -1,14 +1,146 @@
 /** Every scenario that is measured for docs/CAPACITY.md. */
-import type { Scenario } from './scenario.js';
-import { heldMemory } from './scenarios/bare-runtime.js';
-import { sidecarSessions } from './scenarios/sidecar-sessions.js';
-import { sidecarStarts } from './scenarios/sidecar-starts.js';
+import { WorkUnit } from './reading.js';
+import { FirstSide, type Scenario } from './scenario.js';
 
 /** Every scenario that is measured for docs/CAPACITY.md. */
 export const scenarios: readonly Scenario[] = [
-  heldMemory,
-  sidecarSessions,
-  sidecarStarts,
+  {
+    name: 'held-memory',
+    role: 'runtime',
+    dimension: 'mebibytes held',
+    description:
+      'a bare process that only holds memory: the base of the runtime, and a check of the measurement',
+    sizes: [0, 8, 32, 64],
+    unit: WorkUnit.Second,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/hold-memory.js')).holdMemory,
+  },
+  {
+    name: 'sidecar-sessions',
+    role: 'sidecar',
+    dimension: 'dispatchers',
+    description: 'an idle sidecar, each second, against its dispatchers',
+    sizes: [1, 4, 8, 16, 32],
+    unit: WorkUnit.Second,
+    first: FirstSide.Counterpart,
+    loadMeasured: async () =>
+      (await import('./sides/idle-sidecar.js')).startIdleSidecar,
+    loadCounterpart: async () =>
+      (await import('./sides/idle-dispatchers.js')).startIdleDispatchers,
+  },
+  {
+    name: 'sidecar-starts',
+    role: 'sidecar',
+    dimension: 'remembered tasks',
+    description: 'a sidecar that has run this number of tasks, each task',
+    sizes: [1_000, 4_000, 8_000, 16_000],
+    unit: WorkUnit.Task,
+    first: FirstSide.Counterpart,
+    loadMeasured: async () =>
+      (await import('./sides/busy-sidecar.js')).startBusySidecar,
+    loadCounterpart: async () =>
+      (await import('./sides/busy-dispatcher.js')).startBusyDispatcher,
+  },
+  {
+    name: 'dispatcher-sidecars',
+    role: 'dispatcher',
+    dimension: 'sidecars',
+    description: 'an idle dispatcher, each second, against its sidecars',
+    sizes: [100, 400, 800, 1_600],
+    unit: WorkUnit.Second,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-dispatcher.js')).startIdleDispatcher,
+    loadCounterpart: async () =>
+      (await import('./sides/many-sidecars.js')).startManySidecars,
+  },
+  {
+    name: 'dispatcher-tasks',
+    role: 'dispatcher',
+    dimension: 'tasks in a job',
+    description: 'a dispatcher that serves jobs over 40 sidecars, each job',
+    sizes: [1, 20, 50, 100, 200],
+    unit: WorkUnit.Job,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-dispatcher.js')).startBusyDispatcher,
+    loadCounterpart: async () =>
+      (await import('./sides/many-callers.js')).startManyCallers,
+  },
+  {
+    name: 'dispatcher-teams',
+    role: 'dispatcher',
+    dimension: 'teams',
+    description:
+      'the scheduler alone, 1,600 targets, tasks of all teams in turn, each task',
+    sizes: [1, 24, 49, 98],
+    unit: WorkUnit.Task,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-scheduler.js')).startTeams,
+  },
+  {
+    name: 'dispatcher-targets',
+    role: 'dispatcher',
+    dimension: 'targets',
+    description: 'the scheduler alone, one team, each task',
+    sizes: [11, 100, 400, 800, 1_600],
+    unit: WorkUnit.Task,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-scheduler.js')).startTargets,
+  },
+  {
+    name: 'control-claims',
+    role: 'control',
+    dimension: 'retained claims',
+    description:
+      'the state of control alone, each claim; bytes are those of the log entry',
+    sizes: [100, 1_000, 10_000, 50_000, 100_000],
+    unit: WorkUnit.Claim,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-state.js')).startClaims,
+  },
+  {
+    name: 'control-changes',
+    role: 'control',
+    dimension: 'changes',
+    description:
+      'the state of control alone, each change; bytes are those of the log entry',
+    sizes: [10, 100, 1_000, 10_000],
+    unit: WorkUnit.Change,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-state.js')).startChanges,
+  },
+  {
+    name: 'control-followers',
+    role: 'control',
+    dimension: 'followers',
+    description: 'one replica without load, each second, against its followers',
+    sizes: [1, 20, 100, 400, 1_000],
+    unit: WorkUnit.Second,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-control.js')).startIdleControl,
+    loadCounterpart: async () =>
+      (await import('./sides/many-followers.js')).startManyFollowers,
+  },
+  {
+    name: 'control-claim-rate',
+    role: 'control',
+    dimension: 'claims at the same time',
+    description: 'one replica with a synced log, each claim',
+    sizes: [1, 16, 64, 256],
+    unit: WorkUnit.Claim,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-control.js')).startClaimingControl,
+    loadCounterpart: async () =>
+      (await import('./sides/many-claims.js')).startManyClaims,
+  },
 ];
 
 /** Finds a scenario by its name. */
--- a/packages/bench/src/slopes/side-process.ts
+++ b/packages/bench/src/slopes/side-process.ts
@@ -40,11 +40,12 @@
 
 async function startSide(request: SideRequest): Promise<ScenarioSide> {
   const scenario = findScenario(request.scenario);
-  const start =
+  const load =
     request.side === SideName.Measured
-      ? scenario.startMeasured
-      : scenario.startCounterpart;
-  if (start === undefined) throw new Error('This scenario has no counterpart.');
+      ? scenario.loadMeasured
+      : scenario.loadCounterpart;
+  if (load === undefined) throw new Error('This scenario has no counterpart.');
+  const start = await load();
   return start(request);
 }
 
--- /dev/null
+++ b/packages/bench/src/slopes/sides/busy-sidecar.ts
@@ -0,0 +1,31 @@
+/** A real sidecar that runs tasks. */
+import { createSystemTimerService } from '@cranberryturn/timers';
+
+import { startMeasuredSidecar } from '../parts/start-measured-sidecar.js';
+import type { ScenarioInput, ScenarioSide } from '../scenario.js';
+import { waitForRuns } from './wait-for-runs.js';
+
+/** Starts a sidecar that dials the first peer; the second one is its target. */
+export function startBusySidecar({
+  peers,
+  seed,
+  size,
+}: ScenarioInput): Promise<ScenarioSide> {
+  const timers = createSystemTimerService();
+  const [dispatcher, target] = peers;
+  if (dispatcher === undefined || target === undefined) {
+    throw new Error('The counterpart gave too few addresses.');
+  }
+  const sidecar = startMeasuredSidecar({
+    timers,
+    seed,
+    dispatchers: [dispatcher],
+    target,
+  });
+  return Promise.resolve({
+    addresses: [],
+    ready: sidecar.waitForSessions,
+    work: () => waitForRuns(timers, sidecar.ended, size),
+    traffic: sidecar.traffic,
+  });
+}
--- /dev/null
+++ b/packages/bench/src/slopes/sides/hold-memory.ts
@@ -0,0 +1,25 @@
+/** A process that holds a block of memory and nothing else. */
+import { createSystemTimerService } from '@cranberryturn/timers';
+
+import { noTraffic, type ScenarioSide } from '../scenario.js';
+import { stayIdle } from './idle.js';
+
+const bytesPerMebibyte = 1_048_576;
+
+/** Starts to hold `size` mebibytes. */
+export function holdMemory({
+  size,
+}: {
+  readonly size: number;
+}): Promise<ScenarioSide> {
+  const held = Buffer.alloc(size * bytesPerMebibyte, 1);
+  return Promise.resolve({
+    addresses: [],
+    ready: () => Promise.resolve(),
+    work: async () => {
+      const seconds = await stayIdle(createSystemTimerService());
+      return held.length >= 0 ? seconds : 0;
+    },
+    traffic: () => noTraffic,
+  });
+}
--- /dev/null
+++ b/packages/bench/src/slopes/sides/idle-dispatchers.ts
@@ -0,0 +1,29 @@
+/** Stand-in dispatchers that hand out nothing. */
+import { createSystemTimerService } from '@cranberryturn/timers';
+
+import { startStandInDispatcher } from '../parts/stand-in-dispatcher.js';
+import {
+  noTraffic,
+  type ScenarioInput,
+  type ScenarioSide,
+} from '../scenario.js';
+
+/** Starts `size` dispatchers. */
+export async function startIdleDispatchers({
+  size,
+}: ScenarioInput): Promise<ScenarioSide> {
+  const timers = createSystemTimerService();
+  const dispatchers = await Promise.all(
+    Array.from({ length: size }, (_, number) =>
+      startStandInDispatcher(number, timers, () => undefined),
+    ),
+  );
+  return {
+    addresses: dispatchers.map(one => one.address),
+    ready: async () => {
+      await Promise.all(dispatchers.map(one => one.waitForTarget()));
+    },
+    work: () => Promise.resolve(0),
+    traffic: () => noTraffic,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/sides/idle-sidecar.ts
@@ -0,0 +1,28 @@
+/** A real sidecar without work. */
+import { createSystemTimerService } from '@cranberryturn/timers';
+
+import { startMeasuredSidecar } from '../parts/start-measured-sidecar.js';
+import type { ScenarioInput, ScenarioSide } from '../scenario.js';
+import { stayIdle } from './idle.js';
+
+const unusedTarget = { address: '127.0.0.1', port: 1 };
+
+/** Starts a sidecar that dials all peers. */
+export function startIdleSidecar({
+  peers,
+  seed,
+}: ScenarioInput): Promise<ScenarioSide> {
+  const timers = createSystemTimerService();
+  const sidecar = startMeasuredSidecar({
+    timers,
+    seed,
+    dispatchers: peers,
+    target: unusedTarget,
+  });
+  return Promise.resolve({
+    addresses: [],
+    ready: sidecar.waitForSessions,
+    work: () => stayIdle(timers),
+    traffic: sidecar.traffic,
+  });
+}
--- /dev/null
+++ b/packages/bench/src/slopes/sides/many-claims.ts
@@ -0,0 +1,61 @@
+/** A client of control that keeps a number of claims open. */
+import type { ControlClient } from '@cranberryturn/control-client';
+import { createSystemTimerService } from '@cranberryturn/timers';
+import { ClaimOutcomeKind } from '@cranberryturn/types';
+
+import { countClaims } from '../parts/claim-load.js';
+import { measuredService, nameDispatcher } from '../parts/identities.js';
+import { startFollower } from '../parts/start-follower.js';
+import {
+  noTraffic,
+  type ScenarioInput,
+  type ScenarioSide,
+} from '../scenario.js';
+
+/** Starts a client with `size` claims at the same time. */
+export function startManyClaims({
+  size,
+  seed,
+  peers,
+}: ScenarioInput): Promise<ScenarioSide> {
+  const [control] = peers;
+  if (control === undefined) throw new Error('No replica to dial.');
+  const client = startFollower(0, control, createSystemTimerService(), seed);
+  return Promise.resolve({
+    addresses: [],
+    ready: () => Promise.resolve(),
+    work: async () => {
+      const claims = countClaims(size);
+      await Promise.all(
+        Array.from({ length: size }, (_, first) =>
+          claimEach(client, first, size, claims),
+        ),
+      );
+      return claims;
+    },
+    traffic: () => noTraffic,
+  });
+}
+
+async function claimEach(
+  client: ControlClient,
+  first: number,
+  step: number,
+  claims: number,
+): Promise<void> {
+  const { name, incarnation } = nameDispatcher(0);
+  for (let number = first; number < claims; number += step) {
+    const outcome = await client.claims.claimJob({
+      team: 'measured-team',
+      jobId: `measured-team/job-${String(number)}`,
+      service: measuredService,
+      digest: '0'.repeat(32),
+      owner: { dispatcherId: name, incarnation },
+      submissionId: `submission-${String(number)}`,
+    });
+    if (outcome.isErr()) throw outcome.error;
+    if (outcome.value.kind !== ClaimOutcomeKind.Granted) {
+      throw new Error(`Claim ${String(number)} was ${outcome.value.kind}.`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/slopes/sides/many-followers.ts
@@ -0,0 +1,29 @@
+/** Clients of control that only follow the configuration. */
+import { createSystemTimerService } from '@cranberryturn/timers';
+
+import { startFollower } from '../parts/start-follower.js';
+import {
+  noTraffic,
+  type ScenarioInput,
+  type ScenarioSide,
+} from '../scenario.js';
+
+/** Starts `size` clients. */
+export function startManyFollowers({
+  size,
+  seed,
+  peers,
+}: ScenarioInput): Promise<ScenarioSide> {
+  const [control] = peers;
+  if (control === undefined) throw new Error('No replica to dial.');
+  const timers = createSystemTimerService();
+  for (let number = 0; number < size; number += 1) {
+    startFollower(number, control, timers, seed);
+  }
+  return Promise.resolve({
+    addresses: [],
+    ready: () => Promise.resolve(),
+    work: () => Promise.resolve(0),
+    traffic: () => noTraffic,
+  });
+}
--- /dev/null
+++ b/packages/bench/src/slopes/sides/measured-dispatcher.ts
@@ -0,0 +1,125 @@
+/** A real dispatcher whose control answers in memory. */
+import { digestToken } from '@cranberryturn/authentication';
+import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
+import { createMetrics } from '@cranberryturn/metrics';
+import {
+  createSystemTimerService,
+  sleep,
+  type TimerService,
+} from '@cranberryturn/timers';
+import {
+  DecisionKind,
+  emptyConfiguration,
+  type Milliseconds,
+} from '@cranberryturn/types';
+import { createWebSocketNetwork, ProcessRole } from '@cranberryturn/wire';
+
+import { createMemoryControl } from '../../fakes/memory-control.js';
+import { type CountedNetwork, countTraffic } from '../count-traffic.js';
+import { measuredService, nameDispatcher } from '../parts/identities.js';
+import {
+  busySidecars,
+  countJobs,
+  measuredTeam,
+  measuredToken,
+} from '../parts/job-load.js';
+import { measuredKeys } from '../parts/measured-keys.js';
+import type { ScenarioInput, ScenarioSide } from '../scenario.js';
+import { stayIdle } from './idle.js';
+import { waitForRuns } from './wait-for-runs.js';
+
+const mebibyte = 1_048_576;
+const anyPort = { address: '127.0.0.1', port: 0 };
+const settleMilliseconds: Milliseconds = 1_500;
+
+/** Starts a dispatcher that is measured without work. */
+export function startIdleDispatcher(
+  input: ScenarioInput,
+): Promise<ScenarioSide> {
+  return startSide(input.seed, input.size, timers => stayIdle(timers));
+}
+
+/** Starts a dispatcher that is measured while it serves jobs of `size` tasks. */
+export function startBusyDispatcher(
+  input: ScenarioInput,
+): Promise<ScenarioSide> {
+  const jobs = countJobs(input.size);
+  return startSide(input.seed, busySidecars, (timers, answered) =>
+    waitForRuns(timers, answered, jobs),
+  );
+}
+
+async function startSide(
+  seed: number,
+  sidecars: number,
+  work: (timers: TimerService, answered: () => number) => Promise<number>,
+): Promise<ScenarioSide> {
+  const timers = createSystemTimerService();
+  const counted = countTraffic(
+    createWebSocketNetwork({
+      self: nameDispatcher(0),
+      keys: measuredKeys,
+      timers,
+    }),
+  );
+  let answered = 0;
+  const dispatcher = await start(seed, timers, counted, () => {
+    answered += 1;
+  });
+  return {
+    addresses: [dispatcher.peersAddress, dispatcher.callersAddress],
+    ready: async () => {
+      const known = (): number => dispatcher.scheduler.status().targets.length;
+      await waitForRuns(timers, known, sidecars);
+      await sleep(timers, settleMilliseconds);
+    },
+    work: () => work(timers, () => answered),
+    traffic: counted.count,
+  };
+}
+
+async function start(
+  seed: number,
+  timers: TimerService,
+  counted: CountedNetwork,
+  jobAnswered: () => void,
+): Promise<Dispatcher> {
+  const { name, incarnation } = nameDispatcher(0);
+  const started = await startDispatcher({
+    self: { dispatcherId: name, incarnation },
+    callers: anyPort,
+    peers: anyPort,
+    teams: [{ team: measuredTeam, tokenDigests: [digestToken(measuredToken)] }],
+    limits: {
+      bodyBytes: 8 * mebibyte,
+      bodyTimeoutMilliseconds: 10_000,
+      callersConnections: 4_096,
+    },
+    retention: { answersMilliseconds: 600_000, answersBytes: 64 * mebibyte },
+    network: counted.network,
+    control: createMemoryControl({
+      ...emptyConfiguration,
+      version: 1,
+      services: [
+        {
+          service: measuredService,
+          queueLimit: 100_000,
+          defaultDeadlineMilliseconds: 30_000,
+          retryBudgetPercent: 10,
+        },
+      ],
+    }),
+    timers,
+    seed,
+    metrics: createMetrics({
+      role: ProcessRole.Dispatcher,
+      process: name,
+      timers,
+    }),
+    decisions: decision => {
+      if (decision.kind === DecisionKind.Replied) jobAnswered();
+    },
+  });
+  if (started.isErr()) throw started.error;
+  return started.value;
+}
