Record, replay and judge traces; work out the capacity tables

Traces are recorded from the real processes over loopback and replayed through the same dispatcher, sidecar and control code under the manual clock; stated outcomes come from the promises and targets, not from the recording. The capacity page gets its tables from saved slopes. A refusal is told by its status.

--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -3,10 +3,12 @@
 import { CranberryError } from '@cranberryturn/errors';
 import { Command } from 'commander';
 
+import { addCapacityCommand } from '../commands/capacity-command.js';
 import { addCheckCommand } from '../commands/check-command.js';
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
 import { addSlopesCommand } from '../commands/slopes-command.js';
+import { addTraceCommands } from '../commands/trace-commands.js';
 
 const program = new Command('cranberry-bench').description(
   'Measures cranberryturn on this machine and checks what it promises.',
@@ -15,6 +17,8 @@
 addSlopesCommand(program);
 addCheckCommand(program);
 addReportCommand(program);
+addCapacityCommand(program);
+addTraceCommands(program);
 
 try {
   await program.parseAsync();
--- /dev/null
+++ b/packages/bench/src/capacity/compute-capacity.ts
@@ -0,0 +1,168 @@
+/** Works out the load of each role at the target size from measured slopes. */
+import { formatNumber } from '../report/format-table.js';
+import type { ResultFile } from '../results/result-file.js';
+import type { Slope } from '../slopes/measure-slopes.js';
+import type { CapacityRow, CapacityTable } from './capacity-table.js';
+import { computeControl } from './compute-control.js';
+import { computeSidecar } from './compute-sidecar.js';
+import { readSlopeValues, type SlopeValues } from './slope-values.js';
+import {
+  jobSizes,
+  plannedUse,
+  targetSize,
+  usualJobTasks,
+} from './target-size.js';
+
+const millisecondsPerSecond = 1_000;
+
+/** What the other roles need to know of the dispatchers. */
+export interface DispatcherPlan {
+  /** Dispatcher processes of one core each. */
+  readonly processes: number;
+  /** Dispatchers that each sidecar may hold sessions with within its budget. */
+  readonly sessionsPerSidecar: number;
+  /** Sidecars of each dispatcher then. */
+  readonly sidecarsPerDispatcher: number;
+}
+
+/** Works out every table of the page. */
+export function computeCapacity(
+  result: ResultFile<readonly Slope[]>,
+): readonly CapacityTable[] {
+  const values = readSlopeValues(result.content);
+  const plan = planDispatchers(values);
+  return [
+    { name: 'origin', rows: describeOriginRows(result) },
+    { name: 'dispatcher', rows: computeDispatcher(values, plan) },
+    { name: 'sidecar', rows: computeSidecar(values, plan) },
+    { name: 'control', rows: computeControl(values, plan) },
+  ];
+}
+
+/** Works out how many dispatchers there are and which sidecars each serves. */
+export function planDispatchers(values: SlopeValues): DispatcherPlan {
+  const perCore = startsPerCore(values, usualJobTasks);
+  const processes = Math.ceil(
+    targetSize.startsPerSecond / (perCore * plannedUse),
+  );
+  const bytes = values.perUnit('sidecar-sessions', 'bytes');
+  const sessionsPerSidecar = Math.min(
+    processes,
+    Math.floor(targetSize.daemonBytesPerSecond / bytes),
+  );
+  return {
+    processes,
+    sessionsPerSidecar,
+    sidecarsPerDispatcher: Math.ceil(
+      (targetSize.workers * sessionsPerSidecar) / processes,
+    ),
+  };
+}
+
+function startsPerCore(values: SlopeValues, tasks: number): number {
+  const perJob = values.at('dispatcher-tasks', 'processorMilliseconds', tasks);
+  return (millisecondsPerSecond * tasks) / perJob;
+}
+
+function computeDispatcher(
+  values: SlopeValues,
+  plan: DispatcherPlan,
+): readonly CapacityRow[] {
+  const { processes, sidecarsPerDispatcher } = plan;
+  const all = targetSize.workers;
+  return [
+    ...jobSizes.map(tasks => describeRate(values, tasks)),
+    {
+      figure: `dispatchers, jobs of ${String(usualJobTasks)}, each core used to ${formatNumber(plannedUse * 100)} %`,
+      value: formatNumber(processes),
+      source: `${formatNumber(targetSize.startsPerSecond)} starts a second / starts a core / use`,
+    },
+    {
+      figure: `messages for each task, jobs of ${String(usualJobTasks)}`,
+      value: formatNumber(
+        values.at('dispatcher-tasks', 'messages', usualJobTasks) /
+          usualJobTasks,
+      ),
+      budget: '2.2',
+      source:
+        'dispatcher-tasks, messages; the claim comes on top, one for each job',
+    },
+    {
+      figure: 'sidecars of one dispatcher, with subsets',
+      value: formatNumber(sidecarsPerDispatcher),
+      source: 'workers x sessions of a sidecar / dispatchers',
+    },
+    describeSessions(values, 'with subsets', sidecarsPerDispatcher),
+    describeSessions(values, 'without subsets', all),
+    {
+      figure: 'heap of sessions, with subsets',
+      value: `${formatNumber(values.perUnit('dispatcher-sidecars', 'heapMebibytes') * sidecarsPerDispatcher)} MiB`,
+      source: 'dispatcher-sidecars, heap slope x sidecars',
+    },
+    {
+      figure: 'resident memory without work, with subsets',
+      value: `${formatNumber(values.at('dispatcher-sidecars', 'residentMebibytes', sidecarsPerDispatcher))} MiB`,
+      source: 'dispatcher-sidecars, resident line',
+    },
+    {
+      figure: `processor time of scheduling alone, ${formatNumber(targetSize.teams)} teams`,
+      value: `${formatNumber(values.at('dispatcher-teams', 'processorMilliseconds', targetSize.teams))} ms a task`,
+      source: 'dispatcher-teams, line at 98 teams over 1,600 targets',
+    },
+    {
+      figure: `processor time of scheduling alone, ${formatNumber(all)} targets`,
+      value: `${formatNumber(values.at('dispatcher-targets', 'processorMilliseconds', all))} ms a task`,
+      source: 'dispatcher-targets, line at 1,600 targets',
+    },
+  ];
+}
+
+function describeRate(values: SlopeValues, tasks: number): CapacityRow {
+  return {
+    figure: `starts a second on one core, jobs of ${String(tasks)}`,
+    value: formatNumber(startsPerCore(values, tasks)),
+    budget: tasks === usualJobTasks ? '7,000' : undefined,
+    source: `dispatcher-tasks: ${formatNumber(values.at('dispatcher-tasks', 'processorMilliseconds', 0))} ms a job and ${formatNumber(values.perUnit('dispatcher-tasks', 'processorMilliseconds'))} ms a task`,
+  };
+}
+
+function describeSessions(
+  values: SlopeValues,
+  how: string,
+  sidecars: number,
+): CapacityRow {
+  const processor = values.at(
+    'dispatcher-sidecars',
+    'processorMilliseconds',
+    sidecars,
+  );
+  const bytes = values.perUnit('dispatcher-sidecars', 'bytes') * sidecars;
+  return {
+    figure: `idle sessions, ${how}: processor and traffic`,
+    value: `${formatNumber(processor / 10)} % of a core, ${formatNumber(bytes / 1_024)} KB/s`,
+    source: `dispatcher-sidecars, lines at ${formatNumber(sidecars)} sidecars`,
+  };
+}
+
+function describeOriginRows({
+  origin,
+}: ResultFile<readonly Slope[]>): readonly CapacityRow[] {
+  const { machine } = origin;
+  return [
+    {
+      figure: 'measured on',
+      value: `${machine.processor}, ${String(machine.cores)} cores, ${String(machine.memoryGibibytes)} GiB`,
+      source: 'bench/results/slopes.json',
+    },
+    {
+      figure: 'runtime',
+      value: `Node.js ${machine.node}`,
+      source: 'bench/results/slopes.json',
+    },
+    {
+      figure: 'commit and seed',
+      value: `${origin.commit}, ${String(origin.seed)}`,
+      source: 'bench/results/slopes.json',
+    },
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/capacity/slope-values.ts
@@ -0,0 +1,30 @@
+/** Reads values at a size from saved slopes. */
+import { valueAt } from '../results/fit-line.js';
+import type { Slope } from '../slopes/measure-slopes.js';
+import type { MeasuredQuantity } from '../slopes/reading.js';
+
+/** Values of saved slopes. */
+export interface SlopeValues {
+  /** Value of the fitted line at a size. */
+  at(name: string, quantity: MeasuredQuantity, size: number): number;
+  /** Growth for each unit of size. */
+  perUnit(name: string, quantity: MeasuredQuantity): number;
+  /** Value measured at the largest size, where the cost does not grow along a line. */
+  atLargest(name: string, quantity: MeasuredQuantity): number;
+}
+
+/** Reads values from slopes; a missing slope is an error in the caller. */
+export function readSlopeValues(slopes: readonly Slope[]): SlopeValues {
+  const find = (name: string): Slope => {
+    const slope = slopes.find(one => one.name === name);
+    if (slope !== undefined) return slope;
+    throw new Error(
+      `The saved slopes hold no "${name}"; measure again with \`npm run bench -- slopes --save bench/results/slopes.json\`.`,
+    );
+  };
+  return {
+    at: (name, quantity, size) => valueAt(find(name).lines[quantity], size),
+    perUnit: (name, quantity) => find(name).lines[quantity].slope,
+    atLargest: (name, quantity) => find(name).readings.at(-1)?.[quantity] ?? 0,
+  };
+}
--- a/packages/bench/src/load/create-http-job-client.ts
+++ b/packages/bench/src/load/create-http-job-client.ts
@@ -32,6 +32,7 @@
     .default([]),
 });
 const okStatus = 200;
+const refusalStatuses = new Set([400, 401, 409, 413, 422, 429, 503]);
 const brokenStatus = 0;
 const brokenReply = { outcome: SubmissionOutcome.Broken, answers: [] };
 
@@ -137,9 +138,9 @@
   if (status === okStatus && outcome === JobOutcome.Complete) {
     return SubmissionOutcome.Complete;
   }
-  return outcome === JobOutcome.Failed
-    ? SubmissionOutcome.Failed
-    : SubmissionOutcome.Refused;
+  return refusalStatuses.has(status) || outcome === undefined
+    ? SubmissionOutcome.Refused
+    : SubmissionOutcome.Failed;
 }
 
 function parseJson(text: string): unknown {
--- a/packages/bench/src/system/bench-context.ts
+++ b/packages/bench/src/system/bench-context.ts
@@ -21,7 +21,11 @@
   type ProcessRole,
 } from '@cranberryturn/wire';
 
-import { countSent, type SentTraffic } from './count-sent.js';
+import {
+  type CountedSentNetwork,
+  countSent,
+  type SentTraffic,
+} from './count-sent.js';
 
 /** A team with its token. */
 export interface BenchTeam {
@@ -41,12 +45,15 @@
   readonly sent: ReadonlyMap<ProcessRole, SentTraffic>;
   decisionsOf(process: string): DecisionSink;
   join(self: PeerIdentity): Network;
+  /** Makes the open connections of a process silent for good. */
+  silence(process: string): void;
 }
 
 /** Creates what the processes share. */
 export function createBenchContext(timers: TimerService): BenchContext {
   const records: DecisionRecord[] = [];
   const sent = new Map<ProcessRole, SentTraffic>();
+  const networks = new Map<string, CountedSentNetwork>();
   const keys = createKeys();
   return {
     timers,
@@ -61,7 +68,15 @@
     join: self => {
       const traffic = sent.get(self.role) ?? { frames: 0, bytes: 0 };
       sent.set(self.role, traffic);
-      return countSent(createWebSocketNetwork({ self, keys, timers }), traffic);
+      const counted = countSent(
+        createWebSocketNetwork({ self, keys, timers }),
+        traffic,
+      );
+      networks.set(self.name, counted);
+      return counted.network;
+    },
+    silence: process => {
+      networks.get(process)?.silence();
     },
   };
 }
--- a/packages/bench/src/system/count-sent.ts
+++ b/packages/bench/src/system/count-sent.ts
@@ -1,4 +1,4 @@
-/** Counts the frames that the processes of one role send. */
+/** Counts the frames that the processes of one role send, and can make connections silent. */
 import type { Connection, Network } from '@cranberryturn/wire';
 
 /** Frames and bytes sent so far. Handshakes are left out. */
@@ -7,25 +7,62 @@
   bytes: number;
 }
 
+/** A network whose sent frames are counted. */
+export interface CountedSentNetwork {
+  readonly network: Network;
+  /** Makes all open connections silent in both directions; neither end is told. */
+  silence(): void;
+}
+
+interface Link {
+  silent: boolean;
+}
+
 /** Wraps a network so that each frame sent is added to `traffic`. */
-export function countSent(network: Network, traffic: SentTraffic): Network {
-  const wrap = (connection: Connection): Connection => ({
-    peer: connection.peer,
-    send: frame => {
-      traffic.frames += 1;
-      traffic.bytes += frame.byteLength;
-      connection.send(frame);
+export function countSent(
+  network: Network,
+  traffic: SentTraffic,
+): CountedSentNetwork {
+  const links = new Set<Link>();
+
+  const wrap = (connection: Connection): Connection => {
+    const link: Link = { silent: false };
+    links.add(link);
+    return {
+      peer: connection.peer,
+      send: frame => {
+        if (link.silent) return;
+        traffic.frames += 1;
+        traffic.bytes += frame.byteLength;
+        connection.send(frame);
+      },
+      receive: () => readUntilSilent(connection, link),
+      close: () => {
+        links.delete(link);
+        connection.close();
+      },
+    };
+  };
+
+  return {
+    network: {
+      dial: address => network.dial(address).map(wrap),
+      listen: (address, handler) =>
+        network.listen(address, connection => {
+          handler(wrap(connection));
+        }),
     },
-    receive: () => connection.receive(),
-    close: () => {
-      connection.close();
+    silence: () => {
+      for (const link of links) link.silent = true;
     },
-  });
-  return {
-    dial: address => network.dial(address).map(wrap),
-    listen: (address, handler) =>
-      network.listen(address, connection => {
-        handler(wrap(connection));
-      }),
   };
 }
+
+async function* readUntilSilent(
+  connection: Connection,
+  link: Link,
+): AsyncGenerator<Uint8Array> {
+  for await (const frame of connection.receive()) {
+    if (!link.silent) yield frame;
+  }
+}
--- a/packages/bench/src/system/start-bench-system.ts
+++ b/packages/bench/src/system/start-bench-system.ts
@@ -63,6 +63,8 @@
   sentBy(role: ProcessRole): SentTraffic;
   /** Ends a worker at once, target and sidecar. */
   killWorker(position: number): Promise<void>;
+  /** Makes the open connections of a process silent for good. */
+  silence(process: string): void;
   stop(): Promise<void>;
 }
 
@@ -109,6 +111,7 @@
     sentBy: role => ({
       ...(context.sent.get(role) ?? { frames: 0, bytes: 0 }),
     }),
+    silence: context.silence,
     killWorker: async position => {
       const worker = workers[position];
       worker?.sidecar.kill();
--- /dev/null
+++ b/packages/bench/src/traces/bench-stage.ts
@@ -0,0 +1,75 @@
+/** The real processes over loopback, as a stage for recording. */
+import { createHttpJobClient } from '../load/create-http-job-client.js';
+import type { TimerService } from '@cranberryturn/timers';
+
+import {
+  type BenchSystem,
+  startBenchSystem,
+} from '../system/start-bench-system.js';
+import { brokenReply } from './manual-submissions.js';
+import type { Stage } from './stage.js';
+import {
+  type TraceFault,
+  TraceFaultKind,
+  type TraceHeader,
+} from './trace-format.js';
+import { traceShape } from './trace-shape.js';
+
+/** Starts the real processes. */
+export async function startBenchStage(
+  header: TraceHeader,
+  timers: TimerService,
+): Promise<Stage> {
+  const system = await startBenchSystem({
+    shape: {
+      ...traceShape,
+      workers: header.workers,
+      slotsPerWorker: header.slots,
+    },
+    dispatchers: header.dispatchers,
+    seed: header.seed,
+    timers,
+  });
+  const clients = system.urls.map(url =>
+    createHttpJobClient({ urls: [url], tokenOf: system.tokenOf }),
+  );
+  return {
+    records: system.records,
+    startedAt: timers.wallClock(),
+    targetOf: worker => system.workers[worker]?.target.targetId ?? '',
+    startCounts: () =>
+      system.workers.flatMap(({ target }) => target.starts.list()),
+    submitJob: (dispatcher, job) =>
+      clients[dispatcher]?.submitJob(job) ?? Promise.resolve(brokenReply),
+    cancelJob: (dispatcher, job) =>
+      clients[dispatcher]?.cancelJob(job) ?? Promise.resolve(),
+    applyFault: fault => applyFault(system, fault),
+    stop: async () => {
+      for (const client of clients) await client.close();
+      await system.stop();
+    },
+  };
+}
+
+async function applyFault(
+  system: BenchSystem,
+  fault: TraceFault,
+): Promise<void> {
+  switch (fault.kind) {
+    case TraceFaultKind.WorkerDies:
+      await system.killWorker(fault.worker);
+      return;
+    case TraceFaultKind.TargetFault:
+      system.workers[fault.worker]?.target.setFault(fault.fault);
+      return;
+    case TraceFaultKind.ConnectionsSilent:
+      system.silence(system.workers[fault.worker]?.target.targetId ?? '');
+      return;
+    case TraceFaultKind.DispatcherDies:
+      system.dispatchers[fault.dispatcher]?.dispatcher.kill();
+      return;
+    case TraceFaultKind.WorkerLeaves:
+      await system.workers[fault.worker]?.sidecar.stop();
+      return;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/traces/manual-submissions.ts
@@ -0,0 +1,82 @@
+/** Submissions to a dispatcher without HTTP, read as a caller would read the answer. */
+import { type Submission, SubmissionKind } from '@cranberryturn/dispatcher';
+import { JobOutcome, type JobRequest, Started } from '@cranberryturn/types';
+
+import { SubmissionOutcome, type SubmissionReply } from '../load/job-client.js';
+import type { PlannedJob } from '../load/plan-load.js';
+import { nameJobInLogs } from '../load/summarize-load.js';
+
+/** What the caller sees when its connection breaks. */
+export const brokenReply: SubmissionReply = {
+  outcome: SubmissionOutcome.Broken,
+  status: 0,
+  reason: 'the connection broke',
+  answers: [],
+};
+
+const statuses = { ok: 200, conflict: 409, failed: 502, refused: 503 };
+
+/** The request that a dispatcher makes of a submission. */
+export function toJobRequest(job: PlannedJob): JobRequest {
+  return {
+    jobId: nameJobInLogs(job),
+    service: job.service,
+    team: job.team,
+    idempotent: job.idempotent,
+    deadlineMilliseconds: job.deadlineMilliseconds,
+    tasks: job.tasks.map(task => ({
+      taskId: task.taskId,
+      payload: JSON.stringify({
+        runMilliseconds: task.runMilliseconds,
+        answerBytes: task.answerBytes,
+      }),
+      declared: task.declared,
+    })),
+  };
+}
+
+/** Reads the end of a submission. */
+export function readSubmission(submission: Submission): SubmissionReply {
+  switch (submission.kind) {
+    case SubmissionKind.Result:
+      return readResult(submission.result);
+    case SubmissionKind.Refused:
+      return {
+        outcome: SubmissionOutcome.Refused,
+        status: statuses.refused,
+        started: Started.No,
+        reason: submission.reason,
+        answers: [],
+      };
+    case SubmissionKind.Conflict:
+      return {
+        outcome: SubmissionOutcome.Refused,
+        status: statuses.conflict,
+        answers: [],
+      };
+  }
+}
+
+function readResult(
+  result: Extract<Submission, { kind: SubmissionKind.Result }>['result'],
+): SubmissionReply {
+  if (result.outcome === JobOutcome.Failed) {
+    return {
+      outcome: SubmissionOutcome.Failed,
+      status: statuses.failed,
+      jobOutcome: result.outcome,
+      started: result.started,
+      reason: result.reason,
+      answers: [],
+    };
+  }
+  return {
+    outcome: SubmissionOutcome.Complete,
+    status: statuses.ok,
+    jobOutcome: result.outcome,
+    answers: result.answers.map(({ taskId, answer }) => {
+      const echoed = JSON.parse(answer) as { jobId: string; taskId: string };
+      return { taskId, echoedJobId: echoed.jobId, echoedTaskId: echoed.taskId };
+    }),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/traces/record-trace.ts
@@ -0,0 +1,48 @@
+/** Records a trace from the real processes. */
+import type { TimerService } from '@cranberryturn/timers';
+
+import { readCommit } from '../results/read-commit.js';
+import { startBenchStage } from './bench-stage.js';
+import { driveTrace } from './drive-trace.js';
+import { judgeTrace, type UnmetExpectation } from './judge-trace.js';
+import { type Trace, type TraceHeader, TraceLineKind } from './trace-format.js';
+import type { TraceScript } from './trace-scripts.js';
+import { traceDispatchers, traceShape } from './trace-shape.js';
+
+/** A recorded trace, and what the real processes did not meet. */
+export interface RecordedTrace {
+  readonly trace: Trace;
+  readonly unmet: readonly UnmetExpectation[];
+}
+
+/** Drives a script through the real processes and keeps what came of it. */
+export async function recordTrace(
+  script: TraceScript,
+  seed: number,
+  timers: TimerService,
+): Promise<RecordedTrace> {
+  const header: TraceHeader = {
+    kind: TraceLineKind.Header,
+    name: script.name,
+    description: script.description,
+    seed,
+    commit: await readCommit(process.cwd()),
+    workers: traceShape.workers,
+    slots: traceShape.slotsPerWorker,
+    dispatchers: traceDispatchers,
+  };
+  const events = [...script.events].sort((left, right) => left.at - right.at);
+  const stage = await startBenchStage(header, timers);
+  const submissions = await driveTrace({ events }, stage, timers);
+  const unmet = judgeTrace(script.expectations, submissions, stage);
+  await stage.stop();
+  const observed = submissions.map(({ job, reply, responseMilliseconds }) => ({
+    kind: TraceLineKind.Observed as const,
+    jobId: job.jobId,
+    outcome: reply.outcome,
+    started: reply.started,
+    responseMilliseconds: Math.round(responseMilliseconds),
+  }));
+  const { expectations } = script;
+  return { trace: { header, events, observed, expectations }, unmet };
+}
--- /dev/null
+++ b/packages/bench/src/traces/trace-format.ts
@@ -0,0 +1,201 @@
+/** Traces: what happened to a system, line by line, and what must have come of it. */
+import { TargetFaultKind } from '@cranberryturn/stand-ins';
+import { Started } from '@cranberryturn/types';
+import { z } from 'zod';
+
+import { SubmissionOutcome } from '../load/job-client.js';
+
+/** The kinds of line. */
+export enum TraceLineKind {
+  Header = 'header',
+  Submission = 'submission',
+  Cancellation = 'cancellation',
+  Fault = 'fault',
+  /** How a submission ended when the trace was recorded; for comparison only. */
+  Observed = 'observed',
+  /** What must come of the trace, from the promises and the stated targets. */
+  Expected = 'expected',
+}
+
+/** Faults of a trace. */
+export enum TraceFaultKind {
+  WorkerDies = 'worker-dies',
+  TargetFault = 'target-fault',
+  /** All open connections of a worker go silent for good; new ones work. */
+  ConnectionsSilent = 'connections-silent',
+  DispatcherDies = 'dispatcher-dies',
+  /** Planned stop of a worker. */
+  WorkerLeaves = 'worker-leaves',
+}
+
+/** The kinds of expectation. */
+export enum ExpectationKind {
+  NoViolations = 'no-violations',
+  /** Each submission was answered by its deadline and this grace. */
+  EveryJobEnds = 'every-job-ends',
+  CompleteShare = 'complete-share',
+  JobEnds = 'job-ends',
+  StartsOnWorker = 'starts-on-worker',
+  ResponseOverIdeal = 'response-over-ideal',
+}
+
+const targetFaultSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(TargetFaultKind.None) }),
+  z.object({ kind: z.literal(TargetFaultKind.FailAll) }),
+  z.object({ kind: z.literal(TargetFaultKind.Slow), factor: z.number() }),
+  z.object({ kind: z.literal(TargetFaultKind.Hang) }),
+  z.object({
+    kind: z.literal(TargetFaultKind.Flap),
+    periodMilliseconds: z.number(),
+  }),
+  z.object({ kind: z.literal(TargetFaultKind.DropConnection) }),
+]);
+
+const faultSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(TraceFaultKind.WorkerDies), worker: z.int() }),
+  z.object({
+    kind: z.literal(TraceFaultKind.TargetFault),
+    worker: z.int(),
+    fault: targetFaultSchema,
+  }),
+  z.object({
+    kind: z.literal(TraceFaultKind.ConnectionsSilent),
+    worker: z.int(),
+  }),
+  z.object({
+    kind: z.literal(TraceFaultKind.DispatcherDies),
+    dispatcher: z.int(),
+  }),
+  z.object({ kind: z.literal(TraceFaultKind.WorkerLeaves), worker: z.int() }),
+]);
+
+const declaredSchema = z.object({
+  processors: z.number().optional(),
+  memoryMebibytes: z.number().optional(),
+  accelerators: z.number().optional(),
+  runMilliseconds: z.number().optional(),
+});
+
+const jobSchema = z.object({
+  at: z.number(),
+  jobId: z.string(),
+  request: z.string(),
+  service: z.string(),
+  team: z.string(),
+  idempotent: z.boolean(),
+  deadlineMilliseconds: z.number(),
+  tasks: z
+    .array(
+      z.object({
+        taskId: z.string(),
+        runMilliseconds: z.number(),
+        answerBytes: z.number(),
+        declared: declaredSchema.optional(),
+      }),
+    )
+    .readonly(),
+});
+
+const expectationSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(ExpectationKind.NoViolations) }),
+  z.object({
+    kind: z.literal(ExpectationKind.EveryJobEnds),
+    graceMilliseconds: z.number(),
+  }),
+  z.object({
+    kind: z.literal(ExpectationKind.CompleteShare),
+    /** Only jobs submitted from this time on. */
+    from: z.number(),
+    atLeast: z.number(),
+  }),
+  z.object({
+    kind: z.literal(ExpectationKind.JobEnds),
+    jobId: z.string(),
+    outcomes: z.array(z.enum(SubmissionOutcome)),
+    started: z.array(z.enum(Started)).optional(),
+  }),
+  z.object({
+    kind: z.literal(ExpectationKind.StartsOnWorker),
+    worker: z.int(),
+    /** Only starts from this time on. */
+    from: z.number(),
+    atMost: z.number(),
+  }),
+  z.object({
+    kind: z.literal(ExpectationKind.ResponseOverIdeal),
+    percentile: z.number(),
+    atMost: z.number(),
+  }),
+]);
+
+const lineSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal(TraceLineKind.Header),
+    name: z.string(),
+    description: z.string(),
+    seed: z.int(),
+    commit: z.string(),
+    workers: z.int(),
+    slots: z.int(),
+    dispatchers: z.int(),
+  }),
+  z.object({
+    kind: z.literal(TraceLineKind.Submission),
+    at: z.number(),
+    dispatcher: z.int(),
+    job: jobSchema,
+  }),
+  z.object({
+    kind: z.literal(TraceLineKind.Cancellation),
+    at: z.number(),
+    dispatcher: z.int(),
+    jobId: z.string(),
+  }),
+  z.object({
+    kind: z.literal(TraceLineKind.Fault),
+    at: z.number(),
+    fault: faultSchema,
+  }),
+  z.object({
+    kind: z.literal(TraceLineKind.Observed),
+    jobId: z.string(),
+    outcome: z.enum(SubmissionOutcome),
+    started: z.enum(Started).optional(),
+    responseMilliseconds: z.number(),
+  }),
+  z.object({
+    kind: z.literal(TraceLineKind.Expected),
+    expectation: expectationSchema,
+  }),
+]);
+
+/** One line of a trace. */
+export type TraceLine = z.output<typeof lineSchema>;
+/** A fault of a trace. */
+export type TraceFault = z.output<typeof faultSchema>;
+/** What must come of a trace. */
+export type Expectation = z.output<typeof expectationSchema>;
+/** The first line of a trace. */
+export type TraceHeader = Extract<TraceLine, { kind: TraceLineKind.Header }>;
+/** A line that is driven: it happens at its time. */
+export type TraceEvent = Extract<TraceLine, { at: number }>;
+/** How a submission ended when the trace was recorded. */
+export type ObservedLine = Extract<TraceLine, { kind: TraceLineKind.Observed }>;
+
+/** A whole trace. */
+export interface Trace {
+  readonly header: TraceHeader;
+  /** In the order of their times. */
+  readonly events: readonly TraceEvent[];
+  readonly observed: readonly ObservedLine[];
+  readonly expectations: readonly Expectation[];
+}
+
+/** Parses one line. Undefined when it is not a line of a trace. */
+export function parseTraceLine(text: string): TraceLine | undefined {
+  try {
+    return lineSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/traces/trace-shape.ts
@@ -0,0 +1,27 @@
+/** The small deployment in which traces are recorded and replayed. */
+import {
+  type DeploymentShape,
+  registerShape,
+} from '../load/deployment-shape.js';
+
+const mostTasks = 4;
+
+/** Number of dispatchers of a trace. */
+export const traceDispatchers = 2;
+
+/** The register with four workers of four slots and small jobs. */
+export const traceShape: DeploymentShape = {
+  ...registerShape,
+  name: 'trace',
+  workers: 4,
+  workersPerRack: 2,
+  slotsPerWorker: 4,
+  callerDelayMilliseconds: 0,
+  requests: registerShape.requests.map(request => ({
+    ...request,
+    minimumTasks: Math.min(request.minimumTasks, mostTasks),
+    maximumTasks: Math.min(request.maximumTasks, mostTasks),
+    runTime: { ...request.runTime, longShare: 0 },
+    answerBytes: 100,
+  })),
+};
--- a/packages/dispatcher/src/index.ts
+++ b/packages/dispatcher/src/index.ts
@@ -2,3 +2,4 @@
 export * from './ports/control.js';
 export * from './start-dispatcher.js';
 export * from './start-dispatcher-role.js';
+export * from './submission.js';
