--- a/packages/bench/src/traces/judge-trace.ts
+++ b/packages/bench/src/traces/judge-trace.ts
@@ -9,6 +9,12 @@
 import type { Stage } from './stage.js';
 import { type Expectation, ExpectationKind } from './trace-format.js';
 
+/** The part of a stage that is judged. */
+export type JudgedStage = Pick<
+  Stage,
+  'records' | 'startCounts' | 'targetOf' | 'startedAt'
+>;
+
 /** One expectation that was not met. */
 export interface UnmetExpectation {
   readonly expectation: Expectation;
@@ -21,7 +27,7 @@
 export function judgeTrace(
   expectations: readonly Expectation[],
   submissions: readonly CompletedSubmission[],
-  stage: Stage,
+  stage: JudgedStage,
 ): readonly UnmetExpectation[] {
   return expectations.flatMap(expectation => {
     const detail = findFault(expectation, submissions, stage);
@@ -32,7 +38,7 @@
 function findFault(
   expectation: Expectation,
   submissions: readonly CompletedSubmission[],
-  stage: Stage,
+  stage: JudgedStage,
 ): string | undefined {
   switch (expectation.kind) {
     case ExpectationKind.NoViolations:
@@ -62,7 +68,7 @@
 
 function findViolations(
   submissions: readonly CompletedSubmission[],
-  stage: Stage,
+  stage: JudgedStage,
 ): string | undefined {
   const violations = checkDecisions(stage.records, {
     ...statedCheckOptions,
@@ -100,7 +106,7 @@
   return `ended ${outcome}, started ${started ?? 'not said'}: ${reason ?? 'no reason'}`;
 }
 
-function countStarts(stage: Stage, worker: number, from: number): number {
+function countStarts(stage: JudgedStage, worker: number, from: number): number {
   const target = stage.targetOf(worker);
   return stage.records.filter(
     record =>
