--- a/packages/bench/src/capacity/capacity-table.ts
+++ b/packages/bench/src/capacity/capacity-table.ts
@@ -35,7 +35,9 @@
   return [
     openingMarker(table.name),
     '',
+    '<!-- prettier-ignore-start -->',
     formatMarkdownTable(headings, rows),
+    '<!-- prettier-ignore-end -->',
     '',
     closingMarker(table.name),
   ].join('\n');
--- a/packages/bench/src/run/count-messages.ts
+++ b/packages/bench/src/run/count-messages.ts
@@ -74,9 +74,11 @@
     [WastedMessage.Retransmission]: sum(
       sessions.map(one => one.messagesResent),
     ),
-    [WastedMessage.RetryAttempt]: system.records.filter(
-      record => record.kind === DecisionKind.Retried,
-    ).length,
+    // A task placed again after a refused start is counted there.
+    [WastedMessage.RetryAttempt]: Math.max(
+      0,
+      countRetries(system) - counted[WastedMessage.RefusedStart],
+    ),
   };
   // A kind that a process counts itself may stand in both: the larger count holds.
   for (const kind of Object.values(WastedMessage)) {
@@ -85,6 +87,11 @@
   return counted;
 }
 
+function countRetries(system: BenchSystem): number {
+  return system.records.filter(record => record.kind === DecisionKind.Retried)
+    .length;
+}
+
 function listSessionCounts(system: BenchSystem): readonly SessionCounts[] {
   return [
     ...system.dispatchers.flatMap(({ dispatcher }) =>
