Learn the part of the slots while all are taken

With half of the workers dead, 107 admitted requests failed at their deadline: the expected wait took this dispatcher's part of the slots as equal, or as what ran at that moment. The average of about a second is now used while no slot is free. Connections now bound the slots of a target.

--- a/packages/scheduling/src/active-work.ts
+++ b/packages/scheduling/src/active-work.ts
@@ -117,6 +117,8 @@
   /** Targets that refused work lately. */
   readonly held: Set<TargetEntry>;
   configuration: ServiceConfiguration;
+  /** Tasks that run at the same time while no slot is free, averaged over about a second. */
+  saturatedParallelism: number | undefined;
   queuedTasks: number;
   queuedWork: Milliseconds;
 }
--- a/packages/scheduling/src/admit-job.ts
+++ b/packages/scheduling/src/admit-job.ts
@@ -91,7 +91,9 @@
   pool: ServicePool,
   mean: Milliseconds,
 ): number {
-  const slots = Math.max(expectedSlots(context, pool), pool.gate.running);
+  const slots =
+    pool.saturatedParallelism ??
+    Math.max(expectedSlots(context, pool), pool.gate.running);
   return Math.min(slots, pool.gate.parallelism(mean));
 }
 
--- a/packages/scheduling/src/apply-configuration.ts
+++ b/packages/scheduling/src/apply-configuration.ts
@@ -62,7 +62,8 @@
     drainedDataCentres.includes(record.dataCentre);
   const pool = findPool(context, record.service);
   const now = context.options.timers.now();
-  pool.index.changeSlots(entry, worker?.slots ?? record.slots, now);
+  const slots = Math.min(worker?.slots ?? record.slots, record.connections);
+  pool.index.changeSlots(entry, slots, now);
 }
 
 /** Takes the present shares of all limits from the ledger, and tells it the demands. */
--- a/packages/scheduling/src/faults.test.ts
+++ b/packages/scheduling/src/faults.test.ts
@@ -155,3 +155,10 @@
   t.true(fixture.sent.length <= 20, String(fixture.sent.length));
   t.is(fixture.fates.length, 0);
 });
+
+test('a target takes no more tasks than it accepts connections', t => {
+  const fixture = createSchedulerFixture();
+  fixture.addTarget({ slots: 8, connections: 3 });
+  fixture.start(createJob('job-1', 8));
+  t.is(fixture.sent.length, 3);
+});
--- a/packages/scheduling/src/scheduler-context.ts
+++ b/packages/scheduling/src/scheduler-context.ts
@@ -133,6 +133,7 @@
     backlogs: new Map(),
     held: new Set(),
     configuration,
+    saturatedParallelism: undefined,
     queuedTasks: 0,
     queuedWork: 0,
   };
--- a/packages/scheduling/src/watch-running-tasks.ts
+++ b/packages/scheduling/src/watch-running-tasks.ts
@@ -18,6 +18,7 @@
 const stragglerFactor = 1.5;
 const shortestStragglerMilliseconds: Milliseconds = 50;
 const shortestStaleMilliseconds: Milliseconds = 50;
+const newestWeight = 0.02;
 const abandonedMilliseconds: Milliseconds = 10_000;
 
 /** Does what is due in every service. */
@@ -27,6 +28,7 @@
     releaseHeldTargets(pool, now);
     probeTargets(pool, now);
     findStragglers(context, pool, now);
+    averageParallelism(pool);
     if (pool.queuedTasks === 0) continue;
     if (!pool.index.hasFree()) forgetStaleLoad(pool, now);
     placeTasks(context, pool);
@@ -34,6 +36,17 @@
   forgetAbandoned(context, now);
 }
 
+/** Learns how many slots other dispatchers leave while all are taken. */
+function averageParallelism(pool: ServicePool): void {
+  const { running } = pool.gate;
+  if (pool.queuedTasks === 0 || pool.index.hasFree()) {
+    pool.saturatedParallelism = undefined;
+    return;
+  }
+  const average = pool.saturatedParallelism ?? running;
+  pool.saturatedParallelism = average + (running - average) * newestWeight;
+}
+
 function probeTargets(pool: ServicePool, now: Milliseconds): void {
   for (const entry of pool.health.beginProbes(now))
     pool.index.update(entry, now);
