Say at once when this dispatcher holds no part of a quota

A dispatcher that just started, or whose part is lent, computed an infinite wait and told callers to come back after a minute. It now says so and asks for a second. The dispatcher passes the names of its peers, so that small limits are divided exactly.

--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -111,6 +111,7 @@
     },
     'deadline too close': { ...busy, teamBacklogMilliseconds: 40_000 },
     'a team without backlog goes ahead': { ...busy, teamFairShare: 0.5 },
+    'no part of the quota': { ...calm, teamParallelism: 0 },
     'over quota': {
       ...calm,
       teamParallelism: 1,
--- a/packages/admission/src/decide-admission.ts
+++ b/packages/admission/src/decide-admission.ts
@@ -34,6 +34,7 @@
 }
 
 const noTargetRetryMilliseconds: Milliseconds = 1_000;
+const noShareRetryMilliseconds: Milliseconds = 1_000;
 const shortestRetryMilliseconds: Milliseconds = 100;
 const longestRetryMilliseconds: Milliseconds = 60_000;
 /** Above this part of the queue limit, only teams below their fair share are admitted. */
@@ -98,6 +99,13 @@
   jitter: number,
 ): JobRefusal | undefined {
   const { service, team, deadlineMilliseconds } = question;
+  if (question.teamParallelism <= 0) {
+    return {
+      kind: RefusalKind.QuotaExceeded,
+      reason: `This dispatcher holds no part of the quota of team "${team}" at present; try again later.`,
+      retryAfterMilliseconds: spread(noShareRetryMilliseconds, jitter),
+    };
+  }
   const quotaMilliseconds =
     (question.teamBacklogMilliseconds + question.workMilliseconds) /
     question.teamParallelism;
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -243,8 +243,9 @@
 }: DispatcherParts): () => void {
   const { configuration, roster } = options.control;
   const apply = (): void => {
-    const dispatchers = Math.max(1, roster.current().dispatchers.length);
-    scheduler.applyConfiguration(configuration.current(), dispatchers);
+    const names = roster.current().dispatchers.map(one => one.dispatcherId);
+    const dispatchers = Math.max(1, names.length);
+    scheduler.applyConfiguration(configuration.current(), dispatchers, names);
     targets.applyConfiguration(configuration.current());
   };
   apply();
