--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -4,6 +4,7 @@
 import { Command } from 'commander';
 
 import { addCheckCommand } from '../commands/check-command.js';
+import { addControlCommand } from '../commands/control-command.js';
 import { addPoliciesCommand } from '../commands/policies-command.js';
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
@@ -14,6 +15,7 @@
 );
 addRunCommand(program);
 addSlopesCommand(program);
+addControlCommand(program);
 addCheckCommand(program);
 addPoliciesCommand(program);
 addReportCommand(program);
--- a/packages/control/src/adapters/serve-administration.ts
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -3,9 +3,14 @@
 import type { AddressInfo } from 'node:net';
 
 import { serve } from '@hono/node-server';
+import { ConfirmOutcomeKind } from '@cranberryturn/configuration';
 import { ConnectionError } from '@cranberryturn/errors';
 import { Counter, Gauge, type Metrics } from '@cranberryturn/metrics';
-import { ReplicaRole } from '@cranberryturn/replicated-log';
+import {
+  type LogEvent,
+  LogEventKind,
+  ReplicaRole,
+} from '@cranberryturn/replicated-log';
 import type { TimerService } from '@cranberryturn/timers';
 import type { NetworkAddress } from '@cranberryturn/types';
 import { maximumProofAge } from '@cranberryturn/wire';
@@ -16,6 +21,8 @@
   type Operator,
 } from '../administration-api.js';
 import type { ControlNode } from '../control-node.js';
+import { OperationOutcomeKind } from '../control-operations.js';
+import type { EntryOutcome } from '../control-state.js';
 
 /** A running administration API. */
 export interface AdministrationServer {
@@ -73,6 +80,9 @@
 }
 
 function observeReplica({ log, state }: ControlNode, metrics: Metrics): void {
+  log.subscribe(event => {
+    countEvent(event, metrics);
+  });
   metrics.observe(
     Gauge.ConfigurationVersion,
     () => state.configuration.configuration.version,
@@ -85,6 +95,24 @@
   metrics.observe(Gauge.JobsOpen, () => state.claims.unfinished.size);
 }
 
+function countEvent(event: LogEvent<EntryOutcome>, metrics: Metrics): void {
+  if (event.kind === LogEventKind.Applied) {
+    metrics.count(Counter.ConfigurationChanges, countChanges(event.outcome));
+    return;
+  }
+  if (event.kind !== LogEventKind.RoleChanged) return;
+  if (event.status.role !== ReplicaRole.Candidate) return;
+  metrics.count(Counter.ElectionsStarted);
+}
+
+function countChanges(outcomes: EntryOutcome): number {
+  return outcomes.filter(
+    outcome =>
+      outcome.kind === OperationOutcomeKind.Confirm &&
+      outcome.outcome.kind === ConfirmOutcomeKind.Accepted,
+  ).length;
+}
+
 function listen(
   fetch: Parameters<typeof serve>[0]['fetch'],
   { address, port }: NetworkAddress,
