End the client of control for good, and answer soon when cut off

Cause: a client that stopped after control was gone retried its report of answered jobs for ever, so the process could not exit; it also told of no watched host ten times a second, and a claim waited 5 s long after a cut. Change: the batch gives up at the stop; a move is told once; once the last proof is older than 4 s a call gives up after 0.3 s. Conclusion: no timer is left behind, and callers hear at once to come back.

--- a/packages/control-client/src/batch-finished-claims.ts
+++ b/packages/control-client/src/batch-finished-claims.ts
@@ -13,6 +13,8 @@
   add(finished: FinishedClaim): void;
   /** Reports everything that waits, without delay. */
   flush(): Promise<void>;
+  /** Gives up on what still waits; control keeps an unreported claim for longer. */
+  stop(): void;
 }
 
 /** Creates the batcher; `send` tells whether control took the batch. */
@@ -22,8 +24,10 @@
 ): FinishedClaimBatcher {
   let waiting: FinishedClaim[] = [];
   let pending: TimerSubscription | undefined;
+  let stopped = false;
 
   const schedule = (delay: Milliseconds): void => {
+    if (stopped) return;
     pending ??= timers.after(delay, () => {
       pending = undefined;
       void flush();
@@ -53,5 +57,9 @@
       schedule(batchDelay);
     },
     flush,
+    stop: () => {
+      stopped = true;
+      pending?.cancel();
+    },
   };
 }
--- a/packages/control-client/src/call-leader.ts
+++ b/packages/control-client/src/call-leader.ts
@@ -33,8 +33,8 @@
   readonly timers: TimerService;
   readonly random: RandomSource;
   readonly hosts: () => readonly ControlHost[];
-  /** Longest time for one call with all its attempts. */
-  readonly callTimeout: Milliseconds;
+  /** Longest time for one call with all its attempts; short while control has been out of reach for long. */
+  readonly patience: () => Milliseconds;
   readonly isStopped: () => boolean;
   /** Last known leader. */
   leader: ReplicaId | undefined;
@@ -58,7 +58,8 @@
   call: ControlCall,
 ): Promise<Result<SettledReply, UnavailableError | TimeoutError>> {
   const { timers, random } = calls;
-  const expiresAt = timers.now() + calls.callTimeout;
+  const patience = calls.patience();
+  const expiresAt = timers.now() + patience;
   let mayHaveHappened = false;
   let redirects = 0;
   let failures = 0;
@@ -77,7 +78,7 @@
     redirects = 0;
     await sleep(timers, pause * (0.5 + random.fraction() / 2));
   }
-  return err(describeFailure(call, calls.callTimeout, mayHaveHappened));
+  return err(describeFailure(call, patience, mayHaveHappened));
 }
 
 function chooseHost(
--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -37,10 +37,13 @@
 } from './call-leader.js';
 import { keepHosts } from './keep-hosts.js';
 import { holdLatest } from './hold-latest.js';
-import { watchControl } from './watch-control.js';
+import { type ControlWatch, watchControl } from './watch-control.js';
 
 const defaultCallTimeout: Milliseconds = 5_000;
 const reportInterval: Milliseconds = 1_000;
+/** An election is over well within this age of the last proof. */
+const cutOffAge: Milliseconds = 4_000;
+const cutOffPatience: Milliseconds = 300;
 
 /** What the client needs. */
 export interface ControlClientOptions {
@@ -99,7 +102,7 @@
     timers,
     random,
     hosts: hosts.list,
-    callTimeout: options.callTimeout ?? defaultCallTimeout,
+    patience: () => choosePatience(options, watch),
     isStopped,
     leader: undefined,
   };
@@ -145,6 +148,7 @@
     stop: async () => {
       await finished.flush();
       stopped = true;
+      finished.stop();
       reporting.cancel();
       unsubscribe();
       hosts.stop();
@@ -152,6 +156,17 @@
   };
 }
 
+/** A client that has long been cut off answers soon, so that callers hear at once when to come back. */
+function choosePatience(
+  { callTimeout = defaultCallTimeout, timers }: ControlClientOptions,
+  watch: ControlWatch,
+): Milliseconds {
+  const provedAt = watch.provedAt();
+  if (provedAt === undefined) return callTimeout;
+  const isCutOff = timers.now() - provedAt > cutOffAge;
+  return isCutOff ? Math.min(callTimeout, cutOffPatience) : callTimeout;
+}
+
 type Call = (body: ControlCall) => Promise<Result<SettledReply, ClaimError>>;
 
 function createClaimStore(
--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -50,6 +50,7 @@
   let watched: Watched | undefined;
   let position = options.firstHost;
   let provedAt: Milliseconds | undefined;
+  let reported: string | undefined;
 
   const subscribe = (calls: RemoteCalls, everything: boolean): void => {
     const call: ControlCall = {
@@ -68,6 +69,12 @@
     left?.host.reconnect();
   };
 
+  const reportMove = (name: string | undefined): void => {
+    if (name === reported) return;
+    reported = name;
+    options.handleMove?.(name);
+  };
+
   const moveOn = (): void => {
     const hosts = options.hosts();
     const start = position % Math.max(1, hosts.length);
@@ -77,11 +84,11 @@
       const calls = host.calls();
       if (calls === undefined) continue;
       watched = { host, calls, freshAt: timers.now() };
-      options.handleMove?.(calls.connection.peer.name);
+      reportMove(calls.connection.peer.name);
       subscribe(calls, false);
       return;
     }
-    options.handleMove?.(undefined);
+    reportMove(undefined);
   };
 
   const check = (): void => {
--- a/packages/control/src/control-failures.test.ts
+++ b/packages/control/src/control-failures.test.ts
@@ -174,3 +174,28 @@
     [lost],
   );
 });
+
+test('a dispatcher that has long been cut off from all control is told so at once', async t => {
+  const bed = await startCluster();
+  const moves: (string | undefined)[] = [];
+  const client = bed.cluster.connect('d1', 'run-1', host => moves.push(host));
+  await bed.timers.advance(1_000);
+  for (const host of bed.cluster.nodes().map(hostOf)) {
+    bed.cluster.network.cut('d1', host);
+  }
+  await bed.timers.advance(10_000);
+  const startedAt = bed.timers.now();
+  const refused = await settleWithin(
+    bed.timers,
+    client.claims.claimJob(claimOf('refused', 'd1')),
+  );
+  t.true(refused.isErr());
+  t.true(bed.timers.now() - startedAt <= 500);
+  t.false(client.isFresh());
+  t.is(client.configuration.current().version, 1);
+  t.true(moves.length < 10);
+  bed.cluster.network.heal();
+  await bed.timers.advance(4_000);
+  t.true(client.isFresh());
+  t.is(await claim(bed, client, 'later', 'd1'), ClaimOutcomeKind.Granted);
+});
--- a/packages/control/src/control-node.test.ts
+++ b/packages/control/src/control-node.test.ts
@@ -114,3 +114,14 @@
   t.true(client.isFresh());
   t.true(network.connections.length > 1);
 });
+
+test('a client that stops while control is gone leaves no timer behind', async t => {
+  const { timers, node, client } = await startPair();
+  await node.stop();
+  client.claims.finishClaim('planning', 'job-1', 1);
+  const stopped = client.stop();
+  await timers.advance(10_000);
+  await stopped;
+  await timers.advance(10_000);
+  t.is(timers.pendingTimers(), 0);
+});
--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -56,7 +56,11 @@
   /** The replica that leads in the highest term. */
   leader(): ControlNode | undefined;
   /** A dispatcher that dials all founding hosts. */
-  connect(dispatcherId: string, incarnation?: string): ControlClient;
+  connect(
+    dispatcherId: string,
+    incarnation?: string,
+    handleMove?: (host: string | undefined) => void,
+  ): ControlClient;
   /** Where a host listens, as the configuration names it. */
   describeHost(host: string, replicaId: string): ControlHostConfiguration;
 }
@@ -166,7 +170,11 @@
     },
     nodes: () => [...running.values()],
     findNode: host => running.get(host),
-    connect: (dispatcherId, incarnation = 'run-1') =>
+    connect: (
+      dispatcherId,
+      incarnation = 'run-1',
+      handleMove = () => undefined,
+    ) =>
       createControlClient({
         network: network.join({
           role: ProcessRole.Dispatcher,
@@ -177,6 +185,7 @@
         random: createRandomSource(random.below(incarnationBound)),
         self: { dispatcherId, incarnation },
         controlHosts: peers,
+        handleMove,
       }),
     describeHost: (host, replicaId) => ({
       replicaId,
