--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -5,6 +5,7 @@
 
 import { addCapacityCommand } from '../commands/capacity-command.js';
 import { addCheckCommand } from '../commands/check-command.js';
+import { addControlCommand } from '../commands/control-command.js';
 import { addPoliciesCommand } from '../commands/policies-command.js';
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
@@ -16,6 +17,7 @@
 );
 addRunCommand(program);
 addSlopesCommand(program);
+addControlCommand(program);
 addCheckCommand(program);
 addPoliciesCommand(program);
 addReportCommand(program);
