Check the replicated log with a model of crashes, cuts, torn writes and replacements

Also mended: a new leader could step down before it had peers, and a rest below the precision of the clock could be waited for without end.

--- /dev/null
+++ b/packages/replicated-log/src/binaries/model.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env node
+/** Runs the model of the replicated log longer than CI does: `--runs N --seed S [--replicas 3|5] [--shrink]`. */
+import { parseArgs } from 'node:util';
+
+import { checkModel } from '../model/check-model.js';
+
+const { values } = parseArgs({
+  options: {
+    runs: { type: 'string', default: '10000' },
+    seed: { type: 'string', default: '1' },
+    replicas: { type: 'string', default: '3' },
+    shrink: { type: 'boolean', default: false },
+  },
+});
+
+const report = await checkModel({
+  runs: Number(values.runs),
+  seed: Number(values.seed),
+  replicas: Number(values.replicas),
+  shrinks: values.shrink,
+});
+console.log(report.text);
+process.exitCode = report.failed ? 1 : 0;
--- a/packages/replicated-log/src/core/founding.ts
+++ b/packages/replicated-log/src/core/founding.ts
@@ -32,11 +32,17 @@
     this.#identity = identity;
   }
 
+  /** False until the data folder is known to be the one that may take part. */
+  get isDone(): boolean {
+    const joined = this.#identity.foundingMembers.length === 0;
+    return joined || this.#identity.founders !== undefined;
+  }
+
   /** Asks the other founding members until all have answered; at once when that was done before. */
   async run(): Promise<void> {
     const replica = this.#replica;
     while (!replica.isStopped) {
-      if (this.#identity.founders !== undefined) {
+      if (this.isDone) {
         replica.store.found(this.#identity.foundingMembers);
         replica.postponeElection();
         return;
--- a/packages/replicated-log/src/core/leadership.ts
+++ b/packages/replicated-log/src/core/leadership.ts
@@ -39,9 +39,11 @@
   /** Proposals are refused during a handover. */
   isTransferring = false;
   readonly #replica: Replica;
+  readonly #startedAt: Milliseconds;
 
   constructor(replica: Replica) {
     this.#replica = replica;
+    this.#startedAt = replica.now();
     this.term = replica.term;
     this.firstIndex = replica.store.last.index + 1;
     this.changed = new Signal(replica.parts.timers);
@@ -73,7 +75,7 @@
     if (!this.isActive) return;
     const { store } = this.#replica;
     const reached = this.#reachedByMajority(
-      peer => peer.matchIndex,
+      peer => peer?.matchIndex ?? 0,
       store.syncedIndex,
     );
     if (reached <= this.#replica.commitIndex) return;
@@ -86,14 +88,17 @@
   /** Newest time at which a majority of voters is known to have followed this leader. */
   majorityContactAt(): Milliseconds {
     return this.#reachedByMajority(
-      peer => peer.contactSentAt,
+      peer => peer?.contactSentAt ?? this.#startedAt,
       this.#replica.now(),
     );
   }
 
   /** Newest round of proofs that a majority of voters has answered. */
   majorityRound(): number {
-    return this.#reachedByMajority(peer => peer.answeredRound, this.round);
+    return this.#reachedByMajority(
+      peer => peer?.answeredRound ?? 0,
+      this.round,
+    );
   }
 
   /** Steps down when no majority answered for an election timeout. */
@@ -115,13 +120,12 @@
 
   /** The highest value that a majority of voters has reached. */
   #reachedByMajority(
-    ofPeer: (peer: PeerProgress) => number,
+    ofPeer: (peer: PeerProgress | undefined) => number,
     ofThisReplica: number,
   ): number {
     const values = this.#replica.voters().map(voter => {
       if (voter.replicaId === this.#replica.replicaId) return ofThisReplica;
-      const peer = this.peers.get(voter.replicaId);
-      return peer === undefined ? 0 : ofPeer(peer);
+      return ofPeer(this.peers.get(voter.replicaId));
     });
     values.sort((left, right) => right - left);
     return values[this.#replica.quorum() - 1] ?? 0;
--- a/packages/replicated-log/src/core/replication.ts
+++ b/packages/replicated-log/src/core/replication.ts
@@ -53,21 +53,23 @@
   replica.observeTerm(reply.value.term);
   if (reply.value.term !== leadership.term) return false;
   peer.noteContact(sentAt);
-  noteAppendAnswer(leadership, peer, reply.value);
-  return true;
+  return noteAppendAnswer(leadership, peer, reply.value);
 }
 
+/** False when the answer brings no progress: sending at once again would not help. */
 function noteAppendAnswer(
   leadership: Leadership,
   peer: PeerProgress,
   answer: AppendAnswer,
-): void {
+): boolean {
   if (!answer.success) {
+    const formerNextIndex = peer.nextIndex;
     peer.nextIndex = Math.max(peer.matchIndex, answer.matchIndex) + 1;
-    return;
+    return peer.nextIndex < formerNextIndex;
   }
   peer.matchIndex = Math.max(peer.matchIndex, answer.matchIndex);
   peer.nextIndex = peer.matchIndex + 1;
   leadership.advanceCommit();
   leadership.changed.notify();
+  return true;
 }
--- a/packages/replicated-log/src/core/replies.ts
+++ b/packages/replicated-log/src/core/replies.ts
@@ -19,3 +19,12 @@
     wrongIdentity: true,
   };
 }
+
+/** The data folder may be a blank one in the place of a lost one. */
+export function notFoundedReply(): RefusedReply {
+  return {
+    kind: PeerReplyKind.Refused,
+    reason: 'Not every founding member has answered yet.',
+    wrongIdentity: false,
+  };
+}
--- a/packages/replicated-log/src/core/service.ts
+++ b/packages/replicated-log/src/core/service.ts
@@ -32,7 +32,11 @@
 import { changeMembers } from './membership.js';
 import { proposeCommand } from './proposals.js';
 import { confirmLeadership } from './read-index.js';
-import { stoppedReply, wrongIdentityReply } from './replies.js';
+import {
+  notFoundedReply,
+  stoppedReply,
+  wrongIdentityReply,
+} from './replies.js';
 import type { Replica } from './replica.js';
 import { SnapshotReceiver } from './snapshot-receiver.js';
 import { transferLeadership } from './transfer.js';
@@ -45,7 +49,7 @@
   readonly #applier: Applier<Outcome>;
   readonly #snapshotReceiver: SnapshotReceiver;
   readonly #listeners = new Set<(event: LogEvent<Outcome>) => void>();
-  #loops: Promise<unknown> = Promise.resolve();
+  #loops: Promise<void> = Promise.resolve();
 
   constructor(
     replica: Replica,
@@ -76,9 +80,7 @@
 
   /** Starts the loops of the replica. */
   start(): void {
-    const founded = this.#founding.run();
-    const elections = founded.then(() => runElections(this.#replica));
-    this.#loops = Promise.allSettled([founded, elections]);
+    this.#loops = this.#run();
   }
 
   propose(
@@ -124,9 +126,11 @@
     const replica = this.#replica;
     if (replica.isStopped) return stoppedReply(replica);
     if (message.to !== replica.replicaId) return wrongIdentityReply(replica);
+    if (message.kind === PeerMessageKind.Identify) {
+      return this.#founding.identify(from);
+    }
+    if (!this.#founding.isDone) return notFoundedReply();
     switch (message.kind) {
-      case PeerMessageKind.Identify:
-        return this.#founding.identify(from);
       case PeerMessageKind.PreVote:
         return await handlePreVote(replica, message);
       case PeerMessageKind.Vote:
@@ -149,6 +153,11 @@
     await this.#replica.parts.disk.close();
   }
 
+  async #run(): Promise<void> {
+    await this.#founding.run();
+    await runElections(this.#replica);
+  }
+
   #describe(): LogStatus {
     const { replicaId, role, term, leader, commitIndex, store, failure } =
       this.#replica;
--- a/packages/replicated-log/src/core/signal.ts
+++ b/packages/replicated-log/src/core/signal.ts
@@ -2,6 +2,9 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 
+/** A rest below the precision of the clock would be waited for without end. */
+const shortestWait: Milliseconds = 1;
+
 /** Wakes every task that waits for it. */
 export class Signal {
   readonly #timers: TimerService;
@@ -31,7 +34,7 @@
         this.#waiting.delete(wake);
         resolve();
       };
-      const timer = this.#timers.after(limit, wake);
+      const timer = this.#timers.after(Math.max(limit, shortestWait), wake);
       this.#waiting.add(wake);
     });
   }
--- a/packages/replicated-log/src/fakes/memory-log-disk.ts
+++ b/packages/replicated-log/src/fakes/memory-log-disk.ts
@@ -11,14 +11,14 @@
 export interface MemoryLogDisk extends LogDisk {
   /** Every sync and replace takes this long from now on. */
   setSyncDelay(delay: Milliseconds): void;
-  /** Syncs and replaces do not end until they are released. */
+  /** Syncs and replaces do not end until the disk is repaired. */
   hang(): void;
-  /** Ends what hangs. */
-  release(): void;
+  /** Ends all faults; what hangs goes on. */
+  repair(): void;
   /** Every sync and replace fails from now on. */
   failSyncs(): void;
   /** The process dies within the operation that comes after `operations` more that change files. */
-  dieAfter(operations: number): void;
+  dieAfter(operations: number, onDeath: () => void): void;
   /** Number of operations so far that change files. */
   operations(): number;
   /** Number of syncs so far. */
@@ -60,6 +60,7 @@
   let syncsFail = false;
   let isDead = false;
   let operationsLeft = Number.POSITIVE_INFINITY;
+  let reportDeath: () => void = () => undefined;
   let operationCount = 0;
   let syncCount = 0;
 
@@ -96,6 +97,7 @@
         if (operationsLeft < 0) {
           isDead = true;
           half?.();
+          reportDeath();
           return await never();
         }
         return await work();
@@ -173,19 +175,23 @@
       syncDelay = delay;
     },
     hang: () => {
-      hanging = new Promise(resolve => {
+      hanging ??= new Promise(resolve => {
         releaseHanging = resolve;
       });
     },
-    release: () => {
+    repair: () => {
       hanging = undefined;
+      syncDelay = 0;
+      syncsFail = false;
+      operationsLeft = Number.POSITIVE_INFINITY;
       releaseHanging();
     },
     failSyncs: () => {
       syncsFail = true;
     },
-    dieAfter: operations => {
+    dieAfter: (operations, onDeath) => {
       operationsLeft = operations;
+      reportDeath = onDeath;
     },
     operations: () => operationCount,
     syncs: () => syncCount,
--- /dev/null
+++ b/packages/replicated-log/src/model/check-model.ts
@@ -0,0 +1,64 @@
+/** Checks the model with random sequences of operations. */
+import fc from 'fast-check';
+
+import { arbitraryOperations, type Operation } from './operations.js';
+import { runOperations } from './run-operations.js';
+
+const maximumOperations = 24;
+const largestSeed = 0x7fff_ffff;
+
+/** Size of a check. */
+export interface ModelCheck {
+  readonly runs: number;
+  readonly seed: number;
+  readonly replicas: number;
+  /** Looks for a shorter sequence after a failure; may take minutes. */
+  readonly shrinks: boolean;
+}
+
+/** Result of a check. */
+export interface ModelReport {
+  readonly failed: boolean;
+  /** Names the seed and, after a failure, the shortest sequence found. */
+  readonly text: string;
+}
+
+/** Runs random sequences; the same check gives the same report. */
+export async function checkModel(check: ModelCheck): Promise<ModelReport> {
+  const { runs, seed, replicas } = check;
+  const property = fc.asyncProperty(
+    fc.integer({ min: 0, max: largestSeed }),
+    arbitraryOperations(maximumOperations),
+    async (runSeed, operations) => {
+      const violations = await runOperations(replicas, runSeed, operations);
+      if (violations.length > 0) throw new Error(violations.join('; '));
+    },
+  );
+  const details = await fc.check(property, {
+    seed,
+    numRuns: runs,
+    endOnFailure: !check.shrinks,
+  });
+  const size = `${String(replicas)} replicas, seed ${String(seed)}`;
+  if (!details.failed) {
+    return { failed: false, text: `${size}: ${String(runs)} runs hold` };
+  }
+  const failure =
+    details.errorInstance instanceof Error
+      ? details.errorInstance.message
+      : String(details.errorInstance);
+  const [runSeed, operations] = details.counterexample ?? [0, []];
+  return {
+    failed: true,
+    text: [
+      `${size}: run ${String(details.numRuns)} fails: ${failure}`,
+      `sequence with run seed ${String(runSeed)}:`,
+      ...operations.map(describeOperation),
+    ].join('\n'),
+  };
+}
+
+function describeOperation(operation: Operation): string {
+  const { kind, host, other, amount } = operation;
+  return `  ${kind} host ${String(host)} other ${String(other)} amount ${String(amount)}`;
+}
--- /dev/null
+++ b/packages/replicated-log/src/model/model-cluster.ts
@@ -0,0 +1,249 @@
+/** A group of hosts with a faulty network, on a manual clock. */
+import { createRandomSource, type RandomSource } from '@cranberryturn/random';
+import {
+  createManualTimerService,
+  sleep,
+  type ManualTimerService,
+} from '@cranberryturn/timers';
+import type { Milliseconds, ReplicaId } from '@cranberryturn/types';
+
+import {
+  createFakePeerNetwork,
+  type FakePeerNetwork,
+} from '../fakes/fake-peer-network.js';
+import { StartKind, type LogTuning, type ReplicatedLog } from '../log-types.js';
+import { MemberChangeKind, MemberRole, type Member } from '../members.js';
+import { LogInvariants } from './log-invariants.js';
+import { ModelHost } from './model-host.js';
+
+const retryInterval: Milliseconds = 150;
+const recoveryStep: Milliseconds = 200;
+const recoveryLimit: Milliseconds = 30_000;
+
+/** Sizes that make snapshots, truncation and chunks happen within a few entries. */
+export const smallTuning: Partial<LogTuning> = {
+  maximumSegmentBytes: 300,
+  maximumBatchBytes: 200,
+  snapshotEntries: 5,
+  trailingEntries: 2,
+  snapshotChunkBytes: 64,
+  proposeTimeout: 2_000,
+};
+
+/** Hosts, network, clock and invariants of one run. */
+export class ModelCluster {
+  readonly timers: ManualTimerService = createManualTimerService();
+  readonly random: RandomSource;
+  readonly network: FakePeerNetwork;
+  readonly invariants = new LogInvariants();
+  readonly hosts: ModelHost[];
+  /** Hosts whose former replica is being replaced. */
+  readonly replacing = new Set<ModelHost>();
+  #isOver = false;
+  #nextCommand = 1;
+
+  constructor(
+    size: number,
+    seed: number,
+    tuning: Partial<LogTuning> = smallTuning,
+  ) {
+    this.random = createRandomSource(seed);
+    this.network = createFakePeerNetwork(this.timers, this.random);
+    const { timers, random, network, invariants } = this;
+    const world = { timers, random, network, invariants, tuning };
+    const members = foundingMembers(size);
+    this.hosts = members.map(
+      ({ replicaId }) =>
+        new ModelHost(world, replicaId, {
+          kind: StartKind.Found,
+          replicaId,
+          members,
+        }),
+    );
+  }
+
+  /** Starts all hosts and waits for a leader. */
+  async start(): Promise<void> {
+    for (const host of this.hosts) host.open();
+    await this.tickUntil(() => this.leader() !== undefined);
+  }
+
+  /** A host that says that it leads: the one with the highest term. */
+  leader(): ReplicatedLog<number> | undefined {
+    return this.hosts
+      .map(host => host.leadingLog())
+      .filter(log => log !== undefined)
+      .sort((left, right) => right.status().term - left.status().term)[0];
+  }
+
+  /** Number of the host that leads; undefined when none does. */
+  leadingHost(): ModelHost | undefined {
+    const leader = this.leader();
+    return this.hosts.find(host => host.log === leader && host.log);
+  }
+
+  /** Proposes a new command at one replica; the answer is checked when it comes. */
+  propose(log: ReplicatedLog<number>): string {
+    const text = `command ${String(this.#nextCommand)}`;
+    this.#nextCommand += 1;
+    void log.propose(Buffer.from(text)).match(
+      result => {
+        this.invariants.noteAcknowledged(text, result.index);
+      },
+      error => {
+        const isDenied = 'mayHaveHappened' in error && !error.mayHaveHappened;
+        if (isDenied) this.invariants.noteDenied(text);
+      },
+    );
+    return text;
+  }
+
+  /** Asks a replica to prove its lead; the proof is checked when it comes. */
+  confirm(log: ReplicatedLog<number>): void {
+    const before = this.invariants.highestAcknowledged;
+    const { replicaId } = log.status();
+    void log.confirmLeadership().map(proof => {
+      this.invariants.noteProof(replicaId, proof.readIndex, before);
+    });
+  }
+
+  /** Loses the disk of a host and replaces its replica by one with a new identity. */
+  replaceHost(host: ModelHost): void {
+    const former = host.replicaId;
+    host.wipe();
+    host.joinAnew();
+    host.open();
+    this.replacing.add(host);
+    if (former !== undefined) void this.#replaceMember(host, former);
+  }
+
+  /** Moves time until something holds; false when it does not within the limit. */
+  async tickUntil(
+    condition: () => boolean,
+    limit: Milliseconds = recoveryLimit,
+  ): Promise<boolean> {
+    const end = this.timers.now() + limit;
+    while (!condition()) {
+      if (this.timers.now() >= end) return false;
+      await this.timers.advance(recoveryStep);
+    }
+    return true;
+  }
+
+  /** Ends all faults and restarts what is down. */
+  repair(): void {
+    this.network.heal();
+    this.network.setFaults({
+      dropShare: 0,
+      duplicateShare: 0,
+      maximumDelay: 0,
+    });
+    for (const host of this.hosts) {
+      host.disk.repair();
+      const hasFailed = host.log?.status().failure !== undefined;
+      const works = host.isRunning && host.openError === undefined;
+      if (works && !hasFailed) continue;
+      host.crash();
+      host.open();
+    }
+  }
+
+  /** Repairs everything and checks that the log works again and lost nothing. */
+  async recoverAndCheck(): Promise<void> {
+    this.repair();
+    const replaced = await this.tickUntil(() => this.replacing.size === 0);
+    if (!replaced) this.invariants.noteStuck('a host is never replaced');
+    const works = await this.#commitOnce();
+    if (!works) this.invariants.noteStuck('nothing is committed');
+    const allHold = await this.tickUntil(() => this.#allHold());
+    if (!allHold) this.invariants.noteStuck('a replica never catches up');
+    for (const host of this.hosts) {
+      this.invariants.checkState(host.name, host.stateMachine.texts);
+    }
+    this.stop();
+  }
+
+  /** Ends all processes. */
+  stop(): void {
+    this.#isOver = true;
+    for (const host of this.hosts) host.wipe();
+  }
+
+  async #commitOnce(): Promise<boolean> {
+    const texts: string[] = [];
+    const acknowledged = this.invariants.acknowledged();
+    return await this.tickUntil(() => {
+      const leader = this.leader();
+      if (leader !== undefined) texts.push(this.propose(leader));
+      return texts.some(text => acknowledged.has(text));
+    });
+  }
+
+  #allHold(): boolean {
+    const texts = this.invariants.acknowledged();
+    return this.hosts.every(host =>
+      [...texts].every(
+        ([text, index]) => host.stateMachine.texts.get(index) === text,
+      ),
+    );
+  }
+
+  async #replaceMember(host: ModelHost, former: ReplicaId): Promise<void> {
+    while (!this.#isOver) {
+      const leader = this.leader();
+      const added = host.replicaId;
+      const isDone =
+        leader !== undefined &&
+        added !== undefined &&
+        (await replaceStep(leader, added, former));
+      if (isDone) {
+        this.replacing.delete(host);
+        return;
+      }
+      await sleep(this.timers, retryInterval);
+    }
+  }
+}
+
+/** Makes the next step of a replacement; true when nothing is left to do. */
+async function replaceStep(
+  leader: ReplicatedLog<number>,
+  added: ReplicaId,
+  former: ReplicaId,
+): Promise<boolean> {
+  const { members, commitIndex } = leader.status();
+  const member = members.find(known => known.replicaId === added);
+  if (member === undefined) {
+    await leader.changeMembers({
+      kind: MemberChangeKind.AddLearner,
+      replicaId: added,
+      address: '',
+    });
+    return false;
+  }
+  if (member.role === MemberRole.Learner) {
+    await leader.changeMembers({
+      kind: MemberChangeKind.Promote,
+      replicaId: added,
+    });
+    return false;
+  }
+  const isMember = members.some(known => known.replicaId === former);
+  if (isMember) {
+    await leader.changeMembers({
+      kind: MemberChangeKind.Remove,
+      replicaId: former,
+    });
+    return false;
+  }
+  const proof = await leader.confirmLeadership();
+  return proof.isOk() && proof.value.readIndex >= commitIndex;
+}
+
+function foundingMembers(size: number): readonly Member[] {
+  return Array.from({ length: size }, (_unused, number) => ({
+    replicaId: `replica-${String(number)}`,
+    role: MemberRole.Voter,
+    address: '',
+  }));
+}
--- /dev/null
+++ b/packages/replicated-log/src/model/run-operations.ts
@@ -0,0 +1,138 @@
+/** Runs a sequence of operations against a cluster and returns what was violated. */
+import { ModelCluster } from './model-cluster.js';
+import type { ModelHost } from './model-host.js';
+import { OperationKind, type Operation } from './operations.js';
+
+/** Runs one sequence; the same size, seed and operations give the same run. */
+export async function runOperations(
+  size: number,
+  seed: number,
+  operations: readonly Operation[],
+): Promise<readonly string[]> {
+  const cluster = new ModelCluster(size, seed);
+  await cluster.start();
+  for (const operation of operations) {
+    runOperation(cluster, operation);
+    if (operation.kind === OperationKind.Tick) {
+      await cluster.timers.advance(operation.amount);
+    } else if (operation.amount % 2 === 0) {
+      await cluster.timers.settle();
+    }
+    if (cluster.invariants.violations.length > 0) break;
+  }
+  if (cluster.invariants.violations.length === 0) {
+    await cluster.recoverAndCheck();
+  } else {
+    cluster.stop();
+  }
+  return cluster.invariants.violations;
+}
+
+function runOperation(cluster: ModelCluster, operation: Operation): void {
+  const { amount } = operation;
+  const host = chooseHost(cluster, operation.host);
+  const other = chooseHost(cluster, operation.other);
+  switch (operation.kind) {
+    case OperationKind.Propose:
+      proposeEverywhere(cluster, amount);
+      return;
+    case OperationKind.Confirm:
+      for (const log of leadingLogs(cluster)) cluster.confirm(log);
+      return;
+    case OperationKind.Tick:
+      return;
+    case OperationKind.Crash:
+      if (host.isRunning) host.crash();
+      return;
+    case OperationKind.CrashWithin:
+      if (host.isRunning) host.crashWithin(amount);
+      return;
+    case OperationKind.CrashAll:
+      for (const any of cluster.hosts) if (any.isRunning) any.crash();
+      for (const any of cluster.hosts) any.open();
+      return;
+    case OperationKind.Restart:
+      for (const any of cluster.hosts) any.open();
+      return;
+    case OperationKind.Isolate:
+      if (host.replicaId) cluster.network.isolate(host.replicaId);
+      return;
+    case OperationKind.CutOneWay:
+      cutOneWay(cluster, host, other);
+      return;
+    case OperationKind.Heal:
+      cluster.network.heal();
+      return;
+    case OperationKind.LinkFaults:
+      cluster.network.setFaults({
+        dropShare: 0.1,
+        duplicateShare: 0.1,
+        maximumDelay: amount,
+      });
+      return;
+    case OperationKind.SlowDisk:
+      host.disk.setSyncDelay(amount);
+      return;
+    case OperationKind.HangDisk:
+      host.disk.hang();
+      return;
+    case OperationKind.FailSyncs:
+      host.disk.failSyncs();
+      return;
+    case OperationKind.Replace:
+      if (mayLoseDisk(cluster, host)) cluster.replaceHost(host);
+      return;
+    case OperationKind.WipeUnderOldIdentity:
+      if (mayLoseDisk(cluster, host)) wipeUnderOldIdentity(cluster, host);
+      return;
+    case OperationKind.Transfer:
+      for (const log of leadingLogs(cluster)) void log.transferLeadership();
+  }
+}
+
+function chooseHost(cluster: ModelCluster, number: number): ModelHost {
+  const leading = number === -1 ? cluster.leadingHost() : undefined;
+  const chosen =
+    leading ?? cluster.hosts[Math.abs(number) % cluster.hosts.length];
+  if (chosen === undefined) throw new Error('a cluster has hosts');
+  return chosen;
+}
+
+function leadingLogs(
+  cluster: ModelCluster,
+): readonly NonNullable<ModelHost['log']>[] {
+  return cluster.hosts
+    .map(host => host.leadingLog())
+    .filter(log => log !== undefined);
+}
+
+function proposeEverywhere(cluster: ModelCluster, amount: number): void {
+  for (const log of leadingLogs(cluster)) {
+    for (let number = 0; number <= amount; number += 1) cluster.propose(log);
+  }
+}
+
+function cutOneWay(
+  cluster: ModelCluster,
+  host: ModelHost,
+  other: ModelHost,
+): void {
+  if (host.replicaId === undefined || other.replicaId === undefined) return;
+  cluster.network.cutOneWay(host.replicaId, other.replicaId);
+}
+
+/** No more disks may be lost at once than a majority can do without. */
+function mayLoseDisk(cluster: ModelCluster, host: ModelHost): boolean {
+  const bearable = Math.ceil(cluster.hosts.length / 2) - 1;
+  return cluster.replacing.size < bearable && !cluster.replacing.has(host);
+}
+
+/** A blank host first comes back under its old identity, which must not vote, and is replaced then. */
+function wipeUnderOldIdentity(cluster: ModelCluster, host: ModelHost): void {
+  host.wipe();
+  host.open();
+  cluster.replacing.add(host);
+  cluster.timers.after(2_000, () => {
+    cluster.replaceHost(host);
+  });
+}
