--- /dev/null
+++ b/packages/replicated-log/src/failures.test.ts
@@ -0,0 +1,242 @@
+import { ConflictError } from '@cranberryturn/errors';
+import test, { type ExecutionContext } from 'ava';
+
+import { ReplicaRole } from './log-types.js';
+import { ModelCluster } from './model/model-cluster.js';
+import type { ModelHost } from './model/model-host.js';
+import { PeerMessageKind, PeerReplyKind } from './ports/peer-link.js';
+
+const electionTimeout = 400;
+const checkInterval = 50;
+
+async function startCluster(size = 3, seed = 1): Promise<ModelCluster> {
+  const cluster = new ModelCluster(size, seed);
+  await cluster.start();
+  await cluster.timers.advance(1_000);
+  return cluster;
+}
+
+async function proposeAll(cluster: ModelCluster, count: number): Promise<void> {
+  for (let number = 0; number < count; number += 1) {
+    const leader = cluster.leader();
+    if (leader !== undefined) cluster.propose(leader);
+    await cluster.timers.advance(5);
+  }
+}
+
+function leaderOf(cluster: ModelCluster): ModelHost {
+  const host = cluster.leadingHost();
+  if (host?.replicaId === undefined) throw new Error('no leader');
+  return host;
+}
+
+function followersOf(cluster: ModelCluster): ModelHost[] {
+  const leader = leaderOf(cluster);
+  return cluster.hosts.filter(host => host !== leader);
+}
+
+async function finish(t: ExecutionContext, cluster: ModelCluster) {
+  await cluster.recoverAndCheck();
+  t.deepEqual(cluster.invariants.violations, []);
+}
+
+test('a second host lost right after a repair loses nothing', async t => {
+  const cluster = await startCluster();
+  await proposeAll(cluster, 12);
+  const [first, second] = followersOf(cluster);
+  cluster.replaceHost(first as ModelHost);
+  t.true(await cluster.tickUntil(() => cluster.replacing.size === 0, 5_000));
+  cluster.replaceHost(second as ModelHost);
+  t.true(await cluster.tickUntil(() => cluster.replacing.size === 0, 5_000));
+  cluster.replaceHost(leaderOf(cluster));
+  t.true(await cluster.tickUntil(() => cluster.replacing.size === 0, 5_000));
+  t.is(cluster.invariants.acknowledged().size, 12);
+  await finish(t, cluster);
+});
+
+test('a blank disk does not vote under the old identity', async t => {
+  const cluster = await startCluster();
+  const [follower, other] = followersOf(cluster);
+  follower?.wipe();
+  follower?.open();
+  await cluster.timers.advance(1_000);
+  const failure = follower?.log?.status().failure;
+  t.true(failure instanceof ConflictError);
+  t.snapshot(failure?.message);
+  const reply = await follower?.log?.handlePeerMessage(String(other?.name), {
+    kind: PeerMessageKind.Vote,
+    to: String(follower.name),
+    term: 99,
+    last: { index: 99, term: 98 },
+  });
+  t.is(reply?.kind, PeerReplyKind.Refused);
+});
+
+test('a leader without a majority stops claiming the lead', async t => {
+  const cluster = await startCluster();
+  const leader = leaderOf(cluster);
+  await proposeAll(cluster, 1);
+  cluster.network.isolate(String(leader.replicaId));
+  const proof = leader.log?.confirmLeadership();
+  await cluster.timers.advance(electionTimeout + 2 * checkInterval + 1);
+  t.is(leader.log?.status().role, ReplicaRole.Follower);
+  t.true((await proof)?.isErr());
+  const refused = await leader.log?.propose(Buffer.from('late'));
+  t.like(refused?._unsafeUnwrapErr(), { mayHaveHappened: false });
+  await finish(t, cluster);
+});
+
+test('a leader that comes back after an hour drops what it alone held', async t => {
+  const cluster = await startCluster();
+  const leader = leaderOf(cluster);
+  cluster.network.isolate(String(leader.replicaId));
+  for (let number = 0; number < 5; number += 1) {
+    if (leader.log) cluster.propose(leader.log);
+  }
+  await cluster.timers.advance(2_000);
+  const term = cluster.leader()?.status().term;
+  await proposeAll(cluster, 20);
+  await cluster.timers.advance(3_600_000 / 60);
+  cluster.network.heal();
+  await cluster.timers.advance(1_000);
+  t.is(cluster.leader()?.status().term, term);
+  t.is(cluster.invariants.acknowledged().size, 20);
+  await finish(t, cluster);
+});
+
+test('a one-way cut does not raise terms', async t => {
+  const cluster = await startCluster();
+  const [follower] = followersOf(cluster);
+  const { term } = leaderOf(cluster).log?.status() ?? {};
+  cluster.network.cutOneWay(
+    String(leaderOf(cluster).replicaId),
+    String(follower?.replicaId),
+  );
+  await cluster.timers.advance(20_000);
+  t.is(cluster.leader()?.status().term, term);
+  t.is(follower?.log?.status().term, term);
+  await finish(t, cluster);
+});
+
+test('a vote that was answered survives a restart', async t => {
+  const cluster = await startCluster();
+  const host = cluster.hosts[0] as ModelHost;
+  const ask = async (candidate: string) => {
+    const message = {
+      kind: PeerMessageKind.Vote,
+      to: host.name,
+      term: 50,
+      last: { index: 99, term: 49 },
+    } as const;
+    return await host.log?.handlePeerMessage(candidate, message);
+  };
+  t.like(await ask('replica-1'), { granted: true, term: 50 });
+  for (const other of cluster.hosts) other.crash();
+  host.open();
+  await cluster.timers.settle();
+  t.like(await ask('replica-2'), { granted: false, term: 50 });
+  t.like(await ask('replica-1'), { granted: true, term: 50 });
+  await finish(t, cluster);
+});
+
+test('a failed sync stops the replica and is not tried again', async t => {
+  const cluster = await startCluster();
+  const leader = leaderOf(cluster);
+  leader.disk.failSyncs();
+  const syncs = leader.disk.syncs();
+  if (leader.log) cluster.propose(leader.log);
+  await cluster.timers.advance(2_000);
+  t.is(leader.log?.status().role, ReplicaRole.Stopped);
+  t.is(leader.log?.status().failure?.name, 'StorageError');
+  t.is(leader.disk.syncs(), syncs + 1);
+  t.not(cluster.leader(), undefined);
+  await finish(t, cluster);
+});
+
+test('a leader whose disk hangs hands over', async t => {
+  const cluster = await startCluster();
+  const leader = leaderOf(cluster);
+  const { term } = leader.log?.status() ?? {};
+  leader.disk.hang();
+  await proposeAll(cluster, 1);
+  await cluster.timers.advance(1_500);
+  t.not(leaderOf(cluster), leader);
+  t.is(cluster.leader()?.status().term, Number(term) + 1);
+  await finish(t, cluster);
+});
+
+test('a planned handover moves the lead within one heartbeat', async t => {
+  const cluster = await startCluster();
+  await proposeAll(cluster, 3);
+  const leader = leaderOf(cluster);
+  const handedOver = leader.log?.transferLeadership();
+  await cluster.timers.advance(100);
+  t.is((await handedOver)?._unsafeUnwrap(), leaderOf(cluster).replicaId);
+  t.not(leaderOf(cluster), leader);
+  await finish(t, cluster);
+});
+
+test('a new leader is there within two seconds of a crash', async t => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const cluster = await startCluster(5, seed);
+    const leader = leaderOf(cluster);
+    leader.crash();
+    await cluster.timers.advance(2_000);
+    t.not(cluster.leader(), undefined, `seed ${String(seed)}`);
+    cluster.stop();
+  }
+});
+
+test('proposals made during one sync share the next one', async t => {
+  const cluster = await startCluster();
+  const leader = leaderOf(cluster);
+  leader.disk.setSyncDelay(5);
+  const syncs = leader.disk.syncs();
+  for (let number = 0; number < 100; number += 1) {
+    if (leader.log) cluster.propose(leader.log);
+  }
+  await cluster.timers.advance(40);
+  t.is(cluster.invariants.acknowledged().size, 100);
+  // One batch, and the snapshots that the small tuning asks for.
+  t.true(leader.disk.syncs() - syncs <= 5);
+  cluster.stop();
+});
+
+test('an entry of a former term is not committed by counting', async t => {
+  const cluster = await startCluster();
+  const first = leaderOf(cluster);
+  const [second, third] = followersOf(cluster) as [ModelHost, ModelHost];
+  // The first leader alone holds several entries of its term.
+  cluster.network.isolate(String(first.replicaId));
+  const former = first.log?.status().lastIndex ?? 0;
+  for (let number = 0; number < 6; number += 1) {
+    if (first.log) cluster.propose(first.log);
+  }
+  await cluster.timers.settle();
+  first.crash();
+  // A second leader of a later term is cut off before its first entry leaves it.
+  cluster.network.heal();
+  cluster.network.setFaults({
+    dropShare: 0,
+    duplicateShare: 0,
+    maximumDelay: 4,
+  });
+  const successor = (): ModelHost | undefined =>
+    [second, third].find(host => host.leadingLog() !== undefined);
+  while (successor() === undefined) await cluster.timers.advance(1);
+  const later = successor() as ModelHost;
+  const witness = later === second ? third : second;
+  cluster.network.isolate(String(later.replicaId));
+  // The first one leads again and replicates its old entries to the witness, not yet the newest.
+  first.open();
+  const reached = (): number => witness.log?.status().lastIndex ?? 0;
+  while (reached() < former + 4) await cluster.timers.advance(1);
+  t.is(first.log?.status().role, ReplicaRole.Leader);
+  t.true(reached() < (first.log?.status().lastIndex ?? 0));
+  t.true((first.log?.status().commitIndex ?? 0) <= former);
+  // The later term wins with the vote of the witness and voids the old entries.
+  first.crash();
+  cluster.network.heal();
+  await cluster.tickUntil(() => later.leadingLog() !== undefined, 5_000);
+  await finish(t, cluster);
+});
--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -9,3 +9,4 @@
 export * from './ports/state-machine.js';
 export * from './open-replicated-log.js';
 export * from './tuning.js';
+export * from './measure-commit-rate.js';
--- a/packages/replicated-log/src/model/model-cluster.ts
+++ b/packages/replicated-log/src/model/model-cluster.ts
@@ -23,7 +23,7 @@
 /** Sizes that make snapshots, truncation and chunks happen within a few entries. */
 export const smallTuning: Partial<LogTuning> = {
   maximumSegmentBytes: 300,
-  maximumBatchBytes: 200,
+  maximumBatchBytes: 1,
   snapshotEntries: 5,
   trailingEntries: 2,
   snapshotChunkBytes: 64,
--- a/packages/replicated-log/src/model/run-operations.ts
+++ b/packages/replicated-log/src/model/run-operations.ts
@@ -1,8 +1,13 @@
 /** Runs a sequence of operations against a cluster and returns what was violated. */
+import type { Milliseconds } from '@cranberryturn/types';
+
 import { ModelCluster } from './model-cluster.js';
 import type { ModelHost } from './model-host.js';
 import { OperationKind, type Operation } from './operations.js';
 
+const longestElection: Milliseconds = 1_500;
+const electionStep: Milliseconds = 10;
+
 /** Runs one sequence; the same size, seed and operations give the same run. */
 export async function runOperations(
   size: number,
@@ -15,6 +20,8 @@
     runOperation(cluster, operation);
     if (operation.kind === OperationKind.Tick) {
       await cluster.timers.advance(operation.amount);
+    } else if (operation.kind === OperationKind.Depose) {
+      await deposeLeader(cluster, operation);
     } else if (operation.amount % 2 === 0) {
       await cluster.timers.settle();
     }
@@ -40,6 +47,7 @@
       for (const log of leadingLogs(cluster)) cluster.confirm(log);
       return;
     case OperationKind.Tick:
+    case OperationKind.Depose:
       return;
     case OperationKind.Crash:
       if (host.isRunning) host.crash();
@@ -73,6 +81,9 @@
     case OperationKind.SlowDisk:
       host.disk.setSyncDelay(amount);
       return;
+    case OperationKind.SlowAllDisks:
+      for (const any of cluster.hosts) any.disk.setSyncDelay(amount);
+      return;
     case OperationKind.HangDisk:
       host.disk.hang();
       return;
@@ -90,6 +101,30 @@
   }
 }
 
+async function deposeLeader(
+  cluster: ModelCluster,
+  operation: Operation,
+): Promise<void> {
+  const deposed = cluster.leadingHost();
+  cluster.network.heal();
+  if (deposed?.replicaId === undefined) {
+    await cluster.timers.advance(operation.amount);
+    return;
+  }
+  cluster.network.isolate(deposed.replicaId);
+  proposeEverywhere(cluster, operation.other);
+  for (const any of cluster.hosts) any.open();
+  const end = cluster.timers.now() + longestElection;
+  const hasSuccessor = (): boolean =>
+    cluster.hosts.some(
+      host => host !== deposed && host.leadingLog() !== undefined,
+    );
+  while (!hasSuccessor() && cluster.timers.now() < end) {
+    await cluster.timers.advance(electionStep);
+  }
+  await cluster.timers.advance(operation.amount);
+}
+
 function chooseHost(cluster: ModelCluster, number: number): ModelHost {
   const leading = number === -1 ? cluster.leadingHost() : undefined;
   const chosen =
