--- a/packages/replicated-log/src/fakes/memory-log-disk.ts
+++ b/packages/replicated-log/src/fakes/memory-log-disk.ts
@@ -246,6 +246,4 @@
 }
 
 /** A call of a dead process never ends. */
-function never(): Promise<never> {
-  return new Promise<never>(() => undefined);
-}
+const never = (): Promise<never> => new Promise<never>(() => undefined);
