Prove adoption: a dispatcher killed at every step of a job

Nothing had shown that a resubmission after the death of a dispatcher starts no task twice. The cluster in memory runs control, dispatchers and sidecars under the manual clock; the owner is killed after 0, 2, 4 ... 60 ms of a job of 10 tasks on 6 slots and the job is submitted to the other dispatcher.

All 31 end complete with one start each. A worker lost with its dispatcher ends as failed, perhaps started.

While it joins, a dispatcher asks the owner again each second, so that a silent owner is noticed after two seconds rather than at the deadline.

--- a/packages/dispatcher/src/answer-dispatchers.ts
+++ b/packages/dispatcher/src/answer-dispatchers.ts
@@ -1,4 +1,6 @@
 /** What dispatchers ask each other. */
+import type { JobEntry } from '@cranberryturn/jobs';
+import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
   DispatcherRecord,
   JobId,
@@ -21,6 +23,7 @@
 export async function answerDispatcher(
   jobs: JobService,
   call: DispatcherCall,
+  timers: TimerService,
 ): Promise<DispatcherReply> {
   const entry = jobs.find(call.jobId);
   if (entry === undefined) return { kind: DispatcherReplyKind.NotOwner };
@@ -29,17 +32,30 @@
       if (entry.digest !== call.digest) {
         return { kind: DispatcherReplyKind.NotOwner };
       }
-      return { kind: DispatcherReplyKind.Result, result: await entry.finished };
+      return waitForResult(entry, call.waitMilliseconds, timers);
     case DispatcherMethod.CancelJob:
       await jobs.cancelJob(call.jobId);
       return { kind: DispatcherReplyKind.Result, result: await entry.finished };
     case DispatcherMethod.FindJob:
-      return entry.result === undefined
-        ? { kind: DispatcherReplyKind.Running }
-        : { kind: DispatcherReplyKind.Result, result: entry.result };
+      return describeEntry(entry);
   }
 }
 
+async function waitForResult(
+  entry: JobEntry,
+  waitMilliseconds: Milliseconds,
+  timers: TimerService,
+): Promise<DispatcherReply> {
+  await Promise.race([entry.finished, sleep(timers, waitMilliseconds)]);
+  return describeEntry(entry);
+}
+
+function describeEntry(entry: JobEntry): DispatcherReply {
+  return entry.result === undefined
+    ? { kind: DispatcherReplyKind.Running }
+    : { kind: DispatcherReplyKind.Result, result: entry.result };
+}
+
 /** Looks for the result of a job at the other dispatchers. */
 export async function findElsewhere(
   links: DispatcherLinks,
--- a/packages/dispatcher/src/dispatcher-links.ts
+++ b/packages/dispatcher/src/dispatcher-links.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import {
   type Connection,
+  dialWithin,
   type DispatcherCall,
   type DispatcherReply,
   type Network,
@@ -12,6 +13,8 @@
 } from '@cranberryturn/wire';
 import { err, type Result, ResultAsync } from 'neverthrow';
 
+const dialTimeoutMilliseconds: Milliseconds = 1_000;
+
 /** What the links are built from. */
 export interface DispatcherLinksOptions {
   readonly network: Network;
@@ -68,7 +71,10 @@
         }),
       );
     }
-    return calls.call<DispatcherReply>(call, timeout);
+    const reply = await calls.call<DispatcherReply>(call, timeout);
+    // A connection without an answer may have gone silent: the next call dials anew.
+    if (reply.isErr()) calls.connection.close();
+    return reply;
   }
 
   #connect(
@@ -87,7 +93,12 @@
   }
 
   async #dial(address: NetworkAddress): Promise<RemoteCalls | undefined> {
-    const connection = await this.#options.network.dial(address);
+    const connection = await dialWithin(
+      this.#options.network,
+      this.#options.timers,
+      address,
+      dialTimeoutMilliseconds,
+    );
     return connection.isOk() ? this.serve(connection.value) : undefined;
   }
 }
--- a/packages/dispatcher/src/own-job.ts
+++ b/packages/dispatcher/src/own-job.ts
@@ -16,6 +16,9 @@
 import type { ControlPort } from './ports/control.js';
 
 const mostRounds = 5;
+const joinWaitMilliseconds: Milliseconds = 1_000;
+/** Silence after which an owner is presumed dead. */
+const ownerSilenceMilliseconds: Milliseconds = 1_000;
 
 /** What is needed to own a job. */
 export interface OwnJobOptions {
@@ -122,25 +125,35 @@
   return { joined: await askOwner(options, outcome), epoch: outcome.epoch };
 }
 
+/** Resolves with undefined when the owner does not know the job or gives no sign of life. */
 async function askOwner(
   { claim, links, deadline, timers }: OwnJobOptions,
   held: ClaimHeld,
 ): Promise<JobResult | undefined> {
   if (held.ownerAddress === undefined) return undefined;
-  const reply = await links.call(
-    held.ownerAddress,
-    {
-      method: DispatcherMethod.JoinJob,
-      team: claim.team,
-      jobId: claim.jobId,
-      digest: claim.digest,
-    },
-    Math.max(1, deadline - timers.now()),
-  );
-  if (reply.isErr()) return undefined;
-  return reply.value.kind === DispatcherReplyKind.Result
-    ? reply.value.result
-    : undefined;
+  while (timers.now() < deadline) {
+    const reply = await links.call(
+      held.ownerAddress,
+      {
+        method: DispatcherMethod.JoinJob,
+        team: claim.team,
+        jobId: claim.jobId,
+        digest: claim.digest,
+        waitMilliseconds: joinWaitMilliseconds,
+      },
+      joinWaitMilliseconds + ownerSilenceMilliseconds,
+    );
+    if (reply.isErr()) return undefined;
+    switch (reply.value.kind) {
+      case DispatcherReplyKind.Result:
+        return reply.value.result;
+      case DispatcherReplyKind.NotOwner:
+        return undefined;
+      case DispatcherReplyKind.Running:
+        break;
+    }
+  }
+  return undefined;
 }
 
 function describeElsewhere(reason: string): Ownership {
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -155,7 +155,7 @@
   const links: DispatcherLinks = new DispatcherLinks({
     network,
     timers,
-    handleCall: call => answerDispatcher(jobs, call),
+    handleCall: call => answerDispatcher(jobs, call, timers),
   });
   const jobs: JobService = new JobService({
     self,
--- /dev/null
+++ b/packages/local/src/adoption.test.ts
@@ -0,0 +1,128 @@
+import type { JobResult, Milliseconds } from '@cranberryturn/types';
+import { JobOutcome, Started } from '@cranberryturn/types';
+import test from 'ava';
+
+import {
+  composeJob,
+  type MemoryCluster,
+  type MemoryDispatcher,
+  startMemoryCluster,
+} from './fakes/memory-cluster.js';
+
+const deadlineMilliseconds: Milliseconds = 20_000;
+const small = { dispatchers: 2, workers: 3, slots: 2, runMilliseconds: 20 };
+
+function dispatcherOf(
+  cluster: MemoryCluster,
+  position: number,
+): MemoryDispatcher {
+  const found = cluster.dispatchers[position];
+  if (found === undefined) throw new Error('There is no such dispatcher.');
+  return found;
+}
+
+/** Submits and keeps the result where the test can look at it without waiting. */
+function submit(
+  owner: MemoryDispatcher,
+  jobId: string,
+  tasks: number,
+): { result: JobResult | undefined } {
+  const box: { result: JobResult | undefined } = { result: undefined };
+  const job = composeJob(jobId, tasks, deadlineMilliseconds);
+  void owner.dispatcher.jobs.submitJob(job, 'request-1').then(submission => {
+    if ('result' in submission) box.result = submission.result;
+  });
+  return box;
+}
+
+function largestStarts(cluster: MemoryCluster): number {
+  return Math.max(0, ...cluster.countStarts().values());
+}
+
+test('a dispatcher that dies at any step of a job loses and doubles nothing', async t => {
+  const outcomes: string[] = [];
+  for (let killAt = 0; killAt <= 60; killAt += 2) {
+    const cluster = await startMemoryCluster(small);
+    const first = dispatcherOf(cluster, 0);
+    const second = dispatcherOf(cluster, 1);
+    submit(first, 'job-1', 10);
+    await cluster.timers.advance(killAt);
+    first.crash();
+    const adopted = submit(second, 'job-1', 10);
+    await cluster.timers.advance(deadlineMilliseconds + 1_000);
+    outcomes.push(`${String(killAt)}: ${adopted.result?.outcome ?? 'none'}`);
+    t.is(largestStarts(cluster), 1, `killed after ${String(killAt)} ms`);
+    t.is(adopted.result?.outcome, JobOutcome.Complete, outcomes.at(-1));
+    await cluster.stop();
+  }
+  t.log(outcomes.join(', '));
+});
+
+test('a job whose worker is lost with its dispatcher fails as perhaps started', async t => {
+  const cluster = await startMemoryCluster(small);
+  const first = dispatcherOf(cluster, 0);
+  submit(first, 'job-1', 6);
+  await cluster.timers.advance(15);
+  first.crash();
+  cluster.workers[0]?.sidecar.kill();
+  cluster.startWorker('worker-1', 'run-2');
+  await cluster.timers.advance(2_000);
+  const adopted = submit(dispatcherOf(cluster, 1), 'job-1', 6);
+  await cluster.timers.advance(deadlineMilliseconds + 1_000);
+  t.is(largestStarts(cluster), 1);
+  const { result } = adopted;
+  t.is(result?.outcome, JobOutcome.Failed);
+  t.not(result?.outcome === JobOutcome.Failed && result.started, Started.No);
+  await cluster.stop();
+});
+
+test('a restarted dispatcher does not start again what its earlier run started', async t => {
+  const cluster = await startMemoryCluster(small);
+  const first = dispatcherOf(cluster, 0);
+  submit(first, 'job-1', 10);
+  await cluster.timers.advance(25);
+  first.crash();
+  const again = submit(dispatcherOf(cluster, 1), 'job-1', 10);
+  const third = submit(dispatcherOf(cluster, 1), 'job-1', 10);
+  await cluster.timers.advance(deadlineMilliseconds);
+  t.is(largestStarts(cluster), 1);
+  t.deepEqual(again.result, third.result);
+  t.is(again.result?.outcome, JobOutcome.Complete);
+  await cluster.stop();
+});
+
+test('an owner that is cut off from the other dispatcher is adopted, and no task starts twice', async t => {
+  const cluster = await startMemoryCluster({ ...small, runMilliseconds: 500 });
+  const first = dispatcherOf(cluster, 0);
+  const second = dispatcherOf(cluster, 1);
+  const port = first.dispatcher.peersAddress.port;
+  cluster.network.closedPorts.add(port);
+  const original = submit(first, 'job-1', 20);
+  await cluster.timers.advance(50);
+  const adopted = submit(second, 'job-1', 20);
+  await cluster.timers.advance(deadlineMilliseconds + 1_000);
+  t.is(largestStarts(cluster), 1);
+  t.is(adopted.result?.outcome, JobOutcome.Complete);
+  t.truthy(original.result);
+  await cluster.stop();
+});
+
+test('a job submitted to two dispatchers 100 times over starts each task once', async t => {
+  const cluster = await startMemoryCluster(small);
+  const pairs: ReturnType<typeof submit>[][] = [];
+  for (let round = 0; round < 100; round += 1) {
+    const jobId = `job-${String(round)}`;
+    pairs.push([
+      submit(dispatcherOf(cluster, round % 2), jobId, 3),
+      submit(dispatcherOf(cluster, (round + 1) % 2), jobId, 3),
+    ]);
+    await cluster.timers.advance(round % 7);
+  }
+  await cluster.timers.advance(deadlineMilliseconds);
+  t.is(largestStarts(cluster), 1);
+  for (const [left, right] of pairs) {
+    t.is(left?.result?.outcome, JobOutcome.Complete);
+    t.deepEqual(left?.result, right?.result);
+  }
+  await cluster.stop();
+});
--- /dev/null
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -0,0 +1,284 @@
+/** Every role over a network in memory, under the manual clock, with fake targets. */
+import {
+  type ControlNode,
+  createMemoryLog,
+  startControl,
+} from '@cranberryturn/control';
+import {
+  type ControlClient,
+  createControlClient,
+} from '@cranberryturn/control-client';
+import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createMetrics } from '@cranberryturn/metrics';
+import { createRandomSource } from '@cranberryturn/random';
+import { type Sidecar, startSidecar } from '@cranberryturn/sidecar';
+import {
+  createManualTimerService,
+  type ManualTimerService,
+} from '@cranberryturn/timers';
+import {
+  type Decision,
+  emptyConfiguration,
+  type JobRequest,
+  type Milliseconds,
+  type NetworkAddress,
+} from '@cranberryturn/types';
+import {
+  createMemoryNetwork,
+  type MemoryNetwork,
+  ProcessRole,
+} from '@cranberryturn/wire';
+import { okAsync } from 'neverthrow';
+
+import { createFakeTarget, type FakeTarget } from './fake-target.js';
+
+const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
+const service = 'register-svc';
+const networkDelayMilliseconds: Milliseconds = 1;
+const settleMilliseconds: Milliseconds = 2_000;
+const mebibyte = 1_048_576;
+
+/** One dispatcher with its client of control. */
+export interface MemoryDispatcher {
+  readonly dispatcherId: string;
+  readonly dispatcher: Dispatcher;
+  readonly control: ControlClient;
+  /** Ends the process as a crash would. */
+  crash(): void;
+}
+
+/** One worker. */
+export interface MemoryWorker {
+  readonly targetId: string;
+  readonly target: FakeTarget;
+  readonly sidecar: Sidecar;
+}
+
+/** A cluster in memory. */
+export interface MemoryCluster {
+  readonly timers: ManualTimerService;
+  readonly network: MemoryNetwork;
+  readonly control: ControlNode;
+  readonly dispatchers: MemoryDispatcher[];
+  readonly workers: MemoryWorker[];
+  readonly decisions: Decision[];
+  startDispatcher(
+    dispatcherId: string,
+    incarnation: string,
+  ): Promise<MemoryDispatcher>;
+  startWorker(targetId: string, incarnation: string): MemoryWorker;
+  /** Starts of each task over all workers, as `job task` to count. */
+  countStarts(): ReadonlyMap<string, number>;
+  stop(): Promise<void>;
+}
+
+/** Sizes of a cluster in memory. */
+export interface MemoryClusterOptions {
+  readonly dispatchers: number;
+  readonly workers: number;
+  readonly slots: number;
+  readonly runMilliseconds: Milliseconds;
+}
+
+/** Starts a cluster in memory and lets it settle. */
+export async function startMemoryCluster(
+  options: MemoryClusterOptions,
+): Promise<MemoryCluster> {
+  const timers = createManualTimerService();
+  const network = createMemoryNetwork(timers, networkDelayMilliseconds);
+  const decisions: Decision[] = [];
+  const record = (decision: Decision): void => {
+    decisions.push(decision);
+  };
+  const control = await startMemoryControl(timers, network, record);
+  const dispatchers: MemoryDispatcher[] = [];
+  const workers: MemoryWorker[] = [];
+
+  const addDispatcher = async (dispatcherId: string, incarnation: string) => {
+    const added = await createDispatcher(
+      { timers, network, control, record },
+      dispatcherId,
+      incarnation,
+    );
+    dispatchers.push(added);
+    return added;
+  };
+
+  const addWorker = (targetId: string, incarnation: string): MemoryWorker => {
+    const target = createFakeTarget(timers, options.runMilliseconds);
+    const sidecar = startSidecar({
+      announcement: announce(targetId, incarnation, options.slots),
+      dispatchers: dispatchers.map(one => one.dispatcher.peersAddress),
+      network: network.join({
+        role: ProcessRole.Sidecar,
+        name: targetId,
+        incarnation,
+      }),
+      target,
+      timers,
+      random: createRandomSource(workers.length + 1),
+      decisions: record,
+      retention: { startsMilliseconds: 600_000, answersBytes: mebibyte },
+      queueLimit: 2,
+    });
+    const worker = { targetId, target, sidecar };
+    workers.push(worker);
+    return worker;
+  };
+
+  for (let position = 1; position <= options.dispatchers; position += 1) {
+    await addDispatcher(`dispatcher-${String(position)}`, 'run-1');
+  }
+  for (let position = 1; position <= options.workers; position += 1) {
+    addWorker(`worker-${String(position)}`, `run-1-${String(position)}`);
+  }
+  await timers.advance(settleMilliseconds);
+
+  return {
+    timers,
+    network,
+    control,
+    dispatchers,
+    workers,
+    decisions,
+    startDispatcher: addDispatcher,
+    startWorker: addWorker,
+    countStarts: () => countStarts(workers),
+    stop: async () => {
+      for (const worker of workers) worker.sidecar.kill();
+      for (const one of dispatchers) one.crash();
+      const stopped = control.stop();
+      await timers.advance(settleMilliseconds);
+      await stopped;
+    },
+  };
+}
+
+/** Composes a job whose tasks carry no payload. */
+export function composeJob(
+  jobId: string,
+  tasks: number,
+  deadlineMilliseconds: Milliseconds,
+): JobRequest {
+  return {
+    jobId: `wards/${jobId}`,
+    service,
+    team: 'wards',
+    tasks: Array.from({ length: tasks }, (_unused, position) => ({
+      taskId: `task-${String(position)}`,
+      payload: 'null',
+    })),
+    idempotent: false,
+    deadlineMilliseconds,
+  };
+}
+
+interface DispatcherSurroundings {
+  readonly timers: ManualTimerService;
+  readonly network: MemoryNetwork;
+  readonly control: ControlNode;
+  readonly record: (decision: Decision) => void;
+}
+
+async function startMemoryControl(
+  timers: ManualTimerService,
+  network: MemoryNetwork,
+  record: (decision: Decision) => void,
+): Promise<ControlNode> {
+  const started = await startControl({
+    listen: loopback,
+    joinNetwork: name =>
+      network.join({ role: ProcessRole.Control, name, incarnation: 'run' }),
+    timers,
+    peers: [],
+    openLog: stateMachine =>
+      okAsync(
+        createMemoryLog({ replicaId: 'control-1', stateMachine, timers }),
+      ),
+    initialConfiguration: emptyConfiguration,
+    logger: createSilentLogger(),
+    decisions: record,
+  });
+  return started._unsafeUnwrap();
+}
+
+async function createDispatcher(
+  { timers, network, control, record }: DispatcherSurroundings,
+  dispatcherId: string,
+  incarnation: string,
+): Promise<MemoryDispatcher> {
+  const self = { dispatcherId, incarnation };
+  const joined = network.join({
+    role: ProcessRole.Dispatcher,
+    name: dispatcherId,
+    incarnation,
+  });
+  const client = createControlClient({
+    network: joined,
+    timers,
+    random: createRandomSource(1),
+    self,
+    controlHosts: [{ replicaId: 'control-1', address: control.address }],
+  });
+  const started = await startDispatcher({
+    self,
+    callers: loopback,
+    peers: loopback,
+    teams: [],
+    limits: {
+      bodyBytes: mebibyte,
+      bodyTimeoutMilliseconds: 10_000,
+      callersConnections: 16,
+    },
+    retention: { answersMilliseconds: 600_000, answersBytes: mebibyte },
+    network: joined,
+    control: client,
+    timers,
+    seed: 1,
+    metrics: createMetrics({
+      role: ProcessRole.Dispatcher,
+      process: dispatcherId,
+      timers,
+    }),
+    decisions: record,
+  });
+  const dispatcher = started._unsafeUnwrap();
+  const crash = (): void => {
+    dispatcher.kill();
+    void client.stop();
+    for (const connection of network.connections) {
+      if (connection.from !== dispatcherId && connection.to !== dispatcherId) {
+        continue;
+      }
+      connection.cut();
+    }
+  };
+  return { dispatcherId, dispatcher, control: client, crash };
+}
+
+function announce(targetId: string, incarnation: string, slots: number) {
+  return {
+    targetId,
+    incarnation,
+    service,
+    host: `host-${targetId}`,
+    rack: 'rack-1',
+    dataCentre: 'dong-da',
+    resources: { processors: 64, memoryMebibytes: 131_072, accelerators: 0 },
+    slots,
+    connections: 64,
+  };
+}
+
+function countStarts(
+  workers: readonly MemoryWorker[],
+): ReadonlyMap<string, number> {
+  const total = new Map<string, number>();
+  for (const { target } of workers) {
+    for (const [key, starts] of target.starts) {
+      total.set(key, (total.get(key) ?? 0) + starts);
+    }
+  }
+  return total;
+}
--- a/packages/wire/src/messages/dispatcher-messages.ts
+++ b/packages/wire/src/messages/dispatcher-messages.ts
@@ -2,6 +2,7 @@
   BodyDigest,
   JobId,
   JobResult,
+  Milliseconds,
   TeamName,
 } from '@cranberryturn/types';
 
@@ -22,6 +23,8 @@
       readonly team: TeamName;
       readonly jobId: JobId;
       readonly digest: BodyDigest;
+      /** Longest time to wait before the answer `running`, which shows that the owner lives. */
+      readonly waitMilliseconds: Milliseconds;
     }
   | {
       readonly method: DispatcherMethod.CancelJob | DispatcherMethod.FindJob;
