--- /dev/null
+++ b/packages/dispatcher/src/callers/serve-callers.test.ts
@@ -0,0 +1,220 @@
+import { createToken, digestToken } from '@cranberryturn/authentication';
+import { createMetrics } from '@cranberryturn/metrics';
+import { createManualTimerService } from '@cranberryturn/timers';
+import {
+  emptyConfiguration,
+  JobOutcome,
+  type JobRequest,
+  Started,
+} from '@cranberryturn/types';
+import test from 'ava';
+
+import type { JobService } from '../job-service.js';
+import {
+  refuseForNow,
+  type Submission,
+  SubmissionKind,
+  SubmissionRefusal,
+} from '../submission.js';
+import { serveCallers } from './serve-callers.js';
+
+const token = createToken();
+const bodyBytes = 4_096;
+const jobsPath = '/v1/services/register-svc/jobs';
+const requestsPath = '/v1/services/register-svc/requests';
+
+/** Jobs as submitted, and the submission that each of them gets. */
+interface Surroundings {
+  readonly submitted: JobRequest[];
+  answer: Submission;
+}
+
+function complete(job: JobRequest): Submission {
+  return {
+    kind: SubmissionKind.Result,
+    result: {
+      jobId: job.jobId,
+      outcome: JobOutcome.Complete,
+      answers: job.tasks.map(one => ({
+        taskId: one.taskId,
+        answer: one.payload,
+      })),
+    },
+  };
+}
+
+function failed(started: Started, deadlinePassed: boolean): Submission {
+  return {
+    kind: SubmissionKind.Result,
+    result: {
+      jobId: 'wards/job-1',
+      outcome: JobOutcome.Failed,
+      reason: 'Task "a": the target answered with status 500.',
+      started,
+      deadlinePassed,
+    },
+  };
+}
+
+function createApplication(surroundings: Partial<Surroundings> = {}) {
+  const submitted: JobRequest[] = [];
+  const accept = (job: JobRequest): Promise<Submission> => {
+    submitted.push(job);
+    return Promise.resolve(surroundings.answer ?? complete(job));
+  };
+  const jobs = {
+    submitJob: accept,
+    runRequest: accept,
+    find: () => undefined,
+    cancelJob: () => Promise.resolve(undefined),
+  } as unknown as JobService;
+  const timers = createManualTimerService();
+  const application = serveCallers({
+    jobs,
+    teams: [{ team: 'wards', tokenDigests: [digestToken(token)] }],
+    metrics: createMetrics({ role: 'dispatcher', process: 'test', timers }),
+    bodyBytes,
+    configuration: () => emptyConfiguration,
+    findElsewhere: () => Promise.resolve(undefined),
+    isReady: () => false,
+  });
+  return { application, submitted };
+}
+
+async function post(
+  body: unknown,
+  options: {
+    readonly answer?: Submission;
+    readonly path?: string;
+    readonly headers?: Record<string, string>;
+  } = {},
+) {
+  const { application, submitted } = createApplication(
+    options.answer === undefined ? {} : { answer: options.answer },
+  );
+  const response = await application.request(options.path ?? jobsPath, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${token}`, ...options.headers },
+    body: typeof body === 'string' ? body : JSON.stringify(body),
+  });
+  return {
+    status: response.status,
+    retryAfter: response.headers.get('retry-after'),
+    body: (await response.json()) as Record<string, unknown>,
+    submitted: submitted.length,
+  };
+}
+
+const job = { jobId: 'job-1', tasks: [{ taskId: 'a', payload: { x: 1 } }] };
+
+test('bodies that are not valid are refused before anything starts', async t => {
+  const tasks = Array.from({ length: 201 }, (_unused, position) => ({
+    taskId: String(position),
+    payload: 1,
+  }));
+  const bodies: Record<string, unknown> = {
+    'not JSON': '{"jobId": ',
+    'an array': [],
+    'no tasks': { jobId: 'job-1', tasks: [] },
+    'too many tasks': { jobId: 'job-1', tasks },
+    'a doubled taskId': {
+      jobId: 'job-1',
+      tasks: [...job.tasks, ...job.tasks],
+    },
+    'an unknown key': { ...job, priority: 1 },
+    'an empty jobId': { ...job, jobId: '' },
+    'a negative deadline': { ...job, deadlineMilliseconds: -1 },
+    'the team of another token': { ...job, team: 'traders' },
+    'too large a body': { ...job, padding: 'x'.repeat(bodyBytes) },
+  };
+  for (const [name, body] of Object.entries(bodies)) {
+    const answer = await post(body);
+    t.is(answer.submitted, 0, name);
+    t.is(answer.body.started, 'no', name);
+    t.snapshot(answer, name);
+  }
+});
+
+test('a caller without a known token is refused', async t => {
+  for (const authorization of ['', 'Bearer wrong', 'Basic abc']) {
+    const answer = await post(job, { headers: { authorization } });
+    t.is(answer.status, 401);
+    t.is(answer.submitted, 0);
+    t.is(answer.body.started, 'no');
+  }
+});
+
+test('each way a submission ends has its status', async t => {
+  const answers: Record<string, Submission | undefined> = {
+    complete: undefined,
+    conflict: { kind: SubmissionKind.Conflict },
+    'over quota': {
+      kind: SubmissionKind.Refused,
+      refusal: SubmissionRefusal.QuotaExceeded,
+      reason: 'Team "wards" is over its quota.',
+      retryAfterMilliseconds: 1_500,
+    },
+    impossible: {
+      kind: SubmissionKind.Refused,
+      refusal: SubmissionRefusal.Impossible,
+      reason: 'No worker has 512 processors.',
+      retryAfterMilliseconds: undefined,
+    },
+    overloaded: refuseForNow('The queue is full.', 200),
+    'failed after a start': failed(Started.Yes, false),
+    'perhaps started': failed(Started.Perhaps, false),
+    'late after a start': failed(Started.Perhaps, true),
+    'failed before a start': failed(Started.No, true),
+  };
+  for (const [name, answer] of Object.entries(answers)) {
+    t.snapshot(await post(job, answer === undefined ? {} : { answer }), name);
+  }
+});
+
+test('a request without an idempotency key may be repeated, one with a key is named by it', async t => {
+  const body = { payload: { street: 'Hàng Bạc' } };
+  const free = createApplication();
+  const keyed = createApplication();
+  const send = async (
+    { application }: typeof free,
+    headers: Record<string, string>,
+  ) =>
+    application.request(requestsPath, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${token}`, ...headers },
+      body: JSON.stringify(body),
+    });
+  await send(free, {});
+  await send(keyed, { 'idempotency-key': 'seat-7' });
+  t.true(free.submitted[0]?.idempotent);
+  t.false(keyed.submitted[0]?.idempotent);
+  t.is(keyed.submitted[0]?.jobId, 'wards/key:seat-7');
+  t.is(keyed.submitted[0]?.tasks[0]?.payload, '{"street":"Hàng Bạc"}');
+});
+
+test('tasks of a job start at most once, also when the caller calls them idempotent', async t => {
+  const { application, submitted } = createApplication();
+  await application.request(jobsPath, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${token}` },
+    body: JSON.stringify({ ...job, idempotent: true }),
+  });
+  t.false(submitted[0]?.idempotent);
+});
+
+test('answers pass through as they came, and paths that do not exist are named', async t => {
+  const { application } = createApplication();
+  const headers = { authorization: `Bearer ${token}` };
+  const unknown = await application.request(`${jobsPath}/none`, { headers });
+  t.is(unknown.status, 404);
+  const cancelled = await application.request(`${jobsPath}/none`, {
+    method: 'DELETE',
+    headers,
+  });
+  t.is(cancelled.status, 404);
+  t.is((await application.request('/v2/none')).status, 404);
+  t.is((await application.request('/healthz')).status, 200);
+  t.is((await application.request('/readyz')).status, 503);
+  const metrics = await application.request('/metrics');
+  t.regex(await metrics.text(), /tokens_refused/);
+});
