Trust a load report by half where it shows less than usual

Cause: the target that looks most free is most often the one whose report is the oldest. The part of other dispatchers is now the mean of the report and the usual one, when the report is lower. Also tests of the retry decisions.

--- a/packages/placement/src/target-entry.ts
+++ b/packages/placement/src/target-entry.ts
@@ -51,8 +51,10 @@
   withdrawn: boolean;
   /** Attempts of this dispatcher that have not ended. */
   outstanding: number;
-  /** Slots that other dispatchers held at the last report. */
+  /** Slots that other dispatchers are taken to hold since the last report. */
   othersBusy: number;
+  /** Slots that other dispatchers held at recent reports, on average. */
+  othersUsual: number;
   reportedAt: Milliseconds;
   /** Shortest time seen between sending an attempt and its result, less its run time. */
   roundTrip: Milliseconds;
@@ -71,6 +73,7 @@
 
 const unmeasuredRoundTripMilliseconds: Milliseconds = 5;
 const roundTripGrowth = 1.01;
+const newestLoadWeight = 0.1;
 
 /** Creates the entry of a newly registered target run. */
 export function createTargetEntry(
@@ -87,6 +90,7 @@
     withdrawn: false,
     outstanding: 0,
     othersBusy: 0,
+    othersUsual: 0,
     reportedAt: now,
     roundTrip: unmeasuredRoundTripMilliseconds,
     heldUntil: 0,
@@ -124,6 +128,8 @@
 
 /**
  * Takes in a load report. Own attempts are known exactly, so only the others' part is learned from it.
+ * A report that shows fewer than usual is trusted by half, because it is old when it is used: the target that looks most free
+ * is most often the one whose report is the oldest.
  * `underway` own attempts were sent too late to be counted in the report.
  */
 export function recordLoad(
@@ -133,7 +139,12 @@
   now: Milliseconds,
 ): void {
   const busy = entry.slots - load.freeSlots + load.queuedTasks;
-  entry.othersBusy = Math.max(0, busy - entry.outstanding + underway);
+  const others = Math.max(0, busy - entry.outstanding + underway);
+  entry.othersUsual += (others - entry.othersUsual) * newestLoadWeight;
+  entry.othersBusy = Math.max(
+    others,
+    Math.round((others + entry.othersUsual) / 2),
+  );
   entry.draining = load.draining;
   entry.reportedAt = now;
 }
--- /dev/null
+++ b/packages/retries/src/retries.test.ts
@@ -0,0 +1,81 @@
+import { createRandomSource } from '@cranberryturn/random';
+import { NotStartedReason } from '@cranberryturn/types';
+import test from 'ava';
+
+import {
+  computeBackoff,
+  decideRetry,
+  type EndedAttempt,
+  EndedAttemptKind,
+  RetryDecisionKind,
+  type RetryQuestion,
+} from './decide-retry.js';
+import { createRetryBudget } from './retry-budget.js';
+
+const seed = 20_261_203;
+
+function ask(ended: EndedAttempt, change: Partial<RetryQuestion> = {}) {
+  const question: RetryQuestion = {
+    ended,
+    repeatable: false,
+    startedAttempts: 1,
+    refusals: 1,
+    remainingMilliseconds: 1_000,
+    shortestRunMilliseconds: 50,
+    ...change,
+  };
+  const random = createRandomSource(seed);
+  return decideRetry(question, createRetryBudget(10), random);
+}
+
+test('what follows each end of an attempt', t => {
+  const ends: EndedAttempt[] = [
+    { kind: EndedAttemptKind.Failed },
+    { kind: EndedAttemptKind.Lost },
+    ...Object.values(NotStartedReason).map(
+      reason => ({ kind: EndedAttemptKind.NotStarted, reason }) as const,
+    ),
+  ];
+  for (const ended of ends) {
+    const reason = 'reason' in ended ? ended.reason : ended.kind;
+    t.snapshot(
+      { once: ask(ended), repeatable: ask(ended, { repeatable: true }) },
+      reason,
+    );
+  }
+});
+
+test('nothing is tried again when the deadline leaves no time', t => {
+  const busy = {
+    kind: EndedAttemptKind.NotStarted,
+    reason: NotStartedReason.Busy,
+  } as const;
+  const late = { remainingMilliseconds: 49 };
+  t.is(ask(busy, late).kind, RetryDecisionKind.GiveUp);
+  t.is(ask(busy).kind, RetryDecisionKind.Again);
+});
+
+test('retries are a share of first attempts, after ten that are saved', t => {
+  const budget = createRetryBudget(10);
+  let spent = 0;
+  for (let attempt = 0; attempt < 1_000; attempt += 1) {
+    budget.earn();
+    while (budget.trySpend()) spent += 1;
+  }
+  t.true(spent >= 105 && spent <= 110, String(spent));
+  budget.changePercent(0);
+  budget.earn();
+  t.false(budget.trySpend());
+});
+
+test('backoff grows, is spread and stays below a second', t => {
+  const random = createRandomSource(seed);
+  for (let step = 0; step < 20; step += 1) {
+    const ceiling = Math.min(10 * 2 ** step, 1_000);
+    const delays = Array.from({ length: 50 }, () =>
+      computeBackoff(step, random),
+    );
+    t.true(delays.every(delay => delay >= 0 && delay <= ceiling));
+    t.true(Math.max(...delays) - Math.min(...delays) > ceiling / 2);
+  }
+});
