--- a/packages/admission/src/decide-admission.ts
+++ b/packages/admission/src/decide-admission.ts
@@ -40,7 +40,7 @@
 /** Above this part of the queue limit, only teams below their fair share are admitted. */
 const sharedQueuePart = 0.75;
 /** Run times and the share of the slots vary: the wait is expected to be this much longer. */
-const waitMargin = 1.25;
+const waitMargin = 1.5;
 
 /** Admits or refuses a job. `jitter` from 0 to 1 spreads the times to come back. */
 export function decideAdmission(
