Count a long task once, and judge a probe by itself

With one slow worker and idempotent requests p99 was 2.41. Two faults: a probe of a target ten times slow moved the average to 3.25 only, below the 4 that ejects, so it passed; and a straggler counted when it was reported and again when it was answered, so that one ordinary long task ejected a healthy target, also in calm.

--- a/packages/placement/src/health-tracker.ts
+++ b/packages/placement/src/health-tracker.ts
@@ -1,7 +1,11 @@
 /** Ejects, probes and readmits the targets of one service, judged by the outcomes of their tasks. */
 import type { Milliseconds } from '@cranberryturn/types';
 
-import { HealthPhase, type TargetEntry } from './target-entry.js';
+import {
+  HealthPhase,
+  type TargetEntry,
+  type TargetHealth,
+} from './target-entry.js';
 
 /** Hears of each change of health. */
 export type HealthListener = (
@@ -58,7 +62,7 @@
   recordSuccess(entry: TargetEntry, slowness: number, now: Milliseconds): void {
     const { health } = entry;
     this.#learnFailure(entry, 0);
-    health.slowness += (slowness - health.slowness) * newestSlownessWeight;
+    learnSlowness(health, slowness);
     if (this.#isSlow(entry)) {
       this.#eject(entry, now, describeSlowness(health.slowness));
       return;
@@ -88,7 +92,7 @@
   ): void {
     const { health } = entry;
     health.outcomes += 1;
-    health.slowness += (slowness - health.slowness) * newestSlownessWeight;
+    learnSlowness(health, slowness);
     if (this.#isSlow(entry))
       this.#eject(entry, now, describeSlowness(health.slowness));
   }
@@ -227,6 +231,13 @@
   return Math.min(doubled, longestEjectionMilliseconds);
 }
 
+/** A probe is judged by itself; otherwise about four tasks count. */
+function learnSlowness(health: TargetHealth, slowness: number): void {
+  const probed = health.phase === HealthPhase.Probed;
+  const weight = probed ? 1 : newestSlownessWeight;
+  health.slowness += (slowness - health.slowness) * weight;
+}
+
 function describeSlowness(slowness: number): string {
   return `its tasks take ${slowness.toFixed(1)} times the usual run time`;
 }
--- a/packages/scheduling/src/active-work.ts
+++ b/packages/scheduling/src/active-work.ts
@@ -49,6 +49,8 @@
   readonly target: TargetEntry;
   readonly startedAt: Milliseconds;
   readonly hedge: boolean;
+  /** Whether it was reported as a straggler. */
+  straggling: boolean;
   /** Its place among the running attempts of the service, oldest first. */
   node: ListNode<ActiveAttempt> | undefined;
 }
--- a/packages/scheduling/src/faults.test.ts
+++ b/packages/scheduling/src/faults.test.ts
@@ -162,3 +162,21 @@
   fixture.start(createJob('job-1', 8));
   t.is(fixture.sent.length, 3);
 });
+
+test('one long task is not counted twice against its target', async t => {
+  const fixture = createCluster(4);
+  for (let number = 0; number < 64; number += 1) {
+    fixture.start(createJob(`early-${String(number)}`, 1));
+    fixture.answer(fixture.sent.at(-1), 100);
+  }
+  fixture.start(createJob('long', 1));
+  const long = fixture.sent.at(-1);
+  await fixture.timers.advance(900);
+  fixture.answer(long, 900);
+  t.true(
+    fixture.decisions.some(
+      one => one.kind === DecisionKind.Health && one.action === 'straggler',
+    ),
+  );
+  t.false(fixture.scheduler.status().targets.some(one => one.ejected));
+});
--- a/packages/scheduling/src/learn-outcome.ts
+++ b/packages/scheduling/src/learn-outcome.ts
@@ -46,7 +46,8 @@
       const expected = pool.runTimes.estimate(declared);
       recordRoundTrip(target, now - attempt.startedAt, result.runMilliseconds);
       pool.runTimes.record(result.runMilliseconds, declared);
-      const slowness = result.runMilliseconds / Math.max(1, expected);
+      const ratio = result.runMilliseconds / Math.max(1, expected);
+      const slowness = attempt.straggling ? target.health.slowness : ratio;
       target.refusals = 0;
       pool.health.recordSuccess(target, slowness, now);
       return;
--- a/packages/scheduling/src/place-tasks.ts
+++ b/packages/scheduling/src/place-tasks.ts
@@ -58,7 +58,7 @@
   context: SchedulerContext,
   task: ActiveTask,
   target: TargetEntry,
-  attempt: Omit<ActiveAttempt, 'task' | 'target' | 'node'>,
+  attempt: Omit<ActiveAttempt, 'task' | 'target' | 'straggling' | 'node'>,
 ): void {
   const { job } = task;
   const { pool } = job;
@@ -69,6 +69,7 @@
     target,
     startedAt: attempt.startedAt,
     hedge: attempt.hedge,
+    straggling: false,
     node: undefined,
   };
   task.attempts.push(active);
--- a/packages/scheduling/src/watch-running-tasks.ts
+++ b/packages/scheduling/src/watch-running-tasks.ts
@@ -80,6 +80,7 @@
 ): void {
   const { task, target } = attempt;
   const elapsed = now - attempt.startedAt;
+  attempt.straggling = true;
   const { jobId } = task.job.request;
   const { taskId } = task.request;
   context.options.decisions(
