--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -6,6 +6,7 @@
 import { addCapacityCommand } from '../commands/capacity-command.js';
 import { addCheckCommand } from '../commands/check-command.js';
 import { addPoliciesCommand } from '../commands/policies-command.js';
+import { addControlCommand } from '../commands/control-command.js';
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
 import { addSlopesCommand } from '../commands/slopes-command.js';
@@ -15,6 +16,7 @@
   'Measures cranberryturn on this machine and checks what it promises.',
 );
 addRunCommand(program);
+addControlCommand(program);
 addSlopesCommand(program);
 addCheckCommand(program);
 addPoliciesCommand(program);
