--- a/packages/bench/src/commands/control-command.ts
+++ b/packages/bench/src/commands/control-command.ts
@@ -1,6 +1,5 @@
-/** `cranberry-bench control`: claims a second, changes in force, and the time without a leader. */
+/** `cranberry-bench control`: claims, followers, catch-up and the time without a leader. */
 import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
 import {
@@ -17,152 +16,141 @@
 import type { Milliseconds } from '@cranberryturn/types';
 import type { Command } from 'commander';
 
-import { formatNumber, formatTable } from '../report/format-table.js';
+import { formatTable } from '../report/format-table.js';
 import {
   defaultSeed,
   deliverResult,
+  loadComparison,
   type MeasuringOptions,
   parseCount,
+  print,
 } from './shared-options.js';
 
-/** What the command measures. */
-export interface ControlFigures {
+interface ControlOptions extends MeasuringOptions {
+  readonly folder: string;
+}
+
+/** Everything measured of control. */
+export interface ControlReadings {
   readonly claims: readonly ClaimsReading[];
   readonly followers: FollowersReading;
-  readonly catchUp: CatchUpReading;
-  /** Longest time without a leader over all seeds, by the kind of loss. */
-  readonly leaderlessMilliseconds: Readonly<Record<LeaderLoss, Milliseconds>>;
+  readonly catchUps: readonly CatchUpReading[];
+  readonly leaderless: readonly LeaderlessReading[];
 }
 
-const inFlightSizes = [1, 16, 64, 256];
-const claimDurationMilliseconds: Milliseconds = 2_000;
-const measuredFollowers = 1_000;
-const measuredChanges = 5;
-const missedChanges = 600;
-const leaderSeeds = 10;
-const inForceBoundMilliseconds: Milliseconds = 4_000;
-const leaderlessBoundMilliseconds: Milliseconds = 2_000;
+interface LeaderlessReading {
+  readonly loss: LeaderLoss;
+  /** One for each seed. */
+  readonly milliseconds: readonly Milliseconds[];
+}
+
+const claimsInFlight = [1, 8, 64, 256, 1_024];
+const syncDelaysMilliseconds = [0, 5];
+const claimsDurationMilliseconds = 2_000;
+const followerCount = 1_000;
+const changesInForce = 10;
+const missedChanges = [150, 600];
+const leaderlessSeeds = 10;
 
 /** Adds the command. */
 export function addControlCommand(program: Command): void {
   program
     .command('control')
-    .description(
-      'measure claims, changes in force and the time without a leader',
-    )
-    .option('--seed <n>', 'first seed', parseCount, defaultSeed)
+    .description('measure claims, followers, catch-up and changes of leader')
+    .option('--folder <folder>', 'folder on the disk to measure', '.')
+    .option('--seed <n>', 'first seed of the losses', parseCount, defaultSeed)
     .option('--json', 'print JSON')
     .option('--save <file>', 'save the result')
-    .action(measureControl);
+    .option('--compare <file or revision>', 'show before and after')
+    .action(run);
 }
 
-async function measureControl(options: MeasuringOptions): Promise<void> {
-  const claims: ClaimsReading[] = [];
-  for (const inFlight of inFlightSizes) {
-    claims.push(
-      await inFolder(folder =>
-        measureClaims({
-          folder,
-          inFlight,
-          syncDelay: 0,
-          duration: claimDurationMilliseconds,
-        }),
-      ),
-    );
+async function run(options: ControlOptions): Promise<void> {
+  const parent = await mkdtemp(join(options.folder, 'control-bench-'));
+  try {
+    const readings = await measureAll(parent, options.seed);
+    await deliverResult('control', options, readings, formatReadings(readings));
+    if (options.compare === undefined) return;
+    const before = await loadComparison<ControlReadings>(options.compare);
+    print(`Before: commit ${before.origin.commit}`);
+    print(formatReadings(before.content));
+  } finally {
+    await rm(parent, { recursive: true, force: true });
   }
-  const figures: ControlFigures = {
-    claims,
-    followers: await inFolder(folder =>
-      measureFollowers({
-        folder,
-        followers: measuredFollowers,
-        changes: measuredChanges,
-      }),
-    ),
-    catchUp: await inFolder(folder =>
-      measureCatchUp({ folder, changes: missedChanges }),
-    ),
-    leaderlessMilliseconds: {
-      [LeaderLoss.Crash]: await findLongest(options.seed, LeaderLoss.Crash),
-      [LeaderLoss.CutOff]: await findLongest(options.seed, LeaderLoss.CutOff),
-    },
-  };
-  await deliverResult('control', options, figures, formatFigures(figures));
 }
 
-async function inFolder<Reading>(
-  measure: (folder: string) => Promise<Reading>,
-): Promise<Reading> {
-  const folder = await mkdtemp(join(tmpdir(), 'cranberry-bench-'));
-  const reading = await measure(folder);
-  await rm(folder, { recursive: true, force: true });
-  return reading;
+async function measureAll(
+  parent: string,
+  seed: number,
+): Promise<ControlReadings> {
+  const createFolder = () => mkdtemp(join(parent, 'run-'));
+  const claims: ClaimsReading[] = [];
+  for (const syncDelay of syncDelaysMilliseconds) {
+    for (const inFlight of claimsInFlight) {
+      const folder = await createFolder();
+      const duration = claimsDurationMilliseconds;
+      claims.push(
+        await measureClaims({ folder, inFlight, syncDelay, duration }),
+      );
+    }
+  }
+  const followers = await measureFollowers({
+    folder: await createFolder(),
+    followers: followerCount,
+    changes: changesInForce,
+  });
+  const catchUps: CatchUpReading[] = [];
+  for (const changes of missedChanges) {
+    catchUps.push(
+      await measureCatchUp({ folder: await createFolder(), changes }),
+    );
+  }
+  const leaderless: LeaderlessReading[] = [];
+  for (const loss of Object.values(LeaderLoss)) {
+    leaderless.push({ loss, milliseconds: await measureLoss(loss, seed) });
+  }
+  return { claims, followers, catchUps, leaderless };
 }
 
-async function findLongest(
-  firstSeed: number,
+async function measureLoss(
   loss: LeaderLoss,
-): Promise<Milliseconds> {
-  let longest = 0;
-  for (let seed = firstSeed; seed < firstSeed + leaderSeeds; seed += 1) {
+  firstSeed: number,
+): Promise<readonly Milliseconds[]> {
+  const waits: Milliseconds[] = [];
+  for (let number = 0; number < leaderlessSeeds; number += 1) {
     const timers = createManualTimerService();
-    const time = await measureLeaderlessTime({ timers, seed, loss });
-    longest = Math.max(longest, time);
+    const seed = firstSeed + number;
+    waits.push(await measureLeaderlessTime({ timers, seed, loss }));
   }
-  return longest;
+  return waits;
 }
 
-function formatFigures(figures: ControlFigures): string {
-  const { followers, catchUp, leaderlessMilliseconds } = figures;
+function formatReadings(readings: ControlReadings): string {
+  const { claims, followers, catchUps, leaderless } = readings;
   const slowest = Math.max(...followers.slowestMilliseconds);
   return [
-    'Claims over one replica with a synced log',
     formatTable(
-      ['in flight', 'claims/s', 'p50 ms', 'p99 ms', 'claims/log entry'],
-      figures.claims.map(one =>
-        [
-          one.inFlight,
-          one.claimsPerSecond,
-          one.p50Milliseconds,
-          one.p99Milliseconds,
-          one.claimsPerEntry,
-        ].map(formatNumber),
-      ),
+      ['in flight', 'added sync ms', 'claims/s', 'p50 ms', 'p99 ms', 'a entry'],
+      claims.map(entry => [
+        String(entry.inFlight),
+        String(entry.syncDelayMilliseconds),
+        entry.claimsPerSecond.toFixed(0),
+        entry.p50Milliseconds.toFixed(1),
+        entry.p99Milliseconds.toFixed(1),
+        entry.claimsPerEntry.toFixed(1),
+      ]),
     ),
     '',
-    formatTable(
-      ['figure', 'measured', 'target'],
-      [
-        describe(
-          `change in force at ${formatNumber(followers.followers)} followers, ms`,
-          slowest,
-          inForceBoundMilliseconds,
-        ),
-        describe(
-          `in force after ${formatNumber(catchUp.changes)} missed changes, ms`,
-          catchUp.milliseconds,
-          inForceBoundMilliseconds,
-        ),
-        describe(
-          'without a leader after a crash, longest, ms of simulated time',
-          leaderlessMilliseconds[LeaderLoss.Crash],
-          leaderlessBoundMilliseconds,
-        ),
-        describe(
-          'without a leader after a cut, longest, ms of simulated time',
-          leaderlessMilliseconds[LeaderLoss.CutOff],
-          leaderlessBoundMilliseconds,
-        ),
-        [
-          'bytes for each follower and second',
-          formatNumber(followers.bytesPerFollowerAndSecond),
-          '<= 2,048',
-        ],
-      ],
+    `In force at ${String(followers.followers)} followers: ${slowest.toFixed(0)} ms at most (stated 4,000, aim 1,000).`,
+    `For each follower and change: ${followers.framesPerFollowerAndChange.toFixed(1)} frames, ${followers.bytesPerFollowerAndChange.toFixed(0)} bytes, ${followers.processorMillisecondsPerFollowerAndChange.toFixed(2)} ms of processor.`,
+    `For each follower and second: ${followers.bytesPerFollowerAndSecond.toFixed(0)} bytes (stated 2,000), ${followers.processorMillisecondsPerFollowerAndSecond.toFixed(2)} ms of processor (stated 40).`,
+    ...catchUps.map(
+      entry =>
+        `Catch-up after ${String(entry.changes)} changes: ${entry.milliseconds.toFixed(0)} ms, ${String(entry.bytes)} bytes (stated 4,000 ms).`,
+    ),
+    ...leaderless.map(
+      ({ loss, milliseconds }) =>
+        `Without a leader after ${loss}, simulated: ${String(Math.min(...milliseconds))} to ${String(Math.max(...milliseconds))} ms (stated 2,000).`,
     ),
   ].join('\n');
 }
-
-function describe(figure: string, measured: number, bound: number): string[] {
-  return [figure, formatNumber(measured), `<= ${formatNumber(bound)}`];
-}
