--- a/packages/bench/src/load/load.test.ts
+++ b/packages/bench/src/load/load.test.ts
@@ -11,6 +11,7 @@
 import { type JobClient, SubmissionOutcome } from './job-client.js';
 import { type LoadOptions, type LoadPlan, planLoad } from './plan-load.js';
 import { runLoad } from './run-load.js';
+import { scaleLoad } from './scale-load.js';
 import { observeReplies, summarizeLoad } from './summarize-load.js';
 
 const options: LoadOptions = {
@@ -36,6 +37,15 @@
   });
 }
 
+test('a short plan is scaled to exactly the asked load', t => {
+  const short = planLoad({ ...options, durationMilliseconds: 6_000 });
+  const scaled = scaleLoad(short, 0.7);
+  const last = scaled.jobs.at(-1)?.at ?? 0;
+  const share = busySlots(scaled, last) / countSlots(bookingShape);
+  t.true(Math.abs(share - 0.7) < 1e-9, `share ${String(share)}`);
+  t.is(scaled.jobs.length, short.jobs.length);
+});
+
 test('the same seed gives the same plan, another seed another one', t => {
   t.deepEqual(planLoad(options), planLoad(options));
   t.notDeepEqual(
--- a/packages/bench/src/run/measure-load-case.ts
+++ b/packages/bench/src/run/measure-load-case.ts
@@ -8,8 +8,9 @@
 import { statedCheckOptions, type Violation } from '../checker/violation.js';
 import { createHttpJobClient } from '../load/create-http-job-client.js';
 import type { JobClient } from '../load/job-client.js';
-import { planLoad } from '../load/plan-load.js';
+import { type LoadPlan, planLoad } from '../load/plan-load.js';
 import { type CompletedSubmission, runLoad } from '../load/run-load.js';
+import { scaleLoad } from '../load/scale-load.js';
 import {
   type LoadSummary,
   observeReplies,
@@ -24,7 +25,13 @@
   type MessageSummary,
   readMessages,
 } from './count-messages.js';
-import { describeLoad, type LoadCase, LoadEvent, Policy } from './load-case.js';
+import {
+  describeLoad,
+  type LoadCase,
+  LoadEvent,
+  measuredLoadFraction,
+  Policy,
+} from './load-case.js';
 
 /** What a case gave. */
 export interface LoadCaseResult {
@@ -66,7 +73,7 @@
   const warmUp = await warm(load, client, timers);
   const before = readMessages(system);
   const processor = process.cpuUsage();
-  const plan = planLoad(describeLoad(load));
+  const plan = composePlan(load);
   const happening = applyEvent(load, system, timers);
   const submissions = await runLoad(plan, { client, timers });
   await happening;
@@ -89,6 +96,13 @@
   };
 }
 
+/** A burst adds its own load; every other plan offers exactly the measured part. */
+function composePlan(load: LoadCase): LoadPlan {
+  const plan = planLoad(describeLoad(load));
+  if (load.event === LoadEvent.Burst) return plan;
+  return scaleLoad(plan, measuredLoadFraction);
+}
+
 async function warm(
   { shape, seed }: LoadCase,
   client: JobClient,
