Ask filled targets for their next free slot, and share limits between dispatchers

Cause: a dispatcher heard of a free slot only with the results of its own attempts. With tasks waiting it left slots idle that the other dispatcher had freed. And the scheduler's exchange of limits was not connected, so that every dispatcher kept an equal part whether it had load or not.

Change: while tasks wait and no slot is known to be free, the scheduler asks the targets whose slots others hold, once each, and the sidecar reports as soon as a slot is free. Dispatchers borrow parts of limits over their links. The data centre and the request identifier reach the scheduler; /readyz waits until control was reached once.

--- a/packages/dispatcher/src/answer-dispatchers.ts
+++ b/packages/dispatcher/src/answer-dispatchers.ts
@@ -1,5 +1,6 @@
 /** What dispatchers ask each other. */
 import type { JobEntry } from '@cranberryturn/jobs';
+import type { Scheduler, SharingScheduler } from '@cranberryturn/scheduling';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
   DispatcherRecord,
@@ -19,12 +20,23 @@
 
 const lookupTimeoutMilliseconds: Milliseconds = 1_000;
 
+/** A scheduler that may lend parts of limits. */
+export type LendingScheduler = Scheduler &
+  Partial<Pick<SharingScheduler, 'lendShares'>>;
+
 /** Answers a call of another dispatcher. */
 export async function answerDispatcher(
   jobs: JobService,
+  scheduler: LendingScheduler | undefined,
   call: DispatcherCall,
   timers: TimerService,
 ): Promise<DispatcherReply> {
+  if (call.method === DispatcherMethod.BorrowShares) {
+    const reply = scheduler?.lendShares?.(call.request);
+    return reply === undefined
+      ? { kind: DispatcherReplyKind.NotOwner }
+      : { kind: DispatcherReplyKind.Shares, reply };
+  }
   const entry = jobs.find(call.jobId);
   if (entry === undefined) return { kind: DispatcherReplyKind.NotOwner };
   switch (call.method) {
--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -170,7 +170,7 @@
   }
 
   #admit(job: RunningJob): Submission | undefined {
-    const admitted = this.#scheduler?.admitJob(job.request);
+    const admitted = this.#scheduler?.admitJob(job.request, job.requestId);
     if (admitted?.isErr() === true) return describeRefusal(admitted.error);
     this.#reporter.reportAdmitted(job);
     return undefined;
--- a/packages/dispatcher/src/own-job.ts
+++ b/packages/dispatcher/src/own-job.ts
@@ -148,6 +148,7 @@
       case DispatcherReplyKind.Result:
         return reply.value.result;
       case DispatcherReplyKind.NotOwner:
+      case DispatcherReplyKind.Shares:
         return undefined;
       case DispatcherReplyKind.Running:
         break;
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -58,6 +58,7 @@
   });
   return startDispatcher({
     self,
+    dataCentre: settings.dataCentre,
     callers: settings.callers,
     peers: settings.peers,
     teams: settings.teams,
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -14,6 +14,7 @@
 } from '@cranberryturn/sessions';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
+  DataCentreName,
   DecisionSink,
   DispatcherIdentity,
   DispatcherRecord,
@@ -28,9 +29,14 @@
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
-import { answerDispatcher, findElsewhere } from './answer-dispatchers.js';
+import {
+  answerDispatcher,
+  findElsewhere,
+  type LendingScheduler,
+} from './answer-dispatchers.js';
 import { type CallerTeam, serveCallers } from './callers/serve-callers.js';
 import { DispatcherLinks } from './dispatcher-links.js';
+import { createShareExchange } from './exchange-shares.js';
 import { JobService } from './job-service.js';
 import type { ControlPort } from './ports/control.js';
 import { TargetDirectory } from './target-directory.js';
@@ -49,6 +55,8 @@
 /** What a dispatcher is built from. */
 export interface DispatcherOptions {
   readonly self: DispatcherIdentity;
+  /** Targets of this data centre are preferred; without it, all are alike. */
+  readonly dataCentre?: DataCentreName | undefined;
   readonly callers: NetworkAddress;
   readonly peers: NetworkAddress & {
     /** Address that others dial, where it is not the one listened on. */
@@ -117,7 +125,7 @@
       configuration: () => options.control.configuration.current(),
       findElsewhere: (jobId, cancel) =>
         findElsewhere(parts.links, listOthers(options), jobId, cancel),
-      isReady: () => isReady,
+      isReady: () => isReady && options.control.roster.current().version > 0,
     }),
     address: options.callers,
     bodyTimeoutMilliseconds: options.limits.bodyTimeoutMilliseconds,
@@ -155,7 +163,7 @@
   const links: DispatcherLinks = new DispatcherLinks({
     network,
     timers,
-    handleCall: call => answerDispatcher(jobs, call, timers),
+    handleCall: call => answerDispatcher(jobs, scheduler, call, timers),
   });
   const jobs: JobService = new JobService({
     self,
@@ -168,8 +176,10 @@
     decisions,
   });
   const create = options.createScheduler ?? createScheduler;
-  const scheduler = create({
+  const scheduler: LendingScheduler = create({
     dispatcherId: self.dispatcherId,
+    dataCentre: options.dataCentre,
+    shareExchange: createShareExchange(links, control.roster),
     timers,
     seed: options.seed,
     sender: targets,
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -101,6 +101,12 @@
       ?.send({ kind: ToTargetKind.CancelAttempts, attempts, reason });
   }
 
+  askForLoad(target: TargetIdentity): void {
+    this.#targets
+      .get(describeRun(target))
+      ?.send({ kind: ToTargetKind.AskForLoad });
+  }
+
   /**
    * Fences a job at one run of a sidecar. Resolves with what that run knows,
    * or with undefined when it is gone or does not answer in time.
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -18,6 +18,7 @@
   type ManualTimerService,
 } from '@cranberryturn/timers';
 import {
+  type ClusterConfiguration,
   type Decision,
   emptyConfiguration,
   type JobRequest,
@@ -79,6 +80,8 @@
   readonly workers: number;
   readonly slots: number;
   readonly runMilliseconds: Milliseconds;
+  /** Configuration of the empty log; nothing is set without it. */
+  readonly configuration?: ClusterConfiguration | undefined;
 }
 
 /** Starts a cluster in memory and lets it settle. */
@@ -91,7 +94,12 @@
   const record = (decision: Decision): void => {
     decisions.push(decision);
   };
-  const control = await startMemoryControl(timers, network, record);
+  const control = await startMemoryControl(
+    timers,
+    network,
+    record,
+    options.configuration ?? emptyConfiguration,
+  );
   const dispatchers: MemoryDispatcher[] = [];
   const workers: MemoryWorker[] = [];
 
@@ -185,6 +193,7 @@
   timers: ManualTimerService,
   network: MemoryNetwork,
   record: (decision: Decision) => void,
+  initialConfiguration: ClusterConfiguration,
 ): Promise<ControlNode> {
   const started = await startControl({
     listen: loopback,
@@ -196,7 +205,7 @@
       okAsync(
         createMemoryLog({ replicaId: 'control-1', stateMachine, timers }),
       ),
-    initialConfiguration: emptyConfiguration,
+    initialConfiguration,
     logger: createSilentLogger(),
     decisions: record,
   });
--- /dev/null
+++ b/packages/local/src/shared-limits.test.ts
@@ -0,0 +1,64 @@
+import {
+  type Decision,
+  DecisionKind,
+  emptyConfiguration,
+} from '@cranberryturn/types';
+import test from 'ava';
+
+import { composeJob, startMemoryCluster } from './fakes/memory-cluster.js';
+
+const quota = 4;
+const configuration = {
+  ...emptyConfiguration,
+  services: [
+    {
+      service: 'register-svc',
+      queueLimit: 1_000,
+      defaultDeadlineMilliseconds: 60_000,
+      retryBudgetPercent: 10,
+    },
+  ],
+  teams: [{ team: 'wards', weight: 1, concurrencyQuota: quota }],
+};
+
+/** The largest number of attempts that ran at the same time. */
+function findMostRunning(decisions: readonly Decision[]): number {
+  let running = 0;
+  let most = 0;
+  for (const decision of decisions) {
+    if (decision.kind === DecisionKind.Started) running += 1;
+    if (decision.kind === DecisionKind.Ended) running -= 1;
+    most = Math.max(most, running);
+  }
+  return most;
+}
+
+test('a quota holds over two dispatchers, and moves to the one that has the load', async t => {
+  const cluster = await startMemoryCluster({
+    dispatchers: 2,
+    workers: 3,
+    slots: 8,
+    runMilliseconds: 100,
+    configuration,
+  });
+  await cluster.timers.advance(20_000);
+  const [first, second] = cluster.dispatchers;
+  const submit = (owner: typeof first, jobId: string): void => {
+    const job = composeJob(jobId, 4, 60_000);
+    void owner?.dispatcher.jobs.submitJob(job, jobId);
+  };
+  for (let round = 0; round < 20; round += 1) {
+    submit(first, `only-first-${String(round)}`);
+    await cluster.timers.advance(200);
+  }
+  const alone = findMostRunning(cluster.decisions);
+  for (let round = 0; round < 20; round += 1) {
+    submit(first, `both-first-${String(round)}`);
+    submit(second, `both-second-${String(round)}`);
+    await cluster.timers.advance(100);
+  }
+  await cluster.timers.advance(20_000);
+  t.is(alone, quota);
+  t.is(findMostRunning(cluster.decisions), quota);
+  await cluster.stop();
+});
--- a/packages/placement/src/target-entry.ts
+++ b/packages/placement/src/target-entry.ts
@@ -56,6 +56,8 @@
   /** Slots that other dispatchers held at recent reports, on average. */
   othersUsual: number;
   reportedAt: Milliseconds;
+  /** Whether the target was asked for its load since the last report. */
+  asked: boolean;
   /** Shortest time seen between sending an attempt and its result, less its run time. */
   roundTrip: Milliseconds;
   /** No attempt is sent before this time. */
@@ -92,6 +94,7 @@
     othersBusy: 0,
     othersUsual: 0,
     reportedAt: now,
+    asked: false,
     roundTrip: unmeasuredRoundTripMilliseconds,
     heldUntil: 0,
     refusals: 0,
@@ -147,6 +150,7 @@
   );
   entry.draining = load.draining;
   entry.reportedAt = now;
+  entry.asked = false;
 }
 
 /** Number of attempts that this dispatcher may send now; 0 or less means none. */
--- a/packages/scheduling/src/active-work.ts
+++ b/packages/scheduling/src/active-work.ts
@@ -123,6 +123,8 @@
   saturatedParallelism: number | undefined;
   queuedTasks: number;
   queuedWork: Milliseconds;
+  /** When targets were last asked for their load. */
+  askedAt: Milliseconds;
 }
 
 /** Creates the record of a job at its admission. */
--- /dev/null
+++ b/packages/scheduling/src/ask-filled-targets.test.ts
@@ -0,0 +1,54 @@
+import test from 'ava';
+
+import {
+  createJob,
+  createSchedulerFixture,
+} from './fakes/scheduler-fixture.js';
+
+const full = { freeSlots: 0, queuedTasks: 0, draining: false };
+const oneFree = { freeSlots: 1, queuedTasks: 0, draining: false };
+
+function createFilledCluster() {
+  const fixture = createSchedulerFixture();
+  const targets = [1, 2, 3].map(number =>
+    fixture.addTarget({ targetId: `worker-${String(number)}`, slots: 2 }),
+  );
+  for (const target of targets) {
+    fixture.scheduler.targetLoadReported(target, full);
+  }
+  return { fixture, targets };
+}
+
+test('while tasks wait, each target that others fill is asked once for its next free slot', async t => {
+  const { fixture, targets } = createFilledCluster();
+  fixture.start(createJob('job-1', 2));
+  t.is(fixture.sent.length, 0);
+  t.deepEqual(
+    fixture.asked.map(one => one.targetId),
+    ['worker-1', 'worker-2', 'worker-3'],
+  );
+  await fixture.timers.advance(50);
+  fixture.start(createJob('job-2', 1));
+  t.is(fixture.asked.length, 3);
+  const [first] = targets;
+  if (first !== undefined) fixture.scheduler.targetLoadReported(first, oneFree);
+  t.is(fixture.sent.length, 1);
+  t.is(fixture.sent[0]?.target.targetId, 'worker-1');
+});
+
+test('nothing is asked while slots are free or nothing waits', t => {
+  const fixture = createSchedulerFixture();
+  const target = fixture.addTarget({ slots: 4 });
+  fixture.start(createJob('job-1', 3));
+  t.deepEqual(fixture.asked, []);
+  fixture.scheduler.targetLoadReported(target, full);
+  t.deepEqual(fixture.asked, []);
+});
+
+test('a target that is full of tasks of this dispatcher is not asked', t => {
+  const fixture = createSchedulerFixture();
+  fixture.addTarget({ slots: 2 });
+  fixture.start(createJob('job-1', 4));
+  t.is(fixture.sent.length, 2);
+  t.deepEqual(fixture.asked, []);
+});
--- a/packages/scheduling/src/fakes/scheduler-fixture.ts
+++ b/packages/scheduling/src/fakes/scheduler-fixture.ts
@@ -43,6 +43,7 @@
   const timers = createManualTimerService();
   const sent: SentAttempt[] = [];
   const cancelled: SentCancellation[] = [];
+  const asked: TargetIdentity[] = [];
   const fates: ReportedFate[] = [];
   const decisions: Decision[] = [];
   const scheduler = createScheduler({
@@ -53,6 +54,7 @@
       startAttempt: (target, attempt) => sent.push({ target, attempt }),
       cancelAttempts: (target, attempts, reason) =>
         cancelled.push({ target, attempts, reason }),
+      askForLoad: target => asked.push(target),
     },
     observer: {
       taskEnded: (jobId, taskId, fate) => fates.push({ jobId, taskId, fate }),
@@ -94,6 +96,7 @@
     scheduler,
     sent,
     cancelled,
+    asked,
     fates,
     decisions,
     addTarget,
--- a/packages/scheduling/src/place-tasks.ts
+++ b/packages/scheduling/src/place-tasks.ts
@@ -17,6 +17,7 @@
   type ServicePool,
   TaskPhase,
 } from './active-work.js';
+import { askFilledTargets } from './ask-filled-targets.js';
 import type { SchedulerContext } from './scheduler-context.js';
 
 /** Jobs that are passed over in one round because no free target can hold their next task. */
@@ -24,8 +25,17 @@
 
 /** Places the waiting tasks of a service in fair order until slots, limits or tasks run out. */
 export function placeTasks(context: SchedulerContext, pool: ServicePool): void {
-  if (pool.queuedTasks === 0 || !pool.index.hasFree()) return;
+  if (pool.queuedTasks === 0) return;
   const now = context.options.timers.now();
+  if (pool.index.hasFree()) placeWaiting(context, pool, now);
+  askFilledTargets(context, pool, now);
+}
+
+function placeWaiting(
+  context: SchedulerContext,
+  pool: ServicePool,
+  now: Milliseconds,
+): void {
   const mayStart = (team: string): boolean =>
     context.teams.get(team)?.mayStart(now) ?? true;
   const setAside: ListNode<ActiveJob>[] = [];
--- a/packages/scheduling/src/ports/scheduler.ts
+++ b/packages/scheduling/src/ports/scheduler.ts
@@ -29,6 +29,8 @@
     attempts: readonly AttemptKey[],
     reason: string,
   ): void;
+  /** Asks a target that other dispatchers fill to report once, as soon as a slot is free. */
+  askForLoad?(target: TargetIdentity): void;
 }
 
 /** How a task ended for good. */
--- a/packages/scheduling/src/scheduler-context.ts
+++ b/packages/scheduling/src/scheduler-context.ts
@@ -136,6 +136,7 @@
     saturatedParallelism: undefined,
     queuedTasks: 0,
     queuedWork: 0,
+    askedAt: Number.NEGATIVE_INFINITY,
   };
   for (const { team, weight } of context.configuration.teams)
     pool.queue.changeWeight(team, weight);
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -60,13 +60,16 @@
   kill(): void;
 }
 
+type SendToDispatcher = (message: FromTargetMessage) => void;
+
 type DispatcherSession = SessionDialer<FromTargetMessage, ToTargetMessage>;
 
 /** Starts a sidecar beside a target. */
 export function startSidecar(options: SidecarOptions): Sidecar {
   const { timers, announcement } = options;
   const ledger = new AttemptLedger(timers, options.retention);
-  const senders = new Map<DispatcherId, (message: FromTargetMessage) => void>();
+  const senders = new Map<DispatcherId, SendToDispatcher>();
+  const waiting = new Set<SendToDispatcher>();
   const runner = new AttemptRunner({
     announcement,
     target: options.target,
@@ -76,22 +79,24 @@
     queueLimit: options.queueLimit,
     attemptEnded: (result, dispatchers) => {
       reportResult(runner, senders, result, dispatchers);
+      reportFreeSlot(runner, waiting);
     },
   });
 
   const startDispatcherSession = (
     dispatcherId: DispatcherId,
-    send: (message: FromTargetMessage) => void,
+    send: SendToDispatcher,
   ): SessionListener<ToTargetMessage> => {
     senders.set(dispatcherId, send);
     send({ kind: FromTargetKind.Announce, announcement, load: runner.load });
     return {
       messageReceived: message => {
-        handleMessage(runner, ledger, dispatcherId, send, message);
+        handleMessage(runner, ledger, waiting, dispatcherId, send, message);
       },
       connected: () => undefined,
       suspected: () => undefined,
       ended: () => {
+        waiting.delete(send);
         if (senders.get(dispatcherId) === send) senders.delete(dispatcherId);
       },
     };
@@ -144,7 +149,7 @@
 
 function reportResult(
   runner: AttemptRunner,
-  senders: ReadonlyMap<DispatcherId, (message: FromTargetMessage) => void>,
+  senders: ReadonlyMap<DispatcherId, SendToDispatcher>,
   result: AttemptResult,
   dispatchers: readonly DispatcherId[],
 ): void {
@@ -157,11 +162,23 @@
   }
 }
 
+/** Tells the dispatchers whose tasks wait, once each. */
+function reportFreeSlot(
+  runner: AttemptRunner,
+  waiting: Set<SendToDispatcher>,
+): void {
+  const { load } = runner;
+  if (load.freeSlots <= load.queuedTasks) return;
+  for (const send of waiting) send({ kind: FromTargetKind.LoadReport, load });
+  waiting.clear();
+}
+
 function handleMessage(
   runner: AttemptRunner,
   ledger: AttemptLedger,
+  waiting: Set<SendToDispatcher>,
   dispatcher: DispatcherId,
-  send: (message: FromTargetMessage) => void,
+  send: SendToDispatcher,
   message: ToTargetMessage,
 ): void {
   switch (message.kind) {
@@ -187,6 +204,10 @@
       return;
     case ToTargetKind.AcknowledgeLeft:
       return;
+    case ToTargetKind.AskForLoad:
+      waiting.add(send);
+      reportFreeSlot(runner, waiting);
+      return;
   }
 }
 
--- a/packages/wire/src/messages/dispatcher-messages.ts
+++ b/packages/wire/src/messages/dispatcher-messages.ts
@@ -1,11 +1,30 @@
 import type {
   BodyDigest,
+  DispatcherId,
   JobId,
   JobResult,
   Milliseconds,
   TeamName,
 } from '@cranberryturn/types';
 
+/** Units of one limit. */
+export interface ShareUnits {
+  readonly limit: string;
+  readonly units: number;
+}
+
+/** Asks that the loans to the borrower become these, all limits at once. */
+export interface SharesRequest {
+  readonly borrower: DispatcherId;
+  readonly wanted: readonly ShareUnits[];
+}
+
+/** What is lent from now on. */
+export interface SharesReply {
+  readonly lent: readonly ShareUnits[];
+  readonly loanMilliseconds: Milliseconds;
+}
+
 /** The calls between dispatchers. */
 export enum DispatcherMethod {
   /** Waits for the result of a job that the other dispatcher owns. */
@@ -14,6 +33,8 @@
   CancelJob = 'cancel-job',
   /** Asks for the result of a job without waiting. */
   FindJob = 'find-job',
+  /** Asks for parts of limits that the other dispatcher does not need. */
+  BorrowShares = 'borrow-shares',
 }
 
 /** A call from one dispatcher to another. */
@@ -29,6 +50,10 @@
   | {
       readonly method: DispatcherMethod.CancelJob | DispatcherMethod.FindJob;
       readonly jobId: JobId;
+    }
+  | {
+      readonly method: DispatcherMethod.BorrowShares;
+      readonly request: SharesRequest;
     };
 
 /** How a call between dispatchers ended. */
@@ -38,10 +63,12 @@
   Running = 'running',
   /** This run of the dispatcher does not know the job. */
   NotOwner = 'not-owner',
+  Shares = 'shares',
 }
 
 /** The answer of a dispatcher to another. */
 export type DispatcherReply =
   | { readonly kind: DispatcherReplyKind.Result; readonly result: JobResult }
   | { readonly kind: DispatcherReplyKind.Running }
-  | { readonly kind: DispatcherReplyKind.NotOwner };
+  | { readonly kind: DispatcherReplyKind.NotOwner }
+  | { readonly kind: DispatcherReplyKind.Shares; readonly reply: SharesReply };
--- a/packages/wire/src/messages/target-messages.ts
+++ b/packages/wire/src/messages/target-messages.ts
@@ -17,6 +17,7 @@
   FenceJob = 'fence',
   ApplySettings = 'settings',
   AcknowledgeLeft = 'acknowledge-left',
+  AskForLoad = 'ask-for-load',
 }
 
 /** A message from a dispatcher to a sidecar. */
@@ -43,7 +44,11 @@
       readonly slots: number | undefined;
       readonly draining: boolean;
     }
-  | { readonly kind: ToTargetKind.AcknowledgeLeft };
+  | { readonly kind: ToTargetKind.AcknowledgeLeft }
+  | {
+      /** Tasks wait at the dispatcher: report once, as soon as a slot is free. */
+      readonly kind: ToTargetKind.AskForLoad;
+    };
 
 /** The kinds of message from a sidecar to a dispatcher. */
 export enum FromTargetKind {
