--- a/packages/dispatcher/src/callers/serve-callers.ts
+++ b/packages/dispatcher/src/callers/serve-callers.ts
@@ -111,7 +111,7 @@
       context,
       composeRefusal(
         CallerStatus.NotFound,
-        `There is no ${context.req.method} ${context.req.path}; see the callers' page of the documentation.`,
+        `There is no ${context.req.method} ${context.req.path}; see docs/CALLERS.md.`,
       ),
     ),
   );
