Keep results that arrive while an adopter still asks other witnesses

Cause, from the decision lines: the second dispatcher adopted the job because the first had not registered itself yet. A witness said that an attempt runs; its result came before the last witness had answered, when the scheduler did not know the job, and was dropped. The task then waited for its deadline. Ruled out: repeated registrations, which return the position in the roster.

Change: results that arrive meanwhile are kept and count in the plan. A dispatcher accepts jobs, and is ready, only once control knows its run. A target is used only with its record from the roster. Sessions are logged.

The new test fails without the change and passes with it.

--- a/packages/bench/src/system/start-bench-system.ts
+++ b/packages/bench/src/system/start-bench-system.ts
@@ -190,6 +190,7 @@
 ): Promise<void> {
   const limit = timers.now() + startTimeoutMilliseconds;
   const isComplete = ({ dispatcher }: BenchDispatcher): boolean =>
+    dispatcher.isRegistered() &&
     dispatcher.scheduler.status().targets.length >= wanted;
   while (!dispatchers.every(isComplete)) {
     if (timers.now() > limit) {
--- a/packages/dispatcher/src/assemble-adoption-plan.ts
+++ b/packages/dispatcher/src/assemble-adoption-plan.ts
@@ -35,16 +35,19 @@
 /**
  * Plans the adoption of a job. A task is placed only when every witness
  * disclaims it; silence of a witness is never taken as a disclaimer.
+ * `arrived` holds the results that came in while the witnesses were asked.
  */
 export function assembleAdoptionPlan(
   taskIds: readonly TaskId[],
   grant: ClaimGranted,
   statements: readonly WitnessStatement[],
+  arrived: readonly AttemptResult[],
 ): AdoptionPlan {
   const ended: EndedTask[] = [];
   const plans: TaskPlan[] = [];
   for (const taskId of taskIds) {
     const plan =
+      findArrived(taskId, arrived) ??
       findRunning(taskId, statements) ??
       findEnded(taskId, statements) ??
       planUnseen(taskId, grant, statements);
@@ -57,6 +60,17 @@
   return { ended, plans };
 }
 
+function findArrived(
+  taskId: TaskId,
+  arrived: readonly AttemptResult[],
+): EndedTask | undefined {
+  const result = arrived.find(
+    one => one.taskId === taskId && one.outcome !== AttemptOutcome.NotStarted,
+  );
+  if (result === undefined) return undefined;
+  return { taskId, fate: describeFate(result) };
+}
+
 function findRunning(
   taskId: TaskId,
   statements: readonly WitnessStatement[],
--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -19,6 +19,8 @@
 } from '@cranberryturn/scheduling';
 import type { TimerService } from '@cranberryturn/timers';
 import {
+  AttemptOutcome,
+  type AttemptResult,
   type ClaimGranted,
   type DecisionSink,
   type DispatcherIdentity,
@@ -29,10 +31,6 @@
   type TaskId,
 } from '@cranberryturn/types';
 
-import {
-  type AdoptionPlan,
-  assembleAdoptionPlan,
-} from './assemble-adoption-plan.js';
 import {
   describeNotRun,
   describeOwnership,
@@ -42,12 +40,17 @@
   describeTooOld,
 } from './describe-submission.js';
 import type { DispatcherLinks } from './dispatcher-links.js';
-import { gatherEvidence } from './gather-evidence.js';
 import { ownJob, type Ownership, OwnershipKind } from './own-job.js';
 import type { ControlPort } from './ports/control.js';
+import { AdoptionPlanner } from './plan-adoption.js';
 import { JobReporter } from './report-jobs.js';
 import { createRunningJob, type RunningJob } from './running-job.js';
-import { refuseForNow, type Submission, SubmissionKind } from './submission.js';
+import {
+  refuseForNow,
+  refuseUnregistered,
+  type Submission,
+  SubmissionKind,
+} from './submission.js';
 import type { TargetDirectory } from './target-directory.js';
 import { waitForRoster } from './wait-for-roster.js';
 
@@ -61,6 +64,8 @@
   readonly links: DispatcherLinks;
   readonly targets: TargetDirectory;
   readonly retention: ResultRetention;
+  /** Whether control knows this run: others find the owner of a job through it. */
+  readonly isRegistered: () => boolean;
   readonly metrics: Metrics;
   readonly decisions: DecisionSink;
 }
@@ -71,12 +76,14 @@
   readonly #table: JobTable;
   readonly #reporter: JobReporter;
   readonly #running = new Map<JobId, RunningJob>();
+  readonly #adoptions: AdoptionPlanner;
   #scheduler: Scheduler | undefined;
   #stopping = false;
 
   constructor(options: JobServiceOptions) {
     this.#options = options;
     this.#table = new JobTable(options.timers, options.retention);
+    this.#adoptions = new AdoptionPlanner(options);
     this.#reporter = new JobReporter({
       ...options,
       dispatcherId: options.self.dispatcherId,
@@ -112,6 +119,7 @@
       return describeResult(await known.finished);
     }
     if (this.#stopping) return this.#refuseWhileStopping();
+    if (!this.#options.isRegistered()) return refuseUnregistered();
     const entry = this.#table.add(request.jobId, digest);
     const job = createRunningJob(
       request,
@@ -151,11 +159,13 @@
     return entry.finished;
   }
 
-  /** Notes how long a target took, for the measure of response over ideal. */
-  noteRun(jobId: JobId, runMilliseconds: Milliseconds): void {
-    const job = this.#running.get(jobId);
+  /** Notes a result before the scheduler takes it. */
+  noteResult(result: AttemptResult): void {
+    this.#adoptions.noteResult(result);
+    const job = this.#running.get(result.jobId);
     if (job === undefined) return;
-    job.longestRun = Math.max(job.longestRun, runMilliseconds);
+    if (result.outcome === AttemptOutcome.NotStarted) return;
+    job.longestRun = Math.max(job.longestRun, result.runMilliseconds);
   }
 
   taskEnded(jobId: JobId, taskId: TaskId, fate: TaskFate): void {
@@ -237,7 +247,7 @@
     const { jobId } = job.request;
     this.#options.metrics.count(Counter.JobsAdopted);
     await this.#noteGrant(job, grant);
-    const plan = await this.#planAdoption(job, grant);
+    const plan = await this.#adoptions.planAdoption(job, grant);
     this.#running.set(jobId, job);
     if (plan.plans.length === 0) {
       this.#scheduler?.releaseAdmission(jobId);
@@ -249,22 +259,6 @@
     }
   }
 
-  async #planAdoption(
-    job: RunningJob,
-    grant: ClaimGranted,
-  ): Promise<AdoptionPlan> {
-    const { targets, control, timers } = this.#options;
-    const statements = await gatherEvidence({
-      jobId: job.request.jobId,
-      grant,
-      targets,
-      roster: control.roster,
-      timeoutMilliseconds: Math.max(1, job.deadline - timers.now()),
-    });
-    const taskIds = job.request.tasks.map(task => task.taskId);
-    return assembleAdoptionPlan(taskIds, grant, statements);
-  }
-
   async #noteGrant(job: RunningJob, grant: ClaimGranted): Promise<void> {
     const { control, timers } = this.#options;
     job.claimedEpoch = grant.epoch;
--- a/packages/dispatcher/src/register-target.ts
+++ b/packages/dispatcher/src/register-target.ts
@@ -7,6 +7,8 @@
   TargetRecord,
 } from '@cranberryturn/types';
 
+import { waitForRoster } from './wait-for-roster.js';
+
 const retryMilliseconds: Milliseconds = 500;
 
 /** What the registration needs. */
@@ -28,11 +30,21 @@
     const known = findRecord(options.roster, announcement);
     if (known !== undefined) return known;
     const index = await options.registry.registerTarget(announcement);
-    if (index.isOk()) {
-      const record = findRecord(options.roster, announcement);
-      return record ?? { ...announcement, registeredAt: index.value };
+    if (index.isErr()) {
+      await sleep(options.timers, retryMilliseconds);
+      continue;
     }
-    await sleep(options.timers, retryMilliseconds);
+    // The index of a repeated registration may be later than the one in the
+    // roster, which decides what jobs may start here: only the roster counts.
+    const record = findRecord(options.roster, announcement);
+    if (record !== undefined) return record;
+    const { version } = options.roster.current();
+    await waitForRoster(
+      options.roster,
+      version + 1,
+      options.timers,
+      retryMilliseconds,
+    );
   }
   return undefined;
 }
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -70,6 +70,7 @@
     seed,
     metrics,
     decisions: decisions.record,
+    logger,
     graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -1,6 +1,7 @@
 /** Brings the parts of a dispatcher together. */
 import type { CranberryError } from '@cranberryturn/errors';
 import type { ResultRetention } from '@cranberryturn/jobs';
+import type { Logger } from '@cranberryturn/logger';
 import type { Metrics } from '@cranberryturn/metrics';
 import { type HttpListener, listenForHttp } from '@cranberryturn/program';
 import {
@@ -71,6 +72,7 @@
   readonly seed: number;
   readonly metrics: Metrics;
   readonly decisions: DecisionSink;
+  readonly logger?: Logger | undefined;
   readonly sessionTimes?: SessionTimes | undefined;
   /** Longest time of a planned stop. */
   readonly graceMilliseconds?: Milliseconds | undefined;
@@ -86,6 +88,8 @@
   readonly scheduler: Scheduler;
   readonly jobs: JobService;
   readonly targets: TargetDirectory;
+  /** Whether control knows this run, so that jobs are accepted. */
+  isRegistered(): boolean;
   /** Planned stop: fails `/readyz`, refuses new jobs, finishes those in flight. */
   stop(): Promise<void>;
   /** Ends everything at once, as a crash would. */
@@ -98,6 +102,12 @@
   readonly links: DispatcherLinks;
   readonly jobs: JobService;
   readonly scheduler: Scheduler;
+  readonly registration: Registration;
+}
+
+/** Whether control knows this run of the dispatcher. */
+interface Registration {
+  isDone: boolean;
 }
 
 /** Starts a dispatcher. */
@@ -125,7 +135,7 @@
       configuration: () => options.control.configuration.current(),
       findElsewhere: (jobId, cancel) =>
         findElsewhere(parts.links, listOthers(options), jobId, cancel),
-      isReady: () => isReady && options.control.roster.current().version > 0,
+      isReady: () => isReady && parts.registration.isDone,
     }),
     address: options.callers,
     bodyTimeoutMilliseconds: options.limits.bodyTimeoutMilliseconds,
@@ -156,8 +166,9 @@
     times: options.sessionTimes ?? defaultSessionTimes,
     control,
     metrics,
-    attemptMeasured: (jobId, runMilliseconds) => {
-      jobs.noteRun(jobId, runMilliseconds);
+    logger: options.logger,
+    resultReceived: result => {
+      jobs.noteResult(result);
     },
   });
   const links: DispatcherLinks = new DispatcherLinks({
@@ -172,9 +183,11 @@
     links,
     targets,
     retention: options.retention,
+    isRegistered: () => registration.isDone,
     metrics,
     decisions,
   });
+  const registration: Registration = { isDone: false };
   const create = options.createScheduler ?? createScheduler;
   const scheduler: LendingScheduler = create({
     dispatcherId: self.dispatcherId,
@@ -188,7 +201,7 @@
   });
   targets.attachScheduler(scheduler);
   jobs.attachScheduler(scheduler);
-  return { options, targets, links, jobs, scheduler };
+  return { options, targets, links, jobs, scheduler, registration };
 }
 
 function serveConnection(
@@ -236,14 +249,17 @@
 }
 
 async function registerSelf(
-  { options }: DispatcherParts,
+  { options, registration }: DispatcherParts,
   address: NetworkAddress,
   isWanted: () => boolean,
 ): Promise<void> {
   const record = { ...options.self, address };
   while (isWanted()) {
     const done = await options.control.registry.registerDispatcher(record);
-    if (done.isOk()) return;
+    if (done.isOk()) {
+      registration.isDone = true;
+      return;
+    }
     await sleep(options.timers, registrationRetryMilliseconds);
   }
 }
@@ -285,6 +301,7 @@
     scheduler,
     jobs,
     targets,
+    isRegistered: () => parts.registration.isDone,
     stop,
     kill,
   };
--- a/packages/dispatcher/src/submission.ts
+++ b/packages/dispatcher/src/submission.ts
@@ -1,6 +1,8 @@
 /** How a submission ended, before it is turned into an HTTP answer. */
 import type { JobResult, Milliseconds } from '@cranberryturn/types';
 
+const unregisteredRetryMilliseconds: Milliseconds = 1_000;
+
 /** How a submission ended. */
 export enum SubmissionKind {
   /** The job ran, here or elsewhere. */
@@ -42,3 +44,11 @@
     retryAfterMilliseconds,
   };
 }
+
+/** Composes the refusal of a dispatcher that control does not know yet. */
+export function refuseUnregistered(): Submission {
+  return refuseForNow(
+    'This dispatcher has not reached control yet; submit to another one, or come back.',
+    unregisteredRetryMilliseconds,
+  );
+}
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -1,4 +1,5 @@
 /** The targets that are connected to this dispatcher, and the messages to and from them. */
+import type { Logger } from '@cranberryturn/logger';
 import {
   Counter,
   Distribution,
@@ -56,8 +57,9 @@
   readonly times: SessionTimes;
   readonly control: ControlPort;
   readonly metrics: Metrics;
-  /** Hears how long a target took for an attempt. */
-  readonly attemptMeasured: (jobId: JobId, runMilliseconds: number) => void;
+  readonly logger?: Logger | undefined;
+  /** Hears each result before the scheduler does. */
+  readonly resultReceived: (result: AttemptResult) => void;
 }
 
 /** Connects targets with the scheduler. */
@@ -167,9 +169,11 @@
         this.#handle(target, message);
       },
       connected: () => {
+        this.#options.logger?.info('target connected', identity);
         this.#scheduler?.targetResumed(identity);
       },
       suspected: () => {
+        this.#options.logger?.warn('target suspected', identity);
         this.#scheduler?.targetSuspected(identity);
       },
       ended: reason => {
@@ -188,6 +192,7 @@
       case FromTargetKind.AttemptEnded:
         target.load = message.load;
         this.#measure(message.result);
+        this.#options.resultReceived(message.result);
         this.#scheduler?.attemptEnded(
           target.identity,
           message.result,
@@ -227,7 +232,6 @@
         return;
     }
     metrics.record(Distribution.RunMilliseconds, result.runMilliseconds);
-    this.#options.attemptMeasured(result.jobId, result.runMilliseconds);
   }
 
   async #register(
--- a/packages/local/src/adoption.test.ts
+++ b/packages/local/src/adoption.test.ts
@@ -126,3 +126,21 @@
   }
   await cluster.stop();
 });
+
+test('results that arrive while another witness is still silent are not lost', async t => {
+  const cluster = await startMemoryCluster({ ...small, runMilliseconds: 200 });
+  const first = dispatcherOf(cluster, 0);
+  submit(first, 'job-1', 6);
+  await cluster.timers.advance(50);
+  first.crash();
+  for (const connection of cluster.network.connections) {
+    const isSilenced =
+      connection.from === 'worker-3' && connection.to === 'dispatcher-2';
+    if (isSilenced) connection.silent = true;
+  }
+  const adopted = submit(dispatcherOf(cluster, 1), 'job-1', 6);
+  await cluster.timers.advance(10_000);
+  t.is(largestStarts(cluster), 1);
+  t.is(adopted.result?.outcome, JobOutcome.Complete);
+  await cluster.stop();
+});
--- a/packages/local/src/local-cluster.test.ts
+++ b/packages/local/src/local-cluster.test.ts
@@ -68,6 +68,7 @@
 function isReady(cluster: LocalCluster): boolean {
   return cluster.dispatchers.every(
     ({ dispatcher }) =>
+      dispatcher.isRegistered() &&
       dispatcher.scheduler.status().targets.length === cluster.workers.length,
   );
 }
--- a/packages/sidecar/src/start-sidecar-role.ts
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -57,6 +57,8 @@
     timers,
     random: createRandomSource(chooseSeed(settings.seed, environment)),
     decisions: decisions.record,
+    logger: environment.logger,
+    metrics,
     retention: {
       startsMilliseconds: settings.retention.answersMilliseconds,
       answersBytes: settings.retention.answersBytes,
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -1,4 +1,6 @@
 /** Brings the parts of a sidecar together. */
+import type { Logger } from '@cranberryturn/logger';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import type { RandomSource } from '@cranberryturn/random';
 import {
   defaultSessionTimes,
@@ -9,13 +11,14 @@
   type SessionTimes,
 } from '@cranberryturn/sessions';
 import { sleep, type TimerService } from '@cranberryturn/timers';
-import type {
-  AttemptResult,
-  DecisionSink,
-  DispatcherId,
-  Milliseconds,
-  NetworkAddress,
-  TargetAnnouncement,
+import {
+  AttemptOutcome,
+  type AttemptResult,
+  type DecisionSink,
+  type DispatcherId,
+  type Milliseconds,
+  type NetworkAddress,
+  type TargetAnnouncement,
 } from '@cranberryturn/types';
 import {
   type FromTargetMessage,
@@ -42,6 +45,8 @@
   readonly timers: TimerService;
   readonly random: RandomSource;
   readonly decisions: DecisionSink;
+  readonly logger?: Logger | undefined;
+  readonly metrics?: Metrics | undefined;
   readonly retention: LedgerRetention;
   readonly queueLimit: number;
   readonly sessionTimes?: SessionTimes | undefined;
@@ -78,6 +83,7 @@
     decisions: options.decisions,
     queueLimit: options.queueLimit,
     attemptEnded: (result, dispatchers) => {
+      options.metrics?.count(chooseCounter(result.outcome));
       reportResult(runner, senders, result, dispatchers);
       reportFreeSlot(runner, waiting);
     },
@@ -93,9 +99,14 @@
       messageReceived: message => {
         handleMessage(runner, ledger, waiting, dispatcherId, send, message);
       },
-      connected: () => undefined,
-      suspected: () => undefined,
-      ended: () => {
+      connected: () => {
+        options.logger?.info('session connected', { dispatcherId });
+      },
+      suspected: () => {
+        options.logger?.warn('session suspected', { dispatcherId });
+      },
+      ended: reason => {
+        options.logger?.info('session ended', { dispatcherId, reason });
         waiting.delete(send);
         if (senders.get(dispatcherId) === send) senders.delete(dispatcherId);
       },
@@ -147,6 +158,17 @@
   return { runner, sessions, stop, kill };
 }
 
+function chooseCounter(outcome: AttemptOutcome): Counter {
+  switch (outcome) {
+    case AttemptOutcome.Answered:
+      return Counter.TasksAnswered;
+    case AttemptOutcome.Failed:
+      return Counter.TasksFailed;
+    case AttemptOutcome.NotStarted:
+      return Counter.TasksNotStarted;
+  }
+}
+
 function reportResult(
   runner: AttemptRunner,
   senders: ReadonlyMap<DispatcherId, SendToDispatcher>,
