--- a/packages/local/src/adoption.test.ts
+++ b/packages/local/src/adoption.test.ts
@@ -107,10 +107,10 @@
   await cluster.stop();
 });
 
-test('a job submitted to two dispatchers 100 times over starts each task once', async t => {
+test('a job submitted to two dispatchers 500 times over starts each task once', async t => {
   const cluster = await startMemoryCluster(small);
   const pairs: ReturnType<typeof submit>[][] = [];
-  for (let round = 0; round < 100; round += 1) {
+  for (let round = 0; round < 500; round += 1) {
     const jobId = `job-${String(round)}`;
     pairs.push([
       submit(dispatcherOf(cluster, round % 2), jobId, 3),
