Carry the lagged usage of a worker in its load report

Placement cannot see what the platform measures of a worker. TargetLoad gets an optional usage with its age; nothing fills it yet.

--- a/packages/sidecar/src/ports/platform.ts
+++ b/packages/sidecar/src/ports/platform.ts
@@ -1,6 +1,10 @@
 /** The platform that runs workers: leases, usage, checkpoint, throttle and stop. */
 import type { ConnectionError, RefusedError } from '@cranberryturn/errors';
-import type { AttemptKey, Milliseconds } from '@cranberryturn/types';
+import type {
+  AttemptKey,
+  Milliseconds,
+  WorkerUsage,
+} from '@cranberryturn/types';
 import type { ResultAsync } from 'neverthrow';
 
 /** Why the platform did not do what it was asked. */
@@ -12,14 +16,6 @@
   readonly expiresInMilliseconds: Milliseconds;
 }
 
-/** Usage of the worker, measured some time ago. */
-export interface PlatformUsage {
-  readonly ageMilliseconds: Milliseconds;
-  readonly processors: number;
-  readonly memoryMebibytes: number;
-  readonly accelerators: number;
-}
-
 /** Commands to the platform of one worker. */
 export interface PlatformPort {
   startLease(attempt: AttemptKey): ResultAsync<PlatformLease, PlatformError>;
@@ -32,5 +28,5 @@
     share: number,
   ): ResultAsync<void, PlatformError>;
   stopTask(leaseId: string): ResultAsync<void, PlatformError>;
-  readUsage(): ResultAsync<PlatformUsage, PlatformError>;
+  readUsage(): ResultAsync<WorkerUsage, PlatformError>;
 }
--- a/packages/types/src/targets.ts
+++ b/packages/types/src/targets.ts
@@ -2,6 +2,7 @@
   DataCentreName,
   HostName,
   Incarnation,
+  Milliseconds,
   RackName,
   ServiceName,
   TargetId,
@@ -36,11 +37,22 @@
   readonly connections: number;
 }
 
+/** Usage of a worker as its platform measured it some time ago. */
+export interface WorkerUsage {
+  /** Time since the measurement. */
+  readonly ageMilliseconds: Milliseconds;
+  readonly processors: number;
+  readonly memoryMebibytes: number;
+  readonly accelerators: number;
+}
+
 /** What a sidecar reports with each of its frames. */
 export interface TargetLoad {
   readonly freeSlots: number;
   readonly queuedTasks: number;
   readonly draining: boolean;
+  /** Present while the platform reports usage. */
+  readonly usage?: WorkerUsage | undefined;
 }
 
 /** The lifecycle state of a target as a dispatcher sees it. */
