Give each host of the deployment test an address of its own

Cause: the test asked the system for free ports, released them and let the binaries listen on them later. The stand-in target then stayed open and kept the test process from ending. Change: every host of the page gets its own loopback address and keeps the ports of the page. The stand-in target closes when the test fails, too.

--- a/packages/bench/src/system/start-bench-roles.ts
+++ b/packages/bench/src/system/start-bench-roles.ts
@@ -5,6 +5,7 @@
   createControlClient,
 } from '@cranberryturn/control-client';
 import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
+import { findFreePorts } from '@cranberryturn/local';
 import { createMetrics, type Metrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import {
@@ -28,7 +29,6 @@
 import { ProcessRole } from '@cranberryturn/wire';
 
 import type { BenchContext, BenchTeam } from './bench-context.js';
-import { findFreePort } from './find-free-port.js';
 
 /** Creates the scheduler of a dispatcher. */
 export type SchedulerFactory = (options: SchedulerOptions) => Scheduler;
@@ -63,7 +63,7 @@
   initialConfiguration: Omit<ClusterConfiguration, 'version'>,
 ): Promise<ControlNode> {
   const { timers, logger } = context;
-  const port = await findFreePort();
+  const [port = 0] = await findFreePorts('127.0.0.1', 1);
   const address = `127.0.0.1:${String(port)}`;
   const member = { replicaId, role: MemberRole.Voter, address };
   const started = await startControl({
--- a/packages/local/src/first-deployment.test.ts
+++ b/packages/local/src/first-deployment.test.ts
@@ -1,4 +1,5 @@
 import { type ChildProcess, execFile, spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -9,8 +10,6 @@
 import test from 'ava';
 import { request } from 'undici';
 
-import { findFreePorts } from './find-free-ports.js';
-
 const root = fileURLToPath(new URL('../../../', import.meta.url));
 const page = readFileSync(
   join(root, 'docs/operators/first-deployment.md'),
@@ -81,28 +80,19 @@
   });
 }
 
-/** Puts every address of the example onto a free port of the loopback address. */
-async function createRelocation() {
-  const free = [...(await findFreePorts('127.0.0.1', 40))];
-  const ports = new Map<string, number>();
-  const relocate = (address: string, port: string): number => {
-    const key = `${address}:${port}`;
-    const chosen = ports.get(key) ?? free.pop() ?? 0;
-    ports.set(key, chosen);
+/**
+ * Gives every host of the example a loopback address of its own, and keeps the ports of the page:
+ * a port that was free a moment ago may be taken before the binary listens on it.
+ */
+function createRelocation(): (text: string) => string {
+  const network = `127.${String(randomInt(1, 255))}.${String(randomInt(255))}`;
+  const hosts = new Map<string, string>();
+  const relocate = (address: string): string => {
+    const chosen = hosts.get(address) ?? `${network}.${String(hosts.size + 1)}`;
+    hosts.set(address, chosen);
     return chosen;
   };
-  return (text: string): string =>
-    text
-      .replace(
-        /"address": "(10[.\d]+)",(\s*)"port": (\d+)/g,
-        (_, address: string, space: string, port: string) =>
-          `"address": "127.0.0.1",${space}"port": ${String(relocate(address, port))}`,
-      )
-      .replace(
-        /http:\/\/(10[.\d]+):(\d+)/g,
-        (_, address: string, port: string) =>
-          `http://127.0.0.1:${String(relocate(address, port))}`,
-      );
+  return text => text.replace(/\b10(\.\d+){3}\b/g, relocate);
 }
 
 test.after.always(() => {
@@ -111,7 +101,7 @@
 
 test('the commands of first-deployment.md deploy a system that answers', async t => {
   t.timeout(150_000);
-  const relocate = await createRelocation();
+  const relocate = createRelocation();
   const digests: string[] = [];
   for (const command of commandsOf('Desk')) {
     const { code, text } = await run(
@@ -169,6 +159,7 @@
     useDigest(teamDigest),
   );
   const target = await startStandInTarget({ targetId: 'any', timers, seed: 1 });
+  t.teardown(() => target.close());
   const sidecars = await deploy('Workers', 'sidecar', 2, text =>
     text.replace('http://127.0.0.1:9000', target.url),
   );
@@ -220,5 +211,4 @@
       group.map(() => 0),
     );
   }
-  await target.close();
 });
