Let silent runs leave the roster after a lease

Change: the leader takes a dispatcher off when its report is missing for 15 s, and a sidecar when every dispatcher names it as silent in the report that it sends anyway. A new leader, and one that could not prove its lead, waits a full lease. An expired run stays a witness of adoptions and may register again; dispatchers stop placing by the earlier registration before any claim of a later roster goes on. Dispatchers register themselves and the sidecars that they hear again. `--wait` now waits 30 s.

Conclusion: a dead dispatcher no longer holds up a confirm. Sessions of runs that never return still stay in the memory of dispatchers.

--- a/packages/cli/src/confirm-command.ts
+++ b/packages/cli/src/confirm-command.ts
@@ -21,7 +21,8 @@
 
 const pollInterval: Milliseconds = 200;
 const millisecondsPerSecond = 1_000;
-const defaultWaitSeconds = '10';
+/** Longer than the lease after which a dispatcher that died leaves the roster. */
+const defaultWaitSeconds = '30';
 
 interface ConfirmOptions {
   readonly wait?: boolean;
--- a/packages/cli/src/operator-commands.test.ts
+++ b/packages/cli/src/operator-commands.test.ts
@@ -9,14 +9,25 @@
   type AdministrationServer,
   type ControlNode,
   createMemoryLog,
+  OperationKind,
   serveAdministration,
   startControl,
 } from '@cranberryturn/control';
 import { createSilentLogger } from '@cranberryturn/logger';
 import { createMetrics } from '@cranberryturn/metrics';
 import type { ProgramHost } from '@cranberryturn/program';
-import { createSystemTimerService } from '@cranberryturn/timers';
-import { createMemoryNetwork, ProcessRole } from '@cranberryturn/wire';
+import {
+  createManualTimerService,
+  createSystemTimerService,
+  sleep,
+  type TimerService,
+} from '@cranberryturn/timers';
+import {
+  ControlMethod,
+  createMemoryNetwork,
+  ProcessRole,
+  runLease,
+} from '@cranberryturn/wire';
 import test from 'ava';
 import { okAsync } from 'neverthrow';
 
@@ -75,7 +86,10 @@
   return `http://${address}:${String(port)}`;
 }
 
-async function openDesk(name: string): Promise<Desk> {
+async function openDesk(
+  name: string,
+  controlTimers: TimerService = timers,
+): Promise<Desk> {
   const network = createMemoryNetwork(timers);
   const started = await startControl({
     listen: loopback,
@@ -85,10 +99,16 @@
         name: replica,
         incarnation: 'run',
       }),
-    timers,
+    timers: controlTimers,
     peers: [],
     openLog: stateMachine =>
-      okAsync(createMemoryLog({ replicaId: 'c1', stateMachine, timers })),
+      okAsync(
+        createMemoryLog({
+          replicaId: 'c1',
+          stateMachine,
+          timers: controlTimers,
+        }),
+      ),
     logger: createSilentLogger(),
     decisions: () => undefined,
   });
@@ -172,6 +192,32 @@
   await desk.close();
 });
 
+test('a confirm that waits for a dispatcher that died ends well once its lease has passed', async t => {
+  const controlTimers = createManualTimerService();
+  const desk = await openDesk('lease', controlTimers);
+  await desk.node.proposer.submit({
+    kind: OperationKind.Call,
+    call: {
+      method: ControlMethod.RegisterDispatcher,
+      dispatcher: {
+        dispatcherId: 'd1',
+        incarnation: 'run-1',
+        address: loopback,
+      },
+    },
+  });
+  const planned = await desk.run('plan', 'set-quota', 'wards', '--weight', '1');
+  const confirming = desk.run('confirm', planIdIn(planned.text), '--wait');
+  while (desk.node.state.configuration.configuration.version === 0) {
+    await sleep(timers, 10);
+  }
+  await controlTimers.advance(runLease + 2_000);
+  const { exits, text } = await confirming;
+  t.deepEqual(exits, []);
+  t.regex(text, /in force|No dispatcher is registered/);
+  await desk.close();
+});
+
 test('the second of two plans on one base version exits with 3 and names the winner', async t => {
   const desk = await openDesk('race');
   const left = await desk.run('plan', 'set-service', 'register-svc');
--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -17,13 +17,14 @@
   Milliseconds,
   NetworkAddress,
   ReplicaId,
+  Roster,
   TargetId,
+  TargetIdentity,
 } from '@cranberryturn/types';
 import {
   type ControlCall,
   ControlMethod,
   ControlReplyKind,
-  type InForceReport,
   maximumProofAge,
   type Network,
 } from '@cranberryturn/wire';
@@ -37,6 +38,7 @@
 } from './call-leader.js';
 import { keepHosts } from './keep-hosts.js';
 import { holdLatest } from './hold-latest.js';
+import { createReporter } from './report-in-force.js';
 import { type ControlWatch, watchControl } from './watch-control.js';
 
 const defaultCallTimeout: Milliseconds = 5_000;
@@ -63,6 +65,8 @@
   readonly listTargetsBehind?: (
     version: ConfigurationVersion,
   ) => readonly TargetId[];
+  /** Registered runs of sidecars that were not heard for their lease. */
+  readonly listSilentTargets?: (roster: Roster) => readonly TargetIdentity[];
   /** Called when another control host is watched or none. */
   readonly handleMove?: (host: string | undefined) => void;
 }
@@ -115,13 +119,15 @@
     handleMove: options.handleMove ?? (() => undefined),
   });
 
-  const report = (): void => {
-    const leading = hosts
-      .list()
-      .flatMap(host => host.calls() ?? [])
-      .find(calls => calls.connection.peer.name === leaderCalls.leader);
-    leading?.notify(composeReport(options, latest.configuration));
-  };
+  const report = createReporter({
+    ...options,
+    latest,
+    findLeader: () =>
+      hosts
+        .list()
+        .flatMap(host => host.calls() ?? [])
+        .find(calls => calls.connection.peer.name === leaderCalls.leader),
+  });
   const unsubscribe = latest.configuration.subscribe(report);
   const reporting = timers.every(reportInterval, report);
 
@@ -221,15 +227,3 @@
     { step: 'read reply' },
   );
 }
-
-function composeReport(
-  { self, listTargetsBehind }: ControlClientOptions,
-  configuration: ConfigurationFeed,
-): InForceReport {
-  const { version } = configuration.current();
-  return {
-    dispatcher: self,
-    configurationVersion: version,
-    targetsBehind: listTargetsBehind?.(version) ?? [],
-  };
-}
--- a/packages/control/src/control-operations.ts
+++ b/packages/control/src/control-operations.ts
@@ -3,6 +3,7 @@
   ConfirmOutcome,
   ConfirmRequest,
 } from '@cranberryturn/configuration';
+import type { ExpiredRuns } from '@cranberryturn/membership';
 import type {
   ClaimOutcome,
   ClusterConfiguration,
@@ -19,6 +20,8 @@
   Confirm = 'confirm',
   /** The first leader sets the first configuration. */
   Initialize = 'initialize',
+  /** The leader takes silent runs off the roster. */
+  ExpireRuns = 'expire-runs',
 }
 
 /** A call of a dispatcher that changes the state. */
@@ -34,7 +37,8 @@
   | {
       readonly kind: OperationKind.Initialize;
       readonly configuration: Omit<ClusterConfiguration, 'version'>;
-    };
+    }
+  | { readonly kind: OperationKind.ExpireRuns; readonly expired: ExpiredRuns };
 
 /** The kinds of outcome. */
 export enum OperationOutcomeKind {
--- a/packages/control/src/control-state.test.ts
+++ b/packages/control/src/control-state.test.ts
@@ -12,6 +12,7 @@
 import fc from 'fast-check';
 
 import {
+  type ControlOperation,
   type ControlWrite,
   encodeOperations,
   OperationKind,
@@ -37,8 +38,12 @@
 }
 
 function apply(machine: Machine, call: ControlWrite) {
+  return applyOperation(machine, { kind: OperationKind.Call, call });
+}
+
+function applyOperation(machine: Machine, operation: ControlOperation) {
   machine.index += 1;
-  const command = encodeOperations([{ kind: OperationKind.Call, call }]);
+  const command = encodeOperations([operation]);
   const { index, time } = machine;
   const [outcome] = machine.state.apply({
     index,
@@ -170,6 +175,77 @@
   t.snapshot([granted, adopted]);
 });
 
+test('a run that expired and returned is a witness of each job that it may have started, in both of its times', t => {
+  const machine = createMachine();
+  const run = { targetId: 'w1', incarnation: 'run-1' };
+  const register = () =>
+    apply(machine, {
+      method: ControlMethod.RegisterTarget,
+      target: announce('w1', 'run-1'),
+    });
+  const expire = () => {
+    const registeredAt =
+      machine.state.roster.targets.get('w1')?.registeredAt ?? 0;
+    const targets = [{ ...run, registeredAt }];
+    applyOperation(machine, {
+      kind: OperationKind.ExpireRuns,
+      expired: { dispatchers: [], targets },
+    });
+  };
+  const claimBy = (jobId: string) =>
+    claim(machine, {
+      method: ControlMethod.Claim,
+      claim: claimOf(jobId, 'd1', 's1'),
+    });
+  const isWitness = (jobId: string): boolean => {
+    const outcome = claim(machine, {
+      method: ControlMethod.Adopt,
+      adopt: { ...claimOf(jobId, 'd2', 's2'), expectedEpoch: 1 },
+    }) as ClaimGranted;
+    return outcome.witnesses.filter(one => one.targetId === 'w1').length === 1;
+  };
+  register();
+  claimBy('first');
+  expire();
+  claimBy('between');
+  const beforeReturn = isWitness('first');
+  register();
+  claimBy('second');
+  expire();
+  const bytes = machine.state.snapshot();
+  machine.state = createControlState(retention);
+  machine.state.restore(bytes, machine.index);
+  register();
+  t.true(beforeReturn);
+  t.true(isWitness('first'));
+  t.true(isWitness('second'));
+  t.is(machine.state.roster.targets.size, 1);
+  t.true(isWitness('between'), 'more witnesses than needed are safe');
+});
+
+test('a run that left or was replaced does not return, and a newer registration does not expire', t => {
+  const machine = createMachine();
+  const register = (incarnation: string) =>
+    apply(machine, {
+      method: ControlMethod.RegisterTarget,
+      target: announce('w1', incarnation),
+    });
+  const current = () => machine.state.roster.targets.get('w1');
+  register('run-1');
+  register('run-2');
+  register('run-1');
+  t.is(current()?.incarnation, 'run-2');
+  const target = { targetId: 'w1', incarnation: 'run-2' };
+  applyOperation(machine, {
+    kind: OperationKind.ExpireRuns,
+    expired: { dispatchers: [], targets: [{ ...target, registeredAt: 1 }] },
+  });
+  t.is(current()?.incarnation, 'run-2');
+  apply(machine, { method: ControlMethod.RetireTarget, target });
+  register('run-2');
+  t.is(current(), undefined);
+});
+
 test('a dispatcher that restarted no longer owns what its earlier run owned', t => {
   const machine = createMachine();
   const address = { address: '127.0.0.1', port: 1 };
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -25,6 +25,7 @@
   captureRosterState,
   createRosterState,
   dropRetiredRuns,
+  expireRuns,
   findDispatcherAddress,
   listWitnesses,
   registerDispatcher,
@@ -144,6 +145,9 @@
       case OperationKind.Initialize:
         applyInitialConfiguration(configuration, operation.configuration);
         return complete(entry.index);
+      case OperationKind.ExpireRuns:
+        expireRuns(roster, operation.expired, entry);
+        return complete(entry.index);
     }
   };
 
--- /dev/null
+++ b/packages/control/src/expire-silent-runs.test.ts
@@ -0,0 +1,182 @@
+import { createSilentLogger } from '@cranberryturn/logger';
+import { defaultClaimRetention } from '@cranberryturn/claims';
+import { defaultRosterRetention } from '@cranberryturn/membership';
+import { createManualTimerService } from '@cranberryturn/timers';
+import type { Milliseconds, TargetIdentity } from '@cranberryturn/types';
+import { ControlMethod, runLease } from '@cranberryturn/wire';
+import test from 'ava';
+
+import { createOperationProposer } from './batch-operations.js';
+import { type ControlWrite, OperationKind } from './control-operations.js';
+import { createControlState } from './control-state.js';
+import { expireSilentRuns } from './expire-silent-runs.js';
+import {
+  hostOf,
+  leaderOf,
+  settleWithin,
+  startCluster,
+} from './fakes/test-bed.js';
+import { createMemoryLog } from './fakes/memory-log.js';
+import { createInForceTable } from './in-force-table.js';
+
+const second: Milliseconds = 1_000;
+const address = { address: '127.0.0.1', port: 9 };
+
+/** One replica that leads, whose reports a test writes. */
+function startLeader() {
+  const timers = createManualTimerService();
+  const state = createControlState({
+    claims: defaultClaimRetention,
+    roster: defaultRosterRetention,
+  });
+  const log = createMemoryLog({ replicaId: 'c1', stateMachine: state, timers });
+  const proposer = createOperationProposer(log);
+  const inForce = createInForceTable(timers);
+  const task = expireSilentRuns({
+    timers,
+    logger: createSilentLogger(),
+    state,
+    status: log.status,
+    inForce,
+    proposer,
+  });
+  const submit = async (call: ControlWrite): Promise<void> => {
+    await proposer.submit({ kind: OperationKind.Call, call });
+  };
+  const names = () => ({
+    dispatchers: [...state.roster.dispatchers.keys()],
+    targets: [...state.roster.targets.keys()],
+  });
+  return { timers, log, inForce, task, submit, names };
+}
+
+type Leader = ReturnType<typeof startLeader>;
+
+function registerDispatcher({ submit }: Leader, dispatcherId: string) {
+  return submit({
+    method: ControlMethod.RegisterDispatcher,
+    dispatcher: { dispatcherId, incarnation: 'run-1', address },
+  });
+}
+
+function registerTarget({ submit }: Leader, targetId: string) {
+  return submit({
+    method: ControlMethod.RegisterTarget,
+    target: {
+      targetId,
+      incarnation: 'run-1',
+      service: 'register-svc',
+      host: targetId,
+      rack: 'r1',
+      dataCentre: 'hoan-kiem',
+      resources: { processors: 64, memoryMebibytes: 131_072, accelerators: 0 },
+      slots: 8,
+      connections: 64,
+    },
+  });
+}
+
+function report(
+  { inForce }: Leader,
+  dispatcherId: string,
+  silentTargets?: readonly TargetIdentity[],
+): void {
+  inForce.record({
+    dispatcher: { dispatcherId, incarnation: 'run-1' },
+    configurationVersion: 0,
+    targetsBehind: [],
+    silentTargets,
+  });
+}
+
+test('460 workers under new names, and a new dispatcher after each ten, do not let the roster grow', async t => {
+  const leader = startLeader();
+  await registerDispatcher(leader, 'd0');
+  const silent: TargetIdentity[] = [];
+  let largest = 0;
+  for (let run = 1; run <= 460; run += 1) {
+    const latest = `d${String(Math.ceil(run / 10))}`;
+    if (run % 10 === 1) await registerDispatcher(leader, latest);
+    await registerTarget(leader, `w${String(run)}`);
+    for (let step = 0; step < 6; step += 1) {
+      report(leader, 'd0', [...silent]);
+      report(leader, latest, [...silent]);
+      await leader.timers.advance(second);
+    }
+    silent.push({ targetId: `w${String(run)}`, incarnation: 'run-1' });
+    const { dispatchers, targets } = leader.names();
+    largest = Math.max(largest, dispatchers.length, targets.length);
+  }
+  t.log(`largest number of runs: ${String(largest)}`);
+  t.true(largest <= 8);
+  leader.task.cancel();
+});
+
+test('a run stays while one registered dispatcher hears it, is late or has not reported', async t => {
+  const leader = startLeader();
+  await registerDispatcher(leader, 'd1');
+  await registerDispatcher(leader, 'd2');
+  await registerTarget(leader, 'w1');
+  const silent = [{ targetId: 'w1', incarnation: 'run-1' }];
+  const advance = async (seconds: number, others?: () => void) => {
+    for (let step = 0; step < seconds; step += 1) {
+      report(leader, 'd1', silent);
+      others?.();
+      await leader.timers.advance(second);
+    }
+    return leader.names().targets;
+  };
+  t.deepEqual(await advance(14), ['w1'], 'd2 has not reported yet');
+  report(leader, 'd2', []);
+  t.deepEqual(await advance(14), ['w1'], 'd2 heard it');
+  report(leader, 'd2', silent);
+  await advance(6);
+  report(leader, 'd2');
+  t.deepEqual(await advance(2), [], 'the list of d2 is still the same');
+  leader.task.cancel();
+});
+
+test('a lead that cannot be proved for a while expires nothing until a full lease later', async t => {
+  const leader = startLeader();
+  await registerDispatcher(leader, 'd1');
+  await leader.timers.advance(runLease - 2 * second);
+  leader.log.leading = false;
+  await leader.timers.advance(5 * second);
+  leader.log.leading = true;
+  await leader.timers.advance(runLease - second);
+  t.deepEqual(leader.names().dispatchers, ['d1']);
+  await leader.timers.advance(3 * second);
+  t.deepEqual(leader.names().dispatchers, []);
+  leader.task.cancel();
+});
+
+test('a leader that dies within the lease leaves the next one a full lease to hear everybody', async t => {
+  const bed = await startCluster();
+  const alive = bed.cluster.connect('d1');
+  const dies = bed.cluster.connect('d2');
+  await bed.timers.advance(second);
+  for (const [client, dispatcherId] of [
+    [alive, 'd1'],
+    [dies, 'd2'],
+  ] as const) {
+    await settleWithin(
+      bed.timers,
+      client.registry.registerDispatcher({
+        dispatcherId,
+        incarnation: 'run-1',
+        address,
+      }),
+    );
+  }
+  const names = () => [...leaderOf(bed).state.roster.dispatchers.keys()];
+  await bed.cluster.network.kill('d2');
+  void dies.stop();
+  await bed.timers.advance(runLease - 3 * second);
+  await bed.cluster.crash(hostOf(leaderOf(bed)));
+  await bed.timers.advance(runLease - second);
+  t.deepEqual(names(), ['d1', 'd2']);
+  await bed.timers.advance(5 * second);
+  t.deepEqual(names(), ['d1']);
+  await bed.timers.advance(2 * runLease);
+  t.deepEqual(names(), ['d1']);
+});
--- a/packages/control/src/in-force-table.ts
+++ b/packages/control/src/in-force-table.ts
@@ -1,6 +1,10 @@
-/** The version of the configuration that each dispatcher reported to have in force. */
+/** What each dispatcher last reported to this replica. */
 import type { TimerService } from '@cranberryturn/timers';
-import type { DispatcherId, Milliseconds } from '@cranberryturn/types';
+import type {
+  DispatcherId,
+  Milliseconds,
+  TargetIdentity,
+} from '@cranberryturn/types';
 import type { InForceReport } from '@cranberryturn/wire';
 
 /** A report with its time of arrival. */
@@ -19,11 +23,25 @@
   const reports = new Map<DispatcherId, ReceivedReport>();
   return {
     record: report => {
-      reports.set(report.dispatcher.dispatcherId, {
+      const { dispatcherId } = report.dispatcher;
+      reports.set(dispatcherId, {
         ...report,
+        silentTargets: keepSilentTargets(report, reports.get(dispatcherId)),
         receivedAt: timers.now(),
       });
     },
     find: dispatcherId => reports.get(dispatcherId),
   };
 }
+
+/** A report without a list means that the list is the one of the report before it. */
+function keepSilentTargets(
+  { dispatcher, silentTargets }: InForceReport,
+  earlier: ReceivedReport | undefined,
+): readonly TargetIdentity[] | undefined {
+  if (silentTargets !== undefined) return silentTargets;
+  if (earlier?.dispatcher.incarnation !== dispatcher.incarnation) {
+    return undefined;
+  }
+  return earlier.silentTargets;
+}
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -34,6 +34,7 @@
 } from './control-node.js';
 import { OperationKind } from './control-operations.js';
 import { createControlState, type EntryOutcome } from './control-state.js';
+import { expireSilentRuns } from './expire-silent-runs.js';
 import { createFollowerFeed } from './feed-followers.js';
 import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable } from './in-force-table.js';
@@ -106,13 +107,19 @@
     observeEvent(options, node, event);
   });
   initialize(options, node);
-  const reconciler = reconcileMembers({ timers, logger, log, state });
+  const tasks = [
+    reconcileMembers({ timers, logger, log, state }),
+    expireSilentRuns({ timers, logger, state, status, inForce, proposer }),
+  ];
+  const cancelTasks = (): void => {
+    for (const task of tasks) task.cancel();
+  };
   const listening = await network.listen(options.listen, connection => {
     void serve(options, node, connection);
   });
   if (listening.isErr()) {
     feed.stop();
-    reconciler.cancel();
+    cancelTasks();
     await log.stop();
     return err(listening.error);
   }
@@ -123,7 +130,7 @@
   });
   const stop = async (): Promise<void> => {
     subscription.cancel();
-    reconciler.cancel();
+    cancelTasks();
     await stopReplica(options, node, listener);
     link.close();
   };
--- /dev/null
+++ b/packages/dispatcher/src/connected-target.ts
@@ -0,0 +1,65 @@
+/** One run of a sidecar that has a session with this dispatcher. */
+import {
+  type ClusterConfiguration,
+  type TargetAnnouncement,
+  type TargetIdentity,
+  type TargetLoad,
+  type TargetRecord,
+} from '@cranberryturn/types';
+import { ToTargetKind, type ToTargetMessage } from '@cranberryturn/wire';
+
+import { findTargetSettings } from './target-settings.js';
+
+/** One connected run of a sidecar. */
+export interface ConnectedTarget {
+  readonly identity: TargetIdentity;
+  readonly send: (message: ToTargetMessage) => void;
+  announcement: TargetAnnouncement | undefined;
+  load: TargetLoad | undefined;
+  /** Registration under which it may get work. */
+  record: TargetRecord | undefined;
+  /** The run said that it stops. */
+  left: boolean;
+  /** Whether a task is registering it at the moment. */
+  registering: boolean;
+  settingsSent: string;
+}
+
+/** Creates the entry of a new session. */
+export function createConnectedTarget(
+  identity: TargetIdentity,
+  send: (message: ToTargetMessage) => void,
+): ConnectedTarget {
+  return {
+    identity,
+    send,
+    announcement: undefined,
+    load: undefined,
+    record: undefined,
+    left: false,
+    registering: false,
+    settingsSent: '',
+  };
+}
+
+/** Sends what the configuration says of the target, unless that was sent last. */
+export function sendSettings(
+  target: ConnectedTarget,
+  configuration: ClusterConfiguration,
+): void {
+  if (target.announcement === undefined) return;
+  const settings = findTargetSettings(configuration, target.announcement);
+  const described = JSON.stringify(settings);
+  if (described === target.settingsSent) return;
+  target.settingsSent = described;
+  target.send({
+    kind: ToTargetKind.ApplySettings,
+    version: configuration.version,
+    ...settings,
+  });
+}
+
+/** Names a run of a sidecar. */
+export function describeRun(target: TargetIdentity): string {
+  return `${target.targetId}/${target.incarnation}`;
+}
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -43,6 +43,7 @@
 ): ResultAsync<RunningRole, CranberryError> {
   const { timers, logger, metrics, decisions } = environment;
   const seed = chooseSeed(settings.seed, environment);
+  const running: { dispatcher?: Dispatcher } = {};
   const control = createControlClient({
     network,
     timers,
@@ -52,6 +53,8 @@
       replicaId,
       address: { address, port },
     })),
+    listSilentTargets: roster =>
+      running.dispatcher?.targets.listSilent(roster) ?? [],
     handleMove: host => {
       logger.info('control host watched', { controlHost: host ?? 'none' });
     },
@@ -78,6 +81,7 @@
     },
   })
     .map(dispatcher => {
+      running.dispatcher = dispatcher;
       observeDispatcher(metrics, dispatcher);
       return {
         addresses: {
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -39,12 +39,12 @@
 import { DispatcherLinks } from './dispatcher-links.js';
 import { createShareExchange } from './exchange-shares.js';
 import { JobService } from './job-service.js';
+import { keepRegistered, type Registration } from './keep-registered.js';
 import type { ControlPort } from './ports/control.js';
 import { TargetDirectory } from './target-directory.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 const defaultGraceMilliseconds: Milliseconds = 60_000;
-const registrationRetryMilliseconds: Milliseconds = 500;
 
 /** Limits of the HTTP interface. */
 export interface DispatcherLimits {
@@ -102,12 +102,8 @@
   readonly links: DispatcherLinks;
   readonly jobs: JobService;
   readonly scheduler: Scheduler;
-  readonly registration: Registration;
-}
-
-/** Whether control knows this run of the dispatcher. */
-interface Registration {
-  isDone: boolean;
+  /** Undefined until this run listens. */
+  registration: Registration | undefined;
 }
 
 /** Starts a dispatcher. */
@@ -135,7 +131,7 @@
       configuration: () => options.control.configuration.current(),
       findElsewhere: (jobId, cancel) =>
         findElsewhere(parts.links, listOthers(options), jobId, cancel),
-      isReady: () => isReady && parts.registration.isDone,
+      isReady: () => isReady && isRegistered(parts),
     }),
     address: options.callers,
     bodyTimeoutMilliseconds: options.limits.bodyTimeoutMilliseconds,
@@ -150,10 +146,15 @@
     address: options.peers.advertisedAddress ?? peers.value.address.address,
     port: peers.value.address.port,
   };
-  void registerSelf(parts, advertised, () => isReady);
+  const registration = keepRegistered({
+    ...options,
+    self: { ...options.self, address: advertised },
+  });
+  parts.registration = registration;
   return ok(
     describeDispatcher(parts, peers.value, callers.value, () => {
       isReady = false;
+      registration.cancel();
       unsubscribe();
     }),
   );
@@ -183,11 +184,10 @@
     links,
     targets,
     retention: options.retention,
-    isRegistered: () => registration.isDone,
+    isRegistered: () => isRegistered(parts),
     metrics,
     decisions,
   });
-  const registration: Registration = { isDone: false };
   const create = options.createScheduler ?? createScheduler;
   const scheduler: LendingScheduler = create({
     dispatcherId: self.dispatcherId,
@@ -201,7 +201,19 @@
   });
   targets.attachScheduler(scheduler);
   jobs.attachScheduler(scheduler);
-  return { options, targets, links, jobs, scheduler, registration };
+  const parts: DispatcherParts = {
+    options,
+    targets,
+    links,
+    jobs,
+    scheduler,
+    registration: undefined,
+  };
+  return parts;
+}
+
+function isRegistered({ registration }: DispatcherParts): boolean {
+  return registration?.isDone() ?? false;
 }
 
 function serveConnection(
@@ -248,22 +260,6 @@
   };
 }
 
-async function registerSelf(
-  { options, registration }: DispatcherParts,
-  address: NetworkAddress,
-  isWanted: () => boolean,
-): Promise<void> {
-  const record = { ...options.self, address };
-  while (isWanted()) {
-    const done = await options.control.registry.registerDispatcher(record);
-    if (done.isOk()) {
-      registration.isDone = true;
-      return;
-    }
-    await sleep(options.timers, registrationRetryMilliseconds);
-  }
-}
-
 function describeDispatcher(
   parts: DispatcherParts,
   peers: Listener,
@@ -301,7 +297,7 @@
     scheduler,
     jobs,
     targets,
-    isRegistered: () => parts.registration.isDone,
+    isRegistered: () => isRegistered(parts),
     stop,
     kill,
   };
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -1,11 +1,6 @@
 /** The targets that are connected to this dispatcher, and the messages to and from them. */
 import type { Logger } from '@cranberryturn/logger';
-import {
-  Counter,
-  Distribution,
-  type Metrics,
-  WastedMessage,
-} from '@cranberryturn/metrics';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import type { AttemptSender, Scheduler } from '@cranberryturn/scheduling';
 import {
   acceptSessions,
@@ -17,13 +12,12 @@
 import type { TimerService } from '@cranberryturn/timers';
 import {
   type AttemptKey,
-  AttemptOutcome,
   type AttemptResult,
   type AttemptStart,
   type ClusterConfiguration,
   type JobId,
   type OwnershipEpoch,
-  type TargetAnnouncement,
+  type Roster,
   type TargetIdentity,
   type TargetLoad,
 } from '@cranberryturn/types';
@@ -36,20 +30,17 @@
   type ToTargetMessage,
 } from '@cranberryturn/wire';
 
+import {
+  type ConnectedTarget,
+  createConnectedTarget,
+  describeRun,
+  sendSettings,
+} from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
+import { measureResult } from './measure-result.js';
 import type { ControlPort } from './ports/control.js';
 import { registerTarget } from './register-target.js';
-import { findTargetSettings } from './target-settings.js';
-
-/** One connected run of a sidecar. */
-interface ConnectedTarget {
-  readonly identity: TargetIdentity;
-  readonly send: (message: ToTargetMessage) => void;
-  announcement: TargetAnnouncement | undefined;
-  load: TargetLoad | undefined;
-  registered: boolean;
-  settingsSent: string;
-}
+import { TargetPresence } from './target-presence.js';
 
 /** What a directory is built from. */
 export interface TargetDirectoryOptions {
@@ -68,12 +59,18 @@
   readonly #options: TargetDirectoryOptions;
   readonly #targets = new Map<string, ConnectedTarget>();
   readonly #waiters: EvidenceWaiters;
+  readonly #presence: TargetPresence;
+  readonly #unsubscribe: () => void;
   #scheduler: Scheduler | undefined;
   #closed = false;
 
   constructor(options: TargetDirectoryOptions) {
     this.#options = options;
     this.#waiters = new EvidenceWaiters(options.timers);
+    this.#presence = new TargetPresence(options.timers);
+    this.#unsubscribe = options.control.roster.subscribe(roster => {
+      this.#followRoster(roster);
+    });
     this.acceptor = acceptSessions<ToTargetMessage, FromTargetMessage>({
       timers: options.timers,
       times: options.times,
@@ -132,7 +129,7 @@
   /** Sends to each target what the configuration says of it. */
   applyConfiguration(configuration: ClusterConfiguration): void {
     for (const target of this.#targets.values()) {
-      this.#sendSettings(target, configuration);
+      sendSettings(target, configuration);
     }
   }
 
@@ -141,8 +138,14 @@
     return this.#targets.has(describeRun(target));
   }
 
+  /** Registered runs that this dispatcher has not heard for their lease. */
+  listSilent(roster: Roster): readonly TargetIdentity[] {
+    return this.#presence.listSilent(roster);
+  }
+
   close(): void {
     this.#closed = true;
+    this.#unsubscribe();
     this.acceptor.close();
   }
 
@@ -151,14 +154,7 @@
     send: (message: ToTargetMessage) => void,
   ): SessionListener<FromTargetMessage> {
     const identity = { targetId: peer.name, incarnation: peer.incarnation };
-    const target: ConnectedTarget = {
-      identity,
-      send,
-      announcement: undefined,
-      load: undefined,
-      registered: false,
-      settingsSent: '',
-    };
+    const target = createConnectedTarget(identity, send);
     this.#targets.set(describeRun(identity), target);
     this.#options.metrics.count(Counter.SessionsOpened);
     for (const message of this.#waiters.listWaiting(describeRun(identity))) {
@@ -170,10 +166,12 @@
       },
       connected: () => {
         this.#options.logger?.info('target connected', identity);
-        this.#scheduler?.targetResumed(identity);
+        this.#presence.noteHeard(identity);
+        this.#resume(target);
       },
       suspected: () => {
         this.#options.logger?.warn('target suspected', identity);
+        this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
       },
       ended: reason => {
@@ -187,11 +185,11 @@
       case FromTargetKind.Announce:
         target.announcement = message.announcement;
         target.load = message.load;
-        void this.#register(target, message.announcement);
+        void this.#register(target);
         return;
       case FromTargetKind.AttemptEnded:
         target.load = message.load;
-        this.#measure(message.result);
+        measureResult(this.#options.metrics, message.result);
         this.#options.resultReceived(message.result);
         this.#scheduler?.attemptEnded(
           target.identity,
@@ -213,65 +211,60 @@
 
   #noteLoad(target: ConnectedTarget, load: TargetLoad): void {
     target.load = load;
-    if (!target.registered) return;
+    if (target.record === undefined) return;
     this.#scheduler?.targetLoadReported(target.identity, load);
   }
 
-  #measure(result: AttemptResult): void {
-    const { metrics } = this.#options;
-    switch (result.outcome) {
-      case AttemptOutcome.Answered:
-        metrics.count(Counter.TasksAnswered);
-        break;
-      case AttemptOutcome.Failed:
-        metrics.count(Counter.TasksFailed);
-        break;
-      case AttemptOutcome.NotStarted:
-        metrics.count(Counter.TasksNotStarted);
-        metrics.countWasted(WastedMessage.RefusedStart);
-        return;
+  /** Takes work off runs that control took off the roster; those that are heard register again. */
+  #followRoster(roster: Roster): void {
+    const records = new Map(
+      roster.targets.map(record => [describeRun(record), record]),
+    );
+    for (const target of this.#targets.values()) {
+      const { record } = target;
+      if (record === undefined) continue;
+      const current = records.get(describeRun(target.identity));
+      if (current?.registeredAt === record.registeredAt) continue;
+      // The scheduler must not place by the earlier registration any more.
+      target.record = undefined;
+      this.#scheduler?.targetSuspected(target.identity);
+      void this.#register(target);
     }
-    metrics.record(Distribution.RunMilliseconds, result.runMilliseconds);
   }
 
-  async #register(
-    target: ConnectedTarget,
-    announcement: TargetAnnouncement,
-  ): Promise<void> {
+  #resume(target: ConnectedTarget): void {
+    if (target.record !== undefined) {
+      this.#scheduler?.targetResumed(target.identity);
+      return;
+    }
+    void this.#register(target);
+  }
+
+  /** Registers a run that is heard and not registered. */
+  async #register(target: ConnectedTarget): Promise<void> {
+    const { announcement, identity } = target;
+    if (announcement === undefined || target.left) return;
+    if (target.record !== undefined || target.registering) return;
     const { control, timers } = this.#options;
+    target.registering = true;
     const record = await registerTarget({
       announcement,
       roster: control.roster,
       registry: control.registry,
       timers,
-      isWanted: () =>
-        !this.#closed && this.#targets.has(describeRun(target.identity)),
+      isWanted: () => !this.#closed && this.#presence.isHeard(identity),
     });
+    target.registering = false;
     if (record === undefined || target.load === undefined) return;
-    target.registered = true;
-    this.#sendSettings(target, control.configuration.current());
+    target.record = record;
+    sendSettings(target, control.configuration.current());
     this.#scheduler?.targetRegistered(record, target.load);
   }
 
-  #sendSettings(
-    target: ConnectedTarget,
-    configuration: ClusterConfiguration,
-  ): void {
-    if (target.announcement === undefined) return;
-    const settings = findTargetSettings(configuration, target.announcement);
-    const described = JSON.stringify(settings);
-    if (described === target.settingsSent) return;
-    target.settingsSent = described;
-    target.send({
-      kind: ToTargetKind.ApplySettings,
-      version: configuration.version,
-      ...settings,
-    });
-  }
-
   /** Says so to control, which needs no lease of the run any more. */
   #forgetLeft(target: ConnectedTarget): void {
-    target.registered = false;
+    target.record = undefined;
+    target.left = true;
     target.send({ kind: ToTargetKind.AcknowledgeLeft });
     this.#scheduler?.targetLost(target.identity);
     void this.#options.control.registry.retireTarget(target.identity);
@@ -280,12 +273,9 @@
   #endSession(target: ConnectedTarget, reason: SessionEndReason): void {
     const run = describeRun(target.identity);
     this.#targets.delete(run);
+    this.#presence.noteSilent(target.identity);
     if (reason === SessionEndReason.ClosedHere) return;
     this.#waiters.giveUp(run);
     this.#scheduler?.targetLost(target.identity);
   }
 }
-
-function describeRun(target: TargetIdentity): string {
-  return `${target.targetId}/${target.incarnation}`;
-}
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -223,12 +223,15 @@
     name: dispatcherId,
     incarnation,
   });
+  const running: { dispatcher?: Dispatcher } = {};
   const client = createControlClient({
     network: joined,
     timers,
     random: createRandomSource(1),
     self,
     controlHosts: [{ replicaId: 'control-1', address: control.address }],
+    listSilentTargets: roster =>
+      running.dispatcher?.targets.listSilent(roster) ?? [],
   });
   const started = await startDispatcher({
     self,
@@ -253,6 +256,7 @@
     decisions: record,
   });
   const dispatcher = started._unsafeUnwrap();
+  running.dispatcher = dispatcher;
   const crash = (): void => {
     dispatcher.kill();
     void client.stop();
--- a/packages/membership/src/roster-state.ts
+++ b/packages/membership/src/roster-state.ts
@@ -15,16 +15,29 @@
   TargetRecord,
 } from '@cranberryturn/types';
 
-/** A run of a sidecar that was replaced or left. */
+/** Why a run is off the roster. */
+export enum RetirementReason {
+  /** Its process said that it stops. */
+  Left = 'left',
+  /** A later run of the same name was registered. */
+  Replaced = 'replaced',
+  /** Nobody heard it for its lease. It may still run, and may register again. */
+  Expired = 'expired',
+}
+
+/** A run of a sidecar that is off the roster. */
 export interface RetiredTarget extends TargetIdentity {
   readonly service: ServiceName;
+  readonly reason: RetirementReason;
+  /** Position of its first registration. */
   readonly registeredAt: LogIndex;
   readonly retiredAt: LogIndex;
   readonly retiredTime: Milliseconds;
 }
 
-/** A run of a dispatcher that was replaced or left. */
+/** A run of a dispatcher that is off the roster. */
 export interface RetiredDispatcher extends DispatcherIdentity {
+  readonly reason: RetirementReason;
   readonly registeredAt: LogIndex;
   readonly retiredTime: Milliseconds;
 }
@@ -144,12 +157,15 @@
     ...state.targets.values(),
     ...[...state.retiredTargets.values()].filter(run => run.retiredAt >= since),
   ];
-  const witnesses = runs
-    .filter(run => run.service === service && run.registeredAt <= until)
-    .map(({ targetId, incarnation }) => ({ targetId, incarnation }));
-  return state.forgottenUpTo >= since
-    ? [...witnesses, forgottenRun]
-    : witnesses;
+  // A run that registered again after its lease had expired is in both lists.
+  const witnesses = new Map<string, TargetIdentity>();
+  for (const run of runs) {
+    if (run.service !== service || run.registeredAt > until) continue;
+    const { targetId, incarnation } = run;
+    witnesses.set(composeTargetKey(run), { targetId, incarnation });
+  }
+  const known = [...witnesses.values()];
+  return state.forgottenUpTo >= since ? [...known, forgottenRun] : known;
 }
 
 /** The roster as followers see it. */
--- a/packages/placement/src/target-entry.ts
+++ b/packages/placement/src/target-entry.ts
@@ -42,7 +42,8 @@
 
 /** One target run as a dispatcher sees it. Changed by its owner only; the index is told after each change. */
 export interface TargetEntry {
-  readonly record: TargetRecord;
+  /** Changes when the run registers again. */
+  record: TargetRecord;
   slots: number;
   state: TargetState;
   /** Whether the target said that it is leaving. */
--- a/packages/scheduling/src/change-targets.ts
+++ b/packages/scheduling/src/change-targets.ts
@@ -16,7 +16,7 @@
   type SchedulerContext,
 } from './scheduler-context.js';
 
-/** Adds a target run; earlier runs of the same target get no more tasks. */
+/** Adds a target run, or takes in that it registered again; earlier runs of the same target get no more tasks. */
 export function registerTarget(
   context: SchedulerContext,
   record: TargetRecord,
@@ -24,6 +24,7 @@
 ): void {
   const known = findTarget(context, record);
   if (known !== undefined) {
+    known.record = record;
     changeTargetState(context, known, TargetState.Active);
     takeLoad(context, known, load);
     return;
--- a/packages/wire/src/messages/control-messages.ts
+++ b/packages/wire/src/messages/control-messages.ts
@@ -94,6 +94,9 @@
 /** Age of the proof of a leader above which control feeds nobody, and followers leave a control host. */
 export const maximumProofAge: Milliseconds = 1_500;
 
+/** Silence after which control takes a run off the roster. */
+export const runLease: Milliseconds = 15_000;
+
 /** The kinds of notice from control to its followers. */
 export enum ControlNoticeKind {
   Configuration = 'configuration',
@@ -134,4 +137,9 @@
   readonly configurationVersion: number;
   /** Sidecars served by this dispatcher that have not confirmed that version. */
   readonly targetsBehind: readonly TargetId[];
+  /**
+   * Registered runs of sidecars that this dispatcher has not heard for their lease.
+   * Undefined when they are the same as in its last report over this connection.
+   */
+  readonly silentTargets?: readonly TargetIdentity[] | undefined;
 }
