Read announced bodies without building a web request

Cause: the body limit touched the body of every request, so that the HTTP adapter built a web Request, an abort signal and a web stream for each job. Change: a body whose length is announced is refused by that length, which the HTTP parser holds to; only bodies in chunks are counted as they arrive.

--- a/packages/dispatcher/src/callers/serve-callers.ts
+++ b/packages/dispatcher/src/callers/serve-callers.ts
@@ -18,7 +18,6 @@
   TeamName,
 } from '@cranberryturn/types';
 import { type Context, Hono } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 
 import type { JobService } from '../job-service.js';
 import {
@@ -30,6 +29,7 @@
   composeSubmissionAnswer,
 } from './answers.js';
 import { composeJobId } from './job-identifiers.js';
+import { limitBody } from './limit-body.js';
 import {
   readJob,
   readRequest,
@@ -81,10 +81,9 @@
   );
   app.use(
     '/v1/*',
-    bodyLimit({
-      maxSize: options.bodyBytes,
-      onError: context => send(context, describeTooLarge(options.bodyBytes)),
-    }),
+    limitBody(options.bodyBytes, context =>
+      send(context, describeTooLarge(options.bodyBytes)),
+    ),
   );
   app.post('/v1/services/:service/jobs', context =>
     withTeam(context, findTeam, options.metrics, team =>
