--- a/packages/authentication/src/tokens.ts
+++ b/packages/authentication/src/tokens.ts
@@ -1,5 +1,5 @@
 /** Bearer tokens of callers and operators. Only digests of tokens are stored. */
-import { createHash, randomBytes, timingSafeEqual } from 'node:crypto';
+import { hash, randomBytes, timingSafeEqual } from 'node:crypto';
 
 const tokenPrefix = 'cbt_';
 const tokenBytes = 32;
@@ -24,7 +24,7 @@
 
 /** Computes the digest of a token, as stored in settings. */
 export function digestToken(token: string): string {
-  return `${digestPrefix}${hash(token).toString('hex')}`;
+  return `${digestPrefix}${digestText(token).toString('hex')}`;
 }
 
 /** Reads the token out of an `Authorization` header; undefined when there is none. */
@@ -54,7 +54,7 @@
   );
   return token => {
     if (token === undefined) return undefined;
-    const digest = hash(token);
+    const digest = digestText(token);
     let found: Holder | undefined;
     for (const entry of entries) {
       if (timingSafeEqual(entry.digest, digest)) found = entry.holder;
@@ -63,8 +63,8 @@
   };
 }
 
-function hash(token: string): Buffer {
-  return createHash('sha256').update(token, 'utf8').digest();
+function digestText(text: string): Buffer {
+  return hash('sha256', text, 'buffer');
 }
 
 function parseDigest(digest: string): Buffer {
--- /dev/null
+++ b/packages/jobs/src/digest-job.test.ts
@@ -0,0 +1,35 @@
+import type { JobRequest } from '@cranberryturn/types';
+import test from 'ava';
+
+import { digestJob } from './digest-job.js';
+
+const job: JobRequest = {
+  jobId: 'wards/job-1',
+  service: 'register-svc',
+  team: 'wards',
+  tasks: [
+    { taskId: 'a', payload: '{"street":"Hàng Bạc"}' },
+    { taskId: 'b', payload: 'null', declared: { processors: 2 } },
+  ],
+  idempotent: false,
+  deadlineMilliseconds: 1_000,
+};
+
+test('dispatchers of different versions digest the same body alike', t => {
+  t.is(digestJob(job), 'b88fb8ca28df8b60c77955caf6b7c0da');
+  t.is(digestJob({ ...job, deadlineMilliseconds: 5 }), digestJob(job));
+});
+
+test('every part of the body but its deadline tells one job from another', t => {
+  const [first, second] = job.tasks;
+  if (first === undefined || second === undefined) throw new Error('no tasks');
+  const others: JobRequest[] = [
+    { ...job, service: 'marcacoes' },
+    { ...job, tasks: [second, first] },
+    { ...job, tasks: [first, { ...second, payload: '0' }] },
+    { ...job, tasks: [first, { ...second, taskId: 'c' }] },
+    { ...job, tasks: [first, { ...second, declared: { processors: 3 } }] },
+  ];
+  const digests = new Set([job, ...others].map(digestJob));
+  t.is(digests.size, others.length + 1);
+});
--- a/packages/jobs/src/digest-job.ts
+++ b/packages/jobs/src/digest-job.ts
@@ -1,5 +1,5 @@
 /** Digest of a job body, which tells a resubmission from another job with the same identifier. */
-import { createHash } from 'node:crypto';
+import { hash } from 'node:crypto';
 
 import type { BodyDigest, JobRequest } from '@cranberryturn/types';
 
@@ -7,7 +7,6 @@
 
 /** Digests everything that makes a submission the same: all but its deadline. */
 export function digestJob(job: JobRequest): BodyDigest {
-  const hash = createHash('sha256');
   const tasks = job.tasks.map(task => [
     task.taskId,
     task.payload,
@@ -16,6 +15,6 @@
     task.declared?.accelerators ?? null,
     task.declared?.runMilliseconds ?? null,
   ]);
-  hash.update(JSON.stringify([job.service, job.idempotent, tasks]));
-  return hash.digest('hex').slice(0, digestLength);
+  const text = JSON.stringify([job.service, job.idempotent, tasks]);
+  return hash('sha256', text, 'hex').slice(0, digestLength);
 }
