Mix seeds, so that neighbouring seeds give different numbers

Cause: the generator's first numbers follow its seed. Seeds 1 to 5 all began with 0.99999999…, so first election timeouts of small seeds fell together and tests with seeds 1, 2, 3 tried nearly the same run. The seed now goes through another generator of the same library first: seeds 1 to 5 begin with 0.58, 0.56, 0.45, 0.03 and 0.78. Found by the new numbers: a dispatcher cut off from all control gave up after up to 0.6 s in place of 0.3 s, because the last pause was not cut at the deadline (control-failures.test.ts: over 500 ms).

--- a/packages/control-client/src/call-leader.ts
+++ b/packages/control-client/src/call-leader.ts
@@ -76,7 +76,8 @@
     const pause = computeBackoff(failures, firstPause, longestPause);
     failures += 1;
     redirects = 0;
-    await sleep(timers, pause * (0.5 + random.fraction() / 2));
+    const rest = Math.max(0, expiresAt - timers.now());
+    await sleep(timers, Math.min(rest, pause * (0.5 + random.fraction() / 2)));
   }
   return err(describeFailure(call, patience, mayHaveHappened));
 }
--- a/packages/random/src/index.ts
+++ b/packages/random/src/index.ts
@@ -1,4 +1,5 @@
 /** Seeded random numbers. */
+import { mersenne } from 'pure-rand/generator/mersenne';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 const fractionSteps = 0x1_0000_0000;
@@ -13,7 +14,8 @@
 
 /** Creates a random source from a seed. */
 export function createRandomSource(seed: number): RandomSource {
-  const generator = xoroshiro128plus(seed);
+  // The first numbers of this generator follow its seed, so neighbouring seeds are mixed first.
+  const generator = xoroshiro128plus(mersenne(seed).next());
   const fraction = (): number => (generator.next() >>> 0) / fractionSteps;
   return {
     fraction,
