Run tasks under leases of the platform and report its lagged usage

The platform port had no adapter and its settings were read but not used. The HTTP adapter asks for a lease before the target is asked: a refused or silent lease is "not started" for ever, a lost lease fails the task, and silence during a run changes nothing. Cancelled tasks are stopped, checkpointed and stopped, or throttled through the platform. Usage rides once per reading on load reports. target.connectTimeoutMilliseconds now applies. A withdrawn start was told to its owner only; an adopter that had fenced the job waited until its deadline. It is now told to all who wait (the new test fails without it). Drain state and message handling leave run-attempts.ts and start-sidecar.ts.

Before: no lease, no usage. Without `platform` in the settings nothing changes.

--- a/packages/local/src/fakes/fake-target.ts
+++ b/packages/local/src/fakes/fake-target.ts
@@ -5,10 +5,11 @@
   type TargetPort,
 } from '@cranberryturn/sidecar';
 import { sleep, type TimerService } from '@cranberryturn/timers';
-import type {
-  AttemptStart,
-  JsonText,
-  Milliseconds,
+import {
+  type AttemptStart,
+  type JsonText,
+  type Milliseconds,
+  NotStartedReason,
 } from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
@@ -18,6 +19,10 @@
   readonly starts: Map<string, number>;
   runMilliseconds: Milliseconds;
   failing: boolean;
+  /** Time that a lease takes. */
+  leaseDelayMilliseconds: Milliseconds;
+  /** Whether leases are refused. */
+  refusingLeases: boolean;
 }
 
 /** Creates a target in memory. */
@@ -29,6 +34,8 @@
     starts: new Map(),
     runMilliseconds,
     failing: false,
+    leaseDelayMilliseconds: 0,
+    refusingLeases: false,
     runAttempt: attempt => new ResultAsync(run(target, timers, attempt)),
     close: () => Promise.resolve(),
   };
@@ -40,6 +47,16 @@
   timers: TimerService,
   attempt: AttemptStart,
 ): Promise<Result<JsonText, TargetFailure>> {
+  if (target.leaseDelayMilliseconds > 0) {
+    await sleep(timers, target.leaseDelayMilliseconds);
+  }
+  if (target.refusingLeases) {
+    return err({
+      kind: TargetFailureKind.NotAsked,
+      cause: NotStartedReason.LeaseRefused,
+      reason: 'There is no lease.',
+    });
+  }
   const key = `${attempt.jobId} ${attempt.taskId}`;
   target.starts.set(key, (target.starts.get(key) ?? 0) + 1);
   await sleep(timers, target.runMilliseconds);
--- /dev/null
+++ b/packages/local/src/platform-leases.test.ts
@@ -0,0 +1,210 @@
+import {
+  createHttpPlatform,
+  createHttpTarget,
+  createLeasedTarget,
+  followUsage,
+  TargetFailureKind,
+} from '@cranberryturn/sidecar';
+import {
+  PlatformFault,
+  type StandInPlatform,
+  type StandInTarget,
+  startStandInPlatform,
+  startStandInTarget,
+} from '@cranberryturn/stand-ins';
+import {
+  createManualTimerService,
+  type ManualTimerService,
+} from '@cranberryturn/timers';
+import {
+  type AttemptStart,
+  CancelledTaskTreatment,
+  JobOutcome,
+  NotStartedReason,
+} from '@cranberryturn/types';
+import test, { type ExecutionContext } from 'ava';
+
+import { composeJob, startMemoryCluster } from './fakes/memory-cluster.js';
+
+const timeoutMilliseconds = 1_000;
+const stepMilliseconds = 10;
+
+/** A target, its platform and the sidecar's ports to both, over HTTP and under one manual clock. */
+interface Stage {
+  readonly timers: ManualTimerService;
+  readonly target: StandInTarget;
+  readonly platform: StandInPlatform;
+  readonly port: ReturnType<typeof createHttpPlatform>;
+  run(
+    taskId: string,
+    runMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<unknown>;
+}
+
+async function startStage(t: ExecutionContext): Promise<Stage> {
+  const timers = createManualTimerService();
+  const targetId = 'worker-1';
+  const target = await startStandInTarget({ targetId, timers, seed: 1 });
+  const platform = await startStandInPlatform({
+    timers,
+    targets: [target],
+    usageLagMilliseconds: 200,
+    leaseMilliseconds: 300,
+  });
+  const port = createHttpPlatform({
+    url: platform.url,
+    targetId,
+    timeoutMilliseconds,
+    connections: 8,
+    timers,
+  });
+  const leased = createLeasedTarget({
+    target: createHttpTarget({ url: target.url, connections: 8 }),
+    platform: port,
+    timers,
+    cancelledTasks: CancelledTaskTreatment.CheckpointAndStop,
+    throttleShare: 0.5,
+  });
+  t.teardown(async () => {
+    await target.close();
+    await platform.close();
+    await port.close();
+  });
+  const run: Stage['run'] = async (taskId, runMilliseconds, signal) => {
+    const answer = await leased.runAttempt(
+      composeAttempt(taskId, runMilliseconds),
+      signal ?? new AbortController().signal,
+    );
+    return answer.isOk() ? JSON.parse(answer.value) : answer.error;
+  };
+  return { timers, target, platform, port, run };
+}
+
+function composeAttempt(taskId: string, runMilliseconds: number): AttemptStart {
+  return {
+    jobId: 'job',
+    taskId,
+    attempt: 1,
+    epoch: 1,
+    service: 'register-svc',
+    dispatcher: 'dispatcher-1',
+    payload: JSON.stringify({ runMilliseconds, answerBytes: 1 }),
+    idempotent: false,
+    remainingMilliseconds: 60_000,
+  };
+}
+
+/** Moves the manual clock on while real sockets carry the requests. */
+async function finish<Value>(
+  timers: ManualTimerService,
+  work: Promise<Value>,
+): Promise<Value> {
+  let done = false;
+  void work.finally(() => {
+    done = true;
+  });
+  while (!done) {
+    for (let turn = 0; turn < 20; turn += 1) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    await timers.advance(stepMilliseconds);
+  }
+  return work;
+}
+
+test('a task outlives its first lease, and the platform sees it end', async t => {
+  const { timers, target, platform, run } = await startStage(t);
+  t.like(await finish(timers, run('long', 2_000)), { taskId: 'long' });
+  const acts = platform.acts.map(one => one.act);
+  t.true(acts.filter(one => one === 'renew').length > 2);
+  t.is(target.starts.list().length, 1);
+});
+
+test('a refusing or silent platform starts nothing, and the task starts once later', async t => {
+  const { timers, target, platform, run } = await startStage(t);
+  const faults = [
+    PlatformFault.Refusing,
+    PlatformFault.Silent,
+    PlatformFault.AnswersLost,
+  ];
+  for (const fault of faults) {
+    platform.setFault(fault);
+    t.like(await finish(timers, run('task', 10)), {
+      kind: TargetFailureKind.NotAsked,
+      cause: NotStartedReason.LeaseRefused,
+    });
+  }
+  t.deepEqual(target.starts.list(), []);
+  platform.setFault(PlatformFault.None);
+  t.like(await finish(timers, run('task', 10)), { taskId: 'task' });
+  t.like(target.starts.list(), [{ starts: 1 }]);
+});
+
+test('a cancelled task is checkpointed and stopped on the worker', async t => {
+  const { timers, target, platform, run } = await startStage(t);
+  const abort = new AbortController();
+  const ended = run('task', 60_000, abort.signal);
+  while (target.running.count() === 0) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  abort.abort(new Error('cancelled'));
+  t.like(await finish(timers, ended), { kind: TargetFailureKind.Failed });
+  t.is(target.running.count(), 0);
+  const acts = platform.acts.map(one => one.act);
+  t.deepEqual(
+    acts.filter(one => one !== 'renew' && one !== 'end'),
+    ['checkpoint', 'stop'],
+  );
+});
+
+test('usage is read with its age, and grows older while the platform is silent', async t => {
+  const { timers, platform, port, run } = await startStage(t);
+  const usage = followUsage(port, timers, 500);
+  await finish(timers, run('task', 3_000));
+  const before = usage.latest();
+  t.is(before?.processors, 1);
+  t.true((before?.ageMilliseconds ?? 0) >= 200);
+  platform.setFault(PlatformFault.Silent);
+  const readings = usage.reading();
+  await timers.advance(10_000);
+  t.true(
+    (usage.latest()?.ageMilliseconds ?? 0) >
+      (before?.ageMilliseconds ?? 0) + 9_000,
+  );
+  t.true(usage.reading() <= readings + 1);
+  await timers.advance(60_000);
+  t.is(usage.latest(), undefined);
+  usage.stop();
+});
+
+test('an adopter hears that a task it waits for was never started', async t => {
+  const cluster = await startMemoryCluster({
+    dispatchers: 2,
+    workers: 1,
+    slots: 2,
+    runMilliseconds: 20,
+  });
+  const { timers, workers, dispatchers } = cluster;
+  const target = workers[0]?.target;
+  if (target === undefined) throw new Error('There is no worker.');
+  target.leaseDelayMilliseconds = 4_000;
+  const [first, second] = dispatchers;
+  void first?.dispatcher.jobs.submitJob(composeJob('job-1', 2, 20_000), 'one');
+  await timers.advance(50);
+  first?.crash();
+  target.refusingLeases = true;
+  let outcome: JobOutcome | undefined;
+  void second?.dispatcher.jobs
+    .submitJob(composeJob('job-1', 2, 20_000), 'two')
+    .then(submission => {
+      if ('result' in submission) outcome = submission.result.outcome;
+    });
+  await timers.advance(5_000);
+  target.refusingLeases = false;
+  target.leaseDelayMilliseconds = 0;
+  await timers.advance(15_000);
+  t.is(outcome, JobOutcome.Complete);
+  t.is(Math.max(...cluster.countStarts().values()), 1);
+  await cluster.stop();
+});
--- a/packages/retries/src/decide-retry.ts
+++ b/packages/retries/src/decide-retry.ts
@@ -89,6 +89,7 @@
     case NotStartedReason.Busy:
     case NotStartedReason.Draining:
     case NotStartedReason.TargetUnreachable:
+    case NotStartedReason.LeaseRefused:
     case NotStartedReason.WrongService:
       return placeAgain(question, delayAfterRefusal(question, random));
     case NotStartedReason.AlreadyStarted:
--- a/packages/scheduling/src/hold-targets.ts
+++ b/packages/scheduling/src/hold-targets.ts
@@ -30,6 +30,7 @@
       );
       return;
     case NotStartedReason.TargetUnreachable:
+    case NotStartedReason.LeaseRefused:
     case NotStartedReason.WrongService:
       holdFor(
         pool,
--- a/packages/settings/src/schemas/sidecar-settings.ts
+++ b/packages/settings/src/schemas/sidecar-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of `cranberry-sidecar`. */
+import { CancelledTaskTreatment } from '@cranberryturn/types';
 import { z } from 'zod';
 
 import {
@@ -21,7 +22,19 @@
   connectTimeoutMilliseconds: z.int().min(10).max(60_000).default(1_000),
 });
 
-const platformSchema = z.strictObject({ url: urlSchema });
+const platformSchema = z.strictObject({
+  url: urlSchema,
+  /** Longest wait for an answer of the platform. */
+  timeoutMilliseconds: z.int().min(10).max(60_000).default(1_000),
+  /** Time between two readings of the usage of the worker. */
+  usageIntervalMilliseconds: z.int().min(100).max(600_000).default(2_000),
+  /** What the platform does with a task that was cancelled or overtaken. */
+  cancelledTasks: z
+    .enum(CancelledTaskTreatment)
+    .default(CancelledTaskTreatment.Stop),
+  /** Part of a processor that a throttled task may use. */
+  throttleShare: z.number().gt(0).max(1).default(0.1),
+});
 
 /** Schema of the settings of a sidecar. */
 export const sidecarSettingsSchema = z.strictObject({
--- /dev/null
+++ b/packages/sidecar/src/adapters/http-platform.ts
@@ -0,0 +1,182 @@
+/** Speaks to the platform of one worker over HTTP. */
+import { ConnectionError, RefusedError } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, TargetId, WorkerUsage } from '@cranberryturn/types';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import { Pool } from 'undici';
+
+import type {
+  PlatformError,
+  PlatformLease,
+  PlatformPort,
+} from '../ports/platform.js';
+
+/** Where the platform listens and how long it is waited for. */
+export interface HttpPlatformOptions {
+  /** Base address, for example `http://127.0.0.1:9090`. */
+  readonly url: string;
+  /** Name of the worker on the platform. */
+  readonly targetId: TargetId;
+  readonly timeoutMilliseconds: Milliseconds;
+  readonly connections: number;
+  readonly timers: TimerService;
+}
+
+interface PlatformRequest {
+  readonly step: string;
+  readonly method: 'GET' | 'POST';
+  /** Path below the worker. */
+  readonly path: string;
+  readonly body?: object | undefined;
+}
+
+type Fields = Readonly<Record<string, unknown>>;
+
+const clientErrorStatus = 400;
+const serverErrorStatus = 500;
+const requestTimeoutStatus = 408;
+const tooManyRequestsStatus = 429;
+
+/** Creates the port to the platform of one worker. */
+export function createHttpPlatform(options: HttpPlatformOptions): PlatformPort {
+  const pool = new Pool(options.url, {
+    connections: options.connections,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  const ask = (request: PlatformRequest): ResultAsync<unknown, PlatformError> =>
+    new ResultAsync(sendRequest(pool, options, request));
+  const act = (
+    leaseId: string,
+    name: string,
+    body?: object,
+  ): ResultAsync<unknown, PlatformError> =>
+    ask({
+      step: `${name} lease`,
+      method: 'POST',
+      path: `/leases/${encodeURIComponent(leaseId)}/${name}`,
+      body,
+    });
+  const actOnly = (leaseId: string, name: string, body?: object) =>
+    act(leaseId, name, body).map(() => undefined);
+
+  return {
+    startLease: ({ jobId, taskId, attempt, epoch }) =>
+      ask({
+        step: 'start lease',
+        method: 'POST',
+        path: '/leases',
+        body: { jobId, taskId, attempt, epoch },
+      }).andThen(answer => readLease(answer, options.url)),
+    renewLease: leaseId =>
+      act(leaseId, 'renew').andThen(answer => readLease(answer, options.url)),
+    endLease: leaseId => actOnly(leaseId, 'end'),
+    checkpointTask: leaseId => actOnly(leaseId, 'checkpoint'),
+    throttleTask: (leaseId, share) => actOnly(leaseId, 'throttle', { share }),
+    stopTask: leaseId => actOnly(leaseId, 'stop'),
+    readUsage: () =>
+      ask({ step: 'read usage', method: 'GET', path: '/usage' }).andThen(
+        answer => readUsage(answer, options.url),
+      ),
+    close: () => pool.destroy(),
+  };
+}
+
+async function sendRequest(
+  pool: Pool,
+  options: HttpPlatformOptions,
+  request: PlatformRequest,
+): Promise<Result<unknown, PlatformError>> {
+  const { url, targetId, timers, timeoutMilliseconds } = options;
+  const abort = new AbortController();
+  const expiry = timers.after(timeoutMilliseconds, () => {
+    abort.abort(
+      new Error(`no answer within ${String(timeoutMilliseconds)} ms`),
+    );
+  });
+  try {
+    const response = await pool.request({
+      method: request.method,
+      path: `/workers/${encodeURIComponent(targetId)}${request.path}`,
+      headers: { 'content-type': 'application/json' },
+      body: request.body === undefined ? null : JSON.stringify(request.body),
+      signal: abort.signal,
+    });
+    const text = await response.body.text();
+    if (response.statusCode < clientErrorStatus) return ok(JSON.parse(text));
+    return err(describeRefusal(request.step, url, response.statusCode));
+  } catch (cause) {
+    const message = cause instanceof Error ? cause.message : String(cause);
+    return err(
+      new ConnectionError(
+        `The platform did not answer: ${message}. Check platform.url and the platform of this host.`,
+        { step: request.step, peer: url },
+        cause,
+      ),
+    );
+  } finally {
+    expiry.cancel();
+  }
+}
+
+/** Only an answer that will stay the same is a refusal. */
+function describeRefusal(
+  step: string,
+  url: string,
+  status: number,
+): PlatformError {
+  const message = `The platform answered with status ${String(status)}.`;
+  const isTemporary =
+    status >= serverErrorStatus ||
+    status === requestTimeoutStatus ||
+    status === tooManyRequestsStatus;
+  return isTemporary
+    ? new ConnectionError(message, { step, peer: url })
+    : new RefusedError(message, { step, peer: url });
+}
+
+function readLease(
+  answer: unknown,
+  url: string,
+): Result<PlatformLease, PlatformError> {
+  const { leaseId, expiresInMilliseconds } = asFields(answer);
+  if (typeof leaseId !== 'string' || !isCount(expiresInMilliseconds)) {
+    return err(describeBadAnswer('read lease', url));
+  }
+  return ok({ leaseId, expiresInMilliseconds });
+}
+
+function readUsage(
+  answer: unknown,
+  url: string,
+): Result<WorkerUsage, PlatformError> {
+  const { ageMilliseconds, processors, memoryMebibytes, accelerators } =
+    asFields(answer);
+  if (
+    !isCount(ageMilliseconds) ||
+    !isCount(processors) ||
+    !isCount(memoryMebibytes) ||
+    !isCount(accelerators)
+  ) {
+    return err(describeBadAnswer('read usage', url));
+  }
+  return ok({ ageMilliseconds, processors, memoryMebibytes, accelerators });
+}
+
+function asFields(answer: unknown): Fields {
+  return typeof answer === 'object' && answer !== null
+    ? (answer as Fields)
+    : {};
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
+function describeBadAnswer(step: string, url: string): ConnectionError {
+  return new ConnectionError(
+    'The answer of the platform lacks fields. Check that its version fits.',
+    { step, peer: url },
+  );
+}
--- a/packages/sidecar/src/adapters/http-target.ts
+++ b/packages/sidecar/src/adapters/http-target.ts
@@ -3,6 +3,7 @@
   type AttemptStart,
   type JsonText,
   maximumAnswerBytes,
+  type Milliseconds,
 } from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import { Pool } from 'undici';
@@ -18,8 +19,11 @@
   /** Base address, for example `http://127.0.0.1:8080`. */
   readonly url: string;
   readonly connections: number;
+  /** Longest time to open a connection. */
+  readonly connectTimeoutMilliseconds?: Milliseconds | undefined;
 }
 
+const defaultConnectTimeoutMilliseconds: Milliseconds = 1_000;
 const unreachedErrorCodes = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
@@ -35,6 +39,10 @@
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
+    connect: {
+      timeout:
+        options.connectTimeoutMilliseconds ?? defaultConnectTimeoutMilliseconds,
+    },
   });
   return {
     runAttempt: (attempt, signal) =>
--- a/packages/sidecar/src/attempt-ledger.ts
+++ b/packages/sidecar/src/attempt-ledger.ts
@@ -78,10 +78,12 @@
     return StartPermission.Granted;
   }
 
-  /** Forgets a start of which the target provably heard nothing. */
-  withdrawStart(key: AttemptKey): void {
+  /** Forgets a start of which the target provably heard nothing. Returns the dispatchers to tell. */
+  withdrawStart(key: AttemptKey): readonly DispatcherId[] {
     const job = this.#jobs.get(key.jobId);
-    if (job !== undefined) this.#forgetTask(key.jobId, job, key.taskId);
+    if (job === undefined) return [];
+    this.#forgetTask(key.jobId, job, key.taskId);
+    return [...job.watchers];
   }
 
   /** Records how an attempt ended. Returns the dispatchers to tell. */
--- /dev/null
+++ b/packages/sidecar/src/handle-dispatcher-message.ts
@@ -0,0 +1,56 @@
+/** What a sidecar does on each message of a dispatcher. */
+import {
+  FromTargetKind,
+  type ToTargetMessage,
+  ToTargetKind,
+} from '@cranberryturn/wire';
+
+import type { AttemptLedger } from './attempt-ledger.js';
+import type { AttemptRunner } from './run-attempts.js';
+import type {
+  ServedDispatcher,
+  ServedDispatchers,
+} from './served-dispatchers.js';
+
+/** The parts of a sidecar that messages act on. */
+export interface MessageHandlerParts {
+  readonly runner: AttemptRunner;
+  readonly ledger: AttemptLedger;
+  readonly dispatchers: ServedDispatchers;
+}
+
+/** Handles one message of a dispatcher. */
+export function handleDispatcherMessage(
+  { runner, ledger, dispatchers }: MessageHandlerParts,
+  from: ServedDispatcher,
+  message: ToTargetMessage,
+): void {
+  switch (message.kind) {
+    case ToTargetKind.StartAttempt:
+      runner.acceptAttempt(message.attempt, message.requestId);
+      return;
+    case ToTargetKind.CancelAttempts:
+      runner.cancelAttempts(message.attempts, message.reason);
+      return;
+    case ToTargetKind.FenceJob: {
+      const evidence = ledger.fenceJob(
+        message.jobId,
+        message.epoch,
+        from.dispatcherId,
+      );
+      from.send({ kind: FromTargetKind.JobEvidence, evidence });
+      return;
+    }
+    case ToTargetKind.ApplySettings:
+      if (message.slots !== undefined) runner.changeSlots(message.slots);
+      runner.changeDraining(message.draining);
+      dispatchers.reportLoad(from);
+      return;
+    case ToTargetKind.AcknowledgeLeft:
+      return;
+    case ToTargetKind.AskForLoad:
+      from.asksForLoad = true;
+      dispatchers.reportFreeSlot();
+      return;
+  }
+}
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -1,8 +1,11 @@
 /** The sidecar beside each target: starts each task at most once. */
+export * from './adapters/http-platform.js';
 export * from './adapters/http-target.js';
 export * from './attempt-ledger.js';
+export * from './follow-usage.js';
 export * from './ports/platform.js';
 export * from './ports/target.js';
 export * from './run-attempts.js';
+export * from './run-under-lease.js';
 export * from './start-sidecar.js';
 export * from './start-sidecar-role.js';
--- a/packages/sidecar/src/ports/platform.ts
+++ b/packages/sidecar/src/ports/platform.ts
@@ -29,4 +29,5 @@
   ): ResultAsync<void, PlatformError>;
   stopTask(leaseId: string): ResultAsync<void, PlatformError>;
   readUsage(): ResultAsync<WorkerUsage, PlatformError>;
+  close(): Promise<void>;
 }
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -15,6 +15,7 @@
 } from '@cranberryturn/types';
 
 import { type AttemptLedger, StartPermission } from './attempt-ledger.js';
+import { DrainState } from './drain-state.js';
 import {
   type TargetFailure,
   TargetFailureKind,
@@ -53,9 +54,8 @@
   readonly #options: AttemptRunnerOptions;
   readonly #waiting: WaitingAttempt[] = [];
   readonly #running = new Set<RunningAttempt>();
+  readonly #drain = new DrainState();
   #slots: number;
-  #drainedByOperator = false;
-  #stopping = false;
 
   constructor(options: AttemptRunnerOptions) {
     this.#options = options;
@@ -67,7 +67,7 @@
     return {
       freeSlots: Math.max(0, this.#slots - this.#running.size),
       queuedTasks: this.#waiting.length,
-      draining: this.#isDraining,
+      draining: this.#drain.isDraining,
     };
   }
 
@@ -96,16 +96,12 @@
 
   /** Refuses new attempts while operators drain the target, or accepts them again. */
   changeDraining(draining: boolean): void {
-    const before = this.#isDraining;
-    this.#drainedByOperator = draining;
-    if (!before) this.#beginLeaving();
+    if (this.#drain.changeByOperator(draining)) this.#beginLeaving();
   }
 
   /** Refuses new attempts from now on, whatever operators set. */
   beginStop(): void {
-    const before = this.#isDraining;
-    this.#stopping = true;
-    if (!before) this.#beginLeaving();
+    if (this.#drain.beginStop()) this.#beginLeaving();
   }
 
   /** Whether no attempt waits or runs. */
@@ -113,12 +109,7 @@
     return this.#waiting.length === 0 && this.#running.size === 0;
   }
 
-  get #isDraining(): boolean {
-    return this.#drainedByOperator || this.#stopping;
-  }
-
   #beginLeaving(): void {
-    if (!this.#isDraining) return;
     const { targetId, incarnation } = this.#options.announcement;
     this.#options.decisions({
       kind: DecisionKind.Leaving,
@@ -134,7 +125,7 @@
     if (attempt.service !== this.#options.announcement.service) {
       return NotStartedReason.WrongService;
     }
-    if (this.#isDraining) return NotStartedReason.Draining;
+    if (this.#drain.isDraining) return NotStartedReason.Draining;
     const room = this.#slots + this.#options.queueLimit - this.#running.size;
     if (this.#waiting.length >= room) return NotStartedReason.Busy;
     return undefined;
@@ -215,17 +206,26 @@
     failure: TargetFailure,
     runMilliseconds: Milliseconds,
   ): void {
-    if (failure.kind === TargetFailureKind.NotReached) {
-      this.#options.ledger.withdrawStart(attempt);
-      this.#refuse(attempt, NotStartedReason.TargetUnreachable);
-      return;
+    switch (failure.kind) {
+      case TargetFailureKind.NotReached:
+        this.#withdraw(attempt, NotStartedReason.TargetUnreachable);
+        return;
+      case TargetFailureKind.NotAsked:
+        this.#withdraw(attempt, failure.cause);
+        return;
+      case TargetFailureKind.Failed:
+        this.#end({
+          ...keyOf(attempt),
+          outcome: AttemptOutcome.Failed,
+          reason: failure.reason,
+          runMilliseconds,
+        });
     }
-    this.#end({
-      ...keyOf(attempt),
-      outcome: AttemptOutcome.Failed,
-      reason: failure.reason,
-      runMilliseconds,
-    });
+  }
+
+  /** Takes back a start of which the target provably heard nothing. */
+  #withdraw(attempt: AttemptStart, reason: NotStartedReason): void {
+    this.#refuse(attempt, reason, this.#options.ledger.withdrawStart(attempt));
   }
 
   #end(result: AttemptResult): void {
@@ -234,14 +234,18 @@
     this.#options.attemptEnded(result, dispatchers);
   }
 
-  #refuse(attempt: AttemptStart, reason: NotStartedReason): void {
+  #refuse(
+    attempt: AttemptStart,
+    reason: NotStartedReason,
+    dispatchers: readonly DispatcherId[] = [attempt.dispatcher],
+  ): void {
     const result: AttemptResult = {
       ...keyOf(attempt),
       outcome: AttemptOutcome.NotStarted,
       reason,
     };
     this.#logEnd(result, reason);
-    this.#options.attemptEnded(result, [attempt.dispatcher]);
+    this.#options.attemptEnded(result, dispatchers);
   }
 
   #logEnd(result: AttemptResult, reason: string | undefined): void {
--- /dev/null
+++ b/packages/sidecar/src/run-under-lease.ts
@@ -0,0 +1,186 @@
+/** Runs each attempt under a lease of the platform. */
+import { RefusedError } from '@cranberryturn/errors';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import {
+  type AttemptStart,
+  CancelledTaskTreatment,
+  type JsonText,
+  type Milliseconds,
+  NotStartedReason,
+} from '@cranberryturn/types';
+import { err, type Result, ResultAsync } from 'neverthrow';
+
+import type { PlatformLease, PlatformPort } from './ports/platform.js';
+import {
+  type TargetFailure,
+  TargetFailureKind,
+  type TargetPort,
+} from './ports/target.js';
+
+/** What a target under leases is built from. */
+export interface LeasedTargetOptions {
+  readonly target: TargetPort;
+  readonly platform: PlatformPort;
+  readonly timers: TimerService;
+  readonly cancelledTasks: CancelledTaskTreatment;
+  /** Part of a processor that a throttled task may use. */
+  readonly throttleShare: number;
+}
+
+const renewalsForEachLease = 3;
+const minimumRenewalMilliseconds: Milliseconds = 10;
+const stopGraceMilliseconds: Milliseconds = 1_000;
+
+/** Wraps a target so that each of its tasks holds a lease while it runs. */
+export function createLeasedTarget(options: LeasedTargetOptions): TargetPort {
+  return {
+    runAttempt: (attempt, signal) =>
+      new ResultAsync(runUnderLease(options, attempt, signal)),
+    close: async () => {
+      await options.target.close();
+      await options.platform.close();
+    },
+  };
+}
+
+async function runUnderLease(
+  options: LeasedTargetOptions,
+  attempt: AttemptStart,
+  signal: AbortSignal,
+): Promise<Result<JsonText, TargetFailure>> {
+  const { platform, target, timers } = options;
+  const asked = timers.now();
+  const started = await platform.startLease(attempt);
+  if (started.isErr()) {
+    return err(notAsked(NotStartedReason.LeaseRefused, started.error.message));
+  }
+  const lease = started.value;
+  const waited = timers.now() - asked;
+  const remainingMilliseconds = attempt.remainingMilliseconds - waited;
+  const refusal = findRefusal(signal, remainingMilliseconds);
+  if (refusal !== undefined) {
+    void platform.endLease(lease.leaseId);
+    return err(refusal);
+  }
+  const call = new AbortController();
+  const holder = new LeaseHolder(options, lease, call);
+  const cancel = (): void => {
+    void holder.cancelTask(signal.reason);
+  };
+  signal.addEventListener('abort', cancel, { once: true });
+  const answer = await target.runAttempt(
+    { ...attempt, remainingMilliseconds },
+    call.signal,
+  );
+  signal.removeEventListener('abort', cancel);
+  holder.release();
+  return answer;
+}
+
+function findRefusal(
+  signal: AbortSignal,
+  remaining: Milliseconds,
+): TargetFailure | undefined {
+  if (signal.aborted) {
+    return notAsked(
+      NotStartedReason.Cancelled,
+      'The attempt was cancelled before its lease was granted.',
+    );
+  }
+  if (remaining > 0) return undefined;
+  return notAsked(
+    NotStartedReason.DeadlinePassed,
+    'The deadline passed before the lease was granted.',
+  );
+}
+
+function notAsked(cause: NotStartedReason, reason: string): TargetFailure {
+  return { kind: TargetFailureKind.NotAsked, cause, reason };
+}
+
+/** Keeps one lease alive while its task runs, and acts on the task through it. */
+class LeaseHolder {
+  readonly #options: LeasedTargetOptions;
+  readonly #leaseId: string;
+  readonly #call: AbortController;
+  #renewal: TimerSubscription;
+  #grace: TimerSubscription | undefined;
+  #released = false;
+
+  constructor(
+    options: LeasedTargetOptions,
+    lease: PlatformLease,
+    call: AbortController,
+  ) {
+    this.#options = options;
+    this.#leaseId = lease.leaseId;
+    this.#call = call;
+    this.#renewal = this.#renewLater(lease.expiresInMilliseconds);
+  }
+
+  /** The task does not run any more. */
+  release(): void {
+    this.#released = true;
+    this.#renewal.cancel();
+    this.#grace?.cancel();
+    void this.#options.platform.endLease(this.#leaseId);
+  }
+
+  /** Gives up on the answer, or slows the task down. */
+  async cancelTask(reason: unknown): Promise<void> {
+    const acted = await this.#act();
+    if (this.#released) return;
+    if (!acted) {
+      this.#call.abort(reason);
+      return;
+    }
+    if (this.#options.cancelledTasks === CancelledTaskTreatment.Throttle) {
+      return;
+    }
+    this.#grace = this.#options.timers.after(stopGraceMilliseconds, () => {
+      this.#call.abort(reason);
+    });
+  }
+
+  /** Returns whether the platform did as asked. */
+  async #act(): Promise<boolean> {
+    const { platform, cancelledTasks, throttleShare } = this.#options;
+    switch (cancelledTasks) {
+      case CancelledTaskTreatment.Stop:
+        return (await platform.stopTask(this.#leaseId)).isOk();
+      case CancelledTaskTreatment.CheckpointAndStop:
+        await platform.checkpointTask(this.#leaseId);
+        return (await platform.stopTask(this.#leaseId)).isOk();
+      case CancelledTaskTreatment.Throttle: {
+        const throttled = await platform.throttleTask(
+          this.#leaseId,
+          throttleShare,
+        );
+        return throttled.isOk();
+      }
+    }
+  }
+
+  #renewLater(expiresIn: Milliseconds): TimerSubscription {
+    const delay = Math.max(
+      minimumRenewalMilliseconds,
+      expiresIn / renewalsForEachLease,
+    );
+    return this.#options.timers.after(delay, () => {
+      void this.#renew(expiresIn);
+    });
+  }
+
+  /** A refused renewal means that the lease is lost; silence means nothing. */
+  async #renew(expiresIn: Milliseconds): Promise<void> {
+    const renewed = await this.#options.platform.renewLease(this.#leaseId);
+    if (this.#released) return;
+    if (renewed.isErr() && renewed.error instanceof RefusedError) {
+      this.#call.abort(new Error('the lease of the task was lost'));
+      return;
+    }
+    this.#renewal = this.#renewLater(
+      renewed.isOk() ? renewed.value.expiresInMilliseconds : expiresIn,
+    );
+  }
+}
--- a/packages/sidecar/src/start-sidecar-role.ts
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -12,12 +12,20 @@
 } from '@cranberryturn/program';
 import { createRandomSource } from '@cranberryturn/random';
 import type { SidecarSettings } from '@cranberryturn/settings';
+import type { TimerService } from '@cranberryturn/timers';
 import type { Incarnation, TargetAnnouncement } from '@cranberryturn/types';
 import { type Network, ProcessRole } from '@cranberryturn/wire';
 import { ResultAsync } from 'neverthrow';
 
+import { createHttpPlatform } from './adapters/http-platform.js';
 import { createHttpTarget } from './adapters/http-target.js';
-import { type Sidecar, startSidecar } from './start-sidecar.js';
+import { followUsage } from './follow-usage.js';
+import { createLeasedTarget } from './run-under-lease.js';
+import {
+  type Sidecar,
+  type SidecarOptions,
+  startSidecar,
+} from './start-sidecar.js';
 
 /** Starts a sidecar, with health checks and metrics. */
 export function startSidecarRole(
@@ -50,10 +58,7 @@
     announcement,
     dispatchers: settings.dispatchers,
     network,
-    target: createHttpTarget({
-      url: settings.target.url,
-      connections: settings.connections,
-    }),
+    ...createTarget(settings, environment.timers),
     timers,
     random: createRandomSource(chooseSeed(settings.seed, environment)),
     decisions: decisions.record,
@@ -74,6 +79,40 @@
   return sidecar;
 }
 
+/** The target beside the sidecar, under leases where there is a platform. */
+function createTarget(
+  settings: SidecarSettings,
+  timers: TimerService,
+): Pick<SidecarOptions, 'target' | 'usage'> {
+  const { platform: platformSettings, targetId, connections } = settings;
+  const target = createHttpTarget({
+    url: settings.target.url,
+    connections,
+    connectTimeoutMilliseconds: settings.target.connectTimeoutMilliseconds,
+  });
+  if (platformSettings === undefined) return { target };
+  const { url, timeoutMilliseconds, usageIntervalMilliseconds } =
+    platformSettings;
+  const platform = createHttpPlatform({
+    url,
+    targetId,
+    timeoutMilliseconds,
+    connections,
+    timers,
+  });
+  const { cancelledTasks, throttleShare } = platformSettings;
+  return {
+    target: createLeasedTarget({
+      target,
+      platform,
+      timers,
+      cancelledTasks,
+      throttleShare,
+    }),
+    usage: followUsage(platform, timers, usageIntervalMilliseconds),
+  };
+}
+
 function serveSidecar(
   settings: SidecarSettings,
   { timers, logger, metrics }: RoleEnvironment,
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -13,7 +13,6 @@
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import {
   AttemptOutcome,
-  type AttemptResult,
   type DecisionSink,
   type DispatcherId,
   type Milliseconds,
@@ -25,12 +24,17 @@
   FromTargetKind,
   type Network,
   type ToTargetMessage,
-  ToTargetKind,
 } from '@cranberryturn/wire';
 
 import { AttemptLedger, type LedgerRetention } from './attempt-ledger.js';
+import type { UsageFollower } from './follow-usage.js';
+import {
+  handleDispatcherMessage,
+  type MessageHandlerParts,
+} from './handle-dispatcher-message.js';
 import type { TargetPort } from './ports/target.js';
 import { AttemptRunner } from './run-attempts.js';
+import { ServedDispatchers } from './served-dispatchers.js';
 
 const forgetPeriodMilliseconds: Milliseconds = 1_000;
 const stopPollMilliseconds: Milliseconds = 10;
@@ -49,6 +53,8 @@
   readonly metrics?: Metrics | undefined;
   readonly retention: LedgerRetention;
   readonly queueLimit: number;
+  /** Usage of the worker, where a platform tells it. */
+  readonly usage?: UsageFollower | undefined;
   readonly sessionTimes?: SessionTimes | undefined;
   /** Longest time of a planned stop. */
   readonly graceMilliseconds?: Milliseconds | undefined;
@@ -65,53 +71,31 @@
   kill(): void;
 }
 
-type SendToDispatcher = (message: FromTargetMessage) => void;
-
 type DispatcherSession = SessionDialer<FromTargetMessage, ToTargetMessage>;
 
 /** Starts a sidecar beside a target. */
 export function startSidecar(options: SidecarOptions): Sidecar {
   const { timers, announcement } = options;
   const ledger = new AttemptLedger(timers, options.retention);
-  const senders = new Map<DispatcherId, SendToDispatcher>();
-  const waiting = new Set<SendToDispatcher>();
-  const runner = new AttemptRunner({
+  const dispatchers = new ServedDispatchers({
+    announcement,
+    load: () => runner.load,
+    usage: options.usage,
+  });
+  const runner: AttemptRunner = new AttemptRunner({
     announcement,
     target: options.target,
     ledger,
     timers,
     decisions: options.decisions,
     queueLimit: options.queueLimit,
-    attemptEnded: (result, dispatchers) => {
+    attemptEnded: (result, tell) => {
       options.metrics?.count(chooseCounter(result.outcome));
-      reportResult(runner, senders, result, dispatchers);
-      reportFreeSlot(runner, waiting);
+      dispatchers.reportResult(result, tell);
+      dispatchers.reportFreeSlot();
     },
   });
-
-  const startDispatcherSession = (
-    dispatcherId: DispatcherId,
-    send: SendToDispatcher,
-  ): SessionListener<ToTargetMessage> => {
-    senders.set(dispatcherId, send);
-    send({ kind: FromTargetKind.Announce, announcement, load: runner.load });
-    return {
-      messageReceived: message => {
-        handleMessage(runner, ledger, waiting, dispatcherId, send, message);
-      },
-      connected: () => {
-        options.logger?.info('session connected', { dispatcherId });
-      },
-      suspected: () => {
-        options.logger?.warn('session suspected', { dispatcherId });
-      },
-      ended: reason => {
-        options.logger?.info('session ended', { dispatcherId, reason });
-        waiting.delete(send);
-        if (senders.get(dispatcherId) === send) senders.delete(dispatcherId);
-      },
-    };
-  };
+  const parts: MessageHandlerParts = { runner, ledger, dispatchers };
 
   const dialers: readonly DispatcherSession[] = options.dispatchers.map(
     address =>
@@ -121,7 +105,8 @@
         timers,
         random: options.random,
         times: options.sessionTimes ?? defaultSessionTimes,
-        startSession: (peer, send) => startDispatcherSession(peer.name, send),
+        startSession: (peer, send) =>
+          serveDispatcher(parts, options.logger, peer.name, send),
       }),
   );
   const forgetting = timers.every(forgetPeriodMilliseconds, () => {
@@ -136,20 +121,17 @@
 
   const kill = (): void => {
     forgetting.cancel();
+    options.usage?.stop();
     for (const dialer of dialers) dialer.close();
   };
 
-  const tellAll = (message: FromTargetMessage): void => {
-    for (const send of senders.values()) send(message);
-  };
-
   const stop = async (): Promise<void> => {
     const grace = options.graceMilliseconds ?? defaultGraceMilliseconds;
     const giveUpAt = timers.now() + grace;
     runner.beginStop();
-    tellAll({ kind: FromTargetKind.LoadReport, load: runner.load });
+    dispatchers.reportLoadToAll();
     await pollUntil(timers, giveUpAt, () => runner.isIdle);
-    if (runner.isIdle) tellAll({ kind: FromTargetKind.Left });
+    if (runner.isIdle) dispatchers.tellAll({ kind: FromTargetKind.Left });
     await pollUntil(timers, giveUpAt, () => sessions().every(isAcknowledged));
     kill();
     await options.target.close();
@@ -158,6 +140,30 @@
   return { runner, sessions, stop, kill };
 }
 
+function serveDispatcher(
+  parts: MessageHandlerParts,
+  logger: Logger | undefined,
+  dispatcherId: DispatcherId,
+  send: (message: FromTargetMessage) => void,
+): SessionListener<ToTargetMessage> {
+  const served = parts.dispatchers.add(dispatcherId, send);
+  return {
+    messageReceived: message => {
+      handleDispatcherMessage(parts, served, message);
+    },
+    connected: () => {
+      logger?.info('session connected', { dispatcherId });
+    },
+    suspected: () => {
+      logger?.warn('session suspected', { dispatcherId });
+    },
+    ended: reason => {
+      logger?.info('session ended', { dispatcherId, reason });
+      parts.dispatchers.remove(served);
+    },
+  };
+}
+
 function chooseCounter(outcome: AttemptOutcome): Counter {
   switch (outcome) {
     case AttemptOutcome.Answered:
@@ -169,70 +175,6 @@
   }
 }
 
-function reportResult(
-  runner: AttemptRunner,
-  senders: ReadonlyMap<DispatcherId, SendToDispatcher>,
-  result: AttemptResult,
-  dispatchers: readonly DispatcherId[],
-): void {
-  for (const dispatcher of dispatchers) {
-    senders.get(dispatcher)?.({
-      kind: FromTargetKind.AttemptEnded,
-      result,
-      load: runner.load,
-    });
-  }
-}
-
-/** Tells the dispatchers whose tasks wait, once each. */
-function reportFreeSlot(
-  runner: AttemptRunner,
-  waiting: Set<SendToDispatcher>,
-): void {
-  const { load } = runner;
-  if (load.freeSlots <= load.queuedTasks) return;
-  for (const send of waiting) send({ kind: FromTargetKind.LoadReport, load });
-  waiting.clear();
-}
-
-function handleMessage(
-  runner: AttemptRunner,
-  ledger: AttemptLedger,
-  waiting: Set<SendToDispatcher>,
-  dispatcher: DispatcherId,
-  send: SendToDispatcher,
-  message: ToTargetMessage,
-): void {
-  switch (message.kind) {
-    case ToTargetKind.StartAttempt:
-      runner.acceptAttempt(message.attempt, message.requestId);
-      return;
-    case ToTargetKind.CancelAttempts:
-      runner.cancelAttempts(message.attempts, message.reason);
-      return;
-    case ToTargetKind.FenceJob: {
-      const evidence = ledger.fenceJob(
-        message.jobId,
-        message.epoch,
-        dispatcher,
-      );
-      send({ kind: FromTargetKind.JobEvidence, evidence });
-      return;
-    }
-    case ToTargetKind.ApplySettings:
-      if (message.slots !== undefined) runner.changeSlots(message.slots);
-      runner.changeDraining(message.draining);
-      send({ kind: FromTargetKind.LoadReport, load: runner.load });
-      return;
-    case ToTargetKind.AcknowledgeLeft:
-      return;
-    case ToTargetKind.AskForLoad:
-      waiting.add(send);
-      reportFreeSlot(runner, waiting);
-      return;
-  }
-}
-
 /** A session that is silent is not waited for: its dispatcher may be gone. */
 function isAcknowledged(
   session: Session<FromTargetMessage, ToTargetMessage>,
--- a/packages/stand-ins/src/start-stand-in-platform.ts
+++ b/packages/stand-ins/src/start-stand-in-platform.ts
@@ -35,6 +35,17 @@
   Stop = 'stop',
 }
 
+/** How the platform treats requests. */
+export enum PlatformFault {
+  None = 'none',
+  /** No request is answered; what was asked is not done. */
+  Silent = 'silent',
+  /** What was asked is done, and no answer is sent. */
+  AnswersLost = 'answers-lost',
+  /** Leases are refused. */
+  Refusing = 'refusing',
+}
+
 /** One act that the platform was asked for. */
 export interface PlatformActRecord {
   readonly act: PlatformAct;
@@ -51,6 +62,8 @@
   readonly url: string;
   /** Acts asked for so far, oldest first. */
   readonly acts: readonly PlatformActRecord[];
+  /** Sets how requests are treated from now on. */
+  setFault(fault: PlatformFault): void;
   close(): Promise<void>;
 }
 
@@ -77,6 +90,7 @@
   const leases = new Map<string, Lease>();
   const acts: PlatformActRecord[] = [];
   let nextLease = 1;
+  let fault = PlatformFault.None;
 
   const expire = (leaseId: string): TimerSubscription =>
     timers.after(leaseMilliseconds, () => {
@@ -86,6 +100,11 @@
     });
 
   const application = new Hono();
+  application.use(async (_context, next) => {
+    if (fault === PlatformFault.Silent) await waitForever();
+    await next();
+    if (fault === PlatformFault.AnswersLost) await waitForever();
+  });
   application.get('/workers/:target/usage', context => {
     const target = targets.get(context.req.param('target'));
     if (target === undefined) return notFound(context, 'worker');
@@ -94,6 +113,9 @@
   application.post('/workers/:target/leases', async context => {
     const target = targets.get(context.req.param('target'));
     if (target === undefined) return notFound(context, 'worker');
+    if (fault === PlatformFault.Refusing) {
+      return context.json({ error: 'No lease for this worker.' }, 403);
+    }
     const attempt = attemptSchema.safeParse(await readBody(context));
     if (!attempt.success) return context.json({ error: 'Name the task.' }, 400);
     const leaseId = `lease-${String(nextLease++)}`;
@@ -125,6 +147,9 @@
   return {
     url: server.url,
     acts,
+    setFault: next => {
+      fault = next;
+    },
     close: () => {
       usage.close();
       for (const lease of leases.values()) lease.expiry.cancel();
@@ -133,6 +158,10 @@
   };
 }
 
+function waitForever(): Promise<never> {
+  return new Promise<never>(() => undefined);
+}
+
 function notFound(context: Context, what: string): Response {
   return context.json({ error: `No such ${what}.` }, 404);
 }
--- a/packages/types/src/attempts.ts
+++ b/packages/types/src/attempts.ts
@@ -39,6 +39,8 @@
   Cancelled = 'cancelled',
   WrongService = 'wrong-service',
   TargetUnreachable = 'target-unreachable',
+  /** The platform gave no lease for the task. */
+  LeaseRefused = 'lease-refused',
 }
 
 /** How an attempt ended at the sidecar. */
@@ -74,3 +76,11 @@
 
 /** How one attempt ended. */
 export type AttemptResult = AnsweredAttempt | FailedAttempt | NotStartedAttempt;
+
+/** What the platform does with a running task that was cancelled or overtaken. */
+export enum CancelledTaskTreatment {
+  Stop = 'stop',
+  CheckpointAndStop = 'checkpoint-and-stop',
+  /** The task runs on with a small part of a processor. */
+  Throttle = 'throttle',
+}
