--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -33,6 +33,7 @@
 import { okAsync } from 'neverthrow';
 
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
+import { isolateProcesses } from './isolate-processes.js';
 
 const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
 const service = 'register-svc';
@@ -60,6 +61,8 @@
 export interface MemoryCluster {
   readonly timers: ManualTimerService;
   readonly network: MemoryNetwork;
+  /** Processes of these names cannot dial. */
+  readonly isolated: Set<string>;
   readonly control: ControlNode;
   readonly dispatchers: MemoryDispatcher[];
   readonly workers: MemoryWorker[];
@@ -89,7 +92,9 @@
   options: MemoryClusterOptions,
 ): Promise<MemoryCluster> {
   const timers = createManualTimerService();
-  const network = createMemoryNetwork(timers, networkDelayMilliseconds);
+  const memory = createMemoryNetwork(timers, networkDelayMilliseconds);
+  const isolated = new Set<string>();
+  const network = isolateProcesses(memory, isolated);
   const decisions: Decision[] = [];
   const record = (decision: Decision): void => {
     decisions.push(decision);
@@ -146,6 +151,7 @@
   return {
     timers,
     network,
+    isolated,
     control,
     dispatchers,
     workers,
--- a/packages/local/src/run-leases.test.ts
+++ b/packages/local/src/run-leases.test.ts
@@ -42,7 +42,7 @@
 
 /** Nothing passes between the worker and any dispatcher from now on. */
 function isolate(cluster: MemoryCluster, worker: string): void {
-  cluster.network.isolated.add(worker);
+  cluster.isolated.add(worker);
   silence(cluster, worker);
 }
 
@@ -87,11 +87,11 @@
 
 test('a dispatcher that comes back from silence registers again by itself and takes jobs', async t => {
   const cluster = await startMemoryCluster(small);
-  cluster.network.isolated.add('dispatcher-2');
+  cluster.isolated.add('dispatcher-2');
   silence(cluster, 'dispatcher-2');
   await cluster.timers.advance(expiry);
   t.deepEqual(dispatchersOf(cluster), ['dispatcher-1']);
-  cluster.network.isolated.clear();
+  cluster.isolated.clear();
   await cluster.timers.advance(10_000);
   t.deepEqual(dispatchersOf(cluster), ['dispatcher-1', 'dispatcher-2']);
   const job = submit(cluster, 1, 'job-1', 4);
@@ -117,7 +117,7 @@
   isolate(cluster, 'worker-1');
   await cluster.timers.advance(expiry);
   t.deepEqual(targetsOf(cluster), ['worker-2']);
-  cluster.network.isolated.clear();
+  cluster.isolated.clear();
   await cluster.timers.advance(10_000);
   const after = cluster.control.state.roster.targets.get('worker-1');
   t.is(after?.incarnation, before?.incarnation);
@@ -143,7 +143,7 @@
     t.deepEqual(targetsOf(cluster), ['worker-2']);
     const adopted = submit(cluster, 1, 'job-1', 4, expiry);
     await cluster.timers.advance(2_000);
-    if (returns) cluster.network.isolated.clear();
+    if (returns) cluster.isolated.clear();
     await cluster.timers.advance(expiry + 1_000);
     t.deepEqual(
       [...cluster.countStarts().values()],
--- a/packages/wire/src/fakes/memory-network.ts
+++ b/packages/wire/src/fakes/memory-network.ts
@@ -29,8 +29,6 @@
   readonly connections: readonly MemoryConnection[];
   /** Refuses new connections to a port while it is in this set. */
   readonly closedPorts: Set<number>;
-  /** Refuses new connections that processes of these names dial. */
-  readonly isolated: Set<string>;
   /** Frames delivered so far. */
   framesDelivered(): number;
 }
@@ -51,7 +49,6 @@
   const listeners = new Map<number, MemoryListener>();
   const connections: MemoryConnection[] = [];
   const closedPorts = new Set<number>();
-  const isolated = new Set<string>();
   let nextPort = firstEphemeralPort;
   let delivered = 0;
 
@@ -104,8 +101,7 @@
 
   const dial = (self: PeerIdentity, address: NetworkAddress) => {
     const listener = listeners.get(address.port);
-    const isRefused = closedPorts.has(address.port) || isolated.has(self.name);
-    if (listener === undefined || isRefused) {
+    if (listener === undefined || closedPorts.has(address.port)) {
       return errAsync(refuseDial(address));
     }
     const opened = new Promise<Connection>(resolve => {
@@ -121,7 +117,6 @@
   return {
     connections,
     closedPorts,
-    isolated,
     framesDelivered: () => delivered,
     join: self => ({
       dial: address => dial(self, address),
