Refuse requests that never arrive whole in the form of all refusals, and start local systems one way

Cause: a body that was too slow got a bare 408 from Node.js without "started": "no"; no test sent slow, cut or broken requests to a real dispatcher; local had two starters, of which startLocalCluster was used by one test only; startLocalSystem reported ready before the dispatchers were registered, so that the first job could get 503.

Change: the listener answers requests that time out or are not HTTP with a refusal, unless the connection still waits for an earlier answer (the caller would take the refusal for it). cranberry-local takes "limits".

--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -17,11 +17,16 @@
 
 import { type Dispatcher, startDispatcher } from './start-dispatcher.js';
 
+/** A dispatcher that was started from its settings. */
+export interface DispatcherRole extends RunningRole {
+  readonly dispatcher: Dispatcher;
+}
+
 /** Starts a dispatcher and its connections to control. */
 export function startDispatcherRole(
   settings: DispatcherSettings,
   environment: RoleEnvironment,
-): ResultAsync<RunningRole, CranberryError> {
+): ResultAsync<DispatcherRole, CranberryError> {
   const { dispatcherId } = settings;
   const self = { dispatcherId, incarnation: createIncarnation() };
   return createRoleNetwork(settings.sharedKeyFile, environment)
@@ -40,7 +45,7 @@
   environment: RoleEnvironment,
   self: DispatcherIdentity,
   network: Network,
-): ResultAsync<RunningRole, CranberryError> {
+): ResultAsync<DispatcherRole, CranberryError> {
   const { timers, logger, metrics, decisions } = environment;
   const seed = chooseSeed(settings.seed, environment);
   const control = createControlClient({
@@ -80,6 +85,7 @@
     .map(dispatcher => {
       observeDispatcher(metrics, dispatcher);
       return {
+        dispatcher,
         addresses: {
           callers: dispatcher.callersAddress,
           peers: dispatcher.peersAddress,
--- /dev/null
+++ b/packages/local/src/callers-interface.test.ts
@@ -0,0 +1,174 @@
+import { createSystemTimerService, sleep } from '@cranberryturn/timers';
+import { maximumAnswerBytes, type NetworkAddress } from '@cranberryturn/types';
+import anyTest, { type TestFn } from 'ava';
+
+import {
+  closeRawCallers,
+  composeHead,
+  openRawCaller,
+  type RawCaller,
+} from './fakes/raw-caller.js';
+import {
+  bodyBytes,
+  callersConnections,
+  callersOf,
+  composeJob,
+  countStarts,
+  jobsPath,
+  seed,
+  startWatchedSystem,
+  submit,
+  type WatchedSystem,
+} from './fakes/watched-system.js';
+
+const pollMilliseconds = 10;
+const envelopeBytes = 500;
+
+const test = anyTest as TestFn<WatchedSystem>;
+
+test.beforeEach(async t => {
+  t.log(`seed ${String(seed)}`);
+  t.context = await startWatchedSystem();
+});
+
+test.afterEach.always(async t => {
+  closeRawCallers();
+  await t.context.system.stop();
+});
+
+/** Sends the text and one byte more at a time until an answer comes. */
+function trickle(address: NetworkAddress, head: string): RawCaller {
+  const caller = openRawCaller(address, head);
+  const timer = setInterval(() => {
+    if (caller.socket.writable) caller.socket.write(' ');
+  }, 100);
+  void caller.ended.then(() => {
+    clearInterval(timer);
+  });
+  return caller;
+}
+
+test.serial(
+  'requests that cannot be taken are refused, and other callers go on',
+  async t => {
+    const { system } = t.context;
+    const { token, address } = {
+      token: system.tokens.team,
+      address: callersOf(system),
+    };
+    const head = (bytes: number | undefined, bearer = token): string =>
+      composeHead(jobsPath, bearer, bytes);
+    const whole = (body: unknown, bearer = token): string => {
+      const text = typeof body === 'string' ? body : JSON.stringify(body);
+      return head(Buffer.byteLength(text), bearer) + text;
+    };
+    const job = composeJob('refused');
+    const [first] = job.tasks;
+    const chunk = `${(16_384).toString(16)}\r\n${' '.repeat(16_384)}\r\n`;
+    const cases: Record<string, () => RawCaller> = {
+      'a body that trickles': () => trickle(address, `${head(10_000)}{`),
+      'a body in chunks that trickles': () =>
+        trickle(address, `${head(undefined)}ffff\r\n`),
+      'a body that stops': () =>
+        openRawCaller(address, `${head(10_000)}{"jobId":"refused"`),
+      'headers that stop': () => openRawCaller(address, head(10).slice(0, -4)),
+      'a body larger than the limit': () =>
+        openRawCaller(address, whole(' '.repeat(bodyBytes + 1))),
+      'chunks larger than the limit': () =>
+        openRawCaller(address, `${head(undefined)}${chunk.repeat(5)}`),
+      'malformed JSON': () => openRawCaller(address, whole('{"jobId":')),
+      'an empty job': () =>
+        openRawCaller(address, whole({ ...job, tasks: [] })),
+      '201 tasks': () =>
+        openRawCaller(address, whole(composeJob('refused', 201))),
+      'a doubled taskId': () =>
+        openRawCaller(address, whole({ ...job, tasks: [first, first] })),
+      'a wrong token': () => openRawCaller(address, whole(job, 'cbt_wrong')),
+      'no token': () =>
+        openRawCaller(address, composeHead(jobsPath, undefined, 2) + '{}'),
+      'no HTTP': () => openRawCaller(address, 'HELLO\r\n\r\n'),
+    };
+    let answered = 0;
+    for (const [name, send] of Object.entries(cases)) {
+      const caller = send();
+      const other = await submit(system, composeJob(`beside ${name}`));
+      t.is(other.status, 200, name);
+      answered += other.body.answers?.length ?? 0;
+      const { status, text } = await caller.reply;
+      caller.socket.destroy();
+      t.true(text.includes('"started":"no"'), `${name}: ${text}`);
+      t.snapshot({ status, body: JSON.parse(text) as unknown }, name);
+      t.is(countStarts(system), answered, name);
+    }
+  },
+);
+
+test.serial(
+  'a jobId that was used with another body is a conflict at every dispatcher',
+  async t => {
+    const { system } = t.context;
+    t.is((await submit(system, composeJob('used'))).status, 200);
+    for (const dispatcher of [0, 1]) {
+      const other = await submit(system, composeJob('used', 2), dispatcher);
+      t.is(other.status, 409);
+      t.is(other.body.started, 'no');
+    }
+    t.is(countStarts(system), 3);
+  },
+);
+
+test.serial(
+  'answers of the largest size arrive whole, and larger ones fail the job',
+  async t => {
+    const { system } = t.context;
+    const answerBytes = maximumAnswerBytes - envelopeBytes;
+    const { status, body } = await submit(
+      system,
+      composeJob('large', 8, { runMilliseconds: 10, answerBytes }),
+    );
+    t.is(status, 200);
+    t.deepEqual(
+      body.answers?.map(({ answer }) => answer.padding.length),
+      Array.from({ length: 8 }, () => answerBytes),
+    );
+    const tooLarge = await submit(
+      system,
+      composeJob('too-large', 2, {
+        runMilliseconds: 10,
+        answerBytes: maximumAnswerBytes,
+      }),
+    );
+    t.is(tooLarge.status, 502);
+    t.is(tooLarge.body.started, 'yes');
+    t.is(tooLarge.body.answers, undefined);
+  },
+);
+
+test.serial(
+  'connections above the limit are closed, and callers on the others go on',
+  async t => {
+    const { system } = t.context;
+    const address = callersOf(system);
+    const callers = Array.from({ length: callersConnections }, () =>
+      openRawCaller(address, ''),
+    );
+    const health = 'GET /healthz HTTP/1.1\r\nhost: dispatcher\r\n\r\n';
+    for (const { socket, reply } of callers) {
+      socket.write(health);
+      t.is((await reply).status, 200);
+    }
+    const surplus = openRawCaller(address, health);
+    t.is(await surplus.ended, '');
+    t.is((await submit(system, composeJob('elsewhere'), 1)).status, 200);
+    callers[0]?.socket.destroy();
+    let status = 0;
+    while (status !== 200) {
+      const next = openRawCaller(address, health);
+      ({ status } = await next.reply);
+      next.socket.destroy();
+      await sleep(createSystemTimerService(), pollMilliseconds);
+    }
+    for (const { socket } of callers) socket.destroy();
+    t.is(status, 200);
+  },
+);
--- a/packages/local/src/compose-settings.ts
+++ b/packages/local/src/compose-settings.ts
@@ -90,6 +90,7 @@
       sharedKeyFile: places.sharedKeyFile,
       teams: settings.teams,
       operators: settings.operators,
+      limits: settings.limits,
       seed: settings.seed + index,
       log: settings.log,
     }),
--- /dev/null
+++ b/packages/local/src/fakes/raw-caller.ts
@@ -0,0 +1,87 @@
+/** Sends requests byte by byte, as a caller that does not behave. */
+import { connect, type Socket } from 'node:net';
+
+import type { NetworkAddress } from '@cranberryturn/types';
+
+/** What came back before the connection ended. */
+export interface RawReply {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** A connection of a caller. */
+export interface RawCaller {
+  readonly socket: Socket;
+  /** Everything received, once the other side has closed the connection. */
+  readonly ended: Promise<string>;
+  /** Reads one whole answer; the connection may stay open. */
+  readonly reply: Promise<RawReply>;
+}
+
+const sockets = new Set<Socket>();
+
+/** Closes every connection that is still open. */
+export function closeRawCallers(): void {
+  for (const socket of sockets) socket.destroy();
+}
+
+/** Opens a connection and writes the first bytes. */
+export function openRawCaller(
+  { address, port }: NetworkAddress,
+  text: string,
+): RawCaller {
+  const socket = connect({ host: address, port });
+  let received = '';
+  sockets.add(socket);
+  socket.on('error', () => undefined);
+  socket.setEncoding('utf8');
+  if (text !== '') socket.write(text);
+  const ended = new Promise<string>(resolve => {
+    socket.once('close', () => {
+      sockets.delete(socket);
+      resolve(received);
+    });
+  });
+  const reply = new Promise<RawReply>(resolve => {
+    socket.on('data', (chunk: string) => {
+      received += chunk;
+      const whole = readReply(received);
+      if (whole !== undefined) resolve(whole);
+    });
+    socket.once('close', () => {
+      resolve({ status: 0, text: received });
+    });
+  });
+  return { socket, ended, reply };
+}
+
+/** Composes the head of a request with a body of `bytes` bytes, or of chunks. */
+export function composeHead(
+  path: string,
+  token: string | undefined,
+  bytes: number | undefined,
+): string {
+  return [
+    `POST ${path} HTTP/1.1`,
+    'host: dispatcher',
+    ...(token === undefined ? [] : [`authorization: Bearer ${token}`]),
+    'content-type: application/json',
+    bytes === undefined
+      ? 'transfer-encoding: chunked'
+      : `content-length: ${String(bytes)}`,
+    '',
+    '',
+  ].join('\r\n');
+}
+
+function readReply(received: string): RawReply | undefined {
+  const border = received.indexOf('\r\n\r\n');
+  if (border < 0) return undefined;
+  const head = received.slice(0, border);
+  const text = received.slice(border + 4);
+  const length = /^content-length: (\d+)$/im.exec(head)?.[1];
+  if (length === undefined || Buffer.byteLength(text) < Number(length)) {
+    return undefined;
+  }
+  return { status: Number(head.split(' ')[1]), text };
+}
--- /dev/null
+++ b/packages/local/src/fakes/watched-system.ts
@@ -0,0 +1,128 @@
+/** Starts local systems whose decisions tests can watch, and submits jobs to them. */
+import {
+  createRoleEnvironment,
+  type RoleEnvironment,
+} from '@cranberryturn/program';
+import { localSettingsSchema } from '@cranberryturn/settings';
+import { createSystemTimerService } from '@cranberryturn/timers';
+import type { DecisionSink, NetworkAddress } from '@cranberryturn/types';
+import { request } from 'undici';
+
+import {
+  type CreateEnvironment,
+  type LocalSystem,
+  startLocalSystem,
+} from '../start-local-system.js';
+
+/** Path for jobs of the only service. */
+export const jobsPath = '/v1/services/register-svc/jobs';
+/** Most bytes of a body. */
+export const bodyBytes = 65_536;
+/** Most connections of callers at each dispatcher. */
+export const callersConnections = 8;
+/** Seed of the system. */
+export const seed = 20_261_203;
+
+const settings = localSettingsSchema.parse({
+  seed,
+  limits: { bodyBytes, bodyTimeoutMilliseconds: 1_000, callersConnections },
+  services: [
+    {
+      service: 'register-svc',
+      racks: [{ rack: 'rack-1', dataCentre: 'dong-da', workers: 3 }],
+      resources: { processors: 64, memoryMebibytes: 131_072 },
+    },
+  ],
+  log: { level: 'error' },
+});
+
+/** A local system and those who watch its decisions. */
+export interface WatchedSystem {
+  readonly system: LocalSystem;
+  readonly watchers: Set<DecisionSink>;
+}
+
+/** The answer of a dispatcher to a job. */
+export interface SubmittedReply {
+  readonly status: number;
+  readonly body: {
+    readonly answers?: readonly {
+      readonly taskId: string;
+      readonly answer: { readonly padding: string };
+    }[];
+    readonly started?: string;
+  };
+}
+
+/** Starts the system: two dispatchers, three workers. */
+export async function startWatchedSystem(): Promise<WatchedSystem> {
+  const watchers = new Set<DecisionSink>();
+  const started = await startLocalSystem(
+    settings,
+    createSystemTimerService(),
+    watchDecisions(watchers),
+  );
+  return { system: started._unsafeUnwrap(), watchers };
+}
+
+/** Address for callers of one dispatcher. */
+export function callersOf(system: LocalSystem, dispatcher = 0): NetworkAddress {
+  const address = system.dispatchers[dispatcher]?.addresses['callers'];
+  if (address === undefined) throw new Error('no such dispatcher');
+  return address;
+}
+
+/** Composes the body of a job. */
+export function composeJob(
+  jobId: string,
+  tasks = 3,
+  payload: object = { runMilliseconds: 50 },
+) {
+  const taskIds = Array.from(
+    { length: tasks },
+    (_, index) => `task-${String(index)}`,
+  );
+  return { jobId, tasks: taskIds.map(taskId => ({ taskId, payload })) };
+}
+
+/** Submits a body as a job and reads the answer. */
+export async function submit(
+  system: LocalSystem,
+  body: unknown,
+  dispatcher = 0,
+): Promise<SubmittedReply> {
+  const { address, port } = callersOf(system, dispatcher);
+  const url = `http://${address}:${String(port)}${jobsPath}`;
+  const response = await request(url, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${system.tokens.team ?? ''}`,
+      connection: 'close',
+    },
+    body: JSON.stringify(body),
+  });
+  return {
+    status: response.statusCode,
+    body: (await response.body.json()) as SubmittedReply['body'],
+  };
+}
+
+/** Number of starts that the targets counted. */
+export function countStarts({ workers }: LocalSystem): number {
+  return workers.reduce((sum, { target }) => sum + target.starts.total(), 0);
+}
+
+/** Shows each decision to the watchers at the moment it is made. */
+function watchDecisions(watchers: Set<DecisionSink>): CreateEnvironment {
+  return options => {
+    const environment: RoleEnvironment = createRoleEnvironment(options);
+    const record: DecisionSink = (decision, requestId) => {
+      environment.decisions.record(decision, requestId);
+      for (const watcher of watchers) watcher(decision, requestId);
+    };
+    return {
+      ...environment,
+      decisions: { record, close: () => environment.decisions.close() },
+    };
+  };
+}
--- a/packages/local/src/start-local-system.ts
+++ b/packages/local/src/start-local-system.ts
@@ -1,8 +1,10 @@
 /** Starts every role in one process, with stand-in targets, on loopback ports. */
 import { startControlRole } from '@cranberryturn/control';
-import { startDispatcherRole } from '@cranberryturn/dispatcher';
+import {
+  type DispatcherRole,
+  startDispatcherRole,
+} from '@cranberryturn/dispatcher';
 import { type CranberryError, TimeoutError } from '@cranberryturn/errors';
-import { Gauge } from '@cranberryturn/metrics';
 import {
   closeRoleEnvironment,
   createRoleEnvironment,
@@ -39,6 +41,9 @@
   readonly environment: RoleEnvironment;
 }
 
+/** A dispatcher of a local system. */
+export type LocalDispatcher = LocalRole & DispatcherRole;
+
 /** A worker with its stand-in target. */
 export interface RunningWorker extends WorkerPlan {
   readonly target: StandInTarget;
@@ -48,18 +53,22 @@
 export interface LocalSystem {
   readonly tokens: LocalTokens;
   readonly controls: readonly LocalRole[];
-  readonly dispatchers: readonly LocalRole[];
+  readonly dispatchers: readonly LocalDispatcher[];
   readonly workers: readonly RunningWorker[];
   /** Planned stop of all roles: dispatchers, sidecars, then control. */
   stop(): Promise<void>;
 }
 
+/** Creates the environment of one role. */
+export type CreateEnvironment = typeof createRoleEnvironment;
+
 interface Parts {
+  readonly createEnvironment: CreateEnvironment;
   readonly settings: LocalSettings;
   readonly timers: TimerService;
   readonly places: LocalPlaces;
   readonly controls: LocalRole[];
-  readonly dispatchers: LocalRole[];
+  readonly dispatchers: LocalDispatcher[];
   readonly sidecars: LocalRole[];
   readonly workers: RunningWorker[];
 }
@@ -68,17 +77,20 @@
 export function startLocalSystem(
   options: LocalSettings,
   timers: TimerService,
+  createEnvironment: CreateEnvironment = createRoleEnvironment,
 ): ResultAsync<LocalSystem, CranberryError> {
-  return new ResultAsync(start(options, timers));
+  return new ResultAsync(start(options, timers, createEnvironment));
 }
 
 async function start(
   options: LocalSettings,
   timers: TimerService,
+  createEnvironment: CreateEnvironment,
 ): Promise<Result<LocalSystem, CranberryError>> {
   const { settings, tokens } = createTokens(options);
   const { places, remove } = await preparePlaces(settings);
   const parts: Parts = {
+    createEnvironment,
     settings,
     timers,
     places,
@@ -104,19 +116,24 @@
   const { settings, places, timers } = parts;
   for (const control of composeControlSettings(settings, places)) {
     const { replicaId, log } = control;
-    const environment = createEnvironment('control', replicaId, log, timers);
+    const environment = parts.createEnvironment({
+      role: 'control',
+      process: replicaId,
+      log,
+      timers,
+    });
     const role = await startControlRole(control, environment);
     if (role.isErr()) return err(role.error);
     parts.controls.push({ ...role.value, name: replicaId, environment });
   }
   for (const dispatcher of composeDispatcherSettings(settings, places)) {
     const { dispatcherId, log } = dispatcher;
-    const environment = createEnvironment(
-      'dispatcher',
-      dispatcherId,
+    const environment = parts.createEnvironment({
+      role: 'dispatcher',
+      process: dispatcherId,
       log,
       timers,
-    );
+    });
     const role = await startDispatcherRole(dispatcher, environment);
     if (role.isErr()) return err(role.error);
     parts.dispatchers.push({ ...role.value, name: dispatcherId, environment });
@@ -151,34 +168,28 @@
     dispatchers,
   });
   const { targetId } = worker;
-  const environment = createEnvironment(
-    'sidecar',
-    targetId,
-    sidecar.log,
+  const environment = parts.createEnvironment({
+    role: 'sidecar',
+    process: targetId,
+    log: sidecar.log,
     timers,
-  );
+  });
   const role = await startSidecarRole(sidecar, environment);
   return role.map(running => {
     parts.sidecars.push({ ...running, name: targetId, environment });
   });
 }
 
-function createEnvironment(
-  role: string,
-  process: string,
-  log: LocalSettings['log'],
-  timers: TimerService,
-): RoleEnvironment {
-  return createRoleEnvironment({ role, process, log, timers });
-}
-
 async function waitUntilReady(
   parts: Parts,
 ): Promise<Result<void, CranberryError>> {
   const { timers, dispatchers, workers } = parts;
   const deadline = timers.now() + readyTimeoutMilliseconds;
   const isReady = (): boolean =>
-    dispatchers.every(role => countTargets(role) === workers.length);
+    dispatchers.every(
+      role =>
+        role.dispatcher.isRegistered() && countTargets(role) === workers.length,
+    );
   while (!isReady()) {
     if (timers.now() > deadline) return err(notReady(parts));
     await sleep(timers, readyPollMilliseconds);
@@ -186,14 +197,16 @@
   return ok(undefined);
 }
 
-function countTargets({ environment }: LocalRole): number {
-  const { gauges } = environment.metrics.read();
-  return gauges.find(({ gauge }) => gauge === Gauge.TargetsKnown)?.value ?? 0;
+function countTargets({ dispatcher }: LocalDispatcher): number {
+  return dispatcher.scheduler.status().targets.length;
 }
 
 function notReady({ dispatchers, workers }: Parts): TimeoutError {
   const counts = dispatchers
-    .map(role => `${role.name} knows ${String(countTargets(role))}`)
+    .map(role => {
+      const state = role.dispatcher.isRegistered() ? '' : ' (not registered)';
+      return `${role.name}${state} knows ${String(countTargets(role))}`;
+    })
     .join(', ');
   return new TimeoutError(
     `Of ${String(workers.length)} workers ${counts} after ${String(readyTimeoutMilliseconds)} ms; start again with "log": { "level": "debug" } and look for the first error.`,
--- a/packages/program/src/adapters/http-listener.ts
+++ b/packages/program/src/adapters/http-listener.ts
@@ -8,6 +8,8 @@
 import type { Hono } from 'hono';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
+import { refuseUnreadableRequests } from './refuse-unreadable-requests.js';
+
 /** What a listener is built from. */
 export interface HttpListenerOptions {
   readonly app: Hono;
@@ -54,6 +56,7 @@
       },
     ) as Server;
     server.maxConnections = connections;
+    refuseUnreadableRequests(server);
     server.once('error', cause => {
       resolve(err(describeFault(address, cause)));
     });
--- /dev/null
+++ b/packages/program/src/adapters/refuse-unreadable-requests.ts
@@ -0,0 +1,86 @@
+/** Refuses requests that never arrived whole, in the form of all other refusals. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** A fault that Node.js found while it read a request. */
+interface RequestFault extends Error {
+  readonly code?: string;
+}
+
+interface Refusal {
+  readonly status: string;
+  readonly reason: string;
+}
+
+/** Requests of each connection that are not answered yet. */
+type OpenRequests = WeakMap<Socket, Set<IncomingMessage>>;
+
+/**
+ * Answers a request that could not be read with a refusal, and closes its connection.
+ *
+ * A connection that also waits for the answer to an earlier request is closed
+ * without a refusal, because the caller would take it for that answer.
+ */
+export function refuseUnreadableRequests(server: Server): void {
+  const open: OpenRequests = new WeakMap();
+  server.on('request', (request, response) => {
+    noteRequest(open, request, response);
+  });
+  server.on('clientError', (fault: RequestFault, socket: Socket) => {
+    if (!socket.writable || isAnswerDue(open, socket)) {
+      socket.destroy();
+      return;
+    }
+    socket.write(composeResponse(describeFault(fault)));
+    socket.destroySoon();
+  });
+}
+
+function noteRequest(
+  open: OpenRequests,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const requests = open.get(request.socket) ?? new Set();
+  open.set(request.socket, requests);
+  requests.add(request);
+  response.once('close', () => {
+    requests.delete(request);
+  });
+}
+
+function isAnswerDue(open: OpenRequests, socket: Socket): boolean {
+  return [...(open.get(socket) ?? [])].some(request => request.complete);
+}
+
+function describeFault({ code, message }: RequestFault): Refusal {
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+    return {
+      status: '408 Request Timeout',
+      reason:
+        'The request did not arrive whole in the time allowed; send it again in one piece.',
+    };
+  }
+  if (code === 'HPE_HEADER_OVERFLOW') {
+    return {
+      status: '431 Request Header Fields Too Large',
+      reason: 'The headers are too large; send fewer or shorter ones.',
+    };
+  }
+  return {
+    status: '400 Bad Request',
+    reason: `The request is not valid HTTP/1.1: ${message}`,
+  };
+}
+
+function composeResponse({ status, reason }: Refusal): string {
+  const body = JSON.stringify({ outcome: 'failed', reason, started: 'no' });
+  return [
+    `HTTP/1.1 ${status}`,
+    'content-type: application/json',
+    `content-length: ${String(Buffer.byteLength(body))}`,
+    'connection: close',
+    '',
+    body,
+  ].join('\r\n');
+}
--- a/packages/settings/src/schemas/dispatcher-settings.ts
+++ b/packages/settings/src/schemas/dispatcher-settings.ts
@@ -20,7 +20,8 @@
 const oneMebibyte = 1_048_576;
 const mostControlHosts = 7;
 
-const limitsSchema = z
+/** Limits of the HTTP for callers. */
+export const limitsSchema = z
   .strictObject({
     /** Largest body of a caller's request. */
     bodyBytes: z
--- a/packages/settings/src/schemas/local-settings.ts
+++ b/packages/settings/src/schemas/local-settings.ts
@@ -1,6 +1,7 @@
 /** Settings of `cranberry-local`, which runs every role in one process. */
 import { z } from 'zod';
 
+import { limitsSchema } from './dispatcher-settings.js';
 import {
   ipAddressSchema,
   listenAddressSchema,
@@ -60,6 +61,8 @@
       { address: '127.0.0.1', port: 0 },
       { address: '127.0.0.1', port: 0 },
     ]),
+  /** Limits of the HTTP for callers at each dispatcher. */
+  limits: limitsSchema,
   /** HTTP for operators. */
   administration: listenAddressSchema.default({
     address: '127.0.0.1',
