Name the sidecars that a change has not reached

Change: a sidecar confirms the version of its settings on the load report that answers them, and a dispatcher names the registered runs that have not confirmed. `--wait` names them when it gives up, also in JSON.

Conclusion: in force means at the sidecars too. No message is added.

--- a/packages/cli/src/confirm-command.ts
+++ b/packages/cli/src/confirm-command.ts
@@ -95,7 +95,10 @@
     );
     if (status.isOk() && missing.length === 0) {
       const text = `${colors.green('done')}  ${renderInForce(view.version, dispatchers.length)}\n`;
-      session.print({ ...view, inForce: true, missing: [] }, text);
+      session.print(
+        { ...view, inForce: true, missing: [], missingTargets: [] },
+        text,
+      );
       return;
     }
     const progress = renderProgress(dispatchers, missing);
@@ -103,9 +106,15 @@
     shown = progress;
     if (timers.now() >= end) {
       const names = missing.map(dispatcher => dispatcher.dispatcherId);
+      const behind = new Set(missing.flatMap(one => one.targetsBehind));
       session.print(
-        { ...view, inForce: false, missing: names },
-        `${colors.yellow('wait')}  Version ${String(view.version)} is accepted and will not revert, but is not in force everywhere yet. Look with:\n  cranberryctl status\n`,
+        {
+          ...view,
+          inForce: false,
+          missing: names,
+          missingTargets: [...behind],
+        },
+        `${colors.yellow('wait')}  Version ${String(view.version)} is accepted and will not revert, but is not in force at ${renderMissing(names, behind)} yet. Look with:\n  cranberryctl status\n`,
       );
       session.finish(CommandExitCode.NotInForce);
       return;
@@ -124,7 +133,17 @@
 
 function renderInForce(version: number, dispatchers: number): string {
   if (dispatchers === 0) return 'No dispatcher is registered yet.';
-  return `Version ${String(version)} is in force at all dispatchers (${String(dispatchers)}).`;
+  return `Version ${String(version)} is in force at all dispatchers (${String(dispatchers)}) and their sidecars.`;
+}
+
+function renderMissing(
+  dispatchers: readonly string[],
+  targets: ReadonlySet<string>,
+): string {
+  if (dispatchers.length === 0) return 'all hosts as far as is known';
+  const names = `the dispatchers ${dispatchers.join(' ')}`;
+  if (targets.size === 0) return names;
+  return `${names} and the sidecars ${[...targets].join(' ')}`;
 }
 
 function renderProgress(
--- a/packages/dispatcher/src/connected-target.ts
+++ b/packages/dispatcher/src/connected-target.ts
@@ -1,6 +1,7 @@
 /** One run of a sidecar that has a session with this dispatcher. */
 import {
   type ClusterConfiguration,
+  type ConfigurationVersion,
   type TargetAnnouncement,
   type TargetIdentity,
   type TargetLoad,
@@ -23,6 +24,10 @@
   /** Whether a task is registering it at the moment. */
   registering: boolean;
   settingsSent: string;
+  /** Version of the configuration with the settings sent last; 0 before the first. */
+  settingsSentVersion: ConfigurationVersion;
+  /** Version of the settings that the run has confirmed; 0 before the first. */
+  settingsVersion: ConfigurationVersion;
 }
 
 /** Creates the entry of a new session. */
@@ -39,6 +44,8 @@
     left: false,
     registering: false,
     settingsSent: '',
+    settingsSentVersion: 0,
+    settingsVersion: 0,
   };
 }
 
@@ -52,6 +59,7 @@
   const described = JSON.stringify(settings);
   if (described === target.settingsSent) return;
   target.settingsSent = described;
+  target.settingsSentVersion = configuration.version;
   target.send({
     kind: ToTargetKind.ApplySettings,
     version: configuration.version,
@@ -59,6 +67,11 @@
   });
 }
 
+/** Whether the run was told of settings that it has not confirmed. */
+export function isBehind(target: ConnectedTarget): boolean {
+  return target.settingsVersion < target.settingsSentVersion;
+}
+
 /** Names a run of a sidecar. */
 export function describeRun(target: TargetIdentity): string {
   return `${target.targetId}/${target.incarnation}`;
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -58,6 +58,8 @@
       replicaId,
       address: { address, port },
     })),
+    listTargetsBehind: version =>
+      running.dispatcher?.targets.listBehind(version) ?? [],
     listSilentTargets: roster =>
       running.dispatcher?.targets.listSilent(roster) ?? [],
     handleMove: host => {
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -15,9 +15,11 @@
   type AttemptResult,
   type AttemptStart,
   type ClusterConfiguration,
+  type ConfigurationVersion,
   type JobId,
   type OwnershipEpoch,
   type Roster,
+  type TargetId,
   type TargetIdentity,
   type TargetLoad,
 } from '@cranberryturn/types';
@@ -34,6 +36,7 @@
   type ConnectedTarget,
   createConnectedTarget,
   describeRun,
+  isBehind,
   sendSettings,
 } from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
@@ -63,6 +66,7 @@
   readonly #unsubscribe: () => void;
   #scheduler: Scheduler | undefined;
   #closed = false;
+  #appliedVersion: ConfigurationVersion = 0;
 
   constructor(options: TargetDirectoryOptions) {
     this.#options = options;
@@ -128,6 +132,7 @@
 
   /** Sends to each target what the configuration says of it. */
   applyConfiguration(configuration: ClusterConfiguration): void {
+    this.#appliedVersion = configuration.version;
     for (const target of this.#targets.values()) {
       sendSettings(target, configuration);
     }
@@ -138,6 +143,15 @@
     return this.#targets.has(describeRun(target));
   }
 
+  /** Registered runs that have not confirmed what this version says of them. */
+  listBehind(version: ConfigurationVersion): readonly TargetId[] {
+    const isApplied = version <= this.#appliedVersion;
+    return [...this.#targets.values()]
+      .filter(target => target.record !== undefined)
+      .filter(target => !isApplied || isBehind(target))
+      .map(target => target.identity.targetId);
+  }
+
   /** Registered runs that this dispatcher has not heard for their lease. */
   listSilent(roster: Roster): readonly TargetIdentity[] {
     return this.#presence.listSilent(roster);
@@ -198,6 +212,8 @@
         );
         return;
       case FromTargetKind.LoadReport:
+        target.settingsVersion =
+          message.settingsVersion ?? target.settingsVersion;
         this.#noteLoad(target, message.load);
         return;
       case FromTargetKind.Left:
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -236,6 +236,8 @@
     random: createRandomSource(1),
     self,
     controlHosts: [{ replicaId: 'control-1', address: control.address }],
+    listTargetsBehind: version =>
+      running.dispatcher?.targets.listBehind(version) ?? [],
     listSilentTargets: roster =>
       running.dispatcher?.targets.listSilent(roster) ?? [],
   });
--- /dev/null
+++ b/packages/local/src/targets-behind.test.ts
@@ -0,0 +1,100 @@
+import {
+  type DispatcherView,
+  InForceState,
+  type PlanView,
+  type StatusView,
+} from '@cranberryturn/configuration';
+import {
+  type AdministrationCall,
+  AdministrationMethod,
+  AdministrationReplyKind,
+} from '@cranberryturn/control';
+import { IntentKind } from '@cranberryturn/types';
+import test from 'ava';
+
+import {
+  type MemoryCluster,
+  startMemoryCluster,
+} from './fakes/memory-cluster.js';
+
+async function administer<View>(
+  cluster: MemoryCluster,
+  call: AdministrationCall,
+): Promise<View> {
+  const reply = await cluster.control.administerHere(call);
+  if (reply.kind !== AdministrationReplyKind.Done) {
+    throw new Error(reply.refusal.error);
+  }
+  return reply.view as View;
+}
+
+async function drainRack(cluster: MemoryCluster): Promise<void> {
+  const { planId } = await administer<PlanView>(cluster, {
+    method: AdministrationMethod.Plan,
+    input: { kind: IntentKind.DrainRack, rack: 'rack-1' },
+  });
+  await administer(cluster, {
+    method: AdministrationMethod.Confirm,
+    request: { planId, requestId: 'request-1', operator: 'linh' },
+  });
+}
+
+async function readDispatchers(cluster: MemoryCluster) {
+  const status = await administer<StatusView>(cluster, {
+    method: AdministrationMethod.Status,
+  });
+  return status.dispatchers.map(({ state, targetsBehind }: DispatcherView) => ({
+    state,
+    targetsBehind,
+  }));
+}
+
+test('a sidecar that has not confirmed a drain is named until it has, or its lease has passed', async t => {
+  for (const returns of [true, false]) {
+    const cluster = await startMemoryCluster({
+      dispatchers: 1,
+      workers: 2,
+      slots: 2,
+      runMilliseconds: 50,
+    });
+    cluster.isolated.add('worker-1');
+    for (const connection of cluster.network.connections) {
+      if (connection.from === 'worker-1') connection.silent = true;
+    }
+    await cluster.timers.advance(5_000);
+    await drainRack(cluster);
+    await cluster.timers.advance(2_000);
+    t.deepEqual(await readDispatchers(cluster), [
+      { state: InForceState.Behind, targetsBehind: ['worker-1'] },
+    ]);
+    if (returns) cluster.isolated.clear();
+    await cluster.timers.advance(returns ? 8_000 : 20_000);
+    t.deepEqual(await readDispatchers(cluster), [
+      { state: InForceState.InForce, targetsBehind: [] },
+    ]);
+    t.is(cluster.workers[0]?.sidecar.runner.load.draining, returns);
+    await cluster.stop();
+  }
+});
+
+test('no dispatcher says that a drain is in force before its sidecars have it', async t => {
+  const cluster = await startMemoryCluster({
+    dispatchers: 2,
+    workers: 3,
+    slots: 2,
+    runMilliseconds: 50,
+  });
+  await drainRack(cluster);
+  let inForceAt: number | undefined;
+  for (let step = 0; step < 3_000 && inForceAt === undefined; step += 1) {
+    const views = await readDispatchers(cluster);
+    if (views.every(one => one.state === InForceState.InForce)) {
+      inForceAt = step;
+      t.true(cluster.workers.every(one => one.sidecar.runner.load.draining));
+    }
+    await cluster.timers.advance(1);
+  }
+  t.log(`in force after ${String(inForceAt)} ms of the manual clock`);
+  t.not(inForceAt, undefined);
+  await cluster.stop();
+});
--- a/packages/sidecar/src/handle-dispatcher-message.ts
+++ b/packages/sidecar/src/handle-dispatcher-message.ts
@@ -44,7 +44,7 @@
     case ToTargetKind.ApplySettings:
       if (message.slots !== undefined) runner.changeSlots(message.slots);
       runner.changeDraining(message.draining);
-      dispatchers.reportLoad(from);
+      dispatchers.confirmSettings(from, message.version);
       return;
     case ToTargetKind.AcknowledgeLeft:
       return;
--- a/packages/sidecar/src/served-dispatchers.ts
+++ b/packages/sidecar/src/served-dispatchers.ts
@@ -1,6 +1,7 @@
 /** The dispatchers that a sidecar has sessions with, and what it reports to them. */
 import type {
   AttemptResult,
+  ConfigurationVersion,
   DispatcherId,
   TargetAnnouncement,
   TargetLoad,
@@ -65,6 +66,15 @@
     served.send({ kind: FromTargetKind.LoadReport, load });
   }
 
+  /** Reports the load under settings that were just applied. */
+  confirmSettings(
+    served: ServedDispatcher,
+    settingsVersion: ConfigurationVersion,
+  ): void {
+    const load = this.#composeLoad(served);
+    served.send({ kind: FromTargetKind.LoadReport, load, settingsVersion });
+  }
+
   reportLoadToAll(): void {
     for (const served of this.#served.values()) this.reportLoad(served);
   }
--- a/packages/wire/src/messages/target-messages.ts
+++ b/packages/wire/src/messages/target-messages.ts
@@ -85,7 +85,12 @@
       readonly result: AttemptResult;
       readonly load: TargetLoad;
     }
-  | { readonly kind: FromTargetKind.LoadReport; readonly load: TargetLoad }
+  | {
+      readonly kind: FromTargetKind.LoadReport;
+      readonly load: TargetLoad;
+      /** Version of the settings that this report confirms; undefined when it confirms none. */
+      readonly settingsVersion?: ConfigurationVersion | undefined;
+    }
   | {
       readonly kind: FromTargetKind.JobEvidence;
       readonly evidence: JobEvidence;
