--- /dev/null
+++ b/packages/bench/src/processes/double-submit.ts
@@ -0,0 +1,92 @@
+/** Submits each job at the same moment to two dispatchers and compares what both callers get. */
+import { createSystemTimerService } from '@cranberryturn/timers';
+
+import {
+  type ProcessSystem,
+  startProcessSystem,
+} from './start-process-system.js';
+import {
+  composeJob,
+  countStarts,
+  findDoubleStarts,
+  isWhole,
+  type SentJob,
+  submitJob,
+} from './submit-job.js';
+
+const tasksOfJob = 20;
+const runMilliseconds = 2;
+const jobsAtOnce = 4;
+
+/** What was seen over all jobs. */
+export interface DoubleSubmission {
+  readonly jobs: number;
+  readonly tasks: number;
+  /** Jobs of which both callers got the same whole answer. */
+  readonly samePairs: number;
+  /** One line for each other pair of replies. */
+  readonly differences: readonly string[];
+  /** Starts that the targets counted. */
+  readonly starts: number;
+  /** Tasks with more than one start. */
+  readonly doubleStarts: readonly string[];
+}
+
+/** Starts three control replicas, two dispatchers and three workers, and submits `jobs` jobs twice. */
+export async function runDoubleSubmission(
+  jobs: number,
+  seed: number,
+): Promise<DoubleSubmission> {
+  const system = await startProcessSystem({
+    seed,
+    controls: 3,
+    dispatchers: 2,
+    workers: 3,
+    targetTimers: createSystemTimerService(),
+  });
+  try {
+    return await submitAll(system, jobs);
+  } finally {
+    await system.kill();
+  }
+}
+
+async function submitAll(
+  system: ProcessSystem,
+  jobs: number,
+): Promise<DoubleSubmission> {
+  const waiting = Array.from({ length: jobs }, (_, index) =>
+    composeJob(`job-${String(index)}`, tasksOfJob, runMilliseconds),
+  );
+  const differences: string[] = [];
+  const submitNext = async (): Promise<void> => {
+    for (let job = waiting.pop(); job !== undefined; job = waiting.pop()) {
+      differences.push(...(await submitTwice(system, job)));
+    }
+  };
+  await Promise.all(Array.from({ length: jobsAtOnce }, submitNext));
+  return {
+    jobs,
+    tasks: jobs * tasksOfJob,
+    samePairs: jobs - differences.length,
+    differences,
+    starts: countStarts(system),
+    doubleStarts: findDoubleStarts(system),
+  };
+}
+
+async function submitTwice(
+  system: ProcessSystem,
+  job: SentJob,
+): Promise<readonly string[]> {
+  const replies = await Promise.all(
+    system.dispatchers.map(dispatcher => submitJob(system, dispatcher, job)),
+  );
+  const [first] = replies;
+  const isSame = replies.every(
+    reply => isWhole(job, reply) && reply.text === first?.text,
+  );
+  if (isSame) return [];
+  const seen = replies.map(({ status, text }) => `${String(status)} ${text}`);
+  return [`${job.jobId}: ${seen.join(' | ')}`];
+}
--- /dev/null
+++ b/packages/bench/src/processes/killed-and-frozen.test.ts
@@ -0,0 +1,149 @@
+import { createSystemTimerService } from '@cranberryturn/timers';
+import { Started } from '@cranberryturn/types';
+import test, { type ExecutionContext } from 'ava';
+
+import {
+  findLeader,
+  type ProcessSystem,
+  startProcessSystem,
+  waitUntil,
+} from './start-process-system.js';
+import { type LoadedJob, startSteadyLoad } from './steady-load.js';
+import {
+  composeJob,
+  countStarts,
+  findDoubleStarts,
+  isWhole,
+  readStarted,
+  type SentJob,
+  type SentReply,
+  submitJob,
+} from './submit-job.js';
+
+const seed = 20_261_203;
+const jobsBetweenSteps = 40;
+const jobsInFlight = 10;
+
+async function start(t: ExecutionContext): Promise<ProcessSystem> {
+  t.log(`seed ${String(seed)}`);
+  const system = await startProcessSystem({
+    seed,
+    controls: 3,
+    dispatchers: 2,
+    workers: 3,
+    targetTimers: createSystemTimerService(),
+  });
+  t.teardown(() => system.kill());
+  return system;
+}
+
+function countStartsOf({ targets }: ProcessSystem, prefix: string): number {
+  const counts = targets.flatMap(target => target.starts.list());
+  return counts.filter(one => one.jobId.includes(prefix)).length;
+}
+
+/** A final reply is whole, or says that the job was or may have been started. */
+function isHonest(job: SentJob, reply: SentReply): boolean {
+  const started = readStarted(reply);
+  if (started === Started.Perhaps || started === Started.Yes) return true;
+  return isWhole(job, reply);
+}
+
+function checkLoad(
+  t: ExecutionContext,
+  system: ProcessSystem,
+  jobs: readonly LoadedJob[],
+): void {
+  const whole = jobs.filter(({ job, replies }) =>
+    replies.some(reply => isWhole(job, reply)),
+  );
+  const dishonest = jobs.filter(({ job, replies }) => {
+    const last = replies.at(-1);
+    return last === undefined || !isHonest(job, last);
+  });
+  t.log(
+    `${String(jobs.length)} jobs, ${String(whole.length)} whole, ${String(jobs.length - whole.length)} failed after a possible start`,
+  );
+  t.deepEqual(dishonest, []);
+  t.deepEqual(findDoubleStarts(system), []);
+}
+
+test.serial(
+  'a dispatcher is killed under load, and everything is submitted again to another',
+  async t => {
+    const system = await start(t);
+    const [killed, other] = system.dispatchers;
+    if (!killed || !other) throw new Error('not started');
+    let chosen = [killed, other];
+    const load = startSteadyLoad(system, () => chosen);
+    await load.waitForMore(jobsBetweenSteps);
+    killed.signal('SIGKILL');
+    chosen = [other];
+    await load.waitForMore(jobsBetweenSteps);
+    await load.stop();
+    const again = await Promise.all(
+      load.finished.map(async ({ job, replies }) => ({
+        job,
+        replies: [...replies, await submitJob(system, other, job)],
+      })),
+    );
+    checkLoad(t, system, again);
+    const changed = again.filter(({ job, replies }) => {
+      const [before, after] = replies.slice(-2);
+      if (!before || !after || !isWhole(job, before)) return false;
+      return isWhole(job, after) && before.text !== after.text;
+    });
+    t.deepEqual(changed, []);
+  },
+);
+
+test.serial(
+  'the leading control host is frozen under load, and comes back',
+  async t => {
+    const system = await start(t);
+    const load = startSteadyLoad(system, () => system.dispatchers);
+    await load.waitForMore(jobsBetweenSteps);
+    const frozen = await findLeader(system.controls);
+    const others = system.controls.filter(one => one !== frozen);
+    frozen.signal('SIGSTOP');
+    await findLeader(others);
+    await load.waitForMore(jobsBetweenSteps);
+    frozen.signal('SIGCONT');
+    await load.waitForMore(jobsBetweenSteps);
+    await load.stop();
+    checkLoad(t, system, load.finished);
+    t.is(countStarts(system), load.finished.length * 4);
+  },
+);
+
+test.serial(
+  'a dispatcher is frozen with jobs in flight, which others submit elsewhere, and comes back',
+  async t => {
+    const system = await start(t);
+    const [frozen, other] = system.dispatchers;
+    if (!frozen || !other) throw new Error('not started');
+    const jobs = Array.from({ length: jobsInFlight }, (_, index) =>
+      composeJob(`frozen-${String(index)}`, 4, 1_000),
+    );
+    const first = jobs.map(job => submitJob(system, frozen, job));
+    const load = startSteadyLoad(system, () => [other]);
+    await waitUntil(() => countStartsOf(system, 'frozen-') >= jobsInFlight);
+    frozen.signal('SIGSTOP');
+    const second = await Promise.all(
+      jobs.map(job => submitJob(system, other, job)),
+    );
+    await load.waitForMore(jobsBetweenSteps);
+    frozen.signal('SIGCONT');
+    const late = await Promise.all(first);
+    await load.stop();
+    checkLoad(t, system, load.finished);
+    const replies = jobs.flatMap((job, index) =>
+      [late[index], second[index]].map(reply => ({ job, reply })),
+    );
+    const dishonest = replies.filter(
+      ({ job, reply }) => reply === undefined || !isHonest(job, reply),
+    );
+    t.deepEqual(dishonest, []);
+    t.deepEqual(findDoubleStarts(system), []);
+  },
+);
--- /dev/null
+++ b/packages/bench/src/processes/steady-load.ts
@@ -0,0 +1,126 @@
+/** Callers that submit one job after the other, and go to another dispatcher when one cannot answer. */
+import { createSystemTimerService, sleep } from '@cranberryturn/timers';
+import { type Milliseconds, Started } from '@cranberryturn/types';
+
+import type { ProcessSystem } from './start-process-system.js';
+import type { StartedProcess } from './start-process.js';
+import {
+  composeJob,
+  isWhole,
+  readStarted,
+  type SentJob,
+  type SentReply,
+  submitJob,
+} from './submit-job.js';
+
+const callers = 12;
+const tasksOfJob = 4;
+const shortestRunMilliseconds: Milliseconds = 20;
+const longestRunMilliseconds: Milliseconds = 120;
+const comeBackMilliseconds: Milliseconds = 50;
+const mostSubmissions = 200;
+
+/** What became of one job over all its submissions. */
+export interface LoadedJob {
+  readonly job: SentJob;
+  readonly replies: readonly SentReply[];
+}
+
+/** A load that runs until it is stopped. */
+export interface SteadyLoad {
+  readonly finished: readonly LoadedJob[];
+  /** Waits until `count` more jobs ended. */
+  waitForMore(count: number): Promise<void>;
+  /** Starts no further jobs, and waits for those in flight. */
+  stop(): Promise<void>;
+}
+
+/** Starts the callers. Each uses the dispatchers of `choose`, which may change. */
+export function startSteadyLoad(
+  system: ProcessSystem,
+  choose: () => readonly StartedProcess[],
+): SteadyLoad {
+  const timers = createSystemTimerService();
+  const finished: LoadedJob[] = [];
+  let isStopping = false;
+
+  const runCaller = async (caller: number): Promise<void> => {
+    for (let turn = 0; !isStopping; turn += 1) {
+      const span = longestRunMilliseconds - shortestRunMilliseconds;
+      const run = shortestRunMilliseconds + ((caller * 37 + turn * 17) % span);
+      const name = `load-${String(caller)}-${String(turn)}`;
+      const job = composeJob(name, tasksOfJob, run);
+      const replies = await submitUntilFinal(
+        system,
+        job,
+        choose,
+        caller + turn,
+      );
+      finished.push({ job, replies });
+    }
+  };
+
+  const running = Promise.all(
+    Array.from({ length: callers }, (_, caller) => runCaller(caller)),
+  );
+  return {
+    finished,
+    waitForMore: async count => {
+      const wanted = finished.length + count;
+      while (finished.length < wanted)
+        await sleep(timers, comeBackMilliseconds);
+    },
+    stop: async () => {
+      isStopping = true;
+      await running;
+    },
+  };
+}
+
+/** Submits the same job again while it is refused for now or the connection was lost. */
+async function submitUntilFinal(
+  system: ProcessSystem,
+  job: SentJob,
+  choose: () => readonly StartedProcess[],
+  turn: number,
+): Promise<readonly SentReply[]> {
+  const timers = createSystemTimerService();
+  const replies: SentReply[] = [];
+  while (replies.length < mostSubmissions) {
+    const dispatchers = choose();
+    const position = (turn + replies.length) % dispatchers.length;
+    const dispatcher = dispatchers[position];
+    if (dispatcher === undefined) break;
+    const reply = await submitJob(system, dispatcher, job);
+    replies.push(reply);
+    if (isFinal(job, reply)) break;
+    await sleep(timers, comeBackMilliseconds);
+  }
+  return replies;
+}
+
+function isFinal(job: SentJob, reply: SentReply): boolean {
+  if (isWhole(job, reply)) return true;
+  const started = readStarted(reply);
+  return started === Started.Perhaps || started === Started.Yes;
+}
+
+/** Jobs whose last reply is not whole. */
+export function listFailed(jobs: readonly LoadedJob[]): string[] {
+  return jobs.flatMap(({ job, replies }) => {
+    const last = replies.at(-1);
+    if (last !== undefined && isWhole(job, last)) return [];
+    return [`${job.jobId}: ${JSON.stringify(replies.slice(-2))}`];
+  });
+}
+
+/** Replies that broke off after the connection was made. */
+export function listBroken(jobs: readonly LoadedJob[]): string[] {
+  return jobs.flatMap(({ job, replies }) =>
+    replies
+      .filter(
+        ({ status, text }) => status === 0 && !text.includes('ECONNREFUSED'),
+      )
+      .map(({ text }) => `${job.jobId}: ${text}`),
+  );
+}
--- /dev/null
+++ b/packages/bench/src/processes/submit-job.ts
@@ -0,0 +1,101 @@
+/** Submits jobs to the processes as callers do. */
+import { JobOutcome, Started } from '@cranberryturn/types';
+import { request } from 'undici';
+
+import type { ProcessSystem } from './start-process-system.js';
+import { processService, urlOf } from './start-process-system.js';
+import type { StartedProcess } from './start-process.js';
+
+/** A job as a caller sends it. */
+export interface SentJob {
+  readonly jobId: string;
+  readonly tasks: readonly {
+    readonly taskId: string;
+    readonly payload: object;
+  }[];
+}
+
+/** How a submission ended for the caller. */
+export interface SentReply {
+  /** 0 when no whole answer arrived. */
+  readonly status: number;
+  readonly text: string;
+}
+
+const brokenStatus = 0;
+const okStatus = 200;
+
+/** Composes a job of equal tasks. */
+export function composeJob(
+  jobId: string,
+  tasks: number,
+  runMilliseconds: number,
+): SentJob {
+  return {
+    jobId,
+    tasks: Array.from({ length: tasks }, (_, index) => ({
+      taskId: `task-${String(index)}`,
+      payload: { runMilliseconds },
+    })),
+  };
+}
+
+/** Submits a job to one dispatcher. Never rejects. */
+export async function submitJob(
+  { token }: ProcessSystem,
+  dispatcher: StartedProcess,
+  job: SentJob,
+  signal?: AbortSignal,
+): Promise<SentReply> {
+  const url = `${urlOf(dispatcher, 'callers')}/v1/services/${processService}/jobs`;
+  try {
+    const response = await request(url, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${token}`, connection: 'close' },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      body: JSON.stringify(job),
+      signal: signal ?? null,
+    });
+    const text = await response.body.text();
+    return { status: response.statusCode, text };
+  } catch (cause) {
+    return { status: brokenStatus, text: String(cause) };
+  }
+}
+
+/** Whether a reply holds the answer to every task, in the order asked. */
+export function isWhole(job: SentJob, { status, text }: SentReply): boolean {
+  if (status !== okStatus) return false;
+  const { outcome, answers } = JSON.parse(text) as {
+    readonly outcome: JobOutcome;
+    readonly answers: readonly { readonly taskId: string }[];
+  };
+  const given = answers.map(one => one.taskId).join();
+  const asked = job.tasks.map(one => one.taskId).join();
+  return outcome === JobOutcome.Complete && given === asked;
+}
+
+/** What a reply without answers says about starts; undefined when it is broken. */
+export function readStarted({ text }: SentReply): Started | undefined {
+  try {
+    return (JSON.parse(text) as { readonly started?: Started }).started;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Tasks that the targets counted more than one start of. */
+export function findDoubleStarts({ targets }: ProcessSystem): string[] {
+  const starts = new Map<string, number>();
+  for (const one of targets.flatMap(target => target.starts.list())) {
+    const name = `${one.jobId} ${one.taskId}`;
+    starts.set(name, (starts.get(name) ?? 0) + one.starts);
+  }
+  return [...starts].filter(([, count]) => count > 1).map(([name]) => name);
+}
+
+/** Number of starts that all targets counted. */
+export function countStarts({ targets }: ProcessSystem): number {
+  return targets.reduce((sum, target) => sum + target.starts.total(), 0);
+}
