--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -48,6 +48,7 @@
 ): ResultAsync<DispatcherRole, CranberryError> {
   const { timers, logger, metrics, decisions } = environment;
   const seed = chooseSeed(settings.seed, environment);
+  const running: { dispatcher?: Dispatcher } = {};
   const control = createControlClient({
     network,
     timers,
@@ -57,6 +58,8 @@
       replicaId,
       address: { address, port },
     })),
+    listSilentTargets: roster =>
+      running.dispatcher?.targets.listSilent(roster) ?? [],
     handleMove: host => {
       logger.info('control host watched', { controlHost: host ?? 'none' });
     },
@@ -83,6 +86,7 @@
     },
   })
     .map(dispatcher => {
+      running.dispatcher = dispatcher;
       observeDispatcher(metrics, dispatcher);
       return {
         dispatcher,
