Let four attempts wait at a sidecar, in the order of their latest start

A longer queue at the sidecar saves them, but in the order of arrival a short task waits behind those of wide jobs.

Change: each attempt carries its slack, the sidecar starts what waits in the order of latest start, and queuedTasks is 4 by default. The fake target does the same, and takes back what is cancelled while it waits. Wasted messages of five more calm scenarios are held to 2 % in the tests.

--- a/packages/bench/src/policies/compare-policies.test.ts
+++ b/packages/bench/src/policies/compare-policies.test.ts
@@ -6,12 +6,12 @@
 import { scenarios } from './scenarios.js';
 
 const seed = 20_261_203;
-const shortQueue = { queueLimit: 1, pushesCredits: false };
+const productQueue = { queueLimit: 4, pushesCredits: false };
 
 function runProduct(name: string) {
   const scenario = scenarios.find(one => one.name === name);
   if (scenario === undefined) throw new Error(`No scenario "${name}".`);
-  return runScenario(scenario, createProductPolicy, seed, shortQueue);
+  return runScenario(scenario, createProductPolicy, seed, productQueue);
 }
 
 for (const name of ['calm', 'calm, four data centres']) {
@@ -35,6 +35,20 @@
   t.is(declared.doubleStarts, 0);
 });
 
+for (const name of [
+  'jobs of 20',
+  'jobs of 20, declared',
+  'register requests',
+  'register requests, misdeclared',
+  'booking requests',
+]) {
+  test(`few messages are wasted: ${name} (seed ${String(seed)})`, t => {
+    const result = runProduct(name);
+    t.true(result.wastedShare <= 0.02, `wasted ${String(result.wastedShare)}`);
+    t.true(result.messagesPerTask <= 2.2);
+  });
+}
+
 test(`no policy beats the oracle (seed ${String(seed)})`, t => {
   for (const scenario of scenarios) {
     const bound = boundP99(scenario, seed);
--- a/packages/bench/src/policies/compare-policies.ts
+++ b/packages/bench/src/policies/compare-policies.ts
@@ -34,6 +34,8 @@
 const nameWidth = 34;
 const policyWidth = 16;
 
+/** Tasks wait in the dispatcher, and a few at the target in the order of their latest start. */
+const productQueue: SidecarManner = { queueLimit: 4, pushesCredits: false };
 /** Tasks wait in the dispatcher. */
 const shortQueue: SidecarManner = { queueLimit: 1, pushesCredits: false };
 /** Tasks wait at the target. */
@@ -46,7 +48,7 @@
   name('least backlog', createSimplePolicy(chooseLeastBacklog), longQueue),
   name('subsets', createSimplePolicy(chooseInSubset), shortQueue),
   name('slot credits', createSimplePolicy(chooseMostCredits), credits),
-  name('product', createProductPolicy, shortQueue),
+  name('product', createProductPolicy, productQueue),
 ];
 
 /** Runs every policy in every scenario. */
--- a/packages/bench/src/policies/fake-target.ts
+++ b/packages/bench/src/policies/fake-target.ts
@@ -42,6 +42,11 @@
   readonly report: (dispatcher: string, report: TargetReport) => void;
 }
 
+interface WaitingAttempt {
+  readonly attempt: AttemptStart;
+  readonly latestStart: Milliseconds;
+}
+
 const failureMilliseconds: Milliseconds = 2;
 const slowFactor = 10;
 const flapMilliseconds: Milliseconds = 2_000;
@@ -54,7 +59,7 @@
   readonly starts = new Map<string, number>();
   readonly #options: FakeTargetOptions;
   readonly #running = new Set<AttemptStart>();
-  readonly #waiting: AttemptStart[] = [];
+  readonly #waiting: WaitingAttempt[] = [];
   readonly #credits = new Map<string, number>();
   #dead = false;
 
@@ -81,12 +86,20 @@
       });
       return;
     }
-    this.#waiting.push(attempt);
+    this.#enqueue(attempt);
     this.#fillSlots();
   }
 
   cancel(key: AttemptKey): void {
     if (this.#dead) return;
+    const position = this.#waiting.findIndex(one => isSame(one.attempt, key));
+    for (const { attempt } of position < 0
+      ? []
+      : this.#waiting.splice(position, 1)) {
+      const reason = NotStartedReason.Cancelled;
+      const outcome = AttemptOutcome.NotStarted;
+      this.#end(attempt, { ...keyOf(attempt), outcome, reason });
+    }
     for (const attempt of this.#running) {
       if (!isSame(attempt, key)) continue;
       this.#running.delete(attempt);
@@ -101,11 +114,19 @@
     this.#fillSlots();
   }
 
+  #enqueue(attempt: AttemptStart): void {
+    const now = this.#options.timers.now();
+    const latestStart = now + (attempt.slackMilliseconds ?? 0);
+    const later = this.#waiting.findIndex(one => one.latestStart > latestStart);
+    const position = later < 0 ? this.#waiting.length : later;
+    this.#waiting.splice(position, 0, { attempt, latestStart });
+  }
+
   #fillSlots(): void {
     while (this.#running.size < this.record.slots) {
-      const attempt = this.#waiting.shift();
-      if (attempt === undefined) return;
-      this.#run(attempt);
+      const next = this.#waiting.shift();
+      if (next === undefined) return;
+      this.#run(next.attempt);
     }
   }
 
@@ -181,8 +202,8 @@
     let own = 0;
     for (const one of this.#running)
       if (one.dispatcher === dispatcher) own += 1;
-    for (const one of this.#waiting)
-      if (one.dispatcher === dispatcher) own += 1;
+    for (const { attempt } of this.#waiting)
+      if (attempt.dispatcher === dispatcher) own += 1;
     const position = dispatchers.indexOf(dispatcher);
     const turned =
       (position + Number(this.record.targetId.replace(/\D/g, ''))) %
--- a/packages/scheduling/src/place-tasks.ts
+++ b/packages/scheduling/src/place-tasks.ts
@@ -177,6 +177,7 @@
     declared: task.request.declared,
     idempotent: request.idempotent,
     remainingMilliseconds: job.deadline - now,
+    slackMilliseconds: job.due - task.estimate - now,
   });
 }
 
--- a/packages/settings/src/schemas/sidecar-settings.ts
+++ b/packages/settings/src/schemas/sidecar-settings.ts
@@ -50,7 +50,7 @@
   /** Number of connections the target accepts. */
   connections: z.int().min(1).max(65_536).default(64),
   /** Tasks that may wait here for a slot, to hide the round trip to the dispatcher. */
-  queuedTasks: z.int().min(0).max(4_096).default(1),
+  queuedTasks: z.int().min(0).max(4_096).default(4),
   target: targetSchema,
   /** Dispatchers to dial first; the others are learned from them. */
   dispatchers: z.array(peerAddressSchema).min(1),
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -41,6 +41,7 @@
 interface WaitingAttempt {
   readonly attempt: AttemptStart;
   readonly received: Milliseconds;
+  readonly latestStart: Milliseconds;
   readonly requestId: string | undefined;
 }
 
@@ -78,8 +79,7 @@
       this.#refuse(attempt, refusal);
       return;
     }
-    const received = this.#options.timers.now();
-    this.#waiting.push({ attempt, received, requestId });
+    this.#enqueue(attempt, requestId);
     this.#fillSlots();
   }
 
@@ -131,6 +131,16 @@
     return undefined;
   }
 
+  /** Attempts of all dispatchers wait in the order in which they should start. */
+  #enqueue(attempt: AttemptStart, requestId: string | undefined): void {
+    const received = this.#options.timers.now();
+    const latestStart = received + (attempt.slackMilliseconds ?? 0);
+    const later = this.#waiting.findIndex(one => one.latestStart > latestStart);
+    const position = later < 0 ? this.#waiting.length : later;
+    const waiting = { attempt, received, latestStart, requestId };
+    this.#waiting.splice(position, 0, waiting);
+  }
+
   #fillSlots(): void {
     while (this.#running.size < this.#slots) {
       const next = this.#waiting.shift();
--- a/packages/types/src/attempts.ts
+++ b/packages/types/src/attempts.ts
@@ -27,6 +27,8 @@
   readonly idempotent: boolean;
   /** Time left until the deadline when the frame was sent. */
   readonly remainingMilliseconds: Milliseconds;
+  /** Time until the attempt should start for its job to end in time; less than 0 when it is late. */
+  readonly slackMilliseconds?: Milliseconds | undefined;
 }
 
 /** Why a sidecar did not start an attempt, and never will. */
