Give each sidecar sessions with a planned subset of the dispatchers

At 1,600 sidecars and 36 dispatchers each dispatcher held 1,600 sessions, and targetsPerService was read but not applied. The plan is a pure function of the roster: rendezvous hashing with bounded loads by data centre, two racks of every data centre for each dispatcher. Dispatchers tell it to their targets; sidecars dial what is new first and leave a session once its dispatcher has acknowledged that it takes no more work, nothing of it runs and every answer is acknowledged. An adopter invites witnesses outside its subset through a dispatcher that holds a session. Sessions carry a number, so that a sidecar that comes back to a dispatcher is not taken for its earlier session.

Without the setting nothing changes.

--- a/packages/dispatcher/src/answer-dispatchers.ts
+++ b/packages/dispatcher/src/answer-dispatchers.ts
@@ -24,11 +24,17 @@
 export type LendingScheduler = Scheduler &
   Partial<Pick<SharingScheduler, 'lendShares'>>;
 
+/** A call that concerns jobs or limits. */
+export type WorkCall = Exclude<
+  DispatcherCall,
+  { readonly method: DispatcherMethod.InviteTargets }
+>;
+
 /** Answers a call of another dispatcher. */
 export async function answerDispatcher(
   jobs: JobService,
   scheduler: LendingScheduler | undefined,
-  call: DispatcherCall,
+  call: WorkCall,
   timers: TimerService,
 ): Promise<DispatcherReply> {
   if (call.method === DispatcherMethod.BorrowShares) {
--- /dev/null
+++ b/packages/dispatcher/src/invite-targets.ts
@@ -0,0 +1,119 @@
+/** Asks targets outside the subset of this dispatcher to open a session with it. */
+import type { RosterFeed } from '@cranberryturn/membership';
+import { sleep, type TimerService } from '@cranberryturn/timers';
+import type {
+  DispatcherId,
+  DispatcherRecord,
+  Milliseconds,
+  TargetIdentity,
+} from '@cranberryturn/types';
+import { DispatcherMethod } from '@cranberryturn/wire';
+
+import type { DispatcherLinks } from './dispatcher-links.js';
+import type { SessionSubsets } from './session-subsets.js';
+
+/** What the inviter is built from. */
+export interface TargetInviterOptions {
+  readonly self: DispatcherId;
+  readonly roster: RosterFeed;
+  readonly subsets: SessionSubsets;
+  readonly links: DispatcherLinks;
+  readonly timers: TimerService;
+  readonly isConnected: (target: TargetIdentity) => boolean;
+}
+
+interface Invitation {
+  readonly target: TargetIdentity;
+  readonly expires: Milliseconds;
+  /** Holders of a session that were asked to pass the invitation on. */
+  readonly asked: Set<DispatcherId>;
+}
+
+interface InvitationBatch {
+  readonly holder: DispatcherRecord;
+  readonly targets: TargetIdentity[];
+}
+
+const roundMilliseconds: Milliseconds = 1_000;
+
+/** Passes invitations through dispatchers that hold a session, one after the other until one succeeds. */
+export class TargetInviter {
+  readonly #options: TargetInviterOptions;
+  readonly #invitations = new Map<string, Invitation>();
+  #running = false;
+
+  constructor(options: TargetInviterOptions) {
+    this.#options = options;
+  }
+
+  invite(target: TargetIdentity, timeoutMilliseconds: Milliseconds): void {
+    const key = `${target.targetId}/${target.incarnation}`;
+    const expires = this.#options.timers.now() + timeoutMilliseconds;
+    this.#invitations.set(key, { target, expires, asked: new Set() });
+    if (this.#running) return;
+    this.#running = true;
+    void this.#run();
+  }
+
+  async #run(): Promise<void> {
+    // Invitations of one turn of the event loop go together.
+    await Promise.resolve();
+    while (this.#invitations.size > 0) {
+      for (const batch of this.#composeRound()) this.#send(batch);
+      await sleep(this.#options.timers, roundMilliseconds);
+      this.#dropSettled();
+    }
+    this.#running = false;
+  }
+
+  #composeRound(): readonly InvitationBatch[] {
+    const batches = new Map<DispatcherId, InvitationBatch>();
+    for (const { target, asked } of this.#invitations.values()) {
+      const holder = this.#chooseHolder(target, asked);
+      if (holder === undefined) continue;
+      asked.add(holder.dispatcherId);
+      const batch = batches.get(holder.dispatcherId) ?? { holder, targets: [] };
+      batch.targets.push(target);
+      batches.set(holder.dispatcherId, batch);
+    }
+    return [...batches.values()];
+  }
+
+  /** Starts over when all holders were asked in vain. */
+  #chooseHolder(
+    target: TargetIdentity,
+    asked: Set<DispatcherId>,
+  ): DispatcherRecord | undefined {
+    const holders = this.#options.subsets
+      .findHolders(target.targetId)
+      .filter(one => one.dispatcherId !== this.#options.self);
+    const next = holders.find(one => !asked.has(one.dispatcherId));
+    if (next === undefined) asked.clear();
+    return next ?? holders[0];
+  }
+
+  #send({ holder, targets }: InvitationBatch): void {
+    const { roster, self, links } = this.#options;
+    const own = roster
+      .current()
+      .dispatchers.find(one => one.dispatcherId === self);
+    if (own === undefined) return;
+    void links.call(
+      holder.address,
+      {
+        method: DispatcherMethod.InviteTargets,
+        targets,
+        dispatcher: { dispatcherId: self, address: own.address },
+      },
+      roundMilliseconds,
+    );
+  }
+
+  #dropSettled(): void {
+    const now = this.#options.timers.now();
+    for (const [key, { target, expires }] of this.#invitations) {
+      if (now < expires && !this.#options.isConnected(target)) continue;
+      this.#invitations.delete(key);
+    }
+  }
+}
--- a/packages/dispatcher/src/own-job.ts
+++ b/packages/dispatcher/src/own-job.ts
@@ -149,6 +149,7 @@
         return reply.value.result;
       case DispatcherReplyKind.NotOwner:
       case DispatcherReplyKind.Shares:
+      case DispatcherReplyKind.Invited:
         return undefined;
       case DispatcherReplyKind.Running:
         break;
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -71,6 +71,7 @@
     metrics,
     decisions: decisions.record,
     logger,
+    targetsPerService: settings.targetsPerService,
     graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -24,6 +24,8 @@
 } from '@cranberryturn/types';
 import {
   type Connection,
+  DispatcherMethod,
+  DispatcherReplyKind,
   type Listener,
   type Network,
   ProcessRole,
@@ -40,6 +42,8 @@
 import { createShareExchange } from './exchange-shares.js';
 import { JobService } from './job-service.js';
 import type { ControlPort } from './ports/control.js';
+import { TargetInviter } from './invite-targets.js';
+import { SessionSubsets } from './session-subsets.js';
 import { TargetDirectory } from './target-directory.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
@@ -74,6 +78,8 @@
   readonly decisions: DecisionSink;
   readonly logger?: Logger | undefined;
   readonly sessionTimes?: SessionTimes | undefined;
+  /** Number of targets of each service to have sessions with; all without it. The same at each dispatcher. */
+  readonly targetsPerService?: number | undefined;
   /** Longest time of a planned stop. */
   readonly graceMilliseconds?: Milliseconds | undefined;
   /** Creates another scheduler than that of the product, to compare policies. */
@@ -161,12 +167,17 @@
 
 function createParts(options: DispatcherOptions): DispatcherParts {
   const { timers, network, control, metrics, decisions, self } = options;
-  const targets = new TargetDirectory({
+  const subsets = new SessionSubsets(control.roster, options.targetsPerService);
+  const targets: TargetDirectory = new TargetDirectory({
     timers,
     times: options.sessionTimes ?? defaultSessionTimes,
     control,
     metrics,
     logger: options.logger,
+    describeSessions: announcement => subsets.describeSessions(announcement),
+    inviteTarget: (target, timeout) => {
+      inviter.invite(target, timeout);
+    },
     resultReceived: result => {
       jobs.noteResult(result);
     },
@@ -174,7 +185,21 @@
   const links: DispatcherLinks = new DispatcherLinks({
     network,
     timers,
-    handleCall: call => answerDispatcher(jobs, scheduler, call, timers),
+    handleCall: call => {
+      if (call.method !== DispatcherMethod.InviteTargets) {
+        return answerDispatcher(jobs, scheduler, call, timers);
+      }
+      targets.inviteConnected(call.targets, call.dispatcher);
+      return Promise.resolve({ kind: DispatcherReplyKind.Invited });
+    },
+  });
+  const inviter = new TargetInviter({
+    self: self.dispatcherId,
+    roster: control.roster,
+    subsets,
+    links,
+    timers,
+    isConnected: target => targets.isConnected(target),
   });
   const jobs: JobService = new JobService({
     self,
@@ -238,6 +263,7 @@
     const dispatchers = Math.max(1, names.length);
     scheduler.applyConfiguration(configuration.current(), dispatchers, names);
     targets.applyConfiguration(configuration.current());
+    targets.applyRoster();
   };
   apply();
   const stopConfiguration = configuration.subscribe(apply);
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -28,6 +28,7 @@
   type TargetLoad,
 } from '@cranberryturn/types';
 import {
+  type DispatcherAddress,
   FromTargetKind,
   type FromTargetMessage,
   type JobEvidence,
@@ -38,6 +39,7 @@
 
 import { EvidenceWaiters } from './evidence-waiters.js';
 import type { ControlPort } from './ports/control.js';
+import type { ApplySessionsMessage } from './session-subsets.js';
 import { registerTarget } from './register-target.js';
 import { findTargetSettings } from './target-settings.js';
 
@@ -49,6 +51,9 @@
   load: TargetLoad | undefined;
   registered: boolean;
   settingsSent: string;
+  sessionsSent: string;
+  /** Whether the run says that it closes this session next. */
+  left: boolean;
 }
 
 /** What a directory is built from. */
@@ -58,6 +63,15 @@
   readonly control: ControlPort;
   readonly metrics: Metrics;
   readonly logger?: Logger | undefined;
+  /** Tells the sessions that a registered target should have; undefined: as they are. */
+  readonly describeSessions: (
+    announcement: TargetAnnouncement,
+  ) => ApplySessionsMessage | undefined;
+  /** Asks a run without a session here to open one. */
+  readonly inviteTarget: (
+    target: TargetIdentity,
+    timeoutMilliseconds: number,
+  ) => void;
   /** Hears each result before the scheduler does. */
   readonly resultReceived: (result: AttemptResult) => void;
 }
@@ -125,7 +139,11 @@
       jobId,
       epoch,
     };
-    this.#targets.get(run)?.send(message);
+    const connected = this.#targets.get(run);
+    if (connected === undefined) {
+      this.#options.inviteTarget(target, timeoutMilliseconds);
+    }
+    connected?.send(message);
     return this.#waiters.wait(run, message, timeoutMilliseconds);
   }
 
@@ -136,6 +154,23 @@
     }
   }
 
+  /** Sends to each target which sessions it should have. */
+  applyRoster(): void {
+    for (const target of this.#targets.values()) this.#sendSessions(target);
+  }
+
+  /** Passes on that a dispatcher wants a session with runs that have one here. */
+  inviteConnected(
+    targets: readonly TargetIdentity[],
+    dispatcher: DispatcherAddress,
+  ): void {
+    for (const target of targets) {
+      this.#targets
+        .get(describeRun(target))
+        ?.send({ kind: ToTargetKind.OpenSession, dispatcher });
+    }
+  }
+
   /** Whether the run has a session with this dispatcher. */
   isConnected(target: TargetIdentity): boolean {
     return this.#targets.has(describeRun(target));
@@ -158,6 +193,8 @@
       load: undefined,
       registered: false,
       settingsSent: '',
+      sessionsSent: '',
+      left: false,
     };
     this.#targets.set(describeRun(identity), target);
     this.#options.metrics.count(Counter.SessionsOpened);
@@ -175,6 +212,7 @@
       suspected: () => {
         this.#options.logger?.warn('target suspected', identity);
         this.#scheduler?.targetSuspected(identity);
+        if (target.left) this.acceptor.forget(peer);
       },
       ended: reason => {
         this.#endSession(target, reason);
@@ -205,6 +243,10 @@
       case FromTargetKind.Left:
         this.#forgetLeft(target);
         return;
+      case FromTargetKind.SessionLeft:
+        target.left = true;
+        this.#scheduler?.targetLost(target.identity);
+        return;
       case FromTargetKind.JobEvidence:
         this.#waiters.settle(describeRun(target.identity), message.evidence);
         return;
@@ -250,6 +292,7 @@
     if (record === undefined || target.load === undefined) return;
     target.registered = true;
     this.#sendSettings(target, control.configuration.current());
+    this.#sendSessions(target);
     this.#scheduler?.targetRegistered(record, target.load);
   }
 
@@ -269,6 +312,19 @@
     });
   }
 
+  #sendSessions(target: ConnectedTarget): void {
+    if (target.announcement === undefined || !target.registered) return;
+    const message = this.#options.describeSessions(target.announcement);
+    if (message === undefined) return;
+    const described = JSON.stringify([
+      message.dispatchers,
+      message.leaveOthers,
+    ]);
+    if (described === target.sessionsSent) return;
+    target.sessionsSent = described;
+    target.send(message);
+  }
+
   /** Says so to control, which needs no lease of the run any more. */
   #forgetLeft(target: ConnectedTarget): void {
     target.registered = false;
@@ -279,7 +335,9 @@
 
   #endSession(target: ConnectedTarget, reason: SessionEndReason): void {
     const run = describeRun(target.identity);
+    if (this.#targets.get(run) !== target) return;
     this.#targets.delete(run);
+    if (target.left) return;
     if (reason === SessionEndReason.ClosedHere) return;
     this.#waiters.giveUp(run);
     this.#scheduler?.targetLost(target.identity);
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -80,6 +80,8 @@
   readonly workers: number;
   readonly slots: number;
   readonly runMilliseconds: Milliseconds;
+  /** Targets of each dispatcher; all without it. */
+  readonly targetsPerService?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
   readonly configuration?: ClusterConfiguration | undefined;
 }
@@ -105,7 +107,13 @@
 
   const addDispatcher = async (dispatcherId: string, incarnation: string) => {
     const added = await createDispatcher(
-      { timers, network, control, record },
+      {
+        timers,
+        network,
+        control,
+        record,
+        targetsPerService: options.targetsPerService,
+      },
       dispatcherId,
       incarnation,
     );
@@ -187,6 +195,7 @@
   readonly network: MemoryNetwork;
   readonly control: ControlNode;
   readonly record: (decision: Decision) => void;
+  readonly targetsPerService: number | undefined;
 }
 
 async function startMemoryControl(
@@ -213,7 +222,13 @@
 }
 
 async function createDispatcher(
-  { timers, network, control, record }: DispatcherSurroundings,
+  {
+    timers,
+    network,
+    control,
+    record,
+    targetsPerService,
+  }: DispatcherSurroundings,
   dispatcherId: string,
   incarnation: string,
 ): Promise<MemoryDispatcher> {
@@ -244,6 +259,7 @@
     network: joined,
     control: client,
     timers,
+    targetsPerService,
     seed: 1,
     metrics: createMetrics({
       role: ProcessRole.Dispatcher,
--- /dev/null
+++ b/packages/local/src/session-subsets.test.ts
@@ -0,0 +1,155 @@
+import { JobOutcome, type JobResult } from '@cranberryturn/types';
+import test from 'ava';
+
+import {
+  composeJob,
+  type MemoryCluster,
+  startMemoryCluster,
+} from './fakes/memory-cluster.js';
+
+const settleMilliseconds = 20_000;
+const deadlineMilliseconds = 60_000;
+const shape = {
+  dispatchers: 4,
+  workers: 12,
+  slots: 2,
+  runMilliseconds: 3_000,
+  targetsPerService: 4,
+};
+
+/** Names of the dispatchers that each worker has sessions with. */
+function listSessions(cluster: MemoryCluster): string[][] {
+  return cluster.workers.map(({ sidecar }) =>
+    sidecar
+      .sessions()
+      .map(session => session.peer.name)
+      .sort(),
+  );
+}
+
+function submitTo(
+  cluster: MemoryCluster,
+  position: number,
+  jobId: string,
+  tasks: number,
+): { result: JobResult | undefined } {
+  const box: { result: JobResult | undefined } = { result: undefined };
+  const job = composeJob(jobId, tasks, deadlineMilliseconds);
+  void cluster.dispatchers[position]?.dispatcher.jobs
+    .submitJob(job, 'request-1')
+    .then(submission => {
+      if ('result' in submission) box.result = submission.result;
+    });
+  return box;
+}
+
+function largestStarts(cluster: MemoryCluster): number {
+  return Math.max(0, ...cluster.countStarts().values());
+}
+
+test('each sidecar keeps its subset only, and each dispatcher has an equal part', async t => {
+  const cluster = await startMemoryCluster(shape);
+  await cluster.timers.advance(settleMilliseconds);
+  const sessions = listSessions(cluster);
+  t.true(sessions.every(names => new Set(names).size === 2));
+  t.true(sessions.every(names => names.length === 2));
+  for (const { dispatcher, dispatcherId } of cluster.dispatchers) {
+    const own = sessions.filter(names => names.includes(dispatcherId));
+    t.true(own.length >= 5 && own.length <= 7, dispatcherId);
+    t.is(dispatcher.scheduler.status().targets.length, own.length);
+    t.is(dispatcher.targets.acceptor.sessions().length, own.length);
+  }
+  await cluster.stop();
+});
+
+test('a session is left only when its work has ended, and no work is lost', async t => {
+  const cluster = await startMemoryCluster(shape);
+  await cluster.timers.advance(settleMilliseconds);
+  const before = listSessions(cluster);
+  for (const { target } of cluster.workers) target.runMilliseconds = 15_000;
+  const jobs = [0, 1, 2, 3].map(position =>
+    submitTo(cluster, position, `job-${String(position)}`, 6),
+  );
+  await cluster.timers.advance(500);
+  await cluster.startDispatcher('dispatcher-5', 'run-1');
+  await cluster.timers.advance(8_000);
+  const during = listSessions(cluster);
+  t.true(
+    during.every((names, position) =>
+      (before[position] ?? []).every(name => names.includes(name)),
+    ),
+    'sessions with work in flight are kept',
+  );
+  // The answers are sent into silence, just before the sessions may be left.
+  await cluster.timers.advance(6_200);
+  for (const connection of cluster.network.connections) {
+    connection.silent = connection.from.startsWith('worker');
+  }
+  await cluster.timers.advance(deadlineMilliseconds);
+  for (const { result } of jobs) t.is(result?.outcome, JobOutcome.Complete);
+  t.is(largestStarts(cluster), 1);
+  const after = listSessions(cluster);
+  const moved = after.filter(names => names.includes('dispatcher-5'));
+  t.true(moved.length >= 3, 'the new dispatcher has its part');
+  t.true(after.every(names => names.length === 2));
+  await cluster.stop();
+});
+
+test('an adopter reaches witnesses outside its subset, and leaves them later', async t => {
+  const cluster = await startMemoryCluster(shape);
+  await cluster.timers.advance(settleMilliseconds);
+  submitTo(cluster, 0, 'job-1', 12);
+  await cluster.timers.advance(1_000);
+  cluster.dispatchers[0]?.crash();
+  const adopted = submitTo(cluster, 3, 'job-1', 12);
+  await cluster.timers.advance(8_000);
+  const reached = listSessions(cluster).filter(names =>
+    names.includes('dispatcher-4'),
+  );
+  t.is(reached.length, shape.workers);
+  await cluster.timers.advance(deadlineMilliseconds);
+  t.is(adopted.result?.outcome, JobOutcome.Complete);
+  t.is(largestStarts(cluster), 1);
+  const kept = listSessions(cluster).filter(names =>
+    names.includes('dispatcher-4'),
+  );
+  t.true(kept.length < shape.workers);
+  await cluster.stop();
+});
+
+test('a sidecar whose whole subset is gone starts over from its settings', async t => {
+  const cluster = await startMemoryCluster(shape);
+  await cluster.timers.advance(settleMilliseconds);
+  const [lost = []] = listSessions(cluster);
+  for (const one of cluster.dispatchers) {
+    if (lost.includes(one.dispatcherId)) one.crash();
+  }
+  await cluster.timers.advance(30_000);
+  const [found = []] = listSessions(cluster);
+  t.true(found.some(name => !lost.includes(name)));
+  await cluster.stop();
+});
+
+test('connections that go silent at any moment of a move lose no work', async t => {
+  for (let moment = 0; moment <= 4_000; moment += 500) {
+    const cluster = await startMemoryCluster({
+      ...shape,
+      runMilliseconds: 200,
+    });
+    await cluster.timers.advance(settleMilliseconds);
+    await cluster.startDispatcher('dispatcher-5', 'run-1');
+    await cluster.timers.advance(moment);
+    for (const connection of cluster.network.connections) {
+      connection.silent = connection.from.startsWith('worker');
+    }
+    const jobs = [0, 1, 2, 3].map(position =>
+      submitTo(cluster, position, `job-${String(position)}`, 6),
+    );
+    await cluster.timers.advance(deadlineMilliseconds);
+    for (const { result } of jobs) {
+      t.is(result?.outcome, JobOutcome.Complete, `${String(moment)} ms`);
+    }
+    t.is(largestStarts(cluster), 1);
+    await cluster.stop();
+  }
+});
--- a/packages/sessions/src/accept-sessions.ts
+++ b/packages/sessions/src/accept-sessions.ts
@@ -22,6 +22,8 @@
   /** Serves a connection until it ends. */
   acceptConnection(connection: Connection): Promise<void>;
   sessions(): readonly Session<Outgoing, Incoming>[];
+  /** Ends the session with a run that has left it. */
+  forget(peer: PeerIdentity): void;
   /** Ends all sessions. */
   close(): void;
 }
@@ -32,11 +34,17 @@
 ): SessionAcceptor<Outgoing, Incoming> {
   const byPeer = new Map<string, Session<Outgoing, Incoming>>();
 
-  const sessionWith = (peer: PeerIdentity): Session<Outgoing, Incoming> => {
+  const sessionWith = (
+    peer: PeerIdentity,
+    session: number,
+  ): Session<Outgoing, Incoming> => {
     const known = byPeer.get(peer.name);
-    if (known?.peer.incarnation === peer.incarnation) return known;
+    const isSameRun = known?.peer.incarnation === peer.incarnation;
+    if (isSameRun && known.session === session) return known;
+    if (isSameRun) known.end(SessionEndReason.Replaced);
     const created = new Session<Outgoing, Incoming>({
       peer,
+      session,
       timers: options.timers,
       times: options.times,
       startSession: options.startSession,
@@ -55,13 +63,21 @@
       connection.close();
       return;
     }
-    const session = sessionWith(connection.peer);
-    sendOpenFrame(connection, session.received);
+    const session = sessionWith(connection.peer, open.value.session);
+    sendOpenFrame(connection, session);
     await session.serveConnection(connection, frames, open.value.received);
   };
 
+  const forget = (peer: PeerIdentity): void => {
+    const known = byPeer.get(peer.name);
+    if (known?.peer.incarnation !== peer.incarnation) return;
+    byPeer.delete(peer.name);
+    known.end(SessionEndReason.ClosedHere);
+  };
+
   return {
     acceptConnection,
+    forget,
     sessions: () => [...byPeer.values()],
     close: () => {
       for (const session of byPeer.values()) {
--- a/packages/sessions/src/exchange-open-frames.ts
+++ b/packages/sessions/src/exchange-open-frames.ts
@@ -14,8 +14,11 @@
 } from './session-frames.js';
 
 /** Sends the Open frame of this end. */
-export function sendOpenFrame(connection: Connection, received: number): void {
-  const frame: OpenFrame = { kind: SessionFrameKind.Open, received };
+export function sendOpenFrame(
+  connection: Connection,
+  { session, received }: Pick<OpenFrame, 'session' | 'received'>,
+): void {
+  const frame: OpenFrame = { kind: SessionFrameKind.Open, session, received };
   connection.send(encodeMessage(frame));
 }
 
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -1,4 +1,5 @@
 /** Reliable message sessions that outlive a connection. */
 export * from './accept-sessions.js';
 export * from './open-session.js';
+export * from './plan-sessions.js';
 export * from './session.js';
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -2,7 +2,7 @@
 import type { RandomSource } from '@cranberryturn/random';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
-import type { Connection, Network } from '@cranberryturn/wire';
+import type { Connection, Network, PeerIdentity } from '@cranberryturn/wire';
 import { err, ok, type Result } from 'neverthrow';
 
 import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
@@ -15,6 +15,7 @@
 
 const minimumBackoffMilliseconds: Milliseconds = 50;
 const maximumBackoffMilliseconds: Milliseconds = 1_000;
+const sessionNumbers = 2 ** 32;
 const openTimeoutMilliseconds: Milliseconds = 1_000;
 
 /** What the dialling end is built from. */
@@ -24,6 +25,8 @@
   readonly timers: TimerService;
   readonly random: RandomSource;
   readonly times: SessionTimes;
+  /** Refuses a peer, which ends the dialling; every peer is accepted without it. */
+  readonly accepts?: ((peer: PeerIdentity) => boolean) | undefined;
   readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
@@ -31,6 +34,8 @@
 export interface SessionDialer<Outgoing, Incoming> {
   /** The session with the present run of the peer, when there is one. */
   current(): Session<Outgoing, Incoming> | undefined;
+  /** Whether no further connection is dialled. */
+  isClosed(): boolean;
   /** Ends the session and stops dialling. */
   close(): void;
 }
@@ -55,6 +60,7 @@
     session?.end(SessionEndReason.PeerRestarted);
     const created = new Session<Outgoing, Incoming>({
       peer,
+      session: options.random.below(sessionNumbers),
       timers,
       times: options.times,
       startSession: options.startSession,
@@ -67,6 +73,11 @@
     const dialled = await options.network.dial(options.address);
     if (dialled.isErr()) return err(dialled.error);
     const connection = dialled.value;
+    if (options.accepts?.(connection.peer) === false) {
+      closed = true;
+      connection.close();
+      return ok(undefined);
+    }
     const next = sessionWith(connection);
     const opened = await exchange(connection, next, timers);
     if (opened.isErr()) return err(opened.error);
@@ -100,6 +111,7 @@
   void maintain();
   return {
     current: () => session,
+    isClosed: () => closed,
     close: () => {
       closed = true;
       session?.end(SessionEndReason.ClosedHere);
@@ -115,7 +127,7 @@
   const expiry = timers.after(openTimeoutMilliseconds, () => {
     connection.close();
   });
-  sendOpenFrame(connection, session.received);
+  sendOpenFrame(connection, session);
   const frames = connection
     .receive()
     [Symbol.asyncIterator]() as AsyncIterableIterator<Uint8Array>;
--- a/packages/sessions/src/session-frames.ts
+++ b/packages/sessions/src/session-frames.ts
@@ -14,6 +14,8 @@
 /** First frame in both directions of each connection of a session. */
 export interface OpenFrame {
   readonly kind: SessionFrameKind.Open;
+  /** Chosen by the dialling end; another number is another session. */
+  readonly session: number;
   /** Last message received in order over all connections of the session. */
   readonly received: MessageSequence;
 }
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -29,6 +29,8 @@
 export enum SessionEndReason {
   /** The peer runs again with a new incarnation and has forgotten the session. */
   PeerRestarted = 'peer-restarted',
+  /** The peer opened another session. */
+  Replaced = 'replaced',
   /** This process closed the session. */
   ClosedHere = 'closed-here',
 }
@@ -58,6 +60,8 @@
 /** What a session is built from. */
 export interface SessionOptions<Outgoing, Incoming> {
   readonly peer: PeerIdentity;
+  /** Number that the dialling end chose. */
+  readonly session: number;
   readonly timers: TimerService;
   readonly times: SessionTimes;
   readonly startSession: StartSession<Outgoing, Incoming>;
@@ -74,6 +78,7 @@
 /** One session. It lives as long as both process runs do, over any number of connections. */
 export class Session<Outgoing, Incoming> {
   readonly peer: PeerIdentity;
+  readonly session: number;
   readonly #timers: TimerService;
   readonly #times: SessionTimes;
   readonly #listener: SessionListener<Incoming>;
@@ -97,6 +102,7 @@
 
   constructor(options: SessionOptions<Outgoing, Incoming>) {
     this.peer = options.peer;
+    this.session = options.session;
     this.#timers = options.timers;
     this.#times = options.times;
     this.#lastSent = options.timers.now();
--- a/packages/sidecar/src/attempt-ledger.ts
+++ b/packages/sidecar/src/attempt-ledger.ts
@@ -129,6 +129,11 @@
     };
   }
 
+  /** Whether the dispatcher wants the results of the job. */
+  isWatched(jobId: JobId, dispatcher: DispatcherId): boolean {
+    return this.#jobs.get(jobId)?.watchers.has(dispatcher) === true;
+  }
+
   /** Number of jobs remembered. */
   get size(): number {
     return this.#jobs.size;
--- a/packages/sidecar/src/handle-dispatcher-message.ts
+++ b/packages/sidecar/src/handle-dispatcher-message.ts
@@ -6,6 +6,7 @@
 } from '@cranberryturn/wire';
 
 import type { AttemptLedger } from './attempt-ledger.js';
+import type { DispatcherSessions } from './dispatcher-sessions.js';
 import type { AttemptRunner } from './run-attempts.js';
 import type {
   ServedDispatcher,
@@ -17,11 +18,13 @@
   readonly runner: AttemptRunner;
   readonly ledger: AttemptLedger;
   readonly dispatchers: ServedDispatchers;
+  /** The sessions themselves; they exist once the first message arrives. */
+  readonly sessions: () => DispatcherSessions;
 }
 
 /** Handles one message of a dispatcher. */
 export function handleDispatcherMessage(
-  { runner, ledger, dispatchers }: MessageHandlerParts,
+  { runner, ledger, dispatchers, sessions }: MessageHandlerParts,
   from: ServedDispatcher,
   message: ToTargetMessage,
 ): void {
@@ -52,5 +55,11 @@
       from.asksForLoad = true;
       dispatchers.reportFreeSlot();
       return;
+    case ToTargetKind.ApplySessions:
+      sessions().applyPlan(message);
+      return;
+    case ToTargetKind.OpenSession:
+      sessions().openOnDemand(message.dispatcher);
+      return;
   }
 }
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -104,6 +104,16 @@
     if (this.#drain.beginStop()) this.#beginLeaving();
   }
 
+  /** Whether an attempt waits or runs here whose result the dispatcher wants. */
+  hasWorkFor(dispatcher: DispatcherId): boolean {
+    if (this.#waiting.some(one => one.attempt.dispatcher === dispatcher)) {
+      return true;
+    }
+    return [...this.#running].some(({ attempt }) =>
+      this.#options.ledger.isWatched(attempt.jobId, dispatcher),
+    );
+  }
+
   /** Whether no attempt waits or runs. */
   get isIdle(): boolean {
     return this.#waiting.length === 0 && this.#running.size === 0;
--- a/packages/sidecar/src/served-dispatchers.ts
+++ b/packages/sidecar/src/served-dispatchers.ts
@@ -15,6 +15,8 @@
   readonly send: (message: FromTargetMessage) => void;
   /** Whether tasks wait there for a free slot here. */
   asksForLoad: boolean;
+  /** Whether the session is being left, so that it takes no new work. */
+  leaving: boolean;
   /** Reading of the usage that was reported last. */
   usageReported: number;
 }
@@ -39,11 +41,13 @@
   add(
     dispatcherId: DispatcherId,
     send: (message: FromTargetMessage) => void,
+    leaving = false,
   ): ServedDispatcher {
     const served: ServedDispatcher = {
       dispatcherId,
       send,
       asksForLoad: false,
+      leaving,
       usageReported: 0,
     };
     this.#served.set(dispatcherId, served);
@@ -98,7 +102,8 @@
 
   /** Each reading of the usage is reported to a dispatcher once. */
   #composeLoad(served: ServedDispatcher): TargetLoad {
-    const load = this.#options.load();
+    const own = this.#options.load();
+    const load = served.leaving ? { ...own, draining: true } : own;
     const { usage } = this.#options;
     if (usage === undefined || usage.reading() === served.usageReported) {
       return load;
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -4,9 +4,6 @@
 import type { RandomSource } from '@cranberryturn/random';
 import {
   defaultSessionTimes,
-  openSession,
-  type Session,
-  type SessionDialer,
   type SessionListener,
   type SessionTimes,
 } from '@cranberryturn/sessions';
@@ -14,13 +11,11 @@
 import {
   AttemptOutcome,
   type DecisionSink,
-  type DispatcherId,
   type Milliseconds,
   type NetworkAddress,
   type TargetAnnouncement,
 } from '@cranberryturn/types';
 import {
-  type FromTargetMessage,
   FromTargetKind,
   type Network,
   type ToTargetMessage,
@@ -32,9 +27,16 @@
   handleDispatcherMessage,
   type MessageHandlerParts,
 } from './handle-dispatcher-message.js';
+import {
+  type DispatcherSession,
+  DispatcherSessions,
+} from './dispatcher-sessions.js';
 import type { TargetPort } from './ports/target.js';
 import { AttemptRunner } from './run-attempts.js';
-import { ServedDispatchers } from './served-dispatchers.js';
+import {
+  type ServedDispatcher,
+  ServedDispatchers,
+} from './served-dispatchers.js';
 
 const forgetPeriodMilliseconds: Milliseconds = 1_000;
 const stopPollMilliseconds: Milliseconds = 10;
@@ -64,15 +66,13 @@
 export interface Sidecar {
   readonly runner: AttemptRunner;
   /** Sessions with dispatchers, for metrics. */
-  sessions(): readonly Session<FromTargetMessage, ToTargetMessage>[];
+  sessions(): readonly DispatcherSession[];
   /** Planned stop: refuses new attempts, finishes those in flight, waits for acknowledgements. */
   stop(): Promise<void>;
   /** Ends everything at once. */
   kill(): void;
 }
 
-type DispatcherSession = SessionDialer<FromTargetMessage, ToTargetMessage>;
-
 /** Starts a sidecar beside a target. */
 export function startSidecar(options: SidecarOptions): Sidecar {
   const { timers, announcement } = options;
@@ -95,34 +95,30 @@
       dispatchers.reportFreeSlot();
     },
   });
-  const parts: MessageHandlerParts = { runner, ledger, dispatchers };
-
-  const dialers: readonly DispatcherSession[] = options.dispatchers.map(
-    address =>
-      openSession<FromTargetMessage, ToTargetMessage>({
-        network: options.network,
-        address,
-        timers,
-        random: options.random,
-        times: options.sessionTimes ?? defaultSessionTimes,
-        startSession: (peer, send) =>
-          serveDispatcher(parts, options.logger, peer.name, send),
-      }),
-  );
+  const parts: MessageHandlerParts = {
+    runner,
+    ledger,
+    dispatchers,
+    sessions: () => sessions,
+  };
+  const sessions: DispatcherSessions = new DispatcherSessions({
+    network: options.network,
+    seeds: options.dispatchers,
+    timers,
+    random: options.random,
+    times: options.sessionTimes ?? defaultSessionTimes,
+    dispatchers,
+    hasWorkFor: dispatcher => runner.hasWorkFor(dispatcher),
+    listen: served => listenTo(parts, options.logger, served),
+  });
   const forgetting = timers.every(forgetPeriodMilliseconds, () => {
     ledger.forgetOldJobs();
   });
 
-  const sessions = () =>
-    dialers.flatMap(dialer => {
-      const session = dialer.current();
-      return session === undefined ? [] : [session];
-    });
-
   const kill = (): void => {
     forgetting.cancel();
     options.usage?.stop();
-    for (const dialer of dialers) dialer.close();
+    sessions.close();
   };
 
   const stop = async (): Promise<void> => {
@@ -132,21 +128,22 @@
     dispatchers.reportLoadToAll();
     await pollUntil(timers, giveUpAt, () => runner.isIdle);
     if (runner.isIdle) dispatchers.tellAll({ kind: FromTargetKind.Left });
-    await pollUntil(timers, giveUpAt, () => sessions().every(isAcknowledged));
+    await pollUntil(timers, giveUpAt, () =>
+      sessions.current().every(isAcknowledged),
+    );
     kill();
     await options.target.close();
   };
 
-  return { runner, sessions, stop, kill };
+  return { runner, sessions: () => sessions.current(), stop, kill };
 }
 
-function serveDispatcher(
+function listenTo(
   parts: MessageHandlerParts,
   logger: Logger | undefined,
-  dispatcherId: DispatcherId,
-  send: (message: FromTargetMessage) => void,
+  served: ServedDispatcher,
 ): SessionListener<ToTargetMessage> {
-  const served = parts.dispatchers.add(dispatcherId, send);
+  const { dispatcherId } = served;
   return {
     messageReceived: message => {
       handleDispatcherMessage(parts, served, message);
@@ -176,9 +173,7 @@
 }
 
 /** A session that is silent is not waited for: its dispatcher may be gone. */
-function isAcknowledged(
-  session: Session<FromTargetMessage, ToTargetMessage>,
-): boolean {
+function isAcknowledged(session: DispatcherSession): boolean {
   return session.unacknowledged === 0 || session.isSuspected;
 }
 
--- a/packages/wire/src/messages/dispatcher-messages.ts
+++ b/packages/wire/src/messages/dispatcher-messages.ts
@@ -4,9 +4,12 @@
   JobId,
   JobResult,
   Milliseconds,
+  TargetIdentity,
   TeamName,
 } from '@cranberryturn/types';
 
+import type { DispatcherAddress } from './target-messages.js';
+
 /** Units of one limit. */
 export interface ShareUnits {
   readonly limit: string;
@@ -35,6 +38,8 @@
   FindJob = 'find-job',
   /** Asks for parts of limits that the other dispatcher does not need. */
   BorrowShares = 'borrow-shares',
+  /** Asks that targets with a session there open one with the caller. */
+  InviteTargets = 'invite-targets',
 }
 
 /** A call from one dispatcher to another. */
@@ -54,6 +59,11 @@
   | {
       readonly method: DispatcherMethod.BorrowShares;
       readonly request: SharesRequest;
+    }
+  | {
+      readonly method: DispatcherMethod.InviteTargets;
+      readonly targets: readonly TargetIdentity[];
+      readonly dispatcher: DispatcherAddress;
     };
 
 /** How a call between dispatchers ended. */
@@ -64,6 +74,7 @@
   /** This run of the dispatcher does not know the job. */
   NotOwner = 'not-owner',
   Shares = 'shares',
+  Invited = 'invited',
 }
 
 /** The answer of a dispatcher to another. */
@@ -71,4 +82,5 @@
   | { readonly kind: DispatcherReplyKind.Result; readonly result: JobResult }
   | { readonly kind: DispatcherReplyKind.Running }
   | { readonly kind: DispatcherReplyKind.NotOwner }
-  | { readonly kind: DispatcherReplyKind.Shares; readonly reply: SharesReply };
+  | { readonly kind: DispatcherReplyKind.Shares; readonly reply: SharesReply }
+  | { readonly kind: DispatcherReplyKind.Invited };
--- a/packages/wire/src/messages/target-messages.ts
+++ b/packages/wire/src/messages/target-messages.ts
@@ -3,8 +3,10 @@
   AttemptResult,
   AttemptStart,
   ConfigurationVersion,
+  DispatcherId,
   JobId,
   Milliseconds,
+  NetworkAddress,
   OwnershipEpoch,
   TargetAnnouncement,
   TargetLoad,
@@ -18,6 +20,14 @@
   ApplySettings = 'settings',
   AcknowledgeLeft = 'acknowledge-left',
   AskForLoad = 'ask-for-load',
+  ApplySessions = 'sessions',
+  OpenSession = 'open-session',
+}
+
+/** A dispatcher to dial. */
+export interface DispatcherAddress {
+  readonly dispatcherId: DispatcherId;
+  readonly address: NetworkAddress;
 }
 
 /** A message from a dispatcher to a sidecar. */
@@ -48,6 +58,20 @@
   | {
       /** Tasks wait at the dispatcher: report once, as soon as a slot is free. */
       readonly kind: ToTargetKind.AskForLoad;
+    }
+  | {
+      /** The dispatchers that this target has sessions with from now on. */
+      readonly kind: ToTargetKind.ApplySessions;
+      /** An older version than that applied last is ignored. */
+      readonly rosterVersion: number;
+      readonly dispatchers: readonly DispatcherAddress[];
+      /** Whether sessions with dispatchers that are not listed are left. */
+      readonly leaveOthers: boolean;
+    }
+  | {
+      /** A dispatcher outside the subset asks for a session for a while. */
+      readonly kind: ToTargetKind.OpenSession;
+      readonly dispatcher: DispatcherAddress;
     };
 
 /** The kinds of message from a sidecar to a dispatcher. */
@@ -57,6 +81,7 @@
   LoadReport = 'load',
   JobEvidence = 'evidence',
   Left = 'left',
+  SessionLeft = 'session-left',
 }
 
 /** What a sidecar run knows of a job after it was fenced. */
@@ -93,4 +118,8 @@
   | {
       /** Planned stop: nothing runs here, and nothing will be started any more. */
       readonly kind: FromTargetKind.Left;
+    }
+  | {
+      /** The target stays, but this session is closed next; nothing of the dispatcher runs here. */
+      readonly kind: FromTargetKind.SessionLeft;
     };
