--- /dev/null
+++ b/packages/dispatcher/src/connected-target.ts
@@ -0,0 +1,88 @@
+/** One run of a sidecar that has a session with this dispatcher. */
+import {
+  type ClusterConfiguration,
+  type TargetAnnouncement,
+  type TargetIdentity,
+  type TargetLoad,
+  type TargetRecord,
+} from '@cranberryturn/types';
+import { ToTargetKind, type ToTargetMessage } from '@cranberryturn/wire';
+
+import type { ApplySessionsMessage } from './session-subsets.js';
+import { findTargetSettings } from './target-settings.js';
+
+/** One connected run of a sidecar. */
+export interface ConnectedTarget {
+  readonly identity: TargetIdentity;
+  readonly send: (message: ToTargetMessage) => void;
+  announcement: TargetAnnouncement | undefined;
+  load: TargetLoad | undefined;
+  /** Registration under which it may get work. */
+  record: TargetRecord | undefined;
+  /** The run said that it stops. */
+  left: boolean;
+  /** Whether a task is registering it at the moment. */
+  registering: boolean;
+  settingsSent: string;
+  sessionsSent: string;
+  /** The run said that it closes this session next. */
+  sessionLeft: boolean;
+}
+
+/** Creates the entry of a new session. */
+export function createConnectedTarget(
+  identity: TargetIdentity,
+  send: (message: ToTargetMessage) => void,
+): ConnectedTarget {
+  return {
+    identity,
+    send,
+    announcement: undefined,
+    load: undefined,
+    record: undefined,
+    left: false,
+    registering: false,
+    settingsSent: '',
+    sessionsSent: '',
+    sessionLeft: false,
+  };
+}
+
+/** Sends what the configuration says of the target, unless that was sent last. */
+export function sendSettings(
+  target: ConnectedTarget,
+  configuration: ClusterConfiguration,
+): void {
+  if (target.announcement === undefined) return;
+  const settings = findTargetSettings(configuration, target.announcement);
+  const described = JSON.stringify(settings);
+  if (described === target.settingsSent) return;
+  target.settingsSent = described;
+  target.send({
+    kind: ToTargetKind.ApplySettings,
+    version: configuration.version,
+    ...settings,
+  });
+}
+
+/** Sends which sessions the target should have, unless that was sent last. */
+export function sendSessions(
+  target: ConnectedTarget,
+  message: ApplySessionsMessage,
+): void {
+  const { dispatchers, leaveOthers } = message;
+  const described = JSON.stringify([dispatchers, leaveOthers]);
+  if (described === target.sessionsSent) return;
+  target.sessionsSent = described;
+  target.send(message);
+}
+
+/** Whether the run takes no work of this dispatcher any more. */
+export function hasLeft(target: ConnectedTarget): boolean {
+  return target.left || target.sessionLeft;
+}
+
+/** Names a run of a sidecar. */
+export function describeRun(target: TargetIdentity): string {
+  return `${target.targetId}/${target.incarnation}`;
+}
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -1,23 +1,10 @@
 /** Brings the parts of a dispatcher together. */
 import type { CranberryError } from '@cranberryturn/errors';
-import type { ResultRetention } from '@cranberryturn/jobs';
-import type { Logger } from '@cranberryturn/logger';
-import type { Metrics } from '@cranberryturn/metrics';
 import { type HttpListener, listenForHttp } from '@cranberryturn/program';
-import {
-  createScheduler,
-  type Scheduler,
-  type SchedulerOptions,
-} from '@cranberryturn/scheduling';
-import {
-  defaultSessionTimes,
-  type SessionTimes,
-} from '@cranberryturn/sessions';
-import { sleep, type TimerService } from '@cranberryturn/timers';
+import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
+import { defaultSessionTimes } from '@cranberryturn/sessions';
+import { sleep } from '@cranberryturn/timers';
 import type {
-  DataCentreName,
-  DecisionSink,
-  DispatcherIdentity,
   DispatcherRecord,
   Milliseconds,
   NetworkAddress,
@@ -27,7 +14,6 @@
   DispatcherMethod,
   DispatcherReplyKind,
   type Listener,
-  type Network,
   ProcessRole,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -37,55 +23,18 @@
   findElsewhere,
   type LendingScheduler,
 } from './answer-dispatchers.js';
-import { type CallerTeam, serveCallers } from './callers/serve-callers.js';
+import { serveCallers } from './callers/serve-callers.js';
+import type { DispatcherOptions } from './dispatcher-options.js';
 import { DispatcherLinks } from './dispatcher-links.js';
 import { createShareExchange } from './exchange-shares.js';
 import { JobService } from './job-service.js';
-import type { ControlPort } from './ports/control.js';
+import { keepRegistered, type Registration } from './keep-registered.js';
 import { TargetInviter } from './invite-targets.js';
 import { SessionSubsets } from './session-subsets.js';
 import { TargetDirectory } from './target-directory.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 const defaultGraceMilliseconds: Milliseconds = 60_000;
-const registrationRetryMilliseconds: Milliseconds = 500;
-
-/** Limits of the HTTP interface. */
-export interface DispatcherLimits {
-  readonly bodyBytes: number;
-  readonly bodyTimeoutMilliseconds: Milliseconds;
-  readonly callersConnections: number;
-}
-
-/** What a dispatcher is built from. */
-export interface DispatcherOptions {
-  readonly self: DispatcherIdentity;
-  /** Targets of this data centre are preferred; without it, all are alike. */
-  readonly dataCentre?: DataCentreName | undefined;
-  readonly callers: NetworkAddress;
-  readonly peers: NetworkAddress & {
-    /** Address that others dial, where it is not the one listened on. */
-    readonly advertisedAddress?: string | undefined;
-  };
-  readonly teams: readonly CallerTeam[];
-  readonly limits: DispatcherLimits;
-  readonly retention: ResultRetention;
-  readonly network: Network;
-  readonly control: ControlPort;
-  readonly timers: TimerService;
-  readonly seed: number;
-  readonly metrics: Metrics;
-  readonly decisions: DecisionSink;
-  readonly logger?: Logger | undefined;
-  readonly sessionTimes?: SessionTimes | undefined;
-  /** Number of targets of each service to have sessions with; all without it. The same at each dispatcher. */
-  readonly targetsPerService?: number | undefined;
-  /** Longest time of a planned stop. */
-  readonly graceMilliseconds?: Milliseconds | undefined;
-  /** Creates another scheduler than that of the product, to compare policies. */
-  readonly createScheduler?:
-    ((options: SchedulerOptions) => Scheduler) | undefined;
-}
 
 /** A running dispatcher. */
 export interface Dispatcher {
@@ -108,12 +57,8 @@
   readonly links: DispatcherLinks;
   readonly jobs: JobService;
   readonly scheduler: Scheduler;
-  readonly registration: Registration;
-}
-
-/** Whether control knows this run of the dispatcher. */
-interface Registration {
-  isDone: boolean;
+  /** Undefined until this run listens. */
+  registration: Registration | undefined;
 }
 
 /** Starts a dispatcher. */
@@ -141,7 +86,7 @@
       configuration: () => options.control.configuration.current(),
       findElsewhere: (jobId, cancel) =>
         findElsewhere(parts.links, listOthers(options), jobId, cancel),
-      isReady: () => isReady && parts.registration.isDone,
+      isReady: () => isReady && isRegistered(parts),
     }),
     address: options.callers,
     bodyTimeoutMilliseconds: options.limits.bodyTimeoutMilliseconds,
@@ -156,10 +101,15 @@
     address: options.peers.advertisedAddress ?? peers.value.address.address,
     port: peers.value.address.port,
   };
-  void registerSelf(parts, advertised, () => isReady);
+  const registration = keepRegistered({
+    ...options,
+    self: { ...options.self, address: advertised },
+  });
+  parts.registration = registration;
   return ok(
     describeDispatcher(parts, peers.value, callers.value, () => {
       isReady = false;
+      registration.cancel();
       unsubscribe();
     }),
   );
@@ -208,11 +158,10 @@
     links,
     targets,
     retention: options.retention,
-    isRegistered: () => registration.isDone,
+    isRegistered: () => isRegistered(parts),
     metrics,
     decisions,
   });
-  const registration: Registration = { isDone: false };
   const create = options.createScheduler ?? createScheduler;
   const scheduler: LendingScheduler = create({
     dispatcherId: self.dispatcherId,
@@ -226,7 +175,19 @@
   });
   targets.attachScheduler(scheduler);
   jobs.attachScheduler(scheduler);
-  return { options, targets, links, jobs, scheduler, registration };
+  const parts: DispatcherParts = {
+    options,
+    targets,
+    links,
+    jobs,
+    scheduler,
+    registration: undefined,
+  };
+  return parts;
+}
+
+function isRegistered({ registration }: DispatcherParts): boolean {
+  return registration?.isDone() ?? false;
 }
 
 function serveConnection(
@@ -274,22 +235,6 @@
   };
 }
 
-async function registerSelf(
-  { options, registration }: DispatcherParts,
-  address: NetworkAddress,
-  isWanted: () => boolean,
-): Promise<void> {
-  const record = { ...options.self, address };
-  while (isWanted()) {
-    const done = await options.control.registry.registerDispatcher(record);
-    if (done.isOk()) {
-      registration.isDone = true;
-      return;
-    }
-    await sleep(options.timers, registrationRetryMilliseconds);
-  }
-}
-
 function describeDispatcher(
   parts: DispatcherParts,
   peers: Listener,
@@ -327,7 +272,7 @@
     scheduler,
     jobs,
     targets,
-    isRegistered: () => parts.registration.isDone,
+    isRegistered: () => isRegistered(parts),
     stop,
     kill,
   };
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -1,29 +1,19 @@
 /** The targets that are connected to this dispatcher, and the messages to and from them. */
-import type { Logger } from '@cranberryturn/logger';
-import {
-  Counter,
-  Distribution,
-  type Metrics,
-  WastedMessage,
-} from '@cranberryturn/metrics';
+import { Counter } from '@cranberryturn/metrics';
 import type { AttemptSender, Scheduler } from '@cranberryturn/scheduling';
 import {
   acceptSessions,
   type SessionAcceptor,
   SessionEndReason,
   type SessionListener,
-  type SessionTimes,
 } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
 import {
   type AttemptKey,
-  AttemptOutcome,
-  type AttemptResult,
   type AttemptStart,
   type ClusterConfiguration,
   type JobId,
   type OwnershipEpoch,
-  type TargetAnnouncement,
+  type Roster,
   type TargetIdentity,
   type TargetLoad,
 } from '@cranberryturn/types';
@@ -37,44 +27,19 @@
   type ToTargetMessage,
 } from '@cranberryturn/wire';
 
+import {
+  type ConnectedTarget,
+  createConnectedTarget,
+  describeRun,
+  hasLeft,
+  sendSessions,
+  sendSettings,
+} from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
-import type { ControlPort } from './ports/control.js';
-import type { ApplySessionsMessage } from './session-subsets.js';
+import { measureResult } from './measure-result.js';
 import { registerTarget } from './register-target.js';
-import { findTargetSettings } from './target-settings.js';
-
-/** One connected run of a sidecar. */
-interface ConnectedTarget {
-  readonly identity: TargetIdentity;
-  readonly send: (message: ToTargetMessage) => void;
-  announcement: TargetAnnouncement | undefined;
-  load: TargetLoad | undefined;
-  registered: boolean;
-  settingsSent: string;
-  sessionsSent: string;
-  /** Whether the run says that it closes this session next. */
-  left: boolean;
-}
-
-/** What a directory is built from. */
-export interface TargetDirectoryOptions {
-  readonly timers: TimerService;
-  readonly times: SessionTimes;
-  readonly control: ControlPort;
-  readonly metrics: Metrics;
-  readonly logger?: Logger | undefined;
-  /** Tells the sessions that a registered target should have; undefined: as they are. */
-  readonly describeSessions: (
-    announcement: TargetAnnouncement,
-  ) => ApplySessionsMessage | undefined;
-  /** Asks a run without a session here to open one. */
-  readonly inviteTarget: (
-    target: TargetIdentity,
-    timeoutMilliseconds: number,
-  ) => void;
-  /** Hears each result before the scheduler does. */
-  readonly resultReceived: (result: AttemptResult) => void;
-}
+import type { TargetDirectoryOptions } from './target-directory-options.js';
+import { TargetPresence } from './target-presence.js';
 
 /** Connects targets with the scheduler. */
 export class TargetDirectory implements AttemptSender {
@@ -82,12 +47,18 @@
   readonly #options: TargetDirectoryOptions;
   readonly #targets = new Map<string, ConnectedTarget>();
   readonly #waiters: EvidenceWaiters;
+  readonly #presence: TargetPresence;
+  readonly #unsubscribe: () => void;
   #scheduler: Scheduler | undefined;
   #closed = false;
 
   constructor(options: TargetDirectoryOptions) {
     this.#options = options;
     this.#waiters = new EvidenceWaiters(options.timers);
+    this.#presence = new TargetPresence(options.timers);
+    this.#unsubscribe = options.control.roster.subscribe(roster => {
+      this.#followRoster(roster);
+    });
     this.acceptor = acceptSessions<ToTargetMessage, FromTargetMessage>({
       timers: options.timers,
       times: options.times,
@@ -150,7 +121,7 @@
   /** Sends to each target what the configuration says of it. */
   applyConfiguration(configuration: ClusterConfiguration): void {
     for (const target of this.#targets.values()) {
-      this.#sendSettings(target, configuration);
+      sendSettings(target, configuration);
     }
   }
 
@@ -176,8 +147,14 @@
     return this.#targets.has(describeRun(target));
   }
 
+  /** Registered runs that this dispatcher has not heard for their lease. */
+  listSilent(roster: Roster): readonly TargetIdentity[] {
+    return this.#presence.listSilent(roster);
+  }
+
   close(): void {
     this.#closed = true;
+    this.#unsubscribe();
     this.acceptor.close();
   }
 
@@ -186,16 +163,7 @@
     send: (message: ToTargetMessage) => void,
   ): SessionListener<FromTargetMessage> {
     const identity = { targetId: peer.name, incarnation: peer.incarnation };
-    const target: ConnectedTarget = {
-      identity,
-      send,
-      announcement: undefined,
-      load: undefined,
-      registered: false,
-      settingsSent: '',
-      sessionsSent: '',
-      left: false,
-    };
+    const target = createConnectedTarget(identity, send);
     this.#targets.set(describeRun(identity), target);
     this.#options.metrics.count(Counter.SessionsOpened);
     for (const message of this.#waiters.listWaiting(describeRun(identity))) {
@@ -207,12 +175,14 @@
       },
       connected: () => {
         this.#options.logger?.info('target connected', identity);
-        this.#scheduler?.targetResumed(identity);
+        this.#presence.noteHeard(identity);
+        this.#resume(target);
       },
       suspected: () => {
         this.#options.logger?.warn('target suspected', identity);
+        this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
-        if (target.left) this.acceptor.forget(peer);
+        if (target.sessionLeft) this.acceptor.forget(peer);
       },
       ended: reason => {
         this.#endSession(target, reason);
@@ -225,11 +195,11 @@
       case FromTargetKind.Announce:
         target.announcement = message.announcement;
         target.load = message.load;
-        void this.#register(target, message.announcement);
+        void this.#register(target);
         return;
       case FromTargetKind.AttemptEnded:
         target.load = message.load;
-        this.#measure(message.result);
+        measureResult(this.#options.metrics, message.result);
         this.#options.resultReceived(message.result);
         this.#scheduler?.attemptEnded(
           target.identity,
@@ -244,7 +214,8 @@
         this.#forgetLeft(target);
         return;
       case FromTargetKind.SessionLeft:
-        target.left = true;
+        target.record = undefined;
+        target.sessionLeft = true;
         this.#scheduler?.targetLost(target.identity);
         return;
       case FromTargetKind.JobEvidence:
@@ -255,79 +226,67 @@
 
   #noteLoad(target: ConnectedTarget, load: TargetLoad): void {
     target.load = load;
-    if (!target.registered) return;
+    if (target.record === undefined) return;
     this.#scheduler?.targetLoadReported(target.identity, load);
   }
 
-  #measure(result: AttemptResult): void {
-    const { metrics } = this.#options;
-    switch (result.outcome) {
-      case AttemptOutcome.Answered:
-        metrics.count(Counter.TasksAnswered);
-        break;
-      case AttemptOutcome.Failed:
-        metrics.count(Counter.TasksFailed);
-        break;
-      case AttemptOutcome.NotStarted:
-        metrics.count(Counter.TasksNotStarted);
-        metrics.countWasted(WastedMessage.RefusedStart);
-        return;
+  /** Takes work off runs that control took off the roster; those that are heard register again. */
+  #followRoster(roster: Roster): void {
+    const records = new Map(
+      roster.targets.map(record => [describeRun(record), record]),
+    );
+    for (const target of this.#targets.values()) {
+      const { record } = target;
+      if (record === undefined) continue;
+      const current = records.get(describeRun(target.identity));
+      if (current?.registeredAt === record.registeredAt) continue;
+      // The scheduler must not place by the earlier registration any more.
+      target.record = undefined;
+      this.#scheduler?.targetSuspected(target.identity);
+      void this.#register(target);
+    }
+  }
+
+  #resume(target: ConnectedTarget): void {
+    if (target.record !== undefined) {
+      this.#scheduler?.targetResumed(target.identity);
+      return;
     }
-    metrics.record(Distribution.RunMilliseconds, result.runMilliseconds);
+    void this.#register(target);
   }
 
-  async #register(
-    target: ConnectedTarget,
-    announcement: TargetAnnouncement,
-  ): Promise<void> {
+  /** Registers a run that is heard and not registered. */
+  async #register(target: ConnectedTarget): Promise<void> {
+    const { announcement, identity } = target;
+    if (announcement === undefined || hasLeft(target)) return;
+    if (target.record !== undefined || target.registering) return;
     const { control, timers } = this.#options;
+    target.registering = true;
     const record = await registerTarget({
       announcement,
       roster: control.roster,
       registry: control.registry,
       timers,
-      isWanted: () =>
-        !this.#closed && this.#targets.has(describeRun(target.identity)),
+      isWanted: () => !this.#closed && this.#presence.isHeard(identity),
     });
+    target.registering = false;
     if (record === undefined || target.load === undefined) return;
-    target.registered = true;
-    this.#sendSettings(target, control.configuration.current());
+    target.record = record;
+    sendSettings(target, control.configuration.current());
     this.#sendSessions(target);
     this.#scheduler?.targetRegistered(record, target.load);
   }
 
-  #sendSettings(
-    target: ConnectedTarget,
-    configuration: ClusterConfiguration,
-  ): void {
-    if (target.announcement === undefined) return;
-    const settings = findTargetSettings(configuration, target.announcement);
-    const described = JSON.stringify(settings);
-    if (described === target.settingsSent) return;
-    target.settingsSent = described;
-    target.send({
-      kind: ToTargetKind.ApplySettings,
-      version: configuration.version,
-      ...settings,
-    });
-  }
-
   #sendSessions(target: ConnectedTarget): void {
-    if (target.announcement === undefined || !target.registered) return;
-    const message = this.#options.describeSessions(target.announcement);
-    if (message === undefined) return;
-    const described = JSON.stringify([
-      message.dispatchers,
-      message.leaveOthers,
-    ]);
-    if (described === target.sessionsSent) return;
-    target.sessionsSent = described;
-    target.send(message);
+    if (target.record === undefined) return;
+    const message = this.#options.describeSessions(target.record);
+    if (message !== undefined) sendSessions(target, message);
   }
 
   /** Says so to control, which needs no lease of the run any more. */
   #forgetLeft(target: ConnectedTarget): void {
-    target.registered = false;
+    target.record = undefined;
+    target.left = true;
     target.send({ kind: ToTargetKind.AcknowledgeLeft });
     this.#scheduler?.targetLost(target.identity);
     void this.#options.control.registry.retireTarget(target.identity);
@@ -337,13 +296,10 @@
     const run = describeRun(target.identity);
     if (this.#targets.get(run) !== target) return;
     this.#targets.delete(run);
-    if (target.left) return;
+    this.#presence.noteSilent(target.identity);
+    if (target.sessionLeft) return;
     if (reason === SessionEndReason.ClosedHere) return;
     this.#waiters.giveUp(run);
     this.#scheduler?.targetLost(target.identity);
   }
 }
-
-function describeRun(target: TargetIdentity): string {
-  return `${target.targetId}/${target.incarnation}`;
-}
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -32,10 +32,11 @@
 } from '@cranberryturn/wire';
 import { okAsync } from 'neverthrow';
 
+import { announceWorker, service } from './announce-worker.js';
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
+import { isolateProcesses } from './isolate-processes.js';
 
 const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
-const service = 'register-svc';
 const networkDelayMilliseconds: Milliseconds = 1;
 const settleMilliseconds: Milliseconds = 2_000;
 const mebibyte = 1_048_576;
@@ -60,6 +61,8 @@
 export interface MemoryCluster {
   readonly timers: ManualTimerService;
   readonly network: MemoryNetwork;
+  /** Processes of these names cannot dial. */
+  readonly isolated: Set<string>;
   readonly control: ControlNode;
   readonly dispatchers: MemoryDispatcher[];
   readonly workers: MemoryWorker[];
@@ -91,7 +94,9 @@
   options: MemoryClusterOptions,
 ): Promise<MemoryCluster> {
   const timers = createManualTimerService();
-  const network = createMemoryNetwork(timers, networkDelayMilliseconds);
+  const memory = createMemoryNetwork(timers, networkDelayMilliseconds);
+  const isolated = new Set<string>();
+  const network = isolateProcesses(memory, isolated);
   const decisions: Decision[] = [];
   const record = (decision: Decision): void => {
     decisions.push(decision);
@@ -124,7 +129,7 @@
   const addWorker = (targetId: string, incarnation: string): MemoryWorker => {
     const target = createFakeTarget(timers, options.runMilliseconds);
     const sidecar = startSidecar({
-      announcement: announce(targetId, incarnation, options.slots),
+      announcement: announceWorker(targetId, incarnation, options.slots),
       dispatchers: dispatchers.map(one => one.dispatcher.peersAddress),
       network: network.join({
         role: ProcessRole.Sidecar,
@@ -154,6 +159,7 @@
   return {
     timers,
     network,
+    isolated,
     control,
     dispatchers,
     workers,
@@ -238,12 +244,15 @@
     name: dispatcherId,
     incarnation,
   });
+  const running: { dispatcher?: Dispatcher } = {};
   const client = createControlClient({
     network: joined,
     timers,
     random: createRandomSource(1),
     self,
     controlHosts: [{ replicaId: 'control-1', address: control.address }],
+    listSilentTargets: roster =>
+      running.dispatcher?.targets.listSilent(roster) ?? [],
   });
   const started = await startDispatcher({
     self,
@@ -269,6 +278,7 @@
     decisions: record,
   });
   const dispatcher = started._unsafeUnwrap();
+  running.dispatcher = dispatcher;
   const crash = (): void => {
     dispatcher.kill();
     void client.stop();
@@ -282,20 +292,6 @@
   return { dispatcherId, dispatcher, control: client, crash };
 }
 
-function announce(targetId: string, incarnation: string, slots: number) {
-  return {
-    targetId,
-    incarnation,
-    service,
-    host: `host-${targetId}`,
-    rack: 'rack-1',
-    dataCentre: 'dong-da',
-    resources: { processors: 64, memoryMebibytes: 131_072, accelerators: 0 },
-    slots,
-    connections: 64,
-  };
-}
-
 function countStarts(
   workers: readonly MemoryWorker[],
 ): ReadonlyMap<string, number> {
