--- a/packages/dispatcher/src/connected-target.ts
+++ b/packages/dispatcher/src/connected-target.ts
@@ -1,6 +1,7 @@
 /** One run of a sidecar that has a session with this dispatcher. */
 import {
   type ClusterConfiguration,
+  type ConfigurationVersion,
   type TargetAnnouncement,
   type TargetIdentity,
   type TargetLoad,
@@ -27,6 +28,10 @@
   sessionsSent: string;
   /** The run said that it closes this session next. */
   sessionLeft: boolean;
+  /** Version of the configuration with the settings sent last; 0 before the first. */
+  settingsSentVersion: ConfigurationVersion;
+  /** Version of the settings that the run has confirmed; 0 before the first. */
+  settingsVersion: ConfigurationVersion;
 }
 
 /** Creates the entry of a new session. */
@@ -45,6 +50,8 @@
     settingsSent: '',
     sessionsSent: '',
     sessionLeft: false,
+    settingsSentVersion: 0,
+    settingsVersion: 0,
   };
 }
 
@@ -58,6 +65,7 @@
   const described = JSON.stringify(settings);
   if (described === target.settingsSent) return;
   target.settingsSent = described;
+  target.settingsSentVersion = configuration.version;
   target.send({
     kind: ToTargetKind.ApplySettings,
     version: configuration.version,
@@ -82,6 +90,11 @@
   return target.left || target.sessionLeft;
 }
 
+/** Whether the run was told of settings that it has not confirmed. */
+export function isBehind(target: ConnectedTarget): boolean {
+  return target.settingsVersion < target.settingsSentVersion;
+}
+
 /** Names a run of a sidecar. */
 export function describeRun(target: TargetIdentity): string {
   return `${target.targetId}/${target.incarnation}`;
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -11,9 +11,11 @@
   type AttemptKey,
   type AttemptStart,
   type ClusterConfiguration,
+  type ConfigurationVersion,
   type JobId,
   type OwnershipEpoch,
   type Roster,
+  type TargetId,
   type TargetIdentity,
   type TargetLoad,
 } from '@cranberryturn/types';
@@ -33,6 +35,7 @@
   describeRun,
   hasLeft,
   sendSessions,
+  isBehind,
   sendSettings,
 } from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
@@ -51,6 +54,7 @@
   readonly #unsubscribe: () => void;
   #scheduler: Scheduler | undefined;
   #closed = false;
+  #appliedVersion: ConfigurationVersion = 0;
 
   constructor(options: TargetDirectoryOptions) {
     this.#options = options;
@@ -120,6 +124,7 @@
 
   /** Sends to each target what the configuration says of it. */
   applyConfiguration(configuration: ClusterConfiguration): void {
+    this.#appliedVersion = configuration.version;
     for (const target of this.#targets.values()) {
       sendSettings(target, configuration);
     }
@@ -147,6 +152,15 @@
     return this.#targets.has(describeRun(target));
   }
 
+  /** Registered runs that have not confirmed what this version says of them. */
+  listBehind(version: ConfigurationVersion): readonly TargetId[] {
+    const isApplied = version <= this.#appliedVersion;
+    return [...this.#targets.values()]
+      .filter(target => target.record !== undefined)
+      .filter(target => !isApplied || isBehind(target))
+      .map(target => target.identity.targetId);
+  }
+
   /** Registered runs that this dispatcher has not heard for their lease. */
   listSilent(roster: Roster): readonly TargetIdentity[] {
     return this.#presence.listSilent(roster);
@@ -208,6 +222,8 @@
         );
         return;
       case FromTargetKind.LoadReport:
+        target.settingsVersion =
+          message.settingsVersion ?? target.settingsVersion;
         this.#noteLoad(target, message.load);
         return;
       case FromTargetKind.Left:
