--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -81,6 +81,7 @@
     metrics,
     decisions: decisions.record,
     logger,
+    targetsPerService: settings.targetsPerService,
     graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -1,18 +1,14 @@
 /** The targets that are connected to this dispatcher, and the messages to and from them. */
-import type { Logger } from '@cranberryturn/logger';
-import { Counter, type Metrics } from '@cranberryturn/metrics';
+import { Counter } from '@cranberryturn/metrics';
 import type { AttemptSender, Scheduler } from '@cranberryturn/scheduling';
 import {
   acceptSessions,
   type SessionAcceptor,
   SessionEndReason,
   type SessionListener,
-  type SessionTimes,
 } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
 import {
   type AttemptKey,
-  type AttemptResult,
   type AttemptStart,
   type ClusterConfiguration,
   type ConfigurationVersion,
@@ -24,6 +20,7 @@
   type TargetLoad,
 } from '@cranberryturn/types';
 import {
+  type DispatcherAddress,
   FromTargetKind,
   type FromTargetMessage,
   type JobEvidence,
@@ -36,26 +33,17 @@
   type ConnectedTarget,
   createConnectedTarget,
   describeRun,
+  hasLeft,
+  sendSessions,
   isBehind,
   sendSettings,
 } from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
 import { measureResult } from './measure-result.js';
-import type { ControlPort } from './ports/control.js';
 import { registerTarget } from './register-target.js';
+import type { TargetDirectoryOptions } from './target-directory-options.js';
 import { TargetPresence } from './target-presence.js';
 
-/** What a directory is built from. */
-export interface TargetDirectoryOptions {
-  readonly timers: TimerService;
-  readonly times: SessionTimes;
-  readonly control: ControlPort;
-  readonly metrics: Metrics;
-  readonly logger?: Logger | undefined;
-  /** Hears each result before the scheduler does. */
-  readonly resultReceived: (result: AttemptResult) => void;
-}
-
 /** Connects targets with the scheduler. */
 export class TargetDirectory implements AttemptSender {
   readonly acceptor: SessionAcceptor<ToTargetMessage, FromTargetMessage>;
@@ -126,7 +114,11 @@
       jobId,
       epoch,
     };
-    this.#targets.get(run)?.send(message);
+    const connected = this.#targets.get(run);
+    if (connected === undefined) {
+      this.#options.inviteTarget(target, timeoutMilliseconds);
+    }
+    connected?.send(message);
     return this.#waiters.wait(run, message, timeoutMilliseconds);
   }
 
@@ -138,6 +130,23 @@
     }
   }
 
+  /** Sends to each target which sessions it should have. */
+  applyRoster(): void {
+    for (const target of this.#targets.values()) this.#sendSessions(target);
+  }
+
+  /** Passes on that a dispatcher wants a session with runs that have one here. */
+  inviteConnected(
+    targets: readonly TargetIdentity[],
+    dispatcher: DispatcherAddress,
+  ): void {
+    for (const target of targets) {
+      this.#targets
+        .get(describeRun(target))
+        ?.send({ kind: ToTargetKind.OpenSession, dispatcher });
+    }
+  }
+
   /** Whether the run has a session with this dispatcher. */
   isConnected(target: TargetIdentity): boolean {
     return this.#targets.has(describeRun(target));
@@ -187,6 +196,7 @@
         this.#options.logger?.warn('target suspected', identity);
         this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
+        if (target.sessionLeft) this.acceptor.forget(peer);
       },
       ended: reason => {
         this.#endSession(target, reason);
@@ -219,6 +229,11 @@
       case FromTargetKind.Left:
         this.#forgetLeft(target);
         return;
+      case FromTargetKind.SessionLeft:
+        target.record = undefined;
+        target.sessionLeft = true;
+        this.#scheduler?.targetLost(target.identity);
+        return;
       case FromTargetKind.JobEvidence:
         this.#waiters.settle(describeRun(target.identity), message.evidence);
         return;
@@ -259,7 +274,7 @@
   /** Registers a run that is heard and not registered. */
   async #register(target: ConnectedTarget): Promise<void> {
     const { announcement, identity } = target;
-    if (announcement === undefined || target.left) return;
+    if (announcement === undefined || hasLeft(target)) return;
     if (target.record !== undefined || target.registering) return;
     const { control, timers } = this.#options;
     target.registering = true;
@@ -274,9 +289,16 @@
     if (record === undefined || target.load === undefined) return;
     target.record = record;
     sendSettings(target, control.configuration.current());
+    this.#sendSessions(target);
     this.#scheduler?.targetRegistered(record, target.load);
   }
 
+  #sendSessions(target: ConnectedTarget): void {
+    if (target.record === undefined) return;
+    const message = this.#options.describeSessions(target.record);
+    if (message !== undefined) sendSessions(target, message);
+  }
+
   /** Says so to control, which needs no lease of the run any more. */
   #forgetLeft(target: ConnectedTarget): void {
     target.record = undefined;
@@ -288,8 +310,10 @@
 
   #endSession(target: ConnectedTarget, reason: SessionEndReason): void {
     const run = describeRun(target.identity);
+    if (this.#targets.get(run) !== target) return;
     this.#targets.delete(run);
     this.#presence.noteSilent(target.identity);
+    if (target.sessionLeft) return;
     if (reason === SessionEndReason.ClosedHere) return;
     this.#waiters.giveUp(run);
     this.#scheduler?.targetLost(target.identity);
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -32,11 +32,11 @@
 } from '@cranberryturn/wire';
 import { okAsync } from 'neverthrow';
 
+import { announceWorker, service } from './announce-worker.js';
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
 import { isolateProcesses } from './isolate-processes.js';
 
 const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
-const service = 'register-svc';
 const networkDelayMilliseconds: Milliseconds = 1;
 const settleMilliseconds: Milliseconds = 2_000;
 const mebibyte = 1_048_576;
@@ -83,6 +83,8 @@
   readonly workers: number;
   readonly slots: number;
   readonly runMilliseconds: Milliseconds;
+  /** Targets of each dispatcher; all without it. */
+  readonly targetsPerService?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
   readonly configuration?: ClusterConfiguration | undefined;
 }
@@ -110,7 +112,13 @@
 
   const addDispatcher = async (dispatcherId: string, incarnation: string) => {
     const added = await createDispatcher(
-      { timers, network, control, record },
+      {
+        timers,
+        network,
+        control,
+        record,
+        targetsPerService: options.targetsPerService,
+      },
       dispatcherId,
       incarnation,
     );
@@ -121,7 +129,7 @@
   const addWorker = (targetId: string, incarnation: string): MemoryWorker => {
     const target = createFakeTarget(timers, options.runMilliseconds);
     const sidecar = startSidecar({
-      announcement: announce(targetId, incarnation, options.slots),
+      announcement: announceWorker(targetId, incarnation, options.slots),
       dispatchers: dispatchers.map(one => one.dispatcher.peersAddress),
       network: network.join({
         role: ProcessRole.Sidecar,
@@ -193,6 +201,7 @@
   readonly network: MemoryNetwork;
   readonly control: ControlNode;
   readonly record: (decision: Decision) => void;
+  readonly targetsPerService: number | undefined;
 }
 
 async function startMemoryControl(
@@ -219,7 +228,13 @@
 }
 
 async function createDispatcher(
-  { timers, network, control, record }: DispatcherSurroundings,
+  {
+    timers,
+    network,
+    control,
+    record,
+    targetsPerService,
+  }: DispatcherSurroundings,
   dispatcherId: string,
   incarnation: string,
 ): Promise<MemoryDispatcher> {
@@ -255,6 +270,7 @@
     network: joined,
     control: client,
     timers,
+    targetsPerService,
     seed: 1,
     metrics: createMetrics({
       role: ProcessRole.Dispatcher,
@@ -278,20 +294,6 @@
   return { dispatcherId, dispatcher, control: client, crash };
 }
 
-function announce(targetId: string, incarnation: string, slots: number) {
-  return {
-    targetId,
-    incarnation,
-    service,
-    host: `host-${targetId}`,
-    rack: 'rack-1',
-    dataCentre: 'dong-da',
-    resources: { processors: 64, memoryMebibytes: 131_072, accelerators: 0 },
-    slots,
-    connections: 64,
-  };
-}
-
 function countStarts(
   workers: readonly MemoryWorker[],
 ): ReadonlyMap<string, number> {
