Answer a job at its deadline while its claim is still open

Cause: the claim call has its own patience of 5 s, and an owner is asked in slices of 2 s; neither looked at the deadline of the job. Ruled out: the scheduler, which had dropped the job at its deadline already. Change: seeking the ownership of a job ends at its deadline. Nothing was started for this submission then; a grant that comes later is not used, and a resubmission adopts the job.

--- a/packages/dispatcher/src/own-job.ts
+++ b/packages/dispatcher/src/own-job.ts
@@ -57,8 +57,43 @@
   | { readonly kind: OwnershipKind.Elsewhere; readonly reason: string }
   | { readonly kind: OwnershipKind.Unavailable; readonly reason: string };
 
-/** Claims a job; joins its live owner, or adopts it from an owner that is gone. */
-export async function ownJob(options: OwnJobOptions): Promise<Ownership> {
+/** Claims a job; joins its live owner, or adopts it from an owner that is gone. Ends by the deadline. */
+export function ownJob(options: OwnJobOptions): Promise<Ownership> {
+  const { timers, deadline } = options;
+  const progress: Progress = { owner: undefined };
+  const rest = Math.max(0, deadline - timers.now());
+  return new Promise(resolve => {
+    const timer = timers.after(rest, () => {
+      resolve(describeLate(progress));
+    });
+    void seekOwnership(options, progress).then(ownership => {
+      timer.cancel();
+      resolve(ownership);
+    });
+  });
+}
+
+/** What is known of a job while its ownership is sought. */
+interface Progress {
+  /** Another dispatcher that owned the job and may have started it. */
+  owner: string | undefined;
+}
+
+/** A claim that is granted later is not used: this submission starts nothing any more. */
+function describeLate({ owner }: Progress): Ownership {
+  if (owner !== undefined) {
+    return describeElsewhere(`Its owner ${owner} did not answer in time.`);
+  }
+  return {
+    kind: OwnershipKind.Unavailable,
+    reason: 'Control did not grant the claim before the deadline.',
+  };
+}
+
+async function seekOwnership(
+  options: OwnJobOptions,
+  progress: Progress,
+): Promise<Ownership> {
   const { claims } = options.control;
   let outcome = await claims.claimJob(options.claim);
   if (outcome.isErr()) {
@@ -68,13 +103,12 @@
     if (outcome.isErr()) return describeElsewhere(outcome.error.message);
     const settled = settleOutcome(options, outcome.value);
     if (settled !== undefined) return settled;
+    progress.owner = nameOwner(options, outcome.value);
     const step = await joinOwner(options, outcome.value);
     if (step.joined !== undefined) {
       return { kind: OwnershipKind.Joined, result: step.joined };
     }
-    if (options.timers.now() >= options.deadline) {
-      return describeElsewhere('Its owner did not answer by the deadline.');
-    }
+    if (options.timers.now() >= options.deadline) return describeLate(progress);
     outcome = await claims.adoptJob({
       ...options.claim,
       expectedEpoch: step.epoch,
@@ -83,6 +117,12 @@
   return describeElsewhere('Other dispatchers keep adopting this job.');
 }
 
+/** The owner of a job that is not granted, or this dispatcher for an earlier submission. */
+function nameOwner({ claim }: OwnJobOptions, outcome: ClaimOutcome): string {
+  if (outcome.kind !== ClaimOutcomeKind.Held) return claim.owner.dispatcherId;
+  return outcome.owner.dispatcherId;
+}
+
 function settleOutcome(
   { claim }: OwnJobOptions,
   outcome: ClaimOutcome,
