--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -11,6 +11,7 @@
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
 import { addSlopesCommand } from '../commands/slopes-command.js';
+import { addSweepCommand } from '../commands/sweep-command.js';
 import { addTraceCommands } from '../commands/trace-commands.js';
 
 const program = new Command('cranberry-bench').description(
@@ -25,6 +26,7 @@
 addReportCommand(program);
 addCapacityCommand(program);
 addTraceCommands(program);
+addSweepCommand(program);
 
 try {
   await program.parseAsync();
--- a/packages/bench/src/checker/check-replies.ts
+++ b/packages/bench/src/checker/check-replies.ts
@@ -53,6 +53,7 @@
   ];
   return denials
     .filter(({ jobId }) => startedJobs.has(jobId))
+    .filter(({ jobId }) => options.resubmittedJobs?.has(jobId) !== true)
     .map(({ jobId, by }) => ({
       kind: ViolationKind.FalseNotStarted,
       subject: `job ${jobId}`,
--- a/packages/bench/src/checker/violation.ts
+++ b/packages/bench/src/checker/violation.ts
@@ -84,6 +84,8 @@
   readonly startCounts?: readonly StartCount[] | undefined;
   /** Replies received by the callers, when they were kept. */
   readonly replies?: readonly ObservedReply[] | undefined;
+  /** Jobs submitted more than once: a denial speaks of one submission, another may have started. */
+  readonly resubmittedJobs?: ReadonlySet<JobId> | undefined;
 }
 
 /** The bounds that the project states. */
--- /dev/null
+++ b/packages/bench/src/sweep/run-sweep.ts
@@ -0,0 +1,52 @@
+/** Runs many random traces, one for each seed, and lists the broken promises. */
+import { driveManualStage, UnendedTraceError } from '../traces/replay-trace.js';
+import { SubmissionOutcome } from '../load/job-client.js';
+import type { CompletedSubmission } from '../load/run-load.js';
+import { judgeSweep } from './judge-sweep.js';
+import { planSweepTrace } from './plan-sweep-trace.js';
+
+/** What came of one seed. */
+export interface SweepRun {
+  readonly seed: number;
+  readonly submissions: number;
+  readonly complete: number;
+  /** Broken promises, each in a sentence. */
+  readonly broken: readonly string[];
+}
+
+/** Runs one random trace. */
+export async function runSweepSeed(seed: number): Promise<SweepRun> {
+  const trace = planSweepTrace(seed);
+  try {
+    return await driveManualStage(trace, (submissions, stage) => ({
+      seed,
+      submissions: submissions.length,
+      complete: countComplete(submissions),
+      broken: judgeSweep(submissions, stage),
+    }));
+  } catch (error) {
+    if (!(error instanceof UnendedTraceError)) throw error;
+    return { seed, submissions: 0, complete: 0, broken: [error.message] };
+  }
+}
+
+function countComplete(submissions: readonly CompletedSubmission[]): number {
+  return submissions.filter(
+    ({ reply }) => reply.outcome === SubmissionOutcome.Complete,
+  ).length;
+}
+
+/** Runs the traces of `runs` seeds from `firstSeed` on. */
+export async function runSweep(
+  firstSeed: number,
+  runs: number,
+  progress: (run: SweepRun) => void = () => undefined,
+): Promise<readonly SweepRun[]> {
+  const results: SweepRun[] = [];
+  for (let number = 0; number < runs; number += 1) {
+    const run = await runSweepSeed(firstSeed + number);
+    progress(run);
+    results.push(run);
+  }
+  return results;
+}
--- a/packages/bench/src/traces/bench-stage.ts
+++ b/packages/bench/src/traces/bench-stage.ts
@@ -71,5 +71,15 @@
     case TraceFaultKind.WorkerLeaves:
       await system.workers[fault.worker]?.sidecar.stop();
       return;
+    case TraceFaultKind.DispatcherLeaves:
+      await system.dispatchers[fault.dispatcher]?.dispatcher.stop();
+      return;
+    case TraceFaultKind.WorkerRestarts:
+    case TraceFaultKind.SidecarRestarts:
+    case TraceFaultKind.DispatcherRestarts:
+    case TraceFaultKind.ProcessesCutOff:
+      throw new Error(
+        `The stage of real processes has no fault "${fault.kind}"; replay the trace under the manual clock.`,
+      );
   }
 }
--- /dev/null
+++ b/packages/bench/src/traces/manual-parts.ts
@@ -0,0 +1,200 @@
+/** Starts the real code of each role under the manual clock and a network in memory. */
+import {
+  type ControlNode,
+  createMemoryLog,
+  startControl,
+} from '@cranberryturn/control';
+import { createControlClient } from '@cranberryturn/control-client';
+import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createMetrics } from '@cranberryturn/metrics';
+import { createRandomSource } from '@cranberryturn/random';
+import { type Sidecar, startSidecar } from '@cranberryturn/sidecar';
+import type { ManualTimerService } from '@cranberryturn/timers';
+import type {
+  DecisionRecord,
+  Milliseconds,
+  NetworkAddress,
+} from '@cranberryturn/types';
+import { type MemoryNetwork, ProcessRole } from '@cranberryturn/wire';
+import { okAsync } from 'neverthrow';
+
+import { announceWorker } from '../system/start-bench-system.js';
+import { createManualTarget, type ManualTarget } from './manual-target.js';
+import type { TraceHeader } from './trace-format.js';
+import { traceShape } from './trace-shape.js';
+
+const retentionMilliseconds: Milliseconds = 600_000;
+const mebibyte = 1_048_576;
+const anyPort: NetworkAddress = { address: '127.0.0.1', port: 0 };
+
+/** Name of the only control replica. */
+export const manualReplicaId = 'control-1';
+
+/** One run of a dispatcher. */
+export interface ManualDispatcher {
+  readonly dispatcherId: string;
+  readonly dispatcher: Dispatcher;
+  readonly stopControl: () => Promise<void>;
+  /** Resolves when the dispatcher dies. */
+  readonly died: Promise<void>;
+  readonly die: () => void;
+}
+
+/** One run of a worker. */
+export interface ManualWorker {
+  readonly targetId: string;
+  readonly target: ManualTarget;
+  readonly sidecar: Sidecar;
+}
+
+/** What all roles share. */
+export interface ManualParts {
+  readonly header: TraceHeader;
+  readonly timers: ManualTimerService;
+  readonly network: MemoryNetwork;
+  readonly records: DecisionRecord[];
+}
+
+/** Neighbouring runs of one process draw from different seeds. */
+const seedsOfRun = 1_000;
+
+/** Starts control with one replica. */
+export async function startManualControl(
+  parts: ManualParts,
+): Promise<ControlNode> {
+  const { timers, network, records } = parts;
+  const started = await startControl({
+    listen: anyPort,
+    joinNetwork: name =>
+      network.join({ role: ProcessRole.Control, name, incarnation: 'run-1' }),
+    timers,
+    openLog: stateMachine =>
+      okAsync(
+        createMemoryLog({ replicaId: manualReplicaId, stateMachine, timers }),
+      ),
+    peers: [],
+    logger: createSilentLogger(),
+    decisions: recordTo(records, manualReplicaId, timers),
+  });
+  if (started.isErr()) throw started.error;
+  return started.value;
+}
+
+/** Starts one run of a dispatcher, on the address of its former run where it had one. */
+export async function startManualDispatcher(
+  { header, timers, network, records }: ManualParts,
+  control: ControlNode,
+  position: number,
+  run = 1,
+  peers = anyPort,
+): Promise<ManualDispatcher> {
+  const dispatcherId = nameDispatcher(position);
+  const self = { dispatcherId, incarnation: `run-${String(run)}` };
+  const joined = network.join({
+    role: ProcessRole.Dispatcher,
+    name: dispatcherId,
+    incarnation: self.incarnation,
+  });
+  const seed = header.seed + position + run * seedsOfRun;
+  const client = createControlClient({
+    network: joined,
+    timers,
+    random: createRandomSource(seed),
+    self,
+    controlHosts: [{ replicaId: manualReplicaId, address: control.address }],
+  });
+  const started = await startDispatcher({
+    self,
+    callers: anyPort,
+    peers,
+    teams: [],
+    limits: {
+      bodyBytes: 8 * mebibyte,
+      bodyTimeoutMilliseconds: 10_000,
+      callersConnections: 16,
+    },
+    retention: {
+      answersMilliseconds: retentionMilliseconds,
+      answersBytes: 64 * mebibyte,
+    },
+    network: joined,
+    control: client,
+    timers,
+    seed,
+    metrics: createMetrics({
+      role: ProcessRole.Dispatcher,
+      process: dispatcherId,
+      timers,
+    }),
+    decisions: recordTo(records, dispatcherId, timers),
+  });
+  if (started.isErr()) throw started.error;
+  const dispatcher = started.value;
+  let tellDeath: () => void = () => undefined;
+  const died = new Promise<void>(resolve => {
+    tellDeath = resolve;
+  });
+  return {
+    dispatcherId,
+    dispatcher,
+    stopControl: () => client.stop(),
+    died,
+    die: () => {
+      dispatcher.kill();
+      void client.stop();
+      tellDeath();
+    },
+  };
+}
+
+/** Starts one run of a worker. */
+export function startManualWorker(
+  { header, timers, network, records }: ManualParts,
+  dispatchers: readonly NetworkAddress[],
+  position: number,
+  run = 1,
+): ManualWorker {
+  const announced = announceWorker(traceShape, position);
+  const announcement = {
+    ...announced,
+    incarnation: run === 1 ? announced.incarnation : `run-${String(run)}`,
+    slots: header.slots,
+  };
+  const { targetId, incarnation } = announcement;
+  const target = createManualTarget(targetId, timers);
+  const sidecar = startSidecar({
+    announcement,
+    dispatchers,
+    network: network.join({
+      role: ProcessRole.Sidecar,
+      name: targetId,
+      incarnation,
+    }),
+    target,
+    timers,
+    random: createRandomSource(header.seed + position + run * seedsOfRun),
+    decisions: recordTo(records, targetId, timers),
+    retention: {
+      startsMilliseconds: retentionMilliseconds,
+      answersBytes: 8 * mebibyte,
+    },
+    queueLimit: 2,
+  });
+  return { targetId, target, sidecar };
+}
+
+/** Name of the dispatcher at a position. */
+export function nameDispatcher(position: number): string {
+  return `dispatcher-${String(position + 1)}`;
+}
+
+function recordTo(
+  records: DecisionRecord[],
+  process: string,
+  timers: ManualTimerService,
+): Parameters<typeof startSidecar>[0]['decisions'] {
+  return decision => {
+    records.push({ at: timers.wallClock(), process, ...decision });
+  };
+}
--- a/packages/bench/src/traces/replay-trace.ts
+++ b/packages/bench/src/traces/replay-trace.ts
@@ -1,11 +1,15 @@
 /** Replays a trace through the real code under the manual clock. */
-import { createManualTimerService } from '@cranberryturn/timers';
+import {
+  createManualTimerService,
+  type ManualTimerService,
+} from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 
 import type { CompletedSubmission } from '../load/run-load.js';
 import { driveTrace } from './drive-trace.js';
 import { judgeTrace, type UnmetExpectation } from './judge-trace.js';
 import { startManualStage } from './manual-stage.js';
+import type { Stage } from './stage.js';
 import type { Trace } from './trace-format.js';
 
 /** What came of a replay. */
@@ -17,29 +21,57 @@
 const stepMilliseconds: Milliseconds = 500;
 const longestReplayMilliseconds: Milliseconds = 120_000;
 
-/** Replays a trace and judges what came of it. */
+/** A reply that never came. */
+export class UnendedTraceError extends Error {
+  constructor(trace: string) {
+    super(
+      `Trace ${trace} did not end within ${String(longestReplayMilliseconds)} ms of its own time.`,
+    );
+    this.name = 'UnendedTraceError';
+  }
+}
+
+/** Replays a trace and judges what came of it by its expectations. */
 export async function replayTrace(trace: Trace): Promise<ReplayedTrace> {
+  return driveManualStage(trace, (submissions, stage) => ({
+    submissions,
+    unmet: judgeTrace(trace.expectations, submissions, stage),
+  }));
+}
+
+/** Drives the events of a trace under the manual clock, and judges before the stage stops. */
+export async function driveManualStage<Judgement>(
+  trace: Pick<Trace, 'header' | 'events'>,
+  judge: (
+    submissions: readonly CompletedSubmission[],
+    stage: Stage,
+  ) => Judgement,
+): Promise<Judgement> {
   const timers = createManualTimerService();
-  const starting = startManualStage(trace.header, timers);
-  const stage = await starting;
-  let finished = false;
-  const driving = driveTrace(trace, stage, timers).then(submissions => {
-    finished = true;
-    return submissions;
+  const stage = await startManualStage(trace.header, timers);
+  try {
+    return judge(await driveToEnd(trace, stage, timers), stage);
+  } finally {
+    const stopping = stage.stop();
+    await timers.advance(stepMilliseconds);
+    await stopping;
+  }
+}
+
+/** Moves time until every submission has its reply. */
+async function driveToEnd(
+  trace: Pick<Trace, 'header' | 'events'>,
+  stage: Stage,
+  timers: ManualTimerService,
+): Promise<readonly CompletedSubmission[]> {
+  const driven: { submissions?: readonly CompletedSubmission[] } = {};
+  void driveTrace(trace, stage, timers).then(submissions => {
+    driven.submissions = submissions;
   });
   const limit = timers.now() + longestReplayMilliseconds;
-  while (!finished) {
-    if (timers.now() > limit) {
-      throw new Error(
-        `Trace ${trace.header.name} did not end within ${String(longestReplayMilliseconds)} ms of its own time.`,
-      );
-    }
+  while (driven.submissions === undefined) {
+    if (timers.now() > limit) throw new UnendedTraceError(trace.header.name);
     await timers.advance(stepMilliseconds);
   }
-  const submissions = await driving;
-  const unmet = judgeTrace(trace.expectations, submissions, stage);
-  const stopping = stage.stop();
-  await timers.advance(stepMilliseconds);
-  await stopping;
-  return { submissions, unmet };
+  return driven.submissions;
 }
--- a/packages/bench/src/traces/trace-format.ts
+++ b/packages/bench/src/traces/trace-format.ts
@@ -26,6 +26,16 @@
   DispatcherDies = 'dispatcher-dies',
   /** Planned stop of a worker. */
   WorkerLeaves = 'worker-leaves',
+  /** A new run of a worker, after the former one died. */
+  WorkerRestarts = 'worker-restarts',
+  /** The sidecar dies and a new run takes its place; the target goes on. */
+  SidecarRestarts = 'sidecar-restarts',
+  /** A new run of a dispatcher on the same address, after the former one died. */
+  DispatcherRestarts = 'dispatcher-restarts',
+  /** Planned stop of a dispatcher. */
+  DispatcherLeaves = 'dispatcher-leaves',
+  /** Two processes cannot reach each other for a time; their connections stay silent. */
+  ProcessesCutOff = 'processes-cut-off',
 }
 
 /** The kinds of expectation. */
@@ -67,6 +77,25 @@
     dispatcher: z.int(),
   }),
   z.object({ kind: z.literal(TraceFaultKind.WorkerLeaves), worker: z.int() }),
+  z.object({ kind: z.literal(TraceFaultKind.WorkerRestarts), worker: z.int() }),
+  z.object({
+    kind: z.literal(TraceFaultKind.SidecarRestarts),
+    worker: z.int(),
+  }),
+  z.object({
+    kind: z.literal(TraceFaultKind.DispatcherRestarts),
+    dispatcher: z.int(),
+  }),
+  z.object({
+    kind: z.literal(TraceFaultKind.DispatcherLeaves),
+    dispatcher: z.int(),
+  }),
+  z.object({
+    kind: z.literal(TraceFaultKind.ProcessesCutOff),
+    first: z.string(),
+    second: z.string(),
+    durationMilliseconds: z.number(),
+  }),
 ]);
 
 const declaredSchema = z.object({
--- a/packages/wire/src/fakes/memory-network.ts
+++ b/packages/wire/src/fakes/memory-network.ts
@@ -29,6 +29,10 @@
   readonly connections: readonly MemoryConnection[];
   /** Refuses new connections to a port while it is in this set. */
   readonly closedPorts: Set<number>;
+  /** Silences the open connections of two processes and refuses new ones between them. */
+  cutOff(first: string, second: string): void;
+  /** Lets two processes open new connections again; silent ones stay silent. */
+  reconnect(first: string, second: string): void;
   /** Frames delivered so far. */
   framesDelivered(): number;
 }
@@ -49,6 +53,7 @@
   const listeners = new Map<number, MemoryListener>();
   const connections: MemoryConnection[] = [];
   const closedPorts = new Set<number>();
+  const pairsCutOff = new Set<string>();
   let nextPort = firstEphemeralPort;
   let delivered = 0;
 
@@ -104,19 +109,34 @@
     if (listener === undefined || closedPorts.has(address.port)) {
       return errAsync(refuseDial(address));
     }
+    const isCutOff = (): boolean =>
+      pairsCutOff.has(namePair(self.name, listener.identity.name));
+    if (isCutOff()) return errAsync(refuseDial(address));
     const opened = new Promise<Connection>(resolve => {
       timers.after(delayMilliseconds * 2, () => {
         resolve(connect(self, listener));
       });
     });
     return ResultAsync.fromSafePromise(opened).andThen(connection =>
-      closedPorts.has(address.port) ? err(refuseDial(address)) : ok(connection),
+      closedPorts.has(address.port) || isCutOff()
+        ? err(refuseDial(address))
+        : ok(connection),
     );
   };
 
   return {
     connections,
     closedPorts,
+    cutOff: (first, second) => {
+      pairsCutOff.add(namePair(first, second));
+      for (const link of connections) {
+        if (namePair(link.from, link.to) !== namePair(first, second)) continue;
+        link.silent = true;
+      }
+    },
+    reconnect: (first, second) => {
+      pairsCutOff.delete(namePair(first, second));
+    },
     framesDelivered: () => delivered,
     join: self => ({
       dial: address => dial(self, address),
@@ -141,6 +161,11 @@
   };
 }
 
+/** The same name for both directions. */
+function namePair(first: string, second: string): string {
+  return [first, second].sort().join(' ');
+}
+
 function refuseDial(address: NetworkAddress): ConnectionError {
   const name = `${address.address}:${String(address.port)}`;
   return new ConnectionError(`No connection to ${name}.`, {
