End a job that is cancelled while its claim is under way

Cause: a cancellation before the grant removed the job from the scheduler; the grant then started a job that the scheduler no longer knew, and neither the submitter nor the canceller ever got an answer. A test that cancels after each of 31 milliseconds failed at 0 ms and did not end. Change: such a cancellation is noted, and once the claim is granted the job ends as not started; an adopted one is cancelled after its witnesses were asked. The wait for the roster of a grant ends with an error that names step and peer, and the job ends with its text instead of being started. Claim and start left job-service.

--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -1,15 +1,12 @@
 /** Takes jobs from admission to their whole result. */
-import { randomUUID } from 'node:crypto';
-
 import {
   digestJob,
   type JobEntry,
   JobTable,
   type ResultRetention,
 } from '@cranberryturn/jobs';
-import { Counter, Distribution, type Metrics } from '@cranberryturn/metrics';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import {
-  type JobOwnership,
   type Scheduler,
   type TaskFate,
   TaskFateKind,
@@ -21,7 +18,6 @@
 import {
   AttemptOutcome,
   type AttemptResult,
-  type ClaimGranted,
   type DecisionSink,
   type DispatcherIdentity,
   type JobId,
@@ -31,16 +27,16 @@
   type TaskId,
 } from '@cranberryturn/types';
 
+import { claimJob } from './claim-job.js';
 import {
   describeNotRun,
-  describeOwnership,
   describePerhaps,
   describeRefusal,
   describeResult,
   describeTooOld,
 } from './describe-submission.js';
 import type { DispatcherLinks } from './dispatcher-links.js';
-import { ownJob, type Ownership, OwnershipKind } from './own-job.js';
+import { type Ownership, OwnershipKind } from './own-job.js';
 import type { ControlPort } from './ports/control.js';
 import { AdoptionPlanner } from './plan-adoption.js';
 import { JobReporter } from './report-jobs.js';
@@ -51,8 +47,8 @@
   type Submission,
   SubmissionKind,
 } from './submission.js';
+import { JobStarter } from './start-claimed-jobs.js';
 import type { TargetDirectory } from './target-directory.js';
-import { waitForRoster } from './wait-for-roster.js';
 
 const comeBackMilliseconds: Milliseconds = 1_000;
 
@@ -76,7 +72,10 @@
   readonly #table: JobTable;
   readonly #reporter: JobReporter;
   readonly #running = new Map<JobId, RunningJob>();
+  /** Jobs whose claim is under way. */
+  readonly #claiming = new Map<JobId, RunningJob>();
   readonly #adoptions: AdoptionPlanner;
+  readonly #starter: JobStarter;
   #scheduler: Scheduler | undefined;
   #stopping = false;
 
@@ -88,6 +87,22 @@
       ...options,
       dispatcherId: options.self.dispatcherId,
     });
+    this.#starter = new JobStarter({
+      ...options,
+      reporter: this.#reporter,
+      adoptions: this.#adoptions,
+      scheduler: () => this.#scheduler,
+      jobStarts: job => {
+        this.#forgetClaiming(job);
+        this.#running.set(job.request.jobId, job);
+      },
+      taskEnded: (jobId, taskId, fate) => {
+        this.taskEnded(jobId, taskId, fate);
+      },
+      finish: job => {
+        this.#finish(job);
+      },
+    });
   }
 
   /** Connects the scheduler, which needs this service as its observer. */
@@ -147,7 +162,7 @@
     );
     const refusal = this.#admit(job);
     if (refusal !== undefined) return this.#withdraw(job, refusal);
-    this.#place(job, { epoch: 1, registeredUpTo: undefined });
+    this.#placeUnclaimed(job);
     return describeResult(await entry.finished);
   }
 
@@ -155,7 +170,7 @@
   async cancelJob(jobId: JobId): Promise<JobResult | undefined> {
     const entry = this.#table.find(jobId);
     if (entry === undefined) return undefined;
-    this.#scheduler?.cancelJob(jobId, 'The caller cancelled the job.');
+    this.#cancel(jobId);
     return entry.finished;
   }
 
@@ -179,6 +194,22 @@
     if (job.collection.isWhole) this.#finish(job);
   }
 
+  #forgetClaiming(job: RunningJob): void {
+    const { jobId } = job.request;
+    if (this.#claiming.get(jobId) === job) this.#claiming.delete(jobId);
+  }
+
+  #cancel(jobId: JobId): void {
+    const reason = 'The caller cancelled the job.';
+    const claiming = this.#claiming.get(jobId);
+    if (claiming === undefined) {
+      this.#scheduler?.cancelJob(jobId, reason);
+      return;
+    }
+    // Whether tasks may be started is known once the claim is settled.
+    claiming.cancelReason = reason;
+  }
+
   #admit(job: RunningJob): Submission | undefined {
     const admitted = this.#scheduler?.admitJob(job.request, job.requestId);
     if (admitted?.isErr() === true) return describeRefusal(admitted.error);
@@ -187,13 +218,20 @@
   }
 
   async #claimAndRun(job: RunningJob): Promise<Submission> {
-    const ownership = await this.#own(job);
+    this.#claiming.set(job.request.jobId, job);
+    const ownership = await claimJob(this.#options, job);
+    const submission = await this.#settle(job, ownership);
+    this.#forgetClaiming(job);
+    return submission;
+  }
+
+  async #settle(job: RunningJob, ownership: Ownership): Promise<Submission> {
     switch (ownership.kind) {
       case OwnershipKind.Fresh:
-        await this.#startFresh(job, ownership.grant);
+        await this.#starter.startFresh(job, ownership.grant);
         return describeResult(await job.entry.finished);
       case OwnershipKind.Adopted:
-        await this.#startAdopted(job, ownership.grant);
+        await this.#starter.startAdopted(job, ownership.grant);
         return describeResult(await job.entry.finished);
       case OwnershipKind.Joined:
         this.#scheduler?.releaseAdmission(job.request.jobId);
@@ -216,68 +254,14 @@
     }
   }
 
-  async #own(job: RunningJob): Promise<Ownership> {
-    const { timers, control, links, self, metrics } = this.#options;
-    const { jobId, team, service } = job.request;
-    const began = timers.now();
-    const ownership = await ownJob({
-      claim: {
-        team,
-        jobId,
-        service,
-        digest: job.entry.digest,
-        owner: self,
-        submissionId: randomUUID(),
-      },
-      deadline: job.deadline,
-      control,
-      links,
-      timers,
-    });
-    metrics.record(Distribution.ClaimMilliseconds, timers.now() - began);
-    return ownership;
-  }
-
-  async #startFresh(job: RunningJob, grant: ClaimGranted): Promise<void> {
-    await this.#noteGrant(job, grant);
-    this.#place(job, describeOwnership(grant));
-  }
-
-  async #startAdopted(job: RunningJob, grant: ClaimGranted): Promise<void> {
-    const { jobId } = job.request;
-    this.#options.metrics.count(Counter.JobsAdopted);
-    await this.#noteGrant(job, grant);
-    const plan = await this.#adoptions.planAdoption(job, grant);
-    this.#running.set(jobId, job);
-    if (plan.plans.length === 0) {
-      this.#scheduler?.releaseAdmission(jobId);
-    } else {
-      this.#scheduler?.startJob(jobId, describeOwnership(grant), plan.plans);
-    }
-    for (const { taskId, fate } of plan.ended) {
-      this.taskEnded(jobId, taskId, fate);
-    }
-  }
-
-  async #noteGrant(job: RunningJob, grant: ClaimGranted): Promise<void> {
-    const { control, timers } = this.#options;
-    job.claimedEpoch = grant.epoch;
-    this.#reporter.reportClaimed(job, grant);
-    await waitForRoster(
-      control.roster,
-      grant.rosterVersion,
-      timers,
-      Math.max(0, job.deadline - timers.now()),
-    );
-  }
-
-  #place(job: RunningJob, ownership: JobOwnership): void {
+  #placeUnclaimed(job: RunningJob): void {
     const { jobId, tasks } = job.request;
     this.#running.set(jobId, job);
     const plans = tasks.map<TaskPlan>(task => ({
       kind: TaskPlanKind.Place,
       taskId: task.taskId,
     }));
+    const ownership = { epoch: 1, registeredUpTo: undefined };
     this.#scheduler?.startJob(jobId, ownership, plans);
   }
 
--- a/packages/dispatcher/src/running-job.ts
+++ b/packages/dispatcher/src/running-job.ts
@@ -17,6 +17,8 @@
   readonly entry: JobEntry;
   /** Epoch of the claim; undefined while there is none. */
   claimedEpoch: OwnershipEpoch | undefined;
+  /** Why the caller needs no answer any more, while its claim is under way. */
+  cancelReason: string | undefined;
   /** Longest time that a target took for a task. */
   longestRun: Milliseconds;
 }
@@ -38,6 +40,7 @@
     collection: new AnswerCollection(request.jobId, taskIds),
     entry,
     claimedEpoch: undefined,
+    cancelReason: undefined,
     longestRun: 0,
   };
 }
--- a/packages/dispatcher/src/wait-for-roster.ts
+++ b/packages/dispatcher/src/wait-for-roster.ts
@@ -1,27 +1,50 @@
 /** Waits until this process knows a roster that is at least as new as a grant. */
+import { TimeoutError } from '@cranberryturn/errors';
 import type { RosterFeed } from '@cranberryturn/membership';
 import type { TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
-/** Resolves with whether the roster became new enough in time. */
+/** Ends with an error when the roster does not become new enough in time. */
 export function waitForRoster(
   roster: RosterFeed,
   version: number,
   timers: TimerService,
   timeoutMilliseconds: Milliseconds,
-): Promise<boolean> {
-  if (roster.current().version >= version) return Promise.resolve(true);
+): ResultAsync<void, TimeoutError> {
+  return new ResultAsync(wait(roster, version, timers, timeoutMilliseconds));
+}
+
+function wait(
+  roster: RosterFeed,
+  version: number,
+  timers: TimerService,
+  timeoutMilliseconds: Milliseconds,
+): Promise<Result<void, TimeoutError>> {
+  if (roster.current().version >= version) return Promise.resolve(ok());
   return new Promise(resolve => {
-    const settle = (isNew: boolean): void => {
+    const settle = (result: Result<void, TimeoutError>): void => {
       expiry.cancel();
       unsubscribe();
-      resolve(isNew);
+      resolve(result);
     };
     const expiry = timers.after(timeoutMilliseconds, () => {
-      settle(false);
+      const known = roster.current().version;
+      settle(err(describeOldRoster(version, known, timeoutMilliseconds)));
     });
     const unsubscribe = roster.subscribe(later => {
-      if (later.version >= version) settle(true);
+      if (later.version >= version) settle(ok());
     });
   });
 }
+
+function describeOldRoster(
+  wanted: number,
+  known: number,
+  waited: Milliseconds,
+): TimeoutError {
+  return new TimeoutError(
+    `Roster ${String(wanted)} did not arrive within ${String(waited)} ms, ${String(known)} is known; check the connection to control and submit the job again.`,
+    { step: 'wait for roster', peer: 'control' },
+  );
+}
--- a/packages/local/src/adoption.test.ts
+++ b/packages/local/src/adoption.test.ts
@@ -1,44 +1,16 @@
-import type { JobResult, Milliseconds } from '@cranberryturn/types';
 import { JobOutcome, Started } from '@cranberryturn/types';
 import test from 'ava';
 
+import { startMemoryCluster } from './fakes/memory-cluster.js';
 import {
-  composeJob,
-  type MemoryCluster,
-  type MemoryDispatcher,
-  startMemoryCluster,
-} from './fakes/memory-cluster.js';
+  deadlineMilliseconds,
+  dispatcherOf,
+  largestStarts,
+  submit,
+} from './fakes/submit-jobs.js';
 
-const deadlineMilliseconds: Milliseconds = 20_000;
 const small = { dispatchers: 2, workers: 3, slots: 2, runMilliseconds: 20 };
 
-function dispatcherOf(
-  cluster: MemoryCluster,
-  position: number,
-): MemoryDispatcher {
-  const found = cluster.dispatchers[position];
-  if (found === undefined) throw new Error('There is no such dispatcher.');
-  return found;
-}
-
-/** Submits and keeps the result where the test can look at it without waiting. */
-function submit(
-  owner: MemoryDispatcher,
-  jobId: string,
-  tasks: number,
-): { result: JobResult | undefined } {
-  const box: { result: JobResult | undefined } = { result: undefined };
-  const job = composeJob(jobId, tasks, deadlineMilliseconds);
-  void owner.dispatcher.jobs.submitJob(job, 'request-1').then(submission => {
-    if ('result' in submission) box.result = submission.result;
-  });
-  return box;
-}
-
-function largestStarts(cluster: MemoryCluster): number {
-  return Math.max(0, ...cluster.countStarts().values());
-}
-
 test('a dispatcher that dies at any step of a job loses and doubles nothing', async t => {
   const outcomes: string[] = [];
   for (let killAt = 0; killAt <= 60; killAt += 2) {
--- /dev/null
+++ b/packages/local/src/cancelled-jobs.test.ts
@@ -0,0 +1,37 @@
+import { JobOutcome, Started } from '@cranberryturn/types';
+import test from 'ava';
+
+import { startMemoryCluster } from './fakes/memory-cluster.js';
+import { dispatcherOf, submit } from './fakes/submit-jobs.js';
+
+const sizes = {
+  dispatchers: 1,
+  workers: 3,
+  slots: 2,
+  runMilliseconds: 20,
+  commitMilliseconds: 5,
+};
+
+test('a job cancelled at any moment ends at once, and was not started when its answer says so', async t => {
+  const outcomes: string[] = [];
+  for (let cancelAt = 0; cancelAt <= 30; cancelAt += 1) {
+    const cluster = await startMemoryCluster(sizes);
+    const { dispatcher } = dispatcherOf(cluster, 0);
+    const box = submit(dispatcherOf(cluster, 0), 'job-1', 4);
+    await cluster.timers.advance(cancelAt);
+    void dispatcher.jobs.cancelJob('wards/job-1');
+    await cluster.timers.advance(100);
+    const { result } = box;
+    const name = `cancelled after ${String(cancelAt)} ms`;
+    t.not(result, undefined, name);
+    t.is(dispatcher.jobs.inFlight, 0, name);
+    const isUnstarted =
+      result?.outcome === JobOutcome.Failed && result.started === Started.No;
+    outcomes.push(isUnstarted ? 'no' : (result?.outcome ?? 'none'));
+    if (isUnstarted) t.is(cluster.countStarts().size, 0, name);
+    await cluster.stop();
+  }
+  t.log(outcomes.join(' '));
+  t.true(outcomes.includes('no'));
+  t.true(outcomes.includes(JobOutcome.Complete));
+});
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -16,6 +16,7 @@
 import {
   createManualTimerService,
   type ManualTimerService,
+  sleep,
 } from '@cranberryturn/timers';
 import {
   type ClusterConfiguration,
@@ -30,7 +31,7 @@
   type MemoryNetwork,
   ProcessRole,
 } from '@cranberryturn/wire';
-import { okAsync } from 'neverthrow';
+import { okAsync, ResultAsync } from 'neverthrow';
 
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
 
@@ -82,6 +83,8 @@
   readonly runMilliseconds: Milliseconds;
   /** Configuration of the empty log; nothing is set without it. */
   readonly configuration?: ClusterConfiguration | undefined;
+  /** Time that control takes to commit an entry; 0 without it. */
+  readonly commitMilliseconds?: Milliseconds | undefined;
 }
 
 /** Starts a cluster in memory and lets it settle. */
@@ -99,6 +102,7 @@
     network,
     record,
     options.configuration ?? emptyConfiguration,
+    options.commitMilliseconds ?? 0,
   );
   const dispatchers: MemoryDispatcher[] = [];
   const workers: MemoryWorker[] = [];
@@ -194,6 +198,7 @@
   network: MemoryNetwork,
   record: (decision: Decision) => void,
   initialConfiguration: ClusterConfiguration,
+  commitMilliseconds: Milliseconds,
 ): Promise<ControlNode> {
   const started = await startControl({
     listen: loopback,
@@ -201,10 +206,21 @@
       network.join({ role: ProcessRole.Control, name, incarnation: 'run' }),
     timers,
     peers: [],
-    openLog: stateMachine =>
-      okAsync(
-        createMemoryLog({ replicaId: 'control-1', stateMachine, timers }),
-      ),
+    openLog: stateMachine => {
+      const log = createMemoryLog({
+        replicaId: 'control-1',
+        stateMachine,
+        timers,
+      });
+      if (commitMilliseconds === 0) return okAsync(log);
+      return okAsync({
+        ...log,
+        propose: command =>
+          ResultAsync.fromSafePromise(
+            sleep(timers, commitMilliseconds),
+          ).andThen(() => log.propose(command)),
+      });
+    },
     initialConfiguration,
     logger: createSilentLogger(),
     decisions: record,
--- /dev/null
+++ b/packages/local/src/fakes/submit-jobs.ts
@@ -0,0 +1,61 @@
+/** Submits jobs to the dispatchers of a cluster in memory. */
+import type { SubmissionKind } from '@cranberryturn/dispatcher';
+import type { JobResult, Milliseconds } from '@cranberryturn/types';
+
+import {
+  composeJob,
+  type MemoryCluster,
+  type MemoryDispatcher,
+} from './memory-cluster.js';
+
+/** Deadline of every submitted job. */
+export const deadlineMilliseconds: Milliseconds = 20_000;
+
+/** How a submission ended, where a test can look at it without waiting. */
+export interface SubmissionBox {
+  result: JobResult | undefined;
+  /** Undefined while the caller waits. */
+  kind: SubmissionKind | undefined;
+}
+
+/** The dispatcher at a position. */
+export function dispatcherOf(
+  cluster: MemoryCluster,
+  position: number,
+): MemoryDispatcher {
+  const found = cluster.dispatchers[position];
+  if (found === undefined) throw new Error('There is no such dispatcher.');
+  return found;
+}
+
+/** Submits a job without waiting for its result. */
+export function submit(
+  owner: MemoryDispatcher,
+  jobId: string,
+  tasks: number,
+): SubmissionBox {
+  const box: SubmissionBox = { result: undefined, kind: undefined };
+  const job = composeJob(jobId, tasks, deadlineMilliseconds);
+  void owner.dispatcher.jobs.submitJob(job, 'request-1').then(submission => {
+    box.kind = submission.kind;
+    if ('result' in submission) box.result = submission.result;
+  });
+  return box;
+}
+
+/** Largest number of starts of any task. */
+export function largestStarts(cluster: MemoryCluster): number {
+  return Math.max(0, ...cluster.countStarts().values());
+}
+
+/** Silences every connection between two processes, in both directions. */
+export function silence(
+  cluster: MemoryCluster,
+  left: string,
+  right: string,
+): void {
+  for (const connection of cluster.network.connections) {
+    const ends = [connection.from, connection.to];
+    if (ends.includes(left) && ends.includes(right)) connection.silent = true;
+  }
+}
