--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -48,6 +48,7 @@
 ): ResultAsync<DispatcherRole, CranberryError> {
   const { timers, logger, metrics, decisions } = environment;
   const seed = chooseSeed(settings.seed, environment);
+  const running: { dispatcher?: Dispatcher } = {};
   const control = createControlClient({
     network,
     timers,
@@ -57,6 +58,10 @@
       replicaId,
       address: { address, port },
     })),
+    listTargetsBehind: version =>
+      running.dispatcher?.targets.listBehind(version) ?? [],
+    listSilentTargets: roster =>
+      running.dispatcher?.targets.listSilent(roster) ?? [],
     handleMove: host => {
       logger.info('control host watched', { controlHost: host ?? 'none' });
     },
@@ -76,6 +81,7 @@
     metrics,
     decisions: decisions.record,
     logger,
+    targetsPerService: settings.targetsPerService,
     graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
@@ -83,6 +89,7 @@
     },
   })
     .map(dispatcher => {
+      running.dispatcher = dispatcher;
       observeDispatcher(metrics, dispatcher);
       return {
         dispatcher,
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -1,33 +1,26 @@
 /** The targets that are connected to this dispatcher, and the messages to and from them. */
-import type { Logger } from '@cranberryturn/logger';
-import {
-  Counter,
-  Distribution,
-  type Metrics,
-  WastedMessage,
-} from '@cranberryturn/metrics';
+import { Counter } from '@cranberryturn/metrics';
 import type { AttemptSender, Scheduler } from '@cranberryturn/scheduling';
 import {
   acceptSessions,
   type SessionAcceptor,
   SessionEndReason,
   type SessionListener,
-  type SessionTimes,
 } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
 import {
   type AttemptKey,
-  AttemptOutcome,
-  type AttemptResult,
   type AttemptStart,
   type ClusterConfiguration,
+  type ConfigurationVersion,
   type JobId,
   type OwnershipEpoch,
-  type TargetAnnouncement,
+  type Roster,
+  type TargetId,
   type TargetIdentity,
   type TargetLoad,
 } from '@cranberryturn/types';
 import {
+  type DispatcherAddress,
   FromTargetKind,
   type FromTargetMessage,
   type JobEvidence,
@@ -36,31 +29,20 @@
   type ToTargetMessage,
 } from '@cranberryturn/wire';
 
+import {
+  type ConnectedTarget,
+  createConnectedTarget,
+  describeRun,
+  hasLeft,
+  sendSessions,
+  isBehind,
+  sendSettings,
+} from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
-import type { ControlPort } from './ports/control.js';
+import { measureResult } from './measure-result.js';
 import { registerTarget } from './register-target.js';
-import { findTargetSettings } from './target-settings.js';
-
-/** One connected run of a sidecar. */
-interface ConnectedTarget {
-  readonly identity: TargetIdentity;
-  readonly send: (message: ToTargetMessage) => void;
-  announcement: TargetAnnouncement | undefined;
-  load: TargetLoad | undefined;
-  registered: boolean;
-  settingsSent: string;
-}
-
-/** What a directory is built from. */
-export interface TargetDirectoryOptions {
-  readonly timers: TimerService;
-  readonly times: SessionTimes;
-  readonly control: ControlPort;
-  readonly metrics: Metrics;
-  readonly logger?: Logger | undefined;
-  /** Hears each result before the scheduler does. */
-  readonly resultReceived: (result: AttemptResult) => void;
-}
+import type { TargetDirectoryOptions } from './target-directory-options.js';
+import { TargetPresence } from './target-presence.js';
 
 /** Connects targets with the scheduler. */
 export class TargetDirectory implements AttemptSender {
@@ -68,12 +50,19 @@
   readonly #options: TargetDirectoryOptions;
   readonly #targets = new Map<string, ConnectedTarget>();
   readonly #waiters: EvidenceWaiters;
+  readonly #presence: TargetPresence;
+  readonly #unsubscribe: () => void;
   #scheduler: Scheduler | undefined;
   #closed = false;
+  #appliedVersion: ConfigurationVersion = 0;
 
   constructor(options: TargetDirectoryOptions) {
     this.#options = options;
     this.#waiters = new EvidenceWaiters(options.timers);
+    this.#presence = new TargetPresence(options.timers);
+    this.#unsubscribe = options.control.roster.subscribe(roster => {
+      this.#followRoster(roster);
+    });
     this.acceptor = acceptSessions<ToTargetMessage, FromTargetMessage>({
       timers: options.timers,
       times: options.times,
@@ -125,14 +114,36 @@
       jobId,
       epoch,
     };
-    this.#targets.get(run)?.send(message);
+    const connected = this.#targets.get(run);
+    if (connected === undefined) {
+      this.#options.inviteTarget(target, timeoutMilliseconds);
+    }
+    connected?.send(message);
     return this.#waiters.wait(run, message, timeoutMilliseconds);
   }
 
   /** Sends to each target what the configuration says of it. */
   applyConfiguration(configuration: ClusterConfiguration): void {
+    this.#appliedVersion = configuration.version;
     for (const target of this.#targets.values()) {
-      this.#sendSettings(target, configuration);
+      sendSettings(target, configuration);
+    }
+  }
+
+  /** Sends to each target which sessions it should have. */
+  applyRoster(): void {
+    for (const target of this.#targets.values()) this.#sendSessions(target);
+  }
+
+  /** Passes on that a dispatcher wants a session with runs that have one here. */
+  inviteConnected(
+    targets: readonly TargetIdentity[],
+    dispatcher: DispatcherAddress,
+  ): void {
+    for (const target of targets) {
+      this.#targets
+        .get(describeRun(target))
+        ?.send({ kind: ToTargetKind.OpenSession, dispatcher });
     }
   }
 
@@ -141,8 +152,23 @@
     return this.#targets.has(describeRun(target));
   }
 
+  /** Registered runs that have not confirmed what this version says of them. */
+  listBehind(version: ConfigurationVersion): readonly TargetId[] {
+    const isApplied = version <= this.#appliedVersion;
+    return [...this.#targets.values()]
+      .filter(target => target.record !== undefined)
+      .filter(target => !isApplied || isBehind(target))
+      .map(target => target.identity.targetId);
+  }
+
+  /** Registered runs that this dispatcher has not heard for their lease. */
+  listSilent(roster: Roster): readonly TargetIdentity[] {
+    return this.#presence.listSilent(roster);
+  }
+
   close(): void {
     this.#closed = true;
+    this.#unsubscribe();
     this.acceptor.close();
   }
 
@@ -151,14 +177,7 @@
     send: (message: ToTargetMessage) => void,
   ): SessionListener<FromTargetMessage> {
     const identity = { targetId: peer.name, incarnation: peer.incarnation };
-    const target: ConnectedTarget = {
-      identity,
-      send,
-      announcement: undefined,
-      load: undefined,
-      registered: false,
-      settingsSent: '',
-    };
+    const target = createConnectedTarget(identity, send);
     this.#targets.set(describeRun(identity), target);
     this.#options.metrics.count(Counter.SessionsOpened);
     for (const message of this.#waiters.listWaiting(describeRun(identity))) {
@@ -170,11 +189,14 @@
       },
       connected: () => {
         this.#options.logger?.info('target connected', identity);
-        this.#scheduler?.targetResumed(identity);
+        this.#presence.noteHeard(identity);
+        this.#resume(target);
       },
       suspected: () => {
         this.#options.logger?.warn('target suspected', identity);
+        this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
+        if (target.sessionLeft) this.acceptor.forget(peer);
       },
       ended: reason => {
         this.#endSession(target, reason);
@@ -187,11 +209,11 @@
       case FromTargetKind.Announce:
         target.announcement = message.announcement;
         target.load = message.load;
-        void this.#register(target, message.announcement);
+        void this.#register(target);
         return;
       case FromTargetKind.AttemptEnded:
         target.load = message.load;
-        this.#measure(message.result);
+        measureResult(this.#options.metrics, message.result);
         this.#options.resultReceived(message.result);
         this.#scheduler?.attemptEnded(
           target.identity,
@@ -200,11 +222,18 @@
         );
         return;
       case FromTargetKind.LoadReport:
+        target.settingsVersion =
+          message.settingsVersion ?? target.settingsVersion;
         this.#noteLoad(target, message.load);
         return;
       case FromTargetKind.Left:
         this.#forgetLeft(target);
         return;
+      case FromTargetKind.SessionLeft:
+        target.record = undefined;
+        target.sessionLeft = true;
+        this.#scheduler?.targetLost(target.identity);
+        return;
       case FromTargetKind.JobEvidence:
         this.#waiters.settle(describeRun(target.identity), message.evidence);
         return;
@@ -213,65 +242,67 @@
 
   #noteLoad(target: ConnectedTarget, load: TargetLoad): void {
     target.load = load;
-    if (!target.registered) return;
+    if (target.record === undefined) return;
     this.#scheduler?.targetLoadReported(target.identity, load);
   }
 
-  #measure(result: AttemptResult): void {
-    const { metrics } = this.#options;
-    switch (result.outcome) {
-      case AttemptOutcome.Answered:
-        metrics.count(Counter.TasksAnswered);
-        break;
-      case AttemptOutcome.Failed:
-        metrics.count(Counter.TasksFailed);
-        break;
-      case AttemptOutcome.NotStarted:
-        metrics.count(Counter.TasksNotStarted);
-        metrics.countWasted(WastedMessage.RefusedStart);
-        return;
+  /** Takes work off runs that control took off the roster; those that are heard register again. */
+  #followRoster(roster: Roster): void {
+    const records = new Map(
+      roster.targets.map(record => [describeRun(record), record]),
+    );
+    for (const target of this.#targets.values()) {
+      const { record } = target;
+      if (record === undefined) continue;
+      const current = records.get(describeRun(target.identity));
+      if (current?.registeredAt === record.registeredAt) continue;
+      // The scheduler must not place by the earlier registration any more.
+      target.record = undefined;
+      this.#scheduler?.targetSuspected(target.identity);
+      void this.#register(target);
     }
-    metrics.record(Distribution.RunMilliseconds, result.runMilliseconds);
   }
 
-  async #register(
-    target: ConnectedTarget,
-    announcement: TargetAnnouncement,
-  ): Promise<void> {
+  #resume(target: ConnectedTarget): void {
+    if (target.record !== undefined) {
+      this.#scheduler?.targetResumed(target.identity);
+      return;
+    }
+    void this.#register(target);
+  }
+
+  /** Registers a run that is heard and not registered. */
+  async #register(target: ConnectedTarget): Promise<void> {
+    const { announcement, identity } = target;
+    if (announcement === undefined || hasLeft(target)) return;
+    if (target.record !== undefined || target.registering) return;
     const { control, timers } = this.#options;
+    target.registering = true;
     const record = await registerTarget({
       announcement,
       roster: control.roster,
       registry: control.registry,
       timers,
-      isWanted: () =>
-        !this.#closed && this.#targets.has(describeRun(target.identity)),
+      isWanted: () => !this.#closed && this.#presence.isHeard(identity),
     });
+    target.registering = false;
     if (record === undefined || target.load === undefined) return;
-    target.registered = true;
-    this.#sendSettings(target, control.configuration.current());
+    target.record = record;
+    sendSettings(target, control.configuration.current());
+    this.#sendSessions(target);
     this.#scheduler?.targetRegistered(record, target.load);
   }
 
-  #sendSettings(
-    target: ConnectedTarget,
-    configuration: ClusterConfiguration,
-  ): void {
-    if (target.announcement === undefined) return;
-    const settings = findTargetSettings(configuration, target.announcement);
-    const described = JSON.stringify(settings);
-    if (described === target.settingsSent) return;
-    target.settingsSent = described;
-    target.send({
-      kind: ToTargetKind.ApplySettings,
-      version: configuration.version,
-      ...settings,
-    });
+  #sendSessions(target: ConnectedTarget): void {
+    if (target.record === undefined) return;
+    const message = this.#options.describeSessions(target.record);
+    if (message !== undefined) sendSessions(target, message);
   }
 
   /** Says so to control, which needs no lease of the run any more. */
   #forgetLeft(target: ConnectedTarget): void {
-    target.registered = false;
+    target.record = undefined;
+    target.left = true;
     target.send({ kind: ToTargetKind.AcknowledgeLeft });
     this.#scheduler?.targetLost(target.identity);
     void this.#options.control.registry.retireTarget(target.identity);
@@ -279,13 +310,12 @@
 
   #endSession(target: ConnectedTarget, reason: SessionEndReason): void {
     const run = describeRun(target.identity);
+    if (this.#targets.get(run) !== target) return;
     this.#targets.delete(run);
+    this.#presence.noteSilent(target.identity);
+    if (target.sessionLeft) return;
     if (reason === SessionEndReason.ClosedHere) return;
     this.#waiters.giveUp(run);
     this.#scheduler?.targetLost(target.identity);
   }
 }
-
-function describeRun(target: TargetIdentity): string {
-  return `${target.targetId}/${target.incarnation}`;
-}
--- /dev/null
+++ b/packages/local/src/fakes/announce-worker.ts
@@ -0,0 +1,23 @@
+/** The announcement of a worker in memory. */
+import type { TargetAnnouncement } from '@cranberryturn/types';
+
+export const service = 'register-svc';
+
+/** Composes the announcement of one run of a worker. */
+export function announceWorker(
+  targetId: string,
+  incarnation: string,
+  slots: number,
+): TargetAnnouncement {
+  return {
+    targetId,
+    incarnation,
+    service,
+    host: `host-${targetId}`,
+    rack: 'rack-1',
+    dataCentre: 'dong-da',
+    resources: { processors: 64, memoryMebibytes: 131_072, accelerators: 0 },
+    slots,
+    connections: 64,
+  };
+}
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -33,10 +33,11 @@
 } from '@cranberryturn/wire';
 import { okAsync, ResultAsync } from 'neverthrow';
 
+import { announceWorker, service } from './announce-worker.js';
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
+import { isolateProcesses } from './isolate-processes.js';
 
 const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
-const service = 'register-svc';
 const networkDelayMilliseconds: Milliseconds = 1;
 const settleMilliseconds: Milliseconds = 2_000;
 const mebibyte = 1_048_576;
@@ -61,6 +62,8 @@
 export interface MemoryCluster {
   readonly timers: ManualTimerService;
   readonly network: MemoryNetwork;
+  /** Processes of these names cannot dial. */
+  readonly isolated: Set<string>;
   readonly control: ControlNode;
   readonly dispatchers: MemoryDispatcher[];
   readonly workers: MemoryWorker[];
@@ -81,6 +84,8 @@
   readonly workers: number;
   readonly slots: number;
   readonly runMilliseconds: Milliseconds;
+  /** Targets of each dispatcher; all without it. */
+  readonly targetsPerService?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
   readonly configuration?: ClusterConfiguration | undefined;
   /** Time that control takes to commit an entry; 0 without it. */
@@ -92,7 +97,9 @@
   options: MemoryClusterOptions,
 ): Promise<MemoryCluster> {
   const timers = createManualTimerService();
-  const network = createMemoryNetwork(timers, networkDelayMilliseconds);
+  const memory = createMemoryNetwork(timers, networkDelayMilliseconds);
+  const isolated = new Set<string>();
+  const network = isolateProcesses(memory, isolated);
   const decisions: Decision[] = [];
   const record = (decision: Decision): void => {
     decisions.push(decision);
@@ -109,7 +116,13 @@
 
   const addDispatcher = async (dispatcherId: string, incarnation: string) => {
     const added = await createDispatcher(
-      { timers, network, control, record },
+      {
+        timers,
+        network,
+        control,
+        record,
+        targetsPerService: options.targetsPerService,
+      },
       dispatcherId,
       incarnation,
     );
@@ -120,7 +133,7 @@
   const addWorker = (targetId: string, incarnation: string): MemoryWorker => {
     const target = createFakeTarget(timers, options.runMilliseconds);
     const sidecar = startSidecar({
-      announcement: announce(targetId, incarnation, options.slots),
+      announcement: announceWorker(targetId, incarnation, options.slots),
       dispatchers: dispatchers.map(one => one.dispatcher.peersAddress),
       network: network.join({
         role: ProcessRole.Sidecar,
@@ -150,6 +163,7 @@
   return {
     timers,
     network,
+    isolated,
     control,
     dispatchers,
     workers,
@@ -191,6 +205,7 @@
   readonly network: MemoryNetwork;
   readonly control: ControlNode;
   readonly record: (decision: Decision) => void;
+  readonly targetsPerService: number | undefined;
 }
 
 async function startMemoryControl(
@@ -229,7 +244,13 @@
 }
 
 async function createDispatcher(
-  { timers, network, control, record }: DispatcherSurroundings,
+  {
+    timers,
+    network,
+    control,
+    record,
+    targetsPerService,
+  }: DispatcherSurroundings,
   dispatcherId: string,
   incarnation: string,
 ): Promise<MemoryDispatcher> {
@@ -239,12 +260,17 @@
     name: dispatcherId,
     incarnation,
   });
+  const running: { dispatcher?: Dispatcher } = {};
   const client = createControlClient({
     network: joined,
     timers,
     random: createRandomSource(1),
     self,
     controlHosts: [{ replicaId: 'control-1', address: control.address }],
+    listTargetsBehind: version =>
+      running.dispatcher?.targets.listBehind(version) ?? [],
+    listSilentTargets: roster =>
+      running.dispatcher?.targets.listSilent(roster) ?? [],
   });
   const started = await startDispatcher({
     self,
@@ -260,6 +286,7 @@
     network: joined,
     control: client,
     timers,
+    targetsPerService,
     seed: 1,
     metrics: createMetrics({
       role: ProcessRole.Dispatcher,
@@ -269,6 +296,7 @@
     decisions: record,
   });
   const dispatcher = started._unsafeUnwrap();
+  running.dispatcher = dispatcher;
   const crash = (): void => {
     dispatcher.kill();
     void client.stop();
@@ -282,20 +310,6 @@
   return { dispatcherId, dispatcher, control: client, crash };
 }
 
-function announce(targetId: string, incarnation: string, slots: number) {
-  return {
-    targetId,
-    incarnation,
-    service,
-    host: `host-${targetId}`,
-    rack: 'rack-1',
-    dataCentre: 'dong-da',
-    resources: { processors: 64, memoryMebibytes: 131_072, accelerators: 0 },
-    slots,
-    connections: 64,
-  };
-}
-
 function countStarts(
   workers: readonly MemoryWorker[],
 ): ReadonlyMap<string, number> {
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -41,6 +41,7 @@
 interface WaitingAttempt {
   readonly attempt: AttemptStart;
   readonly received: Milliseconds;
+  readonly latestStart: Milliseconds;
   readonly requestId: string | undefined;
 }
 
@@ -78,8 +79,7 @@
       this.#refuse(attempt, refusal);
       return;
     }
-    const received = this.#options.timers.now();
-    this.#waiting.push({ attempt, received, requestId });
+    this.#enqueue(attempt, requestId);
     this.#fillSlots();
   }
 
@@ -104,6 +104,16 @@
     if (this.#drain.beginStop()) this.#beginLeaving();
   }
 
+  /** Whether an attempt waits or runs here whose result the dispatcher wants. */
+  hasWorkFor(dispatcher: DispatcherId): boolean {
+    if (this.#waiting.some(one => one.attempt.dispatcher === dispatcher)) {
+      return true;
+    }
+    return [...this.#running].some(({ attempt }) =>
+      this.#options.ledger.isWatched(attempt.jobId, dispatcher),
+    );
+  }
+
   /** Whether no attempt waits or runs. */
   get isIdle(): boolean {
     return this.#waiting.length === 0 && this.#running.size === 0;
@@ -131,6 +141,16 @@
     return undefined;
   }
 
+  /** Attempts of all dispatchers wait in the order in which they should start. */
+  #enqueue(attempt: AttemptStart, requestId: string | undefined): void {
+    const received = this.#options.timers.now();
+    const latestStart = received + (attempt.slackMilliseconds ?? 0);
+    const later = this.#waiting.findIndex(one => one.latestStart > latestStart);
+    const position = later < 0 ? this.#waiting.length : later;
+    const waiting = { attempt, received, latestStart, requestId };
+    this.#waiting.splice(position, 0, waiting);
+  }
+
   #fillSlots(): void {
     while (this.#running.size < this.#slots) {
       const next = this.#waiting.shift();
--- a/packages/sidecar/src/served-dispatchers.ts
+++ b/packages/sidecar/src/served-dispatchers.ts
@@ -1,6 +1,7 @@
 /** The dispatchers that a sidecar has sessions with, and what it reports to them. */
 import type {
   AttemptResult,
+  ConfigurationVersion,
   DispatcherId,
   TargetAnnouncement,
   TargetLoad,
@@ -15,6 +16,8 @@
   readonly send: (message: FromTargetMessage) => void;
   /** Whether tasks wait there for a free slot here. */
   asksForLoad: boolean;
+  /** Whether the session is being left, so that it takes no new work. */
+  leaving: boolean;
   /** Reading of the usage that was reported last. */
   usageReported: number;
 }
@@ -39,11 +42,13 @@
   add(
     dispatcherId: DispatcherId,
     send: (message: FromTargetMessage) => void,
+    leaving = false,
   ): ServedDispatcher {
     const served: ServedDispatcher = {
       dispatcherId,
       send,
       asksForLoad: false,
+      leaving,
       usageReported: 0,
     };
     this.#served.set(dispatcherId, served);
@@ -65,6 +70,15 @@
     served.send({ kind: FromTargetKind.LoadReport, load });
   }
 
+  /** Reports the load under settings that were just applied. */
+  confirmSettings(
+    served: ServedDispatcher,
+    settingsVersion: ConfigurationVersion,
+  ): void {
+    const load = this.#composeLoad(served);
+    served.send({ kind: FromTargetKind.LoadReport, load, settingsVersion });
+  }
+
   reportLoadToAll(): void {
     for (const served of this.#served.values()) this.reportLoad(served);
   }
@@ -98,7 +112,8 @@
 
   /** Each reading of the usage is reported to a dispatcher once. */
   #composeLoad(served: ServedDispatcher): TargetLoad {
-    const load = this.#options.load();
+    const own = this.#options.load();
+    const load = served.leaving ? { ...own, draining: true } : own;
     const { usage } = this.#options;
     if (usage === undefined || usage.reading() === served.usageReported) {
       return load;
