Match results with the epoch of their attempt

Cause: a late result of an earlier epoch carries the same job, task and attempt number as the attempt of the next one, and was taken for it. Change: the scheduler compares the epoch too. A test failed before (no attempt running after the late refusal) and passes now. The fake cluster can take time to commit, and starts its control in a module of its own.

--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -1,22 +1,16 @@
 /** Every role over a network in memory, under the manual clock, with fake targets. */
-import {
-  type ControlNode,
-  createMemoryLog,
-  startControl,
-} from '@cranberryturn/control';
+import type { ControlNode } from '@cranberryturn/control';
 import {
   type ControlClient,
   createControlClient,
 } from '@cranberryturn/control-client';
 import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
-import { createSilentLogger } from '@cranberryturn/logger';
 import { createMetrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import { type Sidecar, startSidecar } from '@cranberryturn/sidecar';
 import {
   createManualTimerService,
   type ManualTimerService,
-  sleep,
 } from '@cranberryturn/timers';
 import {
   type ClusterConfiguration,
@@ -31,10 +25,10 @@
   type MemoryNetwork,
   ProcessRole,
 } from '@cranberryturn/wire';
-import { okAsync, ResultAsync } from 'neverthrow';
 
 import { announceWorker, service } from './announce-worker.js';
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
+import { startMemoryControl } from './start-memory-control.js';
 import { isolateProcesses } from './isolate-processes.js';
 
 const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
@@ -208,41 +202,6 @@
   readonly targetsPerService: number | undefined;
 }
 
-async function startMemoryControl(
-  timers: ManualTimerService,
-  network: MemoryNetwork,
-  record: (decision: Decision) => void,
-  initialConfiguration: ClusterConfiguration,
-  commitMilliseconds: Milliseconds,
-): Promise<ControlNode> {
-  const started = await startControl({
-    listen: loopback,
-    joinNetwork: name =>
-      network.join({ role: ProcessRole.Control, name, incarnation: 'run' }),
-    timers,
-    peers: [],
-    openLog: stateMachine => {
-      const log = createMemoryLog({
-        replicaId: 'control-1',
-        stateMachine,
-        timers,
-      });
-      if (commitMilliseconds === 0) return okAsync(log);
-      return okAsync({
-        ...log,
-        propose: command =>
-          ResultAsync.fromSafePromise(
-            sleep(timers, commitMilliseconds),
-          ).andThen(() => log.propose(command)),
-      });
-    },
-    initialConfiguration,
-    logger: createSilentLogger(),
-    decisions: record,
-  });
-  return started._unsafeUnwrap();
-}
-
 async function createDispatcher(
   {
     timers,
--- a/packages/scheduling/src/create-scheduler.ts
+++ b/packages/scheduling/src/create-scheduler.ts
@@ -210,6 +210,7 @@
 function isResultOf(attempt: ActiveAttempt, result: AttemptResult): boolean {
   return (
     attempt.number === result.attempt &&
+    attempt.epoch === result.epoch &&
     attempt.task.request.taskId === result.taskId &&
     attempt.task.job.request.jobId === result.jobId
   );
--- a/packages/scheduling/src/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler.test.ts
@@ -135,6 +135,20 @@
   t.is(fixture.scheduler.status().runningTasks, 0);
 });
 
+test('a result of an earlier epoch is not taken for the attempt of this one', t => {
+  const fixture = createSchedulerFixture();
+  fixture.addTarget();
+  fixture.start(createJob('job-1', 1));
+  const [sent] = fixture.sent;
+  if (sent === undefined) throw new Error('Nothing was sent.');
+  const earlier = { ...sent.attempt, epoch: sent.attempt.epoch - 1 };
+  fixture.refuse({ ...sent, attempt: earlier });
+  t.is(fixture.sent.length, 1);
+  t.is(fixture.scheduler.status().runningTasks, 1);
+  fixture.answer(sent);
+  t.is(fixture.fates.length, 1);
+});
+
 test('a job whose deadline passes ends at its deadline and not before', async t => {
   const fixture = createSchedulerFixture();
   fixture.addTarget({ slots: 1 });
