--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -1,15 +1,10 @@
 /** Every role over a network in memory, under the manual clock, with fake targets. */
-import {
-  type ControlNode,
-  createMemoryLog,
-  startControl,
-} from '@cranberryturn/control';
+import type { ControlNode } from '@cranberryturn/control';
 import {
   type ControlClient,
   createControlClient,
 } from '@cranberryturn/control-client';
 import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
-import { createSilentLogger } from '@cranberryturn/logger';
 import { createMetrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import { type Sidecar, startSidecar } from '@cranberryturn/sidecar';
@@ -30,10 +25,10 @@
   type MemoryNetwork,
   ProcessRole,
 } from '@cranberryturn/wire';
-import { okAsync } from 'neverthrow';
 
 import { announceWorker, service } from './announce-worker.js';
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
+import { startMemoryControl } from './start-memory-control.js';
 import { isolateProcesses } from './isolate-processes.js';
 
 const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
@@ -87,6 +82,8 @@
   readonly targetsPerService?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
   readonly configuration?: ClusterConfiguration | undefined;
+  /** Time that control takes to commit an entry; 0 without it. */
+  readonly commitMilliseconds?: Milliseconds | undefined;
 }
 
 /** Starts a cluster in memory and lets it settle. */
@@ -106,6 +103,7 @@
     network,
     record,
     options.configuration ?? emptyConfiguration,
+    options.commitMilliseconds ?? 0,
   );
   const dispatchers: MemoryDispatcher[] = [];
   const workers: MemoryWorker[] = [];
@@ -204,29 +202,6 @@
   readonly targetsPerService: number | undefined;
 }
 
-async function startMemoryControl(
-  timers: ManualTimerService,
-  network: MemoryNetwork,
-  record: (decision: Decision) => void,
-  initialConfiguration: ClusterConfiguration,
-): Promise<ControlNode> {
-  const started = await startControl({
-    listen: loopback,
-    joinNetwork: name =>
-      network.join({ role: ProcessRole.Control, name, incarnation: 'run' }),
-    timers,
-    peers: [],
-    openLog: stateMachine =>
-      okAsync(
-        createMemoryLog({ replicaId: 'control-1', stateMachine, timers }),
-      ),
-    initialConfiguration,
-    logger: createSilentLogger(),
-    decisions: record,
-  });
-  return started._unsafeUnwrap();
-}
-
 async function createDispatcher(
   {
     timers,
