Write addresses in one place, with brackets around IPv6

Change: wire exports formatAddress and all of them call it; control reads member addresses with and without brackets, as older logs hold them.

--- a/packages/control-client/src/keep-hosts.ts
+++ b/packages/control-client/src/keep-hosts.ts
@@ -6,7 +6,11 @@
   ClusterConfiguration,
   NetworkAddress,
 } from '@cranberryturn/types';
-import type { ControlNotice, Network } from '@cranberryturn/wire';
+import {
+  type ControlNotice,
+  formatAddress,
+  type Network,
+} from '@cranberryturn/wire';
 
 import { type ControlHost, keepControlHost } from './control-host.js';
 
@@ -31,7 +35,7 @@
     const learned = configuration.controlHosts.map(host => host.address);
     const wanted = new Map(
       [...options.seeds, ...learned].map(address => [
-        `${address.address}:${String(address.port)}`,
+        formatAddress(address),
         address,
       ]),
     );
--- a/packages/control/src/adapters/serve-administration.ts
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -13,7 +13,7 @@
 } from '@cranberryturn/replicated-log';
 import type { TimerService } from '@cranberryturn/timers';
 import type { NetworkAddress } from '@cranberryturn/types';
-import { maximumProofAge } from '@cranberryturn/wire';
+import { formatAddress, maximumProofAge } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
 import {
@@ -115,17 +115,20 @@
 
 function listen(
   fetch: Parameters<typeof serve>[0]['fetch'],
-  { address, port }: NetworkAddress,
+  address: NetworkAddress,
 ): Promise<Result<Server, ConnectionError>> {
   return new Promise(resolve => {
-    const server = serve({ fetch, hostname: address, port }, () => {
-      resolve(ok(server));
-    }) as Server;
+    const server = serve(
+      { fetch, hostname: address.address, port: address.port },
+      () => {
+        resolve(ok(server));
+      },
+    ) as Server;
     server.once('error', cause => {
       resolve(
         err(
           new ConnectionError(
-            `Cannot listen on ${address}:${String(port)} for operators; choose a free port as "administration" in the settings.`,
+            `Cannot listen on ${formatAddress(address)} for operators; choose a free port as "administration" in the settings.`,
             { step: 'listen for operators' },
             cause,
           ),
--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -18,11 +18,10 @@
 } from '@cranberryturn/replicated-log';
 import type { TimerService } from '@cranberryturn/timers';
 import type { ControlHostConfiguration } from '@cranberryturn/types';
-import { ProcessRole } from '@cranberryturn/wire';
+import { formatAddress, ProcessRole } from '@cranberryturn/wire';
 
 import type { ControlNode } from '../control-node.js';
 import type { ControlRetention } from '../control-state.js';
-import { formatAddress } from '../parse-address.js';
 import { startControl } from '../start-control.js';
 import { createFaultyNetwork, type FaultyNetwork } from './faulty-network.js';
 
--- /dev/null
+++ b/packages/control/src/parse-address.test.ts
@@ -0,0 +1,16 @@
+import { formatAddress } from '@cranberryturn/wire';
+import test from 'ava';
+
+import { parseAddress } from './parse-address.js';
+
+test('addresses are read as they were written, also those of logs without brackets', t => {
+  for (const address of ['127.0.0.1', '::1', '2001:db8::7']) {
+    const written = formatAddress({ address, port: 7_100 });
+    t.deepEqual(parseAddress(written), { address, port: 7_100 });
+    t.deepEqual(parseAddress(`${address}:7100`), { address, port: 7_100 });
+  }
+  t.is(formatAddress({ address: '::1', port: 7_100 }), '[::1]:7100');
+  for (const text of ['', '127.0.0.1', ':7100', '127.0.0.1:', '[]:7100']) {
+    t.not(parseAddress(text)?.address, '', text);
+  }
+});
--- a/packages/control/src/parse-address.ts
+++ b/packages/control/src/parse-address.ts
@@ -1,16 +1,12 @@
-/** Text form of an address, as the members of the log keep it. */
+/** Reads the text form of an address, as the members of the log keep it. */
 import type { NetworkAddress } from '@cranberryturn/types';
 
-const addressPattern = /^(.+):(\d{1,5})$/;
+const addressPattern = /^(?:\[(.+)\]|(.+)):(\d{1,5})$/;
 
-/** Writes `address:port`. */
-export function formatAddress({ address, port }: NetworkAddress): string {
-  return `${address}:${String(port)}`;
-}
-
-/** Reads `address:port`; undefined when the text is something else. */
+/** Reads `address:port`, with or without brackets; undefined when the text is something else. */
 export function parseAddress(text: string): NetworkAddress | undefined {
-  const [, address, port] = addressPattern.exec(text) ?? [];
+  const [, bracketed, bare, port] = addressPattern.exec(text) ?? [];
+  const address = bracketed ?? bare;
   if (address === undefined || port === undefined) return undefined;
   return { address, port: Number(port) };
 }
--- a/packages/control/src/reconcile-members.ts
+++ b/packages/control/src/reconcile-members.ts
@@ -14,9 +14,9 @@
   Milliseconds,
   ReplicaId,
 } from '@cranberryturn/types';
+import { formatAddress } from '@cranberryturn/wire';
 
 import type { ControlState, EntryOutcome } from './control-state.js';
-import { formatAddress } from './parse-address.js';
 
 const checkInterval: Milliseconds = 250;
 
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -25,6 +25,7 @@
 import type { ClusterConfiguration } from '@cranberryturn/types';
 import {
   createWebSocketNetwork,
+  formatAddress,
   type Network,
   ProcessRole,
 } from '@cranberryturn/wire';
@@ -32,7 +33,6 @@
 
 import { serveAdministration } from './adapters/serve-administration.js';
 import type { ControlOptions } from './control-node.js';
-import { formatAddress } from './parse-address.js';
 import { startControl } from './start-control.js';
 
 const largestSeed = 2 ** 31;
--- a/packages/dispatcher/src/dispatcher-links.ts
+++ b/packages/dispatcher/src/dispatcher-links.ts
@@ -7,6 +7,7 @@
   dialWithin,
   type DispatcherCall,
   type DispatcherReply,
+  formatAddress,
   type Network,
   type RemoteCalls,
   serveRemoteCalls,
@@ -61,7 +62,7 @@
     call: DispatcherCall,
     timeout: Milliseconds,
   ): Promise<Result<DispatcherReply, CranberryError>> {
-    const name = describeAddress(address);
+    const name = formatAddress(address);
     const calls = await this.#connect(name, address);
     if (calls === undefined) {
       return err(
@@ -102,7 +103,3 @@
     return connection.isOk() ? this.serve(connection.value) : undefined;
   }
 }
-
-function describeAddress(address: NetworkAddress): string {
-  return `${address.address}:${String(address.port)}`;
-}
--- a/packages/program/src/adapters/http-listener.ts
+++ b/packages/program/src/adapters/http-listener.ts
@@ -4,6 +4,7 @@
 
 import { ConnectionError } from '@cranberryturn/errors';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { formatAddress } from '@cranberryturn/wire';
 import { serve } from '@hono/node-server';
 import type { Hono } from 'hono';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -89,7 +90,7 @@
   cause: unknown,
 ): ConnectionError {
   return new ConnectionError(
-    `Cannot listen on ${address.address}:${String(address.port)}; choose a free port in the settings.`,
+    `Cannot listen on ${formatAddress(address)}; choose a free port in the settings.`,
     { step: 'listen' },
     cause,
   );
--- a/packages/program/src/run-role-program.ts
+++ b/packages/program/src/run-role-program.ts
@@ -2,6 +2,7 @@
 import type { CranberryError } from '@cranberryturn/errors';
 import { type LogSettings, readSettingsFile } from '@cranberryturn/settings';
 import type { NetworkAddress } from '@cranberryturn/types';
+import { formatAddress } from '@cranberryturn/wire';
 import { Command, CommanderError } from 'commander';
 import type { ResultAsync } from 'neverthrow';
 import type { z } from 'zod';
@@ -162,17 +163,12 @@
   { logger }: RoleEnvironment,
 ): void {
   const places = Object.entries(running.addresses).map(
-    ([purpose, { address, port }]) =>
-      `${purpose} ${formatAddress(address)}:${String(port)}`,
+    ([purpose, address]) => `${purpose} ${formatAddress(address)}`,
   );
   host.writeOutput(`${name} is ready: ${places.join(', ')}\n`);
   logger.info('ready', { addresses: running.addresses });
 }
 
-function formatAddress(address: string): string {
-  return address.includes(':') ? `[${address}]` : address;
-}
-
 async function stopRole(
   running: RunningRole,
   signal: string,
--- a/packages/wire/src/adapters/web-socket-network.ts
+++ b/packages/wire/src/adapters/web-socket-network.ts
@@ -1,5 +1,5 @@
 /** The network of one process over WebSockets. */
-import { type AddressInfo, isIPv6 } from 'node:net';
+import type { AddressInfo } from 'node:net';
 
 import { HandshakeSide } from '@cranberryturn/authentication';
 import { ConnectionError } from '@cranberryturn/errors';
@@ -7,6 +7,7 @@
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import { WebSocket, WebSocketServer } from 'ws';
 
+import { formatAddress } from '../format-address.js';
 import type {
   Connection,
   ConnectionHandler,
@@ -129,11 +130,6 @@
   );
 }
 
-function formatAddress({ address, port }: NetworkAddress): string {
-  const host = isIPv6(address) ? `[${address}]` : address;
-  return `${host}:${String(port)}`;
-}
-
 function waitForListening(server: WebSocketServer): Promise<Error | undefined> {
   return new Promise(resolve => {
     server.once('listening', () => {
--- a/packages/wire/src/dial-within.ts
+++ b/packages/wire/src/dial-within.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import { err, type Result, ResultAsync } from 'neverthrow';
 
+import { formatAddress } from './format-address.js';
 import type { Connection, Dialer } from './ports/connection.js';
 
 type DialResult = Result<Connection, ConnectionError | AuthenticationError>;
@@ -33,10 +34,10 @@
 }
 
 function describeTimeout(
-  { address, port }: NetworkAddress,
+  address: NetworkAddress,
   timeout: Milliseconds,
 ): ConnectionError {
-  const peer = `${address}:${String(port)}`;
+  const peer = formatAddress(address);
   return new ConnectionError(
     `${peer} did not accept a connection within ${String(timeout)} ms.`,
     { step: 'dial', peer },
--- a/packages/wire/src/fakes/memory-network.ts
+++ b/packages/wire/src/fakes/memory-network.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 
+import { formatAddress } from '../format-address.js';
 import { FrameQueue } from '../frame-queue.js';
 import type {
   Connection,
@@ -167,7 +168,7 @@
 }
 
 function refuseDial(address: NetworkAddress): ConnectionError {
-  const name = `${address.address}:${String(address.port)}`;
+  const name = formatAddress(address);
   return new ConnectionError(`No connection to ${name}.`, {
     step: 'dial',
     peer: name,
