--- /dev/null
+++ b/packages/dispatcher/src/dispatcher-parts.ts
@@ -0,0 +1,105 @@
+/** Creates the parts of a dispatcher and connects them. */
+import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
+import { defaultSessionTimes } from '@cranberryturn/sessions';
+import { DispatcherMethod, DispatcherReplyKind } from '@cranberryturn/wire';
+
+import {
+  answerDispatcher,
+  type LendingScheduler,
+} from './answer-dispatchers.js';
+import type { DispatcherOptions } from './dispatcher-options.js';
+import { DispatcherLinks } from './dispatcher-links.js';
+import { createShareExchange } from './exchange-shares.js';
+import { TargetInviter } from './invite-targets.js';
+import { JobService } from './job-service.js';
+import type { Registration } from './keep-registered.js';
+import { SessionSubsets } from './session-subsets.js';
+import { TargetDirectory } from './target-directory.js';
+
+/** The parts of a dispatcher. */
+export interface DispatcherParts {
+  readonly options: DispatcherOptions;
+  readonly targets: TargetDirectory;
+  readonly links: DispatcherLinks;
+  readonly jobs: JobService;
+  readonly scheduler: Scheduler;
+  /** Undefined until this run listens. */
+  registration: Registration | undefined;
+}
+
+/** Creates the parts, which know each other. */
+export function createParts(options: DispatcherOptions): DispatcherParts {
+  const { timers, network, control, metrics, decisions, self } = options;
+  const subsets = new SessionSubsets(control.roster, options.targetsPerService);
+  const targets: TargetDirectory = new TargetDirectory({
+    timers,
+    times: options.sessionTimes ?? defaultSessionTimes,
+    control,
+    metrics,
+    logger: options.logger,
+    describeSessions: announcement => subsets.describeSessions(announcement),
+    inviteTarget: (target, timeout) => {
+      inviter.invite(target, timeout);
+    },
+    resultReceived: result => {
+      jobs.noteResult(result);
+    },
+  });
+  const links: DispatcherLinks = new DispatcherLinks({
+    network,
+    timers,
+    handleCall: call => {
+      if (call.method !== DispatcherMethod.InviteTargets) {
+        return answerDispatcher(jobs, scheduler, call, timers);
+      }
+      targets.inviteConnected(call.targets, call.dispatcher);
+      return Promise.resolve({ kind: DispatcherReplyKind.Invited });
+    },
+  });
+  const inviter = new TargetInviter({
+    self: self.dispatcherId,
+    roster: control.roster,
+    subsets,
+    links,
+    timers,
+    isConnected: target => targets.isConnected(target),
+  });
+  const jobs: JobService = new JobService({
+    self,
+    timers,
+    control,
+    links,
+    targets,
+    retention: options.retention,
+    isRegistered: () => isRegistered(parts),
+    metrics,
+    decisions,
+  });
+  const create = options.createScheduler ?? createScheduler;
+  const scheduler: LendingScheduler = create({
+    dispatcherId: self.dispatcherId,
+    dataCentre: options.dataCentre,
+    shareExchange: createShareExchange(links, control.roster),
+    timers,
+    seed: options.seed,
+    sender: targets,
+    observer: jobs,
+    decisions,
+  });
+  targets.attachScheduler(scheduler);
+  jobs.attachScheduler(scheduler);
+  const parts: DispatcherParts = {
+    options,
+    targets,
+    links,
+    jobs,
+    scheduler,
+    registration: undefined,
+  };
+  return parts;
+}
+
+/** Whether control knows this run. */
+export function isRegistered({ registration }: DispatcherParts): boolean {
+  return registration?.isDone() ?? false;
+}
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -1,8 +1,7 @@
 /** Brings the parts of a dispatcher together. */
 import type { CranberryError } from '@cranberryturn/errors';
 import { type HttpListener, listenForHttp } from '@cranberryturn/program';
-import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
-import { defaultSessionTimes } from '@cranberryturn/sessions';
+import type { Scheduler } from '@cranberryturn/scheduling';
 import { sleep } from '@cranberryturn/timers';
 import type {
   DispatcherRecord,
@@ -11,27 +10,22 @@
 } from '@cranberryturn/types';
 import {
   type Connection,
-  DispatcherMethod,
-  DispatcherReplyKind,
   type Listener,
   ProcessRole,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
-import {
-  answerDispatcher,
-  findElsewhere,
-  type LendingScheduler,
-} from './answer-dispatchers.js';
+import { findElsewhere } from './answer-dispatchers.js';
 import { serveCallers } from './callers/serve-callers.js';
 import type { DispatcherOptions } from './dispatcher-options.js';
-import { DispatcherLinks } from './dispatcher-links.js';
-import { createShareExchange } from './exchange-shares.js';
-import { JobService } from './job-service.js';
-import { keepRegistered, type Registration } from './keep-registered.js';
-import { TargetInviter } from './invite-targets.js';
-import { SessionSubsets } from './session-subsets.js';
-import { TargetDirectory } from './target-directory.js';
+import {
+  createParts,
+  type DispatcherParts,
+  isRegistered,
+} from './dispatcher-parts.js';
+import type { JobService } from './job-service.js';
+import { keepRegistered } from './keep-registered.js';
+import type { TargetDirectory } from './target-directory.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 const defaultGraceMilliseconds: Milliseconds = 60_000;
@@ -51,16 +45,6 @@
   kill(): void;
 }
 
-interface DispatcherParts {
-  readonly options: DispatcherOptions;
-  readonly targets: TargetDirectory;
-  readonly links: DispatcherLinks;
-  readonly jobs: JobService;
-  readonly scheduler: Scheduler;
-  /** Undefined until this run listens. */
-  registration: Registration | undefined;
-}
-
 /** Starts a dispatcher. */
 export function startDispatcher(
   options: DispatcherOptions,
@@ -115,81 +99,6 @@
   );
 }
 
-function createParts(options: DispatcherOptions): DispatcherParts {
-  const { timers, network, control, metrics, decisions, self } = options;
-  const subsets = new SessionSubsets(control.roster, options.targetsPerService);
-  const targets: TargetDirectory = new TargetDirectory({
-    timers,
-    times: options.sessionTimes ?? defaultSessionTimes,
-    control,
-    metrics,
-    logger: options.logger,
-    describeSessions: announcement => subsets.describeSessions(announcement),
-    inviteTarget: (target, timeout) => {
-      inviter.invite(target, timeout);
-    },
-    resultReceived: result => {
-      jobs.noteResult(result);
-    },
-  });
-  const links: DispatcherLinks = new DispatcherLinks({
-    network,
-    timers,
-    handleCall: call => {
-      if (call.method !== DispatcherMethod.InviteTargets) {
-        return answerDispatcher(jobs, scheduler, call, timers);
-      }
-      targets.inviteConnected(call.targets, call.dispatcher);
-      return Promise.resolve({ kind: DispatcherReplyKind.Invited });
-    },
-  });
-  const inviter = new TargetInviter({
-    self: self.dispatcherId,
-    roster: control.roster,
-    subsets,
-    links,
-    timers,
-    isConnected: target => targets.isConnected(target),
-  });
-  const jobs: JobService = new JobService({
-    self,
-    timers,
-    control,
-    links,
-    targets,
-    retention: options.retention,
-    isRegistered: () => isRegistered(parts),
-    metrics,
-    decisions,
-  });
-  const create = options.createScheduler ?? createScheduler;
-  const scheduler: LendingScheduler = create({
-    dispatcherId: self.dispatcherId,
-    dataCentre: options.dataCentre,
-    shareExchange: createShareExchange(links, control.roster),
-    timers,
-    seed: options.seed,
-    sender: targets,
-    observer: jobs,
-    decisions,
-  });
-  targets.attachScheduler(scheduler);
-  jobs.attachScheduler(scheduler);
-  const parts: DispatcherParts = {
-    options,
-    targets,
-    links,
-    jobs,
-    scheduler,
-    registration: undefined,
-  };
-  return parts;
-}
-
-function isRegistered({ registration }: DispatcherParts): boolean {
-  return registration?.isDone() ?? false;
-}
-
 function serveConnection(
   { targets, links }: DispatcherParts,
   connection: Connection,
