Let heartbeats of idle sessions grow to five seconds

Each idle session sent 120 frames a minute, on which nothing depended. The interval now doubles up to heartbeat.idleIntervalMilliseconds while both ends are idle, and each heartbeat says when the next one follows. A dispatcher that suspects a sidecar asks another dispatcher to tell it, so that a task or new settings sent into an idle silent connection are there within four seconds. Liveness leaves session.ts.

Silence under work is found after 2.5 to 3.5 s as before, idle after at most 7.5 s.

--- a/packages/dispatcher/src/invite-targets.ts
+++ b/packages/dispatcher/src/invite-targets.ts
@@ -19,14 +19,14 @@
   readonly subsets: SessionSubsets;
   readonly links: DispatcherLinks;
   readonly timers: TimerService;
-  readonly isConnected: (target: TargetIdentity) => boolean;
+  readonly isHeard: (target: TargetIdentity) => boolean;
 }
 
 interface Invitation {
   readonly target: TargetIdentity;
   readonly expires: Milliseconds;
-  /** Holders of a session that were asked to pass the invitation on. */
-  readonly asked: Set<DispatcherId>;
+  /** How often a holder of a session was asked to pass the invitation on. */
+  timesAsked: number;
 }
 
 interface InvitationBatch {
@@ -35,6 +35,7 @@
 }
 
 const roundMilliseconds: Milliseconds = 1_000;
+const passesOverHolders = 2;
 
 /** Passes invitations through dispatchers that hold a session, one after the other until one succeeds. */
 export class TargetInviter {
@@ -49,7 +50,7 @@
   invite(target: TargetIdentity, timeoutMilliseconds: Milliseconds): void {
     const key = `${target.targetId}/${target.incarnation}`;
     const expires = this.#options.timers.now() + timeoutMilliseconds;
-    this.#invitations.set(key, { target, expires, asked: new Set() });
+    this.#invitations.set(key, { target, expires, timesAsked: 0 });
     if (this.#running) return;
     this.#running = true;
     void this.#run();
@@ -68,10 +69,11 @@
 
   #composeRound(): readonly InvitationBatch[] {
     const batches = new Map<DispatcherId, InvitationBatch>();
-    for (const { target, asked } of this.#invitations.values()) {
-      const holder = this.#chooseHolder(target, asked);
+    for (const invitation of this.#invitations.values()) {
+      const { target } = invitation;
+      const holder = this.#chooseHolder(invitation);
       if (holder === undefined) continue;
-      asked.add(holder.dispatcherId);
+      invitation.timesAsked += 1;
       const batch = batches.get(holder.dispatcherId) ?? { holder, targets: [] };
       batch.targets.push(target);
       batches.set(holder.dispatcherId, batch);
@@ -79,17 +81,16 @@
     return [...batches.values()];
   }
 
-  /** Starts over when all holders were asked in vain. */
-  #chooseHolder(
-    target: TargetIdentity,
-    asked: Set<DispatcherId>,
-  ): DispatcherRecord | undefined {
+  /** Goes through all holders twice; a silent target is not asked for ever. */
+  #chooseHolder({
+    target,
+    timesAsked,
+  }: Invitation): DispatcherRecord | undefined {
     const holders = this.#options.subsets
       .findHolders(target.targetId)
       .filter(one => one.dispatcherId !== this.#options.self);
-    const next = holders.find(one => !asked.has(one.dispatcherId));
-    if (next === undefined) asked.clear();
-    return next ?? holders[0];
+    if (timesAsked >= passesOverHolders * holders.length) return undefined;
+    return holders[timesAsked % holders.length];
   }
 
   #send({ holder, targets }: InvitationBatch): void {
@@ -112,7 +113,7 @@
   #dropSettled(): void {
     const now = this.#options.timers.now();
     for (const [key, { target, expires }] of this.#invitations) {
-      if (now < expires && !this.#options.isConnected(target)) continue;
+      if (now < expires && !this.#options.isHeard(target)) continue;
       this.#invitations.delete(key);
     }
   }
--- a/packages/dispatcher/src/session-subsets.ts
+++ b/packages/dispatcher/src/session-subsets.ts
@@ -52,14 +52,12 @@
     };
   }
 
-  /** Dispatchers that should have a session with a target; none when subsets are not used. */
+  /** Dispatchers that should have a session with a target. */
   findHolders(targetId: TargetId): readonly DispatcherRecord[] {
     const target = this.#roster
       .current()
       .targets.find(one => one.targetId === targetId);
-    if (target === undefined || this.#targetsPerService === undefined) {
-      return [];
-    }
+    if (target === undefined) return [];
     const plan = this.#planService(target.service);
     return this.#listDispatchers(plan, targetId) ?? [];
   }
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -86,6 +86,7 @@
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
       suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
+      idleHeartbeatMilliseconds: settings.heartbeat.idleIntervalMilliseconds,
     },
   })
     .map(dispatcher => {
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -149,7 +149,7 @@
     subsets,
     links,
     timers,
-    isConnected: target => targets.isConnected(target),
+    isHeard: target => targets.isHeard(target),
   });
   const jobs: JobService = new JobService({
     self,
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -13,6 +13,7 @@
   type ClusterConfiguration,
   type ConfigurationVersion,
   type JobId,
+  type Milliseconds,
   type OwnershipEpoch,
   type Roster,
   type TargetId,
@@ -44,6 +45,8 @@
 import type { TargetDirectoryOptions } from './target-directory-options.js';
 import { TargetPresence } from './target-presence.js';
 
+const invitationMilliseconds: Milliseconds = 10_000;
+
 /** Connects targets with the scheduler. */
 export class TargetDirectory implements AttemptSender {
   readonly acceptor: SessionAcceptor<ToTargetMessage, FromTargetMessage>;
@@ -77,9 +80,7 @@
 
   startAttempt(target: TargetIdentity, attempt: AttemptStart): void {
     this.#options.metrics.count(Counter.TasksPlaced);
-    this.#targets
-      .get(describeRun(target))
-      ?.send({ kind: ToTargetKind.StartAttempt, attempt });
+    this.#send(target, { kind: ToTargetKind.StartAttempt, attempt });
   }
 
   cancelAttempts(
@@ -87,15 +88,11 @@
     attempts: readonly AttemptKey[],
     reason: string,
   ): void {
-    this.#targets
-      .get(describeRun(target))
-      ?.send({ kind: ToTargetKind.CancelAttempts, attempts, reason });
+    this.#send(target, { kind: ToTargetKind.CancelAttempts, attempts, reason });
   }
 
   askForLoad(target: TargetIdentity): void {
-    this.#targets
-      .get(describeRun(target))
-      ?.send({ kind: ToTargetKind.AskForLoad });
+    this.#send(target, { kind: ToTargetKind.AskForLoad });
   }
 
   /**
@@ -141,9 +138,7 @@
     dispatcher: DispatcherAddress,
   ): void {
     for (const target of targets) {
-      this.#targets
-        .get(describeRun(target))
-        ?.send({ kind: ToTargetKind.OpenSession, dispatcher });
+      this.#send(target, { kind: ToTargetKind.OpenSession, dispatcher });
     }
   }
 
@@ -161,6 +156,11 @@
       .map(target => target.identity.targetId);
   }
 
+  /** Whether the run has a session here that is not silent. */
+  isHeard(target: TargetIdentity): boolean {
+    return this.#presence.isHeard(target);
+  }
+
   /** Registered runs that this dispatcher has not heard for their lease. */
   listSilent(roster: Roster): readonly TargetIdentity[] {
     return this.#presence.listSilent(roster);
@@ -172,6 +172,10 @@
     this.acceptor.close();
   }
 
+  #send(target: TargetIdentity, message: ToTargetMessage): void {
+    this.#targets.get(describeRun(target))?.send(message);
+  }
+
   #startSession(
     peer: PeerIdentity,
     send: (message: ToTargetMessage) => void,
@@ -197,6 +201,7 @@
         this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
         if (target.sessionLeft) this.acceptor.forget(peer);
+        else this.#options.inviteTarget(identity, invitationMilliseconds);
       },
       ended: reason => {
         this.#endSession(target, reason);
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -9,7 +9,7 @@
   createControlClient,
 } from '@cranberryturn/control-client';
 import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
-import { createSilentLogger } from '@cranberryturn/logger';
+import { createSilentLogger, type Logger } from '@cranberryturn/logger';
 import { createMetrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import { type Sidecar, startSidecar } from '@cranberryturn/sidecar';
@@ -83,6 +83,7 @@
   readonly workers: number;
   readonly slots: number;
   readonly runMilliseconds: Milliseconds;
+  readonly logger?: Logger | undefined;
   /** Targets of each dispatcher; all without it. */
   readonly targetsPerService?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
@@ -117,7 +118,7 @@
         network,
         control,
         record,
-        targetsPerService: options.targetsPerService,
+        ...options,
       },
       dispatcherId,
       incarnation,
@@ -140,6 +141,7 @@
       timers,
       random: createRandomSource(workers.length + 1),
       decisions: record,
+      logger: options.logger,
       retention: { startsMilliseconds: 600_000, answersBytes: mebibyte },
       queueLimit: 2,
     });
@@ -201,7 +203,8 @@
   readonly network: MemoryNetwork;
   readonly control: ControlNode;
   readonly record: (decision: Decision) => void;
-  readonly targetsPerService: number | undefined;
+  readonly targetsPerService?: number | undefined;
+  readonly logger?: Logger | undefined;
 }
 
 async function startMemoryControl(
@@ -234,6 +237,7 @@
     control,
     record,
     targetsPerService,
+    logger,
   }: DispatcherSurroundings,
   dispatcherId: string,
   incarnation: string,
@@ -271,6 +275,7 @@
     control: client,
     timers,
     targetsPerService,
+    logger,
     seed: 1,
     metrics: createMetrics({
       role: ProcessRole.Dispatcher,
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -3,3 +3,4 @@
 export * from './open-session.js';
 export * from './plan-sessions.js';
 export * from './session.js';
+export * from './session-liveness.js';
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -6,12 +6,8 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
-import {
-  Session,
-  SessionEndReason,
-  type SessionTimes,
-  type StartSession,
-} from './session.js';
+import { Session, SessionEndReason, type StartSession } from './session.js';
+import type { SessionTimes } from './session-liveness.js';
 
 const minimumBackoffMilliseconds: Milliseconds = 50;
 const maximumBackoffMilliseconds: Milliseconds = 1_000;
--- a/packages/sessions/src/session-frames.ts
+++ b/packages/sessions/src/session-frames.ts
@@ -1,5 +1,5 @@
 /** Frames that carry a session over its connections. */
-import type { Milliseconds } from '@cranberryturn/types';
+import type { LivenessReport } from './session-liveness.js';
 
 /** Number of a message within one direction of a session. The first is 1. */
 export type MessageSequence = number;
@@ -30,11 +30,9 @@
 }
 
 /** Shows that the sender is alive when there is no data to send. */
-export interface HeartbeatFrame {
+export interface HeartbeatFrame extends LivenessReport {
   readonly kind: SessionFrameKind.Heartbeat;
   readonly received: MessageSequence;
-  /** Time since the sender last received a frame. */
-  readonly silenceMilliseconds: Milliseconds;
 }
 
 /** A frame of a session. */
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -1,6 +1,5 @@
 /** A reliable, ordered exchange of messages between two process runs. */
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
-import type { Milliseconds } from '@cranberryturn/types';
 import {
   type Connection,
   decodeMessage,
@@ -10,20 +9,11 @@
 
 import { MessageWindow } from './message-window.js';
 import { type SessionFrame, SessionFrameKind } from './session-frames.js';
-
-/** Times of a session. */
-export interface SessionTimes {
-  /** Longest time without sending a frame. */
-  readonly heartbeatMilliseconds: Milliseconds;
-  /** Silence after which the connection is suspected. */
-  readonly suspicionMilliseconds: Milliseconds;
-}
-
-/** Times that keep the control traffic of a process below its budget. */
-export const defaultSessionTimes: SessionTimes = {
-  heartbeatMilliseconds: 1_000,
-  suspicionMilliseconds: 3_000,
-};
+import {
+  LivenessState,
+  SessionLiveness,
+  type SessionTimes,
+} from './session-liveness.js';
 
 /** Why a session ended. */
 export enum SessionEndReason {
@@ -43,6 +33,8 @@
   connected(): void;
   /** The peer is silent or the connection ended; nothing is lost yet. */
   suspected(): void;
+  /** Whether work is in flight here whose peer must be watched closely. */
+  hasWork?(): boolean;
   /** No further message will arrive. */
   ended(reason: SessionEndReason): void;
 }
@@ -80,7 +72,7 @@
   readonly peer: PeerIdentity;
   readonly session: number;
   readonly #timers: TimerService;
-  readonly #times: SessionTimes;
+  readonly #liveness: SessionLiveness;
   readonly #listener: SessionListener<Incoming>;
   readonly #window = new MessageWindow<Outgoing>();
   readonly #ticker: TimerSubscription;
@@ -96,17 +88,17 @@
   #flushScheduled = false;
   #ended = false;
   #suspected = false;
-  #lastSent: Milliseconds;
-  #lastReceived: Milliseconds;
   #wakeWhenSuspected: (() => void) | undefined;
 
   constructor(options: SessionOptions<Outgoing, Incoming>) {
     this.peer = options.peer;
     this.session = options.session;
     this.#timers = options.timers;
-    this.#times = options.times;
-    this.#lastSent = options.timers.now();
-    this.#lastReceived = this.#lastSent;
+    this.#liveness = new SessionLiveness(
+      options.times,
+      options.timers.now(),
+      () => this.unacknowledged > 0 || this.#listener.hasWork?.() === true,
+    );
     this.#ticker = options.timers.every(
       options.times.heartbeatMilliseconds / 2,
       () => {
@@ -161,7 +153,7 @@
     const previous = this.#connection;
     this.#connection = connection;
     this.#counts.connections += 1;
-    this.#lastReceived = this.#timers.now();
+    this.#liveness.noteConnected(this.#timers.now());
     this.#suspected = false;
     previous?.close();
     this.#window.acknowledge(peerReceived);
@@ -183,6 +175,11 @@
     });
   }
 
+  /** The peer was told elsewhere that it is not heard: suspects a connection that is silent here as well. */
+  renewIfStale(): void {
+    if (this.#liveness.isStale(this.#timers.now())) this.#suspect();
+  }
+
   /** Ends the session. Messages that were not acknowledged may be lost. */
   end(reason: SessionEndReason): void {
     if (this.#ended) return;
@@ -205,7 +202,7 @@
         this.peer.name,
       );
       if (frame.isErr()) return;
-      if (connection === this.#connection) this.#noteAlive();
+      if (connection === this.#connection) this.#noteAlive(frame.value);
       this.#handle(frame.value);
     }
   }
@@ -219,10 +216,7 @@
         this.#accept(frame.sequence, frame.messages);
         return;
       case SessionFrameKind.Heartbeat:
-        if (frame.silenceMilliseconds < this.#times.suspicionMilliseconds) {
-          return;
-        }
-        this.#suspect();
+        if (frame.state === LivenessState.Suspecting) this.#suspect();
         return;
     }
   }
@@ -240,8 +234,18 @@
     if (this.#window.mustAcknowledge) this.#sendHeartbeat();
   }
 
-  #noteAlive(): void {
-    this.#lastReceived = this.#timers.now();
+  #noteAlive(frame: SessionFrame<Incoming>): void {
+    const now = this.#timers.now();
+    switch (frame.kind) {
+      case SessionFrameKind.Open:
+        return;
+      case SessionFrameKind.Data:
+        this.#liveness.noteDataReceived(now);
+        break;
+      case SessionFrameKind.Heartbeat:
+        this.#liveness.noteHeartbeatReceived(now, frame);
+        break;
+    }
     if (!this.#suspected) return;
     this.#suspected = false;
     this.#listener.connected();
@@ -249,11 +253,8 @@
 
   #tick(): void {
     const now = this.#timers.now();
-    const silence = now - this.#lastReceived;
-    if (now - this.#lastSent >= this.#times.heartbeatMilliseconds) {
-      this.#sendHeartbeat();
-    }
-    if (silence >= this.#times.suspicionMilliseconds) this.#suspect();
+    if (this.#liveness.isHeartbeatDue(now)) this.#sendHeartbeat();
+    if (this.#liveness.isSilent(now)) this.#suspect();
   }
 
   #suspect(): void {
@@ -282,6 +283,7 @@
     if (this.#connection === undefined || this.#ended) return;
     const batch = this.#window.takeUnsent();
     if (batch.messages.length === 0) return;
+    this.#liveness.noteDataSent(this.#timers.now());
     this.#transmit({
       kind: SessionFrameKind.Data,
       sequence: batch.sequence,
@@ -296,13 +298,12 @@
     this.#transmit({
       kind: SessionFrameKind.Heartbeat,
       received: this.#window.confirmReceived(),
-      silenceMilliseconds: this.#timers.now() - this.#lastReceived,
+      ...this.#liveness.reportHeartbeat(this.#timers.now()),
     });
   }
 
   #transmit(frame: SessionFrame<Outgoing>): void {
     this.#counts.framesSent += 1;
-    this.#lastSent = this.#timers.now();
     this.#connection?.send(encodeMessage(frame));
   }
 }
--- a/packages/settings/src/schemas/shared.ts
+++ b/packages/settings/src/schemas/shared.ts
@@ -128,6 +128,8 @@
 export const heartbeatSchema = z
   .strictObject({
     intervalMilliseconds: z.int().min(10).max(60_000).default(1_000),
+    /** Longest time between heartbeats while nothing is in flight. */
+    idleIntervalMilliseconds: z.int().min(10).max(60_000).default(5_000),
     /** Silence after which a fresh connection is dialled. */
     suspectAfterMilliseconds: z.int().min(20).max(300_000).default(3_000),
   })
--- a/packages/sidecar/src/dispatcher-sessions.ts
+++ b/packages/sidecar/src/dispatcher-sessions.ts
@@ -117,9 +117,13 @@
     }
   }
 
-  /** Opens a session for a while with a dispatcher outside the plan. */
+  /**
+   * Opens a session for a while with a dispatcher outside the plan. One that
+   * stands is renewed when it is silent, as the dispatcher does not hear it.
+   */
   openOnDemand(dispatcher: DispatcherAddress): void {
     const known = this.#find(dispatcher);
+    known?.dialer?.current()?.renewIfStale();
     const link = known ?? this.#dial(dispatcher.address, false);
     link.keptUntil = this.#options.timers.now() + onDemandMilliseconds;
     if (known === undefined) this.#enter(link, LinkPhase.Leaving);
--- a/packages/sidecar/src/start-sidecar-role.ts
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -73,6 +73,7 @@
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
       suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
+      idleHeartbeatMilliseconds: settings.heartbeat.idleIntervalMilliseconds,
     },
   });
   observeSidecar(metrics, sidecar, settings.slots);
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -148,6 +148,7 @@
     messageReceived: message => {
       handleDispatcherMessage(parts, served, message);
     },
+    hasWork: () => parts.runner.hasWorkFor(dispatcherId),
     connected: () => {
       logger?.info('session connected', { dispatcherId });
     },
