Confirm parts of limits between dispatchers, and connect the membership lease

Cause: at a start of the whole system every part waited 8 s, nobody could lend, and jobs of limited teams were refused for want of a part, so that no demand arose either. A dispatcher that saw the roster before its own entry took the part of fewer dispatchers at once. The membership lease was never set.

Change: a larger part is used once all other dispatchers of the roster confirm that they follow it and stay within their parts; control marks runs that replaced another, and these, like the others after a departure, confirm nothing for 8 s. A dispatcher that is not on the roster has no part. It uses its part for 6 s after the last proof of control, and longer only while no other dispatcher knows a later roster. The ledger's borrowing is a module of its own.

Before: no limited start within 8 s. After, manual clock: three dispatchers that start at once hold 10, 10, 10 of 30 within a second, never more than 30 in sum; a dispatcher cut off from control refuses limited requests after 8 s.

--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -8,7 +8,8 @@
 import { FairQueue, type QueuedJob } from './fair-queue.js';
 import { LimitGate } from './limit-gate.js';
 import { createHeapNode, type HeapNode, RankedHeap } from './ranked-heap.js';
-import { raiseDelayMilliseconds, ShareLedger } from './share-ledger.js';
+import { raiseDelayMilliseconds } from './confirm-parts.js';
+import { ShareLedger } from './share-ledger.js';
 
 const limit = 'team/planning/concurrency';
 const seed = 20_261_203;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,4 +1,5 @@
 /** Quotas, limits, fair queues and early refusal. */
+export * from './confirm-parts.js';
 export * from './decide-admission.js';
 export * from './divide-limit.js';
 export * from './fair-queue.js';
--- a/packages/admission/src/limit-share.ts
+++ b/packages/admission/src/limit-share.ts
@@ -61,6 +61,11 @@
   return sum;
 }
 
+/** Units in use that are not borrowed. */
+export function countOwnUse(share: Share, now: Milliseconds): number {
+  return Math.max(0, share.inUse - countBorrowed(share, now));
+}
+
 /** Forgets the loans that ended. */
 export function forgetEndedLoans(share: Share, now: Milliseconds): void {
   for (const [peer, loans] of share.lent) {
--- a/packages/admission/src/ports/share-exchange.ts
+++ b/packages/admission/src/ports/share-exchange.ts
@@ -18,11 +18,19 @@
   readonly wanted: readonly LimitUnits[];
 }
 
+/** How far a dispatcher has taken in who shares the limits. */
+export interface PartStanding {
+  readonly rosterVersion: number;
+  /** Whether it uses and lends no more than its parts, and knows of nobody else who may. */
+  readonly settled: boolean;
+}
+
 /** What a peer lends from now on. */
 export interface BorrowReply {
   readonly lent: readonly LimitUnits[];
   /** Time for which the lender does without the units, from when it replied. */
   readonly loanMilliseconds: Milliseconds;
+  readonly standing?: PartStanding | undefined;
 }
 
 /** Calls other dispatchers. */
--- a/packages/admission/src/share-ledger.ts
+++ b/packages/admission/src/share-ledger.ts
@@ -2,10 +2,17 @@
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type { DispatcherId, Milliseconds } from '@cranberryturn/types';
 
+import { ShareBorrower } from './borrow-shares.js';
+import {
+  PartConfirmations,
+  raiseDelayMilliseconds,
+  type SharingDispatchers,
+} from './confirm-parts.js';
 import { divideLimit, equalPart } from './divide-limit.js';
 import {
   countBorrowed,
   countLent,
+  countOwnUse,
   createShare,
   forgetEndedLoans,
   type Share,
@@ -28,21 +35,12 @@
   readonly membershipLeaseMilliseconds?: Milliseconds | undefined;
 }
 
-/** The dispatchers that share the limits. */
-export interface SharingDispatchers {
-  readonly count: number;
-  /** Their names in any order, when they are known. */
-  readonly names?: readonly DispatcherId[] | undefined;
-}
-
 /** Time for which units are lent. */
 export const loanMilliseconds: Milliseconds = 3_000;
-/** A larger part is used only after this time, when every other dispatcher has its smaller one. */
-export const raiseDelayMilliseconds: Milliseconds = 8_000;
 
 const exchangePeriodMilliseconds: Milliseconds = 250;
-const renewalMilliseconds: Milliseconds = 1_500;
-const clockDriftMargin = 0.9;
+/** Times in a lease at which peers are asked while control is silent. */
+const standingsInLease = 4;
 
 /**
  * Holds an equal part of each limit, lends what it does not need to dispatchers that ask, and borrows what it lacks.
@@ -52,35 +50,52 @@
   readonly #options: ShareLedgerOptions;
   readonly #shares = new Map<LimitKey, Share>();
   readonly #ticker: TimerSubscription | undefined;
-  readonly #askedAt = new Map<DispatcherId, Milliseconds>();
+  readonly #borrower: ShareBorrower;
   readonly #createdAt: Milliseconds;
+  readonly #confirmations: PartConfirmations;
   #confirmedAt: Milliseconds;
+  #standingsAskedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #peers: readonly DispatcherId[] = [];
-  #nextPeer = 0;
 
   constructor(options: ShareLedgerOptions) {
     this.#options = options;
     this.#createdAt = options.timers.now();
     this.#confirmedAt = this.#createdAt;
+    this.#borrower = new ShareBorrower({
+      ...options,
+      shares: this.#shares,
+      held: limit => this.held(limit),
+    });
+    this.#confirmations = new PartConfirmations(
+      options.dispatcherId,
+      this.#createdAt,
+    );
     this.#ticker = options.timers.every(exchangePeriodMilliseconds, () => {
       this.#tick();
     });
   }
 
-  /** Takes in the limits and the dispatchers that share them. Smaller parts hold at once, larger ones after the raise delay. */
+  /**
+   * Takes in the limits and the dispatchers that share them. Smaller parts hold at once, larger ones when all
+   * peers have confirmed theirs or after the raise delay.
+   */
   applyLimits(
     limits: ReadonlyMap<LimitKey, number>,
     dispatchers: SharingDispatchers,
   ): void {
     const names = [...(dispatchers.names ?? [])].sort();
+    const now = this.#options.timers.now();
+    this.#confirmations.applyRoster(dispatchers, now);
     this.#peers = names.filter(name => name !== this.#options.dispatcherId);
+    const isAlone = this.#isAlone(dispatchers, names);
     for (const limit of [...this.#shares.keys()]) {
       if (!limits.has(limit)) this.#shares.delete(limit);
     }
     for (const [key, limit] of limits) {
       const part = this.#partOf(key, limit, dispatchers, names);
-      this.#applyLimit(key, limit, part, dispatchers.count);
+      this.#applyLimit(key, limit, part, isAlone);
     }
+    this.#raiseShares(now);
   }
 
   /** Units that this dispatcher may use now; infinite when there is no such limit. */
@@ -113,7 +128,12 @@
       limit: wanted.limit,
       units: this.#lendUnits(request.borrower, wanted),
     }));
-    return { lent, loanMilliseconds };
+    const now = this.#options.timers.now();
+    const standing = this.#confirmations.describeStanding(
+      [...this.#shares.values()].every(share => isWithinPart(share, now)),
+      now,
+    );
+    return { lent, loanMilliseconds, standing };
   }
 
   stop(): void {
@@ -122,7 +142,17 @@
 
   #isMember(now: Milliseconds): boolean {
     const lease = this.#options.membershipLeaseMilliseconds;
-    return lease === undefined || now - this.#confirmedAt < lease;
+    if (lease === undefined || now - this.#confirmedAt < lease) return true;
+    return now - this.#confirmations.unchangedAt(now) < lease;
+  }
+
+  /** Whether no other dispatcher shares the limits. */
+  #isAlone(
+    { count, rosterVersion }: SharingDispatchers,
+    names: readonly DispatcherId[],
+  ): boolean {
+    if (names.length === 0) return count <= 1 && rosterVersion === undefined;
+    return names.length === 1 && names[0] === this.#options.dispatcherId;
   }
 
   #partOf(
@@ -132,6 +162,7 @@
     names: readonly DispatcherId[],
   ): number {
     const position = names.indexOf(this.#options.dispatcherId);
+    if (position < 0 && dispatchers.rosterVersion !== undefined) return 0;
     if (position < 0)
       return Math.max(1, Math.floor(limit / Math.max(1, dispatchers.count)));
     const rotated = (position + sumCharacters(key)) % names.length;
@@ -142,15 +173,14 @@
     key: LimitKey,
     limit: number,
     part: number,
-    dispatchers: number,
+    isAlone: boolean,
   ): void {
     const now = this.#options.timers.now();
     const share = this.#shares.get(key);
     if (share === undefined) {
       const usableAt = this.#createdAt + raiseDelayMilliseconds;
-      const waits = dispatchers > 1 && now < usableAt;
+      const waits = !isAlone && now < usableAt;
       this.#shares.set(key, createShare(limit, part, waits ? usableAt : now));
-      this.#raiseShares(now);
       return;
     }
     const unchanged = share.limit === limit && share.coming === part;
@@ -171,8 +201,8 @@
     share.lent.delete(borrower);
     const available = Math.max(0, share.base - countLent(share, now));
     const [, fair = 0] = divideLimit(available, [share.demand, wanted.units]);
-    const inUse = Math.max(0, share.inUse - countBorrowed(share, now));
-    const units = Math.max(0, Math.min(fair, wanted.units, available - inUse));
+    const spare = available - countOwnUse(share, now);
+    const units = Math.max(0, Math.min(fair, wanted.units, spare));
     loans.push({ units, until: now + loanMilliseconds });
     share.lent.set(borrower, loans);
     return units;
@@ -181,86 +211,51 @@
   #tick(): void {
     const now = this.#options.timers.now();
     this.#raiseShares(now);
+    this.#askForStandings(now);
     for (const share of this.#shares.values()) {
       forgetEndedLoans(share, now);
     }
-    this.#exchange(now);
+    this.#borrower.borrow(this.#peers, now);
   }
 
   #raiseShares(now: Milliseconds): void {
+    const confirmed = this.#confirmations.isConfirmed(now);
     for (const share of this.#shares.values()) {
-      if (share.base < share.coming && share.raisedAt <= now)
-        share.base = share.coming;
+      if (share.base >= share.coming) continue;
+      if (confirmed || share.raisedAt <= now) share.base = share.coming;
     }
   }
 
-  #exchange(now: Milliseconds): void {
-    const { exchange, dispatcherId } = this.#options;
-    const peer = this.#choosePeer(now);
-    if (exchange === undefined || peer === undefined) return;
-    const wanted = this.#wantedFrom(peer, now);
-    if (wanted.length === 0) return;
-    this.#askedAt.set(peer, now);
-    for (const { limit, units } of wanted) this.#shrinkLoan(peer, limit, units);
-    void exchange
-      .borrow(peer, { borrower: dispatcherId, wanted })
-      .map(reply => {
-        this.#takeLoans(peer, reply, now);
-      });
-  }
-
-  /** Renews running loans first, then asks the peers in turn. */
-  #choosePeer(now: Milliseconds): DispatcherId | undefined {
-    for (const peer of this.#peers) {
-      const askedAt = this.#askedAt.get(peer) ?? 0;
-      if (this.#borrowsFrom(peer, now) && now - askedAt >= renewalMilliseconds)
-        return peer;
+  /** Asks peers all at once, while a larger part waits for it or control is silent. */
+  #askForStandings(now: Milliseconds): void {
+    for (const peer of this.#listPeersToAsk(now)) {
+      const { exchange, dispatcherId } = this.#options;
+      void exchange
+        ?.borrow(peer, { borrower: dispatcherId, wanted: [] })
+        .map(({ standing }) => {
+          this.#confirmations.takeStanding(peer, standing, now);
+          this.#raiseShares(this.#options.timers.now());
+        });
     }
-    const others = this.#peers.filter(peer => !this.#borrowsFrom(peer, now));
-    this.#nextPeer += 1;
-    return others[this.#nextPeer % others.length];
   }
 
-  #borrowsFrom(peer: DispatcherId, now: Milliseconds): boolean {
-    for (const share of this.#shares.values()) {
-      const loan = share.borrowed.get(peer);
-      if (loan !== undefined && loan.until > now) return true;
-    }
-    return false;
-  }
-
-  #wantedFrom(peer: DispatcherId, now: Milliseconds): readonly LimitUnits[] {
-    const wanted: LimitUnits[] = [];
-    for (const [limit, share] of this.#shares) {
-      const loan = share.borrowed.get(peer);
-      const present = loan !== undefined && loan.until > now ? loan.units : 0;
-      const missing = share.demand - this.held(limit);
-      const units = Math.max(0, Math.ceil(present + missing));
-      if (units > 0 || present > 0) wanted.push({ limit, units });
-    }
-    return wanted;
-  }
-
-  #shrinkLoan(peer: DispatcherId, limit: LimitKey, units: number): void {
-    const share = this.#shares.get(limit);
-    const loan = share?.borrowed.get(peer);
-    if (share === undefined || loan === undefined) return;
-    const kept = Math.min(units, loan.units);
-    share.borrowed.set(peer, { units: kept, until: loan.until });
+  #listPeersToAsk(now: Milliseconds): readonly DispatcherId[] {
+    const shares = [...this.#shares.values()];
+    const waits = shares.some(share => share.base < share.coming);
+    if (waits && this.#confirmations.mayAsk(now))
+      return this.#confirmations.listUnconfirmed();
+    const lease = this.#options.membershipLeaseMilliseconds;
+    if (lease === undefined || shares.length === 0) return [];
+    const askedAgo = now - this.#standingsAskedAt;
+    const isSilent = now - this.#confirmedAt >= lease / 2;
+    if (!isSilent || askedAgo < lease / standingsInLease) return [];
+    this.#standingsAskedAt = now;
+    return this.#confirmations.peers;
   }
+}
 
-  #takeLoans(
-    peer: DispatcherId,
-    reply: BorrowReply,
-    askedAt: Milliseconds,
-  ): void {
-    const until = askedAt + reply.loanMilliseconds * clockDriftMargin;
-    for (const { limit, units } of reply.lent) {
-      const share = this.#shares.get(limit);
-      if (share === undefined) continue;
-      share.borrowed.set(peer, { units, until });
-    }
-  }
+function isWithinPart(share: Share, now: Milliseconds): boolean {
+  return countOwnUse(share, now) + countLent(share, now) <= share.base;
 }
 
 function sumCharacters(text: string): number {
--- /dev/null
+++ b/packages/admission/src/share-start.test.ts
@@ -0,0 +1,151 @@
+import { createManualTimerService } from '@cranberryturn/timers';
+import test from 'ava';
+import { okAsync } from 'neverthrow';
+
+import { raiseDelayMilliseconds } from './confirm-parts.js';
+import { ShareLedger } from './share-ledger.js';
+
+const key = 'team/planning/concurrency';
+const limit = 30;
+const leaseMilliseconds = 6_000;
+
+/** Dispatchers that take in the rosters of a control that the test plays. */
+function createCluster(leased = false) {
+  const timers = createManualTimerService();
+  const ledgers = new Map<string, ShareLedger>();
+  const unreachable = new Set<string>();
+  const replaced = new Set<string>();
+  let rosterVersion = 0;
+  let names: readonly string[] = [];
+  let calls = 0;
+
+  const apply = (name: string): void => {
+    ledgers.get(name)?.applyLimits(new Map([[key, limit]]), {
+      count: Math.max(1, names.length),
+      names,
+      rosterVersion,
+      replacesRun: replaced.has(name),
+    });
+  };
+  const start = (name: string): void => {
+    const ledger = new ShareLedger({
+      dispatcherId: name,
+      timers,
+      membershipLeaseMilliseconds: leased ? leaseMilliseconds : undefined,
+      exchange: {
+        borrow: (peer, request) => {
+          calls += 1;
+          const lender = ledgers.get(peer);
+          const reaches = unreachable.has(peer) === unreachable.has(name);
+          return okAsync(
+            lender !== undefined && reaches
+              ? lender.lend(request)
+              : { lent: [], loanMilliseconds: 0 },
+          );
+        },
+      },
+    });
+    ledgers.set(name, ledger);
+    apply(name);
+  };
+  const changeRoster = (...now: string[]): void => {
+    rosterVersion += 1;
+    names = now;
+  };
+  const heldOf = () => [...ledgers.values()].map(one => one.held(key));
+  return {
+    timers,
+    ledgers,
+    unreachable,
+    replaced,
+    apply,
+    start,
+    changeRoster,
+    heldOf,
+    countCalls: () => calls,
+    sum: () => heldOf().reduce((left, right) => left + right, 0),
+  };
+}
+
+test('when all dispatchers start at once, each has its part within a second, and never is the limit passed', async t => {
+  const cluster = createCluster();
+  const names = ['dispatcher-1', 'dispatcher-2', 'dispatcher-3'];
+  for (const name of names) cluster.start(name);
+  t.deepEqual(cluster.heldOf(), [0, 0, 0]);
+  // Each registers in turn, and the others hear of it later.
+  for (let registered = 1; registered <= names.length; registered += 1) {
+    cluster.changeRoster(...names.slice(0, registered));
+    for (const name of [...names].reverse()) {
+      await cluster.timers.advance(70);
+      cluster.apply(name);
+      t.true(cluster.sum() <= limit, String(cluster.heldOf()));
+    }
+  }
+  for (let step = 0; step < 20; step += 1) {
+    await cluster.timers.advance(50);
+    t.true(cluster.sum() <= limit, String(cluster.heldOf()));
+  }
+  t.deepEqual(cluster.heldOf(), [10, 10, 10]);
+  const asked = cluster.countCalls();
+  await cluster.timers.advance(5_000);
+  t.is(cluster.countCalls(), asked);
+});
+
+test('a dispatcher that joins gets its part when those that used it have stopped', async t => {
+  const cluster = createCluster();
+  cluster.changeRoster('dispatcher-1');
+  cluster.start('dispatcher-1');
+  t.deepEqual(cluster.heldOf(), [limit]);
+  cluster.ledgers.get('dispatcher-1')?.reportDemand(key, limit, limit);
+  cluster.changeRoster('dispatcher-1', 'dispatcher-2');
+  cluster.start('dispatcher-2');
+  await cluster.timers.advance(1_000);
+  t.deepEqual(cluster.heldOf(), [limit, 0], 'the change is not heard yet');
+  cluster.apply('dispatcher-1');
+  await cluster.timers.advance(1_000);
+  t.deepEqual(cluster.heldOf(), [15, 0], '30 tasks run still');
+  cluster.ledgers.get('dispatcher-1')?.reportDemand(key, 15, 15);
+  await cluster.timers.advance(500);
+  t.deepEqual(cluster.heldOf(), [15, 15]);
+});
+
+test('after a crash, and after a departure, larger parts wait for the raise delay', async t => {
+  const cluster = createCluster();
+  cluster.changeRoster('dispatcher-1', 'dispatcher-2');
+  cluster.replaced.add('dispatcher-2');
+  cluster.start('dispatcher-1');
+  cluster.start('dispatcher-2');
+  await cluster.timers.advance(raiseDelayMilliseconds - 1);
+  t.deepEqual(cluster.heldOf(), [0, 0]);
+  await cluster.timers.advance(501);
+  t.deepEqual(cluster.heldOf(), [15, 15]);
+  cluster.changeRoster('dispatcher-1', 'dispatcher-3');
+  cluster.ledgers.delete('dispatcher-2');
+  cluster.apply('dispatcher-1');
+  cluster.start('dispatcher-3');
+  await cluster.timers.advance(raiseDelayMilliseconds - 1);
+  t.deepEqual(cluster.heldOf(), [15, 0]);
+  await cluster.timers.advance(501);
+  t.deepEqual(cluster.heldOf(), [15, 15]);
+});
+
+test('without control, a dispatcher keeps its part only while all peers know no later roster', async t => {
+  const cluster = createCluster(true);
+  const names = ['dispatcher-1', 'dispatcher-2'];
+  cluster.changeRoster(...names);
+  for (const name of names) cluster.start(name);
+  await cluster.timers.advance(1_000);
+  t.deepEqual(cluster.heldOf(), [15, 15]);
+  await cluster.timers.advance(60_000);
+  t.deepEqual(cluster.heldOf(), [15, 15], 'control is lost for all');
+  cluster.unreachable.add('dispatcher-1');
+  cluster.ledgers.get('dispatcher-2')?.confirmMembership();
+  await cluster.timers.advance(leaseMilliseconds);
+  t.is(cluster.ledgers.get('dispatcher-1')?.held(key), 0, 'it is cut off');
+  cluster.unreachable.clear();
+  cluster.changeRoster('dispatcher-2');
+  cluster.apply('dispatcher-2');
+  cluster.ledgers.get('dispatcher-2')?.confirmMembership();
+  await cluster.timers.advance(5_000);
+  t.is(cluster.ledgers.get('dispatcher-1')?.held(key), 0, 'others moved on');
+});
--- a/packages/bench/src/policies/product-policy.ts
+++ b/packages/bench/src/policies/product-policy.ts
@@ -37,7 +37,7 @@
   };
   scheduler.applyConfiguration(
     { ...emptyConfiguration, services: [service] },
-    surroundings.dispatchers,
+    { count: surroundings.dispatchers },
   );
   const dispatcher: PolicyDispatcher = {
     addTarget: record => {
--- a/packages/bench/src/slopes/sides/measured-scheduler.ts
+++ b/packages/bench/src/slopes/sides/measured-scheduler.ts
@@ -91,7 +91,10 @@
       concurrencyQuota: 10_000,
     })),
   };
-  scheduler.applyConfiguration(configuration, 1, ['dispatcher-0']);
+  scheduler.applyConfiguration(configuration, {
+    count: 1,
+    names: ['dispatcher-0'],
+  });
 }
 
 function runJobs(
--- a/packages/dispatcher/src/answer-dispatchers.ts
+++ b/packages/dispatcher/src/answer-dispatchers.ts
@@ -22,7 +22,7 @@
 
 /** A scheduler that may lend parts of limits. */
 export type LendingScheduler = Scheduler &
-  Partial<Pick<SharingScheduler, 'lendShares'>>;
+  Partial<Pick<SharingScheduler, 'lendShares' | 'confirmMembership'>>;
 
 /** A call that concerns jobs or limits. */
 export type WorkCall = Exclude<
--- a/packages/dispatcher/src/ports/control.ts
+++ b/packages/dispatcher/src/ports/control.ts
@@ -9,4 +9,6 @@
   readonly configuration: ConfigurationFeed;
   readonly roster: RosterFeed;
   readonly registry: RosterStore;
+  /** True while a leader of control with a majority is proved; left out where nothing can be cut off. */
+  isFresh?(): boolean;
 }
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -25,6 +25,11 @@
 } from './answer-dispatchers.js';
 import { serveCallers } from './callers/serve-callers.js';
 import type { DispatcherOptions } from './dispatcher-options.js';
+import {
+  confirmMembership,
+  describeSharing,
+  membershipLeaseMilliseconds,
+} from './confirm-membership.js';
 import { DispatcherLinks } from './dispatcher-links.js';
 import { createShareExchange } from './exchange-shares.js';
 import { JobService } from './job-service.js';
@@ -97,6 +102,10 @@
     return err(callers.error);
   }
   const unsubscribe = followConfiguration(parts);
+  const membership = confirmMembership({
+    ...options,
+    scheduler: parts.scheduler,
+  });
   const advertised = {
     address: options.peers.advertisedAddress ?? peers.value.address.address,
     port: peers.value.address.port,
@@ -110,6 +119,7 @@
     describeDispatcher(parts, peers.value, callers.value, () => {
       isReady = false;
       registration.cancel();
+      membership.cancel();
       unsubscribe();
     }),
   );
@@ -167,6 +177,8 @@
     dispatcherId: self.dispatcherId,
     dataCentre: options.dataCentre,
     shareExchange: createShareExchange(links, control.roster),
+    membershipLeaseMilliseconds:
+      control.isFresh === undefined ? undefined : membershipLeaseMilliseconds,
     timers,
     seed: options.seed,
     sender: targets,
@@ -220,9 +232,8 @@
 }: DispatcherParts): () => void {
   const { configuration, roster } = options.control;
   const apply = (): void => {
-    const names = roster.current().dispatchers.map(one => one.dispatcherId);
-    const dispatchers = Math.max(1, names.length);
-    scheduler.applyConfiguration(configuration.current(), dispatchers, names);
+    const sharing = describeSharing(roster.current(), options.self);
+    scheduler.applyConfiguration(configuration.current(), sharing);
     targets.applyConfiguration(configuration.current());
     targets.applyRoster();
   };
--- a/packages/local/src/shared-limits.test.ts
+++ b/packages/local/src/shared-limits.test.ts
@@ -1,3 +1,4 @@
+import { SubmissionKind } from '@cranberryturn/dispatcher';
 import {
   type Decision,
   DecisionKind,
@@ -62,3 +63,45 @@
   t.is(findMostRunning(cluster.decisions), quota);
   await cluster.stop();
 });
+
+test('when the whole system starts, a quota is used within seconds, and a cut-off dispatcher stops using its part', async t => {
+  const cluster = await startMemoryCluster({
+    dispatchers: 2,
+    workers: 3,
+    slots: 8,
+    runMilliseconds: 100,
+    configuration,
+  });
+  await cluster.timers.advance(2_000);
+  const submit = (position: number, jobId: string) => {
+    const job = composeJob(jobId, 1, 60_000);
+    return cluster.dispatchers[position]?.dispatcher.jobs.submitJob(job, jobId);
+  };
+  const submitted = [0, 1].flatMap(position =>
+    [1, 2, 3, 4].map(number =>
+      submit(position, `start-${String(position)}-${String(number)}`),
+    ),
+  );
+  await cluster.timers.advance(1_000);
+  const outcomes = await Promise.all(submitted);
+  t.deepEqual(
+    outcomes.map(one => one?.kind),
+    outcomes.map(() => SubmissionKind.Result),
+  );
+  cluster.isolated.add('dispatcher-1');
+  for (const connection of cluster.network.connections) {
+    if (connection.from === 'dispatcher-1') connection.silent = true;
+  }
+  const request = async (jobId: string) => {
+    const job = { ...composeJob(jobId, 1, 2_000), idempotent: true };
+    const [cutOff] = cluster.dispatchers;
+    const answer = cutOff?.dispatcher.jobs.runRequest(job, jobId);
+    await cluster.timers.advance(2_000);
+    return (await answer)?.kind;
+  };
+  t.is(await request('soon'), SubmissionKind.Result);
+  await cluster.timers.advance(6_000);
+  t.is(await request('late'), SubmissionKind.Refused);
+  t.true(findMostRunning(cluster.decisions) <= quota);
+  await cluster.stop();
+});
--- a/packages/membership/src/register-runs.ts
+++ b/packages/membership/src/register-runs.ts
@@ -58,6 +58,7 @@
     incarnation,
     address,
     registeredAt: moment.index,
+    ...(known === undefined ? {} : { replacesRun: true }),
   });
   state.version = moment.index;
   return moment.index;
--- a/packages/membership/src/roster-state.ts
+++ b/packages/membership/src/roster-state.ts
@@ -199,10 +199,11 @@
 
 function listDispatchers(state: RosterState): readonly DispatcherRecord[] {
   return [...state.dispatchers.values()].map(
-    ({ dispatcherId, incarnation, address }) => ({
+    ({ dispatcherId, incarnation, address, replacesRun }) => ({
       dispatcherId,
       incarnation,
       address,
+      ...(replacesRun === undefined ? {} : { replacesRun }),
     }),
   );
 }
--- a/packages/scheduling/src/apply-configuration.ts
+++ b/packages/scheduling/src/apply-configuration.ts
@@ -1,9 +1,12 @@
 /** Applies the configuration to limits, weights and targets. */
-import type { LimitGate, LimitKey } from '@cranberryturn/admission';
+import type {
+  LimitGate,
+  LimitKey,
+  SharingDispatchers,
+} from '@cranberryturn/admission';
 import type { TargetEntry } from '@cranberryturn/placement';
 import {
   type ClusterConfiguration,
-  type DispatcherId,
   type Milliseconds,
   WorkerState,
 } from '@cranberryturn/types';
@@ -17,15 +20,14 @@
 
 const usedShareThatBorrows = 0.8;
 
-/** Applies a configuration that `dispatchers` dispatchers share. */
+/** Applies a configuration that several dispatchers share. */
 export function applyConfiguration(
   context: SchedulerContext,
   configuration: ClusterConfiguration,
-  dispatchers: number,
-  names: readonly DispatcherId[] | undefined,
+  sharing: SharingDispatchers,
 ): void {
   context.configuration = configuration;
-  context.dispatchers = Math.max(1, dispatchers);
+  context.dispatchers = Math.max(1, sharing.count);
   for (const service of configuration.services) {
     const pool = findPool(context, service.service);
     pool.configuration = service;
@@ -36,7 +38,6 @@
     for (const pool of context.pools.values())
       pool.queue.changeWeight(team, weight);
   }
-  const sharing = { count: context.dispatchers, names };
   context.ledger.applyLimits(collectLimits(configuration), sharing);
   applyShares(context);
   for (const runs of context.targets.values()) {
--- a/packages/scheduling/src/create-scheduler.ts
+++ b/packages/scheduling/src/create-scheduler.ts
@@ -4,6 +4,7 @@
   type BorrowRequest,
   type JobRefusal,
   ShareLedger,
+  type SharingDispatchers,
 } from '@cranberryturn/admission';
 import type { TargetEntry } from '@cranberryturn/placement';
 import { createRandomSource } from '@cranberryturn/random';
@@ -11,7 +12,6 @@
 import {
   type AttemptResult,
   type ClusterConfiguration,
-  type DispatcherId,
   emptyConfiguration,
   type JobId,
   type JobRequest,
@@ -172,10 +172,9 @@
 
   applyConfiguration(
     configuration: ClusterConfiguration,
-    dispatchers: number,
-    names?: readonly DispatcherId[],
+    sharing: SharingDispatchers,
   ): void {
-    applyConfiguration(this.#context, configuration, dispatchers, names);
+    applyConfiguration(this.#context, configuration, sharing);
   }
 
   lendShares(request: BorrowRequest): BorrowReply {
--- a/packages/scheduling/src/faults.test.ts
+++ b/packages/scheduling/src/faults.test.ts
@@ -17,7 +17,7 @@
 function createCluster(targets: number, slots = 8) {
   const fixture = createSchedulerFixture();
   const configuration = { ...emptyConfiguration, services: [service] };
-  fixture.scheduler.applyConfiguration(configuration, 1);
+  fixture.scheduler.applyConfiguration(configuration, { count: 1 });
   for (let number = 1; number <= targets; number += 1)
     fixture.addTarget({ targetId: `worker-${String(number)}`, slots });
   return fixture;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,4 +8,5 @@
   BorrowRequest,
   LimitUnits,
   ShareExchange,
+  SharingDispatchers,
 } from '@cranberryturn/admission';
--- a/packages/scheduling/src/ports/scheduler.ts
+++ b/packages/scheduling/src/ports/scheduler.ts
@@ -1,10 +1,9 @@
-import type { JobRefusal } from '@cranberryturn/admission';
+import type { JobRefusal, SharingDispatchers } from '@cranberryturn/admission';
 import type {
   AttemptKey,
   AttemptResult,
   AttemptStart,
   ClusterConfiguration,
-  DispatcherId,
   JobId,
   JobRequest,
   JsonText,
@@ -143,13 +142,12 @@
     load?: TargetLoad,
   ): void;
   /**
-   * New limits; `dispatchers` is the number of dispatchers that share them, and
-   * `names` are their identifiers, which lets them divide small limits exactly.
+   * New limits, and the dispatchers that share them. Their names let them divide
+   * small limits exactly, and the version of the roster confirm each other's parts.
    */
   applyConfiguration(
     configuration: ClusterConfiguration,
-    dispatchers: number,
-    names?: readonly DispatcherId[],
+    sharing: SharingDispatchers,
   ): void;
   status(): SchedulerStatus;
   /** Cancels all timers. */
--- a/packages/types/src/roster.ts
+++ b/packages/types/src/roster.ts
@@ -5,6 +5,8 @@
 /** A dispatcher known to control. */
 export interface DispatcherRecord extends DispatcherIdentity {
   readonly address: NetworkAddress;
+  /** Whether an earlier run of the name was on the roster: its tasks may still run. */
+  readonly replacesRun?: boolean | undefined;
 }
 
 /** A run of a sidecar known to control. Dispatchers place work only on registered runs. */
