--- a/packages/local/src/shared-limits.test.ts
+++ b/packages/local/src/shared-limits.test.ts
@@ -75,7 +75,9 @@
   await cluster.timers.advance(2_000);
   const submit = (position: number, jobId: string) => {
     const job = composeJob(jobId, 1, 60_000);
-    return cluster.dispatchers[position]?.dispatcher.jobs.submitJob(job, jobId);
+    const owner = cluster.dispatchers[position];
+    if (owner === undefined) throw new Error('No such dispatcher.');
+    return owner.dispatcher.jobs.submitJob(job, jobId);
   };
   const submitted = [0, 1].flatMap(position =>
     [1, 2, 3, 4].map(number =>
@@ -85,7 +87,7 @@
   await cluster.timers.advance(1_000);
   const outcomes = await Promise.all(submitted);
   t.deepEqual(
-    outcomes.map(one => one?.kind),
+    outcomes.map(one => one.kind),
     outcomes.map(() => SubmissionKind.Result),
   );
   cluster.isolated.add('dispatcher-1');
