--- a/packages/dispatcher/src/dispatcher-parts.ts
+++ b/packages/dispatcher/src/dispatcher-parts.ts
@@ -7,6 +7,7 @@
   answerDispatcher,
   type LendingScheduler,
 } from './answer-dispatchers.js';
+import { membershipLeaseMilliseconds } from './confirm-membership.js';
 import type { DispatcherOptions } from './dispatcher-options.js';
 import { DispatcherLinks } from './dispatcher-links.js';
 import { createShareExchange } from './exchange-shares.js';
@@ -62,7 +63,7 @@
     subsets,
     links,
     timers,
-    isConnected: target => targets.isConnected(target),
+    isHeard: target => targets.isHeard(target),
   });
   const jobs: JobService = new JobService({
     self,
@@ -80,6 +81,8 @@
     dispatcherId: self.dispatcherId,
     dataCentre: options.dataCentre,
     shareExchange: createShareExchange(links, control.roster),
+    membershipLeaseMilliseconds:
+      control.isFresh === undefined ? undefined : membershipLeaseMilliseconds,
     timers,
     seed: options.seed,
     sender: targets,
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -18,6 +18,7 @@
 import { findElsewhere } from './answer-dispatchers.js';
 import { serveCallers } from './callers/serve-callers.js';
 import type { DispatcherOptions } from './dispatcher-options.js';
+import { confirmMembership, describeSharing } from './confirm-membership.js';
 import {
   createParts,
   type DispatcherParts,
@@ -81,6 +82,10 @@
     return err(callers.error);
   }
   const unsubscribe = followConfiguration(parts);
+  const membership = confirmMembership({
+    ...options,
+    scheduler: parts.scheduler,
+  });
   const advertised = {
     address: options.peers.advertisedAddress ?? peers.value.address.address,
     port: peers.value.address.port,
@@ -94,6 +99,7 @@
     describeDispatcher(parts, peers.value, callers.value, () => {
       isReady = false;
       registration.cancel();
+      membership.cancel();
       unsubscribe();
     }),
   );
@@ -129,9 +135,8 @@
 }: DispatcherParts): () => void {
   const { configuration, roster } = options.control;
   const apply = (): void => {
-    const names = roster.current().dispatchers.map(one => one.dispatcherId);
-    const dispatchers = Math.max(1, names.length);
-    scheduler.applyConfiguration(configuration.current(), dispatchers, names);
+    const sharing = describeSharing(roster.current(), options.self);
+    scheduler.applyConfiguration(configuration.current(), sharing);
     targets.applyConfiguration(configuration.current());
     targets.applyRoster();
   };
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -5,6 +5,7 @@
   createControlClient,
 } from '@cranberryturn/control-client';
 import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
+import type { Logger } from '@cranberryturn/logger';
 import { createMetrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import { type Sidecar, startSidecar } from '@cranberryturn/sidecar';
@@ -78,6 +79,7 @@
   readonly workers: number;
   readonly slots: number;
   readonly runMilliseconds: Milliseconds;
+  readonly logger?: Logger | undefined;
   /** Targets of each dispatcher; all without it. */
   readonly targetsPerService?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
@@ -115,7 +117,7 @@
         network,
         control,
         record,
-        targetsPerService: options.targetsPerService,
+        ...options,
       },
       dispatcherId,
       incarnation,
@@ -138,6 +140,7 @@
       timers,
       random: createRandomSource(workers.length + 1),
       decisions: record,
+      logger: options.logger,
       retention: { startsMilliseconds: 600_000, answersBytes: mebibyte },
       queueLimit: 2,
     });
@@ -199,7 +202,8 @@
   readonly network: MemoryNetwork;
   readonly control: ControlNode;
   readonly record: (decision: Decision) => void;
-  readonly targetsPerService: number | undefined;
+  readonly targetsPerService?: number | undefined;
+  readonly logger?: Logger | undefined;
 }
 
 async function createDispatcher(
@@ -209,6 +213,7 @@
     control,
     record,
     targetsPerService,
+    logger,
   }: DispatcherSurroundings,
   dispatcherId: string,
   incarnation: string,
@@ -246,6 +251,7 @@
     control: client,
     timers,
     targetsPerService,
+    logger,
     seed: 1,
     metrics: createMetrics({
       role: ProcessRole.Dispatcher,
