Give a dispatcher that is alone its limits at once

Cause: the ledger read its clock again for each limit, so that a new part was usable a moment after the time with which parts were raised, and waited for the next tick of 250 ms. Meanwhile jobs of limited teams were refused. Found by the slopes of the scheduler, which run faster than a tick. Change: one reading of the clock for a change of limits. A test with a clock that moves with each reading fails before it and passes now.

--- a/packages/admission/src/share-ledger.ts
+++ b/packages/admission/src/share-ledger.ts
@@ -93,7 +93,7 @@
     }
     for (const [key, limit] of limits) {
       const part = this.#partOf(key, limit, dispatchers, names);
-      this.#applyLimit(key, limit, part, isAlone);
+      this.#applyLimit(key, limit, part, isAlone, now);
     }
     this.#raiseShares(now);
   }
@@ -174,8 +174,8 @@
     limit: number,
     part: number,
     isAlone: boolean,
+    now: Milliseconds,
   ): void {
-    const now = this.#options.timers.now();
     const share = this.#shares.get(key);
     if (share === undefined) {
       const usableAt = this.#createdAt + raiseDelayMilliseconds;
--- a/packages/admission/src/share-start.test.ts
+++ b/packages/admission/src/share-start.test.ts
@@ -149,3 +149,23 @@
   await cluster.timers.advance(5_000);
   t.is(cluster.ledgers.get('dispatcher-1')?.held(key), 0, 'others moved on');
 });
+
+test('a dispatcher that is alone has the whole limit at once, also while its clock moves', t => {
+  const timers = createManualTimerService();
+  let reads = 0;
+  const ledger = new ShareLedger({
+    dispatcherId: 'dispatcher-1',
+    timers: {
+      ...timers,
+      now: () => {
+        reads += 1;
+        return timers.now() + reads;
+      },
+    },
+  });
+  ledger.applyLimits(new Map([[key, limit]]), {
+    count: 1,
+    names: ['dispatcher-1'],
+  });
+  t.is(ledger.held(key), limit);
+});
