--- a/packages/bench/src/capacity/compute-capacity.ts
+++ b/packages/bench/src/capacity/compute-capacity.ts
@@ -14,6 +14,8 @@
 } from './target-size.js';
 
 const millisecondsPerSecond = 1_000;
+/** The accelerators of the target size, eight to a worker. */
+const targetsWithAccelerators = targetSize.accelerators / 8;
 
 /** What the other roles need to know of the dispatchers. */
 export interface DispatcherPlan {
@@ -114,6 +116,12 @@
       value: `${formatNumber(values.at('dispatcher-targets', 'processorMilliseconds', all))} ms a task`,
       source: 'dispatcher-targets, line at 1,600 targets',
     },
+    {
+      figure: `processor time of scheduling alone, ${formatNumber(targetsWithAccelerators)} of 1,600 targets have accelerators`,
+      value: `${formatNumber(values.atSize('dispatcher-accelerators', 'processorMilliseconds', targetsWithAccelerators))} ms a task`,
+      source:
+        'dispatcher-accelerators, as measured: 8 accelerators to a target, half of the jobs ask for one',
+    },
   ];
 }
 
--- a/packages/bench/src/capacity/compute-control.ts
+++ b/packages/bench/src/capacity/compute-control.ts
@@ -9,6 +9,7 @@
   plannedUse,
   retentionSeconds,
   targetSize,
+  usualJobTasks,
 } from './target-size.js';
 
 const millisecondsPerSecond = 1_000;
@@ -24,6 +25,8 @@
     ...jobSizes.flatMap(tasks => describeClaims(values, tasks)),
     ...describeFollowers(values, plan),
     ...describeChanges(values),
+    ...describeReplicas(values),
+    ...describeRoster(values),
     {
       figure: `restarts and failures of ${formatNumber(targetSize.restartsPerDay + targetSize.hostFailuresPerDay)} hosts a day, as log entries`,
       value: `${formatNumber((targetSize.restartsPerDay + targetSize.hostFailuresPerDay) / 86_400)} a second`,
@@ -79,6 +82,41 @@
   ];
 }
 
+function describeReplicas(values: SlopeValues): readonly CapacityRow[] {
+  const perReplica = values.perUnit(
+    'control-replicas',
+    'processorMilliseconds',
+  );
+  const rate = targetSize.startsPerSecond / usualJobTasks;
+  const bytes = values.perUnit('control-replicas', 'bytes');
+  return [
+    {
+      figure: `jobs of ${String(usualJobTasks)}: processor of each replica beside the leader`,
+      value: `${formatNumber((perReplica * rate) / millisecondsPerPercent)} % of a core, ${formatNumber((bytes * rate) / bytesPerMebibyte)} MiB/s`,
+      source:
+        'control-replicas, slopes x claims a second; the cost of a further replica to all of them',
+    },
+  ];
+}
+
+function describeRoster(values: SlopeValues): readonly CapacityRow[] {
+  const kept = targetSize.workers + targetSize.restartsPerDay;
+  const heap = values.perUnit('control-roster', 'heapMebibytes');
+  const bytes = values.at('control-roster', 'bytes', targetSize.workers);
+  return [
+    {
+      figure: `roster of ${formatNumber(kept)} runs: a day of restarts is kept beside the workers`,
+      value: `${formatNumber(heap * kept)} MiB`,
+      source: 'control-roster, heap slope x runs',
+    },
+    {
+      figure: `roster of ${formatNumber(targetSize.workers)} workers, sent whole`,
+      value: `${formatNumber((bytes * targetSize.workers) / bytesPerMebibyte)} MiB`,
+      source: 'control-roster, bytes of a registration x workers',
+    },
+  ];
+}
+
 function describeFollowers(
   values: SlopeValues,
   { processes }: DispatcherPlan,
--- a/packages/bench/src/capacity/slope-values.ts
+++ b/packages/bench/src/capacity/slope-values.ts
@@ -11,6 +11,8 @@
   perUnit(name: string, quantity: MeasuredQuantity): number;
   /** Value measured at the largest size, where the cost does not grow along a line. */
   atLargest(name: string, quantity: MeasuredQuantity): number;
+  /** Value measured at one of the sizes. */
+  atSize(name: string, quantity: MeasuredQuantity, size: number): number;
 }
 
 /** Reads values from slopes; a missing slope is an error in the caller. */
@@ -25,6 +27,11 @@
   return {
     at: (name, quantity, size) => valueAt(find(name).lines[quantity], size),
     perUnit: (name, quantity) => find(name).lines[quantity].slope,
+    atSize: (name, quantity, size) => {
+      const reading = find(name).readings.find(one => one.size === size);
+      if (reading !== undefined) return reading[quantity];
+      throw new Error(`"${name}" was not measured at ${String(size)}.`);
+    },
     atLargest: (name, quantity) => find(name).readings.at(-1)?.[quantity] ?? 0,
   };
 }
--- a/packages/bench/src/slopes/parts/identities.ts
+++ b/packages/bench/src/slopes/parts/identities.ts
@@ -26,6 +26,11 @@
   };
 }
 
+/** Name of the replica at a position. */
+export function nameReplica(position: number): string {
+  return `control-${String(position + 1)}`;
+}
+
 /** What the stand-in target with this number announces. */
 export function announceTarget(number: number): TargetAnnouncement {
   const rack = Math.floor(number / workersPerRack);
--- a/packages/bench/src/slopes/parts/start-follower.ts
+++ b/packages/bench/src/slopes/parts/start-follower.ts
@@ -8,13 +8,13 @@
 import type { NetworkAddress } from '@cranberryturn/types';
 import { createWebSocketNetwork } from '@cranberryturn/wire';
 
-import { nameDispatcher } from './identities.js';
+import { nameDispatcher, nameReplica } from './identities.js';
 import { measuredKeys } from './measured-keys.js';
 
-/** Starts a client that follows the replica at an address. */
+/** Starts a client that follows the replicas at these addresses. */
 export function startFollower(
   number: number,
-  address: NetworkAddress,
+  addresses: readonly NetworkAddress[],
   timers: TimerService,
   seed: number,
 ): ControlClient {
@@ -24,6 +24,9 @@
     timers,
     random: createRandomSource(seed + number),
     self: { dispatcherId: self.name, incarnation: self.incarnation },
-    controlHosts: [{ replicaId: 'control-1', address }],
+    controlHosts: addresses.map((address, position) => ({
+      replicaId: nameReplica(position),
+      address,
+    })),
   });
 }
--- a/packages/bench/src/slopes/reading.ts
+++ b/packages/bench/src/slopes/reading.ts
@@ -8,6 +8,7 @@
   Task = 'task',
   Claim = 'claim',
   Change = 'change',
+  Registration = 'registration',
 }
 
 /** Frames and bytes that a process sent and received. */
--- a/packages/bench/src/slopes/scenarios.ts
+++ b/packages/bench/src/slopes/scenarios.ts
@@ -91,6 +91,18 @@
     loadMeasured: async () =>
       (await import('./sides/measured-scheduler.js')).startTargets,
   },
+  {
+    name: 'dispatcher-accelerators',
+    role: 'dispatcher',
+    dimension: 'targets with accelerators',
+    description:
+      'the scheduler alone, 1,600 targets, half of the jobs ask for accelerators, each task',
+    sizes: [100, 350, 800, 1_600],
+    unit: WorkUnit.Task,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-scheduler.js')).startAccelerators,
+  },
   {
     name: 'control-claims',
     role: 'control',
@@ -115,6 +127,32 @@
     loadMeasured: async () =>
       (await import('./sides/measured-state.js')).startChanges,
   },
+  {
+    name: 'control-roster',
+    role: 'control',
+    dimension: 'registered workers',
+    description:
+      'the state of control alone, each registration; bytes are those of the log entry',
+    sizes: [100, 400, 1_600, 6_400],
+    unit: WorkUnit.Registration,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-state.js')).startRoster,
+  },
+  {
+    name: 'control-replicas',
+    role: 'control',
+    dimension: 'replicas',
+    description:
+      'replicas with synced logs in one process, 64 claims at the same time, each claim',
+    sizes: [1, 3, 5, 7],
+    unit: WorkUnit.Claim,
+    first: FirstSide.Measured,
+    loadMeasured: async () =>
+      (await import('./sides/measured-replicas.js')).startReplicas,
+    loadCounterpart: async () =>
+      (await import('./sides/many-claims.js')).startReplicatedClaims,
+  },
   {
     name: 'control-followers',
     role: 'control',
--- a/packages/bench/src/slopes/sides/many-claims.ts
+++ b/packages/bench/src/slopes/sides/many-claims.ts
@@ -5,6 +5,7 @@
 
 import { countClaims } from '../parts/claim-load.js';
 import { measuredService, nameDispatcher } from '../parts/identities.js';
+import { replicatedClaims } from './measured-replicas.js';
 import { startFollower } from '../parts/start-follower.js';
 import {
   noTraffic,
@@ -12,15 +13,20 @@
   type ScenarioSide,
 } from '../scenario.js';
 
+/** Starts a client with a fixed number of claims at the same time, for any number of replicas. */
+export function startReplicatedClaims(
+  input: ScenarioInput,
+): Promise<ScenarioSide> {
+  return startManyClaims({ ...input, size: replicatedClaims });
+}
+
 /** Starts a client with `size` claims at the same time. */
 export function startManyClaims({
   size,
   seed,
   peers,
 }: ScenarioInput): Promise<ScenarioSide> {
-  const [control] = peers;
-  if (control === undefined) throw new Error('No replica to dial.');
-  const client = startFollower(0, control, createSystemTimerService(), seed);
+  const client = startFollower(0, peers, createSystemTimerService(), seed);
   return Promise.resolve({
     addresses: [],
     ready: () => Promise.resolve(),
--- a/packages/bench/src/slopes/sides/many-followers.ts
+++ b/packages/bench/src/slopes/sides/many-followers.ts
@@ -14,11 +14,9 @@
   seed,
   peers,
 }: ScenarioInput): Promise<ScenarioSide> {
-  const [control] = peers;
-  if (control === undefined) throw new Error('No replica to dial.');
   const timers = createSystemTimerService();
   for (let number = 0; number < size; number += 1) {
-    startFollower(number, control, timers, seed);
+    startFollower(number, peers, timers, seed);
   }
   return Promise.resolve({
     addresses: [],
--- /dev/null
+++ b/packages/bench/src/slopes/sides/measured-replicas.ts
@@ -0,0 +1,84 @@
+/** Several real replicas of control in this process, each with a synced log. */
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { findFreePorts } from '@cranberryturn/local';
+import { createSystemTimerService } from '@cranberryturn/timers';
+import { emptyConfiguration } from '@cranberryturn/types';
+import { createWebSocketNetwork } from '@cranberryturn/wire';
+
+import {
+  type BenchContext,
+  createBenchContext,
+} from '../../system/bench-context.js';
+import { startBenchReplica } from '../../system/start-bench-roles.js';
+import { type CountedNetwork, countTraffic } from '../count-traffic.js';
+import { countClaims } from '../parts/claim-load.js';
+import { nameReplica } from '../parts/identities.js';
+import { measuredKeys } from '../parts/measured-keys.js';
+import type { ScenarioInput, ScenarioSide } from '../scenario.js';
+import { waitForRuns } from './wait-for-runs.js';
+
+/** Claims at the same time, whatever the number of replicas. */
+export const replicatedClaims = 64;
+
+/** Starts `size` replicas that are measured together while they grant claims. */
+export async function startReplicas({
+  size,
+  seed,
+}: ScenarioInput): Promise<ScenarioSide> {
+  const timers = createSystemTimerService();
+  const networks: CountedNetwork[] = [];
+  const context: BenchContext = {
+    ...createBenchContext(timers),
+    decisionsOf: () => () => undefined,
+    join: self => {
+      const counted = countTraffic(
+        createWebSocketNetwork({ self, keys: measuredKeys, timers }),
+      );
+      networks.push(counted);
+      return counted.network;
+    },
+  };
+  const ports = await findFreePorts('127.0.0.1', size);
+  const members = ports.map((port, position) => ({
+    replicaId: nameReplica(position),
+    address: { address: '127.0.0.1', port },
+  }));
+  const nodes = await Promise.all(
+    members.map(async ({ replicaId }, position) =>
+      startBenchReplica(context, {
+        replicaId,
+        members,
+        folder: await mkdtemp(join(tmpdir(), 'cranberry-bench-')),
+        seed: seed + position,
+        initialConfiguration: emptyConfiguration,
+      }),
+    ),
+  );
+  const claimed = (): number =>
+    Math.min(...nodes.map(node => node.state.claims.unfinished.size));
+  return {
+    addresses: members.map(member => member.address),
+    ready: async () => {
+      await waitForRuns(timers, () => countFollowers(nodes), 1);
+    },
+    work: () => waitForRuns(timers, claimed, countClaims(replicatedClaims)),
+    traffic: () => sumTraffic(networks),
+  };
+}
+
+function countFollowers(
+  nodes: readonly { readonly feed: { followers(): number } }[],
+): number {
+  return nodes.reduce((sum, node) => sum + node.feed.followers(), 0);
+}
+
+function sumTraffic(networks: readonly CountedNetwork[]) {
+  const counts = networks.map(network => network.count());
+  return {
+    messages: counts.reduce((sum, one) => sum + one.messages, 0),
+    bytes: counts.reduce((sum, one) => sum + one.bytes, 0),
+  };
+}
--- a/packages/bench/src/slopes/sides/measured-scheduler.ts
+++ b/packages/bench/src/slopes/sides/measured-scheduler.ts
@@ -2,6 +2,7 @@
 import {
   createScheduler,
   type Scheduler,
+  type SharingScheduler,
   TaskPlanKind,
 } from '@cranberryturn/scheduling';
 import { createSystemTimerService } from '@cranberryturn/timers';
@@ -24,6 +25,7 @@
 const measuredJobs = 1_000;
 const openJobs = 20;
 const teamsTargets = 1_600;
+const acceleratorsOfTarget = 8;
 const freeLoad = { freeSlots: 8, queuedTasks: 0, draining: false };
 
 /** Starts a scheduler with `size` teams. */
@@ -42,12 +44,25 @@
   return Promise.resolve(startSide(1, size, seed));
 }
 
+/** Starts a scheduler of which `size` targets have accelerators, which half of the jobs ask for. */
+export function startAccelerators({
+  size,
+  seed,
+}: ScenarioInput): Promise<ScenarioSide> {
+  return Promise.resolve(startSide(1, teamsTargets, seed, size));
+}
+
 interface SentAttempt {
   readonly target: TargetIdentity;
   readonly attempt: AttemptStart;
 }
 
-function startSide(teams: number, targets: number, seed: number): ScenarioSide {
+function startSide(
+  teams: number,
+  targets: number,
+  seed: number,
+  targetsWithAccelerators = 0,
+): ScenarioSide {
   const sent: SentAttempt[] = [];
   const scheduler = createScheduler({
     dispatcherId: 'dispatcher-0',
@@ -62,13 +77,23 @@
   });
   configure(scheduler, teams);
   for (let number = 0; number < targets; number += 1) {
-    const record = { ...announceTarget(number), registeredAt: number + 1 };
+    const announced = announceTarget(number);
+    const accelerators =
+      number < targetsWithAccelerators ? acceleratorsOfTarget : 0;
+    const record = {
+      ...announced,
+      resources: { ...announced.resources, accelerators },
+      registeredAt: number + 1,
+    };
     scheduler.targetRegistered(record, freeLoad);
   }
   return {
     addresses: [],
     ready: () => Promise.resolve(),
-    work: () => Promise.resolve(runJobs(scheduler, sent, teams)),
+    work: () =>
+      Promise.resolve(
+        runJobs(scheduler, sent, teams, targetsWithAccelerators > 0),
+      ),
     traffic: () => noTraffic,
   };
 }
@@ -98,14 +123,18 @@
 }
 
 function runJobs(
-  scheduler: Scheduler,
+  scheduler: SharingScheduler,
   sent: SentAttempt[],
   teams: number,
+  asksForAccelerators: boolean,
 ): number {
   let ended = 0;
   for (let first = 0; first < measuredJobs; first += openJobs) {
+    scheduler.confirmMembership();
     for (let number = first; number < first + openJobs; number += 1) {
-      startJob(scheduler, composeJob(number, `team-${String(number % teams)}`));
+      const accelerators = asksForAccelerators ? number % 2 : 0;
+      const team = `team-${String(number % teams)}`;
+      startJob(scheduler, composeJob(number, team, accelerators));
     }
     for (let one = sent.pop(); one !== undefined; one = sent.pop()) {
       const { jobId, taskId, attempt, epoch } = one.attempt;
@@ -138,7 +167,11 @@
   );
 }
 
-function composeJob(number: number, team: string): JobRequest {
+function composeJob(
+  number: number,
+  team: string,
+  accelerators: number,
+): JobRequest {
   return {
     jobId: `job-${String(number)}`,
     service: measuredService,
@@ -148,6 +181,7 @@
     tasks: Array.from({ length: tasksPerJob }, (_, task) => ({
       taskId: `task-${String(task)}`,
       payload: '{}',
+      declared: accelerators === 0 ? undefined : { accelerators },
     })),
   };
 }
--- a/packages/bench/src/slopes/sides/measured-state.ts
+++ b/packages/bench/src/slopes/sides/measured-state.ts
@@ -12,7 +12,7 @@
 import { IntentKind } from '@cranberryturn/types';
 import { ControlMethod } from '@cranberryturn/wire';
 
-import { measuredService } from '../parts/identities.js';
+import { announceTarget, measuredService } from '../parts/identities.js';
 import type { ScenarioInput, ScenarioSide } from '../scenario.js';
 
 const claimsPerEntry = 20;
@@ -40,6 +40,16 @@
   });
 }
 
+/** Starts a state that registers `size` workers, one after the other. */
+export function startRoster({ size }: ScenarioInput): Promise<ScenarioSide> {
+  return startSide(size, (state, apply) => {
+    void state;
+    for (let number = 0; number < size; number += 1) {
+      apply([composeRegistration(number)]);
+    }
+  });
+}
+
 function startSide(
   size: number,
   run: (
@@ -88,6 +98,16 @@
   };
 }
 
+function composeRegistration(number: number): ControlOperation {
+  return {
+    kind: OperationKind.Call,
+    call: {
+      method: ControlMethod.RegisterTarget,
+      target: announceTarget(number),
+    },
+  };
+}
+
 function composeChange(state: ControlState, number: number): ControlOperation {
   const plan = assembleChangePlan(state.configuration.configuration, {
     kind: IntentKind.SetQuota,
--- a/packages/bench/src/system/start-bench-roles.ts
+++ b/packages/bench/src/system/start-bench-roles.ts
@@ -1,5 +1,9 @@
 /** Starts the real roles of a measured system inside this process. */
-import { type ControlNode, startControl } from '@cranberryturn/control';
+import {
+  type ControlNode,
+  type ControlOptions,
+  startControl,
+} from '@cranberryturn/control';
 import {
   type ControlClient,
   createControlClient,
@@ -26,7 +30,7 @@
   NetworkAddress,
   TargetAnnouncement,
 } from '@cranberryturn/types';
-import { ProcessRole } from '@cranberryturn/wire';
+import { formatAddress, ProcessRole } from '@cranberryturn/wire';
 
 import type { BenchContext, BenchTeam } from './bench-context.js';
 
@@ -55,25 +59,46 @@
 const replicaId = 'control-1';
 const anyPort: NetworkAddress = { address: '127.0.0.1', port: 0 };
 
+/** One replica among its founding members. */
+export interface BenchReplicaOptions {
+  readonly replicaId: string;
+  readonly members: ControlOptions['peers'];
+  /** Folder of its synced log. */
+  readonly folder: string;
+  readonly seed: number;
+  readonly initialConfiguration: Omit<ClusterConfiguration, 'version'>;
+}
+
 /** Starts control with one replica that syncs its log in `folder`. */
 export async function startBenchControl(
   context: BenchContext,
   folder: string,
   seed: number,
   initialConfiguration: Omit<ClusterConfiguration, 'version'>,
+): Promise<ControlNode> {
+  const [port = 0] = await findFreePorts(anyPort.address, 1);
+  return startBenchReplica(context, {
+    replicaId,
+    members: [{ replicaId, address: { ...anyPort, port } }],
+    folder,
+    seed,
+    initialConfiguration,
+  });
+}
+
+/** Starts one replica of control. */
+export async function startBenchReplica(
+  context: BenchContext,
+  options: BenchReplicaOptions,
 ): Promise<ControlNode> {
   const { timers, logger } = context;
-  const [port = 0] = await findFreePorts('127.0.0.1', 1);
-  const address = `127.0.0.1:${String(port)}`;
-  const member = { replicaId, role: MemberRole.Voter, address };
+  const { replicaId: self, members, folder, seed } = options;
+  const own = members.find(member => member.replicaId === self);
+  if (own === undefined) throw new Error(`${self} is not a founding member.`);
   const started = await startControl({
-    listen: { address: '127.0.0.1', port },
+    listen: own.address,
     joinNetwork: name =>
-      context.join({
-        role: ProcessRole.Control,
-        name,
-        incarnation: 'run-1',
-      }),
+      context.join({ role: ProcessRole.Control, name, incarnation: 'run-1' }),
     timers,
     openLog: (stateMachine, link) =>
       openReplicatedLog({
@@ -82,12 +107,20 @@
         stateMachine,
         timers,
         random: createRandomSource(seed),
-        start: { kind: StartKind.Found, replicaId, members: [member] },
+        start: {
+          kind: StartKind.Found,
+          replicaId: self,
+          members: members.map(({ replicaId: name, address }) => ({
+            replicaId: name,
+            role: MemberRole.Voter,
+            address: formatAddress(address),
+          })),
+        },
       }),
-    peers: [],
-    initialConfiguration,
+    peers: members,
+    initialConfiguration: options.initialConfiguration,
     logger,
-    decisions: context.decisionsOf(replicaId),
+    decisions: context.decisionsOf(self),
   });
   if (started.isErr()) throw started.error;
   return started.value;
