Judge larger faults in policies, and count messages until the last complete answer

New scenarios: a whole rack dies, two dispatchers die, one worker fails everything beside a burst, a burst of wide jobs is cancelled.

--- a/packages/bench/src/load/run-load.ts
+++ b/packages/bench/src/load/run-load.ts
@@ -17,18 +17,22 @@
 export interface RunLoadOptions {
   readonly client: JobClient;
   readonly timers: TimerService;
+  /** Hears each reply as it comes. */
+  readonly replied?: ((submission: CompletedSubmission) => void) | undefined;
 }
 
 /** Sends all jobs of a plan and waits for all replies. */
 export async function runLoad(
   plan: LoadPlan,
-  { client, timers }: RunLoadOptions,
+  { client, timers, replied }: RunLoadOptions,
 ): Promise<readonly CompletedSubmission[]> {
   const start = timers.now();
   const submit = async (job: PlannedJob): Promise<CompletedSubmission> => {
     const reply = await client.submitJob(job);
     const responseMilliseconds = timers.now() - start - job.at;
-    return { job, reply, responseMilliseconds };
+    const submission = { job, reply, responseMilliseconds };
+    replied?.(submission);
+    return submission;
   };
   return Promise.all(
     plan.jobs.map(
--- a/packages/bench/src/policies/compare-policies.test.ts
+++ b/packages/bench/src/policies/compare-policies.test.ts
@@ -1,8 +1,12 @@
+import { DecisionKind, Started } from '@cranberryturn/types';
 import test from 'ava';
 
+import { ViolationKind } from '../checker/violation.js';
 import { boundP99 } from './compare-policies.js';
+import { createEventClock } from './event-clock.js';
 import { createProductPolicy } from './product-policy.js';
 import { runScenario } from './run-scenario.js';
+import { ScenarioLog } from './scenario-log.js';
 import { scenarios } from './scenarios.js';
 
 const seed = 20_261_203;
@@ -67,3 +71,40 @@
     t.is(result.open, 0);
   });
 }
+
+for (const [name, open] of [
+  ['a whole rack dies', 0],
+  ['two dispatchers die', 60],
+  ['one fails everything, burst', 0],
+  ['jobs of 20, burst cancelled', 0],
+] as const) {
+  test(`invariants hold: ${name} (seed ${String(seed)})`, t => {
+    const result = runProduct(name);
+    t.deepEqual(result.violations, []);
+    t.is(result.doubleStarts, 0);
+    t.true(result.open <= open, `open ${String(result.open)}`);
+    t.true(result.answered > 400);
+    t.true(result.wastedShare <= 0.1, `wasted ${String(result.wastedShare)}`);
+  });
+}
+
+test('the log of a scenario shows a task that was said not to have started', t => {
+  const log = new ScenarioLog(createEventClock());
+  const key = { jobId: 'job', taskId: 'task', attempt: 1, epoch: 1 };
+  const target = { target: 'worker-1', incarnation: 'run-1' };
+  log.jobAdmitted('dispatcher-1', {
+    jobId: 'job',
+    service: 'register',
+    team: 'planning',
+    tasks: [{ taskId: 'task', payload: '1' }],
+    idempotent: false,
+    deadlineMilliseconds: 1_000,
+  });
+  const kind = DecisionKind.Started;
+  log.record('worker-1', { kind, ...key, ...target, idempotent: false });
+  log.taskEnded('dispatcher-1', 'job', 'task', false, Started.No);
+  t.deepEqual(
+    log.check().map(one => one.kind),
+    [ViolationKind.FalseNotStarted],
+  );
+});
--- a/packages/bench/src/policies/plan-arrivals.ts
+++ b/packages/bench/src/policies/plan-arrivals.ts
@@ -25,7 +25,8 @@
 }
 
 const burstStart = 0.4;
-const burstMilliseconds: Milliseconds = 2_000;
+/** Length of a burst. */
+export const burstMilliseconds: Milliseconds = 2_000;
 const meanRunMilliseconds: Milliseconds = 349;
 const longTasks = 0.01;
 const misdeclaredShare = 1 / 3;
@@ -116,8 +117,13 @@
   return -Math.log(1 - random.fraction()) / rate;
 }
 
+/** When the burst of a scenario begins. */
+export function findBurstStart(scenario: Scenario): Milliseconds {
+  return scenario.durationMilliseconds * burstStart;
+}
+
 function isBursting(scenario: Scenario, now: Milliseconds): boolean {
-  const start = scenario.durationMilliseconds * burstStart;
+  const start = findBurstStart(scenario);
   return now >= start && now < start + burstMilliseconds;
 }
 
--- a/packages/bench/src/policies/product-policy.ts
+++ b/packages/bench/src/policies/product-policy.ts
@@ -1,6 +1,7 @@
 /** The scheduler of the product in the comparison. */
 import {
   createScheduler,
+  mayHaveStarted,
   TaskFateKind,
   TaskPlanKind,
 } from '@cranberryturn/scheduling';
@@ -25,7 +26,7 @@
     observer: {
       taskEnded: (jobId, taskId, fate) => {
         const answered = fate.kind === TaskFateKind.Answered;
-        surroundings.taskEnded(jobId, taskId, answered);
+        surroundings.taskEnded(jobId, taskId, answered, mayHaveStarted(fate));
       },
     },
   });
@@ -60,6 +61,9 @@
       scheduler.startJob(job.jobId, ownership, plans);
       return true;
     },
+    cancel: jobId => {
+      scheduler.cancelJob(jobId, 'The caller cancelled the job.');
+    },
     attemptEnded: (target, result, load) => {
       scheduler.attemptEnded(target, result, load);
     },
--- a/packages/bench/src/policies/scenario-tally.ts
+++ b/packages/bench/src/policies/scenario-tally.ts
@@ -2,6 +2,8 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 
+import type { Violation } from '../checker/violation.js';
+
 /** The figures of one scenario with one policy. */
 export interface ScenarioResult {
   /** Response time divided by the fastest possible one, over the jobs answered. */
@@ -18,6 +20,8 @@
   readonly messagesPerTask: number;
   /** Tasks that were started more than once. */
   readonly doubleStarts: number;
+  /** Invariants that the checker of decision logs found broken. */
+  readonly violations: readonly Violation[];
 }
 
 interface OpenJob {
@@ -91,7 +95,15 @@
     if (answered) this.#answeredAttempts += 1;
   }
 
-  summarize(starts: readonly ReadonlyMap<string, number>[]): ScenarioResult {
+  /** Jobs that have not ended. */
+  listOpen(): readonly string[] {
+    return [...this.#open.keys()];
+  }
+
+  summarize(
+    starts: readonly ReadonlyMap<string, number>[],
+    violations: readonly Violation[],
+  ): ScenarioResult {
     const ratios = [...this.#ratios].sort((left, right) => left - right);
     const useful = Math.min(this.#answeredAttempts, this.#answeredTasks);
     const wasted = this.#messages - useful * messagesPerUsefulAttempt;
@@ -106,6 +118,7 @@
       wastedShare: wasted / Math.max(1, this.#messages),
       messagesPerTask: this.#messages / Math.max(1, this.#answeredTasks),
       doubleStarts: countDoubleStarts(starts),
+      violations,
     };
   }
 }
--- a/packages/bench/src/policies/scenarios.ts
+++ b/packages/bench/src/policies/scenarios.ts
@@ -6,7 +6,7 @@
   type DeploymentShape,
   registerShape,
 } from '../load/deployment-shape.js';
-import { TargetBehaviour } from './fake-target.js';
+import { TargetBehaviour } from './target-behaviour.js';
 
 /** Whether jobs declare the run times of their tasks. */
 export enum Declarations {
@@ -42,6 +42,10 @@
   readonly firstWorker: TargetBehaviour;
   /** Number of workers that die, a third into the run. */
   readonly deaths: number;
+  /** Number of dispatchers that die then; callers go to the others. */
+  readonly dispatcherDeaths: number;
+  /** Whether all callers cancel what has not ended, at the end of the burst. */
+  readonly cancellations: boolean;
 }
 
 const phoTrong: Scenario = {
@@ -61,6 +65,8 @@
   burst: 1,
   firstWorker: TargetBehaviour.Healthy,
   deaths: 0,
+  dispatcherDeaths: 0,
+  cancellations: false,
 };
 
 /** Scenarios with the shape of Phố Trống, and one with that of Patas Atentas. */
@@ -127,4 +133,19 @@
   { ...phoTrong, name: 'one dies', deaths: 1 },
   { ...phoTrong, name: 'half die, idempotent', deaths: 5, idempotent: true },
   { ...phoTrong, name: 'burst of 10x', burst: 10 },
+  { ...phoTrong, name: 'a whole rack dies', deaths: 3 },
+  { ...phoTrong, name: 'two dispatchers die', dispatcherDeaths: 2 },
+  {
+    ...phoTrong,
+    name: 'one fails everything, burst',
+    firstWorker: TargetBehaviour.FailsAtOnce,
+    burst: 10,
+  },
+  {
+    ...phoTrong,
+    name: 'jobs of 20, burst cancelled',
+    tasksPerJob: 20,
+    burst: 10,
+    cancellations: true,
+  },
 ];
--- a/packages/bench/src/policies/simple-policy.ts
+++ b/packages/bench/src/policies/simple-policy.ts
@@ -4,6 +4,7 @@
   AttemptOutcome,
   type AttemptResult,
   type JobRequest,
+  Started,
   type TargetIdentity,
   type TargetLoad,
   type TargetRecord,
@@ -86,6 +87,16 @@
     return true;
   }
 
+  /** What runs goes on; what waits is dropped. */
+  cancel(jobId: string): void {
+    const dropped = this.#waiting.filter(one => one.job.jobId === jobId);
+    for (const task of dropped) {
+      this.#waiting.splice(this.#waiting.indexOf(task), 1);
+      const { taskId } = task.task;
+      this.#surroundings.taskEnded(jobId, taskId, false, Started.No);
+    }
+  }
+
   attemptEnded(
     identity: TargetIdentity,
     result: AttemptResult,
@@ -120,7 +131,12 @@
   }
 
   #report({ job, task }: SimpleTask, answered: boolean): void {
-    this.#surroundings.taskEnded(job.jobId, task.taskId, answered);
+    this.#surroundings.taskEnded(
+      job.jobId,
+      task.taskId,
+      answered,
+      answered ? Started.Yes : Started.Perhaps,
+    );
   }
 
   #placeWaiting(): void {
--- a/packages/bench/src/run/measure-load-case.ts
+++ b/packages/bench/src/run/measure-load-case.ts
@@ -7,7 +7,7 @@
 import { checkDecisions } from '../checker/check-decisions.js';
 import { statedCheckOptions, type Violation } from '../checker/violation.js';
 import { createHttpJobClient } from '../load/create-http-job-client.js';
-import type { JobClient } from '../load/job-client.js';
+import { type JobClient, SubmissionOutcome } from '../load/job-client.js';
 import { type LoadPlan, planLoad } from '../load/plan-load.js';
 import { type CompletedSubmission, runLoad } from '../load/run-load.js';
 import { scaleLoad } from '../load/scale-load.js';
@@ -75,11 +75,20 @@
   const processor = process.cpuUsage();
   const plan = composePlan(load);
   const happening = applyEvent(load, system, timers);
-  const submissions = await runLoad(plan, { client, timers });
+  let after = before;
+  const submissions = await runLoad(plan, {
+    client,
+    timers,
+    // Later, an idle system sends heartbeats until failed jobs reach their deadline.
+    replied: ({ reply }) => {
+      if (reply.outcome === SubmissionOutcome.Complete)
+        after = readMessages(system);
+    },
+  });
   await happening;
   const { user, system: kernel } = process.cpuUsage(processor);
   const summary = summarizeLoad(submissions, shape.callerDelayMilliseconds);
-  const messages = compareMessages(before, readMessages(system), summary.tasks);
+  const messages = compareMessages(before, after, summary.tasks);
   const violations = check(system, [...warmUp, ...submissions]);
   await client.close();
   await system.stop();
