Bound what a dispatcher holds, and take operators out of its settings

Cause: limits.heldBytes and operators were read from the settings of a dispatcher and had no effect. Change: bodies in flight, their answers so far and kept answers are counted together; over the limit a job is refused with 503, started no and Retry-After before its claim. The gauge held_bytes shows the size. Settings whose limit cannot hold the kept answers and one body are refused.

--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -3,6 +3,7 @@
   digestJob,
   type JobEntry,
   JobTable,
+  measureRequest,
   type ResultRetention,
 } from '@cranberryturn/jobs';
 import { Counter, type Metrics } from '@cranberryturn/metrics';
@@ -18,6 +19,7 @@
 import {
   AttemptOutcome,
   type AttemptResult,
+  type BodyDigest,
   type DecisionSink,
   type DispatcherIdentity,
   type JobId,
@@ -43,6 +45,7 @@
 import { createRunningJob, type RunningJob } from './running-job.js';
 import {
   refuseForNow,
+  refuseForWantOfRoom,
   refuseUnregistered,
   type Submission,
   SubmissionKind,
@@ -115,6 +118,11 @@
     return this.#table.inFlight;
   }
 
+  /** Size of the bodies in flight and of all answers kept. */
+  get heldBytes(): number {
+    return this.#table.heldBytes;
+  }
+
   /** Refuses new jobs from now on. */
   stopAdmission(): void {
     this.#stopping = true;
@@ -135,13 +143,7 @@
     }
     if (this.#stopping) return this.#refuseWhileStopping();
     if (!this.#options.isRegistered()) return refuseUnregistered();
-    const entry = this.#table.add(request.jobId, digest);
-    const job = createRunningJob(
-      request,
-      requestId,
-      entry,
-      this.#options.timers,
-    );
+    const job = this.#open(request, requestId, digest);
     const refusal = this.#admit(job);
     if (refusal !== undefined) return this.#withdraw(job, refusal);
     return this.#claimAndRun(job);
@@ -153,17 +155,11 @@
     requestId: string,
   ): Promise<Submission> {
     if (this.#stopping) return this.#refuseWhileStopping();
-    const entry = this.#table.add(request.jobId, digestJob(request));
-    const job = createRunningJob(
-      request,
-      requestId,
-      entry,
-      this.#options.timers,
-    );
+    const job = this.#open(request, requestId, digestJob(request));
     const refusal = this.#admit(job);
     if (refusal !== undefined) return this.#withdraw(job, refusal);
     this.#placeUnclaimed(job);
-    return describeResult(await entry.finished);
+    return describeResult(await job.entry.finished);
   }
 
   /** Cancels a job that runs here. Resolves with its result; undefined when it is not known. */
@@ -188,6 +184,9 @@
     if (job === undefined) return;
     const failedBefore = job.collection.failure !== undefined;
     job.collection.recordFate(taskId, fate);
+    if (fate.kind === TaskFateKind.Answered) {
+      this.#table.holdAnswer(jobId, fate.answer.length);
+    }
     if (fate.kind !== TaskFateKind.Answered && !failedBefore) {
       this.#scheduler?.cancelJob(jobId, 'Another task of the job failed.');
     }
@@ -210,7 +209,20 @@
     claiming.cancelReason = reason;
   }
 
+  #open(
+    request: JobRequest,
+    requestId: string,
+    digest: BodyDigest,
+  ): RunningJob {
+    const bodyBytes = measureRequest(request);
+    const hasRoom = this.#table.hasRoomFor(bodyBytes);
+    const entry = this.#table.add(request.jobId, digest, bodyBytes);
+    const { timers } = this.#options;
+    return createRunningJob(request, requestId, entry, hasRoom, timers);
+  }
+
   #admit(job: RunningJob): Submission | undefined {
+    if (!job.hasRoom) return refuseForWantOfRoom();
     const admitted = this.#scheduler?.admitJob(job.request, job.requestId);
     if (admitted?.isErr() === true) return describeRefusal(admitted.error);
     this.#reporter.reportAdmitted(job);
--- a/packages/dispatcher/src/running-job.ts
+++ b/packages/dispatcher/src/running-job.ts
@@ -15,6 +15,8 @@
   readonly deadline: Milliseconds;
   readonly collection: AnswerCollection;
   readonly entry: JobEntry;
+  /** Whether its body stayed within the limit of what is held. */
+  readonly hasRoom: boolean;
   /** Epoch of the claim; undefined while there is none. */
   claimedEpoch: OwnershipEpoch | undefined;
   /** Why the caller needs no answer any more, while its claim is under way. */
@@ -28,6 +30,7 @@
   request: JobRequest,
   requestId: string,
   entry: JobEntry,
+  hasRoom: boolean,
   timers: TimerService,
 ): RunningJob {
   const arrived = timers.now();
@@ -39,6 +42,7 @@
     deadline: arrived + request.deadlineMilliseconds,
     collection: new AnswerCollection(request.jobId, taskIds),
     entry,
+    hasRoom,
     claimedEpoch: undefined,
     cancelReason: undefined,
     longestRun: 0,
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -73,7 +73,10 @@
     peers: settings.peers,
     teams: settings.teams,
     limits: settings.limits,
-    retention: settings.retention,
+    retention: {
+      ...settings.retention,
+      heldBytes: settings.limits.heldBytes,
+    },
     network,
     control,
     timers,
@@ -112,6 +115,7 @@
 function observeDispatcher(metrics: Metrics, dispatcher: Dispatcher): void {
   const { scheduler, jobs } = dispatcher;
   metrics.observe(Gauge.JobsOpen, () => jobs.inFlight);
+  metrics.observe(Gauge.HeldBytes, () => jobs.heldBytes);
   metrics.observe(Gauge.TasksQueued, () => scheduler.status().queuedTasks);
   metrics.observe(Gauge.TasksRunning, () => scheduler.status().runningTasks);
   metrics.observe(Gauge.TargetsKnown, () => scheduler.status().targets.length);
--- a/packages/dispatcher/src/submission.ts
+++ b/packages/dispatcher/src/submission.ts
@@ -2,6 +2,7 @@
 import type { JobResult, Milliseconds } from '@cranberryturn/types';
 
 const unregisteredRetryMilliseconds: Milliseconds = 1_000;
+const fullRetryMilliseconds: Milliseconds = 1_000;
 
 /** How a submission ended. */
 export enum SubmissionKind {
@@ -45,6 +46,14 @@
   };
 }
 
+/** Composes the refusal of a body that does not fit beside those held already. */
+export function refuseForWantOfRoom(): Submission {
+  return refuseForNow(
+    'This dispatcher holds as many bodies and answers as it may; submit to another one, or come back.',
+    fullRetryMilliseconds,
+  );
+}
+
 /** Composes the refusal of a dispatcher that control does not know yet. */
 export function refuseUnregistered(): Submission {
   return refuseForNow(
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -3,15 +3,18 @@
 import {
   type BodyDigest,
   type JobId,
-  JobOutcome,
   type JobResult,
   type Milliseconds,
 } from '@cranberryturn/types';
 
+import { HeldBytes, measureResult } from './held-bytes.js';
+
 /** How long and how much results are kept. */
 export interface ResultRetention {
   readonly answersMilliseconds: Milliseconds;
   readonly answersBytes: number;
+  /** Largest size of bodies in flight and answers together; no limit without it. */
+  readonly heldBytes?: number | undefined;
 }
 
 /** One job of the table. */
@@ -26,6 +29,7 @@
 interface StoredEntry extends JobEntry {
   readonly resolve: (result: JobResult) => void;
   finishedAt: Milliseconds;
+  /** Size of the body and the answers so far, or of the result. */
   bytes: number;
 }
 
@@ -36,11 +40,24 @@
   readonly #entries = new Map<JobId, StoredEntry>();
   /** Finished entries, oldest first. */
   readonly #finished = new Set<StoredEntry>();
-  #bytes = 0;
+  readonly #held: HeldBytes;
+  #resultBytes = 0;
 
   constructor(timers: TimerService, retention: ResultRetention) {
     this.#timers = timers;
     this.#retention = retention;
+    this.#held = new HeldBytes(retention.heldBytes ?? Infinity);
+  }
+
+  /** Size of the bodies in flight and of all answers. */
+  get heldBytes(): number {
+    return this.#held.held;
+  }
+
+  /** Whether a body of this size can be held beside all others. */
+  hasRoomFor(bodyBytes: number): boolean {
+    this.#forgetOldResults();
+    return this.#held.hasRoomFor(bodyBytes);
   }
 
   find(jobId: JobId): JobEntry | undefined {
@@ -53,7 +70,7 @@
     return this.#entries.size - this.#finished.size;
   }
 
-  add(jobId: JobId, digest: BodyDigest): JobEntry {
+  add(jobId: JobId, digest: BodyDigest, bodyBytes: number): JobEntry {
     let resolve: (result: JobResult) => void = () => undefined;
     const finished = new Promise<JobResult>(settle => {
       resolve = settle;
@@ -65,20 +82,28 @@
       result: undefined,
       resolve,
       finishedAt: 0,
-      bytes: 0,
+      bytes: bodyBytes,
     };
+    this.#held.add(bodyBytes);
     this.#entries.set(jobId, entry);
     return entry;
   }
 
+  /** Counts an answer of a job in flight. */
+  holdAnswer(jobId: JobId, bytes: number): void {
+    const entry = this.#entries.get(jobId);
+    if (entry === undefined || entry.result !== undefined) return;
+    this.#resize(entry, entry.bytes + bytes);
+  }
+
   /** Gives every waiting caller the result. Only the first result counts. */
   finish(jobId: JobId, result: JobResult): void {
     const entry = this.#entries.get(jobId);
     if (entry === undefined || entry.result !== undefined) return;
     entry.result = result;
     entry.finishedAt = this.#timers.now();
-    entry.bytes = measureResult(result);
-    this.#bytes += entry.bytes;
+    this.#resize(entry, measureResult(result));
+    this.#resultBytes += entry.bytes;
     this.#finished.add(entry);
     entry.resolve(result);
     this.#forgetOldResults();
@@ -89,6 +114,7 @@
     const entry = this.#entries.get(jobId);
     if (entry === undefined) return;
     this.#entries.delete(jobId);
+    this.#held.release(entry.bytes);
     entry.resolve(result);
   }
 
@@ -96,15 +122,16 @@
     const horizon = this.#timers.now() - this.#retention.answersMilliseconds;
     for (const entry of this.#finished) {
       const isOld = entry.finishedAt <= horizon;
-      if (!isOld && this.#bytes <= this.#retention.answersBytes) return;
+      if (!isOld && this.#resultBytes <= this.#retention.answersBytes) return;
       this.#finished.delete(entry);
       this.#entries.delete(entry.jobId);
-      this.#bytes -= entry.bytes;
+      this.#resultBytes -= entry.bytes;
+      this.#held.release(entry.bytes);
     }
   }
-}
 
-function measureResult(result: JobResult): number {
-  if (result.outcome === JobOutcome.Failed) return result.reason.length;
-  return result.answers.reduce((sum, one) => sum + one.answer.length, 0);
+  #resize(entry: StoredEntry, bytes: number): void {
+    this.#held.add(bytes - entry.bytes);
+    entry.bytes = bytes;
+  }
 }
--- a/packages/local/src/compose-settings.ts
+++ b/packages/local/src/compose-settings.ts
@@ -89,7 +89,6 @@
       control: composeMembers(places),
       sharedKeyFile: places.sharedKeyFile,
       teams: settings.teams,
-      operators: settings.operators,
       limits: settings.limits,
       seed: settings.seed + index,
       log: settings.log,
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -82,6 +82,8 @@
   readonly logger?: Logger | undefined;
   /** Targets of each dispatcher; all without it. */
   readonly targetsPerService?: number | undefined;
+  /** Limit of what each dispatcher holds; none without it. */
+  readonly heldBytes?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
   readonly configuration?: ClusterConfiguration | undefined;
   /** Time that control takes to commit an entry; 0 without it. */
@@ -203,6 +205,7 @@
   readonly control: ControlNode;
   readonly record: (decision: Decision) => void;
   readonly targetsPerService?: number | undefined;
+  readonly heldBytes?: number | undefined;
   readonly logger?: Logger | undefined;
 }
 
@@ -213,6 +216,7 @@
     control,
     record,
     targetsPerService,
+    heldBytes,
     logger,
   }: DispatcherSurroundings,
   dispatcherId: string,
@@ -246,7 +250,11 @@
       bodyTimeoutMilliseconds: 10_000,
       callersConnections: 16,
     },
-    retention: { answersMilliseconds: 600_000, answersBytes: mebibyte },
+    retention: {
+      answersMilliseconds: 600_000,
+      answersBytes: mebibyte,
+      heldBytes,
+    },
     network: joined,
     control: client,
     timers,
--- a/packages/local/src/fakes/submit-jobs.ts
+++ b/packages/local/src/fakes/submit-jobs.ts
@@ -1,5 +1,5 @@
 /** Submits jobs to the dispatchers of a cluster in memory. */
-import type { SubmissionKind } from '@cranberryturn/dispatcher';
+import type { Submission } from '@cranberryturn/dispatcher';
 import type { JobResult, Milliseconds } from '@cranberryturn/types';
 
 import {
@@ -15,7 +15,7 @@
 export interface SubmissionBox {
   result: JobResult | undefined;
   /** Undefined while the caller waits. */
-  kind: SubmissionKind | undefined;
+  submission: Submission | undefined;
 }
 
 /** The dispatcher at a position. */
@@ -34,10 +34,10 @@
   jobId: string,
   tasks: number,
 ): SubmissionBox {
-  const box: SubmissionBox = { result: undefined, kind: undefined };
+  const box: SubmissionBox = { result: undefined, submission: undefined };
   const job = composeJob(jobId, tasks, deadlineMilliseconds);
   void owner.dispatcher.jobs.submitJob(job, 'request-1').then(submission => {
-    box.kind = submission.kind;
+    box.submission = submission;
     if ('result' in submission) box.result = submission.result;
   });
   return box;
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -75,6 +75,8 @@
   TargetsEjectedNow = 'targets_ejected_now',
   AnswersHeld = 'answers_held',
   AnswersHeldBytes = 'answers_held_bytes',
+  /** Size of the bodies in flight and of all answers that a dispatcher keeps. */
+  HeldBytes = 'held_bytes',
   ConfigurationVersion = 'configuration_version',
   LogIndex = 'log_index',
   /** 1 while this replica leads. */
--- a/packages/settings/src/describe-issue.ts
+++ b/packages/settings/src/describe-issue.ts
@@ -13,6 +13,13 @@
 } from './text-positions.js';
 
 const longestValue = 60;
+/** Keys that some settings had once, and what to do instead. */
+const movedKeys = new Map([
+  [
+    'operators',
+    'nothing: remove operators, which only the settings of control hosts name',
+  ],
+]);
 const secretKey = /token|secret|password|authorization/i;
 
 /** Describes one issue; an issue about several unknown keys gives one problem for each. */
@@ -49,8 +56,8 @@
     ...positionOfKey(document.text, document.root, keyPath),
     keyPath: formatKeyPath(keyPath),
     found: 'an unknown key',
-    allowed: known.join(', '),
-    suggestion: findNearestName(key, known),
+    allowed: movedKeys.get(key) ?? known.join(', '),
+    suggestion: movedKeys.has(key) ? undefined : findNearestName(key, known),
   };
 }
 
--- a/packages/settings/src/schemas/dispatcher-settings.ts
+++ b/packages/settings/src/schemas/dispatcher-settings.ts
@@ -8,7 +8,6 @@
   listenAddressSchema,
   logSchema,
   nameSchema,
-  operatorsSchema,
   pathSchema,
   retentionSchema,
   seedSchema,
@@ -43,31 +42,39 @@
   .prefault({});
 
 /** Schema of the settings of a dispatcher. */
-export const dispatcherSettingsSchema = z.strictObject({
-  dispatcherId: nameSchema,
-  host: nameSchema,
-  rack: nameSchema.optional(),
-  dataCentre: nameSchema,
-  region: nameSchema,
-  /** HTTP for callers, health checks and metrics. */
-  callers: listenAddressSchema,
-  /** Connections from sidecars and other dispatchers. */
-  peers: advertisedListenSchema,
-  control: uniqueBy(controlPeerSchema, peer => peer.replicaId, 'replicaId')
-    .min(1)
-    .max(mostControlHosts),
-  sharedKeyFile: pathSchema,
-  teams: teamsSchema.min(1),
-  operators: operatorsSchema.default([]),
-  limits: limitsSchema,
-  retention: retentionSchema,
-  heartbeat: heartbeatSchema,
-  stop: stopSchema,
-  /** Targets of one service to have sessions with; all when absent. The same at each dispatcher. */
-  targetsPerService: z.int().min(1).optional(),
-  seed: seedSchema,
-  log: logSchema,
-});
+export const dispatcherSettingsSchema = z
+  .strictObject({
+    dispatcherId: nameSchema,
+    host: nameSchema,
+    rack: nameSchema.optional(),
+    dataCentre: nameSchema,
+    region: nameSchema,
+    /** HTTP for callers, health checks and metrics. */
+    callers: listenAddressSchema,
+    /** Connections from sidecars and other dispatchers. */
+    peers: advertisedListenSchema,
+    control: uniqueBy(controlPeerSchema, peer => peer.replicaId, 'replicaId')
+      .min(1)
+      .max(mostControlHosts),
+    sharedKeyFile: pathSchema,
+    teams: teamsSchema.min(1),
+    limits: limitsSchema,
+    retention: retentionSchema,
+    heartbeat: heartbeatSchema,
+    stop: stopSchema,
+    /** Targets of one service to have sessions with; all when absent. The same at each dispatcher. */
+    targetsPerService: z.int().min(1).optional(),
+    seed: seedSchema,
+    log: logSchema,
+  })
+  .refine(
+    ({ limits, retention }) =>
+      limits.heldBytes >= limits.bodyBytes + retention.answersBytes,
+    {
+      path: ['limits', 'heldBytes'],
+      error: 'at least limits.bodyBytes and retention.answersBytes together',
+    },
+  );
 
 /** Checked settings of a dispatcher. */
 export type DispatcherSettings = z.output<typeof dispatcherSettingsSchema>;
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -120,6 +120,29 @@
   t.snapshot(error.problems);
 });
 
+test('a key that a role no longer has is answered with what to do', t => {
+  const operators = [{ name: 'linh', tokenDigests: [digest] }];
+  t.regex(
+    messageOf({ ...dispatcher, operators }, dispatcherSettingsSchema),
+    /operators.*remove operators, which only the settings of control hosts name/s,
+  );
+  t.true(parse({ ...control, operators }, controlSettingsSchema).isOk());
+});
+
+test('what is held must leave room for one body beside the answers kept', t => {
+  const mebibyte = 1_048_576;
+  const held = (heldBytes: number) => ({
+    ...dispatcher,
+    limits: { bodyBytes: 8 * mebibyte, heldBytes },
+    retention: { answersBytes: 64 * mebibyte },
+  });
+  t.true(parse(held(72 * mebibyte), dispatcherSettingsSchema).isOk());
+  t.regex(
+    messageOf(held(72 * mebibyte - 1), dispatcherSettingsSchema),
+    /limits\.heldBytes.*answersBytes together/s,
+  );
+});
+
 test('rules between keys are checked', t => {
   const twice = [dispatcher.control[0], dispatcher.control[0]];
   t.snapshot([
