Keep claims as records of a fixed width

Cause: each claim was an object with its encoded form.

Change: claims are records of 96 bytes in pages outside the heap, found by open addressing in shards that grow one at a time.

--- a/packages/claims/src/apply-claim.ts
+++ b/packages/claims/src/apply-claim.ts
@@ -18,13 +18,11 @@
   type TeamName,
 } from '@cranberryturn/types';
 
-import {
-  type ClaimRecord,
-  type ClaimRetention,
-  type ClaimTable,
-  composeClaimKey,
-  encodeClaim,
-} from './claim-table.js';
+import type { ClaimView } from './claim-record.js';
+import type { ClaimRetention } from './claim-retention.js';
+import type { ClaimNumber, ClaimTable } from './claim-table.js';
+import { digestJob } from './digest-words.js';
+import type { Digest } from './record-index.js';
 
 /** What the roster tells about owners and runs of sidecars. */
 export interface ClaimRoster {
@@ -54,12 +52,15 @@
   claim: ClaimRequest,
   context: ClaimContext,
 ): ClaimOutcome {
-  const key = composeClaimKey(claim.team, claim.jobId);
-  const record = findRecord(table, key);
-  if (record === undefined) return createClaim(table, key, claim, context);
-  if (!isSameJob(record, claim)) return { kind: ClaimOutcomeKind.Conflict };
-  if (!isSameOwner(record.owner, claim.owner)) return hold(record, context);
-  return grant(table, key, record, context);
+  const key = digestJob(claim.team, claim.jobId);
+  const known = table.find(key);
+  if (known === undefined) return createClaim(table, key, claim, context);
+  if (!table.isSameJob(known, claim.service, claim.digest)) {
+    return { kind: ClaimOutcomeKind.Conflict };
+  }
+  const view = table.read(known);
+  if (!isSameOwner(view.owner, claim.owner)) return hold(view, context);
+  return grant(table, known, claim, context);
 }
 
 /** Takes a job over if its epoch is still the expected one. */
@@ -68,20 +69,19 @@
   adopt: AdoptRequest,
   context: ClaimContext,
 ): ClaimOutcome {
-  const key = composeClaimKey(adopt.team, adopt.jobId);
-  const record = findRecord(table, key);
+  const known = table.find(digestJob(adopt.team, adopt.jobId));
   // The claim was forgotten, so nothing tells which tasks have started.
-  if (record === undefined) return refuse(ClaimRefusal.TooOld);
-  if (!isSameJob(record, adopt)) return { kind: ClaimOutcomeKind.Conflict };
-  if (wasGrantedTo(record, adopt)) return grant(table, key, record, context);
-  if (record.epoch !== adopt.expectedEpoch) return hold(record, context);
-  const adopted: ClaimRecord = {
-    ...record,
-    owner: adopt.owner,
-    submissionId: adopt.submissionId,
-    epoch: record.epoch + 1,
-  };
-  return grant(table, key, renew(table, key, adopted, context), context);
+  if (known === undefined) return refuse(ClaimRefusal.TooOld);
+  if (!table.isSameJob(known, adopt.service, adopt.digest)) {
+    return { kind: ClaimOutcomeKind.Conflict };
+  }
+  const view = table.read(known);
+  if (isRepeated(table, known, view, adopt)) {
+    return grant(table, known, adopt, context);
+  }
+  if (view.epoch !== adopt.expectedEpoch) return hold(view, context);
+  table.adopt(known, adopt.owner, adopt.submissionId, context.leaderTime);
+  return grant(table, known, adopt, context);
 }
 
 /** Records that the owner in this epoch has answered its job. */
@@ -92,20 +92,18 @@
   epoch: OwnershipEpoch,
   leaderTime: Milliseconds,
 ): void {
-  const key = composeClaimKey(team, jobId);
-  const record = table.unfinished.get(key)?.record;
-  if (record?.epoch !== epoch) return;
-  table.unfinished.delete(key);
-  table.finished.set(key, encodeClaim({ ...record, changedTime: leaderTime }));
+  const known = table.find(digestJob(team, jobId));
+  if (known === undefined || table.read(known).epoch !== epoch) return;
+  table.finish(known, leaderTime);
 }
 
 function createClaim(
   table: ClaimTable,
-  key: string,
+  key: Digest,
   claim: ClaimRequest,
   context: ClaimContext,
 ): ClaimOutcome {
-  const { index, leaderTime, retention } = context;
+  const { index, leaderTime, retention, roster } = context;
   const { submittedAt } = claim;
   if (
     submittedAt !== undefined &&
@@ -113,59 +111,63 @@
   ) {
     return refuse(ClaimRefusal.TooOld);
   }
-  if (table.unfinished.size + table.finished.size >= retention.maximumClaims) {
+  if (table.size >= retention.maximumClaims) {
     return refuse(ClaimRefusal.TableFull);
   }
-  const record: ClaimRecord = {
-    team: claim.team,
-    jobId: claim.jobId,
-    service: claim.service,
-    digest: claim.digest,
+  const { service, digest, owner, submissionId } = claim;
+  table.add(key, {
+    service,
+    digest,
     claimedAt: index,
     claimedTime: leaderTime,
-    rosterVersion: context.roster.version,
-    owner: claim.owner,
-    submissionId: claim.submissionId,
+    rosterVersion: roster.version,
+    owner,
+    submissionId,
+  });
+  return {
+    kind: ClaimOutcomeKind.Granted,
     epoch: 1,
-    changedTime: leaderTime,
+    submissionId,
+    claimedAt: index,
+    ageMilliseconds: 0,
+    witnesses: [],
+    rosterVersion: roster.version,
+    finished: false,
   };
-  return grant(table, key, record, context);
 }
 
+/** Grants the current epoch, and notes the roster that its owner may place by. */
 function grant(
   table: ClaimTable,
-  key: string,
-  record: ClaimRecord,
+  number: ClaimNumber,
+  { service, submissionId }: ClaimRequest,
   { leaderTime, roster }: ClaimContext,
 ): ClaimGranted {
-  const { service, claimedAt, rosterVersion } = record;
-  const isFinished = table.finished.has(key);
-  // A claim that is there already keeps its place in the order of time.
-  (isFinished ? table.finished : table.unfinished).set(
-    key,
-    encodeClaim({ ...record, rosterVersion: roster.version }),
-  );
+  const view = table.read(number);
+  table.noteGrant(number, roster.version);
   return {
     kind: ClaimOutcomeKind.Granted,
-    epoch: record.epoch,
-    submissionId: record.submissionId,
-    claimedAt,
-    ageMilliseconds: leaderTime - record.claimedTime,
+    epoch: view.epoch,
+    submissionId: table.wasGrantedTo(number, submissionId)
+      ? submissionId
+      : table.describeSubmission(number),
+    claimedAt: view.claimedAt,
+    ageMilliseconds: leaderTime - view.claimedTime,
     witnesses:
-      record.epoch > 1
-        ? roster.listWitnesses(service, claimedAt, rosterVersion)
+      view.epoch > 1
+        ? roster.listWitnesses(service, view.claimedAt, view.rosterVersion)
         : [],
     rosterVersion: roster.version,
-    finished: isFinished,
+    finished: view.isFinished,
   };
 }
 
-function hold(record: ClaimRecord, { roster }: ClaimContext): ClaimHeld {
+function hold(view: ClaimView, { roster }: ClaimContext): ClaimHeld {
   return {
     kind: ClaimOutcomeKind.Held,
-    epoch: record.epoch,
-    owner: record.owner,
-    ownerAddress: roster.findOwnerAddress(record.owner),
+    epoch: view.epoch,
+    owner: view.owner,
+    ownerAddress: roster.findOwnerAddress(view.owner),
   };
 }
 
@@ -173,31 +175,17 @@
   return { kind: ClaimOutcomeKind.Refused, reason };
 }
 
-/** Lets the retention of an unfinished claim start again; it moves to the end of the order of time. */
-function renew(
-  table: ClaimTable,
-  key: string,
-  record: ClaimRecord,
-  { leaderTime }: ClaimContext,
-): ClaimRecord {
-  if (!table.unfinished.delete(key)) return record;
-  return { ...record, changedTime: leaderTime };
-}
-
-function findRecord(table: ClaimTable, key: string): ClaimRecord | undefined {
-  return (table.unfinished.get(key) ?? table.finished.get(key))?.record;
-}
-
-function isSameJob(record: ClaimRecord, claim: ClaimRequest): boolean {
-  return record.digest === claim.digest && record.service === claim.service;
-}
-
 /** Whether the current epoch was granted to this very adoption, whose answer was lost. */
-function wasGrantedTo(record: ClaimRecord, adopt: AdoptRequest): boolean {
+function isRepeated(
+  table: ClaimTable,
+  known: ClaimNumber,
+  view: ClaimView,
+  adopt: AdoptRequest,
+): boolean {
   return (
-    record.epoch === adopt.expectedEpoch + 1 &&
-    record.submissionId === adopt.submissionId &&
-    isSameOwner(record.owner, adopt.owner)
+    view.epoch === adopt.expectedEpoch + 1 &&
+    table.wasGrantedTo(known, adopt.submissionId) &&
+    isSameOwner(view.owner, adopt.owner)
   );
 }
 
--- a/packages/claims/src/claim-table.ts
+++ b/packages/claims/src/claim-table.ts
@@ -1,196 +1,251 @@
 /** The table of claimed jobs, built from committed operations only. */
 import type {
   BodyDigest,
-  DispatcherId,
   DispatcherIdentity,
-  Incarnation,
-  JobId,
-  LogIndex,
   Milliseconds,
   OwnershipEpoch,
   ServiceName,
-  TeamName,
 } from '@cranberryturn/types';
-import { Packr } from 'msgpackr';
-
-const keySeparator = '\u0000';
-const packer = new Packr({ useRecords: false });
-
-type EncodedClaim = readonly [
-  team: TeamName,
-  jobId: JobId,
-  service: ServiceName,
-  digest: BodyDigest,
-  claimedAt: LogIndex,
-  claimedTime: Milliseconds,
-  rosterVersion: number,
-  dispatcherId: DispatcherId,
-  incarnation: Incarnation,
-  submissionId: string,
-  epoch: OwnershipEpoch,
-  changedTime: Milliseconds,
-];
-
-/** One claimed job. */
-export interface ClaimRecord {
-  readonly team: TeamName;
-  readonly jobId: JobId;
-  readonly service: ServiceName;
-  readonly digest: BodyDigest;
-  /** Position in the log of the first claim. */
-  readonly claimedAt: LogIndex;
-  /** Time of the leader at the first claim. */
-  readonly claimedTime: Milliseconds;
-  /** Roster of the last grant: owners so far placed tasks on runs registered up to it. */
-  readonly rosterVersion: number;
-  readonly owner: DispatcherIdentity;
-  /** Submission to which the current epoch was granted. */
-  readonly submissionId: string;
-  readonly epoch: OwnershipEpoch;
-  /** Time of the leader at the last grant, or at the answer once the job is finished. */
-  readonly changedTime: Milliseconds;
-}
 
-/** How long and how many claims are kept. */
-export interface ClaimRetention {
-  /** Time that a claim is kept after its job was answered. */
-  readonly finishedMilliseconds: Milliseconds;
-  /** Time that a claim is kept after its last grant when its job is never reported as answered. */
-  readonly unfinishedMilliseconds: Milliseconds;
-  /** Number of claims above which new jobs are refused. */
-  readonly maximumClaims: number;
+import {
+  bodyWords,
+  claimLayout,
+  ClaimPhase,
+  type ClaimView,
+  type NewClaim,
+  NumberField,
+  submissionWords,
+  WordField,
+} from './claim-record.js';
+import type { ClaimRetention } from './claim-retention.js';
+import { digestText } from './digest-words.js';
+import { type HeldName, NameTable } from './name-table.js';
+import { type Digest, RecordIndex } from './record-index.js';
+import { RecordList, type RecordListSnapshot } from './record-list.js';
+import {
+  noRecord,
+  RecordPages,
+  type RecordPagesSnapshot,
+} from './record-pages.js';
+
+const ownerSeparator = '\u0000';
+const hexadecimal = 16;
+const links = { previous: WordField.Previous, next: WordField.Next };
+
+/** Everything of a table but its records. */
+export interface ClaimTableSnapshot {
+  readonly pages: RecordPagesSnapshot;
+  readonly unfinished: RecordListSnapshot;
+  readonly finished: RecordListSnapshot;
+  readonly owners: readonly HeldName[];
+  readonly services: readonly HeldName[];
 }
 
-/** Retention used when the settings name none. */
-export const defaultClaimRetention: ClaimRetention = {
-  finishedMilliseconds: 600_000,
-  unfinishedMilliseconds: 3_600_000,
-  maximumClaims: 300_000,
-};
-
-/** A record with its encoded form, made once so that a snapshot only joins bytes. */
-export interface StoredClaim {
-  readonly record: ClaimRecord;
-  readonly encoded: Uint8Array;
-}
+/** Number of a record in the table; valid until its claim is dropped. */
+export type ClaimNumber = number;
+
+/** All claims: about a hundred bytes each, outside the heap of the language. */
+export class ClaimTable {
+  readonly #pages = new RecordPages(claimLayout);
+  readonly #index = new RecordIndex(this.#pages);
+  readonly #owners: NameTable;
+  readonly #services: NameTable;
+  /** Both lists are in the order of `ChangedTime`. */
+  readonly #unfinished: RecordList;
+  readonly #finished: RecordList;
+
+  /** Creates an empty table, or one from a snapshot and the bytes of its records. */
+  constructor(snapshot?: ClaimTableSnapshot, records?: Uint8Array) {
+    this.#owners = new NameTable(snapshot?.owners);
+    this.#services = new NameTable(snapshot?.services);
+    this.#unfinished = new RecordList(this.#pages, links, snapshot?.unfinished);
+    this.#finished = new RecordList(this.#pages, links, snapshot?.finished);
+    if (snapshot === undefined || records === undefined) return;
+    this.#pages.load(snapshot.pages, records);
+    for (const list of [this.#unfinished, this.#finished]) {
+      for (const claim of list.records()) this.#index.add(claim);
+    }
+  }
 
-/** All claims. Both maps are in order of `changedTime`. */
-export interface ClaimTable {
-  readonly unfinished: Map<string, StoredClaim>;
-  readonly finished: Map<string, StoredClaim>;
-}
+  /** Claims whose jobs are not reported as answered. */
+  get unfinished(): { readonly size: number } {
+    return this.#unfinished;
+  }
 
-/** A claim table as bytes. */
-export interface ClaimTableSnapshot {
-  readonly unfinished: Uint8Array;
-  readonly finished: Uint8Array;
-}
+  /** Claims whose jobs were answered. */
+  get finished(): { readonly size: number } {
+    return this.#finished;
+  }
 
-/** Creates an empty table. */
-export function createClaimTable(): ClaimTable {
-  return { unfinished: new Map(), finished: new Map() };
-}
+  get size(): number {
+    return this.#unfinished.size + this.#finished.size;
+  }
 
-/** Builds a table from a snapshot. */
-export function restoreClaimTable(snapshot: ClaimTableSnapshot): ClaimTable {
-  return {
-    unfinished: decodeClaims(snapshot.unfinished),
-    finished: decodeClaims(snapshot.finished),
-  };
-}
+  /** Finds the claim of the job with this key. */
+  find(key: Digest): ClaimNumber | undefined {
+    const claim = this.#index.find(key);
+    return claim === noRecord ? undefined : claim;
+  }
 
-/** Joins the encoded claims of a table. */
-export function captureClaimTable(table: ClaimTable): ClaimTableSnapshot {
-  return {
-    unfinished: joinClaims(table.unfinished),
-    finished: joinClaims(table.finished),
-  };
-}
+  read(claim: ClaimNumber): ClaimView {
+    const pages = this.#pages;
+    const owner = this.#owners.nameOf(pages.word(claim, WordField.Owner));
+    return {
+      claimedAt: pages.number(claim, NumberField.ClaimedAt),
+      claimedTime: pages.number(claim, NumberField.ClaimedTime),
+      rosterVersion: pages.number(claim, NumberField.RosterVersion),
+      owner: parseOwner(owner),
+      epoch: pages.word(claim, WordField.Epoch),
+      isFinished: this.#isFinished(claim),
+    };
+  }
 
-/** Encodes a record as a list of its fields. */
-export function encodeClaim(record: ClaimRecord): StoredClaim {
-  const fields: EncodedClaim = [
-    record.team,
-    record.jobId,
-    record.service,
-    record.digest,
-    record.claimedAt,
-    record.claimedTime,
-    record.rosterVersion,
-    record.owner.dispatcherId,
-    record.owner.incarnation,
-    record.submissionId,
-    record.epoch,
-    record.changedTime,
-  ];
-  return { record, encoded: packer.pack(fields) };
-}
+  isSameJob(
+    claim: ClaimNumber,
+    service: ServiceName,
+    digest: BodyDigest,
+  ): boolean {
+    const number = this.#services.find(service);
+    if (number !== this.#pages.word(claim, WordField.Service)) return false;
+    return this.#holds(claim, WordField.Body, digestText(digest, bodyWords));
+  }
 
-/** Names a job among all teams. */
-export function composeClaimKey(team: TeamName, jobId: JobId): string {
-  return `${team}${keySeparator}${jobId}`;
-}
+  /** Whether the current epoch was granted to this submission. */
+  wasGrantedTo(claim: ClaimNumber, submissionId: string): boolean {
+    const digest = digestText(submissionId, submissionWords);
+    return this.#holds(claim, WordField.Submission, digest);
+  }
 
-/** Drops every claim whose retention has passed at `now`, a time of the leader. */
-export function dropExpiredClaims(
-  table: ClaimTable,
-  retention: ClaimRetention,
-  now: Milliseconds,
-): void {
-  dropOlder(table.finished, now - retention.finishedMilliseconds);
-  dropOlder(table.unfinished, now - retention.unfinishedMilliseconds);
-}
+  /** Stands for the submission of the current epoch; it differs from every identifier of a submission. */
+  describeSubmission(claim: ClaimNumber): string {
+    const high = this.#pages.word(claim, WordField.Submission);
+    const low = this.#pages.word(claim, WordField.Submission + 1);
+    return `digest:${high.toString(hexadecimal)}:${low.toString(hexadecimal)}`;
+  }
 
-function dropOlder(
-  claims: Map<string, StoredClaim>,
-  horizon: Milliseconds,
-): void {
-  for (const [key, { record }] of claims) {
-    if (record.changedTime >= horizon) return;
-    claims.delete(key);
+  /** Adds the job with this key, which is not in the table, in its first epoch. */
+  add(key: Digest, job: NewClaim): ClaimNumber {
+    const pages = this.#pages;
+    const claim = pages.allocate();
+    this.#setDigest(claim, WordField.Key, key);
+    this.#setDigest(claim, WordField.Body, digestText(job.digest, bodyWords));
+    pages.setWord(claim, WordField.Service, this.#services.hold(job.service));
+    pages.setWord(claim, WordField.Epoch, 1);
+    pages.setWord(claim, WordField.Phase, ClaimPhase.Unfinished);
+    pages.setNumber(claim, NumberField.ClaimedAt, job.claimedAt);
+    pages.setNumber(claim, NumberField.ClaimedTime, job.claimedTime);
+    pages.setNumber(claim, NumberField.RosterVersion, job.rosterVersion);
+    pages.setNumber(claim, NumberField.ChangedTime, job.claimedTime);
+    this.#setOwner(claim, job.owner, job.submissionId);
+    this.#index.add(claim);
+    this.#unfinished.append(claim);
+    return claim;
   }
-}
 
-function joinClaims(claims: ReadonlyMap<string, StoredClaim>): Uint8Array {
-  return Buffer.concat([...claims.values()].map(claim => claim.encoded));
-}
+  /** Notes the roster of a grant. */
+  noteGrant(claim: ClaimNumber, rosterVersion: number): void {
+    this.#pages.setNumber(claim, NumberField.RosterVersion, rosterVersion);
+  }
+
+  /** Passes the job on in its next epoch. The retention of an unfinished claim starts again. */
+  adopt(
+    claim: ClaimNumber,
+    owner: DispatcherIdentity,
+    submissionId: string,
+    time: Milliseconds,
+  ): OwnershipEpoch {
+    const pages = this.#pages;
+    const epoch = pages.word(claim, WordField.Epoch) + 1;
+    this.#owners.release(pages.word(claim, WordField.Owner));
+    this.#setOwner(claim, owner, submissionId);
+    pages.setWord(claim, WordField.Epoch, epoch);
+    if (this.#isFinished(claim)) return epoch;
+    this.#unfinished.remove(claim);
+    pages.setNumber(claim, NumberField.ChangedTime, time);
+    this.#unfinished.append(claim);
+    return epoch;
+  }
+
+  /** Records that the job was answered. */
+  finish(claim: ClaimNumber, time: Milliseconds): void {
+    if (this.#isFinished(claim)) return;
+    this.#unfinished.remove(claim);
+    this.#pages.setWord(claim, WordField.Phase, ClaimPhase.Finished);
+    this.#pages.setNumber(claim, NumberField.ChangedTime, time);
+    this.#finished.append(claim);
+  }
+
+  /** Drops every claim whose retention has passed at `now`, a time of the leader. */
+  dropExpired(retention: ClaimRetention, now: Milliseconds): void {
+    this.#dropOlder(this.#finished, now - retention.finishedMilliseconds);
+    this.#dropOlder(this.#unfinished, now - retention.unfinishedMilliseconds);
+  }
+
+  /** Bytes that `copyRecords` writes. */
+  get recordBytes(): number {
+    return this.#pages.byteLength;
+  }
+
+  copyRecords(target: Uint8Array): void {
+    this.#pages.copyTo(target);
+  }
+
+  /** Everything but the records. */
+  capture(): ClaimTableSnapshot {
+    return {
+      pages: this.#pages.describe(),
+      unfinished: this.#unfinished.capture(),
+      finished: this.#finished.capture(),
+      owners: this.#owners.capture(),
+      services: this.#services.capture(),
+    };
+  }
+
+  #dropOlder(list: RecordList, horizon: Milliseconds): void {
+    for (let claim = list.first; claim !== noRecord; claim = list.first) {
+      const time = this.#pages.number(claim, NumberField.ChangedTime);
+      if (time >= horizon) return;
+      list.remove(claim);
+      this.#index.remove(claim);
+      this.#owners.release(this.#pages.word(claim, WordField.Owner));
+      this.#services.release(this.#pages.word(claim, WordField.Service));
+      this.#pages.release(claim);
+    }
+  }
+
+  #isFinished(claim: ClaimNumber): boolean {
+    const phase: ClaimPhase = this.#pages.word(claim, WordField.Phase);
+    return phase === ClaimPhase.Finished;
+  }
+
+  #setOwner(
+    claim: ClaimNumber,
+    { dispatcherId, incarnation }: DispatcherIdentity,
+    submissionId: string,
+  ): void {
+    const name = `${dispatcherId}${ownerSeparator}${incarnation}`;
+    this.#pages.setWord(claim, WordField.Owner, this.#owners.hold(name));
+    const digest = digestText(submissionId, submissionWords);
+    this.#setDigest(claim, WordField.Submission, digest);
+  }
+
+  #setDigest(claim: ClaimNumber, field: WordField, digest: Uint32Array): void {
+    for (let position = 0; position < digest.length; position += 1) {
+      this.#pages.setWord(claim, field + position, digest[position] ?? 0);
+    }
+  }
 
-function decodeClaims(bytes: Uint8Array): Map<string, StoredClaim> {
-  const claims = new Map<string, StoredClaim>();
-  if (bytes.byteLength === 0) return claims;
-  for (const fields of packer.unpackMultiple(bytes) as EncodedClaim[]) {
-    const record = readClaim(fields);
-    claims.set(composeClaimKey(record.team, record.jobId), encodeClaim(record));
+  #holds(claim: ClaimNumber, field: WordField, digest: Uint32Array): boolean {
+    for (let position = 0; position < digest.length; position += 1) {
+      if (this.#pages.word(claim, field + position) !== digest[position]) {
+        return false;
+      }
+    }
+    return true;
   }
-  return claims;
 }
 
-function readClaim([
-  team,
-  jobId,
-  service,
-  digest,
-  claimedAt,
-  claimedTime,
-  rosterVersion,
-  dispatcherId,
-  incarnation,
-  submissionId,
-  epoch,
-  changedTime,
-]: EncodedClaim): ClaimRecord {
-  const owner = { dispatcherId, incarnation };
-  return {
-    team,
-    jobId,
-    service,
-    digest,
-    claimedAt,
-    claimedTime,
-    rosterVersion,
-    owner,
-    submissionId,
-    epoch,
-    changedTime,
-  };
+function parseOwner(name: string): DispatcherIdentity {
+  const [dispatcherId = '', incarnation = ''] = name.split(ownerSeparator);
+  return { dispatcherId, incarnation };
 }
--- /dev/null
+++ b/packages/control/src/control-snapshot.ts
@@ -0,0 +1,64 @@
+/** The state of control as bytes: a header, then the records of the claims as they lie in memory. */
+import { ClaimTable, type ClaimTableSnapshot } from '@cranberryturn/claims';
+import type { ConfigurationSnapshot } from '@cranberryturn/configuration';
+import type { RosterSnapshot } from '@cranberryturn/membership';
+import { Packr } from 'msgpackr';
+
+const formatMark = 0x32_4e_53_43;
+const markBytes = 4;
+const lengthBytes = 4;
+const prefixBytes = markBytes + lengthBytes;
+const packer = new Packr({ useRecords: true, variableMapSize: true });
+
+/** Everything that control knows. */
+export interface ControlSnapshot {
+  readonly claims: ClaimTable;
+  readonly roster: RosterSnapshot;
+  readonly configuration: ConfigurationSnapshot;
+}
+
+interface SnapshotHeader {
+  readonly claims: ClaimTableSnapshot;
+  readonly roster: RosterSnapshot;
+  readonly configuration: ConfigurationSnapshot;
+}
+
+/** Encodes a snapshot with one copy of the claims. */
+export function encodeControlSnapshot({
+  claims,
+  roster,
+  configuration,
+}: ControlSnapshot): Uint8Array {
+  const described: SnapshotHeader = {
+    claims: claims.capture(),
+    roster,
+    configuration,
+  };
+  const header = packer.pack(described);
+  const start = prefixBytes + header.length;
+  const bytes = Buffer.allocUnsafeSlow(start + claims.recordBytes);
+  bytes.writeUInt32LE(formatMark, 0);
+  bytes.writeUInt32LE(header.length, markBytes);
+  bytes.set(header, prefixBytes);
+  claims.copyRecords(bytes.subarray(start));
+  return bytes;
+}
+
+/** Decodes a snapshot; the log has checked its checksum. */
+export function decodeControlSnapshot(bytes: Uint8Array): ControlSnapshot {
+  const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  if (view.getUint32(0, true) !== formatMark) {
+    throw new Error(
+      'The snapshot of control is of another version; run the version that wrote it, or join as a new replica.',
+    );
+  }
+  const start = prefixBytes + view.getUint32(markBytes, true);
+  const header = packer.unpack(
+    bytes.subarray(prefixBytes, start),
+  ) as SnapshotHeader;
+  return {
+    claims: new ClaimTable(header.claims, bytes.subarray(start)),
+    roster: header.roster,
+    configuration: header.configuration,
+  };
+}
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -3,20 +3,14 @@
   applyAdoption,
   applyClaim,
   applyFinish,
-  captureClaimTable,
   type ClaimContext,
   type ClaimRetention,
-  type ClaimTable,
-  type ClaimTableSnapshot,
-  createClaimTable,
-  dropExpiredClaims,
-  restoreClaimTable,
+  ClaimTable,
 } from '@cranberryturn/claims';
 import {
   applyConfirm,
   applyInitialConfiguration,
   captureConfigurationState,
-  type ConfigurationSnapshot,
   type ConfigurationState,
   createConfigurationState,
   restoreConfigurationState,
@@ -34,7 +28,6 @@
   retireDispatcher,
   retireTarget,
   type RosterRetention,
-  type RosterSnapshot,
   type RosterState,
 } from '@cranberryturn/membership';
 import type {
@@ -42,7 +35,6 @@
   StateMachine,
 } from '@cranberryturn/replicated-log';
 import { ControlMethod } from '@cranberryturn/wire';
-import { Packr } from 'msgpackr';
 
 import {
   type ControlOperation,
@@ -52,6 +44,10 @@
   type OperationOutcome,
   OperationOutcomeKind,
 } from './control-operations.js';
+import {
+  decodeControlSnapshot,
+  encodeControlSnapshot,
+} from './control-snapshot.js';
 
 /** How much control remembers. */
 export interface ControlRetention {
@@ -69,19 +65,9 @@
   readonly configuration: ConfigurationState;
 }
 
-interface ControlSnapshot {
-  readonly format: number;
-  readonly claims: ClaimTableSnapshot;
-  readonly roster: RosterSnapshot;
-  readonly configuration: ConfigurationSnapshot;
-}
-
-const snapshotFormat = 1;
-const packer = new Packr({ useRecords: true, variableMapSize: true });
-
 /** Creates the state before the first entry. */
 export function createControlState(retention: ControlRetention): ControlState {
-  let claims = createClaimTable();
+  let claims = new ClaimTable();
   let roster = createRosterState();
   let configuration = createConfigurationState();
 
@@ -162,24 +148,21 @@
       return configuration;
     },
     apply: entry => {
-      dropExpiredClaims(claims, retention.claims, entry.leaderTime);
+      claims.dropExpired(retention.claims, entry.leaderTime);
       dropRetiredRuns(roster, retention.roster, entry.leaderTime);
       return decodeOperations(entry.command).map(operation =>
         applyOperation(operation, entry),
       );
     },
-    snapshot: () => {
-      const snapshot: ControlSnapshot = {
-        format: snapshotFormat,
-        claims: captureClaimTable(claims),
+    snapshot: () =>
+      encodeControlSnapshot({
+        claims,
         roster: captureRosterState(roster),
         configuration: captureConfigurationState(configuration),
-      };
-      return packer.pack(snapshot);
-    },
+      }),
     restore: bytes => {
-      const snapshot = packer.unpack(bytes) as ControlSnapshot;
-      claims = restoreClaimTable(snapshot.claims);
+      const snapshot = decodeControlSnapshot(bytes);
+      claims = snapshot.claims;
       roster = restoreRosterState(snapshot.roster);
       configuration = restoreConfigurationState(snapshot.configuration);
     },
--- /dev/null
+++ b/packages/control/src/fakes/model-claims.ts
@@ -0,0 +1,177 @@
+/** Claims in a plain map, as slow and simple as can be, to compare the table of control with. */
+import type { ClaimRetention } from '@cranberryturn/claims';
+import {
+  type AdoptRequest,
+  type ClaimOutcome,
+  ClaimOutcomeKind,
+  ClaimRefusal,
+  type ClaimRequest,
+  type JobId,
+  type LogIndex,
+  type Milliseconds,
+} from '@cranberryturn/types';
+
+interface ModelClaim {
+  readonly claimedAt: LogIndex;
+  readonly claimedTime: Milliseconds;
+  readonly digest: string;
+  owner: ClaimRequest['owner'];
+  submissionId: string;
+  epoch: number;
+  changedTime: Milliseconds;
+  finished: boolean;
+}
+
+/** What an outcome says, without what it leaves open. */
+export interface ComparedOutcome {
+  readonly kind: ClaimOutcomeKind;
+  readonly epoch?: number | undefined;
+  readonly claimedAt?: number | undefined;
+  readonly ageMilliseconds?: number | undefined;
+  readonly finished?: boolean | undefined;
+  readonly owner?: string | undefined;
+  readonly reason?: ClaimRefusal | undefined;
+  /** Whether the epoch was granted to the submission that asked. */
+  readonly isOwnSubmission?: boolean | undefined;
+}
+
+/** Claims of one team and service; a request with `expectedEpoch` adopts. */
+export class ModelClaims {
+  readonly #claims = new Map<JobId, ModelClaim>();
+  readonly #retention: ClaimRetention;
+  #forgotAt: Milliseconds | undefined;
+
+  constructor(retention: ClaimRetention) {
+    this.#retention = retention;
+  }
+
+  get sizes(): { readonly unfinished: number; readonly finished: number } {
+    const claims = [...this.#claims.values()];
+    const finished = claims.filter(claim => claim.finished).length;
+    return { unfinished: claims.length - finished, finished };
+  }
+
+  /** Applies what each entry of the log does first. */
+  forget(now: Milliseconds): void {
+    if (now === this.#forgotAt) return;
+    this.#forgotAt = now;
+    const { finishedMilliseconds, unfinishedMilliseconds } = this.#retention;
+    for (const [jobId, claim] of this.#claims) {
+      const kept = claim.finished
+        ? finishedMilliseconds
+        : unfinishedMilliseconds;
+      if (claim.changedTime < now - kept) this.#claims.delete(jobId);
+    }
+  }
+
+  ask(
+    request: ClaimRequest | AdoptRequest,
+    index: LogIndex,
+    now: Milliseconds,
+  ): ComparedOutcome {
+    const claim = this.#claims.get(request.jobId);
+    const adopts = 'expectedEpoch' in request;
+    if (claim === undefined) {
+      return adopts
+        ? { kind: ClaimOutcomeKind.Refused, reason: ClaimRefusal.TooOld }
+        : this.#create(request, index, now);
+    }
+    if (claim.digest !== request.digest) {
+      return { kind: ClaimOutcomeKind.Conflict };
+    }
+    const isOwner = claim.owner.dispatcherId === request.owner.dispatcherId;
+    const isOwn = isOwner && claim.submissionId === request.submissionId;
+    if (!adopts) return isOwner ? grant(claim, request, now) : hold(claim);
+    if (claim.epoch === request.expectedEpoch + 1 && isOwn) {
+      return grant(claim, request, now);
+    }
+    if (claim.epoch !== request.expectedEpoch) return hold(claim);
+    claim.owner = request.owner;
+    claim.submissionId = request.submissionId;
+    claim.epoch += 1;
+    if (!claim.finished) claim.changedTime = now;
+    return grant(claim, request, now);
+  }
+
+  finish(jobId: JobId, epoch: number, now: Milliseconds): void {
+    const claim = this.#claims.get(jobId);
+    if (claim?.epoch !== epoch || claim.finished) return;
+    claim.finished = true;
+    claim.changedTime = now;
+  }
+
+  #create(
+    request: ClaimRequest,
+    index: LogIndex,
+    now: Milliseconds,
+  ): ComparedOutcome {
+    if (this.#claims.size >= this.#retention.maximumClaims) {
+      return { kind: ClaimOutcomeKind.Refused, reason: ClaimRefusal.TableFull };
+    }
+    const claim = {
+      claimedAt: index,
+      claimedTime: now,
+      digest: request.digest,
+      owner: request.owner,
+      submissionId: request.submissionId,
+      epoch: 1,
+      changedTime: now,
+      finished: false,
+    };
+    this.#claims.set(request.jobId, claim);
+    return grant(claim, request, now);
+  }
+}
+
+/** Takes from an outcome of control what the model tells too. */
+export function compareOutcome(
+  outcome: ClaimOutcome,
+  submissionId: string,
+): ComparedOutcome {
+  switch (outcome.kind) {
+    case ClaimOutcomeKind.Granted: {
+      const { kind, epoch, claimedAt, ageMilliseconds, finished } = outcome;
+      const isOwnSubmission = outcome.submissionId === submissionId;
+      return {
+        kind,
+        epoch,
+        claimedAt,
+        ageMilliseconds,
+        finished,
+        isOwnSubmission,
+      };
+    }
+    case ClaimOutcomeKind.Held: {
+      const { kind, epoch, owner } = outcome;
+      return { kind, epoch, owner: owner.dispatcherId };
+    }
+    case ClaimOutcomeKind.Conflict:
+      return { kind: outcome.kind };
+    case ClaimOutcomeKind.Refused:
+      return { kind: outcome.kind, reason: outcome.reason };
+  }
+}
+
+function grant(
+  claim: ModelClaim,
+  request: ClaimRequest,
+  now: Milliseconds,
+): ComparedOutcome {
+  const { epoch, claimedAt, finished, submissionId } = claim;
+  return {
+    kind: ClaimOutcomeKind.Granted,
+    epoch,
+    claimedAt,
+    ageMilliseconds: now - claim.claimedTime,
+    finished,
+    isOwnSubmission: submissionId === request.submissionId,
+  };
+}
+
+function hold({ epoch, owner }: ModelClaim): ComparedOutcome {
+  return {
+    kind: ClaimOutcomeKind.Held,
+    epoch,
+    owner: owner.dispatcherId,
+  };
+}
--- /dev/null
+++ b/packages/control/src/measures/measure-claim-table.ts
@@ -0,0 +1,121 @@
+/** Measures what claims cost: memory, processor time, and how long a snapshot and a restore stall the replica. */
+import { defaultClaimRetention } from '@cranberryturn/claims';
+import { defaultRosterRetention } from '@cranberryturn/membership';
+import type { Milliseconds } from '@cranberryturn/types';
+import { ControlMethod } from '@cranberryturn/wire';
+
+import { encodeOperations, OperationKind } from '../control-operations.js';
+import { createControlState } from '../control-state.js';
+
+const claimsPerEntry = 20;
+const digitsOfIdentifier = 12;
+const microsecondsPerMillisecond = 1_000;
+const millisecondsPerSecond = 1_000;
+
+/** What one number of claims costs. */
+export interface ClaimTableReading {
+  readonly claims: number;
+  /** Memory of the process for each claim, heap and buffers. */
+  readonly bytesPerClaim: number;
+  /** Claims applied in one second of processor time. */
+  readonly claimsPerSecond: number;
+  readonly snapshotMilliseconds: Milliseconds;
+  readonly snapshotBytes: number;
+  readonly restoreMilliseconds: Milliseconds;
+}
+
+/** Applies `claims` claims, half of them answered, and takes and restores a snapshot. Run with --expose-gc. */
+export function measureClaimTable(claims: number): ClaimTableReading {
+  const retention = {
+    claims: { ...defaultClaimRetention, maximumClaims: claims },
+    roster: defaultRosterRetention,
+  };
+  const state = createControlState(retention);
+  const memoryBefore = readMemory();
+  const applied = measureProcessorTime(() => {
+    for (let first = 0; first < claims; first += claimsPerEntry) {
+      applyEntry(state, first, Math.min(claimsPerEntry, claims - first));
+    }
+  });
+  const memory = readMemory() - memoryBefore;
+  let bytes: Uint8Array = new Uint8Array();
+  const taken = measureProcessorTime(() => {
+    bytes = state.snapshot();
+  });
+  const other = createControlState(retention);
+  const restored = measureProcessorTime(() => {
+    other.restore(bytes, claims);
+  });
+  return {
+    claims: other.claims.unfinished.size + other.claims.finished.size,
+    bytesPerClaim: Math.round(memory / claims),
+    claimsPerSecond: Math.round((claims / applied) * millisecondsPerSecond),
+    snapshotMilliseconds: Math.round(taken),
+    snapshotBytes: bytes.length,
+    restoreMilliseconds: Math.round(restored),
+  };
+}
+
+function applyEntry(
+  state: ReturnType<typeof createControlState>,
+  first: number,
+  count: number,
+): void {
+  const jobs = Array.from({ length: count }, (_, offset) => first + offset);
+  const entry = { index: first + 1, term: 1, leaderTime: first };
+  state.apply({
+    ...entry,
+    leaderTime: 0,
+    command: encodeOperations(jobs.map(job => composeClaim(job))),
+  });
+  const finished = jobs
+    .filter(job => job % 2 === 0)
+    .map(job => ({ team: 'wards', jobId: nameJob(job), epoch: 1 }));
+  state.apply({
+    ...entry,
+    leaderTime: 0,
+    command: encodeOperations([
+      {
+        kind: OperationKind.Call,
+        call: { method: ControlMethod.FinishClaims, finished },
+      },
+    ]),
+  });
+}
+
+function composeClaim(job: number) {
+  return {
+    kind: OperationKind.Call as const,
+    call: {
+      method: ControlMethod.Claim as const,
+      claim: {
+        team: 'wards',
+        jobId: nameJob(job),
+        service: 'register-svc',
+        digest: String(job).padStart(64, '0'),
+        owner: {
+          dispatcherId: `dispatcher-${String(job % 20)}`,
+          incarnation: '00000000-0000-4000-8000-000000000001',
+        },
+        submissionId: nameJob(job),
+      },
+    },
+  };
+}
+
+function nameJob(job: number): string {
+  return `00000000-0000-4000-8000-${String(job).padStart(digitsOfIdentifier, '0')}`;
+}
+
+function measureProcessorTime(work: () => void): Milliseconds {
+  const before = process.cpuUsage();
+  work();
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / microsecondsPerMillisecond;
+}
+
+function readMemory(): number {
+  globalThis.gc?.();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
