--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -6,10 +6,12 @@
 import { addCapacityCommand } from '../commands/capacity-command.js';
 import { addCheckCommand } from '../commands/check-command.js';
 import { addControlCommand } from '../commands/control-command.js';
+import { addDoubleSubmitCommand } from '../commands/double-submit-command.js';
 import { addPoliciesCommand } from '../commands/policies-command.js';
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
 import { addSlopesCommand } from '../commands/slopes-command.js';
+import { addSweepCommand } from '../commands/sweep-command.js';
 import { addTraceCommands } from '../commands/trace-commands.js';
 
 const program = new Command('cranberry-bench').description(
@@ -19,10 +21,12 @@
 addSlopesCommand(program);
 addControlCommand(program);
 addCheckCommand(program);
+addDoubleSubmitCommand(program);
 addPoliciesCommand(program);
 addReportCommand(program);
 addCapacityCommand(program);
 addTraceCommands(program);
+addSweepCommand(program);
 
 try {
   await program.parseAsync();
--- a/packages/bench/src/policies/compare-policies.test.ts
+++ b/packages/bench/src/policies/compare-policies.test.ts
@@ -1,17 +1,21 @@
+import { DecisionKind, Started } from '@cranberryturn/types';
 import test from 'ava';
 
+import { ViolationKind } from '../checker/violation.js';
 import { boundP99 } from './compare-policies.js';
+import { createEventClock } from './event-clock.js';
 import { createProductPolicy } from './product-policy.js';
 import { runScenario } from './run-scenario.js';
+import { ScenarioLog } from './scenario-log.js';
 import { scenarios } from './scenarios.js';
 
 const seed = 20_261_203;
-const shortQueue = { queueLimit: 1, pushesCredits: false };
+const productQueue = { queueLimit: 4, pushesCredits: false };
 
 function runProduct(name: string) {
   const scenario = scenarios.find(one => one.name === name);
   if (scenario === undefined) throw new Error(`No scenario "${name}".`);
-  return runScenario(scenario, createProductPolicy, seed, shortQueue);
+  return runScenario(scenario, createProductPolicy, seed, productQueue);
 }
 
 for (const name of ['calm', 'calm, four data centres']) {
@@ -35,6 +39,20 @@
   t.is(declared.doubleStarts, 0);
 });
 
+for (const name of [
+  'jobs of 20',
+  'jobs of 20, declared',
+  'register requests',
+  'register requests, misdeclared',
+  'booking requests',
+]) {
+  test(`few messages are wasted: ${name} (seed ${String(seed)})`, t => {
+    const result = runProduct(name);
+    t.true(result.wastedShare <= 0.02, `wasted ${String(result.wastedShare)}`);
+    t.true(result.messagesPerTask <= 2.2);
+  });
+}
+
 test(`no policy beats the oracle (seed ${String(seed)})`, t => {
   for (const scenario of scenarios) {
     const bound = boundP99(scenario, seed);
@@ -53,3 +71,40 @@
     t.is(result.open, 0);
   });
 }
+
+for (const [name, open] of [
+  ['a whole rack dies', 0],
+  ['two dispatchers die', 60],
+  ['one fails everything, burst', 0],
+  ['jobs of 20, burst cancelled', 0],
+] as const) {
+  test(`invariants hold: ${name} (seed ${String(seed)})`, t => {
+    const result = runProduct(name);
+    t.deepEqual(result.violations, []);
+    t.is(result.doubleStarts, 0);
+    t.true(result.open <= open, `open ${String(result.open)}`);
+    t.true(result.answered > 400);
+    t.true(result.wastedShare <= 0.1, `wasted ${String(result.wastedShare)}`);
+  });
+}
+
+test('the log of a scenario shows a task that was said not to have started', t => {
+  const log = new ScenarioLog(createEventClock());
+  const key = { jobId: 'job', taskId: 'task', attempt: 1, epoch: 1 };
+  const target = { target: 'worker-1', incarnation: 'run-1' };
+  log.jobAdmitted('dispatcher-1', {
+    jobId: 'job',
+    service: 'register',
+    team: 'planning',
+    tasks: [{ taskId: 'task', payload: '1' }],
+    idempotent: false,
+    deadlineMilliseconds: 1_000,
+  });
+  const kind = DecisionKind.Started;
+  log.record('worker-1', { kind, ...key, ...target, idempotent: false });
+  log.taskEnded('dispatcher-1', 'job', 'task', false, Started.No);
+  t.deepEqual(
+    log.check().map(one => one.kind),
+    [ViolationKind.FalseNotStarted],
+  );
+});
--- a/packages/bench/src/policies/compare-policies.ts
+++ b/packages/bench/src/policies/compare-policies.ts
@@ -1,10 +1,10 @@
 /** Compares the product's scheduler with the policies that were weighed. */
-import { TargetBehaviour } from './fake-target.js';
-import type { PolicyFactory } from './policy-dispatcher.js';
+import { TargetBehaviour } from './target-behaviour.js';
+import type { PolicyFactory, SidecarManner } from './policy-dispatcher.js';
 import { createProductPolicy } from './product-policy.js';
 import { findOracleP99 } from './oracle-schedule.js';
 import { planArrivals } from './plan-arrivals.js';
-import { runScenario, type SidecarManner } from './run-scenario.js';
+import { runScenario } from './run-scenario.js';
 import type { ScenarioResult } from './scenario-tally.js';
 import { type Scenario, scenarios } from './scenarios.js';
 import { createSimplePolicy } from './simple-policy.js';
@@ -34,6 +34,8 @@
 const nameWidth = 34;
 const policyWidth = 16;
 
+/** Tasks wait in the dispatcher, and a few at the target in the order of their latest start. */
+const productQueue: SidecarManner = { queueLimit: 4, pushesCredits: false };
 /** Tasks wait in the dispatcher. */
 const shortQueue: SidecarManner = { queueLimit: 1, pushesCredits: false };
 /** Tasks wait at the target. */
@@ -46,7 +48,7 @@
   name('least backlog', createSimplePolicy(chooseLeastBacklog), longQueue),
   name('subsets', createSimplePolicy(chooseInSubset), shortQueue),
   name('slot credits', createSimplePolicy(chooseMostCredits), credits),
-  name('product', createProductPolicy, shortQueue),
+  name('product', createProductPolicy, productQueue),
 ];
 
 /** Runs every policy in every scenario. */
@@ -66,7 +68,8 @@
 export function boundP99(scenario: Scenario, seed: number): number | undefined {
   const { workers, slots, nearMilliseconds } = scenario;
   if (scenario.firstWorker !== TargetBehaviour.Healthy) return undefined;
-  if (scenario.deaths > 0 || scenario.burst > 1) return undefined;
+  const { deaths, dispatcherDeaths, burst } = scenario;
+  if (deaths + dispatcherDeaths > 0 || burst > 1) return undefined;
   return findOracleP99({
     jobs: planArrivals(scenario, seed),
     slots: workers * slots,
@@ -76,7 +79,7 @@
 
 /** The comparison as a table for people. */
 export function printComparison(rows: readonly ComparisonRow[]): string {
-  const header = `${'scenario'.padEnd(nameWidth)}${'policy'.padEnd(policyWidth)}   p50    p99 oracle answered failed refused open wasted per task doubled`;
+  const header = `${'scenario'.padEnd(nameWidth)}${'policy'.padEnd(policyWidth)}   p50    p99 oracle answered failed refused open wasted per task doubled violations`;
   return [header, ...rows.map(printRow)].join('\n');
 }
 
@@ -103,6 +106,7 @@
     `${(result.wastedShare * 100).toFixed(1)}%`.padStart(6),
     result.messagesPerTask.toFixed(2).padStart(8),
     String(result.doubleStarts).padStart(7),
+    String(result.violations.length).padStart(10),
   ];
   return `${scenario.padEnd(nameWidth)}${policy.padEnd(policyWidth)}${columns.join(' ')}`;
 }
--- a/packages/bench/src/policies/fake-target.ts
+++ b/packages/bench/src/policies/fake-target.ts
@@ -5,22 +5,15 @@
   AttemptOutcome,
   type AttemptResult,
   type AttemptStart,
+  type Decision,
+  DecisionKind,
   type Milliseconds,
   NotStartedReason,
   type TargetLoad,
   type TargetRecord,
 } from '@cranberryturn/types';
 
-/** How a fake target treats its tasks. */
-export enum TargetBehaviour {
-  Healthy = 'healthy',
-  /** It fails every task at once. */
-  FailsAtOnce = 'fails-at-once',
-  /** Its tasks take ten times as long. */
-  Slow = 'slow',
-  /** It fails every task at once for two seconds, then works for two. */
-  Flaps = 'flaps',
-}
+import { failsNow, TargetBehaviour } from './target-behaviour.js';
 
 /** A message of a target to a dispatcher. */
 export interface TargetReport {
@@ -40,11 +33,16 @@
   readonly pushesCredits: boolean;
   readonly runTimeOf: (attempt: AttemptStart) => Milliseconds;
   readonly report: (dispatcher: string, report: TargetReport) => void;
+  readonly decisions: (decision: Decision) => void;
+}
+
+interface WaitingAttempt {
+  readonly attempt: AttemptStart;
+  readonly latestStart: Milliseconds;
 }
 
 const failureMilliseconds: Milliseconds = 2;
 const slowFactor = 10;
-const flapMilliseconds: Milliseconds = 2_000;
 
 /** A target with its sidecar. */
 export class FakeTarget {
@@ -54,7 +52,7 @@
   readonly starts = new Map<string, number>();
   readonly #options: FakeTargetOptions;
   readonly #running = new Set<AttemptStart>();
-  readonly #waiting: AttemptStart[] = [];
+  readonly #waiting: WaitingAttempt[] = [];
   readonly #credits = new Map<string, number>();
   #dead = false;
 
@@ -81,12 +79,20 @@
       });
       return;
     }
-    this.#waiting.push(attempt);
+    this.#enqueue(attempt);
     this.#fillSlots();
   }
 
   cancel(key: AttemptKey): void {
     if (this.#dead) return;
+    const position = this.#waiting.findIndex(one => isSame(one.attempt, key));
+    for (const { attempt } of position < 0
+      ? []
+      : this.#waiting.splice(position, 1)) {
+      const reason = NotStartedReason.Cancelled;
+      const outcome = AttemptOutcome.NotStarted;
+      this.#end(attempt, { ...keyOf(attempt), outcome, reason });
+    }
     for (const attempt of this.#running) {
       if (!isSame(attempt, key)) continue;
       this.#running.delete(attempt);
@@ -101,11 +107,19 @@
     this.#fillSlots();
   }
 
+  #enqueue(attempt: AttemptStart): void {
+    const now = this.#options.timers.now();
+    const latestStart = now + (attempt.slackMilliseconds ?? 0);
+    const later = this.#waiting.findIndex(one => one.latestStart > latestStart);
+    const position = later < 0 ? this.#waiting.length : later;
+    this.#waiting.splice(position, 0, { attempt, latestStart });
+  }
+
   #fillSlots(): void {
     while (this.#running.size < this.record.slots) {
-      const attempt = this.#waiting.shift();
-      if (attempt === undefined) return;
-      this.#run(attempt);
+      const next = this.#waiting.shift();
+      if (next === undefined) return;
+      this.#run(next.attempt);
     }
   }
 
@@ -113,7 +127,16 @@
     const task = `${attempt.jobId}/${attempt.taskId}`;
     this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
     this.#running.add(attempt);
-    const fails = this.#failsNow();
+    const { targetId: target, incarnation } = this.record;
+    const { idempotent } = attempt;
+    this.#options.decisions({
+      kind: DecisionKind.Started,
+      ...keyOf(attempt),
+      target,
+      incarnation,
+      idempotent,
+    });
+    const fails = failsNow(this.behaviour, this.#options.timers.now());
     const run = fails ? failureMilliseconds : this.#runTime(attempt);
     this.#options.timers.after(run, () => {
       if (this.#dead || !this.#running.delete(attempt)) return;
@@ -140,26 +163,18 @@
     return { ...key, outcome: AttemptOutcome.Failed, reason, runMilliseconds };
   }
 
-  #failsNow(): boolean {
-    switch (this.behaviour) {
-      case TargetBehaviour.Healthy:
-      case TargetBehaviour.Slow:
-        return false;
-      case TargetBehaviour.FailsAtOnce:
-        return true;
-      case TargetBehaviour.Flaps:
-        return (
-          Math.floor(this.#options.timers.now() / flapMilliseconds) % 2 === 0
-        );
-    }
-  }
-
   #runTime(attempt: AttemptStart): Milliseconds {
     const run = this.#options.runTimeOf(attempt);
     return this.behaviour === TargetBehaviour.Slow ? run * slowFactor : run;
   }
 
   #end(attempt: AttemptStart, result: AttemptResult): void {
+    this.#options.decisions({
+      kind: DecisionKind.Ended,
+      ...keyOf(attempt),
+      target: this.record.targetId,
+      outcome: result.outcome,
+    });
     this.#reportTo(attempt.dispatcher, result);
   }
 
@@ -181,8 +196,8 @@
     let own = 0;
     for (const one of this.#running)
       if (one.dispatcher === dispatcher) own += 1;
-    for (const one of this.#waiting)
-      if (one.dispatcher === dispatcher) own += 1;
+    for (const { attempt } of this.#waiting)
+      if (attempt.dispatcher === dispatcher) own += 1;
     const position = dispatchers.indexOf(dispatcher);
     const turned =
       (position + Number(this.record.targetId.replace(/\D/g, ''))) %
--- a/packages/dispatcher/src/answer-dispatchers.ts
+++ b/packages/dispatcher/src/answer-dispatchers.ts
@@ -22,13 +22,19 @@
 
 /** A scheduler that may lend parts of limits. */
 export type LendingScheduler = Scheduler &
-  Partial<Pick<SharingScheduler, 'lendShares'>>;
+  Partial<Pick<SharingScheduler, 'lendShares' | 'confirmMembership'>>;
+
+/** A call that concerns jobs or limits. */
+export type WorkCall = Exclude<
+  DispatcherCall,
+  { readonly method: DispatcherMethod.InviteTargets }
+>;
 
 /** Answers a call of another dispatcher. */
 export async function answerDispatcher(
   jobs: JobService,
   scheduler: LendingScheduler | undefined,
-  call: DispatcherCall,
+  call: WorkCall,
   timers: TimerService,
 ): Promise<DispatcherReply> {
   if (call.method === DispatcherMethod.BorrowShares) {
--- a/packages/dispatcher/src/connected-target.ts
+++ b/packages/dispatcher/src/connected-target.ts
@@ -9,6 +9,7 @@
 } from '@cranberryturn/types';
 import { ToTargetKind, type ToTargetMessage } from '@cranberryturn/wire';
 
+import type { ApplySessionsMessage } from './session-subsets.js';
 import { findTargetSettings } from './target-settings.js';
 
 /** One connected run of a sidecar. */
@@ -24,6 +25,9 @@
   /** Whether a task is registering it at the moment. */
   registering: boolean;
   settingsSent: string;
+  sessionsSent: string;
+  /** The run said that it closes this session next. */
+  sessionLeft: boolean;
   /** Version of the configuration with the settings sent last; 0 before the first. */
   settingsSentVersion: ConfigurationVersion;
   /** Version of the settings that the run has confirmed; 0 before the first. */
@@ -44,6 +48,8 @@
     left: false,
     registering: false,
     settingsSent: '',
+    sessionsSent: '',
+    sessionLeft: false,
     settingsSentVersion: 0,
     settingsVersion: 0,
   };
@@ -67,6 +73,23 @@
   });
 }
 
+/** Sends which sessions the target should have, unless that was sent last. */
+export function sendSessions(
+  target: ConnectedTarget,
+  message: ApplySessionsMessage,
+): void {
+  const { dispatchers, leaveOthers } = message;
+  const described = JSON.stringify([dispatchers, leaveOthers]);
+  if (described === target.sessionsSent) return;
+  target.sessionsSent = described;
+  target.send(message);
+}
+
+/** Whether the run takes no work of this dispatcher any more. */
+export function hasLeft(target: ConnectedTarget): boolean {
+  return target.left || target.sessionLeft;
+}
+
 /** Whether the run was told of settings that it has not confirmed. */
 export function isBehind(target: ConnectedTarget): boolean {
   return target.settingsVersion < target.settingsSentVersion;
--- a/packages/dispatcher/src/index.ts
+++ b/packages/dispatcher/src/index.ts
@@ -1,4 +1,5 @@
 /** The dispatcher: answers callers, claims, places, collects. */
+export * from './dispatcher-options.js';
 export * from './ports/control.js';
 export * from './start-dispatcher.js';
 export * from './start-dispatcher-role.js';
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -81,10 +81,12 @@
     metrics,
     decisions: decisions.record,
     logger,
+    targetsPerService: settings.targetsPerService,
     graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
       suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
+      idleHeartbeatMilliseconds: settings.heartbeat.idleIntervalMilliseconds,
     },
   })
     .map(dispatcher => {
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -1,23 +1,9 @@
 /** Brings the parts of a dispatcher together. */
 import type { CranberryError } from '@cranberryturn/errors';
-import type { ResultRetention } from '@cranberryturn/jobs';
-import type { Logger } from '@cranberryturn/logger';
-import type { Metrics } from '@cranberryturn/metrics';
 import { type HttpListener, listenForHttp } from '@cranberryturn/program';
-import {
-  createScheduler,
-  type Scheduler,
-  type SchedulerOptions,
-} from '@cranberryturn/scheduling';
-import {
-  defaultSessionTimes,
-  type SessionTimes,
-} from '@cranberryturn/sessions';
-import { sleep, type TimerService } from '@cranberryturn/timers';
+import type { Scheduler } from '@cranberryturn/scheduling';
+import { sleep } from '@cranberryturn/timers';
 import type {
-  DataCentreName,
-  DecisionSink,
-  DispatcherIdentity,
   DispatcherRecord,
   Milliseconds,
   NetworkAddress,
@@ -25,62 +11,26 @@
 import {
   type Connection,
   type Listener,
-  type Network,
   ProcessRole,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
+import { findElsewhere } from './answer-dispatchers.js';
+import { serveCallers } from './callers/serve-callers.js';
+import type { DispatcherOptions } from './dispatcher-options.js';
+import { confirmMembership, describeSharing } from './confirm-membership.js';
 import {
-  answerDispatcher,
-  findElsewhere,
-  type LendingScheduler,
-} from './answer-dispatchers.js';
-import { type CallerTeam, serveCallers } from './callers/serve-callers.js';
-import { DispatcherLinks } from './dispatcher-links.js';
-import { createShareExchange } from './exchange-shares.js';
-import { JobService } from './job-service.js';
-import { keepRegistered, type Registration } from './keep-registered.js';
-import type { ControlPort } from './ports/control.js';
-import { TargetDirectory } from './target-directory.js';
+  createParts,
+  type DispatcherParts,
+  isRegistered,
+} from './dispatcher-parts.js';
+import type { JobService } from './job-service.js';
+import { keepRegistered } from './keep-registered.js';
+import type { TargetDirectory } from './target-directory.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 const defaultGraceMilliseconds: Milliseconds = 60_000;
 
-/** Limits of the HTTP interface. */
-export interface DispatcherLimits {
-  readonly bodyBytes: number;
-  readonly bodyTimeoutMilliseconds: Milliseconds;
-  readonly callersConnections: number;
-}
-
-/** What a dispatcher is built from. */
-export interface DispatcherOptions {
-  readonly self: DispatcherIdentity;
-  /** Targets of this data centre are preferred; without it, all are alike. */
-  readonly dataCentre?: DataCentreName | undefined;
-  readonly callers: NetworkAddress;
-  readonly peers: NetworkAddress & {
-    /** Address that others dial, where it is not the one listened on. */
-    readonly advertisedAddress?: string | undefined;
-  };
-  readonly teams: readonly CallerTeam[];
-  readonly limits: DispatcherLimits;
-  readonly retention: ResultRetention;
-  readonly network: Network;
-  readonly control: ControlPort;
-  readonly timers: TimerService;
-  readonly seed: number;
-  readonly metrics: Metrics;
-  readonly decisions: DecisionSink;
-  readonly logger?: Logger | undefined;
-  readonly sessionTimes?: SessionTimes | undefined;
-  /** Longest time of a planned stop. */
-  readonly graceMilliseconds?: Milliseconds | undefined;
-  /** Creates another scheduler than that of the product, to compare policies. */
-  readonly createScheduler?:
-    ((options: SchedulerOptions) => Scheduler) | undefined;
-}
-
 /** A running dispatcher. */
 export interface Dispatcher {
   readonly callersAddress: NetworkAddress;
@@ -96,16 +46,6 @@
   kill(): void;
 }
 
-interface DispatcherParts {
-  readonly options: DispatcherOptions;
-  readonly targets: TargetDirectory;
-  readonly links: DispatcherLinks;
-  readonly jobs: JobService;
-  readonly scheduler: Scheduler;
-  /** Undefined until this run listens. */
-  registration: Registration | undefined;
-}
-
 /** Starts a dispatcher. */
 export function startDispatcher(
   options: DispatcherOptions,
@@ -142,6 +82,10 @@
     return err(callers.error);
   }
   const unsubscribe = followConfiguration(parts);
+  const membership = confirmMembership({
+    ...options,
+    scheduler: parts.scheduler,
+  });
   const advertised = {
     address: options.peers.advertisedAddress ?? peers.value.address.address,
     port: peers.value.address.port,
@@ -155,67 +99,12 @@
     describeDispatcher(parts, peers.value, callers.value, () => {
       isReady = false;
       registration.cancel();
+      membership.cancel();
       unsubscribe();
     }),
   );
 }
 
-function createParts(options: DispatcherOptions): DispatcherParts {
-  const { timers, network, control, metrics, decisions, self } = options;
-  const targets = new TargetDirectory({
-    timers,
-    times: options.sessionTimes ?? defaultSessionTimes,
-    control,
-    metrics,
-    logger: options.logger,
-    resultReceived: result => {
-      jobs.noteResult(result);
-    },
-  });
-  const links: DispatcherLinks = new DispatcherLinks({
-    network,
-    timers,
-    handleCall: call => answerDispatcher(jobs, scheduler, call, timers),
-  });
-  const jobs: JobService = new JobService({
-    self,
-    timers,
-    control,
-    links,
-    targets,
-    retention: options.retention,
-    isRegistered: () => isRegistered(parts),
-    metrics,
-    decisions,
-  });
-  const create = options.createScheduler ?? createScheduler;
-  const scheduler: LendingScheduler = create({
-    dispatcherId: self.dispatcherId,
-    dataCentre: options.dataCentre,
-    shareExchange: createShareExchange(links, control.roster),
-    timers,
-    seed: options.seed,
-    sender: targets,
-    observer: jobs,
-    decisions,
-  });
-  targets.attachScheduler(scheduler);
-  jobs.attachScheduler(scheduler);
-  const parts: DispatcherParts = {
-    options,
-    targets,
-    links,
-    jobs,
-    scheduler,
-    registration: undefined,
-  };
-  return parts;
-}
-
-function isRegistered({ registration }: DispatcherParts): boolean {
-  return registration?.isDone() ?? false;
-}
-
 function serveConnection(
   { targets, links }: DispatcherParts,
   connection: Connection,
@@ -246,10 +135,10 @@
 }: DispatcherParts): () => void {
   const { configuration, roster } = options.control;
   const apply = (): void => {
-    const names = roster.current().dispatchers.map(one => one.dispatcherId);
-    const dispatchers = Math.max(1, names.length);
-    scheduler.applyConfiguration(configuration.current(), dispatchers, names);
+    const sharing = describeSharing(roster.current(), options.self);
+    scheduler.applyConfiguration(configuration.current(), sharing);
     targets.applyConfiguration(configuration.current());
+    targets.applyRoster();
   };
   apply();
   const stopConfiguration = configuration.subscribe(apply);
--- a/packages/local/src/fakes/memory-cluster.ts
+++ b/packages/local/src/fakes/memory-cluster.ts
@@ -1,15 +1,11 @@
 /** Every role over a network in memory, under the manual clock, with fake targets. */
-import {
-  type ControlNode,
-  createMemoryLog,
-  startControl,
-} from '@cranberryturn/control';
+import type { ControlNode } from '@cranberryturn/control';
 import {
   type ControlClient,
   createControlClient,
 } from '@cranberryturn/control-client';
 import { type Dispatcher, startDispatcher } from '@cranberryturn/dispatcher';
-import { createSilentLogger } from '@cranberryturn/logger';
+import type { Logger } from '@cranberryturn/logger';
 import { createMetrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import { type Sidecar, startSidecar } from '@cranberryturn/sidecar';
@@ -30,13 +26,13 @@
   type MemoryNetwork,
   ProcessRole,
 } from '@cranberryturn/wire';
-import { okAsync } from 'neverthrow';
 
+import { announceWorker, service } from './announce-worker.js';
 import { createFakeTarget, type FakeTarget } from './fake-target.js';
+import { startMemoryControl } from './start-memory-control.js';
 import { isolateProcesses } from './isolate-processes.js';
 
 const loopback: NetworkAddress = { address: '127.0.0.1', port: 0 };
-const service = 'register-svc';
 const networkDelayMilliseconds: Milliseconds = 1;
 const settleMilliseconds: Milliseconds = 2_000;
 const mebibyte = 1_048_576;
@@ -83,8 +79,13 @@
   readonly workers: number;
   readonly slots: number;
   readonly runMilliseconds: Milliseconds;
+  readonly logger?: Logger | undefined;
+  /** Targets of each dispatcher; all without it. */
+  readonly targetsPerService?: number | undefined;
   /** Configuration of the empty log; nothing is set without it. */
   readonly configuration?: ClusterConfiguration | undefined;
+  /** Time that control takes to commit an entry; 0 without it. */
+  readonly commitMilliseconds?: Milliseconds | undefined;
 }
 
 /** Starts a cluster in memory and lets it settle. */
@@ -104,13 +105,20 @@
     network,
     record,
     options.configuration ?? emptyConfiguration,
+    options.commitMilliseconds ?? 0,
   );
   const dispatchers: MemoryDispatcher[] = [];
   const workers: MemoryWorker[] = [];
 
   const addDispatcher = async (dispatcherId: string, incarnation: string) => {
     const added = await createDispatcher(
-      { timers, network, control, record },
+      {
+        timers,
+        network,
+        control,
+        record,
+        ...options,
+      },
       dispatcherId,
       incarnation,
     );
@@ -121,7 +129,7 @@
   const addWorker = (targetId: string, incarnation: string): MemoryWorker => {
     const target = createFakeTarget(timers, options.runMilliseconds);
     const sidecar = startSidecar({
-      announcement: announce(targetId, incarnation, options.slots),
+      announcement: announceWorker(targetId, incarnation, options.slots),
       dispatchers: dispatchers.map(one => one.dispatcher.peersAddress),
       network: network.join({
         role: ProcessRole.Sidecar,
@@ -132,6 +140,7 @@
       timers,
       random: createRandomSource(workers.length + 1),
       decisions: record,
+      logger: options.logger,
       retention: { startsMilliseconds: 600_000, answersBytes: mebibyte },
       queueLimit: 2,
     });
@@ -193,33 +202,19 @@
   readonly network: MemoryNetwork;
   readonly control: ControlNode;
   readonly record: (decision: Decision) => void;
-}
-
-async function startMemoryControl(
-  timers: ManualTimerService,
-  network: MemoryNetwork,
-  record: (decision: Decision) => void,
-  initialConfiguration: ClusterConfiguration,
-): Promise<ControlNode> {
-  const started = await startControl({
-    listen: loopback,
-    joinNetwork: name =>
-      network.join({ role: ProcessRole.Control, name, incarnation: 'run' }),
-    timers,
-    peers: [],
-    openLog: stateMachine =>
-      okAsync(
-        createMemoryLog({ replicaId: 'control-1', stateMachine, timers }),
-      ),
-    initialConfiguration,
-    logger: createSilentLogger(),
-    decisions: record,
-  });
-  return started._unsafeUnwrap();
+  readonly targetsPerService?: number | undefined;
+  readonly logger?: Logger | undefined;
 }
 
 async function createDispatcher(
-  { timers, network, control, record }: DispatcherSurroundings,
+  {
+    timers,
+    network,
+    control,
+    record,
+    targetsPerService,
+    logger,
+  }: DispatcherSurroundings,
   dispatcherId: string,
   incarnation: string,
 ): Promise<MemoryDispatcher> {
@@ -255,6 +250,8 @@
     network: joined,
     control: client,
     timers,
+    targetsPerService,
+    logger,
     seed: 1,
     metrics: createMetrics({
       role: ProcessRole.Dispatcher,
@@ -278,20 +275,6 @@
   return { dispatcherId, dispatcher, control: client, crash };
 }
 
-function announce(targetId: string, incarnation: string, slots: number) {
-  return {
-    targetId,
-    incarnation,
-    service,
-    host: `host-${targetId}`,
-    rack: 'rack-1',
-    dataCentre: 'dong-da',
-    resources: { processors: 64, memoryMebibytes: 131_072, accelerators: 0 },
-    slots,
-    connections: 64,
-  };
-}
-
 function countStarts(
   workers: readonly MemoryWorker[],
 ): ReadonlyMap<string, number> {
--- a/packages/settings/src/schemas/dispatcher-settings.ts
+++ b/packages/settings/src/schemas/dispatcher-settings.ts
@@ -63,7 +63,7 @@
   retention: retentionSchema,
   heartbeat: heartbeatSchema,
   stop: stopSchema,
-  /** Most targets of one service that this dispatcher uses; all when absent. */
+  /** Targets of one service to have sessions with; all when absent. The same at each dispatcher. */
   targetsPerService: z.int().min(1).optional(),
   seed: seedSchema,
   log: logSchema,
