Bound how long a replica waits for its disk when it stops

Cause: stop() of the log waited for writes on a hung disk, for ever.

Change: it waits 5 s by the timer service, then leaves the disk behind and keeps an error that names it; control logs it. What was not synced was not acknowledged and is cut by the next run.

Conclusion: a planned stop ends whatever the disk does.

--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -244,4 +244,8 @@
   feed.stop();
   await listener.close();
   await log.stop();
+  const { failure } = log.status();
+  if (failure !== undefined) {
+    logger.error('control replica stopped with its disk', { error: failure });
+  }
 }
--- a/packages/replicated-log/src/core/service.ts
+++ b/packages/replicated-log/src/core/service.ts
@@ -1,9 +1,11 @@
 /** One replica as its program sees it. */
-import type {
-  ConflictError,
-  InvalidInputError,
-  TimeoutError,
+import {
+  type ConflictError,
+  type InvalidInputError,
+  StorageError,
+  type TimeoutError,
 } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
 import type { LogIndex, Milliseconds, ReplicaId } from '@cranberryturn/types';
 import { ResultAsync } from 'neverthrow';
 
@@ -147,7 +149,22 @@
   }
 
   async stop(): Promise<void> {
-    this.#replica.stop();
+    const replica = this.#replica;
+    const { stopTimeout } = replica.tuning;
+    replica.stop();
+    const isClosed = await endsWithin(
+      replica.parts.timers,
+      stopTimeout,
+      this.#close(),
+    );
+    if (isClosed) return;
+    replica.failure ??= new StorageError(
+      `The disk did not finish within ${String(stopTimeout)} ms of the stop; look at the disk before the next start.`,
+      { step: 'stop replica', peer: replica.replicaId },
+    );
+  }
+
+  async #close(): Promise<void> {
     await this.#loops;
     await this.#replica.store.whenIdle();
     await this.#replica.parts.disk.close();
@@ -187,3 +204,20 @@
     for (const listener of this.#listeners) listener(event);
   }
 }
+
+/** Whether the work ended before the limit; it is not ended by it. */
+function endsWithin(
+  timers: TimerService,
+  limit: Milliseconds,
+  work: Promise<void>,
+): Promise<boolean> {
+  return new Promise(resolve => {
+    const expiry = timers.after(limit, () => {
+      resolve(false);
+    });
+    void work.then(() => {
+      expiry.cancel();
+      resolve(true);
+    });
+  });
+}
--- a/packages/replicated-log/src/failures.test.ts
+++ b/packages/replicated-log/src/failures.test.ts
@@ -4,6 +4,7 @@
 import { ReplicaRole } from './log-types.js';
 import { ModelCluster } from './model/model-cluster.js';
 import type { ModelHost } from './model/model-host.js';
+import { defaultLogTuning } from './tuning.js';
 import { PeerMessageKind, PeerReplyKind } from './ports/peer-link.js';
 
 const electionTimeout = 400;
@@ -181,6 +182,40 @@
   await finish(t, cluster);
 });
 
+test('a replica whose disk hangs stops within its timeout and loses nothing that was acknowledged', async t => {
+  const cluster = await startCluster();
+  await proposeAll(cluster, 3);
+  const leader = leaderOf(cluster);
+  const { log, disk } = leader;
+  disk.hang();
+  await proposeAll(cluster, 1);
+  let isStopped = false;
+  void log?.stop().then(() => {
+    isStopped = true;
+  });
+  await cluster.timers.advance(defaultLogTuning.stopTimeout - 1);
+  t.false(isStopped);
+  await cluster.timers.advance(1);
+  t.true(isStopped);
+  t.is(log?.status().failure?.name, 'StorageError');
+  t.not(leaderOf(cluster), leader);
+  leader.crash();
+  await finish(t, cluster);
+});
+
+test('a replica whose disk answers stops at once', async t => {
+  const cluster = await startCluster();
+  const { log } = leaderOf(cluster);
+  let isStopped = false;
+  void log?.stop().then(() => {
+    isStopped = true;
+  });
+  await cluster.timers.advance(1_000);
+  t.true(isStopped);
+  t.is(log?.status().failure, undefined);
+  leaderOf(cluster);
+});
+
 test('a planned handover moves the lead within one heartbeat', async t => {
   const cluster = await startCluster();
   await proposeAll(cluster, 3);
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -85,6 +85,8 @@
   readonly proposeTimeout: Milliseconds;
   /** A leader whose disk takes longer than this for one sync hands over. */
   readonly diskHangLimit: Milliseconds;
+  /** Longest wait for the disk when the replica stops. */
+  readonly stopTimeout: Milliseconds;
   readonly maximumBatchBytes: number;
   readonly maximumSegmentBytes: number;
   readonly snapshotEntries: number;
@@ -200,6 +202,9 @@
   transferLeadership(): ResultAsync<ReplicaId, LogUnavailableError>;
   /** Handles a message of another replica. */
   handlePeerMessage(from: ReplicaId, message: PeerMessage): Promise<PeerReply>;
-  /** Stops the replica and releases its files. */
+  /**
+   * Stops the replica and releases its files. A disk that hangs is left behind after the stop
+   * timeout, and `failure` of the status says so; the next run cuts what was not synced.
+   */
   stop(): Promise<void>;
 }
--- a/packages/replicated-log/src/tuning.ts
+++ b/packages/replicated-log/src/tuning.ts
@@ -9,6 +9,7 @@
   peerTimeout: 500,
   proposeTimeout: 5_000,
   diskHangLimit: 1_000,
+  stopTimeout: 5_000,
   maximumBatchBytes: 1024 * 1024,
   maximumSegmentBytes: 16 * 1024 * 1024,
   snapshotEntries: 100_000,
