Keep the jobs that a dispatcher knows in a module of their own

Cause: job-service held the table, the claims under way, the running jobs and their ends beside the order of the steps.

--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -2,8 +2,6 @@
 import {
   digestJob,
   type JobEntry,
-  JobTable,
-  measureRequest,
   type ResultRetention,
 } from '@cranberryturn/jobs';
 import { Counter, type Metrics } from '@cranberryturn/metrics';
@@ -19,7 +17,6 @@
 import {
   AttemptOutcome,
   type AttemptResult,
-  type BodyDigest,
   type DecisionSink,
   type DispatcherIdentity,
   type JobId,
@@ -39,10 +36,11 @@
 } from './describe-submission.js';
 import type { DispatcherLinks } from './dispatcher-links.js';
 import { type Ownership, OwnershipKind } from './own-job.js';
+import { OpenJobs } from './open-jobs.js';
 import type { ControlPort } from './ports/control.js';
 import { AdoptionPlanner } from './plan-adoption.js';
 import { JobReporter } from './report-jobs.js';
-import { createRunningJob, type RunningJob } from './running-job.js';
+import type { RunningJob } from './running-job.js';
 import {
   refuseForNow,
   refuseForWantOfRoom,
@@ -72,11 +70,8 @@
 /** Takes jobs from admission to their whole result. */
 export class JobService implements TaskObserver {
   readonly #options: JobServiceOptions;
-  readonly #table: JobTable;
+  readonly #jobs: OpenJobs;
   readonly #reporter: JobReporter;
-  readonly #running = new Map<JobId, RunningJob>();
-  /** Jobs whose claim is under way. */
-  readonly #claiming = new Map<JobId, RunningJob>();
   readonly #adoptions: AdoptionPlanner;
   readonly #starter: JobStarter;
   #scheduler: Scheduler | undefined;
@@ -84,27 +79,21 @@
 
   constructor(options: JobServiceOptions) {
     this.#options = options;
-    this.#table = new JobTable(options.timers, options.retention);
     this.#adoptions = new AdoptionPlanner(options);
     this.#reporter = new JobReporter({
       ...options,
       dispatcherId: options.self.dispatcherId,
     });
+    this.#jobs = new OpenJobs({ ...options, reporter: this.#reporter });
     this.#starter = new JobStarter({
       ...options,
       reporter: this.#reporter,
       adoptions: this.#adoptions,
       scheduler: () => this.#scheduler,
-      jobStarts: job => {
-        this.#forgetClaiming(job);
-        this.#running.set(job.request.jobId, job);
-      },
+      jobs: this.#jobs,
       taskEnded: (jobId, taskId, fate) => {
         this.taskEnded(jobId, taskId, fate);
       },
-      finish: job => {
-        this.#finish(job);
-      },
     });
   }
 
@@ -115,12 +104,12 @@
 
   /** Number of jobs in flight. */
   get inFlight(): number {
-    return this.#table.inFlight;
+    return this.#jobs.inFlight;
   }
 
   /** Size of the bodies in flight and of all answers kept. */
   get heldBytes(): number {
-    return this.#table.heldBytes;
+    return this.#jobs.heldBytes;
   }
 
   /** Refuses new jobs from now on. */
@@ -129,13 +118,13 @@
   }
 
   find(jobId: JobId): JobEntry | undefined {
-    return this.#table.find(jobId);
+    return this.#jobs.find(jobId);
   }
 
   /** Submits a job, or joins it when it is known. Resolves with its final result. */
   async submitJob(request: JobRequest, requestId: string): Promise<Submission> {
     const digest = digestJob(request);
-    const known = this.#table.find(request.jobId);
+    const known = this.#jobs.find(request.jobId);
     if (known !== undefined) {
       if (known.digest !== digest) return { kind: SubmissionKind.Conflict };
       this.#options.metrics.count(Counter.JobsJoined);
@@ -143,7 +132,7 @@
     }
     if (this.#stopping) return this.#refuseWhileStopping();
     if (!this.#options.isRegistered()) return refuseUnregistered();
-    const job = this.#open(request, requestId, digest);
+    const job = this.#jobs.open(request, requestId, digest);
     const refusal = this.#admit(job);
     if (refusal !== undefined) return this.#withdraw(job, refusal);
     return this.#claimAndRun(job);
@@ -155,7 +144,7 @@
     requestId: string,
   ): Promise<Submission> {
     if (this.#stopping) return this.#refuseWhileStopping();
-    const job = this.#open(request, requestId, digestJob(request));
+    const job = this.#jobs.open(request, requestId, digestJob(request));
     const refusal = this.#admit(job);
     if (refusal !== undefined) return this.#withdraw(job, refusal);
     this.#placeUnclaimed(job);
@@ -164,7 +153,7 @@
 
   /** Cancels a job that runs here. Resolves with its result; undefined when it is not known. */
   async cancelJob(jobId: JobId): Promise<JobResult | undefined> {
-    const entry = this.#table.find(jobId);
+    const entry = this.#jobs.find(jobId);
     if (entry === undefined) return undefined;
     this.#cancel(jobId);
     return entry.finished;
@@ -173,34 +162,29 @@
   /** Notes a result before the scheduler takes it. */
   noteResult(result: AttemptResult): void {
     this.#adoptions.noteResult(result);
-    const job = this.#running.get(result.jobId);
+    const job = this.#jobs.findRunning(result.jobId);
     if (job === undefined) return;
     if (result.outcome === AttemptOutcome.NotStarted) return;
     job.longestRun = Math.max(job.longestRun, result.runMilliseconds);
   }
 
   taskEnded(jobId: JobId, taskId: TaskId, fate: TaskFate): void {
-    const job = this.#running.get(jobId);
+    const job = this.#jobs.findRunning(jobId);
     if (job === undefined) return;
     const failedBefore = job.collection.failure !== undefined;
     job.collection.recordFate(taskId, fate);
     if (fate.kind === TaskFateKind.Answered) {
-      this.#table.holdAnswer(jobId, fate.answer.length);
+      this.#jobs.holdAnswer(jobId, fate.answer);
     }
     if (fate.kind !== TaskFateKind.Answered && !failedBefore) {
       this.#scheduler?.cancelJob(jobId, 'Another task of the job failed.');
     }
-    if (job.collection.isWhole) this.#finish(job);
-  }
-
-  #forgetClaiming(job: RunningJob): void {
-    const { jobId } = job.request;
-    if (this.#claiming.get(jobId) === job) this.#claiming.delete(jobId);
+    if (job.collection.isWhole) this.#jobs.finish(job);
   }
 
   #cancel(jobId: JobId): void {
     const reason = 'The caller cancelled the job.';
-    const claiming = this.#claiming.get(jobId);
+    const claiming = this.#jobs.findClaiming(jobId);
     if (claiming === undefined) {
       this.#scheduler?.cancelJob(jobId, reason);
       return;
@@ -209,18 +193,6 @@
     claiming.cancelReason = reason;
   }
 
-  #open(
-    request: JobRequest,
-    requestId: string,
-    digest: BodyDigest,
-  ): RunningJob {
-    const bodyBytes = measureRequest(request);
-    const hasRoom = this.#table.hasRoomFor(bodyBytes);
-    const entry = this.#table.add(request.jobId, digest, bodyBytes);
-    const { timers } = this.#options;
-    return createRunningJob(request, requestId, entry, hasRoom, timers);
-  }
-
   #admit(job: RunningJob): Submission | undefined {
     if (!job.hasRoom) return refuseForWantOfRoom();
     const admitted = this.#scheduler?.admitJob(job.request, job.requestId);
@@ -230,10 +202,10 @@
   }
 
   async #claimAndRun(job: RunningJob): Promise<Submission> {
-    this.#claiming.set(job.request.jobId, job);
+    this.#jobs.beginClaim(job);
     const ownership = await claimJob(this.#options, job);
     const submission = await this.#settle(job, ownership);
-    this.#forgetClaiming(job);
+    this.#jobs.endClaim(job);
     return submission;
   }
 
@@ -247,7 +219,7 @@
         return describeResult(await job.entry.finished);
       case OwnershipKind.Joined:
         this.#scheduler?.releaseAdmission(job.request.jobId);
-        this.#table.finish(job.request.jobId, ownership.result);
+        this.#jobs.finishJoined(job.request.jobId, ownership.result);
         return describeResult(ownership.result);
       case OwnershipKind.Conflict:
         return this.#withdraw(job, { kind: SubmissionKind.Conflict });
@@ -268,7 +240,7 @@
 
   #placeUnclaimed(job: RunningJob): void {
     const { jobId, tasks } = job.request;
-    this.#running.set(jobId, job);
+    this.#jobs.start(job);
     const plans = tasks.map<TaskPlan>(task => ({
       kind: TaskPlanKind.Place,
       taskId: task.taskId,
@@ -277,23 +249,12 @@
     this.#scheduler?.startJob(jobId, ownership, plans);
   }
 
-  #finish(job: RunningJob): void {
-    const { request } = job;
-    const { timers, control } = this.#options;
-    this.#running.delete(request.jobId);
-    const result = job.collection.composeResult(timers.now() >= job.deadline);
-    this.#reporter.reportReplied(job, result);
-    this.#table.finish(request.jobId, result);
-    if (job.claimedEpoch === undefined) return;
-    control.claims.finishClaim(request.team, request.jobId, job.claimedEpoch);
-  }
-
   /** The job is known to control, and its owner gave no result: it may have been started. */
   #finishElsewhere(job: RunningJob, reason: string): Submission {
     const { jobId } = job.request;
     const result = describePerhaps(jobId, reason);
     this.#scheduler?.releaseAdmission(jobId);
-    this.#table.withdraw(jobId, result);
+    this.#jobs.withdraw(jobId, result);
     return describeResult(result);
   }
 
@@ -310,7 +271,7 @@
     this.#reporter.reportRefused(job, reason);
     const { jobId } = job.request;
     this.#scheduler?.releaseAdmission(jobId);
-    this.#table.withdraw(jobId, describeNotRun(jobId, reason));
+    this.#jobs.withdraw(jobId, describeNotRun(jobId, reason));
     return refusal;
   }
 }
--- a/packages/dispatcher/src/start-claimed-jobs.ts
+++ b/packages/dispatcher/src/start-claimed-jobs.ts
@@ -15,6 +15,7 @@
 } from '@cranberryturn/types';
 
 import { describeOwnership } from './describe-submission.js';
+import type { OpenJobs } from './open-jobs.js';
 import type { AdoptionPlanner } from './plan-adoption.js';
 import type { ControlPort } from './ports/control.js';
 import type { JobReporter } from './report-jobs.js';
@@ -29,11 +30,8 @@
   readonly reporter: JobReporter;
   readonly adoptions: AdoptionPlanner;
   readonly scheduler: () => Scheduler | undefined;
-  /** Called before any fate of the job is reported. */
-  readonly jobStarts: (job: RunningJob) => void;
+  readonly jobs: OpenJobs;
   readonly taskEnded: (jobId: JobId, taskId: TaskId, fate: TaskFate) => void;
-  /** The job ends with what its collection holds. */
-  readonly finish: (job: RunningJob) => void;
 }
 
 /** Starts jobs whose claim was granted. */
@@ -52,8 +50,8 @@
       this.#endUnstarted(job, reason, Started.No);
       return;
     }
-    const { scheduler, jobStarts } = this.#options;
-    jobStarts(job);
+    const { scheduler, jobs } = this.#options;
+    jobs.start(job);
     const plans = job.request.tasks.map<TaskPlan>(task => ({
       kind: TaskPlanKind.Place,
       taskId: task.taskId,
@@ -63,7 +61,7 @@
 
   /** Starts what an earlier owner did not start, and waits for what it did. */
   async startAdopted(job: RunningJob, grant: ClaimGranted): Promise<void> {
-    const { metrics, adoptions, scheduler, jobStarts } = this.#options;
+    const { metrics, adoptions, scheduler, jobs } = this.#options;
     const { jobId } = job.request;
     metrics.count(Counter.JobsAdopted);
     const fault = await this.#noteGrant(job, grant);
@@ -72,7 +70,7 @@
       return;
     }
     const plan = await adoptions.planAdoption(job, grant);
-    jobStarts(job);
+    jobs.start(job);
     if (plan.plans.length === 0) {
       scheduler()?.releaseAdmission(jobId);
     } else {
@@ -105,6 +103,6 @@
   #endUnstarted(job: RunningJob, reason: string, started: Started): void {
     this.#options.scheduler()?.releaseAdmission(job.request.jobId);
     job.collection.recordFailure(reason, started);
-    this.#options.finish(job);
+    this.#options.jobs.finish(job);
   }
 }
