Load fewer libraries in the sidecar and remember starts in less memory

Each remembered start held its whole message with the payload, two containers and text in pieces. prom-client and hdr-histogram-js were loaded in every role from the start. Starts are now flat values in exact arrays; the two libraries are loaded when they are first used. The sidecar-starts scenario sent idempotent tasks, which are not remembered any more, so it measured nothing; it now sends others. The sidecar-sessions scenario waits until sessions are idle.

--- a/packages/bench/src/slopes/sides/busy-dispatcher.ts
+++ b/packages/bench/src/slopes/sides/busy-dispatcher.ts
@@ -57,7 +57,7 @@
     service: measuredService,
     dispatcher: nameDispatcher(0).name,
     payload: JSON.stringify({ runMilliseconds: 0, answerBytes }),
-    idempotent: true,
+    idempotent: false,
     remainingMilliseconds: 30_000,
   };
 }
--- a/packages/bench/src/slopes/sides/idle-sidecar.ts
+++ b/packages/bench/src/slopes/sides/idle-sidecar.ts
@@ -3,7 +3,7 @@
 
 import { startMeasuredSidecar } from '../parts/start-measured-sidecar.js';
 import type { ScenarioInput, ScenarioSide } from '../scenario.js';
-import { stayIdle } from './idle.js';
+import { stayIdle, waitUntilIdle } from './idle.js';
 
 const unusedTarget = { address: '127.0.0.1', port: 1 };
 
@@ -21,7 +21,10 @@
   });
   return Promise.resolve({
     addresses: [],
-    ready: sidecar.waitForSessions,
+    ready: async () => {
+      await sidecar.waitForSessions();
+      await waitUntilIdle(timers);
+    },
     work: () => stayIdle(timers),
     traffic: sidecar.traffic,
   });
--- a/packages/metrics/src/distribution-recorder.ts
+++ b/packages/metrics/src/distribution-recorder.ts
@@ -1,13 +1,19 @@
 /** Records values in HDR histograms: the recent ones for quantiles, and a count and a sum since start. */
+import { createRequire } from 'node:module';
+
 import type { TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
-import { build, type Histogram } from 'hdr-histogram-js';
+import type { build, Histogram } from 'hdr-histogram-js';
 
 const windowMilliseconds: Milliseconds = 60_000;
 const stepsPerUnit = 1_000; // Histograms hold whole numbers: thousandths of the unit.
 const highestValue = 3_600_000;
 const significantDigits = 2;
 
+interface HistogramLibrary {
+  readonly build: typeof build;
+}
+
 /** Summary of the recorded values. */
 export interface DistributionSummary {
   /** Number of values since the start of the process. */
@@ -76,8 +82,13 @@
   };
 }
 
+/** Loaded with the first recorder: a process without distributions does without. */
+function loadLibrary(): HistogramLibrary {
+  return createRequire(import.meta.url)('hdr-histogram-js') as HistogramLibrary;
+}
+
 function createHistogram(): Histogram {
-  return build({
+  return loadLibrary().build({
     bitBucketSize: 32,
     lowestDiscernibleValue: 1,
     highestTrackableValue: highestValue * stepsPerUnit,
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -6,7 +6,6 @@
   type DistributionRecorder,
   type DistributionSummary,
 } from './distribution-recorder.js';
-import { exposeMetrics } from './expose-metrics.js';
 import {
   Counter,
   Direction,
@@ -135,7 +134,11 @@
       gauges.set(gauge, readValue);
     },
     read,
-    expose: () => exposeMetrics(read()),
+    expose: async () => {
+      // Loaded with the first scrape: its library is large.
+      const { exposeMetrics } = await import('./expose-metrics.js');
+      return exposeMetrics(read());
+    },
   };
 }
 
--- a/packages/sidecar/src/attempt-ledger.ts
+++ b/packages/sidecar/src/attempt-ledger.ts
@@ -1,17 +1,28 @@
 /** Remembers every attempt that this run of the sidecar started. */
 import type { TimerService } from '@cranberryturn/timers';
-import {
-  type AttemptKey,
-  AttemptOutcome,
-  type AttemptResult,
-  type DispatcherId,
-  type JobId,
-  type Milliseconds,
-  type OwnershipEpoch,
-  type TaskId,
+import type {
+  AttemptKey,
+  DispatcherId,
+  JobId,
+  Milliseconds,
+  OwnershipEpoch,
+  TaskId,
 } from '@cranberryturn/types';
 import type { JobEvidence } from '@cranberryturn/wire';
 
+import { copyText } from './copy-text.js';
+import {
+  composeKey,
+  composeResult,
+  dropAnswer,
+  type EndedAttempt,
+  measureAnswer,
+  type RememberedTask,
+  rememberEnd,
+  rememberStart,
+  TaskState,
+} from './remembered-task.js';
+
 /** How much a ledger keeps. */
 export interface LedgerRetention {
   /** Time that the start of a task is remembered after its job was last touched. */
@@ -20,22 +31,18 @@
   readonly answersBytes: number;
 }
 
-interface TaskRecord {
-  readonly key: AttemptKey;
-  readonly idempotent: boolean;
-  /** Undefined while the attempt runs. */
-  result: AttemptResult | undefined;
-  answerDropped: boolean;
-}
-
+/** Arrays are replaced and not grown, which would reserve room for later elements. */
 interface JobRecord {
+  readonly jobId: JobId;
   fencedBelow: OwnershipEpoch;
   touched: Milliseconds;
   /** Dispatchers that want the results of running attempts. */
-  readonly watchers: Set<DispatcherId>;
-  readonly tasks: Map<TaskId, TaskRecord>;
+  watchers: readonly DispatcherId[];
+  tasks: readonly RememberedTask[];
 }
 
+const none: readonly never[] = [];
+
 /** Whether an attempt may start here. */
 export enum StartPermission {
   Granted = 'granted',
@@ -49,6 +56,8 @@
   readonly #retention: LedgerRetention;
   /** In order of last touch. */
   readonly #jobs = new Map<JobId, JobRecord>();
+  /** The watchers of the many jobs that have one only, shared by them. */
+  readonly #soleWatchers = new Map<DispatcherId, readonly DispatcherId[]>();
   readonly #created: Milliseconds;
   #answerBytes = 0;
 
@@ -66,15 +75,11 @@
   ): StartPermission {
     const job = this.#touch(key.jobId);
     if (key.epoch < job.fencedBelow) return StartPermission.Fenced;
-    const known = job.tasks.get(key.taskId);
-    if (known !== undefined) return StartPermission.AlreadyStarted;
-    job.watchers.add(dispatcher);
-    job.tasks.set(key.taskId, {
-      key,
-      idempotent,
-      result: undefined,
-      answerDropped: false,
-    });
+    if (findTask(job, key.taskId) !== undefined) {
+      return StartPermission.AlreadyStarted;
+    }
+    this.#watch(job, dispatcher);
+    job.tasks = [...job.tasks, rememberStart(key, idempotent)];
     return StartPermission.Granted;
   }
 
@@ -87,9 +92,9 @@
   }
 
   /** Records how an attempt ended. Returns the dispatchers to tell. */
-  recordEnd(result: AttemptResult): readonly DispatcherId[] {
+  recordEnd(result: EndedAttempt): readonly DispatcherId[] {
     const job = this.#touch(result.jobId);
-    const task = job.tasks.get(result.taskId);
+    const task = findTask(job, result.taskId);
     const dispatchers = [...job.watchers];
     if (task === undefined) return dispatchers;
     // An idempotent attempt may run again: nobody asks for it later.
@@ -97,8 +102,8 @@
       this.#forgetTask(result.jobId, job, result.taskId);
       return dispatchers;
     }
-    task.result = result;
-    this.#answerBytes += measureAnswer(result);
+    rememberEnd(task, result);
+    this.#answerBytes += measureAnswer(task);
     this.#dropOldAnswers();
     return dispatchers;
   }
@@ -111,27 +116,20 @@
   ): JobEvidence {
     const job = this.#touch(jobId);
     job.fencedBelow = Math.max(job.fencedBelow, epoch);
-    job.watchers.add(dispatcher);
-    const records = [...job.tasks.values()];
-    const ended = records.filter(one => one.result !== undefined);
+    this.#watch(job, dispatcher);
     return {
       jobId,
       epoch,
-      ended: ended.flatMap(one => {
-        const known = one.answerDropped ? undefined : one.result;
-        return known === undefined ? [] : [known];
-      }),
-      running: records
-        .filter(one => one.result === undefined)
-        .map(one => one.key),
-      forgotten: ended.filter(one => one.answerDropped).map(one => one.key),
+      ended: job.tasks.flatMap(task => composeResult(jobId, task) ?? []),
+      running: listKeys(jobId, job, TaskState.Running),
+      forgotten: listKeys(jobId, job, TaskState.AnswerDropped),
       rememberedMilliseconds: this.#remembered(),
     };
   }
 
   /** Whether the dispatcher wants the results of the job. */
   isWatched(jobId: JobId, dispatcher: DispatcherId): boolean {
-    return this.#jobs.get(jobId)?.watchers.has(dispatcher) === true;
+    return this.#jobs.get(jobId)?.watchers.includes(dispatcher) === true;
   }
 
   /** Number of jobs remembered. */
@@ -146,13 +144,23 @@
       if (job.touched > horizon) return;
       if (isRunning(job)) continue;
       this.#jobs.delete(jobId);
-      for (const task of job.tasks.values()) this.#dropAnswer(task);
+      for (const task of job.tasks) this.#dropAnswer(task);
     }
   }
 
+  #watch(job: JobRecord, dispatcher: DispatcherId): void {
+    if (job.watchers.includes(dispatcher)) return;
+    const sole = this.#soleWatchers.get(dispatcher) ?? [dispatcher];
+    this.#soleWatchers.set(dispatcher, sole);
+    job.watchers =
+      job.watchers.length === 0 ? sole : [...job.watchers, ...sole];
+  }
+
   #forgetTask(jobId: JobId, job: JobRecord, taskId: TaskId): void {
-    job.tasks.delete(taskId);
-    if (job.tasks.size === 0 && job.fencedBelow === 0) this.#jobs.delete(jobId);
+    job.tasks = job.tasks.filter(task => task.taskId !== taskId);
+    if (job.tasks.length === 0 && job.fencedBelow === 0) {
+      this.#jobs.delete(jobId);
+    }
   }
 
   #remembered(): Milliseconds {
@@ -162,44 +170,48 @@
 
   #touch(jobId: JobId): JobRecord {
     const job = this.#jobs.get(jobId) ?? {
+      jobId: copyText(jobId),
       fencedBelow: 0,
       touched: 0,
-      watchers: new Set(),
-      tasks: new Map<TaskId, TaskRecord>(),
+      watchers: none,
+      tasks: none,
     };
     job.touched = this.#timers.now();
-    this.#jobs.delete(jobId);
-    this.#jobs.set(jobId, job);
+    this.#jobs.delete(job.jobId);
+    this.#jobs.set(job.jobId, job);
     return job;
   }
 
   #dropOldAnswers(): void {
     if (this.#answerBytes <= this.#retention.answersBytes) return;
     for (const job of this.#jobs.values()) {
-      for (const task of job.tasks.values()) {
+      for (const task of job.tasks) {
         this.#dropAnswer(task);
         if (this.#answerBytes <= this.#retention.answersBytes) return;
       }
     }
   }
 
-  #dropAnswer(task: TaskRecord): void {
-    const { result } = task;
-    if (task.answerDropped || result === undefined) return;
-    if (result.outcome !== AttemptOutcome.Answered) return;
-    this.#answerBytes -= measureAnswer(result);
-    task.answerDropped = true;
-    task.result = { ...result, answer: '' };
+  #dropAnswer(task: RememberedTask): void {
+    this.#answerBytes -= measureAnswer(task);
+    dropAnswer(task);
   }
 }
 
-function measureAnswer(result: AttemptResult): number {
-  return result.outcome === AttemptOutcome.Answered ? result.answer.length : 0;
+function findTask(job: JobRecord, taskId: TaskId): RememberedTask | undefined {
+  return job.tasks.find(task => task.taskId === taskId);
+}
+
+function listKeys(
+  jobId: JobId,
+  job: JobRecord,
+  state: TaskState,
+): readonly AttemptKey[] {
+  return job.tasks
+    .filter(task => task.state === state)
+    .map(task => composeKey(jobId, task));
 }
 
 function isRunning(job: JobRecord): boolean {
-  for (const task of job.tasks.values()) {
-    if (task.result === undefined) return true;
-  }
-  return false;
+  return job.tasks.some(task => task.state === TaskState.Running);
 }
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -21,6 +21,7 @@
   TargetFailureKind,
   type TargetPort,
 } from './ports/target.js';
+import type { EndedAttempt } from './remembered-task.js';
 
 /** What a runner is built from. */
 export interface AttemptRunnerOptions {
@@ -248,7 +249,7 @@
     this.#refuse(attempt, reason, this.#options.ledger.withdrawStart(attempt));
   }
 
-  #end(result: AttemptResult): void {
+  #end(result: EndedAttempt): void {
     this.#logEnd(result, undefined);
     const dispatchers = this.#options.ledger.recordEnd(result);
     this.#options.attemptEnded(result, dispatchers);
