Learn what tasks really use from the lagged usage of workers

Cause: declared processors and memory were reserved as they stood. Ten times too much left workers idle, ten times too little overfilled them.

Change: the use of each class of declarations is fitted to the sums that workers report, for the tasks that ran when they were measured, and reserved in place of the declaration. policies has a scenario with misdeclared sizes, usage 2 s late.

--- a/packages/bench/src/policies/compare-policies.test.ts
+++ b/packages/bench/src/policies/compare-policies.test.ts
@@ -72,6 +72,14 @@
   });
 }
 
+test(`usage is learned where sizes are misdeclared (seed ${String(seed)})`, t => {
+  const result = runProduct('misdeclared sizes');
+  t.true(result.p50 <= 1.05, `p50 ${String(result.p50)}`);
+  t.true(result.wastedShare <= 0.02, `wasted ${String(result.wastedShare)}`);
+  t.is(result.failed + result.refused + result.open, 0);
+  t.deepEqual(result.violations, []);
+});
+
 for (const [name, open] of [
   ['a whole rack dies', 0],
   ['two dispatchers die', 60],
--- a/packages/bench/src/policies/fake-target.ts
+++ b/packages/bench/src/policies/fake-target.ts
@@ -13,6 +13,7 @@
   type TargetRecord,
 } from '@cranberryturn/types';
 
+import { LaggedUsage } from './lagged-usage.js';
 import { failsNow, TargetBehaviour } from './target-behaviour.js';
 
 /** A message of a target to a dispatcher. */
@@ -22,6 +23,12 @@
   readonly credits: number;
 }
 
+/** What a task does to its worker. */
+export interface TaskWork {
+  readonly runMilliseconds: Milliseconds;
+  readonly processors: number;
+}
+
 /** What a fake target is built from. */
 export interface FakeTargetOptions {
   readonly record: TargetRecord;
@@ -31,7 +38,9 @@
   readonly dispatchers: readonly string[];
   /** Whether it tells dispatchers without asking that they may send again. */
   readonly pushesCredits: boolean;
-  readonly runTimeOf: (attempt: AttemptStart) => Milliseconds;
+  readonly workOf: (attempt: AttemptStart) => TaskWork;
+  /** Whether load reports carry the usage of some time ago. */
+  readonly reportsUsage: boolean;
   readonly report: (dispatcher: string, report: TargetReport) => void;
   readonly decisions: (decision: Decision) => void;
 }
@@ -54,11 +63,13 @@
   readonly #running = new Set<AttemptStart>();
   readonly #waiting: WaitingAttempt[] = [];
   readonly #credits = new Map<string, number>();
+  readonly #usage: LaggedUsage;
   #dead = false;
 
   constructor(options: FakeTargetOptions) {
     this.#options = options;
     this.record = options.record;
+    this.#usage = new LaggedUsage(options.timers);
     for (const dispatcher of options.dispatchers)
       this.#credits.set(dispatcher, this.#countCredits(dispatcher));
   }
@@ -96,6 +107,7 @@
     for (const attempt of this.#running) {
       if (!isSame(attempt, key)) continue;
       this.#running.delete(attempt);
+      this.#usage.change(-this.#options.workOf(attempt).processors);
       const reason = 'The task was stopped.';
       this.#end(attempt, {
         ...keyOf(attempt),
@@ -126,7 +138,10 @@
   #run(attempt: AttemptStart): void {
     const task = `${attempt.jobId}/${attempt.taskId}`;
     this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
+    const fails = failsNow(this.behaviour, this.#options.timers.now());
+    const run = this.#chooseRun(attempt, fails);
     this.#running.add(attempt);
+    this.#usage.change(this.#options.workOf(attempt).processors);
     const { targetId: target, incarnation } = this.record;
     const { idempotent } = attempt;
     this.#options.decisions({
@@ -136,10 +151,9 @@
       incarnation,
       idempotent,
     });
-    const fails = failsNow(this.behaviour, this.#options.timers.now());
-    const run = fails ? failureMilliseconds : this.#runTime(attempt);
     this.#options.timers.after(run, () => {
       if (this.#dead || !this.#running.delete(attempt)) return;
+      this.#usage.change(-this.#options.workOf(attempt).processors);
       this.#end(attempt, this.#describeEnd(attempt, fails, run));
       this.#fillSlots();
       if (this.#options.pushesCredits) this.#pushCredits(attempt.dispatcher);
@@ -163,8 +177,12 @@
     return { ...key, outcome: AttemptOutcome.Failed, reason, runMilliseconds };
   }
 
-  #runTime(attempt: AttemptStart): Milliseconds {
-    const run = this.#options.runTimeOf(attempt);
+  #chooseRun(attempt: AttemptStart, fails: boolean): Milliseconds {
+    if (fails) return failureMilliseconds;
+    const { runMilliseconds, processors } = this.#options.workOf(attempt);
+    const crowding =
+      (this.#usage.processors + processors) / this.record.resources.processors;
+    const run = runMilliseconds * Math.max(1, crowding);
     return this.behaviour === TargetBehaviour.Slow ? run * slowFactor : run;
   }
 
@@ -183,6 +201,7 @@
       freeSlots: Math.max(0, this.record.slots - this.#running.size),
       queuedTasks: this.#waiting.length,
       draining: false,
+      usage: this.#options.reportsUsage ? this.#usage.read() : undefined,
     };
     const credits = this.#countCredits(dispatcher);
     this.#credits.set(dispatcher, credits);
--- a/packages/bench/src/policies/plan-arrivals.ts
+++ b/packages/bench/src/policies/plan-arrivals.ts
@@ -19,6 +19,8 @@
   readonly idempotent: boolean;
   /** Run times of its tasks. */
   readonly runs: readonly Milliseconds[];
+  /** Processors that each of its tasks uses. */
+  readonly processors: number;
   readonly declared: readonly (DeclaredResources | undefined)[];
   /** Position of the dispatcher to which it is submitted. */
   readonly dispatcher: number;
@@ -30,6 +32,9 @@
 const meanRunMilliseconds: Milliseconds = 349;
 const longTasks = 0.01;
 const misdeclaredShare = 1 / 3;
+const misdeclarationFactor = 10;
+const smallTaskProcessors = 4;
+const largeTaskProcessors = 12;
 
 /** Plans the arrivals of a scenario. The same seed gives the same plan. */
 export function planArrivals(
@@ -59,7 +64,7 @@
       team: 'planning',
       idempotent: scenario.idempotent,
       runs,
-      declared: runs.map(run => declareRun(scenario, run)),
+      ...chooseSize(scenario, runs, arrivals.length),
       dispatcher: random.below(scenario.dispatchers),
     });
     at += drawGap(scenario, random, at);
@@ -87,11 +92,29 @@
     team: job.team,
     idempotent: job.idempotent,
     runs: job.tasks.map(task => task.runMilliseconds),
+    processors: 0,
     declared: job.tasks.map(task => task.declared),
     dispatcher: random.below(scenario.dispatchers),
   }));
 }
 
+/** Every other job declares ten times too many processors, the others ten times too few. */
+function chooseSize(
+  scenario: Scenario,
+  runs: readonly Milliseconds[],
+  number: number,
+): Pick<PlannedArrival, 'processors' | 'declared'> {
+  if (!scenario.misdeclaredSizes) {
+    const declared = runs.map(run => declareRun(scenario, run));
+    return { processors: 0, declared };
+  }
+  const small = number % 2 === 0;
+  const processors = small ? smallTaskProcessors : largeTaskProcessors;
+  const factor = small ? misdeclarationFactor : 1 / misdeclarationFactor;
+  const declared = runs.map(() => ({ processors: processors * factor }));
+  return { processors, declared };
+}
+
 function declareRun(
   { declarations }: Scenario,
   runMilliseconds: Milliseconds,
--- a/packages/bench/src/policies/run-scenario.ts
+++ b/packages/bench/src/policies/run-scenario.ts
@@ -1,15 +1,15 @@
 /** Runs one scenario with one policy on a manual clock. */
 import type {
   AttemptStart,
-  JobRequest,
   Milliseconds,
   TargetIdentity,
   TargetRecord,
 } from '@cranberryturn/types';
 import { AttemptOutcome } from '@cranberryturn/types';
 
+import { composeJob, deadlineMilliseconds } from './compose-job.js';
 import { createEventClock, type EventClock } from './event-clock.js';
-import { FakeTarget, type TargetReport } from './fake-target.js';
+import { FakeTarget, type TargetReport, type TaskWork } from './fake-target.js';
 import {
   burstMilliseconds,
   findBurstStart,
@@ -30,7 +30,6 @@
 import { ScenarioLog } from './scenario-log.js';
 import { ScenarioTally, type ScenarioResult } from './scenario-tally.js';
 
-const deadlineMilliseconds: Milliseconds = 10_000;
 const lossNoticedMilliseconds: Milliseconds = 2_000;
 
 /** Runs one scenario to its end. The same seed gives the same result. */
@@ -48,7 +47,7 @@
   readonly #scenario: Scenario;
   readonly #clock: EventClock = createEventClock();
   readonly #arrivals: readonly PlannedArrival[];
-  readonly #runTimes = new Map<string, Milliseconds>();
+  readonly #work = new Map<string, TaskWork>();
   readonly #targets = new Map<string, FakeTarget>();
   readonly #dispatchers = new Map<string, PolicyDispatcher>();
   readonly #tally: ScenarioTally;
@@ -108,7 +107,8 @@
       timers: this.#clock,
       ...sidecar,
       dispatchers,
-      runTimeOf: attempt => this.#runTimeOf(attempt),
+      workOf: attempt => this.#workOf(attempt),
+      reportsUsage: this.#scenario.misdeclaredSizes,
       report: (dispatcher, report) => {
         this.#sendReport(record, dispatcher, report);
       },
@@ -186,27 +186,12 @@
   }
 
   #submitJob(arrival: PlannedArrival): void {
-    const { jobId, runs, dispatcher, team, idempotent } = arrival;
-    const tasks = runs.map((run, position) => ({
-      taskId: `task-${String(position)}`,
-      payload: '1',
-      declared: arrival.declared[position],
-      run,
-    }));
-    for (const { taskId, run } of tasks)
-      this.#runTimes.set(`${jobId}/${taskId}`, run);
-    const job: JobRequest = {
-      jobId,
-      service: 'register',
-      team,
-      tasks: tasks.map(({ taskId, payload, declared }) => ({
-        taskId,
-        payload,
-        declared,
-      })),
-      idempotent,
-      deadlineMilliseconds,
-    };
+    const { jobId, runs, processors, dispatcher } = arrival;
+    const job = composeJob(arrival);
+    job.tasks.forEach(({ taskId }, position) => {
+      const runMilliseconds = runs[position] ?? 0;
+      this.#work.set(`${jobId}/${taskId}`, { runMilliseconds, processors });
+    });
     this.#tally.jobSubmitted(jobId, runs.length, Math.max(...runs));
     const [first = ''] = this.#dispatchers.keys();
     const asked = nameDispatcher(dispatcher);
@@ -243,7 +228,8 @@
     }
   }
 
-  #runTimeOf({ jobId, taskId }: AttemptStart): Milliseconds {
-    return this.#runTimes.get(`${jobId}/${taskId}`) ?? 0;
+  #workOf({ jobId, taskId }: AttemptStart): TaskWork {
+    const nothing = { runMilliseconds: 0, processors: 0 };
+    return this.#work.get(`${jobId}/${taskId}`) ?? nothing;
   }
 }
--- a/packages/bench/src/policies/scenarios.ts
+++ b/packages/bench/src/policies/scenarios.ts
@@ -33,6 +33,8 @@
   /** Requests of a deployment in place of jobs that are all alike. */
   readonly requests: DeploymentShape | undefined;
   readonly declarations: Declarations;
+  /** Whether tasks use many processors, declared ten times too many or too few, and the platform reports usage. */
+  readonly misdeclaredSizes: boolean;
   /** Whether tasks may run more than once. */
   readonly idempotent: boolean;
   readonly durationMilliseconds: Milliseconds;
@@ -60,6 +62,7 @@
   tasksPerJob: 1,
   requests: undefined,
   declarations: Declarations.None,
+  misdeclaredSizes: false,
   idempotent: false,
   durationMilliseconds: 60_000,
   burst: 1,
@@ -133,6 +136,7 @@
   { ...phoTrong, name: 'one dies', deaths: 1 },
   { ...phoTrong, name: 'half die, idempotent', deaths: 5, idempotent: true },
   { ...phoTrong, name: 'burst of 10x', burst: 10 },
+  { ...phoTrong, name: 'misdeclared sizes', misdeclaredSizes: true },
   { ...phoTrong, name: 'a whole rack dies', deaths: 3 },
   { ...phoTrong, name: 'two dispatchers die', dispatcherDeaths: 2 },
   {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -4,3 +4,4 @@
 export * from './run-time-model.js';
 export * from './target-entry.js';
 export * from './target-index.js';
+export * from './usage-model.js';
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -17,7 +17,7 @@
 const slots = 8;
 const idle = { freeSlots: slots, queuedTasks: 0, draining: false };
 const anyTask = {
-  declared: undefined,
+  needed: undefined,
   excluded: [],
   racks: undefined,
   repeatable: false,
--- a/packages/placement/src/target-index.ts
+++ b/packages/placement/src/target-index.ts
@@ -16,7 +16,8 @@
 
 /** What a task asks of its target. */
 export interface PlacementNeed {
-  readonly declared: DeclaredResources | undefined;
+  /** What it is expected to use of a worker. */
+  readonly needed: DeclaredResources | undefined;
   /** Targets that the task must not go to. */
   readonly excluded: readonly TargetEntry[];
   /** Tasks of the same job in each rack; less used racks are preferred. */
@@ -192,6 +193,6 @@
   if (need.registeredUpTo !== undefined) {
     if (entry.record.registeredAt > need.registeredUpTo) return false;
   }
-  if (need.declared === undefined) return true;
-  return fitsNow(entry.record.resources, entry.reserved, need.declared);
+  if (need.needed === undefined) return true;
+  return fitsNow(entry.record.resources, entry.reserved, need.needed);
 }
--- a/packages/scheduling/src/active-work.ts
+++ b/packages/scheduling/src/active-work.ts
@@ -14,11 +14,13 @@
   RunTimeModel,
   TargetEntry,
   TargetIndex,
+  UsageModel,
 } from '@cranberryturn/placement';
 import type { RetryBudget } from '@cranberryturn/retries';
 import type { TimerSubscription } from '@cranberryturn/timers';
 import type {
   AttemptKey,
+  DeclaredResources,
   JobRequest,
   Milliseconds,
   OwnershipEpoch,
@@ -51,6 +53,8 @@
   readonly target: TargetEntry;
   readonly startedAt: Milliseconds;
   readonly hedge: boolean;
+  /** What it was expected to use when it was placed. */
+  readonly reserved: DeclaredResources | undefined;
   /** Whether it was reported as a straggler. */
   straggling: boolean;
   /** Its place among the running attempts of the service, oldest first. */
@@ -116,6 +120,7 @@
   readonly index: TargetIndex;
   readonly health: HealthTracker;
   readonly runTimes: RunTimeModel;
+  readonly usage: UsageModel;
   readonly queue: FairQueue<ActiveJob>;
   readonly gate: LimitGate;
   readonly budget: RetryBudget;
--- a/packages/scheduling/src/change-targets.ts
+++ b/packages/scheduling/src/change-targets.ts
@@ -82,6 +82,7 @@
   const reason = `Target ${targetId} was lost while it ran the task.`;
   for (const attempt of attempts) loseAttempt(context, attempt, reason);
   context.attempts.delete(entry);
+  context.usageHistories.delete(entry);
 }
 
 function isNear(context: SchedulerContext, record: TargetRecord): boolean {
--- a/packages/scheduling/src/create-scheduler.ts
+++ b/packages/scheduling/src/create-scheduler.ts
@@ -88,6 +88,7 @@
       teams: new Map(),
       targets: new Map(),
       attempts: new Map(),
+      usageHistories: new Map(),
       abandoned: new Set(),
       configuration: emptyConfiguration,
       dispatchers: 1,
--- a/packages/scheduling/src/end-jobs.ts
+++ b/packages/scheduling/src/end-jobs.ts
@@ -12,6 +12,7 @@
   runningNode,
   TaskPhase,
 } from './active-work.js';
+import { noteEnded } from './learn-usage.js';
 import { type TaskFate, TaskFateKind } from './ports/scheduler.js';
 import type { SchedulerContext } from './scheduler-context.js';
 
@@ -29,8 +30,9 @@
   context.abandoned.delete(attempt);
   removeNode(runningNode(attempt));
   target.outstanding -= 1;
-  if (task.request.declared !== undefined)
-    reserveResources(target.reserved, task.request.declared, -1);
+  if (attempt.reserved !== undefined)
+    reserveResources(target.reserved, attempt.reserved, -1);
+  noteEnded(context, attempt, now);
   job.pool.gate.taskEnded();
   job.teamGate.taskEnded();
   job.pool.index.update(target, now);
--- a/packages/scheduling/src/faults.test.ts
+++ b/packages/scheduling/src/faults.test.ts
@@ -180,3 +180,40 @@
   );
   t.false(fixture.scheduler.status().targets.some(one => one.ejected));
 });
+
+test('usage counts for the tasks that ran when it was measured, however late it is told', async t => {
+  const fixture = createCluster(1);
+  const resources = { processors: 8, memoryMebibytes: 1_024, accelerators: 0 };
+  const record = fixture.addTarget({ targetId: 'small', slots: 8, resources });
+  const worker = { targetId: 'worker-1', incarnation: 'run-1' };
+  fixture.scheduler.targetSuspected(worker);
+  const declare = (jobId: string, processors: number) =>
+    createJob(jobId, 1, {
+      tasks: [{ taskId: 'task', payload: '{}', declared: { processors } }],
+    });
+  const report = (processors: number, ageMilliseconds: number) => {
+    fixture.scheduler.targetLoadReported(record, {
+      freeSlots: 8,
+      queuedTasks: 0,
+      draining: false,
+      usage: {
+        processors,
+        ageMilliseconds,
+        memoryMebibytes: 0,
+        accelerators: 0,
+      },
+    });
+  };
+  // Each declares all processors and uses one; the usage is told after it ended.
+  for (let round = 0; round < 100; round += 1) {
+    report(round === 0 ? 0 : 1, round === 0 ? 0 : 150);
+    fixture.start(declare(`big-${String(round)}`, 8));
+    await fixture.timers.advance(100);
+    fixture.answer(fixture.sent.at(-1));
+    await fixture.timers.advance(100);
+  }
+  const before = fixture.sent.length;
+  for (let number = 0; number < 4; number += 1)
+    fixture.start(declare(`more-${String(number)}`, 8));
+  t.is(fixture.sent.length - before, 4);
+});
--- a/packages/scheduling/src/learn-outcome.ts
+++ b/packages/scheduling/src/learn-outcome.ts
@@ -12,6 +12,7 @@
 } from '@cranberryturn/types';
 
 import { type ActiveAttempt, TaskPhase } from './active-work.js';
+import { learnUsage } from './learn-usage.js';
 import { holdTarget } from './hold-targets.js';
 import { findPool, type SchedulerContext } from './scheduler-context.js';
 
@@ -28,6 +29,7 @@
     if (attempt.startedAt > sentTooLate) underway += 1;
   }
   recordLoad(entry, load, underway, now);
+  learnUsage(context, entry, load, now);
   findPool(context, entry.record.service).index.update(entry, now);
 }
 
--- /dev/null
+++ b/packages/scheduling/src/learn-usage.ts
@@ -0,0 +1,88 @@
+/** Relates the lagged usage of a worker to the tasks that ran when it was measured. */
+import type { TargetEntry } from '@cranberryturn/placement';
+import type {
+  DeclaredResources,
+  Milliseconds,
+  TargetLoad,
+} from '@cranberryturn/types';
+
+import type { ActiveAttempt } from './active-work.js';
+import { findPool, type SchedulerContext } from './scheduler-context.js';
+
+interface EndedTask {
+  readonly declared: DeclaredResources | undefined;
+  readonly startedAt: Milliseconds;
+  readonly endedAt: Milliseconds;
+}
+
+/** What ran on a worker since its last measurement. */
+export interface UsageHistory {
+  readonly since: Milliseconds;
+  measuredAt: Milliseconds;
+  ended: EndedTask[];
+}
+
+/** Measurements closer to each other are the same one, reported again. */
+const sameMeasurementMilliseconds: Milliseconds = 50;
+/** Sidecars report no older usage. */
+const longestLagMilliseconds: Milliseconds = 60_000;
+
+/** Learns from the usage in a load report, if it has a new measurement. */
+export function learnUsage(
+  context: SchedulerContext,
+  entry: TargetEntry,
+  { usage }: TargetLoad,
+  now: Milliseconds,
+): void {
+  if (usage === undefined) return;
+  const measuredAt = now - usage.ageMilliseconds;
+  const history = findHistory(context, entry, now);
+  // Tasks that ended before the history began are not known.
+  if (measuredAt < history.since) return;
+  if (measuredAt < history.measuredAt + sameMeasurementMilliseconds) return;
+  history.measuredAt = measuredAt;
+  history.ended = history.ended.filter(task => task.endedAt > measuredAt);
+  const running = [...(context.attempts.get(entry) ?? [])].map(attempt => ({
+    declared: attempt.task.request.declared,
+    startedAt: attempt.startedAt,
+  }));
+  const tasks = [...history.ended, ...running]
+    .filter(task => task.startedAt <= measuredAt)
+    .map(task => task.declared);
+  findPool(context, entry.record.service).usage.record({
+    used: usage,
+    capacity: entry.record.resources,
+    tasks,
+    others: entry.othersUsual,
+  });
+}
+
+/** Remembers a task that ended, for measurements that come later. */
+export function noteEnded(
+  context: SchedulerContext,
+  { target, task, startedAt }: ActiveAttempt,
+  endedAt: Milliseconds,
+): void {
+  const history = context.usageHistories.get(target);
+  if (history === undefined) return;
+  const { declared } = task.request;
+  history.ended.push({ declared, startedAt, endedAt });
+  const oldest = endedAt - longestLagMilliseconds;
+  while ((history.ended[0]?.endedAt ?? endedAt) < oldest) history.ended.shift();
+}
+
+function findHistory(
+  context: SchedulerContext,
+  entry: TargetEntry,
+  now: Milliseconds,
+): UsageHistory {
+  const known = context.usageHistories.get(entry);
+  if (known !== undefined) return known;
+  const created: UsageHistory = {
+    since: now,
+    measuredAt: Number.NEGATIVE_INFINITY,
+    ended: [],
+  };
+  context.usageHistories.set(entry, created);
+  return created;
+}
--- a/packages/scheduling/src/place-tasks.ts
+++ b/packages/scheduling/src/place-tasks.ts
@@ -70,7 +70,10 @@
   context: SchedulerContext,
   task: ActiveTask,
   target: TargetEntry,
-  attempt: Omit<ActiveAttempt, 'task' | 'target' | 'straggling' | 'node'>,
+  attempt: Omit<
+    ActiveAttempt,
+    'task' | 'target' | 'reserved' | 'straggling' | 'node'
+  >,
 ): void {
   const { job } = task;
   const { pool } = job;
@@ -81,6 +84,7 @@
     target,
     startedAt: attempt.startedAt,
     hedge: attempt.hedge,
+    reserved: pool.usage.estimate(task.request.declared),
     straggling: false,
     node: undefined,
   };
@@ -89,8 +93,8 @@
   task.phase = TaskPhase.Running;
   task.lastAttempt = attempt.number;
   target.outstanding += 1;
-  if (task.request.declared !== undefined)
-    reserveResources(target.reserved, task.request.declared, 1);
+  if (active.reserved !== undefined)
+    reserveResources(target.reserved, active.reserved, 1);
   pool.running.append(runningNode(active));
   pool.gate.taskStarted();
   job.teamGate.taskStarted();
@@ -123,7 +127,7 @@
   task: ActiveTask,
 ): TargetEntry | undefined {
   return pool.index.choose({
-    declared: task.request.declared,
+    needed: pool.usage.estimate(task.request.declared),
     excluded: task.excluded,
     racks: task.job.racks,
     repeatable: task.job.repeatable,
--- a/packages/scheduling/src/scheduler-context.ts
+++ b/packages/scheduling/src/scheduler-context.ts
@@ -9,6 +9,7 @@
 import {
   HealthTracker,
   createRunTimeModel,
+  createUsageModel,
   TargetIndex,
   type TargetEntry,
 } from '@cranberryturn/placement';
@@ -33,6 +34,7 @@
 
 import type { ActiveAttempt, ActiveJob, ServicePool } from './active-work.js';
 import type { CancelBatcher } from './cancel-batcher.js';
+import type { UsageHistory } from './learn-usage.js';
 import type { AttemptSender, TaskObserver } from './ports/scheduler.js';
 
 /** What a scheduler is built from. */
@@ -63,6 +65,8 @@
   readonly targets: Map<TargetId, Map<Incarnation, TargetEntry>>;
   /** Attempts that have not ended at each target. */
   readonly attempts: Map<TargetEntry, Set<ActiveAttempt>>;
+  /** Of the targets whose platform reports usage. */
+  readonly usageHistories: Map<TargetEntry, UsageHistory>;
   /** Attempts whose task has ended while they still occupy their target. */
   readonly abandoned: Set<ActiveAttempt>;
   configuration: ClusterConfiguration;
@@ -126,6 +130,7 @@
       decisions({ kind: DecisionKind.Health, target, action, reason });
     }),
     runTimes: createRunTimeModel(),
+    usage: createUsageModel(),
     queue: new FairQueue(),
     gate: new LimitGate(),
     budget: createRetryBudget(configuration.retryBudgetPercent),
