Cancel a job at its owner when it is only joined here

Cause: a cancellation at a dispatcher that joins a job of another one was kept there, and had no effect until the owner ended the job by itself. Change: the cancellation goes on to the other dispatchers, once. A test with three dispatchers had no result 500 ms after the cancellation before, and three failed results after.

--- a/packages/dispatcher/src/answer-dispatchers.ts
+++ b/packages/dispatcher/src/answer-dispatchers.ts
@@ -1,8 +1,10 @@
 /** What dispatchers ask each other. */
 import type { JobEntry } from '@cranberryturn/jobs';
+import type { RosterFeed } from '@cranberryturn/membership';
 import type { Scheduler, SharingScheduler } from '@cranberryturn/scheduling';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
+  DispatcherIdentity,
   DispatcherRecord,
   JobId,
   JobResult,
@@ -74,6 +76,16 @@
     : { kind: DispatcherReplyKind.Result, result: entry.result };
 }
 
+/** The other dispatchers of the roster. */
+export function listOthers(
+  roster: RosterFeed,
+  self: DispatcherIdentity,
+): readonly DispatcherRecord[] {
+  return roster
+    .current()
+    .dispatchers.filter(one => one.dispatcherId !== self.dispatcherId);
+}
+
 /** Looks for the result of a job at the other dispatchers. */
 export async function findElsewhere(
   links: DispatcherLinks,
--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -26,6 +26,7 @@
   type TaskId,
 } from '@cranberryturn/types';
 
+import { findElsewhere, listOthers } from './answer-dispatchers.js';
 import { claimJob } from './claim-job.js';
 import {
   describeNotRun,
@@ -189,8 +190,13 @@
       this.#scheduler?.cancelJob(jobId, reason);
       return;
     }
-    // Whether tasks may be started is known once the claim is settled.
+    if (claiming.cancelReason !== undefined) return;
+    // Whether tasks may be started here is known once the claim is settled.
     claiming.cancelReason = reason;
+    // Meanwhile another dispatcher may own the job, which is only joined here.
+    const { links, control, self } = this.#options;
+    const others = listOthers(control.roster, self);
+    void findElsewhere(links, others, jobId, true);
   }
 
   #admit(job: RunningJob): Submission | undefined {
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -3,11 +3,7 @@
 import { type HttpListener, listenForHttp } from '@cranberryturn/program';
 import type { Scheduler } from '@cranberryturn/scheduling';
 import { sleep } from '@cranberryturn/timers';
-import type {
-  DispatcherRecord,
-  Milliseconds,
-  NetworkAddress,
-} from '@cranberryturn/types';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import {
   type Connection,
   type Listener,
@@ -15,7 +11,7 @@
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
-import { findElsewhere } from './answer-dispatchers.js';
+import { findElsewhere, listOthers } from './answer-dispatchers.js';
 import { serveCallers } from './callers/serve-callers.js';
 import type { DispatcherOptions } from './dispatcher-options.js';
 import { confirmMembership, describeSharing } from './confirm-membership.js';
@@ -70,7 +66,12 @@
       bodyBytes: options.limits.bodyBytes,
       configuration: () => options.control.configuration.current(),
       findElsewhere: (jobId, cancel) =>
-        findElsewhere(parts.links, listOthers(options), jobId, cancel),
+        findElsewhere(
+          parts.links,
+          listOthers(options.control.roster, options.self),
+          jobId,
+          cancel,
+        ),
       isReady: () => isReady && isRegistered(parts),
     }),
     address: options.callers,
@@ -122,12 +123,6 @@
   }
 }
 
-function listOthers({ control, self }: DispatcherOptions): DispatcherRecord[] {
-  return control.roster
-    .current()
-    .dispatchers.filter(one => one.dispatcherId !== self.dispatcherId);
-}
-
 function followConfiguration({
   options,
   targets,
--- a/packages/local/src/cancelled-jobs.test.ts
+++ b/packages/local/src/cancelled-jobs.test.ts
@@ -35,3 +35,19 @@
   t.true(outcomes.includes('no'));
   t.true(outcomes.includes(JobOutcome.Complete));
 });
+
+test('a job that a dispatcher only joins is cancelled at its owner', async t => {
+  const cluster = await startMemoryCluster({
+    ...sizes,
+    dispatchers: 3,
+    runMilliseconds: 5_000,
+  });
+  const boxes = cluster.dispatchers.map(one => submit(one, 'job-1', 4));
+  await cluster.timers.advance(100);
+  const joining = dispatcherOf(cluster, 2);
+  void joining.dispatcher.jobs.cancelJob('wards/job-1');
+  await cluster.timers.advance(500);
+  for (const { result } of boxes) t.is(result?.outcome, JobOutcome.Failed);
+  t.is(Math.max(...cluster.countStarts().values()), 1);
+  await cluster.stop();
+});
