--- a/packages/sessions/src/accept-sessions.ts
+++ b/packages/sessions/src/accept-sessions.ts
@@ -3,7 +3,8 @@
 import type { Connection, PeerIdentity } from '@cranberryturn/wire';
 
 import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
-import { Session, SessionEndReason, type StartSession } from './session.js';
+import { Session } from './session.js';
+import { SessionEndReason, type StartSession } from './session-types.js';
 import type { SessionTimes } from './session-liveness.js';
 
 /** What the accepting end is built from. */
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -4,3 +4,4 @@
 export * from './plan-sessions.js';
 export * from './session.js';
 export * from './session-liveness.js';
+export * from './session-types.js';
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -6,7 +6,8 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
-import { Session, SessionEndReason, type StartSession } from './session.js';
+import { Session } from './session.js';
+import { SessionEndReason, type StartSession } from './session-types.js';
 import type { SessionTimes } from './session-liveness.js';
 
 const minimumBackoffMilliseconds: Milliseconds = 50;
--- a/packages/sessions/src/sessions.test.ts
+++ b/packages/sessions/src/sessions.test.ts
@@ -13,7 +13,7 @@
 
 import { acceptSessions, type SessionAcceptor } from './accept-sessions.js';
 import { openSession, type SessionDialer } from './open-session.js';
-import { SessionEndReason, type SessionListener } from './session.js';
+import { SessionEndReason, type SessionListener } from './session-types.js';
 import { defaultSessionTimes } from './session-liveness.js';
 
 const times = defaultSessionTimes;
--- /dev/null
+++ b/packages/sidecar/src/adapters/http-target.test.ts
@@ -0,0 +1,75 @@
+import { connect, type Socket } from 'node:net';
+import { setTimeout } from 'node:timers/promises';
+import { Worker } from 'node:worker_threads';
+
+import type { AttemptStart } from '@cranberryturn/types';
+import test, { type ExecutionContext } from 'ava';
+
+import { TargetFailureKind } from '../ports/target.js';
+import { createHttpTarget } from './http-target.js';
+
+const waitingConnections = 1;
+const fillingConnections = 8;
+const giveUpMilliseconds = 8_000;
+
+/** Listens with a short queue and never accepts, so that the queue fills. */
+const deafListener = `
+  const { parentPort } = require('node:worker_threads');
+  const server = require('node:net').createServer();
+  server.listen(0, '127.0.0.1', ${String(waitingConnections)}, () => {
+    parentPort.postMessage(server.address().port);
+    setImmediate(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0));
+  });`;
+
+async function startDeafListener(t: ExecutionContext): Promise<number> {
+  const worker = new Worker(deafListener, { eval: true });
+  t.teardown(() => worker.terminate());
+  return new Promise<number>(resolve => {
+    worker.once('message', resolve);
+  });
+}
+
+/** Fills the queue, so that the next connection gets no answer. */
+function fillQueue(t: ExecutionContext, port: number): void {
+  const sockets: Socket[] = [];
+  for (let count = 0; count < fillingConnections; count += 1) {
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    sockets.push(socket);
+  }
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+  });
+}
+
+test('a target that accepts no connection in time was not reached', async t => {
+  const port = await startDeafListener(t);
+  fillQueue(t, port);
+  const target = createHttpTarget({
+    url: `http://127.0.0.1:${String(port)}`,
+    connections: 4,
+    connectTimeoutMilliseconds: 100,
+  });
+  const attempt: AttemptStart = {
+    jobId: 'job',
+    taskId: 'task',
+    attempt: 1,
+    epoch: 1,
+    service: 'register-svc',
+    dispatcher: 'dispatcher-1',
+    payload: '{}',
+    idempotent: false,
+    remainingMilliseconds: 60_000,
+  };
+  const { signal } = new AbortController();
+  const failure = target.runAttempt(attempt, signal).then(answer =>
+    answer.match(
+      () => undefined,
+      error => error.kind,
+    ),
+  );
+  // Without the setting, the library gives up after ten seconds.
+  const late = setTimeout(giveUpMilliseconds, undefined, { ref: false });
+  t.is(await Promise.race([failure, late]), TargetFailureKind.NotReached);
+  await target.close();
+});
--- a/packages/sidecar/src/dispatcher-sessions.ts
+++ b/packages/sidecar/src/dispatcher-sessions.ts
@@ -2,8 +2,6 @@
 import type { RandomSource } from '@cranberryturn/random';
 import {
   openSession,
-  type Session,
-  type SessionDialer,
   type SessionListener,
   type SessionTimes,
 } from '@cranberryturn/sessions';
@@ -22,6 +20,14 @@
   type ToTargetMessage,
 } from '@cranberryturn/wire';
 
+import {
+  type DispatcherLink,
+  type DispatcherSession,
+  isSameAddress,
+  LinkPhase,
+  mayClose,
+  mayLeave,
+} from './dispatcher-link.js';
 import type {
   ServedDispatcher,
   ServedDispatchers,
@@ -50,34 +56,9 @@
   ) => SessionListener<ToTargetMessage>;
 }
 
-/** A session with a dispatcher. */
-export type DispatcherSession = Session<FromTargetMessage, ToTargetMessage>;
-
-enum LinkPhase {
-  Wanted = 'wanted',
-  /** Takes no new work; what is in flight ends first. */
-  Leaving = 'leaving',
-  /** The dispatcher is told; the connection is closed next. */
-  Left = 'left',
-}
-
-interface DispatcherLink {
-  readonly address: NetworkAddress;
-  readonly isSeed: boolean;
-  dialer: SessionDialer<FromTargetMessage, ToTargetMessage> | undefined;
-  served: ServedDispatcher | undefined;
-  phase: LinkPhase;
-  /** Start of the phase. */
-  since: Milliseconds;
-  /** A session on demand is not left before. */
-  keptUntil: Milliseconds;
-}
-
 const stepMilliseconds: Milliseconds = 1_000;
 const dialGraceMilliseconds: Milliseconds = 10_000;
 const onDemandMilliseconds: Milliseconds = 30_000;
-const leaveAcknowledgeMilliseconds: Milliseconds = 5_000;
-const silentLeaveMilliseconds: Milliseconds = 600_000;
 const silenceBeforeSeedsMilliseconds: Milliseconds = 5_000;
 
 /** Opens and leaves sessions. */
@@ -229,47 +210,26 @@
   }
 
   #stepLink(link: DispatcherLink): void {
+    const now = this.#options.timers.now();
+    const { hasWorkFor } = this.#options;
     switch (link.phase) {
       case LinkPhase.Wanted:
         return;
       case LinkPhase.Leaving:
-        if (this.#mayLeave(link)) this.#leave(link);
+        if (mayLeave(link, now, hasWorkFor)) this.#leave(link);
         return;
       case LinkPhase.Left:
-        if (this.#mayClose(link)) this.#drop(link);
+        if (mayClose(link, now)) this.#drop(link);
         return;
     }
   }
 
-  /**
-   * The dispatcher has acknowledged that the target takes no more of its work,
-   * so every start that it sent before has arrived, and all of its results as well.
-   */
-  #mayLeave(link: DispatcherLink): boolean {
-    const now = this.#options.timers.now();
-    if (now < link.keptUntil || now === link.since) return false;
-    const session = link.dialer?.current();
-    if (session === undefined) return true;
-    if (session.isSuspected) return now - link.since >= silentLeaveMilliseconds;
-    if (session.unacknowledged > 0) return false;
-    return !this.#options.hasWorkFor(session.peer.name);
-  }
-
   #leave(link: DispatcherLink): void {
     link.served?.send({ kind: FromTargetKind.SessionLeft });
     link.phase = LinkPhase.Left;
     link.since = this.#options.timers.now();
   }
 
-  #mayClose(link: DispatcherLink): boolean {
-    const session = link.dialer?.current();
-    if (session === undefined || session.isSuspected) return true;
-    const waited = this.#options.timers.now() - link.since;
-    return (
-      session.unacknowledged === 0 || waited >= leaveAcknowledgeMilliseconds
-    );
-  }
-
   #drop(link: DispatcherLink): void {
     link.dialer?.close();
     this.#links.delete(link);
@@ -300,7 +260,3 @@
     this.#dialSeeds();
   }
 }
-
-function isSameAddress(left: NetworkAddress, right: NetworkAddress): boolean {
-  return left.address === right.address && left.port === right.port;
-}
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -14,6 +14,7 @@
   type TargetLoad,
 } from '@cranberryturn/types';
 
+import { isSameAttempt, keyOf } from './attempt-keys.js';
 import { type AttemptLedger, StartPermission } from './attempt-ledger.js';
 import { DrainState } from './drain-state.js';
 import {
@@ -22,6 +23,7 @@
   type TargetPort,
 } from './ports/target.js';
 import type { EndedAttempt } from './remembered-task.js';
+import { type WaitingAttempt, WaitingAttempts } from './waiting-attempts.js';
 
 /** What a runner is built from. */
 export interface AttemptRunnerOptions {
@@ -39,13 +41,6 @@
   ) => void;
 }
 
-interface WaitingAttempt {
-  readonly attempt: AttemptStart;
-  readonly received: Milliseconds;
-  readonly latestStart: Milliseconds;
-  readonly requestId: string | undefined;
-}
-
 interface RunningAttempt {
   readonly attempt: AttemptStart;
   readonly abort: AbortController;
@@ -54,7 +49,7 @@
 /** Runs attempts. A start that was refused is never run. */
 export class AttemptRunner {
   readonly #options: AttemptRunnerOptions;
-  readonly #waiting: WaitingAttempt[] = [];
+  readonly #waiting = new WaitingAttempts();
   readonly #running = new Set<RunningAttempt>();
   readonly #drain = new DrainState();
   #slots: number;
@@ -68,7 +63,7 @@
   get load(): TargetLoad {
     return {
       freeSlots: Math.max(0, this.#slots - this.#running.size),
-      queuedTasks: this.#waiting.length,
+      queuedTasks: this.#waiting.size,
       draining: this.#drain.isDraining,
     };
   }
@@ -80,7 +75,7 @@
       this.#refuse(attempt, refusal);
       return;
     }
-    this.#enqueue(attempt, requestId);
+    this.#waiting.add(attempt, this.#options.timers.now(), requestId);
     this.#fillSlots();
   }
 
@@ -107,9 +102,7 @@
 
   /** Whether an attempt waits or runs here whose result the dispatcher wants. */
   hasWorkFor(dispatcher: DispatcherId): boolean {
-    if (this.#waiting.some(one => one.attempt.dispatcher === dispatcher)) {
-      return true;
-    }
+    if (this.#waiting.hasAttemptOf(dispatcher)) return true;
     return [...this.#running].some(({ attempt }) =>
       this.#options.ledger.isWatched(attempt.jobId, dispatcher),
     );
@@ -117,7 +110,7 @@
 
   /** Whether no attempt waits or runs. */
   get isIdle(): boolean {
-    return this.#waiting.length === 0 && this.#running.size === 0;
+    return this.#waiting.size === 0 && this.#running.size === 0;
   }
 
   #beginLeaving(): void {
@@ -127,7 +120,7 @@
       target: targetId,
       incarnation,
     });
-    for (const { attempt } of this.#waiting.splice(0)) {
+    for (const { attempt } of this.#waiting.takeAll()) {
       this.#refuse(attempt, NotStartedReason.Draining);
     }
   }
@@ -138,23 +131,13 @@
     }
     if (this.#drain.isDraining) return NotStartedReason.Draining;
     const room = this.#slots + this.#options.queueLimit - this.#running.size;
-    if (this.#waiting.length >= room) return NotStartedReason.Busy;
+    if (this.#waiting.size >= room) return NotStartedReason.Busy;
     return undefined;
   }
 
-  /** Attempts of all dispatchers wait in the order in which they should start. */
-  #enqueue(attempt: AttemptStart, requestId: string | undefined): void {
-    const received = this.#options.timers.now();
-    const latestStart = received + (attempt.slackMilliseconds ?? 0);
-    const later = this.#waiting.findIndex(one => one.latestStart > latestStart);
-    const position = later < 0 ? this.#waiting.length : later;
-    const waiting = { attempt, received, latestStart, requestId };
-    this.#waiting.splice(position, 0, waiting);
-  }
-
   #fillSlots(): void {
     while (this.#running.size < this.#slots) {
-      const next = this.#waiting.shift();
+      const next = this.#waiting.takeNext();
       if (next === undefined) return;
       this.#startAttempt(next);
     }
@@ -280,10 +263,7 @@
   }
 
   #cancelAttempt(key: AttemptKey, reason: string): void {
-    const position = this.#waiting.findIndex(one =>
-      isSameAttempt(one.attempt, key),
-    );
-    const [waiting] = position < 0 ? [] : this.#waiting.splice(position, 1);
+    const waiting = this.#waiting.take(key);
     if (waiting !== undefined) {
       this.#refuse(waiting.attempt, NotStartedReason.Cancelled);
       return;
@@ -295,24 +275,6 @@
   }
 }
 
-function keyOf(attempt: AttemptKey): AttemptKey {
-  return {
-    jobId: attempt.jobId,
-    taskId: attempt.taskId,
-    attempt: attempt.attempt,
-    epoch: attempt.epoch,
-  };
-}
-
-function isSameAttempt(left: AttemptKey, right: AttemptKey): boolean {
-  return (
-    left.jobId === right.jobId &&
-    left.taskId === right.taskId &&
-    left.attempt === right.attempt &&
-    left.epoch === right.epoch
-  );
-}
-
 function describePermission(
   permission: StartPermission,
 ): NotStartedReason | undefined {
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -27,10 +27,8 @@
   handleDispatcherMessage,
   type MessageHandlerParts,
 } from './handle-dispatcher-message.js';
-import {
-  type DispatcherSession,
-  DispatcherSessions,
-} from './dispatcher-sessions.js';
+import type { DispatcherSession } from './dispatcher-link.js';
+import { DispatcherSessions } from './dispatcher-sessions.js';
 import type { TargetPort } from './ports/target.js';
 import { AttemptRunner } from './run-attempts.js';
 import {
--- /dev/null
+++ b/packages/sidecar/src/waiting-attempts.ts
@@ -0,0 +1,60 @@
+/** Attempts that wait for a slot, in the order in which they should start. */
+import type {
+  AttemptKey,
+  AttemptStart,
+  DispatcherId,
+  Milliseconds,
+} from '@cranberryturn/types';
+
+import { isSameAttempt } from './attempt-keys.js';
+
+/** One attempt that waits. */
+export interface WaitingAttempt {
+  readonly attempt: AttemptStart;
+  readonly received: Milliseconds;
+  readonly latestStart: Milliseconds;
+  readonly requestId: string | undefined;
+}
+
+/** The queue of one target, shared by all dispatchers. */
+export class WaitingAttempts {
+  readonly #waiting: WaitingAttempt[] = [];
+
+  get size(): number {
+    return this.#waiting.length;
+  }
+
+  /** Puts the attempt before those that may start later. */
+  add(
+    attempt: AttemptStart,
+    received: Milliseconds,
+    requestId: string | undefined,
+  ): void {
+    const latestStart = received + (attempt.slackMilliseconds ?? 0);
+    const later = this.#waiting.findIndex(one => one.latestStart > latestStart);
+    const position = later < 0 ? this.#waiting.length : later;
+    const waiting = { attempt, received, latestStart, requestId };
+    this.#waiting.splice(position, 0, waiting);
+  }
+
+  takeNext(): WaitingAttempt | undefined {
+    return this.#waiting.shift();
+  }
+
+  takeAll(): readonly WaitingAttempt[] {
+    return this.#waiting.splice(0);
+  }
+
+  /** Takes one attempt out of the queue, if it waits. */
+  take(key: AttemptKey): WaitingAttempt | undefined {
+    const position = this.#waiting.findIndex(one =>
+      isSameAttempt(one.attempt, key),
+    );
+    if (position < 0) return undefined;
+    return this.#waiting.splice(position, 1)[0];
+  }
+
+  hasAttemptOf(dispatcher: DispatcherId): boolean {
+    return this.#waiting.some(one => one.attempt.dispatcher === dispatcher);
+  }
+}
