--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -1,17 +1,12 @@
-import { createManualTimerService } from '@cranberryturn/timers';
 import test from 'ava';
 import fastCheck from 'fast-check';
-import { okAsync } from 'neverthrow';
 
 import { type AdmissionQuestion, decideAdmission } from './decide-admission.js';
 import { divideLimit } from './divide-limit.js';
 import { FairQueue, type QueuedJob } from './fair-queue.js';
 import { LimitGate } from './limit-gate.js';
 import { createHeapNode, type HeapNode, RankedHeap } from './ranked-heap.js';
-import { raiseDelayMilliseconds } from './confirm-parts.js';
-import { ShareLedger } from './share-ledger.js';
 
-const limit = 'team/planning/concurrency';
 const seed = 20_261_203;
 
 test(`a divided limit adds up and is fair (seed ${String(seed)})`, t => {
@@ -174,91 +169,3 @@
   for (const [name, question] of Object.entries(cases))
     t.snapshot(decideAdmission(question, 0), name);
 });
-
-function createLedgers(membershipLeaseMilliseconds?: number) {
-  const timers = createManualTimerService();
-  const ledgers = new Map<string, ShareLedger>();
-  const cutOff = new Set<string>();
-  let calls = 0;
-  const names = ['dispatcher-1', 'dispatcher-2', 'dispatcher-3'];
-  for (const dispatcherId of names) {
-    const ledger = new ShareLedger({
-      dispatcherId,
-      timers,
-      membershipLeaseMilliseconds,
-      exchange: {
-        borrow: (peer, request) => {
-          calls += 1;
-          const lender = ledgers.get(peer);
-          if (
-            lender === undefined ||
-            cutOff.has(peer) !== cutOff.has(dispatcherId)
-          )
-            return okAsync({ lent: [], loanMilliseconds: 0 });
-          return okAsync(lender.lend(request));
-        },
-      },
-    });
-    ledger.applyLimits(new Map([[limit, 30]]), { count: 3, names });
-    ledgers.set(dispatcherId, ledger);
-  }
-  const heldOf = (): number[] =>
-    [...ledgers.values()].map(ledger => ledger.held(limit));
-  return { timers, ledgers, cutOff, names, heldOf, countCalls: () => calls };
-}
-
-test('shares move to where the load is, never above the limit, and cost no message while nobody asks', async t => {
-  const { timers, ledgers, heldOf, countCalls } = createLedgers();
-  t.deepEqual(heldOf(), [0, 0, 0]);
-  await timers.advance(raiseDelayMilliseconds + 1_000);
-  t.deepEqual(heldOf(), [10, 10, 10]);
-  t.is(countCalls(), 0);
-  const [busy, idle] = [...ledgers.values()];
-  busy?.reportDemand(limit, 10, 40);
-  for (let step = 0; step < 40; step += 1) {
-    await timers.advance(100);
-    t.true(heldOf().reduce((sum, one) => sum + one, 0) <= 30);
-  }
-  t.true((busy?.held(limit) ?? 0) >= 26, String(heldOf()));
-  t.true(countCalls() <= 20, String(countCalls()));
-  busy?.reportDemand(limit, 0, 0);
-  idle?.reportDemand(limit, 5, 30);
-  for (let step = 0; step < 80; step += 1) {
-    await timers.advance(100);
-    t.true(heldOf().reduce((sum, one) => sum + one, 0) <= 30);
-  }
-  t.true((idle?.held(limit) ?? 0) >= 20, String(heldOf()));
-});
-
-test('units lent to a dispatcher that is cut off are used again only after the loan has ended', async t => {
-  const { timers, ledgers, cutOff, heldOf } = createLedgers();
-  await timers.advance(raiseDelayMilliseconds);
-  const [first] = [...ledgers.values()];
-  first?.reportDemand(limit, 10, 40);
-  await timers.advance(1_500);
-  const borrowed = first?.held(limit) ?? 0;
-  t.true(borrowed > 10);
-  cutOff.add('dispatcher-1');
-  for (let step = 0; step < 60; step += 1) {
-    await timers.advance(100);
-    t.true(heldOf().reduce((sum, one) => sum + one, 0) <= 30);
-  }
-  t.deepEqual(heldOf(), [10, 10, 10]);
-});
-
-test('the part of a removed dispatcher is used by others only after its membership lease', async t => {
-  const { timers, ledgers, names, heldOf } = createLedgers(6_000);
-  await timers.advance(raiseDelayMilliseconds);
-  for (const ledger of ledgers.values()) ledger.confirmMembership();
-  const remaining = names.slice(1);
-  for (const name of remaining)
-    ledgers
-      .get(name)
-      ?.applyLimits(new Map([[limit, 30]]), { count: 2, names: remaining });
-  for (let step = 0; step < 100; step += 1) {
-    for (const name of remaining) ledgers.get(name)?.confirmMembership();
-    await timers.advance(100);
-    t.true(heldOf().reduce((sum, one) => sum + one, 0) <= 30);
-  }
-  t.deepEqual(heldOf(), [0, 15, 15]);
-});
--- a/packages/admission/src/share-ledger.ts
+++ b/packages/admission/src/share-ledger.ts
@@ -8,7 +8,8 @@
   raiseDelayMilliseconds,
   type SharingDispatchers,
 } from './confirm-parts.js';
-import { divideLimit, equalPart } from './divide-limit.js';
+import { divideLimit } from './divide-limit.js';
+import { findOwnPart, isAlone } from './own-part.js';
 import {
   countBorrowed,
   countLent,
@@ -87,13 +88,18 @@
     const now = this.#options.timers.now();
     this.#confirmations.applyRoster(dispatchers, now);
     this.#peers = names.filter(name => name !== this.#options.dispatcherId);
-    const isAlone = this.#isAlone(dispatchers, names);
+    const alone = isAlone(this.#options.dispatcherId, dispatchers, names);
     for (const limit of [...this.#shares.keys()]) {
       if (!limits.has(limit)) this.#shares.delete(limit);
     }
     for (const [key, limit] of limits) {
-      const part = this.#partOf(key, limit, dispatchers, names);
-      this.#applyLimit(key, limit, part, isAlone, now);
+      const part = findOwnPart(
+        this.#options.dispatcherId,
+        { key, limit },
+        dispatchers,
+        names,
+      );
+      this.#applyLimit(key, limit, part, alone, now);
     }
     this.#raiseShares(now);
   }
@@ -146,29 +152,6 @@
     return now - this.#confirmations.unchangedAt(now) < lease;
   }
 
-  /** Whether no other dispatcher shares the limits. */
-  #isAlone(
-    { count, rosterVersion }: SharingDispatchers,
-    names: readonly DispatcherId[],
-  ): boolean {
-    if (names.length === 0) return count <= 1 && rosterVersion === undefined;
-    return names.length === 1 && names[0] === this.#options.dispatcherId;
-  }
-
-  #partOf(
-    key: LimitKey,
-    limit: number,
-    dispatchers: SharingDispatchers,
-    names: readonly DispatcherId[],
-  ): number {
-    const position = names.indexOf(this.#options.dispatcherId);
-    if (position < 0 && dispatchers.rosterVersion !== undefined) return 0;
-    if (position < 0)
-      return Math.max(1, Math.floor(limit / Math.max(1, dispatchers.count)));
-    const rotated = (position + sumCharacters(key)) % names.length;
-    return equalPart(limit, names.length, rotated);
-  }
-
   #applyLimit(
     key: LimitKey,
     limit: number,
@@ -257,9 +240,3 @@
 function isWithinPart(share: Share, now: Milliseconds): boolean {
   return countOwnUse(share, now) + countLent(share, now) <= share.base;
 }
-
-function sumCharacters(text: string): number {
-  let sum = 0;
-  for (const character of text) sum += character.charCodeAt(0);
-  return sum;
-}
--- a/packages/bench/src/traces/trace-scripts.ts
+++ b/packages/bench/src/traces/trace-scripts.ts
@@ -3,21 +3,24 @@
 import { type Milliseconds, Started } from '@cranberryturn/types';
 
 import { SubmissionOutcome } from '../load/job-client.js';
-import {
-  type Burst,
-  type LoadOptions,
-  planLoad,
-  type PlannedJob,
-} from '../load/plan-load.js';
+import type { PlannedJob } from '../load/plan-load.js';
 import {
   type Expectation,
   ExpectationKind,
   type TraceEvent,
-  type TraceFault,
   TraceFaultKind,
   TraceLineKind,
 } from './trace-format.js';
-import { traceDispatchers, traceShape } from './trace-shape.js';
+import {
+  burst,
+  fault,
+  faultAt,
+  load,
+  plan,
+  submit,
+  submitAll,
+} from './trace-load.js';
+import { traceDispatchers } from './trace-shape.js';
 
 /** What is recorded as one trace. */
 export interface TraceScript {
@@ -27,10 +30,6 @@
   readonly expectations: readonly Expectation[];
 }
 
-const seed = 41;
-const durationMilliseconds: Milliseconds = 5_000;
-const faultAt: Milliseconds = 1_500;
-const deadlineMilliseconds: Milliseconds = 8_000;
 const graceMilliseconds: Milliseconds = 1_000;
 /** Time in which a fault is noticed, from the bounds on suspicion and ejection. */
 const noticedMilliseconds: Milliseconds = 5_000;
@@ -236,34 +235,3 @@
     ],
   };
 }
-
-function load(options: Partial<LoadOptions> = {}): readonly TraceEvent[] {
-  return submitAll(plan(options));
-}
-
-function plan(options: Partial<LoadOptions>): readonly PlannedJob[] {
-  return planLoad({
-    shape: traceShape,
-    seed,
-    durationMilliseconds,
-    loadFraction: 0.5,
-    deadlineMilliseconds,
-    ...options,
-  }).jobs;
-}
-
-function submitAll(jobs: readonly PlannedJob[]): readonly TraceEvent[] {
-  return jobs.map((job, position) => submit(job, position % traceDispatchers));
-}
-
-function submit(job: PlannedJob, dispatcher: number): TraceEvent {
-  return { kind: TraceLineKind.Submission, at: job.at, dispatcher, job };
-}
-
-function fault(what: TraceFault): TraceEvent {
-  return { kind: TraceLineKind.Fault, at: faultAt, fault: what };
-}
-
-function burst(): Burst {
-  return { at: faultAt, durationMilliseconds: 300, factor: 10 };
-}
--- a/packages/scheduling/src/active-work.ts
+++ b/packages/scheduling/src/active-work.ts
@@ -1,6 +1,5 @@
 /** Records of the work in progress of one scheduler. */
 import {
-  createHeapNode,
   createListNode,
   type FairQueue,
   type HeapNode,
@@ -180,12 +179,6 @@
   return job;
 }
 
-/** The job's place in the queue. */
-export function queueNode(job: ActiveJob): HeapNode<ActiveJob> {
-  job.node ??= createHeapNode(job);
-  return job.node;
-}
-
 function createActiveTask(
   job: ActiveJob,
   request: TaskRequest,
@@ -211,15 +204,6 @@
   return attempt.node;
 }
 
-/** Puts the job where its next task stands in the queue. Its longest tasks go first. */
-export function queueJob(job: ActiveJob): void {
-  const next = job.waiting.at(-1);
-  if (next === undefined) return;
-  job.latestStart = job.due - next.estimate;
-  if (job.placed) job.pool.queue.addStarted(queueNode(job));
-  else job.pool.queue.addFresh(queueNode(job));
-}
-
 /** Adds a task to what waits in the service, or takes it away with `sign` -1. */
 export function countWaiting(task: ActiveTask, sign: 1 | -1): void {
   const { pool, team } = task.job;
--- a/packages/scheduling/src/end-attempts.ts
+++ b/packages/scheduling/src/end-attempts.ts
@@ -19,9 +19,9 @@
   type ActiveAttempt,
   type ActiveTask,
   countWaiting,
-  queueJob,
   TaskPhase,
 } from './active-work.js';
+import { queueJob } from './queue-job.js';
 import { type TaskFate, TaskFateKind } from './ports/scheduler.js';
 import { describeStop, endTask, leaveTarget } from './end-jobs.js';
 import { learnLoad, learnOutcome } from './learn-outcome.js';
--- a/packages/scheduling/src/place-tasks.ts
+++ b/packages/scheduling/src/place-tasks.ts
@@ -12,12 +12,11 @@
   type ActiveJob,
   type ActiveTask,
   countWaiting,
-  queueJob,
-  queueNode,
   runningNode,
   type ServicePool,
   TaskPhase,
 } from './active-work.js';
+import { queueJob, queueNode } from './queue-job.js';
 import { askFilledTargets } from './ask-filled-targets.js';
 import type { SchedulerContext } from './scheduler-context.js';
 
--- a/packages/scheduling/src/start-job.ts
+++ b/packages/scheduling/src/start-job.ts
@@ -5,9 +5,9 @@
   type ActiveJob,
   type ActiveTask,
   countWaiting,
-  queueJob,
   TaskPhase,
 } from './active-work.js';
+import { queueJob } from './queue-job.js';
 import { endJob, endTask, forgetJob } from './end-jobs.js';
 import { occupyTarget, placeTasks } from './place-tasks.js';
 import {
