Let operators set how long and how many claims are kept

Cause: the retention and the bound of claims were constants, and the two-year size needs another bound. Settings files could differ between replicas, which would then forget at different entries.

Change: the intent set-claim-retention puts them into the replicated configuration; every replica applies them from the same entry on. Bounds: 10 s to one hour, because runs that left are remembered for an hour, and 1,000 to 10 million claims. The table notes up to when claims may be forgotten, so that a longer retention does not take a forgotten job for a new one.

Conclusion: the bound is set by plan and confirm, like any other limit.

--- a/packages/claims/src/apply-claim.ts
+++ b/packages/claims/src/apply-claim.ts
@@ -7,6 +7,7 @@
   ClaimOutcomeKind,
   ClaimRefusal,
   type ClaimRequest,
+  type ClaimRetention,
   type DispatcherIdentity,
   type JobId,
   type LogIndex,
@@ -19,7 +20,6 @@
 } from '@cranberryturn/types';
 
 import type { ClaimView } from './claim-record.js';
-import type { ClaimRetention } from './claim-retention.js';
 import type { ClaimNumber, ClaimTable } from './claim-table.js';
 import { digestJob } from './digest-words.js';
 import type { Digest } from './record-index.js';
@@ -105,10 +105,7 @@
 ): ClaimOutcome {
   const { index, leaderTime, retention, roster } = context;
   const { submittedAt } = claim;
-  if (
-    submittedAt !== undefined &&
-    leaderTime - submittedAt >= retention.finishedMilliseconds
-  ) {
+  if (submittedAt !== undefined && submittedAt <= table.completeSince) {
     return refuse(ClaimRefusal.TooOld);
   }
   if (table.size >= retention.maximumClaims) {
--- a/packages/claims/src/claim-table.ts
+++ b/packages/claims/src/claim-table.ts
@@ -1,6 +1,7 @@
 /** The table of claimed jobs, built from committed operations only. */
 import type {
   BodyDigest,
+  ClaimRetention,
   DispatcherIdentity,
   Milliseconds,
   OwnershipEpoch,
@@ -17,7 +18,6 @@
   submissionWords,
   WordField,
 } from './claim-record.js';
-import type { ClaimRetention } from './claim-retention.js';
 import { digestText } from './digest-words.js';
 import { type HeldName, NameTable } from './name-table.js';
 import { type Digest, RecordIndex } from './record-index.js';
@@ -34,6 +34,7 @@
 
 /** Everything of a table but its records. */
 export interface ClaimTableSnapshot {
+  readonly completeSince: Milliseconds;
   readonly pages: RecordPagesSnapshot;
   readonly unfinished: RecordListSnapshot;
   readonly finished: RecordListSnapshot;
@@ -53,9 +54,11 @@
   /** Both lists are in the order of `ChangedTime`. */
   readonly #unfinished: RecordList;
   readonly #finished: RecordList;
+  #completeSince: Milliseconds;
 
   /** Creates an empty table, or one from a snapshot and the bytes of its records. */
   constructor(snapshot?: ClaimTableSnapshot, records?: Uint8Array) {
+    this.#completeSince = snapshot?.completeSince ?? -Infinity;
     this.#owners = new NameTable(snapshot?.owners);
     this.#services = new NameTable(snapshot?.services);
     this.#unfinished = new RecordList(this.#pages, links, snapshot?.unfinished);
@@ -81,6 +84,11 @@
     return this.#unfinished.size + this.#finished.size;
   }
 
+  /** Claims of jobs submitted up to this time may be forgotten. A longer retention does not bring them back. */
+  get completeSince(): Milliseconds {
+    return this.#completeSince;
+  }
+
   /** Finds the claim of the job with this key. */
   find(key: Digest): ClaimNumber | undefined {
     const claim = this.#index.find(key);
@@ -177,7 +185,9 @@
 
   /** Drops every claim whose retention has passed at `now`, a time of the leader. */
   dropExpired(retention: ClaimRetention, now: Milliseconds): void {
-    this.#dropOlder(this.#finished, now - retention.finishedMilliseconds);
+    const horizon = now - retention.finishedMilliseconds;
+    this.#completeSince = Math.max(this.#completeSince, horizon);
+    this.#dropOlder(this.#finished, horizon);
     this.#dropOlder(this.#unfinished, now - retention.unfinishedMilliseconds);
   }
 
@@ -193,6 +203,7 @@
   /** Everything but the records. */
   capture(): ClaimTableSnapshot {
     return {
+      completeSince: this.#completeSince,
       pages: this.#pages.describe(),
       unfinished: this.#unfinished.capture(),
       finished: this.#finished.capture(),
--- a/packages/cli/src/operator-commands.test.ts
+++ b/packages/cli/src/operator-commands.test.ts
@@ -192,6 +192,33 @@
   await desk.close();
 });
 
+test('an operator sets how many claims are kept, and a retention that outlives its witnesses is refused', async t => {
+  const desk = await openDesk('retention');
+  const state = (maximum: string, answered: string) =>
+    desk.run(
+      'plan',
+      'set-claim-retention',
+      maximum,
+      '--answered-seconds',
+      answered,
+      '--unanswered-seconds',
+      '3600',
+    );
+  const planned = await state('4500000', '600');
+  await desk.run('confirm', planIdIn(planned.text));
+  t.deepEqual(desk.node.state.configuration.configuration.claimRetention, {
+    finishedMilliseconds: 600_000,
+    unfinishedMilliseconds: 3_600_000,
+    maximumClaims: 4_500_000,
+  });
+  const refused = [await state('4500000', '7200'), await state('none', '600')];
+  t.deepEqual(
+    refused.map(({ exits }) => exits),
+    [[2], [2]],
+  );
+  await desk.close();
+});
+
 test('a confirm that waits for a dispatcher that died ends well once its lease has passed', async t => {
   const controlTimers = createManualTimerService();
   const desk = await openDesk('lease', controlTimers);
--- a/packages/cli/src/plan-commands.ts
+++ b/packages/cli/src/plan-commands.ts
@@ -9,6 +9,7 @@
 const defaultDeadlineMilliseconds = 10_000;
 const defaultQueueLimit = 1_000;
 const defaultRetryBudgetPercent = 10;
+const millisecondsPerSecond = 1_000;
 const noLimit = 'none';
 
 type Options = Readonly<Record<string, string | number | undefined>>;
@@ -37,6 +38,7 @@
   addServiceIntents(state);
   addTeamIntents(state);
   addControlHostIntents(state);
+  addRetentionIntent(state);
 }
 
 async function printPlan(
@@ -79,6 +81,35 @@
   }
 }
 
+function addRetentionIntent(state: StateIntent): void {
+  state(
+    describe(
+      IntentKind.SetClaimRetention,
+      '<maximum-claims>',
+      'set how many claims control keeps, and for how long',
+    )
+      .requiredOption(
+        '--answered-seconds <seconds>',
+        'time after the answer',
+        readNumber,
+      )
+      .requiredOption(
+        '--unanswered-seconds <seconds>',
+        'time after the last grant without an answer',
+        readNumber,
+      ),
+    (maximumClaims, { answeredSeconds, unansweredSeconds }) => ({
+      kind: IntentKind.SetClaimRetention,
+      retention: {
+        finishedMilliseconds: Number(answeredSeconds) * millisecondsPerSecond,
+        unfinishedMilliseconds:
+          Number(unansweredSeconds) * millisecondsPerSecond,
+        maximumClaims: Number(maximumClaims),
+      },
+    }),
+  );
+}
+
 function addPlaceIntents(state: StateIntent): void {
   const racks = [
     [IntentKind.DrainRack, 'stop new work in a rack'],
--- a/packages/configuration/src/apply-intent.ts
+++ b/packages/configuration/src/apply-intent.ts
@@ -81,6 +81,8 @@
     case IntentKind.RemoveControlHost:
     case IntentKind.ReplaceControlHost:
       return applyControlHostIntent(configuration, intent);
+    case IntentKind.SetClaimRetention:
+      return ok({ ...configuration, claimRetention: intent.retention });
   }
 }
 
--- a/packages/configuration/src/describe-effect.ts
+++ b/packages/configuration/src/describe-effect.ts
@@ -1,5 +1,7 @@
 /** Words an effect for the operator who decides on a plan. */
 import {
+  type ClaimRetention,
+  type Milliseconds,
   type ServiceConfiguration,
   type TeamConfiguration,
   WorkerState,
@@ -7,6 +9,8 @@
 
 import { type Effect, EffectKind } from './effects.js';
 
+const millisecondsPerSecond = 1_000;
+
 /** One sentence that says what the effect does. */
 export function describeEffect(effect: Effect): string {
   switch (effect.kind) {
@@ -40,6 +44,8 @@
       return `Replica ${effect.replicaId} leaves control.`;
     case EffectKind.CapacityChanged:
       return `Declared workers of ${effect.service} that receive work: ${String(effect.workersBefore)} before, ${String(effect.workersAfter)} after.`;
+    case EffectKind.ClaimRetentionSet:
+      return describeRetention(effect.after);
   }
 }
 
@@ -75,6 +81,20 @@
   return `Team ${after.team} changes: ${compareFields(before, after)}.`;
 }
 
+function describeRetention({
+  finishedMilliseconds,
+  unfinishedMilliseconds,
+  maximumClaims,
+}: ClaimRetention): string {
+  const answered = inSeconds(finishedMilliseconds);
+  const unanswered = inSeconds(unfinishedMilliseconds);
+  return `Claims are kept for ${answered} s after the answer and ${unanswered} s without one, at most ${String(maximumClaims)}: a job identifier sent again later than that starts again, and above that number new jobs are refused.`;
+}
+
+function inSeconds(time: Milliseconds): string {
+  return String(time / millisecondsPerSecond);
+}
+
 function listFields(entry: object): string {
   return Object.entries(entry)
     .filter(([name, value]) => isShown(name) && value !== undefined)
--- a/packages/configuration/src/effects.ts
+++ b/packages/configuration/src/effects.ts
@@ -1,5 +1,6 @@
 /** The things that a change of the configuration can do. */
 import type {
+  ClaimRetention,
   ControlHostConfiguration,
   DataCentreName,
   RackName,
@@ -29,6 +30,7 @@
   ControlHostAdded = 'control-host-added',
   ControlHostRemoved = 'control-host-removed',
   CapacityChanged = 'capacity-changed',
+  ClaimRetentionSet = 'claim-retention-set',
 }
 
 /** One thing that a change does. */
@@ -85,4 +87,9 @@
       readonly service: ServiceName;
       readonly workersBefore: number;
       readonly workersAfter: number;
+    }
+  | {
+      readonly kind: EffectKind.ClaimRetentionSet;
+      readonly before?: ClaimRetention | undefined;
+      readonly after: ClaimRetention;
     };
--- a/packages/configuration/src/intent-schema.ts
+++ b/packages/configuration/src/intent-schema.ts
@@ -1,6 +1,10 @@
 /** Checks an intent that came from outside. */
 import { InvalidInputError } from '@cranberryturn/errors';
-import { type Intent, IntentKind } from '@cranberryturn/types';
+import {
+  type Intent,
+  IntentKind,
+  type Milliseconds,
+} from '@cranberryturn/types';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 
@@ -64,6 +68,12 @@
   }),
 });
 
+const shortestRetention: Milliseconds = 10_000;
+/** Runs that left are remembered for an hour; no claim may outlive its witnesses. */
+const longestRetention: Milliseconds = 3_600_000;
+const leastClaims = 1_000;
+const mostClaims = 10_000_000;
+
 const setLimitSchema = z
   .strictObject({
     kind: z.literal(IntentKind.SetLimit),
@@ -78,6 +88,24 @@
     error: 'name at least one limit',
   });
 
+const retentionSchema = z
+  .strictObject({
+    finishedMilliseconds: z.int().min(shortestRetention).max(longestRetention),
+    unfinishedMilliseconds: z
+      .int()
+      .min(shortestRetention)
+      .max(longestRetention),
+    maximumClaims: z.int().min(leastClaims).max(mostClaims),
+  })
+  .refine(
+    ({ finishedMilliseconds, unfinishedMilliseconds }) =>
+      finishedMilliseconds <= unfinishedMilliseconds,
+    {
+      path: ['unfinishedMilliseconds'],
+      error: 'at least finishedMilliseconds',
+    },
+  );
+
 /** Schema of every intent. */
 export const intentSchema = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -125,6 +153,10 @@
     replicaId: nameSchema,
     replacement: controlHostSchema,
   }),
+  z.strictObject({
+    kind: z.literal(IntentKind.SetClaimRetention),
+    retention: retentionSchema,
+  }),
 ]) satisfies z.ZodType<Intent>;
 
 /** Reads an intent; the error names each wrong field. */
--- a/packages/configuration/src/list-effects.ts
+++ b/packages/configuration/src/list-effects.ts
@@ -41,6 +41,7 @@
     ...listServiceEffects(before, after),
     ...listTeamEffects(before, after),
     ...listControlHostEffects(before, after),
+    ...listClaimEffects(before, after),
   ];
 }
 
@@ -186,6 +187,17 @@
   ];
 }
 
+function listClaimEffects(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): readonly Effect[] {
+  const { claimRetention } = after;
+  if (claimRetention === undefined) return [];
+  if (isEqual(before.claimRetention, claimRetention)) return [];
+  const kind = EffectKind.ClaimRetentionSet as const;
+  return [{ kind, before: before.claimRetention, after: claimRetention }];
+}
+
 function compareByKey<Entry>(
   before: readonly Entry[],
   after: readonly Entry[],
--- a/packages/control/src/claims-model.test.ts
+++ b/packages/control/src/claims-model.test.ts
@@ -1,8 +1,7 @@
 import { isDeepStrictEqual } from 'node:util';
 
-import type { ClaimRetention } from '@cranberryturn/claims';
 import { defaultRosterRetention } from '@cranberryturn/membership';
-import type { ClaimRequest } from '@cranberryturn/types';
+import type { ClaimRequest, ClaimRetention } from '@cranberryturn/types';
 import { ControlMethod } from '@cranberryturn/wire';
 import test from 'ava';
 import fc from 'fast-check';
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -4,7 +4,6 @@
   applyClaim,
   applyFinish,
   type ClaimContext,
-  type ClaimRetention,
   ClaimTable,
 } from '@cranberryturn/claims';
 import {
@@ -34,6 +33,7 @@
   CommittedEntry,
   StateMachine,
 } from '@cranberryturn/replicated-log';
+import type { ClaimRetention } from '@cranberryturn/types';
 import { ControlMethod } from '@cranberryturn/wire';
 
 import {
@@ -71,6 +71,10 @@
   let roster = createRosterState();
   let configuration = createConfigurationState();
 
+  /** Set by operators; the same at every replica, because it comes from the log. */
+  const claimRetention = (): ClaimRetention =>
+    configuration.configuration.claimRetention ?? retention.claims;
+
   const applyCall = (
     call: ControlWrite,
     entry: CommittedEntry,
@@ -82,7 +86,7 @@
           outcome: applyClaim(
             claims,
             call.claim,
-            composeContext(roster, retention.claims, entry),
+            composeContext(roster, claimRetention(), entry),
           ),
         };
       case ControlMethod.Adopt:
@@ -91,7 +95,7 @@
           outcome: applyAdoption(
             claims,
             call.adopt,
-            composeContext(roster, retention.claims, entry),
+            composeContext(roster, claimRetention(), entry),
           ),
         };
       case ControlMethod.FinishClaims:
@@ -148,7 +152,7 @@
       return configuration;
     },
     apply: entry => {
-      claims.dropExpired(retention.claims, entry.leaderTime);
+      claims.dropExpired(claimRetention(), entry.leaderTime);
       dropRetiredRuns(roster, retention.roster, entry.leaderTime);
       return decodeOperations(entry.command).map(operation =>
         applyOperation(operation, entry),
--- a/packages/control/src/fakes/model-claims.ts
+++ b/packages/control/src/fakes/model-claims.ts
@@ -1,11 +1,11 @@
 /** Claims in a plain map, as slow and simple as can be, to compare the table of control with. */
-import type { ClaimRetention } from '@cranberryturn/claims';
 import {
   type AdoptRequest,
   type ClaimOutcome,
   ClaimOutcomeKind,
   ClaimRefusal,
   type ClaimRequest,
+  type ClaimRetention,
   type JobId,
   type LogIndex,
   type Milliseconds,
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -61,6 +61,16 @@
   readonly address: NetworkAddress;
 }
 
+/** How long and how many claims control keeps. */
+export interface ClaimRetention {
+  /** Time that a claim is kept after its job was answered. */
+  readonly finishedMilliseconds: Milliseconds;
+  /** Time that a claim is kept after its last grant when its job is never reported as answered. */
+  readonly unfinishedMilliseconds: Milliseconds;
+  /** Number of claims above which new jobs are refused. */
+  readonly maximumClaims: number;
+}
+
 /** Everything that operators set, at one version. */
 export interface ClusterConfiguration {
   readonly version: ConfigurationVersion;
@@ -70,6 +80,8 @@
   readonly drainedRacks: readonly RackName[];
   readonly drainedDataCentres: readonly DataCentreName[];
   readonly controlHosts: readonly ControlHostConfiguration[];
+  /** Undefined until an operator sets it; control then uses its defaults. */
+  readonly claimRetention?: ClaimRetention | undefined;
 }
 
 /** The configuration before the first change. */
--- a/packages/types/src/intents.ts
+++ b/packages/types/src/intents.ts
@@ -1,4 +1,5 @@
 import type {
+  ClaimRetention,
   ControlHostConfiguration,
   ServiceConfiguration,
   TeamConfiguration,
@@ -33,6 +34,7 @@
   AddControlHost = 'add-control-host',
   RemoveControlHost = 'remove-control-host',
   ReplaceControlHost = 'replace-control-host',
+  SetClaimRetention = 'set-claim-retention',
 }
 
 /** Where a target says that it runs. */
@@ -123,6 +125,12 @@
   readonly replacement: ControlHostConfiguration;
 }
 
+/** Sets how long and how many claims control keeps. */
+export interface SetClaimRetentionIntent {
+  readonly kind: IntentKind.SetClaimRetention;
+  readonly retention: ClaimRetention;
+}
+
 /** What an operator asks for. */
 export type Intent =
   | WorkerIntent
@@ -136,7 +144,8 @@
   | RemoveTeamIntent
   | AddControlHostIntent
   | RemoveControlHostIntent
-  | ReplaceControlHostIntent;
+  | ReplaceControlHostIntent
+  | SetClaimRetentionIntent;
 
 /** One accepted change of the configuration. */
 export interface ConfigurationChange {
