Invite a suspected sidecar only if it does not dial by itself

A connection that ended makes both ends suspect at once, and the sidecar dials again by itself, yet each dispatcher asked another one to invite it, for up to ten seconds, and holders queued the message for sidecars that they did not hear either. The first invitation now waits 200 ms, they end after three seconds, and holders pass them on only where they hear the sidecar.

Before: up to 10 calls from each dispatcher for a worker that dies, and one for each connection that is only replaced. After: 3 and none (new tests, manual clock).

--- a/packages/dispatcher/src/invite-targets.ts
+++ b/packages/dispatcher/src/invite-targets.ts
@@ -34,6 +34,7 @@
   readonly targets: TargetIdentity[];
 }
 
+const firstRoundMilliseconds: Milliseconds = 200;
 const roundMilliseconds: Milliseconds = 1_000;
 const passesOverHolders = 2;
 
@@ -57,8 +58,9 @@
   }
 
   async #run(): Promise<void> {
-    // Invitations of one turn of the event loop go together.
-    await Promise.resolve();
+    // A sidecar whose connection ended dials by itself, which needs no message.
+    await sleep(this.#options.timers, firstRoundMilliseconds);
+    this.#dropSettled();
     while (this.#invitations.size > 0) {
       for (const batch of this.#composeRound()) this.#send(batch);
       await sleep(this.#options.timers, roundMilliseconds);
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -45,7 +45,7 @@
 import type { TargetDirectoryOptions } from './target-directory-options.js';
 import { TargetPresence } from './target-presence.js';
 
-const invitationMilliseconds: Milliseconds = 10_000;
+const invitationMilliseconds: Milliseconds = 3_000;
 
 /** Connects targets with the scheduler. */
 export class TargetDirectory implements AttemptSender {
@@ -138,6 +138,7 @@
     dispatcher: DispatcherAddress,
   ): void {
     for (const target of targets) {
+      if (!this.#presence.isHeard(target)) continue;
       this.#send(target, { kind: ToTargetKind.OpenSession, dispatcher });
     }
   }
