Close a logger only once its backlog is written

Change: the logger is ended when nothing waits in it. The test raises the uncaught error without the change.

--- a/packages/logger/src/logger.test.ts
+++ b/packages/logger/src/logger.test.ts
@@ -91,6 +91,17 @@
   t.is(readFileSync(file, 'utf8').trimEnd().split('\n').length, 500);
 });
 
+test('a logger with a long backlog closes without losing a line', async t => {
+  const lines = 50_000;
+  const file = temporaryFile();
+  const timers = createManualTimerService();
+  const logger = createLogger({ process: 'entry-1', timers, file });
+  const text = 'x'.repeat(300);
+  for (let line = 0; line < lines; line += 1) logger.info('line', { text });
+  await logger.close();
+  t.is(readFileSync(file, 'utf8').trimEnd().split('\n').length, lines);
+});
+
 test('decisions go to the log unless its level is above info', async t => {
   const shown = collect();
   createDecisionLog({ ...shown, process: 'entry-1' }).record(leaving, 'r-1');
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -6,6 +6,7 @@
 import {
   createLogger as createWinstonLogger,
   format,
+  type Logger as WinstonLogger,
   transports,
 } from 'winston';
 
@@ -120,13 +121,24 @@
     close: () => {
       closing ??= new Promise(resolve => {
         transport.once('finish', resolve);
-        winston.end();
+        endOnceWritten(winston);
       });
       return closing;
     },
   };
 }
 
+/** Ending a logger also ends its transport, so that lines still on the way to it would be lost. */
+function endOnceWritten(winston: WinstonLogger): void {
+  if (winston.readableLength === 0 && winston.writableLength === 0) {
+    winston.end();
+    return;
+  }
+  setImmediate(() => {
+    endOnceWritten(winston);
+  });
+}
+
 function createTransport(options: LoggerOptions) {
   if (options.stream !== undefined) {
     return new transports.Stream({ stream: options.stream });
