Serve jobs before the cost of a dispatcher is measured

Cause: the scenario dispatcher-tasks measured a process that had just started and was still compiling its code; a dispatcher runs for weeks. Change: 40,000 tasks are served before the first reading. The limit of the table of claims on the capacity page is the one of the product.

--- a/packages/bench/src/capacity/compute-control.ts
+++ b/packages/bench/src/capacity/compute-control.ts
@@ -1,10 +1,11 @@
 /** Works out the load of control at the target size. */
+import { defaultClaimRetention } from '@cranberryturn/claims';
+
 import { formatNumber } from '../report/format-table.js';
 import type { CapacityRow } from './capacity-table.js';
 import type { DispatcherPlan } from './compute-capacity.js';
 import type { SlopeValues } from './slope-values.js';
 import {
-  claimTableLimit,
   jobSizes,
   plannedUse,
   retentionSeconds,
@@ -66,11 +67,12 @@
     {
       figure: `${name}: claims retained for ${formatNumber(retentionSeconds)} s`,
       value: formatNumber(retained),
-      budget: formatNumber(claimTableLimit),
-      source: 'claims a second x time; the budget is the limit of the table',
+      budget: formatNumber(defaultClaimRetention.maximumClaims),
+      source:
+        'claims a second x time; the budget is the limit of the table unless the configuration sets another',
     },
     {
-      figure: `${name}: heap of retained claims, each replica`,
+      figure: `${name}: memory of retained claims, each replica`,
       value: `${formatNumber(heap)} MiB`,
       source: 'control-claims, heap slope x retained claims',
     },
--- a/packages/bench/src/capacity/target-size.ts
+++ b/packages/bench/src/capacity/target-size.ts
@@ -30,6 +30,3 @@
 
 /** Seconds for which a sidecar remembers starts and control remembers claims. */
 export const retentionSeconds = 600;
-
-/** Claims that control holds before it refuses new jobs. */
-export const claimTableLimit = 1_000_000;
--- a/packages/bench/src/slopes/parts/job-load.ts
+++ b/packages/bench/src/slopes/parts/job-load.ts
@@ -10,9 +10,15 @@
 export const openJobs = 4;
 
 const measuredTasks = 16_000;
+const warmUpTasks = 40_000;
 const mostJobs = 4_000;
 
 /** Number of jobs of `tasks` tasks that are measured. */
 export function countJobs(tasks: number): number {
   return Math.min(mostJobs, Math.round(measuredTasks / tasks));
 }
+
+/** Number of jobs of `tasks` tasks that are served before, so that no code is compiled while it is measured. */
+export function countWarmUpJobs(tasks: number): number {
+  return Math.min(mostJobs, Math.round(warmUpTasks / tasks));
+}
--- a/packages/bench/src/slopes/sides/many-callers.ts
+++ b/packages/bench/src/slopes/sides/many-callers.ts
@@ -1,5 +1,10 @@
 /** Sidecars and callers that keep a dispatcher busy. */
-import { createSystemTimerService } from '@cranberryturn/timers';
+import {
+  createSystemTimerService,
+  sleep,
+  type TimerService,
+} from '@cranberryturn/timers';
+import type { Milliseconds } from '@cranberryturn/types';
 
 import { createHttpJobClient } from '../../load/create-http-job-client.js';
 import { type JobClient, SubmissionOutcome } from '../../load/job-client.js';
@@ -8,6 +13,7 @@
 import {
   busySidecars,
   countJobs,
+  countWarmUpJobs,
   measuredTeam,
   measuredToken,
   openJobs,
@@ -19,6 +25,8 @@
   type ScenarioSide,
 } from '../scenario.js';
 
+const pollMilliseconds: Milliseconds = 200;
+
 /** Starts sidecars, and callers that submit jobs of `size` tasks. */
 export function startManyCallers({
   size,
@@ -29,45 +37,64 @@
   if (dispatcher === undefined || callers === undefined) {
     throw new Error('No dispatcher to dial.');
   }
-  startFakeSidecars(busySidecars, dispatcher, createSystemTimerService(), seed);
+  const timers = createSystemTimerService();
+  startFakeSidecars(busySidecars, dispatcher, timers, seed);
   const client = createHttpJobClient({
     urls: [`http://${callers.address}:${String(callers.port)}`],
     tokenOf: () => measuredToken,
   });
   return Promise.resolve({
     addresses: [],
-    ready: () => Promise.resolve(),
+    ready: async () => {
+      await waitForTargets(client, size, timers);
+      await submitAll(client, 'warm-up', size, countWarmUpJobs(size));
+    },
     work: async () => {
       const jobs = countJobs(size);
-      await Promise.all(
-        Array.from({ length: openJobs }, (_, caller) =>
-          submitEach(client, size, caller, jobs),
-        ),
-      );
+      await submitAll(client, 'measured', size, jobs);
       return jobs;
     },
     traffic: () => noTraffic,
   });
 }
 
-async function submitEach(
+/** Submits jobs until the dispatcher knows targets that run them. */
+async function waitForTargets(
   client: JobClient,
   tasks: number,
-  caller: number,
+  timers: TimerService,
+): Promise<void> {
+  for (let number = 0; ; number += 1) {
+    const job = composeJob(`first-${String(number)}`, tasks);
+    const { outcome } = await client.submitJob(job);
+    if (outcome === SubmissionOutcome.Complete) return;
+    await sleep(timers, pollMilliseconds);
+  }
+}
+
+async function submitAll(
+  client: JobClient,
+  name: string,
+  tasks: number,
   jobs: number,
 ): Promise<void> {
-  for (let number = caller; number < jobs; number += openJobs) {
-    const reply = await client.submitJob(composeJob(number, tasks));
-    if (reply.outcome !== SubmissionOutcome.Complete) {
+  const submitEach = async (caller: number): Promise<void> => {
+    for (let number = caller; number < jobs; number += openJobs) {
+      const job = composeJob(`${name}-${String(number)}`, tasks);
+      const reply = await client.submitJob(job);
+      if (reply.outcome === SubmissionOutcome.Complete) continue;
       throw new Error(`A job was not answered: ${reply.reason ?? 'no reason'}`);
     }
-  }
+  };
+  await Promise.all(
+    Array.from({ length: openJobs }, (_, caller) => submitEach(caller)),
+  );
 }
 
-function composeJob(number: number, tasks: number): PlannedJob {
+function composeJob(jobId: string, tasks: number): PlannedJob {
   return {
     at: 0,
-    jobId: `job-${String(number)}`,
+    jobId,
     request: 'measured',
     service: measuredService,
     team: measuredTeam,
--- a/packages/bench/src/slopes/sides/measured-dispatcher.ts
+++ b/packages/bench/src/slopes/sides/measured-dispatcher.ts
@@ -72,6 +72,7 @@
       const known = (): number => dispatcher.scheduler.status().targets.length;
       await waitForRuns(timers, known, sidecars);
       await sleep(timers, settleMilliseconds);
+      answered = 0;
     },
     work: () => work(timers, () => answered),
     traffic: counted.count,
