Let the control of the benches list its dispatchers

A dispatcher registers again when the roster does not list it. The control in memory of the slopes never listed it, so the dispatcher registered for ever and the dispatcher-sidecars scenario gave no reading in 200 s. It is listed now. The idle dispatcher also waits until its sessions are idle.

--- a/packages/bench/src/fakes/memory-control.ts
+++ b/packages/bench/src/fakes/memory-control.ts
@@ -7,6 +7,7 @@
   type ClusterConfiguration,
   emptyConfiguration,
   type LogIndex,
+  type DispatcherRecord,
   type Roster,
   type TargetAnnouncement,
   type TargetRecord,
@@ -31,11 +32,12 @@
 ): MemoryControl {
   const owners = new Map<string, ClaimRequest>();
   const rosterListeners = new Set<(roster: Roster) => void>();
+  let dispatchers: readonly DispatcherRecord[] = [];
   let targets: readonly TargetRecord[] = [];
   let version: LogIndex = 1;
   let asked = 0;
 
-  const roster = (): Roster => ({ version, dispatchers: [], targets });
+  const roster = (): Roster => ({ version, dispatchers, targets });
 
   const claim = (request: ClaimRequest): ClaimOutcome => {
     asked += 1;
@@ -83,7 +85,12 @@
       },
     },
     registry: {
-      registerDispatcher: () => okAsync(version),
+      registerDispatcher: dispatcher => {
+        version += 1;
+        dispatchers = [...dispatchers, dispatcher];
+        for (const listener of rosterListeners) listener(roster());
+        return okAsync(version);
+      },
       retireDispatcher: () => okAsync(version),
       registerTarget,
       retireTarget: () => okAsync(version),
--- a/packages/bench/src/slopes/sides/measured-dispatcher.ts
+++ b/packages/bench/src/slopes/sides/measured-dispatcher.ts
@@ -25,7 +25,7 @@
 } from '../parts/job-load.js';
 import { measuredKeys } from '../parts/measured-keys.js';
 import type { ScenarioInput, ScenarioSide } from '../scenario.js';
-import { stayIdle } from './idle.js';
+import { stayIdle, waitUntilIdle } from './idle.js';
 import { waitForRuns } from './wait-for-runs.js';
 
 const mebibyte = 1_048_576;
@@ -33,10 +33,17 @@
 const settleMilliseconds: Milliseconds = 1_500;
 
 /** Starts a dispatcher that is measured without work. */
-export function startIdleDispatcher(
+export async function startIdleDispatcher(
   input: ScenarioInput,
 ): Promise<ScenarioSide> {
-  return startSide(input.seed, input.size, timers => stayIdle(timers));
+  const side = await startSide(input.seed, input.size, stayIdle);
+  return {
+    ...side,
+    ready: async () => {
+      await side.ready();
+      await waitUntilIdle(createSystemTimerService());
+    },
+  };
 }
 
 /** Starts a dispatcher that is measured while it serves jobs of `size` tasks. */
