Record every declared metric, and let a leaving sidecar say goodbye only once it is heard

Cause: of the declared metrics, queue and sync time, started tasks, ejections, resumed sessions, cancelled jobs, held answers, messages and most kinds of waste were recorded nowhere. The test that provokes each of them found a fault: an idle sidecar that stops said Left before the dispatcher had heard of the stop, and attempts on their way to it were taken for lost while running: 502 for a job whose attempts the sidecar had refused.

Change: decisions, sessions, frames and synced writes are measured where they happen. Names without an event of their own are gone (duplicate_answer, hedge_loser, redirect, probe, answers_held); sessions_suspected is new; messages are counted by the role of their receiver. A sidecar says Left once it is idle and every dispatcher has acknowledged the stop; an acknowledgement no longer overtakes messages that wait. control joins its network as the other roles do.

--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -1,12 +1,12 @@
 /** Starts a replica of control from its settings, with its administration API. */
 import { randomInt } from 'node:crypto';
 
-import {
-  readSharedKeyFile,
-  type SharedKeys,
-} from '@cranberryturn/authentication';
 import type { CranberryError } from '@cranberryturn/errors';
-import type { RoleEnvironment, RunningRole } from '@cranberryturn/program';
+import {
+  createRoleNetwork,
+  type RoleEnvironment,
+  type RunningRole,
+} from '@cranberryturn/program';
 import { createRandomSource, type RandomSource } from '@cranberryturn/random';
 import {
   createFileLogDisk,
@@ -24,20 +24,23 @@
 } from '@cranberryturn/settings';
 import type { ClusterConfiguration } from '@cranberryturn/types';
 import {
-  createWebSocketNetwork,
   type Network,
+  type PeerIdentity,
   ProcessRole,
 } from '@cranberryturn/wire';
 import { err, ok, Result, ResultAsync } from 'neverthrow';
 
 import { serveAdministration } from './adapters/serve-administration.js';
 import type { ControlOptions } from './control-node.js';
+import { measureSyncs } from './measure-syncs.js';
 import { formatAddress } from './parse-address.js';
 import { startControl } from './start-control.js';
 
 const largestSeed = 2 ** 31;
 const electionSpread = 2;
 
+type JoinNetwork = (self: PeerIdentity) => Network;
+
 /** Starts the role. */
 export function startControlRole(
   settings: ControlSettings,
@@ -51,15 +54,15 @@
   environment: RoleEnvironment,
 ): Promise<Result<RunningRole, CranberryError>> {
   const prepared = Result.combine([
-    readSharedKeyFile(settings.sharedKeyFile),
+    createRoleNetwork(settings.sharedKeyFile, environment),
     readInitialConfiguration(settings),
   ]);
   if (prepared.isErr()) return err(prepared.error);
-  const [keys, initialConfiguration] = prepared.value;
+  const [join, initialConfiguration] = prepared.value;
   const seed = settings.seed ?? randomInt(largestSeed);
   environment.logger.info('seed of this run', { seed });
   const started = await startControl(
-    composeOptions(settings, environment, keys, seed, initialConfiguration),
+    composeOptions(settings, environment, join, seed, initialConfiguration),
   );
   if (started.isErr()) return err(started.error);
   const node = started.value;
@@ -85,7 +88,7 @@
 function composeOptions(
   settings: ControlSettings,
   environment: RoleEnvironment,
-  keys: SharedKeys,
+  join: JoinNetwork,
   seed: number,
   initialConfiguration: Omit<ClusterConfiguration, 'version'>,
 ): ControlOptions {
@@ -93,11 +96,15 @@
   const random = createRandomSource(seed);
   return {
     listen: settings.peers.listen,
-    joinNetwork: name => joinNetwork(environment, keys, name, random),
+    joinNetwork: name => join(composeIdentity(name, random)),
     timers,
     openLog: (stateMachine, link) =>
       openReplicatedLog({
-        disk: createFileLogDisk(settings.dataFolder),
+        disk: measureSyncs(
+          createFileLogDisk(settings.dataFolder),
+          timers,
+          environment.metrics,
+        ),
         link,
         stateMachine,
         timers,
@@ -115,21 +122,9 @@
   };
 }
 
-function joinNetwork(
-  { timers, logger }: RoleEnvironment,
-  keys: SharedKeys,
-  name: string,
-  random: RandomSource,
-): Network {
+function composeIdentity(name: string, random: RandomSource): PeerIdentity {
   const incarnation = `${name}-${String(random.below(largestSeed))}`;
-  return createWebSocketNetwork({
-    self: { role: ProcessRole.Control, name, incarnation },
-    keys,
-    timers,
-    peerRefused: error => {
-      logger.warn('a process was refused', { error });
-    },
-  });
+  return { role: ProcessRole.Control, name, incarnation };
 }
 
 function composeStart(settings: ControlSettings): FoundStart | JoinStart {
--- a/packages/dispatcher/src/connected-target.ts
+++ b/packages/dispatcher/src/connected-target.ts
@@ -19,6 +19,8 @@
   load: TargetLoad | undefined;
   /** Registration under which it may get work. */
   record: TargetRecord | undefined;
+  /** Its connection is silent or ended. */
+  suspected: boolean;
   /** The run said that it stops. */
   left: boolean;
   /** Whether a task is registering it at the moment. */
@@ -41,6 +43,7 @@
     announcement: undefined,
     load: undefined,
     record: undefined,
+    suspected: false,
     left: false,
     registering: false,
     settingsSent: '',
--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -155,6 +155,7 @@
   async cancelJob(jobId: JobId): Promise<JobResult | undefined> {
     const entry = this.#table.find(jobId);
     if (entry === undefined) return undefined;
+    if (entry.result === undefined) this.#reporter.reportCancelled();
     this.#scheduler?.cancelJob(jobId, 'The caller cancelled the job.');
     return entry.finished;
   }
@@ -163,8 +164,11 @@
   noteResult(result: AttemptResult): void {
     this.#adoptions.noteResult(result);
     const job = this.#running.get(result.jobId);
-    if (job === undefined) return;
     if (result.outcome === AttemptOutcome.NotStarted) return;
+    if (job === undefined) {
+      this.#reporter.reportLateAnswer();
+      return;
+    }
     job.longestRun = Math.max(job.longestRun, result.runMilliseconds);
   }
 
--- a/packages/dispatcher/src/report-jobs.ts
+++ b/packages/dispatcher/src/report-jobs.ts
@@ -1,5 +1,10 @@
 /** Reports the course of jobs in decision lines and metrics. */
-import { Counter, Distribution, type Metrics } from '@cranberryturn/metrics';
+import {
+  Counter,
+  Distribution,
+  type Metrics,
+  WastedMessage,
+} from '@cranberryturn/metrics';
 import type { TimerService } from '@cranberryturn/timers';
 import {
   type ClaimGranted,
@@ -66,6 +71,15 @@
     );
   }
 
+  reportCancelled(): void {
+    this.#options.metrics.count(Counter.JobsCancelled);
+  }
+
+  /** An answer came after its job had ended. */
+  reportLateAnswer(): void {
+    this.#options.metrics.countWasted(WastedMessage.LateAnswer);
+  }
+
   reportReplied(job: RunningJob, result: JobResult): void {
     const { metrics, decisions } = this.#options;
     const isComplete = result.outcome === JobOutcome.Complete;
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -1,11 +1,12 @@
 /** Starts a dispatcher from its settings. */
 import { createControlClient } from '@cranberryturn/control-client';
 import type { CranberryError } from '@cranberryturn/errors';
-import { Gauge, type Metrics } from '@cranberryturn/metrics';
+import { Gauge, measureDecisions, type Metrics } from '@cranberryturn/metrics';
 import {
   chooseSeed,
   createIncarnation,
   createRoleNetwork,
+  observeSessions,
   type RoleEnvironment,
   type RunningRole,
 } from '@cranberryturn/program';
@@ -79,7 +80,7 @@
     timers,
     seed,
     metrics,
-    decisions: decisions.record,
+    decisions: measureDecisions(decisions.record, metrics, timers),
     logger,
     graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
@@ -90,6 +91,10 @@
     .map(dispatcher => {
       running.dispatcher = dispatcher;
       observeDispatcher(metrics, dispatcher);
+      metrics.observe(
+        Gauge.ConfigurationVersion,
+        () => control.configuration.current().version,
+      );
       return {
         dispatcher,
         addresses: {
@@ -108,7 +113,9 @@
 }
 
 function observeDispatcher(metrics: Metrics, dispatcher: Dispatcher): void {
-  const { scheduler, jobs } = dispatcher;
+  const { scheduler, jobs, targets } = dispatcher;
+  observeSessions(metrics, () => targets.acceptor.sessions());
+  metrics.observe(Gauge.Sessions, () => targets.acceptor.sessions().length);
   metrics.observe(Gauge.JobsOpen, () => jobs.inFlight);
   metrics.observe(Gauge.TasksQueued, () => scheduler.status().queuedTasks);
   metrics.observe(Gauge.TasksRunning, () => scheduler.status().runningTasks);
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -174,17 +174,22 @@
     for (const message of this.#waiters.listWaiting(describeRun(identity))) {
       send(message);
     }
+    const { metrics } = this.#options;
     return {
       messageReceived: message => {
         this.#handle(target, message);
       },
       connected: () => {
         this.#options.logger?.info('target connected', identity);
+        if (target.suspected) metrics.count(Counter.SessionsResumed);
+        target.suspected = false;
         this.#presence.noteHeard(identity);
         this.#resume(target);
       },
       suspected: () => {
         this.#options.logger?.warn('target suspected', identity);
+        metrics.count(Counter.SessionsSuspected);
+        target.suspected = true;
         this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
       },
--- a/packages/local/src/start-local-system.ts
+++ b/packages/local/src/start-local-system.ts
@@ -54,6 +54,7 @@
   readonly tokens: LocalTokens;
   readonly controls: readonly LocalRole[];
   readonly dispatchers: readonly LocalDispatcher[];
+  readonly sidecars: readonly LocalRole[];
   readonly workers: readonly RunningWorker[];
   /** Planned stop of all roles: dispatchers, sidecars, then control. */
   stop(): Promise<void>;
@@ -108,8 +109,8 @@
     await stop();
     return err(started.error);
   }
-  const { controls, dispatchers, workers } = parts;
-  return ok({ tokens, controls, dispatchers, workers, stop });
+  const { controls, dispatchers, sidecars, workers } = parts;
+  return ok({ tokens, controls, dispatchers, sidecars, workers, stop });
 }
 
 async function startParts(parts: Parts): Promise<Result<void, CranberryError>> {
--- a/packages/metrics/src/expose-metrics.ts
+++ b/packages/metrics/src/expose-metrics.ts
@@ -48,22 +48,22 @@
 }
 
 function addMessages(registry: Registry, reading: MetricsReading): void {
-  const labels = ['kind', 'direction'];
+  const labels = ['receiver'];
   const messages = addCounter(
     registry,
     'messages',
-    'Messages between processes.',
+    'Messages sent to other processes, by their role.',
     labels,
   );
   const bytes = addCounter(
     registry,
     'message_bytes',
-    'Bytes of messages between processes.',
+    'Bytes of messages sent to other processes, by their role.',
     labels,
   );
-  for (const { kind, direction, ...counts } of reading.messages) {
-    messages.inc({ kind, direction }, counts.messages);
-    bytes.inc({ kind, direction }, counts.bytes);
+  for (const { receiver, ...counts } of reading.messages) {
+    messages.inc({ receiver }, counts.messages);
+    bytes.inc({ receiver }, counts.bytes);
   }
 }
 
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,4 +1,5 @@
 /** Histograms and counters served at /metrics. */
 export * from './distribution-recorder.js';
+export * from './measure-decisions.js';
 export * from './metrics.js';
 export * from './names.js';
--- a/packages/metrics/src/metrics.test.ts
+++ b/packages/metrics/src/metrics.test.ts
@@ -5,7 +5,6 @@
   Counter,
   createDistributionRecorder,
   createMetrics,
-  Direction,
   Distribution,
   Gauge,
   WastedMessage,
@@ -29,9 +28,10 @@
   metrics.count(Counter.JobsAdmitted);
   metrics.count(Counter.TasksStarted, 20);
   metrics.countWasted(WastedMessage.RefusedStart, 2);
-  metrics.countMessage('start', Direction.Sent, 100);
-  metrics.countMessage('start', Direction.Sent, 50);
-  metrics.countMessage('answer', Direction.Received, 10);
+  metrics.observeWasted(WastedMessage.RefusedStart, () => 3);
+  metrics.countMessage('sidecar', 100);
+  metrics.countMessage('sidecar', 50);
+  metrics.countMessage('control', 10);
   metrics.record(Distribution.RunMilliseconds, 50, 'lookup');
   const text = await metrics.expose();
   const stable = text
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -9,16 +9,14 @@
 import { exposeMetrics } from './expose-metrics.js';
 import {
   Counter,
-  Direction,
   type Distribution,
   type Gauge,
   WastedMessage,
 } from './names.js';
 
-/** Messages of one kind in one direction. */
+/** Messages sent to the processes of one role. */
 export interface MessageCount {
-  readonly kind: string;
-  readonly direction: Direction;
+  readonly receiver: string;
   readonly messages: number;
   readonly bytes: number;
 }
@@ -44,8 +42,10 @@
 export interface Metrics {
   count(counter: Counter, amount?: number): void;
   countWasted(kind: WastedMessage, amount?: number): void;
-  /** Counts one message between processes. */
-  countMessage(kind: string, direction: Direction, bytes: number): void;
+  /** Adds a count that is kept elsewhere; it is read only when the metrics are read. */
+  observeWasted(kind: WastedMessage, readCount: () => number): void;
+  /** Counts one message sent to a process of the role `receiver`. */
+  countMessage(receiver: string, bytes: number): void;
   /** Records one value, by service where that helps. */
   record(distribution: Distribution, value: number, service?: string): void;
   /** Registers the source of a gauge; it is read only when the metrics are read. */
@@ -59,12 +59,16 @@
 export const metricsContentType = 'text/plain; version=0.0.4; charset=utf-8';
 
 interface MutableMessageCount {
-  readonly kind: string;
-  readonly direction: Direction;
+  readonly receiver: string;
   messages: number;
   bytes: number;
 }
 
+interface ObservedWaste {
+  readonly kind: WastedMessage;
+  readonly readCount: () => number;
+}
+
 interface KeptDistribution {
   readonly distribution: Distribution;
   readonly service: string;
@@ -81,8 +85,8 @@
   const counters = zeroes(Object.values(Counter));
   const wasted = zeroes(Object.values(WastedMessage));
   const gauges = new Map<Gauge, () => number>();
-  const received = new Map<string, MutableMessageCount>();
-  const sent = new Map<string, MutableMessageCount>();
+  const observedWaste: ObservedWaste[] = [];
+  const messages = new Map<string, MutableMessageCount>();
   const distributions = new Map<string, KeptDistribution>();
 
   const keep = (distribution: Distribution, service: string) => {
@@ -96,10 +100,8 @@
     role: options.role,
     process: options.process,
     counters: { ...counters },
-    wasted: { ...wasted },
-    messages: [...received.values(), ...sent.values()].map(entry => ({
-      ...entry,
-    })),
+    wasted: addObserved(wasted, observedWaste),
+    messages: [...messages.values()].map(entry => ({ ...entry })),
     gauges: [...gauges].map(([gauge, readValue]) => ({
       gauge,
       value: readValue(),
@@ -120,9 +122,11 @@
     countWasted: (kind, amount = 1) => {
       wasted[kind] += amount;
     },
-    countMessage: (kind, direction, bytes) => {
-      const counts = direction === Direction.Sent ? sent : received;
-      const entry = counts.get(kind) ?? addMessageKind(counts, kind, direction);
+    observeWasted: (kind, readCount) => {
+      observedWaste.push({ kind, readCount });
+    },
+    countMessage: (receiver, bytes) => {
+      const entry = messages.get(receiver) ?? addReceiver(messages, receiver);
       entry.messages += 1;
       entry.bytes += bytes;
     },
@@ -148,12 +152,20 @@
   >;
 }
 
-function addMessageKind(
-  counts: Map<string, MutableMessageCount>,
-  kind: string,
-  direction: Direction,
+function addObserved(
+  counted: Readonly<Record<WastedMessage, number>>,
+  observed: readonly ObservedWaste[],
+): Record<WastedMessage, number> {
+  const sums = { ...counted };
+  for (const { kind, readCount } of observed) sums[kind] += readCount();
+  return sums;
+}
+
+function addReceiver(
+  messages: Map<string, MutableMessageCount>,
+  receiver: string,
 ): MutableMessageCount {
-  const entry = { kind, direction, messages: 0, bytes: 0 };
-  counts.set(kind, entry);
+  const entry = { receiver, messages: 0, bytes: 0 };
+  messages.set(receiver, entry);
   return entry;
 }
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -32,6 +32,8 @@
   TasksNotStarted = 'tasks_not_started',
   TargetsEjected = 'targets_ejected',
   SessionsOpened = 'sessions_opened',
+  /** Sessions whose connection fell silent or ended. */
+  SessionsSuspected = 'sessions_suspected',
   SessionsResumed = 'sessions_resumed',
   PeersRefused = 'peers_refused',
   TokensRefused = 'tokens_refused',
@@ -43,9 +45,7 @@
 export enum WastedMessage {
   /** A start that the sidecar refused. */
   RefusedStart = 'refused_start',
-  /** An answer that had already arrived. */
-  DuplicateAnswer = 'duplicate_answer',
-  /** An answer that nobody waits for any more. */
+  /** An answer that nobody waits for any more: after a cancellation, or of the slower of two attempts. */
   LateAnswer = 'late_answer',
   /** A frame sent again after a connection was replaced. */
   Retransmission = 'retransmission',
@@ -53,14 +53,8 @@
   Heartbeat = 'heartbeat',
   /** A further attempt of a task. */
   RetryAttempt = 'retry_attempt',
-  /** The slower one of two parallel attempts. */
-  HedgeLoser = 'hedge_loser',
-  /** A request that was sent to a replica that does not lead. */
-  Redirect = 'redirect',
-  /** A cancellation of work that had already ended. */
+  /** A cancellation of an attempt that had already ended. */
   LateCancellation = 'late_cancellation',
-  /** A health probe. */
-  Probe = 'probe',
 }
 
 /** Values that go up and down. */
@@ -73,16 +67,9 @@
   JobsOpen = 'jobs_open',
   TargetsKnown = 'targets_known',
   TargetsEjectedNow = 'targets_ejected_now',
-  AnswersHeld = 'answers_held',
   AnswersHeldBytes = 'answers_held_bytes',
   ConfigurationVersion = 'configuration_version',
   LogIndex = 'log_index',
   /** 1 while this replica leads. */
   Leading = 'leading',
 }
-
-/** Direction of a message as seen by this process. */
-export enum Direction {
-  Received = 'received',
-  Sent = 'sent',
-}
--- /dev/null
+++ b/packages/program/src/measure-network.ts
@@ -0,0 +1,25 @@
+/** Counts the messages that a process sends. */
+import type { Metrics } from '@cranberryturn/metrics';
+import type { Connection, Network } from '@cranberryturn/wire';
+
+/** Counts each message sent over `network` by the role of its receiver. */
+export function measureNetwork(network: Network, metrics: Metrics): Network {
+  const measure = (connection: Connection): Connection => ({
+    peer: connection.peer,
+    send: bytes => {
+      metrics.countMessage(connection.peer.role, bytes.byteLength);
+      connection.send(bytes);
+    },
+    receive: () => connection.receive(),
+    close: () => {
+      connection.close();
+    },
+  });
+  return {
+    dial: address => network.dial(address).map(measure),
+    listen: (address, handler) =>
+      network.listen(address, connection => {
+        handler(measure(connection));
+      }),
+  };
+}
--- a/packages/program/src/role-environment.ts
+++ b/packages/program/src/role-environment.ts
@@ -11,6 +11,7 @@
   createSystemTimerService,
   type TimerService,
 } from '@cranberryturn/timers';
+import type { Network, PeerIdentity } from '@cranberryturn/wire';
 
 /** Time, logs and measures of one role. */
 export interface RoleEnvironment {
@@ -18,6 +19,9 @@
   readonly logger: Logger;
   readonly decisions: DecisionLog;
   readonly metrics: Metrics;
+  /** Puts something between the role and its network, for measurements and failure tests. */
+  readonly wrapNetwork?:
+    ((network: Network, self: PeerIdentity) => Network) | undefined;
 }
 
 /** Creates the environment of a role that runs as `process`. */
--- a/packages/program/src/role-network.ts
+++ b/packages/program/src/role-network.ts
@@ -12,6 +12,7 @@
 } from '@cranberryturn/wire';
 import type { Result } from 'neverthrow';
 
+import { measureNetwork } from './measure-network.js';
 import type { RoleEnvironment } from './role-environment.js';
 
 const seedBound = 2 ** 31;
@@ -36,17 +37,18 @@
   sharedKeyFile: string,
   environment: RoleEnvironment,
 ): Result<(self: PeerIdentity) => Network, InvalidInputError> {
-  const { timers, logger, metrics } = environment;
-  return readSharedKeyFile(sharedKeyFile).map(
-    keys => self =>
-      createWebSocketNetwork({
-        self,
-        keys,
-        timers,
-        peerRefused: error => {
-          metrics.count(Counter.PeersRefused);
-          logger.warn('peer refused', { error });
-        },
-      }),
-  );
+  const { timers, logger, metrics, wrapNetwork } = environment;
+  return readSharedKeyFile(sharedKeyFile).map(keys => self => {
+    const network = createWebSocketNetwork({
+      self,
+      keys,
+      timers,
+      peerRefused: error => {
+        metrics.count(Counter.PeersRefused);
+        logger.warn('peer refused', { error });
+      },
+    });
+    const measured = measureNetwork(network, metrics);
+    return wrapNetwork === undefined ? measured : wrapNetwork(measured, self);
+  });
 }
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -271,20 +271,24 @@
     });
   }
 
-  #flush(): void {
+  /** Sends what waits. False when nothing does. */
+  #flush(): boolean {
     this.#flushScheduled = false;
-    if (this.#connection === undefined || this.#ended) return;
+    if (this.#connection === undefined || this.#ended) return false;
     const batch = this.#window.takeUnsent();
-    if (batch.messages.length === 0) return;
+    if (batch.messages.length === 0) return false;
     this.#transmit({
       kind: SessionFrameKind.Data,
       sequence: batch.sequence,
       received: this.#window.confirmReceived(),
       messages: batch.messages,
     });
+    return true;
   }
 
   #sendHeartbeat(): void {
+    // An acknowledgement must not overtake messages that were sent before it.
+    if (this.#flush()) return;
     if (this.#connection === undefined || this.#ended) return;
     this.#counts.heartbeatsSent += 1;
     this.#transmit({
--- a/packages/sidecar/src/attempt-ledger.ts
+++ b/packages/sidecar/src/attempt-ledger.ts
@@ -129,6 +129,11 @@
     };
   }
 
+  /** Size of the answers kept. */
+  get answerBytes(): number {
+    return this.#answerBytes;
+  }
+
   /** Number of jobs remembered. */
   get size(): number {
     return this.#jobs.size;
--- a/packages/sidecar/src/run-attempts.ts
+++ b/packages/sidecar/src/run-attempts.ts
@@ -31,6 +31,8 @@
   readonly decisions: DecisionSink;
   /** Number of attempts that may wait for a slot. */
   readonly queueLimit: number;
+  /** Hears of each cancellation of an attempt that neither waits nor runs. */
+  readonly cancelledLate?: (() => void) | undefined;
   /** Hears how each attempt ended, and which dispatchers to tell. */
   readonly attemptEnded: (
     result: AttemptResult,
@@ -267,10 +269,11 @@
       this.#refuse(waiting.attempt, NotStartedReason.Cancelled);
       return;
     }
-    for (const running of this.#running) {
-      if (!isSameAttempt(running.attempt, key)) continue;
-      running.abort.abort(new Error(reason));
-    }
+    const running = [...this.#running].find(one =>
+      isSameAttempt(one.attempt, key),
+    );
+    if (running === undefined) this.#options.cancelledLate?.();
+    running?.abort.abort(new Error(reason));
   }
 }
 
--- a/packages/sidecar/src/start-sidecar-role.ts
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -1,11 +1,12 @@
 /** Starts a sidecar from its settings. */
 import type { CranberryError } from '@cranberryturn/errors';
-import { Gauge, type Metrics } from '@cranberryturn/metrics';
+import { Gauge, measureDecisions, type Metrics } from '@cranberryturn/metrics';
 import {
   chooseSeed,
   createIncarnation,
   createRoleNetwork,
   finishWithin,
+  observeSessions,
   type RoleEnvironment,
   type RunningRole,
   serveOperations,
@@ -61,7 +62,7 @@
     ...createTarget(settings, environment.timers),
     timers,
     random: createRandomSource(chooseSeed(settings.seed, environment)),
-    decisions: decisions.record,
+    decisions: measureDecisions(decisions.record, metrics, timers),
     logger: environment.logger,
     metrics,
     retention: {
@@ -170,5 +171,7 @@
     () => slots - sidecar.runner.load.freeSlots,
   );
   metrics.observe(Gauge.TasksQueued, () => sidecar.runner.load.queuedTasks);
+  metrics.observe(Gauge.AnswersHeldBytes, () => sidecar.answersHeldBytes());
+  observeSessions(metrics, sidecar.sessions);
   metrics.observe(Gauge.Sessions, () => sidecar.sessions().length);
 }
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -1,6 +1,6 @@
 /** Brings the parts of a sidecar together. */
 import type { Logger } from '@cranberryturn/logger';
-import { Counter, type Metrics } from '@cranberryturn/metrics';
+import { Counter, type Metrics, WastedMessage } from '@cranberryturn/metrics';
 import type { RandomSource } from '@cranberryturn/random';
 import {
   defaultSessionTimes,
@@ -65,6 +65,8 @@
   readonly runner: AttemptRunner;
   /** Sessions with dispatchers, for metrics. */
   sessions(): readonly Session<FromTargetMessage, ToTargetMessage>[];
+  /** Size of the answers kept for an adopting dispatcher. */
+  answersHeldBytes(): number;
   /** Planned stop: refuses new attempts, finishes those in flight, waits for acknowledgements. */
   stop(): Promise<void>;
   /** Ends everything at once. */
@@ -89,6 +91,9 @@
     timers,
     decisions: options.decisions,
     queueLimit: options.queueLimit,
+    cancelledLate: () => {
+      options.metrics?.countWasted(WastedMessage.LateCancellation);
+    },
     attemptEnded: (result, tell) => {
       options.metrics?.count(chooseCounter(result.outcome));
       dispatchers.reportResult(result, tell);
@@ -130,14 +135,23 @@
     const giveUpAt = timers.now() + grace;
     runner.beginStop();
     dispatchers.reportLoadToAll();
-    await pollUntil(timers, giveUpAt, () => runner.isIdle);
-    if (runner.isIdle) dispatchers.tellAll({ kind: FromTargetKind.Left });
-    await pollUntil(timers, giveUpAt, () => sessions().every(isAcknowledged));
+    const areAcknowledged = () => sessions().every(isAcknowledged);
+    // Attempts sent before a dispatcher heard of the stop arrive before its acknowledgement.
+    const isDone = () => runner.isIdle && areAcknowledged();
+    await pollUntil(timers, giveUpAt, isDone);
+    if (isDone()) dispatchers.tellAll({ kind: FromTargetKind.Left });
+    await pollUntil(timers, giveUpAt, areAcknowledged);
     kill();
     await options.target.close();
   };
 
-  return { runner, sessions, stop, kill };
+  return {
+    runner,
+    sessions,
+    answersHeldBytes: () => ledger.answerBytes,
+    stop,
+    kill,
+  };
 }
 
 function serveDispatcher(
