--- a/packages/dispatcher/src/connected-target.ts
+++ b/packages/dispatcher/src/connected-target.ts
@@ -1,4 +1,6 @@
 /** One run of a sidecar that has a session with this dispatcher. */
+import type { Logger } from '@cranberryturn/logger';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import {
   type ClusterConfiguration,
   type ConfigurationVersion,
@@ -9,6 +11,7 @@
 } from '@cranberryturn/types';
 import { ToTargetKind, type ToTargetMessage } from '@cranberryturn/wire';
 
+import type { ApplySessionsMessage } from './session-subsets.js';
 import { findTargetSettings } from './target-settings.js';
 
 /** One connected run of a sidecar. */
@@ -26,6 +29,9 @@
   /** Whether a task is registering it at the moment. */
   registering: boolean;
   settingsSent: string;
+  sessionsSent: string;
+  /** The run said that it closes this session next. */
+  sessionLeft: boolean;
   /** Version of the configuration with the settings sent last; 0 before the first. */
   settingsSentVersion: ConfigurationVersion;
   /** Version of the settings that the run has confirmed; 0 before the first. */
@@ -47,6 +53,8 @@
     left: false,
     registering: false,
     settingsSent: '',
+    sessionsSent: '',
+    sessionLeft: false,
     settingsSentVersion: 0,
     settingsVersion: 0,
   };
@@ -70,6 +78,23 @@
   });
 }
 
+/** Sends which sessions the target should have, unless that was sent last. */
+export function sendSessions(
+  target: ConnectedTarget,
+  message: ApplySessionsMessage,
+): void {
+  const { dispatchers, leaveOthers } = message;
+  const described = JSON.stringify([dispatchers, leaveOthers]);
+  if (described === target.sessionsSent) return;
+  target.sessionsSent = described;
+  target.send(message);
+}
+
+/** Whether the run takes no work of this dispatcher any more. */
+export function hasLeft(target: ConnectedTarget): boolean {
+  return target.left || target.sessionLeft;
+}
+
 /** Whether the run was told of settings that it has not confirmed. */
 export function isBehind(target: ConnectedTarget): boolean {
   return target.settingsVersion < target.settingsSentVersion;
@@ -79,3 +104,29 @@
 export function describeRun(target: TargetIdentity): string {
   return `${target.targetId}/${target.incarnation}`;
 }
+
+/** Where the state of sessions is reported. */
+export interface SessionReports {
+  readonly metrics: Metrics;
+  readonly logger?: Logger | undefined;
+}
+
+/** Reports that a connection carries the session of the target. */
+export function noteConnected(
+  target: ConnectedTarget,
+  { metrics, logger }: SessionReports,
+): void {
+  logger?.info('target connected', { ...target.identity });
+  if (target.suspected) metrics.count(Counter.SessionsResumed);
+  target.suspected = false;
+}
+
+/** Reports that the target is silent. */
+export function noteSuspected(
+  target: ConnectedTarget,
+  { metrics, logger }: SessionReports,
+): void {
+  logger?.warn('target suspected', { ...target.identity });
+  metrics.count(Counter.SessionsSuspected);
+  target.suspected = true;
+}
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -82,10 +82,12 @@
     metrics,
     decisions: measureDecisions(decisions.record, metrics, timers),
     logger,
+    targetsPerService: settings.targetsPerService,
     graceMilliseconds: settings.stop.graceMilliseconds,
     sessionTimes: {
       heartbeatMilliseconds: settings.heartbeat.intervalMilliseconds,
       suspicionMilliseconds: settings.heartbeat.suspectAfterMilliseconds,
+      idleHeartbeatMilliseconds: settings.heartbeat.idleIntervalMilliseconds,
     },
   })
     .map(dispatcher => {
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -1,31 +1,19 @@
 /** Brings the parts of a dispatcher together. */
 import type { CranberryError } from '@cranberryturn/errors';
-import type { ResultRetention } from '@cranberryturn/jobs';
-import type { Logger } from '@cranberryturn/logger';
-import type { Metrics } from '@cranberryturn/metrics';
 import { type HttpListener, listenForHttp } from '@cranberryturn/program';
-import {
-  createScheduler,
-  type Scheduler,
-  type SchedulerOptions,
-} from '@cranberryturn/scheduling';
-import {
-  defaultSessionTimes,
-  type SessionTimes,
-} from '@cranberryturn/sessions';
-import { sleep, type TimerService } from '@cranberryturn/timers';
+import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
+import { defaultSessionTimes } from '@cranberryturn/sessions';
+import { sleep } from '@cranberryturn/timers';
 import type {
-  DataCentreName,
-  DecisionSink,
-  DispatcherIdentity,
   DispatcherRecord,
   Milliseconds,
   NetworkAddress,
 } from '@cranberryturn/types';
 import {
   type Connection,
+  DispatcherMethod,
+  DispatcherReplyKind,
   type Listener,
-  type Network,
   ProcessRole,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -35,52 +23,19 @@
   findElsewhere,
   type LendingScheduler,
 } from './answer-dispatchers.js';
-import { type CallerTeam, serveCallers } from './callers/serve-callers.js';
+import { serveCallers } from './callers/serve-callers.js';
+import type { DispatcherOptions } from './dispatcher-options.js';
 import { DispatcherLinks } from './dispatcher-links.js';
 import { createShareExchange } from './exchange-shares.js';
 import { JobService } from './job-service.js';
 import { keepRegistered, type Registration } from './keep-registered.js';
-import type { ControlPort } from './ports/control.js';
+import { TargetInviter } from './invite-targets.js';
+import { SessionSubsets } from './session-subsets.js';
 import { TargetDirectory } from './target-directory.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 const defaultGraceMilliseconds: Milliseconds = 60_000;
 
-/** Limits of the HTTP interface. */
-export interface DispatcherLimits {
-  readonly bodyBytes: number;
-  readonly bodyTimeoutMilliseconds: Milliseconds;
-  readonly callersConnections: number;
-}
-
-/** What a dispatcher is built from. */
-export interface DispatcherOptions {
-  readonly self: DispatcherIdentity;
-  /** Targets of this data centre are preferred; without it, all are alike. */
-  readonly dataCentre?: DataCentreName | undefined;
-  readonly callers: NetworkAddress;
-  readonly peers: NetworkAddress & {
-    /** Address that others dial, where it is not the one listened on. */
-    readonly advertisedAddress?: string | undefined;
-  };
-  readonly teams: readonly CallerTeam[];
-  readonly limits: DispatcherLimits;
-  readonly retention: ResultRetention;
-  readonly network: Network;
-  readonly control: ControlPort;
-  readonly timers: TimerService;
-  readonly seed: number;
-  readonly metrics: Metrics;
-  readonly decisions: DecisionSink;
-  readonly logger?: Logger | undefined;
-  readonly sessionTimes?: SessionTimes | undefined;
-  /** Longest time of a planned stop. */
-  readonly graceMilliseconds?: Milliseconds | undefined;
-  /** Creates another scheduler than that of the product, to compare policies. */
-  readonly createScheduler?:
-    ((options: SchedulerOptions) => Scheduler) | undefined;
-}
-
 /** A running dispatcher. */
 export interface Dispatcher {
   readonly callersAddress: NetworkAddress;
@@ -162,12 +117,17 @@
 
 function createParts(options: DispatcherOptions): DispatcherParts {
   const { timers, network, control, metrics, decisions, self } = options;
-  const targets = new TargetDirectory({
+  const subsets = new SessionSubsets(control.roster, options.targetsPerService);
+  const targets: TargetDirectory = new TargetDirectory({
     timers,
     times: options.sessionTimes ?? defaultSessionTimes,
     control,
     metrics,
     logger: options.logger,
+    describeSessions: announcement => subsets.describeSessions(announcement),
+    inviteTarget: (target, timeout) => {
+      inviter.invite(target, timeout);
+    },
     resultReceived: result => {
       jobs.noteResult(result);
     },
@@ -175,7 +135,21 @@
   const links: DispatcherLinks = new DispatcherLinks({
     network,
     timers,
-    handleCall: call => answerDispatcher(jobs, scheduler, call, timers),
+    handleCall: call => {
+      if (call.method !== DispatcherMethod.InviteTargets) {
+        return answerDispatcher(jobs, scheduler, call, timers);
+      }
+      targets.inviteConnected(call.targets, call.dispatcher);
+      return Promise.resolve({ kind: DispatcherReplyKind.Invited });
+    },
+  });
+  const inviter = new TargetInviter({
+    self: self.dispatcherId,
+    roster: control.roster,
+    subsets,
+    links,
+    timers,
+    isHeard: target => targets.isHeard(target),
   });
   const jobs: JobService = new JobService({
     self,
@@ -250,6 +224,7 @@
     const dispatchers = Math.max(1, names.length);
     scheduler.applyConfiguration(configuration.current(), dispatchers, names);
     targets.applyConfiguration(configuration.current());
+    targets.applyRoster();
   };
   apply();
   const stopConfiguration = configuration.subscribe(apply);
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -1,22 +1,19 @@
 /** The targets that are connected to this dispatcher, and the messages to and from them. */
-import type { Logger } from '@cranberryturn/logger';
-import { Counter, type Metrics } from '@cranberryturn/metrics';
+import { Counter } from '@cranberryturn/metrics';
 import type { AttemptSender, Scheduler } from '@cranberryturn/scheduling';
 import {
   acceptSessions,
   type SessionAcceptor,
   SessionEndReason,
   type SessionListener,
-  type SessionTimes,
 } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
 import {
   type AttemptKey,
-  type AttemptResult,
   type AttemptStart,
   type ClusterConfiguration,
   type ConfigurationVersion,
   type JobId,
+  type Milliseconds,
   type OwnershipEpoch,
   type Roster,
   type TargetId,
@@ -24,6 +21,7 @@
   type TargetLoad,
 } from '@cranberryturn/types';
 import {
+  type DispatcherAddress,
   FromTargetKind,
   type FromTargetMessage,
   type JobEvidence,
@@ -36,25 +34,20 @@
   type ConnectedTarget,
   createConnectedTarget,
   describeRun,
+  noteConnected,
+  noteSuspected,
+  hasLeft,
+  sendSessions,
   isBehind,
   sendSettings,
 } from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
 import { measureResult } from './measure-result.js';
-import type { ControlPort } from './ports/control.js';
 import { registerTarget } from './register-target.js';
+import type { TargetDirectoryOptions } from './target-directory-options.js';
 import { TargetPresence } from './target-presence.js';
 
-/** What a directory is built from. */
-export interface TargetDirectoryOptions {
-  readonly timers: TimerService;
-  readonly times: SessionTimes;
-  readonly control: ControlPort;
-  readonly metrics: Metrics;
-  readonly logger?: Logger | undefined;
-  /** Hears each result before the scheduler does. */
-  readonly resultReceived: (result: AttemptResult) => void;
-}
+const invitationMilliseconds: Milliseconds = 10_000;
 
 /** Connects targets with the scheduler. */
 export class TargetDirectory implements AttemptSender {
@@ -89,9 +82,7 @@
 
   startAttempt(target: TargetIdentity, attempt: AttemptStart): void {
     this.#options.metrics.count(Counter.TasksPlaced);
-    this.#targets
-      .get(describeRun(target))
-      ?.send({ kind: ToTargetKind.StartAttempt, attempt });
+    this.#send(target, { kind: ToTargetKind.StartAttempt, attempt });
   }
 
   cancelAttempts(
@@ -99,15 +90,11 @@
     attempts: readonly AttemptKey[],
     reason: string,
   ): void {
-    this.#targets
-      .get(describeRun(target))
-      ?.send({ kind: ToTargetKind.CancelAttempts, attempts, reason });
+    this.#send(target, { kind: ToTargetKind.CancelAttempts, attempts, reason });
   }
 
   askForLoad(target: TargetIdentity): void {
-    this.#targets
-      .get(describeRun(target))
-      ?.send({ kind: ToTargetKind.AskForLoad });
+    this.#send(target, { kind: ToTargetKind.AskForLoad });
   }
 
   /**
@@ -126,7 +113,11 @@
       jobId,
       epoch,
     };
-    this.#targets.get(run)?.send(message);
+    const connected = this.#targets.get(run);
+    if (connected === undefined) {
+      this.#options.inviteTarget(target, timeoutMilliseconds);
+    }
+    connected?.send(message);
     return this.#waiters.wait(run, message, timeoutMilliseconds);
   }
 
@@ -138,6 +129,21 @@
     }
   }
 
+  /** Sends to each target which sessions it should have. */
+  applyRoster(): void {
+    for (const target of this.#targets.values()) this.#sendSessions(target);
+  }
+
+  /** Passes on that a dispatcher wants a session with runs that have one here. */
+  inviteConnected(
+    targets: readonly TargetIdentity[],
+    dispatcher: DispatcherAddress,
+  ): void {
+    for (const target of targets) {
+      this.#send(target, { kind: ToTargetKind.OpenSession, dispatcher });
+    }
+  }
+
   /** Whether the run has a session with this dispatcher. */
   isConnected(target: TargetIdentity): boolean {
     return this.#targets.has(describeRun(target));
@@ -152,6 +158,11 @@
       .map(target => target.identity.targetId);
   }
 
+  /** Whether the run has a session here that is not silent. */
+  isHeard(target: TargetIdentity): boolean {
+    return this.#presence.isHeard(target);
+  }
+
   /** Registered runs that this dispatcher has not heard for their lease. */
   listSilent(roster: Roster): readonly TargetIdentity[] {
     return this.#presence.listSilent(roster);
@@ -163,6 +174,10 @@
     this.acceptor.close();
   }
 
+  #send(target: TargetIdentity, message: ToTargetMessage): void {
+    this.#targets.get(describeRun(target))?.send(message);
+  }
+
   #startSession(
     peer: PeerIdentity,
     send: (message: ToTargetMessage) => void,
@@ -174,24 +189,21 @@
     for (const message of this.#waiters.listWaiting(describeRun(identity))) {
       send(message);
     }
-    const { metrics } = this.#options;
     return {
       messageReceived: message => {
         this.#handle(target, message);
       },
       connected: () => {
-        this.#options.logger?.info('target connected', identity);
-        if (target.suspected) metrics.count(Counter.SessionsResumed);
-        target.suspected = false;
+        noteConnected(target, this.#options);
         this.#presence.noteHeard(identity);
         this.#resume(target);
       },
       suspected: () => {
-        this.#options.logger?.warn('target suspected', identity);
-        metrics.count(Counter.SessionsSuspected);
-        target.suspected = true;
+        noteSuspected(target, this.#options);
         this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
+        if (target.sessionLeft) this.acceptor.forget(peer);
+        else this.#options.inviteTarget(identity, invitationMilliseconds);
       },
       ended: reason => {
         this.#endSession(target, reason);
@@ -224,6 +236,11 @@
       case FromTargetKind.Left:
         this.#forgetLeft(target);
         return;
+      case FromTargetKind.SessionLeft:
+        target.record = undefined;
+        target.sessionLeft = true;
+        this.#scheduler?.targetLost(target.identity);
+        return;
       case FromTargetKind.JobEvidence:
         this.#waiters.settle(describeRun(target.identity), message.evidence);
         return;
@@ -264,7 +281,7 @@
   /** Registers a run that is heard and not registered. */
   async #register(target: ConnectedTarget): Promise<void> {
     const { announcement, identity } = target;
-    if (announcement === undefined || target.left) return;
+    if (announcement === undefined || hasLeft(target)) return;
     if (target.record !== undefined || target.registering) return;
     const { control, timers } = this.#options;
     target.registering = true;
@@ -279,9 +296,16 @@
     if (record === undefined || target.load === undefined) return;
     target.record = record;
     sendSettings(target, control.configuration.current());
+    this.#sendSessions(target);
     this.#scheduler?.targetRegistered(record, target.load);
   }
 
+  #sendSessions(target: ConnectedTarget): void {
+    if (target.record === undefined) return;
+    const message = this.#options.describeSessions(target.record);
+    if (message !== undefined) sendSessions(target, message);
+  }
+
   /** Says so to control, which needs no lease of the run any more. */
   #forgetLeft(target: ConnectedTarget): void {
     target.record = undefined;
@@ -293,8 +317,10 @@
 
   #endSession(target: ConnectedTarget, reason: SessionEndReason): void {
     const run = describeRun(target.identity);
+    if (this.#targets.get(run) !== target) return;
     this.#targets.delete(run);
     this.#presence.noteSilent(target.identity);
+    if (target.sessionLeft) return;
     if (reason === SessionEndReason.ClosedHere) return;
     this.#waiters.giveUp(run);
     this.#scheduler?.targetLost(target.identity);
