--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -24,6 +24,7 @@
 } from '@cranberryturn/settings';
 import type { ClusterConfiguration } from '@cranberryturn/types';
 import {
+  formatAddress,
   type Network,
   type PeerIdentity,
   ProcessRole,
@@ -33,7 +34,6 @@
 import { serveAdministration } from './adapters/serve-administration.js';
 import type { ControlOptions } from './control-node.js';
 import { measureSyncs } from './measure-syncs.js';
-import { formatAddress } from './parse-address.js';
 import { startControl } from './start-control.js';
 
 const largestSeed = 2 ** 31;
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -40,6 +40,7 @@
   sendSessions,
   isBehind,
   sendSettings,
+  type SessionReports,
 } from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
 import { measureResult } from './measure-result.js';
