--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -34,13 +34,12 @@
   type ConnectedTarget,
   createConnectedTarget,
   describeRun,
+  hasLeft,
+  isBehind,
   noteConnected,
   noteSuspected,
-  hasLeft,
   sendSessions,
-  isBehind,
   sendSettings,
-  type SessionReports,
 } from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
 import { measureResult } from './measure-result.js';
@@ -272,11 +271,8 @@
   }
 
   #resume(target: ConnectedTarget): void {
-    if (target.record !== undefined) {
-      this.#scheduler?.targetResumed(target.identity);
-      return;
-    }
-    void this.#register(target);
+    if (target.record === undefined) void this.#register(target);
+    else this.#scheduler?.targetResumed(target.identity);
   }
 
   /** Registers a run that is heard and not registered. */
