--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -74,7 +74,10 @@
     peers: settings.peers,
     teams: settings.teams,
     limits: settings.limits,
-    retention: settings.retention,
+    retention: {
+      ...settings.retention,
+      heldBytes: settings.limits.heldBytes,
+    },
     network,
     control,
     timers,
@@ -119,6 +122,7 @@
   observeSessions(metrics, () => targets.acceptor.sessions());
   metrics.observe(Gauge.Sessions, () => targets.acceptor.sessions().length);
   metrics.observe(Gauge.JobsOpen, () => jobs.inFlight);
+  metrics.observe(Gauge.HeldBytes, () => jobs.heldBytes);
   metrics.observe(Gauge.TasksQueued, () => scheduler.status().queuedTasks);
   metrics.observe(Gauge.TasksRunning, () => scheduler.status().runningTasks);
   metrics.observe(Gauge.TargetsKnown, () => scheduler.status().targets.length);
