--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -27,10 +27,8 @@
   handleDispatcherMessage,
   type MessageHandlerParts,
 } from './handle-dispatcher-message.js';
-import {
-  type DispatcherSession,
-  DispatcherSessions,
-} from './dispatcher-sessions.js';
+import type { DispatcherSession } from './dispatcher-link.js';
+import { DispatcherSessions } from './dispatcher-sessions.js';
 import type { TargetPort } from './ports/target.js';
 import { AttemptRunner } from './run-attempts.js';
 import {
@@ -126,7 +124,8 @@
     sessions.close();
   };
 
-  const stop = async (): Promise<void> => {
+  let stopped: Promise<void> | undefined;
+  const finishAndStop = async (): Promise<void> => {
     const grace = options.graceMilliseconds ?? defaultGraceMilliseconds;
     const giveUpAt = timers.now() + grace;
     runner.beginStop();
@@ -145,7 +144,7 @@
     runner,
     sessions: () => sessions.current(),
     answersHeldBytes: () => ledger.answerBytes,
-    stop,
+    stop: () => (stopped ??= finishAndStop()),
     kill,
   };
 }
