Tell a caller to come back when the table of claims is full

Cause: every refused claim was described as too old, so a caller that met a full table was told that its job could never run.

Change: a full table is answered like any lack of control: 503, not run, come back in 10 s.

Conclusion: the bound of claims refuses for now, not for good.

--- a/packages/dispatcher/src/describe-submission.ts
+++ b/packages/dispatcher/src/describe-submission.ts
@@ -6,18 +6,24 @@
 } from '@cranberryturn/scheduling';
 import {
   type ClaimGranted,
+  ClaimRefusal,
   type JobId,
   JobOutcome,
   type JobResult,
+  type Milliseconds,
   Started,
 } from '@cranberryturn/types';
 
 import {
+  refuseForNow,
   type Submission,
   SubmissionKind,
   SubmissionRefusal,
 } from './submission.js';
 
+/** The table empties as fast as jobs were answered ten minutes ago. */
+const fullTableMilliseconds: Milliseconds = 10_000;
+
 /** What the scheduler may do under a grant. */
 export function describeOwnership(grant: ClaimGranted): JobOwnership {
   return { epoch: grant.epoch, registeredUpTo: grant.rosterVersion };
@@ -39,14 +45,22 @@
   };
 }
 
-/** Composes the refusal of a job whose earlier claim may have been forgotten. */
-export function describeTooOld(reason: string): Submission {
-  return {
-    kind: SubmissionKind.Refused,
-    refusal: SubmissionRefusal.TooOld,
-    reason: `The claim was refused: ${reason}.`,
-    retryAfterMilliseconds: undefined,
-  };
+/** Composes the submission whose claim control refused; nothing was started. */
+export function describeClaimRefusal(reason: ClaimRefusal): Submission {
+  switch (reason) {
+    case ClaimRefusal.TableFull:
+      return refuseForNow(
+        'Control holds as many claims as it may. Submit the job again later.',
+        fullTableMilliseconds,
+      );
+    case ClaimRefusal.TooOld:
+      return {
+        kind: SubmissionKind.Refused,
+        refusal: SubmissionRefusal.TooOld,
+        reason: `The claim was refused: ${reason}.`,
+        retryAfterMilliseconds: undefined,
+      };
+  }
 }
 
 /** Composes the submission that the scheduler refused. */
--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -33,7 +33,7 @@
   describePerhaps,
   describeRefusal,
   describeResult,
-  describeTooOld,
+  describeClaimRefusal,
 } from './describe-submission.js';
 import type { DispatcherLinks } from './dispatcher-links.js';
 import { type Ownership, OwnershipKind } from './own-job.js';
@@ -230,7 +230,7 @@
       case OwnershipKind.Conflict:
         return this.#withdraw(job, { kind: SubmissionKind.Conflict });
       case OwnershipKind.Refused:
-        return this.#withdraw(job, describeTooOld(ownership.reason));
+        return this.#withdraw(job, describeClaimRefusal(ownership.reason));
       case OwnershipKind.Elsewhere:
         return this.#finishElsewhere(job, ownership.reason);
       case OwnershipKind.Unavailable:
--- a/packages/dispatcher/src/own-job.ts
+++ b/packages/dispatcher/src/own-job.ts
@@ -5,6 +5,7 @@
   type ClaimHeld,
   type ClaimOutcome,
   ClaimOutcomeKind,
+  type ClaimRefusal,
   type ClaimRequest,
   type JobResult,
   type Milliseconds,
@@ -53,7 +54,7 @@
   | { readonly kind: OwnershipKind.Adopted; readonly grant: ClaimGranted }
   | { readonly kind: OwnershipKind.Joined; readonly result: JobResult }
   | { readonly kind: OwnershipKind.Conflict }
-  | { readonly kind: OwnershipKind.Refused; readonly reason: string }
+  | { readonly kind: OwnershipKind.Refused; readonly reason: ClaimRefusal }
   | { readonly kind: OwnershipKind.Elsewhere; readonly reason: string }
   | { readonly kind: OwnershipKind.Unavailable; readonly reason: string };
 
