--- a/packages/bench/src/run/measure-load-case.ts
+++ b/packages/bench/src/run/measure-load-case.ts
@@ -25,6 +25,7 @@
   type MessageSummary,
   readMessages,
 } from './count-messages.js';
+import { readWhenQuiet } from './read-when-quiet.js';
 import {
   describeLoad,
   type LoadCase,
@@ -75,16 +76,16 @@
   const processor = process.cpuUsage();
   const plan = composePlan(load);
   const happening = applyEvent(load, system, timers);
-  let after = before;
+  // Later, an idle system sends heartbeats until failed jobs reach their deadline.
+  const lastReading = readWhenQuiet(timers, () => readMessages(system));
   const submissions = await runLoad(plan, {
     client,
     timers,
-    // Later, an idle system sends heartbeats until failed jobs reach their deadline.
     replied: ({ reply }) => {
-      if (reply.outcome === SubmissionOutcome.Complete)
-        after = readMessages(system);
+      if (reply.outcome === SubmissionOutcome.Complete) lastReading.noteEvent();
     },
   });
+  const after = lastReading.finish();
   await happening;
   const { user, system: kernel } = process.cpuUsage(processor);
   const summary = summarizeLoad(submissions, shape.callerDelayMilliseconds);
