--- a/packages/dispatcher/src/connected-target.ts
+++ b/packages/dispatcher/src/connected-target.ts
@@ -1,4 +1,6 @@
 /** One run of a sidecar that has a session with this dispatcher. */
+import type { Logger } from '@cranberryturn/logger';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import {
   type ClusterConfiguration,
   type ConfigurationVersion,
@@ -20,6 +22,8 @@
   load: TargetLoad | undefined;
   /** Registration under which it may get work. */
   record: TargetRecord | undefined;
+  /** Its connection is silent or ended. */
+  suspected: boolean;
   /** The run said that it stops. */
   left: boolean;
   /** Whether a task is registering it at the moment. */
@@ -45,6 +49,7 @@
     announcement: undefined,
     load: undefined,
     record: undefined,
+    suspected: false,
     left: false,
     registering: false,
     settingsSent: '',
@@ -99,3 +104,29 @@
 export function describeRun(target: TargetIdentity): string {
   return `${target.targetId}/${target.incarnation}`;
 }
+
+/** Where the state of sessions is reported. */
+export interface SessionReports {
+  readonly metrics: Metrics;
+  readonly logger?: Logger | undefined;
+}
+
+/** Reports that a connection carries the session of the target. */
+export function noteConnected(
+  target: ConnectedTarget,
+  { metrics, logger }: SessionReports,
+): void {
+  logger?.info('target connected', { ...target.identity });
+  if (target.suspected) metrics.count(Counter.SessionsResumed);
+  target.suspected = false;
+}
+
+/** Reports that the target is silent. */
+export function noteSuspected(
+  target: ConnectedTarget,
+  { metrics, logger }: SessionReports,
+): void {
+  logger?.warn('target suspected', { ...target.identity });
+  metrics.count(Counter.SessionsSuspected);
+  target.suspected = true;
+}
--- a/packages/sidecar/src/start-sidecar.ts
+++ b/packages/sidecar/src/start-sidecar.ts
@@ -1,6 +1,6 @@
 /** Brings the parts of a sidecar together. */
 import type { Logger } from '@cranberryturn/logger';
-import { Counter, type Metrics } from '@cranberryturn/metrics';
+import { Counter, type Metrics, WastedMessage } from '@cranberryturn/metrics';
 import type { RandomSource } from '@cranberryturn/random';
 import {
   defaultSessionTimes,
@@ -65,6 +65,8 @@
   readonly runner: AttemptRunner;
   /** Sessions with dispatchers, for metrics. */
   sessions(): readonly DispatcherSession[];
+  /** Size of the answers kept for an adopting dispatcher. */
+  answersHeldBytes(): number;
   /** Planned stop: refuses new attempts, finishes those in flight, waits for acknowledgements. */
   stop(): Promise<void>;
   /** Ends everything at once. */
@@ -87,6 +89,9 @@
     timers,
     decisions: options.decisions,
     queueLimit: options.queueLimit,
+    cancelledLate: () => {
+      options.metrics?.countWasted(WastedMessage.LateCancellation);
+    },
     attemptEnded: (result, tell) => {
       options.metrics?.count(chooseCounter(result.outcome));
       dispatchers.reportResult(result, tell);
@@ -119,21 +124,29 @@
     sessions.close();
   };
 
-  const stop = async (): Promise<void> => {
+  let stopped: Promise<void> | undefined;
+  const finishAndStop = async (): Promise<void> => {
     const grace = options.graceMilliseconds ?? defaultGraceMilliseconds;
     const giveUpAt = timers.now() + grace;
     runner.beginStop();
     dispatchers.reportLoadToAll();
-    await pollUntil(timers, giveUpAt, () => runner.isIdle);
-    if (runner.isIdle) dispatchers.tellAll({ kind: FromTargetKind.Left });
-    await pollUntil(timers, giveUpAt, () =>
-      sessions.current().every(isAcknowledged),
-    );
+    const areAcknowledged = () => sessions.current().every(isAcknowledged);
+    // Attempts sent before a dispatcher heard of the stop arrive before its acknowledgement.
+    const isDone = () => runner.isIdle && areAcknowledged();
+    await pollUntil(timers, giveUpAt, isDone);
+    if (isDone()) dispatchers.tellAll({ kind: FromTargetKind.Left });
+    await pollUntil(timers, giveUpAt, areAcknowledged);
     kill();
     await options.target.close();
   };
 
-  return { runner, sessions: () => sessions.current(), stop, kill };
+  return {
+    runner,
+    sessions: () => sessions.current(),
+    answersHeldBytes: () => ledger.answerBytes,
+    stop: () => (stopped ??= finishAndStop()),
+    kill,
+  };
 }
 
 function listenTo(
