--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -33,7 +33,7 @@
   describePerhaps,
   describeRefusal,
   describeResult,
-  describeTooOld,
+  describeClaimRefusal,
 } from './describe-submission.js';
 import type { DispatcherLinks } from './dispatcher-links.js';
 import { type Ownership, OwnershipKind } from './own-job.js';
@@ -156,6 +156,7 @@
   async cancelJob(jobId: JobId): Promise<JobResult | undefined> {
     const entry = this.#jobs.find(jobId);
     if (entry === undefined) return undefined;
+    if (entry.result === undefined) this.#reporter.reportCancelled();
     this.#cancel(jobId);
     return entry.finished;
   }
@@ -164,8 +165,11 @@
   noteResult(result: AttemptResult): void {
     this.#adoptions.noteResult(result);
     const job = this.#jobs.findRunning(result.jobId);
-    if (job === undefined) return;
     if (result.outcome === AttemptOutcome.NotStarted) return;
+    if (job === undefined) {
+      this.#reporter.reportLateAnswer();
+      return;
+    }
     job.longestRun = Math.max(job.longestRun, result.runMilliseconds);
   }
 
@@ -230,7 +234,7 @@
       case OwnershipKind.Conflict:
         return this.#withdraw(job, { kind: SubmissionKind.Conflict });
       case OwnershipKind.Refused:
-        return this.#withdraw(job, describeTooOld(ownership.reason));
+        return this.#withdraw(job, describeClaimRefusal(ownership.reason));
       case OwnershipKind.Elsewhere:
         return this.#finishElsewhere(job, ownership.reason);
       case OwnershipKind.Unavailable:
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -35,8 +35,10 @@
   createConnectedTarget,
   describeRun,
   hasLeft,
-  sendSessions,
   isBehind,
+  noteConnected,
+  noteSuspected,
+  sendSessions,
   sendSettings,
 } from './connected-target.js';
 import { EvidenceWaiters } from './evidence-waiters.js';
@@ -193,12 +195,12 @@
         this.#handle(target, message);
       },
       connected: () => {
-        this.#options.logger?.info('target connected', identity);
+        noteConnected(target, this.#options);
         this.#presence.noteHeard(identity);
         this.#resume(target);
       },
       suspected: () => {
-        this.#options.logger?.warn('target suspected', identity);
+        noteSuspected(target, this.#options);
         this.#presence.noteSilent(identity);
         this.#scheduler?.targetSuspected(identity);
         if (target.sessionLeft) this.acceptor.forget(peer);
@@ -270,11 +272,8 @@
   }
 
   #resume(target: ConnectedTarget): void {
-    if (target.record !== undefined) {
-      this.#scheduler?.targetResumed(target.identity);
-      return;
-    }
-    void this.#register(target);
+    if (target.record === undefined) void this.#register(target);
+    else this.#scheduler?.targetResumed(target.identity);
   }
 
   /** Registers a run that is heard and not registered. */
--- a/packages/sidecar/src/attempt-ledger.ts
+++ b/packages/sidecar/src/attempt-ledger.ts
@@ -127,6 +127,11 @@
     };
   }
 
+  /** Size of the answers kept. */
+  get answerBytes(): number {
+    return this.#answerBytes;
+  }
+
   /** Whether the dispatcher wants the results of the job. */
   isWatched(jobId: JobId, dispatcher: DispatcherId): boolean {
     return this.#jobs.get(jobId)?.watchers.includes(dispatcher) === true;
