--- a/packages/bench/src/capacity/compute-capacity.ts
+++ b/packages/bench/src/capacity/compute-capacity.ts
@@ -14,6 +14,7 @@
 } from './target-size.js';
 
 const millisecondsPerSecond = 1_000;
+const millisecondsPerPercent = 10;
 /** The accelerators of the target size, eight to a worker. */
 const targetsWithAccelerators = targetSize.accelerators / 8;
 
@@ -47,10 +48,10 @@
   const processes = Math.ceil(
     targetSize.startsPerSecond / (perCore * plannedUse),
   );
-  const bytes = values.perUnit('sidecar-sessions', 'bytes');
   const sessionsPerSidecar = Math.min(
     processes,
-    Math.floor(targetSize.daemonBytesPerSecond / bytes),
+    countSessionsByTraffic(values),
+    countSessionsByProcessor(values, processes),
   );
   return {
     processes,
@@ -61,8 +62,31 @@
   };
 }
 
+/** Sessions that fit the traffic of a sidecar. */
+function countSessionsByTraffic(values: SlopeValues): number {
+  const bytes = values.perUnit('sidecar-sessions', 'bytes');
+  return Math.floor(targetSize.daemonBytesPerSecond / bytes);
+}
+
+/** Sessions for which the idle sidecars of each dispatcher fit the processor time of a daemon. */
+function countSessionsByProcessor(
+  values: SlopeValues,
+  dispatchers: number,
+): number {
+  const quantity = 'processorMilliseconds';
+  const base = values.at('dispatcher-sidecars', quantity, 0);
+  const each = values.perUnit('dispatcher-sidecars', quantity);
+  const budget = targetSize.daemonProcessorPercent * millisecondsPerPercent;
+  const sidecars = (budget - base) / each;
+  return Math.floor((sidecars * dispatchers) / targetSize.workers);
+}
+
 function startsPerCore(values: SlopeValues, tasks: number): number {
-  const perJob = values.at('dispatcher-tasks', 'processorMilliseconds', tasks);
+  const perJob = values.atSize(
+    'dispatcher-tasks',
+    'processorMilliseconds',
+    tasks,
+  );
   return (millisecondsPerSecond * tasks) / perJob;
 }
 
@@ -92,7 +116,7 @@
     {
       figure: 'sidecars of one dispatcher, with subsets',
       value: formatNumber(sidecarsPerDispatcher),
-      source: 'workers x sessions of a sidecar / dispatchers',
+      source: `workers x ${formatNumber(plan.sessionsPerSidecar)} sessions of a sidecar / dispatchers: within 2 KB/s and 4 % of a core`,
     },
     describeSessions(values, 'with subsets', sidecarsPerDispatcher),
     describeSessions(values, 'without subsets', all),
@@ -130,7 +154,7 @@
     figure: `starts a second on one core, jobs of ${String(tasks)}`,
     value: formatNumber(startsPerCore(values, tasks)),
     budget: tasks === usualJobTasks ? '7,000' : undefined,
-    source: `dispatcher-tasks: ${formatNumber(values.at('dispatcher-tasks', 'processorMilliseconds', 0))} ms a job and ${formatNumber(values.perUnit('dispatcher-tasks', 'processorMilliseconds'))} ms a task`,
+    source: `dispatcher-tasks, as measured at this size: ${formatNumber(values.atSize('dispatcher-tasks', 'processorMilliseconds', tasks))} ms a job`,
   };
 }
 
@@ -147,7 +171,7 @@
   const bytes = values.perUnit('dispatcher-sidecars', 'bytes') * sidecars;
   return {
     figure: `idle sessions, ${how}: processor and traffic`,
-    value: `${formatNumber(processor / 10)} % of a core, ${formatNumber(bytes / 1_024)} KB/s`,
+    value: `${formatNumber(processor / millisecondsPerPercent)} % of a core, ${formatNumber(bytes / 1_024)} KB/s`,
     source: `dispatcher-sidecars, lines at ${formatNumber(sidecars)} sidecars`,
   };
 }
