Wrap the connections of a network in one place

Five files wrapped dialled and accepted connections alike (two benches, a measure, a fake, the metrics of a program); wire does it now. Two test files started their systems alike; the fake does it.

--- a/packages/bench/src/slopes/count-traffic.ts
+++ b/packages/bench/src/slopes/count-traffic.ts
@@ -1,5 +1,9 @@
 /** Counts the frames and bytes of a network. */
-import type { Connection, Network } from '@cranberryturn/wire';
+import {
+  type Connection,
+  type Network,
+  wrapConnections,
+} from '@cranberryturn/wire';
 
 import type { TrafficCount } from './reading.js';
 
@@ -39,13 +43,7 @@
   });
 
   return {
-    network: {
-      dial: address => network.dial(address).map(wrap),
-      listen: (address, handler) =>
-        network.listen(address, connection => {
-          handler(wrap(connection));
-        }),
-    },
+    network: wrapConnections(network, wrap),
     count: () => ({ messages, bytes }),
   };
 }
--- a/packages/bench/src/system/count-sent.ts
+++ b/packages/bench/src/system/count-sent.ts
@@ -1,5 +1,9 @@
 /** Counts the frames that the processes of one role send, and can make connections silent. */
-import type { Connection, Network } from '@cranberryturn/wire';
+import {
+  type Connection,
+  type Network,
+  wrapConnections,
+} from '@cranberryturn/wire';
 
 /** Frames and bytes sent so far. Handshakes are left out. */
 export interface SentTraffic {
@@ -45,13 +49,7 @@
   };
 
   return {
-    network: {
-      dial: address => network.dial(address).map(wrap),
-      listen: (address, handler) =>
-        network.listen(address, connection => {
-          handler(wrap(connection));
-        }),
-    },
+    network: wrapConnections(network, wrap),
     silence: () => {
       for (const link of links) link.silent = true;
     },
--- a/packages/control/src/measures/start-measured-control.ts
+++ b/packages/control/src/measures/start-measured-control.ts
@@ -22,6 +22,7 @@
   createMemoryNetwork,
   type Network,
   ProcessRole,
+  wrapConnections,
 } from '@cranberryturn/wire';
 
 import type { ControlNode } from '../control-node.js';
@@ -121,11 +122,5 @@
       connection.send(frame);
     },
   });
-  return {
-    dial: address => network.dial(address).map(count),
-    listen: (address, handler) =>
-      network.listen(address, connection => {
-        handler(count(connection));
-      }),
-  };
+  return wrapConnections(network, count);
 }
--- a/packages/local/src/callers-disconnect.test.ts
+++ b/packages/local/src/callers-disconnect.test.ts
@@ -5,10 +5,8 @@
   type DecisionSink,
   maximumAnswerBytes,
 } from '@cranberryturn/types';
-import anyTest, { type TestFn } from 'ava';
 
 import {
-  closeRawCallers,
   composeHead,
   openRawCaller,
   type RawCaller,
@@ -18,25 +16,13 @@
   composeJob,
   countStarts,
   jobsPath,
-  seed,
-  startWatchedSystem,
+  createWatchedTest,
   submit,
-  type WatchedSystem,
 } from './fakes/watched-system.js';
 
 const envelopeBytes = 500;
 
-const test = anyTest as TestFn<WatchedSystem>;
-
-test.beforeEach(async t => {
-  t.log(`seed ${String(seed)}`);
-  t.context = await startWatchedSystem();
-});
-
-test.afterEach.always(async t => {
-  closeRawCallers();
-  await t.context.system.stop();
-});
+const test = createWatchedTest();
 
 /** When a caller disconnects. */
 enum Moment {
--- a/packages/local/src/callers-interface.test.ts
+++ b/packages/local/src/callers-interface.test.ts
@@ -1,9 +1,7 @@
 import { createSystemTimerService, sleep } from '@cranberryturn/timers';
 import { maximumAnswerBytes, type NetworkAddress } from '@cranberryturn/types';
-import anyTest, { type TestFn } from 'ava';
 
 import {
-  closeRawCallers,
   composeHead,
   openRawCaller,
   type RawCaller,
@@ -15,26 +13,14 @@
   composeJob,
   countStarts,
   jobsPath,
-  seed,
-  startWatchedSystem,
+  createWatchedTest,
   submit,
-  type WatchedSystem,
 } from './fakes/watched-system.js';
 
 const pollMilliseconds = 10;
 const envelopeBytes = 500;
 
-const test = anyTest as TestFn<WatchedSystem>;
-
-test.beforeEach(async t => {
-  t.log(`seed ${String(seed)}`);
-  t.context = await startWatchedSystem();
-});
-
-test.afterEach.always(async t => {
-  closeRawCallers();
-  await t.context.system.stop();
-});
+const test = createWatchedTest();
 
 /** Sends the text and one byte more at a time until an answer comes. */
 function trickle(address: NetworkAddress, head: string): RawCaller {
--- a/packages/local/src/fakes/faulty-network.ts
+++ b/packages/local/src/fakes/faulty-network.ts
@@ -1,5 +1,9 @@
 /** A network whose connections a test can hold up or cut. */
-import type { Connection, Network } from '@cranberryturn/wire';
+import {
+  type Connection,
+  type Network,
+  wrapConnections,
+} from '@cranberryturn/wire';
 
 /** A network with its faults. */
 export interface FaultyNetwork {
@@ -38,13 +42,7 @@
   };
 
   return {
-    network: {
-      dial: address => network.dial(address).map(wrap),
-      listen: (address, handler) =>
-        network.listen(address, connection => {
-          handler(wrap(connection));
-        }),
-    },
+    network: wrapConnections(network, wrap),
     hold: () => {
       isHeld = true;
     },
--- a/packages/local/src/fakes/watched-system.ts
+++ b/packages/local/src/fakes/watched-system.ts
@@ -6,6 +6,7 @@
 import { localSettingsSchema } from '@cranberryturn/settings';
 import { createSystemTimerService } from '@cranberryturn/timers';
 import type { DecisionSink, NetworkAddress } from '@cranberryturn/types';
+import anyTest, { type TestFn } from 'ava';
 import { request } from 'undici';
 
 import {
@@ -13,6 +14,7 @@
   type LocalSystem,
   startLocalSystem,
 } from '../start-local-system.js';
+import { closeRawCallers } from './raw-caller.js';
 
 /** Path for jobs of the only service. */
 export const jobsPath = '/v1/services/register-svc/jobs';
@@ -126,3 +128,17 @@
     };
   };
 }
+
+/** The test function of a file whose every test has a system of its own. */
+export function createWatchedTest(): TestFn<WatchedSystem> {
+  const test = anyTest as TestFn<WatchedSystem>;
+  test.beforeEach(async t => {
+    t.log(`seed ${String(seed)}`);
+    t.context = await startWatchedSystem();
+  });
+  test.afterEach.always(async t => {
+    closeRawCallers();
+    await t.context.system.stop();
+  });
+  return test;
+}
--- a/packages/program/src/measure-network.ts
+++ b/packages/program/src/measure-network.ts
@@ -1,6 +1,10 @@
 /** Counts the messages that a process sends. */
 import type { Metrics } from '@cranberryturn/metrics';
-import type { Connection, Network } from '@cranberryturn/wire';
+import {
+  type Connection,
+  type Network,
+  wrapConnections,
+} from '@cranberryturn/wire';
 
 /** Counts each message sent over `network` by the role of its receiver. */
 export function measureNetwork(network: Network, metrics: Metrics): Network {
@@ -15,11 +19,5 @@
       connection.close();
     },
   });
-  return {
-    dial: address => network.dial(address).map(measure),
-    listen: (address, handler) =>
-      network.listen(address, connection => {
-        handler(measure(connection));
-      }),
-  };
+  return wrapConnections(network, measure);
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -13,3 +13,4 @@
 export * from './messages/target-messages.js';
 export * from './ports/connection.js';
 export * from './remote-calls.js';
+export * from './wrap-connections.js';
