--- a/packages/bench/src/capacity/compute-capacity.ts
+++ b/packages/bench/src/capacity/compute-capacity.ts
@@ -5,6 +5,7 @@
 import type { CapacityRow, CapacityTable } from './capacity-table.js';
 import { computeControl } from './compute-control.js';
 import { computeSidecar } from './compute-sidecar.js';
+import { computeSites } from './compute-sites.js';
 import { readSlopeValues, type SlopeValues } from './slope-values.js';
 import {
   jobSizes,
@@ -39,6 +40,7 @@
     { name: 'dispatcher', rows: computeDispatcher(values, plan) },
     { name: 'sidecar', rows: computeSidecar(values, plan) },
     { name: 'control', rows: computeControl(values, plan) },
+    { name: 'sites', rows: computeSites(plan) },
   ];
 }
 
