--- a/packages/bench/src/sweep/judge-sweep.ts
+++ b/packages/bench/src/sweep/judge-sweep.ts
@@ -10,28 +10,46 @@
 
 const graceMilliseconds = 1_000;
 
+/** Submissions by the name of their job in the logs. */
+type SubmissionsOfJob = ReadonlyMap<string, readonly CompletedSubmission[]>;
+
 /** Lists the broken promises, each in a sentence. */
 export function judgeSweep(
   submissions: readonly CompletedSubmission[],
   stage: JudgedStage,
 ): readonly string[] {
+  const byJob = groupByJob(submissions);
   return [
-    ...findViolations(submissions, stage),
+    ...findViolations(submissions, byJob, stage),
     ...findLateReplies(submissions),
-    ...findFalseDenials(submissions, stage),
+    ...findFalseDenials(byJob, stage),
   ];
 }
 
+function groupByJob(
+  submissions: readonly CompletedSubmission[],
+): SubmissionsOfJob {
+  const byJob = new Map<string, CompletedSubmission[]>();
+  for (const submission of submissions) {
+    const name = nameJobInLogs(submission.job);
+    const known = byJob.get(name);
+    if (known === undefined) byJob.set(name, [submission]);
+    else known.push(submission);
+  }
+  return byJob;
+}
+
 function findViolations(
   submissions: readonly CompletedSubmission[],
+  byJob: SubmissionsOfJob,
   stage: JudgedStage,
 ): readonly string[] {
-  const repeated = listResubmitted(submissions);
+  const resubmitted = [...byJob].filter(([, all]) => all.length > 1);
   const violations = checkDecisions(stage.records, {
     ...statedCheckOptions,
     startCounts: stage.startCounts(),
     replies: observeReplies(submissions),
-    resubmittedJobs: repeated,
+    resubmittedJobs: new Set(resubmitted.map(([name]) => name)),
   });
   return violations.map(
     ({ kind, subject, detail }) => `${kind}: ${subject}: ${detail}`,
@@ -54,15 +72,10 @@
 
 /** A job of which every submission was told that nothing started must never have started. */
 function findFalseDenials(
-  submissions: readonly CompletedSubmission[],
+  byJob: SubmissionsOfJob,
   stage: JudgedStage,
 ): readonly string[] {
   const started = new Set(stage.startCounts().map(count => count.jobId));
-  const byJob = new Map<string, CompletedSubmission[]>();
-  for (const submission of submissions) {
-    const name = nameJobInLogs(submission.job);
-    byJob.set(name, [...(byJob.get(name) ?? []), submission]);
-  }
   return [...byJob]
     .filter(([name, all]) => started.has(name) && all.every(isDenied))
     .map(([name]) => `false denial: ${name} was started, all replies deny it`);
@@ -75,16 +88,3 @@
     reply.jobOutcome !== JobOutcome.Complete
   );
 }
-
-function listResubmitted(
-  submissions: readonly CompletedSubmission[],
-): ReadonlySet<string> {
-  const seen = new Set<string>();
-  const repeated = new Set<string>();
-  for (const { job } of submissions) {
-    const name = nameJobInLogs(job);
-    if (seen.has(name)) repeated.add(name);
-    seen.add(name);
-  }
-  return repeated;
-}
