--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/**/*.test.js'],
+  files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js'],
   timeout: '3m',
   concurrency: 6,
   nodeArguments: ['--enable-source-maps'],
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,10 +3,10 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'bench/results/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'bench/results/**'] },
   eslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [tseslint.configs.strict, tseslint.configs.stylistic],
     languageOptions: {
       parserOptions: {
--- a/packages/authentication/src/shared-keys.ts
+++ b/packages/authentication/src/shared-keys.ts
@@ -20,6 +20,14 @@
   return `${keyPrefix}${randomBytes(keyBytes).toString('base64url')}`;
 }
 
+/**
+ * Stands for the shared key where the settings name no file: whoever reaches the ports of the
+ * processes is trusted.
+ */
+export function createOpenKeys(): SharedKeys {
+  return { current: Buffer.alloc(keyBytes) };
+}
+
 /** Reads one or two keys, one a line. Empty lines and lines that start with `#` are skipped. */
 export function parseSharedKeys(
   text: string,
--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -37,7 +37,7 @@
   type SettledReply,
 } from './call-leader.js';
 import { keepHosts } from './keep-hosts.js';
-import { holdLatest } from './hold-latest.js';
+import { holdLatest, type PublicationFeed } from './hold-latest.js';
 import { createReporter } from './report-in-force.js';
 import { type ControlWatch, watchControl } from './watch-control.js';
 
@@ -56,7 +56,7 @@
   readonly self: DispatcherIdentity;
   /** Hosts to dial first; later ones are learned from the configuration. */
   readonly controlHosts: readonly {
-    readonly replicaId: ReplicaId;
+    readonly replicaId?: ReplicaId | undefined;
     readonly address: NetworkAddress;
   }[];
   /** Longest time for one call with all its attempts. */
@@ -77,6 +77,7 @@
   readonly registry: RosterStore;
   readonly configuration: ConfigurationFeed;
   readonly roster: RosterFeed;
+  readonly publication: PublicationFeed;
   /** True while the watched control host proves a leader with a majority. */
   isFresh(): boolean;
   /** Reports answered jobs that still wait, then closes all connections. */
@@ -96,6 +97,7 @@
     ...options,
     seeds: options.controlHosts.map(host => host.address),
     configuration: latest.configuration,
+    controlHosts: latest.controlHosts,
     handleNotice: (host, notice) => {
       watch.handleNotice(host, notice);
       const { leader } = latest.roster.current();
@@ -145,6 +147,7 @@
     registry: createRosterStore(call),
     configuration: latest.configuration,
     roster: latest.roster,
+    publication: latest.publication,
     isFresh: () => {
       const provedAt = watch.provedAt();
       return (
--- a/packages/control-client/src/hold-latest.ts
+++ b/packages/control-client/src/hold-latest.ts
@@ -7,6 +7,9 @@
 import {
   type ClusterConfiguration,
   emptyConfiguration,
+  type NetworkAddress,
+  noPublication,
+  type Publication,
   type ReplicaId,
   type Roster,
 } from '@cranberryturn/types';
@@ -16,10 +19,25 @@
 export interface LatestState {
   readonly configuration: ConfigurationFeed;
   readonly roster: RosterFeed;
+  readonly publication: PublicationFeed;
+  readonly controlHosts: ControlHostFeed;
   /** Takes a notice; returns false when it does not follow what is held, so that everything must be sent again. */
   take(notice: ControlNotice): boolean;
 }
 
+/** The publication in force as this process knows it. */
+export interface PublicationFeed {
+  current(): Publication;
+  /** Calls the listener with each later publication. Returns a function that ends this. */
+  subscribe(listener: (publication: Publication) => void): () => void;
+}
+
+/** Addresses of the members of the replicated log, where control tells them. */
+export interface ControlHostFeed {
+  current(): readonly NetworkAddress[];
+  subscribe(listener: () => void): () => void;
+}
+
 interface Versioned {
   readonly version: number;
 }
@@ -38,6 +56,10 @@
     targets: [],
   });
 
+  const publication = createHeld<Publication>(noPublication);
+  let controlHosts: readonly NetworkAddress[] = [];
+  const hostListeners = new Set<() => void>();
+
   const setLeader = (leader: ReplicaId | undefined): void => {
     if (roster.current.leader === leader) return;
     roster.current = { ...roster.current, leader };
@@ -63,13 +85,31 @@
           roster,
           applyRosterChanges(roster.current, notice.changes),
         );
+      case ControlNoticeKind.Publication:
+        return replace(publication, notice.publication);
+      case ControlNoticeKind.ControlHosts:
+        controlHosts = notice.addresses;
+        for (const listener of hostListeners) listener();
+        return true;
       case ControlNoticeKind.Freshness:
         setLeader(notice.leader);
         return true;
     }
   };
 
-  return { configuration: toFeed(configuration), roster: toFeed(roster), take };
+  return {
+    configuration: toFeed(configuration),
+    roster: toFeed(roster),
+    publication: toFeed(publication),
+    controlHosts: {
+      current: () => controlHosts,
+      subscribe: listener => {
+        hostListeners.add(listener);
+        return () => void hostListeners.delete(listener);
+      },
+    },
+    take,
+  };
 }
 
 function createHeld<Value extends Versioned>(first: Value): Held<Value> {
--- a/packages/control-client/src/keep-hosts.ts
+++ b/packages/control-client/src/keep-hosts.ts
@@ -2,10 +2,7 @@
 import type { ConfigurationFeed } from '@cranberryturn/configuration';
 import type { RandomSource } from '@cranberryturn/random';
 import type { TimerService } from '@cranberryturn/timers';
-import type {
-  ClusterConfiguration,
-  NetworkAddress,
-} from '@cranberryturn/types';
+import type { NetworkAddress } from '@cranberryturn/types';
 import {
   type ControlNotice,
   formatAddress,
@@ -13,6 +10,7 @@
 } from '@cranberryturn/wire';
 
 import { type ControlHost, keepControlHost } from './control-host.js';
+import type { ControlHostFeed } from './hold-latest.js';
 
 /** The hosts. */
 export interface ControlHosts {
@@ -27,14 +25,19 @@
   readonly random: RandomSource;
   readonly seeds: readonly NetworkAddress[];
   readonly configuration: ConfigurationFeed;
+  /** Members of a group that forms by itself. */
+  readonly controlHosts: ControlHostFeed;
   readonly handleNotice: (host: ControlHost, notice: ControlNotice) => void;
 }): ControlHosts {
   const hosts = new Map<string, ControlHost>();
 
-  const follow = (configuration: ClusterConfiguration): void => {
-    const learned = configuration.controlHosts.map(host => host.address);
+  const follow = (): void => {
+    const configured = options.configuration
+      .current()
+      .controlHosts.map(host => host.address);
+    const members = options.controlHosts.current();
     const wanted = new Map(
-      [...options.seeds, ...learned].map(address => [
+      [...options.seeds, ...configured, ...members].map(address => [
         formatAddress(address),
         address,
       ]),
@@ -56,12 +59,14 @@
     }
   };
 
-  follow(options.configuration.current());
-  const unsubscribe = options.configuration.subscribe(follow);
+  follow();
+  const stopConfiguration = options.configuration.subscribe(follow);
+  const stopMembers = options.controlHosts.subscribe(follow);
   return {
     list: () => [...hosts.values()],
     stop: () => {
-      unsubscribe();
+      stopConfiguration();
+      stopMembers();
       for (const host of hosts.values()) host.stop();
     },
   };
--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -59,6 +59,9 @@
         ? allVersions
         : latest.configuration.current().version,
       rosterVersion: everything ? allVersions : latest.roster.current().version,
+      publicationVersion: everything
+        ? allVersions
+        : latest.publication.current().version,
     };
     void calls.call<ControlReply>(call, watchTimeout);
   };
--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -22,6 +22,8 @@
   AdministrationCall,
   AdministrationReply,
 } from '../administration-calls.js';
+import type { EnlistReply } from '../form-group.js';
+import type { GroupCandidate } from '../plan-group.js';
 import { err, errAsync, ok, type Result, ResultAsync } from 'neverthrow';
 
 const callTimeout: Milliseconds = 2_000;
@@ -35,6 +37,8 @@
   Log = 'log',
   /** A call of an operator, forwarded to the leader. */
   Administration = 'administration',
+  /** A replica asks to be a member. */
+  Enlist = 'enlist',
 }
 
 /** One message between replicas. */
@@ -47,6 +51,10 @@
   | {
       readonly kind: PeerEnvelopeKind.Administration;
       readonly call: AdministrationCall;
+    }
+  | {
+      readonly kind: PeerEnvelopeKind.Enlist;
+      readonly candidate: GroupCandidate;
     };
 
 /** How a replica answers the messages of others. */
@@ -58,6 +66,7 @@
   readonly administer: (
     call: AdministrationCall,
   ) => Promise<AdministrationReply>;
+  readonly enlist: (candidate: GroupCandidate) => EnlistReply;
 }
 
 /** What the link needs. */
@@ -95,14 +104,16 @@
 }
 
 async function handleEnvelope(
-  { handleMessage, administer }: PeerHandlers,
+  { handleMessage, administer, enlist }: PeerHandlers,
   envelope: PeerEnvelope,
-): Promise<PeerReply | AdministrationReply> {
+): Promise<PeerReply | AdministrationReply | EnlistReply> {
   switch (envelope.kind) {
     case PeerEnvelopeKind.Log:
       return await handleMessage(envelope.from, envelope.message);
     case PeerEnvelopeKind.Administration:
       return await administer(envelope.call);
+    case PeerEnvelopeKind.Enlist:
+      return enlist(envelope.candidate);
   }
 }
 
--- a/packages/control/src/administer-control.ts
+++ b/packages/control/src/administer-control.ts
@@ -5,7 +5,11 @@
   type ConfirmRequest,
 } from '@cranberryturn/configuration';
 import type { ReplicatedLog } from '@cranberryturn/replicated-log';
-import type { ConfigurationChange, Milliseconds } from '@cranberryturn/types';
+import type {
+  ConfigurationChange,
+  Milliseconds,
+  Publication,
+} from '@cranberryturn/types';
 
 import {
   type AdministrationCall,
@@ -14,7 +18,7 @@
   AdministrationReplyKind,
 } from './administration-calls.js';
 import type { OperationProposer } from './batch-operations.js';
-import type { EntryOutcome } from './control-state.js';
+import type { ControlState, EntryOutcome } from './control-state.js';
 import { composeStatus, type StatusSources } from './compose-status.js';
 import { OperationKind, OperationOutcomeKind } from './control-operations.js';
 import { planChange } from './plan-change.js';
@@ -22,6 +26,10 @@
 /** What the calls need. */
 export interface AdministrationServices extends StatusSources {
   readonly proposer: OperationProposer;
+  readonly state: Pick<
+    ControlState,
+    'claims' | 'roster' | 'configuration' | 'publication'
+  >;
   readonly log: Pick<ReplicatedLog<EntryOutcome>, 'confirmLeadership'>;
 }
 
@@ -34,6 +42,9 @@
   if (call.method === AdministrationMethod.Confirm) {
     return await confirm(proposer, call.request);
   }
+  if (call.method === AdministrationMethod.Publish) {
+    return await publish(services, call.publication);
+  }
   // Reads prove the lead first, so that a deposed leader shows nothing old.
   const proved = await log.confirmLeadership();
   if (proved.isErr()) {
@@ -57,6 +68,8 @@
           changes: state.configuration.history.slice(-call.limit).reverse(),
         },
       };
+    case AdministrationMethod.ReadPublication:
+      return { kind: AdministrationReplyKind.Done, view: state.publication };
   }
 }
 
@@ -92,6 +105,24 @@
   return replyToConfirm(outcome.outcome);
 }
 
+/** The reply shows the publication in force afterwards, which may be a later one. */
+async function publish(
+  { proposer, state }: AdministrationServices,
+  publication: Publication,
+): Promise<AdministrationReply> {
+  const submitted = await proposer.submit({
+    kind: OperationKind.Publish,
+    publication,
+  });
+  if (submitted.isErr()) {
+    return refuse(
+      AdministrationReplyKind.Unavailable,
+      `${submitted.error.message} The configuration may still be put in force: send it again.`,
+    );
+  }
+  return { kind: AdministrationReplyKind.Done, view: state.publication };
+}
+
 function replyToConfirm(outcome: ConfirmOutcome): AdministrationReply {
   switch (outcome.kind) {
     case ConfirmOutcomeKind.Accepted: {
--- a/packages/control/src/administration-calls.ts
+++ b/packages/control/src/administration-calls.ts
@@ -7,6 +7,7 @@
   RefusalView,
   StatusView,
 } from '@cranberryturn/configuration';
+import type { Publication } from '@cranberryturn/types';
 
 /** The kinds of call. */
 export enum AdministrationMethod {
@@ -14,6 +15,9 @@
   Confirm = 'confirm',
   Status = 'status',
   History = 'history',
+  /** Puts a whole configuration in force, without a plan. */
+  Publish = 'publish',
+  ReadPublication = 'read-publication',
 }
 
 /** A call of an operator whose token was checked. */
@@ -32,7 +36,12 @@
       readonly method: AdministrationMethod.History;
       /** Most changes in the answer. */
       readonly limit: number;
-    };
+    }
+  | {
+      readonly method: AdministrationMethod.Publish;
+      readonly publication: Publication;
+    }
+  | { readonly method: AdministrationMethod.ReadPublication };
 
 /** The kinds of reply. */
 export enum AdministrationReplyKind {
@@ -49,7 +58,8 @@
 export type AdministrationReply =
   | {
       readonly kind: AdministrationReplyKind.Done;
-      readonly view: PlanView | ConfirmView | StatusView | HistoryView;
+      readonly view:
+        PlanView | ConfirmView | StatusView | HistoryView | Publication;
     }
   | {
       readonly kind: Exclude<
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -28,6 +28,7 @@
   EntryOutcome,
 } from './control-state.js';
 import type { FollowerFeed } from './feed-followers.js';
+import type { GroupOptions } from './form-group.js';
 import type { InForceTable } from './in-force-table.js';
 
 /** Opens the log of this replica. */
@@ -51,6 +52,8 @@
   }[];
   /** Configuration that the first leader of an empty log proposes. */
   readonly initialConfiguration?: Omit<ClusterConfiguration, 'version'>;
+  /** Present where the replicas form and mend their group by themselves. */
+  readonly group?: GroupOptions | undefined;
   readonly retention?: Partial<ControlRetention>;
   readonly logger: Logger;
   readonly decisions: DecisionSink;
--- a/packages/control/src/control-operations.ts
+++ b/packages/control/src/control-operations.ts
@@ -8,6 +8,7 @@
   ClaimOutcome,
   ClusterConfiguration,
   LogIndex,
+  Publication,
 } from '@cranberryturn/types';
 import type { ControlCall, ControlMethod } from '@cranberryturn/wire';
 import { Packr } from 'msgpackr';
@@ -22,6 +23,8 @@
   Initialize = 'initialize',
   /** The leader takes silent runs off the roster. */
   ExpireRuns = 'expire-runs',
+  /** An operator publishes a whole configuration. */
+  Publish = 'publish',
 }
 
 /** A call of a dispatcher that changes the state. */
@@ -38,7 +41,11 @@
       readonly kind: OperationKind.Initialize;
       readonly configuration: Omit<ClusterConfiguration, 'version'>;
     }
-  | { readonly kind: OperationKind.ExpireRuns; readonly expired: ExpiredRuns };
+  | { readonly kind: OperationKind.ExpireRuns; readonly expired: ExpiredRuns }
+  | {
+      readonly kind: OperationKind.Publish;
+      readonly publication: Publication;
+    };
 
 /** The kinds of outcome. */
 export enum OperationOutcomeKind {
--- a/packages/control/src/control-snapshot.ts
+++ b/packages/control/src/control-snapshot.ts
@@ -2,6 +2,7 @@
 import { ClaimTable, type ClaimTableSnapshot } from '@cranberryturn/claims';
 import type { ConfigurationSnapshot } from '@cranberryturn/configuration';
 import type { RosterSnapshot } from '@cranberryturn/membership';
+import { noPublication, type Publication } from '@cranberryturn/types';
 import { Packr } from 'msgpackr';
 
 const formatMark = 0x32_4e_53_43;
@@ -15,12 +16,15 @@
   readonly claims: ClaimTable;
   readonly roster: RosterSnapshot;
   readonly configuration: ConfigurationSnapshot;
+  readonly publication: Publication;
 }
 
 interface SnapshotHeader {
   readonly claims: ClaimTableSnapshot;
   readonly roster: RosterSnapshot;
   readonly configuration: ConfigurationSnapshot;
+  /** Missing in snapshots of versions that knew no publications. */
+  readonly publication?: Publication | undefined;
 }
 
 /** Encodes a snapshot with one copy of the claims. */
@@ -28,11 +32,13 @@
   claims,
   roster,
   configuration,
+  publication,
 }: ControlSnapshot): Uint8Array {
   const described: SnapshotHeader = {
     claims: claims.capture(),
     roster,
     configuration,
+    publication,
   };
   const header = packer.pack(described);
   const start = prefixBytes + header.length;
@@ -60,5 +66,6 @@
     claims: new ClaimTable(header.claims, bytes.subarray(start)),
     roster: header.roster,
     configuration: header.configuration,
+    publication: header.publication ?? noPublication,
   };
 }
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -33,7 +33,11 @@
   CommittedEntry,
   StateMachine,
 } from '@cranberryturn/replicated-log';
-import type { ClaimRetention } from '@cranberryturn/types';
+import {
+  type ClaimRetention,
+  noPublication,
+  type Publication,
+} from '@cranberryturn/types';
 import { ControlMethod } from '@cranberryturn/wire';
 
 import {
@@ -63,6 +67,8 @@
   readonly claims: ClaimTable;
   readonly roster: RosterState;
   readonly configuration: ConfigurationState;
+  /** The publication in force: the one with the highest version. */
+  readonly publication: Publication;
 }
 
 /** Creates the state before the first entry. */
@@ -70,6 +76,7 @@
   let claims = new ClaimTable();
   let roster = createRosterState();
   let configuration = createConfigurationState();
+  let publication = noPublication;
 
   /** Set by operators; the same at every replica, because it comes from the log. */
   const claimRetention = (): ClaimRetention =>
@@ -138,6 +145,12 @@
       case OperationKind.ExpireRuns:
         expireRuns(roster, operation.expired, entry);
         return complete(entry.index);
+      case OperationKind.Publish:
+        // Another document under the version held changes nothing.
+        if (operation.publication.version > publication.version) {
+          publication = operation.publication;
+        }
+        return complete(entry.index);
     }
   };
 
@@ -151,6 +164,9 @@
     get configuration() {
       return configuration;
     },
+    get publication() {
+      return publication;
+    },
     apply: entry => {
       claims.dropExpired(claimRetention(), entry.leaderTime);
       dropRetiredRuns(roster, retention.roster, entry.leaderTime);
@@ -163,12 +179,14 @@
         claims,
         roster: captureRosterState(roster),
         configuration: captureConfigurationState(configuration),
+        publication,
       }),
     restore: bytes => {
       const snapshot = decodeControlSnapshot(bytes);
       claims = snapshot.claims;
       roster = restoreRosterState(snapshot.roster);
       configuration = restoreConfigurationState(snapshot.configuration);
+      publication = snapshot.publication;
     },
   };
 }
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -1,7 +1,7 @@
 /** Feeds followers with the configuration, the roster and the proof that the leader has its majority. */
 import { listChangesSince } from '@cranberryturn/configuration';
 import { composeRoster, composeRosterChanges } from '@cranberryturn/membership';
-import type { LogStatus } from '@cranberryturn/replicated-log';
+import type { LogStatus, Member } from '@cranberryturn/replicated-log';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type { LogIndex, Milliseconds, Roster } from '@cranberryturn/types';
 import {
@@ -12,6 +12,7 @@
 } from '@cranberryturn/wire';
 
 import type { ControlState } from './control-state.js';
+import { parseAddress } from './parse-address.js';
 
 const freshnessInterval: Milliseconds = 500;
 const coalescingDelay: Milliseconds = 10;
@@ -22,8 +23,7 @@
   /** Starts to feed a follower that has these versions. */
   watch(
     calls: RemoteCalls,
-    configurationVersion: number,
-    rosterVersion: number,
+    versions: FollowerVersions,
   ): void;
   forget(calls: RemoteCalls): void;
   /** Says that the state may have changed. */
@@ -33,10 +33,20 @@
   stop(): void;
 }
 
+/** What a follower has already. */
+export interface FollowerVersions {
+  readonly configurationVersion: number;
+  readonly rosterVersion: number;
+  readonly publicationVersion: number;
+}
+
 interface Follower {
   readonly calls: RemoteCalls;
   configurationVersion: number;
   rosterVersion: number;
+  publicationVersion: number;
+  /** Members of the log that it was told last. */
+  members: readonly Member[] | undefined;
 }
 
 /** Creates the feed of one replica. */
@@ -68,6 +78,8 @@
     for (const follower of followers.values()) {
       feedConfiguration(follower, state);
       feedRoster(follower, state, currentRoster);
+      feedPublication(follower, state);
+      feedMembers(follower, status().members);
     }
   };
 
@@ -95,8 +107,8 @@
   const heartbeat = timers.every(freshnessInterval, sendFreshness);
 
   return {
-    watch: (calls, configurationVersion, rosterVersion) => {
-      followers.set(calls, { calls, configurationVersion, rosterVersion });
+    watch: (calls, versions) => {
+      followers.set(calls, { calls, ...versions, members: undefined });
       calls.notify(composeFreshness());
       wake();
     },
@@ -143,3 +155,19 @@
   follower.calls.notify(notice);
   follower.rosterVersion = state.roster.version;
 }
+
+function feedPublication(follower: Follower, state: ControlState): void {
+  const { publication } = state;
+  if (publication.version <= follower.publicationVersion) return;
+  follower.calls.notify({ kind: ControlNoticeKind.Publication, publication });
+  follower.publicationVersion = publication.version;
+}
+
+function feedMembers(follower: Follower, members: readonly Member[]): void {
+  if (follower.members === members) return;
+  follower.members = members;
+  const addresses = members.flatMap(
+    member => parseAddress(member.address) ?? [],
+  );
+  follower.calls.notify({ kind: ControlNoticeKind.ControlHosts, addresses });
+}
--- a/packages/control/src/serve-follower.ts
+++ b/packages/control/src/serve-follower.ts
@@ -37,7 +37,8 @@
 
   const handleCall = async (call: ControlCall): Promise<ControlReply> => {
     if (call.method === ControlMethod.Watch) {
-      feed.watch(calls, call.configurationVersion, call.rosterVersion);
+      const { method: _method, ...versions } = call;
+      feed.watch(calls, versions);
       return { kind: ControlReplyKind.Done, index: feed.appliedIndex() };
     }
     const reply = await write(call, services.proposer);
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -32,7 +32,8 @@
 import { err, ok, Result, ResultAsync } from 'neverthrow';
 
 import { serveAdministration } from './adapters/serve-administration.js';
-import type { ControlOptions } from './control-node.js';
+import type { ControlNode, ControlOptions } from './control-node.js';
+import type { GroupOptions } from './form-group.js';
 import { measureSyncs } from './measure-syncs.js';
 import { startControl } from './start-control.js';
 
@@ -49,10 +50,24 @@
   return new ResultAsync(start(settings, environment));
 }
 
-async function start(
-  settings: ControlSettings,
+/** Settings of a replica without its administration API. */
+export type ControlReplicaSettings = Omit<
+  ControlSettings,
+  'administration' | 'operators' | 'log' | 'stop'
+>;
+
+/** Starts the replica alone, without its administration API. */
+export function startControlReplica(
+  settings: ControlReplicaSettings,
   environment: RoleEnvironment,
-): Promise<Result<RunningRole, CranberryError>> {
+): ResultAsync<ControlNode, CranberryError> {
+  return new ResultAsync(startReplica(settings, environment));
+}
+
+async function startReplica(
+  settings: ControlReplicaSettings,
+  environment: RoleEnvironment,
+): Promise<Result<ControlNode, CranberryError>> {
   const prepared = Result.combine([
     createRoleNetwork(settings.sharedKeyFile, environment),
     readInitialConfiguration(settings),
@@ -61,9 +76,16 @@
   const [join, initialConfiguration] = prepared.value;
   const seed = settings.seed ?? randomInt(largestSeed);
   environment.logger.info('seed of this run', { seed });
-  const started = await startControl(
+  return startControl(
     composeOptions(settings, environment, join, seed, initialConfiguration),
   );
+}
+
+async function start(
+  settings: ControlSettings,
+  environment: RoleEnvironment,
+): Promise<Result<RunningRole, CranberryError>> {
+  const started = await startReplica(settings, environment);
   if (started.isErr()) return err(started.error);
   const node = started.value;
   const served = await serveAdministration(
@@ -86,7 +108,7 @@
 }
 
 function composeOptions(
-  settings: ControlSettings,
+  settings: ControlReplicaSettings,
   environment: RoleEnvironment,
   join: JoinNetwork,
   seed: number,
@@ -117,17 +139,27 @@
       address: { address, port },
     })),
     initialConfiguration,
+    group: composeGroup(settings),
     logger,
     decisions: decisions.record,
   };
 }
 
+function composeGroup({
+  group,
+  peers,
+}: ControlReplicaSettings): GroupOptions | undefined {
+  if (group === undefined) return undefined;
+  const { address, port, advertisedAddress } = peers.listen;
+  return { ...group, self: { address: advertisedAddress ?? address, port } };
+}
+
 function composeIdentity(name: string, random: RandomSource): PeerIdentity {
   const incarnation = `${name}-${String(random.below(largestSeed))}`;
   return { role: ProcessRole.Control, name, incarnation };
 }
 
-function composeStart(settings: ControlSettings): FoundStart | JoinStart {
+function composeStart(settings: ControlReplicaSettings): FoundStart | JoinStart {
   if (settings.joining) return { kind: StartKind.Join, host: settings.host };
   return {
     kind: StartKind.Found,
@@ -140,7 +172,7 @@
   };
 }
 
-function composeTuning({ timings, snapshots }: ControlSettings) {
+function composeTuning({ timings, snapshots }: ControlReplicaSettings) {
   const { leaderHeartbeatMilliseconds, electionTimeoutMilliseconds } = timings;
   return {
     ...defaultLogTuning,
@@ -152,7 +184,7 @@
 }
 
 function readInitialConfiguration(
-  settings: ControlSettings,
+  settings: ControlReplicaSettings,
 ): Result<Omit<ClusterConfiguration, 'version'>, CranberryError> {
   const controlHosts = settings.peers.members.map(
     ({ replicaId, address, port }) => ({
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -36,9 +36,11 @@
 import { createControlState, type EntryOutcome } from './control-state.js';
 import { expireSilentRuns } from './expire-silent-runs.js';
 import { createFollowerFeed } from './feed-followers.js';
+import { type EnlistReply, formGroup } from './form-group.js';
 import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable } from './in-force-table.js';
 import { parseAddress } from './parse-address.js';
+import type { GroupCandidate } from './plan-group.js';
 import { reconcileMembers } from './reconcile-members.js';
 import { recordClaim } from './record-claim.js';
 import { serveFollower } from './serve-follower.js';
@@ -94,7 +96,7 @@
       { status, administerHere, administerAt: link.administer },
       call,
     );
-  const node = {
+  const parts = {
     state,
     log,
     proposer,
@@ -104,11 +106,27 @@
     inForce,
   };
   const subscription = log.subscribe(event => {
-    observeEvent(options, node, event);
+    observeEvent(options, parts, event);
   });
-  initialize(options, node);
+  initialize(options, parts);
+  const formation =
+    options.group === undefined
+      ? undefined
+      : formGroup({
+          group: options.group,
+          timers,
+          logger,
+          log,
+          network,
+          silenceOf: link.silenceOf,
+        });
+  const node = {
+    ...parts,
+    enlist: (candidate: GroupCandidate): EnlistReply =>
+      formation?.enlist(candidate) ?? { leader: undefined },
+  };
   const tasks = [
-    reconcileMembers({ timers, logger, log, state }),
+    formation ?? reconcileMembers({ timers, logger, log, state }),
     expireSilentRuns({ timers, logger, state, status, inForce, proposer }),
   ];
   const cancelTasks = (): void => {
@@ -139,9 +157,13 @@
 
 type RunningReplica = Omit<ControlNode, 'address' | 'stop'>;
 
+interface ServingReplica extends RunningReplica {
+  readonly enlist: (candidate: GroupCandidate) => EnlistReply;
+}
+
 async function serve(
   options: ControlOptions,
-  node: RunningReplica,
+  node: ServingReplica,
   connection: Connection,
 ): Promise<void> {
   const { timers, decisions } = options;
@@ -150,6 +172,7 @@
     await servePeer(connection, timers, {
       handleMessage: (from, message) => log.handlePeerMessage(from, message),
       administer: node.administerHere,
+      enlist: node.enlist,
     });
     return;
   }
--- a/packages/dispatcher/src/index.ts
+++ b/packages/dispatcher/src/index.ts
@@ -1,5 +1,6 @@
 /** The dispatcher: answers callers, claims, places, collects. */
 export * from './dispatcher-options.js';
+export * from './keep-registered.js';
 export * from './ports/control.js';
 export * from './start-dispatcher.js';
 export * from './start-dispatcher-role.js';
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -10,6 +10,7 @@
   transports,
 } from 'winston';
 
+import { createBoundedOutput } from './bounded-output.js';
 import { redactSecrets } from './redact.js';
 
 /** Named values of a log line. */
@@ -39,6 +40,8 @@
   readonly format?: LogFormat | undefined;
   /** File that lines are added to, instead of the standard error output. */
   readonly file?: string | undefined;
+  /** Whether lines go to the standard output, in bounded amount. */
+  readonly standardOutput?: boolean | undefined;
   /** Receives the lines instead of a file or the standard error output; for tests. */
   readonly stream?: Writable | undefined;
 }
@@ -146,6 +149,11 @@
   if (options.file !== undefined) {
     return new transports.File({ filename: options.file });
   }
+  if (options.standardOutput === true) {
+    return new transports.Stream({
+      stream: createBoundedOutput(process.stdout, options.timers),
+    });
+  }
   return new transports.Stream({ stream: process.stderr });
 }
 
--- a/packages/program/src/role-network.ts
+++ b/packages/program/src/role-network.ts
@@ -1,7 +1,7 @@
 /** Creates what a role needs to take part: its run, its random numbers and its network. */
 import { randomInt, randomUUID } from 'node:crypto';
 
-import { readSharedKeyFile } from '@cranberryturn/authentication';
+import { createOpenKeys, readSharedKeyFile } from '@cranberryturn/authentication';
 import type { InvalidInputError } from '@cranberryturn/errors';
 import { Counter } from '@cranberryturn/metrics';
 import type { Incarnation } from '@cranberryturn/types';
@@ -10,7 +10,7 @@
   type Network,
   type PeerIdentity,
 } from '@cranberryturn/wire';
-import type { Result } from 'neverthrow';
+import { ok, type Result } from 'neverthrow';
 
 import { measureNetwork } from './measure-network.js';
 import type { RoleEnvironment } from './role-environment.js';
@@ -32,16 +32,23 @@
   return chosen;
 }
 
-/** Creates networks for one process, whose peers must hold a key of the file. */
+/** Creates networks for one process, whose peers must hold a key of the file; without a file, every peer is trusted. */
 export function createRoleNetwork(
-  sharedKeyFile: string,
+  sharedKeyFile: string | undefined,
   environment: RoleEnvironment,
 ): Result<(self: PeerIdentity) => Network, InvalidInputError> {
   const { timers, logger, metrics, wrapNetwork } = environment;
-  return readSharedKeyFile(sharedKeyFile).map(keys => self => {
+  if (sharedKeyFile === undefined) {
+    logger.warn('no shared key file: every process that reaches the ports is trusted');
+  }
+  const keys =
+    sharedKeyFile === undefined
+      ? ok(createOpenKeys())
+      : readSharedKeyFile(sharedKeyFile);
+  return keys.map(sharedKeys => self => {
     const network = createWebSocketNetwork({
       self,
-      keys,
+      keys: sharedKeys,
       timers,
       peerRefused: error => {
         metrics.count(Counter.PeersRefused);
--- /dev/null
+++ b/packages/run-dispatcher/src/run-session-times.ts
@@ -0,0 +1,9 @@
+/** Times of the sessions that carry runs. */
+import type { SessionTimes } from '@cranberryturn/sessions';
+
+/** A silent connection is replaced well before the lease of a dispatcher is over. */
+export const runSessionTimes: SessionTimes = {
+  heartbeatMilliseconds: 300,
+  suspicionMilliseconds: 700,
+  idleHeartbeatMilliseconds: 2_000,
+};
--- a/packages/settings/src/schemas/control-settings.ts
+++ b/packages/settings/src/schemas/control-settings.ts
@@ -9,6 +9,7 @@
   nameSchema,
   operatorsSchema,
   pathSchema,
+  peerAddressSchema,
   seedSchema,
   stopSchema,
   uniqueBy,
@@ -44,8 +45,16 @@
   listen: advertisedListenSchema,
   /** Replicas of the first quorum; later ones are learned from the log. */
   members: uniqueBy(controlPeerSchema, peer => peer.replicaId, 'replicaId')
-    .min(1)
-    .max(mostControlHosts),
+    .max(mostControlHosts)
+    .default([]),
+});
+
+/** Replicas that form and mend their group without a person. */
+const groupSchema = z.strictObject({
+  /** Addresses at which members are found. */
+  seeds: z.array(peerAddressSchema).min(1),
+  /** The group never shrinks below this number of voters by itself. */
+  minimumVoters: z.int().min(1).max(mostControlHosts).default(3),
 });
 
 /** Schema of the settings of a control replica. */
@@ -60,10 +69,13 @@
     peers: peersSchema,
     /** True for a replica that joins a running quorum and is not among its first members. */
     joining: z.boolean().default(false),
+    /** Without it, the configuration names the control hosts. */
+    group: groupSchema.optional(),
     /** HTTP for operators, health checks and metrics. */
     administration: listenAddressSchema,
     operators: operatorsSchema.min(1),
-    sharedKeyFile: pathSchema,
+    /** Without it, every process that reaches the ports is trusted. */
+    sharedKeyFile: pathSchema.optional(),
     /** Configuration that the first leader of an empty log proposes. */
     initialConfigurationFile: pathSchema.optional(),
     snapshots: snapshotsSchema,
--- a/packages/settings/src/schemas/shared.ts
+++ b/packages/settings/src/schemas/shared.ts
@@ -100,6 +100,8 @@
     format: z.enum(LogFormat).optional(),
     /** Without a file, lines go to the standard error output. */
     file: pathSchema.optional(),
+    /** Whether lines go to the standard output, in bounded amount, instead of the standard error output. */
+    standardOutput: z.boolean().default(false),
     /** One JSON line for each routing and placement decision. Without a file, they go to the log. */
     decisionFile: pathSchema.optional(),
   })
--- /dev/null
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -0,0 +1,169 @@
+/**
+ * Chooses a worker for each task so that the last task of the job ends early. Answers a load in
+ * which several dispatchers fill the same workers, workers differ in size and speed, and reports
+ * of their load are some hundred milliseconds old.
+ */
+import type { RandomSource } from '@cranberryturn/random';
+import type { Milliseconds } from '@cranberryturn/types';
+
+import {
+  countFreeProcessors,
+  countRecentWork,
+  countWorkAhead,
+  isUsable,
+  type KnownWorker,
+} from './known-worker.js';
+import type { JobStep } from './transient-job.js';
+
+/** Dispatchers that see the same report choose different workers among nearly equal ones. */
+const choiceNoise: Milliseconds = 6;
+/** A fuller worker is more likely to have been filled by others since its report. */
+const fullnessPenalty: Milliseconds = 20;
+/** A worker in another data centre answers later by a round trip. */
+const remotePenalty: Milliseconds = 2;
+
+/** What is to be placed. */
+export interface PlacementQuestion {
+  readonly step: JobStep;
+  readonly priority: number;
+  /** Expected run time of a task on a worker of ordinary speed. */
+  readonly estimate: Milliseconds;
+  readonly tasks: number;
+  readonly dataCentre: string;
+  /** How much longer a task takes away from its data. */
+  readonly remoteFactor: number;
+  /** Workers that the tasks must not go to. */
+  readonly excluded: ReadonlySet<string>;
+  /** Tasks of the step that each worker has already. */
+  readonly placed: ReadonlyMap<string, number>;
+}
+
+/** A worker with the time at which a further task is expected to end there. */
+interface Candidate {
+  readonly known: KnownWorker;
+  free: number;
+  ahead: number;
+  tasks: number;
+}
+
+/** One worker and the number of tasks that it gets. */
+export interface ChosenWorker {
+  readonly known: KnownWorker;
+  readonly tasks: number;
+  /** Expected time from now until the last of them ends. */
+  readonly expectedMilliseconds: Milliseconds;
+}
+
+/** Chooses workers for as many of the tasks as any worker can take. */
+export function chooseWorkers(
+  question: PlacementQuestion,
+  workers: Iterable<KnownWorker>,
+  random: RandomSource,
+  now: Milliseconds,
+): readonly ChosenWorker[] {
+  const candidates = listCandidates(question, workers, now);
+  const ends = new Map<Candidate, Milliseconds>();
+  for (let task = 0; task < question.tasks; task += 1) {
+    const best = chooseOne(question, candidates, random);
+    if (best === undefined) break;
+    const end = expectEnd(question, best);
+    ends.set(best, Math.max(ends.get(best) ?? 0, end));
+    addTask(question, best);
+  }
+  return [...ends].map(([candidate, expectedMilliseconds]) => ({
+    known: candidate.known,
+    tasks: candidate.tasks,
+    expectedMilliseconds,
+  }));
+}
+
+function listCandidates(
+  { step, priority, excluded }: PlacementQuestion,
+  workers: Iterable<KnownWorker>,
+  now: Milliseconds,
+): readonly Candidate[] {
+  const candidates: Candidate[] = [];
+  for (const known of workers) {
+    if (!isUsable(known, now) || excluded.has(known.workerId)) continue;
+    if (!canEverHold(known, step)) continue;
+    candidates.push({
+      known,
+      free: countFreeProcessors(known),
+      ahead: countWorkAhead(known, priority) + countRecentWork(known),
+      tasks: 0,
+    });
+  }
+  return candidates;
+}
+
+/** Whether the worker could hold a task of the step with nothing else at work. */
+export function canEverHold({ worker }: KnownWorker, { need }: JobStep): boolean {
+  const { capacity, labels } = worker;
+  return (
+    need.processors <= capacity.processors &&
+    need.memoryMebibytes <= capacity.memoryMebibytes &&
+    need.accelerators <= capacity.accelerators &&
+    (need.label === undefined || labels.includes(need.label))
+  );
+}
+
+function chooseOne(
+  question: PlacementQuestion,
+  candidates: readonly Candidate[],
+  random: RandomSource,
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestScore = Infinity;
+  for (const candidate of candidates) {
+    if (isFull(question, candidate)) continue;
+    const score = scoreCandidate(question, candidate) + random.fraction() * choiceNoise;
+    if (score >= bestScore) continue;
+    best = candidate;
+    bestScore = score;
+  }
+  return best;
+}
+
+function isFull(
+  { step, placed }: PlacementQuestion,
+  { known, tasks }: Candidate,
+): boolean {
+  if (step.mostPerWorker === undefined) return false;
+  return (placed.get(known.workerId) ?? 0) + tasks >= step.mostPerWorker;
+}
+
+function scoreCandidate(
+  question: PlacementQuestion,
+  candidate: Candidate,
+): Milliseconds {
+  const { capacity, dataCentre } = candidate.known.worker;
+  const used = 1 - Math.max(0, candidate.free) / capacity.processors;
+  const distance = dataCentre === question.dataCentre ? 0 : remotePenalty;
+  return expectEnd(question, candidate) + used * fullnessPenalty + distance;
+}
+
+/** Expected time until one more task ends on the worker. */
+function expectEnd(
+  { step, estimate, remoteFactor }: PlacementQuestion,
+  { known, free, ahead }: Candidate,
+): Milliseconds {
+  const { capacity, labels } = known.worker;
+  const isNear = step.dataLabel === undefined || labels.includes(step.dataLabel);
+  const run = (estimate * (isNear ? 1 : remoteFactor)) / known.speed;
+  const missing = step.need.processors - free;
+  if (missing <= 0) return run;
+  const busy = Math.max(1, capacity.processors - Math.max(0, free));
+  // Work in progress frees its processors evenly over the time that it has left.
+  const untilFree = (missing / busy) * (known.load.runningWork / busy);
+  return run + ahead / capacity.processors + untilFree;
+}
+
+function addTask(
+  { step, estimate }: PlacementQuestion,
+  candidate: Candidate,
+): void {
+  const { processors } = step.need;
+  candidate.tasks += 1;
+  candidate.free -= processors;
+  if (candidate.free < 0) candidate.ahead += processors * estimate;
+}
--- /dev/null
+++ b/packages/transient-jobs/src/index.ts
@@ -0,0 +1,3 @@
+/** Jobs that need not be stored. */
+export * from './create-transient-jobs.js';
+export * from './transient-job.js';
--- /dev/null
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -0,0 +1,131 @@
+/** One worker as a dispatcher sees it through its sidecar. */
+import type {
+  Milliseconds,
+  TargetId,
+  WorkerLoad,
+  WorkerRun,
+} from '@cranberryturn/types';
+
+/** An order that the last report of the load may not count yet. */
+interface RecentOrder {
+  readonly sentAt: Milliseconds;
+  readonly processors: number;
+  readonly work: number;
+}
+
+/** A worker. Changed by its owner only. */
+export interface KnownWorker {
+  readonly workerId: TargetId;
+  worker: WorkerRun;
+  load: WorkerLoad;
+  /** When the last message of its sidecar arrived. */
+  heardAt: Milliseconds;
+  /** Run time of others on equal tasks, divided by its own; 1 is ordinary. */
+  speed: number;
+  /** Failures in a row. */
+  failures: number;
+  /** It is given no task before this time. */
+  avoidedUntil: Milliseconds;
+  recent: RecentOrder[];
+}
+
+const newestSpeedWeight = 0.15;
+const lowestSpeed = 0.1;
+const highestSpeed = 4;
+const firstAvoidance: Milliseconds = 400;
+const longestAvoidance: Milliseconds = 5_000;
+/** A report that arrives this soon after an order was sent may not count the order. */
+const reportDelay: Milliseconds = 6;
+/** Silence after which no task is given to the worker. */
+const longestSilence: Milliseconds = 700;
+
+/** Creates the view of a worker that was announced. */
+export function createKnownWorker(
+  worker: WorkerRun,
+  load: WorkerLoad,
+  now: Milliseconds,
+): KnownWorker {
+  return {
+    workerId: worker.workerId,
+    worker,
+    load,
+    heardAt: now,
+    speed: 1,
+    failures: 0,
+    avoidedUntil: 0,
+    recent: [],
+  };
+}
+
+/** Takes in a report of the load. */
+export function noteLoad(
+  known: KnownWorker,
+  load: WorkerLoad,
+  now: Milliseconds,
+): void {
+  known.load = load;
+  known.heardAt = now;
+  known.recent = known.recent.filter(order => now - order.sentAt < reportDelay);
+}
+
+/** Counts a task that is sent now. */
+export function noteOrder(
+  known: KnownWorker,
+  processors: number,
+  work: number,
+  now: Milliseconds,
+): void {
+  known.recent.push({ sentAt: now, processors, work });
+}
+
+/** Learns from a task that was done in `actual` where `expected` was usual. */
+export function noteDone(
+  known: KnownWorker,
+  expected: Milliseconds,
+  actual: Milliseconds,
+): void {
+  known.failures = 0;
+  known.avoidedUntil = 0;
+  const seen = Math.min(highestSpeed, Math.max(lowestSpeed, expected / Math.max(1, actual)));
+  known.speed *= (seen / known.speed) ** newestSpeedWeight;
+}
+
+/** Gives a worker that failed a task, or refused one, a pause that grows. */
+export function noteFailure(known: KnownWorker, now: Milliseconds): void {
+  known.failures += 1;
+  const pause = Math.min(
+    longestAvoidance,
+    firstAvoidance * 2 ** (known.failures - 1),
+  );
+  known.avoidedUntil = now + pause;
+}
+
+/** Whether tasks may be given to the worker now. */
+export function isUsable(known: KnownWorker, now: Milliseconds): boolean {
+  return (
+    !known.load.draining &&
+    now - known.heardAt < longestSilence &&
+    known.avoidedUntil <= now
+  );
+}
+
+/** What the worker has free, less what was sent since its last report. */
+export function countFreeProcessors(known: KnownWorker): number {
+  return known.recent.reduce(
+    (free, order) => free - order.processors,
+    known.load.free.processors,
+  );
+}
+
+/** Estimated work that goes before a new task, in processor-milliseconds. */
+export function countWorkAhead(known: KnownWorker, priority: number): number {
+  const { waitingWork } = known.load;
+  return waitingWork
+    .slice(0, priority + 1)
+    .reduce((sum, work) => sum + work, 0);
+}
+
+/** Estimated work sent since the last report, in processor-milliseconds. */
+export function countRecentWork(known: KnownWorker): number {
+  return known.recent.reduce((sum, order) => sum + order.work, 0);
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -7,5 +7,8 @@
 export * from './intents.js';
 export * from './jobs.js';
 export * from './logging.js';
+export * from './publications.js';
+export * from './queues.js';
 export * from './roster.js';
+export * from './runs.js';
 export * from './targets.js';
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -10,6 +10,7 @@
 export * from './handshake.js';
 export * from './messages/control-messages.js';
 export * from './messages/dispatcher-messages.js';
+export * from './messages/run-messages.js';
 export * from './messages/target-messages.js';
 export * from './ports/connection.js';
 export * from './remote-calls.js';
--- a/packages/wire/src/messages/control-messages.ts
+++ b/packages/wire/src/messages/control-messages.ts
@@ -9,7 +9,9 @@
   JobId,
   LogIndex,
   Milliseconds,
+  NetworkAddress,
   OwnershipEpoch,
+  Publication,
   ReplicaId,
   Roster,
   RosterChanges,
@@ -69,6 +71,8 @@
       /** Version of the configuration that the caller already has. */
       readonly configurationVersion: number;
       readonly rosterVersion: number;
+      /** Version of the publication that the caller already has. */
+      readonly publicationVersion: number;
     };
 
 /** How control answered a call. */
@@ -103,6 +107,8 @@
   ConfigurationChanges = 'configuration-changes',
   Roster = 'roster',
   RosterChanges = 'roster-changes',
+  Publication = 'publication',
+  ControlHosts = 'control-hosts',
   Freshness = 'freshness',
 }
 
@@ -122,6 +128,15 @@
       readonly kind: ControlNoticeKind.RosterChanges;
       readonly changes: RosterChanges;
     }
+  | {
+      readonly kind: ControlNoticeKind.Publication;
+      readonly publication: Publication;
+    }
+  | {
+      /** The members of the replicated log, where they form the group by themselves. */
+      readonly kind: ControlNoticeKind.ControlHosts;
+      readonly addresses: readonly NetworkAddress[];
+    }
   | {
       readonly kind: ControlNoticeKind.Freshness;
       /** Age of the proof that the leader still had its majority. */
--- /dev/null
+++ b/packages/worker-gate/src/index.ts
@@ -0,0 +1,4 @@
+/** Runs tasks on one worker for all dispatchers. */
+export * from './ports/worker.js';
+export * from './start-worker-gate.js';
+export type { DispatcherSession } from './dispatcher-sessions.js';
