--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -28,11 +28,12 @@
   outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
+  mainFields: ['module', 'main'],
   target: 'node20',
   format: 'esm',
   // Bundled CommonJS libraries load the modules of Node.js with it.
   banner: {
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    js: "import { createRequire as createModuleRequire } from 'node:module'; const require = createModuleRequire(import.meta.url);",
   },
   minifySyntax: true,
   minifyWhitespace: true,
