--- a/packages/timers/src/system-timer-service.ts
+++ b/packages/timers/src/system-timer-service.ts
@@ -1,9 +1,51 @@
 import { performance } from 'node:perf_hooks';
 
+import type { Milliseconds } from '@cranberryturn/types';
+
 import type { TimerService, TimerSubscription } from './timer-service.js';
 
+/** Subscriptions of one period: they are called together, so that the process wakes up once for all. */
+interface SharedInterval {
+  readonly handle: NodeJS.Timeout;
+  readonly callbacks: Set<() => void>;
+}
+
 /** Creates the timer service that follows the clock of the machine. */
 export function createSystemTimerService(): TimerService {
+  const intervals = new Map<Milliseconds, SharedInterval>();
+
+  const startInterval = (
+    period: Milliseconds,
+    callback: () => void,
+  ): TimerSubscription => {
+    const shared = intervals.get(period) ?? shareInterval(period);
+    // Wrapped, so that one function can be subscribed twice.
+    const own = (): void => {
+      callback();
+    };
+    shared.callbacks.add(own);
+    return {
+      cancel: () => {
+        if (!shared.callbacks.delete(own)) return;
+        if (shared.callbacks.size > 0) return;
+        clearInterval(shared.handle);
+        if (intervals.get(period) === shared) intervals.delete(period);
+      },
+    };
+  };
+
+  const shareInterval = (period: Milliseconds): SharedInterval => {
+    const callbacks = new Set<() => void>();
+    const handle = setInterval(() => {
+      for (const callback of [...callbacks]) {
+        if (callbacks.has(callback)) callback();
+      }
+    }, period);
+    const shared = { handle, callbacks };
+    intervals.set(period, shared);
+    return shared;
+  };
+
   return {
     now: () => performance.now(),
     wallClock: () => Date.now(),
@@ -20,15 +62,3 @@
     },
   };
 }
-
-function startInterval(
-  period: number,
-  callback: () => void,
-): TimerSubscription {
-  const handle = setInterval(callback, period);
-  return {
-    cancel: () => {
-      clearInterval(handle);
-    },
-  };
-}
--- a/packages/timers/src/timer-service.ts
+++ b/packages/timers/src/timer-service.ts
@@ -14,7 +14,7 @@
   wallClock(): Milliseconds;
   /** Calls `callback` once, `delay` milliseconds from now. */
   after(delay: Milliseconds, callback: () => void): TimerSubscription;
-  /** Calls `callback` every `period` milliseconds. */
+  /** Calls `callback` every `period` milliseconds; the first call may come sooner. */
   every(period: Milliseconds, callback: () => void): TimerSubscription;
 }
 
--- a/packages/transient-jobs/src/create-transient-jobs.ts
+++ b/packages/transient-jobs/src/create-transient-jobs.ts
@@ -3,7 +3,7 @@
 import { Counter, Distribution, type Metrics } from '@cranberryturn/metrics';
 import type { RandomSource } from '@cranberryturn/random';
 import type { SessionTimes } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import {
   type DispatcherId,
   type JobId,
@@ -69,8 +69,9 @@
   readonly #ended = new Map<JobId, TransientJobEnd>();
   readonly #runs = new Map<TargetId, Set<ActiveTask>>();
   readonly #estimates = new RunTimeEstimates();
-  readonly #ticker;
   #stopping = false;
+  /** Set while tasks wait for a worker. */
+  #replacement: TimerSubscription | undefined;
 
   constructor(options: TransientJobsOptions) {
     this.#options = options;
@@ -87,9 +88,6 @@
       },
       hasRunsAt: workerId => (this.#runs.get(workerId)?.size ?? 0) > 0,
     });
-    this.#ticker = options.timers.every(replaceInterval, () => {
-      this.#placeAll();
-    });
   }
 
   get inFlight(): number {
@@ -143,7 +141,7 @@
         reason: 'this dispatcher stops',
       });
     }
-    this.#ticker.cancel();
+    this.#replacement?.cancel();
     this.workers.close();
   }
 
@@ -436,7 +434,13 @@
   #place(active: ActiveJob): void {
     if (active.end !== undefined) return;
     if (!active.tasks.some(task => task.phase === TaskPhase.Waiting)) return;
-    for (const plan of this.#planTasks(active).plans) this.#apply(active, plan);
+    const placement = this.#planTasks(active);
+    for (const plan of placement.plans) this.#apply(active, plan);
+    if (placement.isWhole) return;
+    this.#replacement ??= this.#options.timers.after(replaceInterval, () => {
+      this.#replacement = undefined;
+      this.#placeAll();
+    });
   }
 
   #end(active: ActiveJob, end: TransientJobEnd): void {
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -30,7 +30,7 @@
 
 import { createKnownWorker, type KnownWorker, noteLoad } from './known-worker.js';
 
-const tickMilliseconds: Milliseconds = 50;
+const tickMilliseconds: Milliseconds = 100;
 
 /** What happens at the workers. */
 export interface WorkerEvents {
--- /dev/null
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -0,0 +1,161 @@
+/** A worker gate, its worker, and a dispatcher that a test plays. */
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createMetrics } from '@cranberryturn/metrics';
+import { createRandomSource } from '@cranberryturn/random';
+import { acceptSessions } from '@cranberryturn/sessions';
+import {
+  createManualTimerService,
+  type ManualTimerService,
+} from '@cranberryturn/timers';
+import type { Milliseconds, RunEnd, RunOrder, WorkerRun } from '@cranberryturn/types';
+import {
+  createMemoryNetwork,
+  FromWorkerKind,
+  type FromWorkerMessage,
+  type MemoryNetwork,
+  ProcessRole,
+  type ToWorkerBody,
+  ToWorkerKind,
+  type ToWorkerMessage,
+} from '@cranberryturn/wire';
+
+import { startWorkerGate, type WorkerGate } from '../start-worker-gate.js';
+import { createFakeWorker, type FakeWorker } from './fake-worker.js';
+
+const dispatcherAddress = { address: '10.0.0.1', port: 7_700 };
+const times = { heartbeatMilliseconds: 300, suspicionMilliseconds: 700 };
+
+/** What each task of these tests needs. */
+export const oneProcessor = { processors: 1, memoryMebibytes: 64, accelerators: 0 };
+
+/** What a test holds. */
+export interface GateFixture {
+  readonly timers: ManualTimerService;
+  readonly network: MemoryNetwork;
+  readonly worker: FakeWorker;
+  readonly gate: WorkerGate;
+  /** Ends reported to the dispatcher. */
+  readonly ends: RunEnd[];
+  readonly received: FromWorkerMessage[];
+  /** Whether the dispatcher renews its lease with each stamp that it hears. */
+  beating: boolean;
+  send(body: ToWorkerBody): void;
+  place(order: Partial<RunOrder> & { readonly jobId: string }): void;
+  /** Names of the tasks that began, in order. */
+  listStarts(): readonly string[];
+  /** Starts another sidecar process beside the same worker. */
+  restartGate(): WorkerGate;
+  report(worker: WorkerRun, draining?: boolean): void;
+}
+
+/** Describes a worker of these tests. */
+export function describeWorker(processors: number, life = 1): WorkerRun {
+  return {
+    workerId: 'worker-1',
+    incarnation: `worker-1@${String(life)}`,
+    service: 'register',
+    capacity: { processors, memoryMebibytes: 65_536, accelerators: 0 },
+    labels: ['rack-1'],
+    dataCentre: 'dong-da',
+  };
+}
+
+/** Starts a gate whose worker has reported, and a dispatcher that is connected. */
+export async function startGateFixture(processors = 2): Promise<GateFixture> {
+  const timers = createManualTimerService();
+  const network = createMemoryNetwork(timers, 1);
+  const run = describeWorker(processors);
+  const worker = createFakeWorker({ timers, run, need: oneProcessor });
+  const ends: RunEnd[] = [];
+  const received: FromWorkerMessage[] = [];
+  let send: (message: ToWorkerMessage) => void = () => undefined;
+  let echo: Milliseconds = 0;
+  let sequence = 0;
+
+  const acceptor = acceptSessions<ToWorkerMessage, FromWorkerMessage>({
+    timers,
+    times,
+    startSession: (_peer, sendMessage) => {
+      send = sendMessage;
+      echo = 0;
+      return {
+        messageReceived: message => {
+          received.push(message);
+          echo = message.stamp;
+          if (message.kind === FromWorkerKind.RunsEnded) ends.push(...message.ends);
+          if (fixture.beating) send({ kind: ToWorkerKind.Beat, echo });
+        },
+        connected: () => undefined,
+        suspected: () => undefined,
+        ended: () => undefined,
+      };
+    },
+  });
+  await network
+    .join({ role: ProcessRole.Dispatcher, name: 'dispatcher-1', incarnation: 'd1' })
+    .listen(dispatcherAddress, connection => void acceptor.acceptConnection(connection));
+
+  let processes = 0;
+  const startGate = (): WorkerGate => {
+    processes += 1;
+    return startWorkerGate({
+      network: network.join({
+        role: ProcessRole.Sidecar,
+        name: 'sidecar-1',
+        incarnation: `s${String(processes)}`,
+      }),
+      seeds: [dispatcherAddress],
+      timers,
+      random: createRandomSource(processes),
+      times,
+      logger: createSilentLogger(),
+      metrics: createMetrics({ role: 'sidecar', process: 'sidecar-1', timers }),
+      leaseMilliseconds: 1_000,
+      openWorker: () => worker.port,
+    });
+  };
+
+  const fixture: GateFixture & { gate: WorkerGate } = {
+    timers,
+    network,
+    worker,
+    gate: startGate(),
+    ends,
+    received,
+    beating: true,
+    send: body => {
+      send({ ...body, echo });
+    },
+    place: order => {
+      fixture.send({
+        kind: ToWorkerKind.PlaceRuns,
+        order: {
+          requestId: order.jobId,
+          dispatcher: 'dispatcher-1',
+          service: 'register',
+          specification: 'text',
+          need: oneProcessor,
+          priority: 1,
+          estimatedMilliseconds: 100,
+          dueMilliseconds: 500,
+          remainingMilliseconds: 5_000,
+          tasks: [{ taskId: '0.0.0', run: 1 }],
+          ...order,
+        },
+      });
+    },
+    listStarts: () => worker.starts.map(start => `${start.jobId}/${String(start.run)}`),
+    restartGate: () => {
+      fixture.gate = startGate();
+      return fixture.gate;
+    },
+    report: (reported, draining = false) => {
+      sequence += 1;
+      const bornAt = Number(reported.incarnation.split('@')[1]);
+      fixture.gate.workerReported({ worker: reported, bornAt, sequence, draining });
+    },
+  };
+  fixture.report(run);
+  await timers.advance(200);
+  return fixture;
+}
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -34,7 +34,7 @@
 
 /** A dispatcher without runs here hears of the load this often at the least: its lease needs a recent stamp. */
 const idleBeatInterval: Milliseconds = 400;
-const beatTick: Milliseconds = 50;
+const beatTick: Milliseconds = 100;
 const stopPoll: Milliseconds = 20;
 
 const noLoad: WorkerLoad = {
--- /dev/null
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -0,0 +1,190 @@
+import { RunEndReason, RunOutcome } from '@cranberryturn/types';
+import { dispatcherLease, FromWorkerKind, ToWorkerKind } from '@cranberryturn/wire';
+import test from 'ava';
+
+import { describeWorker, startGateFixture } from './fakes/gate-fixture.js';
+import { WorkerEnd } from './ports/worker.js';
+
+test('runs start within the capacity of the worker, the most urgent first', async t => {
+  const { place, worker, timers, listStarts } = await startGateFixture(2);
+  for (const [jobId, priority] of [
+    ['first', 2],
+    ['second', 2],
+    ['later', 2],
+    ['urgent', 0],
+  ] as const) {
+    place({ jobId, priority });
+  }
+  await timers.advance(500);
+  t.deepEqual(listStarts(), ['first/1', 'second/1', 'urgent/1', 'later/1']);
+  t.is(worker.mostProcessors, 2);
+});
+
+test('each end is reported once and acknowledged to the worker, the last one too', async t => {
+  const { place, worker, timers, ends } = await startGateFixture(2);
+  place({
+    jobId: 'job',
+    tasks: [
+      { taskId: '0.0.0', run: 1 },
+      { taskId: '0.0.1', run: 1 },
+    ],
+  });
+  await timers.advance(1_000);
+  t.deepEqual(
+    ends.map(end => [end.taskId, end.outcome]),
+    [
+      ['0.0.0', RunOutcome.Done],
+      ['0.0.1', RunOutcome.Done],
+    ],
+  );
+  t.is(worker.acknowledged, 2);
+});
+
+test('a start that is carried out seconds late begins nothing, and its capacity is free before', async t => {
+  const fixture = await startGateFixture(1);
+  const { place, worker, timers, ends, listStarts } = fixture;
+  worker.delayNextStart = 3_000;
+  place({ jobId: 'late' });
+  await timers.advance(800);
+  t.deepEqual(
+    ends.map(end => [end.jobId, end.outcome]),
+    [['late', RunOutcome.NotStarted]],
+  );
+  place({ jobId: 'next' });
+  await timers.advance(4_000);
+  t.deepEqual(listStarts(), ['next/1']);
+});
+
+test('a run whose start lost its answer goes on', async t => {
+  const { place, worker, timers, ends } = await startGateFixture(1);
+  worker.runMilliseconds = 600;
+  worker.loseNextAnswer = true;
+  place({ jobId: 'job' });
+  await timers.advance(1_500);
+  t.is(worker.starts.length, 1);
+  t.deepEqual(
+    ends.map(end => end.outcome),
+    [RunOutcome.Done],
+  );
+});
+
+test('runs of a dispatcher that is cut off are at rest before it takes them as ended', async t => {
+  const fixture = await startGateFixture(1);
+  const { place, worker, timers, network } = fixture;
+  worker.runMilliseconds = 10_000;
+  place({ jobId: 'job' });
+  await timers.advance(300);
+  t.is(worker.atWork.size, 1);
+  network.cutOff('sidecar-1', 'dispatcher-1');
+  await timers.advance(dispatcherLease);
+  t.is(worker.atWork.size, 0);
+});
+
+test('runs of a dispatcher that hears the sidecar no longer are at rest before its lease ends', async t => {
+  const fixture = await startGateFixture(1);
+  const { place, worker, timers } = fixture;
+  worker.runMilliseconds = 10_000;
+  place({ jobId: 'job' });
+  await timers.advance(300);
+  fixture.beating = false;
+  await timers.advance(dispatcherLease);
+  t.is(worker.atWork.size, 0);
+});
+
+test('a draining worker starts nothing more, and what it runs goes on', async t => {
+  const { place, report, worker, timers, ends } = await startGateFixture(1);
+  worker.runMilliseconds = 500;
+  place({ jobId: 'running' });
+  place({ jobId: 'waiting' });
+  await timers.advance(50);
+  report(describeWorker(1), true);
+  place({ jobId: 'late' });
+  await timers.advance(1_000);
+  t.deepEqual(
+    ends.map(end => [end.jobId, end.outcome, end.reason]),
+    [
+      ['waiting', RunOutcome.NotStarted, RunEndReason.Draining],
+      ['late', RunOutcome.NotStarted, RunEndReason.Draining],
+      ['running', RunOutcome.Done, undefined],
+    ],
+  );
+});
+
+test('another life of the worker ends what the earlier one ran', async t => {
+  const { place, report, worker, timers, ends } = await startGateFixture(1);
+  worker.runMilliseconds = 5_000;
+  place({ jobId: 'job' });
+  await timers.advance(50);
+  report(describeWorker(1, 2));
+  await timers.advance(50);
+  t.deepEqual(
+    ends.map(end => [end.outcome, end.reason]),
+    [[RunOutcome.Interrupted, RunEndReason.WorkerGone]],
+  );
+});
+
+test('a report of an earlier life that arrives late changes nothing', async t => {
+  const { gate, timers } = await startGateFixture(1);
+  gate.workerReported({
+    worker: describeWorker(1, 5),
+    bornAt: 5,
+    sequence: 1,
+    draining: false,
+  });
+  await timers.advance(50);
+  const isTaken = gate.workerReported({
+    worker: describeWorker(1, 1),
+    bornAt: 1,
+    sequence: 99,
+    draining: true,
+  });
+  t.false(isTaken);
+  t.is(gate.life()?.worker.incarnation, 'worker-1@5');
+});
+
+test('a worker that is silent for longer than its lease runs nothing, and gets nothing', async t => {
+  const { place, worker, timers, ends } = await startGateFixture(1);
+  worker.runMilliseconds = 10_000;
+  place({ jobId: 'job' });
+  await timers.advance(50);
+  worker.silent = true;
+  await timers.advance(2_000);
+  t.is(worker.atWork.size, 0);
+  place({ jobId: 'next' });
+  await timers.advance(50);
+  t.deepEqual(
+    ends.map(end => [end.jobId, end.reason]),
+    [
+      ['job', RunEndReason.WorkerSilent],
+      ['next', RunEndReason.WorkerSilent],
+    ],
+  );
+});
+
+test('a restarted sidecar stops what it left at work before it announces the worker', async t => {
+  const fixture = await startGateFixture(1);
+  const { place, worker, timers, received, network } = fixture;
+  worker.runMilliseconds = 5_000;
+  place({ jobId: 'job' });
+  await timers.advance(50);
+  for (const connection of network.connections) connection.cut();
+  received.length = 0;
+  fixture.restartGate();
+  fixture.report(describeWorker(1));
+  while (!received.some(message => message.kind === FromWorkerKind.Announce && message.worker !== undefined)) {
+    await timers.advance(5);
+  }
+  t.is(worker.atWork.size, 0);
+});
+
+test('an order to stop ends the run', async t => {
+  const { place, send, worker, timers, ends } = await startGateFixture(1);
+  worker.runMilliseconds = 5_000;
+  place({ jobId: 'job' });
+  await timers.advance(50);
+  send({ kind: ToWorkerKind.StopRuns, jobId: 'job', taskIds: ['0.0.0'] });
+  await timers.advance(100);
+  t.is(worker.atWork.size, 0);
+  t.is(ends[0]?.outcome, RunOutcome.Interrupted);
+  t.is(worker.ended[0]?.end, WorkerEnd.Stopped);
+});
--- a/packages/worker-gate/src/worker-life.ts
+++ b/packages/worker-gate/src/worker-life.ts
@@ -31,7 +31,7 @@
 import { mostWaitingRuns, WaitingRuns } from './waiting-runs.js';
 import { WorkerClock } from './worker-clock.js';
 
-const checkInterval: Milliseconds = 50;
+const checkInterval: Milliseconds = 100;
 
 /** What a life is built from. */
 export interface WorkerLifeOptions {
@@ -335,6 +335,7 @@
 
   /** Ends what waits beyond its deadline, and stops the runs of dispatchers that are not heard. */
   #endOverdue(): void {
+    if (this.isIdle) return;
     const { timers, leases } = this.options;
     const now = timers.now();
     this.#refuseWaiting(
