Keep the runs of a restarted sidecar until it announces its worker

A sidecar that starts again tells dispatchers first that no worker is ready; they took that for the end of its earlier runs and placed the tasks elsewhere while the worker still ran them. A job that was given up and comes back to the same dispatcher now continues the numbers of its runs; before, its orders were taken for repetitions and dropped.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -45,11 +45,12 @@
   readonly ended: Promise<TransientJobEnd>;
 }
 
-/** Creates a job with all of its tasks waiting. */
+/** Creates a job with all of its tasks waiting; `earlierRuns` is the highest number of a run of an earlier submission. */
 export function createActiveJob(
   job: TransientJob,
   now: Milliseconds,
   objective: Milliseconds,
+  earlierRuns: number,
 ): ActiveJob {
   const tasks: ActiveTask[] = [];
   const { promise, resolve } = createDeferred<TransientJobEnd>();
@@ -67,19 +68,24 @@
   };
   job.steps.forEach((step, number) => {
     for (let index = 0; index < step.tasks; index += 1) {
-      tasks.push(createTask(active, number, index));
+      tasks.push(createTask(active, number, index, earlierRuns));
     }
   });
   return active;
 }
 
-function createTask(job: ActiveJob, step: number, index: number): ActiveTask {
+function createTask(
+  job: ActiveJob,
+  step: number,
+  index: number,
+  run: number,
+): ActiveTask {
   return {
     job,
     taskId: composeTaskId(step, index),
     step,
     phase: TaskPhase.Waiting,
-    run: 0,
+    run,
     failures: 0,
     workerId: undefined,
     expectedMilliseconds: 0,
--- a/packages/transient-jobs/src/create-transient-jobs.ts
+++ b/packages/transient-jobs/src/create-transient-jobs.ts
@@ -67,6 +67,8 @@
   readonly #options: TransientJobsOptions;
   readonly #jobs = new Map<JobId, ActiveJob>();
   readonly #ended = new Map<JobId, TransientJobEnd>();
+  /** Highest number of a run, for jobs that may be sent again. */
+  readonly #earlierRuns = new Map<JobId, number>();
   readonly #runs = new Map<TargetId, Set<ActiveTask>>();
   readonly #estimates = new RunTimeEstimates();
   #stopping = false;
@@ -118,7 +120,12 @@
     if (earlier !== undefined) return settled(earlier);
     const { timers } = this.#options;
     const chain = computeChain(job, declared => this.#estimate(job, declared));
-    const active = createActiveJob(job, timers.now(), computeObjective(job.queue, chain));
+    const active = createActiveJob(
+      job,
+      timers.now(),
+      computeObjective(job.queue, chain),
+      this.#earlierRuns.get(job.jobId) ?? 0,
+    );
     const placement = this.#planTasks(active);
     const refusal = this.#findRefusal(active, chain, placement);
     if (refusal !== undefined) return this.#refuse(job, refusal);
@@ -459,7 +466,7 @@
       ...end,
       elapsedMilliseconds: Math.round(elapsed),
     });
-    this.#keepEnd(job.jobId, end);
+    this.#keepEnd(active, end);
     active.settle(end);
   }
 
@@ -474,14 +481,16 @@
     }
   }
 
-  #keepEnd(jobId: JobId, end: TransientJobEnd): void {
+  #keepEnd(active: ActiveJob, end: TransientJobEnd): void {
+    const { jobId } = active.job;
     const isAnswer =
       end.kind === TransientJobEndKind.Completed ||
       end.kind === TransientJobEndKind.Failed;
-    if (!isAnswer) return;
-    this.#ended.set(jobId, end);
+    if (isAnswer) this.#ended.set(jobId, end);
+    this.#earlierRuns.set(jobId, Math.max(...active.tasks.map(task => task.run)));
     this.#options.timers.after(endsKeptMilliseconds, () => {
       this.#ended.delete(jobId);
+      this.#earlierRuns.delete(jobId);
     });
   }
 }
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -185,17 +185,14 @@
     for (const end of message.ends) this.#options.runEnded(workerId, end);
   }
 
-  /** An announcement says that nothing of an earlier life, or of an earlier sidecar, is at work. */
+  /** An announced worker runs nothing of an earlier life or an earlier sidecar; one that is not announced yet may. */
   #noteAnnouncement(
     link: SidecarLink,
     worker: WorkerRun | undefined,
     { load }: FromWorkerMessage,
   ): void {
     const { timers, logger, workerFound } = this.#options;
-    for (const other of this.#links) {
-      if (other.sidecar !== link.sidecar || other === link) continue;
-      this.#drop(other);
-    }
+    if (worker !== undefined) this.#dropEarlier(link);
     const isSame = link.known?.worker.incarnation === worker?.incarnation;
     if (isSame) return;
     this.#forget(link);
@@ -205,6 +202,12 @@
     workerFound();
   }
 
+  #dropEarlier(link: SidecarLink): void {
+    for (const other of this.#links) {
+      if (other.sidecar === link.sidecar && other !== link) this.#drop(other);
+    }
+  }
+
   #drop(link: SidecarLink): void {
     this.#forget(link);
     this.#links.delete(link);
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -46,7 +46,7 @@
 
 /** The kinds of message about runs from a sidecar to a dispatcher. */
 export enum FromWorkerKind {
-  /** The worker of this sidecar, or that it has none. Nothing of an earlier life is at work any more. */
+  /** The worker of this sidecar, which runs nothing of an earlier life or sidecar; or that none is ready. */
   Announce = 'announce',
   RunsEnded = 'ended',
   /** Shows that the sidecar is there, and what its worker has free. */
--- a/packages/worker-gate/src/index.ts
+++ b/packages/worker-gate/src/index.ts
@@ -2,3 +2,4 @@
 export * from './ports/worker.js';
 export * from './start-worker-gate.js';
 export type { DispatcherSession } from './dispatcher-sessions.js';
+export * from './fakes/fake-worker.js';
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -80,6 +80,8 @@
   sessions(): readonly DispatcherSession[];
   /** Planned stop: refuses new runs, and resolves when those at work have ended or time is over. */
   stop(grace: Milliseconds): Promise<void>;
+  /** Ends everything at once, as a crash would. */
+  kill(): void;
 }
 
 /** Starts the gate of one worker. */
@@ -246,6 +248,13 @@
     return true;
   };
 
+  const kill = (): void => {
+    stopping = true;
+    beat.cancel();
+    sessions.close();
+    life?.kill();
+  };
+
   return {
     workerReported,
     workerLeft: workerId => {
@@ -262,9 +271,9 @@
       }
       life?.close(RunEndReason.Draining);
       await sleep(timers, stopPoll);
-      beat.cancel();
-      sessions.close();
+      kill();
     },
+    kill,
   };
 }
 
--- a/packages/worker-gate/src/worker-life.ts
+++ b/packages/worker-gate/src/worker-life.ts
@@ -265,6 +265,14 @@
     this.options.lost(reason);
   }
 
+  /** Ends everything at once, as a crash of this process would: runs stay at work. */
+  kill(): void {
+    this.#closed = true;
+    this.#check.cancel();
+    this.#lease.stop();
+    this.options.port.close();
+  }
+
   #findRefusal(run: ActiveRun): RunEndReason | undefined {
     const { worker, leases, timers } = this.options;
     const { order } = run;
