--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -7,6 +7,15 @@
 const root = join(import.meta.dirname, '..');
 const programs = ['dispatcher', 'sidecar', 'control'];
 
+const leanUndici = {
+  name: 'lean-undici',
+  setup(context) {
+    context.onResolve({ filter: /^undici$/ }, () => ({
+      path: join(root, 'deploy', 'undici-pool.mjs'),
+    }));
+  },
+};
+
 /** Takes the packages of this workspace from their sources, which need no build of their own. */
 const fromSources = {
   name: 'workspace-sources',
@@ -14,7 +23,9 @@
     context.onResolve({ filter: /^@cranberryturn\// }, ({ path }) => {
       const name = path.slice('@cranberryturn/'.length);
       const entry = join(root, 'packages', name, 'src', 'index.ts');
-      return existsSync(entry) ? { path: entry, sideEffects: false } : undefined;
+      return existsSync(entry)
+        ? { path: entry, sideEffects: false }
+        : undefined;
     });
   },
 };
@@ -37,6 +48,8 @@
   },
   minifySyntax: true,
   minifyWhitespace: true,
-  plugins: [fromSources],
+  // Loaded by programs that log elsewhere than to the standard output.
+  external: ['winston'],
+  plugins: [fromSources, leanUndici],
   logLevel: 'warning',
 });
--- a/packages/bench/src/checker/read-decision-log.ts
+++ b/packages/bench/src/checker/read-decision-log.ts
@@ -4,7 +4,7 @@
 import { CorruptionError, StorageError } from '@cranberryturn/errors';
 import { DecisionKind, type DecisionRecord } from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const recordSchema = z.looseObject({
   kind: z.enum(DecisionKind),
--- a/packages/bench/src/load/create-http-job-client.ts
+++ b/packages/bench/src/load/create-http-job-client.ts
@@ -1,7 +1,7 @@
 /** Submits jobs to dispatchers over HTTP, in turn as the balancer of a platform does. */
 import { JobOutcome, Started, type TeamName } from '@cranberryturn/types';
 import { Agent } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   type JobClient,
--- a/packages/bench/src/traces/trace-format.ts
+++ b/packages/bench/src/traces/trace-format.ts
@@ -1,7 +1,7 @@
 /** Traces: what happened to a system, line by line, and what must have come of it. */
 import { TargetFaultKind } from '@cranberryturn/stand-ins';
 import { Started } from '@cranberryturn/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { SubmissionOutcome } from '../load/job-client.js';
 
--- a/packages/configuration/src/intent-schema.ts
+++ b/packages/configuration/src/intent-schema.ts
@@ -6,7 +6,7 @@
   type Milliseconds,
 } from '@cranberryturn/types';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const largestPort = 65_535;
 const largestCount = 10_000_000;
--- a/packages/control/src/administration-api.ts
+++ b/packages/control/src/administration-api.ts
@@ -11,7 +11,7 @@
 import { metricsContentType } from '@cranberryturn/metrics';
 import { type Context, Hono, type MiddlewareHandler } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   type AdministrationCall,
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -21,10 +21,7 @@
 /** The followers of one control replica. */
 export interface FollowerFeed {
   /** Starts to feed a follower that has these versions. */
-  watch(
-    calls: RemoteCalls,
-    versions: FollowerVersions,
-  ): void;
+  watch(calls: RemoteCalls, versions: FollowerVersions): void;
   forget(calls: RemoteCalls): void;
   /** Says that the state may have changed. */
   wake(): void;
@@ -108,7 +105,15 @@
 
   return {
     watch: (calls, versions) => {
-      followers.set(calls, { calls, ...versions, members: undefined });
+      const { configurationVersion, rosterVersion, publicationVersion } =
+        versions;
+      followers.set(calls, {
+        calls,
+        configurationVersion,
+        rosterVersion,
+        publicationVersion,
+        members: undefined,
+      });
       calls.notify(composeFreshness());
       wake();
     },
--- a/packages/control/src/form-group.ts
+++ b/packages/control/src/form-group.ts
@@ -1,8 +1,16 @@
 /** Lets the replicas of a log form and mend their group without a person. */
 import type { Logger } from '@cranberryturn/logger';
 import { type ReplicatedLog, ReplicaRole } from '@cranberryturn/replicated-log';
-import { sleep, type TimerService, type TimerSubscription } from '@cranberryturn/timers';
-import type { Milliseconds, NetworkAddress, ReplicaId } from '@cranberryturn/types';
+import {
+  sleep,
+  type TimerService,
+  type TimerSubscription,
+} from '@cranberryturn/timers';
+import type {
+  Milliseconds,
+  NetworkAddress,
+  ReplicaId,
+} from '@cranberryturn/types';
 import {
   dialWithin,
   formatAddress,
@@ -59,7 +67,10 @@
 /** Starts the tasks: the leader changes members, and a replica that is none asks to be one. */
 export function formGroup(options: FormGroupOptions): GroupFormation {
   const { timers, log } = options;
-  const candidates = new Map<ReplicaId, GroupCandidate & { seenAt: Milliseconds }>();
+  const candidates = new Map<
+    ReplicaId,
+    GroupCandidate & { seenAt: Milliseconds }
+  >();
   const silences = createSilenceMeter(options);
   let stopped = false;
   let busy = false;
@@ -69,7 +80,10 @@
     for (const [replicaId, { seenAt }] of candidates) {
       if (seenAt < oldest) candidates.delete(replicaId);
     }
-    return [...candidates.values()].map(({ replicaId, address }) => ({ replicaId, address }));
+    return [...candidates.values()].map(({ replicaId, address }) => ({
+      replicaId,
+      address,
+    }));
   };
 
   const act = async (): Promise<void> => {
@@ -91,7 +105,10 @@
   void keepEnlisting(options, () => stopped);
   return {
     enlist: candidate => {
-      candidates.set(candidate.replicaId, { ...candidate, seenAt: timers.now() });
+      candidates.set(candidate.replicaId, {
+        ...candidate,
+        seenAt: timers.now(),
+      });
       return { leader: findLeader(log) };
     },
     cancel: () => {
@@ -101,7 +118,9 @@
   };
 }
 
-function findLeader(log: ReplicatedLog<EntryOutcome>): NetworkAddress | undefined {
+function findLeader(
+  log: ReplicatedLog<EntryOutcome>,
+): NetworkAddress | undefined {
   const { leader, members, replicaId } = log.status();
   if (leader === replicaId) return undefined;
   const member = members.find(one => one.replicaId === leader);
@@ -169,13 +188,19 @@
   }
 }
 
-function listPlaces({ group, log }: FormGroupOptions): readonly NetworkAddress[] {
+function listPlaces({
+  group,
+  log,
+}: FormGroupOptions): readonly NetworkAddress[] {
   const own = formatAddress(group.self);
   const members = log
     .status()
     .members.flatMap(member => parseAddress(member.address) ?? []);
   const places = new Map(
-    [...group.seeds, ...members].map(address => [formatAddress(address), address]),
+    [...group.seeds, ...members].map(address => [
+      formatAddress(address),
+      address,
+    ]),
   );
   places.delete(own);
   return [...places.values()];
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -70,7 +70,9 @@
     members.some(member => member.replicaId === replicaId);
   const candidate = candidates.find(one => !isKnown(one));
   if (candidate === undefined) return undefined;
-  const takesPlace = members.some(({ address }) => address === candidate.address);
+  const takesPlace = members.some(
+    ({ address }) => address === candidate.address,
+  );
   if (members.length >= mostVoters && !takesPlace) return undefined;
   return change({ kind: MemberChangeKind.AddLearner, ...candidate });
 }
@@ -84,7 +86,9 @@
   if (voters.length <= minimumVoters) return undefined;
   const silent = others
     .filter(({ replicaId }) => silenceOf(replicaId) >= voterSilence)
-    .sort((left, right) => silenceOf(right.replicaId) - silenceOf(left.replicaId));
+    .sort(
+      (left, right) => silenceOf(right.replicaId) - silenceOf(left.replicaId),
+    );
   const [longest] = silent;
   if (longest === undefined) return undefined;
   return remove(longest);
--- a/packages/control/src/serve-follower.ts
+++ b/packages/control/src/serve-follower.ts
@@ -37,8 +37,7 @@
 
   const handleCall = async (call: ControlCall): Promise<ControlReply> => {
     if (call.method === ControlMethod.Watch) {
-      const { method: _method, ...versions } = call;
-      feed.watch(calls, versions);
+      feed.watch(calls, call);
       return { kind: ControlReplyKind.Done, index: feed.appliedIndex() };
     }
     const reply = await write(call, services.proposer);
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -159,7 +159,9 @@
   return { role: ProcessRole.Control, name, incarnation };
 }
 
-function composeStart(settings: ControlReplicaSettings): FoundStart | JoinStart {
+function composeStart(
+  settings: ControlReplicaSettings,
+): FoundStart | JoinStart {
   if (settings.joining) return { kind: StartKind.Join, host: settings.host };
   return {
     kind: StartKind.Found,
--- a/packages/dispatcher/src/callers/read-submission.ts
+++ b/packages/dispatcher/src/callers/read-submission.ts
@@ -8,7 +8,7 @@
   type TeamName,
 } from '@cranberryturn/types';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { composeJobId } from './job-identifiers.js';
 
--- a/packages/logger/src/bounded-output.ts
+++ b/packages/logger/src/bounded-output.ts
@@ -26,7 +26,10 @@
     if (target.writableLength > mostUnreadBytes) {
       dropped += lines.length;
     } else {
-      const note = dropped > 0 ? `${JSON.stringify({ message: 'log lines dropped', dropped })}\n` : '';
+      const note =
+        dropped > 0
+          ? `${JSON.stringify({ message: 'log lines dropped', dropped })}\n`
+          : '';
       dropped = 0;
       target.write(note + lines.join(''));
     }
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -2,16 +2,10 @@
 import type { Writable } from 'node:stream';
 
 import type { TimerService } from '@cranberryturn/timers';
-import { LogFormat, LogLevel } from '@cranberryturn/types';
-import {
-  createLogger as createWinstonLogger,
-  format,
-  type Logger as WinstonLogger,
-  transports,
-} from 'winston';
+import { type LogFormat, LogLevel } from '@cranberryturn/types';
 
-import { createBoundedOutput } from './bounded-output.js';
-import { redactSecrets } from './redact.js';
+import { createOutputWriter } from './output-writer.js';
+import { createWinstonWriter } from './winston-writer.js';
 
 /** Named values of a log line. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -46,13 +40,15 @@
   readonly stream?: Writable | undefined;
 }
 
-interface LineWriter {
+/** Writes the lines of a logger. */
+export interface LineWriter {
   readonly level: LogLevel;
   write(level: LogLevel, message: string, fields: LogFields): void;
   close(): Promise<void>;
 }
 
-const severities: Readonly<Record<LogLevel, number>> = {
+/** Levels in order; lower is more severe. */
+export const severities: Readonly<Record<LogLevel, number>> = {
   [LogLevel.Error]: 0,
   [LogLevel.Warn]: 1,
   [LogLevel.Info]: 2,
@@ -61,7 +57,11 @@
 
 /** Creates the logger of a process. */
 export function createLogger(options: LoggerOptions): Logger {
-  return wrapWriter(createLineWriter(options), {});
+  const writer =
+    options.standardOutput === true
+      ? createOutputWriter(options, process.stdout)
+      : createWinstonWriter(options);
+  return wrapWriter(writer, {});
 }
 
 /** Creates a logger that writes nothing, for tests. */
@@ -98,115 +98,3 @@
     close: () => writer.close(),
   };
 }
-
-function createLineWriter(options: LoggerOptions): LineWriter {
-  const level = options.level ?? LogLevel.Info;
-  const transport = createTransport(options);
-  const winston = createWinstonLogger({
-    levels: severities,
-    level,
-    format: createFormat(options),
-    transports: [transport],
-  });
-  let closing: Promise<void> | undefined;
-  return {
-    level,
-    write: (lineLevel, message, fields) => {
-      if (closing !== undefined) return;
-      winston.log({
-        level: lineLevel,
-        message: redactSecrets(message) as string,
-        at: new Date(options.timers.wallClock()).toISOString(),
-        process: options.process,
-        fields: redactSecrets(fields),
-      });
-    },
-    close: () => {
-      closing ??= new Promise(resolve => {
-        transport.once('finish', resolve);
-        endOnceWritten(winston);
-      });
-      return closing;
-    },
-  };
-}
-
-/** Ending a logger also ends its transport, so that lines still on the way to it would be lost. */
-function endOnceWritten(winston: WinstonLogger): void {
-  if (winston.readableLength === 0 && winston.writableLength === 0) {
-    winston.end();
-    return;
-  }
-  setImmediate(() => {
-    endOnceWritten(winston);
-  });
-}
-
-function createTransport(options: LoggerOptions) {
-  if (options.stream !== undefined) {
-    return new transports.Stream({ stream: options.stream });
-  }
-  if (options.file !== undefined) {
-    return new transports.File({ filename: options.file });
-  }
-  if (options.standardOutput === true) {
-    return new transports.Stream({
-      stream: createBoundedOutput(process.stdout, options.timers),
-    });
-  }
-  return new transports.Stream({ stream: process.stderr });
-}
-
-function createFormat(options: LoggerOptions) {
-  switch (options.format ?? defaultFormat(options)) {
-    case LogFormat.Json:
-      return format.printf(({ at, level, process: name, message, fields }) =>
-        JSON.stringify({
-          at,
-          level,
-          process: name,
-          message,
-          ...asFields(fields),
-        }),
-      );
-    case LogFormat.Readable:
-      return format.combine(
-        format.colorize({
-          colors: {
-            error: 'red',
-            warn: 'yellow',
-            info: 'green',
-            debug: 'gray',
-          },
-        }),
-        format.printf(({ at, level, process: name, message, fields }) =>
-          [at, level, name, message, formatFields(asFields(fields))]
-            .filter(part => part !== '')
-            .join(' '),
-        ),
-      );
-  }
-}
-
-function defaultFormat(options: LoggerOptions): LogFormat {
-  const toTerminal =
-    options.file === undefined &&
-    options.stream === undefined &&
-    process.stderr.isTTY;
-  return toTerminal ? LogFormat.Readable : LogFormat.Json;
-}
-
-function asFields(fields: unknown): LogFields {
-  return (fields ?? {}) as LogFields;
-}
-
-function formatFields(fields: LogFields): string {
-  return Object.entries(fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => `${name}=${formatValue(value)}`)
-    .join(' ');
-}
-
-function formatValue(value: unknown): string {
-  return typeof value === 'string' ? value : JSON.stringify(value);
-}
--- /dev/null
+++ b/packages/logger/src/output-writer.ts
@@ -0,0 +1,37 @@
+/** Writes log lines as JSON to the standard output, in bounded amount. */
+import type { Writable } from 'node:stream';
+
+import { LogLevel } from '@cranberryturn/types';
+
+import { createBoundedOutput } from './bounded-output.js';
+import type { LineWriter, LoggerOptions } from './logger.js';
+import { redactSecrets } from './redact.js';
+
+/** Creates the writer. */
+export function createOutputWriter(
+  options: Pick<LoggerOptions, 'process' | 'timers' | 'level'>,
+  target: Writable,
+): LineWriter {
+  const output = createBoundedOutput(target, options.timers);
+  let closing: Promise<void> | undefined;
+  return {
+    level: options.level ?? LogLevel.Info,
+    write: (level, message, fields) => {
+      if (closing !== undefined) return;
+      const line = {
+        at: new Date(options.timers.wallClock()).toISOString(),
+        level,
+        process: options.process,
+        message: redactSecrets(message),
+        ...(redactSecrets(fields) as object),
+      };
+      output.write(`${JSON.stringify(line)}\n`);
+    },
+    close: () => {
+      closing ??= new Promise(resolve => {
+        output.end(resolve);
+      });
+      return closing;
+    },
+  };
+}
--- a/packages/program/src/role-network.ts
+++ b/packages/program/src/role-network.ts
@@ -1,7 +1,10 @@
 /** Creates what a role needs to take part: its run, its random numbers and its network. */
 import { randomInt, randomUUID } from 'node:crypto';
 
-import { createOpenKeys, readSharedKeyFile } from '@cranberryturn/authentication';
+import {
+  createOpenKeys,
+  readSharedKeyFile,
+} from '@cranberryturn/authentication';
 import type { InvalidInputError } from '@cranberryturn/errors';
 import { Counter } from '@cranberryturn/metrics';
 import type { Incarnation } from '@cranberryturn/types';
@@ -39,7 +42,9 @@
 ): Result<(self: PeerIdentity) => Network, InvalidInputError> {
   const { timers, logger, metrics, wrapNetwork } = environment;
   if (sharedKeyFile === undefined) {
-    logger.warn('no shared key file: every process that reaches the ports is trusted');
+    logger.warn(
+      'no shared key file: every process that reaches the ports is trusted',
+    );
   }
   const keys =
     sharedKeyFile === undefined
--- a/packages/program/src/run-role-program.ts
+++ b/packages/program/src/run-role-program.ts
@@ -5,7 +5,7 @@
 import { formatAddress } from '@cranberryturn/wire';
 import { Command, CommanderError } from 'commander';
 import type { ResultAsync } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import { createNodeProgramHost } from './adapters/node-program-host.js';
 import type { ProgramHost } from './ports/program-host.js';
--- a/packages/replicated-log/src/core/election.ts
+++ b/packages/replicated-log/src/core/election.ts
@@ -12,6 +12,7 @@
 /** Stands for election whenever no leader was heard for a random election timeout. */
 export async function runElections(replica: Replica): Promise<void> {
   if (isOnlyVoter(replica)) replica.electionDeadline = replica.now();
+  else postponeStanding(replica);
   while (!replica.isStopped) {
     if (replica.role === ReplicaRole.Leader) {
       await replica.changed.wait();
@@ -22,11 +23,17 @@
       await replica.changed.wait(rest);
       continue;
     }
-    replica.postponeElection();
+    postponeStanding(replica);
     if (canStand(replica)) await standWithPreVote(replica);
   }
 }
 
+/** After a start of all replicas at once, nobody leads: waiting as for a silent leader would waste time. */
+function postponeStanding(replica: Replica): void {
+  if (replica.hasHeardNoLeader) replica.hastenElection();
+  else replica.postponeElection();
+}
+
 /** Stands for election without a pre-vote: the leader asked for it in a planned handover. */
 export async function standForElection(replica: Replica): Promise<void> {
   replica.postponeElection();
--- a/packages/replicated-log/src/core/replica.ts
+++ b/packages/replicated-log/src/core/replica.ts
@@ -115,11 +115,30 @@
   /** Draws a new random time for the next election. */
   postponeElection(): void {
     const { minimumElectionTimeout, maximumElectionTimeout } = this.tuning;
-    const spread = maximumElectionTimeout - minimumElectionTimeout;
-    this.electionDeadline =
-      this.now() +
-      minimumElectionTimeout +
-      this.parts.random.fraction() * spread;
+    this.#postponeElection(minimumElectionTimeout, maximumElectionTimeout);
+  }
+
+  /**
+   * Stands soon: no leader was heard since the start, so there is probably none. Where there is
+   * one, the pre-votes are refused and nothing is disturbed.
+   */
+  hastenElection(): void {
+    const { minimumFirstElectionTimeout, maximumFirstElectionTimeout } =
+      this.tuning;
+    this.#postponeElection(
+      minimumFirstElectionTimeout,
+      maximumFirstElectionTimeout,
+    );
+  }
+
+  /** Whether no leader was heard since the start of the process. */
+  get hasHeardNoLeader(): boolean {
+    return this.lastLeaderContact === Number.NEGATIVE_INFINITY;
+  }
+
+  #postponeElection(minimum: Milliseconds, maximum: Milliseconds): void {
+    const spread = this.parts.random.fraction() * (maximum - minimum);
+    this.electionDeadline = this.now() + minimum + spread;
   }
 
   /** Moves to a term, with a vote in it or none; syncing starts, and `hardStateSynced` awaits it. */
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -79,6 +79,9 @@
   /** Elections start at a random time between these two after the last sign of a leader. */
   readonly minimumElectionTimeout: Milliseconds;
   readonly maximumElectionTimeout: Milliseconds;
+  /** Until a leader was heard since the start, elections start between these two. */
+  readonly minimumFirstElectionTimeout: Milliseconds;
+  readonly maximumFirstElectionTimeout: Milliseconds;
   /** Longest wait for one answer of a peer. */
   readonly peerTimeout: Milliseconds;
   /** Longest wait for a proposal to be committed and applied. */
--- a/packages/replicated-log/src/tuning.ts
+++ b/packages/replicated-log/src/tuning.ts
@@ -6,6 +6,8 @@
   heartbeatInterval: 100,
   minimumElectionTimeout: 400,
   maximumElectionTimeout: 800,
+  minimumFirstElectionTimeout: 80,
+  maximumFirstElectionTimeout: 350,
   peerTimeout: 500,
   proposeTimeout: 5_000,
   diskHangLimit: 1_000,
--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -56,7 +56,9 @@
   const incarnation = createIncarnation();
   return createRoleNetwork(options.sharedKeyFile, environment)
     .map(join => join({ role: ProcessRole.Dispatcher, name, incarnation }))
-    .asyncAndThen(network => startParts(options, environment, network, incarnation));
+    .asyncAndThen(network =>
+      startParts(options, environment, network, incarnation),
+    );
 }
 
 function startParts(
--- a/packages/settings/src/describe-issue.ts
+++ b/packages/settings/src/describe-issue.ts
@@ -1,5 +1,5 @@
 /** Turns an issue found by the schema into problems with a place and a hint. */
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import { findKnownKeys, findNumberRange } from './schema-lookup.js';
 import { findNearestName } from './nearest-name.js';
--- a/packages/settings/src/examples.test.ts
+++ b/packages/settings/src/examples.test.ts
@@ -1,7 +1,7 @@
 import { readdirSync, readFileSync } from 'node:fs';
 
 import test from 'ava';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   commandLineSettingsSchema,
--- a/packages/settings/src/parse-settings-text.ts
+++ b/packages/settings/src/parse-settings-text.ts
@@ -1,6 +1,6 @@
 /** Parses a settings text and checks it with a schema. */
 import { err, ok, type Result } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import { describeIssue } from './describe-issue.js';
 import { parseDocument } from './parse-document.js';
--- a/packages/settings/src/read-settings-file.ts
+++ b/packages/settings/src/read-settings-file.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs';
 
 import { err, type Result } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import { parseSettingsText } from './parse-settings-text.js';
 import { SettingsError } from './settings-error.js';
--- a/packages/settings/src/schema-lookup.ts
+++ b/packages/settings/src/schema-lookup.ts
@@ -1,5 +1,5 @@
 /** Finds what a schema allows at a path. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { KeyPath } from './text-positions.js';
 
--- a/packages/settings/src/schemas/command-line-settings.ts
+++ b/packages/settings/src/schemas/command-line-settings.ts
@@ -1,5 +1,5 @@
 /** Settings of `cranberryctl`. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { pathSchema, urlSchema } from './shared.js';
 
--- a/packages/settings/src/schemas/dispatcher-settings.ts
+++ b/packages/settings/src/schemas/dispatcher-settings.ts
@@ -1,5 +1,5 @@
 /** Settings of `cranberry-dispatcher`. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   advertisedListenSchema,
--- a/packages/settings/src/schemas/initial-configuration.ts
+++ b/packages/settings/src/schemas/initial-configuration.ts
@@ -1,5 +1,5 @@
 /** The configuration that the first leader of an empty log proposes. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { nameSchema, uniqueBy } from './shared.js';
 
--- a/packages/settings/src/schemas/local-settings.ts
+++ b/packages/settings/src/schemas/local-settings.ts
@@ -1,5 +1,5 @@
 /** Settings of `cranberry-local`, which runs every role in one process. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { limitsSchema } from './dispatcher-settings.js';
 import {
--- a/packages/settings/src/schemas/shared.ts
+++ b/packages/settings/src/schemas/shared.ts
@@ -2,7 +2,7 @@
 import { isIP } from 'node:net';
 
 import { LogFormat, LogLevel } from '@cranberryturn/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const largestPort = 65_535;
 const oneMebibyte = 1_048_576;
--- a/packages/settings/src/schemas/sidecar-settings.ts
+++ b/packages/settings/src/schemas/sidecar-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of `cranberry-sidecar`. */
 import { CancelledTaskTreatment } from '@cranberryturn/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   heartbeatSchema,
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 
 import test from 'ava';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import {
   commandLineSettingsSchema,
--- a/packages/stand-ins/src/start-stand-in-platform.ts
+++ b/packages/stand-ins/src/start-stand-in-platform.ts
@@ -7,7 +7,7 @@
   TaskId,
 } from '@cranberryturn/types';
 import { type Context, Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { listenOnLoopback } from './listen-on-loopback.js';
 import { createUsageHistory } from './usage-history.js';
--- a/packages/stand-ins/src/task-payload.ts
+++ b/packages/stand-ins/src/task-payload.ts
@@ -1,6 +1,6 @@
 /** Payload and answer of a task of a stand-in target. */
 import type { Milliseconds } from '@cranberryturn/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const maximumRunMilliseconds: Milliseconds = 600_000;
 const maximumPaddingBytes = 2 * 1_048_576;
--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -112,7 +112,9 @@
 }
 
 /** Steps whose earlier steps are all done, with their waiting tasks. */
-export function listReadyTasks(active: ActiveJob): ReadonlyMap<number, readonly ActiveTask[]> {
+export function listReadyTasks(
+  active: ActiveJob,
+): ReadonlyMap<number, readonly ActiveTask[]> {
   const unfinished = new Set<number>();
   for (const task of active.tasks) {
     if (task.phase !== TaskPhase.Done) unfinished.add(task.step);
@@ -129,6 +131,20 @@
   return ready;
 }
 
+/** Tasks of the job that are at each worker. */
+export function listTasksByWorker(
+  active: ActiveJob,
+): ReadonlyMap<TargetId, readonly TaskId[]> {
+  const byWorker = new Map<TargetId, TaskId[]>();
+  for (const { phase, workerId, taskId } of active.tasks) {
+    if (phase !== TaskPhase.Placed || workerId === undefined) continue;
+    const tasks = byWorker.get(workerId) ?? [];
+    tasks.push(taskId);
+    byWorker.set(workerId, tasks);
+  }
+  return byWorker;
+}
+
 /** Longest chain of expected run times over the steps. */
 export function computeChain(
   job: TransientJob,
--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -97,7 +97,10 @@
 }
 
 /** Whether the worker could hold a task of the step with nothing else at work. */
-export function canEverHold({ worker }: KnownWorker, { need }: JobStep): boolean {
+export function canEverHold(
+  { worker }: KnownWorker,
+  { need }: JobStep,
+): boolean {
   const { capacity, labels } = worker;
   return (
     need.processors <= capacity.processors &&
@@ -116,7 +119,8 @@
   let bestScore = Infinity;
   for (const candidate of candidates) {
     if (isFull(question, candidate)) continue;
-    const score = scoreCandidate(question, candidate) + random.fraction() * choiceNoise;
+    const score =
+      scoreCandidate(question, candidate) + random.fraction() * choiceNoise;
     if (score >= bestScore) continue;
     best = candidate;
     bestScore = score;
@@ -148,7 +152,8 @@
   { known, free, ahead }: Candidate,
 ): Milliseconds {
   const { capacity, labels } = known.worker;
-  const isNear = step.dataLabel === undefined || labels.includes(step.dataLabel);
+  const isNear =
+    step.dataLabel === undefined || labels.includes(step.dataLabel);
   const run = (estimate * (isNear ? 1 : remoteFactor)) / known.speed;
   const missing = step.need.processors - free;
   if (missing <= 0) return run;
--- a/packages/transient-jobs/src/decide-job.ts
+++ b/packages/transient-jobs/src/decide-job.ts
@@ -69,6 +69,9 @@
   const late = expectedMilliseconds - useful;
   return {
     reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and is of use for ${useful.toFixed(0)} ms`,
-    retryAfterMilliseconds: Math.min(longestRetry, Math.max(shortestRetry, late)),
+    retryAfterMilliseconds: Math.min(
+      longestRetry,
+      Math.max(shortestRetry, late),
+    ),
   };
 }
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -29,7 +29,11 @@
 const checkInterval = 5;
 
 /** What each task of these tests needs. */
-export const oneProcessor = { processors: 1, memoryMebibytes: 64, accelerators: 0 };
+export const oneProcessor = {
+  processors: 1,
+  memoryMebibytes: 64,
+  accelerators: 0,
+};
 
 /** One worker with the sidecar process beside it. */
 export interface FakeHost {
@@ -61,7 +65,9 @@
 }
 
 /** The queue of these tests. */
-export function describeQueue(overrides: Partial<QueueConfiguration> = {}): QueueConfiguration {
+export function describeQueue(
+  overrides: Partial<QueueConfiguration> = {},
+): QueueConfiguration {
   return {
     queue: 'lookups',
     host: 'register.example',
@@ -88,7 +94,13 @@
     queue: describeQueue(),
     specification: 'text',
     steps: [
-      { tasks, need: oneProcessor, estimatedMilliseconds: 100, after: [], ...step },
+      {
+        tasks,
+        need: oneProcessor,
+        estimatedMilliseconds: 100,
+        after: [],
+        ...step,
+      },
     ],
     deadlineMilliseconds: 5_000,
     ...rest,
@@ -125,7 +137,8 @@
 ): void {
   const seen = new Set<string>();
   for (const { worker, name } of hosts) {
-    if (worker.atWork.size > processors) violations.push(`${name} is over its capacity`);
+    if (worker.atWork.size > processors)
+      violations.push(`${name} is over its capacity`);
     for (const task of worker.atWork.keys()) {
       if (seen.has(task)) violations.push(`${task} is at work twice`);
       seen.add(task);
@@ -197,7 +210,11 @@
       workerId: `worker-${String(number)}`,
       incarnation: `worker-${String(number)}@${String(lives)}`,
       service: 'register',
-      capacity: { processors: options.processors, memoryMebibytes: 65_536, accelerators: 0 },
+      capacity: {
+        processors: options.processors,
+        memoryMebibytes: 65_536,
+        accelerators: 0,
+      },
       labels: [`rack-${String(number % 2)}`],
       dataCentre: 'dong-da',
     };
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -86,7 +86,10 @@
 ): void {
   known.failures = 0;
   known.avoidedUntil = 0;
-  const seen = Math.min(highestSpeed, Math.max(lowestSpeed, expected / Math.max(1, actual)));
+  const seen = Math.min(
+    highestSpeed,
+    Math.max(lowestSpeed, expected / Math.max(1, actual)),
+  );
   known.speed *= (seen / known.speed) ** newestSpeedWeight;
 }
 
@@ -103,7 +106,7 @@
 /** Whether tasks may be given to the worker now. */
 export function isUsable(known: KnownWorker, now: Milliseconds): boolean {
   return (
-    !known.load.draining &&
+    !known.load.closed &&
     now - known.heardAt < longestSilence &&
     known.avoidedUntil <= now
   );
--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -42,7 +42,12 @@
 }
 
 const stepArbitrary: fc.Arbitrary<Step> = fc.record({
-  fault: fc.constantFrom(...Object.values(Fault), Fault.Submit, Fault.Submit, Fault.Advance),
+  fault: fc.constantFrom(
+    ...Object.values(Fault),
+    Fault.Submit,
+    Fault.Submit,
+    Fault.Advance,
+  ),
   job: fc.nat(jobNames - 1),
   dispatcher: fc.nat(dispatchers - 1),
   worker: fc.nat(workers - 1),
@@ -59,17 +64,26 @@
 
 test('no task is at work twice, whatever fails', async t => {
   await fc.assert(
-    fc.asyncProperty(fc.array(stepArbitrary, { minLength: 5, maxLength: 40 }), async steps => {
-      const fixture = await startJobsFixture({ dispatchers, workers, processors });
-      for (const { worker } of fixture.hosts) worker.runMilliseconds = 700;
-      const callers = Array.from(
-        { length: jobNames },
-        (): CallerOfJob => ({ submitted: undefined, dispatcher: 0, mayResendAt: 0 }),
-      );
-      for (const step of steps) await apply(fixture, callers, step);
-      await fixture.timers.advance(3_000);
-      if (fixture.violations.length > 0) throw new Error(fixture.violations.join('\n'));
-    }),
+    fc.asyncProperty(
+      fc.array(stepArbitrary, { minLength: 5, maxLength: 40 }),
+      async steps => {
+        const fixture = await startJobsFixture({
+          dispatchers,
+          workers,
+          processors,
+        });
+        for (const { worker } of fixture.hosts) worker.runMilliseconds = 700;
+        const callers = Array.from({ length: jobNames }, (): CallerOfJob => ({
+          submitted: undefined,
+          dispatcher: 0,
+          mayResendAt: 0,
+        }));
+        for (const step of steps) await apply(fixture, callers, step);
+        await fixture.timers.advance(3_000);
+        if (fixture.violations.length > 0)
+          throw new Error(fixture.violations.join('\n'));
+      },
+    ),
     { seed, numRuns: runs, endOnFailure: false },
   );
   t.pass();
@@ -150,7 +164,11 @@
 }
 
 /** The connection of the caller breaks; the dispatcher notices it unless it is gone itself. */
-function leave(fixture: JobsFixture, caller: CallerOfJob, isNoticed = true): void {
+function leave(
+  fixture: JobsFixture,
+  caller: CallerOfJob,
+  isNoticed = true,
+): void {
   const { submitted } = caller;
   if (submitted === undefined) return;
   caller.submitted = undefined;
--- a/packages/transient-jobs/src/transient-jobs.test.ts
+++ b/packages/transient-jobs/src/transient-jobs.test.ts
@@ -1,6 +1,10 @@
 import test from 'ava';
 
-import { describeJob, describeQueue, startJobsFixture } from './fakes/jobs-fixture.js';
+import {
+  describeJob,
+  describeQueue,
+  startJobsFixture,
+} from './fakes/jobs-fixture.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
 import type { SubmittedJob } from './create-transient-jobs.js';
 
@@ -33,7 +37,10 @@
     processors: 4,
   });
   const [step] = describeJob('job', 2).steps;
-  const job = { ...describeJob('job', 2), steps: [step!, { ...step!, tasks: 1, after: [0] }] };
+  const job = {
+    ...describeJob('job', 2),
+    steps: [step!, { ...step!, tasks: 1, after: [0] }],
+  };
   const ends = record(dispatchers[0]!.jobs.submit(job));
   await timers.advance(500);
   t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
@@ -55,10 +62,7 @@
   const ends = record(dispatchers[0]!.jobs.submit(describeJob('job', 1)));
   await timers.advance(1_000);
   t.is(ends[0]?.kind, TransientJobEndKind.Failed);
-  t.deepEqual(
-    hosts.map(host => host.worker.starts.length).sort(),
-    [0, 1, 1],
-  );
+  t.deepEqual(hosts.map(host => host.worker.starts.length).sort(), [0, 1, 1]);
 });
 
 test('a job that no worker can ever hold fails at once', async t => {
@@ -88,7 +92,9 @@
   for (let number = 0; number < 8; number += 1) {
     record(jobs.submit(describeJob(`early-${String(number)}`, 1, { step })));
   }
-  const short = describeJob('short', 1, { queue: describeQueue({ queue: 'short' }) });
+  const short = describeJob('short', 1, {
+    queue: describeQueue({ queue: 'short' }),
+  });
   const ends = record(jobs.submit(short));
   await timers.advance(10);
   t.is(ends[0]?.kind, TransientJobEndKind.Refused);
@@ -144,11 +150,12 @@
 });
 
 test('tasks of a worker that is cut off run elsewhere, never twice at the same time', async t => {
-  const { timers, dispatchers, hosts, network, violations } = await startJobsFixture({
-    dispatchers: 1,
-    workers: 2,
-    processors: 4,
-  });
+  const { timers, dispatchers, hosts, network, violations } =
+    await startJobsFixture({
+      dispatchers: 1,
+      workers: 2,
+      processors: 4,
+    });
   for (const { worker } of hosts) worker.runMilliseconds = 3_000;
   const step = { estimatedMilliseconds: 3_000 };
   const ends = record(
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -28,7 +28,11 @@
   type ToWorkerMessage,
 } from '@cranberryturn/wire';
 
-import { createKnownWorker, type KnownWorker, noteLoad } from './known-worker.js';
+import {
+  createKnownWorker,
+  type KnownWorker,
+  noteLoad,
+} from './known-worker.js';
 
 const tickMilliseconds: Milliseconds = 100;
 
@@ -95,6 +99,11 @@
     }
   }
 
+  /** The worker as it was announced last. */
+  find(workerId: TargetId): KnownWorker | undefined {
+    return this.#find(workerId)?.known;
+  }
+
   countWorkers(): number {
     return [...this.#links].filter(link => link.open && link.known).length;
   }
@@ -104,7 +113,11 @@
   }
 
   stopRuns(workerId: TargetId, jobId: JobId, taskIds: readonly TaskId[]): void {
-    this.#send(this.#find(workerId), { kind: ToWorkerKind.StopRuns, jobId, taskIds });
+    this.#send(this.#find(workerId), {
+      kind: ToWorkerKind.StopRuns,
+      jobId,
+      taskIds,
+    });
   }
 
   /** Tells all sidecars which dispatchers there are. */
@@ -217,7 +230,9 @@
     const { known } = link;
     if (known === undefined) return;
     link.known = undefined;
-    this.#options.logger.info('worker no longer announced', { worker: known.workerId });
+    this.#options.logger.info('worker no longer announced', {
+      worker: known.workerId,
+    });
     this.#options.workerLost(known.workerId);
   }
 
@@ -233,7 +248,11 @@
         this.#giveUp(link);
         continue;
       }
-      if (link.open && now - link.sentAt >= runBeatInterval && this.#hasRuns(link)) {
+      if (
+        link.open &&
+        now - link.sentAt >= runBeatInterval &&
+        this.#hasRuns(link)
+      ) {
         this.#send(link, { kind: ToWorkerKind.Beat });
       }
     }
@@ -247,7 +266,9 @@
     if (!this.#hasRuns(link) || link.known === undefined) return;
     this.#options.logger.warn('sidecar silent for longer than its lease', {
       sidecar: link.sidecar,
-      silenceMilliseconds: Math.round(this.#options.timers.now() - link.heardAt),
+      silenceMilliseconds: Math.round(
+        this.#options.timers.now() - link.heardAt,
+      ),
     });
     this.#options.workerLost(link.known.workerId);
   }
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -42,8 +42,8 @@
   readonly waitingWork: readonly number[];
   /** Estimated work left of what runs, in processor-milliseconds. */
   readonly runningWork: number;
-  /** Whether the worker accepts no further run. */
-  readonly draining: boolean;
+  /** Whether the worker accepts no further run: it drains, or does not answer at present. */
+  readonly closed: boolean;
 }
 
 /** The part of a job that one worker is asked to run. */
@@ -116,4 +116,3 @@
   readonly dispatcherId: DispatcherId;
   readonly address: NetworkAddress;
 }
-
--- a/packages/worker-gate/src/capacity.ts
+++ b/packages/worker-gate/src/capacity.ts
@@ -4,7 +4,11 @@
 /** Capacity of one worker. */
 export class Capacity {
   readonly #total: WorkerResources;
-  #used: WorkerResources = { processors: 0, memoryMebibytes: 0, accelerators: 0 };
+  #used: WorkerResources = {
+    processors: 0,
+    memoryMebibytes: 0,
+    accelerators: 0,
+  };
 
   constructor(total: WorkerResources) {
     this.#total = total;
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -1,7 +1,15 @@
 /** A worker in memory that keeps the published rules of runs, with faults that a test sets. */
 import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
-import { sleep, type TimerService, type TimerSubscription } from '@cranberryturn/timers';
-import type { Milliseconds, WorkerResources, WorkerRun } from '@cranberryturn/types';
+import {
+  sleep,
+  type TimerService,
+  type TimerSubscription,
+} from '@cranberryturn/timers';
+import type {
+  Milliseconds,
+  WorkerResources,
+  WorkerRun,
+} from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
 import {
@@ -110,14 +118,17 @@
   const start = (order: StartRunOrder): WorkerReply => {
     const refusal = findRefusal(order);
     if (refusal !== undefined) return { accepted: false, refusal };
-    if (worker.unhealthy) return { accepted: false, refusal: WorkerRefusal.Unhealthy };
-    if (order.deadline <= clock()) return { accepted: false, refusal: WorkerRefusal.Late };
+    if (worker.unhealthy)
+      return { accepted: false, refusal: WorkerRefusal.Unhealthy };
+    if (order.deadline <= clock())
+      return { accepted: false, refusal: WorkerRefusal.Late };
     extendLease(order.deadline);
     const name = nameTask(order.jobId, order.taskId);
     if (order.run <= (closedRuns.get(name) ?? 0)) {
       return { accepted: false, refusal: WorkerRefusal.OldRun };
     }
-    if (worker.atWork.get(name)?.run === order.run) return { accepted: true, clock: clock() };
+    if (worker.atWork.get(name)?.run === order.run)
+      return { accepted: true, clock: clock() };
     const atWork: RunAtWork = {
       ...order,
       beganAt: timers.now(),
@@ -172,7 +183,10 @@
 
   const wait = (duration: Milliseconds): Promise<void> =>
     new Promise(resolve => {
-      if (duration === 0 || worker.ended.some(end => end.sequence > worker.acknowledged)) {
+      if (
+        duration === 0 ||
+        worker.ended.some(end => end.sequence > worker.acknowledged)
+      ) {
         resolve();
         return;
       }
@@ -212,24 +226,35 @@
             const refusal = findRefusal(order);
             if (refusal !== undefined) return { accepted: false, refusal };
             extendLease(order.deadline);
-            worker.acknowledged = Math.max(worker.acknowledged, order.acknowledged);
+            worker.acknowledged = Math.max(
+              worker.acknowledged,
+              order.acknowledged,
+            );
             return undefined;
-          }).then(async (early): Promise<Result<RenewReply, WorkerCallError>> => {
-            if (early.isErr()) return err(early.error);
-            if (early.value !== undefined) return ok(early.value);
-            await wait(order.waitMilliseconds);
-            if (crashed) return err(refusedConnection(run.workerId));
-            return ok({
-              accepted: true,
-              status: {
-                clock: clock(),
-                running: [...worker.atWork.values()].map(
-                  ({ jobId, taskId, run: number }) => ({ jobId, taskId, run: number }),
-                ),
-                ended: worker.ended.filter(end => end.sequence > worker.acknowledged),
-              },
-            });
-          }),
+          }).then(
+            async (early): Promise<Result<RenewReply, WorkerCallError>> => {
+              if (early.isErr()) return err(early.error);
+              if (early.value !== undefined) return ok(early.value);
+              await wait(order.waitMilliseconds);
+              if (crashed) return err(refusedConnection(run.workerId));
+              return ok({
+                accepted: true,
+                status: {
+                  clock: clock(),
+                  running: [...worker.atWork.values()].map(
+                    ({ jobId, taskId, run: number }) => ({
+                      jobId,
+                      taskId,
+                      run: number,
+                    }),
+                  ),
+                  ended: worker.ended.filter(
+                    end => end.sequence > worker.acknowledged,
+                  ),
+                },
+              });
+            },
+          ),
         ),
       close: () => undefined,
     },
@@ -243,9 +268,14 @@
   peer: string,
 ): Promise<Result<never, WorkerCallError>> {
   await sleep(timers, silenceTimeout);
-  return err(new TimeoutError('No answer in time.', { step: 'call worker', peer }));
+  return err(
+    new TimeoutError('No answer in time.', { step: 'call worker', peer }),
+  );
 }
 
 function refusedConnection(peer: string): WorkerCallError {
-  return new ConnectionError('The connection was refused.', { step: 'call worker', peer });
+  return new ConnectionError('The connection was refused.', {
+    step: 'call worker',
+    peer,
+  });
 }
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -7,7 +7,12 @@
   createManualTimerService,
   type ManualTimerService,
 } from '@cranberryturn/timers';
-import type { Milliseconds, RunEnd, RunOrder, WorkerRun } from '@cranberryturn/types';
+import type {
+  Milliseconds,
+  RunEnd,
+  RunOrder,
+  WorkerRun,
+} from '@cranberryturn/types';
 import {
   createMemoryNetwork,
   FromWorkerKind,
@@ -26,7 +31,11 @@
 const times = { heartbeatMilliseconds: 300, suspicionMilliseconds: 700 };
 
 /** What each task of these tests needs. */
-export const oneProcessor = { processors: 1, memoryMebibytes: 64, accelerators: 0 };
+export const oneProcessor = {
+  processors: 1,
+  memoryMebibytes: 64,
+  accelerators: 0,
+};
 
 /** What a test holds. */
 export interface GateFixture {
@@ -82,7 +91,8 @@
         messageReceived: message => {
           received.push(message);
           echo = message.stamp;
-          if (message.kind === FromWorkerKind.RunsEnded) ends.push(...message.ends);
+          if (message.kind === FromWorkerKind.RunsEnded)
+            ends.push(...message.ends);
           if (fixture.beating) send({ kind: ToWorkerKind.Beat, echo });
         },
         connected: () => undefined,
@@ -92,8 +102,15 @@
     },
   });
   await network
-    .join({ role: ProcessRole.Dispatcher, name: 'dispatcher-1', incarnation: 'd1' })
-    .listen(dispatcherAddress, connection => void acceptor.acceptConnection(connection));
+    .join({
+      role: ProcessRole.Dispatcher,
+      name: 'dispatcher-1',
+      incarnation: 'd1',
+    })
+    .listen(
+      dispatcherAddress,
+      connection => void acceptor.acceptConnection(connection),
+    );
 
   let processes = 0;
   const startGate = (): WorkerGate => {
@@ -144,7 +161,8 @@
         },
       });
     },
-    listStarts: () => worker.starts.map(start => `${start.jobId}/${String(start.run)}`),
+    listStarts: () =>
+      worker.starts.map(start => `${start.jobId}/${String(start.run)}`),
     restartGate: () => {
       fixture.gate = startGate();
       return fixture.gate;
@@ -152,7 +170,12 @@
     report: (reported, draining = false) => {
       sequence += 1;
       const bornAt = Number(reported.incarnation.split('@')[1]);
-      fixture.gate.workerReported({ worker: reported, bornAt, sequence, draining });
+      fixture.gate.workerReported({
+        worker: reported,
+        bornAt,
+        sequence,
+        draining,
+      });
     },
   };
   fixture.report(run);
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -1,12 +1,13 @@
 /** Renews the lease of one life of a worker while anything is at work there, and takes note of ends. */
 import { sleep } from '@cranberryturn/timers';
-import { type Milliseconds, RunEndReason, type RunKey } from '@cranberryturn/types';
+import {
+  type Milliseconds,
+  RunEndReason,
+  type RunKey,
+} from '@cranberryturn/types';
 
 import { RunPhase } from './active-run.js';
-import {
-  WorkerRefusal,
-  type WorkerStatus,
-} from './ports/worker.js';
+import { WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { boundLease } from './worker-clock.js';
 import type { WorkerLife } from './worker-life.js';
 
@@ -23,6 +24,10 @@
 export interface LeaseKeeper {
   /** Whether the worker answered lately, and nothing of an earlier sidecar is at work there. */
   readonly isReady: boolean;
+  /** Whether the last order got no answer: nothing is started until one comes. */
+  readonly isDoubtful: boolean;
+  /** Says that an order got no answer. */
+  noteUnanswered(): void;
   /** Says that a run ended. */
   wake(): void;
   /** Says that a run is being started, which extends the lease of everything at work. */
@@ -41,6 +46,8 @@
   let confirmed = 0;
   let renewedAt = timers.now();
   let ready = false;
+  /** Set by an order without an answer, until an answer comes. */
+  let doubtful = false;
   let clean = false;
   let stopped = false;
   let wakeUp: (() => void) | undefined;
@@ -81,6 +88,7 @@
       return undefined;
     }
     confirmed = Math.max(confirmed, sent);
+    trust();
     renewedAt = Math.max(renewedAt, sentAt);
     takeStatus(reply.value.status, sentAt);
     if (!ready && clean) {
@@ -97,12 +105,30 @@
     fencingToken: number,
   ): void => {
     if (refusal === WorkerRefusal.Fenced) fencing.raiseAbove(fencingToken);
-    if (refusal === WorkerRefusal.OtherLife) life.close(RunEndReason.WorkerGone);
+    if (refusal === WorkerRefusal.OtherLife)
+      life.close(RunEndReason.WorkerGone);
+  };
+
+  const trust = (): void => {
+    if (!doubtful) return;
+    doubtful = false;
+    logger.info('worker answers again', { worker: worker.workerId });
+    life.options.stateChanged();
+    life.fill();
+  };
+
+  const doubt = (): void => {
+    if (doubtful || !ready) return;
+    doubtful = true;
+    logger.warn('worker does not answer', { worker: worker.workerId });
+    life.noteDoubt();
   };
 
   const noteFailure = (): void => {
+    doubt();
     const silence = timers.now() - renewedAt;
-    if (!ready || silence < boundLease(leaseMilliseconds) + expiryMargin) return;
+    if (!ready || silence < boundLease(leaseMilliseconds) + expiryMargin)
+      return;
     ready = false;
     logger.warn('worker silent for longer than its lease', {
       worker: worker.workerId,
@@ -132,7 +158,7 @@
   const hasWork = (): boolean => life.listActive().length > 0;
 
   const waitForWork = async (): Promise<void> => {
-    if (hasWork() || acknowledged > confirmed || !ready) return;
+    if (hasWork() || acknowledged > confirmed || !ready || doubtful) return;
     await new Promise<void>(resolve => {
       wakeUp = resolve;
     });
@@ -159,6 +185,13 @@
     get isReady() {
       return ready && !stopped;
     },
+    get isDoubtful() {
+      return doubtful;
+    },
+    noteUnanswered: () => {
+      doubt();
+      wake();
+    },
     wake,
     noteStart: () => {
       renewedAt = timers.now();
--- a/packages/worker-gate/src/ports/worker.ts
+++ b/packages/worker-gate/src/ports/worker.ts
@@ -4,12 +4,7 @@
   CorruptionError,
   TimeoutError,
 } from '@cranberryturn/errors';
-import type {
-  JobId,
-  Milliseconds,
-  RunKey,
-  TaskId,
-} from '@cranberryturn/types';
+import type { JobId, Milliseconds, RunKey, TaskId } from '@cranberryturn/types';
 import type { ResultAsync } from 'neverthrow';
 
 /** Every order to a worker. */
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -14,7 +14,10 @@
 const noRoomPause: Milliseconds = 20;
 
 /** Starts a run that holds its capacity already. */
-export async function startRun(life: WorkerLife, run: ActiveRun): Promise<void> {
+export async function startRun(
+  life: WorkerLife,
+  run: ActiveRun,
+): Promise<void> {
   for (let tries = 0; tries < mostTries; tries += 1) {
     const { fencing, port } = life.options;
     const fencingToken = fencing.token;
@@ -29,6 +32,7 @@
     });
     if (run.phase === RunPhase.Ended) return;
     if (reply.isErr()) {
+      life.lease.noteUnanswered();
       await settleUnanswered(life, run);
       return;
     }
@@ -42,11 +46,19 @@
   life.end(run, RunOutcome.NotStarted, RunEndReason.WorkerRefused);
 }
 
-function noteClock(life: WorkerLife, reply: WorkerReply, sentAt: Milliseconds): void {
+function noteClock(
+  life: WorkerLife,
+  reply: WorkerReply,
+  sentAt: Milliseconds,
+): void {
   if (reply.accepted) life.lease.noteClock(reply.clock, sentAt);
 }
 
-function noteStarted(life: WorkerLife, run: ActiveRun, startedAt: Milliseconds): void {
+function noteStarted(
+  life: WorkerLife,
+  run: ActiveRun,
+  startedAt: Milliseconds,
+): void {
   run.phase = RunPhase.Running;
   run.startedAt = startedAt;
   if (run.stopReason !== undefined) void stopRun(life, run);
@@ -89,7 +101,10 @@
 }
 
 /** The order may have been carried out, or may be later: a stop keeps it from being so from now on. */
-async function settleUnanswered(life: WorkerLife, run: ActiveRun): Promise<void> {
+async function settleUnanswered(
+  life: WorkerLife,
+  run: ActiveRun,
+): Promise<void> {
   life.options.logger.info('start order without an answer', {
     requestId: run.order.requestId,
     task: run.task,
@@ -106,7 +121,11 @@
 }
 
 function isSame(
-  other: { readonly jobId: string; readonly taskId: string; readonly run: number },
+  other: {
+    readonly jobId: string;
+    readonly taskId: string;
+    readonly run: number;
+  },
   run: ActiveRun,
 ): boolean {
   return (
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -41,7 +41,7 @@
   free: { processors: 0, memoryMebibytes: 0, accelerators: 0 },
   waitingWork: [],
   runningWork: 0,
-  draining: true,
+  closed: true,
 };
 
 /** What a worker says of itself. */
@@ -97,10 +97,7 @@
 
   const load = (): WorkerLoad => life?.load ?? noLoad;
 
-  const send = (
-    session: DispatcherSession,
-    body: FromWorkerBody,
-  ): void => {
+  const send = (session: DispatcherSession, body: FromWorkerBody): void => {
     const now = timers.now();
     session.sentAt = now;
     untold.delete(session.dispatcherId);
@@ -118,7 +115,11 @@
 
   const runEnded = (dispatcher: DispatcherId, end: RunEnd): void => {
     metrics.count(chooseCounter(end.outcome));
-    logger.info('run ended', { dispatcher, worker: life?.worker.workerId, ...end });
+    logger.info('run ended', {
+      dispatcher,
+      worker: life?.worker.workerId,
+      ...end,
+    });
     const session = sessions.find(dispatcher);
     if (session === undefined) return;
     const ends = waitingEnds.get(session);
@@ -225,7 +226,8 @@
       runEnded,
       stateChanged: announceToAll,
       usageChanged: () => {
-        for (const { dispatcherId } of sessions.list()) untold.add(dispatcherId);
+        for (const { dispatcherId } of sessions.list())
+          untold.add(dispatcherId);
       },
       lost: reason => {
         logger.warn('worker lost', { worker: worker.workerId, reason });
@@ -258,7 +260,8 @@
   return {
     workerReported,
     workerLeft: workerId => {
-      if (life?.worker.workerId === workerId) life.close(RunEndReason.WorkerGone);
+      if (life?.worker.workerId === workerId)
+        life.close(RunEndReason.WorkerGone);
     },
     life: () => life,
     sessions: () => sessions.list(),
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -1,5 +1,9 @@
 import { RunEndReason, RunOutcome } from '@cranberryturn/types';
-import { dispatcherLease, FromWorkerKind, ToWorkerKind } from '@cranberryturn/wire';
+import {
+  dispatcherLease,
+  FromWorkerKind,
+  ToWorkerKind,
+} from '@cranberryturn/wire';
 import test from 'ava';
 
 import { describeWorker, startGateFixture } from './fakes/gate-fixture.js';
@@ -171,7 +175,13 @@
   received.length = 0;
   fixture.restartGate();
   fixture.report(describeWorker(1));
-  while (!received.some(message => message.kind === FromWorkerKind.Announce && message.worker !== undefined)) {
+  while (
+    !received.some(
+      message =>
+        message.kind === FromWorkerKind.Announce &&
+        message.worker !== undefined,
+    )
+  ) {
     await timers.advance(5);
   }
   t.is(worker.atWork.size, 0);
--- a/packages/worker-gate/src/worker-life.ts
+++ b/packages/worker-gate/src/worker-life.ts
@@ -25,7 +25,12 @@
 import type { DispatcherLeases } from './dispatcher-leases.js';
 import type { Fencing } from './fencing.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
-import { type EndedRun, nameTask, WorkerEnd, type WorkerPort } from './ports/worker.js';
+import {
+  type EndedRun,
+  nameTask,
+  WorkerEnd,
+  type WorkerPort,
+} from './ports/worker.js';
 import { startRun } from './start-run.js';
 import { stopRun } from './stop-run.js';
 import { mostWaitingRuns, WaitingRuns } from './waiting-runs.js';
@@ -92,12 +97,13 @@
   get load(): WorkerLoad {
     const now = this.options.timers.now();
     let runningWork = 0;
-    for (const run of this.#active.values()) runningWork += estimateWork(run, now);
+    for (const run of this.#active.values())
+      runningWork += estimateWork(run, now);
     return {
       free: this.#capacity.free,
       waitingWork: this.#waiting.measureWork(now),
       runningWork: Math.round(runningWork),
-      draining: this.#draining || this.#closed,
+      closed: this.#draining || this.#closed || this.#lease.isDoubtful,
     };
   }
 
@@ -155,7 +161,7 @@
     const { timers, leases } = this.options;
     const now = timers.now();
     if (this.#closed || this.#draining || now < this.#heldUntil) return;
-    if (!this.#lease.isReady) return;
+    if (!this.#lease.isReady || this.#lease.isDoubtful) return;
     for (;;) {
       const run = this.#waiting.takeFirst(
         one =>
@@ -182,7 +188,12 @@
     this.hold(pause);
     run.phase = RunPhase.Waiting;
     if (run.stopReason === undefined && !this.#closed) this.#waiting.add(run);
-    else this.end(run, RunOutcome.NotStarted, run.stopReason ?? RunEndReason.WorkerGone);
+    else
+      this.end(
+        run,
+        RunOutcome.NotStarted,
+        run.stopReason ?? RunEndReason.WorkerGone,
+      );
   }
 
   /** Starts nothing for a while. */
@@ -218,13 +229,23 @@
         this.end(run, RunOutcome.Failed, RunEndReason.TaskFailed);
         return;
       case WorkerEnd.Stopped:
-        this.end(run, RunOutcome.Interrupted, run.stopReason ?? RunEndReason.Cancelled);
+        this.end(
+          run,
+          RunOutcome.Interrupted,
+          run.stopReason ?? RunEndReason.Cancelled,
+        );
         return;
       case WorkerEnd.Expired:
         this.end(run, RunOutcome.Interrupted, RunEndReason.LeaseExpired);
     }
   }
 
+  /** An order got no answer: what waits goes elsewhere, and what is at work may go on. */
+  noteDoubt(): void {
+    this.#refuseWaiting(RunEndReason.WorkerSilent, () => true);
+    this.options.stateChanged();
+  }
+
   /** The worker does not list a run that it had begun. */
   noteVanished(run: ActiveRun): void {
     this.end(run, RunOutcome.Interrupted, RunEndReason.WorkerGone);
@@ -232,11 +253,14 @@
 
   /** This process was suspended: what waits may be at work elsewhere by now. */
   noteSuspension(): void {
-    this.options.logger.warn('this process was suspended; its dispatchers have to be heard again', {
-      worker: this.worker.workerId,
-      waiting: this.#waiting.size,
-      active: this.#active.size,
-    });
+    this.options.logger.warn(
+      'this process was suspended; its dispatchers have to be heard again',
+      {
+        worker: this.worker.workerId,
+        waiting: this.#waiting.size,
+        active: this.#active.size,
+      },
+    );
     this.options.leases.endAll();
     this.#refuseWaiting(RunEndReason.Suspended, () => true);
     this.#stopAll(RunEndReason.DispatcherSilent, () => true);
@@ -288,7 +312,9 @@
     if (!leases.mayStart(run.dispatcher, timers.now())) {
       return RunEndReason.DispatcherSilent;
     }
-    if (!this.#lease.isReady) return RunEndReason.WorkerSilent;
+    if (!this.#lease.isReady || this.#lease.isDoubtful) {
+      return RunEndReason.WorkerSilent;
+    }
     return undefined;
   }
 
@@ -299,7 +325,10 @@
     const active = this.#active.get(run.task);
     const isRepeated = (other: ActiveRun | undefined): boolean =>
       other?.dispatcher === run.dispatcher && other.ordered === run.ordered;
-    if (isRepeated(active) || this.#waiting.list().some(other => isEarlier(other) && isRepeated(other))) {
+    if (
+      isRepeated(active) ||
+      this.#waiting.list().some(other => isEarlier(other) && isRepeated(other))
+    ) {
       return;
     }
     this.#refuseWaiting(RunEndReason.Cancelled, isEarlier);
@@ -323,7 +352,10 @@
     if (run.phase === RunPhase.Running) void stopRun(this, run);
   }
 
-  #refuseWaiting(reason: RunEndReason, matches: (run: ActiveRun) => boolean): void {
+  #refuseWaiting(
+    reason: RunEndReason,
+    matches: (run: ActiveRun) => boolean,
+  ): void {
     for (const run of this.#waiting.takeAll(matches)) {
       this.end(run, RunOutcome.NotStarted, reason);
     }
@@ -352,7 +384,8 @@
     );
     this.#stopAll(
       RunEndReason.DispatcherSilent,
-      run => !leases.isHeld(run.dispatcher, now) && run.stopReason === undefined,
+      run =>
+        !leases.isHeld(run.dispatcher, now) && run.stopReason === undefined,
     );
   }
 }
