--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -24,6 +24,7 @@
 import { type Network, ProcessRole } from '@cranberryturn/wire';
 import type { ResultAsync } from 'neverthrow';
 
+import { type StartReadiness, watchStart } from './start-readiness.js';
 import { runSessionTimes } from './run-session-times.js';
 
 /** What a dispatcher of transient jobs is built from. */
@@ -43,6 +44,8 @@
 export interface RunDispatcher {
   readonly jobs: TransientJobs;
   readonly publication: PublicationFeed;
+  /** Whether requests are served; they may wait for it during the start. */
+  readonly readiness: StartReadiness;
   /** Planned stop: refuses new jobs and finishes those in progress. */
   stop(grace: Milliseconds): Promise<void>;
 }
@@ -92,6 +95,12 @@
     metrics,
     listDispatchers,
   });
+  const readiness = watchStart({
+    timers,
+    hasConfiguration: () => control.publication.current().version > 0,
+    countWorkers: () => jobs.workers.countWorkers(),
+    isPaused: () => jobs.isPaused(),
+  });
   const stopRoster = control.roster.subscribe(() => {
     jobs.workers.tellDispatchers();
   });
@@ -116,6 +125,7 @@
       return {
         jobs,
         publication: control.publication,
+        readiness,
         stop: async (grace: Milliseconds) => {
           await jobs.stop(grace);
           registration.cancel();
--- a/packages/timers/src/index.ts
+++ b/packages/timers/src/index.ts
@@ -2,3 +2,4 @@
 export * from './manual-timer-service.js';
 export * from './system-timer-service.js';
 export * from './timer-service.js';
+export * from './watch-suspension.js';
--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -19,6 +19,8 @@
 const choiceNoise: Milliseconds = 6;
 /** A fuller worker is more likely to have been filled by others since its report. */
 const fullnessPenalty: Milliseconds = 20;
+/** Above any expected end of a task, so that every other worker is better. */
+const avoidedPenalty: Milliseconds = 1_000_000;
 /** A worker in another data centre answers later by a round trip. */
 const remotePenalty: Milliseconds = 2;
 
@@ -32,7 +34,7 @@
   readonly dataCentre: string;
   /** How much longer a task takes away from its data. */
   readonly remoteFactor: number;
-  /** Workers that the tasks must not go to. */
+  /** Workers where the tasks failed, were refused or were slow: taken only when there is no other. */
   readonly excluded: ReadonlySet<string>;
   /** Tasks of the step that each worker has already. */
   readonly placed: ReadonlyMap<string, number>;
@@ -78,13 +80,13 @@
 }
 
 function listCandidates(
-  { step, priority, excluded }: PlacementQuestion,
+  { step, priority }: PlacementQuestion,
   workers: Iterable<KnownWorker>,
   now: Milliseconds,
 ): readonly Candidate[] {
   const candidates: Candidate[] = [];
   for (const known of workers) {
-    if (!isUsable(known, now) || excluded.has(known.workerId)) continue;
+    if (!isUsable(known, now)) continue;
     if (!canEverHold(known, step)) continue;
     candidates.push({
       known,
@@ -143,7 +145,12 @@
   const { capacity, dataCentre } = candidate.known.worker;
   const used = 1 - Math.max(0, candidate.free) / capacity.processors;
   const distance = dataCentre === question.dataCentre ? 0 : remotePenalty;
-  return expectEnd(question, candidate) + used * fullnessPenalty + distance;
+  const avoided = question.excluded.has(candidate.known.workerId)
+    ? avoidedPenalty
+    : 0;
+  return (
+    expectEnd(question, candidate) + used * fullnessPenalty + distance + avoided
+  );
 }
 
 /** Expected time until one more task ends on the worker. */
--- a/packages/transient-jobs/src/create-transient-jobs.ts
+++ b/packages/transient-jobs/src/create-transient-jobs.ts
@@ -5,8 +5,10 @@
 import type { SessionTimes } from '@cranberryturn/sessions';
 import {
   sleep,
+  type SuspensionWatch,
   type TimerService,
   type TimerSubscription,
+  watchSuspension,
 } from '@cranberryturn/timers';
 import type {
   DispatcherId,
@@ -14,6 +16,7 @@
   KnownDispatcher,
   Milliseconds,
   RunEnd,
+  SlowRun,
   TargetId,
 } from '@cranberryturn/types';
 import type { Connection } from '@cranberryturn/wire';
@@ -28,7 +31,9 @@
 } from './active-job.js';
 import { canEverHold } from './choose-workers.js';
 import { computeObjective, decideJob } from './decide-job.js';
+import { isWorthMoving } from './is-worth-moving.js';
 import { JobBook } from './job-book.js';
+import { type KnownWorker, noteSlow } from './known-worker.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
 import { RunTracker } from './run-tracker.js';
 import { takeRunEnd } from './take-run-end.js';
@@ -41,6 +46,8 @@
 import { WorkerDirectory } from './worker-directory.js';
 
 const replaceInterval: Milliseconds = 20;
+/** After a suspension, connections that callers closed meanwhile are noticed within this time. */
+const settleTime: Milliseconds = 60;
 const stopPoll: Milliseconds = 20;
 /** Another dispatcher takes the job at once. */
 const stopRetry: Milliseconds = 500;
@@ -74,18 +81,25 @@
   readonly #runs = new RunTracker();
   readonly #estimates = new RunTimeEstimates();
   readonly #placer: TaskPlacer;
+  readonly #suspension: SuspensionWatch;
   #stopping = false;
+  /** Nothing is placed before this time. */
+  #pausedUntil: Milliseconds = 0;
   /** Set while tasks wait for a worker. */
   #replacement: TimerSubscription | undefined;
 
   constructor(options: TransientJobsOptions) {
     this.#options = options;
     this.#jobs = new JobBook(options.timers);
+    this.#suspension = watchSuspension(options.timers);
     this.workers = new WorkerDirectory({
       ...options,
       runEnded: (workerId, end) => {
         this.#noteEnd(workerId, end);
       },
+      runsSlow: (known, runs) => {
+        this.#noteSlow(known, runs);
+      },
       workerLost: workerId => {
         for (const task of this.#runs.takeAll(workerId)) this.#return(task);
       },
@@ -114,6 +128,26 @@
     this.workers.accept(connection);
   }
 
+  /**
+   * Whether this process has just been suspended: callers may have left, and other dispatchers may
+   * run their jobs. Nothing is placed until that would have been noticed.
+   */
+  isPaused(): boolean {
+    const now = this.#options.timers.now();
+    const suspended = this.#suspension.check();
+    if (suspended > 0) {
+      this.#options.logger.warn(
+        'this process was suspended, or its wall clock set forward',
+        {
+          milliseconds: Math.round(suspended),
+          jobs: this.#jobs.size,
+        },
+      );
+      this.#pausedUntil = now + settleTime;
+    }
+    return now < this.#pausedUntil;
+  }
+
   /** Submits a job, or joins it when it is in progress here. */
   submit(job: TransientJob): SubmittedJob {
     const known = this.#jobs.find(job.jobId);
@@ -248,6 +282,31 @@
     else this.#place(task.job);
   }
 
+  /** Stops runs that end sooner when they start again elsewhere. */
+  #noteSlow(known: KnownWorker, runs: readonly SlowRun[]): void {
+    for (const slow of runs) {
+      const task = this.#runs.find(known.workerId, slow);
+      if (task === undefined || task.job.end !== undefined) continue;
+      const { elapsedMilliseconds, remainingMilliseconds } = slow;
+      noteSlow(
+        known,
+        task.expectedMilliseconds,
+        elapsedMilliseconds + remainingMilliseconds,
+      );
+      const elsewhere = this.#placer.expectElsewhere(task);
+      if (elsewhere === undefined) continue;
+      if (!isWorthMoving(remainingMilliseconds, elsewhere)) continue;
+      this.#options.logger.info('slow run moved', {
+        requestId: task.job.job.requestId,
+        worker: known.workerId,
+        elsewhereMilliseconds: Math.round(elsewhere),
+        ...slow,
+      });
+      task.excluded.add(known.workerId);
+      this.workers.stopRuns(known.workerId, slow.jobId, [slow.taskId]);
+    }
+  }
+
   /** Nothing of the task is at work any more: it is placed again. */
   #return(task: ActiveTask): void {
     task.workerId = undefined;
@@ -263,10 +322,17 @@
   #place(active: ActiveJob): void {
     if (active.end !== undefined) return;
     if (!active.tasks.some(task => task.phase === TaskPhase.Waiting)) return;
+    if (this.isPaused()) {
+      this.#placeLater(settleTime);
+      return;
+    }
     const placement = this.#placer.plan(active);
     this.#placer.apply(active, placement);
-    if (placement.isWhole) return;
-    this.#replacement ??= this.#options.timers.after(replaceInterval, () => {
+    if (!placement.isWhole) this.#placeLater(replaceInterval);
+  }
+
+  #placeLater(pause: Milliseconds): void {
+    this.#replacement ??= this.#options.timers.after(pause, () => {
       this.#replacement = undefined;
       this.#placeAll();
     });
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -275,3 +275,14 @@
   report();
   return host;
 }
+
+/** The item at a place that a test knows to exist. */
+export function pick<Item>(items: readonly Item[], place: number): Item {
+  const item = items[place];
+  if (item === undefined) throw new Error(`there is no item ${String(place)}`);
+  return item;
+}
+
+export function first<Item>(items: readonly Item[]): Item {
+  return pick(items, 0);
+}
--- a/packages/transient-jobs/src/run-tracker.ts
+++ b/packages/transient-jobs/src/run-tracker.ts
@@ -1,5 +1,5 @@
 /** The runs that this dispatcher has at each worker. */
-import type { RunEnd, TargetId } from '@cranberryturn/types';
+import type { RunKey, TargetId } from '@cranberryturn/types';
 
 import type { ActiveTask } from './active-job.js';
 
@@ -18,15 +18,19 @@
   }
 
   /** Takes out the task whose newest run ended; undefined for a run that was given up before. */
-  take(workerId: TargetId, end: RunEnd): ActiveTask | undefined {
+  take(workerId: TargetId, key: RunKey): ActiveTask | undefined {
+    const task = this.find(workerId, key);
+    if (task !== undefined) this.#remove(workerId, task);
+    return task;
+  }
+
+  find(workerId: TargetId, key: RunKey): ActiveTask | undefined {
     for (const task of this.#runs.get(workerId) ?? []) {
       const isSame =
-        task.taskId === end.taskId &&
-        task.run === end.run &&
-        task.job.job.jobId === end.jobId;
-      if (!isSame) continue;
-      this.#remove(workerId, task);
-      return task;
+        task.taskId === key.taskId &&
+        task.run === key.run &&
+        task.job.job.jobId === key.jobId;
+      if (isSame) return task;
     }
     return undefined;
   }
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -89,6 +89,20 @@
     return { plans, expected, isWhole };
   }
 
+  /** Expected time until a task would end that starts again on another worker. */
+  expectElsewhere(task: ActiveTask): Milliseconds | undefined {
+    const { job, step: number, workerId } = task;
+    const step = job.job.steps[number];
+    if (step === undefined) return undefined;
+    const excluded = new Set(task.excluded);
+    if (workerId !== undefined) excluded.add(workerId);
+    const [chosen] = this.#choose(job, number, step, 1, excluded);
+    if (chosen === undefined || excluded.has(chosen.known.workerId)) {
+      return undefined;
+    }
+    return chosen.expectedMilliseconds;
+  }
+
   /** Sends the tasks as planned. */
   apply(active: ActiveJob, { plans }: Placement): void {
     for (const plan of plans) {
@@ -106,25 +120,39 @@
     step: JobStep,
     tasks: readonly ActiveTask[],
   ): StepPlan {
+    const excluded = joinExcluded(tasks);
+    return {
+      step,
+      tasks,
+      estimate: this.estimate(active, step.estimatedMilliseconds),
+      chosen: this.#choose(active, number, step, tasks.length, excluded),
+    };
+  }
+
+  #choose(
+    active: ActiveJob,
+    number: number,
+    step: JobStep,
+    tasks: number,
+    excluded: ReadonlySet<TargetId>,
+  ): readonly ChosenWorker[] {
     const { random, timers, dataCentre, remoteFactor, workers } = this.#options;
     const { queue } = active.job;
-    const estimate = this.estimate(active, step.estimatedMilliseconds);
-    const chosen = chooseWorkers(
+    return chooseWorkers(
       {
         step,
         priority: queue.priority,
-        estimate,
-        tasks: tasks.length,
+        estimate: this.estimate(active, step.estimatedMilliseconds),
+        tasks,
         dataCentre,
         remoteFactor,
-        excluded: joinExcluded(tasks),
+        excluded,
         placed: countPlaced(active, number),
       },
       workers.listWorkers(queue.service),
       random,
       timers.now(),
     );
-    return { step, tasks, estimate, chosen };
   }
 
   #send(
--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -6,6 +6,7 @@
 import {
   describeJob,
   type JobsFixture,
+  pick,
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 
@@ -95,9 +96,9 @@
   step: Step,
 ): Promise<void> {
   const { timers, network, hosts } = fixture;
-  const host = hosts[step.worker]!;
-  const dispatcher = fixture.dispatchers[step.dispatcher]!;
-  const caller = callers[step.job]!;
+  const host = pick(hosts, step.worker);
+  const dispatcher = pick(fixture.dispatchers, step.dispatcher);
+  const caller = pick(callers, step.job);
   switch (step.fault) {
     case Fault.Submit:
       submit(fixture, caller, step);
@@ -147,7 +148,7 @@
 function submit(fixture: JobsFixture, caller: CallerOfJob, step: Step): void {
   if (caller.submitted !== undefined) return;
   if (fixture.timers.now() < caller.mayResendAt) return;
-  const { jobs } = fixture.dispatchers[step.dispatcher]!;
+  const { jobs } = pick(fixture.dispatchers, step.dispatcher);
   const submitted = jobs.submit(
     describeJob(`job-${String(step.job)}`, 2, {
       step: { estimatedMilliseconds: 700 },
--- a/packages/transient-jobs/src/transient-jobs.test.ts
+++ b/packages/transient-jobs/src/transient-jobs.test.ts
@@ -1,8 +1,10 @@
+import { WorkerEnd } from '@cranberryturn/worker-gate';
 import test from 'ava';
 
 import {
   describeJob,
   describeQueue,
+  first,
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
@@ -21,7 +23,7 @@
     workers: 3,
     processors: 4,
   });
-  const ends = record(dispatchers[0]!.jobs.submit(describeJob('job', 6)));
+  const ends = record(first(dispatchers).jobs.submit(describeJob('job', 6)));
   await timers.advance(130);
   t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
   t.deepEqual(
@@ -36,12 +38,12 @@
     workers: 2,
     processors: 4,
   });
-  const [step] = describeJob('job', 2).steps;
+  const step = first(describeJob('job', 2).steps);
   const job = {
     ...describeJob('job', 2),
-    steps: [step!, { ...step!, tasks: 1, after: [0] }],
+    steps: [step, { ...step, tasks: 1, after: [0] }],
   };
-  const ends = record(dispatchers[0]!.jobs.submit(job));
+  const ends = record(first(dispatchers).jobs.submit(job));
   await timers.advance(500);
   t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
   const starts = hosts.flatMap(host => host.worker.starts);
@@ -58,8 +60,8 @@
     workers: 3,
     processors: 4,
   });
-  for (const { worker } of hosts) worker.nextEnd = 'failed' as never;
-  const ends = record(dispatchers[0]!.jobs.submit(describeJob('job', 1)));
+  for (const { worker } of hosts) worker.nextEnd = WorkerEnd.Failed;
+  const ends = record(first(dispatchers).jobs.submit(describeJob('job', 1)));
   await timers.advance(1_000);
   t.is(ends[0]?.kind, TransientJobEndKind.Failed);
   t.deepEqual(hosts.map(host => host.worker.starts.length).sort(), [0, 1, 1]);
@@ -73,11 +75,11 @@
   });
   const need = { processors: 5, memoryMebibytes: 1, accelerators: 0 };
   const ends = record(
-    dispatchers[0]!.jobs.submit(describeJob('job', 1, { step: { need } })),
+    first(dispatchers).jobs.submit(describeJob('job', 1, { step: { need } })),
   );
   await timers.advance(1);
   t.is(ends[0]?.kind, TransientJobEndKind.Failed);
-  t.is(hosts[0]!.worker.starts.length, 0);
+  t.is(first(hosts).worker.starts.length, 0);
 });
 
 test('a job that would end too late to be of use is refused at once, and nothing of it runs', async t => {
@@ -86,8 +88,8 @@
     workers: 1,
     processors: 2,
   });
-  const { jobs } = dispatchers[0]!;
-  hosts[0]!.worker.runMilliseconds = 1_000;
+  const { jobs } = first(dispatchers);
+  first(hosts).worker.runMilliseconds = 1_000;
   const step = { estimatedMilliseconds: 1_000 };
   for (let number = 0; number < 8; number += 1) {
     record(jobs.submit(describeJob(`early-${String(number)}`, 1, { step })));
@@ -99,7 +101,7 @@
   await timers.advance(10);
   t.is(ends[0]?.kind, TransientJobEndKind.Refused);
   await timers.advance(6_000);
-  t.false(hosts[0]!.worker.starts.some(start => start.jobId === 'short'));
+  t.false(first(hosts).worker.starts.some(start => start.jobId === 'short'));
 });
 
 test('a job that its caller leaves is stopped', async t => {
@@ -108,13 +110,13 @@
     workers: 1,
     processors: 4,
   });
-  hosts[0]!.worker.runMilliseconds = 5_000;
-  const submitted = dispatchers[0]!.jobs.submit(describeJob('job', 2));
+  first(hosts).worker.runMilliseconds = 5_000;
+  const submitted = first(dispatchers).jobs.submit(describeJob('job', 2));
   await timers.advance(50);
-  t.is(hosts[0]!.worker.atWork.size, 2);
+  t.is(first(hosts).worker.atWork.size, 2);
   submitted.abandon();
   await timers.advance(60);
-  t.is(hosts[0]!.worker.atWork.size, 0);
+  t.is(first(hosts).worker.atWork.size, 0);
 });
 
 test('a job that is sent again while it runs is joined, and answered once it has ended', async t => {
@@ -123,10 +125,10 @@
     workers: 2,
     processors: 4,
   });
-  const { jobs } = dispatchers[0]!;
-  const first = jobs.submit(describeJob('job', 2));
+  const { jobs } = first(dispatchers);
+  const earlier = jobs.submit(describeJob('job', 2));
   const ends = record(jobs.submit(describeJob('job', 2)));
-  first.abandon();
+  earlier.abandon();
   await timers.advance(200);
   t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
   t.is(hosts.flatMap(host => host.worker.starts).length, 2);
@@ -138,8 +140,8 @@
     workers: 1,
     processors: 1,
   });
-  const { jobs } = dispatchers[0]!;
-  hosts[0]!.worker.runMilliseconds = 500;
+  const { jobs } = first(dispatchers);
+  first(hosts).worker.runMilliseconds = 500;
   jobs.submit(describeJob('job', 1)).abandon();
   await timers.advance(1);
   const again = jobs.submit(describeJob('job', 1));
@@ -159,7 +161,7 @@
   for (const { worker } of hosts) worker.runMilliseconds = 3_000;
   const step = { estimatedMilliseconds: 3_000 };
   const ends = record(
-    dispatchers[0]!.jobs.submit(
+    first(dispatchers).jobs.submit(
       describeJob('job', 2, { step, deadlineMilliseconds: 10_000 }),
     ),
   );
@@ -169,3 +171,18 @@
   t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
   t.deepEqual(violations, []);
 });
+
+test('a run that stands still is stopped and runs elsewhere', async t => {
+  const { timers, dispatchers, hosts, violations } = await startJobsFixture({
+    dispatchers: 1,
+    workers: 2,
+    processors: 4,
+  });
+  for (const { worker } of hosts) worker.runMilliseconds = 60_000;
+  const ends = record(first(dispatchers).jobs.submit(describeJob('job', 2)));
+  await timers.advance(50);
+  for (const { worker } of hosts) worker.runMilliseconds = 100;
+  await timers.advance(1_200);
+  t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
+  t.deepEqual(violations, []);
+});
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -12,6 +12,7 @@
   Milliseconds,
   RunEnd,
   RunOrder,
+  SlowRun,
   TargetId,
   TaskId,
   WorkerRun,
@@ -39,6 +40,7 @@
 /** What happens at the workers. */
 export interface WorkerEvents {
   readonly runEnded: (workerId: TargetId, end: RunEnd) => void;
+  readonly runsSlow: (known: KnownWorker, runs: readonly SlowRun[]) => void;
   /** Nothing of this dispatcher is at work at the worker any more. */
   readonly workerLost: (workerId: TargetId) => void;
   /** A worker was announced. */
@@ -192,10 +194,23 @@
       this.#noteAnnouncement(link, message.worker, message);
     }
     if (link.known !== undefined) noteLoad(link.known, message.load, now);
-    if (message.kind !== FromWorkerKind.RunsEnded) return;
-    const workerId = link.known?.workerId;
-    if (workerId === undefined) return;
-    for (const end of message.ends) this.#options.runEnded(workerId, end);
+    if (link.known !== undefined) this.#passOn(link.known, message);
+  }
+
+  #passOn(known: KnownWorker, message: FromWorkerMessage): void {
+    switch (message.kind) {
+      case FromWorkerKind.RunsEnded:
+        for (const end of message.ends) {
+          this.#options.runEnded(known.workerId, end);
+        }
+        return;
+      case FromWorkerKind.SlowRuns:
+        this.#options.runsSlow(known, message.runs);
+        return;
+      case FromWorkerKind.Announce:
+      case FromWorkerKind.Beat:
+        return;
+    }
   }
 
   /** An announced worker runs nothing of an earlier life or an earlier sidecar; one that is not announced yet may. */
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -111,6 +111,14 @@
   readonly runMilliseconds: Milliseconds;
 }
 
+/** A run that takes far longer than estimated. */
+export interface SlowRun extends RunKey {
+  /** Time at work so far. */
+  readonly elapsedMilliseconds: Milliseconds;
+  /** Expected time until it ends. */
+  readonly remainingMilliseconds: Milliseconds;
+}
+
 /** A dispatcher that sidecars should have a session with. */
 export interface KnownDispatcher {
   readonly dispatcherId: DispatcherId;
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -4,6 +4,7 @@
   Milliseconds,
   RunEnd,
   RunOrder,
+  SlowRun,
   TaskId,
   WorkerLoad,
   WorkerRun,
@@ -49,6 +50,8 @@
   /** The worker of this sidecar, which runs nothing of an earlier life or sidecar; or that none is ready. */
   Announce = 'announce',
   RunsEnded = 'ended',
+  /** Runs that take far longer than estimated. */
+  SlowRuns = 'slow',
   /** Shows that the sidecar is there, and what its worker has free. */
   Beat = 'beat',
 }
@@ -70,6 +73,10 @@
       readonly kind: FromWorkerKind.RunsEnded;
       readonly ends: readonly RunEnd[];
     }
+  | {
+      readonly kind: FromWorkerKind.SlowRuns;
+      readonly runs: readonly SlowRun[];
+    }
   | { readonly kind: FromWorkerKind.Beat };
 
 /** A message about runs from a sidecar to a dispatcher. */
--- a/packages/worker-gate/src/active-run.ts
+++ b/packages/worker-gate/src/active-run.ts
@@ -40,6 +40,14 @@
   stopReason: RunEndReason | undefined;
   /** Whether an order to stop it is on its way. */
   stopping: boolean;
+  /** Part of the work that is done, as the worker told last. */
+  progress: number;
+  /** When the progress last grew. */
+  progressAt: Milliseconds;
+  /** Expected end, from its progress; undefined before there is any. */
+  expectedEndAt: Milliseconds | undefined;
+  /** When the dispatcher last heard that the run is slow. */
+  slowReportedAt: Milliseconds;
   /** Answers of the worker in a row in which the run was missing. */
   missing: number;
 }
@@ -60,6 +68,10 @@
     startedAt: now,
     stopReason: undefined,
     stopping: false,
+    progress: 0,
+    progressAt: now,
+    expectedEndAt: undefined,
+    slowReportedAt: -Infinity,
     missing: 0,
   }));
 }
@@ -89,7 +101,9 @@
   if (run.phase === RunPhase.Waiting) {
     return estimatedMilliseconds * need.processors;
   }
-  const left = estimatedMilliseconds - (now - run.startedAt);
+  const expectedEnd =
+    run.expectedEndAt ?? run.startedAt + estimatedMilliseconds;
+  const left = expectedEnd - now;
   return (
     Math.max(left, estimatedMilliseconds * leastPartLeft) * need.processors
   );
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -242,10 +242,11 @@
                 status: {
                   clock: clock(),
                   running: [...worker.atWork.values()].map(
-                    ({ jobId, taskId, run: number }) => ({
+                    ({ jobId, taskId, run: number, beganAt, endsAt }) => ({
                       jobId,
                       taskId,
                       run: number,
+                      progress: (timers.now() - beganAt) / (endsAt - beganAt),
                     }),
                   ),
                   ended: worker.ended.filter(
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -8,6 +8,7 @@
 
 import { RunPhase } from './active-run.js';
 import { WorkerRefusal, type WorkerStatus } from './ports/worker.js';
+import { noteProgress } from './note-progress.js';
 import { boundLease } from './worker-clock.js';
 import type { WorkerLife } from './worker-life.js';
 
@@ -64,6 +65,7 @@
       life.noteEnd(ended);
     }
     noteMissing(life, status, sentAt);
+    noteProgress(life, status);
   };
 
   const renew = async (
--- a/packages/worker-gate/src/ports/worker.ts
+++ b/packages/worker-gate/src/ports/worker.ts
@@ -72,10 +72,16 @@
   readonly end: WorkerEnd;
 }
 
+/** A run at work. */
+export interface RunningRun extends RunKey {
+  /** Part of its work that is done, from 0 to 1. */
+  readonly progress: number;
+}
+
 /** What a worker tells of its runs. */
 export interface WorkerStatus {
   readonly clock: Milliseconds;
-  readonly running: readonly RunKey[];
+  readonly running: readonly RunningRun[];
   readonly ended: readonly EndedRun[];
 }
 
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -224,6 +224,11 @@
       leases,
       leaseMilliseconds: options.leaseMilliseconds,
       runEnded,
+      runsSlow: (dispatcher, runs) => {
+        const session = sessions.find(dispatcher);
+        if (session === undefined) return;
+        send(session, { kind: FromWorkerKind.SlowRuns, runs });
+      },
       stateChanged: announceToAll,
       usageChanged: () => {
         for (const { dispatcherId } of sessions.list())
--- a/packages/worker-gate/src/worker-life.ts
+++ b/packages/worker-gate/src/worker-life.ts
@@ -1,6 +1,11 @@
 /** Runs tasks on one life of a worker: queues, starts and stops them, and takes note of their ends. */
 import type { Logger } from '@cranberryturn/logger';
-import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import {
+  type SuspensionWatch,
+  type TimerService,
+  type TimerSubscription,
+  watchSuspension,
+} from '@cranberryturn/timers';
 import {
   type DispatcherId,
   type JobId,
@@ -9,6 +14,7 @@
   RunEndReason,
   type RunOrder,
   RunOutcome,
+  type SlowRun,
   type TaskId,
   type WorkerLoad,
   type WorkerRun,
@@ -50,6 +56,11 @@
   readonly leaseMilliseconds: Milliseconds;
   /** Hears how each run ended. */
   readonly runEnded: (dispatcher: DispatcherId, end: RunEnd) => void;
+  /** Hears of runs that take far longer than estimated. */
+  readonly runsSlow: (
+    dispatcher: DispatcherId,
+    runs: readonly SlowRun[],
+  ) => void;
   /** Hears that the worker answers, is silent or drains. */
   readonly stateChanged: () => void;
   /** Hears that capacity was taken or became free. */
@@ -67,6 +78,8 @@
   readonly #active = new Map<string, ActiveRun>();
   readonly #lease: LeaseKeeper;
   readonly #check: TimerSubscription;
+  readonly #suspension: SuspensionWatch;
+  #verifying = false;
   #draining = false;
   #closed = false;
   /** Nothing is started before this time: the worker refused or did not answer. */
@@ -75,6 +88,7 @@
   constructor(options: WorkerLifeOptions) {
     this.options = options;
     this.clock = new WorkerClock(options.timers);
+    this.#suspension = watchSuspension(options.timers);
     this.#capacity = new Capacity(options.worker.capacity);
     this.#lease = keepLease(this);
     this.#check = options.timers.every(checkInterval, () => {
@@ -162,6 +176,8 @@
     const now = timers.now();
     if (this.#closed || this.#draining || now < this.#heldUntil) return;
     if (!this.#lease.isReady || this.#lease.isDoubtful) return;
+    if (this.#suspension.check() > 0) void this.#verify();
+    if (this.#verifying) return;
     for (;;) {
       const run = this.#waiting.takeFirst(
         one =>
@@ -297,6 +313,14 @@
     this.options.port.close();
   }
 
+  /** The wall clock jumped: the clock of the worker tells whether this process was suspended. */
+  async #verify(): Promise<void> {
+    this.#verifying = true;
+    await this.#lease.look();
+    this.#verifying = false;
+    this.fill();
+  }
+
   #findRefusal(run: ActiveRun): RunEndReason | undefined {
     const { worker, leases, timers } = this.options;
     const { order } = run;
