Test publications and the group of control that forms and mends itself

The faulty network of the tests let a crashed replica go on under the name of its next run, which kept a restarted group without a leader; a killed run now stays killed.

--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -37,6 +37,8 @@
   readonly size: number;
   readonly tuning?: Partial<LogTuning>;
   readonly retention?: Partial<ControlRetention>;
+  /** Present where the replicas form and mend their group by themselves. */
+  readonly minimumVoters?: number;
 }
 
 /** The cluster. Replicas are named by the host they run on: c1, c2 and so on. */
@@ -46,6 +48,8 @@
   start(host: string): Promise<ControlNode>;
   /** Starts a replica with a blank disk on a new host; it waits to be added. */
   startBlank(host: string): Promise<ControlNode>;
+  /** The disk of a host that is not running is lost. */
+  wipe(host: string): void;
   /** The process of a host dies; unsynced bytes may be lost. */
   crash(host: string): Promise<void>;
   /** Cuts a replica off from the other replicas, but not from dispatchers. */
@@ -123,6 +127,15 @@
       ...(options.retention === undefined
         ? {}
         : { retention: options.retention }),
+      ...(options.minimumVoters === undefined
+        ? {}
+        : {
+            group: {
+              seeds: peers.map(peer => peer.address),
+              self: addressOf(host),
+              minimumVoters: options.minimumVoters,
+            },
+          }),
       logger: createSilentLogger(),
       decisions: () => undefined,
     });
@@ -151,6 +164,9 @@
         })),
       }),
     startBlank: host => launch(host, { kind: StartKind.Join, host }),
+    wipe: host => {
+      disks.delete(host);
+    },
     crash: async host => {
       const node = running.get(host);
       const disk = disks.get(host);
--- a/packages/control/src/fakes/faulty-network.ts
+++ b/packages/control/src/fakes/faulty-network.ts
@@ -31,7 +31,8 @@
   const memory = createMemoryNetwork(timers, delayMilliseconds);
   const owners = new Map<number, string>();
   const listeners = new Map<string, Listener>();
-  const dead = new Set<string>();
+  /** The latest run of each process; a run that was killed opens no connection any more. */
+  const lives = new Map<string, { killed: boolean }>();
   const cuts = new Set<string>();
 
   const isCut = (left: string, right: string): boolean =>
@@ -39,11 +40,12 @@
 
   const join = (self: PeerIdentity): Network => {
     const network = memory.join(self);
-    dead.delete(self.name);
+    const life = { killed: false };
+    lives.set(self.name, life);
     return {
       dial: address => {
         const owner = owners.get(address.port) ?? '';
-        if (dead.has(self.name)) return errAsync(refuse(owner));
+        if (life.killed) return errAsync(refuse(owner));
         if (isCut(self.name, owner)) return waitForever();
         return network.dial(address);
       },
@@ -68,7 +70,8 @@
       cuts.clear();
     },
     kill: async name => {
-      dead.add(name);
+      const life = lives.get(name);
+      if (life !== undefined) life.killed = true;
       await listeners.get(name)?.close();
       for (const connection of memory.connections) {
         if (connection.from === name || connection.to === name) {
