Move a run only where that saves its job; refuse jobs that have to wait and would end late

Runs now move only where the job can still end in time elsewhere and not where it is, or when they stand still.

--- a/packages/run-dispatcher/src/start-readiness.test.ts
+++ b/packages/run-dispatcher/src/start-readiness.test.ts
@@ -20,22 +20,22 @@
   let isServed = false;
   void readiness.whenReady().then(() => (isServed = true));
   known.configuration = true;
-  await timers.advance(200);
+  await timers.advance(100);
   known.workers = 1;
-  await timers.advance(150);
+  await timers.advance(50);
   known.workers = 5;
-  await timers.advance(150);
+  await timers.advance(100);
   t.false(isServed);
-  await timers.advance(150);
+  await timers.advance(100);
   t.true(isServed);
   t.true(readiness.isReady());
 });
 
-test('a request waits a second at the most', async t => {
+test('a request waits for 400 ms at the most', async t => {
   const { timers, readiness } = startWatch();
   let isAnswered = false;
   void readiness.whenReady().then(() => (isAnswered = true));
-  await timers.advance(1_050);
+  await timers.advance(450);
   t.true(isAnswered);
   t.false(readiness.isReady());
 });
--- a/packages/run-dispatcher/src/start-readiness.ts
+++ b/packages/run-dispatcher/src/start-readiness.ts
@@ -8,9 +8,9 @@
 /** After this time, what is still missing is missing for longer. */
 const startTime: Milliseconds = 4_000;
 /** Workers announce themselves one after the other; the first ones would get all of the load. */
-const settleTime: Milliseconds = 250;
+const settleTime: Milliseconds = 150;
 /** Longest wait of one request. */
-const patience: Milliseconds = 1_000;
+const patience: Milliseconds = 400;
 const checkInterval: Milliseconds = 25;
 
 /** What a dispatcher needs to serve. */
--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -52,6 +52,8 @@
 export interface ChosenWorker {
   readonly known: KnownWorker;
   readonly tasks: number;
+  /** Longest time for which one of them is expected to wait. */
+  readonly waitMilliseconds: Milliseconds;
   /** Expected time from now until the last of them ends. */
   readonly expectedMilliseconds: Milliseconds;
 }
@@ -64,18 +66,19 @@
   now: Milliseconds,
 ): readonly ChosenWorker[] {
   const candidates = listCandidates(question, workers, now);
-  const ends = new Map<Candidate, Milliseconds>();
+  const ends = new Map<Candidate, ExpectedEnd>();
   for (let task = 0; task < question.tasks; task += 1) {
     const best = chooseOne(question, candidates, random);
     if (best === undefined) break;
-    const end = expectEnd(question, best);
-    ends.set(best, Math.max(ends.get(best) ?? 0, end));
+    // Each further task of a worker ends later than the one before.
+    ends.set(best, expectEnd(question, best));
     addTask(question, best);
   }
-  return [...ends].map(([candidate, expectedMilliseconds]) => ({
+  return [...ends].map(([candidate, { wait, run }]) => ({
     known: candidate.known,
     tasks: candidate.tasks,
-    expectedMilliseconds,
+    waitMilliseconds: wait,
+    expectedMilliseconds: wait + run,
   }));
 }
 
@@ -148,26 +151,30 @@
   const avoided = question.excluded.has(candidate.known.workerId)
     ? avoidedPenalty
     : 0;
-  return (
-    expectEnd(question, candidate) + used * fullnessPenalty + distance + avoided
-  );
+  const { wait, run } = expectEnd(question, candidate);
+  return wait + run + used * fullnessPenalty + distance + avoided;
 }
 
-/** Expected time until one more task ends on the worker. */
+interface ExpectedEnd {
+  readonly wait: Milliseconds;
+  readonly run: Milliseconds;
+}
+
+/** Expected times until one more task starts on the worker, and from then until it ends. */
 function expectEnd(
   { step, estimate, remoteFactor }: PlacementQuestion,
   { known, free, ahead }: Candidate,
-): Milliseconds {
+): ExpectedEnd {
   const { capacity, labels } = known.worker;
   const isNear =
     step.dataLabel === undefined || labels.includes(step.dataLabel);
   const run = (estimate * (isNear ? 1 : remoteFactor)) / known.speed;
   const missing = step.need.processors - free;
-  if (missing <= 0) return run;
+  if (missing <= 0) return { wait: 0, run };
   const busy = Math.max(1, capacity.processors - Math.max(0, free));
   // Work in progress frees its processors evenly over the time that it has left.
   const untilFree = (missing / busy) * (known.load.runningWork / busy);
-  return run + ahead / capacity.processors + untilFree;
+  return { wait: ahead / capacity.processors + untilFree, run };
 }
 
 function addTask(
--- a/packages/transient-jobs/src/create-transient-jobs.ts
+++ b/packages/transient-jobs/src/create-transient-jobs.ts
@@ -1,19 +1,8 @@
 /** Runs transient jobs at one dispatcher: admits, places, retries, and tells how they ended. */
-import type { Logger } from '@cranberryturn/logger';
-import { Counter, Distribution, type Metrics } from '@cranberryturn/metrics';
-import type { RandomSource } from '@cranberryturn/random';
-import type { SessionTimes } from '@cranberryturn/sessions';
-import {
-  sleep,
-  type SuspensionWatch,
-  type TimerService,
-  type TimerSubscription,
-  watchSuspension,
-} from '@cranberryturn/timers';
+import { Counter, Distribution } from '@cranberryturn/metrics';
+import { sleep, type TimerSubscription } from '@cranberryturn/timers';
 import type {
-  DispatcherId,
   JobId,
-  KnownDispatcher,
   Milliseconds,
   RunEnd,
   SlowRun,
@@ -31,11 +20,13 @@
 } from './active-job.js';
 import { canEverHold } from './choose-workers.js';
 import { computeObjective, decideJob } from './decide-job.js';
+import { countEnd, describeJob, refuse, settled } from './describe-end.js';
 import { isWorthMoving } from './is-worth-moving.js';
 import { JobBook } from './job-book.js';
-import { type KnownWorker, noteSlow } from './known-worker.js';
+import type { KnownWorker } from './known-worker.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
 import { RunTracker } from './run-tracker.js';
+import { settleTime, SuspensionPause } from './suspension-pause.js';
 import { takeRunEnd } from './take-run-end.js';
 import { type Placement, TaskPlacer } from './task-placer.js';
 import {
@@ -43,36 +34,17 @@
   type TransientJobEnd,
   TransientJobEndKind,
 } from './transient-job.js';
+import type {
+  SubmittedJob,
+  TransientJobsOptions,
+} from './transient-jobs-options.js';
 import { WorkerDirectory } from './worker-directory.js';
 
 const replaceInterval: Milliseconds = 20;
-/** After a suspension, connections that callers closed meanwhile are noticed within this time. */
-const settleTime: Milliseconds = 60;
 const stopPoll: Milliseconds = 20;
 /** Another dispatcher takes the job at once. */
 const stopRetry: Milliseconds = 500;
 
-/** What the jobs need. */
-export interface TransientJobsOptions {
-  readonly dispatcherId: DispatcherId;
-  readonly dataCentre: string;
-  readonly timers: TimerService;
-  readonly random: RandomSource;
-  readonly times: SessionTimes;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  /** How much longer a task takes away from its data. */
-  readonly remoteFactor: number;
-  readonly listDispatchers: () => readonly KnownDispatcher[];
-}
-
-/** A job that was submitted. */
-export interface SubmittedJob {
-  readonly ended: Promise<TransientJobEnd>;
-  /** The caller left: a job that nobody waits for is stopped. */
-  abandon(): void;
-}
-
 /** The transient jobs of one dispatcher. */
 export class TransientJobs {
   readonly workers: WorkerDirectory;
@@ -81,17 +53,15 @@
   readonly #runs = new RunTracker();
   readonly #estimates = new RunTimeEstimates();
   readonly #placer: TaskPlacer;
-  readonly #suspension: SuspensionWatch;
+  readonly #pause: SuspensionPause;
   #stopping = false;
-  /** Nothing is placed before this time. */
-  #pausedUntil: Milliseconds = 0;
   /** Set while tasks wait for a worker. */
   #replacement: TimerSubscription | undefined;
 
   constructor(options: TransientJobsOptions) {
     this.#options = options;
     this.#jobs = new JobBook(options.timers);
-    this.#suspension = watchSuspension(options.timers);
+    this.#pause = new SuspensionPause(options.timers, options.logger);
     this.workers = new WorkerDirectory({
       ...options,
       runEnded: (workerId, end) => {
@@ -128,24 +98,9 @@
     this.workers.accept(connection);
   }
 
-  /**
-   * Whether this process has just been suspended: callers may have left, and other dispatchers may
-   * run their jobs. Nothing is placed until that would have been noticed.
-   */
+  /** Whether nothing is placed for a moment, as this process has just been suspended. */
   isPaused(): boolean {
-    const now = this.#options.timers.now();
-    const suspended = this.#suspension.check();
-    if (suspended > 0) {
-      this.#options.logger.warn(
-        'this process was suspended, or its wall clock set forward',
-        {
-          milliseconds: Math.round(suspended),
-          jobs: this.#jobs.size,
-        },
-      );
-      this.#pausedUntil = now + settleTime;
-    }
-    return now < this.#pausedUntil;
+    return this.#pause.isPaused();
   }
 
   /** Submits a job, or joins it when it is in progress here. */
@@ -227,7 +182,7 @@
       queue: job.queue,
       chainMilliseconds,
       deadlineMilliseconds: job.deadlineMilliseconds,
-      expectedMilliseconds: placement.isWhole ? placement.expected : undefined,
+      waitMilliseconds: placement.isWhole ? placement.wait : undefined,
       isPossible,
       hasWorkers: workers.length > 0,
     });
@@ -253,7 +208,7 @@
     logger.info('job admitted', {
       ...describeJob(job),
       tasks: active.tasks.length,
-      expectedMilliseconds: Math.round(placement.expected),
+      waitMilliseconds: Math.round(placement.wait),
       dueMilliseconds: Math.round(active.dueAt - active.admittedAt),
     });
     active.expiry = timers.after(job.deadlineMilliseconds, () => {
@@ -287,15 +242,12 @@
     for (const slow of runs) {
       const task = this.#runs.find(known.workerId, slow);
       if (task === undefined || task.job.end !== undefined) continue;
-      const { elapsedMilliseconds, remainingMilliseconds } = slow;
-      noteSlow(
-        known,
-        task.expectedMilliseconds,
-        elapsedMilliseconds + remainingMilliseconds,
-      );
+      const { remainingMilliseconds } = slow;
       const elsewhere = this.#placer.expectElsewhere(task);
       if (elsewhere === undefined) continue;
-      if (!isWorthMoving(remainingMilliseconds, elsewhere)) continue;
+      const due = task.job.dueAt - this.#options.timers.now();
+      const remaining = remainingMilliseconds;
+      if (!isWorthMoving({ remaining, elsewhere, due })) continue;
       this.#options.logger.info('slow run moved', {
         requestId: task.job.job.requestId,
         worker: known.workerId,
@@ -322,7 +274,7 @@
   #place(active: ActiveJob): void {
     if (active.end !== undefined) return;
     if (!active.tasks.some(task => task.phase === TaskPhase.Waiting)) return;
-    if (this.isPaused()) {
+    if (this.#pause.isPaused()) {
       this.#placeLater(settleTime);
       return;
     }
@@ -354,7 +306,7 @@
       elapsed,
       job.queue.service,
     );
-    metrics.count(chooseCounter(end));
+    metrics.count(countEnd(end));
     logger.info('job ended', {
       ...describeJob(job),
       ...end,
@@ -363,33 +315,3 @@
     active.settle(end);
   }
 }
-
-function refuse(
-  reason: string,
-  retryAfterMilliseconds: Milliseconds,
-): TransientJobEnd {
-  return { kind: TransientJobEndKind.Refused, reason, retryAfterMilliseconds };
-}
-
-function settled(end: TransientJobEnd): SubmittedJob {
-  return { ended: Promise.resolve(end), abandon: () => undefined };
-}
-
-function describeJob({ jobId, requestId, queue }: TransientJob) {
-  return { requestId, jobId, queue: queue.queue, service: queue.service };
-}
-
-function chooseCounter({ kind }: TransientJobEnd): Counter {
-  switch (kind) {
-    case TransientJobEndKind.Completed:
-      return Counter.JobsCompleted;
-    case TransientJobEndKind.Refused:
-      return Counter.JobsRefused;
-    case TransientJobEndKind.Abandoned:
-      return Counter.JobsCancelled;
-    case TransientJobEndKind.Failed:
-    case TransientJobEndKind.GivenUp:
-    case TransientJobEndKind.TimedOut:
-      return Counter.JobsFailed;
-  }
-}
--- a/packages/transient-jobs/src/decide-job.ts
+++ b/packages/transient-jobs/src/decide-job.ts
@@ -4,8 +4,11 @@
  */
 import type { Milliseconds, QueueConfiguration } from '@cranberryturn/types';
 
-/** A job that ends later than this multiple of the time aimed at is of no use any more. */
-export const uselessAfter = 3;
+/**
+ * A job that has to wait is admitted while it is expected to end within this multiple of the time
+ * aimed at: later ones would make those behind them late as well. Expected times are rough.
+ */
+export const latestEnd = 1.3;
 
 const noWorkerRetry: Milliseconds = 1_000;
 const shortestRetry: Milliseconds = 200;
@@ -16,8 +19,8 @@
   readonly queue: QueueConfiguration;
   /** Longest chain of expected run times. */
   readonly chainMilliseconds: Milliseconds;
-  /** Expected time until the job ends; undefined when not all of its tasks can be placed now. */
-  readonly expectedMilliseconds: Milliseconds | undefined;
+  /** Longest time for which a task of it would wait; undefined when not all of them can be placed now. */
+  readonly waitMilliseconds: Milliseconds | undefined;
   readonly deadlineMilliseconds: Milliseconds;
   /** Whether a worker is known that could hold each task. */
   readonly isPossible: boolean;
@@ -44,7 +47,7 @@
 
 /** Refuses a job that cannot be of use; undefined admits it. */
 export function decideJob(question: JobQuestion): JobRefusal | undefined {
-  const { queue, expectedMilliseconds, deadlineMilliseconds } = question;
+  const { queue, waitMilliseconds, deadlineMilliseconds } = question;
   if (!question.hasWorkers) {
     return {
       reason: `no worker of service "${queue.service}" is known`,
@@ -57,18 +60,20 @@
       retryAfterMilliseconds: undefined,
     };
   }
-  if (expectedMilliseconds === undefined) {
+  if (waitMilliseconds === undefined) {
     return {
       reason: `no worker of service "${queue.service}" takes tasks at present`,
       retryAfterMilliseconds: noWorkerRetry,
     };
   }
   const objective = computeObjective(queue, question.chainMilliseconds);
-  const useful = Math.min(deadlineMilliseconds, objective * uselessAfter);
-  if (expectedMilliseconds <= useful) return undefined;
-  const late = expectedMilliseconds - useful;
+  const useful = Math.min(deadlineMilliseconds, objective * latestEnd);
+  const expected = waitMilliseconds + question.chainMilliseconds;
+  // A job that would start at once is run, whatever its tasks declare.
+  if (waitMilliseconds <= 0 || expected <= useful) return undefined;
+  const late = expected - useful;
   return {
-    reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and is of use for ${useful.toFixed(0)} ms`,
+    reason: `the job would end after ${expected.toFixed(0)} ms, and is of use for ${useful.toFixed(0)} ms`,
     retryAfterMilliseconds: Math.min(
       longestRetry,
       Math.max(shortestRetry, late),
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -30,8 +30,6 @@
 }
 
 const newestSpeedWeight = 0.15;
-/** Several tasks of a slow worker are reported together. */
-const slowWeight = 0.3;
 const lowestSpeed = 0.1;
 const highestSpeed = 4;
 const firstAvoidance: Milliseconds = 400;
@@ -95,16 +93,6 @@
   known.speed *= (seen / known.speed) ** newestSpeedWeight;
 }
 
-/** Learns from a task that is expected to take `projected` where `expected` was usual. */
-export function noteSlow(
-  known: KnownWorker,
-  expected: Milliseconds,
-  projected: Milliseconds,
-): void {
-  const seen = Math.max(lowestSpeed, expected / Math.max(1, projected));
-  if (seen < known.speed) known.speed *= (seen / known.speed) ** slowWeight;
-}
-
 /** Gives a worker that failed a task, or refused one, a pause that grows. */
 export function noteFailure(known: KnownWorker, now: Milliseconds): void {
   known.failures += 1;
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -49,8 +49,8 @@
 /** Where all tasks of a job go that may start now. */
 export interface Placement {
   readonly plans: readonly StepPlan[];
-  /** Expected time until the last of the placed tasks ends. */
-  readonly expected: Milliseconds;
+  /** Longest time for which a placed task is expected to wait. */
+  readonly wait: Milliseconds;
   /** Whether a worker was found for each of them. */
   readonly isWhole: boolean;
 }
@@ -74,7 +74,7 @@
   /** Plans the tasks that may start now. */
   plan(active: ActiveJob): Placement {
     const plans: StepPlan[] = [];
-    let expected = 0;
+    let wait = 0;
     let isWhole = true;
     for (const [number, tasks] of listReadyTasks(active)) {
       const step = active.job.steps[number];
@@ -82,11 +82,10 @@
       const plan = this.#planStep(active, number, step, tasks);
       const planned = plan.chosen.reduce((sum, one) => sum + one.tasks, 0);
       isWhole &&= planned === tasks.length;
-      const ends = plan.chosen.map(one => one.expectedMilliseconds);
-      expected = Math.max(expected, ...ends);
+      wait = Math.max(wait, ...plan.chosen.map(one => one.waitMilliseconds));
       plans.push(plan);
     }
-    return { plans, expected, isWhole };
+    return { plans, wait, isWhole };
   }
 
   /** Expected time until a task would end that starts again on another worker. */
--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 
-import type { SubmittedJob } from './create-transient-jobs.js';
+import type { SubmittedJob } from './transient-jobs-options.js';
 import {
   describeJob,
   type JobsFixture,
--- a/packages/transient-jobs/src/transient-jobs.test.ts
+++ b/packages/transient-jobs/src/transient-jobs.test.ts
@@ -8,7 +8,7 @@
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
-import type { SubmittedJob } from './create-transient-jobs.js';
+import type { SubmittedJob } from './transient-jobs-options.js';
 
 /** Collects how submitted jobs ended. */
 function record(submitted: SubmittedJob): TransientJobEnd[] {
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -1,10 +1,6 @@
 /** A worker in memory that keeps the published rules of runs, with faults that a test sets. */
 import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
-import {
-  sleep,
-  type TimerService,
-  type TimerSubscription,
-} from '@cranberryturn/timers';
+import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
   Milliseconds,
   WorkerResources,
@@ -81,7 +77,6 @@
   let highestToken = 0;
   let crashed = false;
   let sequence = 0;
-  let ticker: TimerSubscription | undefined;
 
   const clock = (): Milliseconds => timers.now() - bornAt;
 
@@ -215,7 +210,7 @@
     crash: () => {
       crashed = true;
       worker.atWork.clear();
-      ticker?.cancel();
+      ticker.cancel();
     },
     port: {
       startRun: order => new ResultAsync(startOrder(order)),
@@ -260,7 +255,7 @@
       close: () => undefined,
     },
   };
-  ticker = timers.every(tick, step);
+  const ticker = timers.every(tick, step);
   return worker;
 }
 
--- a/packages/worker-gate/src/note-progress.ts
+++ b/packages/worker-gate/src/note-progress.ts
@@ -13,9 +13,10 @@
 const stillAfter: Milliseconds = 350;
 /** What a run that stands still is expected to take. */
 const stillRemaining: Milliseconds = 30_000;
-const slowFactor = 2;
-const slowSlack: Milliseconds = 80;
-const reportInterval: Milliseconds = 250;
+/** Callers declare run times up to 40 % off, tasks of a job are uneven, and slow kinds of worker take a quarter longer. */
+const slowFactor = 2.5;
+const slowSlack: Milliseconds = 100;
+const reportInterval: Milliseconds = 400;
 
 /** Takes in the progress of all runs. */
 export function noteProgress(
--- /dev/null
+++ b/packages/worker-gate/src/worker-life-options.ts
@@ -0,0 +1,40 @@
+/** What one life of a worker is built from, and whom it tells what. */
+import type { Logger } from '@cranberryturn/logger';
+import type { TimerService } from '@cranberryturn/timers';
+import type {
+  DispatcherId,
+  Milliseconds,
+  RunEnd,
+  RunEndReason,
+  SlowRun,
+  WorkerRun,
+} from '@cranberryturn/types';
+
+import type { DispatcherLeases } from './dispatcher-leases.js';
+import type { Fencing } from './fencing.js';
+import type { WorkerPort } from './ports/worker.js';
+
+/** What a life is built from. */
+export interface WorkerLifeOptions {
+  readonly worker: WorkerRun;
+  readonly port: WorkerPort;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly fencing: Fencing;
+  readonly leases: DispatcherLeases;
+  /** Longest lease that the worker grants. */
+  readonly leaseMilliseconds: Milliseconds;
+  /** Hears how each run ended. */
+  readonly runEnded: (dispatcher: DispatcherId, end: RunEnd) => void;
+  /** Hears of runs that take far longer than estimated. */
+  readonly runsSlow: (
+    dispatcher: DispatcherId,
+    runs: readonly SlowRun[],
+  ) => void;
+  /** Hears that the worker answers, is silent or drains. */
+  readonly stateChanged: () => void;
+  /** Hears that capacity was taken or became free. */
+  readonly usageChanged: () => void;
+  /** Hears that this life of the worker is over. */
+  readonly lost: (reason: RunEndReason) => void;
+}
--- a/packages/worker-gate/src/worker-life.ts
+++ b/packages/worker-gate/src/worker-life.ts
@@ -1,8 +1,6 @@
 /** Runs tasks on one life of a worker: queues, starts and stops them, and takes note of their ends. */
-import type { Logger } from '@cranberryturn/logger';
 import {
   type SuspensionWatch,
-  type TimerService,
   type TimerSubscription,
   watchSuspension,
 } from '@cranberryturn/timers';
@@ -10,11 +8,9 @@
   type DispatcherId,
   type JobId,
   type Milliseconds,
-  type RunEnd,
   RunEndReason,
   type RunOrder,
   RunOutcome,
-  type SlowRun,
   type TaskId,
   type WorkerLoad,
   type WorkerRun,
@@ -24,58 +20,25 @@
   type ActiveRun,
   createRuns,
   describeEnd,
-  estimateWork,
   RunPhase,
 } from './active-run.js';
-import { Capacity } from './capacity.js';
-import type { DispatcherLeases } from './dispatcher-leases.js';
-import type { Fencing } from './fencing.js';
+import { findRunRefusal } from './find-run-refusal.js';
+import { interpretEnd } from './interpret-end.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
-import {
-  type EndedRun,
-  nameTask,
-  WorkerEnd,
-  type WorkerPort,
-} from './ports/worker.js';
+import { type EndedRun, nameTask } from './ports/worker.js';
+import { RunTable } from './run-table.js';
 import { startRun } from './start-run.js';
 import { stopRun } from './stop-run.js';
-import { mostWaitingRuns, WaitingRuns } from './waiting-runs.js';
 import { WorkerClock } from './worker-clock.js';
+import type { WorkerLifeOptions } from './worker-life-options.js';
 
 const checkInterval: Milliseconds = 100;
 
-/** What a life is built from. */
-export interface WorkerLifeOptions {
-  readonly worker: WorkerRun;
-  readonly port: WorkerPort;
-  readonly timers: TimerService;
-  readonly logger: Logger;
-  readonly fencing: Fencing;
-  readonly leases: DispatcherLeases;
-  /** Longest lease that the worker grants. */
-  readonly leaseMilliseconds: Milliseconds;
-  /** Hears how each run ended. */
-  readonly runEnded: (dispatcher: DispatcherId, end: RunEnd) => void;
-  /** Hears of runs that take far longer than estimated. */
-  readonly runsSlow: (
-    dispatcher: DispatcherId,
-    runs: readonly SlowRun[],
-  ) => void;
-  /** Hears that the worker answers, is silent or drains. */
-  readonly stateChanged: () => void;
-  /** Hears that capacity was taken or became free. */
-  readonly usageChanged: () => void;
-  /** Hears that this life of the worker is over. */
-  readonly lost: (reason: RunEndReason) => void;
-}
-
 /** One life of a worker. */
 export class WorkerLife {
   readonly options: WorkerLifeOptions;
   readonly clock: WorkerClock;
-  readonly #capacity: Capacity;
-  readonly #waiting = new WaitingRuns();
-  readonly #active = new Map<string, ActiveRun>();
+  readonly #runs: RunTable;
   readonly #lease: LeaseKeeper;
   readonly #check: TimerSubscription;
   readonly #suspension: SuspensionWatch;
@@ -89,7 +52,7 @@
     this.options = options;
     this.clock = new WorkerClock(options.timers);
     this.#suspension = watchSuspension(options.timers);
-    this.#capacity = new Capacity(options.worker.capacity);
+    this.#runs = new RunTable(options.worker.capacity);
     this.#lease = keepLease(this);
     this.#check = options.timers.every(checkInterval, () => {
       this.#endOverdue();
@@ -109,30 +72,23 @@
   }
 
   get load(): WorkerLoad {
-    const now = this.options.timers.now();
-    let runningWork = 0;
-    for (const run of this.#active.values())
-      runningWork += estimateWork(run, now);
     return {
-      free: this.#capacity.free,
-      waitingWork: this.#waiting.measureWork(now),
-      runningWork: Math.round(runningWork),
+      ...this.#runs.measureLoad(this.options.timers.now()),
       closed: this.#draining || this.#closed || this.#lease.isDoubtful,
     };
   }
 
   /** Runs that were given to the worker and have not ended. */
   listActive(): readonly ActiveRun[] {
-    return [...this.#active.values()];
+    return this.#runs.listActive();
   }
 
   hasWorkFor(dispatcher: DispatcherId): boolean {
-    const isOf = (run: ActiveRun): boolean => run.dispatcher === dispatcher;
-    return this.#waiting.list().some(isOf) || this.listActive().some(isOf);
+    return this.#runs.hasWorkFor(dispatcher);
   }
 
   get isIdle(): boolean {
-    return this.#active.size === 0 && this.#waiting.size === 0;
+    return this.#runs.isIdle;
   }
 
   /** Queues the runs of an order; each is reported once when it ends. */
@@ -179,18 +135,11 @@
     if (this.#suspension.check() > 0) void this.#verify();
     if (this.#verifying) return;
     for (;;) {
-      const run = this.#waiting.takeFirst(
-        one =>
-          this.#capacity.canHold(one.order.need) &&
-          !this.#active.has(one.task) &&
-          one.expiresAt > now &&
-          leases.mayStart(one.dispatcher, now),
+      const run = this.#runs.startNext(
+        now,
+        one => one.expiresAt > now && leases.mayStart(one.dispatcher, now),
       );
       if (run === undefined) return;
-      this.#capacity.take(run.order.need);
-      this.#active.set(run.task, run);
-      run.phase = RunPhase.Starting;
-      run.startedAt = now;
       this.#lease.noteStart();
       this.options.usageChanged();
       void startRun(this, run);
@@ -203,13 +152,12 @@
     this.#release(run);
     this.hold(pause);
     run.phase = RunPhase.Waiting;
-    if (run.stopReason === undefined && !this.#closed) this.#waiting.add(run);
-    else
-      this.end(
-        run,
-        RunOutcome.NotStarted,
-        run.stopReason ?? RunEndReason.WorkerGone,
-      );
+    if (run.stopReason === undefined && !this.#closed) {
+      this.#runs.waiting.add(run);
+      return;
+    }
+    const reason = run.stopReason ?? RunEndReason.WorkerGone;
+    this.end(run, RunOutcome.NotStarted, reason);
   }
 
   /** Starts nothing for a while. */
@@ -233,27 +181,12 @@
 
   /** Takes note of an end that the worker listed. */
   noteEnd(ended: EndedRun): void {
-    const run = this.#active.get(nameTask(ended.jobId, ended.taskId));
+    const run = this.#runs.findActive(nameTask(ended.jobId, ended.taskId));
     if (run?.run !== ended.run) return;
     // The answer to its start was overtaken or lost.
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
-    switch (ended.end) {
-      case WorkerEnd.Done:
-        this.end(run, RunOutcome.Done);
-        return;
-      case WorkerEnd.Failed:
-        this.end(run, RunOutcome.Failed, RunEndReason.TaskFailed);
-        return;
-      case WorkerEnd.Stopped:
-        this.end(
-          run,
-          RunOutcome.Interrupted,
-          run.stopReason ?? RunEndReason.Cancelled,
-        );
-        return;
-      case WorkerEnd.Expired:
-        this.end(run, RunOutcome.Interrupted, RunEndReason.LeaseExpired);
-    }
+    const { outcome, reason } = interpretEnd(ended.end, run.stopReason);
+    this.end(run, outcome, reason);
   }
 
   /** An order got no answer: what waits goes elsewhere, and what is at work may go on. */
@@ -273,8 +206,8 @@
       'this process was suspended; its dispatchers have to be heard again',
       {
         worker: this.worker.workerId,
-        waiting: this.#waiting.size,
-        active: this.#active.size,
+        waiting: this.#runs.waiting.size,
+        active: this.listActive().length,
       },
     );
     this.options.leases.endAll();
@@ -323,44 +256,30 @@
 
   #findRefusal(run: ActiveRun): RunEndReason | undefined {
     const { worker, leases, timers } = this.options;
-    const { order } = run;
-    if (this.#closed) return RunEndReason.WorkerGone;
-    if (this.#draining) return RunEndReason.Draining;
-    if (order.service !== worker.service) return RunEndReason.WrongService;
-    const { label } = order.need;
-    if (label !== undefined && !worker.labels.includes(label)) {
-      return RunEndReason.WrongService;
-    }
-    if (!this.#capacity.canEverHold(order.need)) return RunEndReason.NoCapacity;
-    if (this.#waiting.size >= mostWaitingRuns) return RunEndReason.NoCapacity;
-    if (!leases.mayStart(run.dispatcher, timers.now())) {
-      return RunEndReason.DispatcherSilent;
-    }
-    if (!this.#lease.isReady || this.#lease.isDoubtful) {
-      return RunEndReason.WorkerSilent;
-    }
-    return undefined;
+    return findRunRefusal(run, {
+      worker,
+      capacity: this.#runs.capacity,
+      waiting: this.#runs.waiting.size,
+      isClosed: this.#closed,
+      isDraining: this.#draining,
+      isAnswering: this.#lease.isReady && !this.#lease.isDoubtful,
+      isLeased: leases.mayStart(run.dispatcher, timers.now()),
+    });
   }
 
   /** An earlier run of the task, of this or another dispatcher, ends before the new one starts. */
   #queue(run: ActiveRun): void {
-    const isEarlier = (other: ActiveRun): boolean =>
-      other.task === run.task && other !== run;
-    const active = this.#active.get(run.task);
-    const isRepeated = (other: ActiveRun | undefined): boolean =>
-      other?.dispatcher === run.dispatcher && other.ordered === run.ordered;
-    if (
-      isRepeated(active) ||
-      this.#waiting.list().some(other => isEarlier(other) && isRepeated(other))
-    ) {
-      return;
-    }
-    this.#refuseWaiting(RunEndReason.Cancelled, isEarlier);
+    if (this.#runs.isRepeated(run)) return;
+    this.#refuseWaiting(
+      RunEndReason.Cancelled,
+      other => other.task === run.task,
+    );
+    const active = this.#runs.findActive(run.task);
     if (active !== undefined) {
       run.run = Math.max(run.run, active.run + 1);
       this.#stopActive(active, RunEndReason.Cancelled);
     }
-    this.#waiting.add(run);
+    this.#runs.waiting.add(run);
   }
 
   #stopAll(reason: RunEndReason, matches: (run: ActiveRun) => boolean): void {
@@ -380,15 +299,13 @@
     reason: RunEndReason,
     matches: (run: ActiveRun) => boolean,
   ): void {
-    for (const run of this.#waiting.takeAll(matches)) {
+    for (const run of this.#runs.waiting.takeAll(matches)) {
       this.end(run, RunOutcome.NotStarted, reason);
     }
   }
 
   #release(run: ActiveRun): void {
-    if (this.#active.get(run.task) !== run) return;
-    this.#active.delete(run.task);
-    this.#capacity.giveBack(run.order.need);
+    if (!this.#runs.release(run)) return;
     this.#lease.wake();
     this.options.usageChanged();
     // Capacity that became free is filled in the same turn, before the next order arrives.
