--- a/packages/transient-jobs/src/create-transient-jobs.ts
+++ b/packages/transient-jobs/src/create-transient-jobs.ts
@@ -5,7 +5,7 @@
   JobId,
   Milliseconds,
   RunEnd,
-  SlowRun,
+  StillRun,
   TargetId,
 } from '@cranberryturn/types';
 import type { Connection } from '@cranberryturn/wire';
@@ -21,7 +21,6 @@
 import { canEverHold } from './choose-workers.js';
 import { computeObjective, decideJob } from './decide-job.js';
 import { countEnd, describeJob, refuse, settled } from './describe-end.js';
-import { isWorthMoving } from './is-worth-moving.js';
 import { JobBook } from './job-book.js';
 import type { KnownWorker } from './known-worker.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
@@ -67,8 +66,8 @@
       runEnded: (workerId, end) => {
         this.#noteEnd(workerId, end);
       },
-      runsSlow: (known, runs) => {
-        this.#noteSlow(known, runs);
+      runsStill: (known, runs) => {
+        this.#noteStill(known, runs);
       },
       workerLost: workerId => {
         for (const task of this.#runs.takeAll(workerId)) this.#return(task);
@@ -237,25 +236,19 @@
     else this.#place(task.job);
   }
 
-  /** Stops runs that end sooner when they start again elsewhere. */
-  #noteSlow(known: KnownWorker, runs: readonly SlowRun[]): void {
-    for (const slow of runs) {
-      const task = this.#runs.find(known.workerId, slow);
+  /** Stops runs that stand still where another worker can take them; they are placed again once they have ended. */
+  #noteStill(known: KnownWorker, runs: readonly StillRun[]): void {
+    for (const still of runs) {
+      const task = this.#runs.find(known.workerId, still);
       if (task === undefined || task.job.end !== undefined) continue;
-      const { remainingMilliseconds } = slow;
-      const elsewhere = this.#placer.expectElsewhere(task);
-      if (elsewhere === undefined) continue;
-      const due = task.job.dueAt - this.#options.timers.now();
-      const remaining = remainingMilliseconds;
-      if (!isWorthMoving({ remaining, elsewhere, due })) continue;
-      this.#options.logger.info('slow run moved', {
+      if (!this.#placer.hasOtherWorker(task)) continue;
+      this.#options.logger.info('run that stands still is stopped', {
         requestId: task.job.job.requestId,
         worker: known.workerId,
-        elsewhereMilliseconds: Math.round(elsewhere),
-        ...slow,
+        ...still,
       });
       task.excluded.add(known.workerId);
-      this.workers.stopRuns(known.workerId, slow.jobId, [slow.taskId]);
+      this.workers.stopRuns(known.workerId, still.jobId, [still.taskId]);
     }
   }
 
--- a/packages/transient-jobs/src/decide-job.ts
+++ b/packages/transient-jobs/src/decide-job.ts
@@ -6,9 +6,9 @@
 
 /**
  * A job that has to wait is admitted while it is expected to end within this multiple of the time
- * aimed at: later ones would make those behind them late as well. Expected times are rough.
+ * aimed at: later ones would make those behind them late as well.
  */
-export const latestEnd = 1.3;
+export const latestEnd = 1;
 
 const noWorkerRetry: Milliseconds = 1_000;
 const shortestRetry: Milliseconds = 200;
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -88,18 +88,15 @@
     return { plans, wait, isWhole };
   }
 
-  /** Expected time until a task would end that starts again on another worker. */
-  expectElsewhere(task: ActiveTask): Milliseconds | undefined {
+  /** Whether another worker than the present one, and than those where the task failed, could take it. */
+  hasOtherWorker(task: ActiveTask): boolean {
     const { job, step: number, workerId } = task;
     const step = job.job.steps[number];
-    if (step === undefined) return undefined;
+    if (step === undefined) return false;
     const excluded = new Set(task.excluded);
     if (workerId !== undefined) excluded.add(workerId);
     const [chosen] = this.#choose(job, number, step, 1, excluded);
-    if (chosen === undefined || excluded.has(chosen.known.workerId)) {
-      return undefined;
-    }
-    return chosen.expectedMilliseconds;
+    return chosen !== undefined && !excluded.has(chosen.known.workerId);
   }
 
   /** Sends the tasks as planned. */
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -12,7 +12,7 @@
   Milliseconds,
   RunEnd,
   RunOrder,
-  SlowRun,
+  StillRun,
   TargetId,
   TaskId,
   WorkerRun,
@@ -40,7 +40,7 @@
 /** What happens at the workers. */
 export interface WorkerEvents {
   readonly runEnded: (workerId: TargetId, end: RunEnd) => void;
-  readonly runsSlow: (known: KnownWorker, runs: readonly SlowRun[]) => void;
+  readonly runsStill: (known: KnownWorker, runs: readonly StillRun[]) => void;
   /** Nothing of this dispatcher is at work at the worker any more. */
   readonly workerLost: (workerId: TargetId) => void;
   /** A worker was announced. */
@@ -204,8 +204,8 @@
           this.#options.runEnded(known.workerId, end);
         }
         return;
-      case FromWorkerKind.SlowRuns:
-        this.#options.runsSlow(known, message.runs);
+      case FromWorkerKind.StillRuns:
+        this.#options.runsStill(known, message.runs);
         return;
       case FromWorkerKind.Announce:
       case FromWorkerKind.Beat:
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -103,6 +103,8 @@
 
 /** How one run ended at its worker. */
 export interface RunEnd extends RunKey {
+  /** Identifier of the caller's request. */
+  readonly requestId: string;
   readonly outcome: RunOutcome;
   readonly reason?: RunEndReason | undefined;
   /** Time from its arrival at the sidecar to its start. */
@@ -111,12 +113,10 @@
   readonly runMilliseconds: Milliseconds;
 }
 
-/** A run that takes far longer than estimated. */
-export interface SlowRun extends RunKey {
-  /** Time at work so far. */
-  readonly elapsedMilliseconds: Milliseconds;
-  /** Expected time until it ends. */
-  readonly remainingMilliseconds: Milliseconds;
+/** A run that makes no progress. */
+export interface StillRun extends RunKey {
+  /** Time since its last progress. */
+  readonly stillMilliseconds: Milliseconds;
 }
 
 /** A dispatcher that sidecars should have a session with. */
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -4,7 +4,7 @@
   Milliseconds,
   RunEnd,
   RunOrder,
-  SlowRun,
+  StillRun,
   TaskId,
   WorkerLoad,
   WorkerRun,
@@ -50,8 +50,8 @@
   /** The worker of this sidecar, which runs nothing of an earlier life or sidecar; or that none is ready. */
   Announce = 'announce',
   RunsEnded = 'ended',
-  /** Runs that take far longer than estimated. */
-  SlowRuns = 'slow',
+  /** Runs that make no progress. */
+  StillRuns = 'still',
   /** Shows that the sidecar is there, and what its worker has free. */
   Beat = 'beat',
 }
@@ -74,8 +74,8 @@
       readonly ends: readonly RunEnd[];
     }
   | {
-      readonly kind: FromWorkerKind.SlowRuns;
-      readonly runs: readonly SlowRun[];
+      readonly kind: FromWorkerKind.StillRuns;
+      readonly runs: readonly StillRun[];
     }
   | { readonly kind: FromWorkerKind.Beat };
 
--- a/packages/worker-gate/src/active-run.ts
+++ b/packages/worker-gate/src/active-run.ts
@@ -46,8 +46,8 @@
   progressAt: Milliseconds;
   /** Expected end, from its progress; undefined before there is any. */
   expectedEndAt: Milliseconds | undefined;
-  /** When the dispatcher last heard that the run is slow. */
-  slowReportedAt: Milliseconds;
+  /** When the dispatcher last heard that the run stands still. */
+  stillReportedAt: Milliseconds;
   /** Answers of the worker in a row in which the run was missing. */
   missing: number;
 }
@@ -71,7 +71,7 @@
     progress: 0,
     progressAt: now,
     expectedEndAt: undefined,
-    slowReportedAt: -Infinity,
+    stillReportedAt: -Infinity,
     missing: 0,
   }));
 }
@@ -88,6 +88,7 @@
     jobId: run.order.jobId,
     taskId: run.taskId,
     run: run.ordered,
+    requestId: run.order.requestId,
     outcome,
     reason,
     waitedMilliseconds: (wasAtWork ? run.startedAt : now) - run.receivedAt,
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -241,7 +241,10 @@
                       jobId,
                       taskId,
                       run: number,
-                      progress: (timers.now() - beganAt) / (endsAt - beganAt),
+                      progress: tellProgress(
+                        timers.now() - beganAt,
+                        endsAt - beganAt,
+                      ),
                     }),
                   ),
                   ended: worker.ended.filter(
@@ -259,6 +262,11 @@
   return worker;
 }
 
+/** Workers tell their progress in hundredths. */
+function tellProgress(elapsed: Milliseconds, whole: Milliseconds): number {
+  return Math.floor((elapsed / whole) * 100) / 100;
+}
+
 async function giveNoAnswer(
   timers: TimerService,
   peer: string,
--- a/packages/worker-gate/src/note-progress.ts
+++ b/packages/worker-gate/src/note-progress.ts
@@ -1,21 +1,20 @@
-/** Projects the ends of runs from their progress, and reports those that take far longer than estimated. */
-import type { DispatcherId, Milliseconds, SlowRun } from '@cranberryturn/types';
+/** Projects the ends of runs from their progress, and reports those that stand still. */
+import type {
+  DispatcherId,
+  Milliseconds,
+  StillRun,
+} from '@cranberryturn/types';
 
 import { type ActiveRun, RunPhase } from './active-run.js';
 import type { RunningRun, WorkerStatus } from './ports/worker.js';
 import type { WorkerLife } from './worker-life.js';
 
-/** Workers tell their progress in steps of this size. */
-const progressStep = 0.01;
 /** Below this progress, a projection says little. */
 const leastProgress = 0.04;
-/** A run that made no progress for this long stands still. */
+/** A run that made no progress for this long stands still; workers are read every 300 ms or sooner. */
 const stillAfter: Milliseconds = 350;
-/** What a run that stands still is expected to take. */
-const stillRemaining: Milliseconds = 30_000;
-/** Callers declare run times up to 40 % off, tasks of a job are uneven, and slow kinds of worker take a quarter longer. */
-const slowFactor = 2.5;
-const slowSlack: Milliseconds = 100;
+/** Progress is told in steps of a hundredth: long runs make none for this part of their time. */
+const stillPart = 0.03;
 const reportInterval: Milliseconds = 400;
 
 /** Takes in the progress of all runs. */
@@ -25,19 +24,19 @@
 ): void {
   const now = life.options.timers.now();
   const rows = new Map(running.map(row => [`${row.jobId}.${row.taskId}`, row]));
-  const slow = new Map<DispatcherId, SlowRun[]>();
+  const still = new Map<DispatcherId, StillRun[]>();
   for (const run of life.listActive()) {
     const row = rows.get(run.task);
     if (row?.run !== run.run || run.phase !== RunPhase.Running) continue;
     project(run, row, now);
     if (!mustReport(run, now)) continue;
-    run.slowReportedAt = now;
-    const reports = slow.get(run.dispatcher) ?? [];
-    reports.push(describeSlow(run, now));
-    slow.set(run.dispatcher, reports);
+    run.stillReportedAt = now;
+    const reports = still.get(run.dispatcher) ?? [];
+    reports.push(describeStill(run, now));
+    still.set(run.dispatcher, reports);
   }
-  for (const [dispatcher, runs] of slow) {
-    life.options.runsSlow(dispatcher, runs);
+  for (const [dispatcher, runs] of still) {
+    life.options.runsStill(dispatcher, runs);
   }
 }
 
@@ -46,32 +45,22 @@
     run.progress = row.progress;
     run.progressAt = now;
   }
-  const elapsed = now - run.startedAt;
-  if (now - run.progressAt >= stillAfter) {
-    run.expectedEndAt = now + stillRemaining;
-  } else if (
-    run.progress >= leastProgress ||
-    elapsed >= run.order.estimatedMilliseconds
-  ) {
-    const progress = Math.max(run.progress, progressStep);
-    run.expectedEndAt = run.startedAt + elapsed / progress;
-  }
+  if (run.progress < leastProgress) return;
+  run.expectedEndAt = run.startedAt + (now - run.startedAt) / run.progress;
 }
 
 function mustReport(run: ActiveRun, now: Milliseconds): boolean {
-  const { expectedEndAt, startedAt, slowReportedAt, order, stopReason } = run;
-  if (expectedEndAt === undefined || stopReason !== undefined) return false;
-  if (now - slowReportedAt < reportInterval) return false;
-  const projected = expectedEndAt - startedAt;
-  return projected > order.estimatedMilliseconds * slowFactor + slowSlack;
+  if (run.stopReason !== undefined) return false;
+  if (now - run.stillReportedAt < reportInterval) return false;
+  const usual = run.order.estimatedMilliseconds * stillPart;
+  return now - run.progressAt >= Math.max(stillAfter, usual);
 }
 
-function describeSlow(run: ActiveRun, now: Milliseconds): SlowRun {
+function describeStill(run: ActiveRun, now: Milliseconds): StillRun {
   return {
     jobId: run.order.jobId,
     taskId: run.taskId,
     run: run.ordered,
-    elapsedMilliseconds: Math.round(now - run.startedAt),
-    remainingMilliseconds: Math.round((run.expectedEndAt ?? now) - now),
+    stillMilliseconds: Math.round(now - run.progressAt),
   };
 }
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -182,6 +182,7 @@
         jobId: order.jobId,
         taskId,
         run,
+        requestId: order.requestId,
         outcome: RunOutcome.NotStarted,
         reason,
         waitedMilliseconds: 0,
@@ -224,10 +225,10 @@
       leases,
       leaseMilliseconds: options.leaseMilliseconds,
       runEnded,
-      runsSlow: (dispatcher, runs) => {
+      runsStill: (dispatcher, runs) => {
         const session = sessions.find(dispatcher);
         if (session === undefined) return;
-        send(session, { kind: FromWorkerKind.SlowRuns, runs });
+        send(session, { kind: FromWorkerKind.StillRuns, runs });
       },
       stateChanged: announceToAll,
       usageChanged: () => {
--- a/packages/worker-gate/src/worker-life-options.ts
+++ b/packages/worker-gate/src/worker-life-options.ts
@@ -6,7 +6,7 @@
   Milliseconds,
   RunEnd,
   RunEndReason,
-  SlowRun,
+  StillRun,
   WorkerRun,
 } from '@cranberryturn/types';
 
@@ -26,10 +26,10 @@
   readonly leaseMilliseconds: Milliseconds;
   /** Hears how each run ended. */
   readonly runEnded: (dispatcher: DispatcherId, end: RunEnd) => void;
-  /** Hears of runs that take far longer than estimated. */
-  readonly runsSlow: (
+  /** Hears of runs that make no progress. */
+  readonly runsStill: (
     dispatcher: DispatcherId,
-    runs: readonly SlowRun[],
+    runs: readonly StillRun[],
   ) => void;
   /** Hears that the worker answers, is silent or drains. */
   readonly stateChanged: () => void;
