--- a/packages/transient-jobs/src/transient-jobs.test.ts
+++ b/packages/transient-jobs/src/transient-jobs.test.ts
@@ -178,7 +178,7 @@
     workers: 2,
     processors: 4,
   });
-  for (const { worker } of hosts) worker.runMilliseconds = 60_000;
+  for (const { worker } of hosts) worker.runMilliseconds = 3_600_000;
   const ends = record(first(dispatchers).jobs.submit(describeJob('job', 2)));
   await timers.advance(50);
   for (const { worker } of hosts) worker.runMilliseconds = 100;
