--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -80,6 +80,8 @@
   readonly publication: PublicationFeed;
   /** True while the watched control host proves a leader with a majority. */
   isFresh(): boolean;
+  /** Replaces the hosts to dial first, as the settings changed. */
+  changeSeeds(seeds: readonly NetworkAddress[]): void;
   /** Reports answered jobs that still wait, then closes all connections. */
   stop(): Promise<void>;
 }
@@ -154,6 +156,7 @@
         provedAt !== undefined && timers.now() - provedAt <= maximumProofAge
       );
     },
+    changeSeeds: hosts.changeSeeds,
     stop: async () => {
       await finished.flush();
       stopped = true;
--- a/packages/control-client/src/keep-hosts.ts
+++ b/packages/control-client/src/keep-hosts.ts
@@ -15,6 +15,8 @@
 /** The hosts. */
 export interface ControlHosts {
   list(): readonly ControlHost[];
+  /** Replaces the hosts to dial first. */
+  changeSeeds(seeds: readonly NetworkAddress[]): void;
   stop(): void;
 }
 
@@ -30,6 +32,7 @@
   readonly handleNotice: (host: ControlHost, notice: ControlNotice) => void;
 }): ControlHosts {
   const hosts = new Map<string, ControlHost>();
+  let { seeds } = options;
 
   const follow = (): void => {
     const configured = options.configuration
@@ -37,7 +40,7 @@
       .controlHosts.map(host => host.address);
     const members = options.controlHosts.current();
     const wanted = new Map(
-      [...options.seeds, ...configured, ...members].map(address => [
+      [...seeds, ...configured, ...members].map(address => [
         formatAddress(address),
         address,
       ]),
@@ -64,6 +67,10 @@
   const stopMembers = options.controlHosts.subscribe(follow);
   return {
     list: () => [...hosts.values()],
+    changeSeeds: changed => {
+      seeds = changed;
+      follow();
+    },
     stop: () => {
       stopConfiguration();
       stopMembers();
--- /dev/null
+++ b/packages/logger/src/bounded-output.test.ts
@@ -0,0 +1,69 @@
+import { Writable } from 'node:stream';
+
+import { createManualTimerService } from '@cranberryturn/timers';
+import test from 'ava';
+
+import { createBoundedOutput } from './bounded-output.js';
+
+const line = `${'x'.repeat(999)}\n`;
+
+/** A reader that takes nothing until it is told to. */
+function createReader() {
+  const chunks: string[] = [];
+  let release: (() => void) | undefined;
+  const target = new Writable({
+    decodeStrings: false,
+    write: (chunk: string, _encoding, done) => {
+      chunks.push(chunk);
+      release = done;
+    },
+  });
+  return { target, chunks, release: () => release?.() };
+}
+
+test('lines are written together, in order', async t => {
+  const timers = createManualTimerService();
+  const { target, chunks } = createReader();
+  const output = createBoundedOutput(target, timers);
+  output.write('first\n');
+  output.write('second\n');
+  t.deepEqual(chunks, []);
+  await timers.advance(100);
+  t.deepEqual(chunks, ['first\nsecond\n']);
+});
+
+test('a reader that stops reading holds up nobody, and what it missed is counted', async t => {
+  const timers = createManualTimerService();
+  const { target, chunks, release } = createReader();
+  const output = createBoundedOutput(target, timers);
+  const written = 20_000;
+  for (let number = 0; number < written; number += 1) {
+    t.true(output.write(line) || output.writableLength < 20_000);
+    if (number % 100 === 99) await timers.advance(100);
+  }
+  t.true(target.writableLength < 2_000_000);
+  for (let turn = 0; turn < 20; turn += 1) {
+    release();
+    output.write('last\n');
+    await timers.advance(100);
+  }
+  const text = chunks.join('');
+  const dropped = [...text.matchAll(/"dropped":(\d+)/g)].reduce(
+    (sum, match) => sum + Number(match[1]),
+    0,
+  );
+  const kept = text.split(line).length - 1;
+  t.is(kept + dropped, written);
+});
+
+test('more lines than one flush takes are dropped and counted', async t => {
+  const timers = createManualTimerService();
+  const { target, chunks, release } = createReader();
+  const output = createBoundedOutput(target, timers);
+  for (let number = 0; number < 1_000; number += 1) output.write(line);
+  await timers.advance(100);
+  release();
+  output.write('last\n');
+  await timers.advance(100);
+  t.regex(chunks.join(''), /log lines dropped","dropped":\d+/);
+});
--- a/packages/run-dispatcher/src/run-session-times.ts
+++ b/packages/run-dispatcher/src/run-session-times.ts
@@ -3,7 +3,7 @@
 
 /** A silent connection is replaced well before the lease of a dispatcher is over. */
 export const runSessionTimes: SessionTimes = {
-  heartbeatMilliseconds: 300,
-  suspicionMilliseconds: 700,
+  heartbeatMilliseconds: 450,
+  suspicionMilliseconds: 800,
   idleHeartbeatMilliseconds: 2_000,
 };
--- a/packages/run-dispatcher/src/start-readiness.ts
+++ b/packages/run-dispatcher/src/start-readiness.ts
@@ -17,6 +17,7 @@
 export interface ReadinessSources {
   readonly timers: TimerService;
   readonly hasConfiguration: () => boolean;
+  /** Workers that tasks can be given to now: none when this process is cut off. */
   readonly countWorkers: () => number;
   /** Whether the process has just been suspended, and must notice first who left meanwhile. */
   readonly isPaused: () => boolean;
--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -46,6 +46,8 @@
   readonly publication: PublicationFeed;
   /** Whether requests are served; they may wait for it during the start. */
   readonly readiness: StartReadiness;
+  /** Replaces the replicas of control to dial first. */
+  changeSeeds(control: readonly NetworkAddress[]): void;
   /** Planned stop: refuses new jobs and finishes those in progress. */
   stop(grace: Milliseconds): Promise<void>;
 }
@@ -98,14 +100,14 @@
   const readiness = watchStart({
     timers,
     hasConfiguration: () => control.publication.current().version > 0,
-    countWorkers: () => jobs.workers.countWorkers(),
+    countWorkers: () => jobs.workers.countUsable(),
     isPaused: () => jobs.isPaused(),
   });
   const stopRoster = control.roster.subscribe(() => {
     jobs.workers.tellDispatchers();
   });
   metrics.observe(Gauge.JobsOpen, () => jobs.inFlight);
-  metrics.observe(Gauge.TargetsKnown, () => jobs.workers.countWorkers());
+  metrics.observe(Gauge.TargetsKnown, () => jobs.workers.countUsable());
   metrics.observe(
     Gauge.ConfigurationVersion,
     () => control.publication.current().version,
@@ -126,6 +128,7 @@
         jobs,
         publication: control.publication,
         readiness,
+        changeSeeds: control.changeSeeds,
         stop: async (grace: Milliseconds) => {
           await jobs.stop(grace);
           registration.cancel();
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -36,8 +36,8 @@
 const longestAvoidance: Milliseconds = 5_000;
 /** A report that arrives this soon after an order was sent may not count the order. */
 const reportDelay: Milliseconds = 6;
-/** Silence after which no task is given to the worker. */
-const longestSilence: Milliseconds = 700;
+/** Sidecars send something every 400 ms at the least; a worker that is silent for longer gets no task. */
+const longestSilence: Milliseconds = 550;
 
 /** Creates the view of a worker that was announced. */
 export function createKnownWorker(
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -31,6 +31,7 @@
 
 import {
   createKnownWorker,
+  isUsable,
   type KnownWorker,
   noteLoad,
 } from './known-worker.js';
@@ -106,8 +107,14 @@
     return this.#find(workerId)?.known;
   }
 
-  countWorkers(): number {
-    return [...this.#links].filter(link => link.open && link.known).length;
+  /** Workers that tasks can be given to now. */
+  countUsable(): number {
+    const now = this.#options.timers.now();
+    let usable = 0;
+    for (const { known, open } of this.#links) {
+      if (open && known !== undefined && isUsable(known, now)) usable += 1;
+    }
+    return usable;
   }
 
   placeRuns(workerId: TargetId, order: RunOrder): void {
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -33,7 +33,7 @@
 import { WorkerLife } from './worker-life.js';
 
 /** A dispatcher without runs here hears of the load this often at the least: its lease needs a recent stamp. */
-const idleBeatInterval: Milliseconds = 400;
+const idleBeatInterval: Milliseconds = 300;
 const beatTick: Milliseconds = 100;
 const stopPoll: Milliseconds = 20;
 
@@ -75,6 +75,8 @@
   /** Takes in what the worker says of itself. False when a later life is known already. */
   workerReported(report: WorkerReport): boolean;
   workerLeft(workerId: string): void;
+  /** Dials further dispatchers, as the settings changed. */
+  addSeeds(dispatchers: readonly NetworkAddress[]): void;
   /** The present life of the worker. */
   life(): WorkerLife | undefined;
   sessions(): readonly DispatcherSession[];
@@ -269,6 +271,9 @@
       if (life?.worker.workerId === workerId)
         life.close(RunEndReason.WorkerGone);
     },
+    addSeeds: dispatchers => {
+      sessions.follow(dispatchers);
+    },
     life: () => life,
     sessions: () => sessions.list(),
     stop: async grace => {
