--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -57,6 +57,9 @@
   unhealthy: boolean;
   /** Run time of the tasks that start from now on. */
   runMilliseconds: Milliseconds;
+  /** Run time of one task; `runMilliseconds` where it chooses none. */
+  chooseRunMilliseconds:
+    ((order: StartRunOrder) => Milliseconds | undefined) | undefined;
   /** How the tasks that start from now on end. */
   nextEnd: WorkerEnd;
   /** Everything at work ends, and further orders are refused. */
@@ -127,7 +130,9 @@
     const atWork: RunAtWork = {
       ...order,
       beganAt: timers.now(),
-      endsAt: timers.now() + worker.runMilliseconds,
+      endsAt:
+        timers.now() +
+        (worker.chooseRunMilliseconds?.(order) ?? worker.runMilliseconds),
       end: worker.nextEnd,
     };
     worker.atWork.set(name, atWork);
@@ -206,6 +211,7 @@
     loseNextAnswer: false,
     unhealthy: false,
     runMilliseconds: 100,
+    chooseRunMilliseconds: undefined,
     nextEnd: WorkerEnd.Done,
     crash: () => {
       crashed = true;
