--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,14 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'bench/results/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      '**/node_modules/**',
+      'bench/results/**',
+    ],
+  },
   eslint.configs.recommended,
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
