--- a/packages/transient-jobs/src/decide-job.ts
+++ b/packages/transient-jobs/src/decide-job.ts
@@ -5,10 +5,10 @@
 import type { Milliseconds, QueueConfiguration } from '@cranberryturn/types';
 
 /**
- * A job that has to wait is admitted while it is expected to end within this part of the time
- * aimed at: later ones would make those behind them late as well, and waits are expected too short.
+ * A job that has to wait is admitted while it is expected to end within this multiple of the time
+ * aimed at: later ones would make those behind them late as well.
  */
-export const latestEnd = 0.85;
+export const latestEnd = 1;
 
 const noWorkerRetry: Milliseconds = 1_000;
 const shortestRetry: Milliseconds = 200;
