Count time without progress from the start of a run, not from its arrival

Cause: the time of the last progress was set when a run arrived at its sidecar. A run that had waited for 350 ms or more was taken as standing still at the first reading after its start, stopped, and placed again. Ruled out: coarse progress of the platform (the part of the run time that the silence took was 4 to 120). The new test failed before.

--- a/packages/worker-gate/src/run-table.ts
+++ b/packages/worker-gate/src/run-table.ts
@@ -65,6 +65,7 @@
     this.#active.set(run.task, run);
     run.phase = RunPhase.Starting;
     run.startedAt = now;
+    run.progressAt = now;
     return run;
   }
 
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -114,6 +114,24 @@
   );
 });
 
+test('time in the queue does not count as time without progress', async t => {
+  const { place, worker, timers, received } = await startGateFixture(2);
+  worker.chooseRunMilliseconds = ({ jobId }) =>
+    jobId.startsWith('short') ? 20 : 900;
+  place({ jobId: 'first', estimatedMilliseconds: 900 });
+  // Each end is a reading of the worker, also just after a start.
+  for (let number = 0; number < 80; number += 1) {
+    place({ jobId: `short-${String(number)}`, priority: 0 });
+  }
+  place({ jobId: 'second', estimatedMilliseconds: 900 });
+  await timers.advance(3_000);
+  t.true(worker.starts.some(({ jobId }) => jobId === 'second'));
+  t.deepEqual(
+    received.filter(({ kind }) => kind === FromWorkerKind.StillRuns),
+    [],
+  );
+});
+
 test('another life of the worker ends what the earlier one ran', async t => {
   const { place, report, worker, timers, ends } = await startGateFixture(1);
   worker.runMilliseconds = 5_000;
