Give runs back at once where the worker has no room after all

Cause: several dispatchers fill the same workers by reports that are up to 250 ms old. An order whose runs should start at once now says so; what finds no room comes back with the load as it is, and goes elsewhere. After three returns a run waits. Reports tell which orders they count, instead of a guess by 6 ms. Ruled out: more frequent reports alone (bytes between data centres are dear at one site). Both new tests failed before.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -21,6 +21,8 @@
   /** Number of the newest run. */
   run: number;
   failures: number;
+  /** How often a worker without room gave it back. */
+  returns: number;
   /** Where the newest run is. */
   workerId: TargetId | undefined;
   /** Expected run time of the newest run there. */
@@ -87,6 +89,7 @@
     phase: TaskPhase.Waiting,
     run,
     failures: 0,
+    returns: 0,
     workerId: undefined,
     expectedMilliseconds: 0,
     excluded: new Set(),
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -1,6 +1,7 @@
 /** One worker as a dispatcher sees it through its sidecar. */
 import type {
   Milliseconds,
+  RunOrder,
   TargetId,
   WorkerLoad,
   WorkerRun,
@@ -8,7 +9,8 @@
 
 /** An order that the last report of the load may not count yet. */
 interface RecentOrder {
-  readonly sentAt: Milliseconds;
+  /** Its number among the orders of the session. */
+  readonly order: number;
   readonly processors: number;
   readonly work: number;
 }
@@ -34,8 +36,6 @@
 const highestSpeed = 4;
 const firstAvoidance: Milliseconds = 400;
 const longestAvoidance: Milliseconds = 5_000;
-/** A report that arrives this soon after an order was sent may not count the order. */
-const reportDelay: Milliseconds = 6;
 /** Sidecars send something every 400 ms at the least; a worker that is silent for longer gets no task. */
 const longestSilence: Milliseconds = 550;
 
@@ -57,25 +57,27 @@
   };
 }
 
-/** Takes in a report of the load. */
+/** Takes in a report of the load, which counts the orders up to a number. */
 export function noteLoad(
   known: KnownWorker,
   load: WorkerLoad,
+  orders: number,
   now: Milliseconds,
 ): void {
   known.load = load;
   known.heardAt = now;
-  known.recent = known.recent.filter(order => now - order.sentAt < reportDelay);
+  known.recent = known.recent.filter(({ order }) => order > orders);
 }
 
-/** Counts a task that is sent now. */
+/** Counts what an order takes until a report counts it. */
 export function noteOrder(
   known: KnownWorker,
-  processors: number,
-  work: number,
-  now: Milliseconds,
+  order: number,
+  { need, tasks, estimatedMilliseconds }: RunOrder,
 ): void {
-  known.recent.push({ sentAt: now, processors, work });
+  const processors = need.processors * tasks.length;
+  const work = processors * estimatedMilliseconds;
+  known.recent.push({ order, processors, work });
 }
 
 /** Learns from a task that was done in `actual` where `expected` was usual. */
--- a/packages/transient-jobs/src/take-run-end.ts
+++ b/packages/transient-jobs/src/take-run-end.ts
@@ -91,5 +91,6 @@
     reason === RunEndReason.WorkerRefused ||
     reason === RunEndReason.WorkerSilent;
   if (isRefusal && known !== undefined) noteFailure(known, timers.now());
+  if (reason === RunEndReason.NoRoom) task.returns += 1;
   if (reason === RunEndReason.WrongService) task.excluded.add(workerId);
 }
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -17,12 +17,14 @@
   TaskPhase,
 } from './active-job.js';
 import { type ChosenWorker, chooseWorkers } from './choose-workers.js';
-import { type KnownWorker, noteOrder } from './known-worker.js';
 import type { RunTimeEstimates } from './run-time-estimates.js';
 import type { RunTracker } from './run-tracker.js';
 import type { JobStep } from './transient-job.js';
 import type { WorkerDirectory } from './worker-directory.js';
 
+/** A task that was given back this often for want of room waits at the next worker: each time costs a round trip. */
+const mostReturns = 3;
+
 /** What placing needs. */
 export interface TaskPlacerOptions {
   readonly dispatcherId: DispatcherId;
@@ -46,6 +48,13 @@
   readonly chosen: readonly ChosenWorker[];
 }
 
+/** How the tasks of a step go to one worker. */
+interface PlacedStep {
+  readonly step: JobStep;
+  readonly estimate: Milliseconds;
+  readonly mayWait: boolean;
+}
+
 /** Where all tasks of a job go that may start now. */
 export interface Placement {
   readonly plans: readonly StepPlan[];
@@ -103,9 +112,10 @@
   apply(active: ActiveJob, { plans }: Placement): void {
     for (const plan of plans) {
       let next = 0;
-      for (const { known, tasks } of plan.chosen) {
-        this.#send(active, plan, known, plan.tasks.slice(next, next + tasks));
-        next += tasks;
+      for (const chosen of plan.chosen) {
+        const tasks = plan.tasks.slice(next, next + chosen.tasks);
+        this.#send(active, plan, chosen, tasks);
+        next += chosen.tasks;
       }
     }
   }
@@ -154,21 +164,22 @@
   #send(
     active: ActiveJob,
     { step, estimate }: StepPlan,
-    known: KnownWorker,
+    { known, waitMilliseconds }: ChosenWorker,
     tasks: readonly ActiveTask[],
   ): void {
     const { job } = active;
     const { timers, metrics, logger, workers, runs } = this.#options;
     const now = timers.now();
-    const { processors } = step.need;
     for (const task of tasks) {
       task.phase = TaskPhase.Placed;
       task.run += 1;
       task.workerId = known.workerId;
       task.expectedMilliseconds = estimate;
       runs.add(known.workerId, task);
-      noteOrder(known, processors, processors * estimate, now);
     }
+    const mayWait =
+      waitMilliseconds > 0 ||
+      tasks.some(({ returns }) => returns >= mostReturns);
     metrics.count(Counter.TasksPlaced, tasks.length);
     logger.info('tasks placed', {
       requestId: job.requestId,
@@ -176,18 +187,18 @@
       worker: known.workerId,
       runs: tasks.map(task => `${task.taskId}/${String(task.run)}`),
       free: known.load.free.processors,
+      mayWait,
       loadAgeMilliseconds: Math.round(now - known.heardAt),
     });
     workers.placeRuns(
       known.workerId,
-      this.#composeOrder(active, step, estimate, tasks),
+      this.#composeOrder(active, { step, estimate, mayWait }, tasks),
     );
   }
 
   #composeOrder(
     { job, dueAt, deadlineAt }: ActiveJob,
-    step: JobStep,
-    estimate: Milliseconds,
+    { step, estimate, mayWait }: PlacedStep,
     tasks: readonly ActiveTask[],
   ): RunOrder {
     const now = this.#options.timers.now();
@@ -202,6 +213,7 @@
       estimatedMilliseconds: Math.round(estimate),
       dueMilliseconds: Math.round(dueAt - now),
       remainingMilliseconds: Math.round(deadlineAt - now),
+      mayWait,
       tasks: tasks.map(({ taskId, run }) => ({ taskId, run })),
     };
   }
--- a/packages/transient-jobs/src/transient-jobs.test.ts
+++ b/packages/transient-jobs/src/transient-jobs.test.ts
@@ -5,6 +5,8 @@
   describeJob,
   describeQueue,
   first,
+  oneProcessor,
+  pick,
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
@@ -188,3 +190,25 @@
   t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
   t.deepEqual(violations, []);
 });
+
+test('a task that finds its worker filled by another dispatcher runs elsewhere at once', async t => {
+  const { dispatchers, timers } = await startJobsFixture({
+    dispatchers: 2,
+    workers: 2,
+    processors: 4,
+  });
+  pick(dispatchers, 0).jobs.submit(
+    describeJob('wide', 4, {
+      step: { need: { ...oneProcessor, label: 'rack-0' } },
+    }),
+  );
+  let elapsed = 0;
+  const startedAt = timers.now();
+  const spread = pick(dispatchers, 1).jobs.submit(describeJob('spread', 2));
+  void spread.ended.then(() => {
+    elapsed = timers.now() - startedAt;
+  });
+  await timers.advance(1_000);
+  // One run of 100 ms and the round trips; behind the other job it would take 200 ms.
+  t.true(elapsed > 0 && elapsed < 150, `ended after ${String(elapsed)} ms`);
+});
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -34,6 +34,7 @@
   isUsable,
   type KnownWorker,
   noteLoad,
+  noteOrder,
 } from './known-worker.js';
 
 const tickMilliseconds: Milliseconds = 100;
@@ -67,6 +68,8 @@
   echo: Milliseconds;
   heardAt: Milliseconds;
   sentAt: Milliseconds;
+  /** Orders to place runs that were sent. */
+  orders: number;
   /** Whether the session goes on. */
   open: boolean;
 }
@@ -118,7 +121,11 @@
   }
 
   placeRuns(workerId: TargetId, order: RunOrder): void {
-    this.#send(this.#find(workerId), { kind: ToWorkerKind.PlaceRuns, order });
+    const link = this.#find(workerId);
+    if (link?.known === undefined) return;
+    link.orders += 1;
+    noteOrder(link.known, link.orders, order);
+    this.#send(link, { kind: ToWorkerKind.PlaceRuns, order });
   }
 
   stopRuns(workerId: TargetId, jobId: JobId, taskIds: readonly TaskId[]): void {
@@ -171,6 +178,7 @@
       echo: -dispatcherLease,
       heardAt: timers.now(),
       sentAt: timers.now(),
+      orders: 0,
       open: true,
     };
     this.#links.add(link);
@@ -200,7 +208,8 @@
     if (message.kind === FromWorkerKind.Announce) {
       this.#noteAnnouncement(link, message.worker, message);
     }
-    if (link.known !== undefined) noteLoad(link.known, message.load, now);
+    if (link.known !== undefined)
+      noteLoad(link.known, message.load, message.orders, now);
     if (link.known !== undefined) this.#passOn(link.known, message);
   }
 
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -63,6 +63,8 @@
   readonly dueMilliseconds: Milliseconds;
   /** Time left until nobody waits for the job any more. */
   readonly remainingMilliseconds: Milliseconds;
+  /** Whether tasks that cannot start at once wait at the worker; otherwise they are given back. */
+  readonly mayWait: boolean;
   readonly tasks: readonly { readonly taskId: TaskId; readonly run: number }[];
 }
 
@@ -97,6 +99,8 @@
   WrongService = 'wrong-service',
   /** No worker is known to this sidecar, or it can never hold the task. */
   NoCapacity = 'no-capacity',
+  /** The worker is full, and the order did not allow the run to wait. */
+  NoRoom = 'no-room',
   /** The sidecar was suspended while the run waited. */
   Suspended = 'suspended',
 }
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -61,6 +61,8 @@
   /** Steady time of the sidecar when it sent the message. */
   readonly stamp: Milliseconds;
   readonly load: WorkerLoad;
+  /** Orders to place runs that the sidecar took in during this session: the load counts them. */
+  readonly orders: number;
 }
 
 /** What a sidecar tells a dispatcher about runs. */
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -33,6 +33,8 @@
   connected: boolean;
   /** When the last message was sent. */
   sentAt: Milliseconds;
+  /** Orders to place runs that arrived. */
+  orders: number;
 }
 
 /** What happens in sessions. */
@@ -133,6 +135,7 @@
           send,
           connected: false,
           sentAt: -Infinity,
+          orders: 0,
         };
         dialled.session = session;
         return this.#listen(session);
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -156,6 +156,7 @@
           estimatedMilliseconds: 100,
           dueMilliseconds: 500,
           remainingMilliseconds: 5_000,
+          mayWait: true,
           tasks: [{ taskId: '0.0.0', run: 1 }],
           ...order,
         },
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -4,6 +4,7 @@
   type Milliseconds,
   RunEndReason,
   type RunKey,
+  RunOutcome,
 } from '@cranberryturn/types';
 
 import { RunPhase } from './active-run.js';
@@ -221,6 +222,7 @@
     if (run.phase !== RunPhase.Running || run.startedAt >= sentAt) continue;
     const isListed = listed.has(`${run.task}.${String(run.run)}`);
     run.missing = isListed ? 0 : run.missing + 1;
-    if (run.missing >= mostMissing) life.noteVanished(run);
+    if (run.missing < mostMissing) continue;
+    life.end(run, RunOutcome.Interrupted, RunEndReason.WorkerGone);
   }
 }
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -103,7 +103,7 @@
     const now = timers.now();
     session.sentAt = now;
     untold.delete(session.dispatcherId);
-    session.send({ ...body, stamp: now, load: load() });
+    session.send({ ...body, stamp: now, load: load(), orders: session.orders });
   };
 
   const announce = (session: DispatcherSession): void => {
@@ -168,6 +168,7 @@
     session: DispatcherSession,
     { order }: Extract<ToWorkerMessage, { kind: ToWorkerKind.PlaceRuns }>,
   ): void => {
+    session.orders += 1;
     logger.info('order received', {
       requestId: order.requestId,
       jobId: order.jobId,
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -24,6 +24,23 @@
   t.is(worker.mostProcessors, 2);
 });
 
+test('an order that must not wait is given back at once by a full worker', async t => {
+  const { place, timers, ends, received } = await startGateFixture(2);
+  place({
+    jobId: 'job',
+    mayWait: false,
+    tasks: ['0.0.0', '0.0.1', '0.0.2'].map(taskId => ({ taskId, run: 1 })),
+  });
+  await timers.advance(5);
+  t.deepEqual(
+    ends.map(end => [end.taskId, end.outcome, end.reason]),
+    [['0.0.2', RunOutcome.NotStarted, RunEndReason.NoRoom]],
+  );
+  const told = received.at(-1);
+  t.is(told?.orders, 1);
+  t.is(told?.load.free.processors, 0);
+});
+
 test('each end is reported once and acknowledged to the worker, the last one too', async t => {
   const { place, worker, timers, ends } = await startGateFixture(2);
   place({
--- a/packages/worker-gate/src/worker-life.ts
+++ b/packages/worker-gate/src/worker-life.ts
@@ -91,7 +91,7 @@
     return this.#runs.isIdle;
   }
 
-  /** Queues the runs of an order; each is reported once when it ends. */
+  /** Queues the runs of an order, or gives back those that must not wait; each is reported once when it ends. */
   accept(order: RunOrder): void {
     const now = this.options.timers.now();
     for (const run of createRuns(order, now)) {
@@ -100,6 +100,8 @@
       else this.end(run, RunOutcome.NotStarted, refusal);
     }
     this.fill();
+    if (order.mayWait) return;
+    this.#refuseWaiting(RunEndReason.NoRoom, run => run.order === order);
   }
 
   /** Stops the runs of a dispatcher: all, those of a job, or some tasks of it. */
@@ -195,11 +197,6 @@
     this.options.stateChanged();
   }
 
-  /** The worker does not list a run that it had begun. */
-  noteVanished(run: ActiveRun): void {
-    this.end(run, RunOutcome.Interrupted, RunEndReason.WorkerGone);
-  }
-
   /** This process was suspended: what waits may be at work elsewhere by now. */
   noteSuspension(): void {
     this.options.logger.warn(
