Count the time for which a request was held, and ask waiting tasks back when another worker has room

Cause 1: jobs that were held while a dispatcher started counted from when they were handed in. Their due time, deadline and admission now count from the arrival of the request; what is past its use is refused. A sidecar tells at once when it has room again; dispatchers ask waiting tasks back from full workers. Both tests failed before.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -12,6 +12,9 @@
   Done = 'done',
 }
 
+/** A task that was given back this often for want of room waits at the next worker: each time costs a round trip. */
+export const mostReturns = 3;
+
 /** One task. */
 export interface ActiveTask {
   readonly job: ActiveJob;
@@ -23,6 +26,8 @@
   failures: number;
   /** How often a worker without room gave it back. */
   returns: number;
+  /** Whether the newest run was expected to wait at its worker, and has not been asked back. */
+  isWaiting: boolean;
   /** Where the newest run is. */
   workerId: TargetId | undefined;
   /** Expected run time of the newest run there. */
@@ -59,8 +64,8 @@
   const active: ActiveJob = {
     job,
     admittedAt: now,
-    deadlineAt: now + job.deadlineMilliseconds,
-    dueAt: now + objective,
+    deadlineAt: now + job.deadlineMilliseconds - job.heldMilliseconds,
+    dueAt: now + objective - job.heldMilliseconds,
     tasks,
     callers: 0,
     end: undefined,
@@ -90,6 +95,7 @@
     run,
     failures: 0,
     returns: 0,
+    isWaiting: false,
     workerId: undefined,
     expectedMilliseconds: 0,
     excluded: new Set(),
--- a/packages/transient-jobs/src/create-transient-jobs.ts
+++ b/packages/transient-jobs/src/create-transient-jobs.ts
@@ -18,9 +18,10 @@
   listTasksByWorker,
   TaskPhase,
 } from './active-job.js';
-import { canEverHold } from './choose-workers.js';
-import { computeObjective, decideJob } from './decide-job.js';
+import { askWaitingBack } from './ask-waiting-back.js';
+import { computeObjective } from './decide-job.js';
 import { countEnd, describeJob, refuse, settled } from './describe-end.js';
+import { findJobRefusal } from './find-job-refusal.js';
 import { JobBook } from './job-book.js';
 import type { KnownWorker } from './known-worker.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
@@ -75,6 +76,13 @@
       workerFound: () => {
         this.#placeAll();
       },
+      loadTold: known => {
+        askWaitingBack(known, {
+          ...options,
+          runs: this.#runs,
+          workers: this.workers,
+        });
+      },
       hasRunsAt: workerId => this.#runs.hasRunsAt(workerId),
     });
     this.#placer = new TaskPlacer({
@@ -121,7 +129,11 @@
       this.#jobs.findLastRun(job.jobId),
     );
     const placement = this.#placer.plan(active);
-    const refusal = this.#findRefusal(active, chain, placement);
+    const refusal = this.#stopping
+      ? refuse('this dispatcher stops', stopRetry)
+      : findJobRefusal(job, chain, placement, [
+          ...this.workers.listWorkers(job.queue.service),
+        ]);
     if (refusal !== undefined) return this.#refuse(job, refusal);
     return this.#start(active, placement);
   }
@@ -167,35 +179,13 @@
     };
   }
 
-  #findRefusal(
-    { job }: ActiveJob,
-    chainMilliseconds: Milliseconds,
-    placement: Placement,
-  ): TransientJobEnd | undefined {
-    if (this.#stopping) return refuse('this dispatcher stops', stopRetry);
-    const workers = [...this.workers.listWorkers(job.queue.service)];
-    const isPossible = job.steps.every(step =>
-      workers.some(known => canEverHold(known, step)),
-    );
-    const refusal = decideJob({
-      queue: job.queue,
-      chainMilliseconds,
-      deadlineMilliseconds: job.deadlineMilliseconds,
-      waitMilliseconds: placement.isWhole ? placement.wait : undefined,
-      isPossible,
-      hasWorkers: workers.length > 0,
-    });
-    if (refusal === undefined) return undefined;
-    const { reason, retryAfterMilliseconds } = refusal;
-    if (retryAfterMilliseconds !== undefined) {
-      return refuse(reason, retryAfterMilliseconds);
-    }
-    return { kind: TransientJobEndKind.Failed, reason };
-  }
-
   #refuse(job: TransientJob, end: TransientJobEnd): SubmittedJob {
     this.#options.metrics.count(Counter.JobsRefused);
-    this.#options.logger.info('job refused', { ...describeJob(job), ...end });
+    this.#options.logger.info('job refused', {
+      ...describeJob(job),
+      ...end,
+      heldMilliseconds: Math.round(job.heldMilliseconds),
+    });
     return settled(end);
   }
 
@@ -207,10 +197,11 @@
     logger.info('job admitted', {
       ...describeJob(job),
       tasks: active.tasks.length,
+      heldMilliseconds: Math.round(job.heldMilliseconds),
       waitMilliseconds: Math.round(placement.wait),
       dueMilliseconds: Math.round(active.dueAt - active.admittedAt),
     });
-    active.expiry = timers.after(job.deadlineMilliseconds, () => {
+    active.expiry = timers.after(active.deadlineAt - timers.now(), () => {
       this.#end(active, { kind: TransientJobEndKind.TimedOut });
     });
     this.#placer.apply(active, placement);
--- a/packages/transient-jobs/src/decide-job.ts
+++ b/packages/transient-jobs/src/decide-job.ts
@@ -10,6 +10,9 @@
  */
 export const latestEnd = 1;
 
+/** An answer that is later than this multiple of the time aimed at is of no use to its caller. */
+const latestUse = 3;
+
 const noWorkerRetry: Milliseconds = 1_000;
 const shortestRetry: Milliseconds = 200;
 const longestRetry: Milliseconds = 30_000;
@@ -21,6 +24,9 @@
   readonly chainMilliseconds: Milliseconds;
   /** Longest time for which a task of it would wait; undefined when not all of them can be placed now. */
   readonly waitMilliseconds: Milliseconds | undefined;
+  /** Time for which the caller has waited already. */
+  readonly heldMilliseconds: Milliseconds;
+  /** Time for which the caller waits in all. */
   readonly deadlineMilliseconds: Milliseconds;
   /** Whether a worker is known that could hold each task. */
   readonly isPossible: boolean;
@@ -47,7 +53,8 @@
 
 /** Refuses a job that cannot be of use; undefined admits it. */
 export function decideJob(question: JobQuestion): JobRefusal | undefined {
-  const { queue, waitMilliseconds, deadlineMilliseconds } = question;
+  const { queue, waitMilliseconds, deadlineMilliseconds, heldMilliseconds } =
+    question;
   if (!question.hasWorkers) {
     return {
       reason: `no worker of service "${queue.service}" is known`,
@@ -68,9 +75,12 @@
   }
   const objective = computeObjective(queue, question.chainMilliseconds);
   const useful = Math.min(deadlineMilliseconds, objective * latestEnd);
-  const expected = waitMilliseconds + question.chainMilliseconds;
-  // A job that would start at once is run, whatever its tasks declare.
-  if (waitMilliseconds <= 0 || expected <= useful) return undefined;
+  const expected =
+    heldMilliseconds + waitMilliseconds + question.chainMilliseconds;
+  if (expected <= useful) return undefined;
+  // A job that would start at once is run, whatever its tasks declare; one that was held may be past its use.
+  const isPastUse = heldMilliseconds > 0 && expected > objective * latestUse;
+  if (waitMilliseconds <= 0 && !isPastUse) return undefined;
   const late = expected - useful;
   return {
     reason: `the job would end after ${expected.toFixed(0)} ms, and is of use for ${useful.toFixed(0)} ms`,
--- a/packages/transient-jobs/src/decisions.test.ts
+++ b/packages/transient-jobs/src/decisions.test.ts
@@ -137,6 +137,7 @@
   queue: describeQueue(),
   chainMilliseconds: 100,
   waitMilliseconds: 0,
+  heldMilliseconds: 0,
   deadlineMilliseconds: 2_000,
   isPossible: true,
   hasWorkers: true,
@@ -149,6 +150,18 @@
   t.true((refusal?.retryAfterMilliseconds ?? 0) >= 1_000);
 });
 
+test('after an outage, a job that was held beyond its use makes way for those that arrive', t => {
+  // Aimed at: 220 ms.
+  const held = (heldMilliseconds: number, waitMilliseconds: number) =>
+    decideJob({ ...question, heldMilliseconds, waitMilliseconds }) ===
+    undefined;
+  t.true(held(100, 0));
+  t.true(held(500, 0));
+  t.false(held(800, 0));
+  t.true(held(100, 20));
+  t.false(held(100, 50));
+});
+
 test('a job that cannot be done is refused for good, one without workers for now', t => {
   t.is(
     decideJob({ ...question, isPossible: false })?.retryAfterMilliseconds,
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -103,6 +103,7 @@
       },
     ],
     deadlineMilliseconds: 5_000,
+    heldMilliseconds: 0,
     ...rest,
   };
 }
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -14,6 +14,7 @@
   type ActiveJob,
   type ActiveTask,
   listReadyTasks,
+  mostReturns,
   TaskPhase,
 } from './active-job.js';
 import { type ChosenWorker, chooseWorkers } from './choose-workers.js';
@@ -22,9 +23,6 @@
 import type { JobStep } from './transient-job.js';
 import type { WorkerDirectory } from './worker-directory.js';
 
-/** A task that was given back this often for want of room waits at the next worker: each time costs a round trip. */
-const mostReturns = 3;
-
 /** What placing needs. */
 export interface TaskPlacerOptions {
   readonly dispatcherId: DispatcherId;
@@ -175,6 +173,7 @@
       task.run += 1;
       task.workerId = known.workerId;
       task.expectedMilliseconds = estimate;
+      task.isWaiting = waitMilliseconds > 0;
       runs.add(known.workerId, task);
     }
     const mayWait =
--- a/packages/transient-jobs/src/transient-job.ts
+++ b/packages/transient-jobs/src/transient-job.ts
@@ -29,8 +29,10 @@
   /** Passed to the workers as it came from the caller. */
   readonly specification: string;
   readonly steps: readonly JobStep[];
-  /** Time for which the caller waits. */
+  /** Time for which the caller waits, from when its request arrived. */
   readonly deadlineMilliseconds: Milliseconds;
+  /** Time for which the request was held before the job was handed in. */
+  readonly heldMilliseconds: Milliseconds;
 }
 
 /** How a job ended. */
--- a/packages/transient-jobs/src/transient-jobs.test.ts
+++ b/packages/transient-jobs/src/transient-jobs.test.ts
@@ -212,3 +212,27 @@
   // One run of 100 ms and the round trips; behind the other job it would take 200 ms.
   t.true(elapsed > 0 && elapsed < 150, `ended after ${String(elapsed)} ms`);
 });
+
+test('a task that waits at a full worker runs at another one that has room first', async t => {
+  const { dispatchers, hosts, timers } = await startJobsFixture({
+    dispatchers: 1,
+    workers: 2,
+    processors: 1,
+  });
+  const { jobs } = first(dispatchers);
+  first(hosts).worker.chooseRunMilliseconds = ({ jobId }) =>
+    jobId === 'first' ? 900 : undefined;
+  jobs.submit(describeJob('first', 2));
+  await timers.advance(10);
+  const ends = record(
+    jobs.submit(
+      describeJob('second', 2, {
+        queue: describeQueue({ targetLatencyMilliseconds: 1_000 }),
+      }),
+    ),
+  );
+  // Three runs of 100 ms one after the other at the second worker, and some round trips.
+  await timers.advance(390);
+  t.deepEqual(ends, [{ kind: TransientJobEndKind.Completed }]);
+  t.is(first(hosts).worker.starts.length, 1);
+});
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -47,6 +47,8 @@
   readonly workerLost: (workerId: TargetId) => void;
   /** A worker was announced. */
   readonly workerFound: () => void;
+  /** A worker told its load. */
+  readonly loadTold: (known: KnownWorker) => void;
   readonly hasRunsAt: (workerId: TargetId) => boolean;
 }
 
@@ -136,6 +138,19 @@
     });
   }
 
+  /** Asks for those of some runs that still wait. */
+  returnRuns(
+    workerId: TargetId,
+    jobId: JobId,
+    taskIds: readonly TaskId[],
+  ): void {
+    this.#send(this.#find(workerId), {
+      kind: ToWorkerKind.ReturnRuns,
+      jobId,
+      taskIds,
+    });
+  }
+
   /** Tells all sidecars which dispatchers there are. */
   tellDispatchers(): void {
     for (const link of this.#links) this.#tellDispatchers(link);
@@ -210,7 +225,9 @@
     }
     if (link.known !== undefined)
       noteLoad(link.known, message.load, message.orders, now);
-    if (link.known !== undefined) this.#passOn(link.known, message);
+    if (link.known === undefined) return;
+    this.#passOn(link.known, message);
+    this.#options.loadTold(link.known);
   }
 
   #passOn(known: KnownWorker, message: FromWorkerMessage): void {
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -14,6 +14,8 @@
 export enum ToWorkerKind {
   PlaceRuns = 'place',
   StopRuns = 'stop',
+  /** Gives back those of some runs that still wait. */
+  ReturnRuns = 'return',
   /** Renews the lease of the dispatcher when nothing else does. */
   Beat = 'beat',
   KnownDispatchers = 'dispatchers',
@@ -32,7 +34,7 @@
 export type ToWorkerBody =
   | { readonly kind: ToWorkerKind.PlaceRuns; readonly order: RunOrder }
   | {
-      readonly kind: ToWorkerKind.StopRuns;
+      readonly kind: ToWorkerKind.StopRuns | ToWorkerKind.ReturnRuns;
       readonly jobId: JobId;
       readonly taskIds: readonly TaskId[];
     }
--- a/packages/worker-gate/src/active-run.ts
+++ b/packages/worker-gate/src/active-run.ts
@@ -1,6 +1,7 @@
 /** One run that waits for a worker or is at work there. */
 import {
   type DispatcherId,
+  type JobId,
   type Milliseconds,
   type RunEnd,
   type RunEndReason,
@@ -52,6 +53,24 @@
   missing: number;
 }
 
+/** The runs of a dispatcher: all, those of a job, or some tasks of it. */
+export interface RunSelection {
+  readonly dispatcher: DispatcherId;
+  readonly jobId?: JobId;
+  readonly taskIds?: readonly TaskId[];
+}
+
+/** Whether the selection contains the run. */
+export function isSelected(
+  { order, dispatcher, taskId }: ActiveRun,
+  selection: RunSelection,
+): boolean {
+  const { jobId, taskIds } = selection;
+  if (dispatcher !== selection.dispatcher) return false;
+  if (jobId !== undefined && order.jobId !== jobId) return false;
+  return taskIds === undefined || taskIds.includes(taskId);
+}
+
 /** Creates the runs of an order. */
 export function createRuns(order: RunOrder, now: Milliseconds): ActiveRun[] {
   return order.tasks.map(({ taskId, run }) => ({
--- a/packages/worker-gate/src/capacity.ts
+++ b/packages/worker-gate/src/capacity.ts
@@ -3,7 +3,7 @@
 
 /** Capacity of one worker. */
 export class Capacity {
-  readonly #total: WorkerResources;
+  readonly total: WorkerResources;
   #used: WorkerResources = {
     processors: 0,
     memoryMebibytes: 0,
@@ -11,16 +11,16 @@
   };
 
   constructor(total: WorkerResources) {
-    this.#total = total;
+    this.total = total;
   }
 
   get free(): WorkerResources {
-    return addResources(this.#total, this.#used, -1);
+    return addResources(this.total, this.#used, -1);
   }
 
   /** Whether the worker could hold it with nothing else at work. */
   canEverHold(need: WorkerResources): boolean {
-    return fits(this.#total, need);
+    return fits(this.total, need);
   }
 
   canHold(need: WorkerResources): boolean {
--- a/packages/worker-gate/src/index.ts
+++ b/packages/worker-gate/src/index.ts
@@ -1,5 +1,6 @@
 /** Runs tasks on one worker for all dispatchers. */
 export * from './ports/worker.js';
 export * from './start-worker-gate.js';
+export type { WorkerReport } from './worker-report.js';
 export type { DispatcherSession } from './dispatcher-sessions.js';
 export * from './fakes/fake-worker.js';
--- a/packages/worker-gate/src/run-table.ts
+++ b/packages/worker-gate/src/run-table.ts
@@ -10,16 +10,31 @@
 import { Capacity } from './capacity.js';
 import { WaitingRuns } from './waiting-runs.js';
 
+/** Free part of the processors that is told as room: tasks take up to a tenth of a worker. */
+const leastRoom = 0.1;
+
 /** The runs of one worker; a task has one run at work at the most. */
 export class RunTable {
   readonly capacity: Capacity;
   readonly waiting = new WaitingRuns();
   readonly #active = new Map<string, ActiveRun>();
+  /** Whether runs had to wait since room was last told. */
+  #wasFull = false;
 
   constructor(total: WorkerResources) {
     this.capacity = new Capacity(total);
   }
 
+  /** Whether the worker has room again after runs had to wait; tells it once. */
+  findsRoom(): boolean {
+    if (this.waiting.size > 0) this.#wasFull = true;
+    if (!this.#wasFull || this.waiting.size > 0) return false;
+    const { free, total } = this.capacity;
+    if (free.processors < total.processors * leastRoom) return false;
+    this.#wasFull = false;
+    return true;
+  }
+
   get isIdle(): boolean {
     return this.#active.size === 0 && this.waiting.size === 0;
   }
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -23,6 +23,7 @@
   ToWorkerKind,
 } from '@cranberryturn/wire';
 
+import type { RunSelection } from './active-run.js';
 import { DispatcherLeases } from './dispatcher-leases.js';
 import {
   type DispatcherSession,
@@ -31,6 +32,7 @@
 import { Fencing } from './fencing.js';
 import type { WorkerPort } from './ports/worker.js';
 import { WorkerLife } from './worker-life.js';
+import { isOlder, type WorkerReport } from './worker-report.js';
 
 /** A dispatcher without runs here hears of the load this often at the least: its lease needs a recent stamp. */
 const idleBeatInterval: Milliseconds = 300;
@@ -44,17 +46,6 @@
   closed: true,
 };
 
-/** What a worker says of itself. */
-export interface WorkerReport {
-  readonly worker: WorkerRun;
-  /** Start of this life in milliseconds since 1970 on the clock of the worker. */
-  readonly bornAt: Milliseconds;
-  /** Rises with each report of one life. */
-  readonly sequence: number;
-  /** The worker is about to leave. */
-  readonly draining: boolean;
-}
-
 /** What a gate is built from. */
 export interface WorkerGateOptions {
   readonly network: Network;
@@ -149,12 +140,10 @@
         acceptOrder(session, message);
         return;
       case ToWorkerKind.StopRuns:
-        life?.stop(
-          RunEndReason.Cancelled,
-          session.dispatcherId,
-          message.jobId,
-          message.taskIds,
-        );
+        life?.stop(RunEndReason.Cancelled, select(session, message));
+        return;
+      case ToWorkerKind.ReturnRuns:
+        life?.giveBack(select(session, message));
         return;
       case ToWorkerKind.Beat:
         return;
@@ -200,7 +189,9 @@
     received: receive,
     lost: session => {
       leases.end(session.dispatcherId);
-      life?.stop(RunEndReason.DispatcherSilent, session.dispatcherId);
+      life?.stop(RunEndReason.DispatcherSilent, {
+        dispatcher: session.dispatcherId,
+      });
     },
     hasWorkFor: dispatcher => life?.hasWorkFor(dispatcher) ?? false,
   });
@@ -238,6 +229,11 @@
         for (const { dispatcherId } of sessions.list())
           untold.add(dispatcherId);
       },
+      roomFound: () => {
+        for (const session of sessions.list()) {
+          send(session, { kind: FromWorkerKind.Beat });
+        }
+      },
       lost: reason => {
         logger.warn('worker lost', { worker: worker.workerId, reason });
         if (life === opened) life = undefined;
@@ -292,12 +288,11 @@
   };
 }
 
-/** Reports may be overtaken by later ones, also by those of a later life at the same address. */
-function isOlder(report: WorkerReport, latest: WorkerReport): boolean {
-  if (report.worker.incarnation === latest.worker.incarnation) {
-    return report.sequence < latest.sequence;
-  }
-  return report.bornAt < latest.bornAt;
+function select(
+  { dispatcherId }: DispatcherSession,
+  { jobId, taskIds }: Pick<Required<RunSelection>, 'jobId' | 'taskIds'>,
+): RunSelection {
+  return { dispatcher: dispatcherId, jobId, taskIds };
 }
 
 function chooseCounter(outcome: RunOutcome): Counter {
--- a/packages/worker-gate/src/worker-life-options.ts
+++ b/packages/worker-gate/src/worker-life-options.ts
@@ -35,6 +35,8 @@
   readonly stateChanged: () => void;
   /** Hears that capacity was taken or became free. */
   readonly usageChanged: () => void;
+  /** Hears that the worker was full and has room again. */
+  readonly roomFound: () => void;
   /** Hears that this life of the worker is over. */
   readonly lost: (reason: RunEndReason) => void;
 }
--- a/packages/worker-gate/src/worker-life.ts
+++ b/packages/worker-gate/src/worker-life.ts
@@ -6,12 +6,10 @@
 } from '@cranberryturn/timers';
 import {
   type DispatcherId,
-  type JobId,
   type Milliseconds,
   RunEndReason,
   type RunOrder,
   RunOutcome,
-  type TaskId,
   type WorkerLoad,
   type WorkerRun,
 } from '@cranberryturn/types';
@@ -20,7 +18,9 @@
   type ActiveRun,
   createRuns,
   describeEnd,
+  isSelected,
   RunPhase,
+  type RunSelection,
 } from './active-run.js';
 import { findRunRefusal } from './find-run-refusal.js';
 import { interpretEnd } from './interpret-end.js';
@@ -104,20 +104,15 @@
     this.#refuseWaiting(RunEndReason.NoRoom, run => run.order === order);
   }
 
-  /** Stops the runs of a dispatcher: all, those of a job, or some tasks of it. */
-  stop(
-    reason: RunEndReason,
-    dispatcher: DispatcherId,
-    jobId?: JobId,
-    taskIds?: readonly TaskId[],
-  ): void {
-    this.#stopAll(
-      reason,
-      run =>
-        run.dispatcher === dispatcher &&
-        (jobId === undefined || run.order.jobId === jobId) &&
-        (taskIds === undefined || taskIds.includes(run.taskId)),
-    );
+  /** Stops some runs of a dispatcher. */
+  stop(reason: RunEndReason, selection: RunSelection): void {
+    this.#stopAll(reason, run => isSelected(run, selection));
+  }
+
+  /** Gives those of some runs back that still wait. */
+  giveBack(selection: RunSelection): void {
+    const matches = (run: ActiveRun): boolean => isSelected(run, selection);
+    this.#refuseWaiting(RunEndReason.NoRoom, matches);
   }
 
   /** The worker leaves: nothing more is started. */
@@ -141,11 +136,12 @@
         now,
         one => one.expiresAt > now && leases.mayStart(one.dispatcher, now),
       );
-      if (run === undefined) return;
+      if (run === undefined) break;
       this.#lease.noteStart();
       this.options.usageChanged();
       void startRun(this, run);
     }
+    if (this.#runs.findsRoom()) this.options.roomFound();
   }
 
   /** Gives a run back that the worker refused without doing anything; it may start later. */
