Ask tasks back only where that gains 30 ms, and avoid workers behind slow sidecars

Cause: with each report of room, every dispatcher asked back what would fit. Tasks are asked back when the work ahead of them takes 30 ms, or when they have waited for that long. Placing now counts the time that orders and ends take beyond waiting and running: a sidecar on a slow host answers late. The new test failed before.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -30,6 +30,8 @@
   isWaiting: boolean;
   /** Where the newest run is. */
   workerId: TargetId | undefined;
+  /** When the newest run was sent there. */
+  placedAt: Milliseconds;
   /** Expected run time of the newest run there. */
   expectedMilliseconds: Milliseconds;
   /** Workers where the task failed or was refused. */
@@ -97,6 +99,7 @@
     returns: 0,
     isWaiting: false,
     workerId: undefined,
+    placedAt: 0,
     expectedMilliseconds: 0,
     excluded: new Set(),
   };
--- a/packages/transient-jobs/src/ask-waiting-back.ts
+++ b/packages/transient-jobs/src/ask-waiting-back.ts
@@ -4,24 +4,28 @@
  */
 import type { Logger } from '@cranberryturn/logger';
 import type { TimerService } from '@cranberryturn/timers';
-import type { TargetId } from '@cranberryturn/types';
+import type { Milliseconds, TargetId } from '@cranberryturn/types';
 
 import { type ActiveTask, mostReturns } from './active-job.js';
 import { canEverHold } from './choose-workers.js';
 import {
   countFreeProcessors,
+  countWorkAhead,
   isUsable,
   type KnownWorker,
 } from './known-worker.js';
 import type { RunTracker } from './run-tracker.js';
 import type { WorkerDirectory } from './worker-directory.js';
 
+/** A shorter wait is not worth a move, which takes two round trips and may find the room taken. */
+const leastGain: Milliseconds = 30;
+
 /** What asking needs. */
 export interface AskBackSurroundings {
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly runs: RunTracker;
-  readonly workers: Pick<WorkerDirectory, 'returnRuns'>;
+  readonly workers: Pick<WorkerDirectory, 'returnRuns' | 'find'>;
 }
 
 /** Asks back what the worker could start now; what comes back is placed again. */
@@ -31,7 +35,10 @@
 ): void {
   if (!isUsable(known, timers.now())) return;
   if (known.load.waitingWork.some(work => work > 0)) return;
-  for (const task of chooseTasks(known, runs.listWaiting())) {
+  const movable = [...runs.listWaiting()].filter(task =>
+    canMove(task, known.workerId, workers, timers.now()),
+  );
+  for (const task of chooseTasks(known, movable)) {
     const { job, taskId, workerId } = task;
     runs.noteAskedBack(task);
     if (workerId === undefined) continue;
@@ -47,16 +54,14 @@
   }
 }
 
-/** Chooses waiting tasks that fit the worker together, the most urgent first. */
-export function chooseTasks(
+/** Chooses tasks that fit the worker together, the most urgent first. */
+function chooseTasks(
   known: KnownWorker,
-  waiting: Iterable<ActiveTask>,
+  movable: readonly ActiveTask[],
 ): readonly ActiveTask[] {
   let free = countFreeProcessors(known);
-  if (free <= 0) return [];
   const chosen: ActiveTask[] = [];
-  const candidates = [...waiting].filter(task => canMove(task, known.workerId));
-  for (const task of candidates.sort(compareUrgency)) {
+  for (const task of movable.toSorted(compareUrgency)) {
     const step = task.job.job.steps[task.step];
     if (step === undefined || !canEverHold(known, step)) continue;
     if (step.need.processors > free) continue;
@@ -66,12 +71,29 @@
   return chosen;
 }
 
-function canMove(task: ActiveTask, workerId: TargetId): boolean {
-  return (
-    task.workerId !== workerId &&
-    task.returns < mostReturns &&
-    !task.excluded.has(workerId)
-  );
+function canMove(
+  task: ActiveTask,
+  workerId: TargetId,
+  workers: AskBackSurroundings['workers'],
+  now: Milliseconds,
+): boolean {
+  if (task.workerId === undefined || task.workerId === workerId) return false;
+  if (task.returns >= mostReturns || task.excluded.has(workerId)) return false;
+  // A task that has waited for longer may be behind a run that takes far longer than estimated.
+  if (now - task.placedAt >= leastGain) return true;
+  const known = workers.find(task.workerId);
+  return known !== undefined && estimateWait(task, known) >= leastGain;
+}
+
+/** Expected time until the task starts where it is: the work that waits there, without its own. */
+function estimateWait(
+  { job, step: number, expectedMilliseconds }: ActiveTask,
+  known: KnownWorker,
+): Milliseconds {
+  const ahead = countWorkAhead(known, job.job.queue.priority);
+  const processors = job.job.steps[number]?.need.processors ?? 0;
+  const work = ahead - processors * expectedMilliseconds;
+  return work / known.worker.capacity.processors;
 }
 
 function compareUrgency(left: ActiveTask, right: ActiveTask): number {
--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -152,7 +152,8 @@
     ? avoidedPenalty
     : 0;
   const { wait, run } = expectEnd(question, candidate);
-  return wait + run + used * fullnessPenalty + distance + avoided;
+  const { delay } = candidate.known;
+  return wait + run + delay + used * fullnessPenalty + distance + avoided;
 }
 
 interface ExpectedEnd {
--- a/packages/transient-jobs/src/decisions.test.ts
+++ b/packages/transient-jobs/src/decisions.test.ts
@@ -9,6 +9,7 @@
 import {
   createKnownWorker,
   type KnownWorker,
+  noteDelay,
   noteDone,
   noteFailure,
 } from './known-worker.js';
@@ -99,6 +100,14 @@
   t.deepEqual(choose(ask(4), [slow, createWorker('fast')]), [['fast', 4]]);
 });
 
+test('a worker whose sidecar is on a slow host gets work only once the others are full', t => {
+  const behind = createWorker('behind');
+  for (let run = 0; run < 20; run += 1) noteDelay(behind, 80);
+  t.deepEqual(choose(ask(4), [behind, createWorker('prompt')]), [
+    ['prompt', 4],
+  ]);
+});
+
 test('a worker that fails its tasks rests, for longer each time', t => {
   const failing = createWorker('failing');
   noteFailure(failing, 0);
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -24,6 +24,8 @@
   heardAt: Milliseconds;
   /** Run time of others on equal tasks, divided by its own; 1 is ordinary. */
   speed: number;
+  /** Time that orders and ends take on their way and in the sidecar, which may be on a slow host. */
+  delay: Milliseconds;
   /** Failures in a row. */
   failures: number;
   /** It is given no task before this time. */
@@ -32,6 +34,9 @@
 }
 
 const newestSpeedWeight = 0.15;
+const newestDelayWeight = 0.2;
+/** A single stall must not keep work away for long. */
+const longestDelay: Milliseconds = 150;
 const lowestSpeed = 0.1;
 const highestSpeed = 4;
 const firstAvoidance: Milliseconds = 400;
@@ -51,6 +56,7 @@
     load,
     heardAt: now,
     speed: 1,
+    delay: 0,
     failures: 0,
     avoidedUntil: 0,
     recent: [],
@@ -95,6 +101,12 @@
   known.speed *= (seen / known.speed) ** newestSpeedWeight;
 }
 
+/** Learns from the time that a run took beyond waiting and running. */
+export function noteDelay(known: KnownWorker, delay: Milliseconds): void {
+  const seen = Math.min(longestDelay, Math.max(0, delay));
+  known.delay += (seen - known.delay) * newestDelayWeight;
+}
+
 /** Gives a worker that failed a task, or refused one, a pause that grows. */
 export function noteFailure(known: KnownWorker, now: Milliseconds): void {
   known.failures += 1;
--- a/packages/transient-jobs/src/take-run-end.ts
+++ b/packages/transient-jobs/src/take-run-end.ts
@@ -9,7 +9,12 @@
 } from '@cranberryturn/types';
 
 import { type ActiveTask, TaskPhase } from './active-job.js';
-import { type KnownWorker, noteDone, noteFailure } from './known-worker.js';
+import {
+  type KnownWorker,
+  noteDelay,
+  noteDone,
+  noteFailure,
+} from './known-worker.js';
 import type { RunTimeEstimates } from './run-time-estimates.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
 
@@ -42,7 +47,7 @@
 }
 
 function takeDone(
-  { metrics, estimates, known }: RunEndSurroundings,
+  { metrics, estimates, known, timers }: RunEndSurroundings,
   task: ActiveTask,
   { runMilliseconds, waitedMilliseconds }: RunEnd,
 ): TransientJobEnd | undefined {
@@ -58,6 +63,8 @@
     const declared = steps[task.step]?.estimatedMilliseconds ?? 0;
     estimates.learn(queue.queue, declared, runMilliseconds, known.speed);
     noteDone(known, task.expectedMilliseconds, runMilliseconds);
+    const elapsed = timers.now() - task.placedAt;
+    noteDelay(known, elapsed - waitedMilliseconds - runMilliseconds);
   }
   const isWhole = task.job.tasks.every(one => one.phase === TaskPhase.Done);
   return isWhole ? { kind: TransientJobEndKind.Completed } : undefined;
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -172,6 +172,7 @@
       task.phase = TaskPhase.Placed;
       task.run += 1;
       task.workerId = known.workerId;
+      task.placedAt = now;
       task.expectedMilliseconds = estimate;
       task.isWaiting = waitMilliseconds > 0;
       runs.add(known.workerId, task);
