Dial quickly while the hosts start

Cause: pauses between dials doubled from the first failure on. Pauses stay at 50 ms for the first 1.5 s, at dispatchers for control and at sidecars for dispatchers.

--- a/packages/control-client/src/control-host.ts
+++ b/packages/control-client/src/control-host.ts
@@ -15,6 +15,8 @@
 const dialTimeout: Milliseconds = 1_000;
 const firstPause: Milliseconds = 50;
 const longestPause: Milliseconds = 2_000;
+/** Hosts that start together all listen after about a second: pauses grow only then. */
+const startTime: Milliseconds = 1_500;
 
 /** One control host as this process reaches it. */
 export interface ControlHost {
@@ -38,6 +40,7 @@
 /** Starts the task of one host. */
 export function keepControlHost(options: ControlHostOptions): ControlHost {
   const { address, network, timers, random } = options;
+  const startedAt = timers.now();
   let open: RemoteCalls | undefined;
   let stopped = false;
 
@@ -67,7 +70,12 @@
     while (!isStopped()) {
       const served = await serve();
       failures = served ? 0 : failures + 1;
-      const longest = computeBackoff(failures, firstPause, longestPause);
+      const isStarting = timers.now() - startedAt < startTime;
+      const longest = computeBackoff(
+        isStarting ? 0 : failures,
+        firstPause,
+        longestPause,
+      );
       await sleep(timers, longest * (0.5 + random.fraction() / 2));
     }
   };
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -12,6 +12,8 @@
 
 const minimumBackoffMilliseconds: Milliseconds = 50;
 const maximumBackoffMilliseconds: Milliseconds = 1_000;
+/** Hosts that start together all listen after about a second: pauses grow only then. */
+const startTimeMilliseconds: Milliseconds = 1_500;
 const sessionNumbers = 2 ** 32;
 const openTimeoutMilliseconds: Milliseconds = 1_000;
 
@@ -92,6 +94,7 @@
   };
 
   const maintain = async (): Promise<void> => {
+    const startedAt = timers.now();
     let backoff = minimumBackoffMilliseconds;
     for (;;) {
       const outcome = await connectOnce();
@@ -101,6 +104,7 @@
         continue;
       }
       await sleep(timers, backoff * (0.5 + options.random.fraction()));
+      if (timers.now() - startedAt < startTimeMilliseconds) continue;
       backoff = Math.min(backoff * 2, maximumBackoffMilliseconds);
     }
   };
