Ask in one place whether a worker could hold a task

Capacity of the gate, placing of transient jobs and the scheduler compared resources each by itself; findMissingResource of placement serves all three. The expected end of a chosen worker was set and never read; names of tasks are composed by nameTask.

--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -3,6 +3,7 @@
  * which several dispatchers fill the same workers, workers differ in size and speed, and reports
  * of their load are some hundred milliseconds old.
  */
+import { findMissingResource } from '@cranberryturn/placement';
 import type { RandomSource } from '@cranberryturn/random';
 import type { Milliseconds } from '@cranberryturn/types';
 
@@ -54,8 +55,6 @@
   readonly tasks: number;
   /** Longest time for which one of them is expected to wait. */
   readonly waitMilliseconds: Milliseconds;
-  /** Expected time from now until the last of them ends. */
-  readonly expectedMilliseconds: Milliseconds;
 }
 
 /** Chooses workers for as many of the tasks as any worker can take. */
@@ -66,19 +65,18 @@
   now: Milliseconds,
 ): readonly ChosenWorker[] {
   const candidates = listCandidates(question, workers, now);
-  const ends = new Map<Candidate, ExpectedEnd>();
+  const waits = new Map<Candidate, Milliseconds>();
   for (let task = 0; task < question.tasks; task += 1) {
     const best = chooseOne(question, candidates, random);
     if (best === undefined) break;
-    // Each further task of a worker ends later than the one before.
-    ends.set(best, expectEnd(question, best));
+    // Each further task of a worker waits longer than the one before.
+    waits.set(best, expectEnd(question, best).wait);
     addTask(question, best);
   }
-  return [...ends].map(([candidate, { wait, run }]) => ({
-    known: candidate.known,
-    tasks: candidate.tasks,
-    waitMilliseconds: wait,
-    expectedMilliseconds: wait + run,
+  return [...waits].map(([{ known, tasks }, waitMilliseconds]) => ({
+    known,
+    tasks,
+    waitMilliseconds,
   }));
 }
 
@@ -107,12 +105,8 @@
   { need }: JobStep,
 ): boolean {
   const { capacity, labels } = worker;
-  return (
-    need.processors <= capacity.processors &&
-    need.memoryMebibytes <= capacity.memoryMebibytes &&
-    need.accelerators <= capacity.accelerators &&
-    (need.label === undefined || labels.includes(need.label))
-  );
+  if (need.label !== undefined && !labels.includes(need.label)) return false;
+  return findMissingResource(capacity, need) === undefined;
 }
 
 function chooseOne(
--- a/packages/worker-gate/src/capacity.ts
+++ b/packages/worker-gate/src/capacity.ts
@@ -1,4 +1,5 @@
 /** Counts what the runs of one worker use of it. */
+import { findMissingResource } from '@cranberryturn/placement';
 import type { WorkerResources } from '@cranberryturn/types';
 
 /** Capacity of one worker. */
@@ -20,11 +21,11 @@
 
   /** Whether the worker could hold it with nothing else at work. */
   canEverHold(need: WorkerResources): boolean {
-    return fits(this.total, need);
+    return findMissingResource(this.total, need) === undefined;
   }
 
   canHold(need: WorkerResources): boolean {
-    return fits(this.free, need);
+    return findMissingResource(this.free, need) === undefined;
   }
 
   take(need: WorkerResources): void {
@@ -36,14 +37,6 @@
   }
 }
 
-function fits(free: WorkerResources, need: WorkerResources): boolean {
-  return (
-    need.processors <= free.processors &&
-    need.memoryMebibytes <= free.memoryMebibytes &&
-    need.accelerators <= free.accelerators
-  );
-}
-
 function addResources(
   left: WorkerResources,
   right: WorkerResources,
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -8,7 +8,7 @@
 } from '@cranberryturn/types';
 
 import { RunPhase } from './active-run.js';
-import { WorkerRefusal, type WorkerStatus } from './ports/worker.js';
+import { nameTask, WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { noteProgress } from './note-progress.js';
 import { boundLease } from './worker-clock.js';
 import type { WorkerLife } from './worker-life.js';
@@ -216,7 +216,9 @@
   sentAt: Milliseconds,
 ): void {
   const listed = new Set(
-    status.running.map(run => `${run.jobId}.${run.taskId}.${String(run.run)}`),
+    status.running.map(
+      run => `${nameTask(run.jobId, run.taskId)}.${String(run.run)}`,
+    ),
   );
   for (const run of life.listActive()) {
     if (run.phase !== RunPhase.Running || run.startedAt >= sentAt) continue;
--- a/packages/worker-gate/src/note-progress.ts
+++ b/packages/worker-gate/src/note-progress.ts
@@ -6,7 +6,11 @@
 } from '@cranberryturn/types';
 
 import { type ActiveRun, RunPhase } from './active-run.js';
-import type { RunningRun, WorkerStatus } from './ports/worker.js';
+import {
+  nameTask,
+  type RunningRun,
+  type WorkerStatus,
+} from './ports/worker.js';
 import type { WorkerLife } from './worker-life.js';
 
 /** Below this progress, a projection says little. */
@@ -23,7 +27,9 @@
   { running }: WorkerStatus,
 ): void {
   const now = life.options.timers.now();
-  const rows = new Map(running.map(row => [`${row.jobId}.${row.taskId}`, row]));
+  const rows = new Map(
+    running.map(row => [nameTask(row.jobId, row.taskId), row]),
+  );
   const still = new Map<DispatcherId, StillRun[]>();
   for (const run of life.listActive()) {
     const row = rows.get(run.task);
