--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -80,6 +80,8 @@
 export class WorkerDirectory {
   readonly #options: WorkerDirectoryOptions;
   readonly #links = new Set<SidecarLink>();
+  /** The link of each announced worker. */
+  readonly #byWorker = new Map<TargetId, SidecarLink>();
   readonly #acceptor;
   readonly #ticker;
 
@@ -162,10 +164,8 @@
   }
 
   #find(workerId: TargetId): SidecarLink | undefined {
-    for (const link of this.#links) {
-      if (link.open && link.known?.workerId === workerId) return link;
-    }
-    return undefined;
+    const link = this.#byWorker.get(workerId);
+    return link?.open === true ? link : undefined;
   }
 
   #send(link: SidecarLink | undefined, body: ToWorkerBody): void {
@@ -260,6 +260,7 @@
     if (worker === undefined) return;
     logger.info('worker announced', { ...worker });
     link.known = createKnownWorker(worker, load, timers.now());
+    this.#byWorker.set(worker.workerId, link);
     workerFound();
   }
 
@@ -278,6 +279,9 @@
     const { known } = link;
     if (known === undefined) return;
     link.known = undefined;
+    if (this.#byWorker.get(known.workerId) === link) {
+      this.#byWorker.delete(known.workerId);
+    }
     this.#options.logger.info('worker no longer announced', {
       worker: known.workerId,
     });
