--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -16,6 +16,8 @@
 
 const watchTimeout: Milliseconds = 1_000;
 const checkInterval: Milliseconds = 100;
+/** Before the first host is watched, callers of this process wait for it. */
+const firstCheckInterval: Milliseconds = 20;
 const allVersions = -1;
 
 /** What the watch needs. */
@@ -110,7 +112,8 @@
   const run = async (): Promise<void> => {
     while (!options.isStopped()) {
       check();
-      await sleep(timers, checkInterval);
+      const isFirst = provedAt === undefined;
+      await sleep(timers, isFirst ? firstCheckInterval : checkInterval);
     }
   };
 
