Give up a dial sooner while the hosts start

Cause: a dial to a host that has no power yet is never answered, also once the host has started. Ruled out: pauses between dials (50 ms since they no longer grow at the start), the election (0.05 s after the third replica). The new test failed before.

--- a/packages/control-client/src/control-host.test.ts
+++ b/packages/control-client/src/control-host.test.ts
@@ -1,20 +1,36 @@
 import { createRandomSource } from '@cranberryturn/random';
 import { createManualTimerService } from '@cranberryturn/timers';
-import { createMemoryNetwork, ProcessRole } from '@cranberryturn/wire';
+import {
+  createMemoryNetwork,
+  type Network,
+  ProcessRole,
+} from '@cranberryturn/wire';
 import test from 'ava';
+import { ResultAsync } from 'neverthrow';
 
 import { keepControlHost } from './control-host.js';
 
 const address = { address: '10.0.0.1', port: 7_700 };
 
-function startDialling(seed: number) {
+/** A dial to a host without power is never answered. */
+function dialWhenOn(network: Network, isOn: () => boolean): Network {
+  return {
+    ...network,
+    dial: target =>
+      isOn()
+        ? network.dial(target)
+        : ResultAsync.fromSafePromise(new Promise<never>(() => undefined)),
+  };
+}
+
+function startDialling(seed: number, isOn: () => boolean = () => true) {
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, 1);
   const join = (role: ProcessRole, name: string) =>
     network.join({ role, name, incarnation: name });
   const host = keepControlHost({
     address,
-    network: join(ProcessRole.Dispatcher, 'dispatcher'),
+    network: dialWhenOn(join(ProcessRole.Dispatcher, 'dispatcher'), isOn),
     timers,
     random: createRandomSource(seed),
     handleNotice: () => undefined,
@@ -34,6 +50,17 @@
   }
 });
 
+test('a dial that began before its host had power does not hold up the next one', async t => {
+  let isOn = false;
+  const { timers, host, control } = startDialling(1, () => isOn);
+  await control.listen(address, () => undefined);
+  await timers.advance(50);
+  isOn = true;
+  await timers.advance(350);
+  t.not(host.calls(), undefined);
+  host.stop();
+});
+
 test('pauses grow when a control host stays away', async t => {
   const { timers, host, control } = startDialling(1);
   await timers.advance(20_000);
--- a/packages/control-client/src/control-host.ts
+++ b/packages/control-client/src/control-host.ts
@@ -3,8 +3,10 @@
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import {
+  chooseDialTimeout,
   type ControlNotice,
   dialWithin,
+  isStartPeriod,
   type Network,
   type RemoteCalls,
   serveRemoteCalls,
@@ -15,8 +17,6 @@
 const dialTimeout: Milliseconds = 1_000;
 const firstPause: Milliseconds = 50;
 const longestPause: Milliseconds = 2_000;
-/** Hosts that start together all listen after about a second: pauses grow only then. */
-const startTime: Milliseconds = 1_500;
 
 /** One control host as this process reaches it. */
 export interface ControlHost {
@@ -47,7 +47,8 @@
   const isStopped = (): boolean => stopped;
 
   const serve = async (): Promise<boolean> => {
-    const dialled = await dialWithin(network, timers, address, dialTimeout);
+    const timeout = chooseDialTimeout(timers.now() - startedAt, dialTimeout);
+    const dialled = await dialWithin(network, timers, address, timeout);
     if (dialled.isErr()) return false;
     if (isStopped()) {
       dialled.value.close();
@@ -70,7 +71,7 @@
     while (!isStopped()) {
       const served = await serve();
       failures = served ? 0 : failures + 1;
-      const isStarting = timers.now() - startedAt < startTime;
+      const isStarting = isStartPeriod(timers.now() - startedAt);
       const longest = computeBackoff(
         isStarting ? 0 : failures,
         firstPause,
--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -12,6 +12,7 @@
   ReplicaId,
 } from '@cranberryturn/types';
 import {
+  chooseDialTimeout,
   type Connection,
   dialWithin,
   type Network,
@@ -125,6 +126,7 @@
     ReplicaId,
     Promise<Result<RemoteCalls, ConnectionError>>
   >();
+  const startedAt = timers.now();
   let closed = false;
 
   const connect = async (
@@ -135,7 +137,8 @@
     if (address === undefined || network === undefined) {
       return err(unknownPeer(peer));
     }
-    const dialled = await dialWithin(network, timers, address, dialTimeout);
+    const timeout = chooseDialTimeout(timers.now() - startedAt, dialTimeout);
+    const dialled = await dialWithin(network, timers, address, timeout);
     if (dialled.isErr()) {
       const { error } = dialled;
       return err(new ConnectionError(error.message, error, error));
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -2,7 +2,14 @@
 import type { RandomSource } from '@cranberryturn/random';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
-import type { Connection, Network, PeerIdentity } from '@cranberryturn/wire';
+import {
+  chooseDialTimeout,
+  type Connection,
+  dialWithin,
+  isStartPeriod,
+  type Network,
+  type PeerIdentity,
+} from '@cranberryturn/wire';
 import { err, ok, type Result } from 'neverthrow';
 
 import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
@@ -12,8 +19,7 @@
 
 const minimumBackoffMilliseconds: Milliseconds = 50;
 const maximumBackoffMilliseconds: Milliseconds = 1_000;
-/** Hosts that start together all listen after about a second: pauses grow only then. */
-const startTimeMilliseconds: Milliseconds = 1_500;
+const dialTimeoutMilliseconds: Milliseconds = 2_000;
 const sessionNumbers = 2 ** 32;
 const openTimeoutMilliseconds: Milliseconds = 1_000;
 
@@ -50,6 +56,7 @@
   options: OpenSessionOptions<Outgoing, Incoming>,
 ): SessionDialer<Outgoing, Incoming> {
   const { timers } = options;
+  const startedAt = timers.now();
   let session: Session<Outgoing, Incoming> | undefined;
   let closed = false;
 
@@ -69,7 +76,12 @@
   };
 
   const connectOnce = async (): Promise<Result<void, Error>> => {
-    const dialled = await options.network.dial(options.address);
+    const dialled = await dialWithin(
+      options.network,
+      timers,
+      options.address,
+      chooseDialTimeout(timers.now() - startedAt, dialTimeoutMilliseconds),
+    );
     if (dialled.isErr()) return err(dialled.error);
     const connection = dialled.value;
     if (options.accepts?.(connection.peer) === false) {
@@ -94,7 +106,6 @@
   };
 
   const maintain = async (): Promise<void> => {
-    const startedAt = timers.now();
     let backoff = minimumBackoffMilliseconds;
     for (;;) {
       const outcome = await connectOnce();
@@ -104,7 +115,7 @@
         continue;
       }
       await sleep(timers, backoff * (0.5 + options.random.fraction()));
-      if (timers.now() - startedAt < startTimeMilliseconds) continue;
+      if (isStartPeriod(timers.now() - startedAt)) continue;
       backoff = Math.min(backoff * 2, maximumBackoffMilliseconds);
     }
   };
--- a/packages/wire/src/dial-within.ts
+++ b/packages/wire/src/dial-within.ts
@@ -11,6 +11,26 @@
 
 type DialResult = Result<Connection, ConnectionError | AuthenticationError>;
 
+/** Hosts that start together all listen after about a second. */
+const startPeriod: Milliseconds = 1_500;
+/** A dial to a host without power is never answered, also once the host has started. */
+const startDialTimeout: Milliseconds = 250;
+
+/** Whether other hosts may be starting as well, so that another dial soon is of use. */
+export function isStartPeriod(sinceStart: Milliseconds): boolean {
+  return sinceStart < startPeriod;
+}
+
+/** Time for a dial: `timeout`, or less while other hosts may be starting. */
+export function chooseDialTimeout(
+  sinceStart: Milliseconds,
+  timeout: Milliseconds,
+): Milliseconds {
+  return isStartPeriod(sinceStart)
+    ? Math.min(startDialTimeout, timeout)
+    : timeout;
+}
+
 /** Dials, and gives up after `timeout`; a connection that opens later is closed. */
 export function dialWithin(
   dialer: Dialer,
