Hold sessions with a bounded number of dispatchers on the platform

Cause: every sidecar held a session with every dispatcher, 6,400 on 40 dispatchers and 160 workers, each with a report every 300 ms and heartbeats of its own; and every change of the roster sent the whole list over each of these sessions, also a restart at the same address.

Change: a sidecar chooses twelve of the listed dispatchers by rendezvous hashing of the names. It leaves the others in steps: no further runs, then those placed end, then it says so. Lists carry the version of the roster and go only to sidecars that have not received them from another dispatcher; a restart at the same address is no change. A sidecar that hears none of its dispatchers for five seconds dials the seeds again.

--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -17,13 +17,13 @@
 import type {
   DataCentreName,
   DispatcherId,
-  KnownDispatcher,
   Milliseconds,
   NetworkAddress,
 } from '@cranberryturn/types';
 import { type Network, ProcessRole } from '@cranberryturn/wire';
 import type { ResultAsync } from 'neverthrow';
 
+import { followDispatcherList } from './follow-dispatcher-list.js';
 import { type StartReadiness, watchStartReadiness } from './start-readiness.js';
 import { sidecarSessionTimes } from './sidecar-session-times.js';
 
@@ -89,8 +89,7 @@
       logger.info('control host watched', { controlHost: host ?? 'none' });
     },
   });
-  const listDispatchers = (): readonly KnownDispatcher[] =>
-    control.roster.current().dispatchers;
+  const dispatcherList = followDispatcherList(control.roster);
   const jobs = new TransientJobs({
     ...options,
     timers,
@@ -98,7 +97,7 @@
     times: sidecarSessionTimes,
     logger,
     metrics,
-    listDispatchers,
+    listDispatchers: dispatcherList.current,
   });
   const readiness = watchStartReadiness({
     timers,
@@ -106,7 +105,7 @@
     countWorkers: () => jobs.workers.countUsableWorkers(),
     isPaused: () => jobs.isPaused(),
   });
-  const unsubscribeFromRoster = control.roster.subscribe(() => {
+  const unsubscribeFromList = dispatcherList.subscribe(() => {
     jobs.workers.sendDispatcherList();
   });
   metrics.registerGauge(Gauge.JobsOpen, () => jobs.inFlight);
@@ -137,7 +136,7 @@
         stop: async (graceMilliseconds: Milliseconds) => {
           await jobs.stop(graceMilliseconds);
           registration.cancel();
-          unsubscribeFromRoster();
+          unsubscribeFromList();
           await control.stop();
           await listener.close();
         },
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -1,5 +1,6 @@
 /** Reliable message sessions that survive the loss of a connection. */
 export * from './accept-sessions.js';
+export * from './choose-session-peers.js';
 export * from './open-session.js';
 export * from './plan-sessions.js';
 export * from './session.js';
--- a/packages/transient-jobs/src/decisions.test.ts
+++ b/packages/transient-jobs/src/decisions.test.ts
@@ -5,7 +5,8 @@
 
 import { chooseWorkers, type PlacementRequest } from './choose-workers.js';
 import { decideAdmission, type AdmissionRequest } from './decide-admission.js';
-import { createQueue, first, oneProcessor } from './fakes/jobs-fixture.js';
+import { first } from './fakes/get-item.js';
+import { createQueue, oneProcessor } from './fakes/jobs-fixture.js';
 import {
   createKnownWorker,
   type KnownWorker,
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -6,7 +6,11 @@
   createManualTimerService,
   type ManualTimerService,
 } from '@cranberryturn/timers';
-import type { QueueConfiguration, WorkerRun } from '@cranberryturn/types';
+import type {
+  DispatcherList,
+  QueueConfiguration,
+  WorkerRun,
+} from '@cranberryturn/types';
 import {
   createMemoryNetwork,
   type MemoryNetwork,
@@ -62,6 +66,8 @@
   readonly hosts: readonly FakeHost[];
   /** Violated invariants: tasks with two active runs, or workers beyond their capacity. */
   readonly violations: string[];
+  /** Changes the list of dispatchers, as after a change of the roster: those at the given positions. */
+  listDispatchers(positions: readonly number[]): void;
 }
 
 /** Creates the queue of these tests. */
@@ -113,13 +119,18 @@
   readonly dispatchers: number;
   readonly workers: number;
   readonly processors: number;
+  /** Number of dispatchers that sidecars dial first; all by default. */
+  readonly seeds?: number | undefined;
 }): Promise<JobsFixture> {
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, networkDelayMilliseconds);
   const violations: string[] = [];
   const dispatchers: FakeDispatcher[] = [];
+  let list: DispatcherList = { version: 0, dispatchers: [] };
   for (let number = 0; number < options.dispatchers; number += 1) {
-    dispatchers.push(await startDispatcher(timers, network, number));
+    dispatchers.push(
+      await startDispatcher(timers, network, number, () => list),
+    );
   }
   const hosts = Array.from({ length: options.workers }, (_, number) =>
     startHost(timers, network, number, options),
@@ -128,7 +139,23 @@
     checkWorkers(hosts, options.processors, violations);
   });
   await timers.advance(300);
-  return { timers, network, dispatchers, hosts, violations };
+  return {
+    timers,
+    network,
+    dispatchers,
+    hosts,
+    violations,
+    listDispatchers: positions => {
+      list = {
+        version: list.version + 1,
+        dispatchers: positions.map(number => ({
+          dispatcherId: `dispatcher-${String(number)}`,
+          address: { address, port: firstPort + number },
+        })),
+      };
+      for (const { jobs } of dispatchers) jobs.workers.sendDispatcherList();
+    },
+  };
 }
 
 function checkWorkers(
@@ -151,6 +178,7 @@
   timers: ManualTimerService,
   network: MemoryNetwork,
   number: number,
+  listDispatchers: () => DispatcherList,
 ): Promise<FakeDispatcher> {
   const name = `dispatcher-${String(number)}`;
   let processes = 0;
@@ -167,7 +195,7 @@
       logger: createSilentLogger(),
       metrics: createMetrics({ role: 'dispatcher', process: name, timers }),
       remoteFactor: 1.5,
-      listDispatchers: () => [],
+      listDispatchers,
     });
     const listener = await network
       .join({
@@ -198,7 +226,11 @@
   timers: ManualTimerService,
   network: MemoryNetwork,
   number: number,
-  options: { readonly dispatchers: number; readonly processors: number },
+  options: {
+    readonly dispatchers: number;
+    readonly processors: number;
+    readonly seeds?: number | undefined;
+  },
 ): FakeHost {
   const name = `sidecar-${String(number)}`;
   let incarnations = 0;
@@ -225,15 +257,19 @@
   const startGate = (): WorkerGate => {
     processes += 1;
     return startWorkerGate({
+      name,
       network: network.join({
         role: ProcessRole.Sidecar,
         name,
         incarnation: `${name}/${String(processes)}`,
       }),
-      seeds: Array.from({ length: options.dispatchers }, (_, dispatcher) => ({
-        address,
-        port: firstPort + dispatcher,
-      })),
+      seeds: Array.from(
+        { length: options.seeds ?? options.dispatchers },
+        (_, dispatcher) => ({
+          address,
+          port: firstPort + dispatcher,
+        }),
+      ),
       timers,
       random: createRandomSource(1_000 + number * 100 + processes),
       times,
@@ -276,15 +312,3 @@
   report();
   return host;
 }
-
-/** Returns an item that the test expects to exist. Throws when there is none. */
-export function getItem<Item>(items: readonly Item[], index: number): Item {
-  const item = items[index];
-  if (item === undefined)
-    throw new Error(`List has no item at index ${String(index)}.`);
-  return item;
-}
-
-export function first<Item>(items: readonly Item[]): Item {
-  return getItem(items, 0);
-}
--- a/packages/transient-jobs/src/overload.test.ts
+++ b/packages/transient-jobs/src/overload.test.ts
@@ -2,11 +2,11 @@
 import { createRandomSource, type RandomSource } from '@cranberryturn/random';
 import test from 'ava';
 
+import { getItem } from './fakes/get-item.js';
 import {
   createJob,
   createQueue,
   type JobsFixture,
-  getItem,
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -6,10 +6,10 @@
 import fc from 'fast-check';
 
 import type { SubmittedJob } from './transient-jobs-options.js';
+import { getItem } from './fakes/get-item.js';
 import {
   createJob,
   type JobsFixture,
-  getItem,
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 
--- a/packages/transient-jobs/src/transient-jobs-options.ts
+++ b/packages/transient-jobs/src/transient-jobs-options.ts
@@ -4,7 +4,7 @@
 import type { RandomSource } from '@cranberryturn/random';
 import type { SessionTimes } from '@cranberryturn/sessions';
 import type { TimerService } from '@cranberryturn/timers';
-import type { DispatcherId, KnownDispatcher } from '@cranberryturn/types';
+import type { DispatcherId, DispatcherList } from '@cranberryturn/types';
 
 import type { TransientJobEnd } from './transient-job.js';
 
@@ -19,8 +19,8 @@
   readonly metrics: Metrics;
   /** Factor by which a task runs longer on a rack without its input data. */
   readonly remoteFactor: number;
-  /** Dispatchers that sidecars should keep sessions with. */
-  readonly listDispatchers: () => readonly KnownDispatcher[];
+  /** Dispatchers from which sidecars choose those that they keep sessions with. */
+  readonly listDispatchers: () => DispatcherList;
 }
 
 /** A submitted job, as one caller sees it. */
--- a/packages/transient-jobs/src/transient-jobs.test.ts
+++ b/packages/transient-jobs/src/transient-jobs.test.ts
@@ -1,12 +1,11 @@
 import { WorkerRunOutcome } from '@cranberryturn/worker-gate';
 import test from 'ava';
 
+import { first, getItem } from './fakes/get-item.js';
 import {
   createJob,
   createQueue,
-  first,
   oneProcessor,
-  getItem,
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
--- /dev/null
+++ b/packages/transient-jobs/src/worker-directory-options.ts
@@ -0,0 +1,39 @@
+/** Dependencies of the worker directory, and the events that it reports. */
+import type { Logger } from '@cranberryturn/logger';
+import type { RandomSource } from '@cranberryturn/random';
+import type { SessionTimes } from '@cranberryturn/sessions';
+import type { TimerService } from '@cranberryturn/timers';
+import type {
+  DispatcherList,
+  RunEnd,
+  StalledRun,
+  TargetId,
+} from '@cranberryturn/types';
+
+import type { KnownWorker } from './known-worker.js';
+
+/** Events at the workers, and the query that the directory needs in return. */
+export interface WorkerEvents {
+  readonly runEnded: (workerId: TargetId, end: RunEnd) => void;
+  readonly runsStalled: (
+    known: KnownWorker,
+    runs: readonly StalledRun[],
+  ) => void;
+  /** No run of this dispatcher is active at the worker any more. */
+  readonly workerLost: (workerId: TargetId) => void;
+  /** A worker was announced, or a new incarnation of a known worker. */
+  readonly workerAnnounced: () => void;
+  /** A worker reported its load. Called after every message of its sidecar. */
+  readonly loadReported: (known: KnownWorker) => void;
+  readonly hasRunsAt: (workerId: TargetId) => boolean;
+}
+
+/** Dependencies and event handlers of the directory. */
+export interface WorkerDirectoryOptions extends WorkerEvents {
+  readonly timers: TimerService;
+  readonly random: RandomSource;
+  readonly times: SessionTimes;
+  readonly logger: Logger;
+  /** Dispatchers from which sidecars choose those that they keep sessions with. */
+  readonly listDispatchers: () => DispatcherList;
+}
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -1,18 +1,10 @@
 /** Tracks the sidecars connected to this dispatcher and their workers, and exchanges messages with them. */
-import type { Logger } from '@cranberryturn/logger';
-import {
-  acceptSessions,
-  type SessionListener,
-  type SessionTimes,
-} from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
+import { acceptSessions, type SessionListener } from '@cranberryturn/sessions';
+import type { TimerSubscription } from '@cranberryturn/timers';
 import type {
   JobId,
-  KnownDispatcher,
   Milliseconds,
-  RunEnd,
   RunOrder,
-  StalledRun,
   TargetId,
   TaskId,
   WorkerRun,
@@ -36,48 +28,18 @@
   updateLoad,
   recordOrder,
 } from './known-worker.js';
+import {
+  createSidecarSession,
+  type SidecarSession,
+} from './sidecar-session.js';
+import type { WorkerDirectoryOptions } from './worker-directory-options.js';
 
 const checkIntervalMilliseconds: Milliseconds = 100;
-
-/** Events at the workers, and the query that the directory needs in return. */
-export interface WorkerEvents {
-  readonly runEnded: (workerId: TargetId, end: RunEnd) => void;
-  readonly runsStalled: (
-    known: KnownWorker,
-    runs: readonly StalledRun[],
-  ) => void;
-  /** No run of this dispatcher is active at the worker any more. */
-  readonly workerLost: (workerId: TargetId) => void;
-  /** A worker was announced, or a new incarnation of a known worker. */
-  readonly workerAnnounced: () => void;
-  /** A worker reported its load. Called after every message of its sidecar. */
-  readonly loadReported: (known: KnownWorker) => void;
-  readonly hasRunsAt: (workerId: TargetId) => boolean;
-}
-
-/** Dependencies and event handlers of the directory. */
-export interface WorkerDirectoryOptions extends WorkerEvents {
-  readonly timers: TimerService;
-  readonly times: SessionTimes;
-  readonly logger: Logger;
-  /** Dispatchers that sidecars should keep sessions with. */
-  readonly listDispatchers: () => readonly KnownDispatcher[];
-}
-
-/** The session with one process of a sidecar. */
-interface SidecarSession {
-  readonly sidecar: string;
-  readonly send: (message: ToWorkerMessage) => void;
-  known: KnownWorker | undefined;
-  /** Latest stamp received; echoed in each message to renew the lease of this dispatcher. */
-  echo: Milliseconds;
-  lastHeardAt: Milliseconds;
-  lastSentAt: Milliseconds;
-  /** Number of placement orders sent in this session. */
-  orders: number;
-  /** False once the session has ended; the runs at its worker are kept until the lease expires. */
-  isOpen: boolean;
-}
+/**
+ * Maximum delay of a changed list of dispatchers. Each dispatcher draws its own delay, so that most
+ * sidecars have received the list from another dispatcher by then and need no second copy.
+ */
+const maximumListDelayMilliseconds: Milliseconds = 1_000;
 
 /** The workers that one dispatcher can reach through their sidecars. */
 export class WorkerDirectory {
@@ -86,6 +48,7 @@
   readonly #sessionsByWorker = new Map<TargetId, SidecarSession>();
   readonly #acceptor;
   readonly #ticker;
+  #listTimer: TimerSubscription | undefined;
 
   constructor(options: WorkerDirectoryOptions) {
     this.#options = options;
@@ -154,13 +117,19 @@
     });
   }
 
-  /** Sends the current list of dispatchers to all sidecars. */
+  /** Sends a changed list of dispatchers to the sidecars that have not received it from another dispatcher. */
   sendDispatcherList(): void {
-    for (const session of this.#sessions) this.#sendDispatcherListTo(session);
+    const { timers, random } = this.#options;
+    const delayMilliseconds = random.fraction() * maximumListDelayMilliseconds;
+    this.#listTimer ??= timers.after(delayMilliseconds, () => {
+      this.#listTimer = undefined;
+      for (const session of this.#sessions) this.#updateDispatcherList(session);
+    });
   }
 
   close(): void {
     this.#ticker.cancel();
+    this.#listTimer?.cancel();
     this.#acceptor.close();
   }
 
@@ -175,10 +144,15 @@
     session.send({ ...body, echo: session.echo });
   }
 
-  #sendDispatcherListTo(session: SidecarSession): void {
-    const dispatchers = this.#options.listDispatchers();
-    if (dispatchers.length === 0) return;
-    this.#send(session, { kind: ToWorkerKind.KnownDispatchers, dispatchers });
+  #updateDispatcherList(session: SidecarSession): void {
+    const { version, dispatchers } = this.#options.listDispatchers();
+    if (!session.isOpen || session.listVersion >= version) return;
+    session.listVersion = version;
+    this.#send(session, {
+      kind: ToWorkerKind.KnownDispatchers,
+      version,
+      dispatchers,
+    });
   }
 
   #startSession(
@@ -187,16 +161,7 @@
   ): SessionListener<FromWorkerMessage> {
     const { timers, logger } = this.#options;
     const sidecar = peer.name;
-    const session: SidecarSession = {
-      sidecar,
-      send,
-      known: undefined,
-      echo: -dispatcherLease,
-      lastHeardAt: timers.now(),
-      lastSentAt: timers.now(),
-      orders: 0,
-      isOpen: true,
-    };
+    const session = createSidecarSession(peer, send, timers.now());
     this.#sessions.add(session);
     return {
       messageReceived: message => {
@@ -205,7 +170,6 @@
       hasWork: () => this.#hasRuns(session),
       connected: () => {
         logger.info('sidecar connected', { sidecar });
-        this.#sendDispatcherListTo(session);
       },
       suspected: () => {
         logger.warn('sidecar not heard', { sidecar });
@@ -221,9 +185,15 @@
     const now = this.#options.timers.now();
     session.echo = Math.max(session.echo, message.stamp);
     session.lastHeardAt = now;
+    session.listVersion = Math.max(
+      session.listVersion,
+      message.dispatcherListVersion,
+    );
     if (message.kind === FromWorkerKind.Announce) {
       this.#handleAnnouncement(session, message.worker, message);
+      this.#updateDispatcherList(session);
     }
+    if (message.kind === FromWorkerKind.Leave) this.#endSession(session);
     if (session.known !== undefined)
       updateLoad(session.known, message.load, message.orders, now);
     if (session.known === undefined) return;
@@ -243,6 +213,7 @@
         return;
       case FromWorkerKind.Announce:
       case FromWorkerKind.Heartbeat:
+      case FromWorkerKind.Leave:
         return;
     }
   }
@@ -267,7 +238,7 @@
 
   #dropEarlierSessions(session: SidecarSession): void {
     for (const other of this.#sessions) {
-      if (other.sidecar === session.sidecar && other !== session)
+      if (other.peer.name === session.peer.name && other !== session)
         this.#dropSession(other);
     }
   }
@@ -277,6 +248,15 @@
     this.#sessions.delete(session);
   }
 
+  /** Ends the session of a sidecar that leaves it; no run of this dispatcher is left there. */
+  #endSession(session: SidecarSession): void {
+    this.#options.logger.info('sidecar leaves the session', {
+      sidecar: session.peer.name,
+    });
+    this.#dropSession(session);
+    this.#acceptor.endSession(session.peer);
+  }
+
   #forgetWorker(session: SidecarSession): void {
     const { known } = session;
     if (known === undefined) return;
@@ -319,7 +299,7 @@
     }
     if (!this.#hasRuns(session) || session.known === undefined) return;
     this.#options.logger.warn('sidecar silent for longer than its lease', {
-      sidecar: session.sidecar,
+      sidecar: session.peer.name,
       silenceMilliseconds: Math.round(
         this.#options.timers.now() - session.lastHeardAt,
       ),
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -4,6 +4,7 @@
   DispatcherId,
   Incarnation,
   JobId,
+  LogIndex,
   Milliseconds,
   ServiceName,
   TargetId,
@@ -129,3 +130,10 @@
   readonly dispatcherId: DispatcherId;
   readonly address: NetworkAddress;
 }
+
+/** The dispatchers that a dispatcher knows from the roster. */
+export interface DispatcherList {
+  /** Version of the roster at which a dispatcher or an address last changed; 0 before the first roster. */
+  readonly version: LogIndex;
+  readonly dispatchers: readonly KnownDispatcher[];
+}
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -5,6 +5,7 @@
 import type {
   JobId,
   KnownDispatcher,
+  LogIndex,
   Milliseconds,
   RunEnd,
   RunOrder,
@@ -45,6 +46,8 @@
   | { readonly kind: ToWorkerKind.Heartbeat }
   | {
       readonly kind: ToWorkerKind.KnownDispatchers;
+      /** Version of the roster at which this list last changed. */
+      readonly version: LogIndex;
       readonly dispatchers: readonly KnownDispatcher[];
     };
 
@@ -63,6 +66,8 @@
   StalledRuns = 'still',
   /** Shows that the sidecar is alive, and carries the load of its worker. */
   Heartbeat = 'beat',
+  /** Last message of a session that the sidecar gives up; no run of the dispatcher is left at its worker. */
+  Leave = 'leave',
 }
 
 /** Fields of every message from a sidecar. */
@@ -72,6 +77,8 @@
   readonly load: WorkerLoad;
   /** Number of orders to place runs received in this session; `load` already includes these orders. */
   readonly orders: number;
+  /** Version of the latest list of dispatchers that the sidecar has received; 0 before the first. */
+  readonly dispatcherListVersion: LogIndex;
 }
 
 /** Body of a message about runs from a sidecar to a dispatcher. */
@@ -88,7 +95,7 @@
       readonly kind: FromWorkerKind.StalledRuns;
       readonly runs: readonly StalledRun[];
     }
-  | { readonly kind: FromWorkerKind.Heartbeat };
+  | { readonly kind: FromWorkerKind.Heartbeat | FromWorkerKind.Leave };
 
 /** A message about runs from a sidecar to a dispatcher. */
 export type FromWorkerMessage = FromWorkerHeader & FromWorkerBody;
--- /dev/null
+++ b/packages/worker-gate/src/dispatcher-reports.ts
@@ -0,0 +1,143 @@
+/** Messages from a sidecar to its dispatchers: announcements, ends of runs and periodic load reports. */
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type {
+  DispatcherId,
+  Milliseconds,
+  RunEnd,
+  WorkerLoad,
+} from '@cranberryturn/types';
+import {
+  type FromWorkerBody,
+  FromWorkerKind,
+  runHeartbeatInterval,
+} from '@cranberryturn/wire';
+
+import type { DispatcherSession } from './dispatcher-session.js';
+import type { DispatcherSessions } from './dispatcher-sessions.js';
+import { SessionPhase } from './session-phase.js';
+import type { WorkerExecutor } from './worker-executor.js';
+
+/** Maximum interval between load reports to a dispatcher without runs here: its lease needs a recent stamp. */
+const idleHeartbeatMilliseconds: Milliseconds = 300;
+const heartbeatCheckMilliseconds: Milliseconds = 100;
+
+const noLoad: WorkerLoad = {
+  free: { processors: 0, memoryMebibytes: 0, accelerators: 0 },
+  waitingWork: [],
+  runningWork: 0,
+  closed: true,
+};
+
+/** State that the reports are composed from. */
+export interface DispatcherReportsOptions {
+  readonly timers: TimerService;
+  readonly sessions: () => DispatcherSessions;
+  /** Executor of the current incarnation of the worker; undefined when there is none. */
+  readonly executor: () => WorkerExecutor | undefined;
+}
+
+/** Sends the reports of one sidecar. */
+export class DispatcherReports {
+  readonly #options: DispatcherReportsOptions;
+  /** Dispatchers that have not received the latest change of the load. */
+  readonly #outdatedDispatchers = new Set<DispatcherId>();
+  readonly #pendingEnds = new Map<DispatcherSession, RunEnd[]>();
+  readonly #heartbeatTimer: TimerSubscription;
+
+  constructor(options: DispatcherReportsOptions) {
+    this.#options = options;
+    this.#heartbeatTimer = options.timers.every(
+      heartbeatCheckMilliseconds,
+      () => {
+        this.#sendDueHeartbeats();
+      },
+    );
+  }
+
+  /** Sends a message with the current load. */
+  send(session: DispatcherSession, body: FromWorkerBody): void {
+    const { timers, sessions } = this.#options;
+    const now = timers.now();
+    session.lastSentAt = now;
+    this.#outdatedDispatchers.delete(session.dispatcherId);
+    session.send({
+      ...body,
+      stamp: now,
+      load: this.#composeLoad(session),
+      orders: session.orders,
+      dispatcherListVersion: sessions().listVersion,
+    });
+  }
+
+  /** Announces the worker, or that none is ready, to one dispatcher. */
+  announceWorker(session: DispatcherSession): void {
+    const executor = this.#options.executor();
+    const isOffered =
+      executor?.lease.isReady === true && session.phase !== SessionPhase.Left;
+    const worker = isOffered ? executor.worker : undefined;
+    this.send(session, { kind: FromWorkerKind.Announce, worker });
+  }
+
+  announceToAll(): void {
+    for (const session of this.#options.sessions().listConnected())
+      this.announceWorker(session);
+  }
+
+  /** Tells the dispatcher of a session that its phase has changed. */
+  reportPhase(session: DispatcherSession): void {
+    const hasLeft = session.phase === SessionPhase.Left;
+    const kind = hasLeft ? FromWorkerKind.Leave : FromWorkerKind.Heartbeat;
+    this.send(session, { kind });
+  }
+
+  /** Reports the end of a run. Ends in one status report of the worker are sent in one message. */
+  reportEnd(session: DispatcherSession, end: RunEnd): void {
+    const ends = this.#pendingEnds.get(session);
+    if (ends !== undefined) {
+      ends.push(end);
+      return;
+    }
+    this.#pendingEnds.set(session, [end]);
+    queueMicrotask(() => {
+      const endsToSend = this.#pendingEnds.get(session) ?? [];
+      this.#pendingEnds.delete(session);
+      this.send(session, { kind: FromWorkerKind.RunsEnded, ends: endsToSend });
+    });
+  }
+
+  /** The load has changed; each dispatcher hears of it with its next report. */
+  markOutdated(): void {
+    for (const { dispatcherId } of this.#options.sessions().listConnected())
+      this.#outdatedDispatchers.add(dispatcherId);
+  }
+
+  /** Reports the load to all dispatchers at once. */
+  reportToAll(): void {
+    for (const session of this.#options.sessions().listConnected())
+      this.send(session, { kind: FromWorkerKind.Heartbeat });
+  }
+
+  stop(): void {
+    this.#heartbeatTimer.cancel();
+  }
+
+  #sendDueHeartbeats(): void {
+    const { timers, sessions, executor } = this.#options;
+    const now = timers.now();
+    for (const session of sessions().listConnected()) {
+      const needsPromptHeartbeat =
+        this.#outdatedDispatchers.has(session.dispatcherId) ||
+        (executor()?.hasWorkFor(session.dispatcherId) ?? false);
+      const intervalMilliseconds = needsPromptHeartbeat
+        ? runHeartbeatInterval
+        : idleHeartbeatMilliseconds;
+      if (now - session.lastSentAt < intervalMilliseconds) continue;
+      this.send(session, { kind: FromWorkerKind.Heartbeat });
+    }
+  }
+
+  #composeLoad({ phase }: DispatcherSession): WorkerLoad {
+    const load = this.#options.executor()?.load ?? noLoad;
+    return phase === SessionPhase.Open ? load : { ...load, closed: true };
+  }
+}
--- /dev/null
+++ b/packages/worker-gate/src/dispatcher-session.ts
@@ -0,0 +1,81 @@
+/** One session of a sidecar with a dispatcher, and what its events lead to. */
+import type { Logger } from '@cranberryturn/logger';
+import type { SessionListener } from '@cranberryturn/sessions';
+import type { TimerService } from '@cranberryturn/timers';
+import type { DispatcherId, Milliseconds } from '@cranberryturn/types';
+import type { FromWorkerMessage, ToWorkerMessage } from '@cranberryturn/wire';
+
+import { SessionPhase } from './session-phase.js';
+
+/** Time to replace a lost connection before the runs of its dispatcher are stopped. */
+const reconnectGraceMilliseconds: Milliseconds = 300;
+
+/** The session with one dispatcher. */
+export interface DispatcherSession {
+  readonly dispatcherId: DispatcherId;
+  readonly send: (message: FromWorkerMessage) => void;
+  /** Whether the session has a live connection. */
+  isConnected: boolean;
+  phase: SessionPhase;
+  lastSentAt: Milliseconds;
+  /** Number of placement orders received in this session. */
+  orders: number;
+}
+
+/** Session events, and the query that the sessions need in return. */
+export interface DispatcherEvents {
+  readonly sessionOpened: (session: DispatcherSession) => void;
+  readonly received: (
+    session: DispatcherSession,
+    message: ToWorkerMessage,
+  ) => void;
+  /** The session has entered another phase, of which its dispatcher has to be told. */
+  readonly phaseChanged: (session: DispatcherSession) => void;
+  /** The dispatcher was restarted, is gone, or did not reconnect in time. May be called more than once for a session. */
+  readonly sessionLost: (session: DispatcherSession) => void;
+  readonly hasWorkFor: (dispatcher: DispatcherId) => boolean;
+}
+
+/** Dependencies of a listener. */
+export interface DispatcherListenerDependencies extends DispatcherEvents {
+  readonly timers: TimerService;
+  readonly logger: Logger;
+}
+
+/** Creates the listener of a session. `close` is called once a session that was left has lost its connection. */
+export function listenToDispatcher(
+  session: DispatcherSession,
+  dependencies: DispatcherListenerDependencies,
+  close: () => void,
+): SessionListener<ToWorkerMessage> {
+  const { timers, logger, received, sessionOpened, sessionLost, hasWorkFor } =
+    dependencies;
+  const { dispatcherId } = session;
+  return {
+    messageReceived: message => {
+      received(session, message);
+    },
+    hasWork: () => hasWorkFor(dispatcherId),
+    connected: () => {
+      session.isConnected = true;
+      logger.info('dispatcher connected', { dispatcherId });
+      sessionOpened(session);
+    },
+    suspected: () => {
+      session.isConnected = false;
+      if (session.phase === SessionPhase.Left) {
+        close();
+        return;
+      }
+      logger.warn('dispatcher not heard', { dispatcherId });
+      timers.after(reconnectGraceMilliseconds, () => {
+        if (!session.isConnected) sessionLost(session);
+      });
+    },
+    ended: reason => {
+      session.isConnected = false;
+      logger.info('session with dispatcher ended', { dispatcherId, reason });
+      sessionLost(session);
+    },
+  };
+}
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -1,15 +1,21 @@
-/** The sessions of one sidecar with all known dispatchers. Each session is reopened until its dispatcher is given up. */
+/**
+ * The sessions of one sidecar with dispatchers. The sidecar chooses a bounded number of the known
+ * dispatchers, so that the sessions of a dispatcher do not grow with the product of both numbers.
+ */
 import type { Logger } from '@cranberryturn/logger';
 import type { RandomSource } from '@cranberryturn/random';
 import {
+  chooseSessionPeers,
   openSession,
   type SessionDialer,
-  type SessionListener,
   type SessionTimes,
 } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type {
   DispatcherId,
+  DispatcherList,
+  KnownDispatcher,
+  LogIndex,
   Milliseconds,
   NetworkAddress,
 } from '@cranberryturn/types';
@@ -20,36 +26,27 @@
   type ToWorkerMessage,
 } from '@cranberryturn/wire';
 
+import { DepartureStep, decideDeparture } from './decide-departure.js';
+import {
+  type DispatcherEvents,
+  type DispatcherSession,
+  listenToDispatcher,
+} from './dispatcher-session.js';
+import { SessionPhase } from './session-phase.js';
+
+/** Number of dispatchers that one sidecar holds sessions with. */
+export const maximumSessions = 12;
+
 /** A dispatcher that is neither listed nor connected is still dialled for this long. */
 const unlistedRetentionMilliseconds: Milliseconds = 30_000;
-/** Time to replace a lost connection before the runs of its dispatcher are stopped. */
-const reconnectGraceMilliseconds: Milliseconds = 300;
-
-/** The session with one dispatcher. */
-export interface DispatcherSession {
-  readonly dispatcherId: DispatcherId;
-  readonly send: (message: FromWorkerMessage) => void;
-  /** Whether the session has a live connection. */
-  isConnected: boolean;
-  lastSentAt: Milliseconds;
-  /** Number of placement orders received in this session. */
-  orders: number;
-}
-
-/** Session events, and the query that the sessions need in return. */
-export interface DispatcherEvents {
-  readonly sessionOpened: (session: DispatcherSession) => void;
-  readonly received: (
-    session: DispatcherSession,
-    message: ToWorkerMessage,
-  ) => void;
-  /** The dispatcher was restarted, is gone, or did not reconnect in time. May be called more than once for a session. */
-  readonly sessionLost: (session: DispatcherSession) => void;
-  readonly hasWorkFor: (dispatcher: DispatcherId) => boolean;
-}
+/** Without any connected dispatcher for this long, the seeds are dialled again. */
+const isolationMilliseconds: Milliseconds = 5_000;
+const checkIntervalMilliseconds: Milliseconds = 250;
 
 /** Dependencies and event handlers of the sessions. */
 export interface DispatcherSessionsOptions extends DispatcherEvents {
+  /** Name of this sidecar, on which its choice of dispatchers depends. */
+  readonly name: string;
   readonly network: Network;
   readonly seeds: readonly NetworkAddress[];
   readonly timers: TimerService;
@@ -63,18 +60,37 @@
   readonly dialer: SessionDialer<FromWorkerMessage, ToWorkerMessage>;
   session: DispatcherSession | undefined;
   lastListedAt: Milliseconds;
+  /** When the current phase of the departure began; undefined while the session is kept. */
+  departureStepAt: Milliseconds | undefined;
 }
 
 /** The sessions of one sidecar with dispatchers. */
 export class DispatcherSessions {
   readonly #options: DispatcherSessionsOptions;
   readonly #dispatchers = new Map<string, DialledDispatcher>();
-  readonly #seeds: ReadonlySet<string>;
+  readonly #checkTimer: TimerSubscription;
+  #seeds: readonly NetworkAddress[];
+  #listVersion: LogIndex = 0;
+  /** Addresses of the chosen dispatchers; empty before the first list. */
+  #chosen: ReadonlySet<string> = new Set();
+  #listed: ReadonlySet<string> = new Set();
+  #chosenAt: Milliseconds;
+  #lastConnectedAt: Milliseconds;
 
   constructor(options: DispatcherSessionsOptions) {
     this.#options = options;
-    this.#seeds = new Set(options.seeds.map(formatAddress));
+    this.#seeds = options.seeds;
+    this.#chosenAt = options.timers.now();
+    this.#lastConnectedAt = options.timers.now();
     for (const seed of options.seeds) this.#dial(seed);
+    this.#checkTimer = options.timers.every(checkIntervalMilliseconds, () => {
+      this.#checkSessions();
+    });
+  }
+
+  /** Version of the latest list of dispatchers; 0 before the first. */
+  get listVersion(): LogIndex {
+    return this.#listVersion;
   }
 
   /** Sessions with a live connection. */
@@ -91,30 +107,144 @@
     return undefined;
   }
 
-  /** Dials newly listed dispatchers, and closes sessions with those that have not been listed for long. Seeds stay. */
-  updateDispatchers(addresses: readonly NetworkAddress[]): void {
-    const now = this.#options.timers.now();
-    for (const address of addresses) {
+  /** Chooses among the listed dispatchers and dials those that are new. An older list changes nothing. */
+  updateDispatchers({ version, dispatchers }: DispatcherList): void {
+    if (version < this.#listVersion) return;
+    const { name, timers, logger } = this.#options;
+    this.#listVersion = version;
+    this.#listed = new Set(dispatchers.map(formatDispatcher));
+    const chosen = chooseSessionPeers(
+      name,
+      dispatchers,
+      maximumSessions,
+      ({ dispatcherId }) => dispatcherId,
+    );
+    this.#chosen = new Set(chosen.map(formatDispatcher));
+    this.#chosenAt = timers.now();
+    logger.info('dispatchers chosen', {
+      listVersion: version,
+      listed: dispatchers.length,
+      chosen: chosen.map(({ dispatcherId }) => dispatcherId),
+    });
+    for (const { address } of chosen) {
       const known = this.#dispatchers.get(formatAddress(address));
       if (known === undefined) this.#dial(address);
-      else known.lastListedAt = now;
-    }
-    for (const [key, dispatcher] of this.#dispatchers) {
-      const isKept =
-        this.#seeds.has(key) ||
-        dispatcher.session?.isConnected === true ||
-        now - dispatcher.lastListedAt < unlistedRetentionMilliseconds;
-      if (isKept) continue;
-      this.#dispatchers.delete(key);
-      dispatcher.dialer.close();
     }
+    this.#checkSessions();
+  }
+
+  /** Replaces the dispatchers to dial while no other is connected. */
+  changeSeeds(seeds: readonly NetworkAddress[]): void {
+    this.#seeds = seeds;
   }
 
   close(): void {
+    this.#checkTimer.cancel();
     for (const { dialer } of this.#dispatchers.values()) dialer.close();
     this.#dispatchers.clear();
   }
 
+  #checkSessions(): void {
+    const now = this.#options.timers.now();
+    if (this.listConnected().length > 0) this.#lastConnectedAt = now;
+    if (now - this.#lastConnectedAt >= isolationMilliseconds) this.#dialSeeds();
+    const connectedChosen = this.#countConnectedChosen();
+    for (const [key, dispatcher] of this.#dispatchers) {
+      if (this.#isForgotten(key, dispatcher, now)) {
+        this.#close(key, dispatcher);
+        continue;
+      }
+      this.#advanceDeparture(key, dispatcher, connectedChosen);
+    }
+  }
+
+  /** Starts over from the seeds. Any list counts then, as the state of control may have been lost. */
+  #dialSeeds(): void {
+    this.#listVersion = 0;
+    for (const seed of this.#seeds) {
+      if (!this.#dispatchers.has(formatAddress(seed))) this.#dial(seed);
+    }
+  }
+
+  #countConnectedChosen(): number {
+    let connected = 0;
+    for (const key of this.#chosen) {
+      if (this.#dispatchers.get(key)?.session?.isConnected === true)
+        connected += 1;
+    }
+    return connected;
+  }
+
+  /** Whether a dispatcher is neither listed nor connected for a long time. */
+  #isForgotten(
+    key: string,
+    dispatcher: DialledDispatcher,
+    now: Milliseconds,
+  ): boolean {
+    const isKept =
+      this.#listed.has(key) ||
+      this.#seeds.some(seed => formatAddress(seed) === key) ||
+      dispatcher.session?.isConnected === true;
+    if (isKept) dispatcher.lastListedAt = now;
+    return now - dispatcher.lastListedAt >= unlistedRetentionMilliseconds;
+  }
+
+  #advanceDeparture(
+    key: string,
+    dispatcher: DialledDispatcher,
+    connectedChosen: number,
+  ): void {
+    const { timers, hasWorkFor } = this.#options;
+    const { session, departureStepAt } = dispatcher;
+    const now = timers.now();
+    const step = decideDeparture({
+      phase: session?.phase ?? SessionPhase.Open,
+      hasSession: session !== undefined,
+      isConnected: session?.isConnected === true,
+      isSuperfluous: this.#listed.has(key) && !this.#chosen.has(key),
+      chosen: this.#chosen.size,
+      connectedChosen,
+      sinceChoiceMilliseconds: now - this.#chosenAt,
+      sinceStepMilliseconds: now - (departureStepAt ?? now),
+      hasWork: session !== undefined && hasWorkFor(session.dispatcherId),
+    });
+    switch (step) {
+      case DepartureStep.Keep:
+        return;
+      case DepartureStep.Stay:
+        this.#enterPhase(dispatcher, SessionPhase.Open);
+        return;
+      case DepartureStep.RefuseRuns:
+        this.#enterPhase(dispatcher, SessionPhase.Leaving);
+        return;
+      case DepartureStep.TakeLeave:
+        this.#enterPhase(dispatcher, SessionPhase.Left);
+        return;
+      case DepartureStep.Close:
+        this.#close(key, dispatcher);
+        return;
+    }
+  }
+
+  #enterPhase(dispatcher: DialledDispatcher, phase: SessionPhase): void {
+    const { timers, logger, phaseChanged } = this.#options;
+    const { session } = dispatcher;
+    dispatcher.departureStepAt = timers.now();
+    if (session === undefined) return;
+    session.phase = phase;
+    logger.info('session with dispatcher changes its phase', {
+      dispatcherId: session.dispatcherId,
+      phase,
+      listVersion: this.#listVersion,
+    });
+    phaseChanged(session);
+  }
+
+  #close(key: string, dispatcher: DialledDispatcher): void {
+    this.#dispatchers.delete(key);
+    dispatcher.dialer.close();
+  }
+
   #dial(address: NetworkAddress): void {
     const { network, timers, random, times } = this.#options;
     const dispatcher: {
@@ -123,6 +253,7 @@
       address,
       session: undefined,
       lastListedAt: timers.now(),
+      departureStepAt: undefined,
     };
     dispatcher.dialer = openSession<FromWorkerMessage, ToWorkerMessage>({
       network,
@@ -135,11 +266,14 @@
           dispatcherId: peer.name,
           send,
           isConnected: false,
+          phase: SessionPhase.Open,
           lastSentAt: -Infinity,
           orders: 0,
         };
         dispatcher.session = session;
-        return this.#createListener(session);
+        return listenToDispatcher(session, this.#options, () => {
+          this.#close(formatAddress(address), dispatcher as DialledDispatcher);
+        });
       },
     });
     this.#dispatchers.set(
@@ -147,35 +281,8 @@
       dispatcher as DialledDispatcher,
     );
   }
+}
 
-  #createListener(
-    session: DispatcherSession,
-  ): SessionListener<ToWorkerMessage> {
-    const { timers, logger, received, sessionOpened, sessionLost, hasWorkFor } =
-      this.#options;
-    const { dispatcherId } = session;
-    return {
-      messageReceived: message => {
-        received(session, message);
-      },
-      hasWork: () => hasWorkFor(dispatcherId),
-      connected: () => {
-        session.isConnected = true;
-        logger.info('dispatcher connected', { dispatcherId });
-        sessionOpened(session);
-      },
-      suspected: () => {
-        session.isConnected = false;
-        logger.warn('dispatcher not heard', { dispatcherId });
-        timers.after(reconnectGraceMilliseconds, () => {
-          if (!session.isConnected) sessionLost(session);
-        });
-      },
-      ended: reason => {
-        session.isConnected = false;
-        logger.info('session with dispatcher ended', { dispatcherId, reason });
-        sessionLost(session);
-      },
-    };
-  }
+function formatDispatcher({ address }: KnownDispatcher): string {
+  return formatAddress(address);
 }
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -27,7 +27,8 @@
 import { startWorkerGate, type WorkerGate } from '../start-worker-gate.js';
 import { createFakeWorker, type FakeWorker } from './fake-worker.js';
 
-const dispatcherAddress = { address: '10.0.0.1', port: 7_700 };
+/** Address of the dispatcher, which is the only seed. */
+export const dispatcherAddress = { address: '10.0.0.1', port: 7_700 };
 const times = { heartbeatMilliseconds: 300, suspicionMilliseconds: 700 };
 
 /** Resources of each task in these tests. */
@@ -123,6 +124,7 @@
   const startGate = (): WorkerGate => {
     processes += 1;
     return startWorkerGate({
+      name: 'sidecar-1',
       network: network.join({
         role: ProcessRole.Sidecar,
         name: 'sidecar-1',
--- a/packages/worker-gate/src/index.ts
+++ b/packages/worker-gate/src/index.ts
@@ -2,5 +2,5 @@
 export * from './ports/worker.js';
 export * from './start-worker-gate.js';
 export type { WorkerReport } from './worker-report.js';
-export type { DispatcherSession } from './dispatcher-sessions.js';
+export type { DispatcherSession } from './dispatcher-session.js';
 export * from './fakes/fake-worker.js';
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -1,6 +1,6 @@
 /** Connects all dispatchers with one worker: keeps the sessions, and an executor for the current incarnation. */
 import type { Logger } from '@cranberryturn/logger';
-import { Counter, type Metrics } from '@cranberryturn/metrics';
+import type { Metrics } from '@cranberryturn/metrics';
 import type { RandomSource } from '@cranberryturn/random';
 import type { SessionTimes } from '@cranberryturn/sessions';
 import { sleep, type TimerService } from '@cranberryturn/timers';
@@ -11,45 +11,35 @@
   type RunEnd,
   RunEndReason,
   RunOutcome,
-  type WorkerLoad,
   type WorkerRun,
 } from '@cranberryturn/types';
 import {
-  type FromWorkerBody,
   FromWorkerKind,
   type Network,
-  runHeartbeatInterval,
   type ToWorkerMessage,
   ToWorkerKind,
 } from '@cranberryturn/wire';
 
 import type { RunSelection } from './active-run.js';
+import { chooseRunCounter } from './choose-run-counter.js';
 import { DispatcherLeases } from './dispatcher-leases.js';
-import {
-  type DispatcherSession,
-  DispatcherSessions,
-} from './dispatcher-sessions.js';
+import type { DispatcherSession } from './dispatcher-session.js';
+import { DispatcherReports } from './dispatcher-reports.js';
+import { DispatcherSessions } from './dispatcher-sessions.js';
 import { Fencing } from './fencing.js';
 import type { WorkerPort } from './ports/worker.js';
+import { SessionPhase } from './session-phase.js';
 import { WorkerExecutor } from './worker-executor.js';
 import { isOlderReport, type WorkerReport } from './worker-report.js';
 
-/** Maximum interval between load reports to a dispatcher without runs here: its lease needs a recent stamp. */
-const idleHeartbeatMilliseconds: Milliseconds = 300;
-const heartbeatCheckMilliseconds: Milliseconds = 100;
 const stopPollMilliseconds: Milliseconds = 20;
 
-const noLoad: WorkerLoad = {
-  free: { processors: 0, memoryMebibytes: 0, accelerators: 0 },
-  waitingWork: [],
-  runningWork: 0,
-  closed: true,
-};
-
 /** Options of a worker gate. */
 export interface WorkerGateOptions {
+  /** Name of this sidecar. */
+  readonly name: string;
   readonly network: Network;
-  /** Dispatchers to dial first; they send the list of all dispatchers. */
+  /** Dispatchers to dial first; they send the list of all dispatchers, among which the sidecar chooses. */
   readonly seeds: readonly NetworkAddress[];
   readonly timers: TimerService;
   readonly random: RandomSource;
@@ -68,8 +58,8 @@
   workerReported(report: WorkerReport): boolean;
   /** Ends the current incarnation, as the worker has announced its departure. */
   workerLeft(workerId: string): void;
-  /** Dials further dispatchers after a change of the settings. */
-  addSeeds(dispatchers: readonly NetworkAddress[]): void;
+  /** Replaces the seeds after a change of the settings. */
+  changeSeeds(dispatchers: readonly NetworkAddress[]): void;
   /** Executor of the current incarnation of the worker; undefined when there is none. */
   getExecutor(): WorkerExecutor | undefined;
   /** Connected sessions with dispatchers. */
@@ -88,51 +78,22 @@
   let executor: WorkerExecutor | undefined;
   let latestReport: WorkerReport | undefined;
   let isStopping = false;
-  /** Dispatchers that have not received the latest change of the load. */
-  const outdatedDispatchers = new Set<DispatcherId>();
-
-  const load = (): WorkerLoad => executor?.load ?? noLoad;
-
-  const send = (session: DispatcherSession, body: FromWorkerBody): void => {
-    const now = timers.now();
-    session.lastSentAt = now;
-    outdatedDispatchers.delete(session.dispatcherId);
-    session.send({ ...body, stamp: now, load: load(), orders: session.orders });
-  };
-
-  const announceWorker = (session: DispatcherSession): void => {
-    const worker =
-      executor?.lease.isReady === true ? executor.worker : undefined;
-    send(session, { kind: FromWorkerKind.Announce, worker });
-  };
-
-  const announceToAll = (): void => {
-    for (const session of sessions.listConnected()) announceWorker(session);
-  };
+  const reports = new DispatcherReports({
+    timers,
+    sessions: () => sessions,
+    executor: () => executor,
+  });
 
   const runEnded = (dispatcher: DispatcherId, end: RunEnd): void => {
-    metrics.count(chooseCounter(end.outcome));
+    metrics.count(chooseRunCounter(end.outcome));
     logger.info('run ended', {
       dispatcher,
       worker: executor?.worker.workerId,
       ...end,
     });
     const session = sessions.findSession(dispatcher);
-    if (session === undefined) return;
-    const ends = pendingEnds.get(session);
-    if (ends !== undefined) {
-      ends.push(end);
-      return;
-    }
-    pendingEnds.set(session, [end]);
-    // Ends in one status report of the worker are sent in one message.
-    queueMicrotask(() => {
-      const endsToSend = pendingEnds.get(session) ?? [];
-      pendingEnds.delete(session);
-      send(session, { kind: FromWorkerKind.RunsEnded, ends: endsToSend });
-    });
+    if (session !== undefined) reports.reportEnd(session, end);
   };
-  const pendingEnds = new Map<DispatcherSession, RunEnd[]>();
 
   const handleMessage = (
     session: DispatcherSession,
@@ -155,7 +116,7 @@
       case ToWorkerKind.Heartbeat:
         return;
       case ToWorkerKind.KnownDispatchers:
-        sessions.updateDispatchers(message.dispatchers.map(one => one.address));
+        sessions.updateDispatchers(message);
         return;
     }
   };
@@ -171,11 +132,13 @@
       tasks: order.tasks,
       dispatcher: session.dispatcherId,
     });
-    if (executor !== undefined && !isStopping) {
+    const hasLeft = session.phase === SessionPhase.Left;
+    if (executor !== undefined && !isStopping && !hasLeft) {
       executor.acceptOrder(order);
       return;
     }
-    const reason = isStopping ? RunEndReason.Draining : RunEndReason.WorkerGone;
+    const reason =
+      isStopping || hasLeft ? RunEndReason.Draining : RunEndReason.WorkerGone;
     for (const { taskId, run } of order.tasks) {
       runEnded(session.dispatcherId, {
         jobId: order.jobId,
@@ -192,8 +155,13 @@
 
   const sessions: DispatcherSessions = new DispatcherSessions({
     ...options,
-    sessionOpened: announceWorker,
+    sessionOpened: session => {
+      reports.announceWorker(session);
+    },
     received: handleMessage,
+    phaseChanged: session => {
+      reports.reportPhase(session);
+    },
     sessionLost: session => {
       leases.endLease(session.dispatcherId);
       executor?.stopRuns(RunEndReason.DispatcherSilent, {
@@ -203,20 +171,6 @@
     hasWorkFor: dispatcher => executor?.hasWorkFor(dispatcher) ?? false,
   });
 
-  const heartbeatTimer = timers.every(heartbeatCheckMilliseconds, () => {
-    const now = timers.now();
-    for (const session of sessions.listConnected()) {
-      const needsPromptHeartbeat =
-        outdatedDispatchers.has(session.dispatcherId) ||
-        (executor?.hasWorkFor(session.dispatcherId) ?? false);
-      const intervalMilliseconds = needsPromptHeartbeat
-        ? runHeartbeatInterval
-        : idleHeartbeatMilliseconds;
-      if (now - session.lastSentAt < intervalMilliseconds) continue;
-      send(session, { kind: FromWorkerKind.Heartbeat });
-    }
-  });
-
   const openExecutor = ({ worker, bornAt }: WorkerReport): void => {
     logger.info('worker found', { ...worker });
     const opened: WorkerExecutor = new WorkerExecutor({
@@ -231,22 +185,21 @@
       runsStalled: (dispatcher, runs) => {
         const session = sessions.findSession(dispatcher);
         if (session === undefined) return;
-        send(session, { kind: FromWorkerKind.StalledRuns, runs });
+        reports.send(session, { kind: FromWorkerKind.StalledRuns, runs });
+      },
+      stateChanged: () => {
+        reports.announceToAll();
       },
-      stateChanged: announceToAll,
       usageChanged: () => {
-        for (const { dispatcherId } of sessions.listConnected())
-          outdatedDispatchers.add(dispatcherId);
+        reports.markOutdated();
       },
       capacityFreed: () => {
-        for (const session of sessions.listConnected()) {
-          send(session, { kind: FromWorkerKind.Heartbeat });
-        }
+        reports.reportToAll();
       },
       incarnationEnded: reason => {
         logger.warn('worker lost', { worker: worker.workerId, reason });
         if (executor === opened) executor = undefined;
-        announceToAll();
+        reports.announceToAll();
       },
     });
     executor = opened;
@@ -270,7 +223,7 @@
 
   const kill = (): void => {
     isStopping = true;
-    heartbeatTimer.cancel();
+    reports.stop();
     sessions.close();
     executor?.kill();
   };
@@ -281,8 +234,8 @@
       if (executor?.worker.workerId === workerId)
         executor.close(RunEndReason.WorkerGone);
     },
-    addSeeds: dispatchers => {
-      sessions.updateDispatchers(dispatchers);
+    changeSeeds: dispatchers => {
+      sessions.changeSeeds(dispatchers);
     },
     getExecutor: () => executor,
     listSessions: () => sessions.listConnected(),
@@ -307,15 +260,3 @@
 ): RunSelection {
   return { dispatcher: dispatcherId, jobId, taskIds };
 }
-
-function chooseCounter(outcome: RunOutcome): Counter {
-  switch (outcome) {
-    case RunOutcome.Done:
-      return Counter.TasksAnswered;
-    case RunOutcome.Failed:
-    case RunOutcome.Interrupted:
-      return Counter.TasksFailed;
-    case RunOutcome.NotStarted:
-      return Counter.TasksNotStarted;
-  }
-}
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -6,7 +6,11 @@
 } from '@cranberryturn/wire';
 import test from 'ava';
 
-import { createWorkerRun, startGateFixture } from './fakes/gate-fixture.js';
+import {
+  createWorkerRun,
+  dispatcherAddress,
+  startGateFixture,
+} from './fakes/gate-fixture.js';
 import { WorkerRunOutcome } from './ports/worker.js';
 
 test('runs start within the capacity of the worker, the most urgent first', async t => {
@@ -233,3 +237,18 @@
   t.is(ends[0]?.outcome, RunOutcome.Interrupted);
   t.is(worker.ended[0]?.end, WorkerRunOutcome.Stopped);
 });
+
+test('an older list of dispatchers changes nothing', async t => {
+  const { send, timers, received } = await startGateFixture();
+  const known = { dispatcherId: 'dispatcher-1', address: dispatcherAddress };
+  send({
+    kind: ToWorkerKind.KnownDispatchers,
+    version: 7,
+    dispatchers: [known],
+  });
+  await timers.advance(500);
+  t.is(received.at(-1)?.dispatcherListVersion, 7);
+  send({ kind: ToWorkerKind.KnownDispatchers, version: 6, dispatchers: [] });
+  await timers.advance(500);
+  t.is(received.at(-1)?.dispatcherListVersion, 7);
+});
