Admit jobs by what their queue ends late, and by the share that urgent tasks leave

Cause: under overload jobs were admitted whose expected end met the objective, and a third to a half of them ended late: many dispatchers take the best of stale reports, and a less urgent task lets every more urgent one pass that arrives after it.

Each dispatcher learns for each queue how much earlier than the objective a job must be expected to end: 3 % less for a job that ends late, 0.4 % more for one in time, between 65 and 100 %.

--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -9,6 +9,7 @@
 
 import {
   estimateFreeProcessors,
+  estimateShareLeft,
   sumUnreportedWork,
   sumWorkAhead,
   isUsable,
@@ -171,7 +172,7 @@
 
 /** Expected queue wait and run time of one more task on the worker. */
 function estimateTimes(
-  { step, estimateMilliseconds, remoteFactor }: PlacementRequest,
+  { step, priority, estimateMilliseconds, remoteFactor }: PlacementRequest,
   { known, free, workAhead }: Candidate,
 ): ExpectedTimes {
   const { capacity, labels } = known.worker;
@@ -187,7 +188,9 @@
     (missingProcessors / busyProcessors) *
     (known.load.runningWork / busyProcessors);
   return {
-    waitMilliseconds: workAhead / capacity.processors + untilFreeMilliseconds,
+    waitMilliseconds:
+      (workAhead / capacity.processors + untilFreeMilliseconds) /
+      estimateShareLeft(known, priority),
     runMilliseconds,
   };
 }
--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -4,12 +4,6 @@
  */
 import type { Milliseconds, QueueConfiguration } from '@cranberryturn/types';
 
-/**
- * A job that has to wait is admitted only if its expected end is within this multiple of the response
- * time objective. Later jobs would delay those queued behind them beyond the objective as well.
- */
-export const latestEndFactor = 1;
-
 /** Multiple of the response time objective after which a result has no value for the caller. */
 const latestUsefulFactor = 3;
 
@@ -24,6 +18,8 @@
   readonly criticalPathMilliseconds: Milliseconds;
   /** Longest wait of a task that may start now; undefined when some of these tasks cannot be placed now. */
   readonly waitMilliseconds: Milliseconds | undefined;
+  /** Part of the objective within which a job that has to wait must be expected to end, from 0 to 1. */
+  readonly objectiveFactor: number;
   /** Time that the caller has waited already. */
   readonly heldMilliseconds: Milliseconds;
   /** Total time that the caller waits. */
@@ -82,7 +78,7 @@
   );
   const usefulMilliseconds = Math.min(
     deadlineMilliseconds,
-    objectiveMilliseconds * latestEndFactor,
+    objectiveMilliseconds * request.objectiveFactor,
   );
   const expectedMilliseconds =
     heldMilliseconds + waitMilliseconds + request.criticalPathMilliseconds;
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -18,7 +18,9 @@
   listTasksByWorker,
   TaskPhase,
 } from './active-job.js';
+import { attachCaller } from './attach-caller.js';
 import { recallWaitingTasks } from './recall-waiting-tasks.js';
+import { AdmissionMargin } from './admission-margin.js';
 import { computeObjective } from './decide-admission.js';
 import {
   chooseEndCounter,
@@ -57,12 +59,17 @@
   readonly #jobs: JobRegistry;
   readonly #runs = new RunTracker();
   readonly #estimates = new RunTimeEstimates();
+  readonly #margin = new AdmissionMargin();
   readonly #placer: TaskPlacer;
   readonly #suspensionPause: SuspensionPause;
   #isStopping = false;
   /** Pending placement attempt; set while tasks wait for a worker. */
   #retryTimer: TimerSubscription | undefined;
 
+  readonly #abandonJob = (active: ActiveJob): void => {
+    this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
+  };
+
   constructor(options: TransientJobsOptions) {
     this.#options = options;
     this.#jobs = new JobRegistry(options.timers);
@@ -126,7 +133,7 @@
     const existing = this.#jobs.findActiveJob(job.jobId);
     if (existing !== undefined) {
       this.#options.metrics.count(Counter.JobsJoined);
-      return this.#attachCaller(existing);
+      return attachCaller(existing, this.#abandonJob);
     }
     const recentEnd = this.#jobs.findRecentEnd(job.jobId);
     if (recentEnd !== undefined) return createEndedJob(recentEnd);
@@ -142,9 +149,13 @@
     const placement = this.#placer.planJob(active);
     const refusal = this.#isStopping
       ? createRefusal('this dispatcher stops', stopRetryMilliseconds)
-      : findJobRefusal(job, criticalPathMilliseconds, placement, [
-          ...this.workers.listWorkers(job.queue.service),
-        ]);
+      : findJobRefusal(
+          job,
+          criticalPathMilliseconds,
+          placement,
+          [...this.workers.listWorkers(job.queue.service)],
+          this.#margin.getFactor(job.queue.queue),
+        );
     if (refusal !== undefined) return this.#refuseJob(job, refusal);
     return this.#startJob(active, placement);
   }
@@ -153,7 +164,7 @@
   cancel(jobId: JobId): boolean {
     const active = this.#jobs.findActiveJob(jobId);
     if (active === undefined) return false;
-    this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
+    this.#abandonJob(active);
     return true;
   }
 
@@ -178,22 +189,6 @@
     this.workers.close();
   }
 
-  /** Adds a caller to a job. The job is stopped once all of its callers have disconnected. */
-  #attachCaller(active: ActiveJob): SubmittedJob {
-    active.callers += 1;
-    let hasLeft = false;
-    return {
-      ended: active.ended,
-      abandon: () => {
-        if (hasLeft) return;
-        hasLeft = true;
-        active.callers -= 1;
-        if (active.callers > 0) return;
-        this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
-      },
-    };
-  }
-
   #refuseJob(job: TransientJob, end: TransientJobEnd): SubmittedJob {
     this.#options.metrics.count(Counter.JobsRefused);
     this.#options.logger.info('job refused', {
@@ -220,7 +215,7 @@
       this.#endJob(active, { kind: TransientJobEndKind.TimedOut });
     });
     this.#placer.apply(active, placement);
-    return this.#attachCaller(active);
+    return attachCaller(active, this.#abandonJob);
   }
 
   #handleRunEnd(workerId: TargetId, end: RunEnd): void {
@@ -308,6 +303,9 @@
       job.queue.service,
     );
     metrics.count(chooseEndCounter(end));
+    if (end.kind === TransientJobEndKind.Completed) {
+      this.#margin.recordEnd(job.queue.queue, timers.now() <= active.dueAt);
+    }
     logger.info('job ended', {
       ...describeJobForLog(job),
       ...end,
