Hold eight sessions for each sidecar, and report an unchanged need of a dispatcher less often

Change: eight dispatchers for each sidecar; a dispatcher without runs at a worker hears of it every 400 ms, as every change of the load marked it for the shorter interval. Sidecars check their sessions twice a second. Refusals name the part of the objective that decided.

--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -76,21 +76,21 @@
     queue,
     request.criticalPathMilliseconds,
   );
-  const usefulMilliseconds = Math.min(
+  const latestMilliseconds = Math.min(
     deadlineMilliseconds,
     objectiveMilliseconds * request.objectiveFactor,
   );
   const expectedMilliseconds =
     heldMilliseconds + waitMilliseconds + request.criticalPathMilliseconds;
-  if (expectedMilliseconds <= usefulMilliseconds) return undefined;
+  if (expectedMilliseconds <= latestMilliseconds) return undefined;
   // A job that can start at once is admitted whatever run times it declares, unless it was held for too long.
   const isTooLate =
     heldMilliseconds > 0 &&
     expectedMilliseconds > objectiveMilliseconds * latestUsefulFactor;
   if (waitMilliseconds <= 0 && !isTooLate) return undefined;
-  const overrunMilliseconds = expectedMilliseconds - usefulMilliseconds;
+  const overrunMilliseconds = expectedMilliseconds - latestMilliseconds;
   return {
-    reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and is of use for ${usefulMilliseconds.toFixed(0)} ms`,
+    reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and has to within ${latestMilliseconds.toFixed(0)} ms (${(request.objectiveFactor * 100).toFixed(0)} % of its objective of ${objectiveMilliseconds.toFixed(0)} ms)`,
     retryAfterMilliseconds: Math.min(
       maximumRetryMilliseconds,
       Math.max(minimumRetryMilliseconds, overrunMilliseconds),
--- a/packages/worker-gate/src/dispatcher-reports.ts
+++ b/packages/worker-gate/src/dispatcher-reports.ts
@@ -1,11 +1,6 @@
 /** Messages from a sidecar to its dispatchers: announcements, ends of runs and periodic load reports. */
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
-import type {
-  DispatcherId,
-  Milliseconds,
-  RunEnd,
-  WorkerLoad,
-} from '@cranberryturn/types';
+import type { Milliseconds, RunEnd, WorkerLoad } from '@cranberryturn/types';
 import {
   type FromWorkerBody,
   FromWorkerKind,
@@ -17,8 +12,11 @@
 import { SessionPhase } from './session-phase.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
-/** Maximum interval between load reports to a dispatcher without runs here: its lease needs a recent stamp. */
-const idleHeartbeatMilliseconds: Milliseconds = 300;
+/**
+ * Interval after which a load report to a dispatcher without runs here is due; the next check sends
+ * it. Its lease needs a recent stamp, and it places no runs on a worker that is silent for longer.
+ */
+const idleHeartbeatMilliseconds: Milliseconds = 350;
 const heartbeatCheckMilliseconds: Milliseconds = 100;
 
 const noLoad: WorkerLoad = {
@@ -40,8 +38,6 @@
 /** Sends the reports of one sidecar. */
 export class DispatcherReports {
   readonly #options: DispatcherReportsOptions;
-  /** Dispatchers that have not received the latest change of the load. */
-  readonly #outdatedDispatchers = new Set<DispatcherId>();
   readonly #pendingEnds = new Map<DispatcherSession, RunEnd[]>();
   readonly #heartbeatTimer: TimerSubscription;
 
@@ -60,7 +56,6 @@
     const { timers, sessions } = this.#options;
     const now = timers.now();
     session.lastSentAt = now;
-    this.#outdatedDispatchers.delete(session.dispatcherId);
     session.send({
       ...body,
       stamp: now,
@@ -106,12 +101,6 @@
     });
   }
 
-  /** The load has changed; each dispatcher hears of it with its next report. */
-  markOutdated(): void {
-    for (const { dispatcherId } of this.#options.sessions().listConnected())
-      this.#outdatedDispatchers.add(dispatcherId);
-  }
-
   /** Reports the load to all dispatchers at once. */
   reportToAll(): void {
     for (const session of this.#options.sessions().listConnected())
@@ -126,10 +115,8 @@
     const { timers, sessions, executor } = this.#options;
     const now = timers.now();
     for (const session of sessions().listConnected()) {
-      const needsPromptHeartbeat =
-        this.#outdatedDispatchers.has(session.dispatcherId) ||
-        (executor()?.hasWorkFor(session.dispatcherId) ?? false);
-      const intervalMilliseconds = needsPromptHeartbeat
+      const hasWork = executor()?.hasWorkFor(session.dispatcherId) ?? false;
+      const intervalMilliseconds = hasWork
         ? runHeartbeatInterval
         : idleHeartbeatMilliseconds;
       if (now - session.lastSentAt < intervalMilliseconds) continue;
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -35,13 +35,13 @@
 import { SessionPhase } from './session-phase.js';
 
 /** Number of dispatchers that one sidecar holds sessions with. */
-export const maximumSessions = 12;
+export const maximumSessions = 8;
 
 /** A dispatcher that is neither listed nor connected is still dialled for this long. */
 const unlistedRetentionMilliseconds: Milliseconds = 30_000;
 /** Without any connected dispatcher for this long, the seeds are dialled again. */
 const isolationMilliseconds: Milliseconds = 5_000;
-const checkIntervalMilliseconds: Milliseconds = 250;
+const checkIntervalMilliseconds: Milliseconds = 500;
 
 /** Dependencies and event handlers of the sessions. */
 export interface DispatcherSessionsOptions extends DispatcherEvents {
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -190,9 +190,6 @@
       stateChanged: () => {
         reports.announceToAll();
       },
-      usageChanged: () => {
-        reports.markOutdated();
-      },
       capacityFreed: () => {
         reports.reportToAll();
       },
--- a/packages/worker-gate/src/worker-executor-options.ts
+++ b/packages/worker-gate/src/worker-executor-options.ts
@@ -33,8 +33,6 @@
   ) => void;
   /** Called when the worker replies again, is silent or drains. */
   readonly stateChanged: () => void;
-  /** Called when capacity was reserved or released. */
-  readonly usageChanged: () => void;
   /** Called when a worker that was full has free capacity again. */
   readonly capacityFreed: () => void;
   /** Called once when this incarnation of the worker has ended. */
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -139,7 +139,6 @@
       );
       if (run === undefined) break;
       this.#lease.reportStart();
-      this.options.usageChanged();
       void startRun(this, run);
     }
     if (this.#runs.detectFreedCapacity()) this.options.capacityFreed();
@@ -304,7 +303,6 @@
   #releaseRun(run: ActiveRun): void {
     if (!this.#runs.releaseRun(run)) return;
     this.#lease.wake();
-    this.options.usageChanged();
     // Freed capacity is used in the same turn of the event loop, before the next order arrives.
     queueMicrotask(() => {
       this.startWaitingRuns();
