Learn from undisturbed jobs which part of its slack a job may wait

The share of more urgent tasks lengthens, by its square root, the wait that admission sees, and no longer the one that orders workers. Refusals name part and slack.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -48,6 +48,8 @@
   readonly tasks: readonly ActiveTask[];
   /** Number of callers that wait for the job. */
   callers: number;
+  /** Whether a run of the job failed or was lost, so that the time of its end says nothing about the load. */
+  isDisturbed: boolean;
   end: TransientJobEnd | undefined;
   expiry: TimerSubscription | undefined;
   readonly resolveEnd: (end: TransientJobEnd) => void;
@@ -73,6 +75,7 @@
     dueAt: now + objectiveMilliseconds - job.heldMilliseconds,
     tasks,
     callers: 0,
+    isDisturbed: false,
     end: undefined,
     expiry: undefined,
     resolveEnd: resolve,
--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -71,7 +71,11 @@
     const best = chooseCandidate(request, candidates, random);
     if (best === undefined) break;
     // Tasks of one worker wait longer one after the other, so the last wait is the longest.
-    waits.set(best, estimateTimes(request, best).waitMilliseconds);
+    const { waitMilliseconds } = estimateTimes(request, best);
+    waits.set(
+      best,
+      correctForUrgentTasks(waitMilliseconds, best.known, request.priority),
+    );
     addTask(request, best);
   }
   return [...waits].map(([{ known, tasks }, waitMilliseconds]) => ({
@@ -165,6 +169,19 @@
   );
 }
 
+/**
+ * Lengthens an expected wait by the share of the worker that more urgent tasks take. The wait orders no
+ * workers, since urgent tasks move on from worker to worker; it decides whether a job is admitted.
+ */
+function correctForUrgentTasks(
+  waitMilliseconds: Milliseconds,
+  known: KnownWorker,
+  priority: number,
+): Milliseconds {
+  // The whole share would count as if no urgent task could start on another worker.
+  return waitMilliseconds / Math.sqrt(estimateShareLeft(known, priority));
+}
+
 interface ExpectedTimes {
   readonly waitMilliseconds: Milliseconds;
   readonly runMilliseconds: Milliseconds;
@@ -172,7 +189,7 @@
 
 /** Expected queue wait and run time of one more task on the worker. */
 function estimateTimes(
-  { step, priority, estimateMilliseconds, remoteFactor }: PlacementRequest,
+  { step, estimateMilliseconds, remoteFactor }: PlacementRequest,
   { known, free, workAhead }: Candidate,
 ): ExpectedTimes {
   const { capacity, labels } = known.worker;
@@ -188,9 +205,7 @@
     (missingProcessors / busyProcessors) *
     (known.load.runningWork / busyProcessors);
   return {
-    waitMilliseconds:
-      (workAhead / capacity.processors + untilFreeMilliseconds) /
-      estimateShareLeft(known, priority),
+    waitMilliseconds: workAhead / capacity.processors + untilFreeMilliseconds,
     runMilliseconds,
   };
 }
--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -18,8 +18,8 @@
   readonly criticalPathMilliseconds: Milliseconds;
   /** Longest wait of a task that may start now; undefined when some of these tasks cannot be placed now. */
   readonly waitMilliseconds: Milliseconds | undefined;
-  /** Part of the objective within which a job that has to wait must be expected to end, from 0 to 1. */
-  readonly objectiveFactor: number;
+  /** Part of the slack, from 0 to 1, that the job may be expected to wait. The slack is what the objective leaves beside the critical path. */
+  readonly waitShare: number;
   /** Time that the caller has waited already. */
   readonly heldMilliseconds: Milliseconds;
   /** Total time that the caller waits. */
@@ -76,9 +76,11 @@
     queue,
     request.criticalPathMilliseconds,
   );
+  const slackMilliseconds =
+    objectiveMilliseconds - request.criticalPathMilliseconds;
   const latestMilliseconds = Math.min(
     deadlineMilliseconds,
-    objectiveMilliseconds * request.objectiveFactor,
+    request.criticalPathMilliseconds + slackMilliseconds * request.waitShare,
   );
   const expectedMilliseconds =
     heldMilliseconds + waitMilliseconds + request.criticalPathMilliseconds;
@@ -90,7 +92,7 @@
   if (waitMilliseconds <= 0 && !isTooLate) return undefined;
   const overrunMilliseconds = expectedMilliseconds - latestMilliseconds;
   return {
-    reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and has to within ${latestMilliseconds.toFixed(0)} ms (${(request.objectiveFactor * 100).toFixed(0)} % of its objective of ${objectiveMilliseconds.toFixed(0)} ms)`,
+    reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and has to within ${latestMilliseconds.toFixed(0)} ms (${(request.waitShare * 100).toFixed(0)} % of its slack of ${slackMilliseconds.toFixed(0)} ms)`,
     retryAfterMilliseconds: Math.min(
       maximumRetryMilliseconds,
       Math.max(minimumRetryMilliseconds, overrunMilliseconds),
--- a/packages/transient-jobs/src/find-job-refusal.ts
+++ b/packages/transient-jobs/src/find-job-refusal.ts
@@ -18,13 +18,13 @@
   criticalPathMilliseconds: Milliseconds,
   placement: Placement,
   workers: readonly KnownWorker[],
-  objectiveFactor: number,
+  waitShare: number,
 ): TransientJobEnd | undefined {
   const { queue, steps, deadlineMilliseconds, heldMilliseconds } = job;
   const refusal = decideAdmission({
     queue,
     criticalPathMilliseconds,
-    objectiveFactor,
+    waitShare,
     deadlineMilliseconds,
     heldMilliseconds,
     waitMilliseconds: placement.isComplete
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -154,7 +154,7 @@
           criticalPathMilliseconds,
           placement,
           [...this.workers.listWorkers(job.queue.service)],
-          this.#margin.getFactor(job.queue.queue),
+          this.#margin.getWaitShare(job.queue.queue),
         );
     if (refusal !== undefined) return this.#refuseJob(job, refusal);
     return this.#startJob(active, placement);
@@ -258,6 +258,7 @@
   /** Places a task again whose worker was lost. No run of the task is active any more. */
   #returnTask(task: ActiveTask): void {
     task.workerId = undefined;
+    task.job.isDisturbed = true;
     if (task.job.end !== undefined) return;
     task.phase = TaskPhase.Waiting;
     this.#placeTasks(task.job);
@@ -303,7 +304,7 @@
       job.queue.service,
     );
     metrics.count(chooseEndCounter(end));
-    if (end.kind === TransientJobEndKind.Completed) {
+    if (end.kind === TransientJobEndKind.Completed && !active.isDisturbed) {
       this.#margin.recordEnd(job.queue.queue, timers.now() <= active.dueAt);
     }
     logger.info('job ended', {
