Tolerate messages of earlier versions, and dial a dispatcher that is chosen while its session ends

Cause, found by reading: a report without the rates of started work, from a sidecar that is not upgraded yet, would stop a dispatcher; a list without a version would count as the newest. And a dispatcher that is chosen again in the moment in which its session ends was dialled only with the next list.

Change: both fields may be missing. Chosen dispatchers without a session are dialled at each check.

--- a/packages/transient-jobs/src/decisions.test.ts
+++ b/packages/transient-jobs/src/decisions.test.ts
@@ -97,7 +97,10 @@
 });
 
 test('the expected wait of a less urgent task counts the share of the worker that more urgent ones take', t => {
-  const waitAt = (startedWorkRates: readonly number[], priority: number) =>
+  const waitAt = (
+    startedWorkRates: readonly number[] | undefined,
+    priority: number,
+  ) =>
     first(
       chooseWorkers(
         createRequest(1, { priority }),
@@ -118,6 +121,7 @@
   t.is(waitAt([5, 2.5, 0, 0], 2), alone * 2);
   t.is(waitAt([5, 2.5, 0, 0], 0), waitAt([0, 0, 0, 0], 0));
   t.true(waitAt([50, 0, 0, 0], 2) < Infinity);
+  t.is(waitAt(undefined, 2), alone);
 });
 
 test('a slow worker receives tasks only once the fast workers are full', t => {
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -173,7 +173,7 @@
   { worker, load }: KnownWorker,
   priority: number,
 ): number {
-  const urgentRate = load.startedWorkRates
+  const urgentRate = (load.startedWorkRates ?? [])
     .slice(0, priority)
     .reduce((sum, rate) => sum + rate, 0);
   return Math.max(
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -187,7 +187,7 @@
     session.lastHeardAt = now;
     session.listVersion = Math.max(
       session.listVersion,
-      message.dispatcherListVersion,
+      message.dispatcherListVersion ?? 0,
     );
     if (message.kind === FromWorkerKind.Announce) {
       this.#handleAnnouncement(session, message.worker, message);
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -46,8 +46,8 @@
   | { readonly kind: ToWorkerKind.Heartbeat }
   | {
       readonly kind: ToWorkerKind.KnownDispatchers;
-      /** Version of the roster at which this list last changed. */
-      readonly version: LogIndex;
+      /** Version of the roster at which this list last changed; undefined from earlier versions. */
+      readonly version?: LogIndex | undefined;
       readonly dispatchers: readonly KnownDispatcher[];
     };
 
@@ -77,8 +77,8 @@
   readonly load: WorkerLoad;
   /** Number of orders to place runs received in this session; `load` already includes these orders. */
   readonly orders: number;
-  /** Version of the latest list of dispatchers that the sidecar has received; 0 before the first. */
-  readonly dispatcherListVersion: LogIndex;
+  /** Version of the latest list of dispatchers that the sidecar has received; 0 before the first, undefined from earlier versions. */
+  readonly dispatcherListVersion?: LogIndex | undefined;
 }
 
 /** Body of a message about runs from a sidecar to a dispatcher. */
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -43,6 +43,10 @@
 const isolationMilliseconds: Milliseconds = 5_000;
 const checkIntervalMilliseconds: Milliseconds = 500;
 
+/** A list of dispatchers; without a version when an earlier version of the program sent it. */
+type ListedDispatchers = Pick<DispatcherList, 'dispatchers'> &
+  Partial<Pick<DispatcherList, 'version'>>;
+
 /** Dependencies and event handlers of the sessions. */
 export interface DispatcherSessionsOptions extends DispatcherEvents {
   /** Name of this sidecar, on which its choice of dispatchers depends. */
@@ -72,7 +76,7 @@
   #seeds: readonly NetworkAddress[];
   #listVersion: LogIndex = 0;
   /** Addresses of the chosen dispatchers; empty before the first list. */
-  #chosen: ReadonlySet<string> = new Set();
+  #chosen: ReadonlyMap<string, NetworkAddress> = new Map();
   #listed: ReadonlySet<string> = new Set();
   #chosenAt: Milliseconds;
   #lastConnectedAt: Milliseconds;
@@ -108,7 +112,7 @@
   }
 
   /** Chooses among the listed dispatchers and dials those that are new. An older list changes nothing. */
-  updateDispatchers({ version, dispatchers }: DispatcherList): void {
+  updateDispatchers({ version = 0, dispatchers }: ListedDispatchers): void {
     if (version < this.#listVersion) return;
     const { name, timers, logger } = this.#options;
     this.#listVersion = version;
@@ -119,17 +123,15 @@
       maximumSessions,
       ({ dispatcherId }) => dispatcherId,
     );
-    this.#chosen = new Set(chosen.map(formatDispatcher));
+    this.#chosen = new Map(
+      chosen.map(({ address }) => [formatAddress(address), address]),
+    );
     this.#chosenAt = timers.now();
     logger.info('dispatchers chosen', {
       listVersion: version,
       listed: dispatchers.length,
       chosen: chosen.map(({ dispatcherId }) => dispatcherId),
     });
-    for (const { address } of chosen) {
-      const known = this.#dispatchers.get(formatAddress(address));
-      if (known === undefined) this.#dial(address);
-    }
     this.#checkSessions();
   }
 
@@ -148,6 +150,10 @@
     const now = this.#options.timers.now();
     if (this.listConnected().length > 0) this.#lastConnectedAt = now;
     if (now - this.#lastConnectedAt >= isolationMilliseconds) this.#dialSeeds();
+    // A dispatcher that is chosen again while its session ends is dialled once that has ended.
+    for (const [key, address] of this.#chosen) {
+      if (!this.#dispatchers.has(key)) this.#dial(address);
+    }
     const connectedChosen = this.#countConnectedChosen();
     for (const [key, dispatcher] of this.#dispatchers) {
       if (this.#isForgotten(key, dispatcher, now)) {
@@ -168,7 +174,7 @@
 
   #countConnectedChosen(): number {
     let connected = 0;
-    for (const key of this.#chosen) {
+    for (const key of this.#chosen.keys()) {
       if (this.#dispatchers.get(key)?.session?.isConnected === true)
         connected += 1;
     }
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -252,3 +252,23 @@
   await timers.advance(500);
   t.is(received.at(-1)?.dispatcherListVersion, 7);
 });
+
+test('a list without a version, of a dispatcher with an earlier program, counts before any other list and not after it', async t => {
+  const { send, timers, gate } = await startGateFixture();
+  const known = { dispatcherId: 'dispatcher-1', address: dispatcherAddress };
+  const silent = {
+    dispatcherId: 'dispatcher-2',
+    address: { address: '10.0.0.2', port: 7_700 },
+  };
+  send({ kind: ToWorkerKind.KnownDispatchers, dispatchers: [known] });
+  await timers.advance(500);
+  t.is(gate.listSessions().length, 1);
+  send({
+    kind: ToWorkerKind.KnownDispatchers,
+    version: 7,
+    dispatchers: [known],
+  });
+  send({ kind: ToWorkerKind.KnownDispatchers, dispatchers: [silent] });
+  await timers.advance(60_000);
+  t.is(gate.listSessions().length, 1);
+});
