--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -48,8 +48,6 @@
   readonly tasks: readonly ActiveTask[];
   /** Number of callers that wait for the job. */
   callers: number;
-  /** Whether a run of the job failed or was lost, so that the time of its end says nothing about the load. */
-  isDisturbed: boolean;
   end: TransientJobEnd | undefined;
   expiry: TimerSubscription | undefined;
   readonly resolveEnd: (end: TransientJobEnd) => void;
@@ -75,7 +73,6 @@
     dueAt: now + objectiveMilliseconds - job.heldMilliseconds,
     tasks,
     callers: 0,
-    isDisturbed: false,
     end: undefined,
     expiry: undefined,
     resolveEnd: resolve,
--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -9,7 +9,6 @@
 
 import {
   estimateFreeProcessors,
-  estimateShareLeft,
   sumUnreportedWork,
   sumWorkAhead,
   isUsable,
@@ -71,11 +70,7 @@
     const best = chooseCandidate(request, candidates, random);
     if (best === undefined) break;
     // Tasks of one worker wait longer one after the other, so the last wait is the longest.
-    const { waitMilliseconds } = estimateTimes(request, best);
-    waits.set(
-      best,
-      correctForUrgentTasks(waitMilliseconds, best.known, request.priority),
-    );
+    waits.set(best, estimateTimes(request, best).waitMilliseconds);
     addTask(request, best);
   }
   return [...waits].map(([{ known, tasks }, waitMilliseconds]) => ({
@@ -169,19 +164,6 @@
   );
 }
 
-/**
- * Lengthens an expected wait by the share of the worker that more urgent tasks take. The wait orders no
- * workers, since urgent tasks move on from worker to worker; it decides whether a job is admitted.
- */
-function correctForUrgentTasks(
-  waitMilliseconds: Milliseconds,
-  known: KnownWorker,
-  priority: number,
-): Milliseconds {
-  // The whole share would count as if no urgent task could start on another worker.
-  return waitMilliseconds / Math.sqrt(estimateShareLeft(known, priority));
-}
-
 interface ExpectedTimes {
   readonly waitMilliseconds: Milliseconds;
   readonly runMilliseconds: Milliseconds;
--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -4,6 +4,12 @@
  */
 import type { Milliseconds, QueueConfiguration } from '@cranberryturn/types';
 
+/**
+ * A job that has to wait is admitted only if its expected end is within this multiple of the response
+ * time objective. Later jobs would delay those queued behind them beyond the objective as well.
+ */
+export const latestEndFactor = 1;
+
 /** Multiple of the response time objective after which a result has no value for the caller. */
 const latestUsefulFactor = 3;
 
@@ -18,8 +24,6 @@
   readonly criticalPathMilliseconds: Milliseconds;
   /** Longest wait of a task that may start now; undefined when some of these tasks cannot be placed now. */
   readonly waitMilliseconds: Milliseconds | undefined;
-  /** Part of the slack, from 0 to 1, that the job may be expected to wait. The slack is what the objective leaves beside the critical path. */
-  readonly waitShare: number;
   /** Time that the caller has waited already. */
   readonly heldMilliseconds: Milliseconds;
   /** Total time that the caller waits. */
@@ -76,23 +80,21 @@
     queue,
     request.criticalPathMilliseconds,
   );
-  const slackMilliseconds =
-    objectiveMilliseconds - request.criticalPathMilliseconds;
-  const latestMilliseconds = Math.min(
+  const usefulMilliseconds = Math.min(
     deadlineMilliseconds,
-    request.criticalPathMilliseconds + slackMilliseconds * request.waitShare,
+    objectiveMilliseconds * latestEndFactor,
   );
   const expectedMilliseconds =
     heldMilliseconds + waitMilliseconds + request.criticalPathMilliseconds;
-  if (expectedMilliseconds <= latestMilliseconds) return undefined;
+  if (expectedMilliseconds <= usefulMilliseconds) return undefined;
   // A job that can start at once is admitted whatever run times it declares, unless it was held for too long.
   const isTooLate =
     heldMilliseconds > 0 &&
     expectedMilliseconds > objectiveMilliseconds * latestUsefulFactor;
   if (waitMilliseconds <= 0 && !isTooLate) return undefined;
-  const overrunMilliseconds = expectedMilliseconds - latestMilliseconds;
+  const overrunMilliseconds = expectedMilliseconds - usefulMilliseconds;
   return {
-    reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and has to within ${latestMilliseconds.toFixed(0)} ms (${(request.waitShare * 100).toFixed(0)} % of its slack of ${slackMilliseconds.toFixed(0)} ms)`,
+    reason: `the job would end after ${expectedMilliseconds.toFixed(0)} ms, and is of use for ${usefulMilliseconds.toFixed(0)} ms`,
     retryAfterMilliseconds: Math.min(
       maximumRetryMilliseconds,
       Math.max(minimumRetryMilliseconds, overrunMilliseconds),
--- a/packages/transient-jobs/src/find-job-refusal.ts
+++ b/packages/transient-jobs/src/find-job-refusal.ts
@@ -18,13 +18,11 @@
   criticalPathMilliseconds: Milliseconds,
   placement: Placement,
   workers: readonly KnownWorker[],
-  waitShare: number,
 ): TransientJobEnd | undefined {
   const { queue, steps, deadlineMilliseconds, heldMilliseconds } = job;
   const refusal = decideAdmission({
     queue,
     criticalPathMilliseconds,
-    waitShare,
     deadlineMilliseconds,
     heldMilliseconds,
     waitMilliseconds: placement.isComplete
--- a/packages/transient-jobs/src/handle-run-end.ts
+++ b/packages/transient-jobs/src/handle-run-end.ts
@@ -85,7 +85,6 @@
 ): TransientJobEnd | undefined {
   task.phase = TaskPhase.Waiting;
   task.failures += 1;
-  task.job.isDisturbed = true;
   task.excludedWorkers.add(workerId);
   if (known !== undefined) recordFailure(known, timers.now());
   if (task.failures < task.job.job.queue.maximumFailures) return undefined;
@@ -108,6 +107,5 @@
     reason === RunEndReason.WorkerSilent;
   if (isRefusal && known !== undefined) recordFailure(known, timers.now());
   if (reason === RunEndReason.NoRoom) task.returns += 1;
-  else task.job.isDisturbed = true;
   if (reason === RunEndReason.WrongService) task.excludedWorkers.add(workerId);
 }
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -164,20 +164,3 @@
     0,
   );
 }
-
-/** A share is at least this, since starts come in bursts. */
-const minimumShareLeft = 0.1;
-
-/** Share of a worker that more urgent tasks leave to a priority. */
-export function estimateShareLeft(
-  { worker, load }: KnownWorker,
-  priority: number,
-): number {
-  const urgentRate = (load.startedWorkRates ?? [])
-    .slice(0, priority)
-    .reduce((sum, rate) => sum + rate, 0);
-  return Math.max(
-    minimumShareLeft,
-    1 - urgentRate / worker.capacity.processors,
-  );
-}
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -18,9 +18,7 @@
   listTasksByWorker,
   TaskPhase,
 } from './active-job.js';
-import { attachCaller } from './attach-caller.js';
 import { recallWaitingTasks } from './recall-waiting-tasks.js';
-import { AdmissionMargin } from './admission-margin.js';
 import { computeObjective } from './decide-admission.js';
 import {
   chooseEndCounter,
@@ -59,17 +57,12 @@
   readonly #jobs: JobRegistry;
   readonly #runs = new RunTracker();
   readonly #estimates = new RunTimeEstimates();
-  readonly #margin = new AdmissionMargin();
   readonly #placer: TaskPlacer;
   readonly #suspensionPause: SuspensionPause;
   #isStopping = false;
   /** Pending placement attempt; set while tasks wait for a worker. */
   #retryTimer: TimerSubscription | undefined;
 
-  readonly #abandonJob = (active: ActiveJob): void => {
-    this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
-  };
-
   constructor(options: TransientJobsOptions) {
     this.#options = options;
     this.#jobs = new JobRegistry(options.timers);
@@ -133,7 +126,7 @@
     const existing = this.#jobs.findActiveJob(job.jobId);
     if (existing !== undefined) {
       this.#options.metrics.count(Counter.JobsJoined);
-      return attachCaller(existing, this.#abandonJob);
+      return this.#attachCaller(existing);
     }
     const recentEnd = this.#jobs.findRecentEnd(job.jobId);
     if (recentEnd !== undefined) return createEndedJob(recentEnd);
@@ -149,13 +142,9 @@
     const placement = this.#placer.planJob(active);
     const refusal = this.#isStopping
       ? createRefusal('this dispatcher stops', stopRetryMilliseconds)
-      : findJobRefusal(
-          job,
-          criticalPathMilliseconds,
-          placement,
-          [...this.workers.listWorkers(job.queue.service)],
-          this.#margin.getWaitShare(job.queue.queue),
-        );
+      : findJobRefusal(job, criticalPathMilliseconds, placement, [
+          ...this.workers.listWorkers(job.queue.service),
+        ]);
     if (refusal !== undefined) return this.#refuseJob(job, refusal);
     return this.#startJob(active, placement);
   }
@@ -164,7 +153,7 @@
   cancel(jobId: JobId): boolean {
     const active = this.#jobs.findActiveJob(jobId);
     if (active === undefined) return false;
-    this.#abandonJob(active);
+    this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
     return true;
   }
 
@@ -189,6 +178,22 @@
     this.workers.close();
   }
 
+  /** Adds a caller to a job. The job is stopped once all of its callers have disconnected. */
+  #attachCaller(active: ActiveJob): SubmittedJob {
+    active.callers += 1;
+    let hasLeft = false;
+    return {
+      ended: active.ended,
+      abandon: () => {
+        if (hasLeft) return;
+        hasLeft = true;
+        active.callers -= 1;
+        if (active.callers > 0) return;
+        this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
+      },
+    };
+  }
+
   #refuseJob(job: TransientJob, end: TransientJobEnd): SubmittedJob {
     this.#options.metrics.count(Counter.JobsRefused);
     this.#options.logger.info('job refused', {
@@ -215,7 +220,7 @@
       this.#endJob(active, { kind: TransientJobEndKind.TimedOut });
     });
     this.#placer.apply(active, placement);
-    return attachCaller(active, this.#abandonJob);
+    return this.#attachCaller(active);
   }
 
   #handleRunEnd(workerId: TargetId, end: RunEnd): void {
@@ -258,7 +263,6 @@
   /** Places a task again whose worker was lost. No run of the task is active any more. */
   #returnTask(task: ActiveTask): void {
     task.workerId = undefined;
-    task.job.isDisturbed = true;
     if (task.job.end !== undefined) return;
     task.phase = TaskPhase.Waiting;
     this.#placeTasks(task.job);
@@ -304,9 +308,6 @@
       job.queue.service,
     );
     metrics.count(chooseEndCounter(end));
-    if (end.kind === TransientJobEndKind.Completed && !active.isDisturbed) {
-      this.#margin.recordEnd(job.queue.queue, timers.now() <= active.dueAt);
-    }
     logger.info('job ended', {
       ...describeJobForLog(job),
       ...end,
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -44,8 +44,6 @@
   readonly waitingWork: readonly number[];
   /** Estimated remaining work of the executing runs, in processor-milliseconds. */
   readonly runningWork: number;
-  /** Processors that recently started work needs on average, indexed by priority; undefined from earlier versions. */
-  readonly startedWorkRates?: readonly number[] | undefined;
   /** Whether the worker accepts no further runs because it is draining or currently unresponsive. */
   readonly closed: boolean;
 }
--- a/packages/worker-gate/src/dispatcher-reports.ts
+++ b/packages/worker-gate/src/dispatcher-reports.ts
@@ -23,7 +23,6 @@
   free: { processors: 0, memoryMebibytes: 0, accelerators: 0 },
   waitingWork: [],
   runningWork: 0,
-  startedWorkRates: [],
   closed: true,
 };
 
--- a/packages/worker-gate/src/run-table.ts
+++ b/packages/worker-gate/src/run-table.ts
@@ -12,7 +12,6 @@
   RunPhase,
 } from './active-run.js';
 import { Capacity } from './capacity.js';
-import { StartedWork } from './started-work.js';
 import { WaitingRuns } from './waiting-runs.js';
 
 /** Free share of the processors that is reported as available again: tasks need up to a tenth of a worker. */
@@ -22,7 +21,6 @@
 export class RunTable {
   readonly capacity: Capacity;
   readonly waiting = new WaitingRuns();
-  readonly #startedWork = new StartedWork();
   readonly #active = new Map<string, ActiveRun>();
   /** Whether runs have been queued since freed capacity was last reported. */
   #wasFull = false;
@@ -84,7 +82,6 @@
     );
     if (run === undefined) return undefined;
     this.capacity.reserve(run.order.need);
-    this.#startedWork.recordStart(run.order, now);
     this.#active.set(run.task, run);
     run.phase = RunPhase.Starting;
     run.startedAt = now;
@@ -109,7 +106,6 @@
       free: this.capacity.free,
       waitingWork: this.waiting.estimateWorkByPriority(now),
       runningWork: Math.round(runningWork),
-      startedWorkRates: this.#startedWork.measureRates(now),
     };
   }
 }
