Log the members of control at starts, elections and changes, and too few voters

The lines of control named roles and changes, but not who was a member, so that too few replicas could not be told from members that are gone or from elections that fail. Each of these lines now has the list with roles, and a leader warns when its voters are fewer than the tolerated losses need. form-group.test.ts checks the warning. No decision changes.

--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -3,7 +3,7 @@
   createControlClient,
   type ControlClient,
 } from '@cranberryturn/control-client';
-import { createSilentLogger } from '@cranberryturn/logger';
+import { createSilentLogger, type Logger } from '@cranberryturn/logger';
 import { createRandomSource } from '@cranberryturn/random';
 import {
   createMemoryLogDisk,
@@ -39,6 +39,8 @@
   readonly retention?: Partial<ControlRetention>;
   /** Set when the replicas manage their own membership. */
   readonly minimumVoters?: number;
+  /** Log of all replicas; silent by default. */
+  readonly logger?: Logger;
 }
 
 /** A cluster of replicas. Founding hosts are named c1, c2 and so on. */
@@ -138,7 +140,7 @@
               minimumVoters: options.minimumVoters,
             },
           }),
-      logger: createSilentLogger(),
+      logger: options.logger ?? createSilentLogger(),
       decisions: () => undefined,
     });
     if (started.isErr()) throw started.error;
--- a/packages/control/src/form-group.test.ts
+++ b/packages/control/src/form-group.test.ts
@@ -1,3 +1,4 @@
+import { createSilentLogger } from '@cranberryturn/logger';
 import { MemberRole } from '@cranberryturn/replicated-log';
 import test from 'ava';
 
@@ -98,3 +99,16 @@
   await fixture.timers.advance(6_000);
   t.deepEqual(listVoters(fixture), ['c1', 'c2', 'c3', 'c4']);
 });
+
+test('a leader warns when its voters are too few for the tolerated losses', async t => {
+  const logger = createSilentLogger();
+  const warnings: unknown[] = [];
+  logger.warn = (_message, fields) => void warnings.push(fields);
+  const fixture = await startCluster({ size: 3, minimumVoters: 5, logger });
+  t.deepEqual(warnings, [{ voters: 3, needed: 5 }]);
+  await fixture.cluster.startBlank('c4');
+  await fixture.cluster.startBlank('c5');
+  await fixture.timers.advance(3_000);
+  t.is(listVoters(fixture).length, 5);
+  t.deepEqual(warnings.slice(1), [{ voters: 4, needed: 5 }]);
+});
--- a/packages/control/src/form-group.ts
+++ b/packages/control/src/form-group.ts
@@ -3,7 +3,12 @@
  * leader changes the members.
  */
 import type { Logger } from '@cranberryturn/logger';
-import { type ReplicatedLog, ReplicaRole } from '@cranberryturn/replicated-log';
+import {
+  type Member,
+  MemberRole,
+  type ReplicatedLog,
+  ReplicaRole,
+} from '@cranberryturn/replicated-log';
 import {
   sleep,
   type TimerService,
@@ -43,6 +48,7 @@
   readonly seeds: readonly NetworkAddress[];
   /** Address at which other replicas reach this one. */
   readonly self: NetworkAddress;
+  /** Voters that are needed so that the tolerated losses leave a majority. */
   readonly minimumVoters: number;
 }
 
@@ -83,6 +89,7 @@
     JoiningReplica & { seenAt: Milliseconds }
   >();
   const silences = createSilenceTracker(options);
+  const voterCount = createVoterCountMonitor(options);
   let isStopped = false;
   let isChanging = false;
 
@@ -101,6 +108,7 @@
     const { role, members, replicaId } = log.status();
     silences.measure(members.map(member => member.replicaId));
     if (isChanging || role !== ReplicaRole.Leader) return;
+    voterCount.check(members);
     isChanging = true;
     await applyGroupStep(options, {
       leader: replicaId,
@@ -151,7 +159,11 @@
     replicaId,
     Math.round(view.measureSilence(replicaId)),
   ]);
-  logger.info('control changes its members', { change: step.change, silences });
+  logger.info('control changes its members', {
+    change: step.change,
+    silences,
+    members: listRoles(view.members),
+  });
   const changed = await log.changeMembers(step.change);
   if (changed.isOk()) return;
   logger.info('membership change not done; retrying', {
@@ -160,6 +172,39 @@
   });
 }
 
+/** Lists members for a log line, without their addresses. */
+export function listRoles(
+  members: readonly Member[],
+): readonly Pick<Member, 'replicaId' | 'role'>[] {
+  return members.map(({ replicaId, role }) => ({ replicaId, role }));
+}
+
+/** Logs when a leader finds that the voters became too few for the tolerated losses, or enough. */
+function createVoterCountMonitor({ group, logger }: FormGroupOptions) {
+  let loggedVoters: number | undefined;
+  return {
+    check: (members: readonly Member[]): void => {
+      const voters = members.filter(
+        ({ role }) => role === MemberRole.Voter,
+      ).length;
+      if (voters === loggedVoters) return;
+      loggedVoters = voters;
+      const fields = { voters, needed: group.minimumVoters };
+      if (voters < group.minimumVoters) {
+        logger.warn(
+          'control has fewer voters than the tolerated losses need; run it on more hosts with a disk',
+          fields,
+        );
+        return;
+      }
+      logger.info(
+        'control has the voters that the tolerated losses need',
+        fields,
+      );
+    },
+  };
+}
+
 /**
  * Counts the silence of a member from the time at which this replica began to watch it: when this
  * replica became leader, or when the member was added.
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -36,7 +36,7 @@
 import { createControlState, type EntryOutcome } from './control-state.js';
 import { expireSilentRuns } from './expire-silent-runs.js';
 import { createFollowerFeed } from './feed-followers.js';
-import { type JoinReply, formGroup } from './form-group.js';
+import { type JoinReply, formGroup, listRoles } from './form-group.js';
 import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable } from './in-force-table.js';
 import { parseAddress } from './parse-address.js';
@@ -153,6 +153,7 @@
   logger.info('control replica started', {
     replicaId: status().replicaId,
     address: listener.address,
+    members: listRoles(status().members),
   });
   const stop = async (): Promise<void> => {
     subscription.cancel();
@@ -241,7 +242,7 @@
 }
 
 function logRoleChange(logger: Logger, status: LogStatus): void {
-  const { replicaId, role, term, leader, failure } = status;
+  const { replicaId, role, term, leader, members, failure } = status;
   if (failure !== undefined) {
     logger.error('control replica failed and stopped', {
       replicaId,
@@ -254,6 +255,7 @@
     role,
     term,
     leader,
+    members: listRoles(members),
   });
 }
 
