--- /dev/null
+++ b/packages/control/src/tolerated-losses.test.ts
@@ -0,0 +1,110 @@
+import type { Publication } from '@cranberryturn/types';
+import test from 'ava';
+
+import {
+  AdministrationMethod,
+  AdministrationReplyKind,
+} from './administration-calls.js';
+import {
+  type ClusterFixture,
+  getReplicaId,
+  requireLeader,
+  settleWithin,
+  startCluster,
+} from './fakes/cluster-fixture.js';
+
+const founders = 3;
+const outageMilliseconds = 1_400;
+const recoveryMilliseconds = 5_000;
+
+/** Starts a group in which the hosts beyond the founders join, as on a deployment. */
+async function startGroup(
+  hosts: number,
+  tolerated: number,
+): Promise<ClusterFixture> {
+  const fixture = await startCluster({
+    size: founders,
+    minimumVoters: 2 * tolerated + 1,
+  });
+  for (let number = founders + 1; number <= hosts; number += 1)
+    await fixture.cluster.startBlank(`c${String(number)}`);
+  await fixture.timers.advance(recoveryMilliseconds);
+  return fixture;
+}
+
+function listHosts(count: number): readonly string[] {
+  return Array.from({ length: count }, (_, index) => `c${String(index + 1)}`);
+}
+
+/** Cuts the power of all hosts right after an acknowledgement; some come back with empty disks. */
+async function cutPower(
+  { cluster, timers }: ClusterFixture,
+  hosts: readonly string[],
+  wiped: readonly string[],
+): Promise<void> {
+  for (const host of hosts) await cluster.crash(host);
+  for (const host of wiped) cluster.wipe(host);
+  await timers.advance(outageMilliseconds);
+  for (const host of hosts) {
+    const isFounderWithDisk =
+      Number(host.slice(1)) <= founders && !wiped.includes(host);
+    await (isFounderWithDisk ? cluster.start(host) : cluster.startBlank(host));
+  }
+  await timers.advance(recoveryMilliseconds);
+}
+
+async function readVersion({
+  cluster,
+  timers,
+}: ClusterFixture): Promise<number | undefined> {
+  const [node] = cluster.nodes();
+  if (node === undefined) return undefined;
+  const reply = await settleWithin(
+    timers,
+    node.administer({ method: AdministrationMethod.ReadPublication }),
+  );
+  if (reply.kind !== AdministrationReplyKind.Done) return undefined;
+  return (reply.view as Publication).version;
+}
+
+/** All ways to choose `count` of the hosts. */
+function chooseHosts(
+  hosts: readonly string[],
+  count: number,
+): readonly (readonly string[])[] {
+  if (count === 0) return [[]];
+  return hosts.flatMap((host, index) =>
+    chooseHosts(hosts.slice(index + 1), count - 1).map(rest => [host, ...rest]),
+  );
+}
+
+for (const { hosts, tolerated } of [
+  { hosts: 3, tolerated: 1 },
+  { hosts: 4, tolerated: 1 },
+  { hosts: 5, tolerated: 2 },
+  { hosts: 6, tolerated: 2 },
+]) {
+  const title = `${String(hosts)} hosts of control serve an acknowledged publication after any ${String(tolerated)} disks were lost in a power cut`;
+  test(title, async t => {
+    const names = listHosts(hosts);
+    for (const wiped of chooseHosts(names, tolerated)) {
+      const fixture = await startGroup(hosts, tolerated);
+      const publication = { version: 38, document: '{}' };
+      const acknowledged = await settleWithin(
+        fixture.timers,
+        requireLeader(fixture).administer({
+          method: AdministrationMethod.Publish,
+          publication,
+        }),
+      );
+      t.is(acknowledged.kind, AdministrationReplyKind.Done);
+      const leader = getReplicaId(requireLeader(fixture));
+      await cutPower(fixture, names, wiped);
+      t.is(
+        await readVersion(fixture),
+        38,
+        `${leader} led, ${wiped.join(' and ')} lost their disks`,
+      );
+    }
+  });
+}
