Run control on two hosts of each data centre, so that the tolerated losses leave a majority

Cause: the deployment bears the loss of two hosts with a disk at once, and control ran on one host of each data centre. Three voters bear one loss. Two came back blank, and the third had no majority for good. Nothing compared the number of voters with the stated losses; five data centres happen to have enough.

Change: control runs on two entry hosts of each data centre. Where the second has no disk, its replica observes: it receives the log into memory, serves operators and joining replicas, and is never promoted, so that it cannot forget a vote. Observers are heard every 500 ms, and dispatchers are not told to dial them.

Seeds may now name hosts without a disk. The leader therefore announces itself to seeds that are no members and to hosts whose identity has changed, and replicas follow changes of the seeds while they run.

--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -1,9 +1,10 @@
 /** Carries messages between control replicas over the wire protocol. */
 import { ConnectionError, type TimeoutError } from '@cranberryturn/errors';
-import type {
-  PeerLink,
-  PeerMessage,
-  PeerReply,
+import {
+  type PeerLink,
+  type PeerMessage,
+  type PeerReply,
+  PeerReplyKind,
 } from '@cranberryturn/replicated-log';
 import type { TimerService } from '@cranberryturn/timers';
 import type {
@@ -40,6 +41,8 @@
   Administration = 'administration',
   /** A request to join the group. */
   JoinRequest = 'enlist',
+  /** Tells a host that may not know the group where its leader is. */
+  LeaderAnnouncement = 'leader-announcement',
 }
 
 /** One message between replicas, sent as the body of a remote call. */
@@ -56,6 +59,10 @@
   | {
       readonly kind: PeerEnvelopeKind.JoinRequest;
       readonly candidate: JoiningReplica;
+    }
+  | {
+      readonly kind: PeerEnvelopeKind.LeaderAnnouncement;
+      readonly leader: NetworkAddress;
     };
 
 /** Handlers of the messages from other replicas. */
@@ -68,6 +75,7 @@
     call: AdministrationCall,
   ) => Promise<AdministrationReply>;
   readonly handleJoinRequest: (candidate: JoiningReplica) => JoinReply;
+  readonly handleAnnouncement: (leader: NetworkAddress) => void;
 }
 
 /** Dependencies of the link. */
@@ -80,6 +88,8 @@
   readonly self: () => ReplicaId;
   /** Finds the address of a replica; undefined when unknown. */
   readonly findAddress: (replica: ReplicaId) => NetworkAddress | undefined;
+  /** Called when another identity answers at the address of a replica. */
+  readonly handleReplaced: (replica: ReplicaId) => void;
 }
 
 /** The link of the log, with the other calls between replicas. */
@@ -107,16 +117,19 @@
 }
 
 async function handleEnvelope(
-  { handleMessage, administer, handleJoinRequest }: PeerHandlers,
+  handlers: PeerHandlers,
   envelope: PeerEnvelope,
-): Promise<PeerReply | AdministrationReply | JoinReply> {
+): Promise<PeerReply | AdministrationReply | JoinReply | undefined> {
   switch (envelope.kind) {
     case PeerEnvelopeKind.Log:
-      return await handleMessage(envelope.from, envelope.message);
+      return await handlers.handleMessage(envelope.from, envelope.message);
     case PeerEnvelopeKind.Administration:
-      return await administer(envelope.call);
+      return await handlers.administer(envelope.call);
     case PeerEnvelopeKind.JoinRequest:
-      return handleJoinRequest(envelope.candidate);
+      return handlers.handleJoinRequest(envelope.candidate);
+    case PeerEnvelopeKind.LeaderAnnouncement:
+      handlers.handleAnnouncement(envelope.leader);
+      return undefined;
   }
 }
 
@@ -203,11 +216,14 @@
 
   return {
     call: (peer, message) =>
-      send(
+      send<PeerReply>(
         peer,
         { kind: PeerEnvelopeKind.Log, from: options.self(), message },
         callTimeoutMilliseconds,
-      ),
+      ).andTee(reply => {
+        if (reply.kind === PeerReplyKind.Refused && reply.wrongIdentity)
+          options.handleReplaced(peer);
+      }),
     administer: (leader, call) =>
       send(
         leader,
--- /dev/null
+++ b/packages/control/src/call-control-host.ts
@@ -0,0 +1,35 @@
+/** Calls a control host once, over a connection of its own. */
+import type { ConnectionError, TimeoutError } from '@cranberryturn/errors';
+import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import {
+  dialWithin,
+  type Network,
+  serveRemoteCalls,
+} from '@cranberryturn/wire';
+import { err, type Result } from 'neverthrow';
+
+import type { PeerEnvelope } from './adapters/wire-peer-link.js';
+
+/** Dependencies of a call, and the timeout of its dial and of its answer. */
+export interface ControlHostCall {
+  readonly network: Network;
+  readonly timers: TimerService;
+  readonly timeout: Milliseconds;
+}
+
+/** Dials the host, sends one message, and closes the connection after the reply or the timeout. */
+export async function callControlHost<Reply>(
+  { network, timers, timeout }: ControlHostCall,
+  address: NetworkAddress,
+  envelope: PeerEnvelope,
+): Promise<Result<Reply, ConnectionError | TimeoutError>> {
+  const dialled = await dialWithin(network, timers, address, timeout);
+  if (dialled.isErr()) return err(dialled.error);
+  const calls = serveRemoteCalls(dialled.value, timers, {
+    handleCall: () => Promise.resolve(undefined),
+  });
+  const reply = await calls.call<Reply>(envelope, timeout);
+  calls.connection.close();
+  return reply;
+}
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -79,6 +79,11 @@
    * the leader.
    */
   readonly inForce: InForceTable;
+  /**
+   * Replaces the addresses at which the group is looked for, after a change of the settings. Without
+   * effect where members follow the configured control hosts.
+   */
+  changeSeeds(seeds: readonly NetworkAddress[]): void;
   /** Stops the replica. A leader first transfers its leadership. */
   stop(): Promise<void>;
 }
--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -49,9 +49,14 @@
   /**
    * Starts the replica of a founding host on its existing disk, or on an empty one the first time.
    */
-  start(host: string): Promise<ControlNode>;
-  /** Starts a replica that joins: on an empty disk it waits to be added as a member. */
-  startBlank(host: string): Promise<ControlNode>;
+  start(host: string, seeds?: readonly string[]): Promise<ControlNode>;
+  /**
+   * Starts a replica that joins: on an empty disk it waits to be added as a member. It looks for the
+   * group at the seeds, which are the founding hosts by default.
+   */
+  startBlank(host: string, seeds?: readonly string[]): Promise<ControlNode>;
+  /** Starts an observer on an empty disk. */
+  startObserver(host: string, seeds?: readonly string[]): Promise<ControlNode>;
   /** Erases the disk of a host; the host must not be running. */
   wipe(host: string): void;
   /** Kills the process of a host; bytes that were not synced may be lost. */
@@ -97,6 +102,7 @@
   const startReplica = async (
     host: string,
     start: BootstrapStart | JoinStart,
+    { seeds = founders, isObserver = false } = {},
   ): Promise<ControlNode> => {
     const disk = disks.get(host) ?? createMemoryLogDisk(timers);
     disks.set(host, disk);
@@ -135,9 +141,10 @@
         ? {}
         : {
             group: {
-              seeds: peers.map(peer => peer.address),
+              seeds: seeds.map(composeAddress),
               self: composeAddress(host),
               minimumVoters: options.minimumVoters,
+              isObserver,
             },
           }),
       logger: options.logger ?? createSilentLogger(),
@@ -157,17 +164,30 @@
   return {
     network,
     leader,
-    start: host =>
-      startReplica(host, {
-        kind: StartKind.Bootstrap,
-        replicaId: host,
-        members: peers.map(peer => ({
-          replicaId: peer.replicaId,
-          role: MemberRole.Voter,
-          address: formatAddress(peer.address),
-        })),
-      }),
-    startBlank: host => startReplica(host, { kind: StartKind.Join, host }),
+    start: (host, seeds = founders) =>
+      startReplica(
+        host,
+        {
+          kind: StartKind.Bootstrap,
+          replicaId: host,
+          members: peers.map(peer => ({
+            replicaId: peer.replicaId,
+            role: MemberRole.Voter,
+            address: formatAddress(peer.address),
+          })),
+        },
+        { seeds: [...seeds] },
+      ),
+    startBlank: (host, seeds = founders) =>
+      startReplica(host, { kind: StartKind.Join, host }, { seeds: [...seeds] }),
+    startObserver: (host, seeds = founders) => {
+      disks.delete(host);
+      return startReplica(
+        host,
+        { kind: StartKind.Join, host },
+        { seeds: [...seeds], isObserver: true },
+      );
+    },
     wipe: host => {
       disks.delete(host);
     },
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -4,7 +4,11 @@
  */
 import { listChangesSince } from '@cranberryturn/configuration';
 import { composeRoster, composeRosterChanges } from '@cranberryturn/membership';
-import type { LogStatus, Member } from '@cranberryturn/replicated-log';
+import {
+  type LogStatus,
+  type Member,
+  MemberRole,
+} from '@cranberryturn/replicated-log';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type { LogIndex, Milliseconds, Roster } from '@cranberryturn/types';
 import {
@@ -177,8 +181,9 @@
 function sendMembers(follower: Follower, members: readonly Member[]): void {
   if (follower.members === members) return;
   follower.members = members;
-  const addresses = members.flatMap(
-    member => parseAddress(member.address) ?? [],
-  );
+  // Every follower dials each listed host; the hosts of voters are enough.
+  const addresses = members
+    .filter(({ role }) => role !== MemberRole.Observer)
+    .flatMap(member => parseAddress(member.address) ?? []);
   follower.calls.notify({ kind: ControlNoticeKind.ControlHosts, addresses });
 }
--- a/packages/control/src/form-group.ts
+++ b/packages/control/src/form-group.ts
@@ -9,47 +9,35 @@
   type ReplicatedLog,
   ReplicaRole,
 } from '@cranberryturn/replicated-log';
-import {
-  sleep,
-  type TimerService,
-  type TimerSubscription,
-} from '@cranberryturn/timers';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type {
   Milliseconds,
   NetworkAddress,
   ReplicaId,
 } from '@cranberryturn/types';
-import {
-  dialWithin,
-  formatAddress,
-  type Network,
-  serveRemoteCalls,
-} from '@cranberryturn/wire';
+import type { Network } from '@cranberryturn/wire';
 
+import { announceLeader } from './announce-leader.js';
 import type { EntryOutcome } from './control-state.js';
 import { parseAddress } from './parse-address.js';
 import { findGroupStep, type JoiningReplica } from './plan-group.js';
 import { MembershipStepKind } from './reconcile-members.js';
-import { PeerEnvelopeKind } from './adapters/wire-peer-link.js';
+import { requestMembership } from './request-membership.js';
 
 const stepIntervalMilliseconds: Milliseconds = 100;
-const joinRequestIntervalMilliseconds: Milliseconds = 400;
-const joinRequestTimeoutMilliseconds: Milliseconds = 800;
 /** A replica that has not repeated its join request for this time is no longer added. */
 const joinRequestLifetimeMilliseconds: Milliseconds = 2_000;
-/**
- * A member without a known leader for this long may have been removed, so it asks to join again.
- */
-const leaderlessLimitMilliseconds: Milliseconds = 2_000;
 
 /** Settings of a group that manages its own membership. */
 export interface GroupOptions {
-  /** Addresses at which join requests can find a member. */
+  /** Addresses at which join requests can find a member, until `changeSeeds`. */
   readonly seeds: readonly NetworkAddress[];
   /** Address at which other replicas reach this one. */
   readonly self: NetworkAddress;
   /** Voters that are needed so that the tolerated losses leave a majority. */
   readonly minimumVoters: number;
+  /** Whether this replica only observes, because its host has no disk. */
+  readonly isObserver: boolean;
 }
 
 /** The reply to a join request. */
@@ -76,6 +64,12 @@
 export interface GroupFormation extends TimerSubscription {
   /** Records the join request of another replica and returns the address of the leader. */
   handleJoinRequest(candidate: JoiningReplica): JoinReply;
+  /** Asks the announced leader for membership unless this replica is a member already. */
+  handleAnnouncement(leader: NetworkAddress): void;
+  /** Notes that another identity answers at the address of a member. */
+  handleReplacedMember(replica: ReplicaId): void;
+  /** Replaces the seed addresses after a change of the settings. */
+  changeSeeds(seeds: readonly NetworkAddress[]): void;
 }
 
 /**
@@ -84,29 +78,34 @@
  */
 export function formGroup(options: FormGroupOptions): GroupFormation {
   const { timers, log } = options;
+  /** Newest request of each address: a host that lost its data returns under a new identity. */
   const candidates = new Map<
-    ReplicaId,
+    string,
     JoiningReplica & { seenAt: Milliseconds }
   >();
-  const silences = createSilenceTracker(options);
+  /** Members at whose address another identity answers. */
+  const replaced = new Set<ReplicaId>();
+  const silences = createSilenceTracker(options, replaced);
   const voterCount = createVoterCountMonitor(options);
-  let isStopped = false;
+  let { seeds } = options.group;
+  const listSeeds = (): readonly NetworkAddress[] => seeds;
   let isChanging = false;
 
   const listJoiningReplicas = (): readonly JoiningReplica[] => {
     const oldest = timers.now() - joinRequestLifetimeMilliseconds;
-    for (const [replicaId, { seenAt }] of candidates) {
-      if (seenAt < oldest) candidates.delete(replicaId);
+    for (const [address, { seenAt }] of candidates) {
+      if (seenAt < oldest) candidates.delete(address);
     }
-    return [...candidates.values()].map(({ replicaId, address }) => ({
-      replicaId,
-      address,
-    }));
+    return [...candidates.values()];
   };
 
   const stepWhileLeading = async (): Promise<void> => {
     const { role, members, replicaId } = log.status();
-    silences.measure(members.map(member => member.replicaId));
+    const replicaIds = members.map(member => member.replicaId);
+    for (const replica of replaced) {
+      if (!replicaIds.includes(replica)) replaced.delete(replica);
+    }
+    silences.measure(replicaIds);
     if (isChanging || role !== ReplicaRole.Leader) return;
     voterCount.check(members);
     isChanging = true;
@@ -124,18 +123,34 @@
     stepIntervalMilliseconds,
     () => void stepWhileLeading(),
   );
-  void requestMembershipRepeatedly(options, () => isStopped);
+  const requests = requestMembership({ ...options, listSeeds });
+  const announcements = announceLeader({
+    ...options,
+    self: options.group.self,
+    listSeeds,
+    replaced,
+  });
   return {
     handleJoinRequest: candidate => {
-      candidates.set(candidate.replicaId, {
+      candidates.set(candidate.address, {
         ...candidate,
         seenAt: timers.now(),
       });
       return { leader: findLeader(log) };
     },
+    handleAnnouncement: requests.handleAnnouncement,
+    handleReplacedMember: replica => {
+      if (replaced.has(replica)) return;
+      replaced.add(replica);
+      announcements.announce();
+    },
+    changeSeeds: changed => {
+      seeds = changed;
+    },
     cancel: () => {
-      isStopped = true;
       stepTimer.cancel();
+      requests.cancel();
+      announcements.cancel();
     },
   };
 }
@@ -209,14 +224,19 @@
  * Counts the silence of a member from the time at which this replica began to watch it: when this
  * replica became leader, or when the member was added.
  */
-function createSilenceTracker({ timers, findSilence, log }: FormGroupOptions) {
+function createSilenceTracker(
+  { timers, findSilence, log }: FormGroupOptions,
+  replaced: ReadonlySet<ReplicaId>,
+) {
   const heardAt = new Map<ReplicaId, Milliseconds>();
   return {
     measure: (members: readonly ReplicaId[]): void => {
       const now = timers.now();
       const isLeading = log.status().role === ReplicaRole.Leader;
       for (const replica of members) {
-        const silence = findSilence(replica);
+        const silence = replaced.has(replica)
+          ? undefined
+          : findSilence(replica);
         const heard = silence === undefined ? undefined : now - silence;
         const known = heardAt.get(replica) ?? now;
         heardAt.set(replica, isLeading ? Math.max(known, heard ?? known) : now);
@@ -226,75 +246,3 @@
       timers.now() - (heardAt.get(replica) ?? timers.now()),
   };
 }
-
-async function requestMembershipRepeatedly(
-  options: FormGroupOptions,
-  isStopped: () => boolean,
-): Promise<void> {
-  const { timers, log } = options;
-  let leaderKnownAt = timers.now();
-  let attempts = 0;
-  while (!isStopped()) {
-    await sleep(timers, joinRequestIntervalMilliseconds);
-    const { members, replicaId, leader } = log.status();
-    const now = timers.now();
-    if (leader !== undefined) leaderKnownAt = now;
-    const isMember = members.some(member => member.replicaId === replicaId);
-    if (isMember && now - leaderKnownAt < leaderlessLimitMilliseconds) continue;
-    const addresses = listContactAddresses(options);
-    const address = addresses[attempts % Math.max(1, addresses.length)];
-    attempts += 1;
-    if (address === undefined) continue;
-    const reply = await requestMembership(options, address);
-    if (reply?.leader !== undefined)
-      await requestMembership(options, reply.leader);
-  }
-}
-
-function listContactAddresses({
-  group,
-  log,
-}: FormGroupOptions): readonly NetworkAddress[] {
-  const own = formatAddress(group.self);
-  const members = log
-    .status()
-    .members.flatMap(member => parseAddress(member.address) ?? []);
-  const addresses = new Map(
-    [...group.seeds, ...members].map(address => [
-      formatAddress(address),
-      address,
-    ]),
-  );
-  addresses.delete(own);
-  return [...addresses.values()];
-}
-
-async function requestMembership(
-  { network, timers, log, group, logger }: FormGroupOptions,
-  address: NetworkAddress,
-): Promise<JoinReply | undefined> {
-  const dialled = await dialWithin(
-    network,
-    timers,
-    address,
-    joinRequestTimeoutMilliseconds,
-  );
-  if (dialled.isErr()) return undefined;
-  const calls = serveRemoteCalls(dialled.value, timers, {
-    handleCall: () => Promise.resolve(undefined),
-  });
-  const candidate: JoiningReplica = {
-    replicaId: log.status().replicaId,
-    address: formatAddress(group.self),
-  };
-  const reply = await calls.call<JoinReply>(
-    { kind: PeerEnvelopeKind.JoinRequest, candidate },
-    joinRequestTimeoutMilliseconds,
-  );
-  calls.connection.close();
-  logger.info('join request sent to a control host', {
-    at: formatAddress(address),
-    answered: reply.isOk(),
-  });
-  return reply.unwrapOr(undefined);
-}
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -19,11 +19,15 @@
 export const learnerSilenceLimitMilliseconds: Milliseconds = 4_000;
 /** More voters raise the cost of each commit and do not make the group easier to repair. */
 export const maximumVoters = 7;
+/** Each observer costs the leader heartbeats and a copy of each entry. */
+export const maximumObservers = 14;
 
 /** A replica that asks to join the group. Sent to other replicas as part of a join request. */
 export interface JoiningReplica {
   readonly replicaId: ReplicaId;
   readonly address: string;
+  /** Set by a replica without a disk: it must not become a voter. */
+  readonly isObserver?: boolean | undefined;
 }
 
 /** The leader's view of the group, the input of each planning step. */
@@ -42,14 +46,16 @@
  * Finds the next membership change. A replica that joins with the address of a member replaces that
  * member, whose disk is lost. Replicas are added before others are removed, so that the quorum
  * never becomes smaller than needed; a silent voter is removed only while there are more voters than
- * the minimum.
+ * the minimum. Observers come last, because they do not make the group safer.
  */
 export function findGroupStep(view: GroupView): MembershipStep | undefined {
   return (
     findLearnerRemoval(view) ??
     findPromotion(view) ??
     findAddition(view) ??
-    findVoterRemoval(view)
+    findVoterRemoval(view) ??
+    findObserverRemoval(view) ??
+    findObserverAddition(view)
   );
 }
 
@@ -74,15 +80,59 @@
 }
 
 function findAddition({ members, candidates }: GroupView) {
-  const isKnown = ({ replicaId }: JoiningReplica): boolean =>
-    members.some(member => member.replicaId === replicaId);
-  const candidate = candidates.find(one => !isKnown(one));
+  const candidate = candidates.find(
+    one => one.isObserver !== true && !isMember(one, members),
+  );
   if (candidate === undefined) return undefined;
-  const isReplacement = members.some(
-    ({ address }) => address === candidate.address,
+  const { replicaId, address } = candidate;
+  const durable = members.filter(({ role }) => role !== MemberRole.Observer);
+  const isReplacement = durable.some(member => member.address === address);
+  if (durable.length >= maximumVoters && !isReplacement) return undefined;
+  return composeChange({
+    kind: MemberChangeKind.AddLearner,
+    replicaId,
+    address,
+  });
+}
+
+function findObserverAddition({ members, candidates }: GroupView) {
+  const candidate = candidates.find(
+    one => one.isObserver === true && !isMember(one, members),
   );
-  if (members.length >= maximumVoters && !isReplacement) return undefined;
-  return composeChange({ kind: MemberChangeKind.AddLearner, ...candidate });
+  if (candidate === undefined) return undefined;
+  const { replicaId, address } = candidate;
+  const observers = members.filter(({ role }) => role === MemberRole.Observer);
+  if (observers.length >= maximumObservers) return undefined;
+  return composeChange({
+    kind: MemberChangeKind.AddObserver,
+    replicaId,
+    address,
+  });
+}
+
+/** Removes an observer that is silent, or whose host has announced itself under a new identity. */
+function findObserverRemoval({
+  members,
+  candidates,
+  measureSilence,
+}: GroupView) {
+  const removed = members
+    .filter(({ role }) => role === MemberRole.Observer)
+    .find(
+      ({ replicaId, address }) =>
+        measureSilence(replicaId) >= learnerSilenceLimitMilliseconds ||
+        candidates.some(
+          one => one.address === address && !isMember(one, members),
+        ),
+    );
+  return removed === undefined ? undefined : composeRemoval(removed);
+}
+
+function isMember(
+  { replicaId }: JoiningReplica,
+  members: readonly Member[],
+): boolean {
+  return members.some(member => member.replicaId === replicaId);
 }
 
 function findVoterRemoval(view: GroupView): MembershipStep | undefined {
--- /dev/null
+++ b/packages/control/src/request-membership.ts
@@ -0,0 +1,116 @@
+/** Asks the group for membership while this replica is not a member, or may no longer be one. */
+import type { Logger } from '@cranberryturn/logger';
+import type { ReplicatedLog } from '@cranberryturn/replicated-log';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { formatAddress, type Network } from '@cranberryturn/wire';
+
+import { PeerEnvelopeKind } from './adapters/wire-peer-link.js';
+import { callControlHost } from './call-control-host.js';
+import type { EntryOutcome } from './control-state.js';
+import type { GroupOptions, JoinReply } from './form-group.js';
+import { parseAddress } from './parse-address.js';
+import type { JoiningReplica } from './plan-group.js';
+
+const joinRequestIntervalMilliseconds: Milliseconds = 400;
+const joinRequestTimeoutMilliseconds: Milliseconds = 800;
+/**
+ * A member without a known leader for this long may have been removed, so it asks to join again.
+ */
+const leaderSilenceLimitMilliseconds: Milliseconds = 2_000;
+
+/** Dependencies of the requests. */
+export interface RequestMembershipOptions {
+  readonly group: GroupOptions;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly log: ReplicatedLog<EntryOutcome>;
+  readonly network: Network;
+  /** Seeds of the current settings. */
+  readonly listSeeds: () => readonly NetworkAddress[];
+}
+
+/** The running requests. */
+export interface MembershipRequests extends TimerSubscription {
+  /** Sends a request to this leader at once unless this replica is a member in contact with one. */
+  handleAnnouncement(leader: NetworkAddress): void;
+}
+
+/** Starts the requests, which continue until cancelled. */
+export function requestMembership(
+  options: RequestMembershipOptions,
+): MembershipRequests {
+  const { timers, log } = options;
+  let leaderHeardAt = timers.now();
+  let attempts = 0;
+
+  const isInContact = (): boolean => {
+    const { members, replicaId, leader } = log.status();
+    if (leader !== undefined) leaderHeardAt = timers.now();
+    const silence = timers.now() - leaderHeardAt;
+    const isMember = members.some(member => member.replicaId === replicaId);
+    return isMember && silence < leaderSilenceLimitMilliseconds;
+  };
+
+  const requestAtNextHost = async (): Promise<void> => {
+    if (isInContact()) return;
+    const addresses = listContactAddresses(options);
+    const address = addresses[attempts % Math.max(1, addresses.length)];
+    attempts += 1;
+    if (address === undefined) return;
+    const reply = await requestAt(options, address);
+    if (reply?.leader !== undefined) await requestAt(options, reply.leader);
+  };
+
+  const timer = timers.every(
+    joinRequestIntervalMilliseconds,
+    () => void requestAtNextHost(),
+  );
+  return {
+    handleAnnouncement: leader => {
+      if (!isInContact()) void requestAt(options, leader);
+    },
+    cancel: () => {
+      timer.cancel();
+    },
+  };
+}
+
+function listContactAddresses({
+  group,
+  log,
+  listSeeds,
+}: RequestMembershipOptions): readonly NetworkAddress[] {
+  const members = log
+    .status()
+    .members.flatMap(member => parseAddress(member.address) ?? []);
+  const addresses = new Map(
+    [...listSeeds(), ...members].map(address => [
+      formatAddress(address),
+      address,
+    ]),
+  );
+  addresses.delete(formatAddress(group.self));
+  return [...addresses.values()];
+}
+
+async function requestAt(
+  { network, timers, log, group, logger }: RequestMembershipOptions,
+  address: NetworkAddress,
+): Promise<JoinReply | undefined> {
+  const candidate: JoiningReplica = {
+    replicaId: log.status().replicaId,
+    address: formatAddress(group.self),
+    isObserver: group.isObserver,
+  };
+  const reply = await callControlHost<JoinReply>(
+    { network, timers, timeout: joinRequestTimeoutMilliseconds },
+    address,
+    { kind: PeerEnvelopeKind.JoinRequest, candidate },
+  );
+  logger.info('join request sent to a control host', {
+    at: formatAddress(address),
+    answered: reply.isOk(),
+  });
+  return reply.unwrapOr(undefined);
+}
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -10,9 +10,11 @@
 import { createRandomSource, type RandomSource } from '@cranberryturn/random';
 import {
   createFileLogDisk,
+  createVolatileLogDisk,
   defaultLogTuning,
   type BootstrapStart,
   type JoinStart,
+  type LogDisk,
   MemberRole,
   openReplicatedLog,
   StartKind,
@@ -39,6 +41,12 @@
 
 const seedBound = 2 ** 31;
 const electionTimeoutSpreadFactor = 2;
+/** An observer holds its files in memory, so they are kept short. */
+const observerTuning = {
+  maximumSegmentBytes: 1024 * 1024,
+  snapshotBytes: 4 * 1024 * 1024,
+  trailingEntries: 100,
+};
 
 type JoinNetwork = (self: PeerIdentity) => Network;
 
@@ -122,11 +130,7 @@
     timers,
     openLog: (stateMachine, link) =>
       openReplicatedLog({
-        disk: measureSyncs(
-          createFileLogDisk(settings.dataFolder),
-          timers,
-          environment.metrics,
-        ),
+        disk: measureSyncs(createDisk(settings), timers, environment.metrics),
         link,
         stateMachine,
         timers,
@@ -145,13 +149,24 @@
   };
 }
 
+function createDisk({ dataFolder }: ControlReplicaSettings): LogDisk {
+  return dataFolder === undefined
+    ? createVolatileLogDisk()
+    : createFileLogDisk(dataFolder);
+}
+
 function composeGroup({
   group,
   peers,
+  dataFolder,
 }: ControlReplicaSettings): GroupOptions | undefined {
   if (group === undefined) return undefined;
   const { address, port, advertisedAddress } = peers.listen;
-  return { ...group, self: { address: advertisedAddress ?? address, port } };
+  return {
+    ...group,
+    self: { address: advertisedAddress ?? address, port },
+    isObserver: dataFolder === undefined,
+  };
 }
 
 function composeIdentity(name: string, random: RandomSource): PeerIdentity {
@@ -174,7 +189,11 @@
   };
 }
 
-function composeTuning({ timings, snapshots }: ControlReplicaSettings) {
+function composeTuning({
+  timings,
+  snapshots,
+  dataFolder,
+}: ControlReplicaSettings) {
   const { leaderHeartbeatMilliseconds, electionTimeoutMilliseconds } = timings;
   return {
     ...defaultLogTuning,
@@ -183,6 +202,7 @@
     maximumElectionTimeout:
       electionTimeoutMilliseconds * electionTimeoutSpreadFactor,
     snapshotEntries: snapshots.everyEntries,
+    ...(dataFolder === undefined ? observerTuning : {}),
   };
 }
 
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -10,11 +10,7 @@
   type ReplicatedLog,
   ReplicaRole,
 } from '@cranberryturn/replicated-log';
-import {
-  emptyConfiguration,
-  type NetworkAddress,
-  type ReplicaId,
-} from '@cranberryturn/types';
+import { emptyConfiguration, type NetworkAddress } from '@cranberryturn/types';
 import {
   type Connection,
   type Listener,
@@ -36,10 +32,15 @@
 import { createControlState, type EntryOutcome } from './control-state.js';
 import { expireSilentRuns } from './expire-silent-runs.js';
 import { createFollowerFeed } from './feed-followers.js';
-import { type JoinReply, formGroup, listRoles } from './form-group.js';
+import {
+  formGroup,
+  type GroupFormation,
+  type JoinReply,
+  listRoles,
+} from './form-group.js';
+import { findReplicaAddress } from './find-replica-address.js';
 import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable } from './in-force-table.js';
-import { parseAddress } from './parse-address.js';
 import type { JoiningReplica } from './plan-group.js';
 import { reconcileMembers } from './reconcile-members.js';
 import { recordClaim } from './record-claim.js';
@@ -63,13 +64,18 @@
     claims: options.retention?.claims ?? defaultClaimRetention,
     roster: options.retention?.roster ?? defaultRosterRetention,
   });
-  const running: { log?: ReplicatedLog<EntryOutcome>; network?: Network } = {};
+  const running: {
+    log?: ReplicatedLog<EntryOutcome>;
+    network?: Network;
+    formation?: GroupFormation;
+  } = {};
   const link = createWirePeerLink({
     network: () => running.network,
     timers,
     self: () => running.log?.status().replicaId ?? '',
     findAddress: replica =>
-      findAddress(options, running.log?.status(), replica),
+      findReplicaAddress(options, running.log?.status(), replica),
+    handleReplaced: replica => running.formation?.handleReplacedMember(replica),
   });
   const openedLog = await options.openLog(state, link);
   if (openedLog.isErr()) return err(openedLog.error);
@@ -112,6 +118,8 @@
     administerLocally,
     administer,
     inForce,
+    changeSeeds: (seeds: readonly NetworkAddress[]) =>
+      running.formation?.changeSeeds(seeds),
   };
   const subscription = log.subscribe(event => {
     handleLogEvent(options, parts, event);
@@ -128,8 +136,11 @@
           network,
           findSilence: link.findSilence,
         });
+  if (formation !== undefined) running.formation = formation;
   const node = {
     ...parts,
+    handleAnnouncement: (leader: NetworkAddress) =>
+      formation?.handleAnnouncement(leader),
     handleJoinRequest: (candidate: JoiningReplica): JoinReply =>
       formation?.handleJoinRequest(candidate) ?? { leader: undefined },
   };
@@ -168,6 +179,7 @@
 
 interface ServingReplica extends ReplicaParts {
   readonly handleJoinRequest: (candidate: JoiningReplica) => JoinReply;
+  readonly handleAnnouncement: (leader: NetworkAddress) => void;
 }
 
 async function serveConnection(
@@ -182,6 +194,7 @@
       handleMessage: (from, message) => log.handlePeerMessage(from, message),
       administer: node.administerLocally,
       handleJoinRequest: node.handleJoinRequest,
+      handleAnnouncement: node.handleAnnouncement,
     });
     return;
   }
@@ -259,20 +272,6 @@
   });
 }
 
-function findAddress(
-  options: ControlOptions,
-  status: LogStatus | undefined,
-  replica: ReplicaId,
-): NetworkAddress | undefined {
-  const member = status?.members.find(entry => entry.replicaId === replica);
-  const memberAddress =
-    member === undefined ? undefined : parseAddress(member.address);
-  return (
-    memberAddress ??
-    options.peers.find(peer => peer.replicaId === replica)?.address
-  );
-}
-
 async function stopReplica(
   { logger }: ControlOptions,
   { log, feed }: ReplicaParts,
--- a/packages/control/src/tolerated-losses.test.ts
+++ b/packages/control/src/tolerated-losses.test.ts
@@ -78,13 +78,32 @@
   );
 }
 
-for (const { hosts, tolerated } of [
-  { hosts: 3, tolerated: 1 },
-  { hosts: 4, tolerated: 1 },
-  { hosts: 5, tolerated: 2 },
-  { hosts: 6, tolerated: 2 },
+for (const { hosts, tolerated, title } of [
+  {
+    hosts: 3,
+    tolerated: 1,
+    title:
+      'three hosts of control serve an acknowledged publication after any disk was lost in a power cut',
+  },
+  {
+    hosts: 4,
+    tolerated: 1,
+    title:
+      'four hosts of control serve an acknowledged publication after any disk was lost in a power cut',
+  },
+  {
+    hosts: 5,
+    tolerated: 2,
+    title:
+      'five hosts of control serve an acknowledged publication after any two disks were lost in a power cut',
+  },
+  {
+    hosts: 6,
+    tolerated: 2,
+    title:
+      'six hosts of control serve an acknowledged publication after any two disks were lost in a power cut',
+  },
 ]) {
-  const title = `${String(hosts)} hosts of control serve an acknowledged publication after any ${String(tolerated)} disks were lost in a power cut`;
   test(title, async t => {
     const names = listHosts(hosts);
     for (const wiped of chooseHosts(names, tolerated)) {
--- a/packages/replicated-log/src/core/heartbeats.ts
+++ b/packages/replicated-log/src/core/heartbeats.ts
@@ -1,4 +1,7 @@
 /** Heartbeats of a leader. They show that a quorum follows and never wait for a disk. */
+import type { Milliseconds } from '@cranberryturn/types';
+
+import { MemberRole } from '../members.js';
 import { PeerMessageKind, PeerReplyKind } from '../ports/peer-link.js';
 import type { Leadership } from './leadership.js';
 import { callPeer } from './peer-calls.js';
@@ -13,10 +16,23 @@
 ): Promise<void> {
   while (leadership.isActive && peer.isActive) {
     void sendHeartbeat(replica, leadership, peer);
-    await peer.heartbeatRequested.wait(replica.tuning.heartbeatInterval);
+    await peer.heartbeatRequested.wait(findHeartbeatInterval(replica, peer));
   }
 }
 
+function findHeartbeatInterval(
+  { store, tuning }: Replica,
+  peer: PeerProgress,
+): Milliseconds {
+  const member = store.members.find(
+    ({ replicaId }) => replicaId === peer.replicaId,
+  );
+  const hasAnswered = peer.matchIndex > 0;
+  return member?.role === MemberRole.Observer && hasAnswered
+    ? tuning.observerHeartbeatInterval
+    : tuning.heartbeatInterval;
+}
+
 async function sendHeartbeat(
   replica: Replica,
   leadership: Leadership,
--- a/packages/replicated-log/src/core/membership.ts
+++ b/packages/replicated-log/src/core/membership.ts
@@ -4,11 +4,13 @@
   InvalidInputError,
   TimeoutError,
 } from '@cranberryturn/errors';
-import type { LogIndex } from '@cranberryturn/types';
+import type { LogIndex, ReplicaId } from '@cranberryturn/types';
 import { err, ok, type Result } from 'neverthrow';
 
 import { LogUnavailableError } from '../log-types.js';
 import {
+  type AddLearnerChange,
+  type AddObserverChange,
   MemberChangeKind,
   MemberRole,
   type Member,
@@ -48,26 +50,61 @@
 ): Result<readonly Member[], InvalidInputError> {
   const { replicaId } = change;
   const member = members.find(known => known.replicaId === replicaId);
-  if (change.kind === MemberChangeKind.AddLearner) {
-    if (member !== undefined) {
-      return err(invalidChange(`"${replicaId}" is already a member`));
-    }
-    const role = MemberRole.Learner;
-    return ok([...members, { replicaId, role, address: change.address }]);
+  switch (change.kind) {
+    case MemberChangeKind.AddLearner:
+      return planAddition(members, change, MemberRole.Learner);
+    case MemberChangeKind.AddObserver:
+      return planAddition(members, change, MemberRole.Observer);
+    case MemberChangeKind.Promote:
+      if (member === undefined) return err(notMember(replicaId));
+      return planPromotion(members, member);
+    case MemberChangeKind.Remove:
+      if (member === undefined) return err(notMember(replicaId));
+      return planRemoval(members, member);
   }
-  if (member === undefined) {
-    return err(invalidChange(`"${replicaId}" is not a member`));
+}
+
+function planAddition(
+  members: readonly Member[],
+  { replicaId, address }: AddLearnerChange | AddObserverChange,
+  role: MemberRole,
+): Result<readonly Member[], InvalidInputError> {
+  if (members.some(known => known.replicaId === replicaId)) {
+    return err(invalidChange(`"${replicaId}" is already a member`));
   }
-  const others = members.filter(known => known !== member);
-  if (change.kind === MemberChangeKind.Promote) {
-    return ok([...others, { ...member, role: MemberRole.Voter }]);
+  return ok([...members, { replicaId, role, address }]);
+}
+
+function planPromotion(
+  members: readonly Member[],
+  member: Member,
+): Result<readonly Member[], InvalidInputError> {
+  if (member.role === MemberRole.Observer) {
+    return err(
+      invalidChange(
+        `"${member.replicaId}" is an observer, which cannot become a voter`,
+      ),
+    );
   }
+  const others = members.filter(known => known !== member);
+  return ok([...others, { ...member, role: MemberRole.Voter }]);
+}
+
+function planRemoval(
+  members: readonly Member[],
+  member: Member,
+): Result<readonly Member[], InvalidInputError> {
+  const others = members.filter(known => known !== member);
   if (!others.some(known => known.role === MemberRole.Voter)) {
-    return err(invalidChange(`"${replicaId}" is the last voter`));
+    return err(invalidChange(`"${member.replicaId}" is the last voter`));
   }
   return ok(others);
 }
 
+function notMember(replicaId: ReplicaId): InvalidInputError {
+  return invalidChange(`"${replicaId}" is not a member`);
+}
+
 /** Waits for the first commit of the term and, for a promotion, until the learner has caught up. */
 async function awaitReadiness(
   replica: Replica,
--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -1,5 +1,6 @@
 /** Replicated log: leader election, replication, storage and snapshots. */
 export * from './adapters/file-log-disk.js';
+export * from './adapters/volatile-log-disk.js';
 export * from './entries.js';
 export * from './fakes/memory-log-disk.js';
 export * from './log-types.js';
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -76,6 +76,8 @@
 /** Intervals, timeouts and size limits. Times are in milliseconds. */
 export interface LogTuning {
   readonly heartbeatInterval: Milliseconds;
+  /** Longer than that of voters: an observer neither votes nor proves the lead. */
+  readonly observerHeartbeatInterval: Milliseconds;
   /** Without a message of a leader, an election starts after a random time between these two. */
   readonly minimumElectionTimeout: Milliseconds;
   readonly maximumElectionTimeout: Milliseconds;
--- a/packages/replicated-log/src/members.ts
+++ b/packages/replicated-log/src/members.ts
@@ -7,6 +7,8 @@
   Voter = 'voter',
   /** Receives the log but does not count towards the quorum. */
   Learner = 'learner',
+  /** As a learner, but never promoted, because its host keeps nothing after a restart. */
+  Observer = 'observer',
 }
 
 /** One member of the log. */
@@ -20,6 +22,7 @@
 /** Kinds of membership changes. */
 export enum MemberChangeKind {
   AddLearner = 'add-learner',
+  AddObserver = 'add-observer',
   /** Turns a learner into a voter once its synced log has caught up. */
   Promote = 'promote',
   Remove = 'remove',
@@ -32,6 +35,13 @@
   readonly address: string;
 }
 
+/** Adds an observer. */
+export interface AddObserverChange {
+  readonly kind: MemberChangeKind.AddObserver;
+  readonly replicaId: ReplicaId;
+  readonly address: string;
+}
+
 /** Turns a learner into a voter. */
 export interface PromoteChange {
   readonly kind: MemberChangeKind.Promote;
@@ -45,4 +55,5 @@
 }
 
 /** Change of one member. Changes are made one at a time. */
-export type MemberChange = AddLearnerChange | PromoteChange | RemoveChange;
+export type MemberChange =
+  AddLearnerChange | AddObserverChange | PromoteChange | RemoveChange;
--- a/packages/replicated-log/src/tuning.ts
+++ b/packages/replicated-log/src/tuning.ts
@@ -4,6 +4,7 @@
 /** Defaults for hosts with round trips of a few milliseconds and disk syncs of up to 100 ms. */
 export const defaultLogTuning: LogTuning = {
   heartbeatInterval: 100,
+  observerHeartbeatInterval: 500,
   minimumElectionTimeout: 400,
   maximumElectionTimeout: 800,
   minimumFirstElectionTimeout: 40,
--- a/packages/settings/src/schemas/control-settings.ts
+++ b/packages/settings/src/schemas/control-settings.ts
@@ -69,7 +69,8 @@
     host: nameSchema,
     dataCentre: nameSchema,
     region: nameSchema,
-    dataFolder: pathSchema,
+    /** When absent, the replica observes: it keeps its copy of the log in memory and never votes. */
+    dataFolder: pathSchema.optional(),
     peers: peersSchema,
     /** Whether the replica joins a running group, instead of being one of its founding members. */
     joining: z.boolean().default(false),
@@ -95,6 +96,14 @@
       path: ['replicaId'],
       error: 'one of peers.members, unless "joining" is true',
     },
+  )
+  .refine(
+    ({ dataFolder, joining, group }) =>
+      dataFolder !== undefined || (joining && group !== undefined),
+    {
+      path: ['dataFolder'],
+      error: 'a folder, unless "joining" is true and "group" is set',
+    },
   );
 
 /** Validated settings of a control replica, with defaults filled in. */
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -173,6 +173,20 @@
   ]);
 });
 
+test('only a control replica that joins a group may have no data folder', t => {
+  const withoutFolder = { ...control, dataFolder: undefined };
+  const group = { seeds: [{ address: '127.0.0.1', port: 7400 }] };
+  const observer = { ...withoutFolder, joining: true, group };
+  t.true(parse(observer, controlSettingsSchema).isOk());
+  t.snapshot([
+    parseErrorMessage(withoutFolder, controlSettingsSchema),
+    parseErrorMessage(
+      { ...withoutFolder, joining: true },
+      controlSettingsSchema,
+    ),
+  ]);
+});
+
 test('each syntax error is reported with its position', t => {
   const texts = [
     '',
