Let a replica that was removed while it was cut off ask to join again without a restart

Cause: a removed replica is told by nobody. It kept the leader that it last knew, and asked to join only without a known leader.

Change: contact with a leader counts by the last proof of leadership that was received, not by a remembered name.

--- a/packages/control/src/form-group.test.ts
+++ b/packages/control/src/form-group.test.ts
@@ -112,3 +112,17 @@
   t.is(listVoters(fixture).length, 5);
   t.deepEqual(warnings.slice(1), [{ voters: 4, needed: 5 }]);
 });
+
+test('a voter that was removed while it was cut off becomes a voter again without a restart', async t => {
+  const fixture = await startGroup(4);
+  const follower = fixture.cluster
+    .nodes()
+    .find(node => node !== requireLeader(fixture));
+  const host = follower === undefined ? '' : getReplicaId(follower);
+  fixture.cluster.cutFromReplicas(host);
+  await fixture.timers.advance(8_000);
+  t.is(listVoters(fixture).length, 3);
+  fixture.cluster.network.heal();
+  await fixture.timers.advance(6_000);
+  t.deepEqual(listVoters(fixture), ['c1', 'c2', 'c3', 'c4']);
+});
--- a/packages/control/src/request-membership.ts
+++ b/packages/control/src/request-membership.ts
@@ -15,7 +15,8 @@
 const joinRequestIntervalMilliseconds: Milliseconds = 400;
 const joinRequestTimeoutMilliseconds: Milliseconds = 800;
 /**
- * A member without a known leader for this long may have been removed, so it asks to join again.
+ * A member that no leader has contacted for this long may have been removed, so it asks to join
+ * again.
  */
 const leaderSilenceLimitMilliseconds: Milliseconds = 2_000;
 
@@ -45,8 +46,9 @@
   let attempts = 0;
 
   const isInContact = (): boolean => {
-    const { members, replicaId, leader } = log.status();
-    if (leader !== undefined) leaderHeardAt = timers.now();
+    const { members, replicaId, leadershipProvedAt } = log.status();
+    // A removed member hears of no other leader, so the one that it knows is no sign of contact.
+    leaderHeardAt = Math.max(leaderHeardAt, leadershipProvedAt ?? 0);
     const silence = timers.now() - leaderHeardAt;
     const isMember = members.some(member => member.replicaId === replicaId);
     return isMember && silence < leaderSilenceLimitMilliseconds;
