Remove a lost voter before its successor becomes one, so that losing the successor stops nothing

What callers would have seen: control gone for good. A host loses its disk, comes back blank, becomes a voter, and is lost again before the old identity is removed: four voters, two of them gone, and the two intact ones are no majority. That is the loss of one host, which is borne.

Cause: the leader promoted first and removed afterwards, which raises the quorum while a voter is known to be lost. A further one: a blank host that came back twice left a learner that no longer exists; promoting it waited 5 s at a time, again and again, and no other change was made.

Change: a voter at the address of a learner, and a silent one, are removed before the learner is promoted; a promotion waits while a voter is suspected; replaced learners are removed; a promotion waits 0.5 s for the learner at the most.

Evidence: form-group-model.test.ts now loses as many hosts as are tolerated, the same host repeatedly, and ends with a power cut and lost disks, for three and for six hosts. Before, it waited for every host after each loss, and never asked that the group be back. form-group.test.ts loses the replacement at each moment from 400 to 1,200 ms and failed before.

--- a/packages/control/src/form-group-model.test.ts
+++ b/packages/control/src/form-group-model.test.ts
@@ -1,7 +1,8 @@
 /**
  * Guards against the loss of acknowledged publications. Random crashes, disk losses, replacements and
- * partitions hit one host at a time, and all hosts may restart at once; no replica may then read an
- * older version than the last acknowledged one.
+ * partitions hit as many hosts at a time as are tolerated, and all hosts may restart at once; no
+ * replica may then read an older version than the last acknowledged one, and after a final power cut
+ * that takes as many disks as are tolerated the group must be back.
  */
 import type { Publication } from '@cranberryturn/types';
 import test from 'ava';
@@ -20,7 +21,7 @@
 
 const seed = Number(process.env.MODEL_SEED ?? 20_261_203);
 const runs = Number(process.env.MODEL_RUNS ?? 25);
-const hosts = ['c1', 'c2', 'c3'];
+const founders = ['c1', 'c2', 'c3'];
 /** Time within which a restarted or new host is a voter again. */
 const catchUpMilliseconds = 4_000;
 const recoveryMilliseconds = 6_000;
@@ -47,7 +48,7 @@
     ModelEvent.Publish,
     ModelEvent.Publish,
   ),
-  hostIndex: fc.nat(2),
+  hostIndex: fc.nat(11),
   milliseconds: fc.integer({ min: 10, max: 3_000 }),
 });
 
@@ -55,37 +56,64 @@
 interface Model {
   readonly fixture: ClusterFixture;
   readonly currentHosts: string[];
+  readonly tolerated: number;
   version: number;
   acknowledged: number;
   lastHostNumber: number;
-  /** Time until which the last host that was lost still counts as lost. */
-  lostUntil: number;
+  /** For each host, until when it still counts as lost. */
+  readonly lostUntil: Map<string, number>;
 }
 
 test('no acknowledged publication is lost or reverted, whichever host is lost', async t => {
+  await checkGroup(3, 1);
+  t.pass();
+});
+
+test('no acknowledged publication is lost or reverted by a group of six, whichever two hosts are lost', async t => {
+  await checkGroup(6, 2);
+  t.pass();
+});
+
+async function checkGroup(size: number, tolerated: number): Promise<void> {
   await fc.assert(
     fc.asyncProperty(
       fc.array(stepArbitrary, { minLength: 3, maxLength: 14 }),
-      async steps => {
-        const fixture = await startCluster({ size: 3, minimumVoters: 3 });
-        const model: Model = {
-          fixture,
-          currentHosts: [...hosts],
-          version: 0,
-          acknowledged: 0,
-          lastHostNumber: 3,
-          lostUntil: 0,
-        };
+      fc.array(fc.nat(11), { minLength: tolerated, maxLength: tolerated }),
+      async (steps, wipedIndexes) => {
+        const model = await startModel(size, tolerated);
         for (const step of steps) await applyStep(model, step);
-        fixture.cluster.network.heal();
-        await fixture.timers.advance(recoveryMilliseconds);
+        model.fixture.cluster.network.heal();
+        await model.fixture.timers.advance(recoveryMilliseconds);
+        await cutPower(model, wipedIndexes);
         await checkAllReplicas(model);
+        await requireLatestVersion(model);
       },
     ),
     { seed, numRuns: runs },
   );
-  t.pass();
-});
+}
+
+async function startModel(size: number, tolerated: number): Promise<Model> {
+  const fixture = await startCluster({
+    size: founders.length,
+    minimumVoters: 2 * tolerated + 1,
+  });
+  const currentHosts = [...founders];
+  for (let number = founders.length + 1; number <= size; number += 1) {
+    currentHosts.push(`c${String(number)}`);
+    await fixture.cluster.startBlank(`c${String(number)}`);
+  }
+  await fixture.timers.advance(catchUpMilliseconds);
+  return {
+    fixture,
+    currentHosts,
+    tolerated,
+    version: 0,
+    acknowledged: 0,
+    lastHostNumber: size,
+    lostUntil: new Map(),
+  };
+}
 
 async function applyStep(model: Model, step: Step): Promise<void> {
   const { fixture } = model;
@@ -96,34 +124,30 @@
       await publishNext(model, host);
       break;
     case ModelEvent.Restart:
-      await withHostLost(model, async () => {
+      await withHostLost(model, host, async () => {
         await fixture.cluster.crash(host);
         await fixture.timers.advance(step.milliseconds);
-        await restartHost(fixture, host);
+        await restartHost(model, host);
       });
       break;
     case ModelEvent.LoseDisk:
-      await withHostLost(model, async () => {
+      await withHostLost(model, host, async () => {
         await fixture.cluster.crash(host);
         fixture.cluster.wipe(host);
         await fixture.timers.advance(step.milliseconds);
-        await fixture.cluster.startBlank(host);
+        await startBlank(model, host);
       });
       break;
     case ModelEvent.Replace:
-      await withHostLost(model, () =>
+      await withHostLost(model, host, () =>
         replaceHost(model, host, step.milliseconds),
       );
       break;
     case ModelEvent.RestartAll:
-      await withHostLost(model, async () => {
-        for (const one of model.currentHosts) await fixture.cluster.crash(one);
-        await fixture.timers.advance(200);
-        for (const one of model.currentHosts) await restartHost(fixture, one);
-      });
+      await restartAll(model, []);
       break;
     case ModelEvent.CutOff:
-      await withHostLost(model, async () => {
+      await withHostLost(model, host, async () => {
         fixture.cluster.cutFromReplicas(host);
         await fixture.timers.advance(step.milliseconds);
         fixture.cluster.network.heal();
@@ -136,16 +160,62 @@
   await checkAllReplicas(model);
 }
 
-/** Waits until the previous host has caught up, because only one loss at a time is tolerated. */
+/** Waits until fewer hosts count as lost than are tolerated, then applies the event to one more. */
 async function withHostLost(
   model: Model,
+  host: string,
   event: () => Promise<void>,
 ): Promise<void> {
   const { timers } = model.fixture;
-  if (timers.now() < model.lostUntil)
-    await timers.advance(model.lostUntil - timers.now());
+  for (;;) {
+    const others = [...model.lostUntil]
+      .filter(([lost, until]) => lost !== host && until > timers.now())
+      .map(([, until]) => until);
+    if (others.length < model.tolerated) break;
+    await timers.advance(Math.min(...others) - timers.now());
+  }
+  model.lostUntil.set(host, Infinity);
   await event();
-  model.lostUntil = timers.now() + catchUpMilliseconds;
+  model.lostUntil.set(host, timers.now() + catchUpMilliseconds);
+}
+
+/** Waits until no host counts as lost, then restarts all hosts, some of them with empty disks. */
+async function restartAll(
+  model: Model,
+  wiped: readonly string[],
+): Promise<void> {
+  const { cluster, timers } = model.fixture;
+  const settledAt = Math.max(timers.now(), ...model.lostUntil.values());
+  await timers.advance(settledAt - timers.now());
+  for (const host of model.currentHosts) await cluster.crash(host);
+  for (const host of wiped) cluster.wipe(host);
+  await timers.advance(200);
+  for (const host of model.currentHosts) {
+    if (wiped.includes(host)) await startBlank(model, host);
+    else await restartHost(model, host);
+    model.lostUntil.set(host, timers.now() + catchUpMilliseconds);
+  }
+}
+
+/** Publishes, and cuts the power of all hosts right after the acknowledgement. */
+async function cutPower(
+  model: Model,
+  wipedIndexes: readonly number[],
+): Promise<void> {
+  const { currentHosts, fixture } = model;
+  const wiped = wipedIndexes.map(
+    index => currentHosts[index % currentHosts.length] ?? '',
+  );
+  await publishNext(model, currentHosts[0] ?? '');
+  await restartAll(model, wiped);
+  await fixture.timers.advance(recoveryMilliseconds);
+}
+
+async function requireLatestVersion(model: Model): Promise<void> {
+  const [node] = model.fixture.cluster.nodes();
+  if (node === undefined) throw new Error('No replica runs.');
+  const version = await readVersion(model.fixture, node);
+  if (version === undefined) throw new Error('The group is not back.');
 }
 
 async function replaceHost(
@@ -159,19 +229,26 @@
   model.lastHostNumber += 1;
   const newHost = `c${String(model.lastHostNumber)}`;
   model.currentHosts.splice(model.currentHosts.indexOf(host), 1, newHost);
-  await cluster.startBlank(newHost);
+  await startBlank(model, newHost);
 }
 
 /**
  * Restarts a host on its old disk. Founding hosts start as founders; later hosts have their
  * identity on disk.
  */
-async function restartHost(
-  { cluster }: ClusterFixture,
-  host: string,
-): Promise<void> {
-  if (hosts.includes(host)) await cluster.start(host);
-  else await cluster.startBlank(host);
+async function restartHost(model: Model, host: string): Promise<void> {
+  const { cluster } = model.fixture;
+  if (founders.includes(host)) await cluster.start(host, listSeeds(model));
+  else await startBlank(model, host);
+}
+
+async function startBlank(model: Model, host: string): Promise<void> {
+  await model.fixture.cluster.startBlank(host, listSeeds(model));
+}
+
+/** A host that starts is told the addresses of hosts that run control at that time. */
+function listSeeds({ currentHosts }: Model): readonly string[] {
+  return currentHosts.slice(0, founders.length);
 }
 
 async function publishNext(model: Model, host: string): Promise<void> {
@@ -202,15 +279,21 @@
   node: ControlNode,
   acknowledged: number,
 ): Promise<void> {
+  const version = await readVersion(fixture, node);
+  if (version === undefined || version >= acknowledged) return;
+  throw new Error(
+    `read ${String(version)} after ${String(acknowledged)} was acknowledged`,
+  );
+}
+
+async function readVersion(
+  { timers }: ClusterFixture,
+  node: ControlNode,
+): Promise<number | undefined> {
   const reply = await settleWithin(
-    fixture.timers,
+    timers,
     node.administer({ method: AdministrationMethod.ReadPublication }),
   );
-  if (reply.kind !== AdministrationReplyKind.Done) return;
-  const { version } = reply.view as Publication;
-  if (version < acknowledged) {
-    throw new Error(
-      `read ${String(version)} after ${String(acknowledged)} was acknowledged`,
-    );
-  }
+  if (reply.kind !== AdministrationReplyKind.Done) return undefined;
+  return (reply.view as Publication).version;
 }
--- a/packages/control/src/form-group.test.ts
+++ b/packages/control/src/form-group.test.ts
@@ -126,3 +126,35 @@
   await fixture.timers.advance(6_000);
   t.deepEqual(listVoters(fixture), ['c1', 'c2', 'c3', 'c4']);
 });
+
+test('the group outlasts the loss of a replacement, whenever after its start that is', async t => {
+  for (let pause = 400; pause <= 1_200; pause += 50) {
+    const fixture = await startGroup();
+    const { cluster, timers } = fixture;
+    const lost = getReplicaId(requireLeader(fixture));
+    await cluster.crash(lost);
+    cluster.wipe(lost);
+    await cluster.startBlank(lost);
+    await timers.advance(pause);
+    await cluster.crash(lost);
+    await timers.advance(4_000);
+    await publish(fixture, 5);
+    t.is(requireLeader(fixture).state.publication.version, 5, String(pause));
+  }
+});
+
+test('a host that loses its disk twice in a row becomes a voter', async t => {
+  const fixture = await startGroup();
+  const { cluster, timers } = fixture;
+  const lost = getReplicaId(requireLeader(fixture));
+  for (let loss = 1; loss <= 2; loss += 1) {
+    await cluster.crash(lost);
+    cluster.wipe(lost);
+    await cluster.startBlank(lost);
+    await timers.advance(1_100);
+  }
+  await timers.advance(4_000);
+  const members = requireLeader(fixture).log.status().members;
+  t.deepEqual(listVoters(fixture).length, 3);
+  t.is(members.length, 3);
+});
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -15,6 +15,8 @@
  * Silence after which a voter may be removed; longer than an election and a restart of its process.
  */
 export const voterSilenceLimitMilliseconds: Milliseconds = 2_500;
+/** Silence after which a voter is suspected to be lost; several heartbeats. */
+const suspectedSilenceMilliseconds: Milliseconds = 500;
 /** Silence after which a learner is removed. */
 export const learnerSilenceLimitMilliseconds: Milliseconds = 4_000;
 /** More voters raise the cost of each commit and do not make the group easier to repair. */
@@ -44,16 +46,18 @@
 
 /**
  * Finds the next membership change. A replica that joins with the address of a member replaces that
- * member, whose disk is lost. Replicas are added before others are removed, so that the quorum
- * never becomes smaller than needed; a silent voter is removed only while there are more voters than
- * the minimum. Observers come last, because they do not make the group safer.
+ * member, whose disk is lost. A lost voter leaves before its successor becomes a voter: with both,
+ * the quorum would need more of the intact voters, and the loss of the successor could stop the
+ * group for good. A silent voter leaves only while there are more voters than the minimum, or while
+ * a learner takes its place. Observers come last, because they do not make the group safer.
  */
 export function findGroupStep(view: GroupView): MembershipStep | undefined {
   return (
     findLearnerRemoval(view) ??
-    findPromotion(view) ??
     findAddition(view) ??
-    findVoterRemoval(view) ??
+    findReplacedRemoval(view) ??
+    findSilentVoterRemoval(view) ??
+    findPromotion(view) ??
     findObserverRemoval(view) ??
     findObserverAddition(view)
   );
@@ -68,15 +72,35 @@
   return lost === undefined ? undefined : composeRemoval(lost);
 }
 
-function findPromotion({ members, measureSilence }: GroupView) {
-  const learner = members.find(
+/** Finds a learner to promote, unless a voter is suspected: it is heard again or removed first. */
+function findPromotion(view: GroupView) {
+  const [learner] = listHeardLearners(view);
+  if (learner === undefined) return undefined;
+  const isSuspected = listOtherVoters(view).some(
+    ({ replicaId }) =>
+      view.measureSilence(replicaId) >= suspectedSilenceMilliseconds,
+  );
+  if (isSuspected) return undefined;
+  const { replicaId } = learner;
+  return composeChange({ kind: MemberChangeKind.Promote, replicaId });
+}
+
+function listHeardLearners({
+  members,
+  measureSilence,
+}: GroupView): readonly Member[] {
+  return members.filter(
     ({ replicaId, role }) =>
       role === MemberRole.Learner &&
       measureSilence(replicaId) < voterSilenceLimitMilliseconds,
   );
-  if (learner === undefined) return undefined;
-  const { replicaId } = learner;
-  return composeChange({ kind: MemberChangeKind.Promote, replicaId });
+}
+
+/** Voters other than the leader. */
+function listOtherVoters({ members, leader }: GroupView): readonly Member[] {
+  return members.filter(
+    ({ replicaId, role }) => role === MemberRole.Voter && replicaId !== leader,
+  );
 }
 
 function findAddition({ members, candidates }: GroupView) {
@@ -135,13 +159,25 @@
   return members.some(member => member.replicaId === replicaId);
 }
 
-function findVoterRemoval(view: GroupView): MembershipStep | undefined {
-  const { members, leader, measureSilence, minimumVoters } = view;
-  const voters = members.filter(({ role }) => role === MemberRole.Voter);
-  const others = voters.filter(({ replicaId }) => replicaId !== leader);
-  const replaced = others.find(voter => isReplaced(voter, members));
-  if (replaced !== undefined) return composeRemoval(replaced);
-  if (voters.length <= minimumVoters) return undefined;
+/** Removes a voter or learner whose address a member that was added later has. */
+function findReplacedRemoval({ members, leader }: GroupView) {
+  const replaced = members.find(
+    (member, index) =>
+      member.replicaId !== leader &&
+      members
+        .slice(index + 1)
+        .some(({ address }) => address === member.address),
+  );
+  return replaced === undefined ? undefined : composeRemoval(replaced);
+}
+
+function findSilentVoterRemoval(view: GroupView): MembershipStep | undefined {
+  const { measureSilence, minimumVoters } = view;
+  const others = listOtherVoters(view);
+  const voterCount = others.length + 1;
+  const successors = listHeardLearners(view).length;
+  const canSpareOne = voterCount > minimumVoters || successors > 0;
+  if (!canSpareOne) return undefined;
   const silent = others
     .filter(
       ({ replicaId }) =>
@@ -156,15 +192,6 @@
   return composeRemoval(longest);
 }
 
-/** True when a voter that was added later has the same address. */
-function isReplaced(voter: Member, members: readonly Member[]): boolean {
-  const later = members.slice(members.indexOf(voter) + 1);
-  return later.some(
-    ({ address, role }) =>
-      address === voter.address && role === MemberRole.Voter,
-  );
-}
-
 function composeRemoval({ replicaId }: Member): MembershipStep {
   return composeChange({ kind: MemberChangeKind.Remove, replicaId });
 }
--- a/packages/replicated-log/src/core/membership.ts
+++ b/packages/replicated-log/src/core/membership.ts
@@ -116,7 +116,9 @@
     isCaughtUp(replica, leadership, change);
   await leadership.changed.waitUntil(
     () => !leadership.isActive || isReady(),
-    replica.tuning.proposeTimeout,
+    change.kind === MemberChangeKind.Promote
+      ? replica.tuning.promoteTimeout
+      : replica.tuning.proposeTimeout,
   );
   if (!leadership.isActive) return err(notLeader(replica));
   if (!isReady()) return err(notReady(change));
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -88,6 +88,8 @@
   readonly peerTimeout: Milliseconds;
   /** Timeout for a proposal to be committed and applied. */
   readonly proposeTimeout: Milliseconds;
+  /** Time for which a promotion waits for the learner to catch up; other changes wait behind it. */
+  readonly promoteTimeout: Milliseconds;
   /** A leader transfers leadership when one sync of its disk takes longer than this. */
   readonly diskHangLimit: Milliseconds;
   /** How long a stopping replica waits for its disk. */
--- a/packages/replicated-log/src/tuning.ts
+++ b/packages/replicated-log/src/tuning.ts
@@ -11,6 +11,7 @@
   maximumFirstElectionTimeout: 200,
   peerTimeout: 500,
   proposeTimeout: 5_000,
+  promoteTimeout: 500,
   diskHangLimit: 1_000,
   stopTimeout: 5_000,
   maximumBatchBytes: 1024 * 1024,
