Leave the lease of a worker as it is while it does not answer

Cause: the worker's answers were lost while it carried out what was sent. The sidecar counted the silence from the last renewal that was answered, and each renewal that it went on sending extended the lease. At the end of the lease by the sidecar's count the worker had another one.

Change: once an order has had no answer, renewals ask without a deadline, which leaves the lease as it is, and the silence counts from the last order that may have extended it, answered or not. The first answer brings deadlines back.

Evidence: worker-gate.test.ts loses the replies of a worker that carries everything out, and found the run active when its end was reported (1, expected 0); a second test loses replies for 0.4 s and the run goes on.

--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -54,6 +54,8 @@
   nextStartDelayMilliseconds: Milliseconds | undefined;
   /** Fault: the next start order is executed, and its reply is lost. */
   shouldLoseNextReply: boolean;
+  /** Fault: orders are executed, and their replies are lost. */
+  losesReplies: boolean;
   /** Fault: start orders are refused as unhealthy. */
   isUnhealthy: boolean;
   /** Run time of the tasks that start from now on. */
@@ -108,7 +110,8 @@
     }
   };
 
-  const extendLease = (deadline: Milliseconds): void => {
+  const extendLease = (deadline: Milliseconds | undefined): void => {
+    if (deadline === undefined) return;
     leaseEndsAt = Math.max(
       leaseEndsAt,
       Math.min(deadline, clock() + maximumLeaseMilliseconds),
@@ -178,7 +181,9 @@
     if (hasCrashed) return err(createConnectionError(run.workerId));
     if (worker.isSilent) return await failWithTimeout(timers, run.workerId);
     await sleep(timers, replyDelayMilliseconds);
-    return ok(carryOut());
+    const reply = carryOut();
+    if (worker.losesReplies) return await failWithTimeout(timers, run.workerId);
+    return ok(reply);
   };
 
   const startOrder = async (
@@ -224,6 +229,7 @@
     isSilent: false,
     nextStartDelayMilliseconds: undefined,
     shouldLoseNextReply: false,
+    losesReplies: false,
     isUnhealthy: false,
     runMilliseconds: 100,
     chooseRunMilliseconds: undefined,
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -47,7 +47,8 @@
     executor.options;
   let acknowledgedSequence = 0;
   let confirmedSequence = 0;
-  let renewedAt = timers.now();
+  /** When the last order that may have extended the lease was sent, whether it was answered or not. */
+  let extendedAt = timers.now();
   let isReady = false;
   /** Set by an order without a reply, until the worker replies again. */
   let isSuspected = false;
@@ -76,11 +77,16 @@
     const sentAt = timers.now();
     const fencingToken = fencing.token;
     const sentSequence = acknowledgedSequence;
+    // A worker whose replies are lost would keep its runs active with each renewal that it receives.
+    const extendsLease = !isSuspected;
+    if (extendsLease) extendedAt = sentAt;
     const reply = await port.renewLease({
       fencingToken,
       acknowledgedSequence: sentSequence,
       waitMilliseconds,
-      deadline: Math.round(executor.clock.estimateNow() + leaseMilliseconds),
+      deadline: extendsLease
+        ? Math.round(executor.clock.estimateNow() + leaseMilliseconds)
+        : undefined,
     });
     if (isStopped) return undefined;
     if (reply.isErr()) {
@@ -93,7 +99,6 @@
     }
     confirmedSequence = Math.max(confirmedSequence, sentSequence);
     clearSuspicion();
-    renewedAt = Math.max(renewedAt, sentAt);
     handleStatus(reply.value.status, sentAt);
     if (!isReady && hasNoLeftovers) {
       isReady = true;
@@ -130,7 +135,7 @@
 
   const handleFailure = (): void => {
     suspectWorker();
-    const silenceMilliseconds = timers.now() - renewedAt;
+    const silenceMilliseconds = timers.now() - extendedAt;
     if (
       !isReady ||
       silenceMilliseconds <
@@ -211,7 +216,7 @@
     },
     wake,
     reportStart: () => {
-      renewedAt = timers.now();
+      extendedAt = timers.now();
       wake();
     },
     readStatus: () => renew(0),
--- a/packages/worker-gate/src/ports/worker.ts
+++ b/packages/worker-gate/src/ports/worker.ts
@@ -25,8 +25,8 @@
 
 /** Renews the lease of all active runs, and reads the active and ended runs. */
 export interface RenewOrder extends WorkerOrder {
-  /** End of the lease on the clock of the worker, in milliseconds. */
-  readonly deadline: Milliseconds;
+  /** End of the lease on the clock of the worker, in milliseconds; undefined leaves the lease as it is. */
+  readonly deadline: Milliseconds | undefined;
   /** Ends up to this sequence number were processed; the worker need not list them again. */
   readonly acknowledgedSequence: number;
   /** Maximum time that the worker waits for a run to end before the reply (long poll). */
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -204,6 +204,37 @@
   );
 });
 
+test('no run is active at a worker whose replies are lost once its runs were reported as interrupted', async t => {
+  const { place, worker, timers, ends } = await startGateFixture(1);
+  worker.runMilliseconds = 10_000;
+  place({ jobId: 'job' });
+  await timers.advance(500);
+  t.is(worker.activeRuns.size, 1);
+  worker.losesReplies = true;
+  for (let waited = 0; ends.length === 0 && waited < 5_000; waited += 10)
+    await timers.advance(10);
+  t.deepEqual(
+    ends.map(end => [end.outcome, end.reason]),
+    [[RunOutcome.Interrupted, RunEndReason.WorkerSilent]],
+  );
+  t.is(worker.activeRuns.size, 0);
+});
+
+test('a run outlasts the loss of two replies to renewals', async t => {
+  const { place, worker, timers, ends } = await startGateFixture(1);
+  worker.runMilliseconds = 3_000;
+  place({ jobId: 'job' });
+  await timers.advance(500);
+  worker.losesReplies = true;
+  await timers.advance(400);
+  worker.losesReplies = false;
+  await timers.advance(4_000);
+  t.deepEqual(
+    ends.map(end => end.outcome),
+    [RunOutcome.Done],
+  );
+});
+
 test('a restarted sidecar stops the runs of its earlier process before it announces the worker', async t => {
   const fixture = await startGateFixture(1);
   const { place, worker, timers, received, network } = fixture;
