Let the leader tell the dispatchers of its roster where control is

Cause: seeds had been exchanged for observers. Dispatchers, which know only seeds after a restart, waited until the observers ran and had found the group.

Evidence: the new test in observers.test.ts starts a dispatcher without seeds after a power cut and fails without the invitations.

--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -22,11 +22,15 @@
   TargetIdentity,
 } from '@cranberryturn/types';
 import {
+  type Connection,
   type ControlCall,
   ControlMethod,
+  type ControlNotice,
+  ControlNoticeKind,
   ControlReplyKind,
   maximumProofAge,
   type Network,
+  serveRemoteCalls,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
@@ -83,6 +87,8 @@
   readonly publication: PublicationFeed;
   /** True while the last proof of a leader with a majority is not older than `maximumProofAge`. */
   isFresh(): boolean;
+  /** Serves a connection from a control replica, which tells the hosts of the group. */
+  acceptControl(connection: Connection): void;
   /** Replaces the seed hosts after a change of the settings. */
   changeSeeds(seeds: readonly NetworkAddress[]): void;
   /** Reports the finished claims that are still queued, then closes all connections. */
@@ -162,6 +168,16 @@
         provedAt !== undefined && timers.now() - provedAt <= maximumProofAge
       );
     },
+    acceptControl: connection => {
+      serveRemoteCalls(connection, timers, {
+        handleCall: body => {
+          const notice = body as ControlNotice;
+          if (notice.kind === ControlNoticeKind.ControlHosts)
+            latest.applyNotice(notice);
+          return Promise.resolve({});
+        },
+      });
+    },
     changeSeeds: hosts.changeSeeds,
     stop: async () => {
       await finishedBatcher.flush();
--- a/packages/control/src/announce-leader.ts
+++ b/packages/control/src/announce-leader.ts
@@ -13,7 +13,7 @@
 import { formatAddress, type Network } from '@cranberryturn/wire';
 
 import { PeerEnvelopeKind } from './adapters/wire-peer-link.js';
-import { callControlHost } from './call-control-host.js';
+import { callHost } from './call-host.js';
 import type { EntryOutcome } from './control-state.js';
 import { parseAddress } from './parse-address.js';
 
@@ -51,7 +51,7 @@
     const address = parseAddress(target);
     if (address === undefined || pending.has(target)) return;
     pending.add(target);
-    const announced = await callControlHost(
+    const announced = await callHost(
       { ...options, timeout: announcementTimeoutMilliseconds },
       address,
       { kind: PeerEnvelopeKind.LeaderAnnouncement, leader: options.self },
--- a/packages/control/src/call-control-host.ts
+++ b/packages/control/src/call-host.ts
@@ -1,8 +1,9 @@
-/** Calls a control host once, over a connection of its own. */
+/** Calls another host once, over a connection of its own. */
 import type { ConnectionError, TimeoutError } from '@cranberryturn/errors';
 import type { TimerService } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import {
+  type ControlNotice,
   dialWithin,
   type Network,
   serveRemoteCalls,
@@ -12,24 +13,24 @@
 import type { PeerEnvelope } from './adapters/wire-peer-link.js';
 
 /** Dependencies of a call, and the timeout of its dial and of its answer. */
-export interface ControlHostCall {
+export interface HostCall {
   readonly network: Network;
   readonly timers: TimerService;
   readonly timeout: Milliseconds;
 }
 
 /** Dials the host, sends one message, and closes the connection after the reply or the timeout. */
-export async function callControlHost<Reply>(
-  { network, timers, timeout }: ControlHostCall,
+export async function callHost<Reply>(
+  { network, timers, timeout }: HostCall,
   address: NetworkAddress,
-  envelope: PeerEnvelope,
+  message: PeerEnvelope | ControlNotice,
 ): Promise<Result<Reply, ConnectionError | TimeoutError>> {
   const dialled = await dialWithin(network, timers, address, timeout);
   if (dialled.isErr()) return err(dialled.error);
   const calls = serveRemoteCalls(dialled.value, timers, {
     handleCall: () => Promise.resolve(undefined),
   });
-  const reply = await calls.call<Reply>(envelope, timeout);
+  const reply = await calls.call<Reply>(message, timeout);
   calls.connection.close();
   return reply;
 }
--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -26,6 +26,7 @@
 import { createFaultyNetwork, type FaultyNetwork } from './faulty-network.js';
 
 const basePort = 7_400;
+const dispatcherPort = 7_300;
 const loopback = '127.0.0.1';
 const oneWayDelayMilliseconds = 1;
 const incarnationBound = 1_000_000_000;
@@ -73,6 +74,15 @@
     incarnation?: string,
     handleWatchedHostChange?: (host: string | undefined) => void,
   ): ControlClient;
+  /**
+   * Creates a dispatcher client that listens on an address of its own, registers it, and dials only
+   * the given hosts. The next run of the same name listens on the same address.
+   */
+  startDispatcher(
+    dispatcherId: string,
+    incarnation: string,
+    seeds: readonly string[],
+  ): Promise<ControlClient>;
   /** Composes the configuration entry of a control host. */
   describeHost(host: string, replicaId: string): ControlHostConfiguration;
 }
@@ -226,6 +236,27 @@
         controlHosts: peers,
         handleWatchedHostChange,
       }),
+    startDispatcher: async (dispatcherId, incarnation, seeds) => {
+      const self = { dispatcherId, incarnation };
+      const dispatcherNetwork = network.join({
+        role: ProcessRole.Dispatcher,
+        name: dispatcherId,
+        incarnation,
+      });
+      const client = createControlClient({
+        network: dispatcherNetwork,
+        timers,
+        random: createRandomSource(random.below(incarnationBound)),
+        self,
+        controlHosts: seeds.map(host => ({ address: composeAddress(host) })),
+      });
+      const address = { address: loopback, port: dispatcherPort };
+      await dispatcherNetwork.listen(address, connection => {
+        client.acceptControl(connection);
+      });
+      void client.registry.registerDispatcher({ ...self, address });
+      return client;
+    },
     describeHost: (host, replicaId) => ({
       replicaId,
       host,
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -4,11 +4,7 @@
  */
 import { listChangesSince } from '@cranberryturn/configuration';
 import { composeRoster, composeRosterChanges } from '@cranberryturn/membership';
-import {
-  type LogStatus,
-  type Member,
-  MemberRole,
-} from '@cranberryturn/replicated-log';
+import type { LogStatus, Member } from '@cranberryturn/replicated-log';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type { LogIndex, Milliseconds, Roster } from '@cranberryturn/types';
 import {
@@ -19,7 +15,7 @@
 } from '@cranberryturn/wire';
 
 import type { ControlState } from './control-state.js';
-import { parseAddress } from './parse-address.js';
+import { listDurableHosts } from './list-durable-hosts.js';
 
 const freshnessIntervalMilliseconds: Milliseconds = 500;
 const coalescingDelayMilliseconds: Milliseconds = 10;
@@ -181,9 +177,8 @@
 function sendMembers(follower: Follower, members: readonly Member[]): void {
   if (follower.members === members) return;
   follower.members = members;
-  // Every follower dials each listed host; the hosts of voters are enough.
-  const addresses = members
-    .filter(({ role }) => role !== MemberRole.Observer)
-    .flatMap(member => parseAddress(member.address) ?? []);
-  follower.calls.notify({ kind: ControlNoticeKind.ControlHosts, addresses });
+  follower.calls.notify({
+    kind: ControlNoticeKind.ControlHosts,
+    addresses: listDurableHosts(members),
+  });
 }
--- a/packages/control/src/observers.test.ts
+++ b/packages/control/src/observers.test.ts
@@ -162,3 +162,18 @@
   await timers.advance(1_000);
   t.is(stranger.state.publication.version, 9);
 });
+
+test('a dispatcher whose seeds have forgotten the group is told where it is after a power cut', async t => {
+  const fixture = await startGroup();
+  const { cluster, timers } = fixture;
+  const hosts = ['c1', 'c2', 'c3'];
+  await cluster.startDispatcher('d1', 'run-1', hosts);
+  await timers.advance(joinMilliseconds);
+  await publish(fixture, requireLeader(fixture), 9);
+  for (const host of hosts) await cluster.crash(host);
+  await cluster.network.kill('d1');
+  for (const host of hosts) await cluster.start(host);
+  const dispatcher = await cluster.startDispatcher('d1', 'run-2', []);
+  await timers.advance(1_000);
+  t.is(dispatcher.publication.current().version, 9);
+});
--- a/packages/control/src/request-membership.ts
+++ b/packages/control/src/request-membership.ts
@@ -6,7 +6,7 @@
 import { formatAddress, type Network } from '@cranberryturn/wire';
 
 import { PeerEnvelopeKind } from './adapters/wire-peer-link.js';
-import { callControlHost } from './call-control-host.js';
+import { callHost } from './call-host.js';
 import type { EntryOutcome } from './control-state.js';
 import type { GroupOptions, JoinReply } from './form-group.js';
 import { parseAddress } from './parse-address.js';
@@ -105,7 +105,7 @@
     address: formatAddress(group.self),
     isObserver: group.isObserver,
   };
-  const reply = await callControlHost<JoinReply>(
+  const reply = await callHost<JoinReply>(
     { network, timers, timeout: joinRequestTimeoutMilliseconds },
     address,
     { kind: PeerEnvelopeKind.JoinRequest, candidate },
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -1,12 +1,10 @@
 /** Starts a control replica and connects its parts. */
 import { defaultClaimRetention } from '@cranberryturn/claims';
 import type { CranberryError } from '@cranberryturn/errors';
-import type { Logger } from '@cranberryturn/logger';
 import { defaultRosterRetention } from '@cranberryturn/membership';
 import {
   type LogEvent,
   LogEventKind,
-  type LogStatus,
   type ReplicatedLog,
   ReplicaRole,
 } from '@cranberryturn/replicated-log';
@@ -41,8 +39,10 @@
 import { findReplicaAddress } from './find-replica-address.js';
 import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable } from './in-force-table.js';
+import { inviteDispatchers } from './invite-dispatchers.js';
 import type { JoiningReplica } from './plan-group.js';
 import { reconcileMembers } from './reconcile-members.js';
+import { logRoleChange } from './log-role-change.js';
 import { recordClaim } from './record-claim.js';
 import { serveDispatcher } from './serve-dispatcher.js';
 
@@ -137,6 +137,19 @@
           findSilence: link.findSilence,
         });
   if (formation !== undefined) running.formation = formation;
+  const invitations =
+    options.group === undefined
+      ? []
+      : [
+          inviteDispatchers({
+            timers,
+            logger,
+            network,
+            state,
+            status,
+            inForce,
+          }),
+        ];
   const node = {
     ...parts,
     handleAnnouncement: (leader: NetworkAddress) =>
@@ -147,6 +160,7 @@
   const tasks = [
     formation ?? reconcileMembers({ timers, logger, log, state }),
     expireSilentRuns({ timers, logger, state, status, inForce, proposer }),
+    ...invitations,
   ];
   const cancelTasks = (): void => {
     for (const task of tasks) task.cancel();
@@ -254,24 +268,6 @@
     });
 }
 
-function logRoleChange(logger: Logger, status: LogStatus): void {
-  const { replicaId, role, term, leader, members, failure } = status;
-  if (failure !== undefined) {
-    logger.error('control replica failed and stopped', {
-      replicaId,
-      error: failure,
-    });
-    return;
-  }
-  logger.info('control replica changed its role', {
-    replicaId,
-    role,
-    term,
-    leader,
-    members: listRoles(members),
-  });
-}
-
 async function stopReplica(
   { logger }: ControlOptions,
   { log, feed }: ReplicaParts,
--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -118,8 +118,16 @@
   );
   return network
     .listen(peers, connection => {
-      if (connection.peer.role === ProcessRole.Sidecar) jobs.accept(connection);
-      else connection.close();
+      switch (connection.peer.role) {
+        case ProcessRole.Sidecar:
+          jobs.accept(connection);
+          return;
+        case ProcessRole.Control:
+          control.acceptControl(connection);
+          return;
+        case ProcessRole.Dispatcher:
+          connection.close();
+      }
     })
     .map(listener => {
       const registration = maintainRegistration({
