Log an announcement that fails once for each host, and repeat one that was heard after a second

A seed that is gone for good would have cost a line and a dial every 200 ms. The address of a host no longer takes the place of the time on these lines and on those of join requests: both were called 'at'.

--- a/packages/control/src/announce-leader.ts
+++ b/packages/control/src/announce-leader.ts
@@ -2,6 +2,7 @@
  * The leader announces itself to hosts that may not know the group. Seeds without a disk forget it
  * when they restart together, and hosts that know only these seeds would not find it either.
  */
+import type { CranberryError } from '@cranberryturn/errors';
 import type { Logger } from '@cranberryturn/logger';
 import { type ReplicatedLog, ReplicaRole } from '@cranberryturn/replicated-log';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
@@ -19,6 +20,8 @@
 
 const announcementIntervalMilliseconds: Milliseconds = 200;
 const announcementTimeoutMilliseconds: Milliseconds = 1_000;
+/** Time in which a host that was told can ask to join. */
+const repeatIntervalMilliseconds: Milliseconds = 1_000;
 
 /** Dependencies of the announcements. */
 export interface AnnounceLeaderOptions {
@@ -43,13 +46,29 @@
 export function announceLeader(
   options: AnnounceLeaderOptions,
 ): LeaderAnnouncements {
-  const { timers, log } = options;
+  const { timers, log, logger } = options;
   /** Addresses to which an announcement is on its way. */
   const pending = new Set<string>();
+  /** When each address that answered was last told. */
+  const toldAt = new Map<string, Milliseconds>();
+
+  /** Addresses whose failure was logged, until they answer. */
+  const unreachable = new Set<string>();
+
+  const logFirstFailure = (target: string, error: CranberryError): void => {
+    if (unreachable.has(target)) return;
+    unreachable.add(target);
+    logger.info('leader not announced to a control host; repeating', {
+      address: target,
+      error,
+    });
+  };
 
   const announceTo = async (target: string): Promise<void> => {
     const address = parseAddress(target);
+    const told = toldAt.get(target) ?? Number.NEGATIVE_INFINITY;
     if (address === undefined || pending.has(target)) return;
+    if (timers.now() - told < repeatIntervalMilliseconds) return;
     pending.add(target);
     const announced = await callHost(
       { ...options, timeout: announcementTimeoutMilliseconds },
@@ -57,10 +76,13 @@
       { kind: PeerEnvelopeKind.LeaderAnnouncement, leader: options.self },
     );
     pending.delete(target);
-    options.logger.info('leader announced to a control host', {
-      at: target,
-      answered: announced.isOk(),
-    });
+    if (announced.isErr()) {
+      logFirstFailure(target, announced.error);
+      return;
+    }
+    unreachable.delete(target);
+    toldAt.set(target, timers.now());
+    logger.info('leader announced to a control host', { address: target });
   };
 
   const announce = (): void => {
--- a/packages/control/src/invite-dispatchers.ts
+++ b/packages/control/src/invite-dispatchers.ts
@@ -59,10 +59,14 @@
       address,
       notice,
     );
-    logger.info('dispatcher told where control is', {
-      dispatcherId,
-      answered: invited.isOk(),
-    });
+    if (invited.isErr()) {
+      logger.info('dispatcher not told where control is; repeating', {
+        dispatcherId,
+        error: invited.error,
+      });
+      return;
+    }
+    logger.info('dispatcher told where control is', { dispatcherId });
   };
 
   const isDue = ({ dispatcherId }: KnownDispatcher): boolean => {
--- a/packages/control/src/request-membership.ts
+++ b/packages/control/src/request-membership.ts
@@ -111,7 +111,7 @@
     { kind: PeerEnvelopeKind.JoinRequest, candidate },
   );
   logger.info('join request sent to a control host', {
-    at: formatAddress(address),
+    address: formatAddress(address),
     answered: reply.isOk(),
   });
   return reply.unwrapOr(undefined);
