--- a/packages/control/src/invite-dispatchers.ts
+++ b/packages/control/src/invite-dispatchers.ts
@@ -3,7 +3,6 @@
  * a restart a dispatcher knows only its seeds, which may have forgotten the group as well.
  */
 import type { Logger } from '@cranberryturn/logger';
-import { composeRoster } from '@cranberryturn/membership';
 import { type LogStatus, ReplicaRole } from '@cranberryturn/replicated-log';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type {
@@ -92,7 +91,7 @@
       kind: ControlNoticeKind.ControlHosts,
       addresses: listDurableHosts(current.members),
     };
-    for (const dispatcher of composeRoster(state.roster).dispatchers) {
+    for (const dispatcher of state.roster.dispatchers.values()) {
       if (!isDue(dispatcher)) continue;
       invitedAt.set(dispatcher.dispatcherId, timers.now());
       void invite(dispatcher, notice);
