Define evacuations of data centres on the wire and in the control client

Operators of deployments with several data centres order that no task starts in one of them. Dispatchers learn the state from control like a publication, and sidecars from dispatchers. This adds the types, the messages and the feed; nothing sends them yet.

--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -41,7 +41,11 @@
   type SettledReply,
 } from './call-leader.js';
 import { connectControlHosts } from './connect-control-hosts.js';
-import { createLatestState, type PublicationFeed } from './latest-state.js';
+import {
+  createLatestState,
+  type EvacuationFeed,
+  type PublicationFeed,
+} from './latest-state.js';
 import { createInForceReporter } from './report-in-force.js';
 import { type ControlWatch, watchControl } from './watch-control.js';
 
@@ -85,6 +89,7 @@
   readonly configuration: ConfigurationFeed;
   readonly roster: RosterFeed;
   readonly publication: PublicationFeed;
+  readonly evacuations: EvacuationFeed;
   /** True while the last proof of a leader with a majority is not older than `maximumProofAge`. */
   isFresh(): boolean;
   /** Serves a connection from a control replica, which tells the hosts of the group. */
@@ -162,6 +167,7 @@
     configuration: latest.configuration,
     roster: latest.roster,
     publication: latest.publication,
+    evacuations: latest.evacuations,
     isFresh: () => {
       const provedAt = watch.provedAt();
       return (
--- a/packages/control-client/src/index.ts
+++ b/packages/control-client/src/index.ts
@@ -1,3 +1,3 @@
 /** The client with which dispatchers reach control: claims, roster and configuration. */
 export * from './create-control-client.js';
-export type { PublicationFeed } from './latest-state.js';
+export type { EvacuationFeed, PublicationFeed } from './latest-state.js';
--- a/packages/control-client/src/latest-state.ts
+++ b/packages/control-client/src/latest-state.ts
@@ -1,4 +1,4 @@
-/** Holds the latest configuration, roster and publication from control. Versions never go back. */
+/** Holds the latest configuration, roster, publication and evacuations from control. Versions never go back. */
 import {
   applyConfigurationChanges,
   type ConfigurationFeed,
@@ -7,7 +7,9 @@
 import {
   type ClusterConfiguration,
   emptyConfiguration,
+  type EvacuationState,
   type NetworkAddress,
+  noEvacuations,
   noPublication,
   type Publication,
   type ReplicaId,
@@ -20,6 +22,7 @@
   readonly configuration: ConfigurationFeed;
   readonly roster: RosterFeed;
   readonly publication: PublicationFeed;
+  readonly evacuations: EvacuationFeed;
   readonly controlHosts: ControlHostFeed;
   /**
    * Applies a notice. Returns false when its changes do not follow the held version; the full state
@@ -35,6 +38,13 @@
   subscribe(listener: (publication: Publication) => void): () => void;
 }
 
+/** The latest evacuation state that this process has received. */
+export interface EvacuationFeed {
+  current(): EvacuationState;
+  /** Calls the listener with each later state. Returns a function that unsubscribes. */
+  subscribe(listener: (state: EvacuationState) => void): () => void;
+}
+
 /** Addresses of the members of the log; empty until control sends them. */
 export interface ControlHostFeed {
   current(): readonly NetworkAddress[];
@@ -61,6 +71,7 @@
   });
 
   const publication = createFeedState<Publication>(noPublication);
+  const evacuations = createFeedState<EvacuationState>(noEvacuations);
   let controlHosts: readonly NetworkAddress[] = [];
   const hostListeners = new Set<() => void>();
 
@@ -95,6 +106,8 @@
         controlHosts = notice.addresses;
         for (const listener of hostListeners) listener();
         return true;
+      case ControlNoticeKind.Evacuations:
+        return updateFeed(evacuations, notice.state);
       case ControlNoticeKind.Freshness:
         setLeader(notice.leader);
         return true;
@@ -105,6 +118,7 @@
     configuration: createFeed(configuration),
     roster: createFeed(roster),
     publication: createFeed(publication),
+    evacuations: createFeed(evacuations),
     controlHosts: {
       current: () => controlHosts,
       subscribe: listener => {
--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -69,6 +69,9 @@
       publicationVersion: isFullUpdate
         ? noVersion
         : latest.publication.current().version,
+      evacuationVersion: isFullUpdate
+        ? noVersion
+        : latest.evacuations.current().version,
     };
     void calls.call<ControlReply>(call, watchTimeoutMilliseconds);
   };
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,6 +3,7 @@
 export * from './claims.js';
 export * from './configuration.js';
 export * from './decisions.js';
+export * from './evacuations.js';
 export * from './identifiers.js';
 export * from './intents.js';
 export * from './jobs.js';
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -46,6 +46,8 @@
   readonly runningWork: number;
   /** Whether the worker accepts no further runs because it is draining or currently unresponsive. */
   readonly closed: boolean;
+  /** Whether the worker is closed because its data centre is evacuated; absent from earlier versions. */
+  readonly evacuated?: boolean | undefined;
 }
 
 /** Order from a dispatcher to run part of a job on one worker. */
@@ -105,6 +107,8 @@
   NoRoom = 'no-room',
   /** The sidecar process was suspended while the run was queued. */
   Suspended = 'suspended',
+  /** The data centre of the worker is evacuated, or the sidecar does not know yet whether it is. */
+  Evacuated = 'evacuated',
 }
 
 /** Report of the end of one run. */
--- a/packages/wire/src/messages/control-messages.ts
+++ b/packages/wire/src/messages/control-messages.ts
@@ -7,6 +7,8 @@
   ConfigurationChange,
   DispatcherIdentity,
   DispatcherRecord,
+  EvacuationState,
+  EvacuationVersion,
   JobId,
   LogIndex,
   Milliseconds,
@@ -77,6 +79,8 @@
       readonly rosterVersion: number;
       /** Version of the publication that the dispatcher already has. */
       readonly publicationVersion: number;
+      /** Version of the evacuation state that the dispatcher already has; undefined from earlier versions, which are sent none. */
+      readonly evacuationVersion?: EvacuationVersion | undefined;
     };
 
 /** Kinds of reply to a control call. */
@@ -116,6 +120,7 @@
   RosterChanges = 'roster-changes',
   Publication = 'publication',
   ControlHosts = 'control-hosts',
+  Evacuations = 'evacuations',
   Freshness = 'freshness',
 }
 
@@ -147,6 +152,10 @@
       readonly kind: ControlNoticeKind.ControlHosts;
       readonly addresses: readonly NetworkAddress[];
     }
+  | {
+      readonly kind: ControlNoticeKind.Evacuations;
+      readonly state: EvacuationState;
+    }
   | {
       readonly kind: ControlNoticeKind.Freshness;
       /** Age of the last proof that the leader still had a majority. */
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -3,6 +3,8 @@
  * runs.
  */
 import type {
+  EvacuationState,
+  EvacuationVersion,
   JobId,
   KnownDispatcher,
   LogIndex,
@@ -24,6 +26,8 @@
   /** Renews the lease of the dispatcher when there is no other message to send. */
   Heartbeat = 'beat',
   KnownDispatchers = 'dispatchers',
+  /** The evacuated data centres; sent before any order where evacuations are enabled. */
+  Evacuations = 'evacuations',
 }
 
 /** Fields of every message from a dispatcher. */
@@ -49,6 +53,12 @@
       /** Version of the roster at which this list last changed; undefined from earlier versions. */
       readonly version?: LogIndex | undefined;
       readonly dispatchers: readonly KnownDispatcher[];
+    }
+  | {
+      readonly kind: ToWorkerKind.Evacuations;
+      readonly state: EvacuationState;
+      /** Whether control has proved its leadership to the dispatcher within `maximumProofAge`. */
+      readonly isProved: boolean;
     };
 
 /** A message about runs from a dispatcher to a sidecar. */
@@ -79,6 +89,8 @@
   readonly orders: number;
   /** Version of the latest list of dispatchers that the sidecar has received; 0 before the first, undefined from earlier versions. */
   readonly dispatcherListVersion?: LogIndex | undefined;
+  /** Highest version of the evacuation state that the sidecar has received; undefined before the first and from earlier versions. */
+  readonly evacuationVersion?: EvacuationVersion | undefined;
 }
 
 /** Body of a message about runs from a sidecar to a dispatcher. */
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -118,6 +118,8 @@
       case ToWorkerKind.KnownDispatchers:
         sessions.updateDispatchers(message);
         return;
+      case ToWorkerKind.Evacuations:
+        return;
     }
   };
 
