Let sidecars start no run by the state of evacuations

New orders, queued runs and runs just before the start order are returned as not started with the reason evacuated; running ones go on. The load says closed and evacuated, and each message names the version. Without the option the guard allows every start, ignores states and adds no field to a message.

--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -39,6 +39,8 @@
   TokensRefused = 'tokens_refused',
   ElectionsStarted = 'elections_started',
   ConfigurationChanges = 'configuration_changes',
+  /** Runs that a sidecar returned because of an evacuation; counted at the sidecar and at the dispatcher. */
+  RunsReturnedEvacuated = 'runs_returned_evacuated',
 }
 
 /** Kinds of messages that did no useful work. */
@@ -74,4 +76,6 @@
   LogIndex = 'log_index',
   /** 1 while this replica is the leader, otherwise 0. */
   Leading = 'leading',
+  /** Connected sidecars whose reports do not name the current version of the evacuation state. */
+  SidecarsUnconfirmed = 'sidecars_unconfirmed',
 }
--- a/packages/worker-gate/src/dispatcher-reports.ts
+++ b/packages/worker-gate/src/dispatcher-reports.ts
@@ -1,6 +1,11 @@
 /** Messages from a sidecar to its dispatchers: announcements, ends of runs and periodic load reports. */
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
-import type { Milliseconds, RunEnd, WorkerLoad } from '@cranberryturn/types';
+import type {
+  EvacuationVersion,
+  Milliseconds,
+  RunEnd,
+  WorkerLoad,
+} from '@cranberryturn/types';
 import {
   type FromWorkerBody,
   FromWorkerKind,
@@ -32,6 +37,8 @@
   readonly sessions: () => DispatcherSessions;
   /** Executor of the current incarnation of the worker; undefined when there is none. */
   readonly executor: () => WorkerExecutor | undefined;
+  /** Highest version of the evacuation state received; undefined before the first. */
+  readonly evacuationVersion: () => EvacuationVersion | undefined;
 }
 
 /** Sends the reports of one sidecar. */
@@ -54,6 +61,7 @@
   send(session: DispatcherSession, body: FromWorkerBody): void {
     const { timers, sessions } = this.#options;
     const now = timers.now();
+    const evacuationVersion = this.#options.evacuationVersion();
     session.lastSentAt = now;
     session.send({
       ...body,
@@ -61,6 +69,7 @@
       load: this.#composeLoad(session),
       orders: session.orders,
       dispatcherListVersion: sessions().listVersion,
+      ...(evacuationVersion === undefined ? {} : { evacuationVersion }),
     });
   }
 
--- a/packages/worker-gate/src/find-run-refusal.ts
+++ b/packages/worker-gate/src/find-run-refusal.ts
@@ -13,6 +13,8 @@
   readonly waitingRuns: number;
   readonly isClosed: boolean;
   readonly isDraining: boolean;
+  /** Whether evacuations allow no start here. */
+  readonly isEvacuated: boolean;
   /** Whether the worker replies to orders. */
   readonly isAnswering: boolean;
   /** Whether the remaining lease of the dispatcher is long enough. */
@@ -27,6 +29,7 @@
   const { worker, capacity } = state;
   if (state.isClosed) return RunEndReason.WorkerGone;
   if (state.isDraining) return RunEndReason.Draining;
+  if (state.isEvacuated) return RunEndReason.Evacuated;
   if (order.service !== worker.service) return RunEndReason.WrongService;
   const { label } = order.need;
   if (label !== undefined && !worker.labels.includes(label)) {
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -19,6 +19,11 @@
   run: ActiveRun,
 ): Promise<void> {
   for (let attempt = 0; attempt < maximumAttempts; attempt += 1) {
+    // An order that the worker has refused so far has started nothing.
+    if (executor.options.evacuations.isClosed()) {
+      executor.endRun(run, RunOutcome.NotStarted, RunEndReason.Evacuated);
+      return;
+    }
     const { fencing, port } = executor.options;
     const fencingToken = fencing.token;
     const sentAt = executor.options.timers.now();
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -1,6 +1,6 @@
 /** Connects all dispatchers with one worker: keeps the sessions, and an executor for the current incarnation. */
 import type { Logger } from '@cranberryturn/logger';
-import type { Metrics } from '@cranberryturn/metrics';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import type { RandomSource } from '@cranberryturn/random';
 import type { SessionTimes } from '@cranberryturn/sessions';
 import { sleep, type TimerService } from '@cranberryturn/timers';
@@ -26,6 +26,7 @@
 import type { DispatcherSession } from './dispatcher-session.js';
 import { DispatcherReports } from './dispatcher-reports.js';
 import { DispatcherSessions } from './dispatcher-sessions.js';
+import { EvacuationGuard } from './evacuation-guard.js';
 import { Fencing } from './fencing.js';
 import type { WorkerPort } from './ports/worker.js';
 import { SessionPhase } from './session-phase.js';
@@ -48,6 +49,8 @@
   readonly metrics: Metrics;
   /** Longest lease that the worker grants. */
   readonly leaseMilliseconds: Milliseconds;
+  /** Whether evacuations are enabled: no run starts before a dispatcher has sent their state. Off by default. */
+  readonly evacuations?: boolean | undefined;
   /** Opens a port to one incarnation of the worker. `bornAt` is its start on the clock of the worker. */
   readonly openWorker: (worker: WorkerRun, bornAt: Milliseconds) => WorkerPort;
 }
@@ -82,14 +85,29 @@
     timers,
     sessions: () => sessions,
     executor: () => executor,
+    evacuationVersion: () => evacuations.version,
+  });
+  const evacuations = new EvacuationGuard({
+    isEnabled: options.evacuations === true,
+    timers,
+    logger,
+    countConnectedDispatchers: () => sessions.listConnected().length,
+    changed: () => {
+      // Returns the queued runs in an evacuation.
+      executor?.startWaitingRuns();
+      reports.reportToAll();
+    },
   });
 
   const runEnded = (dispatcher: DispatcherId, end: RunEnd): void => {
     metrics.count(chooseRunCounter(end.outcome));
+    const isEvacuated = end.reason === RunEndReason.Evacuated;
+    if (isEvacuated) metrics.count(Counter.RunsReturnedEvacuated);
     logger.info('run ended', {
       dispatcher,
       worker: executor?.worker.workerId,
       ...end,
+      ...(isEvacuated ? { evacuationVersion: evacuations.version } : {}),
     });
     const session = sessions.findSession(dispatcher);
     if (session !== undefined) reports.reportEnd(session, end);
@@ -119,6 +137,7 @@
         sessions.updateDispatchers(message);
         return;
       case ToWorkerKind.Evacuations:
+        evacuations.receive(message, session.dispatcherId);
         return;
     }
   };
@@ -182,6 +201,7 @@
       logger,
       fencing,
       leases,
+      evacuations: evacuations.createRule(worker.dataCentre),
       leaseMilliseconds: options.leaseMilliseconds,
       runEnded,
       runsStalled: (dispatcher, runs) => {
@@ -223,6 +243,7 @@
   const kill = (): void => {
     isStopping = true;
     reports.stop();
+    evacuations.close();
     sessions.close();
     executor?.kill();
   };
--- a/packages/worker-gate/src/worker-executor-options.ts
+++ b/packages/worker-gate/src/worker-executor-options.ts
@@ -11,6 +11,7 @@
 } from '@cranberryturn/types';
 
 import type { DispatcherLeases } from './dispatcher-leases.js';
+import type { StartRule } from './evacuation-guard.js';
 import type { Fencing } from './fencing.js';
 import type { WorkerPort } from './ports/worker.js';
 
@@ -22,6 +23,7 @@
   readonly logger: Logger;
   readonly fencing: Fencing;
   readonly leases: DispatcherLeases;
+  readonly evacuations: StartRule;
   /** Longest lease that the worker grants. */
   readonly leaseMilliseconds: Milliseconds;
   /** Called once for each run that ends. */
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -22,6 +22,7 @@
   RunPhase,
   type RunSelection,
 } from './active-run.js';
+import { composeLoad } from './compose-load.js';
 import { findRunRefusal } from './find-run-refusal.js';
 import { interpretOutcome } from './interpret-outcome.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
@@ -72,10 +73,10 @@
   }
 
   get load(): WorkerLoad {
-    return {
-      ...this.#runs.measureLoad(this.options.timers.now()),
-      closed: this.#isDraining || this.#isClosed || this.#lease.isSuspected,
-    };
+    const measured = this.#runs.measureLoad(this.options.timers.now());
+    const isClosed =
+      this.#isDraining || this.#isClosed || this.#lease.isSuspected;
+    return composeLoad(measured, isClosed, this.options.evacuations);
   }
 
   /** Runs that are starting or running. */
@@ -123,12 +124,16 @@
     this.options.stateChanged();
   }
 
-  /** Starts queued runs while the worker has capacity, the most urgent first. */
+  /** Starts queued runs while the worker has capacity, the most urgent first; in an evacuation, returns them all. */
   startWaitingRuns(): void {
-    const { timers, leases } = this.options;
+    const { timers, leases, evacuations } = this.options;
     const now = timers.now();
-    if (this.#isClosed || this.#isDraining || now < this.#startsPausedUntil)
+    if (this.#isClosed || this.#isDraining) return;
+    if (evacuations.isClosed()) {
+      this.#refuseWaitingRuns(RunEndReason.Evacuated, () => true);
       return;
+    }
+    if (now < this.#startsPausedUntil) return;
     if (!this.#lease.isReady || this.#lease.isSuspected) return;
     if (this.#suspensionWatch.check() > 0) void this.#verifyNotSuspended();
     if (this.#isVerifying) return;
@@ -248,13 +253,14 @@
   }
 
   #findRefusal(run: ActiveRun): RunEndReason | undefined {
-    const { worker, leases, timers } = this.options;
+    const { worker, leases, timers, evacuations } = this.options;
     return findRunRefusal(run, {
       worker,
       capacity: this.#runs.capacity,
       waitingRuns: this.#runs.waiting.size,
       isClosed: this.#isClosed,
       isDraining: this.#isDraining,
+      isEvacuated: evacuations.isClosed(),
       isAnswering: this.#lease.isReady && !this.#lease.isSuspected,
       isLeased: leases.canStart(run.dispatcher, timers.now()),
     });
