Send sidecars the state of evacuations, and place nothing on evacuated workers

Where evacuations are enabled, a dispatcher sends the state before the first order of a session, at each change, once control has proved it, and again until the sidecar names its version. Workers of an evacuated data centre are left out of placement from that moment on by one flag each, and stay known as able to hold a job. Runs returned for an evacuation count against neither task nor worker.

--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -118,6 +118,7 @@
   let bestScore = Infinity;
   for (const candidate of candidates) {
     if (hasMaximumTasks(request, candidate)) continue;
+    if (isHeldBack(request, candidate)) continue;
     const score =
       scoreCandidate(request, candidate) +
       random.fraction() * choiceNoiseMilliseconds;
@@ -136,6 +137,14 @@
   return (placedTasks.get(known.workerId) ?? 0) + tasks >= step.mostPerWorker;
 }
 
+/** Whether a worker that returns from an evacuation has no capacity in use yet for another task, which does not queue there. */
+function isHeldBack(
+  { step }: PlacementRequest,
+  { known, free }: Candidate,
+): boolean {
+  return known.heldBackProcessors > 0 && free < step.need.processors;
+}
+
 function scoreCandidate(
   request: PlacementRequest,
   candidate: Candidate,
--- a/packages/transient-jobs/src/handle-run-end.ts
+++ b/packages/transient-jobs/src/handle-run-end.ts
@@ -1,5 +1,6 @@
 /** Handles the end of a run: the job ends, or the task waits for another run. */
-import { Distribution, type Metrics } from '@cranberryturn/metrics';
+import type { Logger } from '@cranberryturn/logger';
+import { Counter, Distribution, type Metrics } from '@cranberryturn/metrics';
 import type { TimerService } from '@cranberryturn/timers';
 import {
   type RunEnd,
@@ -21,6 +22,7 @@
 /** Statistics that the end of a run updates. */
 export interface RunEndDependencies {
   readonly timers: TimerService;
+  readonly logger: Logger;
   readonly metrics: Metrics;
   readonly estimates: RunTimeEstimates;
   /** The worker of the run; undefined when the worker is no longer announced. */
@@ -96,12 +98,17 @@
 
 /** Handles a run that was interrupted or never started. The task is placed again. */
 function handleReturn(
-  { known, timers }: RunEndDependencies,
+  dependencies: RunEndDependencies,
   task: ActiveTask,
   workerId: TargetId,
-  { reason }: RunEnd,
+  end: RunEnd,
 ): void {
+  const { known, timers } = dependencies;
+  const { reason } = end;
   task.phase = TaskPhase.Waiting;
+  // Neither a failure nor a lack of room: nothing is held against the worker or the task.
+  if (reason === RunEndReason.Evacuated)
+    reportEvacuatedRun(dependencies, workerId, end);
   const isRefusal =
     reason === RunEndReason.WorkerRefused ||
     reason === RunEndReason.WorkerSilent;
@@ -109,3 +116,20 @@
   if (reason === RunEndReason.NoRoom) task.returns += 1;
   if (reason === RunEndReason.WrongService) task.excludedWorkers.add(workerId);
 }
+
+function reportEvacuatedRun(
+  { metrics, logger, known }: RunEndDependencies,
+  workerId: TargetId,
+  { requestId, jobId, taskId, run, waitedMilliseconds }: RunEnd,
+): void {
+  metrics.count(Counter.RunsReturnedEvacuated);
+  logger.info('run returned for an evacuation', {
+    requestId,
+    jobId,
+    taskId,
+    run,
+    worker: workerId,
+    dataCentre: known?.worker.dataCentre,
+    ageMilliseconds: Math.round(waitedMilliseconds),
+  });
+}
--- a/packages/transient-jobs/src/index.ts
+++ b/packages/transient-jobs/src/index.ts
@@ -2,3 +2,4 @@
 export * from './transient-jobs.js';
 export * from './transient-job.js';
 export * from './transient-jobs-options.js';
+export type { EvacuationSource } from './distribute-evacuations.js';
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -7,6 +7,12 @@
   WorkerRun,
 } from '@cranberryturn/types';
 
+import {
+  chooseSpeedWeight,
+  computeHeldBackProcessors,
+  quickSamples,
+} from './return-ramp.js';
+
 /** A placement order that the latest load report does not include yet. */
 interface UnreportedOrder {
   /** Sequence number of the order in the session. */
@@ -30,9 +36,16 @@
   /** The worker receives no task before this time. */
   backoffUntil: Milliseconds;
   unreportedOrders: UnreportedOrder[];
+  /** Whether its data centre is evacuated, by what this dispatcher knows itself. */
+  isEvacuated: boolean;
+  /** When the worker began to return from an evacuation; undefined once it has returned in full. */
+  returningSince: Milliseconds | undefined;
+  /** Processors that are not used yet while the worker returns from an evacuation. */
+  heldBackProcessors: number;
+  /** Number of next ends from which the speed is learned quickly. */
+  remainingQuickSamples: number;
 }
 
-const speedSampleWeight = 0.15;
 const delaySampleWeight = 0.2;
 /** Upper bound of one delay sample, so that a single stall does not keep tasks away for long. */
 const maximumDelayMilliseconds: Milliseconds = 150;
@@ -59,6 +72,10 @@
     consecutiveFailures: 0,
     backoffUntil: 0,
     unreportedOrders: [],
+    isEvacuated: false,
+    returningSince: undefined,
+    heldBackProcessors: 0,
+    remainingQuickSamples: 0,
   };
 }
 
@@ -69,11 +86,49 @@
   orders: number,
   now: Milliseconds,
 ): void {
+  const wasWithdrawn = isWithdrawn(known);
   known.load = load;
   known.lastHeardAt = now;
   known.unreportedOrders = known.unreportedOrders.filter(
     ({ order }) => order > orders,
   );
+  if (wasWithdrawn && !isWithdrawn(known)) beginReturn(known, now);
+}
+
+/** Records whether the data centre of the worker is evacuated, by what this dispatcher knows itself. */
+export function setEvacuated(
+  known: KnownWorker,
+  isEvacuated: boolean,
+  now: Milliseconds,
+): void {
+  const wasWithdrawn = isWithdrawn(known);
+  known.isEvacuated = isEvacuated;
+  if (wasWithdrawn && !isWithdrawn(known)) beginReturn(known, now);
+}
+
+/** Whether an evacuation takes the worker out of use, by its own report or by what this dispatcher knows. */
+export function isWithdrawn({ isEvacuated, load }: KnownWorker): boolean {
+  return isEvacuated || load.evacuated === true;
+}
+
+function beginReturn(known: KnownWorker, now: Milliseconds): void {
+  known.returningSince = now;
+  known.speed = 1;
+  known.remainingQuickSamples = quickSamples;
+  updateHeldBackProcessors(known, now);
+}
+
+/** Raises the usable capacity of a worker that returns from an evacuation. */
+export function updateHeldBackProcessors(
+  known: KnownWorker,
+  now: Milliseconds,
+): void {
+  if (known.returningSince === undefined) return;
+  known.heldBackProcessors = computeHeldBackProcessors(
+    known.worker.capacity.processors,
+    now - known.returningSince,
+  );
+  if (known.heldBackProcessors === 0) known.returningSince = undefined;
 }
 
 /** Reserves the resources of an order until a load report includes it. */
@@ -106,7 +161,9 @@
       expectedMilliseconds / Math.max(1, actualMilliseconds),
     ),
   );
-  known.speed *= (sample / known.speed) ** speedSampleWeight;
+  const weight = chooseSpeedWeight(known.remainingQuickSamples);
+  known.speed *= (sample / known.speed) ** weight;
+  if (known.remainingQuickSamples > 0) known.remainingQuickSamples -= 1;
 }
 
 /** Records the part of a round trip that was spent neither in the queue nor running. */
@@ -132,20 +189,31 @@
   known.backoffUntil = now + backoffMilliseconds;
 }
 
+/** Whether an evacuation alone keeps a worker that was heard lately from accepting tasks. */
+export function isEvacuatedAndHeard(
+  known: KnownWorker,
+  now: Milliseconds,
+): boolean {
+  return (
+    isWithdrawn(known) && now - known.lastHeardAt < maximumSilenceMilliseconds
+  );
+}
+
 /** Whether the worker accepts tasks now. */
 export function isUsable(known: KnownWorker, now: Milliseconds): boolean {
   return (
     !known.load.closed &&
+    !known.isEvacuated &&
     now - known.lastHeardAt < maximumSilenceMilliseconds &&
     known.backoffUntil <= now
   );
 }
 
-/** Free processors by the latest load report, less those of the orders that it does not include. */
+/** Free processors by the latest load report, less those held back and those of the orders that it does not include. */
 export function estimateFreeProcessors(known: KnownWorker): number {
   return known.unreportedOrders.reduce(
     (free, order) => free - order.processors,
-    known.load.free.processors,
+    known.load.free.processors - known.heldBackProcessors,
   );
 }
 
--- a/packages/transient-jobs/src/recall-waiting-tasks.ts
+++ b/packages/transient-jobs/src/recall-waiting-tasks.ts
@@ -12,6 +12,7 @@
   estimateFreeProcessors,
   sumWorkAhead,
   isUsable,
+  isWithdrawn,
   type KnownWorker,
 } from './known-worker.js';
 import type { RunTracker } from './run-tracker.js';
@@ -81,7 +82,8 @@
   if (task.returns >= maximumReturns || task.excludedWorkers.has(workerId))
     return false;
   const known = workers.findWorker(task.workerId);
-  if (known === undefined) return false;
+  // The sidecar of an evacuated worker returns its queued runs by itself.
+  if (known === undefined || isWithdrawn(known)) return false;
   const { queue, steps } = task.job.job;
   const processors = steps[task.step]?.need.processors ?? 0;
   const ownWork = Math.floor(processors * task.expectedMilliseconds);
--- a/packages/transient-jobs/src/sidecar-session.ts
+++ b/packages/transient-jobs/src/sidecar-session.ts
@@ -6,6 +6,10 @@
   type ToWorkerMessage,
 } from '@cranberryturn/wire';
 
+import {
+  createEvacuationNotices,
+  type EvacuationNotices,
+} from './evacuation-notice.js';
 import type { KnownWorker } from './known-worker.js';
 
 /** The session with one process of a sidecar. */
@@ -21,6 +25,8 @@
   orders: number;
   /** Version of the list of dispatchers that the sidecar is known to have. */
   listVersion: LogIndex;
+  /** The state of evacuations as sent to the sidecar and confirmed by it. */
+  readonly evacuations: EvacuationNotices;
   /** False once the session has ended; the runs at its worker are kept until the lease expires. */
   isOpen: boolean;
 }
@@ -40,6 +46,7 @@
     lastSentAt: now,
     orders: 0,
     listVersion: 0,
+    evacuations: createEvacuationNotices(),
     isOpen: true,
   };
 }
--- a/packages/transient-jobs/src/transient-jobs-options.ts
+++ b/packages/transient-jobs/src/transient-jobs-options.ts
@@ -6,6 +6,7 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type { DispatcherId, DispatcherList } from '@cranberryturn/types';
 
+import type { EvacuationSource } from './distribute-evacuations.js';
 import type { TransientJobEnd } from './transient-job.js';
 
 /** Options of the transient jobs of one dispatcher. */
@@ -21,6 +22,8 @@
   readonly remoteFactor: number;
   /** Dispatchers from which sidecars choose those that they keep sessions with. */
   readonly listDispatchers: () => DispatcherList;
+  /** The evacuations to enforce at the workers; undefined where evacuations are not enabled. */
+  readonly evacuations?: EvacuationSource | undefined;
 }
 
 /** A submitted job, as one caller sees it. */
--- a/packages/transient-jobs/src/worker-directory-options.ts
+++ b/packages/transient-jobs/src/worker-directory-options.ts
@@ -10,6 +10,7 @@
   TargetId,
 } from '@cranberryturn/types';
 
+import type { EvacuationSource } from './distribute-evacuations.js';
 import type { KnownWorker } from './known-worker.js';
 
 /** Events at the workers, and the query that the directory needs in return. */
@@ -36,4 +37,6 @@
   readonly logger: Logger;
   /** Dispatchers from which sidecars choose those that they keep sessions with. */
   readonly listDispatchers: () => DispatcherList;
+  /** Undefined where evacuations are not enabled. */
+  readonly evacuations?: EvacuationSource | undefined;
 }
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -21,6 +21,7 @@
   type ToWorkerMessage,
 } from '@cranberryturn/wire';
 
+import { EvacuationDistributor } from './distribute-evacuations.js';
 import {
   createKnownWorker,
   isUsable,
@@ -43,6 +44,8 @@
 
 /** The workers that one dispatcher can reach through their sidecars. */
 export class WorkerDirectory {
+  /** Sends the state of evacuations to the sidecars. */
+  readonly evacuations: EvacuationDistributor;
   readonly #options: WorkerDirectoryOptions;
   readonly #sessions = new Set<SidecarSession>();
   readonly #sessionsByWorker = new Map<TargetId, SidecarSession>();
@@ -52,6 +55,13 @@
 
   constructor(options: WorkerDirectoryOptions) {
     this.#options = options;
+    this.evacuations = new EvacuationDistributor({
+      ...options,
+      sessions: this.#sessions,
+      send: (session, body) => {
+        this.#send(session, body);
+      },
+    });
     this.#acceptor = acceptSessions<ToWorkerMessage, FromWorkerMessage>({
       timers: options.timers,
       times: options.times,
@@ -59,6 +69,7 @@
     });
     this.#ticker = options.timers.every(checkIntervalMilliseconds, () => {
       this.#checkSessions();
+      this.evacuations.check();
     });
   }
 
@@ -189,7 +200,10 @@
       session.listVersion,
       message.dispatcherListVersion ?? 0,
     );
+    session.evacuations.confirmedVersion = message.evacuationVersion;
     if (message.kind === FromWorkerKind.Announce) {
+      // Before the announcement, which may place runs at once.
+      this.evacuations.notify(session);
       this.#handleAnnouncement(session, message.worker, message);
       this.#updateDispatcherList(session);
     }
@@ -232,6 +246,7 @@
     if (worker === undefined) return;
     logger.info('worker announced', { ...worker });
     session.known = createKnownWorker(worker, load, timers.now());
+    this.evacuations.mark(session.known);
     this.#sessionsByWorker.set(worker.workerId, session);
     workerAnnounced();
   }
