Switch evacuations at dispatchers and sidecars on by the platform's settings

A dispatcher calls its state proved only while control's proof is recent and the missed changes have arrived or had 250 ms to arrive: control proves itself to a new follower 10 ms before it sends the changes, and a sidecar that has just started would open by the older state. Workers that only an evacuation closes count for the readiness of a dispatcher, so that it stays in service to refuse jobs with a retry time.

--- a/packages/run-dispatcher/src/start-readiness.ts
+++ b/packages/run-dispatcher/src/start-readiness.ts
@@ -17,7 +17,7 @@
 export interface ReadinessDependencies {
   readonly timers: TimerService;
   readonly hasConfiguration: () => boolean;
-  /** Number of workers that accept tasks now; 0 when this process is cut off from the network. */
+  /** Number of workers that accept tasks now, or would without an evacuation; 0 when this process is cut off from the network. */
   readonly countWorkers: () => number;
   /** Whether placement is paused after a suspension, until disconnected callers are noticed. */
   readonly isPaused: () => boolean;
--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -24,6 +24,7 @@
 import type { ResultAsync } from 'neverthrow';
 
 import { followDispatcherList } from './follow-dispatcher-list.js';
+import { followEvacuationProof } from './prove-evacuations.js';
 import { type StartReadiness, watchStartReadiness } from './start-readiness.js';
 import { sidecarSessionTimes } from './sidecar-session-times.js';
 
@@ -39,6 +40,8 @@
   readonly sharedKeyFile?: string | undefined;
   /** Factor by which a task runs longer on a rack without its input data. */
   readonly remoteFactor: number;
+  /** Whether evacuations are enabled: sidecars are told the evacuated data centres. Off by default. */
+  readonly evacuations?: boolean | undefined;
   /** Seed of the random source; chosen at random when undefined. */
   readonly seed?: number | undefined;
 }
@@ -79,6 +82,13 @@
   const { dispatcherId, peers } = options;
   const seed = chooseSeed(options.seed, environment);
   const self = { dispatcherId, incarnation };
+  const hasConfiguration = (): boolean =>
+    control.publication.current().version > 0;
+  const evacuationProof = followEvacuationProof({
+    timers,
+    isFresh: () => control.isFresh(),
+    hasConfiguration,
+  });
   const control = createControlClient({
     network,
     timers,
@@ -87,11 +97,19 @@
     controlHosts: options.control.map(address => ({ address })),
     handleWatchedHostChange: host => {
       logger.info('control host watched', { controlHost: host ?? 'none' });
+      evacuationProof.hostChanged();
     },
   });
   const dispatcherList = followDispatcherList(control.roster);
   const jobs = new TransientJobs({
     ...options,
+    evacuations:
+      options.evacuations === true
+        ? {
+            current: control.evacuations.current,
+            isProved: evacuationProof.isProved,
+          }
+        : undefined,
     timers,
     random: createRandomSource(seed + 1),
     times: sidecarSessionTimes,
@@ -101,13 +119,20 @@
   });
   const readiness = watchStartReadiness({
     timers,
-    hasConfiguration: () => control.publication.current().version > 0,
-    countWorkers: () => jobs.workers.countUsableWorkers(),
+    hasConfiguration,
+    countWorkers: () =>
+      jobs.workers.countUsableWorkers() +
+      jobs.workers.evacuations.countEvacuatedWorkers(),
     isPaused: () => jobs.isPaused(),
   });
   const unsubscribeFromList = dispatcherList.subscribe(() => {
     jobs.workers.sendDispatcherList();
   });
+  control.publication.subscribe(evacuationProof.updateReceived);
+  control.evacuations.subscribe(() => {
+    evacuationProof.updateReceived();
+    jobs.workers.evacuations.applyChange();
+  });
   metrics.registerGauge(Gauge.JobsOpen, () => jobs.inFlight);
   metrics.registerGauge(Gauge.TargetsKnown, () =>
     jobs.workers.countUsableWorkers(),
@@ -116,6 +141,9 @@
     Gauge.ConfigurationVersion,
     () => control.publication.current().version,
   );
+  metrics.registerGauge(Gauge.SidecarsUnconfirmed, () =>
+    jobs.workers.evacuations.countUnconfirmed(),
+  );
   return network
     .listen(peers, connection => {
       switch (connection.peer.role) {
@@ -145,6 +173,7 @@
           await jobs.stop(graceMilliseconds);
           registration.cancel();
           unsubscribeFromList();
+          evacuationProof.stop();
           await control.stop();
           await listener.close();
         },
