--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -77,7 +77,10 @@
 }
 
 /** Starts a gate whose worker has reported, and connects the dispatcher. */
-export async function startGateFixture(processors = 2): Promise<GateFixture> {
+export async function startGateFixture(
+  processors = 2,
+  evacuations = false,
+): Promise<GateFixture> {
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, 1);
   const run = createWorkerRun(processors);
@@ -137,6 +140,7 @@
       logger: createSilentLogger(),
       metrics: createMetrics({ role: 'sidecar', process: 'sidecar-1', timers }),
       leaseMilliseconds: 1_000,
+      evacuations,
       openWorker: () => worker.port,
     });
   };
