Test evacuations between dispatchers, sidecars and workers

The fixture gets data centres, a control that tests change and suspended sidecars; its host moves to a file of its own.

--- /dev/null
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -0,0 +1,140 @@
+/** One worker of a test, and its sidecar process. */
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createMetrics } from '@cranberryturn/metrics';
+import { createRandomSource } from '@cranberryturn/random';
+import type { ManualTimerService } from '@cranberryturn/timers';
+import type { WorkerRun } from '@cranberryturn/types';
+import { type MemoryNetwork, ProcessRole } from '@cranberryturn/wire';
+import {
+  createFakeWorker,
+  type FakeWorker,
+  startWorkerGate,
+  type WorkerGate,
+} from '@cranberryturn/worker-gate';
+
+import { createSuspension, type Suspension } from './suspension.js';
+
+/** Address of all dispatchers. */
+export const address = '10.0.0.1';
+/** Port of the first dispatcher; the others follow. */
+export const firstPort = 7_700;
+export const times = { heartbeatMilliseconds: 300, suspicionMilliseconds: 700 };
+
+/** Resources of each task in these tests. */
+export const oneProcessor = {
+  processors: 1,
+  memoryMebibytes: 64,
+  accelerators: 0,
+};
+
+/** One worker and its sidecar process. */
+export interface FakeHost {
+  readonly name: string;
+  worker: FakeWorker;
+  gate: WorkerGate;
+  /** Suspends the sidecar process while true; it then receives what was sent to it meanwhile. */
+  readonly suspension: Suspension;
+  /** Kills the sidecar process and starts a new one, to which the worker reports. */
+  restartSidecar(): Promise<void>;
+  /** Crashes the worker and starts a new incarnation. */
+  restartWorker(): void;
+}
+
+/** Starts a worker and its sidecar, which dials the dispatchers. */
+export function startHost(
+  timers: ManualTimerService,
+  network: MemoryNetwork,
+  number: number,
+  options: {
+    readonly dispatchers: number;
+    readonly processors: number;
+    readonly seeds?: number | undefined;
+    readonly dataCentres?: readonly string[] | undefined;
+  },
+): FakeHost {
+  const name = `sidecar-${String(number)}`;
+  let incarnations = 0;
+  let processes = 0;
+  let sequence = 0;
+  const { dataCentres = ['dong-da'] } = options;
+  const suspension = createSuspension(timers);
+
+  const startWorker = (): FakeWorker => {
+    incarnations += 1;
+    const run: WorkerRun = {
+      workerId: `worker-${String(number)}`,
+      incarnation: `worker-${String(number)}@${String(incarnations)}`,
+      service: 'register',
+      capacity: {
+        processors: options.processors,
+        memoryMebibytes: 65_536,
+        accelerators: 0,
+      },
+      labels: [`rack-${String(number % 2)}`],
+      dataCentre: dataCentres[number % dataCentres.length] ?? '',
+    };
+    return createFakeWorker({ timers, run, need: oneProcessor });
+  };
+
+  const startGate = (): WorkerGate => {
+    processes += 1;
+    return startWorkerGate({
+      name,
+      network: suspension.wrapNetwork(
+        network.join({
+          role: ProcessRole.Sidecar,
+          name,
+          incarnation: `${name}/${String(processes)}`,
+        }),
+      ),
+      seeds: Array.from(
+        { length: options.seeds ?? options.dispatchers },
+        (_, dispatcher) => ({
+          address,
+          port: firstPort + dispatcher,
+        }),
+      ),
+      timers: suspension.timers,
+      random: createRandomSource(1_000 + number * 100 + processes),
+      times,
+      logger: createSilentLogger(),
+      metrics: createMetrics({ role: 'sidecar', process: name, timers }),
+      leaseMilliseconds: 1_000,
+      evacuations: options.dataCentres !== undefined,
+      openWorker: () => host.worker.port,
+    });
+  };
+
+  const report = (): void => {
+    sequence += 1;
+    host.gate.workerReported({
+      worker: host.worker.run,
+      bornAt: incarnations,
+      sequence,
+      draining: false,
+    });
+  };
+
+  const host: FakeHost = {
+    name,
+    worker: startWorker(),
+    gate: startGate(),
+    suspension,
+    restartSidecar: async () => {
+      for (const connection of network.connections) {
+        if (connection.from === name) connection.disconnect();
+      }
+      host.gate.kill();
+      await timers.advance(10);
+      host.gate = startGate();
+      report();
+    },
+    restartWorker: () => {
+      host.worker.crash();
+      host.worker = startWorker();
+      report();
+    },
+  };
+  report();
+  return host;
+}
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -6,55 +6,43 @@
   createManualTimerService,
   type ManualTimerService,
 } from '@cranberryturn/timers';
-import type {
-  DispatcherList,
-  QueueConfiguration,
-  WorkerRun,
+import {
+  type DispatcherList,
+  type EvacuationState,
+  noEvacuations,
+  type QueueConfiguration,
 } from '@cranberryturn/types';
 import {
   createMemoryNetwork,
   type MemoryNetwork,
   ProcessRole,
 } from '@cranberryturn/wire';
-import {
-  createFakeWorker,
-  type FakeWorker,
-  startWorkerGate,
-  type WorkerGate,
-} from '@cranberryturn/worker-gate';
 
+import {
+  address,
+  type FakeHost,
+  firstPort,
+  oneProcessor,
+  startHost,
+  times,
+} from './fake-host.js';
 import { TransientJobs } from '../transient-jobs.js';
 import type { JobStep, TransientJob } from '../transient-job.js';
 
-const firstPort = 7_700;
-const address = '10.0.0.1';
-const times = { heartbeatMilliseconds: 300, suspicionMilliseconds: 700 };
+export { oneProcessor };
+
 const networkDelayMilliseconds = 1;
 const checkIntervalMilliseconds = 5;
 
-/** Resources of each task in these tests. */
-export const oneProcessor = {
-  processors: 1,
-  memoryMebibytes: 64,
-  accelerators: 0,
-};
-
-/** One worker and its sidecar process. */
-export interface FakeHost {
-  readonly name: string;
-  worker: FakeWorker;
-  gate: WorkerGate;
-  /** Kills the sidecar process and starts a new one, to which the worker reports. */
-  restartSidecar(): Promise<void>;
-  /** Crashes the worker and starts a new incarnation. */
-  restartWorker(): void;
-}
-
 /** One dispatcher process. */
 export interface FakeDispatcher {
   readonly name: string;
   jobs: TransientJobs;
-  /** Crashes the process and starts a new one. */
+  /** What control has told the process. */
+  control: { state: EvacuationState; isProved: boolean };
+  /** Tells the process a state that control has proved. */
+  hear(state: EvacuationState): void;
+  /** Crashes the process and starts a new one, which control has told nothing. */
   restart(): Promise<void>;
 }
 
@@ -68,6 +56,8 @@
   readonly violations: string[];
   /** Changes the list of dispatchers, as after a change of the roster: those at the given positions. */
   listDispatchers(positions: readonly number[]): void;
+  /** Changes the evacuated data centres at control; dispatchers at other positions are cut off from it. */
+  evacuate(dataCentres: readonly string[], heardAt?: readonly number[]): void;
 }
 
 /** Creates the queue of these tests. */
@@ -121,15 +111,25 @@
   readonly processors: number;
   /** Number of dispatchers that sidecars dial first; all by default. */
   readonly seeds?: number | undefined;
+  /** Data centres of the workers in turn; where undefined, evacuations are off and all workers are in one. */
+  readonly dataCentres?: readonly string[] | undefined;
 }): Promise<JobsFixture> {
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, networkDelayMilliseconds);
   const violations: string[] = [];
   const dispatchers: FakeDispatcher[] = [];
   let list: DispatcherList = { version: 0, dispatchers: [] };
+  let evacuationVersion = 0;
+  const hasEvacuations = options.dataCentres !== undefined;
   for (let number = 0; number < options.dispatchers; number += 1) {
     dispatchers.push(
-      await startDispatcher(timers, network, number, () => list),
+      await startDispatcher(
+        timers,
+        network,
+        number,
+        () => list,
+        hasEvacuations,
+      ),
     );
   }
   const hosts = Array.from({ length: options.workers }, (_, number) =>
@@ -155,6 +155,19 @@
       };
       for (const { jobs } of dispatchers) jobs.workers.sendDispatcherList();
     },
+    evacuate: (dataCentres, heardAt) => {
+      evacuationVersion += 1;
+      const since = timers.wallClock();
+      const evacuations = dataCentres.map(dataCentre => ({
+        dataCentre,
+        since,
+      }));
+      dispatchers.forEach((dispatcher, position) => {
+        if (heardAt?.includes(position) === false)
+          dispatcher.control.isProved = false;
+        else dispatcher.hear({ version: evacuationVersion, evacuations });
+      });
+    },
   };
 }
 
@@ -179,13 +192,16 @@
   network: MemoryNetwork,
   number: number,
   listDispatchers: () => DispatcherList,
+  hasEvacuations: boolean,
 ): Promise<FakeDispatcher> {
   const name = `dispatcher-${String(number)}`;
   let processes = 0;
   let closeListener: () => Promise<void> = () => Promise.resolve();
 
+  let control = { state: noEvacuations, isProved: true };
   const start = async (): Promise<TransientJobs> => {
     processes += 1;
+    const known = control;
     const jobs = new TransientJobs({
       dispatcherId: name,
       dataCentre: 'dong-da',
@@ -196,6 +212,9 @@
       metrics: createMetrics({ role: 'dispatcher', process: name, timers }),
       remoteFactor: 1.5,
       listDispatchers,
+      evacuations: hasEvacuations
+        ? { current: () => known.state, isProved: () => known.isProved }
+        : undefined,
     });
     const listener = await network
       .join({
@@ -213,102 +232,18 @@
   const dispatcher: FakeDispatcher = {
     name,
     jobs: await start(),
+    control,
+    hear: state => {
+      Object.assign(dispatcher.control, { state, isProved: true });
+      dispatcher.jobs.workers.evacuations.applyChange();
+    },
     restart: async () => {
       dispatcher.jobs.workers.close();
       await closeListener();
+      control = { state: noEvacuations, isProved: false };
+      dispatcher.control = control;
       dispatcher.jobs = await start();
     },
   };
   return dispatcher;
 }
-
-function startHost(
-  timers: ManualTimerService,
-  network: MemoryNetwork,
-  number: number,
-  options: {
-    readonly dispatchers: number;
-    readonly processors: number;
-    readonly seeds?: number | undefined;
-  },
-): FakeHost {
-  const name = `sidecar-${String(number)}`;
-  let incarnations = 0;
-  let processes = 0;
-  let sequence = 0;
-
-  const startWorker = (): FakeWorker => {
-    incarnations += 1;
-    const run: WorkerRun = {
-      workerId: `worker-${String(number)}`,
-      incarnation: `worker-${String(number)}@${String(incarnations)}`,
-      service: 'register',
-      capacity: {
-        processors: options.processors,
-        memoryMebibytes: 65_536,
-        accelerators: 0,
-      },
-      labels: [`rack-${String(number % 2)}`],
-      dataCentre: 'dong-da',
-    };
-    return createFakeWorker({ timers, run, need: oneProcessor });
-  };
-
-  const startGate = (): WorkerGate => {
-    processes += 1;
-    return startWorkerGate({
-      name,
-      network: network.join({
-        role: ProcessRole.Sidecar,
-        name,
-        incarnation: `${name}/${String(processes)}`,
-      }),
-      seeds: Array.from(
-        { length: options.seeds ?? options.dispatchers },
-        (_, dispatcher) => ({
-          address,
-          port: firstPort + dispatcher,
-        }),
-      ),
-      timers,
-      random: createRandomSource(1_000 + number * 100 + processes),
-      times,
-      logger: createSilentLogger(),
-      metrics: createMetrics({ role: 'sidecar', process: name, timers }),
-      leaseMilliseconds: 1_000,
-      openWorker: () => host.worker.port,
-    });
-  };
-
-  const report = (): void => {
-    sequence += 1;
-    host.gate.workerReported({
-      worker: host.worker.run,
-      bornAt: incarnations,
-      sequence,
-      draining: false,
-    });
-  };
-
-  const host: FakeHost = {
-    name,
-    worker: startWorker(),
-    gate: startGate(),
-    restartSidecar: async () => {
-      for (const connection of network.connections) {
-        if (connection.from === name) connection.disconnect();
-      }
-      host.gate.kill();
-      await timers.advance(10);
-      host.gate = startGate();
-      report();
-    },
-    restartWorker: () => {
-      host.worker.crash();
-      host.worker = startWorker();
-      report();
-    },
-  };
-  report();
-  return host;
-}
