--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -128,7 +128,11 @@
   const unsubscribeFromList = dispatcherList.subscribe(() => {
     jobs.workers.sendDispatcherList();
   });
-  control.publication.subscribe(evacuationProof.updateReceived);
+  control.publication.subscribe(() => {
+    evacuationProof.updateReceived();
+    // Sidecars that have started together with this process wait for a proved state.
+    jobs.workers.evacuations.check();
+  });
   control.evacuations.subscribe(() => {
     evacuationProof.updateReceived();
     jobs.workers.evacuations.applyChange();
--- a/packages/worker-gate/src/evacuations.test.ts
+++ b/packages/worker-gate/src/evacuations.test.ts
@@ -1,8 +1,11 @@
 /** Evacuations at one sidecar, whose dispatcher is controlled by the test. */
+import { createSilentLogger } from '@cranberryturn/logger';
+import { createManualTimerService } from '@cranberryturn/timers';
 import { RunEndReason, RunOutcome } from '@cranberryturn/types';
 import { FromWorkerKind, ToWorkerKind } from '@cranberryturn/wire';
 import test from 'ava';
 
+import { EvacuationGuard } from './evacuation-guard.js';
 import { type GateFixture, startGateFixture } from './fakes/gate-fixture.js';
 
 const dataCentre = 'dong-da';
@@ -83,6 +86,25 @@
   t.deepEqual(listStarts(), []);
 });
 
+test('the time for which a sidecar was suspended does not count as time without a proof', async t => {
+  const timers = createManualTimerService();
+  let suspendedMilliseconds = 0;
+  const guard = new EvacuationGuard({
+    isEnabled: true,
+    timers: { ...timers, now: () => timers.now() + suspendedMilliseconds },
+    logger: createSilentLogger(),
+    countConnectedDispatchers: () => 1,
+    changed: () => undefined,
+  });
+  const rule = guard.createRule(dataCentre);
+  await timers.advance(1_000);
+  suspendedMilliseconds = 5_000;
+  await timers.advance(1_000);
+  t.true(rule.isClosed());
+  await timers.advance(1_000);
+  t.false(rule.isClosed());
+});
+
 test('queued runs of an evacuated worker are returned at once, and running ones end normally', async t => {
   const fixture = await startGateFixture(1, true);
   const { place, timers, worker, received } = fixture;
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -93,6 +93,13 @@
     logger,
     countConnectedDispatchers: () => sessions.listConnected().length,
     changed: () => {
+      logger.info('state of evacuations applied', {
+        evacuationVersion: evacuations.version,
+        worker: executor?.worker.workerId,
+        dataCentre: executor?.worker.dataCentre,
+        isEvacuated: executor?.load.evacuated === true,
+        activeRuns: executor?.listActiveRuns().length,
+      });
       // Returns the queued runs in an evacuation.
       executor?.startWaitingRuns();
       reports.reportToAll();
