Tell up to when the state of a replica is proved to be complete

A heartbeat proves the leader also to a replica whose entries are still on their way, for example after a partition. Heartbeats now name an index that covers every entry committed when the proof was given, and the status has `stateProvedAt`, the latest time for which the replica has applied all of them. A new leader has none before the first entry of its term is committed. Heartbeats of earlier versions carry no such index; their commit index counts instead.

--- a/packages/replicated-log/src/core/append-handler.ts
+++ b/packages/replicated-log/src/core/append-handler.ts
@@ -20,8 +20,12 @@
   replica.observeTerm(message.term);
   if (message.term === replica.term) {
     replica.followLeader(from);
-    replica.leaderProvedAt = replica.now() - message.proofAge;
+    const provedAt = replica.now() - message.proofAge;
+    replica.leaderProvedAt = provedAt;
     replica.commitUpTo(message.commitIndex);
+    const index = message.provedIndex ?? message.commitIndex;
+    // Committed entries are applied at once.
+    replica.stateProof.record({ provedAt, index }, replica.commitIndex);
   }
   const { term } = replica;
   if (!(await replica.awaitHardState())) return stoppedReply(replica);
--- a/packages/replicated-log/src/core/heartbeats.ts
+++ b/packages/replicated-log/src/core/heartbeats.ts
@@ -46,6 +46,7 @@
     term: leadership.term,
     commitIndex: Math.min(peer.matchIndex, replica.commitIndex),
     proofAge: sentAt - leadership.quorumContactAt(),
+    provedIndex: leadership.provedIndex(),
   });
   if (!leadership.isActive) return;
   if (reply.isErr()) return;
--- a/packages/replicated-log/src/core/leadership.ts
+++ b/packages/replicated-log/src/core/leadership.ts
@@ -96,6 +96,14 @@
     );
   }
 
+  /**
+   * Covers every committed entry of this and all earlier terms. Until the first entry of the term is
+   * committed, the commit index of a new leader may be lower than that of its predecessor.
+   */
+  provedIndex(): LogIndex {
+    return Math.max(this.#replica.commitIndex, this.firstIndex);
+  }
+
   /** Latest confirmation round that a quorum has answered. */
   quorumConfirmedRound(): number {
     return this.#reachedByQuorum(
--- a/packages/replicated-log/src/core/replica.ts
+++ b/packages/replicated-log/src/core/replica.ts
@@ -17,6 +17,7 @@
 import type { LogStore } from '../storage/log-store.js';
 import type { Leadership } from './leadership.js';
 import { Signal } from './signal.js';
+import { StateProof } from './state-proof.js';
 
 /** Dependencies and restored state of a replica. */
 export interface ReplicaDependencies {
@@ -65,6 +66,8 @@
   lastLeaderContact: Milliseconds = Number.NEGATIVE_INFINITY;
   /** When a quorum last followed the leader, according to the heartbeats of the leader. */
   leaderProvedAt: Milliseconds | undefined;
+  /** Until when the state of this replica is complete, according to the same heartbeats. */
+  readonly stateProof = new StateProof();
 
   constructor(dependencies: ReplicaDependencies) {
     this.dependencies = dependencies;
@@ -227,6 +230,7 @@
     this.role = ReplicaRole.Follower;
     this.leader = leader;
     this.leaderProvedAt = undefined;
+    this.stateProof.reset();
     if (wasLeading) {
       this.postponeElection();
       this.hooks.onLeadershipLost();
--- a/packages/replicated-log/src/core/service.ts
+++ b/packages/replicated-log/src/core/service.ts
@@ -189,6 +189,7 @@
       snapshotIndex: store.snapshot.last.index,
       members: store.members,
       leadershipProvedAt: this.#provedAt(),
+      stateProvedAt: this.#stateProvedAt(),
       failure,
     };
   }
@@ -200,6 +201,15 @@
     return this.#replica.leaderProvedAt;
   }
 
+  #stateProvedAt(): Milliseconds | undefined {
+    const { appliedIndex } = this.#applier;
+    const { leadership, stateProof } = this.#replica;
+    if (leadership === undefined) return stateProof.provedAt(appliedIndex);
+    return appliedIndex >= leadership.provedIndex()
+      ? leadership.quorumContactAt()
+      : undefined;
+  }
+
   #publish(event: LogEvent<Outcome>): void {
     for (const listener of this.#listeners) listener(event);
   }
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -130,6 +130,11 @@
   readonly members: readonly Member[];
   /** Latest time at which a quorum was known to follow the leader, on the timer service of this replica. */
   readonly leadershipProvedAt?: Milliseconds | undefined;
+  /**
+   * Latest time for which the state machine of this replica is known to have applied every entry
+   * committed by then. Older than `leadershipProvedAt` while entries are on their way.
+   */
+  readonly stateProvedAt?: Milliseconds | undefined;
   /** Error that stopped the replica. */
   readonly failure?: CranberryError | undefined;
 }
--- a/packages/replicated-log/src/ports/peer-link.ts
+++ b/packages/replicated-log/src/ports/peer-link.ts
@@ -55,6 +55,11 @@
   readonly commitIndex: LogIndex;
   /** Time since a quorum was last known to follow the leader. */
   readonly proofAge: Milliseconds;
+  /**
+   * Covers every entry that was committed when that quorum followed; may be ahead of what the
+   * receiver has stored. Absent in heartbeats of earlier versions.
+   */
+  readonly provedIndex?: LogIndex | undefined;
 }
 
 /** Replicates the entries that follow `previous`. */
