Keep evacuations of data centres in the log of control

An order names the version that was known where it arrived, as the calls of operators carry no identifier and a retry looks like a new order. An order for a state that is already in force changes nothing; one whose data centre has changed since is refused as overtaken, so an order that was delayed in the system can't undo a withdrawal. Replicas of earlier versions ignore the entry.

--- a/packages/control/src/control-operations.ts
+++ b/packages/control/src/control-operations.ts
@@ -7,12 +7,16 @@
 import type {
   ClaimOutcome,
   ClusterConfiguration,
+  EvacuationOrder,
+  EvacuationState,
   LogIndex,
   Publication,
 } from '@cranberryturn/types';
 import type { ControlCall, ControlMethod } from '@cranberryturn/wire';
 import { Packr } from 'msgpackr';
 
+import type { EvacuationResult } from './evacuations.js';
+
 /** The kinds of operation; the values are stored in the log. */
 export enum OperationKind {
   /** A dispatcher call that changes the state. */
@@ -25,6 +29,8 @@
   ExpireRuns = 'expire-runs',
   /** A whole configuration document, published by an operator. */
   Publish = 'publish',
+  /** The order of an operator to evacuate a data centre, or to withdraw its evacuation. */
+  Evacuate = 'evacuate',
 }
 
 /** A dispatcher call that changes the state. */
@@ -45,6 +51,12 @@
   | {
       readonly kind: OperationKind.Publish;
       readonly publication: Publication;
+    }
+  | {
+      readonly kind: OperationKind.Evacuate;
+      readonly order: EvacuationOrder;
+      /** Identifies the call of the operator in log lines. */
+      readonly requestId: string;
     };
 
 /** The kinds of outcome. */
@@ -52,6 +64,7 @@
   Claim = 'claim',
   Done = 'done',
   Confirm = 'confirm',
+  Evacuation = 'evacuation',
 }
 
 /** The outcome of one operation. */
@@ -64,7 +77,16 @@
   | {
       readonly kind: OperationOutcomeKind.Confirm;
       readonly outcome: ConfirmOutcome;
-    };
+    }
+  | ({ readonly kind: OperationOutcomeKind.Evacuation } & EvacuationOutcome);
+
+/** What an evacuation order did, and the state after it. */
+export interface EvacuationOutcome {
+  readonly result: EvacuationResult;
+  readonly order: EvacuationOrder;
+  readonly requestId: string;
+  readonly state: EvacuationState;
+}
 
 const packer = new Packr({ useRecords: true, variableMapSize: true });
 
--- a/packages/control/src/control-snapshot.ts
+++ b/packages/control/src/control-snapshot.ts
@@ -8,6 +8,13 @@
 import { noPublication, type Publication } from '@cranberryturn/types';
 import { Packr } from 'msgpackr';
 
+import {
+  captureEvacuations,
+  type EvacuationRecord,
+  type EvacuationSnapshot,
+  restoreEvacuations,
+} from './evacuations.js';
+
 const formatMagic = 0x32_4e_53_43;
 const magicBytes = 4;
 const headerLengthBytes = 4;
@@ -20,6 +27,7 @@
   readonly roster: RosterSnapshot;
   readonly configuration: ConfigurationSnapshot;
   readonly publication: Publication;
+  readonly evacuations: EvacuationRecord;
 }
 
 interface SnapshotHeader {
@@ -28,6 +36,8 @@
   readonly configuration: ConfigurationSnapshot;
   /** Absent in snapshots written by versions without publications. */
   readonly publication?: Publication | undefined;
+  /** Absent in snapshots written by versions without evacuations. */
+  readonly evacuations?: EvacuationSnapshot | undefined;
 }
 
 /** Encodes a snapshot. The claim records are copied once, straight into the result. */
@@ -36,12 +46,14 @@
   roster,
   configuration,
   publication,
+  evacuations,
 }: ControlSnapshot): Uint8Array {
   const unpackedHeader: SnapshotHeader = {
     claims: claims.capture(),
     roster,
     configuration,
     publication,
+    evacuations: captureEvacuations(evacuations),
   };
   const header = packer.pack(unpackedHeader);
   const start = prefixBytes + header.length;
@@ -73,5 +85,6 @@
     roster: header.roster,
     configuration: header.configuration,
     publication: header.publication ?? noPublication,
+    evacuations: restoreEvacuations(header.evacuations),
   };
 }
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -1,4 +1,4 @@
-/** The replicated state machine of control: claims, roster, configuration and publication. */
+/** The replicated state machine of control: claims, roster, configuration, publication and evacuations. */
 import {
   applyAdoption,
   applyClaim,
@@ -52,6 +52,11 @@
   decodeControlSnapshot,
   encodeControlSnapshot,
 } from './control-snapshot.js';
+import {
+  applyEvacuationOrder,
+  emptyEvacuationRecord,
+  type EvacuationRecord,
+} from './evacuations.js';
 
 /** Limits on how much and how long control remembers. */
 export interface ControlRetention {
@@ -69,6 +74,7 @@
   readonly configuration: ConfigurationState;
   /** The publication in force, which is the one with the highest version. */
   readonly publication: Publication;
+  readonly evacuations: EvacuationRecord;
 }
 
 /**
@@ -79,6 +85,7 @@
   let roster = createRosterState();
   let configuration = createConfigurationState();
   let publication = noPublication;
+  let evacuations = emptyEvacuationRecord;
 
   /**
    * The retention that operators set is part of the log and therefore the same at every replica.
@@ -157,6 +164,18 @@
           publication = operation.publication;
         }
         return composeDoneOutcome(entry.index);
+      case OperationKind.Evacuate: {
+        const { order, requestId } = operation;
+        const { result, record } = applyEvacuationOrder(
+          evacuations,
+          order,
+          entry.leaderTime,
+        );
+        evacuations = record;
+        const { state } = record;
+        const kind = OperationOutcomeKind.Evacuation;
+        return { kind, result, order, requestId, state };
+      }
     }
   };
 
@@ -173,6 +192,9 @@
     get publication() {
       return publication;
     },
+    get evacuations() {
+      return evacuations;
+    },
     apply: entry => {
       claims.dropExpired(claimRetention(), entry.leaderTime);
       dropRetiredRuns(roster, retention.roster, entry.leaderTime);
@@ -186,6 +208,7 @@
         roster: captureRosterState(roster),
         configuration: captureConfigurationState(configuration),
         publication,
+        evacuations,
       }),
     restore: bytes => {
       const snapshot = decodeControlSnapshot(bytes);
@@ -193,6 +216,7 @@
       roster = restoreRosterState(snapshot.roster);
       configuration = restoreConfigurationState(snapshot.configuration);
       publication = snapshot.publication;
+      evacuations = snapshot.evacuations;
     },
   };
 }
--- a/packages/control/src/serve-dispatcher.ts
+++ b/packages/control/src/serve-dispatcher.ts
@@ -70,9 +70,10 @@
     case OperationOutcomeKind.Done:
       return { kind: ControlReplyKind.Done, index: outcome.index };
     case OperationOutcomeKind.Confirm:
+    case OperationOutcomeKind.Evacuation:
       return {
         kind: ControlReplyKind.Unknown,
-        reason: 'dispatchers cannot confirm plans',
+        reason: 'dispatchers cannot act as operators',
       };
   }
 }
