Send followers evacuations first, and only state that is proved complete

A replica whose entries were still on their way sent its followers an old state together with a fresh proof, and a new follower received the proof 10 ms before the state. A dispatcher that starts in an evacuation would have taken the empty state for proved. The feed now holds updates back until the replica has applied every entry that was committed at its proof, sends the state ahead of the proof, and passes a proof on as soon as held updates are released. Evacuations go before everything else, to followers that name a version of them.

--- a/packages/control/src/fakes/memory-log.ts
+++ b/packages/control/src/fakes/memory-log.ts
@@ -74,6 +74,7 @@
         snapshotIndex: 0,
         members: [{ replicaId, role: MemberRole.Voter, address: '' }],
         leadershipProvedAt: provedAt,
+        stateProvedAt: provedAt,
       };
     },
     confirmLeadership: () =>
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -6,7 +6,12 @@
 import { composeRoster, composeRosterChanges } from '@cranberryturn/membership';
 import type { LogStatus, Member } from '@cranberryturn/replicated-log';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
-import type { LogIndex, Milliseconds, Roster } from '@cranberryturn/types';
+import type {
+  EvacuationVersion,
+  LogIndex,
+  Milliseconds,
+  Roster,
+} from '@cranberryturn/types';
 import {
   type ControlNotice,
   ControlNoticeKind,
@@ -20,6 +25,8 @@
 const freshnessIntervalMilliseconds: Milliseconds = 500;
 const coalescingDelayMilliseconds: Milliseconds = 10;
 const maximumDeltaChanges = 200;
+/** Entries that were on their way when the leader was proved arrive within a few of these. */
+const catchUpIntervalMilliseconds: Milliseconds = 20;
 
 /** The update feed of one control replica. */
 export interface FollowerFeed {
@@ -38,6 +45,8 @@
   readonly configurationVersion: number;
   readonly rosterVersion: number;
   readonly publicationVersion: number;
+  /** Undefined from followers of versions that know no evacuations. */
+  readonly evacuationVersion?: EvacuationVersion | undefined;
 }
 
 interface Follower {
@@ -45,13 +54,15 @@
   configurationVersion: number;
   rosterVersion: number;
   publicationVersion: number;
+  evacuationVersion: EvacuationVersion | undefined;
   /** Member list that was last sent to the follower. */
   members: readonly Member[] | undefined;
 }
 
 /**
- * Creates the feed of a replica. Updates stop while the proof of leadership is older than
- * `maximumProofAge`.
+ * Creates the feed of a replica. Updates stop while no leader with a majority is proved within
+ * `maximumProofAge`, or entries that were committed by then are still on their way to this replica.
+ * Followers take a fresh proof to cover the state that they hold, so updates go ahead of it.
  */
 export function createFollowerFeed(options: {
   readonly timers: TimerService;
@@ -61,12 +72,15 @@
   const { timers, state, status } = options;
   const followers = new Map<RemoteCalls, Follower>();
   let pendingUpdate: TimerSubscription | undefined;
+  /** Whether followers wait for a proof that they would have received with an update. */
+  let isHeldBack = false;
   let roster: Roster = composeRoster(state.roster);
 
-  const computeProofAge = (): Milliseconds => {
-    const provedAt = status().leadershipProvedAt;
-    return provedAt === undefined ? Infinity : timers.now() - provedAt;
-  };
+  const computeAge = (provedAt: Milliseconds | undefined): Milliseconds =>
+    provedAt === undefined ? Infinity : timers.now() - provedAt;
+
+  const computeProofAge = (): Milliseconds =>
+    computeAge(status().stateProvedAt);
 
   const readRoster = (): Roster => {
     if (roster.version !== state.roster.version) {
@@ -75,20 +89,39 @@
     return roster;
   };
 
+  const sendState = (follower: Follower): void => {
+    sendEvacuations(follower, state);
+    sendConfiguration(follower, state);
+    sendRoster(follower, state, readRoster);
+    sendPublication(follower, state);
+    sendMembers(follower, status().members);
+  };
+
+  const holdBack = (): void => {
+    isHeldBack = true;
+    if (computeAge(status().leadershipProvedAt) > maximumProofAge) return;
+    pendingUpdate ??= timers.after(catchUpIntervalMilliseconds, updateAll);
+  };
+
   const sendUpdates = (): void => {
-    pendingUpdate = undefined;
-    if (computeProofAge() > maximumProofAge) return;
-    for (const follower of followers.values()) {
-      sendConfiguration(follower, state);
-      sendRoster(follower, state, readRoster);
-      sendPublication(follower, state);
-      sendMembers(follower, status().members);
+    if (computeProofAge() > maximumProofAge) {
+      holdBack();
+      return;
     }
+    for (const follower of followers.values()) sendState(follower);
+    if (!isHeldBack) return;
+    isHeldBack = false;
+    sendFreshness();
+  };
+
+  const updateAll = (): void => {
+    pendingUpdate = undefined;
+    sendUpdates();
   };
 
   const scheduleUpdate = (): void => {
     if (followers.size === 0) return;
-    pendingUpdate ??= timers.after(coalescingDelayMilliseconds, sendUpdates);
+    pendingUpdate ??= timers.after(coalescingDelayMilliseconds, updateAll);
   };
 
   const composeFreshness = (): ControlNotice => ({
@@ -103,25 +136,28 @@
   const sendFreshness = (): void => {
     const notice = composeFreshness();
     for (const { calls } of followers.values()) calls.notify(notice);
-    // A renewed proof releases the updates that were held back.
-    scheduleUpdate();
   };
 
-  const heartbeat = timers.every(freshnessIntervalMilliseconds, sendFreshness);
+  const heartbeat = timers.every(freshnessIntervalMilliseconds, () => {
+    isHeldBack = false;
+    sendUpdates();
+    sendFreshness();
+  });
 
   return {
     addFollower: (calls, versions) => {
-      const { configurationVersion, rosterVersion, publicationVersion } =
-        versions;
-      followers.set(calls, {
+      const follower: Follower = {
         calls,
-        configurationVersion,
-        rosterVersion,
-        publicationVersion,
+        configurationVersion: versions.configurationVersion,
+        rosterVersion: versions.rosterVersion,
+        publicationVersion: versions.publicationVersion,
+        evacuationVersion: versions.evacuationVersion,
         members: undefined,
-      });
+      };
+      followers.set(calls, follower);
+      if (computeProofAge() <= maximumProofAge) sendState(follower);
+      else holdBack();
       calls.notify(composeFreshness());
-      scheduleUpdate();
     },
     removeFollower: calls => {
       followers.delete(calls);
@@ -167,6 +203,17 @@
   follower.rosterVersion = state.roster.version;
 }
 
+function sendEvacuations(
+  follower: Follower,
+  { evacuations }: ControlState,
+): void {
+  const { state } = evacuations;
+  if (follower.evacuationVersion === undefined) return;
+  if (state.version <= follower.evacuationVersion) return;
+  follower.calls.notify({ kind: ControlNoticeKind.Evacuations, state });
+  follower.evacuationVersion = state.version;
+}
+
 function sendPublication(follower: Follower, state: ControlState): void {
   const { publication } = state;
   if (publication.version <= follower.publicationVersion) return;
