--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -78,4 +78,6 @@
   Leading = 'leading',
   /** Connected sidecars whose reports do not name the current version of the evacuation state. */
   SidecarsUnconfirmed = 'sidecars_unconfirmed',
+  /** Number of data centres that a control replica knows to be evacuated. */
+  EvacuatedDataCentres = 'evacuated_data_centres',
 }
