Move the types of the peer protocol of control to a file of their own

Five files of packages/control imported one another in a circle (wire-peer-link, announce-leader, call-host, form-group, request-membership). The messages between replicas and the settings of a group are now in peer-protocol.ts and group-options.ts, which import none of them. No change of behaviour; a check of the import graph of packages/control finds no circle any more.

--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -24,8 +24,12 @@
   AdministrationCall,
   AdministrationReply,
 } from '../administration-calls.js';
-import type { JoinReply } from '../form-group.js';
-import type { JoiningReplica } from '../plan-group.js';
+import {
+  type JoiningReplica,
+  type JoinReply,
+  type PeerEnvelope,
+  PeerEnvelopeKind,
+} from '../peer-protocol.js';
 import { err, errAsync, ok, type Result, ResultAsync } from 'neverthrow';
 
 const callTimeoutMilliseconds: Milliseconds = 2_000;
@@ -33,38 +37,6 @@
 const silenceLimitMilliseconds: Milliseconds = 1_000;
 const dialTimeoutMilliseconds: Milliseconds = 1_000;
 
-/** The kinds of message between replicas. */
-export enum PeerEnvelopeKind {
-  /** A message of the replicated log. */
-  Log = 'log',
-  /** An administration call, forwarded to the leader. */
-  Administration = 'administration',
-  /** A request to join the group. */
-  JoinRequest = 'enlist',
-  /** Tells a host that may not know the group where its leader is. */
-  LeaderAnnouncement = 'leader-announcement',
-}
-
-/** One message between replicas, sent as the body of a remote call. */
-export type PeerEnvelope =
-  | {
-      readonly kind: PeerEnvelopeKind.Log;
-      readonly from: ReplicaId;
-      readonly message: PeerMessage;
-    }
-  | {
-      readonly kind: PeerEnvelopeKind.Administration;
-      readonly call: AdministrationCall;
-    }
-  | {
-      readonly kind: PeerEnvelopeKind.JoinRequest;
-      readonly candidate: JoiningReplica;
-    }
-  | {
-      readonly kind: PeerEnvelopeKind.LeaderAnnouncement;
-      readonly leader: NetworkAddress;
-    };
-
 /** Handlers of the messages from other replicas. */
 export interface PeerHandlers {
   readonly handleMessage: (
--- a/packages/control/src/announce-leader.ts
+++ b/packages/control/src/announce-leader.ts
@@ -13,10 +13,10 @@
 } from '@cranberryturn/types';
 import { formatAddress, type Network } from '@cranberryturn/wire';
 
-import { PeerEnvelopeKind } from './adapters/wire-peer-link.js';
 import { callHost } from './call-host.js';
 import type { EntryOutcome } from './control-state.js';
 import { parseAddress } from './parse-address.js';
+import { PeerEnvelopeKind } from './peer-protocol.js';
 
 const announcementIntervalMilliseconds: Milliseconds = 200;
 const announcementTimeoutMilliseconds: Milliseconds = 1_000;
--- a/packages/control/src/call-host.ts
+++ b/packages/control/src/call-host.ts
@@ -10,7 +10,7 @@
 } from '@cranberryturn/wire';
 import { err, type Result } from 'neverthrow';
 
-import type { PeerEnvelope } from './adapters/wire-peer-link.js';
+import type { PeerEnvelope } from './peer-protocol.js';
 
 /** Dependencies of a call, and the timeout of its dial and of its answer. */
 export interface HostCall {
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -28,7 +28,7 @@
   EntryOutcome,
 } from './control-state.js';
 import type { FollowerFeed } from './feed-followers.js';
-import type { GroupOptions } from './form-group.js';
+import type { GroupOptions } from './group-options.js';
 import type { InForceTable } from './in-force-table.js';
 
 /** Opens the log of a replica; the state machine is fed with the committed entries. */
--- a/packages/control/src/form-group.ts
+++ b/packages/control/src/form-group.ts
@@ -19,8 +19,10 @@
 
 import { announceLeader } from './announce-leader.js';
 import type { EntryOutcome } from './control-state.js';
+import type { GroupOptions } from './group-options.js';
 import { parseAddress } from './parse-address.js';
-import { findGroupStep, type JoiningReplica } from './plan-group.js';
+import type { JoiningReplica, JoinReply } from './peer-protocol.js';
+import { findGroupStep } from './plan-group.js';
 import { MembershipStepKind } from './reconcile-members.js';
 import { requestMembership } from './request-membership.js';
 
@@ -28,27 +30,6 @@
 /** A replica that has not repeated its join request for this time is no longer added. */
 const joinRequestLifetimeMilliseconds: Milliseconds = 2_000;
 
-/** Settings of a group that manages its own membership. */
-export interface GroupOptions {
-  /** Addresses at which join requests can find a member, until `changeSeeds`. */
-  readonly seeds: readonly NetworkAddress[];
-  /** Address at which other replicas reach this one. */
-  readonly self: NetworkAddress;
-  /** Voters that are needed so that the tolerated losses leave a majority. */
-  readonly minimumVoters: number;
-  /** Whether this replica only observes, because its host has no disk. */
-  readonly isObserver: boolean;
-}
-
-/** The reply to a join request. */
-export interface JoinReply {
-  /**
-   * Address of the leader, to repeat the request there; undefined when no leader is known or the
-   * asked replica leads.
-   */
-  readonly leader: NetworkAddress | undefined;
-}
-
 /** Dependencies of the group tasks. */
 export interface FormGroupOptions {
   readonly group: GroupOptions;
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -6,6 +6,7 @@
 } from '@cranberryturn/replicated-log';
 import type { Milliseconds, ReplicaId } from '@cranberryturn/types';
 
+import type { JoiningReplica } from './peer-protocol.js';
 import {
   type MembershipStep,
   MembershipStepKind,
@@ -24,14 +25,6 @@
 /** Each observer costs the leader heartbeats and a copy of each entry. */
 export const maximumObservers = 14;
 
-/** A replica that asks to join the group. Sent to other replicas as part of a join request. */
-export interface JoiningReplica {
-  readonly replicaId: ReplicaId;
-  readonly address: string;
-  /** Set by a replica without a disk: it must not become a voter. */
-  readonly isObserver?: boolean | undefined;
-}
-
 /** The leader's view of the group, the input of each planning step. */
 export interface GroupView {
   readonly leader: ReplicaId;
--- a/packages/control/src/request-membership.ts
+++ b/packages/control/src/request-membership.ts
@@ -5,12 +5,15 @@
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import { formatAddress, type Network } from '@cranberryturn/wire';
 
-import { PeerEnvelopeKind } from './adapters/wire-peer-link.js';
 import { callHost } from './call-host.js';
 import type { EntryOutcome } from './control-state.js';
-import type { GroupOptions, JoinReply } from './form-group.js';
+import type { GroupOptions } from './group-options.js';
 import { parseAddress } from './parse-address.js';
-import type { JoiningReplica } from './plan-group.js';
+import {
+  type JoiningReplica,
+  type JoinReply,
+  PeerEnvelopeKind,
+} from './peer-protocol.js';
 
 const joinRequestIntervalMilliseconds: Milliseconds = 400;
 const joinRequestTimeoutMilliseconds: Milliseconds = 800;
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -35,7 +35,7 @@
 
 import { serveAdministration } from './adapters/serve-administration.js';
 import type { ControlNode, ControlOptions } from './control-node.js';
-import type { GroupOptions } from './form-group.js';
+import type { GroupOptions } from './group-options.js';
 import { measureSyncs } from './measure-syncs.js';
 import { startControl } from './start-control.js';
 
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -30,17 +30,12 @@
 import { createControlState, type EntryOutcome } from './control-state.js';
 import { expireSilentRuns } from './expire-silent-runs.js';
 import { createFollowerFeed } from './feed-followers.js';
-import {
-  formGroup,
-  type GroupFormation,
-  type JoinReply,
-  listRoles,
-} from './form-group.js';
+import { formGroup, type GroupFormation, listRoles } from './form-group.js';
 import { findReplicaAddress } from './find-replica-address.js';
 import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable } from './in-force-table.js';
 import { inviteDispatchers } from './invite-dispatchers.js';
-import type { JoiningReplica } from './plan-group.js';
+import type { JoiningReplica, JoinReply } from './peer-protocol.js';
 import { reconcileMembers } from './reconcile-members.js';
 import { logRoleChange } from './log-role-change.js';
 import { recordClaim } from './record-claim.js';
