--- /dev/null
+++ b/packages/control/src/group-view.ts
@@ -0,0 +1,58 @@
+/** What the leader sees of its group when it plans a membership change. */
+import {
+  type Member,
+  type MemberChange,
+  MemberRole,
+} from '@cranberryturn/replicated-log';
+import type { Milliseconds, ReplicaId } from '@cranberryturn/types';
+
+import type { JoiningReplica } from './peer-protocol.js';
+import {
+  type MembershipStep,
+  MembershipStepKind,
+} from './reconcile-members.js';
+
+/**
+ * Silence after which a voter may be removed; longer than an election and a restart of its process.
+ */
+export const voterSilenceLimitMilliseconds: Milliseconds = 2_500;
+/** Silence after which a voter is suspected to be lost; several heartbeats. */
+export const suspectedSilenceMilliseconds: Milliseconds = 500;
+/** Silence after which a learner or an observer is removed. */
+export const learnerSilenceLimitMilliseconds: Milliseconds = 4_000;
+/** More voters raise the cost of each commit and do not make the group easier to repair. */
+export const maximumVoters = 7;
+/** Each observer costs the leader heartbeats and a copy of each entry; standbys count apart. */
+export const maximumObservers = 14;
+
+/** The leader's view of the group, the input of each planning step. */
+export interface GroupView {
+  readonly leader: ReplicaId;
+  readonly members: readonly Member[];
+  /** Replicas that recently asked to join; current members among them are ignored. */
+  readonly candidates: readonly JoiningReplica[];
+  /** Time since a member was last heard by the leader. */
+  readonly measureSilence: (replica: ReplicaId) => Milliseconds;
+  /** Silent voters are removed only while the group has more voters than this. */
+  readonly minimumVoters: number;
+}
+
+/** Whether a member votes or is about to. */
+export function isElector({ role }: Member): boolean {
+  return role !== MemberRole.Observer;
+}
+
+/** Candidates that are not members yet. */
+export function listNewcomers({
+  members,
+  candidates,
+}: GroupView): readonly JoiningReplica[] {
+  return candidates.filter(
+    ({ replicaId }) => !members.some(member => member.replicaId === replicaId),
+  );
+}
+
+/** Composes the step that makes a change. */
+export function composeStep(change: MemberChange): MembershipStep {
+  return { kind: MembershipStepKind.Change, change };
+}
--- a/packages/control/src/observers.test.ts
+++ b/packages/control/src/observers.test.ts
@@ -14,7 +14,7 @@
   settleWithin,
   startCluster,
 } from './fakes/cluster-fixture.js';
-import { maximumObservers, maximumVoters } from './plan-group.js';
+import { maximumObservers, maximumVoters } from './group-view.js';
 
 const joinMilliseconds = 3_000;
 
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -4,38 +4,19 @@
   MemberChangeKind,
   MemberRole,
 } from '@cranberryturn/replicated-log';
-import type { Milliseconds, ReplicaId } from '@cranberryturn/types';
 
-import type { JoiningReplica } from './peer-protocol.js';
 import {
-  type MembershipStep,
-  MembershipStepKind,
-} from './reconcile-members.js';
-
-/**
- * Silence after which a voter may be removed; longer than an election and a restart of its process.
- */
-export const voterSilenceLimitMilliseconds: Milliseconds = 2_500;
-/** Silence after which a voter is suspected to be lost; several heartbeats. */
-const suspectedSilenceMilliseconds: Milliseconds = 500;
-/** Silence after which a learner is removed. */
-export const learnerSilenceLimitMilliseconds: Milliseconds = 4_000;
-/** More voters raise the cost of each commit and do not make the group easier to repair. */
-export const maximumVoters = 7;
-/** Each observer costs the leader heartbeats and a copy of each entry. */
-export const maximumObservers = 14;
-
-/** The leader's view of the group, the input of each planning step. */
-export interface GroupView {
-  readonly leader: ReplicaId;
-  readonly members: readonly Member[];
-  /** Replicas that recently asked to join; current members among them are ignored. */
-  readonly candidates: readonly JoiningReplica[];
-  /** Time since a member was last heard by the leader. */
-  readonly measureSilence: (replica: ReplicaId) => Milliseconds;
-  /** Silent voters are removed only while the group has more voters than this. */
-  readonly minimumVoters: number;
-}
+  composeStep,
+  type GroupView,
+  isElector,
+  learnerSilenceLimitMilliseconds,
+  listNewcomers,
+  maximumVoters,
+  suspectedSilenceMilliseconds,
+  voterSilenceLimitMilliseconds,
+} from './group-view.js';
+import { findObserverAddition, findObserverRemoval } from './plan-observers.js';
+import type { MembershipStep } from './reconcile-members.js';
 
 /**
  * Finds the next membership change. A replica that joins with the address of a member replaces that
@@ -75,7 +56,7 @@
   );
   if (isSuspected) return undefined;
   const { replicaId } = learner;
-  return composeChange({ kind: MemberChangeKind.Promote, replicaId });
+  return composeStep({ kind: MemberChangeKind.Promote, replicaId });
 }
 
 function listHeardLearners({
@@ -96,60 +77,16 @@
   );
 }
 
-function findAddition({ members, candidates }: GroupView) {
-  const candidate = candidates.find(
-    one => one.isObserver !== true && !isMember(one, members),
-  );
-  if (candidate === undefined) return undefined;
-  const { replicaId, address } = candidate;
-  const durable = members.filter(({ role }) => role !== MemberRole.Observer);
-  const isReplacement = durable.some(member => member.address === address);
-  if (durable.length >= maximumVoters && !isReplacement) return undefined;
-  return composeChange({
-    kind: MemberChangeKind.AddLearner,
-    replicaId,
-    address,
-  });
-}
-
-function findObserverAddition({ members, candidates }: GroupView) {
-  const candidate = candidates.find(
-    one => one.isObserver === true && !isMember(one, members),
+function findAddition(view: GroupView): MembershipStep | undefined {
+  const candidate = listNewcomers(view).find(
+    ({ isObserver }) => isObserver !== true,
   );
   if (candidate === undefined) return undefined;
   const { replicaId, address } = candidate;
-  const observers = members.filter(({ role }) => role === MemberRole.Observer);
-  if (observers.length >= maximumObservers) return undefined;
-  return composeChange({
-    kind: MemberChangeKind.AddObserver,
-    replicaId,
-    address,
-  });
-}
-
-/** Removes an observer that is silent, or whose host has announced itself under a new identity. */
-function findObserverRemoval({
-  members,
-  candidates,
-  measureSilence,
-}: GroupView) {
-  const removed = members
-    .filter(({ role }) => role === MemberRole.Observer)
-    .find(
-      ({ replicaId, address }) =>
-        measureSilence(replicaId) >= learnerSilenceLimitMilliseconds ||
-        candidates.some(
-          one => one.address === address && !isMember(one, members),
-        ),
-    );
-  return removed === undefined ? undefined : composeRemoval(removed);
-}
-
-function isMember(
-  { replicaId }: JoiningReplica,
-  members: readonly Member[],
-): boolean {
-  return members.some(member => member.replicaId === replicaId);
+  const electors = view.members.filter(isElector);
+  const isReplacement = electors.some(member => member.address === address);
+  if (electors.length >= maximumVoters && !isReplacement) return undefined;
+  return composeStep({ kind: MemberChangeKind.AddLearner, replicaId, address });
 }
 
 /** Removes a voter or learner whose address a member that was added later has. */
@@ -186,14 +123,5 @@
 }
 
 function composeRemoval({ replicaId }: Member): MembershipStep {
-  return composeChange({ kind: MemberChangeKind.Remove, replicaId });
-}
-
-function composeChange(
-  memberChange: Extract<
-    MembershipStep,
-    { kind: MembershipStepKind.Change }
-  >['change'],
-): MembershipStep {
-  return { kind: MembershipStepKind.Change, change: memberChange };
+  return composeStep({ kind: MemberChangeKind.Remove, replicaId });
 }
--- a/packages/replicated-log/src/core/membership.ts
+++ b/packages/replicated-log/src/core/membership.ts
@@ -66,13 +66,18 @@
 
 function planAddition(
   members: readonly Member[],
-  { replicaId, address }: AddLearnerChange | AddObserverChange,
+  change: AddLearnerChange | AddObserverChange,
   role: MemberRole,
 ): Result<readonly Member[], InvalidInputError> {
+  const { replicaId, address } = change;
   if (members.some(known => known.replicaId === replicaId)) {
     return err(invalidChange(`"${replicaId}" is already a member`));
   }
-  return ok([...members, { replicaId, role, address }]);
+  const standby =
+    change.kind === MemberChangeKind.AddObserver && change.isStandby === true
+      ? { isStandby: true as const }
+      : {};
+  return ok([...members, { replicaId, role, address, ...standby }]);
 }
 
 function planPromotion(
--- a/packages/replicated-log/src/members.ts
+++ b/packages/replicated-log/src/members.ts
@@ -7,7 +7,10 @@
   Voter = 'voter',
   /** Receives the log but does not count towards the quorum. */
   Learner = 'learner',
-  /** As a learner, but never promoted, because its host keeps nothing after a restart. */
+  /**
+   * As a learner, but never promoted: its host keeps nothing after a restart, unless the member is
+   * marked as a standby.
+   */
   Observer = 'observer',
 }
 
@@ -17,6 +20,8 @@
   readonly role: MemberRole;
   /** Network address for the peer link. The log stores it without interpreting it. */
   readonly address: string;
+  /** Set on an observer whose host has a disk, so that it may take the place of a voter. */
+  readonly isStandby?: true;
 }
 
 /** Kinds of membership changes. */
@@ -40,6 +45,8 @@
   readonly kind: MemberChangeKind.AddObserver;
   readonly replicaId: ReplicaId;
   readonly address: string;
+  /** Set when the host has a disk. */
+  readonly isStandby?: true;
 }
 
 /** Turns a learner into a voter. */
