Let a standby take the place of a lost voter without an operator

The log has two more changes of a member: a standby is made a learner, and a voter or learner is made a standby. Neither lets a member count for the majority before it is promoted as before; both keep the place in the list, by which the leader tells the earlier of two identities of a host. The leader can't make itself a standby, and an observer without the marker is refused.

The lost voter still leaves before its successor is promoted. A voter that returns before it was removed keeps its vote, and the learner becomes a standby again. A standby is taken before a newcomer, since it has the log already. The voters of groups of at most seven hosts change as before.

--- a/packages/control/src/group-view.ts
+++ b/packages/control/src/group-view.ts
@@ -42,6 +42,31 @@
   return role !== MemberRole.Observer;
 }
 
+/**
+ * Members that vote or are about to, that were heard lately, and whose host has not asked to join
+ * under another identity.
+ */
+export function listAvailableElectors(view: GroupView): readonly Member[] {
+  const { members } = view;
+  const newcomers = listNewcomers(view);
+  return members.filter((member, index) => {
+    const later = [...members.slice(index + 1), ...newcomers];
+    const isReplaced = later.some(({ address }) => address === member.address);
+    return isElector(member) && isHeard(view, member) && !isReplaced;
+  });
+}
+
+/** Whether a member was heard within the time after which a voter may be removed. */
+export function isHeard(
+  { leader, measureSilence }: GroupView,
+  { replicaId }: Member,
+): boolean {
+  return (
+    replicaId === leader ||
+    measureSilence(replicaId) < voterSilenceLimitMilliseconds
+  );
+}
+
 /** Candidates that are not members yet. */
 export function listNewcomers({
   members,
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -8,8 +8,9 @@
 import {
   composeStep,
   type GroupView,
-  isElector,
+  isHeard,
   learnerSilenceLimitMilliseconds,
+  listAvailableElectors,
   listNewcomers,
   maximumVoters,
   suspectedSilenceMilliseconds,
@@ -29,6 +30,7 @@
   return (
     findLearnerRemoval(view) ??
     findAddition(view) ??
+    findSurplusLearner(view) ??
     findReplacedRemoval(view) ??
     findSilentVoterRemoval(view) ??
     findPromotion(view) ??
@@ -54,19 +56,15 @@
     ({ replicaId }) =>
       view.measureSilence(replicaId) >= suspectedSilenceMilliseconds,
   );
-  if (isSuspected) return undefined;
+  const voters = listOtherVoters(view).length + 1;
+  if (isSuspected || voters >= maximumVoters) return undefined;
   const { replicaId } = learner;
   return composeStep({ kind: MemberChangeKind.Promote, replicaId });
 }
 
-function listHeardLearners({
-  members,
-  measureSilence,
-}: GroupView): readonly Member[] {
-  return members.filter(
-    ({ replicaId, role }) =>
-      role === MemberRole.Learner &&
-      measureSilence(replicaId) < voterSilenceLimitMilliseconds,
+function listHeardLearners(view: GroupView): readonly Member[] {
+  return view.members.filter(
+    member => member.role === MemberRole.Learner && isHeard(view, member),
   );
 }
 
@@ -77,18 +75,34 @@
   );
 }
 
+/** Finds a standby, or else a newcomer with a disk, that becomes a learner while a vote is free. */
 function findAddition(view: GroupView): MembershipStep | undefined {
-  const candidate = listNewcomers(view).find(
+  if (listAvailableElectors(view).length >= maximumVoters) return undefined;
+  const standby = view.members.find(
+    member => member.isStandby === true && isHeard(view, member),
+  );
+  if (standby !== undefined) {
+    const { replicaId } = standby;
+    return composeStep({ kind: MemberChangeKind.MakeLearner, replicaId });
+  }
+  const newcomer = listNewcomers(view).find(
     ({ isObserver }) => isObserver !== true,
   );
-  if (candidate === undefined) return undefined;
-  const { replicaId, address } = candidate;
-  const electors = view.members.filter(isElector);
-  const isReplacement = electors.some(member => member.address === address);
-  if (electors.length >= maximumVoters && !isReplacement) return undefined;
+  if (newcomer === undefined) return undefined;
+  const { replicaId, address } = newcomer;
   return composeStep({ kind: MemberChangeKind.AddLearner, replicaId, address });
 }
 
+/** Finds a learner for which no vote is free any more, since the voter that was silent is back. */
+function findSurplusLearner(view: GroupView): MembershipStep | undefined {
+  const electors = listAvailableElectors(view);
+  if (electors.length <= maximumVoters) return undefined;
+  const surplus = electors.findLast(({ role }) => role === MemberRole.Learner);
+  if (surplus === undefined) return undefined;
+  const { replicaId } = surplus;
+  return composeStep({ kind: MemberChangeKind.MakeStandby, replicaId });
+}
+
 /** Removes a voter or learner whose address a member that was added later has. */
 function findReplacedRemoval({ members, leader }: GroupView) {
   const replaced = members.find(
--- a/packages/control/src/standbys.test.ts
+++ b/packages/control/src/standbys.test.ts
@@ -70,3 +70,49 @@
   const { members } = requireLeader(fixture).log.status();
   t.is(listDurableHosts(members).length, 7, 'dispatchers dial voters only');
 });
+
+test('a standby takes the place of a lost voter, and the host that returns becomes the standby', async t => {
+  for (const lost of ['c1', 'c2', 'c7']) {
+    const fixture = await startGroup(8);
+    const { cluster, timers } = fixture;
+    await cluster.crash(lost);
+    await timers.advance(joinMilliseconds);
+    const voters = listHosts(fixture, MemberRole.Voter);
+    t.is(voters.length, 7, lost);
+    t.true(voters.includes('c8'));
+    t.false(voters.includes(lost));
+    await (Number(lost.slice(1)) <= founders
+      ? cluster.start(lost)
+      : cluster.startBlank(lost));
+    await timers.advance(joinMilliseconds);
+    t.deepEqual(listHosts(fixture, MemberRole.Voter), voters);
+    t.deepEqual(listHosts(fixture, MemberRole.Observer), [lost]);
+    t.is(await publishAt(fixture, lost, 5), AdministrationReplyKind.Done);
+  }
+});
+
+test('a host of voters that returns with a blank disk leaves seven voters and a standby', async t => {
+  const fixture = await startGroup(8);
+  const { cluster, timers } = fixture;
+  for (const pause of [200, 1_500, 3_000]) {
+    await cluster.crash('c5');
+    cluster.wipe('c5');
+    await timers.advance(pause);
+    await cluster.startBlank('c5');
+    await timers.advance(2 * joinMilliseconds);
+    t.is(listHosts(fixture, MemberRole.Voter).length, 7);
+    t.is(listHosts(fixture, MemberRole.Observer).length, 1);
+    t.is(requireLeader(fixture).log.status().members.length, 8);
+  }
+});
+
+test('an observer without a disk does not take the place of a lost voter', async t => {
+  const fixture = await startGroup(7);
+  const { cluster, timers } = fixture;
+  await cluster.startObserver('c9');
+  await timers.advance(joinMilliseconds);
+  await cluster.crash('c7');
+  await timers.advance(2 * joinMilliseconds);
+  t.is(listHosts(fixture, MemberRole.Voter).length, 6);
+  t.deepEqual(listHosts(fixture, MemberRole.Observer), ['c9']);
+});
--- a/packages/replicated-log/src/core/membership.ts
+++ b/packages/replicated-log/src/core/membership.ts
@@ -32,6 +32,12 @@
 ): Promise<Result<LogIndex, MemberChangeError>> {
   const { leadership } = replica;
   if (leadership === undefined) return err(notLeader(replica));
+  if (
+    change.kind === MemberChangeKind.MakeStandby &&
+    change.replicaId === replica.replicaId
+  ) {
+    return err(invalidChange(`"${change.replicaId}" leads`));
+  }
   const waited = await awaitReadiness(replica, leadership, change);
   if (waited.isErr()) return err(waited.error);
   if (replica.store.membersIndex > replica.commitIndex) {
@@ -61,6 +67,18 @@
     case MemberChangeKind.Remove:
       if (member === undefined) return err(notMember(replicaId));
       return planRemoval(members, member);
+    case MemberChangeKind.MakeLearner:
+      if (member === undefined) return err(notMember(replicaId));
+      return planLearner(members, member);
+    case MemberChangeKind.MakeStandby:
+      if (member === undefined) return err(notMember(replicaId));
+      return planRemoval(members, member).map(() =>
+        replaceMember(members, member, {
+          ...member,
+          role: MemberRole.Observer,
+          isStandby: true,
+        }),
+      );
   }
 }
 
@@ -106,6 +124,27 @@
   return ok(others);
 }
 
+function planLearner(
+  members: readonly Member[],
+  member: Member,
+): Result<readonly Member[], InvalidInputError> {
+  const { isStandby, ...rest } = member;
+  if (isStandby !== true) {
+    return err(invalidChange(`"${member.replicaId}" is not a standby`));
+  }
+  const learner = { ...rest, role: MemberRole.Learner };
+  return ok(replaceMember(members, member, learner));
+}
+
+/** Keeps the place in the list, which shows which of two members of a host was added later. */
+function replaceMember(
+  members: readonly Member[],
+  member: Member,
+  changed: Member,
+): readonly Member[] {
+  return members.map(known => (known === member ? changed : known));
+}
+
 function notMember(replicaId: ReplicaId): InvalidInputError {
   return invalidChange(`"${replicaId}" is not a member`);
 }
--- a/packages/replicated-log/src/members.test.ts
+++ b/packages/replicated-log/src/members.test.ts
@@ -24,3 +24,25 @@
   });
   t.true(planned.isErr());
 });
+
+test('only an observer with a disk can be made a learner, and keeps its place in the list', t => {
+  const change = {
+    kind: MemberChangeKind.MakeLearner,
+    replicaId: 'c2',
+  } as const;
+  t.true(planMemberChange([observer, voter], change).isErr());
+  const standby = { ...observer, isStandby: true as const };
+  const planned = planMemberChange([standby, voter], change);
+  t.deepEqual(planned._unsafeUnwrap(), [
+    { ...observer, role: MemberRole.Learner },
+    voter,
+  ]);
+});
+
+test('the last voter cannot be made a standby', t => {
+  const change = {
+    kind: MemberChangeKind.MakeStandby,
+    replicaId: 'c1',
+  } as const;
+  t.true(planMemberChange([voter, observer], change).isErr());
+});
--- a/packages/replicated-log/src/members.ts
+++ b/packages/replicated-log/src/members.ts
@@ -31,6 +31,10 @@
   /** Turns a learner into a voter once its synced log has caught up. */
   Promote = 'promote',
   Remove = 'remove',
+  /** Turns a standby into a learner, which may then be promoted. */
+  MakeLearner = 'make-learner',
+  /** Turns a voter or a learner into a standby. */
+  MakeStandby = 'make-standby',
 }
 
 /** Adds a learner. */
@@ -61,6 +65,23 @@
   readonly replicaId: ReplicaId;
 }
 
+/** Turns an observer with a disk into a learner. */
+export interface MakeLearnerChange {
+  readonly kind: MemberChangeKind.MakeLearner;
+  readonly replicaId: ReplicaId;
+}
+
+/** Turns a voter or a learner into a standby. The leader cannot do this to itself. */
+export interface MakeStandbyChange {
+  readonly kind: MemberChangeKind.MakeStandby;
+  readonly replicaId: ReplicaId;
+}
+
 /** Change of one member. Changes are made one at a time. */
 export type MemberChange =
-  AddLearnerChange | AddObserverChange | PromoteChange | RemoveChange;
+  | AddLearnerChange
+  | AddObserverChange
+  | PromoteChange
+  | RemoveChange
+  | MakeLearnerChange
+  | MakeStandbyChange;
