Spread the voters of control over data centres

A replica states its data centre when it asks to join, and the record of the member keeps it. A member whose record has none, such as a founding one, tells the leader until it is recorded. Records and candidates of earlier versions have no data centre; each counts as a data centre of its own.

It makes learners of hosts in data centres that lack a voter, and a standby of a voter in a data centre that has too many, once its successor votes or, in a group of seven, once there is one. No voter is exchanged while another one is suspected. With the default all hosts count as one data centre, and the voters of at most seven hosts stay as before.

--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -40,6 +40,10 @@
   readonly retention?: Partial<ControlRetention>;
   /** Set when the replicas manage their own membership. */
   readonly minimumVoters?: number;
+  /** Tolerated losses of whole data centres; none by default. */
+  readonly toleratedDataCentres?: number;
+  /** Data centre of a host; hosts state none by default. */
+  readonly findDataCentre?: (host: string) => string;
   /** Log of all replicas; silent by default. */
   readonly logger?: Logger;
 }
@@ -155,6 +159,8 @@
               self: composeAddress(host),
               minimumVoters: options.minimumVoters,
               isObserver,
+              dataCentre: options.findDataCentre?.(host),
+              toleratedDataCentres: options.toleratedDataCentres ?? 0,
             },
           }),
       logger: options.logger ?? createSilentLogger(),
--- a/packages/control/src/form-group.ts
+++ b/packages/control/src/form-group.ts
@@ -19,12 +19,12 @@
 
 import { announceLeader } from './announce-leader.js';
 import type { EntryOutcome } from './control-state.js';
-import type { GroupOptions } from './group-options.js';
+import { findToleratedLosses, type GroupOptions } from './group-options.js';
 import { parseAddress } from './parse-address.js';
 import type { JoiningReplica, JoinReply } from './peer-protocol.js';
 import { findGroupStep } from './plan-group.js';
 import { MembershipStepKind } from './reconcile-members.js';
-import { requestMembership } from './request-membership.js';
+import { composeCandidate, requestMembership } from './request-membership.js';
 
 const stepIntervalMilliseconds: Milliseconds = 100;
 /** A replica that has not repeated its join request for this time is no longer added. */
@@ -93,9 +93,10 @@
     await applyGroupStep(options, {
       leader: replicaId,
       members,
-      candidates: listJoiningReplicas(),
+      candidates: [...listJoiningReplicas(), composeCandidate(options)],
       measureSilence: silences.read,
       minimumVoters: options.group.minimumVoters,
+      losses: findToleratedLosses(options.group),
     });
     isChanging = false;
   };
--- a/packages/control/src/group-view.ts
+++ b/packages/control/src/group-view.ts
@@ -11,6 +11,7 @@
   type MembershipStep,
   MembershipStepKind,
 } from './reconcile-members.js';
+import type { ToleratedLosses } from './tolerated-losses.js';
 
 /**
  * Silence after which a voter may be removed; longer than an election and a restart of its process.
@@ -35,6 +36,7 @@
   readonly measureSilence: (replica: ReplicaId) => Milliseconds;
   /** Silent voters are removed only while the group has more voters than this. */
   readonly minimumVoters: number;
+  readonly losses: ToleratedLosses;
 }
 
 /** Whether a member votes or is about to. */
@@ -67,6 +69,36 @@
   );
 }
 
+/** Voters other than the leader. */
+export function listOtherVoters({
+  members,
+  leader,
+}: GroupView): readonly Member[] {
+  return members.filter(
+    ({ replicaId, role }) => role === MemberRole.Voter && replicaId !== leader,
+  );
+}
+
+/** Whether a member missed several heartbeats. */
+export function isSuspected(
+  { measureSilence }: GroupView,
+  { replicaId }: Member,
+): boolean {
+  return measureSilence(replicaId) >= suspectedSilenceMilliseconds;
+}
+
+/**
+ * Data centre of a host. One that states none counts as a data centre of its own. All hosts count
+ * as one where no loss of a data centre is to be tolerated, so that the spread does not matter.
+ */
+export function findDataCentre(
+  { losses }: GroupView,
+  { address, dataCentre }: Pick<Member, 'address' | 'dataCentre'>,
+): string {
+  if (losses.dataCentres === 0) return '';
+  return dataCentre ?? `host ${address}`;
+}
+
 /** Candidates that are not members yet. */
 export function listNewcomers({
   members,
--- a/packages/control/src/peer-protocol.ts
+++ b/packages/control/src/peer-protocol.ts
@@ -42,6 +42,8 @@
   readonly address: string;
   /** Set by a replica without a disk: it must not become a voter. */
   readonly isObserver?: boolean | undefined;
+  /** Data centre of the host; replicas of earlier versions state none. */
+  readonly dataCentre?: string | undefined;
 }
 
 /** The reply to a join request. */
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -9,14 +9,19 @@
   composeStep,
   type GroupView,
   isHeard,
+  isSuspected,
   learnerSilenceLimitMilliseconds,
-  listAvailableElectors,
-  listNewcomers,
+  listOtherVoters,
   maximumVoters,
-  suspectedSilenceMilliseconds,
   voterSilenceLimitMilliseconds,
 } from './group-view.js';
 import { findObserverAddition, findObserverRemoval } from './plan-observers.js';
+import {
+  findElectorAddition,
+  findSurplusLearner,
+  findSurplusVoter,
+  planVoters,
+} from './plan-voters.js';
 import type { MembershipStep } from './reconcile-members.js';
 
 /**
@@ -29,16 +34,23 @@
 export function findGroupStep(view: GroupView): MembershipStep | undefined {
   return (
     findLearnerRemoval(view) ??
-    findAddition(view) ??
-    findSurplusLearner(view) ??
-    findReplacedRemoval(view) ??
-    findSilentVoterRemoval(view) ??
-    findPromotion(view) ??
+    findDataCentreChange(view) ??
+    findVoterStep(view) ??
     findObserverRemoval(view) ??
     findObserverAddition(view)
   );
 }
 
+function findVoterStep(view: GroupView): MembershipStep | undefined {
+  const plan = planVoters(view);
+  const change = findElectorAddition(plan) ?? findSurplusLearner(plan);
+  if (change !== undefined) return composeStep(change);
+  const removal = findReplacedRemoval(view) ?? findSilentVoterRemoval(view);
+  if (removal !== undefined) return removal;
+  const surplus = findSurplusVoter(view, plan);
+  return surplus === undefined ? findPromotion(view) : composeStep(surplus);
+}
+
 function findLearnerRemoval({ members, measureSilence }: GroupView) {
   const lost = members.find(
     ({ replicaId, role }) =>
@@ -52,12 +64,9 @@
 function findPromotion(view: GroupView) {
   const [learner] = listHeardLearners(view);
   if (learner === undefined) return undefined;
-  const isSuspected = listOtherVoters(view).some(
-    ({ replicaId }) =>
-      view.measureSilence(replicaId) >= suspectedSilenceMilliseconds,
-  );
-  const voters = listOtherVoters(view).length + 1;
-  if (isSuspected || voters >= maximumVoters) return undefined;
+  const others = listOtherVoters(view);
+  if (others.some(member => isSuspected(view, member))) return undefined;
+  if (others.length + 1 >= maximumVoters) return undefined;
   const { replicaId } = learner;
   return composeStep({ kind: MemberChangeKind.Promote, replicaId });
 }
@@ -68,39 +77,16 @@
   );
 }
 
-/** Voters other than the leader. */
-function listOtherVoters({ members, leader }: GroupView): readonly Member[] {
-  return members.filter(
-    ({ replicaId, role }) => role === MemberRole.Voter && replicaId !== leader,
-  );
-}
-
-/** Finds a standby, or else a newcomer with a disk, that becomes a learner while a vote is free. */
-function findAddition(view: GroupView): MembershipStep | undefined {
-  if (listAvailableElectors(view).length >= maximumVoters) return undefined;
-  const standby = view.members.find(
-    member => member.isStandby === true && isHeard(view, member),
-  );
-  if (standby !== undefined) {
-    const { replicaId } = standby;
-    return composeStep({ kind: MemberChangeKind.MakeLearner, replicaId });
+/** Finds a member that states another data centre than its record, as founding members do. */
+function findDataCentreChange({ members, candidates }: GroupView) {
+  for (const { replicaId, dataCentre } of candidates) {
+    const member = members.find(known => known.replicaId === replicaId);
+    if (member === undefined || dataCentre === undefined) continue;
+    if (member.dataCentre === dataCentre) continue;
+    const kind = MemberChangeKind.SetDataCentre;
+    return composeStep({ kind, replicaId, dataCentre });
   }
-  const newcomer = listNewcomers(view).find(
-    ({ isObserver }) => isObserver !== true,
-  );
-  if (newcomer === undefined) return undefined;
-  const { replicaId, address } = newcomer;
-  return composeStep({ kind: MemberChangeKind.AddLearner, replicaId, address });
-}
-
-/** Finds a learner for which no vote is free any more, since the voter that was silent is back. */
-function findSurplusLearner(view: GroupView): MembershipStep | undefined {
-  const electors = listAvailableElectors(view);
-  if (electors.length <= maximumVoters) return undefined;
-  const surplus = electors.findLast(({ role }) => role === MemberRole.Learner);
-  if (surplus === undefined) return undefined;
-  const { replicaId } = surplus;
-  return composeStep({ kind: MemberChangeKind.MakeStandby, replicaId });
+  return undefined;
 }
 
 /** Removes a voter or learner whose address a member that was added later has. */
--- a/packages/control/src/plan-observers.ts
+++ b/packages/control/src/plan-observers.ts
@@ -41,11 +41,12 @@
     return alike.length < maximumObservers;
   });
   if (added === undefined) return undefined;
-  const { replicaId, address } = added;
+  const { replicaId, address, dataCentre } = added;
   return composeStep({
     kind: MemberChangeKind.AddObserver,
     replicaId,
     address,
+    ...(dataCentre === undefined ? {} : { dataCentre }),
     ...(hasDisk(added) ? { isStandby: true } : {}),
   });
 }
--- a/packages/control/src/request-membership.ts
+++ b/packages/control/src/request-membership.ts
@@ -22,6 +22,8 @@
  * again.
  */
 const leaderSilenceLimitMilliseconds: Milliseconds = 2_000;
+/** A leader of an earlier version never records the data centre. */
+const statementInterval: Milliseconds = 2_000;
 
 /** Dependencies of the requests. */
 export interface RequestMembershipOptions {
@@ -47,6 +49,7 @@
   const { timers, log } = options;
   let leaderHeardAt = timers.now();
   let attempts = 0;
+  let statedAt = Number.NEGATIVE_INFINITY;
 
   const isInContact = (): boolean => {
     const { members, replicaId, leadershipProvedAt } = log.status();
@@ -57,8 +60,20 @@
     return isMember && silence < leaderSilenceLimitMilliseconds;
   };
 
+  /** Tells the leader the data centre of this member, which the record of a founding one lacks. */
+  const stateDataCentre = async (): Promise<void> => {
+    const address = findUninformedLeader(options);
+    const now = timers.now();
+    if (address === undefined || now - statedAt < statementInterval) return;
+    statedAt = now;
+    await requestAt(options, address);
+  };
+
   const requestAtNextHost = async (): Promise<void> => {
-    if (isInContact()) return;
+    if (isInContact()) {
+      await stateDataCentre();
+      return;
+    }
     const addresses = listContactAddresses(options);
     const address = addresses[attempts % Math.max(1, addresses.length)];
     attempts += 1;
@@ -81,6 +96,19 @@
   };
 }
 
+/** Address of the leader if the record of this member lacks the data centre of its host. */
+function findUninformedLeader({
+  log,
+  group,
+}: RequestMembershipOptions): NetworkAddress | undefined {
+  const { members, replicaId, leader } = log.status();
+  const member = members.find(one => one.replicaId === replicaId);
+  if (group.dataCentre === undefined || leader === replicaId) return undefined;
+  if (member?.dataCentre === group.dataCentre) return undefined;
+  const address = members.find(one => one.replicaId === leader)?.address;
+  return address === undefined ? undefined : parseAddress(address);
+}
+
 function listContactAddresses({
   group,
   log,
@@ -99,15 +127,25 @@
   return [...addresses.values()];
 }
 
-async function requestAt(
-  { network, timers, log, group, logger }: RequestMembershipOptions,
-  address: NetworkAddress,
-): Promise<JoinReply | undefined> {
-  const candidate: JoiningReplica = {
+/** Describes this replica to the leader. */
+export function composeCandidate({
+  log,
+  group,
+}: Pick<RequestMembershipOptions, 'log' | 'group'>): JoiningReplica {
+  return {
     replicaId: log.status().replicaId,
     address: formatAddress(group.self),
     isObserver: group.isObserver,
+    ...(group.dataCentre === undefined ? {} : { dataCentre: group.dataCentre }),
   };
+}
+
+async function requestAt(
+  options: RequestMembershipOptions,
+  address: NetworkAddress,
+): Promise<JoinReply | undefined> {
+  const { network, timers, logger } = options;
+  const candidate = composeCandidate(options);
   const reply = await callHost<JoinReply>(
     { network, timers, timeout: joinRequestTimeoutMilliseconds },
     address,
--- a/packages/control/src/standbys.test.ts
+++ b/packages/control/src/standbys.test.ts
@@ -116,3 +116,43 @@
   t.is(listHosts(fixture, MemberRole.Voter).length, 6);
   t.deepEqual(listHosts(fixture, MemberRole.Observer), ['c9']);
 });
+
+/** Two hosts a data centre, in the order in which the hosts are numbered. */
+const findDataCentre = (host: string): string =>
+  `dc${String(Math.ceil(Number(host.slice(1)) / 2))}`;
+
+test('members carry their data centre, founders too', async t => {
+  const fixture = await startCluster({
+    size: founders,
+    minimumVoters: 5,
+    findDataCentre,
+  });
+  await fixture.cluster.startBlank('c4');
+  await fixture.timers.advance(joinMilliseconds);
+  const dataCentres = requireLeader(fixture)
+    .log.status()
+    .members.map(({ dataCentre }) => dataCentre)
+    .sort();
+  t.deepEqual(dataCentres, ['dc1', 'dc1', 'dc2', 'dc2']);
+});
+
+test('a host in a further data centre takes the vote of a host in a crowded one', async t => {
+  const fixture = await startCluster({
+    size: founders,
+    minimumVoters: 5,
+    toleratedDataCentres: 1,
+    findDataCentre: host =>
+      Number(host.slice(1)) <= 6 ? findDataCentre(host) : 'dc1',
+  });
+  const { cluster, timers } = fixture;
+  for (const host of ['c7', 'c8', 'c4', 'c5', 'c6']) {
+    await cluster.startBlank(host);
+    await timers.advance(joinMilliseconds);
+  }
+  const voters = requireLeader(fixture)
+    .log.status()
+    .members.filter(({ role }) => role === MemberRole.Voter)
+    .map(({ dataCentre }) => dataCentre)
+    .sort();
+  t.deepEqual(voters, ['dc1', 'dc1', 'dc1', 'dc2', 'dc2', 'dc3', 'dc3']);
+});
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -159,6 +159,7 @@
   group,
   peers,
   dataFolder,
+  dataCentre,
 }: ControlReplicaSettings): GroupOptions | undefined {
   if (group === undefined) return undefined;
   const { address, port, advertisedAddress } = peers.listen;
@@ -166,6 +167,7 @@
     ...group,
     self: { address: advertisedAddress ?? address, port },
     isObserver: dataFolder === undefined,
+    dataCentre,
   };
 }
 
--- a/packages/replicated-log/src/core/membership.ts
+++ b/packages/replicated-log/src/core/membership.ts
@@ -79,15 +79,21 @@
           isStandby: true,
         }),
       );
+    case MemberChangeKind.SetDataCentre: {
+      if (member === undefined) return err(notMember(replicaId));
+      const { dataCentre } = change;
+      return ok(replaceMember(members, member, { ...member, dataCentre }));
+    }
   }
 }
 
+/** Leaves out the fields that are not set, so that the records of earlier versions stay the same. */
 function planAddition(
   members: readonly Member[],
   change: AddLearnerChange | AddObserverChange,
   role: MemberRole,
 ): Result<readonly Member[], InvalidInputError> {
-  const { replicaId, address } = change;
+  const { replicaId, address, dataCentre } = change;
   if (members.some(known => known.replicaId === replicaId)) {
     return err(invalidChange(`"${replicaId}" is already a member`));
   }
@@ -95,7 +101,8 @@
     change.kind === MemberChangeKind.AddObserver && change.isStandby === true
       ? { isStandby: true as const }
       : {};
-  return ok([...members, { replicaId, role, address, ...standby }]);
+  const site = dataCentre === undefined ? {} : { dataCentre };
+  return ok([...members, { replicaId, role, address, ...site, ...standby }]);
 }
 
 function planPromotion(
--- a/packages/replicated-log/src/members.ts
+++ b/packages/replicated-log/src/members.ts
@@ -20,6 +20,8 @@
   readonly role: MemberRole;
   /** Network address for the peer link. The log stores it without interpreting it. */
   readonly address: string;
+  /** Site of the host. The log stores it without interpreting it; records of earlier versions have none. */
+  readonly dataCentre?: string;
   /** Set on an observer whose host has a disk, so that it may take the place of a voter. */
   readonly isStandby?: true;
 }
@@ -35,6 +37,7 @@
   MakeLearner = 'make-learner',
   /** Turns a voter or a learner into a standby. */
   MakeStandby = 'make-standby',
+  SetDataCentre = 'set-data-centre',
 }
 
 /** Adds a learner. */
@@ -42,6 +45,7 @@
   readonly kind: MemberChangeKind.AddLearner;
   readonly replicaId: ReplicaId;
   readonly address: string;
+  readonly dataCentre?: string;
 }
 
 /** Adds an observer. */
@@ -49,6 +53,7 @@
   readonly kind: MemberChangeKind.AddObserver;
   readonly replicaId: ReplicaId;
   readonly address: string;
+  readonly dataCentre?: string;
   /** Set when the host has a disk. */
   readonly isStandby?: true;
 }
@@ -77,6 +82,13 @@
   readonly replicaId: ReplicaId;
 }
 
+/** Records the data centre of a member, such as a founding one. */
+export interface SetDataCentreChange {
+  readonly kind: MemberChangeKind.SetDataCentre;
+  readonly replicaId: ReplicaId;
+  readonly dataCentre: string;
+}
+
 /** Change of one member. Changes are made one at a time. */
 export type MemberChange =
   | AddLearnerChange
@@ -84,4 +96,5 @@
   | PromoteChange
   | RemoveChange
   | MakeLearnerChange
-  | MakeStandbyChange;
+  | MakeStandbyChange
+  | SetDataCentreChange;
--- a/packages/settings/src/schemas/control-settings.ts
+++ b/packages/settings/src/schemas/control-settings.ts
@@ -59,6 +59,8 @@
   seeds: z.array(peerAddressSchema).min(1),
   /** Minimum number of voters; the group never shrinks below it automatically. */
   minimumVoters: z.int().min(1).max(maximumControlHosts).default(3),
+  /** Whole data centres that may be lost at the same time; voters are spread accordingly. */
+  toleratedDataCentres: z.int().min(0).max(maximumControlHosts).default(0),
 });
 
 /** Schema of the settings of a control replica. */
