Warn at the leader when the loss of a data centre would stop control

The check of the voters moves from form-group.ts to monitor-voters.ts. Where the loss of a data centre is to be tolerated, its line names the voters of each data centre, the tolerated losses, the voters that the worst of them takes, the majority, and the fewest hosts with a disk that would be enough. A second message covers groups that have enough voters, but too many of them in one data centre. One line for each change of the voters; without the setting the line stays as it was.

--- a/packages/control/src/form-group.ts
+++ b/packages/control/src/form-group.ts
@@ -5,7 +5,6 @@
 import type { Logger } from '@cranberryturn/logger';
 import {
   type Member,
-  MemberRole,
   type ReplicatedLog,
   ReplicaRole,
 } from '@cranberryturn/replicated-log';
@@ -20,6 +19,7 @@
 import { announceLeader } from './announce-leader.js';
 import type { EntryOutcome } from './control-state.js';
 import { findToleratedLosses, type GroupOptions } from './group-options.js';
+import { createVoterMonitor } from './monitor-voters.js';
 import { parseAddress } from './parse-address.js';
 import type { JoiningReplica, JoinReply } from './peer-protocol.js';
 import { findGroupStep } from './plan-group.js';
@@ -67,7 +67,7 @@
   /** Members at whose address another identity answers. */
   const replaced = new Set<ReplicaId>();
   const silences = createSilenceTracker(options, replaced);
-  const voterCount = createVoterCountMonitor(options);
+  const voterMonitor = createVoterMonitor(options);
   let { seeds } = options.group;
   const listSeeds = (): readonly NetworkAddress[] => seeds;
   let isChanging = false;
@@ -88,7 +88,7 @@
     }
     silences.measure(replicaIds);
     if (isChanging || role !== ReplicaRole.Leader) return;
-    voterCount.check(members);
+    voterMonitor.check(members);
     isChanging = true;
     await applyGroupStep(options, {
       leader: replicaId,
@@ -176,32 +176,6 @@
   return members.map(({ replicaId, role }) => ({ replicaId, role }));
 }
 
-/** Logs when a leader finds that the voters became too few for the tolerated losses, or enough. */
-function createVoterCountMonitor({ group, logger }: FormGroupOptions) {
-  let loggedVoters: number | undefined;
-  return {
-    check: (members: readonly Member[]): void => {
-      const voters = members.filter(
-        ({ role }) => role === MemberRole.Voter,
-      ).length;
-      if (voters === loggedVoters) return;
-      loggedVoters = voters;
-      const fields = { voters, needed: group.minimumVoters };
-      if (voters < group.minimumVoters) {
-        logger.warn(
-          'control has fewer voters than the tolerated losses need; run it on more hosts with a disk',
-          fields,
-        );
-        return;
-      }
-      logger.info(
-        'control has the voters that the tolerated losses need',
-        fields,
-      );
-    },
-  };
-}
-
 /**
  * Counts the silence of a member from the time at which this replica began to watch it: when this
  * replica became leader, or when the member was added.
--- a/packages/control/src/group-view.ts
+++ b/packages/control/src/group-view.ts
@@ -92,7 +92,7 @@
  * as one where no loss of a data centre is to be tolerated, so that the spread does not matter.
  */
 export function findDataCentre(
-  { losses }: GroupView,
+  { losses }: Pick<GroupView, 'losses'>,
   { address, dataCentre }: Pick<Member, 'address' | 'dataCentre'>,
 ): string {
   if (losses.dataCentres === 0) return '';
--- a/packages/control/src/plan-voters.ts
+++ b/packages/control/src/plan-voters.ts
@@ -19,6 +19,7 @@
 import type { JoiningReplica } from './peer-protocol.js';
 import {
   chooseVoters,
+  countByDataCentre,
   countHosts,
   type HostLayout,
 } from './tolerated-losses.js';
@@ -130,10 +131,3 @@
   ).length;
   return (plan.wanted.get(dataCentre) ?? 0) - present;
 }
-
-function countByDataCentre(dataCentres: readonly string[]): HostLayout {
-  const counts = new Map<string, number>();
-  for (const dataCentre of dataCentres)
-    counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1);
-  return counts;
-}
--- a/packages/control/src/standbys.test.ts
+++ b/packages/control/src/standbys.test.ts
@@ -1,3 +1,4 @@
+import { createSilentLogger } from '@cranberryturn/logger';
 import { MemberRole } from '@cranberryturn/replicated-log';
 import test from 'ava';
 
@@ -156,3 +157,37 @@
     .sort();
   t.deepEqual(voters, ['dc1', 'dc1', 'dc1', 'dc2', 'dc2', 'dc3', 'dc3']);
 });
+
+test('a leader warns once for each change when the loss of a data centre would stop the group', async t => {
+  const logger = createSilentLogger();
+  const warnings: unknown[] = [];
+  logger.warn = (message, fields) => void warnings.push([message, fields]);
+  const fixture = await startCluster({
+    size: 4,
+    minimumVoters: 3,
+    toleratedDataCentres: 1,
+    findDataCentre,
+    logger,
+  });
+  await fixture.timers.advance(joinMilliseconds);
+  t.deepEqual(warnings.slice(-1), [
+    [
+      'control has too many of its voters in one data centre for the tolerated losses; run it on hosts with a disk in more data centres',
+      {
+        voters: 4,
+        needed: 3,
+        votersByDataCentre: { dc1: 2, dc2: 2 },
+        tolerated: { hosts: 1, dataCentres: 1 },
+        lostAtWorst: 2,
+        majority: 3,
+        sufficientHostsWithDisk: { dc1: 2, dc2: 2, 'other data centre 1': 1 },
+      },
+    ],
+  ]);
+  const before = warnings.length;
+  await fixture.timers.advance(joinMilliseconds);
+  t.is(warnings.length, before);
+  await fixture.cluster.startBlank('c5');
+  await fixture.timers.advance(joinMilliseconds);
+  t.is(warnings.length, before);
+});
--- a/packages/control/src/tolerated-layouts.test.ts
+++ b/packages/control/src/tolerated-layouts.test.ts
@@ -2,6 +2,7 @@
 
 import {
   chooseVoters,
+  findSufficientHosts,
   type HostLayout,
   tolerates,
 } from './tolerated-losses.js';
@@ -45,3 +46,19 @@
   t.deepEqual(choose([3, 3], 1, 1), [3, 3]);
   t.deepEqual(choose([2, 1, 1], 2, 1), [2, 1, 1]);
 });
+
+test('what would outlast the losses is found with the fewest hosts added', t => {
+  const find = (counts: readonly number[], hosts: number, dataCentres = 1) =>
+    findSufficientHosts({
+      hosts: compose(...counts),
+      losses: { hosts, dataCentres },
+      maximumVoters: 7,
+    });
+  t.deepEqual(find([2, 1], 2, 0), compose(3, 2));
+  t.deepEqual(find([2, 2, 0], 2), compose(2, 2, 1));
+  t.deepEqual(
+    find([2, 2], 1),
+    new Map([...compose(2, 2), ['other data centre 1', 1]]),
+  );
+  t.is(find([2, 2, 2], 4), undefined);
+});
--- a/packages/control/src/tolerated-losses.ts
+++ b/packages/control/src/tolerated-losses.ts
@@ -1,5 +1,8 @@
 /** Checks whether voters outlast the tolerated losses, and chooses voters that do. */
 
+/** More hosts than this help no group of at most seven voters. */
+const maximumAddedHosts = 7;
+
 /** The losses that must leave a majority: as many hosts, or as many whole data centres. */
 export interface ToleratedLosses {
   readonly hosts: number;
@@ -9,6 +12,14 @@
 /** Number of voters, or of hosts with a disk, in each data centre. */
 export type HostLayout = ReadonlyMap<string, number>;
 
+/** Counts hosts by the data centre of each. */
+export function countByDataCentre(dataCentres: readonly string[]): HostLayout {
+  const counts = new Map<string, number>();
+  for (const dataCentre of dataCentres)
+    counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1);
+  return counts;
+}
+
 /** Counts the hosts of a layout. */
 export function countHosts(layout: HostLayout): number {
   return [...layout.values()].reduce((sum, hosts) => sum + hosts, 0);
@@ -92,3 +103,37 @@
   }
   return voters;
 }
+
+/**
+ * Finds the fewest hosts with a disk to add so that some choice of voters outlasts the losses, in
+ * present data centres rather than in others. Returns all hosts then, or undefined if none suffice.
+ * The present hosts are enough while the group still changes its voters.
+ */
+export function findSufficientHosts(
+  choice: Omit<VoterChoice, 'rank'>,
+): HostLayout | undefined {
+  for (let added = 0; added <= maximumAddedHosts; added += 1) {
+    for (let others = 0; others <= added; others += 1) {
+      const hosts = addHosts(choice.hosts, added, others);
+      const voters = chooseVoters({ ...choice, hosts, rank: () => 0 });
+      if (tolerates(voters, choice.losses)) return hosts;
+    }
+  }
+  return undefined;
+}
+
+/** Adds hosts one by one to the data centre with the fewest, among them some without any yet. */
+function addHosts(
+  present: HostLayout,
+  added: number,
+  others: number,
+): HostLayout {
+  const hosts = new Map(present);
+  for (let number = 1; number <= others; number += 1)
+    hosts.set(`other data centre ${String(number)}`, 0);
+  for (let number = 0; number < added; number += 1) {
+    const [smallest] = [...hosts].sort(([, left], [, right]) => left - right);
+    if (smallest !== undefined) hosts.set(smallest[0], smallest[1] + 1);
+  }
+  return hosts;
+}
