--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -1,6 +1,7 @@
 /** Replicated log: leader election, replication, storage and snapshots. */
 export * from './adapters/file-log-disk.js';
 export * from './adapters/volatile-log-disk.js';
+export { planMemberChange } from './core/membership.js';
 export * from './entries.js';
 export * from './fakes/memory-log-disk.js';
 export * from './log-types.js';
