--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -42,6 +42,10 @@
   readonly minimumVoters?: number;
   /** Data centres that operators may evacuate. */
   readonly dataCentres?: readonly string[];
+  /** Tolerated losses of whole data centres; none by default. */
+  readonly toleratedDataCentres?: number;
+  /** Data centre of a host; hosts state none by default. */
+  readonly findDataCentre?: (host: string) => string;
   /** Log of all replicas; silent by default. */
   readonly logger?: Logger;
 }
@@ -157,6 +161,8 @@
               self: composeAddress(host),
               minimumVoters: options.minimumVoters,
               isObserver,
+              dataCentre: options.findDataCentre?.(host),
+              toleratedDataCentres: options.toleratedDataCentres ?? 0,
             },
           }),
       dataCentres: options.dataCentres,
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -4,45 +4,25 @@
   MemberChangeKind,
   MemberRole,
 } from '@cranberryturn/replicated-log';
-import type { Milliseconds, ReplicaId } from '@cranberryturn/types';
 
 import {
-  type MembershipStep,
-  MembershipStepKind,
-} from './reconcile-members.js';
-
-/**
- * Silence after which a voter may be removed; longer than an election and a restart of its process.
- */
-export const voterSilenceLimitMilliseconds: Milliseconds = 2_500;
-/** Silence after which a voter is suspected to be lost; several heartbeats. */
-const suspectedSilenceMilliseconds: Milliseconds = 500;
-/** Silence after which a learner is removed. */
-export const learnerSilenceLimitMilliseconds: Milliseconds = 4_000;
-/** More voters raise the cost of each commit and do not make the group easier to repair. */
-export const maximumVoters = 7;
-/** Each observer costs the leader heartbeats and a copy of each entry. */
-export const maximumObservers = 14;
-
-/** A replica that asks to join the group. Sent to other replicas as part of a join request. */
-export interface JoiningReplica {
-  readonly replicaId: ReplicaId;
-  readonly address: string;
-  /** Set by a replica without a disk: it must not become a voter. */
-  readonly isObserver?: boolean | undefined;
-}
-
-/** The leader's view of the group, the input of each planning step. */
-export interface GroupView {
-  readonly leader: ReplicaId;
-  readonly members: readonly Member[];
-  /** Replicas that recently asked to join; current members among them are ignored. */
-  readonly candidates: readonly JoiningReplica[];
-  /** Time since a member was last heard by the leader. */
-  readonly measureSilence: (replica: ReplicaId) => Milliseconds;
-  /** Silent voters are removed only while the group has more voters than this. */
-  readonly minimumVoters: number;
-}
+  composeStep,
+  type GroupView,
+  isHeard,
+  isSuspected,
+  learnerSilenceLimitMilliseconds,
+  listOtherVoters,
+  maximumVoters,
+  voterSilenceLimitMilliseconds,
+} from './group-view.js';
+import { findObserverAddition, findObserverRemoval } from './plan-observers.js';
+import {
+  findElectorAddition,
+  findSurplusLearner,
+  findSurplusVoter,
+  planVoters,
+} from './plan-voters.js';
+import type { MembershipStep } from './reconcile-members.js';
 
 /**
  * Finds the next membership change. A replica that joins with the address of a member replaces that
@@ -54,15 +34,23 @@
 export function findGroupStep(view: GroupView): MembershipStep | undefined {
   return (
     findLearnerRemoval(view) ??
-    findAddition(view) ??
-    findReplacedRemoval(view) ??
-    findSilentVoterRemoval(view) ??
-    findPromotion(view) ??
+    findDataCentreChange(view) ??
+    findVoterStep(view) ??
     findObserverRemoval(view) ??
     findObserverAddition(view)
   );
 }
 
+function findVoterStep(view: GroupView): MembershipStep | undefined {
+  const plan = planVoters(view);
+  const change = findElectorAddition(plan) ?? findSurplusLearner(plan);
+  if (change !== undefined) return composeStep(change);
+  const removal = findReplacedRemoval(view) ?? findSilentVoterRemoval(view);
+  if (removal !== undefined) return removal;
+  const surplus = findSurplusVoter(view, plan);
+  return surplus === undefined ? findPromotion(view) : composeStep(surplus);
+}
+
 function findLearnerRemoval({ members, measureSilence }: GroupView) {
   const lost = members.find(
     ({ replicaId, role }) =>
@@ -76,87 +64,29 @@
 function findPromotion(view: GroupView) {
   const [learner] = listHeardLearners(view);
   if (learner === undefined) return undefined;
-  const isSuspected = listOtherVoters(view).some(
-    ({ replicaId }) =>
-      view.measureSilence(replicaId) >= suspectedSilenceMilliseconds,
-  );
-  if (isSuspected) return undefined;
+  const others = listOtherVoters(view);
+  if (others.some(member => isSuspected(view, member))) return undefined;
+  if (others.length + 1 >= maximumVoters) return undefined;
   const { replicaId } = learner;
-  return composeChange({ kind: MemberChangeKind.Promote, replicaId });
-}
-
-function listHeardLearners({
-  members,
-  measureSilence,
-}: GroupView): readonly Member[] {
-  return members.filter(
-    ({ replicaId, role }) =>
-      role === MemberRole.Learner &&
-      measureSilence(replicaId) < voterSilenceLimitMilliseconds,
-  );
-}
-
-/** Voters other than the leader. */
-function listOtherVoters({ members, leader }: GroupView): readonly Member[] {
-  return members.filter(
-    ({ replicaId, role }) => role === MemberRole.Voter && replicaId !== leader,
-  );
-}
-
-function findAddition({ members, candidates }: GroupView) {
-  const candidate = candidates.find(
-    one => one.isObserver !== true && !isMember(one, members),
-  );
-  if (candidate === undefined) return undefined;
-  const { replicaId, address } = candidate;
-  const durable = members.filter(({ role }) => role !== MemberRole.Observer);
-  const isReplacement = durable.some(member => member.address === address);
-  if (durable.length >= maximumVoters && !isReplacement) return undefined;
-  return composeChange({
-    kind: MemberChangeKind.AddLearner,
-    replicaId,
-    address,
-  });
+  return composeStep({ kind: MemberChangeKind.Promote, replicaId });
 }
 
-function findObserverAddition({ members, candidates }: GroupView) {
-  const candidate = candidates.find(
-    one => one.isObserver === true && !isMember(one, members),
+function listHeardLearners(view: GroupView): readonly Member[] {
+  return view.members.filter(
+    member => member.role === MemberRole.Learner && isHeard(view, member),
   );
-  if (candidate === undefined) return undefined;
-  const { replicaId, address } = candidate;
-  const observers = members.filter(({ role }) => role === MemberRole.Observer);
-  if (observers.length >= maximumObservers) return undefined;
-  return composeChange({
-    kind: MemberChangeKind.AddObserver,
-    replicaId,
-    address,
-  });
 }
 
-/** Removes an observer that is silent, or whose host has announced itself under a new identity. */
-function findObserverRemoval({
-  members,
-  candidates,
-  measureSilence,
-}: GroupView) {
-  const removed = members
-    .filter(({ role }) => role === MemberRole.Observer)
-    .find(
-      ({ replicaId, address }) =>
-        measureSilence(replicaId) >= learnerSilenceLimitMilliseconds ||
-        candidates.some(
-          one => one.address === address && !isMember(one, members),
-        ),
-    );
-  return removed === undefined ? undefined : composeRemoval(removed);
-}
-
-function isMember(
-  { replicaId }: JoiningReplica,
-  members: readonly Member[],
-): boolean {
-  return members.some(member => member.replicaId === replicaId);
+/** Finds a member that states another data centre than its record, as founding members do. */
+function findDataCentreChange({ members, candidates }: GroupView) {
+  for (const { replicaId, dataCentre } of candidates) {
+    const member = members.find(known => known.replicaId === replicaId);
+    if (member === undefined || dataCentre === undefined) continue;
+    if (member.dataCentre === dataCentre) continue;
+    const kind = MemberChangeKind.SetDataCentre;
+    return composeStep({ kind, replicaId, dataCentre });
+  }
+  return undefined;
 }
 
 /** Removes a voter or learner whose address a member that was added later has. */
@@ -193,14 +123,5 @@
 }
 
 function composeRemoval({ replicaId }: Member): MembershipStep {
-  return composeChange({ kind: MemberChangeKind.Remove, replicaId });
-}
-
-function composeChange(
-  memberChange: Extract<
-    MembershipStep,
-    { kind: MembershipStepKind.Change }
-  >['change'],
-): MembershipStep {
-  return { kind: MembershipStepKind.Change, change: memberChange };
+  return composeStep({ kind: MemberChangeKind.Remove, replicaId });
 }
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -36,7 +36,7 @@
 
 import { serveAdministration } from './adapters/serve-administration.js';
 import type { ControlNode, ControlOptions } from './control-node.js';
-import type { GroupOptions } from './form-group.js';
+import type { GroupOptions } from './group-options.js';
 import { measureSyncs } from './measure-syncs.js';
 import { startControl } from './start-control.js';
 
@@ -166,6 +166,7 @@
   group,
   peers,
   dataFolder,
+  dataCentre,
 }: ControlReplicaSettings): GroupOptions | undefined {
   if (group === undefined) return undefined;
   const { address, port, advertisedAddress } = peers.listen;
@@ -173,6 +174,7 @@
     ...group,
     self: { address: advertisedAddress ?? address, port },
     isObserver: dataFolder === undefined,
+    dataCentre,
   };
 }
 
--- a/packages/replicated-log/src/members.ts
+++ b/packages/replicated-log/src/members.ts
@@ -7,7 +7,10 @@
   Voter = 'voter',
   /** Receives the log but does not count towards the quorum. */
   Learner = 'learner',
-  /** As a learner, but never promoted, because its host keeps nothing after a restart. */
+  /**
+   * As a learner, but never promoted: its host keeps nothing after a restart, unless the member is
+   * marked as a standby.
+   */
   Observer = 'observer',
 }
 
@@ -17,6 +20,10 @@
   readonly role: MemberRole;
   /** Network address for the peer link. The log stores it without interpreting it. */
   readonly address: string;
+  /** Site of the host. The log stores it without interpreting it; records of earlier versions have none. */
+  readonly dataCentre?: string;
+  /** Set on an observer whose host has a disk, so that it may take the place of a voter. */
+  readonly isStandby?: true;
 }
 
 /** Kinds of membership changes. */
@@ -26,6 +33,11 @@
   /** Turns a learner into a voter once its synced log has caught up. */
   Promote = 'promote',
   Remove = 'remove',
+  /** Turns a standby into a learner, which may then be promoted. */
+  MakeLearner = 'make-learner',
+  /** Turns a voter or a learner into a standby. */
+  MakeStandby = 'make-standby',
+  SetDataCentre = 'set-data-centre',
 }
 
 /** Adds a learner. */
@@ -33,6 +45,7 @@
   readonly kind: MemberChangeKind.AddLearner;
   readonly replicaId: ReplicaId;
   readonly address: string;
+  readonly dataCentre?: string;
 }
 
 /** Adds an observer. */
@@ -40,6 +53,9 @@
   readonly kind: MemberChangeKind.AddObserver;
   readonly replicaId: ReplicaId;
   readonly address: string;
+  readonly dataCentre?: string;
+  /** Set when the host has a disk. */
+  readonly isStandby?: true;
 }
 
 /** Turns a learner into a voter. */
@@ -54,6 +70,31 @@
   readonly replicaId: ReplicaId;
 }
 
+/** Turns an observer with a disk into a learner. */
+export interface MakeLearnerChange {
+  readonly kind: MemberChangeKind.MakeLearner;
+  readonly replicaId: ReplicaId;
+}
+
+/** Turns a voter or a learner into a standby. The leader cannot do this to itself. */
+export interface MakeStandbyChange {
+  readonly kind: MemberChangeKind.MakeStandby;
+  readonly replicaId: ReplicaId;
+}
+
+/** Records the data centre of a member, such as a founding one. */
+export interface SetDataCentreChange {
+  readonly kind: MemberChangeKind.SetDataCentre;
+  readonly replicaId: ReplicaId;
+  readonly dataCentre: string;
+}
+
 /** Change of one member. Changes are made one at a time. */
 export type MemberChange =
-  AddLearnerChange | AddObserverChange | PromoteChange | RemoveChange;
+  | AddLearnerChange
+  | AddObserverChange
+  | PromoteChange
+  | RemoveChange
+  | MakeLearnerChange
+  | MakeStandbyChange
+  | SetDataCentreChange;
