Let operators order evacuations through any control host

The administration API and cranberryctl evacuate a data centre, end its evacuation and list the evacuated ones. The host that receives an order adds the version of the evacuations that it has applied. It holds an order that would change the state for 50 ms, and drops it when its caller has closed the connection meanwhile: an operator closes the connection of a call that it has given up, and the order may have been delivered late. An order is acknowledged once a majority has synced it; without one it is refused.

The data centres come from `dataCentres` in the settings of control; without them evacuations are disabled. Each step is logged with a request identifier, the version and its age, and a gauge counts the evacuated data centres. A leader of an earlier version, which does not know the call, counts as one that did not answer.

The fixture of the commands' tests moves to a file of its own, unchanged but for the data centres.

--- a/packages/cli/src/administration-client.ts
+++ b/packages/cli/src/administration-client.ts
@@ -1,6 +1,8 @@
 /** Client of the administration API: tries the control hosts in turn until one gives a final response. */
 import type {
   ConfirmView,
+  EvacuationOrderView,
+  EvacuationsView,
   HistoryView,
   PlanView,
   RefusalView,
@@ -14,7 +16,11 @@
   UnavailableError,
 } from '@cranberryturn/errors';
 import { sleep, type TimerService } from '@cranberryturn/timers';
-import type { Intent, Milliseconds } from '@cranberryturn/types';
+import type {
+  DataCentreName,
+  Intent,
+  Milliseconds,
+} from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import { request } from 'undici';
 
@@ -31,6 +37,12 @@
   ): ResultAsync<ConfirmView, CranberryError>;
   status(): ResultAsync<StatusView, CranberryError>;
   history(limit: number): ResultAsync<HistoryView, CranberryError>;
+  /** Evacuates a data centre, or ends its evacuation. Idempotent. */
+  orderEvacuation(
+    dataCentre: DataCentreName,
+    isEvacuated: boolean,
+  ): ResultAsync<EvacuationOrderView, CranberryError>;
+  evacuations(): ResultAsync<EvacuationsView, CranberryError>;
 }
 
 /** Hosts, token, timeout and clock of the client. */
@@ -44,7 +56,7 @@
 }
 
 interface HttpCall {
-  readonly method: 'GET' | 'POST';
+  readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly body?: string;
 }
@@ -84,6 +96,14 @@
       }),
     status: () => get('/v1/admin/status'),
     history: limit => get(`/v1/admin/history?limit=${String(limit)}`),
+    orderEvacuation: (dataCentre, isEvacuated) =>
+      new ResultAsync(
+        callUntilFinal(options, {
+          method: isEvacuated ? 'POST' : 'DELETE',
+          path: `/v1/admin/evacuations/${encodeURIComponent(dataCentre)}`,
+        }),
+      ),
+    evacuations: () => get('/v1/admin/evacuations'),
   };
 }
 
@@ -161,6 +181,7 @@
     case 409:
       return new ConflictError(message, origin);
     case 400:
+    case 404:
     case 413:
     case 422:
       return new InvalidInputError(message, origin);
--- a/packages/cli/src/operator-commands.test.ts
+++ b/packages/cli/src/operator-commands.test.ts
@@ -1,141 +1,23 @@
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { readFileSync, writeFileSync } from 'node:fs';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
-import { createToken, digestToken } from '@cranberryturn/authentication';
-import {
-  type AdministrationServer,
-  type ControlNode,
-  createMemoryLog,
-  OperationKind,
-  serveAdministration,
-  startControl,
-} from '@cranberryturn/control';
-import { createSilentLogger } from '@cranberryturn/logger';
-import { createMetrics } from '@cranberryturn/metrics';
-import type { ProgramHost } from '@cranberryturn/program';
-import {
-  createManualTimerService,
-  createSystemTimerService,
-  sleep,
-  type TimerService,
-} from '@cranberryturn/timers';
-import {
-  ControlMethod,
-  createMemoryNetwork,
-  ProcessRole,
-  registrationLease,
-} from '@cranberryturn/wire';
+import { createToken } from '@cranberryturn/authentication';
+import { OperationKind } from '@cranberryturn/control';
+import { createManualTimerService, sleep } from '@cranberryturn/timers';
+import { ControlMethod, registrationLease } from '@cranberryturn/wire';
 import test from 'ava';
-import { okAsync } from 'neverthrow';
-
-import { runCranberryctl } from './index.js';
-
-const loopback = { address: '127.0.0.1', port: 0 };
-const timers = createSystemTimerService();
-const folder = mkdtempSync(join(tmpdir(), 'cranberry-operator-'));
-
-interface TestApi {
-  readonly node: ControlNode;
-  readonly server: AdministrationServer;
-  readonly settings: string;
-  close(): Promise<void>;
-  run(...commandLine: readonly string[]): Promise<CommandRun>;
-}
-
-interface CommandRun {
-  readonly exits: readonly number[];
-  readonly text: string;
-}
-
-async function runCommand(
-  settings: string,
-  commandLine: readonly string[],
-): Promise<CommandRun> {
-  const output: string[] = [];
-  const exits: number[] = [];
-  const host: ProgramHost = {
-    commandLine: ['--settings', settings, '--no-color', ...commandLine],
-    writeOutput: text => output.push(text),
-    writeError: text => output.push(text),
-    onStopSignal: () => undefined,
-    exit: code => exits.push(code),
-  };
-  await runCranberryctl(host);
-  return { exits, text: output.join('') };
-}
 
-function writeSettings(
-  name: string,
-  token: string,
-  administration: readonly string[],
-): string {
-  const tokenFile = join(folder, `${name}.token`);
-  const file = join(folder, `${name}.json`);
-  writeFileSync(tokenFile, token);
-  writeFileSync(
-    file,
-    JSON.stringify({ administration, tokenFile, timeoutMilliseconds: 4_000 }),
-  );
-  return file;
-}
-
-function toUrl({ address, port }: { address: string; port: number }): string {
-  return `http://${address}:${String(port)}`;
-}
-
-async function startApi(
-  name: string,
-  controlTimers: TimerService = timers,
-): Promise<TestApi> {
-  const network = createMemoryNetwork(timers);
-  const started = await startControl({
-    listen: loopback,
-    joinNetwork: replica =>
-      network.join({
-        role: ProcessRole.Control,
-        name: replica,
-        incarnation: 'run',
-      }),
-    timers: controlTimers,
-    peers: [],
-    openLog: stateMachine =>
-      okAsync(
-        createMemoryLog({
-          replicaId: 'c1',
-          stateMachine,
-          timers: controlTimers,
-        }),
-      ),
-    logger: createSilentLogger(),
-    decisions: () => undefined,
-  });
-  const node = started._unsafeUnwrap();
-  const token = createToken();
-  const served = await serveAdministration(
-    {
-      node,
-      timers,
-      metrics: createMetrics({ role: 'control', process: 'c1', timers }),
-      operators: [{ name: 'linh', tokenDigests: [digestToken(token)] }],
-    },
-    loopback,
-  );
-  const server = served._unsafeUnwrap();
-  const settings = writeSettings(name, token, [toUrl(server.address)]);
-  return {
-    node,
-    server,
-    settings,
-    close: async () => {
-      await server.close();
-      await node.stop();
-    },
-    run: (...commandLine) => runCommand(settings, commandLine),
-  };
-}
+import {
+  folder,
+  loopback,
+  runCommand,
+  startApi,
+  timers,
+  toUrl,
+  writeSettings,
+} from './fakes/test-api.js';
 
 function getPlanId(text: string): string {
   return /cranberryctl confirm (\S+)/.exec(text)?.[1] ?? '';
--- a/packages/cli/src/run-cranberryctl.ts
+++ b/packages/cli/src/run-cranberryctl.ts
@@ -7,6 +7,7 @@
 import { Command, CommanderError } from 'commander';
 
 import { addConfirmCommand } from './confirm-command.js';
+import { addEvacuationCommands } from './evacuation-commands.js';
 import { addPlanCommands } from './plan-commands.js';
 import { addReadCommands } from './read-commands.js';
 import { addSecretCommands } from './secret-commands.js';
@@ -31,6 +32,7 @@
   addPlanCommands(program, host);
   addConfirmCommand(program, host);
   addReadCommands(program, host);
+  addEvacuationCommands(program, host);
   addSecretCommands(program, host);
   try {
     await program.parseAsync(host.commandLine, { from: 'user' });
--- a/packages/configuration/src/administration-views.ts
+++ b/packages/configuration/src/administration-views.ts
@@ -3,6 +3,7 @@
   ConfigurationChange,
   ConfigurationVersion,
   ControlHostConfiguration,
+  EvacuationState,
   DispatcherId,
   Intent,
   LogIndex,
@@ -118,6 +119,15 @@
   readonly changes: readonly ConfigurationChange[];
 }
 
+/** Response to `GET /v1/admin/evacuations`. */
+export type EvacuationsView = EvacuationState;
+
+/** Response to an acknowledged order to evacuate a data centre or to end an evacuation. */
+export interface EvacuationOrderView extends EvacuationState {
+  /** False when the data centre was already in the ordered state. */
+  readonly changed: boolean;
+}
+
 /** Response body of every error of the administration API. */
 export interface RefusalView {
   readonly error: string;
--- a/packages/control/src/adapters/serve-administration.ts
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -16,10 +16,8 @@
 import { formatAddress, maximumProofAge } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
-import {
-  createAdministrationApi,
-  type Operator,
-} from '../administration-api.js';
+import { createAdministrationApi } from '../administration-api.js';
+import type { Operator } from '../administration-responses.js';
 import type { ControlNode } from '../control-node.js';
 import { OperationOutcomeKind } from '../control-operations.js';
 import type { EntryOutcome } from '../control-state.js';
@@ -54,6 +52,7 @@
   const app = createAdministrationApi({
     operators: options.operators,
     administer: call => node.administer(call),
+    evacuations: node.evacuations,
     isAlive: () => node.log.status().failure === undefined,
     isReady: () => !isStopping && hasProvedLeader(node, timers),
     exposeMetrics: () => metrics.expose(),
--- a/packages/control/src/administer-control.ts
+++ b/packages/control/src/administer-control.ts
@@ -7,6 +7,7 @@
 import type { ReplicatedLog } from '@cranberryturn/replicated-log';
 import type {
   ConfigurationChange,
+  EvacuationOrder,
   Milliseconds,
   Publication,
 } from '@cranberryturn/types';
@@ -21,6 +22,7 @@
 import type { ControlState, EntryOutcome } from './control-state.js';
 import { composeStatus, type StatusSources } from './compose-status.js';
 import { OperationKind, OperationOutcomeKind } from './control-operations.js';
+import { EvacuationResult } from './evacuations.js';
 import { planChange } from './plan-change.js';
 
 /** Dependencies of the administration calls. */
@@ -28,7 +30,7 @@
   readonly proposer: OperationProposer;
   readonly state: Pick<
     ControlState,
-    'claims' | 'roster' | 'configuration' | 'publication'
+    'claims' | 'roster' | 'configuration' | 'publication' | 'evacuations'
   >;
   readonly log: Pick<ReplicatedLog<EntryOutcome>, 'confirmLeadership'>;
 }
@@ -45,6 +47,9 @@
   if (call.method === AdministrationMethod.Publish) {
     return await publishConfiguration(services, call.publication);
   }
+  if (call.method === AdministrationMethod.OrderEvacuation) {
+    return await orderEvacuation(proposer, call.order, call.requestId);
+  }
   // Reads confirm leadership first, so that a deposed leader does not return stale state.
   const proved = await log.confirmLeadership();
   if (proved.isErr()) {
@@ -73,6 +78,11 @@
       };
     case AdministrationMethod.ReadPublication:
       return { kind: AdministrationReplyKind.Done, view: state.publication };
+    case AdministrationMethod.ListEvacuations:
+      return {
+        kind: AdministrationReplyKind.Done,
+        view: state.evacuations.state,
+      };
   }
 }
 
@@ -126,6 +136,44 @@
   return { kind: AdministrationReplyKind.Done, view: state.publication };
 }
 
+async function orderEvacuation(
+  proposer: OperationProposer,
+  order: EvacuationOrder,
+  requestId: string,
+): Promise<AdministrationReply> {
+  const submitted = await proposer.submit({
+    kind: OperationKind.Evacuate,
+    order,
+    requestId,
+  });
+  if (submitted.isErr()) {
+    return composeRefusal(
+      AdministrationReplyKind.Unavailable,
+      `${submitted.error.message} The order is not acknowledged and may still take effect: send it again.`,
+    );
+  }
+  const outcome = submitted.value;
+  if (outcome.kind !== OperationOutcomeKind.Evacuation) {
+    return composeRefusal(
+      AdministrationReplyKind.Unavailable,
+      'The log returned no outcome for this order; send it again.',
+    );
+  }
+  if (outcome.result === EvacuationResult.Overtaken) {
+    return composeRefusal(
+      AdministrationReplyKind.Unavailable,
+      `Another order for ${order.dataCentre} took effect after this one had arrived. Nothing was changed; send the order again if it is still wanted.`,
+    );
+  }
+  return {
+    kind: AdministrationReplyKind.Done,
+    view: {
+      ...outcome.state,
+      changed: outcome.result === EvacuationResult.Changed,
+    },
+  };
+}
+
 function composeConfirmReply(outcome: ConfirmOutcome): AdministrationReply {
   switch (outcome.kind) {
     case ConfirmOutcomeKind.Accepted: {
--- a/packages/control/src/administration-api.ts
+++ b/packages/control/src/administration-api.ts
@@ -3,13 +3,8 @@
   createTokenFinder,
   readBearerToken,
 } from '@cranberryturn/authentication';
-import type {
-  HistoryView,
-  RefusalView,
-  StatusView,
-} from '@cranberryturn/configuration';
 import { metricsContentType } from '@cranberryturn/metrics';
-import { type Context, Hono, type MiddlewareHandler } from 'hono';
+import { Hono, type MiddlewareHandler } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import * as z from 'zod';
 
@@ -17,19 +12,20 @@
   type AdministrationCall,
   AdministrationMethod,
   type AdministrationReply,
-  AdministrationReplyKind,
 } from './administration-calls.js';
+import {
+  type AdministrationContext,
+  type AdministrationVariables,
+  type Operator,
+  sendRefusal,
+  sendReply,
+} from './administration-responses.js';
+import { addEvacuationRoutes } from './evacuation-routes.js';
+import type { EvacuationService } from './order-evacuations.js';
 
 const maximumBodyBytes = 65_536;
 const maximumHistoryChanges = 1_000;
 const defaultHistoryChanges = 50;
-const retryAfterSeconds = '1';
-
-/** An operator and the digests of the operator's tokens. */
-export interface Operator {
-  readonly name: string;
-  readonly tokenDigests: readonly string[];
-}
 
 /** Dependencies of the API. */
 export interface AdministrationApiOptions {
@@ -37,6 +33,8 @@
   readonly administer: (
     call: AdministrationCall,
   ) => Promise<AdministrationReply>;
+  /** Undefined while evacuations are disabled. */
+  readonly evacuations: EvacuationService | undefined;
   /** False once the replica has failed; answers `/healthz`. */
   readonly isAlive: () => boolean;
   /** True while the replica serves and a leader with a majority is proved; answers `/readyz`. */
@@ -46,13 +44,6 @@
   readonly handleRefusedToken: () => void;
 }
 
-/** Context variables of an authenticated request. */
-export interface AdministrationVariables {
-  Variables: { operator: Operator };
-}
-
-type AdministrationContext = Context<AdministrationVariables>;
-
 const confirmSchema = z.strictObject({
   requestId: z.string().min(8).max(128),
 });
@@ -89,6 +80,7 @@
   );
   addPlanRoutes(app, options);
   addReadRoutes(app, options);
+  addEvacuationRoutes(app, options.evacuations);
   app.notFound(context =>
     sendRefusal(context, 404, {
       error: `There is no ${context.req.method} ${context.req.path}; see docs/operators.`,
@@ -187,31 +179,6 @@
   }
 }
 
-function sendReply(
-  context: AdministrationContext,
-  reply: AdministrationReply,
-): Response {
-  switch (reply.kind) {
-    case AdministrationReplyKind.Done:
-      return context.json(reply.view as StatusView | HistoryView, 200);
-    case AdministrationReplyKind.Conflict:
-      return sendRefusal(context, 409, reply.refusal);
-    case AdministrationReplyKind.Invalid:
-      return sendRefusal(context, 422, reply.refusal);
-    case AdministrationReplyKind.Unavailable:
-      context.header('Retry-After', retryAfterSeconds);
-      return sendRefusal(context, 503, reply.refusal);
-  }
-}
-
-function sendRefusal(
-  context: Context,
-  status: 400 | 401 | 404 | 409 | 413 | 422 | 500 | 503,
-  refusal: RefusalView,
-): Response {
-  return context.json(refusal, status);
-}
-
 function sendCheckResult(
   context: AdministrationContext,
   hasPassed: boolean,
--- a/packages/control/src/administration-calls.ts
+++ b/packages/control/src/administration-calls.ts
@@ -5,12 +5,14 @@
 import type {
   ConfirmRequest,
   ConfirmView,
+  EvacuationOrderView,
+  EvacuationsView,
   HistoryView,
   PlanView,
   RefusalView,
   StatusView,
 } from '@cranberryturn/configuration';
-import type { Publication } from '@cranberryturn/types';
+import type { EvacuationOrder, Publication } from '@cranberryturn/types';
 
 /** The kinds of call. */
 export enum AdministrationMethod {
@@ -21,6 +23,9 @@
   /** Puts a whole configuration document in force, without a plan. */
   Publish = 'publish',
   ReadPublication = 'read-publication',
+  /** Evacuates a data centre, or withdraws its evacuation. */
+  OrderEvacuation = 'order-evacuation',
+  ListEvacuations = 'list-evacuations',
 }
 
 /** A call of an authenticated operator. */
@@ -44,7 +49,14 @@
       readonly method: AdministrationMethod.Publish;
       readonly publication: Publication;
     }
-  | { readonly method: AdministrationMethod.ReadPublication };
+  | { readonly method: AdministrationMethod.ReadPublication }
+  | {
+      readonly method: AdministrationMethod.OrderEvacuation;
+      readonly order: EvacuationOrder;
+      /** Identifies the call of the operator in log lines. */
+      readonly requestId: string;
+    }
+  | { readonly method: AdministrationMethod.ListEvacuations };
 
 /** The kinds of reply. */
 export enum AdministrationReplyKind {
@@ -65,7 +77,13 @@
   | {
       readonly kind: AdministrationReplyKind.Done;
       readonly view:
-        PlanView | ConfirmView | StatusView | HistoryView | Publication;
+        | PlanView
+        | ConfirmView
+        | StatusView
+        | HistoryView
+        | Publication
+        | EvacuationOrderView
+        | EvacuationsView;
     }
   | {
       readonly kind: Exclude<
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -10,6 +10,7 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type {
   ClusterConfiguration,
+  DataCentreName,
   DecisionSink,
   NetworkAddress,
   ReplicaId,
@@ -30,6 +31,7 @@
 import type { FollowerFeed } from './feed-followers.js';
 import type { GroupOptions } from './form-group.js';
 import type { InForceTable } from './in-force-table.js';
+import type { EvacuationService } from './order-evacuations.js';
 
 /** Opens the log of a replica; the state machine is fed with the committed entries. */
 export type LogOpener = (
@@ -57,6 +59,8 @@
    * control hosts.
    */
   readonly group?: GroupOptions | undefined;
+  /** Data centres that operators may evacuate; evacuations are disabled when absent. */
+  readonly dataCentres?: readonly DataCentreName[] | undefined;
   readonly retention?: Partial<ControlRetention>;
   readonly logger: Logger;
   readonly decisions: DecisionSink;
@@ -72,6 +76,8 @@
   readonly feed: FollowerFeed;
   /** Executes an administration call at the leader, forwarded if necessary. */
   administer(call: AdministrationCall): Promise<AdministrationReply>;
+  /** Orders and reads evacuations at the leader; undefined while evacuations are disabled. */
+  readonly evacuations: EvacuationService | undefined;
   /** Executes an administration call on this replica; refused when it does not lead. */
   administerLocally(call: AdministrationCall): Promise<AdministrationReply>;
   /**
--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -40,6 +40,8 @@
   readonly retention?: Partial<ControlRetention>;
   /** Set when the replicas manage their own membership. */
   readonly minimumVoters?: number;
+  /** Data centres that operators may evacuate. */
+  readonly dataCentres?: readonly string[];
   /** Log of all replicas; silent by default. */
   readonly logger?: Logger;
 }
@@ -157,6 +159,7 @@
               isObserver,
             },
           }),
+      dataCentres: options.dataCentres,
       logger: options.logger ?? createSilentLogger(),
       decisions: () => undefined,
     });
--- a/packages/control/src/forward-to-leader.ts
+++ b/packages/control/src/forward-to-leader.ts
@@ -16,10 +16,11 @@
   readonly administerLocally: (
     call: AdministrationCall,
   ) => Promise<AdministrationReply>;
+  /** Resolves with undefined when the leader runs a version that does not know the call. */
   readonly administerAt: (
     leader: ReplicaId,
     call: AdministrationCall,
-  ) => ResultAsync<AdministrationReply, Error>;
+  ) => ResultAsync<AdministrationReply | undefined, Error>;
 }
 
 /**
@@ -39,10 +40,11 @@
     );
   }
   const forwarded = await routes.administerAt(leader, call);
-  return forwarded.unwrapOr(
+  return (
+    forwarded.unwrapOr(undefined) ??
     composeRefusal(
       AdministrationReplyKind.Unavailable,
       `The leader ${leader} did not answer ${replicaId}. A confirm may still be accepted: retry the call, a confirm with the same request identifier.`,
-    ),
+    )
   );
 }
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -7,6 +7,7 @@
   type RoleEnvironment,
   type RunningRole,
 } from '@cranberryturn/program';
+import { Gauge } from '@cranberryturn/metrics';
 import { createRandomSource, type RandomSource } from '@cranberryturn/random';
 import {
   createFileLogDisk,
@@ -86,7 +87,12 @@
   environment.logger.info('random numbers seeded', { seed });
   return startControl(
     composeOptions(settings, environment, join, seed, initialConfiguration),
-  );
+  ).andTee(({ state }) => {
+    environment.metrics.registerGauge(
+      Gauge.EvacuatedDataCentres,
+      () => state.evacuations.state.evacuations.length,
+    );
+  });
 }
 
 async function startRole(
@@ -144,6 +150,7 @@
     })),
     initialConfiguration,
     group: composeGroup(settings),
+    dataCentres: settings.dataCentres,
     logger,
     decisions: decisions.record,
   };
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -42,7 +42,9 @@
 import { inviteDispatchers } from './invite-dispatchers.js';
 import type { JoiningReplica } from './plan-group.js';
 import { reconcileMembers } from './reconcile-members.js';
+import { logEvacuations } from './log-evacuations.js';
 import { logRoleChange } from './log-role-change.js';
+import { createEvacuationService } from './order-evacuations.js';
 import { recordClaim } from './record-claim.js';
 import { serveDispatcher } from './serve-dispatcher.js';
 
@@ -111,6 +113,12 @@
       call,
     );
   const parts = {
+    evacuations: createEvacuationService({
+      ...options,
+      replicaId: status().replicaId,
+      state,
+      administer,
+    }),
     state,
     log,
     proposer,
@@ -232,6 +240,9 @@
 ): void {
   switch (event.kind) {
     case LogEventKind.Applied:
+      logEvacuations(options, event);
+      node.feed.scheduleUpdate();
+      return;
     case LogEventKind.Restored:
       node.feed.scheduleUpdate();
       return;
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -74,4 +74,6 @@
   LogIndex = 'log_index',
   /** 1 while this replica is the leader, otherwise 0. */
   Leading = 'leading',
+  /** Number of data centres that a control replica knows to be evacuated. */
+  EvacuatedDataCentres = 'evacuated_data_centres',
 }
--- a/packages/program/src/index.ts
+++ b/packages/program/src/index.ts
@@ -3,6 +3,7 @@
 export * from './adapters/http-listener.js';
 export * from './adapters/node-program-host.js';
 export * from './finish-within.js';
+export * from './has-body.js';
 export * from './measure-network.js';
 export * from './register-wasted-session-messages.js';
 export * from './ports/program-host.js';
--- a/packages/settings/src/schemas/control-settings.ts
+++ b/packages/settings/src/schemas/control-settings.ts
@@ -69,6 +69,10 @@
     host: nameSchema,
     dataCentre: nameSchema,
     region: nameSchema,
+    /** Data centres that operators may evacuate; the same at all replicas. When absent, evacuations are disabled. */
+    dataCentres: createUniqueArraySchema(nameSchema, name => name, 'name')
+      .min(1)
+      .optional(),
     /** When absent, the replica observes: it keeps its copy of the log in memory and never votes. */
     dataFolder: pathSchema.optional(),
     peers: peersSchema,
