Let the local system evacuate its data centres

The test that every declared metric rises failed for the gauge of evacuated data centres. The settings of the local system's control replicas now name its data centres, and the test orders an evacuation.

--- a/packages/local/src/compose-settings.ts
+++ b/packages/local/src/compose-settings.ts
@@ -58,6 +58,7 @@
       host: replicaId,
       dataCentre: firstDataCentre(settings),
       region: settings.region,
+      dataCentres: listDataCentres(settings),
       dataFolder: `${layout.folder}/${replicaId}`,
       peers: { listen: { address, port }, members },
       administration:
@@ -137,3 +138,10 @@
 function firstDataCentre(settings: LocalSettings): string {
   return settings.services[0]?.racks[0]?.dataCentre ?? settings.region;
 }
+
+function listDataCentres({ services }: LocalSettings): readonly string[] {
+  const names = services.flatMap(({ racks }) =>
+    racks.map(({ dataCentre }) => dataCentre),
+  );
+  return [...new Set(names)];
+}
--- a/packages/local/src/every-metric.test.ts
+++ b/packages/local/src/every-metric.test.ts
@@ -106,6 +106,8 @@
   await adoptJob(measuredSystem, system);
   t.is(await sendStartsToStoppingSidecar(measuredSystem, system), 200);
   await ejectTarget(measuredSystem, system);
+  await client.evacuate('dong-da');
+  await measuredSystem.waitForMetrics(Gauge.EvacuatedDataCentres);
 
   const declared = [Counter, WastedMessage, Gauge, Distribution].flatMap(
     names => Object.values(names),
--- a/packages/local/src/system-client.ts
+++ b/packages/local/src/system-client.ts
@@ -3,11 +3,12 @@
 
 import type {
   ConfirmView,
+  EvacuationOrderView,
   PlanView,
   StatusView,
 } from '@cranberryturn/configuration';
 import { InvalidInputError, RefusedError } from '@cranberryturn/errors';
-import type { Intent, JobOutcome } from '@cranberryturn/types';
+import type { DataCentreName, Intent, JobOutcome } from '@cranberryturn/types';
 import { request } from 'undici';
 
 import {
@@ -45,6 +46,7 @@
   planChange(intent: Intent): Promise<PlanView>;
   confirmPlan(planId: string): Promise<ConfirmView>;
   readStatus(): Promise<StatusView>;
+  evacuate(dataCentre: DataCentreName): Promise<EvacuationOrderView>;
 }
 
 /**
@@ -92,6 +94,11 @@
       )) as ConfirmView,
     readStatus: async () =>
       (await callAdministration('GET', 'status')) as StatusView,
+    evacuate: async dataCentre =>
+      (await callAdministration(
+        'POST',
+        `evacuations/${encodeURIComponent(dataCentre)}`,
+      )) as EvacuationOrderView,
   };
 }
 
