Don't take proofs that arrived during a suspension for new ones

A control host that was suspended reads the heartbeats of the leader that had arrived meanwhile, dates them by its own clock and would send a dispatcher that connects just then an old state as proved. The feed now detects a gap between its heartbeats and counts only proofs from a quarter of a second after it. A leader dates its proofs by the time at which it sent its heartbeats, so it is not affected. One test, which fails without the check.

--- a/packages/control/src/feed-followers.test.ts
+++ b/packages/control/src/feed-followers.test.ts
@@ -1,7 +1,10 @@
 import { defaultClaimRetention } from '@cranberryturn/claims';
 import { defaultRosterRetention } from '@cranberryturn/membership';
 import type { LogStatus } from '@cranberryturn/replicated-log';
-import { createManualTimerService } from '@cranberryturn/timers';
+import {
+  createManualTimerService,
+  type ManualTimerService,
+} from '@cranberryturn/timers';
 import {
   type ControlNotice,
   ControlNoticeKind,
@@ -16,7 +19,12 @@
 
 /** Creates the feed of a replica whose proofs the test sets, after an order and a publication. */
 function startFeed(proofs: Partial<LogStatus> = {}) {
-  const timers = createManualTimerService();
+  const clock = createManualTimerService();
+  const suspension = { milliseconds: 0 };
+  const timers: ManualTimerService = {
+    ...clock,
+    now: () => clock.now() + suspension.milliseconds,
+  };
   const state = createControlState({
     claims: defaultClaimRetention,
     roster: defaultRosterRetention,
@@ -50,7 +58,7 @@
     });
     return notices;
   };
-  return { timers, feed, follow };
+  return { timers, suspension, feed, follow };
 }
 
 test('evacuations go ahead of the publication, and the whole state ahead of the proof', t => {
@@ -99,3 +107,23 @@
   });
   feed.stop();
 });
+
+test('after a suspension, proofs that had arrived meanwhile do not count', async t => {
+  const proofs: { stateProvedAt?: number } = { stateProvedAt: 0 };
+  const { timers, suspension, feed, follow } = startFeed(proofs);
+  await timers.advance(499);
+  suspension.milliseconds = 5_000;
+  await timers.advance(1);
+  // Read from a buffer that was filled five seconds ago.
+  proofs.stateProvedAt = timers.now();
+  const notices = follow(-1);
+  await timers.advance(260);
+  t.deepEqual(
+    notices.map(({ kind }) => kind),
+    [ControlNoticeKind.Freshness],
+  );
+  proofs.stateProvedAt = timers.now();
+  await timers.advance(240);
+  t.is(notices[1]?.kind, ControlNoticeKind.Evacuations);
+  feed.stop();
+});
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -27,6 +27,10 @@
 const maximumDeltaChanges = 200;
 /** Entries that were on their way when the leader was proved arrive within a few of these. */
 const catchUpIntervalMilliseconds: Milliseconds = 20;
+/** Gap between two heartbeats of this feed that shows that the process was suspended. */
+const suspensionGapMilliseconds: Milliseconds = 1_000;
+/** Time in which a process that was suspended reads what had arrived meanwhile. */
+const drainMilliseconds: Milliseconds = 250;
 
 /** The update feed of one control replica. */
 export interface FollowerFeed {
@@ -74,13 +78,26 @@
   let pendingUpdate: TimerSubscription | undefined;
   /** Whether followers wait for a proof that they would have received with an update. */
   let isHeldBack = false;
+  let lastHeartbeat = timers.now();
+  /** Earlier proofs don't count. */
+  let trustedFrom = -Infinity;
   let roster: Roster = composeRoster(state.roster);
 
   const computeAge = (provedAt: Milliseconds | undefined): Milliseconds =>
     provedAt === undefined ? Infinity : timers.now() - provedAt;
 
-  const computeProofAge = (): Milliseconds =>
-    computeAge(status().stateProvedAt);
+  const computeProofAge = (): Milliseconds => {
+    const provedAt = status().stateProvedAt ?? -Infinity;
+    return provedAt < trustedFrom ? Infinity : computeAge(provedAt);
+  };
+
+  /** The proofs that arrived during a suspension are read after it, and look new. */
+  const detectSuspension = (): void => {
+    const now = timers.now();
+    if (now - lastHeartbeat > suspensionGapMilliseconds)
+      trustedFrom = now + drainMilliseconds;
+    lastHeartbeat = now;
+  };
 
   const readRoster = (): Roster => {
     if (roster.version !== state.roster.version) {
@@ -139,6 +156,7 @@
   };
 
   const heartbeat = timers.every(freshnessIntervalMilliseconds, () => {
+    detectSuspension();
     isHeldBack = false;
     sendUpdates();
     sendFreshness();
