--- a/packages/control/src/tolerated-losses.test.ts
+++ b/packages/control/src/tolerated-losses.test.ts
@@ -14,6 +14,7 @@
 } from './fakes/cluster-fixture.js';
 
 const founders = 3;
+const dataCentres = ['east'];
 const outageMilliseconds = 1_400;
 const recoveryMilliseconds = 5_000;
 
@@ -25,6 +26,7 @@
   const fixture = await startCluster({
     size: founders,
     minimumVoters: 2 * tolerated + 1,
+    dataCentres,
   });
   for (let number = founders + 1; number <= hosts; number += 1)
     await fixture.cluster.startBlank(`c${String(number)}`);
@@ -127,3 +129,24 @@
     }
   });
 }
+
+test('an acknowledged evacuation reaches a dispatcher that starts after a power cut in which the leader and another host lost their disks', async t => {
+  const names = listHosts(6);
+  const fixture = await startGroup(names.length, 2);
+  const acknowledged = await settleWithin(
+    fixture.timers,
+    requireLeader(fixture).evacuations?.order({
+      dataCentre: 'east',
+      isEvacuated: true,
+      callerLeft: new AbortController().signal,
+    }) ?? Promise.reject(new Error('Evacuations are disabled.')),
+  );
+  t.is(acknowledged.kind, AdministrationReplyKind.Done);
+  const leader = getReplicaId(requireLeader(fixture)).split('-')[0] ?? '';
+  const wiped = [leader, ...names.filter(name => name !== leader)].slice(0, 2);
+  await cutPower(fixture, names, wiped);
+  const client = fixture.cluster.connect('d1');
+  await fixture.timers.advance(recoveryMilliseconds);
+  t.like(client.evacuations.current(), { version: 1 });
+  t.is(client.evacuations.current().evacuations[0]?.dataCentre, 'east');
+});
