Refuse an evacuation order that a withdrawal without effect has overtaken

An order was compared with the version of the last change of its data centre. A withdrawal that finds the data centre not evacuated is acknowledged without a change, so an earlier order that was still on its way to the leader took effect after it. Orders now name the index of the last entry that the receiving replica had applied, and control keeps the index of the last acknowledged order for each data centre, whether it changed anything or not.

--- a/packages/control/src/administer-control.ts
+++ b/packages/control/src/administer-control.ts
@@ -162,7 +162,7 @@
   if (outcome.result === EvacuationResult.Overtaken) {
     return composeRefusal(
       AdministrationReplyKind.Unavailable,
-      `Another order for ${order.dataCentre} took effect after this one had arrived. Nothing was changed; send the order again if it is still wanted.`,
+      `The opposite order for ${order.dataCentre} was acknowledged after this one had arrived. Nothing was changed; send the order again if it is still wanted.`,
     );
   }
   return {
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -169,7 +169,7 @@
         const { result, record } = applyEvacuationOrder(
           evacuations,
           order,
-          entry.leaderTime,
+          entry,
         );
         evacuations = record;
         const { state } = record;
--- a/packages/control/src/evacuations.ts
+++ b/packages/control/src/evacuations.ts
@@ -1,19 +1,19 @@
 /** The evacuation state of control, and the rules by which an order changes it. */
+import type { CommittedEntry } from '@cranberryturn/replicated-log';
 import {
   type DataCentreName,
   type EvacuationOrder,
   type EvacuationState,
-  type EvacuationVersion,
   isEvacuated,
-  type Milliseconds,
+  type LogIndex,
   noEvacuations,
 } from '@cranberryturn/types';
 
-/** The evacuation state, with the last change of each data centre. */
+/** The evacuation state, with the last acknowledged order for each data centre. */
 export interface EvacuationRecord {
   readonly state: EvacuationState;
-  /** Version of the last change, for each data centre that has ever changed. */
-  readonly lastChanges: ReadonlyMap<DataCentreName, EvacuationVersion>;
+  /** Index of the entry with the last acknowledged order, for each data centre ever named. */
+  readonly lastOrders: ReadonlyMap<DataCentreName, LogIndex>;
 }
 
 /** What an order did. */
@@ -21,7 +21,7 @@
   Changed = 'changed',
   /** The data centre was already in the ordered state. */
   Unchanged = 'unchanged',
-  /** The data centre has changed since the order arrived, so the order was refused. */
+  /** The opposite was acknowledged since the order arrived, so the order was refused. */
   Overtaken = 'overtaken',
 }
 
@@ -34,37 +34,36 @@
 /** Form of the record in snapshots. */
 export interface EvacuationSnapshot {
   readonly state: EvacuationState;
-  readonly lastChanges: readonly (readonly [
-    DataCentreName,
-    EvacuationVersion,
-  ])[];
+  readonly lastOrders: readonly (readonly [DataCentreName, LogIndex])[];
 }
 
 /** The record before the first order. */
 export const emptyEvacuationRecord: EvacuationRecord = {
   state: noEvacuations,
-  lastChanges: new Map(),
+  lastOrders: new Map(),
 };
 
 /**
- * Applies an order. An order that was delayed in the system takes no effect once another one has
- * changed its data centre: the calls of operators carry no identifier, so its age shows only in the
- * version that was known when it arrived.
+ * Applies an order. An order that was delayed in the system takes no effect once the opposite was
+ * acknowledged: the calls of operators carry no identifier, so its age shows only in the index that
+ * was known when it arrived.
  */
 export function applyEvacuationOrder(
-  record: EvacuationRecord,
+  { state, lastOrders }: EvacuationRecord,
   order: EvacuationOrder,
-  leaderTime: Milliseconds,
+  { index, leaderTime }: Pick<CommittedEntry, 'index' | 'leaderTime'>,
 ): AppliedOrder {
-  const { state, lastChanges } = record;
-  const { dataCentre, knownVersion } = order;
+  const { dataCentre } = order;
+  const acknowledged = new Map([...lastOrders, [dataCentre, index]]);
   if (isEvacuated(state, dataCentre) === order.isEvacuated) {
+    const record = { state, lastOrders: acknowledged };
     return { result: EvacuationResult.Unchanged, record };
   }
-  if ((lastChanges.get(dataCentre) ?? 0) > knownVersion) {
+  // Every order acknowledged since the last change of this data centre was the opposite one.
+  if ((lastOrders.get(dataCentre) ?? 0) > order.knownIndex) {
+    const record = { state, lastOrders };
     return { result: EvacuationResult.Overtaken, record };
   }
-  const version = state.version + 1;
   const others = state.evacuations.filter(one => one.dataCentre !== dataCentre);
   const evacuations = order.isEvacuated
     ? [...others, { dataCentre, since: leaderTime }]
@@ -72,8 +71,8 @@
   return {
     result: EvacuationResult.Changed,
     record: {
-      state: { version, evacuations },
-      lastChanges: new Map([...lastChanges, [dataCentre, version]]),
+      state: { version: state.version + 1, evacuations },
+      lastOrders: acknowledged,
     },
   };
 }
@@ -81,9 +80,9 @@
 /** Returns the record in the form of a snapshot. */
 export function captureEvacuations({
   state,
-  lastChanges,
+  lastOrders,
 }: EvacuationRecord): EvacuationSnapshot {
-  return { state, lastChanges: [...lastChanges] };
+  return { state, lastOrders: [...lastOrders] };
 }
 
 /** Restores a record; snapshots of versions without evacuations hold none. */
@@ -93,6 +92,6 @@
   if (snapshot === undefined) return emptyEvacuationRecord;
   return {
     state: snapshot.state,
-    lastChanges: new Map(snapshot.lastChanges),
+    lastOrders: new Map(snapshot.lastOrders),
   };
 }
--- a/packages/control/src/feed-followers.test.ts
+++ b/packages/control/src/feed-followers.test.ts
@@ -38,7 +38,7 @@
       },
       {
         kind: OperationKind.Evacuate,
-        order: { dataCentre: 'east', isEvacuated: true, knownVersion: 0 },
+        order: { dataCentre: 'east', isEvacuated: true, knownIndex: 0 },
         requestId: 'r',
       },
     ]),
--- a/packages/control/src/order-evacuations.test.ts
+++ b/packages/control/src/order-evacuations.test.ts
@@ -142,12 +142,12 @@
     fixture.timers,
     requireLeader(fixture).administerLocally({
       method: AdministrationMethod.OrderEvacuation,
-      order: { dataCentre: 'east', isEvacuated: true, knownVersion: 0 },
+      order: { dataCentre: 'east', isEvacuated: true, knownIndex: 0 },
       requestId: 'delayed',
     }),
   );
   const error = assertRefused(t, delayed, AdministrationReplyKind.Unavailable);
-  t.regex(error, /took effect after this one had arrived/);
+  t.regex(error, /was acknowledged after this one had arrived/);
   t.like(await list(fixture, second), { version: 2, evacuations: [] });
 });
 
--- a/packages/control/src/order-evacuations.ts
+++ b/packages/control/src/order-evacuations.ts
@@ -5,6 +5,7 @@
 import {
   type DataCentreName,
   isEvacuated,
+  type LogIndex,
   type Milliseconds,
   type ReplicaId,
 } from '@cranberryturn/types';
@@ -52,6 +53,8 @@
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly state: Pick<ControlState, 'evacuations'>;
+  /** Index of the last entry that this replica has applied. */
+  readonly appliedIndex: () => LogIndex;
   /** Executes a call at the leader, forwarded if necessary. */
   readonly administer: (
     call: AdministrationCall,
@@ -78,18 +81,21 @@
       const receivedAt = timers.now();
       const requestId = createRequestId();
       const { dataCentre } = request;
-      const knownVersion = options.state.evacuations.state.version;
+      const knownIndex = options.appliedIndex();
       const details = {
         requestId,
         dataCentre,
         isEvacuated: request.isEvacuated,
       };
-      logger.info('evacuation order received', { ...details, knownVersion });
+      logger.info('evacuation order received', {
+        ...details,
+        knownVersion: options.state.evacuations.state.version,
+      });
       const reply =
         (await refuseOrder(options, dataCentres, request)) ??
         (await administer({
           method: AdministrationMethod.OrderEvacuation,
-          order: { dataCentre, isEvacuated: request.isEvacuated, knownVersion },
+          order: { dataCentre, isEvacuated: request.isEvacuated, knownIndex },
           requestId,
         }));
       logReply(logger, reply, {
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -116,6 +116,7 @@
     evacuations: createEvacuationService({
       ...options,
       replicaId: status().replicaId,
+      appliedIndex: feed.appliedIndex,
       state,
       administer,
     }),
--- a/packages/types/src/evacuations.ts
+++ b/packages/types/src/evacuations.ts
@@ -1,5 +1,5 @@
 /** Evacuations: data centres in which operators have ordered that no task starts. */
-import type { DataCentreName, Milliseconds } from './identifiers.js';
+import type { DataCentreName, LogIndex, Milliseconds } from './identifiers.js';
 
 /** Version of the evacuation state, raised by one with each change; 0 before the first. */
 export type EvacuationVersion = number;
@@ -26,10 +26,11 @@
   /** False withdraws the evacuation. */
   readonly isEvacuated: boolean;
   /**
-   * Version of the evacuation state that the replica had applied when the order arrived there. An
-   * order whose data centre has changed since was overtaken by another one, and is refused.
+   * Index of the last entry that the replica had applied when the order arrived there. An order was
+   * overtaken when a later entry acknowledged the opposite order, and is then refused. The version of
+   * the state would not do: an order that changes nothing is acknowledged without a new version.
    */
-  readonly knownVersion: EvacuationVersion;
+  readonly knownIndex: LogIndex;
 }
 
 /** Whether the data centre is evacuated. */
