Run random faults against seven voters and a standby

The model of the running group gains a test with eight hosts in four data centres, in which replacements make the spread uneven, so that standbys are promoted and voters are exchanged between faults. It runs half as many cases as the others.

--- a/packages/control/src/form-group-model.test.ts
+++ b/packages/control/src/form-group-model.test.ts
@@ -22,6 +22,7 @@
 const seed = Number(process.env.MODEL_SEED ?? 20_261_203);
 const runs = Number(process.env.MODEL_RUNS ?? 25);
 const founders = ['c1', 'c2', 'c3'];
+const dataCentres = 4;
 /** Time within which a restarted or new host is a voter again. */
 const catchUpMilliseconds = 4_000;
 const recoveryMilliseconds = 6_000;
@@ -52,6 +53,10 @@
   milliseconds: fc.integer({ min: 10, max: 3_000 }),
 });
 
+/** Spreads hosts over data centres; replacements make the spread uneven. */
+const findDataCentre = (host: string): string =>
+  `dc${String(Number(host.slice(1)) % dataCentres)}`;
+
 /** State of one model run. */
 interface Model {
   readonly fixture: ClusterFixture;
@@ -74,13 +79,22 @@
   t.pass();
 });
 
-async function checkGroup(size: number, tolerated: number): Promise<void> {
+test('no acknowledged publication is lost or reverted by seven voters and a standby, whichever two hosts are lost', async t => {
+  await checkGroup(8, 2, 1);
+  t.pass();
+});
+
+async function checkGroup(
+  size: number,
+  tolerated: number,
+  toleratedDataCentres = 0,
+): Promise<void> {
   await fc.assert(
     fc.asyncProperty(
       fc.array(stepArbitrary, { minLength: 3, maxLength: 14 }),
       fc.array(fc.nat(11), { minLength: tolerated, maxLength: tolerated }),
       async (steps, wipedIndexes) => {
-        const model = await startModel(size, tolerated);
+        const model = await startModel(size, tolerated, toleratedDataCentres);
         for (const step of steps) await applyStep(model, step);
         model.fixture.cluster.network.heal();
         await model.fixture.timers.advance(recoveryMilliseconds);
@@ -89,14 +103,20 @@
         await requireLatestVersion(model);
       },
     ),
-    { seed, numRuns: runs },
+    { seed, numRuns: toleratedDataCentres === 0 ? runs : Math.ceil(runs / 2) },
   );
 }
 
-async function startModel(size: number, tolerated: number): Promise<Model> {
+async function startModel(
+  size: number,
+  tolerated: number,
+  toleratedDataCentres: number,
+): Promise<Model> {
   const fixture = await startCluster({
     size: founders.length,
     minimumVoters: 2 * tolerated + 1,
+    toleratedDataCentres,
+    ...(toleratedDataCentres === 0 ? {} : { findDataCentre }),
   });
   const currentHosts = [...founders];
   for (let number = founders.length + 1; number <= size; number += 1) {
