Exchange no voter for a successor that may be lost

In a group of seven, a surplus voter became a standby as soon as its successor was a learner, also one that had been silent for up to 2.5 s. The group then ran with six voters until the learner was removed. The new line of the test fails without the check.

--- a/packages/control/src/plan-group.test.ts
+++ b/packages/control/src/plan-group.test.ts
@@ -53,6 +53,7 @@
     compose('c1', 'c', MemberRole.Learner),
   ];
   t.is(plan(group, { b1: 600 }), undefined);
+  t.is(plan(group, { c1: 600 }), undefined, 'its successor may be lost');
   t.deepEqual(plan(group), {
     kind: MemberChangeKind.MakeStandby,
     replicaId: 'a4',
--- a/packages/control/src/plan-voters.ts
+++ b/packages/control/src/plan-voters.ts
@@ -112,7 +112,10 @@
   const voters = others.length + 1;
   const hasSuccessor =
     voters >= maximumVoters &&
-    plan.electors.some(({ role }) => role === MemberRole.Learner);
+    plan.electors.some(
+      member =>
+        member.role === MemberRole.Learner && !isSuspected(view, member),
+    );
   const isOneTooMany =
     voters > countHosts(plan.wanted) && voters > view.minimumVoters;
   if (!isOneTooMany && !hasSuccessor) return undefined;
