Test that a data centre of control that was cut off comes back

In groups of six, one of its two voters is removed meanwhile and the other one stays, because five voters are the fewest; in groups of eight both are replaced or removed.

--- a/packages/control/src/lost-data-centre.test.ts
+++ b/packages/control/src/lost-data-centre.test.ts
@@ -18,6 +18,7 @@
 const outageMilliseconds = 1_400;
 const repairMilliseconds = 8_000;
 const losses = { hosts: 2, dataCentres: 1 };
+const minimumVoters = 2 * losses.hosts + 1;
 
 const findDataCentre = (host: string): string =>
   `dc${String(Math.ceil(Number(host.slice(1)) / hostsPerDataCentre))}`;
@@ -35,7 +36,7 @@
   );
   const fixture = await startCluster({
     size: founders,
-    minimumVoters: 2 * losses.hosts + 1,
+    minimumVoters,
     toleratedDataCentres: losses.dataCentres,
     findDataCentre,
   });
@@ -146,4 +147,21 @@
       t.true(isWhole(deployment), name);
     }
   });
+
+  test(`${title} can be cut off one after another, and come back`, async t => {
+    const deployment = await startDeployment(dataCentres);
+    const { fixture, hosts } = deployment;
+    for (let number = 1; number <= dataCentres; number += 1) {
+      const name = `dc${String(number)}`;
+      const cut = hosts.filter(host => findDataCentre(host) === name);
+      for (const host of cut) fixture.cluster.cutFromReplicas(host);
+      await fixture.timers.advance(repairMilliseconds);
+      const leader = requireLeader(fixture).log.status();
+      const left = Math.max(minimumVoters, hosts.length - cut.length);
+      t.is(leader.members.length, left, name);
+      fixture.cluster.network.heal();
+      await fixture.timers.advance(repairMilliseconds);
+      t.true(isWhole(deployment), name);
+    }
+  });
 }
