Close a connection whose peer sends what cannot be handled, instead of ending the process

A frame that decodes to no list of calls (null, a text), or a handler that threw, rejected the promise of the reader, and the unhandled rejection ended the process. Frames are checked now, what a handler throws is caught, and the connection of that peer closes with one log line. A reply that fails its check counts as lost. A failed accept after the listening started (no file descriptors) had no listener from the second time on, which ends a process too.

--- a/packages/program/src/adapters/early-listener.ts
+++ b/packages/program/src/adapters/early-listener.ts
@@ -37,7 +37,7 @@
     },
   );
   let listenError: Error | undefined;
-  listener.once('error', error => {
+  listener.on('error', error => {
     listenError = error;
   });
   listener.listen({ host, port: Number(port) });
--- a/packages/program/src/adapters/http-listener.ts
+++ b/packages/program/src/adapters/http-listener.ts
@@ -61,7 +61,8 @@
     }) as Server;
     server.maxConnections = connections;
     refuseUnreadableRequests(server);
-    server.once('error', cause => {
+    // The listener stays: an accept that fails later, for lack of file descriptors, must not end the process.
+    server.on('error', cause => {
       resolve(err(createListenError(address, cause)));
     });
     const onListening = (): void => {
--- a/packages/program/src/measure-network.ts
+++ b/packages/program/src/measure-network.ts
@@ -15,8 +15,8 @@
       connection.send(bytes);
     },
     receive: () => connection.receive(),
-    close: () => {
-      connection.close();
+    close: cause => {
+      connection.close(cause);
     },
   });
   return wrapConnections(network, measureConnection);
--- a/packages/program/src/role-network.ts
+++ b/packages/program/src/role-network.ts
@@ -15,6 +15,7 @@
 } from '@cranberryturn/wire';
 import { ok, type Result } from 'neverthrow';
 
+import { logPeerFaults } from './log-peer-faults.js';
 import { measureNetwork } from './measure-network.js';
 import type { RoleEnvironment } from './role-environment.js';
 
@@ -64,6 +65,9 @@
       },
     });
     const measured = measureNetwork(network, metrics);
-    return wrapNetwork === undefined ? measured : wrapNetwork(measured, self);
+    return logPeerFaults(
+      wrapNetwork === undefined ? measured : wrapNetwork(measured, self),
+      logger,
+    );
   });
 }
--- a/packages/wire/src/adapters/web-socket-network.ts
+++ b/packages/wire/src/adapters/web-socket-network.ts
@@ -135,7 +135,8 @@
     server.once('listening', () => {
       resolve(undefined);
     });
-    server.once('error', resolve);
+    // The listener stays: an accept that fails later, for lack of file descriptors, must not end the process.
+    server.on('error', resolve);
   });
 }
 
--- a/packages/wire/src/ports/connection.ts
+++ b/packages/wire/src/ports/connection.ts
@@ -2,6 +2,7 @@
 import type {
   AuthenticationError,
   ConnectionError,
+  CranberryError,
 } from '@cranberryturn/errors';
 import type { Incarnation, NetworkAddress } from '@cranberryturn/types';
 import type { ResultAsync } from 'neverthrow';
@@ -30,8 +31,8 @@
   send(frame: Uint8Array): void;
   /** Yields each received frame and finishes when the connection ends. Supports one reader only. */
   receive(): AsyncIterable<Uint8Array>;
-  /** Ends the connection at once. */
-  close(): void;
+  /** Ends the connection at once. `cause` is the fault of the peer for which it is closed, if any. */
+  close(cause?: CranberryError): void;
 }
 
 /** Opens connections. */
--- a/packages/wire/src/remote-calls.ts
+++ b/packages/wire/src/remote-calls.ts
@@ -1,12 +1,24 @@
 /** Remote procedure calls and one-way notices over a connection. */
-import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
+import {
+  ConnectionError,
+  type CorruptionError,
+  TimeoutError,
+} from '@cranberryturn/errors';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
 import { decodeMessage } from './codec.js';
 import { FrameWriter } from './frame-writer.js';
+import { createMessageError } from './message-error.js';
 import type { Connection } from './ports/connection.js';
+import {
+  isCount,
+  isListOf,
+  isRecord,
+  isVariant,
+  type ShapeCheck,
+} from './shapes.js';
 
 enum CallFrameKind {
   Call = 'call',
@@ -27,6 +39,14 @@
     }
   | { readonly kind: CallFrameKind.Notice; readonly body: unknown };
 
+const isCallFrames = isListOf(
+  isVariant('kind', {
+    [CallFrameKind.Call]: isRecord({ call: isCount }),
+    [CallFrameKind.Reply]: isRecord({ call: isCount }),
+    [CallFrameKind.Notice]: isRecord({}),
+  }),
+);
+
 interface PendingCall {
   readonly resolve: (
     result: Result<unknown, ConnectionError | TimeoutError>,
@@ -36,9 +56,12 @@
 
 /** Handlers for the calls and notices of the peer. */
 export interface RemoteCallHandlers {
-  /** Answers one call. Must not throw. */
+  /** Answers one call. The connection is closed if the handler throws or its promise rejects. */
   readonly handleCall: (body: unknown) => Promise<unknown>;
-  /** Handles one notice. Notices are dropped if this handler is missing. */
+  /**
+   * Handles one notice. Notices are dropped if this handler is missing. The connection is closed if
+   * it throws.
+   */
   readonly handleNotice?: (body: unknown) => void;
 }
 
@@ -47,11 +70,12 @@
   readonly connection: Connection;
   /**
    * Calls the peer. After a ConnectionError or a TimeoutError the peer may
-   * still have processed the call.
+   * still have processed the call. A reply that fails the check closes the connection.
    */
   call<Reply>(
     body: unknown,
     timeout: Milliseconds,
+    isReply?: ShapeCheck,
   ): ResultAsync<Reply, ConnectionError | TimeoutError>;
   /** Sends a one-way notice. Delivery is not confirmed. */
   notify(body: unknown): void;
@@ -63,7 +87,7 @@
 
 /**
  * Starts to serve and make calls on a connection, and becomes its only reader. Closes the connection
- * if a frame cannot be decoded.
+ * if a frame cannot be decoded or handled, so that a fault of one peer affects no other.
  */
 export function serveRemoteCalls(
   connection: Connection,
@@ -78,8 +102,12 @@
   let lastReceived = timers.now();
 
   const answer = async (call: number, body: unknown): Promise<void> => {
-    const reply = await handlers.handleCall(body);
-    writer.write({ kind: CallFrameKind.Reply, call, body: reply });
+    try {
+      const reply = await handlers.handleCall(body);
+      writer.write({ kind: CallFrameKind.Reply, call, body: reply });
+    } catch (cause) {
+      connection.close(createMessageError(peer, cause));
+    }
   };
 
   const resolveCall = (call: number, body: unknown): void => {
@@ -104,14 +132,27 @@
     }
   };
 
+  /** Returns the error if the frames cannot be decoded or handled. */
+  const handleFrames = (bytes: Uint8Array): CorruptionError | undefined => {
+    const frames = decodeMessage<readonly CallFrame[]>(bytes, peer);
+    if (frames.isErr()) return frames.error;
+    if (!isCallFrames(frames.value)) return createMessageError(peer);
+    try {
+      for (const frame of frames.value) handleFrame(frame);
+      return undefined;
+    } catch (cause) {
+      return createMessageError(peer, cause);
+    }
+  };
+
   const readFrames = async (): Promise<void> => {
+    let failure: CorruptionError | undefined;
     for await (const bytes of connection.receive()) {
       lastReceived = timers.now();
-      const frames = decodeMessage<readonly CallFrame[]>(bytes, peer);
-      if (frames.isErr()) break;
-      for (const frame of frames.value) handleFrame(frame);
+      failure = handleFrames(bytes);
+      if (failure !== undefined) break;
     }
-    connection.close();
+    connection.close(failure);
     isOpen = false;
     failPending(pending, peer);
   };
@@ -134,8 +175,16 @@
 
   return {
     connection,
-    call: <Reply>(body: unknown, timeout: Milliseconds) =>
-      new ResultAsync(call(body, timeout)).map(reply => reply as Reply),
+    call: <Reply>(
+      body: unknown,
+      timeout: Milliseconds,
+      isReply: ShapeCheck = () => true,
+    ) =>
+      new ResultAsync(call(body, timeout)).andThen(reply => {
+        if (isReply(reply)) return ok(reply as Reply);
+        connection.close(createMessageError(peer));
+        return err(createEndError(peer));
+      }),
     notify: body => {
       writer.write({ kind: CallFrameKind.Notice, body });
     },
