Close the connection of a session for a frame or message that cannot be handled

null, a missing list of messages or a handler that threw ended the process with an unhandled rejection; NaN as acknowledgement stopped the session for good. The session resumes on its next connection, after the message that cannot be handled.

--- a/packages/sessions/src/exchange-open-frames.ts
+++ b/packages/sessions/src/exchange-open-frames.ts
@@ -8,6 +8,7 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import {
+  isSessionFrame,
   type OpenFrame,
   type SessionFrame,
   SessionFrameKind,
@@ -34,7 +35,11 @@
   const first = await frames.next();
   if (first.done === true) return err(describeMissingOpenFrame(peer));
   const frame = decodeMessage<SessionFrame<unknown>>(first.value, peer);
-  if (frame.isErr() || frame.value.kind !== SessionFrameKind.Open) {
+  if (
+    frame.isErr() ||
+    !isSessionFrame(frame.value) ||
+    frame.value.kind !== SessionFrameKind.Open
+  ) {
     return err(describeMissingOpenFrame(peer));
   }
   return ok(frame.value);
--- a/packages/sessions/src/session-frames.ts
+++ b/packages/sessions/src/session-frames.ts
@@ -1,5 +1,14 @@
 /** Wire frames of a session. */
-import type { LivenessReport } from './session-liveness.js';
+import {
+  isAmount,
+  isCount,
+  isListOf,
+  isOneOf,
+  isRecord,
+  isVariant,
+} from '@cranberryturn/wire';
+
+import { type LivenessReport, LivenessState } from './session-liveness.js';
 
 /** Sequence number of a message in one direction of a session, starting at 1. */
 export type MessageSequence = number;
@@ -38,3 +47,18 @@
 /** A frame of a session. */
 export type SessionFrame<Message> =
   OpenFrame | DataFrame<Message> | HeartbeatFrame;
+
+/** Whether a decoded frame has the shape of a session frame; the messages are not checked. */
+export const isSessionFrame = isVariant('kind', {
+  [SessionFrameKind.Open]: isRecord({ session: isCount, received: isCount }),
+  [SessionFrameKind.Data]: isRecord({
+    sequence: isCount,
+    received: isCount,
+    messages: isListOf(() => true),
+  }),
+  [SessionFrameKind.Heartbeat]: isRecord({
+    received: isCount,
+    state: isOneOf(LivenessState),
+    nextMilliseconds: isAmount,
+  }),
+});
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -1,14 +1,20 @@
 /** Reliable, ordered message exchange between two process incarnations. */
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type { CranberryError } from '@cranberryturn/errors';
 import {
   type Connection,
+  createMessageError,
   decodeMessage,
   encodeMessage,
   type PeerIdentity,
 } from '@cranberryturn/wire';
 
 import { MessageWindow } from './message-window.js';
-import { type SessionFrame, SessionFrameKind } from './session-frames.js';
+import {
+  isSessionFrame,
+  type SessionFrame,
+  SessionFrameKind,
+} from './session-frames.js';
 import { LivenessState, SessionLiveness } from './session-liveness.js';
 import {
   type SessionCounts,
@@ -99,7 +105,8 @@
   /**
    * Replaces the connection of the session, sends unacknowledged messages again
    * and reads frames until the connection ends. `peerReceived` is the
-   * acknowledgement in the Open frame of the peer.
+   * acknowledgement in the Open frame of the peer. A frame or message that cannot be handled closes
+   * the connection; the session resumes on the next one, after that message.
    */
   async serveConnection(
     connection: Connection,
@@ -116,8 +123,7 @@
     this.#counts.messagesResent += this.#messageWindow.markAllUnsent();
     this.#listener.connected();
     this.#scheduleFlush();
-    await this.#readFrames(connection, frames);
-    connection.close();
+    connection.close(await this.#readFrames(connection, frames));
     if (this.#connection !== connection) return;
     this.#connection = undefined;
     this.#suspect();
@@ -151,20 +157,25 @@
     this.#listener.ended(reason);
   }
 
+  /** Resolves with the error of a frame that could not be handled; undefined if the connection ended. */
   async #readFrames(
     connection: Connection,
     frames: AsyncIterable<Uint8Array>,
-  ): Promise<void> {
+  ): Promise<CranberryError | undefined> {
+    const peer = this.peer.name;
     for await (const bytes of frames) {
-      if (this.#isEnded) return;
-      const frame = decodeMessage<SessionFrame<Incoming>>(
-        bytes,
-        this.peer.name,
-      );
-      if (frame.isErr()) return;
-      if (connection === this.#connection) this.#recordLiveness(frame.value);
-      this.#handleFrame(frame.value);
+      if (this.#isEnded) return undefined;
+      const frame = decodeMessage<SessionFrame<Incoming>>(bytes, peer);
+      if (frame.isErr()) return frame.error;
+      if (!isSessionFrame(frame.value)) return createMessageError(peer);
+      try {
+        if (connection === this.#connection) this.#recordLiveness(frame.value);
+        this.#handleFrame(frame.value);
+      } catch (cause) {
+        return createMessageError(peer, cause);
+      }
     }
+    return undefined;
   }
 
   #handleFrame(frame: SessionFrame<Incoming>): void {
