Check the messages of peers before they are used, and calls before they become log entries

Handlers cast decoded bodies to their types. A claim without an owner was proposed and then failed to apply at every replica; a vote request with a wrong position raised the term; NaN in a load report or in a proof of leadership stayed for good; an echo from the future held a dispatcher's lease at a sidecar for ever. Each protocol has a check now, messages of unknown kinds stay ignored, and anything else closes the connection of its peer.

--- a/packages/control-client/src/call-leader.ts
+++ b/packages/control-client/src/call-leader.ts
@@ -11,6 +11,7 @@
   type ControlCall,
   type ControlReply,
   ControlReplyKind,
+  isControlReply,
   type RemoteCalls,
 } from '@cranberryturn/wire';
 import { err, ok, type Result } from 'neverthrow';
@@ -113,7 +114,7 @@
   }
   const startedAt = context.timers.now();
   const timeout = Math.min(attemptTimeoutMilliseconds, expiresAt - startedAt);
-  const reply = await host.call<ControlReply>(call, timeout);
+  const reply = await host.call<ControlReply>(call, timeout, isControlReply);
   if (reply.isErr()) {
     handleCallFailure(context, host, reply.error, startedAt);
     return { kind: AttemptKind.Failed, mayHaveHappened: true };
--- a/packages/control-client/src/control-host.ts
+++ b/packages/control-client/src/control-host.ts
@@ -9,9 +9,11 @@
   chooseDialTimeout,
   type ControlNotice,
   dialWithin,
+  isControlNotice,
   isStartupPeriod,
   type Network,
   type RemoteCalls,
+  requireShape,
   serveRemoteCalls,
 } from '@cranberryturn/wire';
 
@@ -66,7 +68,11 @@
     const calls = serveRemoteCalls(dialled.value, timers, {
       handleCall: () => Promise.resolve(undefined),
       handleNotice: body => {
-        options.handleNotice(host, body as ControlNotice);
+        const peer = calls.connection.peer.name;
+        options.handleNotice(
+          host,
+          requireShape<ControlNotice>(body, isControlNotice, peer),
+        );
       },
     });
     openCalls = calls;
--- a/packages/control-client/src/create-control-client.ts
+++ b/packages/control-client/src/create-control-client.ts
@@ -30,6 +30,8 @@
   ControlReplyKind,
   maximumProofAge,
   type Network,
+  isControlNotice,
+  requireShape,
   serveRemoteCalls,
 } from '@cranberryturn/wire';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
@@ -176,11 +178,15 @@
     },
     acceptControl: connection => {
       serveRemoteCalls(connection, timers, {
-        handleCall: body => {
-          const notice = body as ControlNotice;
+        handleCall: async body => {
+          const notice = requireShape<ControlNotice>(
+            body,
+            isControlNotice,
+            connection.peer.name,
+          );
           if (notice.kind === ControlNoticeKind.ControlHosts)
             latest.applyNotice(notice);
-          return Promise.resolve({});
+          return await Promise.resolve({});
         },
       });
     },
--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -16,18 +16,33 @@
   chooseDialTimeout,
   type Connection,
   dialWithin,
+  isNetworkAddress,
+  isOneOf,
+  isRecord,
+  isText,
+  isVariant,
   type Network,
   type RemoteCalls,
+  requireShape,
   serveRemoteCalls,
+  type ShapeCheck,
 } from '@cranberryturn/wire';
-import type {
-  AdministrationCall,
-  AdministrationReply,
+import {
+  type AdministrationCall,
+  type AdministrationReply,
+  AdministrationReplyKind,
 } from '../administration-calls.js';
 import type { JoinReply } from '../form-group.js';
 import type { JoiningReplica } from '../plan-group.js';
 import { err, errAsync, ok, type Result, ResultAsync } from 'neverthrow';
 
+import {
+  isAdministrationCall,
+  isJoiningReplica,
+  isPeerMessage,
+  isPeerReply,
+} from './check-peer-messages.js';
+
 const callTimeoutMilliseconds: Milliseconds = 2_000;
 const administrationTimeoutMilliseconds: Milliseconds = 6_000;
 const silenceLimitMilliseconds: Milliseconds = 1_000;
@@ -65,6 +80,16 @@
       readonly leader: NetworkAddress;
     };
 
+const isAdministrationReply = isRecord({
+  kind: isOneOf(AdministrationReplyKind),
+});
+const isPeerEnvelope = isVariant('kind', {
+  [PeerEnvelopeKind.Log]: isRecord({ from: isText, message: isPeerMessage }),
+  [PeerEnvelopeKind.Administration]: isRecord({ call: isAdministrationCall }),
+  [PeerEnvelopeKind.JoinRequest]: isRecord({ candidate: isJoiningReplica }),
+  [PeerEnvelopeKind.LeaderAnnouncement]: isRecord({ leader: isNetworkAddress }),
+});
+
 /** Handlers of the messages from other replicas. */
 export interface PeerHandlers {
   readonly handleMessage: (
@@ -111,7 +136,11 @@
   handlers: PeerHandlers,
 ): Promise<void> {
   const calls = serveRemoteCalls(connection, timers, {
-    handleCall: body => handleEnvelope(handlers, body as PeerEnvelope),
+    handleCall: async body =>
+      handleEnvelope(
+        handlers,
+        requireShape<PeerEnvelope>(body, isPeerEnvelope, connection.peer.name),
+      ),
   });
   await calls.ended;
 }
@@ -198,6 +227,7 @@
     peer: ReplicaId,
     envelope: PeerEnvelope,
     timeout: Milliseconds,
+    isReply: ShapeCheck,
   ): ResultAsync<Reply, ConnectionError | TimeoutError> => {
     if (closed) return errAsync(createUnknownPeerError(peer));
     return new ResultAsync(findCalls(peer)).andThen(calls => {
@@ -208,7 +238,7 @@
         silenceTimer.cancel();
       };
       return calls
-        .call<Reply>(envelope, timeout)
+        .call<Reply>(envelope, timeout, isReply)
         .andTee(cancelSilenceTimer)
         .orTee(cancelSilenceTimer);
     });
@@ -220,6 +250,7 @@
         peer,
         { kind: PeerEnvelopeKind.Log, from: options.self(), message },
         callTimeoutMilliseconds,
+        isPeerReply,
       ).andTee(reply => {
         if (reply.kind === PeerReplyKind.Refused && reply.wrongIdentity)
           options.handleReplaced(peer);
@@ -229,6 +260,7 @@
         leader,
         { kind: PeerEnvelopeKind.Administration, call },
         administrationTimeoutMilliseconds,
+        isAdministrationReply,
       ),
     findSilence: replica => {
       const calls = openCalls.get(replica);
--- a/packages/control/src/call-host.ts
+++ b/packages/control/src/call-host.ts
@@ -7,6 +7,7 @@
   dialWithin,
   type Network,
   serveRemoteCalls,
+  type ShapeCheck,
 } from '@cranberryturn/wire';
 import { err, type Result } from 'neverthrow';
 
@@ -24,13 +25,14 @@
   { network, timers, timeout }: HostCall,
   address: NetworkAddress,
   message: PeerEnvelope | ControlNotice,
+  isReply?: ShapeCheck,
 ): Promise<Result<Reply, ConnectionError | TimeoutError>> {
   const dialled = await dialWithin(network, timers, address, timeout);
   if (dialled.isErr()) return err(dialled.error);
   const calls = serveRemoteCalls(dialled.value, timers, {
     handleCall: () => Promise.resolve(undefined),
   });
-  const reply = await calls.call<Reply>(message, timeout);
+  const reply = await calls.call<Reply>(message, timeout, isReply);
   calls.connection.close();
   return reply;
 }
--- a/packages/control/src/request-membership.ts
+++ b/packages/control/src/request-membership.ts
@@ -3,7 +3,13 @@
 import type { ReplicatedLog } from '@cranberryturn/replicated-log';
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
-import { formatAddress, type Network } from '@cranberryturn/wire';
+import {
+  formatAddress,
+  isNetworkAddress,
+  isOptional,
+  isRecord,
+  type Network,
+} from '@cranberryturn/wire';
 
 import { PeerEnvelopeKind } from './adapters/wire-peer-link.js';
 import { callHost } from './call-host.js';
@@ -109,6 +115,7 @@
     { network, timers, timeout: joinRequestTimeoutMilliseconds },
     address,
     { kind: PeerEnvelopeKind.JoinRequest, candidate },
+    isRecord({ leader: isOptional(isNetworkAddress) }),
   );
   logger.info('join request sent to a control host', {
     address: formatAddress(address),
--- a/packages/control/src/serve-dispatcher.ts
+++ b/packages/control/src/serve-dispatcher.ts
@@ -7,6 +7,9 @@
   type ControlReply,
   ControlReplyKind,
   type InForceReport,
+  isControlCall,
+  isInForceReport,
+  requireShape,
   serveRemoteCalls,
 } from '@cranberryturn/wire';
 
@@ -34,6 +37,7 @@
   services: DispatcherServices,
 ): Promise<void> {
   const { timers, feed } = services;
+  const peer = connection.peer.name;
 
   const handleCall = async (call: ControlCall): Promise<ControlReply> => {
     if (call.method === ControlMethod.Watch) {
@@ -46,9 +50,13 @@
   };
 
   const calls = serveRemoteCalls(connection, timers, {
-    handleCall: body => handleCall(body as ControlCall),
+    // A malformed call must not become a log entry, which every replica would fail to apply.
+    handleCall: async body =>
+      handleCall(requireShape<ControlCall>(body, isControlCall, peer)),
     handleNotice: body => {
-      services.receiveReport(body as InForceReport);
+      services.receiveReport(
+        requireShape<InForceReport>(body, isInForceReport, peer),
+      );
     },
   });
   await calls.ended;
--- a/packages/dispatcher/src/dispatcher-links.ts
+++ b/packages/dispatcher/src/dispatcher-links.ts
@@ -8,8 +8,11 @@
   type DispatcherCall,
   type DispatcherReply,
   formatAddress,
+  isDispatcherCall,
+  isDispatcherReply,
   type Network,
   type RemoteCalls,
+  requireShape,
   serveRemoteCalls,
 } from '@cranberryturn/wire';
 import { err, type Result, ResultAsync } from 'neverthrow';
@@ -50,7 +53,14 @@
   serve(connection: Connection): RemoteCalls {
     this.#openConnections.add(connection);
     const calls = serveRemoteCalls(connection, this.#options.timers, {
-      handleCall: body => this.#options.handleCall(body as DispatcherCall),
+      handleCall: async body =>
+        this.#options.handleCall(
+          requireShape<DispatcherCall>(
+            body,
+            isDispatcherCall,
+            connection.peer.name,
+          ),
+        ),
     });
     void calls.ended.then(() => this.#openConnections.delete(connection));
     return calls;
@@ -75,7 +85,11 @@
         }),
       );
     }
-    const reply = await calls.call<DispatcherReply>(call, timeoutMilliseconds);
+    const reply = await calls.call<DispatcherReply>(
+      call,
+      timeoutMilliseconds,
+      isDispatcherReply,
+    );
     // A connection without a reply may be dead; closing it makes the next call dial again.
     if (reply.isErr()) calls.connection.close();
     return reply;
--- a/packages/dispatcher/src/target-directory.ts
+++ b/packages/dispatcher/src/target-directory.ts
@@ -24,6 +24,7 @@
   type DispatcherAddress,
   FromTargetKind,
   type FromTargetMessage,
+  isFromTargetMessage,
   type JobEvidence,
   type PeerIdentity,
   ToTargetKind,
@@ -69,8 +70,8 @@
       this.#reconcileRoster(roster);
     });
     this.acceptor = acceptSessions<ToTargetMessage, FromTargetMessage>({
-      timers: options.timers,
-      times: options.times,
+      ...options,
+      isMessage: isFromTargetMessage,
       startSession: (peer, send) => this.#startSession(peer, send),
     });
   }
--- a/packages/sessions/src/accept-sessions.ts
+++ b/packages/sessions/src/accept-sessions.ts
@@ -1,6 +1,6 @@
 /** Accepting side of sessions: one session per peer, replaced when the peer restarts or opens another one. */
 import type { TimerService } from '@cranberryturn/timers';
-import type { Connection, PeerIdentity } from '@cranberryturn/wire';
+import type { Connection, PeerIdentity, ShapeCheck } from '@cranberryturn/wire';
 
 import { readOpenFrame, sendOpenFrame } from './exchange-open-frames.js';
 import { Session } from './session.js';
@@ -11,6 +11,8 @@
 export interface AcceptSessionsOptions<Outgoing, Incoming> {
   readonly timers: TimerService;
   readonly times: SessionTimes;
+  /** Checks each decoded message; all are accepted by default. */
+  readonly isMessage?: ShapeCheck | undefined;
   readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
@@ -47,6 +49,7 @@
       session,
       timers: options.timers,
       times: options.times,
+      isMessage: options.isMessage,
       startSession: options.startSession,
     });
     sessionsByPeerName.set(peer.name, created);
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -9,6 +9,7 @@
   isStartupPeriod,
   type Network,
   type PeerIdentity,
+  type ShapeCheck,
 } from '@cranberryturn/wire';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -33,6 +34,8 @@
   readonly times: SessionTimes;
   /** Returns false to reject a peer, which stops dialling permanently. All peers are accepted by default. */
   readonly accepts?: ((peer: PeerIdentity) => boolean) | undefined;
+  /** Checks each decoded message; all are accepted by default. */
+  readonly isMessage?: ShapeCheck | undefined;
   readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
@@ -75,6 +78,7 @@
       session: options.random.below(sessionNumberRange),
       timers,
       times: options.times,
+      isMessage: options.isMessage,
       startSession: options.startSession,
     });
     session = created;
--- a/packages/sessions/src/session-types.ts
+++ b/packages/sessions/src/session-types.ts
@@ -1,6 +1,6 @@
 /** Options, listener and counters of sessions. */
 import type { TimerService } from '@cranberryturn/timers';
-import type { PeerIdentity } from '@cranberryturn/wire';
+import type { PeerIdentity, ShapeCheck } from '@cranberryturn/wire';
 
 import type { SessionTimes } from './session-liveness.js';
 
@@ -45,6 +45,8 @@
   readonly session: number;
   readonly timers: TimerService;
   readonly times: SessionTimes;
+  /** Checks each decoded message; all are accepted by default. */
+  readonly isMessage?: ShapeCheck | undefined;
   readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
--- a/packages/sessions/src/session.ts
+++ b/packages/sessions/src/session.ts
@@ -7,6 +7,8 @@
   decodeMessage,
   encodeMessage,
   type PeerIdentity,
+  requireShape,
+  type ShapeCheck,
 } from '@cranberryturn/wire';
 
 import { MessageWindow } from './message-window.js';
@@ -34,6 +36,7 @@
   readonly session: number;
   readonly #timers: TimerService;
   readonly #liveness: SessionLiveness;
+  readonly #isMessage: ShapeCheck;
   readonly #listener: SessionListener<Incoming>;
   readonly #messageWindow = new MessageWindow<Outgoing>();
   readonly #tickTimer: TimerSubscription;
@@ -55,6 +58,7 @@
     this.peer = options.peer;
     this.session = options.session;
     this.#timers = options.timers;
+    this.#isMessage = options.isMessage ?? (() => true);
     this.#liveness = new SessionLiveness(
       options.times,
       options.timers.now(),
@@ -196,7 +200,10 @@
     let sequence = first;
     for (const message of messages) {
       if (this.#messageWindow.receive(sequence)) {
-        this.#listener.messageReceived(message);
+        const { name } = this.peer;
+        this.#listener.messageReceived(
+          requireShape(message, this.#isMessage, name),
+        );
       } else {
         this.#counts.duplicatesReceived += 1;
       }
--- a/packages/sidecar/src/dispatcher-sessions.ts
+++ b/packages/sidecar/src/dispatcher-sessions.ts
@@ -15,6 +15,7 @@
   type DispatcherAddress,
   FromTargetKind,
   type FromTargetMessage,
+  isToTargetMessage,
   type Network,
   type PeerIdentity,
   type ToTargetMessage,
@@ -153,6 +154,7 @@
       timers,
       random,
       times,
+      isMessage: isToTargetMessage,
       accepts: peer => !this.#hasOtherSession(link, peer),
       startSession: (peer, send) => this.#startSession(link, peer, send),
     });
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -14,6 +14,7 @@
   dispatcherLease,
   FromWorkerKind,
   type FromWorkerMessage,
+  isFromWorkerMessage,
   type PeerIdentity,
   runHeartbeatInterval,
   type ToWorkerBody,
@@ -55,6 +56,7 @@
     this.#acceptor = acceptSessions<ToWorkerMessage, FromWorkerMessage>({
       timers: options.timers,
       times: options.times,
+      isMessage: isFromWorkerMessage,
       startSession: (peer, send) => this.#startSession(peer, send),
     });
     this.#ticker = options.timers.every(checkIntervalMilliseconds, () => {
--- /dev/null
+++ b/packages/wire/src/messages/run-message-checks.ts
@@ -0,0 +1,113 @@
+/** Checks of the messages about runs between dispatchers and sidecars. */
+import { RunEndReason, RunOutcome } from '@cranberryturn/types';
+
+import {
+  isCount,
+  isFiniteNumber,
+  isFlag,
+  isIgnored,
+  isListOf,
+  isOneOf,
+  isOptional,
+  isRecord,
+  isText,
+  isVariant,
+  type ShapeCheck,
+} from '../shapes.js';
+import {
+  isDispatcherAddress,
+  isEvacuationState,
+  isWorkerResources,
+} from './common-checks.js';
+import { FromWorkerKind, ToWorkerKind } from './run-messages.js';
+
+const runKey = { jobId: isText, taskId: isText, run: isCount };
+const isTaskSelection = isRecord({ jobId: isText, taskIds: isListOf(isText) });
+
+const isRunOrder = isRecord({
+  jobId: isText,
+  requestId: isText,
+  dispatcher: isText,
+  service: isText,
+  specification: isText,
+  need: isWorkerResources,
+  priority: isCount,
+  estimatedMilliseconds: isFiniteNumber,
+  dueMilliseconds: isFiniteNumber,
+  remainingMilliseconds: isFiniteNumber,
+  mayWait: isFlag,
+  tasks: isListOf(isRecord({ taskId: isText, run: isCount })),
+});
+
+const isRunEnd = isRecord({
+  ...runKey,
+  requestId: isText,
+  outcome: isOneOf(RunOutcome),
+  reason: isOptional(isOneOf(RunEndReason)),
+  waitedMilliseconds: isFiniteNumber,
+  runMilliseconds: isFiniteNumber,
+});
+
+const isWorkerRun = isRecord({
+  workerId: isText,
+  incarnation: isText,
+  service: isText,
+  capacity: isWorkerResources,
+  labels: isListOf(isText),
+  dataCentre: isText,
+});
+
+const isWorkerLoad = isRecord({
+  free: isWorkerResources,
+  waitingWork: isListOf(isFiniteNumber),
+  runningWork: isFiniteNumber,
+  closed: isFlag,
+});
+
+const isToWorkerHeader = isRecord({ echo: isFiniteNumber });
+const isToWorkerBody = isVariant(
+  'kind',
+  {
+    [ToWorkerKind.PlaceRuns]: isRecord({ order: isRunOrder }),
+    [ToWorkerKind.StopRuns]: isTaskSelection,
+    [ToWorkerKind.ReturnRuns]: isTaskSelection,
+    [ToWorkerKind.KnownDispatchers]: isRecord({
+      version: isOptional(isCount),
+      dispatchers: isListOf(isDispatcherAddress),
+    }),
+    [ToWorkerKind.Evacuations]: isRecord({
+      state: isEvacuationState,
+      isProved: isFlag,
+    }),
+  },
+  isIgnored,
+);
+
+const isFromWorkerHeader = isRecord({
+  stamp: isFiniteNumber,
+  load: isWorkerLoad,
+  orders: isCount,
+  dispatcherListVersion: isOptional(isCount),
+  evacuationVersion: isOptional(isCount),
+});
+const isFromWorkerBody = isVariant(
+  'kind',
+  {
+    [FromWorkerKind.Announce]: isRecord({ worker: isOptional(isWorkerRun) }),
+    [FromWorkerKind.RunsEnded]: isRecord({ ends: isListOf(isRunEnd) }),
+    [FromWorkerKind.StalledRuns]: isRecord({
+      runs: isListOf(
+        isRecord({ ...runKey, stillMilliseconds: isFiniteNumber }),
+      ),
+    }),
+  },
+  isIgnored,
+);
+
+/** Whether a decoded value is a `ToWorkerMessage`, perhaps of a later version. */
+export const isToWorkerMessage: ShapeCheck = value =>
+  isToWorkerHeader(value) && isToWorkerBody(value);
+
+/** Whether a decoded value is a `FromWorkerMessage`, perhaps of a later version. */
+export const isFromWorkerMessage: ShapeCheck = value =>
+  isFromWorkerHeader(value) && isFromWorkerBody(value);
--- a/packages/wire/src/shapes.ts
+++ b/packages/wire/src/shapes.ts
@@ -54,15 +54,23 @@
     );
 }
 
-/** A record that one of its members assigns to a variant; the checks of that variant apply. */
+/**
+ * A record that one of its members assigns to a variant; the checks of that variant apply. Records of
+ * an unknown variant, which a later version may send, pass `unknownVariant`; by default none does.
+ */
 export function isVariant(
   member: string,
   variants: Readonly<Record<string, ShapeCheck>>,
+  unknownVariant: ShapeCheck = () => false,
 ): ShapeCheck {
   const checks = new Map(Object.entries(variants));
   return value => {
     if (typeof value !== 'object' || value === null) return false;
     const name = (value as Readonly<Record<string, unknown>>)[member];
-    return typeof name === 'string' && checks.get(name)?.(value) === true;
+    if (typeof name !== 'string') return false;
+    return (checks.get(name) ?? unknownVariant)(value);
   };
 }
+
+/** A record whose variant the receiver may ignore. */
+export const isIgnored: ShapeCheck = () => true;
--- a/packages/worker-gate/src/dispatcher-leases.ts
+++ b/packages/worker-gate/src/dispatcher-leases.ts
@@ -13,8 +13,13 @@
 export class DispatcherLeases {
   readonly #echoes = new Map<DispatcherId, Milliseconds>();
 
-  /** Renews the lease from the stamp that the dispatcher echoed; an older stamp changes nothing. */
-  renew(dispatcher: DispatcherId, echo: Milliseconds): void {
+  /**
+   * Renews the lease from the stamp that the dispatcher echoed; an older stamp changes nothing, nor does
+   * one from the future, which this sidecar has not sent.
+   */
+  renew(dispatcher: DispatcherId, echo: Milliseconds, now: Milliseconds): void {
+    // Also false for NaN.
+    if (!(echo <= now)) return;
     const known = this.#echoes.get(dispatcher) ?? -Infinity;
     this.#echoes.set(dispatcher, Math.max(known, echo));
   }
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -22,6 +22,7 @@
 import {
   formatAddress,
   type FromWorkerMessage,
+  isToWorkerMessage,
   type Network,
   type ToWorkerMessage,
 } from '@cranberryturn/wire';
@@ -267,6 +268,7 @@
       timers,
       random,
       times,
+      isMessage: isToWorkerMessage,
       startSession: (peer, send) => {
         const session: DispatcherSession = {
           dispatcherId: peer.name,
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -99,7 +99,7 @@
     session: DispatcherSession,
     message: ToWorkerMessage,
   ): void => {
-    leases.renew(session.dispatcherId, message.echo);
+    leases.renew(session.dispatcherId, message.echo, timers.now());
     switch (message.kind) {
       case ToWorkerKind.PlaceRuns:
         acceptOrder(session, message);
