Renew no lease of a dispatcher from a stamp that was sent before a suspension

After a suspension the sidecar forgot all leases, but a message that had arrived meanwhile echoes a stamp that looks recent on a clock that stood still, and renewed the lease: a queued order could start although its dispatcher had given it up. Only stamps sent since count, as the comment said.

Before: 'after a suspension only echoes of later stamps renew a lease' fails. After: it passes, with two new tests of suspended sidecars that passed before too.

--- a/packages/worker-gate/src/dispatcher-leases.ts
+++ b/packages/worker-gate/src/dispatcher-leases.ts
@@ -12,6 +12,8 @@
 /** The leases of all dispatchers at one sidecar. */
 export class DispatcherLeases {
   readonly #echoes = new Map<DispatcherId, Milliseconds>();
+  /** Stamps sent earlier renew no lease. */
+  #earliestStamp: Milliseconds = -Infinity;
 
   /**
    * Renews the lease from the stamp that the dispatcher echoed; an older stamp changes nothing, nor does
@@ -19,7 +21,7 @@
    */
   renew(dispatcher: DispatcherId, echo: Milliseconds, now: Milliseconds): void {
     // Also false for NaN.
-    if (!(echo <= now)) return;
+    if (!(echo <= now) || echo < this.#earliestStamp) return;
     const known = this.#echoes.get(dispatcher) ?? -Infinity;
     this.#echoes.set(dispatcher, Math.max(known, echo));
   }
@@ -29,8 +31,12 @@
     this.#echoes.delete(dispatcher);
   }
 
-  /** Ends all leases after a suspension of this process; only later echoes count. */
-  endAllLeases(): void {
+  /**
+   * Ends all leases after a suspension of this process. Only echoes of later stamps count: a message that
+   * arrived during the suspension echoes an earlier one, which looks recent on a clock that stood still.
+   */
+  endAllLeases(now: Milliseconds): void {
+    this.#earliestStamp = now;
     this.#echoes.clear();
   }
 
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -58,6 +58,8 @@
   losesReplies: boolean;
   /** Fault: start orders are refused as unhealthy. */
   isUnhealthy: boolean;
+  /** How far the clock of the worker is ahead of its sidecar's, which stood still during a suspension. */
+  clockAheadMilliseconds: Milliseconds;
   /** Run time of the tasks that start from now on. */
   runMilliseconds: Milliseconds;
   /** Run time of one task; `runMilliseconds` where it chooses none. */
@@ -84,7 +86,8 @@
   let hasCrashed = false;
   let sequence = 0;
 
-  const clock = (): Milliseconds => timers.now() - bornAt;
+  const clock = (): Milliseconds =>
+    timers.now() - bornAt + worker.clockAheadMilliseconds;
 
   const endRun = (name: string, end: WorkerRunOutcome): void => {
     const activeRun = worker.activeRuns.get(name);
@@ -232,6 +235,7 @@
     losesReplies: false,
     isUnhealthy: false,
     runMilliseconds: 100,
+    clockAheadMilliseconds: 0,
     chooseRunMilliseconds: undefined,
     nextOutcome: WorkerRunOutcome.Done,
     crash: () => {
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -203,7 +203,7 @@
         active: this.listActiveRuns().length,
       },
     );
-    this.options.leases.endAllLeases();
+    this.options.leases.endAllLeases(this.options.timers.now());
     this.#refuseWaitingRuns(RunEndReason.Suspended, () => true);
     this.#stopMatchingRuns(RunEndReason.DispatcherSilent, () => true);
   }
