Keep dispatchers and sidecars running after an error that nothing caught

An exception in a timer callback or a rejected promise ended the process, and with it the jobs of every caller. Dispatchers and sidecars log the error and go on; control logs it and ends, because a replica in an unknown state could lead without applying entries. A callback that throws no longer skips the other callbacks of its interval, and the loops that renew a worker's lease, connect sessions and watch control go on after an error.

--- a/packages/cli/src/operator-commands.test.ts
+++ b/packages/cli/src/operator-commands.test.ts
@@ -61,6 +61,7 @@
     writeOutput: text => output.push(text),
     writeError: text => output.push(text),
     onStopSignal: () => undefined,
+    onUnexpectedError: () => undefined,
     exit: code => exits.push(code),
   };
   await runCranberryctl(host);
--- a/packages/cli/src/secret-commands.test.ts
+++ b/packages/cli/src/secret-commands.test.ts
@@ -22,6 +22,7 @@
     writeOutput: text => output.push(text),
     writeError: text => output.push(text),
     onStopSignal: () => undefined,
+    onUnexpectedError: () => undefined,
     exit: code => exits.push(code),
   };
   await runCranberryctl(host);
--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -2,7 +2,7 @@
  * Watches one control host for updates, and switches to the next when its proof of a leader with a
  * majority becomes too old.
  */
-import { sleep, type TimerService } from '@cranberryturn/timers';
+import { rethrowLater, sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 import {
   type ControlCall,
@@ -119,7 +119,11 @@
 
   const checkRepeatedly = async (): Promise<void> => {
     while (!options.isStopped()) {
-      checkWatchedHost();
+      try {
+        checkWatchedHost();
+      } catch (error) {
+        rethrowLater(error);
+      }
       const isFirst = provedAt === undefined;
       await sleep(
         timers,
--- a/packages/control/src/binaries/cranberry-control.ts
+++ b/packages/control/src/binaries/cranberry-control.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** Entry point of the program `cranberry-control`. */
-import { runRoleProgram } from '@cranberryturn/program';
+import { runRoleProgram, UnexpectedErrorPolicy } from '@cranberryturn/program';
 import { controlSettingsSchema } from '@cranberryturn/settings';
 
 import { startControlRole } from '../start-control-role.js';
@@ -12,5 +12,6 @@
     'Keeps the configuration, the claims of jobs and the roster in a replicated log.',
   schema: controlSettingsSchema,
   processName: settings => settings.replicaId,
+  unexpectedErrors: UnexpectedErrorPolicy.Exit,
   start: startControlRole,
 });
--- a/packages/program/src/adapters/node-program-host.ts
+++ b/packages/program/src/adapters/node-program-host.ts
@@ -13,6 +13,10 @@
       process.on('SIGTERM', handler);
       process.on('SIGINT', handler);
     },
+    onUnexpectedError: handler => {
+      process.on('uncaughtException', handler);
+      process.on('unhandledRejection', handler);
+    },
     exit: code => process.exit(code),
   };
 }
--- a/packages/program/src/index.ts
+++ b/packages/program/src/index.ts
@@ -9,5 +9,6 @@
 export * from './product-version.js';
 export * from './role-environment.js';
 export * from './role-network.js';
+export * from './handle-unexpected-errors.js';
 export * from './run-role-program.js';
 export * from './serve-operations.js';
--- a/packages/program/src/ports/program-host.ts
+++ b/packages/program/src/ports/program-host.ts
@@ -10,6 +10,8 @@
   writeError(text: string): void;
   /** Calls `handler` with the signal name on each request to end the process. */
   onStopSignal(handler: (signal: string) => void): void;
+  /** Calls `handler` with each error that nothing in the process caught, instead of ending the process. */
+  onUnexpectedError(handler: (error: unknown) => void): void;
   /** Ends the process immediately. */
   exit(code: number): void;
 }
--- a/packages/program/src/run-role-program.test.ts
+++ b/packages/program/src/run-role-program.test.ts
@@ -7,7 +7,12 @@
 import test from 'ava';
 import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
 
-import { type ProgramHost, type RunningRole, runRoleProgram } from './index.js';
+import {
+  type ProgramHost,
+  type RunningRole,
+  runRoleProgram,
+  UnexpectedErrorPolicy,
+} from './index.js';
 
 const folder = mkdtempSync(join(tmpdir(), 'cranberry-program-'));
 const logFile = join(folder, 'log.jsonl');
@@ -45,6 +50,7 @@
   const output: string[] = [];
   const exits: number[] = [];
   let signal: (name: string) => void = () => undefined;
+  let fail: (error: unknown) => void = () => undefined;
   const host: ProgramHost = {
     commandLine,
     writeOutput: text => output.push(text),
@@ -52,6 +58,9 @@
     onStopSignal: handler => {
       signal = handler;
     },
+    onUnexpectedError: handler => {
+      fail = handler;
+    },
     exit: code => exits.push(code),
   };
   const text = (): string => output.join('').replaceAll(`${folder}/`, '');
@@ -59,6 +68,9 @@
     host,
     exits,
     text,
+    fail: (error: unknown) => {
+      fail(error);
+    },
     signal: () => {
       signal('SIGTERM');
     },
@@ -164,3 +176,28 @@
   await done;
   t.deepEqual(exits, [1]);
 });
+
+test('an unexpected error is logged, and ends only a program whose policy says so', async t => {
+  for (const [policy, expectedExits] of [
+    [UnexpectedErrorPolicy.Continue, [0]],
+    [UnexpectedErrorPolicy.Exit, [1]],
+  ] as const) {
+    const { host, exits, fail, signal } = createHost([
+      '--settings',
+      validSettingsFile,
+    ]);
+    const stop = () => Promise.resolve();
+    const program = describeProgram(() => okAsync({ addresses, stop }));
+    const done = runRoleProgram({ ...program, unexpectedErrors: policy }, host);
+    fail(new Error(`unexpected with policy ${policy}`));
+    await new Promise(resolve => setTimeout(resolve, 100));
+    if (policy === UnexpectedErrorPolicy.Continue) {
+      t.deepEqual(exits, []);
+      signal();
+      await done;
+    }
+    t.deepEqual(exits, expectedExits);
+    const log = readFileSync(logFile, 'utf8');
+    t.true(log.includes(`unexpected with policy ${policy}`));
+  }
+});
--- a/packages/program/src/run-role-program.ts
+++ b/packages/program/src/run-role-program.ts
@@ -9,6 +9,10 @@
 
 import { createNodeProgramHost } from './adapters/node-program-host.js';
 import type { ProgramHost } from './ports/program-host.js';
+import {
+  handleUnexpectedErrors,
+  UnexpectedErrorPolicy,
+} from './handle-unexpected-errors.js';
 import { readProductVersion } from './product-version.js';
 import {
   closeRoleEnvironment,
@@ -45,6 +49,8 @@
   /** Sentence shown by `--help`. */
   readonly description: string;
   readonly schema: Schema;
+  /** What the process does after an error that nothing caught; continues by default. */
+  readonly unexpectedErrors?: UnexpectedErrorPolicy | undefined;
   /** Returns the process name used in logs and metrics. */
   processName(settings: z.output<Schema>): string;
   start(
@@ -122,6 +128,11 @@
     process: program.processName(settings),
     log: settings.log,
   });
+  handleUnexpectedErrors(
+    host,
+    environment,
+    program.unexpectedErrors ?? UnexpectedErrorPolicy.Continue,
+  );
   const stopRequested = listenForSignals(host, environment);
   const started = await program.start(settings, environment);
   if (started.isErr()) {
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -1,6 +1,6 @@
 /** Dialling side of a session: dials, and reconnects with exponential backoff. */
 import type { RandomSource } from '@cranberryturn/random';
-import { sleep, type TimerService } from '@cranberryturn/timers';
+import { rethrowLater, sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import {
   chooseDialTimeout,
@@ -115,10 +115,20 @@
     return ok(undefined);
   };
 
+  /** An unexpected error of a listener must not end the loop: the session would stay without a connection. */
+  const connectSafely = async (): Promise<Result<void, Error>> => {
+    try {
+      return await connectOnce();
+    } catch (error) {
+      rethrowLater(error);
+      return err(error as Error);
+    }
+  };
+
   const keepConnected = async (): Promise<void> => {
     let backoffMilliseconds = minimumBackoffMilliseconds;
     for (;;) {
-      const outcome = await connectOnce();
+      const outcome = await connectSafely();
       if (closed) return;
       if (outcome.isOk()) {
         backoffMilliseconds = minimumBackoffMilliseconds;
--- a/packages/timers/src/system-timer-service.ts
+++ b/packages/timers/src/system-timer-service.ts
@@ -3,6 +3,7 @@
 
 import type { Milliseconds } from '@cranberryturn/types';
 
+import { rethrowLater } from './rethrow-later.js';
 import type { TimerService, TimerSubscription } from './timer-service.js';
 
 /**
@@ -42,7 +43,7 @@
     const callbacks = new Set<() => void>();
     const handle = setInterval(() => {
       for (const callback of [...callbacks]) {
-        if (callbacks.has(callback)) callback();
+        if (callbacks.has(callback)) callSafely(callback);
       }
     }, period);
     const shared = { handle, callbacks };
@@ -58,6 +59,15 @@
   };
 }
 
+/** Calls a callback. What it throws does not keep the other callbacks of the interval from being called. */
+function callSafely(callback: () => void): void {
+  try {
+    callback();
+  } catch (error) {
+    rethrowLater(error);
+  }
+}
+
 function startTimeout(delay: number, callback: () => void): TimerSubscription {
   const handle = setTimeout(callback, delay);
   return {
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -1,5 +1,5 @@
 /** Renews the lease of one incarnation of a worker while it has active runs, and processes the ends of runs. */
-import { sleep } from '@cranberryturn/timers';
+import { rethrowLater, sleep } from '@cranberryturn/timers';
 import {
   type Milliseconds,
   RunEndReason,
@@ -183,11 +183,21 @@
     });
   };
 
+  /** An unexpected error must not end the loop: the lease of all runs would end with it. */
+  const renewSafely = async (): Promise<WorkerStatus | undefined> => {
+    try {
+      return await renew(hasWork() ? renewalWaitMilliseconds : 0);
+    } catch (error) {
+      rethrowLater(error);
+      return undefined;
+    }
+  };
+
   const runRenewalLoop = async (): Promise<void> => {
     await stopLeftovers();
     while (!isStopped) {
       await waitForWork();
-      const status = await renew(hasWork() ? renewalWaitMilliseconds : 0);
+      const status = await renewSafely();
       if (status !== undefined) continue;
       await sleep(
         timers,
