Say 'perhaps started' for a claimed job that ends after a pause of its dispatcher

Another dispatcher adopts a job whose owner does not answer for a second, and runs it. When the owner goes on after a pause that outlasted the deadline, it told its callers 503 'started: no' for the jobs that it had claimed and not yet placed, although they had run. Pauses of a second or more are detected from late timers and from a clock that stood still.

--- a/packages/dispatcher/src/acquire-job.ts
+++ b/packages/dispatcher/src/acquire-job.ts
@@ -19,7 +19,7 @@
 const maximumRounds = 5;
 const joinWaitMilliseconds: Milliseconds = 1_000;
 /** Time without a reply, beyond the requested wait, after which an owner is presumed dead. */
-const ownerTimeoutMilliseconds: Milliseconds = 1_000;
+export const ownerTimeoutMilliseconds: Milliseconds = 1_000;
 
 /** Inputs of one acquisition. */
 export interface AcquireJobOptions {
--- a/packages/dispatcher/src/dispatcher-parts.ts
+++ b/packages/dispatcher/src/dispatcher-parts.ts
@@ -1,8 +1,10 @@
 /** Creates the components of a dispatcher and connects them. */
 import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
 import { defaultSessionTimes } from '@cranberryturn/sessions';
+import { type PauseWatch, watchPauses } from '@cranberryturn/timers';
 import { DispatcherMethod, DispatcherReplyKind } from '@cranberryturn/wire';
 
+import { ownerTimeoutMilliseconds } from './acquire-job.js';
 import {
   handleDispatcherCall,
   type LendingScheduler,
@@ -23,6 +25,7 @@
   readonly targets: TargetDirectory;
   readonly links: DispatcherLinks;
   readonly jobs: JobService;
+  readonly pauses: PauseWatch;
   readonly scheduler: Scheduler;
   /** Undefined until the dispatcher listens and begins to register. */
   registration: DispatcherRegistration | undefined;
@@ -67,6 +70,7 @@
     timers,
     isReachable: target => targets.isReachable(target),
   });
+  const pauses = watchPauses(timers, ownerTimeoutMilliseconds);
   const jobs: JobService = new JobService({
     self,
     timers,
@@ -77,6 +81,7 @@
     isRegistered: () => isRegistered(parts),
     metrics,
     decisions,
+    pauses,
   });
   const create = options.createScheduler ?? createScheduler;
   const scheduler: LendingScheduler = create({
@@ -98,6 +103,7 @@
     targets,
     links,
     jobs,
+    pauses,
     scheduler,
     registration: undefined,
   };
--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -13,7 +13,7 @@
   type TaskPlan,
   TaskPlanKind,
 } from '@cranberryturn/scheduling';
-import type { TimerService } from '@cranberryturn/timers';
+import type { PauseWatch, TimerService } from '@cranberryturn/timers';
 import {
   AttemptOutcome,
   type AttemptResult,
@@ -69,6 +69,8 @@
   readonly isRegistered: () => boolean;
   readonly metrics: Metrics;
   readonly decisions: DecisionSink;
+  /** Pauses of this process, long enough for others to take over its jobs. */
+  readonly pauses: Pick<PauseWatch, 'hasPausedSince'>;
 }
 
 /** Admits, claims, starts and finishes jobs. */
--- a/packages/dispatcher/src/open-jobs.ts
+++ b/packages/dispatcher/src/open-jobs.ts
@@ -5,7 +5,7 @@
   measureRequestSize,
   type ResultRetention,
 } from '@cranberryturn/jobs';
-import type { TimerService } from '@cranberryturn/timers';
+import type { PauseWatch, TimerService } from '@cranberryturn/timers';
 import type {
   BodyDigest,
   JobId,
@@ -24,6 +24,7 @@
   readonly control: ControlPort;
   readonly retention: ResultRetention;
   readonly reporter: JobReporter;
+  readonly pauses: Pick<PauseWatch, 'hasPausedSince'>;
 }
 
 /** Tracks jobs from their arrival until their result is dropped. */
@@ -90,11 +91,17 @@
     this.#table.addAnswerBytes(jobId, answer.length);
   }
 
-  /** Finishes a job with the collected result, and notifies control when the job was claimed. */
+  /**
+   * Finishes a job with the collected result, and notifies control when the job was claimed. Other
+   * dispatchers may have adopted a claimed job, and run it, while this process was paused.
+   */
   finish(job: RunningJob): void {
     const { request } = job;
-    const { timers, control, reporter } = this.#options;
+    const { timers, control, reporter, pauses } = this.#options;
     this.#running.delete(request.jobId);
+    const isClaimed = job.claimedEpoch !== undefined;
+    if (isClaimed && pauses.hasPausedSince(job.arrivedAt))
+      job.collection.recordUncertainty();
     const result = job.collection.composeResult(timers.now() >= job.deadline);
     reporter.reportReplied(job, result);
     this.#table.finish(request.jobId, result);
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -107,6 +107,7 @@
       isReady = false;
       registration.cancel();
       membership.cancel();
+      parts.pauses.cancel();
       unsubscribe();
     }),
   );
--- a/packages/jobs/src/collect-answers.ts
+++ b/packages/jobs/src/collect-answers.ts
@@ -51,6 +51,11 @@
     this.#started = combineStarted(this.#started, started);
   }
 
+  /** Notes that the tasks may have been started elsewhere. A job that was started here stays one. */
+  recordUncertainty(): void {
+    this.#started = combineStarted(this.#started, Started.Perhaps);
+  }
+
   /** Whether every task has ended. */
   get isComplete(): boolean {
     return this.#ended.size >= this.#taskIds.length;
