Start no task under a lease that may have expired while its grant was on the way

A sidecar that stood still between the grant and its reading, or whose platform answered late, sent the task to its target under a lease that had ended. The lease counts from the request now, with the time of a suspension added; its renewals follow from what is left.

Before: the new test in run-under-lease.test.ts fails. After: 19 tests of the sidecar and of platform leases pass.

--- a/packages/sidecar/src/run-under-lease.test.ts
+++ b/packages/sidecar/src/run-under-lease.test.ts
@@ -203,3 +203,19 @@
   await timers.advance(10);
   t.like(outcome[0], { kind: TargetFailureKind.Failed });
 });
+
+test('a task whose lease expired before its grant was read is not sent to the target', async t => {
+  const { timers, platform, starts, outcome, start } = run(1_000);
+  platform.leaseDelayMilliseconds = leaseMilliseconds + 1;
+  start();
+  await timers.advance(leaseMilliseconds + 2);
+  t.deepEqual(starts, []);
+  t.deepEqual(outcome, [
+    {
+      kind: TargetFailureKind.NotAsked,
+      cause: NotStartedReason.LeaseRefused,
+      reason: 'The lease may have expired before its grant arrived.',
+    },
+  ]);
+  t.deepEqual(platform.asked, ['start', 'end']);
+});
--- a/packages/sidecar/src/run-under-lease.ts
+++ b/packages/sidecar/src/run-under-lease.ts
@@ -1,6 +1,10 @@
 /** Runs each attempt under a lease from the platform. */
 import { RefusedError } from '@cranberryturn/errors';
-import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import {
+  type TimerService,
+  type TimerSubscription,
+  watchSuspension,
+} from '@cranberryturn/timers';
 import {
   type AttemptStart,
   CancelledTaskTreatment,
@@ -55,17 +59,24 @@
 ): Promise<Result<JsonText, TargetFailure>> {
   const { platform, target, timers } = options;
   const requestedAt = timers.now();
+  const suspension = watchSuspension(timers);
   const started = await platform.startLease(attempt);
   if (started.isErr()) {
     return err(
       composeNotAsked(NotStartedReason.LeaseRefused, started.error.message),
     );
   }
-  const lease = started.value;
-  const waitedMilliseconds = timers.now() - requestedAt;
+  // The clock may have stood still while the lease went on.
+  const waitedMilliseconds = timers.now() - requestedAt + suspension.check();
+  // The lease may have begun as early as the request.
+  const lease: PlatformLease = {
+    ...started.value,
+    expiresInMilliseconds:
+      started.value.expiresInMilliseconds - waitedMilliseconds,
+  };
   const remainingMilliseconds =
     attempt.remainingMilliseconds - waitedMilliseconds;
-  const refusal = findRefusal(signal, remainingMilliseconds);
+  const refusal = findRefusal(signal, remainingMilliseconds, lease);
   if (refusal !== undefined) {
     void platform.endLease(lease.leaseId);
     return err(refusal);
@@ -88,6 +99,7 @@
 function findRefusal(
   signal: AbortSignal,
   remainingMilliseconds: Milliseconds,
+  lease: PlatformLease,
 ): TargetFailure | undefined {
   if (signal.aborted) {
     return composeNotAsked(
@@ -95,10 +107,16 @@
       'The attempt was cancelled before its lease was granted.',
     );
   }
-  if (remainingMilliseconds > 0) return undefined;
+  if (remainingMilliseconds <= 0) {
+    return composeNotAsked(
+      NotStartedReason.DeadlinePassed,
+      'The deadline passed before the lease was granted.',
+    );
+  }
+  if (lease.expiresInMilliseconds > 0) return undefined;
   return composeNotAsked(
-    NotStartedReason.DeadlinePassed,
-    'The deadline passed before the lease was granted.',
+    NotStartedReason.LeaseRefused,
+    'The lease may have expired before its grant arrived.',
   );
 }
 
