Ignore a worker report that is delivered again after the worker left

Reports with the sequence number of the latest one were accepted, so a retried report that arrived after the departure brought the worker back, and it got runs while it still answered. A later report of the same incarnation brings it back as before.

Before: the new test fails. After: it passes, with the model test of transient jobs.

--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -30,7 +30,11 @@
 import type { WorkerPort } from './ports/worker.js';
 import { SessionPhase } from './session-phase.js';
 import { WorkerExecutor } from './worker-executor.js';
-import { isOlderReport, type WorkerReport } from './worker-report.js';
+import {
+  isOlderReport,
+  isRepeatedReport,
+  type WorkerReport,
+} from './worker-report.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 
@@ -77,6 +81,8 @@
   const leases = new DispatcherLeases();
   let executor: WorkerExecutor | undefined;
   let latestReport: WorkerReport | undefined;
+  /** The last report before the worker left; delivered again, it must not bring the worker back. */
+  let reportBeforeLeave: WorkerReport | undefined;
   let isStopping = false;
   const reports = new DispatcherReports({
     timers,
@@ -207,6 +213,7 @@
   const workerReported = (report: WorkerReport): boolean => {
     if (latestReport !== undefined && isOlderReport(report, latestReport))
       return false;
+    if (isRepeatedReport(report, reportBeforeLeave)) return false;
     latestReport = report;
     const { worker, draining } = report;
     if (
@@ -230,6 +237,8 @@
   return {
     workerReported,
     workerLeft: workerId => {
+      if (latestReport?.worker.workerId === workerId)
+        reportBeforeLeave = latestReport;
       if (executor?.worker.workerId === workerId)
         executor.close(RunEndReason.WorkerGone);
     },
--- a/packages/worker-gate/src/worker-report.ts
+++ b/packages/worker-gate/src/worker-report.ts
@@ -12,6 +12,17 @@
   readonly draining: boolean;
 }
 
+/** Whether a report is `known` delivered again, or an earlier one of the same incarnation. */
+export function isRepeatedReport(
+  report: WorkerReport,
+  known: WorkerReport | undefined,
+): boolean {
+  return (
+    report.worker.incarnation === known?.worker.incarnation &&
+    report.sequence <= known.sequence
+  );
+}
+
 /** Whether a report is out of date: reports can arrive out of order, also across incarnations at one address. */
 export function isOlderReport(
   report: WorkerReport,
