Answer a request that failed unexpectedly as perhaps started, not as unreadable

Any error in the handling of a request was answered 400 with 'started: no', also one after the job had been submitted. The operators' server of control keeps its error listener, as the other servers do.

--- a/packages/control/src/adapters/serve-administration.ts
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -129,7 +129,7 @@
         resolve(ok(server));
       },
     ) as Server;
-    server.once('error', cause => {
+    server.on('error', cause => {
       resolve(
         err(
           new ConnectionError(
--- a/packages/dispatcher/src/callers/handle-caller-requests.ts
+++ b/packages/dispatcher/src/callers/handle-caller-requests.ts
@@ -39,13 +39,26 @@
   ) => Promise<JobResult | undefined>;
 }
 
+const isBodyReadKey = 'isBodyRead';
+
+async function readBody(context: Context): Promise<string> {
+  const text = await context.req.text();
+  context.set(isBodyReadKey, true);
+  return text;
+}
+
+/** Whether the body arrived whole, after which an error does not mean that nothing was started. */
+export function isBodyRead(context: Context): boolean {
+  return context.get(isBodyReadKey) === true;
+}
+
 /** Submits a job and responds with its result. */
 export async function submitJob(
   options: CallerRequestOptions,
   context: Context,
   team: TeamName,
 ): Promise<CallerResponse> {
-  const text = await context.req.text();
+  const text = await readBody(context);
   const job = parseJob(text, composeSubmissionContext(options, context, team));
   if (job.isErr()) {
     return composeRefusal(CallerStatus.BadRequest, job.error);
@@ -66,7 +79,7 @@
   context: Context,
   team: TeamName,
 ): Promise<CallerResponse> {
-  const text = await context.req.text();
+  const text = await readBody(context);
   const requestId = chooseRequestId(context);
   const key = context.req.header(idempotencyKeyHeader);
   const isIdempotent = key === undefined;
--- a/packages/dispatcher/src/callers/responses.ts
+++ b/packages/dispatcher/src/callers/responses.ts
@@ -53,6 +53,17 @@
   return { status, body, retryAfterMilliseconds };
 }
 
+/** Composes the response to a request whose handling failed at an unknown point. */
+export function composeUnexpectedFailure(): CallerResponse {
+  const body = JSON.stringify({
+    outcome: JobOutcome.Failed,
+    reason:
+      'An unexpected error ended the handling of this request; submit the same job again.',
+    started: Started.Perhaps,
+  });
+  return { status: CallerStatus.BadGateway, body };
+}
+
 /** Composes the response to a submitted job or request. */
 export function composeSubmissionResponse(
   outcome: SubmissionResult,
--- a/packages/dispatcher/src/callers/serve-callers.test.ts
+++ b/packages/dispatcher/src/callers/serve-callers.test.ts
@@ -221,3 +221,23 @@
   const metrics = await application.request('/metrics');
   t.regex(await metrics.text(), /tokens_refused/);
 });
+
+test.serial(
+  'a request whose handling fails after its body was read is answered as perhaps started',
+  async t => {
+    // The test runner ends the process for an error that nothing caught, so its listeners are set aside.
+    const listeners = process.listeners('uncaughtException');
+    process.removeAllListeners('uncaughtException');
+    const errors: unknown[] = [];
+    process.on('uncaughtException', error => errors.push(error));
+    const answer = { kind: SubmissionResultKind.Result } as SubmissionResult;
+    const { status, body, submitted } = await post(job, { answer });
+    await new Promise(resolve => setImmediate(resolve));
+    process.removeAllListeners('uncaughtException');
+    for (const listener of listeners) process.on('uncaughtException', listener);
+    t.is(submitted, 1);
+    t.is(status, 502);
+    t.is(body.started, Started.Perhaps);
+    t.is(errors.length, 1);
+  },
+);
--- a/packages/dispatcher/src/callers/serve-callers.ts
+++ b/packages/dispatcher/src/callers/serve-callers.ts
@@ -9,12 +9,14 @@
   type Metrics,
   metricsContentType,
 } from '@cranberryturn/metrics';
+import { rethrowLater } from '@cranberryturn/timers';
 import type { TeamName } from '@cranberryturn/types';
 import { type Context, Hono } from 'hono';
 
 import {
   type CallerRequestOptions,
   cancelJob,
+  isBodyRead,
   showJob,
   submitJob,
   submitRequest,
@@ -24,6 +26,7 @@
   CallerStatus,
   composeRefusal,
   composeRetryAfter,
+  composeUnexpectedFailure,
 } from './responses.js';
 import { limitBody } from './limit-body.js';
 
@@ -97,9 +100,13 @@
       ),
     ),
   );
-  app.onError((error, context) =>
-    send(context, composeUnreadableBodyResponse(error.message)),
-  );
+  app.onError((error, context) => {
+    if (!isBodyRead(context)) {
+      return send(context, composeUnreadableBodyResponse(error.message));
+    }
+    rethrowLater(error);
+    return send(context, composeUnexpectedFailure());
+  });
   return app;
 }
 
