Count no proof of leadership that was sent before a pause of the dispatcher

Control states the age of its proof when it sends a notice. A dispatcher that was paused read the notices that had arrived meanwhile as fresh, for up to 1.5 s, and used its share of quotas that others had taken over. After a pause of a second or more, proofs count once a call to control was answered on the same connection.

Before: the new test fails.

--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -2,7 +2,12 @@
  * Watches one control host for updates, and switches to the next when its proof of a leader with a
  * majority becomes too old.
  */
-import { rethrowLater, sleep, type TimerService } from '@cranberryturn/timers';
+import {
+  rethrowLater,
+  sleep,
+  type TimerService,
+  watchPauses,
+} from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 import {
   type ControlCall,
@@ -10,6 +15,7 @@
   type ControlNotice,
   ControlNoticeKind,
   type ControlReply,
+  isControlReply,
   maximumProofAge,
   type RemoteCalls,
 } from '@cranberryturn/wire';
@@ -22,6 +28,8 @@
 /** Shorter until the first proof of leadership, because callers of this process wait for it. */
 const firstCheckIntervalMilliseconds: Milliseconds = 20;
 const noVersion = -1;
+/** Shorter pauses are within the tolerance of the age of a proof. */
+const minimumPauseMilliseconds: Milliseconds = 1_000;
 
 /** Dependencies of the watch. */
 export interface WatchOptions {
@@ -58,6 +66,10 @@
   let position = options.firstHostPosition;
   let provedAt: Milliseconds | undefined;
   let reportedName: string | undefined;
+  const pauses = watchPauses(timers, minimumPauseMilliseconds);
+  let knownPauses = 0;
+  /** Set after a pause, until a reply shows that notices from before it have all been read. */
+  let isCatchingUp = false;
 
   const subscribe = (calls: RemoteCalls, isFullUpdate: boolean): void => {
     const call: ControlCall = {
@@ -73,7 +85,24 @@
         ? noVersion
         : latest.evacuations.current().version,
     };
-    void calls.call<ControlReply>(call, watchTimeoutMilliseconds);
+    void calls
+      .call<ControlReply>(call, watchTimeoutMilliseconds, isControlReply)
+      .map(() => {
+        isCatchingUp = false;
+      });
+  };
+
+  /**
+   * Discards the proof after a pause of this process. Notices that arrived meanwhile state the age that
+   * their proof had when they were sent, so none counts before the reply to a call made now.
+   */
+  const checkPause = (): void => {
+    const count = pauses.countPauses();
+    if (count === knownPauses) return;
+    knownPauses = count;
+    isCatchingUp = true;
+    provedAt = undefined;
+    if (watched !== undefined) subscribe(watched.calls, false);
   };
 
   const leaveHost = (): void => {
@@ -105,6 +134,7 @@
   };
 
   const checkWatchedHost = (): void => {
+    checkPause();
     if (watched !== undefined && watched.host.calls() !== watched.calls) {
       watched = undefined;
     }
@@ -133,15 +163,20 @@
   };
 
   const recordProof = (age: Milliseconds): void => {
+    checkPause();
+    if (isCatchingUp) return;
     const at = timers.now() - age;
     if (watched !== undefined)
       watched.freshSince = Math.max(watched.freshSince, at);
     provedAt = Math.max(provedAt ?? at, at);
   };
 
-  void checkRepeatedly();
+  void checkRepeatedly().then(pauses.cancel);
   return {
-    provedAt: () => provedAt,
+    provedAt: () => {
+      checkPause();
+      return provedAt;
+    },
     handleNotice: (host, notice) => {
       if (watched?.host !== host) return;
       if (notice.kind === ControlNoticeKind.Freshness) {
--- a/packages/timers/src/watch-pauses.test.ts
+++ b/packages/timers/src/watch-pauses.test.ts
@@ -24,6 +24,7 @@
   t.false(watch.hasPausedSince(timers.now()));
   wallJump += 5_000;
   t.true(watch.hasPausedSince(timers.now()));
+  t.is(watch.countPauses(), 2);
   watch.cancel();
   t.is(manual.countPendingTimers(), 0);
 });
--- a/packages/timers/src/watch-pauses.ts
+++ b/packages/timers/src/watch-pauses.ts
@@ -8,6 +8,8 @@
 
 /** A running watch. */
 export interface PauseWatch extends TimerSubscription {
+  /** Returns the number of pauses so far. Also detects one that has only just ended. */
+  countPauses(): number;
   /** Whether a pause ended at or after this time. Also detects one that has only just ended. */
   hasPausedSince(time: Milliseconds): boolean;
 }
@@ -20,6 +22,7 @@
   const suspension = watchSuspension(timers);
   let checkedAt = timers.now();
   let pauseEndedAt: Milliseconds | undefined;
+  let pauses = 0;
   let isCancelled = false;
 
   const check = (): void => {
@@ -27,11 +30,17 @@
     const now = timers.now();
     const stoodStill = now - checkedAt + suspension.check();
     checkedAt = now;
-    if (stoodStill >= minimumPause) pauseEndedAt = now;
+    if (stoodStill < minimumPause) return;
+    pauseEndedAt = now;
+    pauses += 1;
   };
 
   const timer = timers.every(checkInterval, check);
   return {
+    countPauses: () => {
+      check();
+      return pauses;
+    },
     hasPausedSince: time => {
       check();
       return pauseEndedAt !== undefined && pauseEndedAt >= time;
