Accept the heartbeat of a leader that is the only voter

Its latest contact is itself, read a moment after the time that the heartbeat states, so the age of its proof is slightly below 0 on a real clock. The check of peer messages refused it; manual clocks hid that.

--- a/packages/control/src/adapters/check-peer-messages.ts
+++ b/packages/control/src/adapters/check-peer-messages.ts
@@ -6,7 +6,6 @@
   PeerReplyKind,
 } from '@cranberryturn/replicated-log';
 import {
-  isAmount,
   isCount,
   isFiniteNumber,
   isFlag,
@@ -46,7 +45,8 @@
   [PeerMessageKind.Vote]: isRecord({ last: isPosition }),
   [PeerMessageKind.Heartbeat]: isRecord({
     commitIndex: isCount,
-    proofAge: isAmount,
+    // Slightly below 0 where a leader is the only voter: it is its own latest contact.
+    proofAge: isFiniteNumber,
   }),
   [PeerMessageKind.AppendEntries]: isRecord({
     previous: isPosition,
--- a/packages/control/src/malformed-messages.test.ts
+++ b/packages/control/src/malformed-messages.test.ts
@@ -2,6 +2,7 @@
 import { ProcessRole, serveRemoteCalls } from '@cranberryturn/wire';
 import test, { type ExecutionContext } from 'ava';
 
+import { isPeerMessage } from './adapters/check-peer-messages.js';
 import {
   type ClusterFixture,
   claimJob,
@@ -144,3 +145,9 @@
   const claimed = await claimJob(fixture, client, 'after', 'd1');
   t.is(claimed, ClaimOutcomeKind.Granted);
 });
+
+test('a heartbeat of a leader that is the only voter passes, although its proof is newer than itself', t => {
+  const heartbeat = { kind: 'heartbeat', to: 'c1', term: 1, commitIndex: 0 };
+  t.true(isPeerMessage({ ...heartbeat, proofAge: -0.01 }));
+  t.false(isPeerMessage({ ...heartbeat, proofAge: NaN }));
+});
