--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -31,7 +31,11 @@
 import type { WorkerPort } from './ports/worker.js';
 import { SessionPhase } from './session-phase.js';
 import { WorkerExecutor } from './worker-executor.js';
-import { isOlderReport, type WorkerReport } from './worker-report.js';
+import {
+  isOlderReport,
+  isRepeatedReport,
+  type WorkerReport,
+} from './worker-report.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 
@@ -80,6 +84,8 @@
   const leases = new DispatcherLeases();
   let executor: WorkerExecutor | undefined;
   let latestReport: WorkerReport | undefined;
+  /** The last report before the worker left; delivered again, it must not bring the worker back. */
+  let reportBeforeLeave: WorkerReport | undefined;
   let isStopping = false;
   const reports = new DispatcherReports({
     timers,
@@ -124,7 +130,7 @@
     session: DispatcherSession,
     message: ToWorkerMessage,
   ): void => {
-    leases.renew(session.dispatcherId, message.echo);
+    leases.renew(session.dispatcherId, message.echo, timers.now());
     switch (message.kind) {
       case ToWorkerKind.PlaceRuns:
         acceptOrder(session, message);
@@ -234,6 +240,7 @@
   const workerReported = (report: WorkerReport): boolean => {
     if (latestReport !== undefined && isOlderReport(report, latestReport))
       return false;
+    if (isRepeatedReport(report, reportBeforeLeave)) return false;
     latestReport = report;
     const { worker, draining } = report;
     if (
@@ -258,6 +265,8 @@
   return {
     workerReported,
     workerLeft: workerId => {
+      if (latestReport?.worker.workerId === workerId)
+        reportBeforeLeave = latestReport;
       if (executor?.worker.workerId === workerId)
         executor.close(RunEndReason.WorkerGone);
     },
