--- a/packages/program/src/handle-unexpected-errors.ts
+++ b/packages/program/src/handle-unexpected-errors.ts
@@ -18,14 +18,15 @@
 
 const failureExitCode = 1;
 
-/** Logs each error that nothing caught, and applies the policy. */
+/** Logs each error that nothing caught, and applies the policy of that moment. */
 export function handleUnexpectedErrors(
   host: Pick<ProgramHost, 'onUnexpectedError' | 'exit'>,
   environment: RoleEnvironment,
-  policy: UnexpectedErrorPolicy,
+  choosePolicy: () => UnexpectedErrorPolicy,
 ): void {
   let isEnding = false;
   host.onUnexpectedError(error => {
+    const policy = choosePolicy();
     environment.logger.error('unexpected error', {
       error,
       stack: error instanceof Error ? error.stack : undefined,
--- a/packages/program/src/run-role-program.test.ts
+++ b/packages/program/src/run-role-program.test.ts
@@ -5,7 +5,7 @@
 import { CranberryError } from '@cranberryturn/errors';
 import { sidecarSettingsSchema } from '@cranberryturn/settings';
 import test from 'ava';
-import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
 import {
   type ProgramHost,
@@ -189,6 +189,7 @@
     const stop = () => Promise.resolve();
     const program = describeProgram(() => okAsync({ addresses, stop }));
     const done = runRoleProgram({ ...program, unexpectedErrors: policy }, host);
+    await new Promise(resolve => setImmediate(resolve));
     fail(new Error(`unexpected with policy ${policy}`));
     await new Promise(resolve => setTimeout(resolve, 100));
     if (policy === UnexpectedErrorPolicy.Continue) {
@@ -201,3 +202,14 @@
     t.true(log.includes(`unexpected with policy ${policy}`));
   }
 });
+
+test('an unexpected error during the start ends any program', async t => {
+  const { host, exits, fail } = createHost(['--settings', validSettingsFile]);
+  const start = () =>
+    new ResultAsync<RunningRole, CranberryError>(new Promise(() => undefined));
+  void runRoleProgram(describeProgram(start), host);
+  await new Promise(resolve => setImmediate(resolve));
+  fail(new Error('unexpected'));
+  await new Promise(resolve => setTimeout(resolve, 100));
+  t.deepEqual(exits, [1]);
+});
--- a/packages/program/src/run-role-program.ts
+++ b/packages/program/src/run-role-program.ts
@@ -128,11 +128,9 @@
     process: program.processName(settings),
     log: settings.log,
   });
-  handleUnexpectedErrors(
-    host,
-    environment,
-    program.unexpectedErrors ?? UnexpectedErrorPolicy.Continue,
-  );
+  // A program that has not started, or whose start failed unexpectedly, has nothing to go on with.
+  let policy = UnexpectedErrorPolicy.Exit;
+  handleUnexpectedErrors(host, environment, () => policy);
   const stopRequested = listenForSignals(host, environment);
   const started = await program.start(settings, environment);
   if (started.isErr()) {
@@ -143,6 +141,7 @@
     host.exit(ExitCode.Failure);
     return;
   }
+  policy = program.unexpectedErrors ?? UnexpectedErrorPolicy.Continue;
   reportReady(program.name, started.value, host, environment);
   const signal = await stopRequested;
   await stopRole(started.value, signal, host, environment);
