--- a/packages/control/src/adapters/check-peer-messages.ts
+++ b/packages/control/src/adapters/check-peer-messages.ts
@@ -24,7 +24,13 @@
 const isBytes: ShapeCheck = value => value instanceof Uint8Array;
 const isPosition = isRecord({ index: isCount, term: isCount });
 const isMembers = isListOf(
-  isRecord({ replicaId: isText, role: isOneOf(MemberRole), address: isText }),
+  isRecord({
+    replicaId: isText,
+    role: isOneOf(MemberRole),
+    address: isText,
+    dataCentre: isOptional(isText),
+    isStandby: isOptional(isFlag),
+  }),
 );
 
 const isEntryBase = isRecord({
@@ -47,6 +53,7 @@
     commitIndex: isCount,
     // Slightly below 0 where a leader is the only voter: it is its own latest contact.
     proofAge: isFiniteNumber,
+    provedIndex: isOptional(isCount),
   }),
   [PeerMessageKind.AppendEntries]: isRecord({
     previous: isPosition,
@@ -108,6 +115,14 @@
     [AdministrationMethod.Publish]: isRecord({
       publication: isRecord({ version: isCount, document: isText }),
     }),
+    [AdministrationMethod.OrderEvacuation]: isRecord({
+      order: isRecord({
+        dataCentre: isText,
+        isEvacuated: isFlag,
+        knownIndex: isCount,
+      }),
+      requestId: isText,
+    }),
   },
   isIgnored,
 );
@@ -117,4 +132,5 @@
   replicaId: isText,
   address: isText,
   isObserver: isOptional(isFlag),
+  dataCentre: isOptional(isText),
 });
