Keep a worker in use that answers other orders when a single reply is lost

Cause: an order without a reply marked the whole worker as suspected. The sidecar gave back everything that waited there, and each dispatcher concerned placed nothing on it for 400 ms or more. The reply was also waited for 250 ms, more than the shortest jobs may take on top of their run time. Change: a worker is suspected only if it has answered no order since the unanswered one. The reply timeout is learned from the mean and the deviation of reply times, from 60 to 250 ms. A run without a reply is looked for and stopped as before. Tests: lost-replies.test.ts; the first two fail without either change.

--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -1,5 +1,4 @@
 /** In-memory worker that follows the published run protocol, with faults that a test injects. */
-import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
   Milliseconds,
@@ -21,9 +20,9 @@
   type WorkerPort,
   type WorkerReply,
 } from '../ports/worker.js';
+import { createConnectionError, failWithTimeout } from './worker-errors.js';
 
 const replyDelayMilliseconds: Milliseconds = 1;
-const replyTimeoutMilliseconds: Milliseconds = 250;
 const maximumLeaseMilliseconds: Milliseconds = 1_000;
 const stopDurationMilliseconds: Milliseconds = 20;
 const tickMilliseconds: Milliseconds = 5;
@@ -179,13 +178,16 @@
   };
 
   const sendReply = async <Reply>(
+    order: WorkerOrder,
     carryOut: () => Reply,
   ): Promise<Result<Reply, WorkerCallError>> => {
     if (hasCrashed) return err(createConnectionError(run.workerId));
-    if (worker.isSilent) return await failWithTimeout(timers, run.workerId);
+    if (worker.isSilent)
+      return await failWithTimeout(timers, run.workerId, order);
     await sleep(timers, replyDelayMilliseconds);
     const reply = carryOut();
-    if (worker.losesReplies) return await failWithTimeout(timers, run.workerId);
+    if (worker.losesReplies)
+      return await failWithTimeout(timers, run.workerId, order);
     return ok(reply);
   };
 
@@ -196,12 +198,13 @@
     worker.nextStartDelayMilliseconds = undefined;
     if (delay !== undefined) {
       timers.after(delay, () => start(order));
-      return await failWithTimeout(timers, run.workerId);
+      return await failWithTimeout(timers, run.workerId, order);
     }
-    if (!worker.shouldLoseNextReply) return await sendReply(() => start(order));
+    if (!worker.shouldLoseNextReply)
+      return await sendReply(order, () => start(order));
     worker.shouldLoseNextReply = false;
     start(order);
-    return await failWithTimeout(timers, run.workerId);
+    return await failWithTimeout(timers, run.workerId, order);
   };
 
   const wait = (duration: Milliseconds): Promise<void> =>
@@ -245,10 +248,10 @@
     },
     port: {
       startRun: order => new ResultAsync(startOrder(order)),
-      stopRun: order => new ResultAsync(sendReply(() => stop(order))),
+      stopRun: order => new ResultAsync(sendReply(order, () => stop(order))),
       renewLease: order =>
         new ResultAsync(
-          sendReply((): RenewReply | undefined => {
+          sendReply(order, (): RenewReply | undefined => {
             const refusal = findRefusal(order);
             if (refusal !== undefined) return { accepted: false, refusal };
             extendLease(order.deadline);
@@ -297,23 +300,3 @@
 function roundProgress(elapsed: Milliseconds, whole: Milliseconds): number {
   return Math.floor((elapsed / whole) * 100) / 100;
 }
-
-async function failWithTimeout(
-  timers: TimerService,
-  peer: string,
-): Promise<Result<never, WorkerCallError>> {
-  await sleep(timers, replyTimeoutMilliseconds);
-  return err(
-    new TimeoutError('The worker did not reply in time.', {
-      step: 'call worker',
-      peer,
-    }),
-  );
-}
-
-function createConnectionError(peer: string): WorkerCallError {
-  return new ConnectionError('The worker refused the connection.', {
-    step: 'call worker',
-    peer,
-  });
-}
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -10,6 +10,7 @@
 import { RunPhase } from './active-run.js';
 import { nameTask, WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { recordProgress } from './record-progress.js';
+import { ReplyTimeout } from './reply-timeout.js';
 import { computeMaximumLease } from './worker-clock.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
@@ -26,10 +27,14 @@
 export interface LeaseKeeper {
   /** Whether the worker has replied within its lease, and no run of an earlier sidecar process is active there. */
   readonly isReady: boolean;
-  /** Whether the last order had no reply; no run is started until the worker replies again. */
+  /** Whether an order and all later ones had no reply; no run is started until the worker replies again. */
   readonly isSuspected: boolean;
-  /** Reports that an order had no reply. */
-  reportUnanswered(): void;
+  /** Reports that an order sent at `sentAt` had no reply. */
+  reportUnanswered(sentAt: Milliseconds): void;
+  /** Reports that the worker has replied to an order sent at `sentAt`. */
+  reportAnswered(sentAt: Milliseconds): void;
+  /** How long to wait for the reply to an order. */
+  replyTimeout(): Milliseconds;
   /** Wakes the renewal loop, as a run has started or ended. */
   wake(): void;
   /** Reports that a run is being started, which extends the lease of all active runs. */
@@ -49,6 +54,9 @@
   let confirmedSequence = 0;
   /** When the last order that may have extended the lease was sent, whether it was answered or not. */
   let extendedAt = timers.now();
+  /** When the newest order was sent that the worker has replied to. */
+  let answeredSentAt = Number.NEGATIVE_INFINITY;
+  const replyTimeout = new ReplyTimeout();
   let isReady = false;
   /** Set by an order without a reply, until the worker replies again. */
   let isSuspected = false;
@@ -84,15 +92,18 @@
       fencingToken,
       acknowledgedSequence: sentSequence,
       waitMilliseconds,
+      replyTimeout: replyTimeout.current(),
       deadline: extendsLease
         ? Math.round(executor.clock.estimateNow() + leaseMilliseconds)
         : undefined,
     });
     if (isStopped) return undefined;
     if (reply.isErr()) {
-      handleFailure();
+      handleFailure(sentAt);
       return undefined;
     }
+    if (waitMilliseconds === 0) reportAnswered(sentAt);
+    answeredSentAt = Math.max(answeredSentAt, sentAt);
     if (!reply.value.accepted) {
       handleRefusal(reply.value.refusal, fencingToken);
       return undefined;
@@ -126,15 +137,24 @@
     executor.startWaitingRuns();
   };
 
-  const suspectWorker = (): void => {
-    if (isSuspected || !isReady) return;
+  const reportAnswered = (sentAt: Milliseconds): void => {
+    answeredSentAt = Math.max(answeredSentAt, sentAt);
+    replyTimeout.observe(timers.now() - sentAt);
+  };
+
+  /** A single lost reply says nothing about a worker that has replied to a later order. */
+  const hasAnsweredSince = (sentAt: Milliseconds): boolean =>
+    answeredSentAt >= sentAt;
+
+  const suspectWorker = (sentAt: Milliseconds): void => {
+    if (isSuspected || !isReady || hasAnsweredSince(sentAt)) return;
     isSuspected = true;
     logger.warn('worker does not answer', { worker: worker.workerId });
     executor.handleUnansweredOrder();
   };
 
-  const handleFailure = (): void => {
-    suspectWorker();
+  const handleFailure = (sentAt: Milliseconds): void => {
+    suspectWorker(sentAt);
     const silenceMilliseconds = timers.now() - extendedAt;
     if (
       !isReady ||
@@ -220,10 +240,12 @@
     get isSuspected() {
       return isSuspected;
     },
-    reportUnanswered: () => {
-      suspectWorker();
+    reportUnanswered: sentAt => {
+      suspectWorker(sentAt);
       wake();
     },
+    reportAnswered,
+    replyTimeout: () => replyTimeout.current(),
     wake,
     reportStart: () => {
       extendedAt = timers.now();
--- /dev/null
+++ b/packages/worker-gate/src/lost-replies.test.ts
@@ -0,0 +1,54 @@
+/** Single lost replies of a worker that answers its other orders. */
+import test from 'ava';
+
+import { startGateFixture } from './fakes/gate-fixture.js';
+import { maximumReplyTimeout, ReplyTimeout } from './reply-timeout.js';
+
+test('an order without a reply returns no queued run of a worker that answers other orders', async t => {
+  const { worker, place, timers, ends, listStarts } = await startGateFixture(2);
+  worker.runMilliseconds = 400;
+  worker.nextStartDelayMilliseconds = 5_000;
+  place({ jobId: 'unanswered' });
+  await timers.advance(5);
+  place({ jobId: 'running' });
+  place({ jobId: 'queued', mayWait: true });
+  await timers.advance(1_000);
+  t.deepEqual(
+    ends.filter(({ jobId }) => jobId !== 'unanswered').map(end => end.outcome),
+    ['done', 'done'],
+  );
+  t.true(listStarts().includes('queued/1'));
+});
+
+test('a run whose start order had no reply is given back soon once reply times are known', async t => {
+  const { worker, place, timers, ends } = await startGateFixture(2);
+  worker.runMilliseconds = 10;
+  for (let job = 0; job < 30; job += 1) {
+    place({ jobId: `job-${String(job)}` });
+    await timers.advance(20);
+  }
+  worker.nextStartDelayMilliseconds = 5_000;
+  place({ jobId: 'unanswered' });
+  await timers.advance(100);
+  t.like(ends.at(-1), { jobId: 'unanswered', outcome: 'not-started' });
+});
+
+test('a worker that answers nothing is still suspected', async t => {
+  const { worker, place, timers, received } = await startGateFixture(2);
+  place({ jobId: 'before' });
+  await timers.advance(200);
+  worker.isSilent = true;
+  place({ jobId: 'unanswered' });
+  await timers.advance(400);
+  t.true(received.at(-1)?.load.closed);
+});
+
+test('a worker whose replies slow down is given more time for them', t => {
+  const timeout = new ReplyTimeout();
+  t.is(timeout.current(), maximumReplyTimeout);
+  for (let reply = 0; reply < 50; reply += 1) timeout.observe(2);
+  const fast = timeout.current();
+  for (const replyTime of [2, 80, 3, 120, 2, 90]) timeout.observe(replyTime);
+  t.true(fast < 100);
+  t.true(timeout.current() > 150);
+});
--- a/packages/worker-gate/src/ports/worker.ts
+++ b/packages/worker-gate/src/ports/worker.ts
@@ -11,6 +11,8 @@
 export interface WorkerOrder {
   /** The worker refuses a token lower than the highest one received. */
   readonly fencingToken: number;
+  /** Time after which the order counts as unanswered, on top of the wait that it asks for; 250 ms by default. */
+  readonly replyTimeout?: Milliseconds | undefined;
 }
 
 /** Starts one run. */
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -36,10 +36,12 @@
         executor.clock.estimateNow() + startValidityMilliseconds,
       ),
       fencingToken,
+      replyTimeout: executor.lease.replyTimeout(),
     });
+    if (reply.isOk()) executor.lease.reportAnswered(sentAt);
     if (run.phase === RunPhase.Ended) return;
     if (reply.isErr()) {
-      executor.lease.reportUnanswered();
+      executor.lease.reportUnanswered(sentAt);
       await resolveUnansweredStart(executor, run);
       return;
     }
--- a/packages/worker-gate/src/stop-run.ts
+++ b/packages/worker-gate/src/stop-run.ts
@@ -19,12 +19,15 @@
   const { timers, port, fencing } = executor.options;
   while (run.phase !== RunPhase.Ended && !executor.isClosed) {
     const fencingToken = fencing.token;
+    const sentAt = timers.now();
     const reply = await port.stopRun({
       jobId: run.order.jobId,
       taskId: run.taskId,
       run: run.run,
       fencingToken,
+      replyTimeout: executor.lease.replyTimeout(),
     });
+    if (reply.isOk()) executor.lease.reportAnswered(sentAt);
     if (reply.isOk() && reply.value.accepted) {
       await confirmStopped(executor, run);
       return;
