--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -5,7 +5,11 @@
 import { listChangesSince } from '@cranberryturn/configuration';
 import { composeRoster, composeRosterChanges } from '@cranberryturn/membership';
 import type { LogStatus, Member } from '@cranberryturn/replicated-log';
-import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import {
+  type TimerService,
+  type TimerSubscription,
+  watchPauses,
+} from '@cranberryturn/timers';
 import type { LogIndex, Milliseconds, Roster } from '@cranberryturn/types';
 import {
   type ControlNotice,
@@ -19,6 +23,7 @@
 
 const freshnessIntervalMilliseconds: Milliseconds = 500;
 const coalescingDelayMilliseconds: Milliseconds = 10;
+const minimumPauseMilliseconds: Milliseconds = 1_000;
 const maximumDeltaChanges = 200;
 
 /** The update feed of one control replica. */
@@ -63,7 +68,14 @@
   let pendingUpdate: TimerSubscription | undefined;
   let roster: Roster = composeRoster(state.roster);
 
+  const pauses = watchPauses(timers, minimumPauseMilliseconds);
+
+  /**
+   * After a pause of this process, heartbeats that arrived meanwhile look recent; a proof from them is
+   * too old once it could have been renewed.
+   */
   const computeProofAge = (): Milliseconds => {
+    if (pauses.hasPausedSince(timers.now() - maximumProofAge)) return Infinity;
     const provedAt = status().leadershipProvedAt;
     return provedAt === undefined ? Infinity : timers.now() - provedAt;
   };
@@ -131,6 +143,7 @@
     followers: () => followers.size,
     stop: () => {
       heartbeat.cancel();
+      pauses.cancel();
       pendingUpdate?.cancel();
     },
   };
