--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -5,7 +5,11 @@
 import { listChangesSince } from '@cranberryturn/configuration';
 import { composeRoster, composeRosterChanges } from '@cranberryturn/membership';
 import type { LogStatus, Member } from '@cranberryturn/replicated-log';
-import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import {
+  type TimerService,
+  type TimerSubscription,
+  watchPauses,
+} from '@cranberryturn/timers';
 import type {
   EvacuationVersion,
   LogIndex,
@@ -24,13 +28,10 @@
 
 const freshnessIntervalMilliseconds: Milliseconds = 500;
 const coalescingDelayMilliseconds: Milliseconds = 10;
+const minimumPauseMilliseconds: Milliseconds = 1_000;
 const maximumDeltaChanges = 200;
 /** Entries that were on their way when the leader was proved arrive within a few of these. */
 const catchUpIntervalMilliseconds: Milliseconds = 20;
-/** Gap between two heartbeats of this feed that shows that the process was suspended. */
-const suspensionGapMilliseconds: Milliseconds = 1_000;
-/** Time in which a process that was suspended reads what had arrived meanwhile. */
-const drainMilliseconds: Milliseconds = 250;
 
 /** The update feed of one control replica. */
 export interface FollowerFeed {
@@ -78,25 +79,20 @@
   let pendingUpdate: TimerSubscription | undefined;
   /** Whether followers wait for a proof that they would have received with an update. */
   let isHeldBack = false;
-  let lastHeartbeat = timers.now();
-  /** Earlier proofs don't count. */
-  let trustedFrom = -Infinity;
   let roster: Roster = composeRoster(state.roster);
 
+  const pauses = watchPauses(timers, minimumPauseMilliseconds);
+
   const computeAge = (provedAt: Milliseconds | undefined): Milliseconds =>
     provedAt === undefined ? Infinity : timers.now() - provedAt;
 
+  /**
+   * After a pause of this process, heartbeats that arrived meanwhile look recent; a proof from them is
+   * too old once it could have been renewed.
+   */
   const computeProofAge = (): Milliseconds => {
-    const provedAt = status().stateProvedAt ?? -Infinity;
-    return provedAt < trustedFrom ? Infinity : computeAge(provedAt);
-  };
-
-  /** The proofs that arrived during a suspension are read after it, and look new. */
-  const detectSuspension = (): void => {
-    const now = timers.now();
-    if (now - lastHeartbeat > suspensionGapMilliseconds)
-      trustedFrom = now + drainMilliseconds;
-    lastHeartbeat = now;
+    if (pauses.hasPausedSince(timers.now() - maximumProofAge)) return Infinity;
+    return computeAge(status().stateProvedAt);
   };
 
   const readRoster = (): Roster => {
@@ -156,7 +152,6 @@
   };
 
   const heartbeat = timers.every(freshnessIntervalMilliseconds, () => {
-    detectSuspension();
     isHeldBack = false;
     sendUpdates();
     sendFreshness();
@@ -185,6 +180,7 @@
     followers: () => followers.size,
     stop: () => {
       heartbeat.cancel();
+      pauses.cancel();
       pendingUpdate?.cancel();
     },
   };
