--- a/packages/transient-jobs/src/fakes/fake-host.ts
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -33,7 +33,7 @@
   worker: FakeWorker;
   gate: WorkerGate;
   /** Suspends the sidecar process while true; it then receives what was sent to it meanwhile. */
-  readonly suspension: Suspension;
+  suspension: Suspension;
   /** Kills the sidecar process and starts a new one, to which the worker reports. */
   restartSidecar(): Promise<void>;
   /** Crashes the worker and starts a new incarnation. */
@@ -57,7 +57,7 @@
   let processes = 0;
   let sequence = 0;
   const { dataCentres = ['dong-da'] } = options;
-  const suspension = createSuspension(timers);
+  let suspension = createSuspension(timers);
 
   const startWorker = (): FakeWorker => {
     incarnations += 1;
@@ -125,7 +125,10 @@
         if (connection.from === name) connection.disconnect();
       }
       host.gate.kill();
+      suspension.end();
       await timers.advance(10);
+      suspension = createSuspension(timers);
+      host.suspension = suspension;
       host.gate = startGate();
       report();
     },
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -29,7 +29,7 @@
 import { TransientJobs } from '../transient-jobs.js';
 import type { JobStep, TransientJob } from '../transient-job.js';
 
-export { oneProcessor };
+export { type FakeHost, oneProcessor };
 
 const networkDelayMilliseconds = 1;
 const checkIntervalMilliseconds = 5;
@@ -56,8 +56,11 @@
   readonly violations: string[];
   /** Changes the list of dispatchers, as after a change of the roster: those at the given positions. */
   listDispatchers(positions: readonly number[]): void;
-  /** Changes the evacuated data centres at control; dispatchers at other positions are cut off from it. */
-  evacuate(dataCentres: readonly string[], heardAt?: readonly number[]): void;
+  /** Changes the evacuated data centres at control; dispatchers at other positions are cut off from it. Returns its state. */
+  evacuate(
+    dataCentres: readonly string[],
+    heardAt?: readonly number[],
+  ): EvacuationState;
 }
 
 /** Creates the queue of these tests. */
@@ -162,11 +165,13 @@
         dataCentre,
         since,
       }));
+      const state = { version: evacuationVersion, evacuations };
       dispatchers.forEach((dispatcher, position) => {
         if (heardAt?.includes(position) === false)
           dispatcher.control.isProved = false;
-        else dispatcher.hear({ version: evacuationVersion, evacuations });
+        else dispatcher.hear(state);
       });
+      return state;
     },
   };
 }
--- a/packages/transient-jobs/src/fakes/suspension.ts
+++ b/packages/transient-jobs/src/fakes/suspension.ts
@@ -8,12 +8,16 @@
   wrapNetwork(network: Network): Network;
   suspend(): void;
   resume(): void;
+  /** Ends the process: it runs nothing any more, also not what waited for it. */
+  end(): void;
 }
 
 /** Creates the suspension of a process that runs. */
 export function createSuspension(timers: TimerService): Suspension {
   let pending: (() => void)[] | undefined;
+  let hasEnded = false;
   const run = (callback: () => void): void => {
+    if (hasEnded) return;
     if (pending === undefined) callback();
     else pending.push(callback);
   };
@@ -25,7 +29,7 @@
     ...connection,
     receive: async function* () {
       for await (const frame of connection.receive()) {
-        if (pending !== undefined) await whenRunning();
+        if (pending !== undefined || hasEnded) await whenRunning();
         yield frame;
       }
     },
@@ -52,7 +56,11 @@
     resume: () => {
       const due = pending ?? [];
       pending = undefined;
-      for (const callback of due) callback();
+      for (const callback of due) run(callback);
+    },
+    end: () => {
+      hasEnded = true;
+      pending = undefined;
     },
   };
 }
