--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -118,7 +118,8 @@
 export async function startJobsFixture(options: {
   readonly dispatchers: number;
   readonly workers: number;
-  readonly processors: number;
+  /** Processors of each worker, or of the worker at a position. */
+  readonly processors: number | ((position: number) => number);
   /** Number of dispatchers that sidecars dial first; all by default. */
   readonly seeds?: number | undefined;
 }): Promise<JobsFixture> {
@@ -136,7 +137,7 @@
     startHost(timers, network, number, options),
   );
   timers.every(checkIntervalMilliseconds, () => {
-    checkWorkers(hosts, options.processors, violations);
+    checkWorkers(hosts, violations);
   });
   await timers.advance(300);
   return {
@@ -158,14 +159,10 @@
   };
 }
 
-function checkWorkers(
-  hosts: readonly FakeHost[],
-  processors: number,
-  violations: string[],
-): void {
+function checkWorkers(hosts: readonly FakeHost[], violations: string[]): void {
   const seen = new Set<string>();
   for (const { worker, name } of hosts) {
-    if (worker.activeRuns.size > processors)
+    if (worker.activeRuns.size > worker.run.capacity.processors)
       violations.push(`${name} exceeds its capacity`);
     for (const task of worker.activeRuns.keys()) {
       if (seen.has(task)) violations.push(`${task} has two active runs`);
@@ -228,7 +225,7 @@
   number: number,
   options: {
     readonly dispatchers: number;
-    readonly processors: number;
+    readonly processors: number | ((position: number) => number);
     readonly seeds?: number | undefined;
   },
 ): FakeHost {
@@ -244,7 +241,10 @@
       incarnation: `worker-${String(number)}@${String(incarnations)}`,
       service: 'register',
       capacity: {
-        processors: options.processors,
+        processors:
+          typeof options.processors === 'number'
+            ? options.processors
+            : options.processors(number),
         memoryMebibytes: 65_536,
         accelerators: 0,
       },
