Let a fake worker that has crashed execute no order that it had already received

An order in the reply delay of 1 ms at the time of the crash was started on the crashed worker, where it never ended.

--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -181,6 +181,7 @@
     if (hasCrashed) return err(createConnectionError(run.workerId));
     if (worker.isSilent) return await failWithTimeout(timers, run.workerId);
     await sleep(timers, replyDelayMilliseconds);
+    if (hasCrashed) return err(createConnectionError(run.workerId));
     const reply = carryOut();
     if (worker.losesReplies) return await failWithTimeout(timers, run.workerId);
     return ok(reply);
