Report the work that a sidecar started by priority, where it is asked to

Admission knows the queued work of a worker, and not how much more urgent work passes what is queued: work of a priority is overtaken by all more urgent work that arrives later. With the option reportsStartedWork, a load report names the work started over the last second by priority, as a rate in processors. Without the option the report is unchanged; with it, it grows by the field name and four numbers.

--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -42,6 +42,11 @@
   readonly free: WorkerResources;
   /** Estimated queued work, in processor-milliseconds, indexed by priority. */
   readonly waitingWork: readonly number[];
+  /**
+   * Work started over the last second, in processor-milliseconds per millisecond, indexed by priority.
+   * Absent from earlier versions and where the sidecar is not asked to report it.
+   */
+  readonly startedWork?: readonly number[] | undefined;
   /** Estimated remaining work of the executing runs, in processor-milliseconds. */
   readonly runningWork: number;
   /** Whether the worker accepts no further runs because it is draining or currently unresponsive. */
--- a/packages/worker-gate/src/run-table.ts
+++ b/packages/worker-gate/src/run-table.ts
@@ -12,6 +12,7 @@
   RunPhase,
 } from './active-run.js';
 import { Capacity } from './capacity.js';
+import { StartedWork } from './started-work.js';
 import { WaitingRuns } from './waiting-runs.js';
 
 /** Free share of the processors that is reported as available again: tasks need up to a tenth of a worker. */
@@ -21,6 +22,7 @@
 export class RunTable {
   readonly capacity: Capacity;
   readonly waiting = new WaitingRuns();
+  readonly #started = new StartedWork();
   readonly #active = new Map<string, ActiveRun>();
   /** Whether runs have been queued since freed capacity was last reported. */
   #wasFull = false;
@@ -81,6 +83,7 @@
         mayStart(one),
     );
     if (run === undefined) return undefined;
+    this.#started.add(run.order.priority, estimateRemainingWork(run, now), now);
     this.capacity.reserve(run.order.need);
     this.#active.set(run.task, run);
     run.phase = RunPhase.Starting;
@@ -97,6 +100,11 @@
     return true;
   }
 
+  /** Work started by priority over the last second, in processor-milliseconds per millisecond. */
+  measureStartedWork(now: Milliseconds): readonly number[] {
+    return this.#started.measureRates(now);
+  }
+
   measureLoad(now: Milliseconds): Omit<WorkerLoad, 'closed'> {
     let runningWork = 0;
     for (const run of this.#active.values()) {
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -48,6 +48,8 @@
   readonly metrics: Metrics;
   /** Longest lease that the worker grants. */
   readonly leaseMilliseconds: Milliseconds;
+  /** Whether load reports name the work started by priority; dispatchers use it where admission under scarcity is enabled. */
+  readonly reportsStartedWork?: boolean | undefined;
   /** Opens a port to one incarnation of the worker. `bornAt` is its start on the clock of the worker. */
   readonly openWorker: (worker: WorkerRun, bornAt: Milliseconds) => WorkerPort;
 }
@@ -183,6 +185,7 @@
       fencing,
       leases,
       leaseMilliseconds: options.leaseMilliseconds,
+      reportsStartedWork: options.reportsStartedWork,
       runEnded,
       runsStalled: (dispatcher, runs) => {
         const session = sessions.findSession(dispatcher);
--- a/packages/worker-gate/src/waiting-runs.ts
+++ b/packages/worker-gate/src/waiting-runs.ts
@@ -11,7 +11,7 @@
 export const maximumWaitingRuns = 512;
 
 /** Number of priorities reported separately; the last one includes all less urgent priorities. */
-const reportedPriorities = 4;
+export const reportedPriorities = 4;
 
 /** The queued runs of one worker. */
 export class WaitingRuns {
--- a/packages/worker-gate/src/worker-executor-options.ts
+++ b/packages/worker-gate/src/worker-executor-options.ts
@@ -24,6 +24,8 @@
   readonly leases: DispatcherLeases;
   /** Longest lease that the worker grants. */
   readonly leaseMilliseconds: Milliseconds;
+  /** Whether load reports name the work started by priority; dispatchers use it where admission under scarcity is enabled. */
+  readonly reportsStartedWork?: boolean | undefined;
   /** Called once for each run that ends. */
   readonly runEnded: (dispatcher: DispatcherId, end: RunEnd) => void;
   /** Called for active runs that make no progress. */
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -72,10 +72,14 @@
   }
 
   get load(): WorkerLoad {
-    return {
-      ...this.#runs.measureLoad(this.options.timers.now()),
+    const now = this.options.timers.now();
+    const load = {
+      ...this.#runs.measureLoad(now),
       closed: this.#isDraining || this.#isClosed || this.#lease.isSuspected,
     };
+    return this.options.reportsStartedWork === true
+      ? { ...load, startedWork: this.#runs.measureStartedWork(now) }
+      : load;
   }
 
   /** Runs that are starting or running. */
