--- a/packages/metrics/src/expose-metrics.ts
+++ b/packages/metrics/src/expose-metrics.ts
@@ -29,6 +29,7 @@
   addMessageCounters(registry, reading);
   addGauges(registry, reading);
   addDistributions(registry, reading);
+  addQueues(registry, reading);
   addProcessMetrics(registry);
   return registry.metrics();
 }
@@ -124,6 +125,30 @@
   }
 }
 
+function addQueues(registry: Registry, { queues = [] }: MetricsReading): void {
+  if (queues.length === 0) return;
+  const jobs = addCounter(
+    registry,
+    'queue_jobs',
+    'Jobs by queue and by what was decided about them.',
+    ['queue', 'event'],
+  );
+  const values = addGauge(
+    registry,
+    'queue_admission',
+    'Values that the admission of a queue follows from.',
+    ['queue', 'value'],
+  );
+  for (const { queue, events, ...reading } of queues) {
+    for (const [event, count] of Object.entries(events)) {
+      jobs.inc({ queue, event }, count);
+    }
+    for (const [value, number] of Object.entries(reading.values)) {
+      values.set({ queue, value }, number);
+    }
+  }
+}
+
 function addProcessMetrics(registry: Registry): void {
   addGauge(
     registry,
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -12,6 +12,7 @@
   type Gauge,
   WastedMessage,
 } from './names.js';
+import { QueueMetrics, type QueueReading } from './queue-metrics.js';
 
 /** Number and total size of the messages sent to processes of one role. */
 export interface MessageCount {
@@ -35,6 +36,8 @@
   readonly messages: readonly MessageCount[];
   readonly gauges: readonly { readonly gauge: Gauge; readonly value: number }[];
   readonly distributions: readonly DistributionReading[];
+  /** Counts and values by queue; absent while none was recorded. */
+  readonly queues?: readonly QueueReading[];
 }
 
 /** Metrics of one process. */
@@ -49,6 +52,8 @@
   record(distribution: Distribution, value: number, service?: string): void;
   /** Registers the source of a gauge, which is read with the metrics. Replaces an earlier source. */
   registerGauge(gauge: Gauge, readValue: () => number): void;
+  /** Counters and values by queue. */
+  readonly queues: QueueMetrics;
   read(): MetricsReading;
   /** Formats the metrics in the text format of Prometheus, for `GET /metrics`. */
   expose(): Promise<string>;
@@ -88,6 +93,8 @@
   const messages = new Map<string, MutableMessageCount>();
   const distributions = new Map<string, DistributionEntry>();
 
+  const queues = new QueueMetrics();
+
   const addDistribution = (distribution: Distribution, service: string) => {
     const recorder = createDistributionRecorder(options.timers);
     const entry = { distribution, service, recorder };
@@ -95,6 +102,11 @@
     return entry;
   };
 
+  const readQueues = (): Pick<MetricsReading, 'queues'> => {
+    const readings = queues.read();
+    return readings.length > 0 ? { queues: readings } : {};
+  };
+
   const read = (): MetricsReading => ({
     role: options.role,
     process: options.process,
@@ -112,6 +124,7 @@
         ...recorder.summarize(),
       }),
     ),
+    ...readQueues(),
   });
 
   return {
@@ -139,6 +152,7 @@
     registerGauge: (gauge, readValue) => {
       gauges.set(gauge, readValue);
     },
+    queues,
     read,
     expose: async () => {
       // Loaded on the first scrape, because prom-client is large.
