Count the more urgent work that overtakes a job when capacity is scarce

A job of the least urgent queue was admitted with an expected wait below 0.8 s and took up to three times its objective, as every more urgent task that arrives later passes it. With the new option scarcity, the expected wait is divided by the share of the capacity that more urgent work leaves, by the rates in the load reports. Without the option nothing changes.

--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -52,19 +52,20 @@
   );
 }
 
-/** Returns why a job is refused; undefined admits the job. */
-export function decideAdmission(
-  request: AdmissionRequest,
-): JobRefusal | undefined {
-  const { queue, waitMilliseconds, deadlineMilliseconds, heldMilliseconds } =
-    request;
-  if (!request.hasWorkers) {
+/** Returns why a job is refused that no worker can take now; undefined when its tasks can be placed. */
+export function decideWithoutRoom({
+  queue,
+  waitMilliseconds,
+  hasWorkers,
+  canBeHeld,
+}: AdmissionRequest): JobRefusal | undefined {
+  if (!hasWorkers) {
     return {
       reason: `no worker of service "${queue.service}" is known`,
       retryAfterMilliseconds: noWorkerRetryMilliseconds,
     };
   }
-  if (!request.canBeHeld) {
+  if (!canBeHeld) {
     return {
       reason: `no worker of service "${queue.service}" can ever hold a task of the job`,
       retryAfterMilliseconds: undefined,
@@ -76,6 +77,17 @@
       retryAfterMilliseconds: noWorkerRetryMilliseconds,
     };
   }
+  return undefined;
+}
+
+/** Returns why a job is refused; undefined admits the job. */
+export function decideAdmission(
+  request: AdmissionRequest,
+): JobRefusal | undefined {
+  const { queue, deadlineMilliseconds, heldMilliseconds } = request;
+  const withoutRoom = decideWithoutRoom(request);
+  if (withoutRoom !== undefined) return withoutRoom;
+  const waitMilliseconds = request.waitMilliseconds ?? 0;
   const objectiveMilliseconds = computeObjective(
     queue,
     request.criticalPathMilliseconds,
--- a/packages/transient-jobs/src/describe-end.ts
+++ b/packages/transient-jobs/src/describe-end.ts
@@ -1,5 +1,6 @@
 /** Represents the ends of jobs for callers, log lines and counters. */
-import { Counter } from '@cranberryturn/metrics';
+import type { Logger } from '@cranberryturn/logger';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import type { Milliseconds } from '@cranberryturn/types';
 
 import {
@@ -27,6 +28,20 @@
   return { requestId, jobId, queue: queue.queue, service: queue.service };
 }
 
+/** Counts and logs a refused job. */
+export function reportRefusal(
+  { logger, metrics }: { readonly logger: Logger; readonly metrics: Metrics },
+  job: TransientJob,
+  end: TransientJobEnd,
+): void {
+  metrics.count(Counter.JobsRefused);
+  logger.info('job refused', {
+    ...describeJobForLog(job),
+    ...end,
+    heldMilliseconds: Math.round(job.heldMilliseconds),
+  });
+}
+
 /** Chooses the counter for an end. */
 export function chooseEndCounter({ kind }: TransientJobEnd): Counter {
   switch (kind) {
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -6,11 +6,7 @@
   createManualTimerService,
   type ManualTimerService,
 } from '@cranberryturn/timers';
-import type {
-  DispatcherList,
-  QueueConfiguration,
-  WorkerRun,
-} from '@cranberryturn/types';
+import type { DispatcherList, WorkerRun } from '@cranberryturn/types';
 import {
   createMemoryNetwork,
   type MemoryNetwork,
@@ -23,8 +19,11 @@
   type WorkerGate,
 } from '@cranberryturn/worker-gate';
 
+import type { ScarcitySettings } from '../scarcity/scarcity-settings.js';
 import { TransientJobs } from '../transient-jobs.js';
-import type { JobStep, TransientJob } from '../transient-job.js';
+import { oneProcessor } from './create-job.js';
+
+export { createJob, createQueue, oneProcessor } from './create-job.js';
 
 const firstPort = 7_700;
 const address = '10.0.0.1';
@@ -32,13 +31,6 @@
 const networkDelayMilliseconds = 1;
 const checkIntervalMilliseconds = 5;
 
-/** Resources of each task in these tests. */
-export const oneProcessor = {
-  processors: 1,
-  memoryMebibytes: 64,
-  accelerators: 0,
-};
-
 /** One worker and its sidecar process. */
 export interface FakeHost {
   readonly name: string;
@@ -70,50 +62,6 @@
   listDispatchers(positions: readonly number[]): void;
 }
 
-/** Creates the queue of these tests. */
-export function createQueue(
-  overrides: Partial<QueueConfiguration> = {},
-): QueueConfiguration {
-  return {
-    queue: 'lookups',
-    host: 'register.example',
-    pathPrefix: '/lookups/',
-    service: 'register',
-    priority: 1,
-    maximumFailures: 2,
-    slackFactor: 1.6,
-    targetLatencyMilliseconds: 60,
-    ...overrides,
-  };
-}
-
-/** Creates a job of one step whose tasks need one processor each. */
-export function createJob(
-  jobId: string,
-  tasks: number,
-  overrides: Partial<TransientJob> & { readonly step?: Partial<JobStep> } = {},
-): TransientJob {
-  const { step, ...rest } = overrides;
-  return {
-    jobId,
-    requestId: jobId,
-    queue: createQueue(),
-    specification: 'text',
-    steps: [
-      {
-        tasks,
-        need: oneProcessor,
-        estimatedMilliseconds: 100,
-        after: [],
-        ...step,
-      },
-    ],
-    deadlineMilliseconds: 5_000,
-    heldMilliseconds: 0,
-    ...rest,
-  };
-}
-
 /** Starts the processes and connects them. */
 export async function startJobsFixture(options: {
   readonly dispatchers: number;
@@ -122,6 +70,8 @@
   readonly processors: number | ((position: number) => number);
   /** Number of dispatchers that sidecars dial first; all by default. */
   readonly seeds?: number | undefined;
+  /** Settings of admission under scarcity; disabled by default. */
+  readonly scarcity?: ScarcitySettings | undefined;
 }): Promise<JobsFixture> {
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, networkDelayMilliseconds);
@@ -130,7 +80,13 @@
   let list: DispatcherList = { version: 0, dispatchers: [] };
   for (let number = 0; number < options.dispatchers; number += 1) {
     dispatchers.push(
-      await startDispatcher(timers, network, number, () => list),
+      await startDispatcher(
+        timers,
+        network,
+        number,
+        () => list,
+        options.scarcity,
+      ),
     );
   }
   const hosts = Array.from({ length: options.workers }, (_, number) =>
@@ -176,6 +132,7 @@
   network: MemoryNetwork,
   number: number,
   listDispatchers: () => DispatcherList,
+  scarcity: ScarcitySettings | undefined,
 ): Promise<FakeDispatcher> {
   const name = `dispatcher-${String(number)}`;
   let processes = 0;
@@ -193,6 +150,7 @@
       metrics: createMetrics({ role: 'dispatcher', process: name, timers }),
       remoteFactor: 1.5,
       listDispatchers,
+      scarcity,
     });
     const listener = await network
       .join({
@@ -227,6 +185,7 @@
     readonly dispatchers: number;
     readonly processors: number | ((position: number) => number);
     readonly seeds?: number | undefined;
+    readonly scarcity?: ScarcitySettings | undefined;
   },
 ): FakeHost {
   const name = `sidecar-${String(number)}`;
@@ -276,6 +235,7 @@
       logger: createSilentLogger(),
       metrics: createMetrics({ role: 'sidecar', process: name, timers }),
       leaseMilliseconds: 1_000,
+      reportsStartedWork: options.scarcity !== undefined,
       openWorker: () => host.worker.port,
     });
   };
--- a/packages/transient-jobs/src/measures/run-scarce-load.ts
+++ b/packages/transient-jobs/src/measures/run-scarce-load.ts
@@ -11,6 +11,7 @@
   type JobsFixture,
   startJobsFixture,
 } from '../fakes/jobs-fixture.js';
+import type { ScarcitySettings } from '../scarcity/scarcity-settings.js';
 import { type TransientJobEnd, TransientJobEndKind } from '../transient-job.js';
 import {
   type Arrival,
@@ -40,8 +41,12 @@
   readonly seed: number;
   /** Size of the load and of the workers, relative to the page. */
   readonly scale: number;
+  /** Factor by which the longest kind arrives more often during the burst. */
+  readonly burstFactor: number;
   /** Whether a refused caller returns once after the time that the refusal names. */
   readonly callersReturn: boolean;
+  /** Settings of admission under scarcity; disabled when undefined. */
+  readonly scarcity: ScarcitySettings | undefined;
 }
 
 /** What a caller got. */
@@ -64,6 +69,7 @@
   const fixture = await startJobsFixture({
     dispatchers,
     workers: Math.round(workersOfThePage * options.scale),
+    scarcity: options.scarcity,
     processors: position => getItem(slots, position % slots.length),
   });
   const { timers, hosts } = fixture;
@@ -78,7 +84,11 @@
     endFaults(fixture, random);
   });
   const outcomes: Outcome[] = [];
-  for (const arrival of planArrivals(random, options.scale)) {
+  for (const arrival of planArrivals(
+    random,
+    options.scale,
+    options.burstFactor,
+  )) {
     await timers.advance(begin + arrival.at - timers.now());
     outcomes.push(submit(fixture, random, arrival, options));
   }
--- a/packages/transient-jobs/src/measures/scarce-load.ts
+++ b/packages/transient-jobs/src/measures/scarce-load.ts
@@ -40,7 +40,7 @@
 ];
 
 /** Factor by which the longest kind arrives more often during the burst. */
-export const burstFactor = 2.3;
+export const defaultBurstFactor = 2.3;
 /** Beginning of the burst. */
 export const burstStart: Milliseconds = 3_000;
 /** End of the burst. */
@@ -63,13 +63,14 @@
   readonly declaredMilliseconds: Milliseconds;
 }
 
-/** Plans the arrivals of a load that is `scale` times the one of the page. */
+/** Plans the arrivals of a load that is `scale` times the one of the page, with a burst of the longest kind. */
 export function planArrivals(
   random: RandomSource,
   scale: number,
+  burstFactor: number,
 ): readonly Arrival[] {
   return jobKinds
-    .flatMap(kind => planKind(kind, random, scale))
+    .flatMap(kind => planKind(kind, random, scale, burstFactor))
     .toSorted((left, right) => left.at - right.at);
 }
 
@@ -77,6 +78,7 @@
   kind: JobKind,
   random: RandomSource,
   scale: number,
+  burstFactor: number,
 ): readonly Arrival[] {
   const arrivals: Arrival[] = [];
   let at = 0;
--- a/packages/transient-jobs/src/transient-jobs-options.ts
+++ b/packages/transient-jobs/src/transient-jobs-options.ts
@@ -6,6 +6,7 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type { DispatcherId, DispatcherList } from '@cranberryturn/types';
 
+import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
 import type { TransientJobEnd } from './transient-job.js';
 
 /** Options of the transient jobs of one dispatcher. */
@@ -21,6 +22,8 @@
   readonly remoteFactor: number;
   /** Dispatchers from which sidecars choose those that they keep sessions with. */
   readonly listDispatchers: () => DispatcherList;
+  /** Settings of admission under scarcity; disabled when undefined. */
+  readonly scarcity?: ScarcitySettings | undefined;
 }
 
 /** A submitted job, as one caller sees it. */
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -25,8 +25,10 @@
   describeJobForLog,
   createRefusal,
   createEndedJob,
+  reportRefusal,
 } from './describe-end.js';
 import { findJobRefusal } from './find-job-refusal.js';
+import { ScarcityControl } from './scarcity/scarcity-control.js';
 import { JobRegistry } from './job-registry.js';
 import type { KnownWorker } from './known-worker.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
@@ -59,6 +61,8 @@
   readonly #estimates = new RunTimeEstimates();
   readonly #placer: TaskPlacer;
   readonly #suspensionPause: SuspensionPause;
+  /** Undefined where admission under scarcity is disabled. */
+  readonly #scarcity: ScarcityControl | undefined;
   #isStopping = false;
   /** Pending placement attempt; set while tasks wait for a worker. */
   #retryTimer: TimerSubscription | undefined;
@@ -66,6 +70,7 @@
   constructor(options: TransientJobsOptions) {
     this.#options = options;
     this.#jobs = new JobRegistry(options.timers);
+    this.#scarcity = options.scarcity && new ScarcityControl(options);
     this.#suspensionPause = new SuspensionPause(options.timers, options.logger);
     this.workers = new WorkerDirectory({
       ...options,
@@ -142,10 +147,17 @@
     const placement = this.#placer.planJob(active);
     const refusal = this.#isStopping
       ? createRefusal('this dispatcher stops', stopRetryMilliseconds)
-      : findJobRefusal(job, criticalPathMilliseconds, placement, [
-          ...this.workers.listWorkers(job.queue.service),
-        ]);
-    if (refusal !== undefined) return this.#refuseJob(job, refusal);
+      : findJobRefusal(
+          job,
+          criticalPathMilliseconds,
+          placement,
+          [...this.workers.listWorkers(job.queue.service)],
+          this.#scarcity,
+        );
+    if (refusal !== undefined) {
+      reportRefusal(this.#options, job, refusal);
+      return createEndedJob(refusal);
+    }
     return this.#startJob(active, placement);
   }
 
@@ -194,16 +206,6 @@
     };
   }
 
-  #refuseJob(job: TransientJob, end: TransientJobEnd): SubmittedJob {
-    this.#options.metrics.count(Counter.JobsRefused);
-    this.#options.logger.info('job refused', {
-      ...describeJobForLog(job),
-      ...end,
-      heldMilliseconds: Math.round(job.heldMilliseconds),
-    });
-    return createEndedJob(end);
-  }
-
   #startJob(active: ActiveJob, placement: Placement): SubmittedJob {
     const { metrics, logger, timers } = this.#options;
     const { job } = active;
