Probe a worker that failed its last run with a single task

After its backoff, a worker that fails everything looks idle and got as many tasks as it has slots, from each dispatcher. Where the option scarcity is set it gets one task until that one has succeeded.

--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -37,6 +37,8 @@
   readonly remoteFactor: number;
   /** Workers where the tasks failed, were refused or stalled; chosen only when no other is left. */
   readonly excludedWorkers: ReadonlySet<string>;
+  /** Whether a worker whose last run failed gets a single task, until that task has ended. */
+  readonly probesFailedWorkers?: boolean | undefined;
   /** Number of tasks of the step already placed, by worker. */
   readonly placedTasks: ReadonlyMap<string, number>;
 }
@@ -129,9 +131,12 @@
 }
 
 function hasMaximumTasks(
-  { step, placedTasks }: PlacementRequest,
+  { step, placedTasks, probesFailedWorkers }: PlacementRequest,
   { known, tasks }: Candidate,
 ): boolean {
+  const isProbed =
+    probesFailedWorkers === true && known.consecutiveFailures > 0;
+  if (isProbed && tasks >= 1) return true;
   if (step.mostPerWorker === undefined) return false;
   return (placedTasks.get(known.workerId) ?? 0) + tasks >= step.mostPerWorker;
 }
--- a/packages/transient-jobs/src/decisions.test.ts
+++ b/packages/transient-jobs/src/decisions.test.ts
@@ -11,6 +11,7 @@
   createKnownWorker,
   type KnownWorker,
   recordDelay,
+  recordProbe,
   recordSuccess,
   recordFailure,
 } from './known-worker.js';
@@ -122,6 +123,30 @@
   t.true(failing.backoffUntil > firstBackoffUntil);
 });
 
+test('a worker that failed gets a single task as a probe, and further ones only once that one has succeeded', t => {
+  const known = createWorker('failing');
+  recordFailure(known, 0);
+  const probe = (now: number) =>
+    chooseWorkers(
+      createRequest(4, { probesFailedWorkers: true }),
+      [known],
+      createRandomSource(1),
+      now,
+    );
+  known.lastHeardAt = 400;
+  t.deepEqual(
+    probe(400).map(one => one.tasks),
+    [1],
+  );
+  recordProbe(known, 100, 400);
+  t.deepEqual(probe(500), []);
+  recordSuccess(known, 100, 100);
+  t.deepEqual(
+    probe(500).map(one => one.tasks),
+    [4],
+  );
+});
+
 test('no worker receives more tasks of a step than the maximum per worker', t => {
   const step = { ...createRequest(6).step, mostPerWorker: 2 };
   const workers = ['a', 'b'].map(name => createWorker(name));
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -132,6 +132,22 @@
   known.backoffUntil = now + backoffMilliseconds;
 }
 
+/**
+ * Records that a task is sent to a worker whose last run failed: it receives no other until that one has succeeded.
+ * The time is bounded, since a task that is not started has no result.
+ */
+export function recordProbe(
+  known: KnownWorker,
+  expectedMilliseconds: Milliseconds,
+  now: Milliseconds,
+): void {
+  if (known.consecutiveFailures === 0) return;
+  const waitMilliseconds =
+    initialBackoffMilliseconds + 2 * expectedMilliseconds;
+  known.backoffUntil =
+    now + Math.min(maximumBackoffMilliseconds, waitMilliseconds);
+}
+
 /** Whether the worker accepts tasks now. */
 export function isUsable(known: KnownWorker, now: Milliseconds): boolean {
   return (
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -18,8 +18,10 @@
   TaskPhase,
 } from './active-job.js';
 import { type ChosenWorker, chooseWorkers } from './choose-workers.js';
+import { recordProbe } from './known-worker.js';
 import type { RunTimeEstimates } from './run-time-estimates.js';
 import type { RunTracker } from './run-tracker.js';
+import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
 import type { JobStep } from './transient-job.js';
 import type { WorkerDirectory } from './worker-directory.js';
 
@@ -36,6 +38,8 @@
   readonly workers: WorkerDirectory;
   readonly runs: RunTracker;
   readonly estimates: RunTimeEstimates;
+  /** Settings of admission under scarcity; disabled when undefined. */
+  readonly scarcity?: ScarcitySettings | undefined;
 }
 
 /** Planned placement of the tasks of one step. */
@@ -174,6 +178,7 @@
         dataCentre,
         remoteFactor,
         excludedWorkers,
+        probesFailedWorkers: this.#options.scarcity !== undefined,
         placedTasks: countPlacedTasks(active, stepIndex),
       },
       workers.listWorkers(queue.service),
@@ -191,6 +196,8 @@
     const { job } = active;
     const { timers, metrics, logger, workers, runs } = this.#options;
     const now = timers.now();
+    if (this.#options.scarcity !== undefined)
+      recordProbe(known, estimateMilliseconds, now);
     for (const task of tasks) {
       task.phase = TaskPhase.Placed;
       task.run += 1;
