--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -13,7 +13,10 @@
   type RoleEnvironment,
 } from '@cranberryturn/program';
 import { createRandomSource } from '@cranberryturn/random';
-import { TransientJobs } from '@cranberryturn/transient-jobs';
+import {
+  type ScarcitySettings,
+  TransientJobs,
+} from '@cranberryturn/transient-jobs';
 import type {
   DataCentreName,
   DispatcherId,
@@ -39,6 +42,8 @@
   readonly sharedKeyFile?: string | undefined;
   /** Factor by which a task runs longer on a rack without its input data. */
   readonly remoteFactor: number;
+  /** Settings of admission under scarcity; disabled when undefined. */
+  readonly scarcity?: ScarcitySettings | undefined;
   /** Seed of the random source; chosen at random when undefined. */
   readonly seed?: number | undefined;
 }
