Serve jobs that would be late with the capacity that no other work uses

With the expected wait alone, more callers got no answer: late jobs of the long kind became refused ones while workers stood idle for 7 to 8 % of the time. A job that would be late is now ordered at the least urgent priority, where every other one overtakes it, if it is expected to end within 2.5 times its objective (leftOverEndFactor, part of the option scarcity; 0 refuses such jobs).

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -46,6 +46,8 @@
   /** When the job should end to meet its response time objective. */
   readonly dueAt: Milliseconds;
   readonly tasks: readonly ActiveTask[];
+  /** Priority of its orders: that of its queue, or less urgent for a job that only gets left-over capacity. */
+  priority: number;
   /** Number of callers that wait for the job. */
   callers: number;
   end: TransientJobEnd | undefined;
@@ -72,6 +74,7 @@
     deadlineAt: now + job.deadlineMilliseconds - job.heldMilliseconds,
     dueAt: now + objectiveMilliseconds - job.heldMilliseconds,
     tasks,
+    priority: job.queue.priority,
     callers: 0,
     end: undefined,
     expiry: undefined,
--- a/packages/transient-jobs/src/describe-end.ts
+++ b/packages/transient-jobs/src/describe-end.ts
@@ -28,18 +28,19 @@
   return { requestId, jobId, queue: queue.queue, service: queue.service };
 }
 
-/** Counts and logs a refused job. */
+/** Counts and logs a refused job, and wraps its end. */
 export function reportRefusal(
   { logger, metrics }: { readonly logger: Logger; readonly metrics: Metrics },
   job: TransientJob,
   end: TransientJobEnd,
-): void {
+): SubmittedJob {
   metrics.count(Counter.JobsRefused);
   logger.info('job refused', {
     ...describeJobForLog(job),
     ...end,
     heldMilliseconds: Math.round(job.heldMilliseconds),
   });
+  return createEndedJob(end);
 }
 
 /** Chooses the counter for an end. */
--- a/packages/transient-jobs/src/find-job-refusal.ts
+++ b/packages/transient-jobs/src/find-job-refusal.ts
@@ -1,6 +1,7 @@
 /** Checks the admission of a job against the known workers. */
 import type { Milliseconds } from '@cranberryturn/types';
 
+import type { ActiveJob } from './active-job.js';
 import { canEverHold } from './choose-workers.js';
 import {
   type AdmissionRequest,
@@ -10,26 +11,30 @@
 } from './decide-admission.js';
 import { createRefusal } from './describe-end.js';
 import type { KnownWorker } from './known-worker.js';
-import type {
-  ScarcityAnswer,
-  ScarcityControl,
+import { ScarcityRule } from './scarcity/decide-scarcity.js';
+import {
+  leftOverPriority,
+  type ScarcityAnswer,
+  type ScarcityControl,
 } from './scarcity/scarcity-control.js';
 import type { Placement } from './task-placer.js';
-import {
-  type TransientJob,
-  type TransientJobEnd,
-  TransientJobEndKind,
-} from './transient-job.js';
+import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
+
+/** A job to admit, and the priority of its orders. */
+type AdmittedJob = Pick<ActiveJob, 'job' | 'priority'>;
 
-/** Returns the end of a refused job; undefined admits the job. `workers` are the workers of its service. */
+/**
+ * Returns the end of a refused job; undefined admits the job. `workers` are the workers of its service. Lowers the
+ * priority of a job that is admitted to left-over capacity only.
+ */
 export function findJobRefusal(
-  job: TransientJob,
+  active: AdmittedJob,
   criticalPathMilliseconds: Milliseconds,
   placement: Placement,
   workers: readonly KnownWorker[],
   scarcity?: ScarcityControl,
 ): TransientJobEnd | undefined {
-  const { queue, steps, deadlineMilliseconds, heldMilliseconds } = job;
+  const { queue, steps, deadlineMilliseconds, heldMilliseconds } = active.job;
   const request: AdmissionRequest = {
     queue,
     criticalPathMilliseconds,
@@ -46,7 +51,7 @@
   const refusal =
     scarcity === undefined
       ? decideAdmission(request)
-      : decideUnderScarcity(scarcity, job, request, workers);
+      : decideUnderScarcity(scarcity, active, request, workers);
   if (refusal === undefined) return undefined;
   const { reason, retryAfterMilliseconds } = refusal;
   return retryAfterMilliseconds === undefined
@@ -56,10 +61,11 @@
 
 function decideUnderScarcity(
   scarcity: ScarcityControl,
-  job: TransientJob,
+  active: AdmittedJob,
   request: AdmissionRequest,
   workers: readonly KnownWorker[],
 ): JobRefusal | undefined {
+  const { job } = active;
   const withoutRoom = decideWithoutRoom(request);
   if (withoutRoom !== undefined) {
     scarcity.countWithoutWorker(job);
@@ -72,6 +78,7 @@
     { job, criticalPathMilliseconds, waitMilliseconds, startsAtOnce },
     workers,
   );
+  if (answer.rule === ScarcityRule.LeftOver) active.priority = leftOverPriority;
   if (answer.isAdmitted) return undefined;
   return {
     reason: describeRefusal(answer),
--- a/packages/transient-jobs/src/measures/measure-admission-cost.ts
+++ b/packages/transient-jobs/src/measures/measure-admission-cost.ts
@@ -89,7 +89,7 @@
     ...chosen.map(one => one.waitMilliseconds),
   );
   findJobRefusal(
-    job,
+    { job, priority: job.queue.priority },
     step.estimatedMilliseconds,
     { plans: [], longestWaitMilliseconds, isComplete: true },
     [...workers],
--- a/packages/transient-jobs/src/recall-waiting-tasks.ts
+++ b/packages/transient-jobs/src/recall-waiting-tasks.ts
@@ -82,10 +82,10 @@
     return false;
   const known = workers.findWorker(task.workerId);
   if (known === undefined) return false;
-  const { queue, steps } = task.job.job;
+  const { steps } = task.job.job;
   const processors = steps[task.step]?.need.processors ?? 0;
   const ownWork = Math.floor(processors * task.expectedMilliseconds);
-  const waiting = sumWorkAhead(known, queue.priority);
+  const waiting = sumWorkAhead(known, task.job.priority);
   // The latest load report of its worker shows that the task has started.
   if (waiting < ownWork) return false;
   // A task that has already waited this long may be queued behind a run that exceeds its estimate.
@@ -97,6 +97,6 @@
 }
 
 function compareUrgency(left: ActiveTask, right: ActiveTask): number {
-  const byPriority = left.job.job.queue.priority - right.job.job.queue.priority;
+  const byPriority = left.job.priority - right.job.priority;
   return byPriority === 0 ? left.job.dueAt - right.job.dueAt : byPriority;
 }
--- a/packages/transient-jobs/src/scarcity/decide-scarcity.test.ts
+++ b/packages/transient-jobs/src/scarcity/decide-scarcity.test.ts
@@ -10,6 +10,7 @@
 const request: ScarcityRequest = {
   startsAtOnce: false,
   expectedMilliseconds: 900,
+  leftOverMilliseconds: 2_900,
   objectiveMilliseconds,
   deadlineMilliseconds: 3_000,
   draw: 0.3,
@@ -58,6 +59,15 @@
     draw: 0.6,
   },
   'late and narrow, wide jobs are starved': { ...late, ...wide, isWide: false },
+  'late, and of use with left-over capacity': {
+    ...late,
+    leftOverMilliseconds: 2_400,
+  },
+  'late, of use with left-over capacity only after its deadline': {
+    ...late,
+    leftOverMilliseconds: 2_400,
+    deadlineMilliseconds: 2_000,
+  },
   'late, its caller returns': {
     expectedMilliseconds: 1_080,
     hasReturned: true,
--- a/packages/transient-jobs/src/scarcity/decide-scarcity.ts
+++ b/packages/transient-jobs/src/scarcity/decide-scarcity.ts
@@ -19,6 +19,8 @@
   QueueFloor = 'queue-floor',
   /** The wide jobs of the queue were admitted less than their floor lately. */
   WideFloor = 'wide-floor',
+  /** The job gets capacity that no other queue uses, and is expected to end while it is of use. */
+  LeftOver = 'left-over',
   /** Refused: the job would end after its objective, and no floor admits it. */
   TooLate = 'too-late',
 }
@@ -29,6 +31,8 @@
   readonly startsAtOnce: boolean;
   /** Expected time from the arrival of the request to the end of the job. */
   readonly expectedMilliseconds: Milliseconds;
+  /** The same for a job that every other one overtakes. */
+  readonly leftOverMilliseconds: Milliseconds;
   readonly objectiveMilliseconds: Milliseconds;
   readonly deadlineMilliseconds: Milliseconds;
   /** Number from 0 to 1 that depends on the job identifier only. */
@@ -90,13 +94,19 @@
   if (endsWithin(1)) return ScarcityRule.InTime;
   if (request.hasReturned && endsWithin(settings.returnEndFactor))
     return ScarcityRule.Returned;
-  if (!request.isScarce || !endsWithin(settings.floorEndFactor))
-    return ScarcityRule.TooLate;
-  if (shares.share < floor && draw < floor) return ScarcityRule.QueueFloor;
   const wideFloor = shares.share * settings.wideJobShare;
-  if (request.isWide && shares.wideShare < wideFloor && draw < wideFloor)
-    return ScarcityRule.WideFloor;
-  return ScarcityRule.TooLate;
+  if (request.isScarce && endsWithin(settings.floorEndFactor)) {
+    if (shares.share < floor && draw < floor) return ScarcityRule.QueueFloor;
+    if (request.isWide && shares.wideShare < wideFloor && draw < wideFloor)
+      return ScarcityRule.WideFloor;
+  }
+  const latestUseful = Math.min(
+    request.deadlineMilliseconds,
+    request.objectiveMilliseconds * settings.leftOverEndFactor,
+  );
+  return request.leftOverMilliseconds <= latestUseful
+    ? ScarcityRule.LeftOver
+    : ScarcityRule.TooLate;
 }
 
 /** Spreads the callers over a time that begins when the job could end in time, urgent ones over a shorter time. */
--- a/packages/transient-jobs/src/scarcity/scarcity-control.test.ts
+++ b/packages/transient-jobs/src/scarcity/scarcity-control.test.ts
@@ -6,6 +6,7 @@
 
 import { createJob, createQueue } from '../fakes/create-job.js';
 import { ScarcityControl } from './scarcity-control.js';
+import { defaultScarcitySettings } from './scarcity-settings.js';
 
 const waveMilliseconds = 11_000;
 const stepMilliseconds = 250;
@@ -20,7 +21,9 @@
     },
   };
   const metrics = createMetrics({ role: 'dispatcher', process: 'one', timers });
-  const control = new ScarcityControl({ timers, logger, metrics });
+  // Without left-over capacity, so that the other rules decide.
+  const scarcity = { ...defaultScarcitySettings, leftOverEndFactor: 0 };
+  const control = new ScarcityControl({ scarcity, timers, logger, metrics });
   let jobs = 0;
   const decide = (waitMilliseconds: number, queue = 'status') => {
     jobs += 1;
--- a/packages/transient-jobs/src/scarcity/scarcity-control.ts
+++ b/packages/transient-jobs/src/scarcity/scarcity-control.ts
@@ -22,6 +22,7 @@
 } from './scarcity-settings.js';
 import {
   computeUrgentShare,
+  reportedPriorities,
   type ServiceState,
   summarizeService,
 } from './service-state.js';
@@ -29,6 +30,9 @@
 /** Time for which a summary is used again: a sum over 1,600 workers for each job would cost as much as its placement. */
 const summaryMilliseconds: Milliseconds = 50;
 
+/** Priority of the orders of a job that only gets left-over capacity: the least urgent that load reports name. */
+export const leftOverPriority = reportedPriorities - 1;
+
 interface ServiceEntry {
   readonly state: ServiceState;
   readonly summarizedAt: Milliseconds;
@@ -94,7 +98,14 @@
       queue,
       criticalPathMilliseconds,
     );
-    const expectedMilliseconds = estimateEnd(planned, entry.state);
+    const expectedMilliseconds = estimateEnd(
+      planned,
+      computeUrgentShare(entry.state, queue.priority),
+    );
+    const leftOverMilliseconds = estimateEnd(
+      planned,
+      computeUrgentShare(entry.state, leftOverPriority),
+    );
     this.#updateScarcity(
       !planned.startsAtOnce && expectedMilliseconds > objectiveMilliseconds,
       now,
@@ -104,6 +115,7 @@
       {
         startsAtOnce: planned.startsAtOnce,
         expectedMilliseconds,
+        leftOverMilliseconds,
         objectiveMilliseconds,
         deadlineMilliseconds: job.deadlineMilliseconds,
         draw: drawFromHash(jobId),
@@ -205,9 +217,8 @@
 /** Expected time from the arrival of the request to the end: more urgent work that arrives later overtakes the job. */
 function estimateEnd(
   { job, criticalPathMilliseconds, waitMilliseconds }: PlannedJob,
-  state: ServiceState,
+  urgentShare: number,
 ): Milliseconds {
-  const urgentShare = computeUrgentShare(state, job.queue.priority);
   const wait = Math.max(0, waitMilliseconds) / (1 - urgentShare);
   return job.heldMilliseconds + wait + criticalPathMilliseconds;
 }
--- a/packages/transient-jobs/src/scarcity/scarcity-settings.ts
+++ b/packages/transient-jobs/src/scarcity/scarcity-settings.ts
@@ -11,6 +11,8 @@
   readonly wideJobShare: number;
   /** Multiple of the objective within which a job must be expected to end that a floor admits. */
   readonly floorEndFactor: number;
+  /** The same for a job that only gets capacity that no other queue uses; 0 admits none. */
+  readonly leftOverEndFactor: number;
   /** The same for the job of a caller that returns after the time named in its refusal. */
   readonly returnEndFactor: number;
   /** Time without a job that cannot end in time after which scarcity ends. */
@@ -24,6 +26,8 @@
   floorShare: 0.5,
   wideJobShare: 0.5,
   floorEndFactor: 2,
+  // A job is of some use up to three times its objective; the margin is for what is late beyond its expectation.
+  leftOverEndFactor: 2.5,
   // 1.25 cost more in late jobs than the returning callers gained.
   returnEndFactor: 1.1,
   // Load waves of the users' deployments have a period of 11 s.
--- a/packages/transient-jobs/src/scarcity/scarcity.test.ts
+++ b/packages/transient-jobs/src/scarcity/scarcity.test.ts
@@ -14,13 +14,15 @@
   type ScarcitySettings,
 } from './scarcity-settings.js';
 
+/** Without left-over capacity, so that what is admitted shows the expected wait. */
+const withoutLeftOver = { ...defaultScarcitySettings, leftOverEndFactor: 0 };
 const runMilliseconds = 400;
 const longQueue = createQueue({ queue: 'status', priority: 2 });
 const urgentQueue = createQueue({ queue: 'lookup', priority: 0 });
 
 function startFixture(
   dispatchers = 2,
-  scarcity: ScarcitySettings = defaultScarcitySettings,
+  scarcity: ScarcitySettings = withoutLeftOver,
 ): Promise<JobsFixture> {
   return startJobsFixture({
     dispatchers,
@@ -154,7 +156,7 @@
 test('the caller of a refused job that returns in time goes before a new one', async t => {
   // Tasks are long beside the objective here, so that a small preference would decide nothing.
   const fixture = await startFixture(1, {
-    ...defaultScarcitySettings,
+    ...withoutLeftOver,
     floorShare: 0,
     wideJobShare: 0,
     returnEndFactor: 1.25,
@@ -186,3 +188,21 @@
   await fixture.timers.advance(8_000);
   t.is((await returned).kind, TransientJobEndKind.Completed);
 });
+
+test('a job admitted to left-over capacity lets every other job pass, and is answered while it is of use', async t => {
+  const fixture = await startFixture(1, defaultScarcitySettings);
+  setRunTimes(fixture);
+  const ends = submitMany(fixture, 0, 12);
+  // The first tasks end at 400 ms, so that urgent ones are in time.
+  await fixture.timers.advance(250);
+  const urgent = submitMany(fixture, 0, 5, urgentQueue, 1);
+  let hasEnded = false;
+  void Promise.all(urgent).then(() => {
+    hasEnded = true;
+  });
+  await fixture.timers.advance(2 * runMilliseconds);
+  t.true(hasEnded);
+  const counts = await countEnds(fixture, ends);
+  // Seven fit into the objective of 700 ms on 20 slots.
+  t.true((counts[TransientJobEndKind.Completed] ?? 0) > 7);
+});
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -170,7 +170,7 @@
     return chooseWorkers(
       {
         step,
-        priority: queue.priority,
+        priority: active.priority,
         estimateMilliseconds: Math.round(
           this.estimateRunTime(active, step.estimatedMilliseconds),
         ),
@@ -231,7 +231,7 @@
   }
 
   #composeOrder(
-    { job, dueAt, deadlineAt }: ActiveJob,
+    { job, dueAt, deadlineAt, priority }: ActiveJob,
     { step, estimateMilliseconds, mayWait }: StepOrder,
     tasks: readonly ActiveTask[],
   ): RunOrder {
@@ -243,7 +243,7 @@
       service: job.queue.service,
       specification: job.specification,
       need: step.need,
-      priority: job.queue.priority,
+      priority,
       estimatedMilliseconds: estimateMilliseconds,
       dueMilliseconds: Math.round(dueAt - now),
       remainingMilliseconds: Math.round(deadlineAt - now),
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -148,16 +148,14 @@
     const refusal = this.#isStopping
       ? createRefusal('this dispatcher stops', stopRetryMilliseconds)
       : findJobRefusal(
-          job,
+          active,
           criticalPathMilliseconds,
           placement,
           [...this.workers.listWorkers(job.queue.service)],
           this.#scarcity,
         );
-    if (refusal !== undefined) {
-      reportRefusal(this.#options, job, refusal);
-      return createEndedJob(refusal);
-    }
+    if (refusal !== undefined)
+      return reportRefusal(this.#options, job, refusal);
     return this.#startJob(active, placement);
   }
 
