Tell operators why one queue is refused more than another

A line beside each refusal under scarcity names the queue, the priority, the rule, the share and the floor in force, the expected end and the age of the inputs; the same for a job that gets left-over capacity only, which the metrics count apart.

--- a/packages/metrics/src/queue-metrics.ts
+++ b/packages/metrics/src/queue-metrics.ts
@@ -4,6 +4,8 @@
 export enum QueueEvent {
   Offered = 'offered',
   Admitted = 'admitted',
+  /** Admitted to capacity that no other work uses; such jobs are usually late. */
+  LeftOver = 'left_over',
   /** Refused because the job would have ended too late. */
   RefusedTooLate = 'refused_too_late',
   /** Refused because no worker takes tasks. */
--- a/packages/transient-jobs/src/find-job-refusal.ts
+++ b/packages/transient-jobs/src/find-job-refusal.ts
@@ -12,9 +12,9 @@
 import { createRefusal } from './describe-end.js';
 import type { KnownWorker } from './known-worker.js';
 import { ScarcityRule } from './scarcity/decide-scarcity.js';
+import type { ScarcityAnswer } from './scarcity/report-answer.js';
 import {
   leftOverPriority,
-  type ScarcityAnswer,
   type ScarcityControl,
 } from './scarcity/scarcity-control.js';
 import type { Placement } from './task-placer.js';
--- a/packages/transient-jobs/src/scarcity/scarcity-control.ts
+++ b/packages/transient-jobs/src/scarcity/scarcity-control.ts
@@ -1,6 +1,6 @@
 /** Admission under scarcity at one dispatcher: keeps what the decision needs between jobs. */
 import type { Logger } from '@cranberryturn/logger';
-import { type Metrics, QueueEvent, QueueValue } from '@cranberryturn/metrics';
+import { type Metrics, QueueEvent } from '@cranberryturn/metrics';
 import type { TimerService } from '@cranberryturn/timers';
 import type {
   Milliseconds,
@@ -12,9 +12,10 @@
 import { computeObjective } from '../decide-admission.js';
 import type { KnownWorker } from '../known-worker.js';
 import type { TransientJob } from '../transient-job.js';
-import { decideScarcity, type ScarcityDecision } from './decide-scarcity.js';
+import { decideScarcity } from './decide-scarcity.js';
 import { drawFromHash } from './hash-draw.js';
-import { QueueArrivals, type QueueShares } from './queue-arrivals.js';
+import { QueueArrivals } from './queue-arrivals.js';
+import { reportAnswer, type ScarcityAnswer } from './report-answer.js';
 import { ReturningCallers } from './returning-callers.js';
 import {
   defaultScarcitySettings,
@@ -50,17 +51,6 @@
   readonly startsAtOnce: boolean;
 }
 
-/** A decision with the inputs that operators need to understand it. */
-export interface ScarcityAnswer extends ScarcityDecision, QueueShares {
-  readonly queue: QueueName;
-  readonly priority: number;
-  readonly expectedMilliseconds: Milliseconds;
-  readonly objectiveMilliseconds: Milliseconds;
-  /** Age of the oldest load report that counts. */
-  readonly ageMilliseconds: Milliseconds;
-  readonly workersLeftOut: number;
-}
-
 /** Dependencies of admission under scarcity. */
 export interface ScarcityControlOptions {
   /** Settings; the defaults where undefined. */
@@ -145,7 +135,7 @@
       ageMilliseconds: entry.state.ageMilliseconds + now - entry.summarizedAt,
       workersLeftOut: entry.state.leftOut,
     };
-    this.#report(job, answer);
+    reportAnswer(this.#options, job, answer);
     return answer;
   }
 
@@ -170,29 +160,6 @@
     );
   }
 
-  #report({ requestId, jobId }: TransientJob, answer: ScarcityAnswer): void {
-    const { logger, metrics } = this.#options;
-    const { queue, isAdmitted } = answer;
-    metrics.queues.count(queue, QueueEvent.Offered);
-    metrics.queues.count(
-      queue,
-      isAdmitted ? QueueEvent.Admitted : QueueEvent.RefusedTooLate,
-    );
-    metrics.queues.set(queue, QueueValue.AdmittedShare, answer.share);
-    metrics.queues.set(queue, QueueValue.FloorShare, answer.floor);
-    metrics.queues.set(
-      queue,
-      QueueValue.InputAgeMilliseconds,
-      answer.ageMilliseconds,
-    );
-    if (!isAdmitted)
-      logger.info('job does not get scarce capacity', {
-        requestId,
-        jobId,
-        ...answer,
-      });
-  }
-
   #findService(
     service: ServiceName,
     workers: Iterable<KnownWorker>,
