--- a/packages/transient-jobs/src/scarcity/scarcity.test.ts
+++ b/packages/transient-jobs/src/scarcity/scarcity.test.ts
@@ -206,3 +206,29 @@
   // Seven fit into the objective of 700 ms on 20 slots.
   t.true((counts[TransientJobEndKind.Completed] ?? 0) > 7);
 });
+
+test('without the option load reports are those of earlier versions, with it they name the started work', async t => {
+  const plain = await startJobsFixture({
+    dispatchers: 1,
+    workers: 1,
+    processors: 5,
+  });
+  const load = getItem(plain.hosts, 0).gate.getExecutor()?.load ?? {};
+  t.deepEqual(Object.keys(load), [
+    'free',
+    'waitingWork',
+    'runningWork',
+    'closed',
+  ]);
+  const enabled = await startFixture(1);
+  void submitMany(enabled, 0, 1, urgentQueue, 2);
+  await enabled.timers.advance(100);
+  const rates = enabled.hosts.map(
+    ({ gate }) => gate.getExecutor()?.load.startedWork?.[0] ?? 0,
+  );
+  // Two tasks of 400 ms in the last second.
+  t.is(
+    rates.reduce((sum, rate) => sum + rate, 0),
+    0.8,
+  );
+});
