--- a/packages/control/src/call-host.ts
+++ b/packages/control/src/call-host.ts
@@ -7,10 +7,11 @@
   dialWithin,
   type Network,
   serveRemoteCalls,
+  type ShapeCheck,
 } from '@cranberryturn/wire';
 import { err, type Result } from 'neverthrow';
 
-import type { PeerEnvelope } from './adapters/wire-peer-link.js';
+import type { PeerEnvelope } from './peer-protocol.js';
 
 /** Dependencies of a call, and the timeout of its dial and of its answer. */
 export interface HostCall {
@@ -24,13 +25,14 @@
   { network, timers, timeout }: HostCall,
   address: NetworkAddress,
   message: PeerEnvelope | ControlNotice,
+  isReply?: ShapeCheck,
 ): Promise<Result<Reply, ConnectionError | TimeoutError>> {
   const dialled = await dialWithin(network, timers, address, timeout);
   if (dialled.isErr()) return err(dialled.error);
   const calls = serveRemoteCalls(dialled.value, timers, {
     handleCall: () => Promise.resolve(undefined),
   });
-  const reply = await calls.call<Reply>(message, timeout);
+  const reply = await calls.call<Reply>(message, timeout, isReply);
   calls.connection.close();
   return reply;
 }
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -7,6 +7,7 @@
   type RoleEnvironment,
   type RunningRole,
 } from '@cranberryturn/program';
+import { Gauge } from '@cranberryturn/metrics';
 import { createRandomSource, type RandomSource } from '@cranberryturn/random';
 import {
   createFileLogDisk,
@@ -35,7 +36,7 @@
 
 import { serveAdministration } from './adapters/serve-administration.js';
 import type { ControlNode, ControlOptions } from './control-node.js';
-import type { GroupOptions } from './form-group.js';
+import type { GroupOptions } from './group-options.js';
 import { measureSyncs } from './measure-syncs.js';
 import { startControl } from './start-control.js';
 
@@ -86,7 +87,12 @@
   environment.logger.info('random numbers seeded', { seed });
   return startControl(
     composeOptions(settings, environment, join, seed, initialConfiguration),
-  );
+  ).andTee(({ state }) => {
+    environment.metrics.registerGauge(
+      Gauge.EvacuatedDataCentres,
+      () => state.evacuations.state.evacuations.length,
+    );
+  });
 }
 
 async function startRole(
@@ -144,6 +150,7 @@
     })),
     initialConfiguration,
     group: composeGroup(settings),
+    dataCentres: settings.dataCentres,
     logger,
     decisions: decisions.record,
   };
@@ -159,6 +166,7 @@
   group,
   peers,
   dataFolder,
+  dataCentre,
 }: ControlReplicaSettings): GroupOptions | undefined {
   if (group === undefined) return undefined;
   const { address, port, advertisedAddress } = peers.listen;
@@ -166,6 +174,7 @@
     ...group,
     self: { address: advertisedAddress ?? address, port },
     isObserver: dataFolder === undefined,
+    dataCentre,
   };
 }
 
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -30,19 +30,16 @@
 import { createControlState, type EntryOutcome } from './control-state.js';
 import { expireSilentRuns } from './expire-silent-runs.js';
 import { createFollowerFeed } from './feed-followers.js';
-import {
-  formGroup,
-  type GroupFormation,
-  type JoinReply,
-  listRoles,
-} from './form-group.js';
+import { formGroup, type GroupFormation, listRoles } from './form-group.js';
 import { findReplicaAddress } from './find-replica-address.js';
 import { forwardToLeader } from './forward-to-leader.js';
 import { createInForceTable } from './in-force-table.js';
 import { inviteDispatchers } from './invite-dispatchers.js';
-import type { JoiningReplica } from './plan-group.js';
+import type { JoiningReplica, JoinReply } from './peer-protocol.js';
 import { reconcileMembers } from './reconcile-members.js';
+import { logEvacuations } from './log-evacuations.js';
 import { logRoleChange } from './log-role-change.js';
+import { createEvacuationService } from './order-evacuations.js';
 import { recordClaim } from './record-claim.js';
 import { serveDispatcher } from './serve-dispatcher.js';
 
@@ -111,6 +108,13 @@
       call,
     );
   const parts = {
+    evacuations: createEvacuationService({
+      ...options,
+      replicaId: status().replicaId,
+      appliedIndex: feed.appliedIndex,
+      state,
+      administer,
+    }),
     state,
     log,
     proposer,
@@ -232,6 +236,9 @@
 ): void {
   switch (event.kind) {
     case LogEventKind.Applied:
+      logEvacuations(options, event);
+      node.feed.scheduleUpdate();
+      return;
     case LogEventKind.Restored:
       node.feed.scheduleUpdate();
       return;
--- a/packages/program/src/run-role-program.ts
+++ b/packages/program/src/run-role-program.ts
@@ -9,6 +9,10 @@
 
 import { createNodeProgramHost } from './adapters/node-program-host.js';
 import type { ProgramHost } from './ports/program-host.js';
+import {
+  handleUnexpectedErrors,
+  UnexpectedErrorPolicy,
+} from './handle-unexpected-errors.js';
 import { readProductVersion } from './product-version.js';
 import {
   closeRoleEnvironment,
@@ -45,6 +49,8 @@
   /** Sentence shown by `--help`. */
   readonly description: string;
   readonly schema: Schema;
+  /** What the process does after an error that nothing caught; continues by default. */
+  readonly unexpectedErrors?: UnexpectedErrorPolicy | undefined;
   /** Returns the process name used in logs and metrics. */
   processName(settings: z.output<Schema>): string;
   start(
@@ -122,6 +128,9 @@
     process: program.processName(settings),
     log: settings.log,
   });
+  // A program that has not started, or whose start failed unexpectedly, has nothing to go on with.
+  let policy = UnexpectedErrorPolicy.Exit;
+  handleUnexpectedErrors(host, environment, () => policy);
   const stopRequested = listenForSignals(host, environment);
   const started = await program.start(settings, environment);
   if (started.isErr()) {
@@ -132,6 +141,7 @@
     host.exit(ExitCode.Failure);
     return;
   }
+  policy = program.unexpectedErrors ?? UnexpectedErrorPolicy.Continue;
   reportReady(program.name, started.value, host, environment);
   const signal = await stopRequested;
   await stopRole(started.value, signal, host, environment);
--- a/packages/replicated-log/src/core/membership.ts
+++ b/packages/replicated-log/src/core/membership.ts
@@ -32,6 +32,12 @@
 ): Promise<Result<LogIndex, MemberChangeError>> {
   const { leadership } = replica;
   if (leadership === undefined) return err(notLeader(replica));
+  if (
+    change.kind === MemberChangeKind.MakeStandby &&
+    change.replicaId === replica.replicaId
+  ) {
+    return err(invalidChange(`"${change.replicaId}" leads`));
+  }
   const waited = await awaitReadiness(replica, leadership, change);
   if (waited.isErr()) return err(waited.error);
   if (replica.store.membersIndex > replica.commitIndex) {
@@ -61,18 +67,42 @@
     case MemberChangeKind.Remove:
       if (member === undefined) return err(notMember(replicaId));
       return planRemoval(members, member);
+    case MemberChangeKind.MakeLearner:
+      if (member === undefined) return err(notMember(replicaId));
+      return planLearner(members, member);
+    case MemberChangeKind.MakeStandby:
+      if (member === undefined) return err(notMember(replicaId));
+      return planRemoval(members, member).map(() =>
+        replaceMember(members, member, {
+          ...member,
+          role: MemberRole.Observer,
+          isStandby: true,
+        }),
+      );
+    case MemberChangeKind.SetDataCentre: {
+      if (member === undefined) return err(notMember(replicaId));
+      const { dataCentre } = change;
+      return ok(replaceMember(members, member, { ...member, dataCentre }));
+    }
   }
 }
 
+/** Leaves out the fields that are not set, so that the records of earlier versions stay the same. */
 function planAddition(
   members: readonly Member[],
-  { replicaId, address }: AddLearnerChange | AddObserverChange,
+  change: AddLearnerChange | AddObserverChange,
   role: MemberRole,
 ): Result<readonly Member[], InvalidInputError> {
+  const { replicaId, address, dataCentre } = change;
   if (members.some(known => known.replicaId === replicaId)) {
     return err(invalidChange(`"${replicaId}" is already a member`));
   }
-  return ok([...members, { replicaId, role, address }]);
+  const standby =
+    change.kind === MemberChangeKind.AddObserver && change.isStandby === true
+      ? { isStandby: true as const }
+      : {};
+  const site = dataCentre === undefined ? {} : { dataCentre };
+  return ok([...members, { replicaId, role, address, ...site, ...standby }]);
 }
 
 function planPromotion(
@@ -101,6 +131,27 @@
   return ok(others);
 }
 
+function planLearner(
+  members: readonly Member[],
+  member: Member,
+): Result<readonly Member[], InvalidInputError> {
+  const { isStandby, ...rest } = member;
+  if (isStandby !== true) {
+    return err(invalidChange(`"${member.replicaId}" is not a standby`));
+  }
+  const learner = { ...rest, role: MemberRole.Learner };
+  return ok(replaceMember(members, member, learner));
+}
+
+/** Keeps the place in the list, which shows which of two members of a host was added later. */
+function replaceMember(
+  members: readonly Member[],
+  member: Member,
+  changed: Member,
+): readonly Member[] {
+  return members.map(known => (known === member ? changed : known));
+}
+
 function notMember(replicaId: ReplicaId): InvalidInputError {
   return invalidChange(`"${replicaId}" is not a member`);
 }
--- a/packages/sessions/src/open-session.ts
+++ b/packages/sessions/src/open-session.ts
@@ -1,6 +1,6 @@
 /** Dialling side of a session: dials, and reconnects with exponential backoff. */
 import type { RandomSource } from '@cranberryturn/random';
-import { sleep, type TimerService } from '@cranberryturn/timers';
+import { rethrowLater, sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import {
   chooseDialTimeout,
@@ -9,6 +9,7 @@
   isStartupPeriod,
   type Network,
   type PeerIdentity,
+  type ShapeCheck,
 } from '@cranberryturn/wire';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -33,6 +34,8 @@
   readonly times: SessionTimes;
   /** Returns false to reject a peer, which stops dialling permanently. All peers are accepted by default. */
   readonly accepts?: ((peer: PeerIdentity) => boolean) | undefined;
+  /** Checks each decoded message; all are accepted by default. */
+  readonly isMessage?: ShapeCheck | undefined;
   readonly startSession: StartSession<Outgoing, Incoming>;
 }
 
@@ -75,6 +78,7 @@
       session: options.random.below(sessionNumberRange),
       timers,
       times: options.times,
+      isMessage: options.isMessage,
       startSession: options.startSession,
     });
     session = created;
@@ -111,10 +115,20 @@
     return ok(undefined);
   };
 
+  /** An unexpected error of a listener must not end the loop: the session would stay without a connection. */
+  const connectSafely = async (): Promise<Result<void, Error>> => {
+    try {
+      return await connectOnce();
+    } catch (error) {
+      rethrowLater(error);
+      return err(error as Error);
+    }
+  };
+
   const keepConnected = async (): Promise<void> => {
     let backoffMilliseconds = minimumBackoffMilliseconds;
     for (;;) {
-      const outcome = await connectOnce();
+      const outcome = await connectSafely();
       if (closed) return;
       if (outcome.isOk()) {
         backoffMilliseconds = minimumBackoffMilliseconds;
--- a/packages/settings/src/schemas/control-settings.ts
+++ b/packages/settings/src/schemas/control-settings.ts
@@ -59,6 +59,8 @@
   seeds: z.array(peerAddressSchema).min(1),
   /** Minimum number of voters; the group never shrinks below it automatically. */
   minimumVoters: z.int().min(1).max(maximumControlHosts).default(3),
+  /** Whole data centres that may be lost at the same time; voters are spread accordingly. */
+  toleratedDataCentres: z.int().min(0).max(maximumControlHosts).default(0),
 });
 
 /** Schema of the settings of a control replica. */
@@ -69,6 +71,10 @@
     host: nameSchema,
     dataCentre: nameSchema,
     region: nameSchema,
+    /** Data centres that operators may evacuate; the same at all replicas. When absent, evacuations are disabled. */
+    dataCentres: createUniqueArraySchema(nameSchema, name => name, 'name')
+      .min(1)
+      .optional(),
     /** When absent, the replica observes: it keeps its copy of the log in memory and never votes. */
     dataFolder: pathSchema.optional(),
     peers: peersSchema,
--- a/packages/transient-jobs/src/index.ts
+++ b/packages/transient-jobs/src/index.ts
@@ -3,3 +3,4 @@
 export * from './transient-jobs.js';
 export * from './transient-job.js';
 export * from './transient-jobs-options.js';
+export type { EvacuationSource } from './distribute-evacuations.js';
--- a/packages/transient-jobs/src/scarcity/scarcity.test.ts
+++ b/packages/transient-jobs/src/scarcity/scarcity.test.ts
@@ -232,3 +232,32 @@
     0.8,
   );
 });
+
+test('with evacuations enabled too, load reports name the started work, and jobs run outside of the evacuated data centre', async t => {
+  const fixture = await startJobsFixture({
+    dispatchers: 1,
+    workers: 4,
+    processors: 5,
+    scarcity: withoutLeftOver,
+    dataCentres: ['dong-da', 'long-bien'],
+  });
+  setRunTimes(fixture);
+  fixture.evacuate(['long-bien']);
+  await fixture.timers.advance(1_000);
+  const ends = submitMany(fixture, 0, 10);
+  await fixture.timers.advance(100);
+  const loads = fixture.hosts.map(({ gate }) => gate.getExecutor()?.load);
+  t.deepEqual(
+    loads.map(load => load?.evacuated === true),
+    [false, true, false, true],
+  );
+  t.deepEqual(
+    loads.map(load => (load?.startedWork?.[2] ?? 0) > 0),
+    [true, false, true, false],
+  );
+  const counts = await countEnds(fixture, ends);
+  // Of 40 tasks of 400 ms, the ten processors left can start ten at once; the rest waits or would end too late.
+  t.true((counts[TransientJobEndKind.Completed] ?? 0) >= 2);
+  t.true((counts[TransientJobEndKind.Refused] ?? 0) > 0);
+  t.deepEqual(fixture.violations, []);
+});
--- a/packages/transient-jobs/src/scarcity/service-state.ts
+++ b/packages/transient-jobs/src/scarcity/service-state.ts
@@ -1,20 +1,20 @@
 /** Sums up the latest load reports of the workers of a service. */
 import type { Milliseconds } from '@cranberryturn/types';
 
-import type { KnownWorker } from '../known-worker.js';
+import { isWithdrawn, type KnownWorker } from '../known-worker.js';
 
 /** Priorities that load reports name. */
 export const reportedPriorities = 4;
 
 /** The workers of a service, by their latest load reports. */
 export interface ServiceState {
-  /** Processors of the workers whose reports count. */
+  /** Processors of the workers whose reports count, less those held back after an evacuation. */
   readonly processors: number;
   /** Work started over the last second by priority, in processors. */
   readonly startedWork: readonly number[];
   /** Number of workers whose reports count. */
   readonly workers: number;
-  /** Number of workers left out: closed, in backoff, or with a report that is too old. */
+  /** Number of workers left out: closed, evacuated, in backoff, or with a report that is too old. */
   readonly leftOut: number;
   /** Age of the oldest report that counts. */
   readonly ageMilliseconds: Milliseconds;
@@ -31,16 +31,20 @@
   let counted = 0;
   let leftOut = 0;
   let ageMilliseconds = 0;
-  for (const { worker, load, lastHeardAt, backoffUntil } of workers) {
-    const age = now - lastHeardAt;
-    if (load.closed || age >= maximumAge || backoffUntil > now) {
+  for (const known of workers) {
+    const { worker, load } = known;
+    const age = now - known.lastHeardAt;
+    const accepts =
+      !load.closed && !isWithdrawn(known) && known.backoffUntil <= now;
+    if (!accepts || age >= maximumAge) {
       leftOut += 1;
       continue;
     }
     counted += 1;
-    processors += worker.capacity.processors;
+    processors += worker.capacity.processors - known.heldBackProcessors;
     ageMilliseconds = Math.max(ageMilliseconds, age);
-    if (load.startedWork !== undefined) addTo(startedWork, load.startedWork);
+    // The message checks let an optional field be null.
+    addTo(startedWork, load.startedWork ?? []);
   }
   return {
     processors,
--- a/packages/transient-jobs/src/transient-jobs-options.ts
+++ b/packages/transient-jobs/src/transient-jobs-options.ts
@@ -6,6 +6,7 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type { DispatcherId, DispatcherList } from '@cranberryturn/types';
 
+import type { EvacuationSource } from './distribute-evacuations.js';
 import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
 import type { TransientJobEnd } from './transient-job.js';
 
@@ -24,6 +25,8 @@
   readonly listDispatchers: () => DispatcherList;
   /** Settings of admission under scarcity; disabled when undefined. */
   readonly scarcity?: ScarcitySettings | undefined;
+  /** The evacuations to enforce at the workers; undefined where evacuations are not enabled. */
+  readonly evacuations?: EvacuationSource | undefined;
 }
 
 /** A submitted job, as one caller sees it. */
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -1,5 +1,4 @@
 /** In-memory worker that follows the published run protocol, with faults that a test injects. */
-import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type {
   Milliseconds,
@@ -21,9 +20,9 @@
   type WorkerPort,
   type WorkerReply,
 } from '../ports/worker.js';
+import { createConnectionError, failWithTimeout } from './worker-errors.js';
 
 const replyDelayMilliseconds: Milliseconds = 1;
-const replyTimeoutMilliseconds: Milliseconds = 250;
 const maximumLeaseMilliseconds: Milliseconds = 1_000;
 const stopDurationMilliseconds: Milliseconds = 20;
 const tickMilliseconds: Milliseconds = 5;
@@ -58,6 +57,8 @@
   losesReplies: boolean;
   /** Fault: start orders are refused as unhealthy. */
   isUnhealthy: boolean;
+  /** How far the clock of the worker is ahead of its sidecar's, which stood still during a suspension. */
+  clockAheadMilliseconds: Milliseconds;
   /** Run time of the tasks that start from now on. */
   runMilliseconds: Milliseconds;
   /** Run time of one task; `runMilliseconds` where it chooses none. */
@@ -84,7 +85,8 @@
   let hasCrashed = false;
   let sequence = 0;
 
-  const clock = (): Milliseconds => timers.now() - bornAt;
+  const clock = (): Milliseconds =>
+    timers.now() - bornAt + worker.clockAheadMilliseconds;
 
   const endRun = (name: string, end: WorkerRunOutcome): void => {
     const activeRun = worker.activeRuns.get(name);
@@ -176,14 +178,17 @@
   };
 
   const sendReply = async <Reply>(
+    order: WorkerOrder,
     carryOut: () => Reply,
   ): Promise<Result<Reply, WorkerCallError>> => {
     if (hasCrashed) return err(createConnectionError(run.workerId));
-    if (worker.isSilent) return await failWithTimeout(timers, run.workerId);
+    if (worker.isSilent)
+      return await failWithTimeout(timers, run.workerId, order);
     await sleep(timers, replyDelayMilliseconds);
     if (hasCrashed) return err(createConnectionError(run.workerId));
     const reply = carryOut();
-    if (worker.losesReplies) return await failWithTimeout(timers, run.workerId);
+    if (worker.losesReplies)
+      return await failWithTimeout(timers, run.workerId, order);
     return ok(reply);
   };
 
@@ -194,12 +199,13 @@
     worker.nextStartDelayMilliseconds = undefined;
     if (delay !== undefined) {
       timers.after(delay, () => start(order));
-      return await failWithTimeout(timers, run.workerId);
+      return await failWithTimeout(timers, run.workerId, order);
     }
-    if (!worker.shouldLoseNextReply) return await sendReply(() => start(order));
+    if (!worker.shouldLoseNextReply)
+      return await sendReply(order, () => start(order));
     worker.shouldLoseNextReply = false;
     start(order);
-    return await failWithTimeout(timers, run.workerId);
+    return await failWithTimeout(timers, run.workerId, order);
   };
 
   const wait = (duration: Milliseconds): Promise<void> =>
@@ -233,6 +239,7 @@
     losesReplies: false,
     isUnhealthy: false,
     runMilliseconds: 100,
+    clockAheadMilliseconds: 0,
     chooseRunMilliseconds: undefined,
     nextOutcome: WorkerRunOutcome.Done,
     crash: () => {
@@ -242,10 +249,10 @@
     },
     port: {
       startRun: order => new ResultAsync(startOrder(order)),
-      stopRun: order => new ResultAsync(sendReply(() => stop(order))),
+      stopRun: order => new ResultAsync(sendReply(order, () => stop(order))),
       renewLease: order =>
         new ResultAsync(
-          sendReply((): RenewReply | undefined => {
+          sendReply(order, (): RenewReply | undefined => {
             const refusal = findRefusal(order);
             if (refusal !== undefined) return { accepted: false, refusal };
             extendLease(order.deadline);
@@ -294,23 +301,3 @@
 function roundProgress(elapsed: Milliseconds, whole: Milliseconds): number {
   return Math.floor((elapsed / whole) * 100) / 100;
 }
-
-async function failWithTimeout(
-  timers: TimerService,
-  peer: string,
-): Promise<Result<never, WorkerCallError>> {
-  await sleep(timers, replyTimeoutMilliseconds);
-  return err(
-    new TimeoutError('The worker did not reply in time.', {
-      step: 'call worker',
-      peer,
-    }),
-  );
-}
-
-function createConnectionError(peer: string): WorkerCallError {
-  return new ConnectionError('The worker refused the connection.', {
-    step: 'call worker',
-    peer,
-  });
-}
--- a/packages/worker-gate/src/run-table.ts
+++ b/packages/worker-gate/src/run-table.ts
@@ -3,7 +3,6 @@
   DispatcherId,
   Milliseconds,
   WorkerLoad,
-  WorkerResources,
 } from '@cranberryturn/types';
 
 import {
@@ -14,6 +13,7 @@
 import { Capacity } from './capacity.js';
 import { StartedWork } from './started-work.js';
 import { WaitingRuns } from './waiting-runs.js';
+import type { WorkerExecutorOptions } from './worker-executor-options.js';
 
 /** Free share of the processors that is reported as available again: tasks need up to a tenth of a worker. */
 const minimumFreeShare = 0.1;
@@ -23,12 +23,17 @@
   readonly capacity: Capacity;
   readonly waiting = new WaitingRuns();
   readonly #started = new StartedWork();
+  readonly #reportsStartedWork: boolean;
   readonly #active = new Map<string, ActiveRun>();
   /** Whether runs have been queued since freed capacity was last reported. */
   #wasFull = false;
 
-  constructor(total: WorkerResources) {
-    this.capacity = new Capacity(total);
+  constructor({
+    worker,
+    reportsStartedWork = false,
+  }: Pick<WorkerExecutorOptions, 'worker' | 'reportsStartedWork'>) {
+    this.capacity = new Capacity(worker.capacity);
+    this.#reportsStartedWork = reportsStartedWork;
   }
 
   /** Whether capacity is free again after runs had to be queued. Returns true once per such period. */
@@ -100,20 +105,18 @@
     return true;
   }
 
-  /** Work started by priority over the last second, in processor-milliseconds per millisecond. */
-  measureStartedWork(now: Milliseconds): readonly number[] {
-    return this.#started.measureRates(now);
-  }
-
   measureLoad(now: Milliseconds): Omit<WorkerLoad, 'closed'> {
     let runningWork = 0;
     for (const run of this.#active.values()) {
       runningWork += estimateRemainingWork(run, now);
     }
-    return {
+    const load = {
       free: this.capacity.free,
       waitingWork: this.waiting.estimateWorkByPriority(now),
       runningWork: Math.round(runningWork),
     };
+    return this.#reportsStartedWork
+      ? { ...load, startedWork: this.#started.measureRates(now) }
+      : load;
   }
 }
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -19,6 +19,11 @@
   run: ActiveRun,
 ): Promise<void> {
   for (let attempt = 0; attempt < maximumAttempts; attempt += 1) {
+    // An order that the worker has refused so far has started nothing.
+    if (executor.options.evacuations.isClosed()) {
+      executor.endRun(run, RunOutcome.NotStarted, RunEndReason.Evacuated);
+      return;
+    }
     const { fencing, port } = executor.options;
     const fencingToken = fencing.token;
     const sentAt = executor.options.timers.now();
@@ -31,10 +36,12 @@
         executor.clock.estimateNow() + startValidityMilliseconds,
       ),
       fencingToken,
+      replyTimeout: executor.lease.replyTimeout(),
     });
+    if (reply.isOk()) executor.lease.reportAnswered(sentAt);
     if (run.phase === RunPhase.Ended) return;
     if (reply.isErr()) {
-      executor.lease.reportUnanswered();
+      executor.lease.reportUnanswered(sentAt);
       await resolveUnansweredStart(executor, run);
       return;
     }
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -1,6 +1,6 @@
 /** Connects all dispatchers with one worker: keeps the sessions, and an executor for the current incarnation. */
 import type { Logger } from '@cranberryturn/logger';
-import type { Metrics } from '@cranberryturn/metrics';
+import { Counter, type Metrics } from '@cranberryturn/metrics';
 import type { RandomSource } from '@cranberryturn/random';
 import type { SessionTimes } from '@cranberryturn/sessions';
 import { sleep, type TimerService } from '@cranberryturn/timers';
@@ -26,11 +26,16 @@
 import type { DispatcherSession } from './dispatcher-session.js';
 import { DispatcherReports } from './dispatcher-reports.js';
 import { DispatcherSessions } from './dispatcher-sessions.js';
+import { EvacuationGuard } from './evacuation-guard.js';
 import { Fencing } from './fencing.js';
 import type { WorkerPort } from './ports/worker.js';
 import { SessionPhase } from './session-phase.js';
 import { WorkerExecutor } from './worker-executor.js';
-import { isOlderReport, type WorkerReport } from './worker-report.js';
+import {
+  isOlderReport,
+  isRepeatedReport,
+  type WorkerReport,
+} from './worker-report.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 
@@ -50,6 +55,8 @@
   readonly leaseMilliseconds: Milliseconds;
   /** Whether load reports name the work started by priority; dispatchers use it where admission under scarcity is enabled. */
   readonly reportsStartedWork?: boolean | undefined;
+  /** Whether evacuations are enabled: no run starts before a dispatcher has sent their state. Off by default. */
+  readonly evacuations?: boolean | undefined;
   /** Opens a port to one incarnation of the worker. `bornAt` is its start on the clock of the worker. */
   readonly openWorker: (worker: WorkerRun, bornAt: Milliseconds) => WorkerPort;
 }
@@ -79,19 +86,43 @@
   const leases = new DispatcherLeases();
   let executor: WorkerExecutor | undefined;
   let latestReport: WorkerReport | undefined;
+  /** The last report before the worker left; delivered again, it must not bring the worker back. */
+  let reportBeforeLeave: WorkerReport | undefined;
   let isStopping = false;
   const reports = new DispatcherReports({
     timers,
     sessions: () => sessions,
     executor: () => executor,
+    evacuationVersion: () => evacuations.version,
+  });
+  const evacuations = new EvacuationGuard({
+    isEnabled: options.evacuations === true,
+    timers,
+    logger,
+    countConnectedDispatchers: () => sessions.listConnected().length,
+    changed: () => {
+      logger.info('state of evacuations applied', {
+        evacuationVersion: evacuations.version,
+        worker: executor?.worker.workerId,
+        dataCentre: executor?.worker.dataCentre,
+        isEvacuated: executor?.load.evacuated === true,
+        activeRuns: executor?.listActiveRuns().length,
+      });
+      // Returns the queued runs in an evacuation.
+      executor?.startWaitingRuns();
+      reports.reportToAll();
+    },
   });
 
   const runEnded = (dispatcher: DispatcherId, end: RunEnd): void => {
     metrics.count(chooseRunCounter(end.outcome));
+    const isEvacuated = end.reason === RunEndReason.Evacuated;
+    if (isEvacuated) metrics.count(Counter.RunsReturnedEvacuated);
     logger.info('run ended', {
       dispatcher,
       worker: executor?.worker.workerId,
       ...end,
+      ...(isEvacuated ? { evacuationVersion: evacuations.version } : {}),
     });
     const session = sessions.findSession(dispatcher);
     if (session !== undefined) reports.reportEnd(session, end);
@@ -101,7 +132,7 @@
     session: DispatcherSession,
     message: ToWorkerMessage,
   ): void => {
-    leases.renew(session.dispatcherId, message.echo);
+    leases.renew(session.dispatcherId, message.echo, timers.now());
     switch (message.kind) {
       case ToWorkerKind.PlaceRuns:
         acceptOrder(session, message);
@@ -121,6 +152,7 @@
         sessions.updateDispatchers(message);
         return;
       case ToWorkerKind.Evacuations:
+        evacuations.receive(message, session.dispatcherId);
         return;
     }
   };
@@ -184,6 +216,7 @@
       logger,
       fencing,
       leases,
+      evacuations: evacuations.createRule(worker.dataCentre),
       leaseMilliseconds: options.leaseMilliseconds,
       reportsStartedWork: options.reportsStartedWork,
       runEnded,
@@ -210,6 +243,7 @@
   const workerReported = (report: WorkerReport): boolean => {
     if (latestReport !== undefined && isOlderReport(report, latestReport))
       return false;
+    if (isRepeatedReport(report, reportBeforeLeave)) return false;
     latestReport = report;
     const { worker, draining } = report;
     if (
@@ -226,6 +260,7 @@
   const kill = (): void => {
     isStopping = true;
     reports.stop();
+    evacuations.close();
     sessions.close();
     executor?.kill();
   };
@@ -233,6 +268,8 @@
   return {
     workerReported,
     workerLeft: workerId => {
+      if (latestReport?.worker.workerId === workerId)
+        reportBeforeLeave = latestReport;
       if (executor?.worker.workerId === workerId)
         executor.close(RunEndReason.WorkerGone);
     },
--- a/packages/worker-gate/src/started-work.test.ts
+++ b/packages/worker-gate/src/started-work.test.ts
@@ -19,3 +19,9 @@
   t.deepEqual(started.measureRates(200), [0, 0, 0, 1]);
   t.deepEqual(started.measureRates(60_000), [0, 0, 0, 0]);
 });
+
+test('an order with a negative estimate does not make a rate negative, which dispatchers would reject', t => {
+  const started = new StartedWork();
+  started.add(0, -1_000, 100);
+  t.deepEqual(started.measureRates(200), [0, 0, 0, 0]);
+});
--- a/packages/worker-gate/src/started-work.ts
+++ b/packages/worker-gate/src/started-work.ts
@@ -21,7 +21,9 @@
     this.#clearExpired(now);
     const bucket = this.#buckets[this.#latestBucket % bucketCount];
     const index = Math.min(priority, reportedPriorities - 1);
-    if (bucket !== undefined) bucket[index] = (bucket[index] ?? 0) + work;
+    // Dispatchers reject reports with negative rates, and the check of an order lets its estimate be negative.
+    const counted = Math.max(0, work);
+    if (bucket !== undefined) bucket[index] = (bucket[index] ?? 0) + counted;
   }
 
   /** Started work by priority, in processor-milliseconds per millisecond. */
