--- a/packages/transient-jobs/src/fakes/fake-host.ts
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -12,6 +12,8 @@
   type WorkerGate,
 } from '@cranberryturn/worker-gate';
 
+import type { ScarcitySettings } from '../scarcity/scarcity-settings.js';
+import { oneProcessor } from './create-job.js';
 import { createSuspension, type Suspension } from './suspension.js';
 
 /** Address of all dispatchers. */
@@ -20,13 +22,6 @@
 export const firstPort = 7_700;
 export const times = { heartbeatMilliseconds: 300, suspicionMilliseconds: 700 };
 
-/** Resources of each task in these tests. */
-export const oneProcessor = {
-  processors: 1,
-  memoryMebibytes: 64,
-  accelerators: 0,
-};
-
 /** One worker and its sidecar process. */
 export interface FakeHost {
   readonly name: string;
@@ -47,9 +42,10 @@
   number: number,
   options: {
     readonly dispatchers: number;
-    readonly processors: number;
+    readonly processors: number | ((position: number) => number);
     readonly seeds?: number | undefined;
     readonly dataCentres?: readonly string[] | undefined;
+    readonly scarcity?: ScarcitySettings | undefined;
   },
 ): FakeHost {
   const name = `sidecar-${String(number)}`;
@@ -66,7 +62,10 @@
       incarnation: `worker-${String(number)}@${String(incarnations)}`,
       service: 'register',
       capacity: {
-        processors: options.processors,
+        processors:
+          typeof options.processors === 'number'
+            ? options.processors
+            : options.processors(number),
         memoryMebibytes: 65_536,
         accelerators: 0,
       },
@@ -101,6 +100,7 @@
       metrics: createMetrics({ role: 'sidecar', process: name, timers }),
       leaseMilliseconds: 1_000,
       evacuations: options.dataCentres !== undefined,
+      reportsStartedWork: options.scarcity !== undefined,
       openWorker: () => host.worker.port,
     });
   };
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -10,7 +10,6 @@
   type DispatcherList,
   type EvacuationState,
   noEvacuations,
-  type QueueConfiguration,
 } from '@cranberryturn/types';
 import {
   createMemoryNetwork,
@@ -18,18 +17,18 @@
   ProcessRole,
 } from '@cranberryturn/wire';
 
+import type { ScarcitySettings } from '../scarcity/scarcity-settings.js';
+import { TransientJobs } from '../transient-jobs.js';
 import {
   address,
   type FakeHost,
   firstPort,
-  oneProcessor,
   startHost,
   times,
 } from './fake-host.js';
-import { TransientJobs } from '../transient-jobs.js';
-import type { JobStep, TransientJob } from '../transient-job.js';
 
-export { type FakeHost, oneProcessor };
+export { createJob, createQueue, oneProcessor } from './create-job.js';
+export type { FakeHost };
 
 const networkDelayMilliseconds = 1;
 const checkIntervalMilliseconds = 5;
@@ -63,57 +62,16 @@
   ): EvacuationState;
 }
 
-/** Creates the queue of these tests. */
-export function createQueue(
-  overrides: Partial<QueueConfiguration> = {},
-): QueueConfiguration {
-  return {
-    queue: 'lookups',
-    host: 'register.example',
-    pathPrefix: '/lookups/',
-    service: 'register',
-    priority: 1,
-    maximumFailures: 2,
-    slackFactor: 1.6,
-    targetLatencyMilliseconds: 60,
-    ...overrides,
-  };
-}
-
-/** Creates a job of one step whose tasks need one processor each. */
-export function createJob(
-  jobId: string,
-  tasks: number,
-  overrides: Partial<TransientJob> & { readonly step?: Partial<JobStep> } = {},
-): TransientJob {
-  const { step, ...rest } = overrides;
-  return {
-    jobId,
-    requestId: jobId,
-    queue: createQueue(),
-    specification: 'text',
-    steps: [
-      {
-        tasks,
-        need: oneProcessor,
-        estimatedMilliseconds: 100,
-        after: [],
-        ...step,
-      },
-    ],
-    deadlineMilliseconds: 5_000,
-    heldMilliseconds: 0,
-    ...rest,
-  };
-}
-
 /** Starts the processes and connects them. */
 export async function startJobsFixture(options: {
   readonly dispatchers: number;
   readonly workers: number;
-  readonly processors: number;
+  /** Processors of each worker, or of the worker at a position. */
+  readonly processors: number | ((position: number) => number);
   /** Number of dispatchers that sidecars dial first; all by default. */
   readonly seeds?: number | undefined;
+  /** Settings of admission under scarcity; disabled by default. */
+  readonly scarcity?: ScarcitySettings | undefined;
   /** Data centres of the workers in turn; where undefined, evacuations are off and all workers are in one. */
   readonly dataCentres?: readonly string[] | undefined;
 }): Promise<JobsFixture> {
@@ -131,6 +89,7 @@
         network,
         number,
         () => list,
+        options.scarcity,
         hasEvacuations,
       ),
     );
@@ -139,7 +98,7 @@
     startHost(timers, network, number, options),
   );
   timers.every(checkIntervalMilliseconds, () => {
-    checkWorkers(hosts, options.processors, violations);
+    checkWorkers(hosts, violations);
   });
   await timers.advance(300);
   return {
@@ -176,14 +135,10 @@
   };
 }
 
-function checkWorkers(
-  hosts: readonly FakeHost[],
-  processors: number,
-  violations: string[],
-): void {
+function checkWorkers(hosts: readonly FakeHost[], violations: string[]): void {
   const seen = new Set<string>();
   for (const { worker, name } of hosts) {
-    if (worker.activeRuns.size > processors)
+    if (worker.activeRuns.size > worker.run.capacity.processors)
       violations.push(`${name} exceeds its capacity`);
     for (const task of worker.activeRuns.keys()) {
       if (seen.has(task)) violations.push(`${task} has two active runs`);
@@ -197,6 +152,7 @@
   network: MemoryNetwork,
   number: number,
   listDispatchers: () => DispatcherList,
+  scarcity: ScarcitySettings | undefined,
   hasEvacuations: boolean,
 ): Promise<FakeDispatcher> {
   const name = `dispatcher-${String(number)}`;
@@ -217,6 +173,7 @@
       metrics: createMetrics({ role: 'dispatcher', process: name, timers }),
       remoteFactor: 1.5,
       listDispatchers,
+      scarcity,
       evacuations: hasEvacuations
         ? { current: () => known.state, isProved: () => known.isProved }
         : undefined,
--- a/packages/transient-jobs/src/find-job-refusal.ts
+++ b/packages/transient-jobs/src/find-job-refusal.ts
@@ -1,26 +1,41 @@
 /** Checks the admission of a job against the known workers. */
 import type { Milliseconds } from '@cranberryturn/types';
 
+import type { ActiveJob } from './active-job.js';
 import { canEverHold } from './choose-workers.js';
-import { decideAdmission } from './decide-admission.js';
+import {
+  type AdmissionRequest,
+  decideAdmission,
+  decideWithoutRoom,
+  type JobRefusal,
+} from './decide-admission.js';
 import { createRefusal } from './describe-end.js';
 import type { KnownWorker } from './known-worker.js';
-import type { Placement } from './task-placer.js';
+import { ScarcityRule } from './scarcity/decide-scarcity.js';
+import type { ScarcityAnswer } from './scarcity/report-answer.js';
 import {
-  type TransientJob,
-  type TransientJobEnd,
-  TransientJobEndKind,
-} from './transient-job.js';
+  leftOverPriority,
+  type ScarcityControl,
+} from './scarcity/scarcity-control.js';
+import type { Placement } from './task-placer.js';
+import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
 
-/** Returns the end of a refused job; undefined admits the job. `workers` are the workers of its service. */
+/** A job to admit, and the priority of its orders. */
+type AdmittedJob = Pick<ActiveJob, 'job' | 'priority'>;
+
+/**
+ * Returns the end of a refused job; undefined admits the job. `workers` are the workers of its service. Lowers the
+ * priority of a job that is admitted to left-over capacity only.
+ */
 export function findJobRefusal(
-  job: TransientJob,
+  active: AdmittedJob,
   criticalPathMilliseconds: Milliseconds,
   placement: Placement,
   workers: readonly KnownWorker[],
+  scarcity?: ScarcityControl,
 ): TransientJobEnd | undefined {
-  const { queue, steps, deadlineMilliseconds, heldMilliseconds } = job;
-  const refusal = decideAdmission({
+  const { queue, steps, deadlineMilliseconds, heldMilliseconds } = active.job;
+  const request: AdmissionRequest = {
     queue,
     criticalPathMilliseconds,
     deadlineMilliseconds,
@@ -32,10 +47,48 @@
       workers.some(known => canEverHold(known, step)),
     ),
     hasWorkers: workers.length > 0,
-  });
+  };
+  const refusal =
+    scarcity === undefined
+      ? decideAdmission(request)
+      : decideUnderScarcity(scarcity, active, request, workers);
   if (refusal === undefined) return undefined;
   const { reason, retryAfterMilliseconds } = refusal;
   return retryAfterMilliseconds === undefined
     ? { kind: TransientJobEndKind.Failed, reason }
     : createRefusal(reason, retryAfterMilliseconds);
 }
+
+function decideUnderScarcity(
+  scarcity: ScarcityControl,
+  active: AdmittedJob,
+  request: AdmissionRequest,
+  workers: readonly KnownWorker[],
+): JobRefusal | undefined {
+  const { job } = active;
+  const withoutRoom = decideWithoutRoom(request);
+  if (withoutRoom !== undefined) {
+    scarcity.countWithoutWorker(job);
+    return withoutRoom;
+  }
+  const { criticalPathMilliseconds, waitMilliseconds = 0 } = request;
+  const startsAtOnce =
+    waitMilliseconds <= 0 && decideAdmission(request) === undefined;
+  const answer = scarcity.decide(
+    { job, criticalPathMilliseconds, waitMilliseconds, startsAtOnce },
+    workers,
+  );
+  if (answer.rule === ScarcityRule.LeftOver) active.priority = leftOverPriority;
+  if (answer.isAdmitted) return undefined;
+  return {
+    reason: describeRefusal(answer),
+    retryAfterMilliseconds: answer.retryAfterMilliseconds,
+  };
+}
+
+function describeRefusal({
+  expectedMilliseconds,
+  objectiveMilliseconds,
+}: ScarcityAnswer): string {
+  return `capacity is scarce: the job would end after ${expectedMilliseconds.toFixed(0)} ms, and is of use for ${objectiveMilliseconds.toFixed(0)} ms`;
+}
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -18,8 +18,10 @@
   TaskPhase,
 } from './active-job.js';
 import { type ChosenWorker, chooseWorkers } from './choose-workers.js';
+import { recordProbe } from './known-worker.js';
 import type { RunTimeEstimates } from './run-time-estimates.js';
 import type { RunTracker } from './run-tracker.js';
+import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
 import type { JobStep } from './transient-job.js';
 import type { WorkerDirectory } from './worker-directory.js';
 
@@ -36,6 +38,8 @@
   readonly workers: WorkerDirectory;
   readonly runs: RunTracker;
   readonly estimates: RunTimeEstimates;
+  /** Settings of admission under scarcity; disabled when undefined. */
+  readonly scarcity?: ScarcitySettings | undefined;
 }
 
 /** Planned placement of the tasks of one step. */
@@ -166,7 +170,7 @@
     return chooseWorkers(
       {
         step,
-        priority: queue.priority,
+        priority: active.priority,
         estimateMilliseconds: Math.round(
           this.estimateRunTime(active, step.estimatedMilliseconds),
         ),
@@ -174,6 +178,7 @@
         dataCentre,
         remoteFactor,
         excludedWorkers,
+        probesFailedWorkers: this.#options.scarcity !== undefined,
         placedTasks: countPlacedTasks(active, stepIndex),
       },
       workers.listWorkers(queue.service),
@@ -191,6 +196,8 @@
     const { job } = active;
     const { timers, metrics, logger, workers, runs } = this.#options;
     const now = timers.now();
+    if (this.#options.scarcity !== undefined)
+      recordProbe(known, estimateMilliseconds, now);
     for (const task of tasks) {
       task.phase = TaskPhase.Placed;
       task.run += 1;
@@ -224,7 +231,7 @@
   }
 
   #composeOrder(
-    { job, dueAt, deadlineAt }: ActiveJob,
+    { job, dueAt, deadlineAt, priority }: ActiveJob,
     { step, estimateMilliseconds, mayWait }: StepOrder,
     tasks: readonly ActiveTask[],
   ): RunOrder {
@@ -236,7 +243,7 @@
       service: job.queue.service,
       specification: job.specification,
       need: step.need,
-      priority: job.queue.priority,
+      priority,
       estimatedMilliseconds: estimateMilliseconds,
       dueMilliseconds: Math.round(dueAt - now),
       remainingMilliseconds: Math.round(deadlineAt - now),
--- a/packages/transient-jobs/src/transient-jobs-options.ts
+++ b/packages/transient-jobs/src/transient-jobs-options.ts
@@ -7,6 +7,7 @@
 import type { DispatcherId, DispatcherList } from '@cranberryturn/types';
 
 import type { EvacuationSource } from './distribute-evacuations.js';
+import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
 import type { TransientJobEnd } from './transient-job.js';
 
 /** Options of the transient jobs of one dispatcher. */
@@ -22,6 +23,8 @@
   readonly remoteFactor: number;
   /** Dispatchers from which sidecars choose those that they keep sessions with. */
   readonly listDispatchers: () => DispatcherList;
+  /** Settings of admission under scarcity; disabled when undefined. */
+  readonly scarcity?: ScarcitySettings | undefined;
   /** The evacuations to enforce at the workers; undefined where evacuations are not enabled. */
   readonly evacuations?: EvacuationSource | undefined;
 }
--- a/packages/wire/src/messages/message-checks.test.ts
+++ b/packages/wire/src/messages/message-checks.test.ts
@@ -75,6 +75,15 @@
     },
   ],
   [isFromWorkerMessage, { kind: 'beat', stamp: 1, load, orders: 0 }],
+  [
+    isFromWorkerMessage,
+    {
+      kind: 'beat',
+      stamp: 1,
+      load: { ...load, startedWork: [0, 0.5] },
+      orders: 0,
+    },
+  ],
   [
     isDispatcherCall,
     {
@@ -145,3 +154,17 @@
     }
   }
 });
+
+test('the started work of a load report is optional, and none of its rates is negative', t => {
+  const isValid = (startedWork: unknown): boolean =>
+    isFromWorkerMessage({
+      kind: 'beat',
+      stamp: 1,
+      load: { ...load, startedWork },
+      orders: 0,
+    });
+  for (const valid of [undefined, [], [0, 0, 1.5, 0]])
+    t.true(isValid(valid), JSON.stringify(valid));
+  for (const invalid of [[-0.1], [1, Infinity], [null], {}, 3])
+    t.false(isValid(invalid), JSON.stringify(invalid));
+});
--- a/packages/wire/src/messages/run-message-checks.ts
+++ b/packages/wire/src/messages/run-message-checks.ts
@@ -2,6 +2,7 @@
 import { RunOutcome } from '@cranberryturn/types';
 
 import {
+  isAmount,
   isCount,
   isFiniteNumber,
   isFlag,
@@ -61,6 +62,7 @@
 const isWorkerLoad = isRecord({
   free: isWorkerResources,
   waitingWork: isListOf(isFiniteNumber),
+  startedWork: isOptional(isListOf(isAmount)),
   runningWork: isFiniteNumber,
   closed: isFlag,
 });
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -185,6 +185,7 @@
     if (worker.isSilent)
       return await failWithTimeout(timers, run.workerId, order);
     await sleep(timers, replyDelayMilliseconds);
+    if (hasCrashed) return err(createConnectionError(run.workerId));
     const reply = carryOut();
     if (worker.losesReplies)
       return await failWithTimeout(timers, run.workerId, order);
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -53,6 +53,8 @@
   readonly metrics: Metrics;
   /** Longest lease that the worker grants. */
   readonly leaseMilliseconds: Milliseconds;
+  /** Whether load reports name the work started by priority; dispatchers use it where admission under scarcity is enabled. */
+  readonly reportsStartedWork?: boolean | undefined;
   /** Whether evacuations are enabled: no run starts before a dispatcher has sent their state. Off by default. */
   readonly evacuations?: boolean | undefined;
   /** Opens a port to one incarnation of the worker. `bornAt` is its start on the clock of the worker. */
@@ -216,6 +218,7 @@
       leases,
       evacuations: evacuations.createRule(worker.dataCentre),
       leaseMilliseconds: options.leaseMilliseconds,
+      reportsStartedWork: options.reportsStartedWork,
       runEnded,
       runsStalled: (dispatcher, runs) => {
         const session = sessions.findSession(dispatcher);
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -53,7 +53,7 @@
     this.options = options;
     this.clock = new WorkerClock(options.timers);
     this.#suspensionWatch = watchSuspension(options.timers);
-    this.#runs = new RunTable(options.worker.capacity);
+    this.#runs = new RunTable(options);
     this.#lease = keepLease(this);
     this.#overdueTimer = options.timers.every(checkIntervalMilliseconds, () => {
       this.#endOverdueRuns();
