--- a/packages/control/src/order-evacuations.test.ts
+++ b/packages/control/src/order-evacuations.test.ts
@@ -214,6 +214,33 @@
   t.true(cluster.nodes().every(node => node.evacuations === undefined));
 });
 
+test('an evacuation can be withdrawn after its data centre was removed from the settings', async t => {
+  const fixture = await start();
+  const leader = requireLeader(fixture);
+  await settleWithin(
+    fixture.timers,
+    leader.administerLocally({
+      method: AdministrationMethod.OrderEvacuation,
+      order: { dataCentre: 'north', isEvacuated: true, knownIndex: 0 },
+      requestId: 'earlier settings',
+    }),
+  );
+  const withdraw = async (): Promise<AdministrationReply | undefined> =>
+    await settleWithin(
+      fixture.timers,
+      Promise.resolve(
+        leader.evacuations?.order({
+          dataCentre: 'north',
+          isEvacuated: false,
+          callerLeft: new AbortController().signal,
+        }),
+      ),
+    );
+  t.is((await withdraw())?.kind, AdministrationReplyKind.Done);
+  t.like(await list(fixture, leader), { version: 2, evacuations: [] });
+  t.is((await withdraw())?.kind, AdministrationReplyKind.Invalid);
+});
+
 test('the steps of an order are logged under one request identifier', async t => {
   const logger = createSilentLogger();
   const lines: unknown[] = [];
--- a/packages/control/src/order-evacuations.ts
+++ b/packages/control/src/order-evacuations.ts
@@ -39,7 +39,7 @@
 export interface EvacuationService {
   /**
    * Replies `Done` once a majority has synced the order, `Invalid` for a data centre that the
-   * settings do not name, and otherwise `Unavailable`.
+   * settings do not name, unless it is the withdrawal of its evacuation, and otherwise `Unavailable`.
    */
   order(request: EvacuationRequest): Promise<AdministrationReply>;
   list(): Promise<AdministrationReply>;
@@ -107,20 +107,24 @@
   };
 }
 
-/** Refuses an unknown data centre, and an order whose caller left during the hold. */
+/**
+ * Refuses an unknown data centre, and an order whose caller left during the hold. An evacuation can be
+ * withdrawn after its data centre was removed from the settings; its workers would stay closed otherwise.
+ */
 async function refuseOrder(
   { state, timers }: EvacuationServiceOptions,
   dataCentres: readonly DataCentreName[],
   request: EvacuationRequest,
 ): Promise<AdministrationReply | undefined> {
   const { dataCentre, callerLeft } = request;
-  if (!dataCentres.includes(dataCentre)) {
+  const current = state.evacuations.state;
+  const isWithdrawal = !request.isEvacuated && isEvacuated(current, dataCentre);
+  if (!dataCentres.includes(dataCentre) && !isWithdrawal) {
     return composeRefusal(
       AdministrationReplyKind.Invalid,
       `The settings name no data centre "${dataCentre}", only: ${dataCentres.join(', ')}. Nothing was changed.`,
     );
   }
-  const current = state.evacuations.state;
   if (isEvacuated(current, dataCentre) === request.isEvacuated) {
     return undefined;
   }
