Let no reply from before a pause end the wait for recent proofs

After a pause, notices that arrived meanwhile do not count until a call made since is answered. The reply to an earlier call, which may have arrived during the pause, ended this wait.

--- a/packages/control-client/src/watch-control.test.ts
+++ b/packages/control-client/src/watch-control.test.ts
@@ -21,19 +21,20 @@
   configurationVersion: 0,
 };
 
-test('a proof that was sent before a pause of this process does not count after it', async t => {
+/** Starts a watch of one host. Each call waits until its reply is sent; `pause` advances the clock, but no timer. */
+function startWatch() {
   const manual = createManualTimerService();
-  let pause = 0;
-  const timers: TimerService = { ...manual, now: () => manual.now() + pause };
-  let reply: () => void = () => undefined;
+  let paused = 0;
+  const timers: TimerService = { ...manual, now: () => manual.now() + paused };
+  const replies: (() => void)[] = [];
   const calls = {
     connection: { peer: { name: 'c1' } },
     call: () =>
       new ResultAsync(
         new Promise<Result<unknown, Error>>(resolve => {
-          reply = () => {
+          replies.push(() => {
             resolve(ok({ kind: ControlReplyKind.Done, index: 1 }));
-          };
+          });
         }),
       ),
   } as unknown as RemoteCalls;
@@ -48,16 +49,48 @@
     isStopped: () => false,
     firstHostPosition: 0,
   });
-  await manual.advance(200);
-  reply();
-  await manual.settle();
-  watch.handleNotice(host, fresh);
+  return {
+    timers,
+    watch,
+    advance: manual.advance,
+    pause: (milliseconds: number) => {
+      paused += milliseconds;
+    },
+    reply: async (call: number) => {
+      replies[call]?.();
+      await manual.settle();
+    },
+    receiveProof: () => {
+      watch.handleNotice(host, fresh);
+    },
+  };
+}
+
+test('a proof that was sent before a pause of this process does not count after it', async t => {
+  const fixture = startWatch();
+  const { timers, watch } = fixture;
+  await fixture.advance(200);
+  await fixture.reply(0);
+  fixture.receiveProof();
   t.is(watch.provedAt(), timers.now());
-  pause = 5_000;
-  watch.handleNotice(host, fresh);
+  fixture.pause(5_000);
+  fixture.receiveProof();
+  t.is(watch.provedAt(), undefined);
+  await fixture.reply(1);
+  fixture.receiveProof();
+  t.is(watch.provedAt(), timers.now());
+});
+
+test('a reply to a call made before a pause of this process does not let a proof from the pause count', async t => {
+  const fixture = startWatch();
+  const { timers, watch } = fixture;
+  await fixture.advance(200);
+  fixture.pause(1_200);
+  fixture.receiveProof();
+  await fixture.reply(0);
+  fixture.receiveProof();
   t.is(watch.provedAt(), undefined);
-  reply();
-  await manual.settle();
-  watch.handleNotice(host, fresh);
+  await fixture.reply(1);
+  fixture.receiveProof();
   t.is(watch.provedAt(), timers.now());
 });
--- a/packages/control-client/src/watch-control.ts
+++ b/packages/control-client/src/watch-control.ts
@@ -85,10 +85,12 @@
         ? noVersion
         : latest.evacuations.current().version,
     };
+    const pausesBefore = knownPauses;
     void calls
       .call<ControlReply>(call, watchTimeoutMilliseconds, isControlReply)
       .map(() => {
-        isCatchingUp = false;
+        // The reply to a call made before a pause may have arrived during it.
+        if (pausesBefore === knownPauses) isCatchingUp = false;
       });
   };
 
