Keep the connection to a leader that does not know an administration call

A leader of an earlier version replies nothing to an evacuation call. The check of replies took that for a malformed message and closed the connection.

--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -18,6 +18,7 @@
   dialWithin,
   isNetworkAddress,
   isOneOf,
+  isOptional,
   isRecord,
   isText,
   isVariant,
@@ -52,9 +53,10 @@
 const silenceLimitMilliseconds: Milliseconds = 1_000;
 const dialTimeoutMilliseconds: Milliseconds = 1_000;
 
-const isAdministrationReply = isRecord({
-  kind: isOneOf(AdministrationReplyKind),
-});
+/** A leader of an earlier version replies nothing to a call that it does not know. */
+const isAdministrationReply = isOptional(
+  isRecord({ kind: isOneOf(AdministrationReplyKind) }),
+);
 const isPeerEnvelope = isVariant('kind', {
   [PeerEnvelopeKind.Log]: isRecord({ from: isText, message: isPeerMessage }),
   [PeerEnvelopeKind.Administration]: isRecord({ call: isAdministrationCall }),
@@ -91,11 +93,17 @@
 
 /** The link of the log, with the other calls between replicas. */
 export interface WirePeerLink extends PeerLink {
-  /** Forwards an administration call to the leader. */
+  /**
+   * Forwards an administration call to the leader. Resolves with undefined when the leader runs a version
+   * that does not know the call.
+   */
   administer(
     leader: ReplicaId,
     call: AdministrationCall,
-  ): ResultAsync<AdministrationReply, ConnectionError | TimeoutError>;
+  ): ResultAsync<
+    AdministrationReply | undefined,
+    ConnectionError | TimeoutError
+  >;
   /** Time since anything was received from a replica; undefined without a connection to it. */
   findSilence(replica: ReplicaId): Milliseconds | undefined;
   close(): void;
