Promote no learner that may be lost

A learner heard within 2.5 s was promoted although it had missed several heartbeats. A group of one voter would then wait for its vote, and could change nothing without it.

--- a/packages/control/src/plan-group.test.ts
+++ b/packages/control/src/plan-group.test.ts
@@ -46,6 +46,19 @@
   t.deepEqual(plan(group), { kind: MemberChangeKind.Promote, replicaId: 'd1' });
 });
 
+test('no learner that may be lost becomes a voter, since a group of one voter would lose its majority', t => {
+  const group = [
+    compose('a1', 'a'),
+    compose('b1', 'b', MemberRole.Learner),
+    compose('c1', 'c', MemberRole.Learner),
+  ];
+  t.is(plan(group, { b1: 600, c1: 600 }), undefined);
+  t.deepEqual(plan(group, { b1: 600 }), {
+    kind: MemberChangeKind.Promote,
+    replicaId: 'c1',
+  });
+});
+
 test('no voter is exchanged while another may be lost, since the majority could be lost with it', t => {
   const group = [
     ...['a1', 'a2', 'a3', 'a4'].map(name => compose(name, 'a')),
--- a/packages/control/src/plan-group.ts
+++ b/packages/control/src/plan-group.ts
@@ -60,9 +60,14 @@
   return lost === undefined ? undefined : composeRemoval(lost);
 }
 
-/** Finds a learner to promote, unless a voter is suspected: it is heard again or removed first. */
+/**
+ * Finds a learner to promote that is not suspected, since the majority would grow without it. None is
+ * promoted while a voter is suspected: the voter is heard again or removed first.
+ */
 function findPromotion(view: GroupView) {
-  const [learner] = listHeardLearners(view);
+  const learner = listHeardLearners(view).find(
+    member => !isSuspected(view, member),
+  );
   if (learner === undefined) return undefined;
   const others = listOtherVoters(view);
   if (others.some(member => isSuspected(view, member))) return undefined;
