Warn again of fewer voters than an even minimum asks for

The check of tolerated losses takes half of the minimum, rounded down, so one voter passed where the settings ask for two, and the log said that there were enough.

--- a/packages/control/src/monitor-voters.ts
+++ b/packages/control/src/monitor-voters.ts
@@ -38,7 +38,8 @@
       const composed = JSON.stringify(fields);
       if (composed === logged) return;
       logged = composed;
-      if (tolerates(voters, losses)) {
+      const hasEnough = fields.voters >= fields.needed;
+      if (hasEnough && tolerates(voters, losses)) {
         logger.info('control has the voters that the tolerated losses need', {
           ...fields,
         });
