Give a worker more time for replies after several orders without one

The reply timeout was learned only from replies that arrived within it. A worker whose replies suddenly took longer, at least 60 ms, then answered no order in time: its runs were reported as interrupted, and it stayed unused until its replies became faster. Each further order without a reply now doubles the timeout, up to the longest one; a single lost reply still costs no more than the learned timeout.

--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -22,7 +22,7 @@
 } from '../ports/worker.js';
 import { createConnectionError, failWithTimeout } from './worker-errors.js';
 
-const replyDelayMilliseconds: Milliseconds = 1;
+const defaultReplyTimeoutMilliseconds: Milliseconds = 250;
 const maximumLeaseMilliseconds: Milliseconds = 1_000;
 const stopDurationMilliseconds: Milliseconds = 20;
 const tickMilliseconds: Milliseconds = 5;
@@ -55,6 +55,8 @@
   shouldLoseNextReply: boolean;
   /** Fault: orders are executed, and their replies are lost. */
   losesReplies: boolean;
+  /** Time after which orders are executed and replied to; a longer one than the reply timeout loses the reply. */
+  replyDelayMilliseconds: Milliseconds;
   /** Fault: start orders are refused as unhealthy. */
   isUnhealthy: boolean;
   /** How far the clock of the worker is ahead of its sidecar's, which stood still during a suspension. */
@@ -184,7 +186,12 @@
     if (hasCrashed) return err(createConnectionError(run.workerId));
     if (worker.isSilent)
       return await failWithTimeout(timers, run.workerId, order);
-    await sleep(timers, replyDelayMilliseconds);
+    const delay = worker.replyDelayMilliseconds;
+    if (delay > (order.replyTimeout ?? defaultReplyTimeoutMilliseconds)) {
+      timers.after(delay, carryOut);
+      return await failWithTimeout(timers, run.workerId, order);
+    }
+    await sleep(timers, delay);
     const reply = carryOut();
     if (worker.losesReplies)
       return await failWithTimeout(timers, run.workerId, order);
@@ -236,6 +243,7 @@
     nextStartDelayMilliseconds: undefined,
     shouldLoseNextReply: false,
     losesReplies: false,
+    replyDelayMilliseconds: 1,
     isUnhealthy: false,
     runMilliseconds: 100,
     clockAheadMilliseconds: 0,
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -99,6 +99,7 @@
     });
     if (isStopped) return undefined;
     if (reply.isErr()) {
+      replyTimeout.observeMissing();
       handleFailure(sentAt);
       return undefined;
     }
@@ -241,6 +242,7 @@
       return isSuspected;
     },
     reportUnanswered: sentAt => {
+      replyTimeout.observeMissing();
       suspectWorker(sentAt);
       wake();
     },
--- a/packages/worker-gate/src/lost-replies.test.ts
+++ b/packages/worker-gate/src/lost-replies.test.ts
@@ -52,3 +52,35 @@
   t.true(fast < 100);
   t.true(timeout.current() > 150);
 });
+
+// Guards against a timeout that is learned only from the replies that arrive within it: a worker that
+// became slower than that would stay unusable.
+test('a worker whose replies suddenly take longer than the learned timeout is used again', async t => {
+  const { worker, place, timers, ends, listStarts } = await startGateFixture(2);
+  worker.runMilliseconds = 10;
+  for (let job = 0; job < 30; job += 1) {
+    place({ jobId: `job-${String(job)}` });
+    await timers.advance(20);
+  }
+  worker.replyDelayMilliseconds = 100;
+  place({ jobId: 'slow' });
+  await timers.advance(3_000);
+  for (let job = 0; job < 5; job += 1) {
+    place({ jobId: `later-${String(job)}` });
+    await timers.advance(1_000);
+  }
+  t.true(listStarts().includes('later-4/1'));
+  t.like(ends.at(-1), { jobId: 'later-4', outcome: 'done' });
+});
+
+test('only several orders in a row without a reply lengthen the timeout', t => {
+  const timeout = new ReplyTimeout();
+  for (let reply = 0; reply < 50; reply += 1) timeout.observe(2);
+  const fast = timeout.current();
+  timeout.observeMissing();
+  t.is(timeout.current(), fast);
+  for (let order = 0; order < 5; order += 1) timeout.observeMissing();
+  t.is(timeout.current(), maximumReplyTimeout);
+  timeout.observe(2);
+  t.is(timeout.current(), fast);
+});
--- a/packages/worker-gate/src/reply-timeout.ts
+++ b/packages/worker-gate/src/reply-timeout.ts
@@ -18,10 +18,13 @@
   #mean: Milliseconds = 0;
   #deviation: Milliseconds = 0;
   #samples = 0;
+  /** Orders without a reply since the last recorded reply. */
+  #missing = 0;
 
   /** Records the reply time of an order that the worker replies to at once. */
   observe(replyTime: Milliseconds): void {
     this.#samples += 1;
+    this.#missing = 0;
     if (this.#samples === 1) {
       this.#mean = replyTime;
       this.#deviation = replyTime / 2;
@@ -32,11 +35,24 @@
     this.#deviation += (Math.abs(error) - this.#deviation) * sampleWeight;
   }
 
+  /** Records an order without a reply. */
+  observeMissing(): void {
+    this.#missing += 1;
+  }
+
+  /**
+   * A single missing reply may be lost. Several in a row may be later than the timeout and would never be
+   * learned from, so each further one doubles it.
+   */
   current(): Milliseconds {
     if (this.#samples < minimumSamples) return maximumReplyTimeout;
     const learned = this.#mean + deviationFactor * this.#deviation;
+    const factor = 2 ** Math.max(0, this.#missing - 1);
     return Math.round(
-      Math.min(maximumReplyTimeout, Math.max(minimumReplyTimeout, learned)),
+      Math.min(
+        maximumReplyTimeout,
+        Math.max(minimumReplyTimeout, learned) * factor,
+      ),
     );
   }
 }
