State no negative age of a proof of leadership

Followers refuse a negative age and close the connection. A leader that is the only voter can state a proof slightly ahead of the clock of a follower, which then passed on an age of -1 ms.

--- a/packages/control/src/feed-followers.test.ts
+++ b/packages/control/src/feed-followers.test.ts
@@ -9,6 +9,7 @@
 import {
   type ControlNotice,
   ControlNoticeKind,
+  isControlNotice,
   type RemoteCalls,
 } from '@cranberryturn/wire';
 import test from 'ava';
@@ -167,3 +168,15 @@
   feed.stop();
   t.is(manual.countPendingTimers(), 0);
 });
+
+// Guards against a notice that followers refuse, and for which they close the connection.
+test('a proof slightly ahead of the clock has the age 0', t => {
+  const { feed, follow } = startFeed({ stateProvedAt: 1.5 });
+  const freshness = follow(-1).at(-1);
+  t.like(freshness, {
+    kind: ControlNoticeKind.Freshness,
+    proofAgeMilliseconds: 0,
+  });
+  t.true(isControlNotice(freshness));
+  feed.stop();
+});
--- a/packages/control/src/feed-followers.ts
+++ b/packages/control/src/feed-followers.ts
@@ -139,8 +139,9 @@
 
   const composeFreshness = (): ControlNotice => ({
     kind: ControlNoticeKind.Freshness,
+    // A leader that is the only voter states a proof slightly ahead of the clock of its followers.
     proofAgeMilliseconds: Math.ceil(
-      Math.min(computeProofAge(), Number.MAX_SAFE_INTEGER),
+      Math.max(0, Math.min(computeProofAge(), Number.MAX_SAFE_INTEGER)),
     ),
     configurationVersion: state.configuration.configuration.version,
     leader: status().leader,
