--- a/packages/program/src/handle-unexpected-errors.ts
+++ b/packages/program/src/handle-unexpected-errors.ts
@@ -1,4 +1,7 @@
 /** Decides what a process does after an error that nothing caught. */
+import type { Milliseconds } from '@cranberryturn/types';
+
+import { finishWithin } from './finish-within.js';
 import type { ProgramHost } from './ports/program-host.js';
 import {
   closeRoleEnvironment,
@@ -17,6 +20,8 @@
 }
 
 const failureExitCode = 1;
+/** A disk that does not answer must not keep a process in an unknown state running. */
+const closeTimeout: Milliseconds = 2_000;
 
 /** Logs each error that nothing caught, and applies the policy of that moment. */
 export function handleUnexpectedErrors(
@@ -34,7 +39,11 @@
     });
     if (policy === UnexpectedErrorPolicy.Continue || isEnding) return;
     isEnding = true;
-    void closeRoleEnvironment(environment).finally(() => {
+    void finishWithin(
+      environment.timers,
+      closeTimeout,
+      closeRoleEnvironment(environment),
+    ).finally(() => {
       host.exit(failureExitCode);
     });
   });
