Keep a worker in use after an unexpected error in the first renewal or a status check

An unexpected error in the first renewal ended the renewal loop, so the worker was never announced. One in the status check after a jump of the wall clock kept all later runs from starting. Such errors now count as no reply, and are still passed on to the process.

--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -171,10 +171,25 @@
     executor.handleLeaseExpiry();
   };
 
+  /**
+   * Renews the lease. An unexpected error counts as no reply, as it must not end the renewal loop, with
+   * which the lease of all runs would end, nor whatever else waits for a status.
+   */
+  const renewSafely = async (
+    waitMilliseconds: Milliseconds,
+  ): Promise<WorkerStatus | undefined> => {
+    try {
+      return await renew(waitMilliseconds);
+    } catch (error) {
+      rethrowLater(error);
+      return undefined;
+    }
+  };
+
   /** Stops runs that an earlier process of this sidecar left active. */
   const stopLeftovers = async (): Promise<void> => {
     while (!isStopped && !hasNoLeftovers) {
-      const status = await renew(0);
+      const status = await renewSafely(0);
       if (status === undefined) {
         await sleep(timers, failurePauseMilliseconds);
         continue;
@@ -204,21 +219,11 @@
     });
   };
 
-  /** An unexpected error must not end the loop: the lease of all runs would end with it. */
-  const renewSafely = async (): Promise<WorkerStatus | undefined> => {
-    try {
-      return await renew(hasWork() ? renewalWaitMilliseconds : 0);
-    } catch (error) {
-      rethrowLater(error);
-      return undefined;
-    }
-  };
-
   const runRenewalLoop = async (): Promise<void> => {
     await stopLeftovers();
     while (!isStopped) {
       await waitForWork();
-      const status = await renewSafely();
+      const status = await renewSafely(hasWork() ? renewalWaitMilliseconds : 0);
       if (status !== undefined) continue;
       await sleep(
         timers,
@@ -253,7 +258,7 @@
       extendedAt = timers.now();
       wake();
     },
-    readStatus: () => renew(0),
+    readStatus: () => renewSafely(0),
     recordClock,
     stop: () => {
       isStopped = true;
