Show beside transient jobs that the metrics of evacuations rise

The test that every declared metric rises in the local system failed for the two that only transient jobs have.

--- a/packages/transient-jobs/src/evacuations.test.ts
+++ b/packages/transient-jobs/src/evacuations.test.ts
@@ -1,4 +1,5 @@
 /** Evacuations of data centres under load, from the state at the dispatchers to the starts at the workers. */
+import { Counter } from '@cranberryturn/metrics';
 import test from 'ava';
 
 import { first, getItem } from './fakes/get-item.js';
@@ -105,6 +106,20 @@
   t.deepEqual(ends, new Array(3).fill(TransientJobEndKind.Completed));
 });
 
+test('the metrics of evacuations rise: returned runs, and sidecars that do not confirm yet', async t => {
+  const fixture = await start(1, 2, 1);
+  const { timers, dispatchers } = fixture;
+  const { jobs, metrics } = first(dispatchers);
+  jobs.submit(createJob('running', 2));
+  jobs.submit(createJob('queued', 2));
+  await timers.advance(20);
+  fixture.evacuate(['north']);
+  t.true(jobs.workers.evacuations.countUnconfirmed() > 0);
+  await timers.advance(1_000);
+  t.is(jobs.workers.evacuations.countUnconfirmed(), 0);
+  t.true(metrics.read().counters[Counter.RunsReturnedEvacuated] > 0);
+});
+
 test('a task returned for an evacuation counts against neither its limits nor its worker', async t => {
   const fixture = await start(1, 2, 1);
   const { timers, dispatchers, hosts } = fixture;
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -1,6 +1,6 @@
 /** Test fixture: dispatchers of transient jobs with in-memory sidecars and workers, and a check of their invariants. */
 import { createSilentLogger } from '@cranberryturn/logger';
-import { createMetrics } from '@cranberryturn/metrics';
+import { createMetrics, type Metrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import {
   createManualTimerService,
@@ -37,6 +37,8 @@
 export interface FakeDispatcher {
   readonly name: string;
   jobs: TransientJobs;
+  /** Metrics of all its processes. */
+  readonly metrics: Metrics;
   /** What control has told the process. */
   control: { state: EvacuationState; isProved: boolean };
   /** Tells the process a state that control has proved. */
@@ -156,6 +158,11 @@
   hasEvacuations: boolean,
 ): Promise<FakeDispatcher> {
   const name = `dispatcher-${String(number)}`;
+  const metrics = createMetrics({
+    role: 'dispatcher',
+    process: name,
+    timers,
+  });
   let processes = 0;
   let closeListener: () => Promise<void> = () => Promise.resolve();
 
@@ -170,7 +177,7 @@
       random: createRandomSource(number * 100 + processes),
       times,
       logger: createSilentLogger(),
-      metrics: createMetrics({ role: 'dispatcher', process: name, timers }),
+      metrics,
       remoteFactor: 1.5,
       listDispatchers,
       scarcity,
@@ -193,6 +200,7 @@
 
   const dispatcher: FakeDispatcher = {
     name,
+    metrics,
     jobs: await start(),
     control,
     hear: state => {
