--- a/packages/wire/src/messages/message-checks.test.ts
+++ b/packages/wire/src/messages/message-checks.test.ts
@@ -75,6 +75,22 @@
     },
   ],
   [isFromWorkerMessage, { kind: 'beat', stamp: 1, load, orders: 0 }],
+  [
+    isToWorkerMessage,
+    {
+      kind: 'evacuations',
+      echo: 1,
+      state: { version: 1, evacuations: [{ dataCentre: 'd', since: 1 }] },
+      isProved: true,
+    },
+  ],
+  [
+    isControlNotice,
+    {
+      kind: 'evacuations',
+      state: { version: 1, evacuations: [{ dataCentre: 'd', since: 1 }] },
+    },
+  ],
   [
     isFromWorkerMessage,
     {
