--- a/packages/transient-jobs/src/evacuation-notice.ts
+++ b/packages/transient-jobs/src/evacuation-notice.ts
@@ -44,7 +44,7 @@
   return confirmedVersion !== undefined && confirmedVersion >= version;
 }
 
-/** Whether the state has to be sent now: it or its proof is news to the sidecar, or a confirmation is overdue. */
+/** Whether the state has to be sent now: the sidecar has not been sent it or its proof, or a confirmation is overdue. */
 export function isNoticeDue(
   notices: EvacuationNotices,
   { version, isProved }: SendableEvacuations,
