--- a/packages/membership/src/register-runs.ts
+++ b/packages/membership/src/register-runs.ts
@@ -52,12 +52,13 @@
   if (known !== undefined) {
     removeDispatcher(state, known, RetirementReason.Replaced, entry);
   }
-  const { dispatcherId, incarnation, address } = dispatcher;
+  const { dispatcherId, incarnation, address, processors } = dispatcher;
   state.dispatchers.set(dispatcherId, {
     dispatcherId,
     incarnation,
     address,
     registeredAt: entry.index,
+    ...(processors === undefined ? {} : { processors }),
     ...(known === undefined ? {} : { replacesRun: true }),
   });
   state.version = entry.index;
--- a/packages/membership/src/roster-state.ts
+++ b/packages/membership/src/roster-state.ts
@@ -203,10 +203,11 @@
 
 function listDispatchers(state: RosterState): readonly DispatcherRecord[] {
   return [...state.dispatchers.values()].map(
-    ({ dispatcherId, incarnation, address, replacesRun }) => ({
+    ({ dispatcherId, incarnation, address, replacesRun, processors }) => ({
       dispatcherId,
       incarnation,
       address,
+      ...(processors === undefined ? {} : { processors }),
       ...(replacesRun === undefined ? {} : { replacesRun }),
     }),
   );
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -14,6 +14,8 @@
   ClaimMilliseconds = 'claim_milliseconds',
   /** Time of a write to disk, with its sync. */
   SyncMilliseconds = 'sync_milliseconds',
+  /** Time from the arrival of a request for capacity at its coordinator to a grant. */
+  CapacityWaitMilliseconds = 'capacity_wait_milliseconds',
 }
 
 /** Events that are counted since the start of the process. */
@@ -49,6 +51,12 @@
   QueuesConfined = 'queues_confined',
   /** Runs that were ordered not to share their worker with other jobs, after crashes. */
   RunsIsolated = 'runs_isolated',
+  /** Grants of capacity by a coordinator. */
+  CapacityGrants = 'capacity_grants',
+  /** Grants whose order did not reach its worker in time. */
+  CapacityGrantsExpired = 'capacity_grants_expired',
+  /** Requests for capacity that their coordinator did not answer in time; their tasks were placed by load reports. */
+  CapacityRequestsUnanswered = 'capacity_requests_unanswered',
 }
 
 /** Kinds of messages that did no useful work. */
--- a/packages/run-dispatcher/src/follow-dispatcher-list.ts
+++ b/packages/run-dispatcher/src/follow-dispatcher-list.ts
@@ -30,9 +30,10 @@
     knownAddresses = addresses;
     list = {
       version,
-      dispatchers: dispatchers.map(({ dispatcherId, address }) => ({
+      dispatchers: dispatchers.map(({ dispatcherId, address, processors }) => ({
         dispatcherId,
         address,
+        ...(processors === undefined ? {} : { processors }),
       })),
     };
     return true;
@@ -51,8 +52,8 @@
 function describeAddresses(dispatchers: readonly KnownDispatcher[]): string {
   return dispatchers
     .map(
-      ({ dispatcherId, address }) =>
-        `${dispatcherId} ${formatAddress(address)}`,
+      ({ dispatcherId, address, processors }) =>
+        `${dispatcherId} ${formatAddress(address)} ${String(processors)}`,
     )
     .sort()
     .join('\n');
--- a/packages/run-dispatcher/src/start-run-dispatcher.ts
+++ b/packages/run-dispatcher/src/start-run-dispatcher.ts
@@ -37,6 +37,10 @@
   readonly dataCentre: DataCentreName;
   /** Address on which the dispatcher accepts sidecars. */
   readonly peers: NetworkAddress;
+  /** Processors of the host, by which coordinators of workers are chosen; undefined when not known. */
+  readonly processors?: number | undefined;
+  /** Whether tasks wait in shared queues; on by default. */
+  readonly sharedQueue?: boolean | undefined;
   /** Control replicas to dial first. */
   readonly control: readonly NetworkAddress[];
   /** File with the key that authenticates peers; without one, any peer is trusted. */
@@ -84,7 +88,7 @@
   incarnation: string,
 ): ResultAsync<RunDispatcher, CranberryError> {
   const { timers, logger, metrics } = environment;
-  const { dispatcherId, peers } = options;
+  const { dispatcherId, peers, processors } = options;
   const seed = chooseSeed(options.seed, environment);
   const self = { dispatcherId, incarnation };
   const hasConfiguration = (): boolean =>
@@ -108,6 +112,7 @@
   const dispatcherList = followDispatcherList(control.roster);
   const jobs = new TransientJobs({
     ...options,
+    network,
     evacuations:
       options.evacuations === true
         ? {
@@ -163,12 +168,12 @@
           control.acceptControl(connection);
           return;
         case ProcessRole.Dispatcher:
-          connection.close();
+          jobs.acceptDispatcher(connection);
       }
     })
     .map(listener => {
       const registration = maintainRegistration({
-        self: { ...self, address: peers },
+        self: { ...self, address: peers, processors },
         control,
         timers,
         logger,
--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -2,11 +2,14 @@
 import type { TimerSubscription } from '@cranberryturn/timers';
 import type { Milliseconds, TargetId, TaskId } from '@cranberryturn/types';
 
+import { computeObjective } from './decide-admission.js';
 import type { TransientJob, TransientJobEnd } from './transient-job.js';
 
 /** Phase of a task. */
 export enum TaskPhase {
   Waiting = 'waiting',
+  /** Capacity was requested for the task. */
+  Requested = 'requested',
   /** A run of the task is queued or active at a worker. */
   Placed = 'placed',
   Done = 'done',
@@ -45,9 +48,13 @@
   readonly deadlineAt: Milliseconds;
   /** When the job should end to meet its response time objective. */
   readonly dueAt: Milliseconds;
+  /** Expected run time of the longest dependent chain of steps. */
+  readonly criticalPathMilliseconds: Milliseconds;
   readonly tasks: readonly ActiveTask[];
   /** Priority of its orders: that of its queue, or less urgent for a job that only gets left-over capacity. */
   priority: number;
+  /** Whether the job was admitted; it is not while the first request for capacity is open. */
+  isAdmitted: boolean;
   /** Number of callers that wait for the job. */
   callers: number;
   end: TransientJobEnd | undefined;
@@ -63,18 +70,24 @@
 export function createActiveJob(
   job: TransientJob,
   now: Milliseconds,
-  objectiveMilliseconds: Milliseconds,
+  criticalPathMilliseconds: Milliseconds,
   highestEarlierRun: number,
 ): ActiveJob {
   const tasks: ActiveTask[] = [];
+  const objectiveMilliseconds = computeObjective(
+    job.queue,
+    criticalPathMilliseconds,
+  );
   const { promise, resolve } = createDeferred<TransientJobEnd>();
   const active: ActiveJob = {
     job,
     admittedAt: now,
     deadlineAt: now + job.deadlineMilliseconds - job.heldMilliseconds,
     dueAt: now + objectiveMilliseconds - job.heldMilliseconds,
+    criticalPathMilliseconds,
     tasks,
     priority: job.queue.priority,
+    isAdmitted: false,
     callers: 0,
     end: undefined,
     expiry: undefined,
--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -14,6 +14,7 @@
 import type { HostRestriction } from './crashes/crash-containment.js';
 import {
   estimateFreeProcessors,
+  hasFreeMemory,
   sumUnreportedWork,
   sumWorkAhead,
   isUsable,
@@ -34,7 +35,7 @@
 
 /** The tasks to place and the constraints on their workers. */
 export interface PlacementRequest {
-  readonly step: JobStep;
+  readonly step: Partial<JobStep> & Pick<JobStep, 'need'>;
   readonly priority: number;
   /** Expected run time of a task on a worker of average speed. */
   readonly estimateMilliseconds: Milliseconds;
@@ -48,6 +49,8 @@
   readonly probesFailedWorkers?: boolean | undefined;
   /** Where the tasks may be placed after crashes of workers; anywhere when undefined. */
   readonly hosts?: HostRestriction | undefined;
+  /** Whether only workers count that can start a task at once. */
+  readonly mustStartAtOnce?: boolean | undefined;
   /** Number of tasks of the step already placed, by worker. */
   readonly placedTasks: ReadonlyMap<string, number>;
 }
@@ -112,7 +115,10 @@
 }
 
 /** Whether the worker, when idle, could hold a task of the step at its present capacity. */
-export function canEverHold({ worker }: KnownWorker, step: JobStep): boolean {
+export function canEverHold(
+  { worker }: KnownWorker,
+  step: Pick<JobStep, 'need'>,
+): boolean {
   return hasResources(worker, worker.capacity, step);
 }
 
@@ -124,7 +130,7 @@
 function hasResources(
   { labels }: WorkerRun,
   capacity: WorkerResources,
-  { need }: JobStep,
+  { need }: Pick<JobStep, 'need'>,
 ): boolean {
   if (need.label !== undefined && !labels.includes(need.label)) return false;
   return findMissingResource(capacity, need) === undefined;
@@ -140,6 +146,7 @@
   for (const candidate of candidates) {
     if (hasMaximumTasks(request, candidate)) continue;
     if (isHeldBack(request, candidate)) continue;
+    if (isFull(request, candidate)) continue;
     const score =
       scoreCandidate(request, candidate) +
       random.fraction() * choiceNoiseMilliseconds;
@@ -169,6 +176,15 @@
   return known.heldBackProcessors > 0 && free < step.need.processors;
 }
 
+/** Whether a worker has no room for another task that has to start at once. */
+function isFull(
+  { step, mustStartAtOnce }: PlacementRequest,
+  { known, free }: Candidate,
+): boolean {
+  if (mustStartAtOnce !== true) return false;
+  return free < step.need.processors || !hasFreeMemory(known, step.need);
+}
+
 function scoreCandidate(
   request: PlacementRequest,
   candidate: Candidate,
--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -56,6 +56,24 @@
   );
 }
 
+/** Longest wait with which a job that has been held for some time still ends early enough to be admitted. */
+export function computeMaximumWait({
+  queue,
+  criticalPathMilliseconds,
+  heldMilliseconds,
+  deadlineMilliseconds,
+}: Pick<
+  AdmissionRequest,
+  | 'queue'
+  | 'criticalPathMilliseconds'
+  | 'heldMilliseconds'
+  | 'deadlineMilliseconds'
+>): Milliseconds {
+  const objective = computeObjective(queue, criticalPathMilliseconds);
+  const useful = Math.min(deadlineMilliseconds, objective * latestEndFactor);
+  return Math.max(0, useful - heldMilliseconds - criticalPathMilliseconds);
+}
+
 /** Returns why a job is refused that no worker can take now; undefined when its tasks can be placed. */
 export function decideWithoutRoom({
   queue,
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -32,6 +32,8 @@
 
 const networkDelayMilliseconds = 1;
 const checkIntervalMilliseconds = 5;
+/** Time until all sidecars have received a list and chosen a coordinator that counts as settled. */
+const settleMilliseconds = 4_000;
 
 /** One dispatcher process. */
 export interface FakeDispatcher {
@@ -138,6 +140,16 @@
   };
 }
 
+/** Tells all sidecars the dispatchers, upon which they choose coordinators. */
+export async function listAllDispatchers({
+  dispatchers,
+  listDispatchers,
+  timers,
+}: JobsFixture): Promise<void> {
+  listDispatchers(dispatchers.map((_, position) => position));
+  await timers.advance(settleMilliseconds);
+}
+
 function checkWorkers(hosts: readonly FakeHost[], violations: string[]): void {
   const seen = new Set<string>();
   for (const { worker, name } of hosts) {
@@ -171,6 +183,11 @@
   const start = async (): Promise<TransientJobs> => {
     processes += 1;
     const known = control;
+    const identity = network.join({
+      role: ProcessRole.Dispatcher,
+      name,
+      incarnation: `${name}/${String(processes)}`,
+    });
     const jobs = new TransientJobs({
       dispatcherId: name,
       dataCentre: 'dong-da',
@@ -179,6 +196,7 @@
       times,
       logger: createSilentLogger(),
       metrics,
+      network: identity,
       remoteFactor: 1.5,
       listDispatchers,
       scarcity,
@@ -186,15 +204,14 @@
         ? { current: () => known.state, isProved: () => known.isProved }
         : undefined,
     });
-    const listener = await network
-      .join({
-        role: ProcessRole.Dispatcher,
-        name,
-        incarnation: `${name}/${String(processes)}`,
-      })
-      .listen({ address, port: firstPort + number }, connection => {
-        jobs.accept(connection);
-      });
+    const listener = await identity.listen(
+      { address, port: firstPort + number },
+      connection => {
+        if (connection.peer.role === ProcessRole.Dispatcher)
+          jobs.acceptDispatcher(connection);
+        else jobs.accept(connection);
+      },
+    );
     closeListener = () => listener._unsafeUnwrap().close();
     return jobs;
   };
--- a/packages/transient-jobs/src/find-job-refusal.ts
+++ b/packages/transient-jobs/src/find-job-refusal.ts
@@ -20,6 +20,10 @@
 import type { Placement } from './task-placer.js';
 import { type TransientJobEnd, TransientJobEndKind } from './transient-job.js';
 
+/** The part of a placement that decides on admission. */
+export type ExpectedPlacement = Partial<Placement> &
+  Pick<Placement, 'isComplete' | 'longestWaitMilliseconds'>;
+
 /** A job to admit, and the priority of its orders. */
 type AdmittedJob = Pick<ActiveJob, 'job' | 'priority'>;
 
@@ -31,7 +35,7 @@
 export function findJobRefusal(
   active: AdmittedJob,
   criticalPathMilliseconds: Milliseconds,
-  placement: Placement,
+  placement: ExpectedPlacement,
   workers: readonly KnownWorker[],
   scarcity?: ScarcityControl,
   confinedHosts?: number,
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -1,9 +1,11 @@
 /** The state of one worker as a dispatcher knows it: reported load, orders in transit, speed and failures. */
 import type {
+  DispatcherId,
   Milliseconds,
   RunOrder,
   TargetId,
   WorkerLoad,
+  WorkerResources,
   WorkerRun,
 } from '@cranberryturn/types';
 
@@ -21,6 +23,18 @@
   readonly workProcessorMilliseconds: number;
 }
 
+/** Capacity that this dispatcher has granted at a worker that it coordinates, and whose order the worker has not reported. */
+export interface OutstandingGrant {
+  readonly grant: number;
+  readonly need: WorkerResources;
+}
+
+/** Which dispatcher coordinates a worker, and which can place tasks on it, as its sidecar says. */
+export interface Coordination {
+  readonly coordinator: DispatcherId | undefined;
+  readonly dispatchers: ReadonlySet<DispatcherId>;
+}
+
 /** The state of one worker. Only the worker directory and the functions of this module change it. */
 export interface KnownWorker {
   readonly workerId: TargetId;
@@ -38,6 +52,9 @@
   /** The worker receives no task before this time. */
   backoffUntil: Milliseconds;
   unreportedOrders: UnreportedOrder[];
+  coordination: Coordination;
+  /** Empty unless this dispatcher coordinates the worker. */
+  outstandingGrants: OutstandingGrant[];
   /** Whether its data centre is evacuated, by what this dispatcher knows itself. */
   isEvacuated: boolean;
   /** When the worker began to return from an evacuation; undefined once it has returned in full. */
@@ -58,6 +75,12 @@
 /** Sidecars send a message at least every 400 ms; a worker silent for longer than this bound receives no task. */
 const maximumSilenceMilliseconds: Milliseconds = 550;
 
+/** The coordination of a worker before its sidecar has named a dispatcher. */
+export const noCoordination: Coordination = {
+  coordinator: undefined,
+  dispatchers: new Set(),
+};
+
 /** Creates the state of a newly announced worker. */
 export function createKnownWorker(
   worker: WorkerRun,
@@ -76,6 +99,8 @@
     consecutiveFailures: 0,
     backoffUntil: 0,
     unreportedOrders: [],
+    coordination: noCoordination,
+    outstandingGrants: [],
     isEvacuated: false,
     returningSince: undefined,
     heldBackProcessors: 0,
@@ -83,12 +108,13 @@
   };
 }
 
-/** Applies a load report that includes all orders up to the sequence number `orders`. */
+/** Applies a load report, which includes all orders up to the sequence number `orders` and those that use its `grants`. */
 export function updateLoad(
   known: KnownWorker,
   load: WorkerLoad,
   orders: number,
   now: Milliseconds,
+  grants: readonly number[] = [],
 ): void {
   const wasWithdrawn = isWithdrawn(known);
   known.load = load;
@@ -96,6 +122,10 @@
   known.unreportedOrders = known.unreportedOrders.filter(
     ({ order }) => order > orders,
   );
+  if (grants.length > 0)
+    known.outstandingGrants = known.outstandingGrants.filter(
+      ({ grant }) => !grants.includes(grant),
+    );
   if (wasWithdrawn && !isWithdrawn(known)) beginReturn(known, now);
 }
 
@@ -229,11 +259,35 @@
   );
 }
 
-/** Free processors by the latest load report, less those held back and those of the orders that it does not include. */
+/**
+ * Free processors by the latest load report, less those held back, those granted, and those of the orders that it does
+ * not include.
+ */
 export function estimateFreeProcessors(known: KnownWorker): number {
-  return known.unreportedOrders.reduce(
-    (free, order) => free - order.processors,
-    known.load.free.processors - known.heldBackProcessors,
+  const ordered = known.unreportedOrders.reduce(
+    (sum, order) => sum + order.processors,
+    0,
+  );
+  const granted = known.outstandingGrants.reduce(
+    (sum, { need }) => sum + need.processors,
+    0,
+  );
+  const { free } = known.load;
+  return free.processors - known.heldBackProcessors - ordered - granted;
+}
+
+/** Whether all free memory and accelerators that the task needs are there, by the latest load report and the grants. */
+export function hasFreeMemory(
+  { load, outstandingGrants }: KnownWorker,
+  need: WorkerResources,
+): boolean {
+  let { memoryMebibytes, accelerators } = load.free;
+  for (const { need: granted } of outstandingGrants) {
+    memoryMebibytes -= granted.memoryMebibytes;
+    accelerators -= granted.accelerators;
+  }
+  return (
+    need.memoryMebibytes <= memoryMebibytes && need.accelerators <= accelerators
   );
 }
 
--- /dev/null
+++ b/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
@@ -0,0 +1,319 @@
+/**
+ * Grants the capacity of the workers that this dispatcher coordinates. Requests of all dispatchers wait in one queue, and
+ * a worker is bound to a task only when it has room: tasks neither wait at a busy worker while another is idle nor
+ * compete for the same room. Built for loads near the capacity, where load reports are older than the time that a free
+ * processor stays free. Grants are advice: the sidecar alone decides what starts.
+ */
+import type { Logger } from '@cranberryturn/logger';
+import { Counter, Distribution, type Metrics } from '@cranberryturn/metrics';
+import type { RandomSource } from '@cranberryturn/random';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import type {
+  CapacityGrant,
+  CapacityRequest,
+  CoordinatedCapacity,
+  DispatcherId,
+  Milliseconds,
+  ServiceName,
+} from '@cranberryturn/types';
+import {
+  type FromCoordinatorBody,
+  FromCoordinatorKind,
+  type FromCoordinatorMessage,
+} from '@cranberryturn/wire';
+
+import { chooseWorkers } from '../choose-workers.js';
+import {
+  estimateFreeProcessors,
+  isUsable,
+  type KnownWorker,
+} from '../known-worker.js';
+import {
+  CapacityQueue,
+  computeWork,
+  type QueuedRequest,
+} from './capacity-queue.js';
+import { estimateWait } from './estimate-wait.js';
+import { GrantLedger } from './grant-ledger.js';
+import { GrantedWork } from './granted-work.js';
+
+/** Interval of the checks, and of the messages to dispatchers whose requests wait. */
+const checkIntervalMilliseconds: Milliseconds = 50;
+
+/** Dependencies of a coordinator. */
+export interface CapacityCoordinatorOptions {
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly random: RandomSource;
+  /** Factor by which a task runs longer on a rack without its input data. */
+  readonly remoteFactor: number;
+  /** The workers of a service that this dispatcher coordinates. */
+  readonly listWorkers: (service: ServiceName) => readonly KnownWorker[];
+  readonly send: (
+    dispatcher: DispatcherId,
+    message: FromCoordinatorMessage,
+  ) => void;
+}
+
+/** The coordinator of a group of workers. */
+export class CapacityCoordinator {
+  readonly #options: CapacityCoordinatorOptions;
+  readonly #queue = new CapacityQueue();
+  readonly #grantedWork = new GrantedWork();
+  readonly #ledger = new GrantLedger();
+  readonly #ticker: TimerSubscription;
+
+  constructor(options: CapacityCoordinatorOptions) {
+    this.#options = options;
+    this.#ticker = options.timers.every(checkIntervalMilliseconds, () => {
+      this.#expireGrants();
+      this.#reportStanding();
+    });
+  }
+
+  /** Number of requests that wait. */
+  get waitingRequests(): number {
+    return this.#queue.size;
+  }
+
+  /** Grants what is free, and queues the rest of the request or refuses all of it. */
+  request(dispatcher: DispatcherId, request: CapacityRequest): void {
+    const now = this.#options.timers.now();
+    const entry: QueuedRequest = {
+      dispatcher,
+      request,
+      dueAt: now + request.dueMilliseconds,
+      arrivedAt: now,
+      tasks: request.tasks,
+    };
+    const workers = this.#listUsable(request.service);
+    const planned = this.#plan(entry, workers);
+    const plannedTasks = planned.reduce((sum, { tasks }) => sum + tasks, 0);
+    const waiting = request.tasks - plannedTasks;
+    const waitMilliseconds =
+      waiting === 0 ? 0 : this.#estimateWait(entry, waiting, workers);
+    if (isTooLong(request, waitMilliseconds)) {
+      this.#send(entry, {
+        kind: FromCoordinatorKind.Refusal,
+        request: request.request,
+        waitMilliseconds,
+      });
+      return;
+    }
+    this.#grant(entry, planned);
+    if (entry.tasks > 0) this.#queue.add(entry);
+  }
+
+  /** Drops requests that their dispatcher has given up. */
+  withdraw(dispatcher: DispatcherId, requests: readonly number[]): void {
+    this.#drop(
+      one =>
+        one.dispatcher === dispatcher && requests.includes(one.request.request),
+    );
+  }
+
+  /** Drops all requests of a dispatcher that was restarted or is gone. */
+  dropDispatcher(dispatcher: DispatcherId): void {
+    this.#drop(one => one.dispatcher === dispatcher);
+  }
+
+  /** Takes back grants that are not used. */
+  returnGrants(grants: readonly number[]): void {
+    for (const grant of grants) this.#ledger.release(grant);
+    this.grantWaiting();
+  }
+
+  /** Uses capacity that a worker has reported free. */
+  workerReported(known: KnownWorker): void {
+    this.grantWaiting([known]);
+  }
+
+  /** Grants free capacity of the workers, or of all coordinated ones, to requests that wait. */
+  grantWaiting(candidates?: readonly KnownWorker[]): void {
+    if (this.#queue.size === 0) return;
+    const now = this.#options.timers.now();
+    for (const entry of this.#queue.listByUrgency(now)) {
+      const workers = candidates ?? this.#listUsable(entry.request.service);
+      if (!workers.some(one => hasRoom(one, entry.request))) continue;
+      const planned = this.#plan(entry, workers);
+      if (planned.length > 0) this.#grant(entry, planned);
+    }
+    this.#queue.removeMatching(({ tasks }) => tasks === 0);
+  }
+
+  close(): void {
+    this.#ticker.cancel();
+  }
+
+  #drop(matches: (entry: QueuedRequest) => boolean): void {
+    for (const entry of this.#queue.removeMatching(matches)) entry.tasks = 0;
+  }
+
+  #listUsable(service: ServiceName): readonly KnownWorker[] {
+    const { timers, listWorkers } = this.#options;
+    const now = timers.now();
+    return listWorkers(service).filter(known => isUsable(known, now));
+  }
+
+  #plan(
+    { dispatcher, request, tasks }: QueuedRequest,
+    workers: readonly KnownWorker[],
+  ): readonly PlannedGrant[] {
+    const { random, timers, remoteFactor } = this.#options;
+    const { hosts, need, dataLabel, service } = request;
+    return chooseWorkers(
+      {
+        step: { need, dataLabel },
+        priority: request.priority,
+        estimateMilliseconds: request.estimatedMilliseconds,
+        tasks,
+        dataCentre: request.dataCentre,
+        remoteFactor,
+        excludedWorkers: new Set(request.excludedWorkers),
+        hosts: hosts && {
+          confinedTo: hosts.confinedTo && new Set(hosts.confinedTo),
+          avoided: new Set(hosts.avoided),
+          excluded: new Set(hosts.excluded),
+        },
+        mustStartAtOnce: true,
+        placedTasks: noPlacedTasks,
+      },
+      workers.filter(
+        ({ coordination, worker }) =>
+          worker.service === service &&
+          coordination.dispatchers.has(dispatcher),
+      ),
+      random,
+      timers.now(),
+    );
+  }
+
+  #grant(entry: QueuedRequest, planned: readonly PlannedGrant[]): void {
+    const { timers, metrics, logger } = this.#options;
+    const { request, dispatcher } = entry;
+    const now = timers.now();
+    const grants: CapacityGrant[] = [];
+    for (const { known, tasks } of planned) {
+      grants.push(this.#ledger.grant(known, request.need, tasks, now));
+      entry.tasks -= tasks;
+      this.#grantedWork.add(request.priority, computeWork(request, tasks), now);
+    }
+    metrics.count(Counter.CapacityGrants, grants.length);
+    metrics.record(
+      Distribution.CapacityWaitMilliseconds,
+      now - entry.arrivedAt,
+      request.service,
+    );
+    logger.info('capacity granted', {
+      requestId: request.requestId,
+      jobId: request.jobId,
+      dispatcher,
+      grants,
+      waitedMilliseconds: Math.round(now - entry.arrivedAt),
+      tasksWaiting: entry.tasks,
+    });
+    this.#send(entry, {
+      kind: FromCoordinatorKind.Grants,
+      request: request.request,
+      grants,
+    });
+  }
+
+  /** Expected wait for the last of the tasks of an entry. */
+  #estimateWait(
+    entry: QueuedRequest,
+    tasks: number,
+    workers: readonly KnownWorker[],
+  ): Milliseconds {
+    const { request } = entry;
+    return estimateWait({
+      processors: sumProcessors(workers),
+      moreUrgentProcessors: this.#grantedWork.measureMoreUrgent(
+        request.priority,
+        this.#options.timers.now(),
+      ),
+      workUntilLast:
+        this.#queue.sumWorkBefore(entry) + computeWork(request, tasks),
+    });
+  }
+
+  #measureCapacity(service: ServiceName): CoordinatedCapacity {
+    const workers = this.#listUsable(service);
+    return {
+      freeProcessors: workers.reduce(
+        (sum, known) => sum + Math.max(0, estimateFreeProcessors(known)),
+        0,
+      ),
+      waitMilliseconds: estimateWait({
+        processors: sumProcessors(workers),
+        moreUrgentProcessors: 0,
+        workUntilLast: this.#queue.sumWork(service),
+      }),
+    };
+  }
+
+  #send(
+    { dispatcher, request }: QueuedRequest,
+    body: FromCoordinatorBody,
+  ): void {
+    this.#options.send(dispatcher, {
+      ...body,
+      capacity: this.#measureCapacity(request.service),
+    });
+  }
+
+  #expireGrants(): void {
+    const { timers, logger, metrics } = this.#options;
+    const grants = this.#ledger.expire(timers.now());
+    if (grants.length > 0) {
+      metrics.count(Counter.CapacityGrantsExpired, grants.length);
+      logger.info('grants not used', { grants });
+    }
+    // Also finds workers that have become usable without a report.
+    this.grantWaiting();
+  }
+
+  #reportStanding(): void {
+    const requests = new Map<DispatcherId, QueuedRequest[]>();
+    for (const entry of this.#queue.listByUrgency(this.#options.timers.now())) {
+      const others = requests.get(entry.dispatcher) ?? [];
+      others.push(entry);
+      requests.set(entry.dispatcher, others);
+    }
+    for (const entries of requests.values()) {
+      const [first] = entries;
+      if (first === undefined) continue;
+      this.#send(first, {
+        kind: FromCoordinatorKind.Standing,
+        requests: entries.map(({ request }) => request.request),
+      });
+    }
+  }
+}
+
+type PlannedGrant = ReturnType<typeof chooseWorkers>[number];
+
+const noPlacedTasks: ReadonlyMap<string, number> = new Map();
+
+function isTooLong(
+  { maximumWaitMilliseconds }: CapacityRequest,
+  waitMilliseconds: Milliseconds,
+): boolean {
+  return (
+    waitMilliseconds > 0 &&
+    maximumWaitMilliseconds !== undefined &&
+    waitMilliseconds > maximumWaitMilliseconds
+  );
+}
+
+function hasRoom(known: KnownWorker, { need }: CapacityRequest): boolean {
+  return estimateFreeProcessors(known) >= need.processors;
+}
+
+function sumProcessors(workers: readonly KnownWorker[]): number {
+  return workers.reduce(
+    (sum, { worker }) => sum + worker.capacity.processors,
+    0,
+  );
+}
--- /dev/null
+++ b/packages/transient-jobs/src/shared-queue/shared-queue.ts
@@ -0,0 +1,138 @@
+/** The part of one dispatcher in the shared queues: as a coordinator of workers, and as a client of coordinators. */
+import type { TimerService } from '@cranberryturn/timers';
+import type { DispatcherId } from '@cranberryturn/types';
+import {
+  type Connection,
+  type ToCoordinatorMessage,
+  ToCoordinatorKind,
+} from '@cranberryturn/wire';
+
+import type { ActiveJob } from '../active-job.js';
+import type { KnownWorker } from '../known-worker.js';
+import type { TransientJobsOptions } from '../transient-jobs-options.js';
+import type { WorkerDirectory } from '../worker-directory.js';
+import {
+  CapacityClient,
+  type CapacityClientOptions,
+  type RequestedTasks,
+} from './capacity-client.js';
+import { CapacityCoordinator } from './capacity-coordinator.js';
+import { CoordinatorLinks } from './coordinator-links.js';
+
+/** Dependencies and event handlers of the shared queues. */
+export interface SharedQueueOptions
+  extends
+    Omit<TransientJobsOptions, 'timers'>,
+    Pick<
+      CapacityClientOptions,
+      'granted' | 'accepted' | 'refused' | 'returned' | 'mayPlace'
+    > {
+  readonly timers: TimerService;
+  readonly workers: Pick<WorkerDirectory, 'listWorkers' | 'findWorker'>;
+}
+
+/** The shared queues, as one dispatcher takes part in them. */
+export class SharedQueue {
+  readonly #dispatcherId: DispatcherId;
+  readonly #links: CoordinatorLinks;
+  readonly #coordinator: CapacityCoordinator;
+  readonly #client: CapacityClient;
+
+  constructor(options: SharedQueueOptions) {
+    const { dispatcherId, workers, network } = options;
+    this.#dispatcherId = dispatcherId;
+    this.#links = new CoordinatorLinks({
+      ...options,
+      network,
+      requested: (dispatcher, message) => {
+        this.#handleRequest(dispatcher, message);
+      },
+      requesterLost: dispatcher => {
+        this.#coordinator.dropDispatcher(dispatcher);
+      },
+      answered: (coordinator, message) => {
+        this.#client.handle(coordinator, message);
+      },
+      coordinatorConnected: coordinator => {
+        this.#client.coordinatorConnected(coordinator);
+      },
+      coordinatorLost: coordinator => {
+        this.#client.coordinatorLost(coordinator);
+      },
+    });
+    this.#coordinator = new CapacityCoordinator({
+      ...options,
+      listWorkers: service =>
+        [...workers.listWorkers(service)].filter(known =>
+          this.#coordinates(known),
+        ),
+      send: (dispatcher, message) => {
+        this.#links.sendToRequester(dispatcher, message);
+      },
+    });
+    this.#client = new CapacityClient({
+      ...options,
+      links: this.#links,
+      listWorkers: service => workers.listWorkers(service),
+      findWorker: workerId => workers.findWorker(workerId),
+    });
+  }
+
+  /** Number of requests that wait at this coordinator. */
+  get waitingRequests(): number {
+    return this.#coordinator.waitingRequests;
+  }
+
+  /** Serves the connection of another dispatcher until it ends. */
+  accept(connection: Connection): void {
+    this.#links.accept(connection);
+  }
+
+  /** Requests capacity. False without a coordinator that can grant it. */
+  request(requested: RequestedTasks): boolean {
+    return this.#client.request(requested);
+  }
+
+  /** Whether some coordinator can grant capacity for the job. */
+  isAvailable(active: ActiveJob): boolean {
+    return this.#client.isAvailable(active.job);
+  }
+
+  /** Withdraws the requests of a job that has ended. */
+  withdraw(active: ActiveJob): void {
+    this.#client.withdraw(active);
+  }
+
+  /** Uses capacity that a worker has reported free. */
+  workerReported(known: KnownWorker): void {
+    const { coordinator } = known.coordination;
+    if (this.#coordinates(known)) this.#coordinator.workerReported(known);
+    else if (coordinator !== undefined) this.#links.prepare(coordinator);
+  }
+
+  close(): void {
+    this.#coordinator.close();
+    this.#links.close();
+  }
+
+  #coordinates({ coordination }: KnownWorker): boolean {
+    return coordination.coordinator === this.#dispatcherId;
+  }
+
+  #handleRequest(
+    dispatcher: DispatcherId,
+    message: ToCoordinatorMessage,
+  ): void {
+    switch (message.kind) {
+      case ToCoordinatorKind.Request:
+        this.#coordinator.request(dispatcher, message.request);
+        return;
+      case ToCoordinatorKind.Withdraw:
+        this.#coordinator.withdraw(dispatcher, message.requests);
+        return;
+      case ToCoordinatorKind.ReturnGrants:
+        this.#coordinator.returnGrants(message.grants);
+        return;
+    }
+  }
+}
--- a/packages/transient-jobs/src/sidecar-session.ts
+++ b/packages/transient-jobs/src/sidecar-session.ts
@@ -2,6 +2,8 @@
 import type { LogIndex, Milliseconds, ServiceName } from '@cranberryturn/types';
 import {
   dispatcherLease,
+  type FromWorkerKind,
+  type FromWorkerMessage,
   type PeerIdentity,
   type ToWorkerMessage,
 } from '@cranberryturn/wire';
@@ -10,13 +12,19 @@
   createEvacuationNotices,
   type EvacuationNotices,
 } from './evacuation-notice.js';
-import type { KnownWorker } from './known-worker.js';
+import {
+  type Coordination,
+  type KnownWorker,
+  noCoordination,
+} from './known-worker.js';
 
 /** The session with one process of a sidecar. */
 export interface SidecarSession {
   readonly peer: PeerIdentity;
   readonly send: (message: ToWorkerMessage) => void;
   known: KnownWorker | undefined;
+  /** The coordination of its worker, which outlasts incarnations of the worker. */
+  coordination: Coordination;
   /** Service of the worker announced last, which may be lost. */
   service: ServiceName | undefined;
   /** Latest stamp received; echoed in each message to renew the lease of this dispatcher. */
@@ -43,6 +51,7 @@
     peer,
     send,
     known: undefined,
+    coordination: noCoordination,
     service: undefined,
     echo: -dispatcherLease,
     lastHeardAt: now,
@@ -53,3 +62,22 @@
     isOpen: true,
   };
 }
+
+/** Records which dispatcher coordinates the worker of the sidecar, and which can place tasks on it. */
+export function updateCoordination(
+  session: SidecarSession,
+  { coordinator, dispatchers }: CoordinationMessage,
+): void {
+  session.coordination = {
+    // The codec may decode a missing value as null.
+    coordinator: coordinator ?? undefined,
+    dispatchers: new Set(dispatchers),
+  };
+  if (session.known !== undefined)
+    session.known.coordination = session.coordination;
+}
+
+type CoordinationMessage = Extract<
+  FromWorkerMessage,
+  { kind: FromWorkerKind.Coordination }
+>;
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -5,8 +5,8 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type {
   DispatcherId,
+  GrantKey,
   Milliseconds,
-  RunOrder,
   TargetId,
 } from '@cranberryturn/types';
 
@@ -18,13 +18,14 @@
   TaskPhase,
 } from './active-job.js';
 import { type ChosenWorker, chooseWorkers } from './choose-workers.js';
+import { composeOrder, type TaskGroup } from './compose-order.js';
 import type { CrashContainment } from './crashes/crash-containment.js';
 import { TaskVerdict } from './crashes/decide-task-verdict.js';
-import { recordProbe } from './known-worker.js';
+import { type KnownWorker, recordProbe } from './known-worker.js';
 import type { RunTimeEstimates } from './run-time-estimates.js';
 import type { RunTracker } from './run-tracker.js';
 import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
-import type { JobStep } from './transient-job.js';
+import type { RequestedTasks } from './shared-queue/capacity-client.js';
 import type { WorkerDirectory } from './worker-directory.js';
 
 /** Dependencies of the task placer. */
@@ -45,28 +46,20 @@
   readonly scarcity?: ScarcitySettings | undefined;
 }
 
-/** Tasks of one step that are placed alike. */
-interface TaskGroup {
-  readonly stepIndex: number;
-  readonly step: JobStep;
-  readonly tasks: readonly ActiveTask[];
-  /** Whether runs of other jobs are kept off their workers meanwhile. */
-  readonly runsAlone: boolean;
-}
-
 /** Planned placement of a group of tasks. */
 interface StepPlan extends TaskGroup {
   readonly estimateMilliseconds: Milliseconds;
   readonly chosen: readonly ChosenWorker[];
 }
 
-/** The part of a step that one order places on a worker. */
-interface StepOrder {
-  readonly step: JobStep;
-  readonly estimateMilliseconds: Milliseconds;
-  readonly mayWait: boolean;
-  readonly runsAlone: boolean;
-}
+/** The part of a plan that the orders for it need. */
+type SentPlan = Pick<
+  StepPlan,
+  'step' | 'estimateMilliseconds' | 'runsAlone'
+> & {
+  /** The grant that the tasks use; undefined where this dispatcher chose their worker by itself. */
+  readonly grant?: GrantKey | undefined;
+};
 
 /** Planned placement of all tasks of a job that may start now. */
 export interface Placement {
@@ -98,7 +91,7 @@
     const plans: StepPlan[] = [];
     let longestWaitMilliseconds = 0;
     let isComplete = true;
-    for (const group of this.#listGroups(active)) {
+    for (const group of this.listGroups(active)) {
       const plan = this.#planGroup(active, group);
       const plannedTasks = plan.chosen.reduce((sum, one) => sum + one.tasks, 0);
       isComplete &&= plannedTasks === group.tasks.length;
@@ -115,6 +108,22 @@
     };
   }
 
+  /** Places tasks on a worker where capacity was granted to them. */
+  placeGranted(
+    { active, step, request }: RequestedTasks,
+    tasks: readonly ActiveTask[],
+    known: KnownWorker,
+    grant: GrantKey,
+  ): void {
+    const estimateMilliseconds = request.estimatedMilliseconds;
+    this.#sendTasks(
+      active,
+      { step, estimateMilliseconds, runsAlone: false, grant },
+      { known, waitMilliseconds: 0 },
+      tasks,
+    );
+  }
+
   /** Whether a worker other than the current and the excluded ones can take the task. */
   hasOtherWorker(task: ActiveTask): boolean {
     const { job, step: stepIndex, workerId } = task;
@@ -143,7 +152,7 @@
   }
 
   /** The tasks that may start now, by step; those to isolate are in a group of their own. */
-  *#listGroups(active: ActiveJob): Iterable<TaskGroup> {
+  *listGroups(active: ActiveJob): Iterable<TaskGroup> {
     const { containment } = this.#options;
     for (const [stepIndex, ready] of listReadyTasks(active)) {
       const step = active.job.steps[stepIndex];
@@ -200,11 +209,12 @@
 
   #sendTasks(
     active: ActiveJob,
-    { step, estimateMilliseconds, runsAlone }: StepPlan,
-    { known, waitMilliseconds }: ChosenWorker,
+    plan: SentPlan,
+    { known, waitMilliseconds }: Omit<ChosenWorker, 'tasks'>,
     tasks: readonly ActiveTask[],
   ): void {
     const { job } = active;
+    const { estimateMilliseconds, runsAlone, grant } = plan;
     const { timers, metrics, logger, workers, runs } = this.#options;
     const now = timers.now();
     if (this.#options.scarcity !== undefined)
@@ -232,41 +242,18 @@
       free: known.load.free.processors,
       mayWait,
       ...(runsAlone ? { runsAlone } : {}),
+      ...grant,
       loadAgeMilliseconds: Math.round(now - known.lastHeardAt),
     });
     workers.placeRuns(
       known.workerId,
-      this.#composeOrder(
+      composeOrder(
         active,
-        { step, estimateMilliseconds, mayWait, runsAlone },
+        { ...plan, mayWait, dispatcher: this.#options.dispatcherId, now },
         tasks,
       ),
     );
   }
-
-  #composeOrder(
-    { job, dueAt, deadlineAt, priority }: ActiveJob,
-    { step, estimateMilliseconds, mayWait, runsAlone }: StepOrder,
-    tasks: readonly ActiveTask[],
-  ): RunOrder {
-    const now = this.#options.timers.now();
-    return {
-      jobId: job.jobId,
-      requestId: job.requestId,
-      dispatcher: this.#options.dispatcherId,
-      service: job.queue.service,
-      queue: job.queue.queue,
-      specification: job.specification,
-      need: step.need,
-      priority,
-      estimatedMilliseconds: estimateMilliseconds,
-      dueMilliseconds: Math.round(dueAt - now),
-      remainingMilliseconds: Math.round(deadlineAt - now),
-      mayWait,
-      ...(runsAlone ? { runsAlone } : {}),
-      tasks: tasks.map(({ taskId, run }) => ({ taskId, run })),
-    };
-  }
 }
 
 function collectExcludedWorkers(
--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -10,6 +10,7 @@
 import {
   createJob,
   type JobsFixture,
+  listAllDispatchers,
   startJobsFixture,
 } from './fakes/jobs-fixture.js';
 
@@ -27,6 +28,8 @@
   Abandon = 'abandon',
   CutOff = 'cut-off',
   Reconnect = 'reconnect',
+  CutDispatchers = 'cut-dispatchers',
+  ReconnectDispatchers = 'reconnect-dispatchers',
   ResetConnections = 'reset-connections',
   RestartDispatcher = 'restart-dispatcher',
   RestartSidecar = 'restart-sidecar',
@@ -66,7 +69,7 @@
   mayResendAt: number;
 }
 
-test('no task has two active runs under any sequence of faults', async t => {
+const checkModel = test.macro(async (t, hasSharedQueue: boolean) => {
   await fc.assert(
     fc.asyncProperty(
       fc.array(stepArbitrary, { minLength: 5, maxLength: 40 }),
@@ -76,6 +79,7 @@
           workers,
           processors,
         });
+        if (hasSharedQueue) await listAllDispatchers(fixture);
         for (const { worker } of fixture.hosts) worker.runMilliseconds = 700;
         const callers = Array.from({ length: jobNames }, (): CallerState => ({
           submitted: undefined,
@@ -93,6 +97,17 @@
   t.pass();
 });
 
+test(
+  'no task has two active runs under any sequence of faults',
+  checkModel,
+  false,
+);
+test(
+  'no task has two active runs under any sequence of faults while tasks wait in a shared queue',
+  checkModel,
+  true,
+);
+
 async function applyStep(
   fixture: JobsFixture,
   callers: readonly CallerState[],
@@ -115,6 +130,12 @@
     case Action.Reconnect:
       network.heal(host.name, dispatcher.name);
       break;
+    case Action.CutDispatchers:
+      network.partition('dispatcher-0', 'dispatcher-1');
+      break;
+    case Action.ReconnectDispatchers:
+      network.heal('dispatcher-0', 'dispatcher-1');
+      break;
     case Action.ResetConnections:
       for (const connection of network.connections) {
         if (connection.from === host.name) connection.disconnect();
--- a/packages/transient-jobs/src/transient-jobs-options.ts
+++ b/packages/transient-jobs/src/transient-jobs-options.ts
@@ -5,6 +5,7 @@
 import type { SessionTimes } from '@cranberryturn/sessions';
 import type { TimerService } from '@cranberryturn/timers';
 import type { DispatcherId, DispatcherList } from '@cranberryturn/types';
+import type { Network } from '@cranberryturn/wire';
 
 import type { EvacuationSource } from './distribute-evacuations.js';
 import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
@@ -23,6 +24,13 @@
   readonly remoteFactor: number;
   /** Dispatchers from which sidecars choose those that they keep sessions with. */
   readonly listDispatchers: () => DispatcherList;
+  /** Dials other dispatchers that coordinate workers; without it, only this dispatcher itself is requested capacity from. */
+  readonly network?: Network | undefined;
+  /**
+   * Whether tasks wait in the shared queues of the coordinators. Otherwise each dispatcher places its tasks by load
+   * reports. On by default; admission under scarcity turns it off.
+   */
+  readonly sharedQueue?: boolean | undefined;
   /** Settings of admission under scarcity; disabled when undefined. */
   readonly scarcity?: ScarcitySettings | undefined;
   /** The evacuations to enforce at the workers; undefined where evacuations are not enabled. */
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -20,23 +20,18 @@
 import { CrashContainment } from './crashes/crash-containment.js';
 import { recallWaitingTasks } from './recall-waiting-tasks.js';
 import { attachCaller } from './attach-caller.js';
-import { computeObjective } from './decide-admission.js';
 import {
   chooseEndCounter,
   describeJobForLog,
   createRefusal,
   createEndedJob,
-  reportAdmission,
   reportRefusal,
 } from './describe-end.js';
-import { findJobRefusal } from './find-job-refusal.js';
-import { ScarcityControl } from './scarcity/scarcity-control.js';
 import { JobRegistry } from './job-registry.js';
+import { JobStarter } from './job-starter.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
 import { RunTracker } from './run-tracker.js';
-import { settleMilliseconds, SuspensionPause } from './suspension-pause.js';
 import { stopStalledRuns } from './stop-stalled-runs.js';
-import { PlacementRetry } from './placement-retry.js';
 import { handleRunEnd } from './handle-run-end.js';
 import { type Placement, TaskPlacer } from './task-placer.js';
 import {
@@ -50,7 +45,6 @@
 } from './transient-jobs-options.js';
 import { WorkerDirectory } from './worker-directory.js';
 
-const placementRetryMilliseconds: Milliseconds = 20;
 const stopPollMilliseconds: Milliseconds = 20;
 /** Retry time sent to callers while this dispatcher stops. Short, as another dispatcher can take the job at once. */
 const stopRetryMilliseconds: Milliseconds = 500;
@@ -64,24 +58,16 @@
   readonly #containment: CrashContainment;
   readonly #estimates = new RunTimeEstimates();
   readonly #placer: TaskPlacer;
-  readonly #suspensionPause: SuspensionPause;
-  /** Undefined where admission under scarcity is disabled. */
-  readonly #scarcity: ScarcityControl | undefined;
-  readonly #retry: PlacementRetry;
+  readonly #starter: JobStarter;
   #isStopping = false;
 
   constructor(options: TransientJobsOptions) {
     this.#options = options;
     this.#jobs = new JobRegistry(options.timers);
-    this.#scarcity = options.scarcity && new ScarcityControl(options);
     this.#containment = new CrashContainment({
       ...options,
       listHosts: service => this.workers.listHosts(service),
     });
-    this.#retry = new PlacementRetry(options.timers, () => {
-      this.#placeAllJobs();
-    });
-    this.#suspensionPause = new SuspensionPause(options.timers, options.logger);
     this.workers = new WorkerDirectory({
       ...options,
       runEnded: (workerId, end) => {
@@ -108,9 +94,10 @@
         for (const { jobId } of crash.runs) this.#giveUpCrashedJob(jobId);
       },
       workerAnnounced: () => {
-        this.#placeAllJobs();
+        this.#starter.placeAllJobs();
       },
       loadReported: known => {
+        this.#starter.workerReported(known);
         recallWaitingTasks(known, {
           ...options,
           runs: this.#runs,
@@ -127,6 +114,16 @@
       estimates: this.#estimates,
       containment: this.#containment,
     });
+    this.#starter = new JobStarter({
+      ...options,
+      workers: this.workers,
+      placer: this.#placer,
+      containment: this.#containment,
+      listActiveJobs: () => this.#jobs.listActiveJobs(),
+      endJob: (active, end) => {
+        this.#endJob(active, end);
+      },
+    });
   }
 
   /** Number of jobs in progress. */
@@ -143,9 +140,14 @@
     this.workers.accept(connection);
   }
 
+  /** Serves the connection of another dispatcher, which requests capacity, until it ends. */
+  acceptDispatcher(connection: Connection): void {
+    this.#starter.acceptDispatcher(connection);
+  }
+
   /** Whether placement is paused because this process has just resumed from a suspension. */
   isPaused(): boolean {
-    return this.#suspensionPause.isPaused();
+    return this.#starter.isPaused();
   }
 
   /**
@@ -166,7 +168,7 @@
     const active = createActiveJob(
       job,
       this.#options.timers.now(),
-      computeObjective(job.queue, criticalPathMilliseconds),
+      criticalPathMilliseconds,
       this.#jobs.findHighestRun(job.jobId),
     );
     // Submitted again after its tasks have crashed the workers of other dispatchers.
@@ -176,17 +178,10 @@
         kind: TransientJobEndKind.Failed,
         reason: giveUpReason,
       });
-    const placement = this.#placer.planJob(active);
+    const placement = this.#starter.planJob(active);
     const refusal = this.#isStopping
       ? createRefusal('this dispatcher stops', stopRetryMilliseconds)
-      : findJobRefusal(
-          active,
-          criticalPathMilliseconds,
-          placement,
-          [...this.workers.listWorkers(job.queue.service)],
-          this.#scarcity,
-          this.#containment.countConfinedHosts(job.queue),
-        );
+      : this.#starter.findRefusal(active, placement);
     if (refusal !== undefined)
       return reportRefusal(this.#options, job, refusal);
     return this.#startJob(active, placement);
@@ -217,7 +212,7 @@
         reason: 'this dispatcher stops',
       });
     }
-    this.#retry.cancel();
+    this.#starter.close();
     this.workers.close();
   }
 
@@ -227,15 +222,15 @@
     });
   }
 
-  #startJob(active: ActiveJob, placement: Placement): SubmittedJob {
+  #startJob(active: ActiveJob, placement: Placement | undefined): SubmittedJob {
     const { timers } = this.#options;
     this.#jobs.addJob(active);
-    reportAdmission(this.#options, active, placement.longestWaitMilliseconds);
     active.expiry = timers.after(active.deadlineAt - timers.now(), () => {
       this.#endJob(active, { kind: TransientJobEndKind.TimedOut });
     });
-    this.#placer.apply(active, placement);
-    return this.#attachCaller(active);
+    const submitted = this.#attachCaller(active);
+    this.#starter.start(active, placement);
+    return submitted;
   }
 
   #handleRunEnd(workerId: TargetId, end: RunEnd): void {
@@ -254,7 +249,7 @@
       end,
     );
     if (jobEnd !== undefined) this.#endJob(task.job, jobEnd);
-    else this.#placeTasks(task.job);
+    else this.#starter.placeTasks(task.job);
   }
 
   /** Fails a job under one of whose tasks too many workers have crashed. */
@@ -270,23 +265,7 @@
     task.workerId = undefined;
     if (task.job.end !== undefined) return;
     task.phase = TaskPhase.Waiting;
-    this.#placeTasks(task.job);
-  }
-
-  #placeAllJobs(): void {
-    for (const active of this.#jobs.listActiveJobs()) this.#placeTasks(active);
-  }
-
-  #placeTasks(active: ActiveJob): void {
-    if (active.end !== undefined) return;
-    if (!active.tasks.some(task => task.phase === TaskPhase.Waiting)) return;
-    if (this.#suspensionPause.isPaused()) {
-      this.#retry.schedule(settleMilliseconds);
-      return;
-    }
-    const placement = this.#placer.planJob(active);
-    this.#placer.apply(active, placement);
-    if (!placement.isComplete) this.#retry.schedule(placementRetryMilliseconds);
+    this.#starter.placeTasks(task.job);
   }
 
   #endJob(active: ActiveJob, end: TransientJobEnd): void {
@@ -296,6 +275,12 @@
     active.end = end;
     active.expiry?.cancel();
     this.#jobs.recordEnd(active, end);
+    this.#starter.withdraw(active);
+    if (!active.isAdmitted && end.kind === TransientJobEndKind.Refused) {
+      reportRefusal(this.#options, job, end);
+      active.resolveEnd(end);
+      return;
+    }
     for (const [workerId, tasks] of listTasksByWorker(active)) {
       this.workers.stopRuns(workerId, job.jobId, tasks);
     }
--- a/packages/transient-jobs/src/worker-directory-options.ts
+++ b/packages/transient-jobs/src/worker-directory-options.ts
@@ -4,6 +4,7 @@
 import type { SessionTimes } from '@cranberryturn/sessions';
 import type { TimerService } from '@cranberryturn/timers';
 import type {
+  DispatcherId,
   DispatcherList,
   RunEnd,
   StalledRun,
@@ -34,6 +35,7 @@
 
 /** Dependencies and event handlers of the directory. */
 export interface WorkerDirectoryOptions extends WorkerEvents {
+  readonly dispatcherId: DispatcherId;
   readonly timers: TimerService;
   readonly random: RandomSource;
   readonly times: SessionTimes;
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -31,9 +31,11 @@
   updateLoad,
   recordOrder,
 } from './known-worker.js';
+import { reportWorkerEvents } from './report-worker-events.js';
 import {
   createSidecarSession,
   type SidecarSession,
+  updateCoordination,
 } from './sidecar-session.js';
 import type { WorkerDirectoryOptions } from './worker-directory-options.js';
 
@@ -114,7 +116,9 @@
     const session = this.#findSession(workerId);
     if (session?.known === undefined) return;
     session.orders += 1;
-    recordOrder(session.known, session.orders, order);
+    // An outstanding grant of this dispatcher already reserves the resources of its order.
+    if (order.grant?.coordinator !== this.#options.dispatcherId)
+      recordOrder(session.known, session.orders, order);
     this.#send(session, { kind: ToWorkerKind.PlaceRuns, order });
   }
 
@@ -198,35 +202,25 @@
       this.dispatcherList.update(session);
     }
     if (message.kind === FromWorkerKind.Leave) this.#endSession(session);
+    if (message.kind === FromWorkerKind.Coordination)
+      updateCoordination(session, message);
     if (session.known !== undefined)
-      updateLoad(session.known, message.load, message.orders, now);
+      updateLoad(
+        session.known,
+        message.load,
+        message.orders,
+        now,
+        message.grants,
+      );
     if (message.kind === FromWorkerKind.WorkerCrashes) {
       for (const crash of message.crashes)
         this.#options.workerCrashed(session.peer.name, crash);
     }
     if (session.known === undefined) return;
-    this.#reportEvents(session.known, message);
+    reportWorkerEvents(session.known, message, this.#options);
     this.#options.loadReported(session.known);
   }
 
-  #reportEvents(known: KnownWorker, message: FromWorkerMessage): void {
-    switch (message.kind) {
-      case FromWorkerKind.RunsEnded:
-        for (const end of message.ends) {
-          this.#options.runEnded(known.workerId, end);
-        }
-        return;
-      case FromWorkerKind.StalledRuns:
-        this.#options.runsStalled(known, message.runs);
-        return;
-      case FromWorkerKind.Announce:
-      case FromWorkerKind.Heartbeat:
-      case FromWorkerKind.WorkerCrashes:
-      case FromWorkerKind.Leave:
-        return;
-    }
-  }
-
   /** Sidecars announce a worker only once no run of an earlier incarnation or sidecar process is active there. */
   #handleAnnouncement(
     session: SidecarSession,
@@ -246,6 +240,7 @@
     logger.info('worker announced', { ...worker });
     const { name } = session.peer;
     session.known = createKnownWorker(worker, load, timers.now(), name);
+    session.known.coordination = session.coordination;
     session.service = worker.service;
     this.evacuations.mark(session.known);
     this.#sessionsByWorker.set(worker.workerId, session);
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,5 +1,6 @@
 /** Types shared by every package. */
 export * from './attempts.js';
+export * from './capacity.js';
 export * from './claims.js';
 export * from './configuration.js';
 export * from './crashes.js';
--- a/packages/types/src/roster.ts
+++ b/packages/types/src/roster.ts
@@ -8,6 +8,8 @@
   readonly address: NetworkAddress;
   /** Whether this run replaced an earlier run of the same name, whose tasks may still be running. */
   readonly replacesRun?: boolean | undefined;
+  /** Processors of its host; undefined when it did not say. */
+  readonly processors?: number | undefined;
 }
 
 /** A registered run of a sidecar. Dispatchers place tasks on registered runs only. */
--- a/packages/types/src/runs.ts
+++ b/packages/types/src/runs.ts
@@ -1,4 +1,5 @@
 /** Runs: executions of tasks of transient jobs on workers, under the control of sidecars. */
+import type { GrantKey } from './capacity.js';
 import type {
   DataCentreName,
   DispatcherId,
@@ -81,6 +82,8 @@
   readonly mayWait: boolean;
   /** Whether the tasks run only while no run of another job is active at the worker; absent from earlier versions. */
   readonly runsAlone?: boolean | undefined;
+  /** The grant that the order uses; undefined where the dispatcher chose the worker by itself. */
+  readonly grant?: GrantKey | undefined;
   readonly tasks: readonly { readonly taskId: TaskId; readonly run: number }[];
 }
 
@@ -145,6 +148,8 @@
 export interface KnownDispatcher {
   readonly dispatcherId: DispatcherId;
   readonly address: NetworkAddress;
+  /** Processors of its host; undefined when it did not say. */
+  readonly processors?: number | undefined;
 }
 
 /** The dispatchers that a dispatcher knows from the roster. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -9,6 +9,8 @@
 export * from './frame-writer.js';
 export * from './handshake.js';
 export * from './message-error.js';
+export * from './messages/capacity-message-checks.js';
+export * from './messages/capacity-messages.js';
 export * from './messages/common-checks.js';
 export * from './messages/control-message-checks.js';
 export * from './messages/control-messages.js';
--- a/packages/wire/src/messages/common-checks.ts
+++ b/packages/wire/src/messages/common-checks.ts
@@ -29,6 +29,7 @@
 export const isDispatcherAddress = isRecord({
   dispatcherId: isText,
   address: isNetworkAddress,
+  processors: isOptional(isAmount),
 });
 
 /** Resources of a worker, or their free part, which is negative after an overcommitment. */
--- a/packages/wire/src/messages/control-message-checks.ts
+++ b/packages/wire/src/messages/control-message-checks.ts
@@ -2,6 +2,7 @@
 import { ClaimOutcomeKind, ClaimRefusal } from '@cranberryturn/types';
 
 import {
+  isAmount,
   isCount,
   isFiniteNumber,
   isFlag,
@@ -41,6 +42,7 @@
   incarnation: isText,
   address: isNetworkAddress,
   replacesRun: isOptional(isFlag),
+  processors: isOptional(isAmount),
 });
 
 /** Whether a decoded value is a `ControlCall`. Any other must not reach the log. */
--- a/packages/wire/src/messages/run-message-checks.ts
+++ b/packages/wire/src/messages/run-message-checks.ts
@@ -39,6 +39,7 @@
   remainingMilliseconds: isFiniteNumber,
   mayWait: isFlag,
   runsAlone: isOptional(isFlag),
+  grant: isOptional(isRecord({ coordinator: isText, grant: isCount })),
   tasks: isListOf(isRecord({ taskId: isText, run: isCount })),
 });
 
@@ -106,6 +107,7 @@
   orders: isCount,
   dispatcherListVersion: isOptional(isCount),
   evacuationVersion: isOptional(isCount),
+  grants: isOptional(isListOf(isCount)),
 });
 const isFromWorkerBody = isVariant(
   'kind',
@@ -120,6 +122,10 @@
     [FromWorkerKind.WorkerCrashes]: isRecord({
       crashes: isListOf(isWorkerCrash),
     }),
+    [FromWorkerKind.Coordination]: isRecord({
+      coordinator: isOptional(isText),
+      dispatchers: isListOf(isText),
+    }),
   },
   isIgnored,
 );
--- a/packages/wire/src/messages/run-messages.ts
+++ b/packages/wire/src/messages/run-messages.ts
@@ -3,6 +3,7 @@
  * runs.
  */
 import type {
+  DispatcherId,
   EvacuationState,
   EvacuationVersion,
   JobId,
@@ -81,6 +82,8 @@
   Heartbeat = 'beat',
   /** Last message of a session that the sidecar gives up; no run of the dispatcher is left at its worker. */
   Leave = 'leave',
+  /** Names the dispatcher that coordinates the worker, and those that can reach it. */
+  Coordination = 'coordination',
 }
 
 /** Fields of every message from a sidecar. */
@@ -94,6 +97,8 @@
   readonly dispatcherListVersion?: LogIndex | undefined;
   /** Highest version of the evacuation state that the sidecar has received; undefined before the first and from earlier versions. */
   readonly evacuationVersion?: EvacuationVersion | undefined;
+  /** Grants of the receiver whose orders have arrived since the last message to it; `load` already includes these orders. */
+  readonly grants?: readonly number[] | undefined;
 }
 
 /** Body of a message about runs from a sidecar to a dispatcher. */
@@ -114,7 +119,14 @@
       readonly kind: FromWorkerKind.WorkerCrashes;
       readonly crashes: readonly WorkerCrash[];
     }
-  | { readonly kind: FromWorkerKind.Heartbeat | FromWorkerKind.Leave };
+  | { readonly kind: FromWorkerKind.Heartbeat | FromWorkerKind.Leave }
+  | {
+      readonly kind: FromWorkerKind.Coordination;
+      /** Undefined while the sidecar has no connected dispatcher that can coordinate. */
+      readonly coordinator: DispatcherId | undefined;
+      /** The dispatchers that the sidecar has a connected session with. */
+      readonly dispatchers: readonly DispatcherId[];
+    };
 
 /** A message about runs from a sidecar to a dispatcher. */
 export type FromWorkerMessage = FromWorkerHeader & FromWorkerBody;
--- a/packages/worker-gate/src/dispatcher-reports.ts
+++ b/packages/worker-gate/src/dispatcher-reports.ts
@@ -1,9 +1,11 @@
 /** Messages from a sidecar to its dispatchers: announcements, ends of runs and periodic load reports. */
 import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type {
+  DispatcherId,
   EvacuationVersion,
   Milliseconds,
   RunEnd,
+  RunOrder,
   WorkerCrash,
   WorkerLoad,
 } from '@cranberryturn/types';
@@ -24,6 +26,11 @@
  */
 const idleHeartbeatMilliseconds: Milliseconds = 350;
 const heartbeatCheckMilliseconds: Milliseconds = 100;
+/**
+ * Delay of the report that an order has arrived, which most often rides on the report of an end. Far below the time
+ * after which the coordinator considers a grant unused.
+ */
+const orderReportMilliseconds: Milliseconds = 20;
 
 const noLoad: WorkerLoad = {
   free: { processors: 0, memoryMebibytes: 0, accelerators: 0 },
@@ -46,7 +53,11 @@
 export class DispatcherReports {
   readonly #options: DispatcherReportsOptions;
   readonly #pendingEnds = new Map<DispatcherSession, RunEnd[]>();
+  /** Grants whose orders have arrived and whose coordinator has not been told. */
+  readonly #grants = new Map<DispatcherId, readonly number[]>();
   readonly #heartbeatTimer: TimerSubscription;
+  #orderTimer: TimerSubscription | undefined;
+  #isFreedReportDue = false;
 
   constructor(options: DispatcherReportsOptions) {
     this.#options = options;
@@ -70,6 +81,7 @@
       load: this.#composeLoad(session),
       orders: session.orders,
       dispatcherListVersion: sessions().listVersion,
+      ...this.#takeGrants(session),
       ...(evacuationVersion === undefined ? {} : { evacuationVersion }),
     });
   }
@@ -92,6 +104,37 @@
     this.send(session, { kind: FromWorkerKind.WorkerCrashes, crashes });
   }
 
+  /** Records that an order has arrived; its coordinator and that of the worker are told with the next report. */
+  recordOrder({ grant }: Pick<RunOrder, 'grant'>): void {
+    const { timers, sessions } = this.#options;
+    if (grant !== undefined) {
+      const grants = this.#grants.get(grant.coordinator) ?? [];
+      this.#grants.set(grant.coordinator, [...grants, grant.grant]);
+    }
+    this.#orderTimer ??= timers.after(orderReportMilliseconds, () => {
+      this.#orderTimer = undefined;
+      const { coordinator } = sessions().coordination;
+      const others = [...this.#grants.keys()].filter(
+        other => other !== coordinator,
+      );
+      for (const other of [coordinator, ...others]) this.#report(other);
+    });
+  }
+
+  /** Reports to the coordinator that capacity is free, after all that happens in this turn of the event loop. */
+  reportFreedCapacity(): void {
+    if (this.#isFreedReportDue) return;
+    this.#isFreedReportDue = true;
+    queueMicrotask(() => {
+      // Ends of runs are reported in microtasks, and may carry the load to the coordinator.
+      queueMicrotask(() => {
+        if (!this.#isFreedReportDue) return;
+        this.#isFreedReportDue = false;
+        this.#report(this.#options.sessions().coordination.coordinator);
+      });
+    });
+  }
+
   announceToAll(): void {
     for (const session of this.#options.sessions().listConnected())
       this.announceWorker(session);
@@ -127,6 +170,29 @@
 
   stop(): void {
     this.#heartbeatTimer.cancel();
+    this.#orderTimer?.cancel();
+  }
+
+  #report(dispatcher: DispatcherId | undefined): void {
+    if (dispatcher === undefined) return;
+    const session = this.#options.sessions().findSession(dispatcher);
+    if (session?.isConnected === true)
+      this.send(session, { kind: FromWorkerKind.Heartbeat });
+    else this.#grants.delete(dispatcher);
+  }
+
+  #takeGrants({ dispatcherId }: DispatcherSession): {
+    readonly grants?: readonly number[];
+  } {
+    if (dispatcherId === this.#options.sessions().coordination.coordinator) {
+      this.#isFreedReportDue = false;
+      this.#orderTimer?.cancel();
+      this.#orderTimer = undefined;
+    }
+    const grants = this.#grants.get(dispatcherId);
+    if (grants === undefined) return {};
+    this.#grants.delete(dispatcherId);
+    return { grants };
   }
 
   #sendDueHeartbeats(): void {
--- a/packages/worker-gate/src/dispatcher-session.ts
+++ b/packages/worker-gate/src/dispatcher-session.ts
@@ -16,6 +16,8 @@
   readonly send: (message: FromWorkerMessage) => void;
   /** Whether the session has a live connection. */
   isConnected: boolean;
+  /** When the session was last connected anew. */
+  connectedAt: Milliseconds;
   phase: SessionPhase;
   lastSentAt: Milliseconds;
   /** Number of placement orders received in this session. */
@@ -25,6 +27,8 @@
 /** Session events, and the query that the sessions need in return. */
 export interface DispatcherEvents {
   readonly sessionOpened: (session: DispatcherSession) => void;
+  /** The dispatcher is silent or its connection has ended; the session may resume. */
+  readonly sessionSuspected: () => void;
   readonly received: (
     session: DispatcherSession,
     message: ToWorkerMessage,
@@ -48,8 +52,15 @@
   dependencies: DispatcherListenerDependencies,
   close: () => void,
 ): SessionListener<ToWorkerMessage> {
-  const { timers, logger, received, sessionOpened, sessionLost, hasWorkFor } =
-    dependencies;
+  const {
+    timers,
+    logger,
+    received,
+    sessionOpened,
+    sessionSuspected,
+    sessionLost,
+    hasWorkFor,
+  } = dependencies;
   const { dispatcherId } = session;
   return {
     messageReceived: message => {
@@ -58,6 +69,7 @@
     hasWork: () => hasWorkFor(dispatcherId),
     connected: () => {
       session.isConnected = true;
+      session.connectedAt = timers.now();
       logger.info('dispatcher connected', { dispatcherId });
       sessionOpened(session);
     },
@@ -68,6 +80,7 @@
         return;
       }
       logger.warn('dispatcher not heard', { dispatcherId });
+      sessionSuspected();
       timers.after(reconnectGraceMilliseconds, () => {
         if (!session.isConnected) sessionLost(session);
       });
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -21,12 +21,14 @@
 } from '@cranberryturn/types';
 import {
   formatAddress,
+  type FromWorkerBody,
   type FromWorkerMessage,
   isToWorkerMessage,
   type Network,
   type ToWorkerMessage,
 } from '@cranberryturn/wire';
 
+import { WorkerCoordination } from './coordination/worker-coordination.js';
 import { DepartureStep, decideDeparture } from './decide-departure.js';
 import {
   type DispatcherEvents,
@@ -58,6 +60,11 @@
   readonly random: RandomSource;
   readonly times: SessionTimes;
   readonly logger: Logger;
+  /** Sends a message with the load of the worker. */
+  readonly sendReport: (
+    session: DispatcherSession,
+    body: FromWorkerBody,
+  ) => void;
 }
 
 interface DialledDispatcher {
@@ -71,6 +78,8 @@
 
 /** The sessions of one sidecar with dispatchers. */
 export class DispatcherSessions {
+  /** Chooses the dispatcher that coordinates the worker. */
+  readonly coordination: WorkerCoordination;
   readonly #options: DispatcherSessionsOptions;
   readonly #dispatchers = new Map<string, DialledDispatcher>();
   readonly #checkTimer: TimerSubscription;
@@ -84,6 +93,11 @@
 
   constructor(options: DispatcherSessionsOptions) {
     this.#options = options;
+    this.coordination = new WorkerCoordination({
+      ...options,
+      listConnected: () => this.listConnected(),
+      send: options.sendReport,
+    });
     this.#seeds = options.seeds;
     this.#chosenAt = options.timers.now();
     this.#lastConnectedAt = options.timers.now();
@@ -118,12 +132,15 @@
     const { name, timers, logger } = this.#options;
     this.#listVersion = version;
     this.#listed = new Set(dispatchers.map(formatDispatcher));
-    const chosen = chooseSessionPeers(
+    this.coordination.updateDispatchers(dispatchers);
+    const { preferred } = this.coordination;
+    const others = chooseSessionPeers(
       name,
-      dispatchers,
-      maximumSessions,
+      dispatchers.filter(one => one !== preferred),
+      maximumSessions - 1,
       ({ dispatcherId }) => dispatcherId,
     );
+    const chosen = preferred === undefined ? [] : [preferred, ...others];
     this.#chosen = new Map(
       chosen.map(({ address }) => [formatAddress(address), address]),
     );
@@ -163,6 +180,7 @@
       }
       this.#advanceDeparture(key, dispatcher, connectedChosen);
     }
+    this.coordination.check();
   }
 
   /** Starts over from the seeds. Any list counts then, as the state of control may have been lost. */
@@ -274,6 +292,7 @@
           dispatcherId: peer.name,
           send,
           isConnected: false,
+          connectedAt: timers.now(),
           phase: SessionPhase.Open,
           lastSentAt: -Infinity,
           orders: 0,
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -94,6 +94,7 @@
     });
     const session = sessions.findSession(dispatcher);
     if (session !== undefined) reports.reportEnd(session, end);
+    reports.reportFreedCapacity();
   };
 
   const handleMessage = (
@@ -130,6 +131,7 @@
     { order }: Extract<ToWorkerMessage, { kind: ToWorkerKind.PlaceRuns }>,
   ): void => {
     session.orders += 1;
+    reports.recordOrder(order);
     logger.info('order received', {
       requestId: order.requestId,
       jobId: order.jobId,
@@ -153,10 +155,19 @@
       // Before the announcement, upon which the dispatcher places tasks.
       reports.reportCrashes(session, crashes.listRecent());
       reports.announceWorker(session);
+      sessions.coordination.tell(session);
+      sessions.coordination.check();
+    },
+    sessionSuspected: () => {
+      sessions.coordination.check();
+    },
+    sendReport: (session, body) => {
+      reports.send(session, body);
     },
     received: handleMessage,
     phaseChanged: session => {
       reports.reportPhase(session);
+      sessions.coordination.check();
     },
     sessionLost: session => {
       leases.endLease(session.dispatcherId);
