Read the status of a worker when a run is overdue and nothing was heard

Cause: a renewal waits 300 ms for an end. When its reply is lost, no end on that worker is seen until it times out, up to 550 ms later, and the capacity that ended runs have freed stays unused.

Change: once a run should have ended by its progress, and nothing was heard for 50 ms, the status is read besides the renewal. A lost reply to that says nothing about the worker. The test fails before.

--- /dev/null
+++ b/packages/worker-gate/src/fakes/fake-worker-state.ts
@@ -0,0 +1,56 @@
+/** State and faults of the in-memory worker. */
+import type { Milliseconds, WorkerRun } from '@cranberryturn/types';
+
+import type {
+  EndedRun,
+  StartRunOrder,
+  WorkerPort,
+  WorkerRunOutcome,
+} from '../ports/worker.js';
+
+/** An active run. */
+export interface FakeRun extends StartRunOrder {
+  readonly startedAt: Milliseconds;
+  endsAt: Milliseconds;
+  end: WorkerRunOutcome;
+}
+
+/** A fake worker: its runs, its history, and the faults to inject. */
+export interface FakeWorker {
+  readonly run: WorkerRun;
+  readonly port: WorkerPort;
+  /** Active runs by task name. */
+  readonly activeRuns: Map<string, FakeRun>;
+  /** Every run that was started, in order. */
+  readonly starts: FakeRun[];
+  readonly ended: EndedRun[];
+  /** Highest number of processors that were in use at the same time. */
+  maximumProcessorsInUse: number;
+  /** Highest sequence number of an end that the sidecar acknowledged. */
+  acknowledgedSequence: number;
+  /** Fault: orders are neither executed nor replied to. */
+  isSilent: boolean;
+  /** Fault: the next start order has no reply and is executed after this delay. */
+  nextStartDelayMilliseconds: Milliseconds | undefined;
+  /** Fault: the next start order is executed, and its reply is lost. */
+  shouldLoseNextReply: boolean;
+  /** Fault: the reply to the renewals that wait now is lost. */
+  loseWaitingRenewals(): void;
+  /** Fault: orders are executed, and their replies are lost. */
+  losesReplies: boolean;
+  /** Time after which orders are executed and replied to; a longer one than the reply timeout loses the reply. */
+  replyDelayMilliseconds: Milliseconds;
+  /** Fault: start orders are refused as unhealthy. */
+  isUnhealthy: boolean;
+  /** How far the clock of the worker is ahead of its sidecar's, which stood still during a suspension. */
+  clockAheadMilliseconds: Milliseconds;
+  /** Run time of the tasks that start from now on. */
+  runMilliseconds: Milliseconds;
+  /** Run time of one task; `runMilliseconds` where it chooses none. */
+  chooseRunMilliseconds:
+    ((order: StartRunOrder) => Milliseconds | undefined) | undefined;
+  /** Outcome of the tasks that start from now on. */
+  nextOutcome: WorkerRunOutcome;
+  /** Drops all active runs without reporting their ends; further orders fail with a connection error. */
+  crash(): void;
+}
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -8,7 +8,6 @@
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
 import {
-  type EndedRun,
   nameTask,
   type RenewReply,
   type StartRunOrder,
@@ -17,9 +16,9 @@
   WorkerRefusal,
   type WorkerCallError,
   type WorkerOrder,
-  type WorkerPort,
   type WorkerReply,
 } from '../ports/worker.js';
+import type { FakeRun, FakeWorker } from './fake-worker-state.js';
 import { createConnectionError, failWithTimeout } from './worker-errors.js';
 
 const defaultReplyTimeoutMilliseconds: Milliseconds = 250;
@@ -27,51 +26,6 @@
 const stopDurationMilliseconds: Milliseconds = 20;
 const tickMilliseconds: Milliseconds = 5;
 
-/** An active run. */
-export interface FakeRun extends StartRunOrder {
-  readonly startedAt: Milliseconds;
-  endsAt: Milliseconds;
-  end: WorkerRunOutcome;
-}
-
-/** A fake worker: its runs, its history, and the faults to inject. */
-export interface FakeWorker {
-  readonly run: WorkerRun;
-  readonly port: WorkerPort;
-  /** Active runs by task name. */
-  readonly activeRuns: Map<string, FakeRun>;
-  /** Every run that was started, in order. */
-  readonly starts: FakeRun[];
-  readonly ended: EndedRun[];
-  /** Highest number of processors that were in use at the same time. */
-  maximumProcessorsInUse: number;
-  /** Highest sequence number of an end that the sidecar acknowledged. */
-  acknowledgedSequence: number;
-  /** Fault: orders are neither executed nor replied to. */
-  isSilent: boolean;
-  /** Fault: the next start order has no reply and is executed after this delay. */
-  nextStartDelayMilliseconds: Milliseconds | undefined;
-  /** Fault: the next start order is executed, and its reply is lost. */
-  shouldLoseNextReply: boolean;
-  /** Fault: orders are executed, and their replies are lost. */
-  losesReplies: boolean;
-  /** Time after which orders are executed and replied to; a longer one than the reply timeout loses the reply. */
-  replyDelayMilliseconds: Milliseconds;
-  /** Fault: start orders are refused as unhealthy. */
-  isUnhealthy: boolean;
-  /** How far the clock of the worker is ahead of its sidecar's, which stood still during a suspension. */
-  clockAheadMilliseconds: Milliseconds;
-  /** Run time of the tasks that start from now on. */
-  runMilliseconds: Milliseconds;
-  /** Run time of one task; `runMilliseconds` where it chooses none. */
-  chooseRunMilliseconds:
-    ((order: StartRunOrder) => Milliseconds | undefined) | undefined;
-  /** Outcome of the tasks that start from now on. */
-  nextOutcome: WorkerRunOutcome;
-  /** Drops all active runs without reporting their ends; further orders fail with a connection error. */
-  crash(): void;
-}
-
 /** Creates a fake worker. `need` is the resources that each task uses. */
 export function createFakeWorker(options: {
   readonly timers: TimerService;
@@ -86,6 +40,8 @@
   let highestToken = 0;
   let hasCrashed = false;
   let sequence = 0;
+  /** Number of times that the replies to waiting renewals were lost. */
+  let losses = 0;
 
   const clock = (): Milliseconds =>
     timers.now() - bornAt + worker.clockAheadMilliseconds;
@@ -252,6 +208,9 @@
     clockAheadMilliseconds: 0,
     chooseRunMilliseconds: undefined,
     nextOutcome: WorkerRunOutcome.Done,
+    loseWaitingRenewals: () => {
+      losses += 1;
+    },
     crash: () => {
       hasCrashed = true;
       worker.activeRuns.clear();
@@ -275,7 +234,12 @@
             async (early): Promise<Result<RenewReply, WorkerCallError>> => {
               if (early.isErr()) return err(early.error);
               if (early.value !== undefined) return ok(early.value);
+              const lost = losses;
               await wait(order.waitMilliseconds);
+              if (lost !== losses && order.waitMilliseconds > 0) {
+                await sleep(timers, order.waitMilliseconds);
+                return await failWithTimeout(timers, run.workerId, order);
+              }
               if (hasCrashed) return err(createConnectionError(run.workerId));
               return ok({
                 accepted: true,
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -26,7 +26,8 @@
 
 import { startWorkerGate } from '../start-worker-gate.js';
 import type { WorkerGate } from '../worker-gate-options.js';
-import { createFakeWorker, type FakeWorker } from './fake-worker.js';
+import { createFakeWorker } from './fake-worker.js';
+import type { FakeWorker } from './fake-worker-state.js';
 
 /** Address of the dispatcher, which is the only seed. */
 export const dispatcherAddress = { address: '10.0.0.1', port: 7_700 };
--- a/packages/worker-gate/src/index.ts
+++ b/packages/worker-gate/src/index.ts
@@ -4,4 +4,5 @@
 export type { WorkerGate, WorkerGateOptions } from './worker-gate-options.js';
 export type { WorkerReport } from './worker-report.js';
 export type { DispatcherSession } from './dispatcher-session.js';
+export * from './fakes/fake-worker-state.js';
 export * from './fakes/fake-worker.js';
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -11,6 +11,7 @@
 import { nameTask, WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { recordProgress } from './record-progress.js';
 import { ReplyTimeout } from './reply-timeout.js';
+import { watchMissedEnds } from './watch-missed-ends.js';
 import { computeMaximumLease } from './worker-clock.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
@@ -57,6 +58,7 @@
   /** When the newest order was sent that the worker has replied to. */
   let answeredSentAt = Number.NEGATIVE_INFINITY;
   const replyTimeout = new ReplyTimeout();
+  let lastStatusAt = timers.now();
   let isReady = false;
   /** Set by an order without a reply, until the worker replies again. */
   let isSuspected = false;
@@ -69,6 +71,7 @@
   };
 
   const handleStatus = (status: WorkerStatus, sentAt: Milliseconds): void => {
+    lastStatusAt = timers.now();
     recordClock(status.clock, sentAt);
     for (const ended of status.ended) {
       if (ended.sequence <= acknowledgedSequence) continue;
@@ -232,6 +235,27 @@
     }
   };
 
+  /** Reads the status besides the renewal that waits. Its reply may be lost as well, which says nothing about the worker. */
+  const readMissedEnds = async (): Promise<void> => {
+    if (!isReady || isSuspected) return;
+    const sentAt = timers.now();
+    const reply = await port.renewLease({
+      fencingToken: fencing.token,
+      acknowledgedSequence,
+      waitMilliseconds: 0,
+      replyTimeout: replyTimeout.current(),
+      deadline: undefined,
+    });
+    if (isStopped || reply.isErr()) return;
+    reportAnswered(sentAt);
+    if (reply.value.accepted) handleStatus(reply.value.status, sentAt);
+  };
+  const missedEndsWatch = watchMissedEnds(timers, {
+    listActiveRuns: () => executor.listActiveRuns(),
+    lastStatusAt: () => lastStatusAt,
+    readStatus: () => readMissedEnds().catch(rethrowLater),
+  });
+
   const wake = (): void => {
     wakeUp?.();
     wakeUp = undefined;
@@ -262,6 +286,7 @@
     recordClock,
     stop: () => {
       isStopped = true;
+      missedEndsWatch.cancel();
       wake();
     },
   };
--- a/packages/worker-gate/src/lost-replies.test.ts
+++ b/packages/worker-gate/src/lost-replies.test.ts
@@ -33,6 +33,18 @@
   t.like(ends.at(-1), { jobId: 'unanswered', outcome: 'not-started' });
 });
 
+test('the end of a run is reported soon although the reply to the renewal that waits for it is lost', async t => {
+  const { worker, place, timers, ends } = await startGateFixture(2);
+  worker.runMilliseconds = 100;
+  place({ jobId: 'before' });
+  await timers.advance(300);
+  place({ jobId: 'job' });
+  await timers.advance(60);
+  worker.loseWaitingRenewals();
+  await timers.advance(140);
+  t.like(ends.at(-1), { jobId: 'job', outcome: 'done' });
+});
+
 test('a worker that answers nothing is still suspected', async t => {
   const { worker, place, timers, received } = await startGateFixture(2);
   place({ jobId: 'before' });
--- a/packages/worker-gate/src/unexpected-errors.test.ts
+++ b/packages/worker-gate/src/unexpected-errors.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import type { FakeWorker } from './fakes/fake-worker.js';
+import type { FakeWorker } from './fakes/fake-worker-state.js';
 import { startGateFixture } from './fakes/gate-fixture.js';
 
 test.serial(
