Let sidecars agree on a coordinator as soon as the dispatchers are known

Cause: after an outage a sidecar got the list of dispatchers after a random delay of up to a second, and kept for two seconds whichever coordinator had connected first: the workers were in several groups.

Change: a sidecar without any list gets it at once, and a coordinator that has not settled itself gives way to a preferred one.

--- a/packages/transient-jobs/src/distribute-dispatcher-list.ts
+++ b/packages/transient-jobs/src/distribute-dispatcher-list.ts
@@ -30,9 +30,14 @@
     this.#options = options;
   }
 
-  /** Sends a changed list to the sidecars that have not received it from another dispatcher meanwhile. */
+  /**
+   * Sends a changed list to the sidecars that have not received it from another dispatcher meanwhile, and at once to
+   * those that have none, as after an outage: no dispatcher coordinates their workers yet.
+   */
   schedule(): void {
     const { timers, random, sessions } = this.#options;
+    for (const session of sessions)
+      if (session.listVersion === 0) this.update(session);
     const delayMilliseconds = random.fraction() * maximumDelayMilliseconds;
     this.#timer ??= timers.after(delayMilliseconds, () => {
       this.#timer = undefined;
--- a/packages/worker-gate/src/coordination/choose-coordinator.ts
+++ b/packages/worker-gate/src/coordination/choose-coordinator.ts
@@ -6,15 +6,21 @@
 import { computeWeight, hashName } from '@cranberryturn/sessions';
 import type { DispatcherId, KnownDispatcher } from '@cranberryturn/types';
 
+/** A dispatcher that may coordinate a worker. */
+export type CoordinatorCandidate = Pick<
+  KnownDispatcher,
+  'dispatcherId' | 'processors'
+>;
+
 /** One dispatcher of this many coordinates workers, so that no queue grows with the number of dispatchers. */
 const dispatchersPerCoordinator = 6;
 const rankingSalt = 'coordinator';
 
 /** The dispatchers that may coordinate the worker of a sidecar, the preferred one first. */
-export function rankCoordinators(
+export function rankCoordinators<Candidate extends CoordinatorCandidate>(
   sidecar: string,
-  dispatchers: readonly KnownDispatcher[],
-): readonly KnownDispatcher[] {
+  dispatchers: readonly Candidate[],
+): readonly Candidate[] {
   const count = Math.ceil(dispatchers.length / dispatchersPerCoordinator);
   const ranked = sortBySize(dispatchers);
   const coordinators = sortByWeight(sidecar, ranked.slice(0, count));
@@ -23,7 +29,7 @@
 
 /** The preferred dispatcher that is connected; undefined when none is. */
 export function chooseCoordinator(
-  ranked: readonly KnownDispatcher[],
+  ranked: readonly CoordinatorCandidate[],
   isConnected: (dispatcher: DispatcherId) => boolean,
 ): DispatcherId | undefined {
   return ranked.find(({ dispatcherId }) => isConnected(dispatcherId))
@@ -31,20 +37,20 @@
 }
 
 /** The largest hosts first, as coordination takes processor time. */
-function sortBySize(
-  dispatchers: readonly KnownDispatcher[],
-): readonly KnownDispatcher[] {
+function sortBySize<Candidate extends CoordinatorCandidate>(
+  dispatchers: readonly Candidate[],
+): readonly Candidate[] {
   return sortByWeight(rankingSalt, dispatchers).toSorted(
     (left, right) => (right.processors ?? 0) - (left.processors ?? 0),
   );
 }
 
-function sortByWeight(
+function sortByWeight<Candidate extends CoordinatorCandidate>(
   name: string,
-  dispatchers: readonly KnownDispatcher[],
-): readonly KnownDispatcher[] {
+  dispatchers: readonly Candidate[],
+): readonly Candidate[] {
   const hash = hashName(name);
-  const weigh = ({ dispatcherId }: KnownDispatcher): number =>
+  const weigh = ({ dispatcherId }: CoordinatorCandidate): number =>
     computeWeight(hash, hashName(dispatcherId));
   return dispatchers.toSorted(
     (left, right) =>
--- a/packages/worker-gate/src/coordination/worker-coordination.ts
+++ b/packages/worker-gate/src/coordination/worker-coordination.ts
@@ -81,10 +81,10 @@
           ({ dispatcherId, connectedAt, phase }) =>
             dispatcherId === dispatcher &&
             phase === SessionPhase.Open &&
-            (dispatcherId === this.#coordinator ||
-              now - connectedAt >= minimumAge),
+            now - connectedAt >= minimumAge,
         ),
       );
+    // After a start of all processes none has settled, and all sidecars soon agree on the preferred one.
     return find(settledMilliseconds) ?? find(0);
   }
 
