Return requests that no worker of the coordinator can serve, and expect the time until processors are free

Cause: a request waited at a coordinator whose last worker was gone, while workers of another group were free. The expected wait left out what runs now, which is long where few processors are busy, and counted late jobs that are served behind the request.

Change: such requests go back at once, and their tasks are placed by load reports; the wait counts the running work, and only what is served before.

--- a/packages/transient-jobs/src/shared-queue/capacity-client.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-client.ts
@@ -159,6 +159,9 @@
       case FromCoordinatorKind.Refusal:
         this.#handleRefusal(message.request, message.waitMilliseconds);
         return;
+      case FromCoordinatorKind.Returned:
+        this.#handleReturn(message.request);
+        return;
       case FromCoordinatorKind.Standing:
         for (const request of message.requests) {
           const open = this.#requests.get(request);
@@ -230,6 +233,11 @@
     this.#options.returned(requested.active);
   }
 
+  #handleReturn(request: number): void {
+    const open = this.#requests.get(request);
+    if (open !== undefined) this.#giveUp(open);
+  }
+
   #handleRefusal(request: number, waitMilliseconds: Milliseconds): void {
     const open = this.#requests.get(request);
     if (open === undefined) return;
--- a/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
@@ -23,11 +23,7 @@
 } from '@cranberryturn/wire';
 
 import { chooseWorkers } from '../choose-workers.js';
-import {
-  estimateFreeProcessors,
-  isUsable,
-  type KnownWorker,
-} from '../known-worker.js';
+import { isUsable, type KnownWorker } from '../known-worker.js';
 import {
   CapacityQueue,
   computeWork,
@@ -36,6 +32,7 @@
 import { estimateWait } from './estimate-wait.js';
 import { GrantLedger } from './grant-ledger.js';
 import { GrantedWork } from './granted-work.js';
+import { canBeServed, hasRoom, isTooLong, sumLoads } from './worker-pool.js';
 
 /** Interval of the checks, and of the messages to dispatchers whose requests wait. */
 const checkIntervalMilliseconds: Milliseconds = 50;
@@ -68,6 +65,7 @@
     this.#options = options;
     this.#ticker = options.timers.every(checkIntervalMilliseconds, () => {
       this.#expireGrants();
+      this.#returnUnservable();
       this.#reportStanding();
     });
   }
@@ -88,6 +86,10 @@
       tasks: request.tasks,
     };
     const workers = this.#listUsable(request.service);
+    if (!canBeServed(entry, workers)) {
+      this.#return([entry]);
+      return;
+    }
     const planned = this.#plan(entry, workers);
     const plannedTasks = planned.reduce((sum, { tasks }) => sum + tasks, 0);
     const waiting = request.tasks - plannedTasks;
@@ -146,8 +148,10 @@
     this.#ticker.cancel();
   }
 
-  #drop(matches: (entry: QueuedRequest) => boolean): void {
-    for (const entry of this.#queue.removeMatching(matches)) entry.tasks = 0;
+  #drop(matches: (entry: QueuedRequest) => boolean): readonly QueuedRequest[] {
+    const dropped = this.#queue.removeMatching(matches);
+    for (const entry of dropped) entry.tasks = 0;
+    return dropped;
   }
 
   #listUsable(service: ServiceName): readonly KnownWorker[] {
@@ -227,27 +231,27 @@
     workers: readonly KnownWorker[],
   ): Milliseconds {
     const { request } = entry;
+    const now = this.#options.timers.now();
     return estimateWait({
-      processors: sumProcessors(workers),
+      ...sumLoads(workers),
       moreUrgentProcessors: this.#grantedWork.measureMoreUrgent(
         request.priority,
-        this.#options.timers.now(),
+        now,
       ),
+      missingProcessors: request.need.processors,
       workUntilLast:
-        this.#queue.sumWorkBefore(entry) + computeWork(request, tasks),
+        this.#queue.sumWorkBefore(entry, now) + computeWork(request, tasks),
     });
   }
 
   #measureCapacity(service: ServiceName): CoordinatedCapacity {
-    const workers = this.#listUsable(service);
+    const load = sumLoads(this.#listUsable(service));
     return {
-      freeProcessors: workers.reduce(
-        (sum, known) => sum + Math.max(0, estimateFreeProcessors(known)),
-        0,
-      ),
+      freeProcessors: load.processors - load.busyProcessors,
       waitMilliseconds: estimateWait({
-        processors: sumProcessors(workers),
+        ...load,
         moreUrgentProcessors: 0,
+        missingProcessors: 0,
         workUntilLast: this.#queue.sumWork(service),
       }),
     };
@@ -274,6 +278,25 @@
     this.grantWaiting();
   }
 
+  /** Returns requests that no worker of this coordinator can serve now; others may. */
+  #returnUnservable(): void {
+    if (this.#queue.size === 0) return;
+    this.#return(
+      this.#drop(
+        entry => !canBeServed(entry, this.#listUsable(entry.request.service)),
+      ),
+    );
+  }
+
+  #return(entries: readonly QueuedRequest[]): void {
+    for (const entry of entries) {
+      this.#send(entry, {
+        kind: FromCoordinatorKind.Returned,
+        request: entry.request.request,
+      });
+    }
+  }
+
   #reportStanding(): void {
     const requests = new Map<DispatcherId, QueuedRequest[]>();
     for (const entry of this.#queue.listByUrgency(this.#options.timers.now())) {
@@ -295,25 +318,3 @@
 type PlannedGrant = ReturnType<typeof chooseWorkers>[number];
 
 const noPlacedTasks: ReadonlyMap<string, number> = new Map();
-
-function isTooLong(
-  { maximumWaitMilliseconds }: CapacityRequest,
-  waitMilliseconds: Milliseconds,
-): boolean {
-  return (
-    waitMilliseconds > 0 &&
-    maximumWaitMilliseconds !== undefined &&
-    waitMilliseconds > maximumWaitMilliseconds
-  );
-}
-
-function hasRoom(known: KnownWorker, { need }: CapacityRequest): boolean {
-  return estimateFreeProcessors(known) >= need.processors;
-}
-
-function sumProcessors(workers: readonly KnownWorker[]): number {
-  return workers.reduce(
-    (sum, { worker }) => sum + worker.capacity.processors,
-    0,
-  );
-}
--- a/packages/transient-jobs/src/shared-queue/capacity-decisions.test.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-decisions.test.ts
@@ -41,25 +41,44 @@
   );
 });
 
-test('the work before a request is that of the more urgent ones, not of those behind it', t => {
+test('the work before a request is that of the more urgent ones, not of those behind it or late anyway', t => {
   const queue = new CapacityQueue();
   queue.add(createEntry('before', 0, 500));
   queue.add(createEntry('behind', 2, 500));
-  t.is(queue.sumWorkBefore(createEntry('request', 1, 500)), 200);
-  t.is(queue.sumWork('register'), 400);
+  queue.add(createEntry('late', 1, 50));
+  t.is(queue.sumWorkBefore(createEntry('request', 1, 500), 0), 200);
+  t.is(queue.sumWorkBefore(createEntry('late as well', 1, 60), 0), 400);
+  t.is(queue.sumWork('register'), 600);
   t.is(queue.sumWork('other'), 0);
 });
 
+const waitInput = {
+  processors: 100,
+  moreUrgentProcessors: 0,
+  missingProcessors: 0,
+  busyProcessors: 100,
+  runningWork: 10_000,
+  workUntilLast: 1_000,
+};
+
 test('a wait is longer where more urgent work arrives, and bounded where it takes all workers', t => {
-  const input = { processors: 100, workUntilLast: 1_000 };
   t.deepEqual(
     [0, 50, 100, 500].map(moreUrgentProcessors =>
-      estimateWait({ ...input, moreUrgentProcessors }),
+      estimateWait({ ...waitInput, moreUrgentProcessors }),
     ),
     [10, 20, 100, 100],
   );
 });
 
+test('a wait includes the time until the first processors are free, which few busy workers make long', t => {
+  const input = { ...waitInput, missingProcessors: 2 };
+  t.is(estimateWait(input), 12);
+  t.is(
+    estimateWait({ ...input, busyProcessors: 2, runningWork: 2_000 }),
+    1_010,
+  );
+});
+
 test('granted work fades within seconds, and only more urgent work counts', t => {
   const granted = new GrantedWork();
   granted.add(0, 1_000, 0);
--- a/packages/transient-jobs/src/shared-queue/capacity-queue.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-queue.ts
@@ -72,12 +72,17 @@
     return work;
   }
 
-  /** Requested work that comes before an entry, in processor-milliseconds. */
-  sumWorkBefore(entry: Pick<QueuedRequest, 'request' | 'dueAt'>): number {
+  /** Requested work that gets capacity before an entry, in processor-milliseconds. */
+  sumWorkBefore(entry: Urgency, now: Milliseconds): number {
+    const isInTime = canEndInTime(entry, now);
     let work = 0;
     for (const other of this.#entries) {
       if (compareUrgency(other, entry) > 0) break;
-      work += computeWork(other.request, other.tasks);
+      const isBehind =
+        isInTime &&
+        other.request.priority === entry.request.priority &&
+        !canEndInTime(other, now);
+      if (!isBehind) work += computeWork(other.request, other.tasks);
     }
     return work;
   }
@@ -91,10 +96,7 @@
   return need.processors * estimatedMilliseconds * tasks;
 }
 
-function canEndInTime(
-  { request, dueAt }: QueuedRequest,
-  now: Milliseconds,
-): boolean {
+function canEndInTime({ request, dueAt }: Urgency, now: Milliseconds): boolean {
   return now + request.estimatedMilliseconds <= dueAt;
 }
 
--- a/packages/transient-jobs/src/shared-queue/shared-queue.test.ts
+++ b/packages/transient-jobs/src/shared-queue/shared-queue.test.ts
@@ -145,6 +145,27 @@
   t.false(starts.some(({ jobId }) => jobId === 'short'));
 });
 
+test('a task waits no longer for a coordinator whose workers are gone', async t => {
+  const fixture = await start({ dispatchers: 2, workers: 2, processors: 1 });
+  const { timers, hosts, network, dispatchers } = fixture;
+  const coordinator = getItem(dispatchers, findCoordinator(fixture));
+  const other = getItem(
+    dispatchers.filter(one => one !== coordinator),
+    0,
+  );
+  // The worker of the second host belongs to the other dispatcher then.
+  network.partition(coordinator.name, 'sidecar-1');
+  await timers.advance(3_000);
+  for (const { worker } of hosts) worker.runMilliseconds = 300;
+  submit(other, 'running', 2);
+  await timers.advance(20);
+  const waiting = submit(other, 'waiting', 2);
+  await timers.advance(20);
+  getItem(hosts, 0).worker.crash();
+  await timers.advance(2_500);
+  t.true(isCompleted(waiting));
+});
+
 test('an abandoned job leaves nothing in the queue', async t => {
   const fixture = await start({ dispatchers: 2, workers: 1, processors: 1 });
   const { timers, hosts, dispatchers } = fixture;
--- a/packages/wire/src/messages/capacity-message-checks.ts
+++ b/packages/wire/src/messages/capacity-message-checks.ts
@@ -75,6 +75,7 @@
       request: isCount,
       waitMilliseconds: isAmount,
     }),
+    [FromCoordinatorKind.Returned]: isRecord({ request: isCount }),
     [FromCoordinatorKind.Standing]: isRecord({ requests: isCountList }),
   },
   isIgnored,
--- a/packages/wire/src/messages/capacity-messages.ts
+++ b/packages/wire/src/messages/capacity-messages.ts
@@ -36,6 +36,8 @@
   Grants = 'grants',
   /** Refuses a request whose expected wait is too long. Nothing was granted for it. */
   Refusal = 'refusal',
+  /** Gives a request back, as no worker of the coordinator can serve it now. */
+  Returned = 'returned',
   /** Shows that the coordinator is alive while requests wait. */
   Standing = 'standing',
 }
@@ -52,6 +54,7 @@
       readonly request: number;
       readonly grants: readonly CapacityGrant[];
     }
+  | { readonly kind: FromCoordinatorKind.Returned; readonly request: number }
   | {
       readonly kind: FromCoordinatorKind.Refusal;
       readonly request: number;
