Serve what has waited sooner after the start of a dispatcher

Cause: requests waited until no further worker had connected for 150 ms, so that the first workers did not get the whole load.

--- a/packages/program/src/adapters/wait-for-port.ts
+++ b/packages/program/src/adapters/wait-for-port.ts
@@ -18,8 +18,8 @@
 ): Promise<boolean> {
   const stopAt = performance.now() + timeoutMilliseconds;
   while (performance.now() < stopAt) {
-    if (await acceptsConnections(address, port)) return true;
     await sleep(pollMilliseconds);
+    if (await acceptsConnections(address, port)) return true;
   }
   return false;
 }
--- a/packages/run-dispatcher/src/start-readiness.ts
+++ b/packages/run-dispatcher/src/start-readiness.ts
@@ -7,11 +7,14 @@
 
 /** End of the start phase. Workers or configuration missing by then are not expected soon, so requests no longer wait. */
 const startPhaseMilliseconds: Milliseconds = 4_000;
-/** Time without a new worker before requests are served: workers connect one by one, and the first would get the whole load. */
-const settleMilliseconds: Milliseconds = 150;
+/**
+ * Time without a new worker before requests are served: workers connect one by one, and few of them seem to have no
+ * capacity for what has waited.
+ */
+const settleMilliseconds: Milliseconds = 60;
 /** Maximum wait of one request: after a start of all hosts, control elects a leader and workers report within a second. */
 const maximumWaitMilliseconds: Milliseconds = 1_000;
-const checkIntervalMilliseconds: Milliseconds = 25;
+const checkIntervalMilliseconds: Milliseconds = 10;
 
 /** State of the dispatcher that its readiness depends on. */
 export interface ReadinessDependencies {
