Show where the time of late jobs goes, and compare ways to bind tasks to workers

cranberry-bench lateness reads the log lines of a play: the stages of late jobs, processor-seconds idle while a task waits, by the place where it waits, and how long grants take to reach workers.

cranberry-bench binding simulates ways to bind tasks under the same loads: a central queue as the bound, early binding on lagging reports, reservations, and a shared queue.

--- a/packages/bench/src/binaries/cranberry-bench.ts
+++ b/packages/bench/src/binaries/cranberry-bench.ts
@@ -3,10 +3,12 @@
 import { CranberryError } from '@cranberryturn/errors';
 import { Command } from 'commander';
 
+import { addBindingCommand } from '../commands/binding-command.js';
 import { addCapacityCommand } from '../commands/capacity-command.js';
 import { addCheckCommand } from '../commands/check-command.js';
 import { addControlCommand } from '../commands/control-command.js';
 import { addDoubleSubmitCommand } from '../commands/double-submit-command.js';
+import { addLatenessCommand } from '../commands/lateness-command.js';
 import { addPoliciesCommand } from '../commands/policies-command.js';
 import { addReportCommand } from '../commands/report-command.js';
 import { addRunCommand } from '../commands/run-command.js';
@@ -23,6 +25,8 @@
 addCheckCommand(program);
 addDoubleSubmitCommand(program);
 addPoliciesCommand(program);
+addBindingCommand(program);
+addLatenessCommand(program);
 addReportCommand(program);
 addCapacityCommand(program);
 addTraceCommands(program);
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -239,6 +239,7 @@
       jobId: job.jobId,
       worker: known.workerId,
       runs: tasks.map(task => `${task.taskId}/${String(task.run)}`),
+      processors: plan.step.need.processors,
       free: known.load.free.processors,
       mayWait,
       ...(runsAlone ? { runsAlone } : {}),
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -137,6 +137,7 @@
       jobId: order.jobId,
       tasks: order.tasks,
       dispatcher: session.dispatcherId,
+      grant: order.grant,
     });
     const hasLeft = session.phase === SessionPhase.Left;
     if (executor !== undefined && !isStopping && !hasLeft) {
