--- a/packages/worker-gate/src/fakes/worker-errors.ts
+++ b/packages/worker-gate/src/fakes/worker-errors.ts
@@ -1,5 +1,9 @@
 /** Errors of orders to the fake worker. */
-import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
+import {
+  ConnectionError,
+  ConnectionRefusedError,
+  TimeoutError,
+} from '@cranberryturn/errors';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 import { err, type Result } from 'neverthrow';
@@ -23,9 +27,17 @@
   );
 }
 
-/** The error of a worker that accepts no connections. */
+/** The error of a connection that ends before the reply. */
 export function createConnectionError(peer: string): WorkerCallError {
-  return new ConnectionError('The worker refused the connection.', {
+  return new ConnectionError('The connection to the worker ended.', {
+    step: 'call worker',
+    peer,
+  });
+}
+
+/** The error of a worker whose process has ended. */
+export function createRefusedError(peer: string): WorkerCallError {
+  return new ConnectionRefusedError('The worker accepts no connections.', {
     step: 'call worker',
     peer,
   });
