--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -27,9 +27,6 @@
 /** A connection could not be opened or has ended; a pending call may have been processed. */
 export class ConnectionError extends CranberryError {}
 
-/** No process listens at the address: whatever ran there has ended. The call was not processed. */
-export class ConnectionRefusedError extends ConnectionError {}
-
 /** A peer did not prove that it holds the shared key. */
 export class AuthenticationError extends CranberryError {}
 
--- a/packages/worker-gate/src/crash-reports.test.ts
+++ b/packages/worker-gate/src/crash-reports.test.ts
@@ -1,7 +1,7 @@
 /** Which losses of a worker are reported to dispatchers as crashes, and with what. */
 import { Counter } from '@cranberryturn/metrics';
 import { createManualTimerService } from '@cranberryturn/timers';
-import { RunEndReason, type WorkerCrash } from '@cranberryturn/types';
+import type { WorkerCrash } from '@cranberryturn/types';
 import { FromWorkerKind } from '@cranberryturn/wire';
 import test from 'ava';
 import { err, ResultAsync } from 'neverthrow';
@@ -54,32 +54,6 @@
   t.is(counters[Counter.RunsLostInCrashes], 2);
 });
 
-test('the runs of a worker whose process has ended are given back at once, but for one that had just started', async t => {
-  const fixture = await startGateFixture(2);
-  await placeOnBusyWorker(fixture);
-  const reasons = () =>
-    fixture.ends.map(({ jobId, reason }) => [jobId, reason]);
-  fixture.worker.crash();
-  await fixture.timers.advance(150);
-  t.deepEqual(reasons(), [['lookup', RunEndReason.WorkerGone]]);
-  await fixture.timers.advance(1_200);
-  t.deepEqual(reasons(), [
-    ['lookup', RunEndReason.WorkerGone],
-    ['status', RunEndReason.WorkerSilent],
-  ]);
-});
-
-test('the runs of a worker whose connections only fail are kept until its lease has ended', async t => {
-  const fixture = await startGateFixture(2);
-  await placeOnBusyWorker(fixture);
-  fixture.worker.breaksConnections = true;
-  await fixture.timers.advance(900);
-  t.deepEqual(fixture.ends, []);
-  await fixture.timers.advance(400);
-  t.is(fixture.ends.length, 2);
-  t.deepEqual([...fixture.worker.activeRuns.keys()], []);
-});
-
 test('a worker that falls silent is reported as crashed once another incarnation has replaced it', async t => {
   const fixture = await startGateFixture(2);
   await placeOnBusyWorker(fixture);
@@ -141,7 +115,6 @@
   });
   let isReset = true;
   let refusals = 0;
-  let processEnds = 0;
   const watched = watchConnections(
     {
       ...port,
@@ -153,13 +126,8 @@
           : port.renewLease(order),
     },
     timers,
-    {
-      failed: () => {
-        refusals += 1;
-      },
-      refused: () => {
-        processEnds += 1;
-      },
+    () => {
+      refusals += 1;
     },
   );
   const renew = async (): Promise<void> => {
@@ -177,7 +145,7 @@
   isReset = false;
   await renew();
   await timers.advance(40);
-  t.deepEqual([refusals, processEnds], [0, 0]);
+  t.is(refusals, 0);
   crash();
   await renew();
   await timers.advance(40);
--- a/packages/worker-gate/src/fakes/fake-worker-state.ts
+++ b/packages/worker-gate/src/fakes/fake-worker-state.ts
@@ -34,8 +34,6 @@
   nextStartDelayMilliseconds: Milliseconds | undefined;
   /** Fault: the next start order is executed, and its reply is lost. */
   shouldLoseNextReply: boolean;
-  /** Fault: the connection of each order ends before it arrives. */
-  breaksConnections: boolean;
   /** Fault: the reply to the renewals that wait now is lost. */
   loseWaitingRenewals(): void;
   /** Fault: orders are executed, and their replies are lost. */
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -19,11 +19,7 @@
   type WorkerReply,
 } from '../ports/worker.js';
 import type { FakeRun, FakeWorker } from './fake-worker-state.js';
-import {
-  createConnectionError,
-  createRefusedError,
-  failWithTimeout,
-} from './worker-errors.js';
+import { createConnectionError, failWithTimeout } from './worker-errors.js';
 
 const defaultReplyTimeoutMilliseconds: Milliseconds = 250;
 const maximumLeaseMilliseconds: Milliseconds = 1_000;
@@ -143,9 +139,7 @@
     order: WorkerOrder,
     carryOut: () => Reply,
   ): Promise<Result<Reply, WorkerCallError>> => {
-    if (hasCrashed) return err(createRefusedError(run.workerId));
-    if (worker.breaksConnections)
-      return err(createConnectionError(run.workerId));
+    if (hasCrashed) return err(createConnectionError(run.workerId));
     if (worker.isSilent)
       return await failWithTimeout(timers, run.workerId, order);
     const delay = worker.replyDelayMilliseconds;
@@ -208,7 +202,6 @@
     nextStartDelayMilliseconds: undefined,
     shouldLoseNextReply: false,
     losesReplies: false,
-    breaksConnections: false,
     replyDelayMilliseconds: 1,
     isUnhealthy: false,
     runMilliseconds: 100,
--- a/packages/worker-gate/src/fakes/worker-errors.ts
+++ b/packages/worker-gate/src/fakes/worker-errors.ts
@@ -1,9 +1,5 @@
 /** Errors of orders to the fake worker. */
-import {
-  ConnectionError,
-  ConnectionRefusedError,
-  TimeoutError,
-} from '@cranberryturn/errors';
+import { ConnectionError, TimeoutError } from '@cranberryturn/errors';
 import { sleep, type TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 import { err, type Result } from 'neverthrow';
@@ -27,17 +23,9 @@
   );
 }
 
-/** The error of a connection that ends before the reply. */
+/** The error of a worker that accepts no connections. */
 export function createConnectionError(peer: string): WorkerCallError {
-  return new ConnectionError('The connection to the worker ended.', {
-    step: 'call worker',
-    peer,
-  });
-}
-
-/** The error of a worker whose process has ended. */
-export function createRefusedError(peer: string): WorkerCallError {
-  return new ConnectionRefusedError('The worker accepts no connections.', {
+  return new ConnectionError('The worker refused the connection.', {
     step: 'call worker',
     peer,
   });
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -22,7 +22,6 @@
 import { DispatcherSessions } from './dispatcher-sessions.js';
 import { EvacuationGuard } from './evacuation-guard.js';
 import { Fencing } from './fencing.js';
-import { handleProcessEnd } from './handle-process-end.js';
 import { QueuePresences } from './queue-presence.js';
 import { SessionPhase } from './session-phase.js';
 import { watchConnections } from './watch-connections.js';
@@ -184,17 +183,10 @@
     logger.info('worker found', { ...worker });
     const opened: WorkerExecutor = new WorkerExecutor({
       worker,
-      port: watchConnections(options.openWorker(worker, bornAt), timers, {
-        failed: () => {
-          if (latestReport?.draining === true) return;
-          const runs = opened.listActiveRuns();
-          crashes.record(worker, runs, CrashEvidence.ConnectionRefused);
-        },
-        refused: () => {
-          // A worker that has just registered may not listen yet, and one that leaves may listen no more.
-          if (latestReport?.draining === true || !opened.lease.isReady) return;
-          handleProcessEnd(opened, timers);
-        },
+      port: watchConnections(options.openWorker(worker, bornAt), timers, () => {
+        if (latestReport?.draining === true) return;
+        const runs = opened.listActiveRuns();
+        crashes.record(worker, runs, CrashEvidence.ConnectionRefused);
       }),
       presences,
       timers,
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -33,8 +33,6 @@
 import { WorkerClock } from './worker-clock.js';
 import type { WorkerExecutorOptions } from './worker-executor-options.js';
 
-type MatchesRun = (run: ActiveRun) => boolean;
-
 /** Executor for one incarnation of a worker. Each accepted run is reported exactly once when it ends. */
 export class WorkerExecutor {
   readonly options: WorkerExecutorOptions;
@@ -183,10 +181,12 @@
     this.#releaseRun(run);
     this.pauseStarts(pauseMilliseconds);
     run.phase = RunPhase.Waiting;
-    const reason =
-      run.stopReason ?? (this.#isClosed ? RunEndReason.WorkerGone : undefined);
-    if (reason === undefined) this.#runs.waiting.add(run);
-    else this.endRun(run, RunOutcome.NotStarted, reason);
+    if (run.stopReason === undefined && !this.#isClosed) {
+      this.#runs.waiting.add(run);
+      return;
+    }
+    const reason = run.stopReason ?? RunEndReason.WorkerGone;
+    this.endRun(run, RunOutcome.NotStarted, reason);
   }
 
   /** Starts no runs for the length of the pause. */
@@ -236,25 +236,18 @@
 
   /** Handles a worker silent for longer than its lease: no run is active there any more. */
   handleLeaseExpiry(): void {
-    this.interruptRuns(RunEndReason.WorkerSilent);
+    this.#interruptActiveRuns(RunEndReason.WorkerSilent);
     this.#refuseWaitingRuns(RunEndReason.WorkerSilent, () => true);
     this.options.stateChanged();
   }
 
-  /** Ends active runs that are not active at the worker any more. */
-  interruptRuns(reason: RunEndReason, matches: MatchesRun = () => true): void {
-    const runs = this.listActiveRuns().filter(matches);
-    this.options.runsLost(runs);
-    for (const run of runs) this.endRun(run, RunOutcome.Interrupted, reason);
-  }
-
   /** Ends all runs of an incarnation that no longer executes any. */
   close(reason: RunEndReason): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
     this.#overdueTimer.cancel();
     this.#lease.stop();
-    this.interruptRuns(reason);
+    this.#interruptActiveRuns(reason);
     this.#refuseWaitingRuns(reason, () => true);
     this.options.port.close();
     this.options.incarnationEnded(reason);
@@ -297,10 +290,20 @@
     this.#runs.waiting.add(run);
   }
 
-  #stopMatchingRuns(reason: RunEndReason, matches: MatchesRun): void {
+  #stopMatchingRuns(
+    reason: RunEndReason,
+    matches: (run: ActiveRun) => boolean,
+  ): void {
     this.#refuseWaitingRuns(reason, matches);
-    for (const run of this.listActiveRuns().filter(matches))
-      this.#stopActiveRun(run, reason);
+    for (const run of this.listActiveRuns()) {
+      if (matches(run)) this.#stopActiveRun(run, reason);
+    }
+  }
+
+  #interruptActiveRuns(reason: RunEndReason): void {
+    const runs = this.listActiveRuns();
+    this.options.runsLost(runs);
+    for (const run of runs) this.endRun(run, RunOutcome.Interrupted, reason);
   }
 
   #stopActiveRun(run: ActiveRun, reason: RunEndReason): void {
@@ -309,7 +312,10 @@
     if (run.phase === RunPhase.Running) void stopRun(this, run);
   }
 
-  #refuseWaitingRuns(reason: RunEndReason, matches: MatchesRun): void {
+  #refuseWaitingRuns(
+    reason: RunEndReason,
+    matches: (run: ActiveRun) => boolean,
+  ): void {
     for (const run of this.#runs.waiting.takeMatching(matches)) {
       this.endRun(run, RunOutcome.NotStarted, reason);
     }
