Let only hosts with half of the processors of the largest coordinate workers

Cause: where the six large hosts of a grown deployment were off, coordination fell to hosts with 0.32 of a core. Requests took 20 ms there, and half of them were not answered in time.

Change: without a large host no dispatcher coordinates, and tasks are placed by load reports.

--- a/packages/worker-gate/src/coordination/choose-coordinator.test.ts
+++ b/packages/worker-gate/src/coordination/choose-coordinator.test.ts
@@ -3,11 +3,15 @@
 
 import { chooseCoordinator, rankCoordinators } from './choose-coordinator.js';
 
-function listDispatchers(count: number, large = 0): readonly KnownDispatcher[] {
+function listDispatchers(
+  count: number,
+  large = 0,
+  smallProcessors = 0.54,
+): readonly KnownDispatcher[] {
   return Array.from({ length: count }, (_, number) => ({
     dispatcherId: `dispatcher-${String(number)}`,
     address: { address: '10.0.0.1', port: 7_700 + number },
-    processors: number < large ? 1.35 : 0.675,
+    processors: number < large ? 1.08 : smallProcessors,
   }));
 }
 
@@ -68,3 +72,9 @@
     undefined,
   );
 });
+
+test('hosts with less than half of the processors of the largest do not coordinate', t => {
+  const ranked = rankCoordinators('sidecar', listDispatchers(18, 6, 0.324));
+  t.is(ranked.length, 6);
+  t.true(ranked.every(({ processors }) => processors === 1.08));
+});
--- a/packages/worker-gate/src/coordination/choose-coordinator.ts
+++ b/packages/worker-gate/src/coordination/choose-coordinator.ts
@@ -14,6 +14,8 @@
 
 /** One dispatcher of this many coordinates workers, so that no queue grows with the number of dispatchers. */
 const dispatchersPerCoordinator = 6;
+/** Processors of a host that may coordinate, as a part of those of the largest one. */
+const minimumSizeShare = 0.5;
 const rankingSalt = 'coordinator';
 
 /** The dispatchers that may coordinate the worker of a sidecar, the preferred one first. */
@@ -22,7 +24,7 @@
   dispatchers: readonly Candidate[],
 ): readonly Candidate[] {
   const count = Math.ceil(dispatchers.length / dispatchersPerCoordinator);
-  const ranked = sortBySize(dispatchers);
+  const ranked = sortBySize(selectLarge(dispatchers));
   const coordinators = sortByWeight(sidecar, ranked.slice(0, count));
   return [...coordinators, ...ranked.slice(count)];
 }
@@ -36,6 +38,18 @@
     ?.dispatcherId;
 }
 
+/** A small host would be busy with coordination alone; without a large one tasks are placed by load reports. */
+function selectLarge<Candidate extends CoordinatorCandidate>(
+  dispatchers: readonly Candidate[],
+): readonly Candidate[] {
+  const largest = Math.max(
+    ...dispatchers.map(({ processors = 0 }) => processors),
+  );
+  return dispatchers.filter(
+    ({ processors = 0 }) => processors >= largest * minimumSizeShare,
+  );
+}
+
 /** The largest hosts first, as coordination takes processor time. */
 function sortBySize<Candidate extends CoordinatorCandidate>(
   dispatchers: readonly Candidate[],
