Show that the metrics of the shared queue rise

They rise beside transient jobs only, which the local system does not run: listed with the other metrics of these jobs, and checked in shared-queue.test.ts.

--- a/packages/local/src/every-metric.test.ts
+++ b/packages/local/src/every-metric.test.ts
@@ -47,8 +47,9 @@
 });
 
 /**
- * The local system runs no transient jobs. That these rise is shown beside these jobs, in evacuations.test.ts and
- * crashes/deadly-tasks.test.ts of the package transient-jobs, and in crash-reports.test.ts of worker-gate.
+ * The local system runs no transient jobs. That these rise is shown beside these jobs, in evacuations.test.ts,
+ * crashes/deadly-tasks.test.ts and shared-queue/shared-queue.test.ts of the package transient-jobs, and in
+ * crash-reports.test.ts of worker-gate.
  */
 const transientJobMetrics: readonly string[] = [
   Counter.RunsReturnedEvacuated,
@@ -56,7 +57,11 @@
   Counter.RunsLostInCrashes,
   Counter.QueuesConfined,
   Counter.RunsIsolated,
+  Counter.CapacityGrants,
+  Counter.CapacityGrantsExpired,
+  Counter.CapacityRequestsUnanswered,
   Gauge.SidecarsUnconfirmed,
+  Distribution.CapacityWaitMilliseconds,
 ];
 
 test('every declared metric rises above zero in a short run', async t => {
