Bound what a coordinator that is behind costs, and refuse waiting jobs once they are of no use

Tasks waited there while workers of other coordinators were free, and jobs that nobody wanted any more were held until their deadline.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -55,6 +55,8 @@
   priority: number;
   /** Whether the job was admitted; it is not while the first request for capacity is open. */
   isAdmitted: boolean;
+  /** Whether a task of the job was ever placed: a refusal would not be true any more. */
+  mayHaveStarted: boolean;
   /** Number of callers that wait for the job. */
   callers: number;
   end: TransientJobEnd | undefined;
@@ -88,6 +90,7 @@
     tasks,
     priority: job.queue.priority,
     isAdmitted: false,
+    mayHaveStarted: false,
     callers: 0,
     end: undefined,
     expiry: undefined,
--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -74,6 +74,25 @@
   return Math.max(0, useful - heldMilliseconds - criticalPathMilliseconds);
 }
 
+/** When the result of an admitted job has no value for the caller any more. */
+export function computeUsefulEnd({
+  admittedAt,
+  dueAt,
+  deadlineAt,
+  heldMilliseconds,
+}: {
+  readonly admittedAt: Milliseconds;
+  readonly dueAt: Milliseconds;
+  readonly deadlineAt: Milliseconds;
+  readonly heldMilliseconds: Milliseconds;
+}): Milliseconds {
+  const arrivedAt = admittedAt - heldMilliseconds;
+  return Math.min(
+    deadlineAt,
+    arrivedAt + (dueAt - arrivedAt) * latestUsefulFactor,
+  );
+}
+
 /** Returns why a job is refused that no worker can take now; undefined when its tasks can be placed. */
 export function decideWithoutRoom({
   queue,
--- a/packages/transient-jobs/src/job-starter.ts
+++ b/packages/transient-jobs/src/job-starter.ts
@@ -7,7 +7,7 @@
 
 import { type ActiveJob, TaskPhase } from './active-job.js';
 import type { CrashContainment } from './crashes/crash-containment.js';
-import { reportAdmission } from './describe-end.js';
+import { createRefusal, reportAdmission } from './describe-end.js';
 import { type ExpectedPlacement, findJobRefusal } from './find-job-refusal.js';
 import type { KnownWorker } from './known-worker.js';
 import { PlacementRetry } from './placement-retry.js';
@@ -21,6 +21,8 @@
 import type { WorkerDirectory } from './worker-directory.js';
 
 const placementRetryMilliseconds: Milliseconds = 20;
+/** Retry time sent to the caller of a job that waited in vain: the workers are far beyond their capacity. */
+const expiredRetryMilliseconds: Milliseconds = 1_000;
 /** The placement of a job whose capacity is requested: its wait is not known before the answer. */
 const requestedPlacement: ExpectedPlacement = {
   longestWaitMilliseconds: 0,
@@ -139,7 +141,7 @@
   }
 
   #createSharedQueue(): SharedQueue | undefined {
-    const { sharedQueue, scarcity, placer } = this.#options;
+    const { sharedQueue, scarcity, placer, timers } = this.#options;
     if (sharedQueue === false || scarcity !== undefined) return undefined;
     return new SharedQueue({
       ...this.#options,
@@ -155,6 +157,14 @@
         if (refusal === undefined) this.#placeByReports(active);
         else this.#options.endJob(active, refusal);
       },
+      expired: active => {
+        const waited = timers.now() - active.admittedAt;
+        const reason = `no capacity was free for ${waited.toFixed(0)} ms, and the job would end too late to be of use`;
+        this.#options.endJob(
+          active,
+          createRefusal(reason, expiredRetryMilliseconds),
+        );
+      },
       returned: active => {
         if (this.#suspensionPause.isPaused()) this.placeTasks(active);
         else this.#placeByReports(active);
--- a/packages/transient-jobs/src/shared-queue/capacity-client.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-client.ts
@@ -2,17 +2,12 @@
  * Requests capacity for the tasks of this dispatcher from the coordinators of the workers. A coordinator that does not
  * answer is not waited for: its tasks are placed by load reports, as without it.
  */
-import type { Logger } from '@cranberryturn/logger';
-import { Counter, type Metrics } from '@cranberryturn/metrics';
-import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
+import { Counter } from '@cranberryturn/metrics';
+import type { TimerSubscription } from '@cranberryturn/timers';
 import type {
   CapacityGrant,
-  CapacityRequest,
   DispatcherId,
-  GrantKey,
   Milliseconds,
-  ServiceName,
-  TargetId,
 } from '@cranberryturn/types';
 import {
   FromCoordinatorKind,
@@ -21,67 +16,28 @@
 } from '@cranberryturn/wire';
 
 import { type ActiveJob, type ActiveTask, TaskPhase } from '../active-job.js';
-import { isUsable, type KnownWorker } from '../known-worker.js';
-import type { JobStep, TransientJob } from '../transient-job.js';
+import type { TransientJob } from '../transient-job.js';
+import type {
+  CapacityClientOptions,
+  RequestedTasks,
+} from './capacity-client-options.js';
 import { CoordinatorChoice } from './coordinator-choice.js';
-import type { CoordinatorLinks } from './coordinator-links.js';
 
-/** A coordinator answers within a few milliseconds, unless it or the network is in trouble. */
-const answerTimeoutMilliseconds: Milliseconds = 30;
-/** While requests wait, their coordinator sends a message every 50 ms. */
-const standingTimeoutMilliseconds: Milliseconds = 150;
+/** A coordinator answers within a few milliseconds, or some ten after an outage; the shortest jobs bear this delay once. */
+const answerTimeoutMilliseconds: Milliseconds = 60;
+/** While requests wait, their coordinator sends a message every 100 ms. */
+const standingTimeoutMilliseconds: Milliseconds = 300;
 /** Messages that arrived while this process was busy are handled before a timeout counts. */
 const backlogMilliseconds: Milliseconds = 3;
 
-/** Tasks to request capacity for, which are placed alike. */
-export interface RequestedTasks {
-  readonly active: ActiveJob;
-  readonly step: JobStep;
-  readonly tasks: readonly ActiveTask[];
-  /** The request, but for its number and the workers that cannot be used. */
-  readonly request: Omit<
-    CapacityRequest,
-    'request' | 'tasks' | 'excludedWorkers'
-  >;
-  /** Workers to use only when no other is left. */
-  readonly excludedWorkers: ReadonlySet<TargetId>;
-}
-
-/** Dependencies and event handlers of the client. */
-export interface CapacityClientOptions {
-  readonly dispatcherId: DispatcherId;
-  readonly timers: TimerService;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly links: Pick<CoordinatorLinks, 'isConnected' | 'sendToCoordinator'>;
-  readonly listWorkers: (service: ServiceName) => Iterable<KnownWorker>;
-  readonly findWorker: (workerId: TargetId) => KnownWorker | undefined;
-  /** Capacity was granted for some tasks; they are placed at once. */
-  readonly granted: (
-    requested: RequestedTasks,
-    tasks: readonly ActiveTask[],
-    known: KnownWorker,
-    grant: GrantKey,
-  ) => void;
-  /** The coordinator has accepted a request, some of whose tasks may wait. */
-  readonly accepted: (
-    requested: RequestedTasks,
-    waitMilliseconds: Milliseconds,
-  ) => void;
-  /** The coordinator has refused a request. None of its tasks has a grant. */
-  readonly refused: (
-    requested: RequestedTasks,
-    waitMilliseconds: Milliseconds,
-  ) => void;
-  /** Whether tasks may be placed now; not shortly after this process was suspended. */
-  readonly mayPlace: () => boolean;
-  /** Some requested tasks of the job wait again, and are to be placed without a grant. */
-  readonly returned: (active: ActiveJob) => void;
-}
+/** Bounds the messages for a request where many coordinate workers of a service. */
+const maximumTries = 3;
 
 interface OpenRequest {
   readonly number: number;
   readonly coordinator: DispatcherId;
+  /** The coordinators that the tasks were requested from, this one included. */
+  readonly tried: ReadonlySet<DispatcherId>;
   readonly requested: RequestedTasks;
   /** Tasks without a grant. */
   tasks: readonly ActiveTask[];
@@ -105,9 +61,12 @@
   }
 
   /** Requests capacity. False without a coordinator that can grant it. */
-  request(requested: RequestedTasks): boolean {
+  request(
+    requested: RequestedTasks,
+    tried: ReadonlySet<DispatcherId> = new Set(),
+  ): boolean {
     const { service } = requested.request;
-    const coordinator = this.#choice.choose(service, requested.step);
+    const coordinator = this.#choice.choose(service, requested.step, tried);
     if (coordinator === undefined) return false;
     const { links, timers } = this.#options;
     this.#lastRequest += 1;
@@ -115,6 +74,7 @@
     const open: OpenRequest = {
       number,
       coordinator,
+      tried: new Set([...tried, coordinator]),
       requested,
       tasks: requested.tasks,
       isAnswered: false,
@@ -130,7 +90,7 @@
         ...requested.request,
         request: number,
         tasks: requested.tasks.length,
-        excludedWorkers: this.#listExcluded(requested, coordinator),
+        excludedWorkers: this.#choice.listExcluded(requested, coordinator),
       },
     });
     return true;
@@ -151,7 +111,7 @@
 
   /** Handles a message of a coordinator. */
   handle(coordinator: DispatcherId, message: FromCoordinatorMessage): void {
-    this.#choice.recordHeard(coordinator, message.capacity);
+    this.#choice.recordCapacity(coordinator, message.capacity);
     switch (message.kind) {
       case FromCoordinatorKind.Grants:
         this.#handleGrants(coordinator, message.request, message.grants);
@@ -162,6 +122,9 @@
       case FromCoordinatorKind.Returned:
         this.#handleReturn(message.request);
         return;
+      case FromCoordinatorKind.Expired:
+        this.#handleExpiry(message.request);
+        return;
       case FromCoordinatorKind.Standing:
         for (const request of message.requests) {
           const open = this.#requests.get(request);
@@ -172,32 +135,13 @@
     }
   }
 
-  /** Uses a coordinator again whose connection stands again. */
-  coordinatorConnected(coordinator: DispatcherId): void {
-    this.#choice.recordHeard(coordinator);
-  }
-
   /** Places the tasks of all requests at a coordinator that is silent or has lost its connection. */
   coordinatorLost(coordinator: DispatcherId): void {
-    this.#choice.recordSilence(coordinator);
+    this.#choice.forget(coordinator);
     for (const open of this.#requests.values())
       if (open.coordinator === coordinator) this.#giveUp(open);
   }
 
-  #listExcluded(
-    { excludedWorkers, request }: RequestedTasks,
-    coordinator: DispatcherId,
-  ): readonly TargetId[] {
-    const { timers, listWorkers } = this.#options;
-    const now = timers.now();
-    const excluded = new Set(excludedWorkers);
-    for (const known of listWorkers(request.service)) {
-      const isCoordinated = known.coordination.coordinator === coordinator;
-      if (isCoordinated && !isUsable(known, now)) excluded.add(known.workerId);
-    }
-    return [...excluded];
-  }
-
   #handleGrants(
     coordinator: DispatcherId,
     request: number,
@@ -208,7 +152,9 @@
       this.#returnGrants(coordinator, grants);
       return;
     }
+    const isFirstAnswer = !open.isAnswered;
     open.isAnswered = true;
+    this.#choice.recordAnswer(coordinator);
     const { requested } = open;
     const unusable: CapacityGrant[] = [];
     const mayPlace = this.#options.mayPlace();
@@ -226,22 +172,49 @@
       const { grant } = one;
       this.#options.granted(requested, tasks, known, { coordinator, grant });
     }
-    if (open.tasks.length > 0) this.#expectStanding(open);
-    else this.#forget(open);
+    if (open.tasks.length === 0) this.#forget(open);
+    else if (!isFirstAnswer || !this.#move(open)) this.#expectStanding(open);
     if (unusable.length === 0) return;
     this.#returnGrants(coordinator, unusable);
     this.#options.returned(requested.active);
   }
 
+  /** Moves tasks that wait to a coordinator which seems to have capacity for them. False where none does. */
+  #move(open: OpenRequest): boolean {
+    const { coordinator, tried, requested, tasks } = open;
+    if (tried.size >= maximumTries) return false;
+    const other = this.#choice.chooseBetter(requested, coordinator, tried);
+    if (other === undefined) return false;
+    this.#withdraw(open);
+    const request = {
+      ...requested.request,
+      maximumWaitMilliseconds: undefined,
+    };
+    return this.request({ ...requested, tasks, request }, tried);
+  }
+
   #handleReturn(request: number): void {
     const open = this.#requests.get(request);
     if (open !== undefined) this.#giveUp(open);
   }
 
+  #handleExpiry(request: number): void {
+    const open = this.#requests.get(request);
+    if (open === undefined) return;
+    this.#forget(open);
+    for (const task of open.tasks) task.phase = TaskPhase.Waiting;
+    const { active } = open.requested;
+    if (active.mayHaveStarted) this.#options.returned(active);
+    else this.#options.expired(active);
+  }
+
   #handleRefusal(request: number, waitMilliseconds: Milliseconds): void {
     const open = this.#requests.get(request);
     if (open === undefined) return;
     this.#forget(open);
+    this.#choice.recordAnswer(open.coordinator);
+    const mayTry = open.tried.size < maximumTries;
+    if (mayTry && this.request(open.requested, open.tried)) return;
     for (const task of open.tasks) task.phase = TaskPhase.Waiting;
     this.#options.refused(open.requested, waitMilliseconds);
   }
--- a/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
@@ -22,20 +22,21 @@
   type FromCoordinatorMessage,
 } from '@cranberryturn/wire';
 
-import { chooseWorkers } from '../choose-workers.js';
 import { isUsable, type KnownWorker } from '../known-worker.js';
 import {
   CapacityQueue,
   computeWork,
+  isExpired,
   type QueuedRequest,
 } from './capacity-queue.js';
 import { estimateWait } from './estimate-wait.js';
 import { GrantLedger } from './grant-ledger.js';
 import { GrantedWork } from './granted-work.js';
+import { planGrants, type PlannedGrant } from './plan-grants.js';
 import { canBeServed, hasRoom, isTooLong, sumLoads } from './worker-pool.js';
 
 /** Interval of the checks, and of the messages to dispatchers whose requests wait. */
-const checkIntervalMilliseconds: Milliseconds = 50;
+const checkIntervalMilliseconds: Milliseconds = 100;
 
 /** Dependencies of a coordinator. */
 export interface CapacityCoordinatorOptions {
@@ -65,16 +66,11 @@
     this.#options = options;
     this.#ticker = options.timers.every(checkIntervalMilliseconds, () => {
       this.#expireGrants();
-      this.#returnUnservable();
+      this.#dropHopeless();
       this.#reportStanding();
     });
   }
 
-  /** Number of requests that wait. */
-  get waitingRequests(): number {
-    return this.#queue.size;
-  }
-
   /** Grants what is free, and queues the rest of the request or refuses all of it. */
   request(dispatcher: DispatcherId, request: CapacityRequest): void {
     const now = this.#options.timers.now();
@@ -82,12 +78,13 @@
       dispatcher,
       request,
       dueAt: now + request.dueMilliseconds,
+      usefulUntil: now + (request.usefulMilliseconds ?? Infinity),
       arrivedAt: now,
       tasks: request.tasks,
     };
     const workers = this.#listUsable(request.service);
     if (!canBeServed(entry, workers)) {
-      this.#return([entry]);
+      this.#giveBack([entry], FromCoordinatorKind.Returned);
       return;
     }
     const planned = this.#plan(entry, workers);
@@ -135,13 +132,17 @@
   grantWaiting(candidates?: readonly KnownWorker[]): void {
     if (this.#queue.size === 0) return;
     const now = this.#options.timers.now();
-    for (const entry of this.#queue.listByUrgency(now)) {
-      const workers = candidates ?? this.#listUsable(entry.request.service);
-      if (!workers.some(one => hasRoom(one, entry.request))) continue;
+    const listCandidates = this.#cacheUsable(candidates);
+    let hasGranted = false;
+    this.#queue.visitByUrgency(now, entry => {
+      const workers = listCandidates(entry.request.service);
+      if (!workers.some(one => hasRoom(one, entry.request))) return;
       const planned = this.#plan(entry, workers);
-      if (planned.length > 0) this.#grant(entry, planned);
-    }
-    this.#queue.removeMatching(({ tasks }) => tasks === 0);
+      if (planned.length === 0) return;
+      this.#grant(entry, planned);
+      hasGranted = true;
+    });
+    if (hasGranted) this.#queue.removeMatching(({ tasks }) => tasks === 0);
   }
 
   close(): void {
@@ -160,37 +161,30 @@
     return listWorkers(service).filter(known => isUsable(known, now));
   }
 
+  /** Lists the candidates, or else the usable workers of a service, once for many requests. */
+  #cacheUsable(
+    candidates?: readonly KnownWorker[],
+  ): (service: ServiceName) => readonly KnownWorker[] {
+    const usable = new Map<ServiceName, readonly KnownWorker[]>();
+    return service => {
+      const known = candidates ?? usable.get(service);
+      if (known !== undefined) return known;
+      const listed = this.#listUsable(service);
+      usable.set(service, listed);
+      return listed;
+    };
+  }
+
   #plan(
-    { dispatcher, request, tasks }: QueuedRequest,
+    entry: QueuedRequest,
     workers: readonly KnownWorker[],
   ): readonly PlannedGrant[] {
     const { random, timers, remoteFactor } = this.#options;
-    const { hosts, need, dataLabel, service } = request;
-    return chooseWorkers(
-      {
-        step: { need, dataLabel },
-        priority: request.priority,
-        estimateMilliseconds: request.estimatedMilliseconds,
-        tasks,
-        dataCentre: request.dataCentre,
-        remoteFactor,
-        excludedWorkers: new Set(request.excludedWorkers),
-        hosts: hosts && {
-          confinedTo: hosts.confinedTo && new Set(hosts.confinedTo),
-          avoided: new Set(hosts.avoided),
-          excluded: new Set(hosts.excluded),
-        },
-        mustStartAtOnce: true,
-        placedTasks: noPlacedTasks,
-      },
-      workers.filter(
-        ({ coordination, worker }) =>
-          worker.service === service &&
-          coordination.dispatchers.has(dispatcher),
-      ),
+    return planGrants(entry, workers, {
       random,
-      timers.now(),
-    );
+      remoteFactor,
+      now: timers.now(),
+    });
   }
 
   #grant(entry: QueuedRequest, planned: readonly PlannedGrant[]): void {
@@ -244,8 +238,16 @@
     });
   }
 
-  #measureCapacity(service: ServiceName): CoordinatedCapacity {
-    const load = sumLoads(this.#listUsable(service));
+  /** The capacity of the workers that a dispatcher can reach. */
+  #measureCapacity(
+    service: ServiceName,
+    dispatcher: DispatcherId,
+  ): CoordinatedCapacity {
+    const load = sumLoads(
+      this.#listUsable(service).filter(({ coordination }) =>
+        coordination.dispatchers.has(dispatcher),
+      ),
+    );
     return {
       freeProcessors: load.processors - load.busyProcessors,
       waitMilliseconds: estimateWait({
@@ -263,7 +265,7 @@
   ): void {
     this.#options.send(dispatcher, {
       ...body,
-      capacity: this.#measureCapacity(request.service),
+      capacity: this.#measureCapacity(request.service, dispatcher),
     });
   }
 
@@ -278,33 +280,33 @@
     this.grantWaiting();
   }
 
-  /** Returns requests that no worker of this coordinator can serve now; others may. */
-  #returnUnservable(): void {
+  /** Gives back requests that no worker of this coordinator can serve now, and those that are of no use any more. */
+  #dropHopeless(): void {
     if (this.#queue.size === 0) return;
-    this.#return(
+    const now = this.#options.timers.now();
+    const listUsable = this.#cacheUsable();
+    this.#giveBack(
+      this.#drop(entry => isExpired(entry, now)),
+      FromCoordinatorKind.Expired,
+    );
+    this.#giveBack(
       this.#drop(
-        entry => !canBeServed(entry, this.#listUsable(entry.request.service)),
+        entry => !canBeServed(entry, listUsable(entry.request.service)),
       ),
+      FromCoordinatorKind.Returned,
     );
   }
 
-  #return(entries: readonly QueuedRequest[]): void {
-    for (const entry of entries) {
-      this.#send(entry, {
-        kind: FromCoordinatorKind.Returned,
-        request: entry.request.request,
-      });
-    }
+  #giveBack(
+    entries: readonly QueuedRequest[],
+    kind: FromCoordinatorKind.Returned | FromCoordinatorKind.Expired,
+  ): void {
+    for (const entry of entries)
+      this.#send(entry, { kind, request: entry.request.request });
   }
 
   #reportStanding(): void {
-    const requests = new Map<DispatcherId, QueuedRequest[]>();
-    for (const entry of this.#queue.listByUrgency(this.#options.timers.now())) {
-      const others = requests.get(entry.dispatcher) ?? [];
-      others.push(entry);
-      requests.set(entry.dispatcher, others);
-    }
-    for (const entries of requests.values()) {
+    for (const entries of this.#queue.groupByDispatcher().values()) {
       const [first] = entries;
       if (first === undefined) continue;
       this.#send(first, {
@@ -314,7 +316,3 @@
     }
   }
 }
-
-type PlannedGrant = ReturnType<typeof chooseWorkers>[number];
-
-const noPlacedTasks: ReadonlyMap<string, number> = new Map();
--- a/packages/transient-jobs/src/shared-queue/capacity-decisions.test.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-decisions.test.ts
@@ -2,7 +2,11 @@
 import test from 'ava';
 
 import { oneProcessor } from '../fakes/create-job.js';
-import { CapacityQueue, type QueuedRequest } from './capacity-queue.js';
+import {
+  CapacityQueue,
+  isExpired,
+  type QueuedRequest,
+} from './capacity-queue.js';
 import { estimateWait } from './estimate-wait.js';
 import { GrantedWork } from './granted-work.js';
 
@@ -25,7 +29,14 @@
     dueMilliseconds: dueAt,
     excludedWorkers: [],
   };
-  return { dispatcher: name, request, dueAt, arrivedAt: 0, tasks: 2 };
+  return {
+    dispatcher: name,
+    request,
+    dueAt,
+    usefulUntil: 3 * dueAt,
+    arrivedAt: 0,
+    tasks: 2,
+  };
 }
 
 test('requests are served by priority, then those that can end in time, then by due time', t => {
@@ -35,10 +46,15 @@
   queue.add(createEntry('urgent and late', 0, 50));
   queue.add(createEntry('urgent', 0, 800));
   queue.add(createEntry('urgent and due', 0, 400));
-  t.deepEqual(
-    queue.listByUrgency(0).map(({ dispatcher }) => dispatcher),
-    ['urgent and due', 'urgent', 'urgent and late', 'usual', 'usual and late'],
-  );
+  const visited: string[] = [];
+  queue.visitByUrgency(0, ({ dispatcher }) => visited.push(dispatcher));
+  t.deepEqual(visited, [
+    'urgent and due',
+    'urgent',
+    'urgent and late',
+    'usual',
+    'usual and late',
+  ]);
 });
 
 test('the work before a request is that of the more urgent ones, not of those behind it or late anyway', t => {
@@ -87,3 +103,10 @@
   t.is(granted.measureMoreUrgent(1, 0), 1);
   t.true(granted.measureMoreUrgent(1, 3_000) < 0.1);
 });
+
+test('a request expires when its job cannot be of use any more, unless some of its tasks have a grant', t => {
+  const entry = createEntry('request', 1, 300);
+  t.false(isExpired(entry, 800));
+  t.true(isExpired(entry, 801));
+  t.false(isExpired({ ...entry, tasks: 1 }, 801));
+});
--- a/packages/transient-jobs/src/shared-queue/capacity-queue.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-queue.ts
@@ -12,6 +12,8 @@
   readonly request: CapacityRequest;
   /** When the job should have ended. */
   readonly dueAt: Milliseconds;
+  /** When the end of the job is of no use any more, while nothing was granted for it. */
+  readonly usefulUntil: Milliseconds;
   readonly arrivedAt: Milliseconds;
   /** Number of tasks without a grant. */
   tasks: number;
@@ -40,28 +42,45 @@
     matches: (entry: QueuedRequest) => boolean,
   ): readonly QueuedRequest[] {
     const removed = this.#entries.filter(matches);
+    const isRemoved = new Set(removed);
     if (removed.length > 0)
-      this.#entries = this.#entries.filter(entry => !matches(entry));
+      this.#entries = this.#entries.filter(entry => !isRemoved.has(entry));
     return removed;
   }
 
+  groupByDispatcher(): ReadonlyMap<DispatcherId, readonly QueuedRequest[]> {
+    const groups = new Map<DispatcherId, QueuedRequest[]>();
+    for (const entry of this.#entries) {
+      const group = groups.get(entry.dispatcher) ?? [];
+      group.push(entry);
+      groups.set(entry.dispatcher, group);
+    }
+    return groups;
+  }
+
   /**
-   * The requests in the order in which they get capacity: by priority, then those that can still end in time, then by
-   * due time. A job that is late anyway does not make the next one late as well.
+   * Visits the requests in the order in which they get capacity: by priority, then those that can still end in time,
+   * then by due time. A job that is late anyway does not make the next one late as well.
    */
-  listByUrgency(now: Milliseconds): readonly QueuedRequest[] {
-    const ordered: QueuedRequest[] = [];
-    let late: QueuedRequest[] = [];
-    let priority = 0;
-    for (const entry of this.#entries) {
-      if (entry.request.priority !== priority) {
-        ordered.push(...late);
-        late = [];
-        ({ priority } = entry.request);
+  visitByUrgency(
+    now: Milliseconds,
+    visit: (entry: QueuedRequest) => void,
+  ): void {
+    const entries = this.#entries;
+    let first = 0;
+    while (first < entries.length) {
+      const priority = entries[first]?.request.priority;
+      let end = first;
+      while (entries[end]?.request.priority === priority) end += 1;
+      for (const isInTime of [true, false]) {
+        for (let position = first; position < end; position += 1) {
+          const entry = entries[position];
+          if (entry !== undefined && canEndInTime(entry, now) === isInTime)
+            visit(entry);
+        }
       }
-      (canEndInTime(entry, now) ? ordered : late).push(entry);
+      first = end;
     }
-    return [...ordered, ...late];
   }
 
   /** Requested work of a service, in processor-milliseconds. */
@@ -88,6 +107,15 @@
   }
 }
 
+/** Whether the job of a request without any grant would end too late to be of use. */
+export function isExpired(
+  { request, tasks, usefulUntil }: QueuedRequest,
+  now: Milliseconds,
+): boolean {
+  if (tasks < request.tasks) return false;
+  return now + request.estimatedMilliseconds > usefulUntil;
+}
+
 /** Expected work of tasks of a request, in processor-milliseconds. */
 export function computeWork(
   { need, estimatedMilliseconds }: CapacityRequest,
--- a/packages/transient-jobs/src/shared-queue/coordinator-links.ts
+++ b/packages/transient-jobs/src/shared-queue/coordinator-links.ts
@@ -43,7 +43,6 @@
     coordinator: DispatcherId,
     message: FromCoordinatorMessage,
   ) => void;
-  readonly coordinatorConnected: (coordinator: DispatcherId) => void;
   /** A coordinator is silent or its connection has ended. */
   readonly coordinatorLost: (coordinator: DispatcherId) => void;
 }
@@ -152,12 +151,11 @@
     address: Parameters<typeof formatAddress>[0],
   ): CoordinatorLink {
     const { timers, random, times, logger, answered } = this.#options;
-    const { coordinatorConnected, coordinatorLost } = this.#options;
+    const { coordinatorLost } = this.#options;
     const setConnected = (isConnected: boolean): void => {
       link.isConnected = isConnected;
       logger.info('link to coordinator', { coordinator, isConnected });
-      if (isConnected) coordinatorConnected(coordinator);
-      else coordinatorLost(coordinator);
+      if (!isConnected) coordinatorLost(coordinator);
     };
     const dialer = openSession<ToCoordinatorMessage, FromCoordinatorMessage>({
       network,
--- a/packages/transient-jobs/src/shared-queue/list-capacity-requests.ts
+++ b/packages/transient-jobs/src/shared-queue/list-capacity-requests.ts
@@ -7,9 +7,9 @@
   CrashContainment,
   HostRestriction,
 } from '../crashes/crash-containment.js';
-import { computeMaximumWait } from '../decide-admission.js';
+import { computeMaximumWait, computeUsefulEnd } from '../decide-admission.js';
 import type { TaskPlacer } from '../task-placer.js';
-import type { RequestedTasks } from './capacity-client.js';
+import type { RequestedTasks } from './capacity-client-options.js';
 
 /** Dependencies of the requests. */
 export interface CapacityRequestDependencies {
@@ -27,7 +27,7 @@
   const { job, priority, dueAt } = active;
   const groups = [...placer.listGroups(active)];
   // A refusal is true only while no other group of the job may have started.
-  const mayRefuse = !active.isAdmitted && groups.length === 1;
+  const mayRefuse = !active.mayHaveStarted && groups.length === 1;
   for (const { step, tasks, runsAlone } of groups) {
     if (runsAlone || step.mostPerWorker !== undefined) continue;
     yield {
@@ -50,8 +50,12 @@
           placer.estimateRunTime(active, step.estimatedMilliseconds),
         ),
         dueMilliseconds: Math.round(dueAt - timers.now()),
-        maximumWaitMilliseconds: mayRefuse
-          ? computeMaximumWait({ ...job, ...active })
+        maximumWaitMilliseconds:
+          mayRefuse && !active.isAdmitted
+            ? computeMaximumWait({ ...job, ...active })
+            : undefined,
+        usefulMilliseconds: mayRefuse
+          ? Math.round(computeUsefulEnd({ ...job, ...active }) - timers.now())
           : undefined,
         hosts: composeHosts(containment.restrictHosts(active, tasks)),
       },
--- a/packages/transient-jobs/src/shared-queue/shared-queue.test.ts
+++ b/packages/transient-jobs/src/shared-queue/shared-queue.test.ts
@@ -1,5 +1,5 @@
 /** Tasks of several dispatchers wait in one queue, and are placed by load reports while no coordinator answers. */
-import { Counter } from '@cranberryturn/metrics';
+import { Counter, Distribution } from '@cranberryturn/metrics';
 import test from 'ava';
 
 import { first, getItem } from '../fakes/get-item.js';
@@ -114,6 +114,15 @@
   await timers.advance(2_000);
   t.true(jobs.every(isCompleted));
   t.deepEqual(fixture.violations, []);
+  t.true(count(fixture, Counter.CapacityGrants) > 0);
+  const coordinator = getItem(dispatchers, findCoordinator(fixture));
+  const { distributions } = coordinator.metrics.read();
+  t.true(
+    distributions.some(
+      ({ distribution, count: grants }) =>
+        distribution === Distribution.CapacityWaitMilliseconds && grants > 0,
+    ),
+  );
 });
 
 test('urgent tasks of one dispatcher start before earlier, less urgent ones of another', async t => {
@@ -145,6 +154,23 @@
   t.false(starts.some(({ jobId }) => jobId === 'short'));
 });
 
+test('no task waits at one coordinator while workers of another have room', async t => {
+  const fixture = await start({ dispatchers: 7, workers: 8, processors: 2 });
+  const { timers, hosts, dispatchers } = fixture;
+  const coordinators = new Set(
+    [...first(dispatchers).jobs.workers.listWorkers('register')].map(
+      known => known.coordination.coordinator,
+    ),
+  );
+  t.is(coordinators.size, 2);
+  submit(getItem(dispatchers, 3), 'job', 16);
+  await timers.advance(20);
+  t.deepEqual(
+    hosts.map(({ worker }) => worker.starts.length),
+    new Array(8).fill(2),
+  );
+});
+
 test('a task waits no longer for a coordinator whose workers are gone', async t => {
   const fixture = await start({ dispatchers: 2, workers: 2, processors: 1 });
   const { timers, hosts, network, dispatchers } = fixture;
@@ -166,6 +192,29 @@
   t.true(isCompleted(waiting));
 });
 
+test('a job none of whose tasks has started is refused once its end would be of no use, and one with a lost run is not', async t => {
+  const fixture = await start({ dispatchers: 2, workers: 2, processors: 1 });
+  const { timers, hosts, dispatchers } = fixture;
+  const jobs = getItem(dispatchers, 0);
+  for (const { worker } of hosts) worker.runMilliseconds = 1_500;
+  submit(jobs, 'running', 1);
+  const lost = submit(jobs, 'lost', 1);
+  await timers.advance(300);
+  const position = hosts.findIndex(({ worker }) =>
+    worker.starts.some(({ jobId }) => jobId === 'lost'),
+  );
+  const queue = createQueue({ targetLatencyMilliseconds: 150 });
+  const waiting = submit(jobs, 'waiting', 1, queue);
+  getItem(hosts, position).worker.crash();
+  await timers.advance(1_300);
+  t.is(waiting.ends[0]?.kind, TransientJobEndKind.Refused);
+  t.deepEqual(lost.ends, []);
+  await timers.advance(4_000);
+  t.true(isCompleted(lost));
+  const starts = hosts.flatMap(({ worker }) => worker.starts);
+  t.false(starts.some(({ jobId }) => jobId === 'waiting'));
+});
+
 test('an abandoned job leaves nothing in the queue', async t => {
   const fixture = await start({ dispatchers: 2, workers: 1, processors: 1 });
   const { timers, hosts, dispatchers } = fixture;
--- a/packages/transient-jobs/src/shared-queue/shared-queue.ts
+++ b/packages/transient-jobs/src/shared-queue/shared-queue.ts
@@ -11,11 +11,11 @@
 import type { KnownWorker } from '../known-worker.js';
 import type { TransientJobsOptions } from '../transient-jobs-options.js';
 import type { WorkerDirectory } from '../worker-directory.js';
-import {
-  CapacityClient,
-  type CapacityClientOptions,
-  type RequestedTasks,
-} from './capacity-client.js';
+import { CapacityClient } from './capacity-client.js';
+import type {
+  CapacityClientOptions,
+  RequestedTasks,
+} from './capacity-client-options.js';
 import { CapacityCoordinator } from './capacity-coordinator.js';
 import { CoordinatorLinks } from './coordinator-links.js';
 
@@ -25,7 +25,7 @@
     Omit<TransientJobsOptions, 'timers'>,
     Pick<
       CapacityClientOptions,
-      'granted' | 'accepted' | 'refused' | 'returned' | 'mayPlace'
+      'granted' | 'accepted' | 'refused' | 'expired' | 'returned' | 'mayPlace'
     > {
   readonly timers: TimerService;
   readonly workers: Pick<WorkerDirectory, 'listWorkers' | 'findWorker'>;
@@ -53,9 +53,6 @@
       answered: (coordinator, message) => {
         this.#client.handle(coordinator, message);
       },
-      coordinatorConnected: coordinator => {
-        this.#client.coordinatorConnected(coordinator);
-      },
       coordinatorLost: coordinator => {
         this.#client.coordinatorLost(coordinator);
       },
@@ -78,11 +75,6 @@
     });
   }
 
-  /** Number of requests that wait at this coordinator. */
-  get waitingRequests(): number {
-    return this.#coordinator.waitingRequests;
-  }
-
   /** Serves the connection of another dispatcher until it ends. */
   accept(connection: Connection): void {
     this.#links.accept(connection);
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -25,7 +25,7 @@
 import type { RunTimeEstimates } from './run-time-estimates.js';
 import type { RunTracker } from './run-tracker.js';
 import type { ScarcitySettings } from './scarcity/scarcity-settings.js';
-import type { RequestedTasks } from './shared-queue/capacity-client.js';
+import type { RequestedTasks } from './shared-queue/capacity-client-options.js';
 import type { WorkerDirectory } from './worker-directory.js';
 
 /** Dependencies of the task placer. */
@@ -219,6 +219,7 @@
     const now = timers.now();
     if (this.#options.scarcity !== undefined)
       recordProbe(known, estimateMilliseconds, now);
+    active.mayHaveStarted = true;
     for (const task of tasks) {
       task.phase = TaskPhase.Placed;
       task.run += 1;
--- a/packages/types/src/capacity.ts
+++ b/packages/types/src/capacity.ts
@@ -55,6 +55,8 @@
   readonly dueMilliseconds: Milliseconds;
   /** Longest expected wait for capacity with which the request is still accepted; undefined accepts any. */
   readonly maximumWaitMilliseconds?: Milliseconds | undefined;
+  /** Time left in which the end of the job is of use; undefined once a task of the job may have started. */
+  readonly usefulMilliseconds?: Milliseconds | undefined;
   /** Workers that the dispatcher cannot use, or uses only when no other is left. */
   readonly excludedWorkers: readonly TargetId[];
   /** Undefined without any restriction. */
@@ -69,9 +71,9 @@
   readonly tasks: number;
 }
 
-/** State of the workers of one coordinator. */
+/** State of the workers of one coordinator that the receiver can reach. */
 export interface CoordinatedCapacity {
-  /** Free processors of its usable workers, less what is granted. */
+  /** Free processors of the usable ones, less what is granted. */
   readonly freeProcessors: number;
   /** Expected wait for capacity of a request of average urgency. */
   readonly waitMilliseconds: Milliseconds;
--- a/packages/wire/src/messages/capacity-message-checks.ts
+++ b/packages/wire/src/messages/capacity-message-checks.ts
@@ -31,6 +31,7 @@
   estimatedMilliseconds: isAmount,
   dueMilliseconds: isFiniteNumber,
   maximumWaitMilliseconds: isOptional(isFiniteNumber),
+  usefulMilliseconds: isOptional(isFiniteNumber),
   excludedWorkers: isTextList,
   hosts: isOptional(
     isRecord({
@@ -76,6 +77,7 @@
       waitMilliseconds: isAmount,
     }),
     [FromCoordinatorKind.Returned]: isRecord({ request: isCount }),
+    [FromCoordinatorKind.Expired]: isRecord({ request: isCount }),
     [FromCoordinatorKind.Standing]: isRecord({ requests: isCountList }),
   },
   isIgnored,
--- a/packages/wire/src/messages/capacity-messages.ts
+++ b/packages/wire/src/messages/capacity-messages.ts
@@ -38,6 +38,8 @@
   Refusal = 'refusal',
   /** Gives a request back, as no worker of the coordinator can serve it now. */
   Returned = 'returned',
+  /** Gives up a request whose job would end too late to be of use. Nothing was granted for it. */
+  Expired = 'expired',
   /** Shows that the coordinator is alive while requests wait. */
   Standing = 'standing',
 }
@@ -54,7 +56,10 @@
       readonly request: number;
       readonly grants: readonly CapacityGrant[];
     }
-  | { readonly kind: FromCoordinatorKind.Returned; readonly request: number }
+  | {
+      readonly kind: FromCoordinatorKind.Returned | FromCoordinatorKind.Expired;
+      readonly request: number;
+    }
   | {
       readonly kind: FromCoordinatorKind.Refusal;
       readonly request: number;
