--- a/packages/worker-gate/src/coordination/worker-coordination.ts
+++ b/packages/worker-gate/src/coordination/worker-coordination.ts
@@ -75,17 +75,15 @@
 
   #choose(sessions: readonly DispatcherSession[]): DispatcherId | undefined {
     const now = this.#options.timers.now();
-    const find = (minimumAge: Milliseconds): DispatcherId | undefined =>
-      chooseCoordinator(this.#ranked, dispatcher =>
-        sessions.some(
-          ({ dispatcherId, connectedAt, phase }) =>
-            dispatcherId === dispatcher &&
-            phase === SessionPhase.Open &&
-            now - connectedAt >= minimumAge,
-        ),
-      );
+    const open = sessions.filter(({ phase }) => phase === SessionPhase.Open);
+    const settled = open.filter(
+      ({ connectedAt }) => now - connectedAt >= settledMilliseconds,
+    );
     // After a start of all processes none has settled, and all sidecars soon agree on the preferred one.
-    return find(settledMilliseconds) ?? find(0);
+    const candidates = settled.length > 0 ? settled : open;
+    return chooseCoordinator(this.#ranked, dispatcher =>
+      candidates.some(({ dispatcherId }) => dispatcherId === dispatcher),
+    );
   }
 
   #compose(sessions: readonly DispatcherSession[]): FromWorkerBody {
