Refuse a waiting job at once when it is expected to end too late to be of use

The work before a late job also left out jobs that are still in time.

Change: the wait of late jobs without any grant is estimated again every 100 ms. A job that would end too late to be of use is refused then, and not when it cannot start in time any more. A test plays the load.

--- a/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
@@ -11,7 +11,6 @@
 import type {
   CapacityGrant,
   CapacityRequest,
-  CoordinatedCapacity,
   DispatcherId,
   Milliseconds,
   ServiceName,
@@ -24,16 +23,23 @@
 
 import { isUsable, type KnownWorker } from '../known-worker.js';
 import {
+  canEndInTime,
   CapacityQueue,
   computeWork,
-  isExpired,
+  isTooLate,
   type QueuedRequest,
 } from './capacity-queue.js';
 import { estimateWait } from './estimate-wait.js';
 import { GrantLedger } from './grant-ledger.js';
 import { GrantedWork } from './granted-work.js';
 import { planGrants, type PlannedGrant } from './plan-grants.js';
-import { canBeServed, hasRoom, isTooLong, sumLoads } from './worker-pool.js';
+import {
+  canBeServed,
+  hasRoom,
+  isTooLong,
+  measureCapacity,
+  sumLoads,
+} from './worker-pool.js';
 
 /** Interval of the checks, and of the messages to dispatchers whose requests wait. */
 const checkIntervalMilliseconds: Milliseconds = 100;
@@ -238,34 +244,17 @@
     });
   }
 
-  /** The capacity of the workers that a dispatcher can reach. */
-  #measureCapacity(
-    service: ServiceName,
-    dispatcher: DispatcherId,
-  ): CoordinatedCapacity {
-    const load = sumLoads(
-      this.#listUsable(service).filter(({ coordination }) =>
-        coordination.dispatchers.has(dispatcher),
-      ),
-    );
-    return {
-      freeProcessors: load.processors - load.busyProcessors,
-      waitMilliseconds: estimateWait({
-        ...load,
-        moreUrgentProcessors: 0,
-        missingProcessors: 0,
-        workUntilLast: this.#queue.sumWork(service),
-      }),
-    };
-  }
-
   #send(
     { dispatcher, request }: QueuedRequest,
     body: FromCoordinatorBody,
   ): void {
     this.#options.send(dispatcher, {
       ...body,
-      capacity: this.#measureCapacity(request.service, dispatcher),
+      capacity: measureCapacity(
+        this.#listUsable(request.service),
+        dispatcher,
+        this.#queue.sumWork(request.service),
+      ),
     });
   }
 
@@ -286,7 +275,7 @@
     const now = this.#options.timers.now();
     const listUsable = this.#cacheUsable();
     this.#giveBack(
-      this.#drop(entry => isExpired(entry, now)),
+      this.#drop(entry => this.#isHopeless(entry, now, listUsable)),
       FromCoordinatorKind.Expired,
     );
     this.#giveBack(
@@ -297,6 +286,23 @@
     );
   }
 
+  /** Whether a job none of whose tasks has started is expected to end too late to be of use. */
+  #isHopeless(
+    entry: QueuedRequest,
+    now: Milliseconds,
+    listUsable: (service: ServiceName) => readonly KnownWorker[],
+  ): boolean {
+    const { request, tasks } = entry;
+    if (tasks < request.tasks) return false;
+    if (canEndInTime(entry, now)) return false;
+    const waitMilliseconds = this.#estimateWait(
+      entry,
+      tasks,
+      listUsable(request.service),
+    );
+    return isTooLate(entry, now + waitMilliseconds);
+  }
+
   #giveBack(
     entries: readonly QueuedRequest[],
     kind: FromCoordinatorKind.Returned | FromCoordinatorKind.Expired,
--- a/packages/transient-jobs/src/shared-queue/capacity-decisions.test.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-decisions.test.ts
@@ -4,7 +4,7 @@
 import { oneProcessor } from '../fakes/create-job.js';
 import {
   CapacityQueue,
-  isExpired,
+  isTooLate,
   type QueuedRequest,
 } from './capacity-queue.js';
 import { estimateWait } from './estimate-wait.js';
@@ -104,9 +104,8 @@
   t.true(granted.measureMoreUrgent(1, 3_000) < 0.1);
 });
 
-test('a request expires when its job cannot be of use any more, unless some of its tasks have a grant', t => {
+test('a job is too late once its tasks start so late that its end is of no use', t => {
   const entry = createEntry('request', 1, 300);
-  t.false(isExpired(entry, 800));
-  t.true(isExpired(entry, 801));
-  t.false(isExpired({ ...entry, tasks: 1 }, 801));
+  t.false(isTooLate(entry, 800));
+  t.true(isTooLate(entry, 801));
 });
--- a/packages/transient-jobs/src/shared-queue/capacity-queue.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-queue.ts
@@ -96,24 +96,25 @@
     const isInTime = canEndInTime(entry, now);
     let work = 0;
     for (const other of this.#entries) {
-      if (compareUrgency(other, entry) > 0) break;
-      const isBehind =
-        isInTime &&
-        other.request.priority === entry.request.priority &&
-        !canEndInTime(other, now);
-      if (!isBehind) work += computeWork(other.request, other.tasks);
+      if (other === entry) continue;
+      if (other.request.priority > entry.request.priority) break;
+      const isMoreUrgent = other.request.priority < entry.request.priority;
+      const isOtherInTime = canEndInTime(other, now);
+      const isBefore =
+        isOtherInTime === isInTime ? other.dueAt <= entry.dueAt : isOtherInTime;
+      if (isMoreUrgent || isBefore)
+        work += computeWork(other.request, other.tasks);
     }
     return work;
   }
 }
 
-/** Whether the job of a request without any grant would end too late to be of use. */
-export function isExpired(
-  { request, tasks, usefulUntil }: QueuedRequest,
-  now: Milliseconds,
+/** Whether the end of a job is of no use if its tasks start at the time. */
+export function isTooLate(
+  { request, usefulUntil }: QueuedRequest,
+  startsAt: Milliseconds,
 ): boolean {
-  if (tasks < request.tasks) return false;
-  return now + request.estimatedMilliseconds > usefulUntil;
+  return startsAt + request.estimatedMilliseconds > usefulUntil;
 }
 
 /** Expected work of tasks of a request, in processor-milliseconds. */
@@ -124,7 +125,11 @@
   return need.processors * estimatedMilliseconds * tasks;
 }
 
-function canEndInTime({ request, dueAt }: Urgency, now: Milliseconds): boolean {
+/** Whether the job can still end in time. */
+export function canEndInTime(
+  { request, dueAt }: Urgency,
+  now: Milliseconds,
+): boolean {
   return now + request.estimatedMilliseconds <= dueAt;
 }
 
--- a/packages/transient-jobs/src/shared-queue/shared-queue.test.ts
+++ b/packages/transient-jobs/src/shared-queue/shared-queue.test.ts
@@ -215,6 +215,34 @@
   t.false(starts.some(({ jobId }) => jobId === 'waiting'));
 });
 
+test('a waiting job is refused as soon as more urgent work keeps it from ending in time to be of use', async t => {
+  const fixture = await start({ dispatchers: 2, workers: 1, processors: 1 });
+  const { timers, hosts, dispatchers } = fixture;
+  const jobs = getItem(dispatchers, 0);
+  submit(jobs, 'running', 1, urgent);
+  await timers.advance(20);
+  const queue = createQueue({
+    queue: 'waiting',
+    priority: 2,
+    targetLatencyMilliseconds: 300,
+  });
+  const submittedAt = timers.now();
+  const waiting = submit(jobs, 'waiting', 1, queue);
+  await timers.advance(20);
+  // Twice as much urgent work as the worker can do, for longer than the waiting job is of use.
+  for (let number = 0; number < 30; number += 1) {
+    submit(getItem(dispatchers, number % 2), String(number), 1, urgent);
+    await timers.advance(50);
+    if (waiting.ends.length > 0) break;
+  }
+  t.is(waiting.ends[0]?.kind, TransientJobEndKind.Refused);
+  const waitedMilliseconds = timers.now() - submittedAt;
+  t.true(waitedMilliseconds < 600, String(waitedMilliseconds));
+  await timers.advance(5_000);
+  const { starts } = first(hosts).worker;
+  t.false(starts.some(({ jobId }) => jobId === 'waiting'));
+});
+
 test('an abandoned job leaves nothing in the queue', async t => {
   const fixture = await start({ dispatchers: 2, workers: 1, processors: 1 });
   const { timers, hosts, dispatchers } = fixture;
--- a/packages/transient-jobs/src/shared-queue/worker-pool.ts
+++ b/packages/transient-jobs/src/shared-queue/worker-pool.ts
@@ -1,10 +1,15 @@
 /** What the workers of a coordinator can do for a request, together. */
-import type { CapacityRequest, Milliseconds } from '@cranberryturn/types';
+import type {
+  CapacityRequest,
+  CoordinatedCapacity,
+  DispatcherId,
+  Milliseconds,
+} from '@cranberryturn/types';
 
 import { canEverHold } from '../choose-workers.js';
 import { estimateFreeProcessors, type KnownWorker } from '../known-worker.js';
 import type { QueuedRequest } from './capacity-queue.js';
-import type { WaitInput } from './estimate-wait.js';
+import { estimateWait, type WaitInput } from './estimate-wait.js';
 
 /** Whether some worker may run the tasks of a request, now or once it has room. */
 export function canBeServed(
@@ -45,6 +50,28 @@
   return { processors, busyProcessors, runningWork };
 }
 
+/** The state of the workers that a dispatcher can reach, with the work that is queued for all of them. */
+export function measureCapacity(
+  workers: readonly KnownWorker[],
+  dispatcher: DispatcherId,
+  queuedWork: number,
+): CoordinatedCapacity {
+  const load = sumLoads(
+    workers.filter(({ coordination }) =>
+      coordination.dispatchers.has(dispatcher),
+    ),
+  );
+  return {
+    freeProcessors: load.processors - load.busyProcessors,
+    waitMilliseconds: estimateWait({
+      ...load,
+      moreUrgentProcessors: 0,
+      missingProcessors: 0,
+      workUntilLast: queuedWork,
+    }),
+  };
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
