Let voters that start together take turns in the first election

Cause: after the power of all hosts was cut, each replica waited 40 to 200 ms at random for its first election.

Until a leader was heard, a candidate tries again after 200 ms more, not after a whole election timeout.

--- a/packages/replicated-log/src/core/election.ts
+++ b/packages/replicated-log/src/core/election.ts
@@ -1,5 +1,5 @@
 /** Elections: the election loop, pre-votes and votes. */
-import type { ReplicaId, Term } from '@cranberryturn/types';
+import type { Milliseconds, ReplicaId, Term } from '@cranberryturn/types';
 
 import { ReplicaRole } from '../log-types.js';
 import { PeerMessageKind, PeerReplyKind } from '../ports/peer-link.js';
@@ -7,6 +7,9 @@
 import { callPeer } from './peer-calls.js';
 import type { Replica } from './replica.js';
 
+/** Processes that have just started answer slowly. */
+const firstVoteTime: Milliseconds = 200;
+
 type VoteRequestKind = PeerMessageKind.PreVote | PeerMessageKind.Vote;
 
 /** Starts an election whenever no leader was heard for a random election timeout. Runs until the replica stops. */
@@ -28,15 +31,21 @@
   }
 }
 
-/** When all replicas start together there is no leader yet, so the first election uses a shorter timeout. */
-function scheduleNextElection(replica: Replica): void {
-  if (replica.hasNeverHeardLeader) replica.scheduleFirstElection();
+/**
+ * When all replicas start together there is no leader yet, so the first elections use shorter timeouts. `voteTime` is
+ * left to the votes of an election that has started.
+ */
+function scheduleNextElection(
+  replica: Replica,
+  voteTime: Milliseconds = 0,
+): void {
+  if (replica.hasNeverHeardLeader) replica.scheduleFirstElection(voteTime);
   else replica.postponeElection();
 }
 
 /** Starts an election without a pre-vote. Also called directly for a leadership transfer. */
 export async function startElection(replica: Replica): Promise<void> {
-  replica.postponeElection();
+  scheduleNextElection(replica, firstVoteTime);
   replica.enterTerm(replica.term + 1, replica.replicaId);
   replica.becomeCandidate();
   const { term } = replica;
--- a/packages/replicated-log/src/core/replica.ts
+++ b/packages/replicated-log/src/core/replica.ts
@@ -42,6 +42,9 @@
   onLeadershipLost(): void;
 }
 
+/** Part of the interval between first elections that is random. */
+const firstElectionSpread = 0.3;
+
 /** One replica. Methods change the state synchronously; message handlers await the sync before they reply. */
 export class Replica {
   readonly dependencies: ReplicaDependencies;
@@ -123,15 +126,20 @@
 
   /**
    * Sets an early election deadline: no leader was heard since the start, so there is probably
-   * none. If there is one, the pre-votes are refused and the leader is not disturbed.
+   * none. If there is one, the pre-votes are refused and the leader is not disturbed. The voters
+   * take turns, from one `delay` after now on.
    */
-  scheduleFirstElection(): void {
-    const { minimumFirstElectionTimeout, maximumFirstElectionTimeout } =
-      this.tuning;
-    this.#scheduleElection(
-      minimumFirstElectionTimeout,
-      maximumFirstElectionTimeout,
+  scheduleFirstElection(delay: Milliseconds = 0): void {
+    const { firstElectionTimeout, firstElectionInterval } = this.tuning;
+    const position = this.voters().findIndex(
+      ({ replicaId }) => replicaId === this.replicaId,
     );
+    const earliest =
+      delay +
+      firstElectionTimeout +
+      Math.max(0, position) * firstElectionInterval;
+    const latest = earliest + firstElectionInterval * firstElectionSpread;
+    this.#scheduleElection(earliest, latest);
   }
 
   /** Whether no leader was heard since the process started. */
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -81,9 +81,13 @@
   /** Without a message of a leader, an election starts after a random time between these two. */
   readonly minimumElectionTimeout: Milliseconds;
   readonly maximumElectionTimeout: Milliseconds;
-  /** The same range for a replica that has not heard any leader since it started. */
-  readonly minimumFirstElectionTimeout: Milliseconds;
-  readonly maximumFirstElectionTimeout: Milliseconds;
+  /** The shortest timeout of a replica that has not heard any leader since it started. */
+  readonly firstElectionTimeout: Milliseconds;
+  /**
+   * By how much this timeout is longer for each voter than for the one before it in the list of members. A vote takes
+   * less, so that voters that start together do not split their votes.
+   */
+  readonly firstElectionInterval: Milliseconds;
   /** Timeout of one call to a peer. */
   readonly peerTimeout: Milliseconds;
   /** Timeout for a proposal to be committed and applied. */
