Place by load reports where dispatchers reach fewer than half of the workers

Change: beyond 16 dispatchers no sidecar chooses a coordinator. Each has sessions with eight dispatchers, so a dispatcher reaches fewer than half of the workers that wait in a queue with its tasks.

--- a/packages/worker-gate/src/coordination/choose-coordinator.ts
+++ b/packages/worker-gate/src/coordination/choose-coordinator.ts
@@ -14,6 +14,11 @@
 
 /** One dispatcher of this many coordinates workers, so that no queue grows with the number of dispatchers. */
 const dispatchersPerCoordinator = 6;
+/**
+ * Each sidecar has sessions with eight dispatchers. With more dispatchers than this, one reaches fewer than half of the
+ * workers that wait in a queue with its tasks, and tasks are placed by load reports.
+ */
+const maximumDispatchers = 16;
 /** Processors of a host that may coordinate, as a part of those of the largest one. */
 const minimumSizeShare = 0.5;
 const rankingSalt = 'coordinator';
@@ -23,6 +28,7 @@
   sidecar: string,
   dispatchers: readonly Candidate[],
 ): readonly Candidate[] {
+  if (dispatchers.length > maximumDispatchers) return [];
   const count = Math.ceil(dispatchers.length / dispatchersPerCoordinator);
   const ranked = sortBySize(selectLarge(dispatchers));
   const coordinators = sortByWeight(sidecar, ranked.slice(0, count));
