Keep sessions with eight dispatchers where no dispatcher coordinates

Change: the eight sessions are chosen among all dispatchers then. The new test with 18 dispatchers fails without the change.

--- a/packages/transient-jobs/src/session-subsets.test.ts
+++ b/packages/transient-jobs/src/session-subsets.test.ts
@@ -19,9 +19,9 @@
   return Array.from({ length: to - from }, (_, at) => from + at);
 }
 
-async function start(): Promise<JobsFixture> {
+async function start(count = dispatchers): Promise<JobsFixture> {
   const fixture = await startJobsFixture({
-    dispatchers,
+    dispatchers: count,
     workers,
     processors: 8,
     seeds: 3,
@@ -71,6 +71,18 @@
   t.true(known.every(count => count >= 2));
 });
 
+test('sidecars without a coordinator hold sessions with eight of the dispatchers as well, and run their jobs', async t => {
+  const count = 18;
+  const fixture = await start(count);
+  fixture.listDispatchers(listRange(0, count));
+  await fixture.timers.advance(5_000);
+  t.deepEqual([...new Set(countSessions(fixture))], [sessionsPerSidecar]);
+  const ends = await playLoad(fixture, listRange(0, count), 1_000);
+  t.true(ends.length >= 100);
+  t.true(ends.every(({ kind }) => kind === TransientJobEndKind.Completed));
+  t.deepEqual(fixture.violations, []);
+});
+
 test('no job is lost or run twice while sessions move to other dispatchers', async t => {
   const fixture = await start();
   fixture.listDispatchers(listRange(0, 12));
--- a/packages/worker-gate/src/coordination/worker-coordination.ts
+++ b/packages/worker-gate/src/coordination/worker-coordination.ts
@@ -42,7 +42,7 @@
     return this.#coordinator;
   }
 
-  /** The preferred dispatcher, which the sidecar keeps a session with. */
+  /** The preferred dispatcher, which the sidecar keeps a session with; undefined where none coordinates. */
   get preferred(): KnownDispatcher | undefined {
     return this.#ranked[0];
   }
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -134,13 +134,14 @@
     this.#listed = new Set(dispatchers.map(formatDispatcher));
     this.coordination.updateDispatchers(dispatchers);
     const { preferred } = this.coordination;
+    const coordinators = preferred === undefined ? [] : [preferred];
     const others = chooseSessionPeers(
       name,
       dispatchers.filter(one => one !== preferred),
-      maximumSessions - 1,
+      maximumSessions - coordinators.length,
       ({ dispatcherId }) => dispatcherId,
     );
-    const chosen = preferred === undefined ? [] : [preferred, ...others];
+    const chosen = [...coordinators, ...others];
     this.#chosen = new Map(
       chosen.map(({ address }) => [formatAddress(address), address]),
     );
