Share the time until processors are free, and drop what can be derived

The same estimate stood in the choice of workers and in that of the coordinator, and the latest end of an admitted job twice in the admission; each is one function now. The critical path is read from the job that holds it, an alias of ChosenWorker is gone, and dialling a coordinator no longer goes through a predicate.

--- a/packages/transient-jobs/src/choose-workers.ts
+++ b/packages/transient-jobs/src/choose-workers.ts
@@ -12,6 +12,7 @@
 } from '@cranberryturn/types';
 
 import type { HostRestriction } from './crashes/crash-containment.js';
+import { estimateUntilFree } from './estimate-until-free.js';
 import {
   estimateFreeProcessors,
   hasFreeMemory,
@@ -235,11 +236,11 @@
     (estimateMilliseconds * (hasLocalData ? 1 : remoteFactor)) / known.speed;
   const missingProcessors = step.need.processors - free;
   if (missingProcessors <= 0) return { waitMilliseconds: 0, runMilliseconds };
-  const busyProcessors = Math.max(1, capacity.processors - Math.max(0, free));
-  // Assumes that active runs free their processors evenly over their remaining time.
-  const untilFreeMilliseconds =
-    (missingProcessors / busyProcessors) *
-    (known.load.runningWork / busyProcessors);
+  const untilFreeMilliseconds = estimateUntilFree({
+    missingProcessors,
+    busyProcessors: capacity.processors - Math.max(0, free),
+    runningWork: known.load.runningWork,
+  });
   return {
     waitMilliseconds: workAhead / capacity.processors + untilFreeMilliseconds,
     runMilliseconds,
--- a/packages/transient-jobs/src/decide-admission.ts
+++ b/packages/transient-jobs/src/decide-admission.ts
@@ -70,8 +70,8 @@
   | 'deadlineMilliseconds'
 >): Milliseconds {
   const objective = computeObjective(queue, criticalPathMilliseconds);
-  const useful = Math.min(deadlineMilliseconds, objective * latestEndFactor);
-  return Math.max(0, useful - heldMilliseconds - criticalPathMilliseconds);
+  const latestEnd = computeLatestEnd(objective, deadlineMilliseconds);
+  return Math.max(0, latestEnd - heldMilliseconds - criticalPathMilliseconds);
 }
 
 /** When the result of an admitted job has no value for the caller any more. */
@@ -140,9 +140,9 @@
     queue,
     request.criticalPathMilliseconds,
   );
-  const usefulMilliseconds = Math.min(
+  const usefulMilliseconds = computeLatestEnd(
+    objectiveMilliseconds,
     deadlineMilliseconds,
-    objectiveMilliseconds * latestEndFactor,
   );
   const expectedMilliseconds =
     heldMilliseconds + waitMilliseconds + request.criticalPathMilliseconds;
@@ -161,3 +161,14 @@
     ),
   };
 }
+
+/** Response time up to which a job that has to wait is admitted. */
+function computeLatestEnd(
+  objectiveMilliseconds: Milliseconds,
+  deadlineMilliseconds: Milliseconds,
+): Milliseconds {
+  return Math.min(
+    deadlineMilliseconds,
+    objectiveMilliseconds * latestEndFactor,
+  );
+}
--- a/packages/transient-jobs/src/find-job-refusal.ts
+++ b/packages/transient-jobs/src/find-job-refusal.ts
@@ -1,6 +1,4 @@
 /** Checks the admission of a job against the known workers. */
-import type { Milliseconds } from '@cranberryturn/types';
-
 import type { ActiveJob } from './active-job.js';
 import { couldEverHold } from './choose-workers.js';
 import {
@@ -24,8 +22,11 @@
 export type ExpectedPlacement = Partial<Placement> &
   Pick<Placement, 'isComplete' | 'longestWaitMilliseconds'>;
 
-/** A job to admit, and the priority of its orders. */
-type AdmittedJob = Pick<ActiveJob, 'job' | 'priority'>;
+/** A job to admit, its expected run time and the priority of its orders. */
+type AdmittedJob = Pick<
+  ActiveJob,
+  'job' | 'criticalPathMilliseconds' | 'priority'
+>;
 
 /**
  * Returns the end of a refused job; undefined admits the job. `workers` are the workers of its service. Lowers the
@@ -34,13 +35,13 @@
  */
 export function findJobRefusal(
   active: AdmittedJob,
-  criticalPathMilliseconds: Milliseconds,
   placement: ExpectedPlacement,
   workers: readonly KnownWorker[],
   scarcity?: ScarcityControl,
   confinedHosts?: number,
 ): TransientJobEnd | undefined {
-  const { queue, steps, deadlineMilliseconds, heldMilliseconds } = active.job;
+  const { job, criticalPathMilliseconds } = active;
+  const { queue, steps, deadlineMilliseconds, heldMilliseconds } = job;
   const request: AdmissionRequest = {
     queue,
     criticalPathMilliseconds,
--- a/packages/transient-jobs/src/job-starter.ts
+++ b/packages/transient-jobs/src/job-starter.ts
@@ -87,7 +87,6 @@
     const { queue } = active.job;
     return findJobRefusal(
       active,
-      active.criticalPathMilliseconds,
       placement,
       [...workers.listWorkers(queue.service)],
       this.#scarcity,
--- a/packages/transient-jobs/src/measures/measure-admission-cost.ts
+++ b/packages/transient-jobs/src/measures/measure-admission-cost.ts
@@ -89,8 +89,11 @@
     ...chosen.map(one => one.waitMilliseconds),
   );
   findJobRefusal(
-    { job, priority: job.queue.priority },
-    step.estimatedMilliseconds,
+    {
+      job,
+      criticalPathMilliseconds: step.estimatedMilliseconds,
+      priority: job.queue.priority,
+    },
     { plans: [], longestWaitMilliseconds, isComplete: true },
     [...workers],
     scarcity,
--- a/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-coordinator.ts
@@ -21,6 +21,7 @@
   type FromCoordinatorMessage,
 } from '@cranberryturn/wire';
 
+import type { ChosenWorker } from '../choose-workers.js';
 import { isUsable, type KnownWorker } from '../known-worker.js';
 import {
   canEndInTime,
@@ -32,7 +33,7 @@
 import { estimateWait } from './estimate-wait.js';
 import { GrantLedger } from './grant-ledger.js';
 import { GrantedWork } from './granted-work.js';
-import { planGrants, type PlannedGrant } from './plan-grants.js';
+import { planGrants } from './plan-grants.js';
 import {
   canBeServed,
   hasRoom,
@@ -184,7 +185,7 @@
   #plan(
     entry: QueuedRequest,
     workers: readonly KnownWorker[],
-  ): readonly PlannedGrant[] {
+  ): readonly ChosenWorker[] {
     const { random, timers, remoteFactor } = this.#options;
     return planGrants(entry, workers, {
       random,
@@ -193,7 +194,7 @@
     });
   }
 
-  #grant(entry: QueuedRequest, planned: readonly PlannedGrant[]): void {
+  #grant(entry: QueuedRequest, planned: readonly ChosenWorker[]): void {
     const { timers, metrics, logger } = this.#options;
     const { request, dispatcher } = entry;
     const now = timers.now();
@@ -293,8 +294,7 @@
     listUsable: (service: ServiceName) => readonly KnownWorker[],
   ): boolean {
     const { request, tasks } = entry;
-    if (tasks < request.tasks) return false;
-    if (canEndInTime(entry, now)) return false;
+    if (tasks < request.tasks || canEndInTime(entry, now)) return false;
     const waitMilliseconds = this.#estimateWait(
       entry,
       tasks,
--- a/packages/transient-jobs/src/shared-queue/coordinator-links.ts
+++ b/packages/transient-jobs/src/shared-queue/coordinator-links.ts
@@ -97,7 +97,7 @@
 
   /** Dials a coordinator that is not dialled yet. */
   prepare(coordinator: DispatcherId): void {
-    if (!this.#links.has(coordinator)) this.isConnected(coordinator);
+    if (!this.#links.has(coordinator)) this.#findLink(coordinator);
   }
 
   /** Whether a coordinator can be reached now. */
--- a/packages/transient-jobs/src/shared-queue/plan-grants.ts
+++ b/packages/transient-jobs/src/shared-queue/plan-grants.ts
@@ -6,9 +6,6 @@
 import type { KnownWorker } from '../known-worker.js';
 import type { QueuedRequest } from './capacity-queue.js';
 
-/** Capacity of a worker to grant. */
-export type PlannedGrant = ChosenWorker;
-
 /** What a plan depends on besides the request and the workers. */
 export interface GrantPlanOptions {
   readonly random: RandomSource;
@@ -24,7 +21,7 @@
   { dispatcher, request, tasks }: QueuedRequest,
   workers: readonly KnownWorker[],
   { random, remoteFactor, now }: GrantPlanOptions,
-): readonly PlannedGrant[] {
+): readonly ChosenWorker[] {
   const { hosts, need, dataLabel, service } = request;
   return chooseWorkers(
     {
