--- a/packages/bench/src/binding/binding-load.ts
+++ b/packages/bench/src/binding/binding-load.ts
@@ -2,6 +2,8 @@
 import { createRandomSource, type RandomSource } from '@cranberryturn/random';
 import type { Milliseconds } from '@cranberryturn/types';
 
+import { drawExponential } from '../load/draw-exponential.js';
+
 /** A kind of job. */
 export interface JobKind {
   readonly name: string;
@@ -118,13 +120,13 @@
     usualWorkers /
     millisecondsPerSecond;
   const peakRate = rate * (1 + waveSwing);
-  let at = drawGap(random, peakRate);
+  let at = drawExponential(random) / peakRate;
   while (at < load.durationMilliseconds) {
     const wave =
       1 + waveSwing * Math.sin((2 * Math.PI * at) / waveMilliseconds);
     if (random.fraction() * peakRate < rate * wave)
       jobs.push(planJob(kind, at, load, random));
-    at += drawGap(random, peakRate);
+    at += drawExponential(random) / peakRate;
   }
   return jobs;
 }
@@ -159,10 +161,6 @@
   };
 }
 
-function drawGap(random: RandomSource, rate: number): Milliseconds {
-  return -Math.log(1 - random.fraction()) / rate;
-}
-
 /** Draws from a log-normal distribution with the given mean and relative spread. */
 function drawAround(
   mean: number,
@@ -171,7 +169,7 @@
 ): number {
   const variance = Math.log(1 + relativeSpread * relativeSpread);
   const normal =
-    Math.sqrt(-2 * Math.log(1 - random.fraction())) *
+    Math.sqrt(2 * drawExponential(random)) *
     Math.cos(2 * Math.PI * random.fraction());
   return mean * Math.exp(Math.sqrt(variance) * normal - variance / 2);
 }
--- a/packages/bench/src/binding/binding-world.ts
+++ b/packages/bench/src/binding/binding-world.ts
@@ -17,6 +17,9 @@
 /** Between a caller and its dispatcher, one way. */
 const callerHopMilliseconds: Milliseconds = 3;
 
+/** Time after the last arrival in which jobs still end. */
+const drainMilliseconds: Milliseconds = 20_000;
+
 /** Free processors are sums of rounded numbers. */
 export const roundingTolerance = 1e-6;
 
@@ -179,9 +182,6 @@
   }
 }
 
-/** Time after the last arrival in which jobs still end. */
-const drainMilliseconds: Milliseconds = 20_000;
-
 function isLate({ endedAt, dueAt }: SimulatedJob): boolean {
   return endedAt === undefined || endedAt > dueAt;
 }
--- a/packages/bench/src/binding/compare-binding.ts
+++ b/packages/bench/src/binding/compare-binding.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '@cranberryturn/types';
 
 import { formatTable } from '../report/format-table.js';
+import { mean } from '../results/statistics.js';
 import { jobKinds } from './binding-load.js';
 import {
   type BindingResult,
@@ -98,17 +99,15 @@
 }
 
 function averageResults(results: readonly BindingResult[]): BindingResult {
-  const average = (values: readonly number[]): number =>
-    values.reduce((sum, value) => sum + value, 0) / values.length;
   return {
     lateShares: new Map(
       jobKinds.map(({ name }) => [
         name,
-        average(results.map(one => one.lateShares.get(name) ?? 0)),
+        mean(results.map(one => one.lateShares.get(name) ?? 0)),
       ]),
     ),
-    messagesPerTask: average(results.map(one => one.messagesPerTask)),
-    idleShare: average(results.map(one => one.idleShare)),
+    messagesPerTask: mean(results.map(one => one.messagesPerTask)),
+    idleShare: mean(results.map(one => one.idleShare)),
   };
 }
 
--- a/packages/bench/src/binding/reservations.ts
+++ b/packages/bench/src/binding/reservations.ts
@@ -12,6 +12,7 @@
   type SimulatedTask,
   type SimulatedWorker,
 } from './binding-world.js';
+import { compareUrgency } from './waiting-tasks.js';
 
 interface Reservation {
   readonly job: SimulatedJob;
@@ -91,7 +92,7 @@
       const queue = queues.get(worker) ?? [];
       const processors = job.tasks[0]?.planned.processors ?? 0;
       const reservation = { job, processors, remaining: job.tasks.length };
-      const position = queue.findIndex(one => isMoreUrgent(job, one.job));
+      const position = queue.findIndex(one => compareUrgency(job, one.job) < 0);
       queue.splice(position < 0 ? queue.length : position, 0, reservation);
       fetch(worker);
     });
@@ -106,11 +107,6 @@
   };
 }
 
-function isMoreUrgent(left: SimulatedJob, right: SimulatedJob): boolean {
-  const byPriority = left.planned.kind.priority - right.planned.kind.priority;
-  return byPriority === 0 ? left.dueAt < right.dueAt : byPriority < 0;
-}
-
 function chooseSome<Item>(
   items: readonly Item[],
   count: number,
--- a/packages/bench/src/binding/waiting-tasks.ts
+++ b/packages/bench/src/binding/waiting-tasks.ts
@@ -1,19 +1,16 @@
 /** A queue of waiting tasks, ordered by priority and then by due time. */
-import type { SimulatedTask } from './binding-world.js';
+import type { SimulatedJob, SimulatedTask } from './binding-world.js';
 
 /** Waiting tasks, the most urgent first. */
 export class WaitingTasks {
   readonly #tasks: SimulatedTask[] = [];
 
-  get size(): number {
-    return this.#tasks.length;
-  }
-
   add(task: SimulatedTask): void {
     let position = this.#tasks.length;
     while (position > 0) {
       const before = this.#tasks[position - 1];
-      if (before === undefined || compareUrgency(before, task) <= 0) break;
+      if (before === undefined || compareUrgency(before.job, task.job) <= 0)
+        break;
       position -= 1;
     }
     this.#tasks.splice(position, 0, task);
@@ -35,8 +32,11 @@
   }
 }
 
-function compareUrgency(left: SimulatedTask, right: SimulatedTask): number {
-  const byPriority =
-    left.job.planned.kind.priority - right.job.planned.kind.priority;
-  return byPriority === 0 ? left.job.dueAt - right.job.dueAt : byPriority;
+/** Orders jobs by priority and then by due time, the most urgent first. */
+export function compareUrgency(
+  left: SimulatedJob,
+  right: SimulatedJob,
+): number {
+  const byPriority = left.planned.kind.priority - right.planned.kind.priority;
+  return byPriority === 0 ? left.dueAt - right.dueAt : byPriority;
 }
--- a/packages/bench/src/lateness/collect-jobs.ts
+++ b/packages/bench/src/lateness/collect-jobs.ts
@@ -12,7 +12,6 @@
   receivedAt: number | undefined;
   startedAt: number | undefined;
   endedAt: number | undefined;
-  outcome: string | undefined;
 }
 
 /** One job, from its admission on. */
@@ -136,7 +135,6 @@
       receivedAt: undefined,
       startedAt: undefined,
       endedAt: undefined,
-      outcome: undefined,
     };
     runs.set(composeRunKey(placed.jobId, taskId, Number(number)), run);
     const ofTask = job?.runs.get(taskId) ?? [];
@@ -153,7 +151,6 @@
   const run = runs.get(composeRunKey(ended.jobId, ended.taskId, ended.run));
   if (run === undefined) return;
   run.endedAt = at;
-  run.outcome = ended.outcome;
   if (ended.runMilliseconds > 0) run.startedAt = at - ended.runMilliseconds;
 }
 
--- a/packages/bench/src/lateness/report-lateness.ts
+++ b/packages/bench/src/lateness/report-lateness.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 
 import { formatTable } from '../report/format-table.js';
+import { mean, quantile } from '../results/statistics.js';
 import {
   collectJobs,
   type LoggedJob,
@@ -34,22 +35,21 @@
 }
 
 function reportStages({ jobs }: LoggedPlay): readonly string[] {
-  const late = [...jobs.values()].filter(isLate);
-  const queues = [...new Set([...jobs.values()].map(({ queue }) => queue))];
-  const rows = queues.flatMap(queue => {
-    const ofQueue = late.filter(job => job.queue === queue);
-    const all = [...jobs.values()].filter(job => job.queue === queue);
-    const times = ofQueue.flatMap(job => measureStages(job) ?? []);
+  const all = [...jobs.values()];
+  const late = all.filter(isLate);
+  const queues = [...new Set(all.map(({ queue }) => queue))];
+  const rows = queues.map(queue => {
+    const ofQueue = all.filter(job => job.queue === queue);
+    const lateOfQueue = ofQueue.filter(isLate);
+    const times = lateOfQueue.flatMap(job => measureStages(job) ?? []);
     const means = stages.map(stage => formatMean(times.map(one => one[stage])));
-    const share = (percent * ofQueue.length) / all.length;
+    const share = (percent * lateOfQueue.length) / ofQueue.length;
     return [
-      [
-        queue,
-        String(all.length),
-        `${share.toFixed(1)} %`,
-        String(times.length),
-        ...means,
-      ],
+      queue,
+      String(ofQueue.length),
+      `${share.toFixed(1)} %`,
+      String(times.length),
+      ...means,
     ];
   });
   const listed = late.slice(0, listedJobs).map(job => {
@@ -149,12 +149,11 @@
 }
 
 function formatMean(values: readonly number[]): string {
-  if (values.length === 0) return noValue;
-  const sum = values.reduce((total, value) => total + value, 0);
-  return (sum / values.length).toFixed(0);
+  return values.length === 0 ? noValue : mean(values).toFixed(0);
 }
 
-function formatQuantile(values: readonly number[], quantile: number): string {
+function formatQuantile(values: readonly number[], fraction: number): string {
+  if (values.length === 0) return noValue;
   const sorted = values.toSorted((left, right) => left - right);
-  return sorted[Math.floor(sorted.length * quantile)]?.toFixed(1) ?? noValue;
+  return quantile(sorted, fraction).toFixed(1);
 }
--- a/packages/bench/src/load/plan-load.ts
+++ b/packages/bench/src/load/plan-load.ts
@@ -9,6 +9,7 @@
   TeamName,
 } from '@cranberryturn/types';
 
+import { drawExponential } from './draw-exponential.js';
 import {
   countSlots,
   type DeploymentShape,
@@ -90,10 +91,6 @@
   return { seed, shape, jobs };
 }
 
-function drawExponential(random: RandomSource): number {
-  return -Math.log(1 - random.fraction());
-}
-
 function getRateFactor(
   bursts: readonly Burst[] | undefined,
   at: Milliseconds,
--- a/packages/bench/src/policies/plan-arrivals.ts
+++ b/packages/bench/src/policies/plan-arrivals.ts
@@ -7,6 +7,7 @@
 } from '@cranberryturn/types';
 
 import type { DeploymentShape } from '../load/deployment-shape.js';
+import { drawExponential } from '../load/draw-exponential.js';
 import { planLoad } from '../load/plan-load.js';
 import { scaleLoad } from '../load/scale-load.js';
 import { Declarations, type Scenario } from './scenarios.js';
@@ -139,7 +140,7 @@
     (workers * slots * load) / meanRunMilliseconds / tasksPerJob;
   const rate =
     jobsPerMillisecond * (isBursting(scenario, now) ? burstFactor : 1);
-  return -Math.log(1 - random.fraction()) / rate;
+  return drawExponential(random) / rate;
 }
 
 /** Time at which the burst of a scenario starts, in milliseconds from the start of the scenario. */
--- a/packages/bench/src/policies/scenario-statistics.ts
+++ b/packages/bench/src/policies/scenario-statistics.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '@cranberryturn/types';
 
 import type { Violation } from '../checker/violation.js';
+import { quantile } from '../results/statistics.js';
 
 /** Figures of one scenario with one policy. */
 export interface ScenarioResult {
@@ -126,14 +127,6 @@
   }
 }
 
-function quantile(sorted: readonly number[], fraction: number): number {
-  const position = Math.min(
-    sorted.length - 1,
-    Math.floor(sorted.length * fraction),
-  );
-  return sorted[position] ?? Number.NaN;
-}
-
 function countDoubleStarts(
   starts: readonly ReadonlyMap<string, number>[],
 ): number {
--- a/packages/bench/src/results/fit-line.ts
+++ b/packages/bench/src/results/fit-line.ts
@@ -1,4 +1,5 @@
 /** Fits a least-squares line to measured points. */
+import { mean, sum } from './statistics.js';
 
 /** A value measured at a size. */
 export interface MeasuredPoint {
@@ -55,14 +56,6 @@
   return line.intercept + line.slope * size;
 }
 
-function mean(numbers: readonly number[]): number {
-  return sum(numbers) / numbers.length;
-}
-
-function sum(numbers: readonly number[]): number {
-  return numbers.reduce((total, one) => total + one, 0);
-}
-
 function round(value: number): number {
   return Number(value.toPrecision(significantDigits));
 }
--- a/packages/bench/src/run/count-messages.ts
+++ b/packages/bench/src/run/count-messages.ts
@@ -4,6 +4,7 @@
 import { DecisionKind } from '@cranberryturn/types';
 import { ProcessRole } from '@cranberryturn/wire';
 
+import { sum } from '../results/statistics.js';
 import type { BenchSystem } from '../system/start-bench-system.js';
 
 /** Counters of sent messages since the start of the system. */
@@ -112,7 +113,3 @@
     names.map(name => [name, after[name] - before[name]]),
   ) as Record<Name, number>;
 }
-
-function sum(numbers: readonly number[]): number {
-  return numbers.reduce((total, one) => total + one, 0);
-}
