Log the right under which runs are started and stopped, and when callers disconnect

Change: 'start order sent' and 'stop order sent' name the dispatcher and the age of the echo that its lease is counted from; 'caller disconnected' says how late the event loop is.

--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -29,6 +29,7 @@
 } from './describe-end.js';
 import { JobRegistry } from './job-registry.js';
 import { JobStarter } from './job-starter.js';
+import { LoopWatch } from './loop-watch.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
 import { RunTracker } from './run-tracker.js';
 import { stopStalledRuns } from './stop-stalled-runs.js';
@@ -59,11 +60,13 @@
   readonly #estimates = new RunTimeEstimates();
   readonly #placer: TaskPlacer;
   readonly #starter: JobStarter;
+  readonly #loopWatch: LoopWatch;
   #isStopping = false;
 
   constructor(options: TransientJobsOptions) {
     this.#options = options;
     this.#jobs = new JobRegistry(options.timers);
+    this.#loopWatch = new LoopWatch(options.timers);
     this.#containment = new CrashContainment({
       ...options,
       listHosts: service => this.workers.listHosts(service),
@@ -213,11 +216,18 @@
       });
     }
     this.#starter.close();
+    this.#loopWatch.close();
     this.workers.close();
   }
 
   #attachCaller(active: ActiveJob): SubmittedJob {
     return attachCaller(active, () => {
+      this.#options.logger.info('caller disconnected', {
+        ...describeJobForLog(active.job),
+        sinceLoopCheckMilliseconds: Math.round(
+          this.#loopWatch.measureSinceCheck(),
+        ),
+      });
       this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
     });
   }
--- a/packages/worker-gate/src/dispatcher-leases.ts
+++ b/packages/worker-gate/src/dispatcher-leases.ts
@@ -40,6 +40,11 @@
     this.#echoes.clear();
   }
 
+  /** Time since the echoed stamp from which the lease is counted; infinite without a lease. */
+  measureEchoAge(dispatcher: DispatcherId, now: Milliseconds): Milliseconds {
+    return now - (this.#echoes.get(dispatcher) ?? -Infinity);
+  }
+
   /** Whether active runs of the dispatcher may go on. */
   isHeld(dispatcher: DispatcherId, now: Milliseconds): boolean {
     return this.#computeRemaining(dispatcher, now) > 0;
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -27,6 +27,7 @@
     const { fencing, port } = executor.options;
     const fencingToken = fencing.token;
     const sentAt = executor.options.timers.now();
+    logStart(executor, run, sentAt);
     const reply = await port.startRun({
       jobId: run.order.jobId,
       taskId: run.taskId,
@@ -56,6 +57,23 @@
   executor.endRun(run, RunOutcome.NotStarted, RunEndReason.WorkerRefused);
 }
 
+/** Logs the right under which an order is sent, by which a run that must not execute is traced to its cause. */
+function logStart(
+  { options: { logger, leases }, worker }: WorkerExecutor,
+  run: ActiveRun,
+  now: Milliseconds,
+): void {
+  logger.info('start order sent', {
+    requestId: run.order.requestId,
+    task: run.task,
+    run: run.run,
+    dispatcher: run.dispatcher,
+    worker: worker.workerId,
+    echoAgeMilliseconds: Math.round(leases.measureEchoAge(run.dispatcher, now)),
+    waitedMilliseconds: Math.round(now - run.receivedAt),
+  });
+}
+
 function recordClock(
   executor: WorkerExecutor,
   reply: WorkerReply,
--- a/packages/worker-gate/src/stop-run.ts
+++ b/packages/worker-gate/src/stop-run.ts
@@ -16,7 +16,18 @@
 ): Promise<void> {
   if (run.isStopping) return;
   run.isStopping = true;
-  const { timers, port, fencing } = executor.options;
+  const { timers, port, fencing, logger, leases } = executor.options;
+  logger.info('stop order sent', {
+    requestId: run.order.requestId,
+    task: run.task,
+    run: run.run,
+    dispatcher: run.dispatcher,
+    worker: executor.worker.workerId,
+    reason: run.stopReason ?? 'start order without a reply',
+    echoAgeMilliseconds: Math.round(
+      leases.measureEchoAge(run.dispatcher, timers.now()),
+    ),
+  });
   while (run.phase !== RunPhase.Ended && !executor.isClosed) {
     const fencingToken = fencing.token;
     const sentAt = timers.now();
