--- a/packages/worker-gate/src/fakes/fake-worker-state.ts
+++ b/packages/worker-gate/src/fakes/fake-worker-state.ts
@@ -34,6 +34,8 @@
   nextStartDelayMilliseconds: Milliseconds | undefined;
   /** Fault: the next start order is executed, and its reply is lost. */
   shouldLoseNextReply: boolean;
+  /** Fault: the next stop order is neither executed nor replied to. */
+  shouldLoseNextStop: boolean;
   /** Fault: the reply to the renewals that wait now is lost. */
   loseWaitingRenewals(): void;
   /** Fault: orders are executed, and their replies are lost. */
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -26,13 +26,14 @@
 const stopDurationMilliseconds: Milliseconds = 20;
 const tickMilliseconds: Milliseconds = 5;
 
-/** Creates a fake worker. `need` is the resources that each task uses. */
+/** Creates a fake worker. `need` is the resources that each task uses, `clockRate` is below 1 for a slow clock. */
 export function createFakeWorker(options: {
   readonly timers: TimerService;
   readonly run: WorkerRun;
   readonly need: WorkerResources;
+  readonly clockRate?: number | undefined;
 }): FakeWorker {
-  const { timers, run, need } = options;
+  const { timers, run, need, clockRate = 1 } = options;
   const bornAt = timers.now();
   const highestClosedRuns = new Map<string, number>();
   const waitingRenewals = new Set<() => void>();
@@ -44,7 +45,7 @@
   let losses = 0;
 
   const clock = (): Milliseconds =>
-    timers.now() - bornAt + worker.clockAheadMilliseconds;
+    (timers.now() - bornAt) * clockRate + worker.clockAheadMilliseconds;
 
   const endRun = (name: string, end: WorkerRunOutcome): void => {
     const activeRun = worker.activeRuns.get(name);
@@ -173,6 +174,15 @@
     return await failWithTimeout(timers, run.workerId, order);
   };
 
+  const stopOrder = async (
+    order: StopRunOrder,
+  ): Promise<Result<WorkerReply, WorkerCallError>> => {
+    if (!worker.shouldLoseNextStop)
+      return await sendReply(order, () => stop(order));
+    worker.shouldLoseNextStop = false;
+    return await failWithTimeout(timers, run.workerId, order);
+  };
+
   const wait = (duration: Milliseconds): Promise<void> =>
     new Promise(resolve => {
       if (
@@ -201,6 +211,7 @@
     isSilent: false,
     nextStartDelayMilliseconds: undefined,
     shouldLoseNextReply: false,
+    shouldLoseNextStop: false,
     losesReplies: false,
     replyDelayMilliseconds: 1,
     isUnhealthy: false,
@@ -218,7 +229,7 @@
     },
     port: {
       startRun: order => new ResultAsync(startOrder(order)),
-      stopRun: order => new ResultAsync(sendReply(order, () => stop(order))),
+      stopRun: order => new ResultAsync(stopOrder(order)),
       renewLease: order =>
         new ResultAsync(
           sendReply(order, (): RenewReply | undefined => {
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -2,43 +2,39 @@
 import { createSilentLogger } from '@cranberryturn/logger';
 import { createMetrics, type Metrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
-import { acceptSessions } from '@cranberryturn/sessions';
 import {
   createManualTimerService,
   type ManualTimerService,
 } from '@cranberryturn/timers';
 import type {
-  Milliseconds,
+  NetworkAddress,
   RunEnd,
   RunOrder,
   WorkerRun,
 } from '@cranberryturn/types';
 import {
   createMemoryNetwork,
-  FromWorkerKind,
   type FromWorkerMessage,
   type MemoryNetwork,
   ProcessRole,
   type ToWorkerBody,
-  ToWorkerKind,
-  type ToWorkerMessage,
 } from '@cranberryturn/wire';
 
 import { startWorkerGate } from '../start-worker-gate.js';
 import type { WorkerGate } from '../worker-gate-options.js';
+import {
+  type FakeDispatcher,
+  oneProcessor,
+  startFakeDispatcher,
+  times,
+} from './fake-dispatcher.js';
 import { createFakeWorker } from './fake-worker.js';
 import type { FakeWorker } from './fake-worker-state.js';
 
-/** Address of the dispatcher, which is the only seed. */
+/** Address of the first dispatcher; the ports of the others follow. */
 export const dispatcherAddress = { address: '10.0.0.1', port: 7_700 };
-const times = { heartbeatMilliseconds: 300, suspicionMilliseconds: 700 };
 
-/** Resources of each task in these tests. */
-export const oneProcessor = {
-  processors: 1,
-  memoryMebibytes: 64,
-  accelerators: 0,
-};
+export { oneProcessor };
 
 /** The processes of a test. */
 export interface GateFixture {
@@ -46,18 +42,21 @@
   readonly network: MemoryNetwork;
   readonly worker: FakeWorker;
   readonly gate: WorkerGate;
-  /** Ends of runs that the dispatcher has received. */
+  readonly dispatchers: readonly FakeDispatcher[];
+  /** Ends of runs that the first dispatcher has received. */
   readonly ends: RunEnd[];
   readonly received: FromWorkerMessage[];
   readonly metrics: Metrics;
-  /** Whether the dispatcher renews its lease with each stamp that it receives. */
+  /** Whether the first dispatcher renews its lease with each stamp that it receives. */
   isRenewingLease: boolean;
-  /** Sends a message of the dispatcher, with the latest stamp as echo. */
+  /** Sends a message of the first dispatcher, with the latest stamp as echo. */
   send(body: ToWorkerBody): void;
   /** Sends a placement order; fields that are not given have default values. */
   place(order: Partial<RunOrder> & { readonly jobId: string }): void;
   /** Started runs as "job/run number", in order. */
   listStarts(): readonly string[];
+  /** Freezes the sidecar for good: its worker and its dispatchers receive nothing more from it. */
+  freezeSidecar(): void;
   /** Starts another sidecar process for the same worker. */
   restartGate(): WorkerGate;
   /** Sends a report of the worker to the gate. */
@@ -83,48 +82,39 @@
 export async function startGateFixture(
   processors = 2,
   evacuations = false,
+  {
+    dispatchers: numberOfDispatchers = 1,
+    clockRate,
+  }: {
+    readonly dispatchers?: number;
+    readonly clockRate?: number;
+  } = {},
 ): Promise<GateFixture> {
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, 1);
   const run = createWorkerRun(processors);
-  const worker = createFakeWorker({ timers, run, need: oneProcessor });
-  const ends: RunEnd[] = [];
-  const received: FromWorkerMessage[] = [];
-  let send: (message: ToWorkerMessage) => void = () => undefined;
-  let echo: Milliseconds = 0;
-  let sequence = 0;
-
-  const acceptor = acceptSessions<ToWorkerMessage, FromWorkerMessage>({
+  const worker = createFakeWorker({
     timers,
-    times,
-    startSession: (_peer, sendMessage) => {
-      send = sendMessage;
-      echo = 0;
-      return {
-        messageReceived: message => {
-          received.push(message);
-          echo = message.stamp;
-          if (message.kind === FromWorkerKind.RunsEnded)
-            ends.push(...message.ends);
-          if (fixture.isRenewingLease)
-            send({ kind: ToWorkerKind.Heartbeat, echo });
-        },
-        connected: () => undefined,
-        suspected: () => undefined,
-        ended: () => undefined,
-      };
-    },
+    run,
+    need: oneProcessor,
+    clockRate,
   });
-  await network
-    .join({
-      role: ProcessRole.Dispatcher,
-      name: 'dispatcher-1',
-      incarnation: 'd1',
-    })
-    .listen(
-      dispatcherAddress,
-      connection => void acceptor.acceptConnection(connection),
+  const dispatchers: FakeDispatcher[] = [];
+  const seeds: NetworkAddress[] = [];
+  for (let number = 0; number < numberOfDispatchers; number += 1) {
+    const address = {
+      ...dispatcherAddress,
+      port: dispatcherAddress.port + number,
+    };
+    const name = `dispatcher-${String(number + 1)}`;
+    seeds.push(address);
+    dispatchers.push(
+      await startFakeDispatcher({ timers, network, name, address }),
     );
+  }
+  const [dispatcher] = dispatchers;
+  if (dispatcher === undefined) throw new Error('a test needs a dispatcher');
+  let sequence = 0;
 
   const metrics = createMetrics({
     role: 'sidecar',
@@ -141,7 +131,7 @@
         name: 'sidecar-1',
         incarnation: `s${String(processes)}`,
       }),
-      seeds: [dispatcherAddress],
+      seeds,
       timers,
       random: createRandomSource(processes),
       times,
@@ -158,31 +148,21 @@
     network,
     worker,
     gate: startGate(),
-    ends,
-    received,
+    dispatchers,
+    ends: dispatcher.ends,
+    received: dispatcher.received,
     metrics,
-    isRenewingLease: true,
-    send: body => {
-      send({ ...body, echo });
+    get isRenewingLease() {
+      return dispatcher.isRenewingLease;
     },
-    place: order => {
-      fixture.send({
-        kind: ToWorkerKind.PlaceRuns,
-        order: {
-          requestId: order.jobId,
-          dispatcher: 'dispatcher-1',
-          service: 'register',
-          specification: 'text',
-          need: oneProcessor,
-          priority: 1,
-          estimatedMilliseconds: 100,
-          dueMilliseconds: 500,
-          remainingMilliseconds: 5_000,
-          mayWait: true,
-          tasks: [{ taskId: '0.0.0', run: 1 }],
-          ...order,
-        },
-      });
+    set isRenewingLease(isRenewing) {
+      dispatcher.isRenewingLease = isRenewing;
+    },
+    send: dispatcher.send,
+    place: dispatcher.place,
+    freezeSidecar: () => {
+      worker.isSilent = true;
+      for (const { name } of dispatchers) network.partition('sidecar-1', name);
     },
     listStarts: () =>
       worker.starts.map(start => `${start.jobId}/${String(start.run)}`),
