--- a/packages/transient-jobs/src/fakes/fake-host.ts
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -48,6 +48,7 @@
     readonly seeds?: number | undefined;
     readonly dataCentres?: readonly string[] | undefined;
     readonly scarcity?: ScarcitySettings | undefined;
+    readonly clockRate?: number | undefined;
   },
 ): FakeHost {
   const name = `sidecar-${String(number)}`;
@@ -74,7 +75,12 @@
       labels: [`rack-${String(number % 2)}`],
       dataCentre: dataCentres[number % dataCentres.length] ?? '',
     };
-    return createFakeWorker({ timers, run, need: oneProcessor });
+    return createFakeWorker({
+      timers,
+      run,
+      need: oneProcessor,
+      clockRate: options.clockRate,
+    });
   };
 
   const startGate = (): WorkerGate => {
@@ -103,7 +109,7 @@
       leaseMilliseconds: 1_000,
       evacuations: options.dataCentres !== undefined,
       reportsStartedWork: options.scarcity !== undefined,
-      openWorker: () => host.worker.port,
+      openWorker: () => suspension.wrapWorker(host.worker.port),
     });
   };
 
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -26,6 +26,7 @@
   startHost,
   times,
 } from './fake-host.js';
+import { createSuspension, type Suspension } from './suspension.js';
 
 export { createJob, createQueue, oneProcessor } from './create-job.js';
 export type { FakeHost };
@@ -41,6 +42,8 @@
   jobs: TransientJobs;
   /** Metrics of all its processes. */
   readonly metrics: Metrics;
+  /** Suspends the process, which then receives what was sent to it meanwhile. */
+  readonly suspension: Suspension;
   /** What control has told the process. */
   control: { state: EvacuationState; isProved: boolean };
   /** Tells the process a state that control has proved. */
@@ -78,6 +81,8 @@
   readonly scarcity?: ScarcitySettings | undefined;
   /** Data centres of the workers in turn; where undefined, evacuations are off and all workers are in one. */
   readonly dataCentres?: readonly string[] | undefined;
+  /** Rate of the clocks of the workers, below 1 for slow ones; 1 by default. */
+  readonly clockRate?: number | undefined;
 }): Promise<JobsFixture> {
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, networkDelayMilliseconds);
@@ -178,20 +183,23 @@
   });
   let processes = 0;
   let closeListener: () => Promise<void> = () => Promise.resolve();
+  let suspension = createSuspension(timers);
 
   let control = { state: noEvacuations, isProved: true };
   const start = async (): Promise<TransientJobs> => {
     processes += 1;
     const known = control;
-    const identity = network.join({
-      role: ProcessRole.Dispatcher,
-      name,
-      incarnation: `${name}/${String(processes)}`,
-    });
+    const identity = suspension.wrapNetwork(
+      network.join({
+        role: ProcessRole.Dispatcher,
+        name,
+        incarnation: `${name}/${String(processes)}`,
+      }),
+    );
     const jobs = new TransientJobs({
       dispatcherId: name,
       dataCentre: 'dong-da',
-      timers,
+      timers: suspension.timers,
       random: createRandomSource(number * 100 + processes),
       times,
       logger: createSilentLogger(),
@@ -220,6 +228,9 @@
     name,
     metrics,
     jobs: await start(),
+    get suspension() {
+      return suspension;
+    },
     control,
     hear: state => {
       Object.assign(dispatcher.control, { state, isProved: true });
@@ -228,6 +239,8 @@
     restart: async () => {
       dispatcher.jobs.workers.close();
       await closeListener();
+      suspension.end();
+      suspension = createSuspension(timers);
       control = { state: noEvacuations, isProved: false };
       dispatcher.control = control;
       dispatcher.jobs = await start();
--- a/packages/transient-jobs/src/fakes/suspension.ts
+++ b/packages/transient-jobs/src/fakes/suspension.ts
@@ -1,12 +1,17 @@
 /** Suspends a process of a test, as a paused process: its timers and frames wait, and its clocks go on. */
 import type { TimerService } from '@cranberryturn/timers';
 import type { Connection, Network } from '@cranberryturn/wire';
+import type { WorkerPort } from '@cranberryturn/worker-gate';
+import { ResultAsync } from 'neverthrow';
 
 /** The suspension of one process, which uses these timers and this network. */
 export interface Suspension {
   readonly timers: TimerService;
   wrapNetwork(network: Network): Network;
+  wrapWorker(port: WorkerPort): WorkerPort;
   suspend(): void;
+  /** Reads what has arrived while timers still wait, as a process that was paused between two reads. */
+  read(): void;
   resume(): void;
   /** Ends the process: it runs nothing any more, also not what waited for it. */
   end(): void;
@@ -15,25 +20,42 @@
 /** Creates the suspension of a process that runs. */
 export function createSuspension(timers: TimerService): Suspension {
   let pending: (() => void)[] | undefined;
+  let pendingReads: (() => void)[] | undefined;
   let hasEnded = false;
   const run = (callback: () => void): void => {
     if (hasEnded) return;
     if (pending === undefined) callback();
     else pending.push(callback);
   };
-  const whenRunning = (): Promise<void> =>
+  const whenReading = (): Promise<void> =>
     new Promise(resolve => {
-      run(resolve);
+      if (!hasEnded) pendingReads?.push(resolve);
     });
+  const read = (): void => {
+    const due = pendingReads ?? [];
+    pendingReads = undefined;
+    for (const callback of due) callback();
+  };
   const wrapConnection = (connection: Connection): Connection => ({
     ...connection,
     receive: async function* () {
       for await (const frame of connection.receive()) {
-        if (pending !== undefined || hasEnded) await whenRunning();
+        if (pendingReads !== undefined || hasEnded) await whenReading();
         yield frame;
       }
     },
   });
+  /** A reply waits while the process is suspended; without it, renewals would go on. */
+  const receive = <Reply, Failure>(
+    reply: ResultAsync<Reply, Failure>,
+  ): ResultAsync<Reply, Failure> =>
+    new ResultAsync(
+      (async () => {
+        const result = await reply;
+        if (pendingReads !== undefined || hasEnded) await whenReading();
+        return result;
+      })(),
+    );
   return {
     timers: {
       ...timers,
@@ -49,18 +71,36 @@
     wrapNetwork: network => ({
       ...network,
       dial: address => network.dial(address).map(wrapConnection),
+      listen: (address, handler) =>
+        network.listen(address, connection => {
+          run(() => {
+            handler(wrapConnection(connection));
+          });
+        }),
+    }),
+    wrapWorker: port => ({
+      startRun: order => receive(port.startRun(order)),
+      stopRun: order => receive(port.stopRun(order)),
+      renewLease: order => receive(port.renewLease(order)),
+      close: () => {
+        port.close();
+      },
     }),
     suspend: () => {
       pending ??= [];
+      pendingReads ??= [];
     },
+    read,
     resume: () => {
       const due = pending ?? [];
       pending = undefined;
       for (const callback of due) run(callback);
+      read();
     },
     end: () => {
       hasEnded = true;
       pending = undefined;
+      pendingReads = undefined;
     },
   };
 }
