--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -224,8 +224,8 @@
     return attachCaller(active, () => {
       this.#options.logger.info('caller disconnected', {
         ...describeJobForLog(active.job),
-        sinceLoopCheckMilliseconds: Math.round(
-          this.#loopWatch.measureSinceCheck(),
+        largestLoopGapMilliseconds: Math.round(
+          this.#loopWatch.measureLargestGap(),
         ),
       });
       this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
