--- a/packages/timers/src/system-timer-service.ts
+++ b/packages/timers/src/system-timer-service.ts
@@ -71,7 +71,7 @@
 
 /**
  * Turns of the event loop in which events that had arrived are handled: the turn that goes on, which may have polled
- * already, and one each to accept a connection, to read its data and to read its end.
+ * already, one to read data, one to read the end that follows it, and one for what closes with it.
  */
 const turnsUntilHandled = 4;
 
--- a/packages/timers/src/timer-service.ts
+++ b/packages/timers/src/timer-service.ts
@@ -18,14 +18,21 @@
   /** Calls `callback` once, `delay` milliseconds from now. */
   after(delay: Milliseconds, callback: () => void): TimerSubscription;
   /**
-   * Calls `callback` once, after all events that had arrived in this process before this call have been handled: data
-   * and ends of connections, also of those not accepted yet, and timers that are due.
+   * Calls `callback` once, after the events that had arrived in this process before this call have been handled: data
+   * and ends of accepted connections, and timers that are due. Connections that wait to be accepted may need longer.
    */
   afterPendingEvents(callback: () => void): TimerSubscription;
   /** Calls `callback` every `period` milliseconds; the first call may come earlier. */
   every(period: Milliseconds, callback: () => void): TimerSubscription;
 }
 
+/** Resolves after all events that had arrived in this process before this call have been handled. */
+export function handlePendingEvents(timers: TimerService): Promise<void> {
+  return new Promise(resolve => {
+    timers.afterPendingEvents(resolve);
+  });
+}
+
 /** Resolves after `delay` milliseconds. */
 export function sleep(
   timers: TimerService,
