Play the whole validity chain of runs in the model test of transient jobs

Cause: the model test delayed start orders by at least 2,020 ms, which no order is valid for, and reported each close of a connection at once. No process stood still, and a caller came back only when a step happened to let it.

Change: new actions suspend and resume dispatchers and sidecars, carry out start, stop and renewal orders 20 to 2,500 ms late, and lose replies, stops and waiting renewals. Closes are delivered up to 130 ms after the break, or when a suspended dispatcher resumes, which then handles timers, callers and frames in one of three orders. Callers send again exactly 1,300 ms after the break, to any dispatcher. Clocks of workers run at 1 or 0.98, and tasks take 700 or 3,000 ms. The check is unchanged. The fake worker no longer carries out a late start after it has crashed.

--- a/packages/transient-jobs/src/paused-dispatcher.test.ts
+++ b/packages/transient-jobs/src/paused-dispatcher.test.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from '@cranberryturn/types';
 import test from 'ava';
 
+import { finishTurn, resendMilliseconds } from './fakes/fake-callers.js';
 import { getItem } from './fakes/get-item.js';
 import {
   createJob,
@@ -12,8 +13,6 @@
 } from './fakes/jobs-fixture.js';
 import type { TransientJob } from './transient-job.js';
 
-/** Callers send a job again this long after its connection broke, to any dispatcher. */
-const resendMilliseconds: Milliseconds = 1_300;
 const slowClockRate = 0.98;
 const longRunMilliseconds: Milliseconds = 10_000;
 
@@ -145,10 +144,3 @@
     queue: createQueue({ slackFactor: 30, targetLatencyMilliseconds: 5_000 }),
   });
 }
-
-/** Lets a process finish a turn of the event loop, with all that its promises lead to. */
-async function finishTurn(): Promise<void> {
-  await new Promise<void>(resolve => {
-    process.nextTick(resolve);
-  });
-}
--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -1,11 +1,16 @@
 /**
- * Model test: under random faults of dispatchers, sidecars and workers, no task has two active runs and
- * no worker exceeds its capacity.
+ * Model test: under random faults of callers, dispatchers, sidecars and workers, no task has two active runs and
+ * no worker exceeds its capacity (docs/decisions/run-validity.md).
  */
 import test from 'ava';
 import fc from 'fast-check';
 
-import type { SubmittedJob } from './transient-jobs-options.js';
+import {
+  closeDeliveryMilliseconds,
+  FakeCallers,
+  resumeInOrder,
+  ResumeOrder,
+} from './fakes/fake-callers.js';
 import { getItem } from './fakes/get-item.js';
 import {
   createJob,
@@ -18,25 +23,32 @@
 const workers = 3;
 const processors = 2;
 const jobNames = 4;
-/** Callers resubmit this long after a broken connection. */
-const resendDelayMilliseconds = 1_300;
 const seed = Number(process.env.MODEL_SEED ?? 20_261_203);
 const runs = Number(process.env.MODEL_RUNS ?? 60);
 
 enum Action {
   Submit = 'submit',
-  Abandon = 'abandon',
+  BreakCaller = 'break-caller',
   CutOff = 'cut-off',
   Reconnect = 'reconnect',
   CutDispatchers = 'cut-dispatchers',
   ReconnectDispatchers = 'reconnect-dispatchers',
   ResetConnections = 'reset-connections',
+  SuspendDispatcher = 'suspend-dispatcher',
+  ResumeDispatcher = 'resume-dispatcher',
   RestartDispatcher = 'restart-dispatcher',
+  SuspendSidecar = 'suspend-sidecar',
+  ResumeSidecar = 'resume-sidecar',
   RestartSidecar = 'restart-sidecar',
   RestartWorker = 'restart-worker',
   Silence = 'silence',
   DelayStart = 'delay-start',
+  DelayStop = 'delay-stop',
+  DelayRenewal = 'delay-renewal',
   LoseAnswer = 'lose-answer',
+  LoseAllAnswers = 'lose-all-answers',
+  LoseStop = 'lose-stop',
+  LoseRenewals = 'lose-renewals',
   Advance = 'advance',
 }
 
@@ -44,8 +56,17 @@
   readonly action: Action;
   readonly job: number;
   readonly dispatcher: number;
+  /** Dispatcher to which a caller submits its job again. */
+  readonly nextDispatcher: number;
   readonly worker: number;
   readonly milliseconds: number;
+  /** Delay of an order to a worker. */
+  readonly orderDelayMilliseconds: number;
+  /** Time until the close of a connection reaches the host of its dispatcher. */
+  readonly deliveryMilliseconds: number;
+  readonly resumeOrder: ResumeOrder;
+  /** Time until the next step. */
+  readonly gapMilliseconds: number;
 }
 
 const stepArbitrary: fc.Arbitrary<Step> = fc.record({
@@ -53,43 +74,51 @@
     ...Object.values(Action),
     Action.Submit,
     Action.Submit,
+    Action.Submit,
+    Action.BreakCaller,
+    Action.Advance,
+    Action.Advance,
     Action.Advance,
   ),
   job: fc.nat(jobNames - 1),
   dispatcher: fc.nat(dispatchers - 1),
+  nextDispatcher: fc.nat(dispatchers - 1),
   worker: fc.nat(workers - 1),
   milliseconds: fc.integer({ min: 20, max: 1_500 }),
+  orderDelayMilliseconds: fc.integer({ min: 20, max: 2_500 }),
+  deliveryMilliseconds: fc.constantFrom(0, 60, closeDeliveryMilliseconds),
+  resumeOrder: fc.constantFrom(...Object.values(ResumeOrder)),
+  gapMilliseconds: fc.constantFrom(0, 1, 20),
 });
 
-/** State of the caller of one job. */
-interface CallerState {
-  submitted: SubmittedJob | undefined;
-  dispatcher: number;
-  /** Earliest time at which the caller may submit the job again. */
-  mayResendAt: number;
-}
+const sequenceArbitrary = fc.record({
+  clockRate: fc.constantFrom(1, 0.98),
+  runMilliseconds: fc.constantFrom(700, 3_000),
+  steps: fc.array(stepArbitrary, { minLength: 5, maxLength: 40 }),
+});
 
 const checkModel = test.macro(async (t, hasSharedQueue: boolean) => {
   await fc.assert(
     fc.asyncProperty(
-      fc.array(stepArbitrary, { minLength: 5, maxLength: 40 }),
-      async steps => {
+      sequenceArbitrary,
+      async ({ clockRate, runMilliseconds, steps }) => {
         const fixture = await startJobsFixture({
           dispatchers,
           workers,
           processors,
+          clockRate,
         });
         if (hasSharedQueue) await listAllDispatchers(fixture);
-        for (const { worker } of fixture.hosts) worker.runMilliseconds = 700;
-        const callers = Array.from({ length: jobNames }, (): CallerState => ({
-          submitted: undefined,
-          dispatcher: 0,
-          mayResendAt: 0,
-        }));
-        for (const step of steps) await applyStep(fixture, callers, step);
+        const callers = new FakeCallers(fixture, createJobs());
+        for (const step of steps) {
+          for (const { worker } of fixture.hosts)
+            worker.runMilliseconds = runMilliseconds;
+          await applyStep(fixture, callers, step);
+        }
+        await resumeAll(fixture, callers);
         await fixture.timers.advance(3_000);
         if (fixture.violations.length > 0)
-          throw new Error(fixture.violations.join('\n'));
+          throw new Error([...new Set(fixture.violations)].join('\n'));
       },
     ),
     { seed, numRuns: runs, endOnFailure: false },
@@ -110,19 +139,20 @@
 
 async function applyStep(
   fixture: JobsFixture,
-  callers: readonly CallerState[],
+  callers: FakeCallers,
   step: Step,
 ): Promise<void> {
   const { timers, network, hosts } = fixture;
   const host = getItem(hosts, step.worker);
+  const { worker } = host;
   const dispatcher = getItem(fixture.dispatchers, step.dispatcher);
-  const caller = getItem(callers, step.job);
+  const next = getItem(fixture.dispatchers, step.nextDispatcher);
   switch (step.action) {
     case Action.Submit:
-      submit(fixture, caller, step);
+      callers.submit(step.job, dispatcher);
       break;
-    case Action.Abandon:
-      breakCallerConnection(fixture, caller);
+    case Action.BreakCaller:
+      callers.breakConnection(step.job, step.deliveryMilliseconds, next);
       break;
     case Action.CutOff:
       network.partition(host.name, dispatcher.name);
@@ -141,13 +171,22 @@
         if (connection.from === host.name) connection.disconnect();
       }
       break;
+    case Action.SuspendDispatcher:
+      callers.suspend(dispatcher);
+      break;
+    case Action.ResumeDispatcher:
+      await callers.resume(dispatcher, step.resumeOrder);
+      break;
     case Action.RestartDispatcher:
-      for (const one of callers) {
-        if (one.dispatcher === step.dispatcher)
-          breakCallerConnection(fixture, one, false);
-      }
+      callers.dispatcherCrashed(dispatcher, next);
       await dispatcher.restart();
       break;
+    case Action.SuspendSidecar:
+      host.suspension.suspend();
+      break;
+    case Action.ResumeSidecar:
+      await resumeInOrder(host.suspension, step.resumeOrder, () => undefined);
+      break;
     case Action.RestartSidecar:
       await host.restartSidecar();
       break;
@@ -155,49 +194,49 @@
       host.restartWorker();
       break;
     case Action.Silence:
-      host.worker.isSilent = !host.worker.isSilent;
+      worker.isSilent = !worker.isSilent;
       break;
     case Action.DelayStart:
-      host.worker.nextStartDelayMilliseconds = step.milliseconds + 2_000;
+      worker.nextStartDelayMilliseconds = step.orderDelayMilliseconds;
+      break;
+    case Action.DelayStop:
+      worker.nextStopDelayMilliseconds = step.orderDelayMilliseconds;
+      break;
+    case Action.DelayRenewal:
+      worker.nextRenewalDelayMilliseconds = step.orderDelayMilliseconds;
       break;
     case Action.LoseAnswer:
-      host.worker.shouldLoseNextReply = true;
+      worker.shouldLoseNextReply = true;
+      break;
+    case Action.LoseAllAnswers:
+      worker.losesReplies = !worker.losesReplies;
+      break;
+    case Action.LoseStop:
+      worker.shouldLoseNextStop = true;
+      break;
+    case Action.LoseRenewals:
+      worker.loseWaitingRenewals();
       break;
     case Action.Advance:
       await timers.advance(step.milliseconds);
       break;
   }
-  await timers.advance(20);
+  await timers.advance(step.gapMilliseconds);
 }
 
-function submit(fixture: JobsFixture, caller: CallerState, step: Step): void {
-  if (caller.submitted !== undefined) return;
-  if (fixture.timers.now() < caller.mayResendAt) return;
-  const { jobs } = getItem(fixture.dispatchers, step.dispatcher);
-  const submitted = jobs.submit(
-    createJob(`job-${String(step.job)}`, 2, {
+function createJobs() {
+  return Array.from({ length: jobNames }, (_, position) =>
+    createJob(`job-${String(position)}`, 2, {
       step: { estimatedMilliseconds: 700 },
     }),
   );
-  caller.submitted = submitted;
-  caller.dispatcher = step.dispatcher;
-  void submitted.ended.then(() => {
-    if (caller.submitted !== submitted) return;
-    caller.submitted = undefined;
-    // The answer may be lost on its way to the caller, who then submits the job again.
-    caller.mayResendAt = fixture.timers.now() + resendDelayMilliseconds;
-  });
 }
 
-/** Breaks the connection of a caller. The dispatcher is not notified when it has crashed itself (`isNoticed` false). */
-function breakCallerConnection(
-  fixture: JobsFixture,
-  caller: CallerState,
-  isNoticed = true,
-): void {
-  const { submitted } = caller;
-  if (submitted === undefined) return;
-  caller.submitted = undefined;
-  caller.mayResendAt = fixture.timers.now() + resendDelayMilliseconds;
-  if (isNoticed) submitted.abandon();
+async function resumeAll(
+  { dispatchers: suspended, hosts }: JobsFixture,
+  callers: FakeCallers,
+): Promise<void> {
+  for (const dispatcher of suspended)
+    await callers.resume(dispatcher, ResumeOrder.TimersLast);
+  for (const { suspension } of hosts) suspension.resume();
 }
--- a/packages/worker-gate/src/fakes/fake-worker-state.ts
+++ b/packages/worker-gate/src/fakes/fake-worker-state.ts
@@ -32,6 +32,10 @@
   isSilent: boolean;
   /** Fault: the next start order has no reply and is executed after this delay. */
   nextStartDelayMilliseconds: Milliseconds | undefined;
+  /** Fault: the next stop order has no reply and is executed after this delay. */
+  nextStopDelayMilliseconds: Milliseconds | undefined;
+  /** Fault: the next renewal has no reply and is executed after this delay. */
+  nextRenewalDelayMilliseconds: Milliseconds | undefined;
   /** Fault: the next start order is executed, and its reply is lost. */
   shouldLoseNextReply: boolean;
   /** Fault: the next stop order is neither executed nor replied to. */
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -9,6 +9,7 @@
 
 import {
   nameTask,
+  type RenewOrder,
   type RenewReply,
   type StartRunOrder,
   type StopRunOrder,
@@ -136,6 +137,17 @@
     return { accepted: true, clock: clock() };
   };
 
+  const carryOutLate = async (
+    order: WorkerOrder,
+    delay: Milliseconds,
+    carryOut: () => void,
+  ): Promise<Result<never, WorkerCallError>> => {
+    timers.after(delay, () => {
+      if (!hasCrashed) carryOut();
+    });
+    return await failWithTimeout(timers, run.workerId, order);
+  };
+
   const sendReply = async <Reply>(
     order: WorkerOrder,
     carryOut: () => Reply,
@@ -144,12 +156,8 @@
     if (worker.isSilent)
       return await failWithTimeout(timers, run.workerId, order);
     const delay = worker.replyDelayMilliseconds;
-    if (delay > (order.replyTimeout ?? defaultReplyTimeoutMilliseconds)) {
-      timers.after(delay, () => {
-        if (!hasCrashed) carryOut();
-      });
-      return await failWithTimeout(timers, run.workerId, order);
-    }
+    if (delay > (order.replyTimeout ?? defaultReplyTimeoutMilliseconds))
+      return await carryOutLate(order, delay, carryOut);
     await sleep(timers, delay);
     if (hasCrashed) return err(createConnectionError(run.workerId));
     const reply = carryOut();
@@ -163,10 +171,8 @@
   ): Promise<Result<WorkerReply, WorkerCallError>> => {
     const delay = worker.nextStartDelayMilliseconds;
     worker.nextStartDelayMilliseconds = undefined;
-    if (delay !== undefined) {
-      timers.after(delay, () => start(order));
-      return await failWithTimeout(timers, run.workerId, order);
-    }
+    if (delay !== undefined)
+      return await carryOutLate(order, delay, () => start(order));
     if (!worker.shouldLoseNextReply)
       return await sendReply(order, () => start(order));
     worker.shouldLoseNextReply = false;
@@ -177,12 +183,37 @@
   const stopOrder = async (
     order: StopRunOrder,
   ): Promise<Result<WorkerReply, WorkerCallError>> => {
+    const delay = worker.nextStopDelayMilliseconds;
+    worker.nextStopDelayMilliseconds = undefined;
+    if (delay !== undefined)
+      return await carryOutLate(order, delay, () => stop(order));
     if (!worker.shouldLoseNextStop)
       return await sendReply(order, () => stop(order));
     worker.shouldLoseNextStop = false;
     return await failWithTimeout(timers, run.workerId, order);
   };
 
+  const renew = (order: RenewOrder): RenewReply | undefined => {
+    const refusal = findRefusal(order);
+    if (refusal !== undefined) return { accepted: false, refusal };
+    extendLease(order.deadline);
+    worker.acknowledgedSequence = Math.max(
+      worker.acknowledgedSequence,
+      order.acknowledgedSequence,
+    );
+    return undefined;
+  };
+
+  const renewOrder = async (
+    order: RenewOrder,
+  ): Promise<Result<RenewReply | undefined, WorkerCallError>> => {
+    const delay = worker.nextRenewalDelayMilliseconds;
+    worker.nextRenewalDelayMilliseconds = undefined;
+    return delay === undefined
+      ? await sendReply(order, () => renew(order))
+      : await carryOutLate(order, delay, () => renew(order));
+  };
+
   const wait = (duration: Milliseconds): Promise<void> =>
     new Promise(resolve => {
       if (
@@ -210,6 +241,8 @@
     acknowledgedSequence: 0,
     isSilent: false,
     nextStartDelayMilliseconds: undefined,
+    nextStopDelayMilliseconds: undefined,
+    nextRenewalDelayMilliseconds: undefined,
     shouldLoseNextReply: false,
     shouldLoseNextStop: false,
     losesReplies: false,
@@ -232,16 +265,7 @@
       stopRun: order => new ResultAsync(stopOrder(order)),
       renewLease: order =>
         new ResultAsync(
-          sendReply(order, (): RenewReply | undefined => {
-            const refusal = findRefusal(order);
-            if (refusal !== undefined) return { accepted: false, refusal };
-            extendLease(order.deadline);
-            worker.acknowledgedSequence = Math.max(
-              worker.acknowledgedSequence,
-              order.acknowledgedSequence,
-            );
-            return undefined;
-          }).then(
+          renewOrder(order).then(
             async (early): Promise<Result<RenewReply, WorkerCallError>> => {
               if (early.isErr()) return err(early.error);
               if (early.value !== undefined) return ok(early.value);
