Start no run whose stop arrives in the frame of its order

Cause: a session that resumes delivers an order together with the stop behind it. The gate sent the start order while it handled the first of the two messages, so that a run started that nobody wanted, until the stop was carried out. Its capacity was missing for the next order of the frame.

Change: runs of an order are queued as arrived, and are admitted in a microtask, once all messages of the frame have been handled. Orders are still admitted one after another, in the order of their arrival, and an order that may not wait is refused what did not start then. No timer takes part. Two frames that are read one after the other are still two turns.

--- a/packages/worker-gate/src/active-run.ts
+++ b/packages/worker-gate/src/active-run.ts
@@ -15,6 +15,8 @@
 
 /** Phase of a run. */
 export enum RunPhase {
+  /** The messages that arrived together with its order are still being handled; one of them may stop the run. */
+  Arrived = 'arrived',
   Waiting = 'waiting',
   /** The worker was asked to start the run and has not replied. */
   Starting = 'starting',
@@ -88,7 +90,7 @@
     lease,
     orderedRun: run,
     run,
-    phase: RunPhase.Waiting,
+    phase: RunPhase.Arrived,
     receivedAt: now,
     dueAt: now + order.dueMilliseconds,
     deadlineAt: now + order.remainingMilliseconds,
@@ -146,7 +148,7 @@
   now: Milliseconds,
 ): number {
   const { estimatedMilliseconds, need } = run.order;
-  if (run.phase === RunPhase.Waiting) {
+  if (run.phase === RunPhase.Arrived || run.phase === RunPhase.Waiting) {
     return estimatedMilliseconds * need.processors;
   }
   const expectedEndAt =
--- a/packages/worker-gate/src/run-table.ts
+++ b/packages/worker-gate/src/run-table.ts
@@ -24,6 +24,10 @@
   return order.runsAlone === true;
 }
 
+function hasBeenAdmitted({ phase }: ActiveRun): boolean {
+  return phase !== RunPhase.Arrived;
+}
+
 /** The runs of one worker. A task has at most one active run. */
 export class RunTable {
   readonly capacity: Capacity;
@@ -50,8 +54,9 @@
 
   /** Whether capacity is free again after runs had to be queued. Returns true once per such period. */
   detectFreedCapacity(): boolean {
-    if (this.waiting.size > 0) this.#wasFull = true;
-    if (!this.#wasFull || this.waiting.size > 0) return false;
+    const hasWaitingRuns = this.waiting.list().some(hasBeenAdmitted);
+    if (hasWaitingRuns) this.#wasFull = true;
+    if (!this.#wasFull || hasWaitingRuns) return false;
     const { free, total } = this.capacity;
     if (free.processors < total.processors * minimumFreeShare) return false;
     this.#wasFull = false;
@@ -90,8 +95,10 @@
   /** Removes the most urgent run that fits and may start from the queue, and reserves its capacity. */
   takeNextRun(
     now: Milliseconds,
-    mayStart: (run: ActiveRun) => boolean,
+    mayStartNow: (run: ActiveRun) => boolean,
   ): ActiveRun | undefined {
+    const mayStart = (run: ActiveRun): boolean =>
+      hasBeenAdmitted(run) && mayStartNow(run);
     const reservedJob = this.#findReservedJob();
     const isReserved =
       reservedJob !== undefined ||
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -19,10 +19,12 @@
   RunPhase,
   type RunSelection,
 } from './active-run.js';
+import { admitArrivedRuns } from './admit-arrived-runs.js';
 import { composeLoad } from './compose-load.js';
 import { findRunRefusal } from './find-run-refusal.js';
 import { interpretOutcome } from './interpret-outcome.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
+import { logSuspension } from './log-suspension.js';
 import { type EndedRun, nameTask } from './ports/worker.js';
 import { resizeWorker } from './resize-worker.js';
 import { RunTable } from './run-table.js';
@@ -105,14 +107,17 @@
   /** Queues the runs of an order. Runs that cannot start at once are returned unless the order lets them wait. */
   acceptOrder(order: RunOrder): void {
     const lease = this.options.leases.findLease(order.dispatcher);
-    for (const run of createRuns(order, lease, this.options.timers.now())) {
+    const runs = createRuns(order, lease, this.options.timers.now());
+    for (const run of runs) {
       const refusal = this.#findRefusal(run);
       if (refusal === undefined) this.#queueRun(run);
       else this.endRun(run, RunOutcome.NotStarted, refusal);
     }
-    this.startWaitingRuns();
-    if (order.mayWait) return;
-    this.#refuseWaitingRuns(RunEndReason.NoRoom, run => run.order === order);
+    admitArrivedRuns(runs, () => {
+      this.startWaitingRuns();
+      if (order.mayWait || this.#isClosed) return;
+      this.#refuseWaitingRuns(RunEndReason.NoRoom, run => run.order === order);
+    });
   }
 
   /** Stops the selected runs of a dispatcher, queued or active. */
@@ -221,14 +226,7 @@
 
   /** Handles a suspension of this process: leases may have expired, and other workers may execute the queued tasks. */
   handleSuspension(): void {
-    this.options.logger.warn(
-      'this process was suspended; stopping runs until dispatchers renew their leases',
-      {
-        worker: this.worker.workerId,
-        waiting: this.#runs.waiting.size,
-        active: this.listActiveRuns().length,
-      },
-    );
+    logSuspension(this.options.logger, this.worker, this.#runs);
     this.options.leases.endAllLeases(this.options.timers.now());
     this.#refuseWaitingRuns(RunEndReason.Suspended, () => true);
     this.#stopMatchingRuns(RunEndReason.DispatcherSilent, () => true);
