Keep the lease of a session that has resumed when it breaks again soon

Cause: the timer that ends the lease of a broken session went on after the session had resumed, and ended the runs of its successor when that was broken at that moment. Change: the timer is cancelled when the session is connected again.

--- a/packages/worker-gate/src/dispatcher-session.ts
+++ b/packages/worker-gate/src/dispatcher-session.ts
@@ -1,7 +1,7 @@
 /** One session of a sidecar with a dispatcher, and what its events lead to. */
 import type { Logger } from '@cranberryturn/logger';
 import type { SessionListener } from '@cranberryturn/sessions';
-import type { TimerService } from '@cranberryturn/timers';
+import type { TimerService, TimerSubscription } from '@cranberryturn/timers';
 import type { DispatcherId, Milliseconds } from '@cranberryturn/types';
 import type { FromWorkerMessage, ToWorkerMessage } from '@cranberryturn/wire';
 
@@ -62,12 +62,14 @@
     hasWorkFor,
   } = dependencies;
   const { dispatcherId } = session;
+  let reconnectTimer: TimerSubscription | undefined;
   return {
     messageReceived: message => {
       received(session, message);
     },
     hasWork: () => hasWorkFor(dispatcherId),
     connected: () => {
+      reconnectTimer?.cancel();
       session.isConnected = true;
       session.connectedAt = timers.now();
       logger.info('dispatcher connected', { dispatcherId });
@@ -81,11 +83,13 @@
       }
       logger.warn('dispatcher not heard', { dispatcherId });
       sessionSuspected();
-      timers.after(reconnectGraceMilliseconds, () => {
+      reconnectTimer?.cancel();
+      reconnectTimer = timers.after(reconnectGraceMilliseconds, () => {
         if (!session.isConnected) sessionLost(session);
       });
     },
     ended: reason => {
+      reconnectTimer?.cancel();
       session.isConnected = false;
       logger.info('session with dispatcher ended', { dispatcherId, reason });
       sessionLost(session);
