Report no run as ended that a stopping sidecar has not seen end

Orders to a former incarnation of a worker that restarts under its name were valid at the next one, too, as both have the same fencing token. Change: the runs are stopped, and only confirmed ends are reported; of the others the dispatcher knows when they must have ended. Each incarnation raises the fencing token. The fencing of incarnations has no test: the fake worker restarts under another port.

--- a/packages/worker-gate/src/active-run.ts
+++ b/packages/worker-gate/src/active-run.ts
@@ -58,9 +58,9 @@
   missingReports: number;
 }
 
-/** Selects runs of a dispatcher: all of them, those of one job, or some tasks of that job. */
+/** Selects runs: all of them, those of a dispatcher, of one of its jobs, or of some tasks of that job. */
 export interface RunSelection {
-  readonly dispatcher: DispatcherId;
+  readonly dispatcher?: DispatcherId;
   readonly jobId?: JobId;
   readonly taskIds?: readonly TaskId[];
 }
@@ -71,7 +71,9 @@
   selection: RunSelection,
 ): boolean {
   const { jobId, taskIds } = selection;
-  if (dispatcher !== selection.dispatcher) return false;
+  const isOfOther =
+    selection.dispatcher !== undefined && dispatcher !== selection.dispatcher;
+  if (isOfOther) return false;
   if (jobId !== undefined && order.jobId !== jobId) return false;
   return taskIds === undefined || taskIds.includes(taskId);
 }
--- a/packages/worker-gate/src/fencing.ts
+++ b/packages/worker-gate/src/fencing.ts
@@ -17,6 +17,11 @@
     return this.#token;
   }
 
+  /** Raises the token for a new incarnation of the worker. */
+  advance(): void {
+    this.#token += 1;
+  }
+
   /** Raises the token after the worker rejected `refused`: the clock of an earlier process was ahead. */
   raiseAbove(refused: number): void {
     if (this.#token > refused) return;
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -36,6 +36,8 @@
 } from './worker-report.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
+/** Time for the worker to confirm stops at the end of a planned stop. */
+const stopConfirmationMilliseconds: Milliseconds = 300;
 
 /** Starts the gate of one worker. */
 export function startWorkerGate(options: WorkerGateOptions): WorkerGate {
@@ -118,6 +120,8 @@
         executor?.returnWaitingRuns(selectRuns(session, message));
         return;
       case ToWorkerKind.Heartbeat:
+        // Runs may wait for a newer echo.
+        executor?.startWaitingRuns();
         return;
       case ToWorkerKind.KnownDispatchers:
         sessions.updateDispatchers(message);
@@ -183,6 +187,8 @@
 
   const openExecutor = ({ worker, bornAt }: WorkerReport): void => {
     logger.info('worker found', { ...worker });
+    // Orders to an earlier incarnation that arrive late are refused once this one has received an order.
+    fencing.advance();
     const opened: WorkerExecutor = new WorkerExecutor({
       worker,
       port: watchConnections(options.openWorker(worker, bornAt), timers, () => {
@@ -242,6 +248,11 @@
     return true;
   };
 
+  const waitUntilIdle = async (until: Milliseconds): Promise<void> => {
+    while (executor?.isIdle === false && timers.now() < until)
+      await sleep(timers, stopPollMilliseconds);
+  };
+
   const kill = (): void => {
     isStopping = true;
     reports.stop();
@@ -267,10 +278,11 @@
       isStopping = true;
       executor?.drain();
       const stopAt = timers.now() + graceMilliseconds;
-      while (executor?.isIdle === false && timers.now() < stopAt) {
-        await sleep(timers, stopPollMilliseconds);
-      }
-      executor?.close(RunEndReason.Draining);
+      await waitUntilIdle(stopAt);
+      executor?.stopRuns(RunEndReason.Draining, {});
+      await waitUntilIdle(timers.now() + stopConfirmationMilliseconds);
+      // A run that is not known to have ended is not reported: its dispatcher waits until it must have ended.
+      if (executor?.isIdle === true) executor.close(RunEndReason.Draining);
       await sleep(timers, stopPollMilliseconds);
       kill();
     },
