Count the silence of a worker from the end of its orders, and let runs wait while others must end

Cause: a worker that did not answer was taken to execute nothing after the longest lease, although a start order is valid for as long as resend_ms allows: with 3,000 ms a run started after its end had been reported. After a lost reply the next renewal waited 200 ms before it could extend the lease again. Change: the gate remembers until when its orders are valid. Runs wait while no start order could have a deadline. A worker is asked without a wait after a lost reply.

--- a/packages/worker-gate/src/compute-order-deadline.ts
+++ b/packages/worker-gate/src/compute-order-deadline.ts
@@ -1,20 +1,49 @@
 /** Decides until when an order to a worker is valid. */
 import type { Milliseconds } from '@cranberryturn/types';
 
+import type { DispatcherLease } from './dispatcher-leases.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
+type OrderContext = Pick<
+  WorkerExecutor,
+  'listActiveRuns' | 'clock' | 'options'
+>;
+
+/** The end of the validity of an order. */
+export interface OrderValidity {
+  /** On the clock of the worker. */
+  readonly deadline: Milliseconds;
+  /** On the clock of this process, the latest time at which the deadline can be reached. */
+  readonly endsAt: Milliseconds;
+}
+
 /**
- * Computes the time on the clock of the worker until which an order that is sent now is valid. It extends the lease of all
- * active runs, so the dispatcher that was heard least recently decides. Undefined when one of them has no lease, or no run
- * is active.
+ * Computes until when an order that is sent now is valid. It extends the lease of all active runs, so the dispatcher that
+ * was heard least recently decides. Undefined when one of them has no lease, or no run is active.
  */
-export function computeOrderDeadline(
-  executor: Pick<WorkerExecutor, 'listActiveRuns' | 'clock' | 'options'>,
-): Milliseconds | undefined {
+export function computeOrderValidity(
+  executor: OrderContext,
+): OrderValidity | undefined {
   const runs = executor.listActiveRuns();
   if (runs.length === 0) return undefined;
   const echo = Math.min(...runs.map(({ lease }) => lease.echo));
   const { orderMilliseconds } = executor.options.validity;
   const deadline = executor.clock.computeDeadline(echo, orderMilliseconds);
-  return deadline === undefined ? undefined : Math.floor(deadline);
+  if (deadline === undefined) return undefined;
+  return { deadline: Math.floor(deadline), endsAt: echo + orderMilliseconds };
+}
+
+/**
+ * Whether runs under a lease wait although they might fit: an active run without a lease has to end first, or no reading
+ * of the worker's clock is older than the echo.
+ */
+export function isStartHeld(
+  executor: OrderContext,
+  { echo }: DispatcherLease,
+): boolean {
+  if (executor.clock.computeDeadline(echo, 0) === undefined) return true;
+  return (
+    executor.listActiveRuns().length > 0 &&
+    computeOrderValidity(executor) === undefined
+  );
 }
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -17,6 +17,7 @@
   type FromWorkerMessage,
   type MemoryNetwork,
   ProcessRole,
+  type RunValidity,
   type ToWorkerBody,
 } from '@cranberryturn/wire';
 
@@ -85,9 +86,11 @@
   {
     dispatchers: numberOfDispatchers = 1,
     clockRate,
+    validity,
   }: {
     readonly dispatchers?: number;
     readonly clockRate?: number;
+    readonly validity?: RunValidity;
   } = {},
 ): Promise<GateFixture> {
   const timers = createManualTimerService();
@@ -137,6 +140,7 @@
       times,
       logger: createSilentLogger(),
       metrics,
+      validity,
       evacuations,
       openWorker: () => worker.port,
     });
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -8,15 +8,17 @@
 } from '@cranberryturn/types';
 
 import { RunPhase } from './active-run.js';
-import { computeOrderDeadline } from './compute-order-deadline.js';
+import {
+  computeOrderValidity,
+  type OrderValidity,
+} from './compute-order-deadline.js';
 import { nameTask, WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { recordProgress } from './record-progress.js';
 import { ReplyTimeout } from './reply-timeout.js';
 import { watchMissedEnds } from './watch-missed-ends.js';
-import { computeMaximumLease } from './worker-clock.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
-/** Below a third of the lease that is left under a dispatcher heard as usual, so that two consecutive renewals may be lost. */
+/** Well below the lease that is left under a dispatcher heard as usual, so that a renewal may be lost. */
 const renewalWaitMilliseconds: Milliseconds = 200;
 const failurePauseMilliseconds: Milliseconds = 40;
 const silentPauseMilliseconds: Milliseconds = 300;
@@ -39,8 +41,8 @@
   replyTimeout(): Milliseconds;
   /** Wakes the renewal loop, as a run has started or ended. */
   wake(): void;
-  /** Reports that a run is being started, which extends the lease of all active runs. */
-  reportStart(): void;
+  /** Reports that a start order is being sent, which extends the lease of all active runs. */
+  reportOrder(validity: OrderValidity): void;
   /** Renews the lease without waiting and returns the status of the worker; undefined without a reply. */
   readStatus(): Promise<WorkerStatus | undefined>;
   /** Records the clock of the worker from the reply to an order sent at `sentAt`. */
@@ -53,8 +55,8 @@
   const { timers, port, fencing, validity, logger, worker } = executor.options;
   let acknowledgedSequence = 0;
   let confirmedSequence = 0;
-  /** When the last order that may have extended the lease was sent, whether it was answered or not. */
-  let extendedAt = timers.now();
+  /** When the last of the orders sent so far ends, whether it was answered or not. */
+  let ordersEndAt = timers.now();
   /** When the newest order was sent that the worker has replied to. */
   let answeredSentAt = Number.NEGATIVE_INFINITY;
   const replyTimeout = new ReplyTimeout();
@@ -70,6 +72,10 @@
     if (executor.clock.observe(clock, sentAt)) executor.handleSuspension();
   };
 
+  const recordOrder = ({ endsAt }: OrderValidity): void => {
+    ordersEndAt = Math.max(ordersEndAt, endsAt);
+  };
+
   const handleStatus = (status: WorkerStatus, sentAt: Milliseconds): void => {
     lastStatusAt = timers.now();
     recordClock(status.clock, sentAt);
@@ -89,14 +95,14 @@
     const fencingToken = fencing.token;
     const sentSequence = acknowledgedSequence;
     // A worker whose replies are lost would keep its runs active with each renewal that it receives.
-    const deadline = isSuspected ? undefined : computeOrderDeadline(executor);
-    if (deadline !== undefined) extendedAt = sentAt;
+    const order = isSuspected ? undefined : computeOrderValidity(executor);
+    if (order !== undefined) recordOrder(order);
     const reply = await port.renewLease({
       fencingToken,
       acknowledgedSequence: sentSequence,
       waitMilliseconds,
       replyTimeout: replyTimeout.current(),
-      deadline,
+      deadline: order?.deadline,
     });
     if (isStopped) return undefined;
     if (reply.isErr()) {
@@ -157,18 +163,14 @@
 
   const handleFailure = (sentAt: Milliseconds): void => {
     suspectWorker(sentAt);
-    const silenceMilliseconds = timers.now() - extendedAt;
-    if (
-      !isReady ||
-      silenceMilliseconds <
-        computeMaximumLease(validity.leaseMilliseconds) +
-          expiryMarginMilliseconds
-    )
-      return;
+    const { endedMilliseconds, orderMilliseconds } = validity;
+    const stopMilliseconds = endedMilliseconds - orderMilliseconds;
+    const runsEndAt = ordersEndAt + stopMilliseconds + expiryMarginMilliseconds;
+    if (!isReady || timers.now() < runsEndAt) return;
     isReady = false;
     logger.warn('worker silent for longer than its lease', {
       worker: worker.workerId,
-      silenceMilliseconds: Math.round(silenceMilliseconds),
+      silenceMilliseconds: Math.round(timers.now() - lastStatusAt),
     });
     executor.handleLeaseExpiry();
   };
@@ -225,7 +227,9 @@
     await stopLeftovers();
     while (!isStopped) {
       await waitForWork();
-      const status = await renewSafely(hasWork() ? renewalWaitMilliseconds : 0);
+      // After a lost reply, the worker is asked at once whether it replies.
+      const mayWait = hasWork() && !isSuspected;
+      const status = await renewSafely(mayWait ? renewalWaitMilliseconds : 0);
       if (status !== undefined) continue;
       await sleep(
         timers,
@@ -277,8 +281,8 @@
     reportAnswered,
     replyTimeout: () => replyTimeout.current(),
     wake,
-    reportStart: () => {
-      extendedAt = timers.now();
+    reportOrder: order => {
+      recordOrder(order);
       wake();
     },
     readStatus: () => renewSafely(0),
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -3,7 +3,7 @@
 import { RunEndReason, RunOutcome } from '@cranberryturn/types';
 
 import { type ActiveRun, RunPhase } from './active-run.js';
-import { computeOrderDeadline } from './compute-order-deadline.js';
+import { computeOrderValidity } from './compute-order-deadline.js';
 import { WorkerRefusal, type WorkerReply } from './ports/worker.js';
 import { stopRun } from './stop-run.js';
 import type { WorkerExecutor } from './worker-executor.js';
@@ -23,8 +23,8 @@
       executor.endRun(run, RunOutcome.NotStarted, RunEndReason.Evacuated);
       return;
     }
-    const deadline = computeOrderDeadline(executor);
-    if (deadline === undefined) {
+    const validity = computeOrderValidity(executor);
+    if (validity === undefined) {
       executor.endRun(
         run,
         RunOutcome.NotStarted,
@@ -35,6 +35,7 @@
     const { fencing, port } = executor.options;
     const fencingToken = fencing.token;
     const sentAt = executor.options.timers.now();
+    executor.lease.reportOrder(validity);
     logStart(executor, run, sentAt);
     const reply = await port.startRun({
       jobId: run.order.jobId,
@@ -42,7 +43,7 @@
       run: run.run,
       specification: run.order.specification,
       // The network can deliver an order seconds late; the worker refuses it then.
-      deadline,
+      deadline: validity.deadline,
       fencingToken,
       replyTimeout: executor.lease.replyTimeout(),
     });
--- a/packages/worker-gate/src/worker-clock.ts
+++ b/packages/worker-gate/src/worker-clock.ts
@@ -90,8 +90,3 @@
     elapsed < readingIntervalMilliseconds && gain <= minimumGainMilliseconds
   );
 }
-
-/** Maximum duration of a worker's lease, measured on the clock of this process. */
-export function computeMaximumLease(lease: Milliseconds): Milliseconds {
-  return lease * (1 + 2 * maximumDrift);
-}
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -21,6 +21,7 @@
 } from './active-run.js';
 import { admitArrivedRuns } from './admit-arrived-runs.js';
 import { composeLoad } from './compose-load.js';
+import { isStartHeld } from './compute-order-deadline.js';
 import { findRunRefusal } from './find-run-refusal.js';
 import { interpretOutcome } from './interpret-outcome.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
@@ -115,12 +116,12 @@
     }
     admitArrivedRuns(runs, () => {
       this.startWaitingRuns();
-      if (order.mayWait || this.#isClosed) return;
+      if (order.mayWait || this.#isClosed || isStartHeld(this, lease)) return;
       this.#refuseWaitingRuns(RunEndReason.NoRoom, run => run.order === order);
     });
   }
 
-  /** Stops the selected runs of a dispatcher, queued or active. */
+  /** Stops the selected runs, queued or active. */
   stopRuns(reason: RunEndReason, selection: RunSelection): void {
     this.#stopMatchingRuns(reason, run => isSelected(run, selection));
   }
@@ -136,8 +137,7 @@
    * returned to them, so that they place these elsewhere.
    */
   changeCapacity(capacity: WorkerResources): void {
-    const { logger } = this.options;
-    const resized = resizeWorker(this.#worker, capacity, logger);
+    const resized = resizeWorker(this.#worker, capacity, this.options.logger);
     if (resized === undefined) return;
     this.#worker = resized;
     this.#runs.capacity.resize(capacity);
@@ -171,10 +171,12 @@
     for (;;) {
       const run = this.#runs.takeNextRun(
         now,
-        one => one.deadlineAt > now && leases.canStart(one.lease, now),
+        one =>
+          one.deadlineAt > now &&
+          leases.canStart(one.lease, now) &&
+          !isStartHeld(this, one.lease),
       );
       if (run === undefined) break;
-      this.#lease.reportStart();
       void startRun(this, run);
     }
     if (this.#runs.detectFreedCapacity()) this.options.capacityFreed();
