Check once for each round of starts whether a run without a lease has to end first

Cause: for each queued run that might start, the validity of an order was computed from all active runs and readings of the clock. Change: it is computed once, and a queued run is compared with the oldest reading only; the module is named after what it computes. Result: the tests of the gate and of transient jobs pass; not measured.

--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -8,10 +8,7 @@
 } from '@cranberryturn/types';
 
 import { RunPhase } from './active-run.js';
-import {
-  computeOrderValidity,
-  type OrderValidity,
-} from './compute-order-deadline.js';
+import { computeOrderValidity, type OrderValidity } from './order-validity.js';
 import { nameTask, WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { recordProgress } from './record-progress.js';
 import { ReplyTimeout } from './reply-timeout.js';
--- a/packages/worker-gate/src/compute-order-deadline.ts
+++ b/packages/worker-gate/src/order-validity.ts
@@ -33,17 +33,18 @@
   return { deadline: Math.floor(deadline), endsAt: echo + orderMilliseconds };
 }
 
-/**
- * Whether runs under a lease wait although they might fit: an active run without a lease has to end first, or no reading
- * of the worker's clock is older than the echo.
- */
-export function isStartHeld(
-  executor: OrderContext,
-  { echo }: DispatcherLease,
-): boolean {
-  if (executor.clock.computeDeadline(echo, 0) === undefined) return true;
+/** Whether no run starts for now: an active run without a lease has to end first, as a start order would extend it. */
+export function areStartsHeld(executor: OrderContext): boolean {
   return (
     executor.listActiveRuns().length > 0 &&
     computeOrderValidity(executor) === undefined
   );
 }
+
+/** Whether runs under a lease wait although they might fit. */
+export function isStartHeld(
+  executor: OrderContext,
+  { echo }: DispatcherLease,
+): boolean {
+  return areStartsHeld(executor) || !executor.clock.hasReadingBefore(echo);
+}
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -3,7 +3,7 @@
 import { RunEndReason, RunOutcome } from '@cranberryturn/types';
 
 import { type ActiveRun, RunPhase } from './active-run.js';
-import { computeOrderValidity } from './compute-order-deadline.js';
+import { computeOrderValidity } from './order-validity.js';
 import { WorkerRefusal, type WorkerReply } from './ports/worker.js';
 import { stopRun } from './stop-run.js';
 import type { WorkerExecutor } from './worker-executor.js';
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -21,7 +21,7 @@
 } from './active-run.js';
 import { admitArrivedRuns } from './admit-arrived-runs.js';
 import { composeLoad } from './compose-load.js';
-import { isStartHeld } from './compute-order-deadline.js';
+import { areStartsHeld, isStartHeld } from './order-validity.js';
 import { findRunRefusal } from './find-run-refusal.js';
 import { interpretOutcome } from './interpret-outcome.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
@@ -167,14 +167,14 @@
       return;
     }
     if (!this.#lease.isReady || this.#lease.isSuspected) return;
-    if (this.#startPause.isPaused()) return;
+    if (this.#startPause.isPaused() || areStartsHeld(this)) return;
     for (;;) {
       const run = this.#runs.takeNextRun(
         now,
         one =>
           one.deadlineAt > now &&
           leases.canStart(one.lease, now) &&
-          !isStartHeld(this, one.lease),
+          this.clock.hasReadingBefore(one.lease.echo),
       );
       if (run === undefined) break;
       void startRun(this, run);
