Let renewals wait for a third of the longest lease at most

Cause: bounds.hold_max_ms was carried to the gate and read nowhere any more; with a bound below 600 ms, renewals of 200 ms would leave no room for a lost one. Change: the wait of a renewal is derived with the other times.

--- a/packages/wire/src/messages/run-validity.ts
+++ b/packages/wire/src/messages/run-validity.ts
@@ -27,8 +27,8 @@
   readonly endedMilliseconds: Milliseconds;
   /** Maximum time between messages while a run is queued or executes; a heartbeat fills gaps. */
   readonly heartbeatMilliseconds: Milliseconds;
-  /** Longest lease that a worker grants. */
-  readonly leaseMilliseconds: Milliseconds;
+  /** Longest wait of a renewal at the worker for the end of a run, after which the next one follows. */
+  readonly renewalWaitMilliseconds: Milliseconds;
 }
 
 /** Share of the resend time within which the close of a connection reaches its dispatcher. */
@@ -41,6 +41,10 @@
 /** Heartbeats within the time for which runs are renewed, so that one or two of them may be late. */
 const heartbeatsPerRenewal = 3;
 
+/** Well below the lease that is left under a dispatcher heard as usual, so that a renewal may be lost. */
+const maximumRenewalWait: Milliseconds = 200;
+const renewalsPerLease = 3;
+
 /** Bounds of a deployment that states none. */
 export const defaultExecutionBounds: ExecutionBounds = {
   resendMilliseconds: 1_300,
@@ -68,7 +72,10 @@
       maximumHeartbeatInterval,
       renewalMilliseconds / heartbeatsPerRenewal,
     ),
-    leaseMilliseconds,
+    renewalWaitMilliseconds: Math.min(
+      maximumRenewalWait,
+      Math.floor(leaseMilliseconds / renewalsPerLease),
+    ),
   };
 }
 
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -15,8 +15,6 @@
 import { watchMissedEnds } from './watch-missed-ends.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
-/** Well below the lease that is left under a dispatcher heard as usual, so that a renewal may be lost. */
-const renewalWaitMilliseconds: Milliseconds = 200;
 const failurePauseMilliseconds: Milliseconds = 40;
 const silentPauseMilliseconds: Milliseconds = 300;
 /** Replies may be this late although the lease of the worker has not expired. */
@@ -226,7 +224,9 @@
       await waitForWork();
       // After a lost reply, the worker is asked at once whether it replies.
       const mayWait = hasWork() && !isSuspected;
-      const status = await renewSafely(mayWait ? renewalWaitMilliseconds : 0);
+      const status = await renewSafely(
+        mayWait ? validity.renewalWaitMilliseconds : 0,
+      );
       if (status !== undefined) continue;
       await sleep(
         timers,
