--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,71 +1,88 @@
-/** Workers leave stop orders unanswered and carry them out late, while clients resend jobs that were not answered in time. */
+/** A heartbeat of another writer, with a service that isn't named, reaches the sidecar of a worker at work. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { URL } from 'node:url';
 
-import { createJobId, submit, submitUntilAnswered } from '../lib/client.mjs';
+import { createJobId, submitUntilAnswered } from '../lib/client.mjs';
 import { startDeployment } from '../lib/deployment.mjs';
+import { call } from '../lib/http.mjs';
 import { runCase } from '../lib/record.mjs';
 import { createWatch, startStandInWorker } from '../lib/worker.mjs';
 
-/** Jobs that take longer than their clients wait. */
-const longJobs = 2;
-const work = 3600;
-const deadline = 1500;
-/** Orders are disturbed for this long, and carried out this much later, in milliseconds. */
-const disturbed = 5500;
-const late = 2200;
-/** All orders of the last part of that time are answered. */
-const lastAnswered = 2000;
+const jobs = 8;
+const work = 2500;
 
 await runCase(new URL('.', import.meta.url), async ({ record, hasTrouble }) => {
   const watch = createWatch(record);
-  let disturbedUntil = 0;
-  const counts = { orders: 0, unanswered: 0 };
-  const disturb = path => {
-    if (Date.now() >= disturbedUntil) return undefined;
-    counts.orders += 1;
-    // The stop orders of the first submissions, and none later.
-    if (path !== '/cranberryturn/run-stop') return undefined;
-    if (Date.now() >= disturbedUntil - lastAnswered) return undefined;
-    counts.unanswered += 1;
-    return late;
-  };
   const deployment = await startDeployment({
     record,
-    startWorker: options =>
-      startStandInWorker({ ...options, watch, record, disturb }),
+    startWorker: options => startStandInWorker({ ...options, watch, record }),
   });
   try {
-    const { fronts } = deployment;
-    if (hasTrouble) disturbedUntil = Date.now() + disturbed;
-    const isOver = Date.now() + disturbed;
-    const answers = Array.from({ length: longJobs }, (_, index) =>
+    const { fronts, workers, sides, ip, ports } = deployment;
+    const answers = Array.from({ length: jobs }, (_, index) =>
       submitUntilAnswered(
         fronts,
-        { jobId: createJobId(), work, deadline, estimate: 1000 },
+        { jobId: createJobId(), work, deadline: 15_000 },
         record,
-        { first: index, tries: 2 },
+        {
+          first: index,
+        },
       ),
     );
-    // Usual traffic, which is answered meanwhile.
-    const others = [];
-    while (Date.now() < isOver) {
-      const front = fronts[others.length % fronts.length];
-      others.push(
-        submit(front, { jobId: createJobId(), work: 80, deadline }, record),
+    await sleep(1000);
+    const busy = workers.findIndex(worker => worker.listTasks().length > 0);
+    if (busy < 0) throw new Error('no worker is at work');
+    if (hasTrouble) {
+      const body = JSON.stringify({
+        service: 'another-service',
+        address: `${ip(sides[busy])}:${ports.app + 1}`,
+        zone: 'hoan-kiem',
+        version: 'v1',
+        slots: 8,
+        state: 'ready',
+        cold_remaining_ms: 0,
+        capacity: { cpu: 8000, mem_mb: 32_768, gpu: 0 },
+        labels: ['a', 'r1-3'],
+        clock_ms: 40,
+        born: Date.now(),
+        sequence: 1,
+      });
+      const reply = await call({
+        host: ip(sides[busy]),
+        port: ports.control,
+        method: 'PUT',
+        path: '/cranberryturn/instances/i-of-another-writer',
+        body,
+      });
+      record.write(
+        `another writer's heartbeat to the sidecar of ${workers[busy].name}`,
+        {
+          body,
+          answered: reply.status,
+        },
       );
-      await sleep(8);
     }
-    record.write('answers to the long jobs', await Promise.all(answers));
-    const statuses = await Promise.all(others);
-    record.write(
-      `other jobs: ${statuses.filter(status => status === 200).length} of ${statuses.length} completed`,
+    const statuses = await Promise.all(answers);
+    record.write('answers', statuses);
+    // Whether the sound worker is used again.
+    await sleep(4000);
+    const before = watch.runs.length;
+    await Promise.all(
+      Array.from({ length: 24 }, (_, index) =>
+        submitUntilAnswered(
+          fronts,
+          { jobId: createJobId(), work: 200, deadline: 5000 },
+          record,
+          {
+            first: index,
+          },
+        ),
+      ),
     );
-    record.write('orders during the disturbance', {
-      ...counts,
-      share: counts.unanswered / Math.max(1, counts.orders),
-    });
-    await sleep(1000);
+    const used = watch.runs
+      .slice(before)
+      .filter(run => run.worker === workers[busy].name);
+    record.write(`later starts on ${workers[busy].name}: ${used.length} of 24`);
     return watch.describeOverlaps();
   } finally {
     await deployment.stop();
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,16 +1,15 @@
-/** The departure of a worker is held up on its way, and arrives when the worker has started again under its id. */
+/** A worker without work is cut off, crashes behind the cut and starts again under its id; a job comes after the cut. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { URL } from 'node:url';
 
 import { createJobId, submitUntilAnswered } from '../lib/client.mjs';
-import { bounds, startDeployment } from '../lib/deployment.mjs';
-import { call } from '../lib/http.mjs';
+import { startDeployment } from '../lib/deployment.mjs';
 import { runCase } from '../lib/record.mjs';
 import { createWatch, startStandInWorker } from '../lib/worker.mjs';
 
 const sides = 6;
 const jobs = 18;
-const work = 2500;
+const work = 1200;
 
 await runCase(new URL('.', import.meta.url), async ({ record, hasTrouble }) => {
   const watch = createWatch(record);
@@ -20,39 +19,31 @@
     startWorker: options => startStandInWorker({ ...options, watch, record }),
   });
   try {
-    const { fronts, workers, ip, ports, sides: numbers } = deployment;
+    const { fronts, workers } = deployment;
     const [worker] = workers;
-    const leave = async () => {
-      const reply = await call({
-        host: ip(numbers[0]),
-        port: ports.control,
-        method: 'DELETE',
-        path: `/cranberryturn/instances/${worker.name}`,
-      });
-      record.write(`DELETE of ${worker.name} answered ${reply.status}`);
-    };
-    await worker.drain();
-    await sleep(bounds.drain_ms + 500);
-    if (hasTrouble)
-      record.write(`DELETE of ${worker.name} is sent, and held up on its way`);
-    else await leave();
+    const submitAll = () =>
+      Promise.all(
+        Array.from({ length: jobs }, (_, index) =>
+          submitUntilAnswered(
+            fronts,
+            { jobId: createJobId(), work, deadline: 10_000 },
+            record,
+            {
+              first: index,
+            },
+          ),
+        ),
+      );
+    record.write('answers before', await submitAll());
+    // Nothing is sent for some seconds.
+    await sleep(6000);
+    if (hasTrouble) await worker.cut();
     await sleep(1000);
-    worker.setReady();
-    worker.beReborn();
+    if (hasTrouble) worker.beReborn();
     await sleep(2000);
-    const answers = Array.from({ length: jobs }, (_, index) =>
-      submitUntilAnswered(
-        fronts,
-        { jobId: createJobId(), work, deadline: 10_000 },
-        record,
-        {
-          first: index,
-        },
-      ),
-    );
-    await sleep(500);
-    if (hasTrouble) await leave();
-    record.write('answers', await Promise.all(answers));
+    if (hasTrouble) await worker.heal();
+    await sleep(200);
+    record.write('answers after', await submitAll());
     await sleep(1000);
     return watch.describeOverlaps();
   } finally {
