Review: scripts end their processes also when they are ended from outside

A script that was ended by SIGTERM left ten processes. It now ends them and its folder on SIGTERM, SIGINT and SIGHUP, and after 110 s. Ended by SIGTERM and SIGHUP, review/2 and review/5 left no process.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -248,7 +248,10 @@
     isStopping = true;
     for (const child of children) child.kill('SIGKILL');
   };
-  process.once('exit', killAll);
+  process.once('exit', () => {
+    killAll();
+    rmSync(folder, { recursive: true, force: true });
+  });
 
   let version = 0;
   const composeConfiguration = (changes = {}) => ({
--- a/review/lib/record.mjs
+++ b/review/lib/record.mjs
@@ -1,8 +1,11 @@
 /** The record of a script: what was sent, answered and run. */
 import { createWriteStream } from 'node:fs';
 import { performance } from 'node:perf_hooks';
+import { setTimeout } from 'node:timers';
 import { URL } from 'node:url';
 
+/** Below the 120 s that a script may take. */
+const longestMilliseconds = 110_000;
 const startedAt = performance.now();
 
 /** Milliseconds since the start of the script. */
@@ -25,6 +28,10 @@
 export async function runCase(folder, play) {
   const record = createRecord(new URL('record.txt', folder));
   const hasTrouble = process.env.TROUBLE !== '0';
+  // The exit ends all processes that the script started, also when it is ended from outside or takes too long.
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+    process.once(signal, () => process.exit(2));
+  setTimeout(() => process.exit(2), longestMilliseconds).unref();
   let code = 2;
   try {
     record.write(`begins, ${hasTrouble ? 'with' : 'without'} the disruption`);
