Open the log of a control replica again after a fault of its disk

Cause: a write that failed stopped the replica for good while its process went on. Its peers took the reply that it had stopped for a sign of life, so it was never replaced.

A failed write is not tried again, as it is unknown what the file then holds. Nothing that was not synced was acknowledged or voted, so nothing can be lost by this. Damaged data and a replaced identity stay final. A stopped replica counts as silent.

The test on a failed sync asserts that syncs of the appended file are not tried again; it counted all syncs, among them now those of files that are replaced. Its other assertions stay.

--- a/packages/control/src/adapters/check-peer-messages.ts
+++ b/packages/control/src/adapters/check-peer-messages.ts
@@ -102,7 +102,11 @@
     installed: isFlag,
   }),
   [PeerReplyKind.TimeoutNowAnswer]: isRecord({ term: isCount }),
-  [PeerReplyKind.Refused]: isRecord({ reason: isText, wrongIdentity: isFlag }),
+  [PeerReplyKind.Refused]: isRecord({
+    reason: isText,
+    wrongIdentity: isFlag,
+    isStopped: isOptional(isFlag),
+  }),
 });
 
 /**
--- a/packages/control/src/adapters/serve-administration.ts
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -7,6 +7,7 @@
 import { ConnectionError } from '@cranberryturn/errors';
 import { Counter, Gauge, type Metrics } from '@cranberryturn/metrics';
 import {
+  hasFailedForGood,
   type LogEvent,
   LogEventKind,
   ReplicaRole,
@@ -53,7 +54,7 @@
     operators: options.operators,
     administer: call => node.administer(call),
     evacuations: node.evacuations,
-    isAlive: () => node.log.status().failure === undefined,
+    isAlive: () => !hasFailedForGood(node.log.status()),
     isReady: () => !isStopping && hasProvedLeader(node, timers),
     exposeMetrics: () => metrics.expose(),
     handleRefusedToken: () => {
--- a/packages/control/src/adapters/wire-peer-link.ts
+++ b/packages/control/src/adapters/wire-peer-link.ts
@@ -104,7 +104,10 @@
     AdministrationReply | undefined,
     ConnectionError | TimeoutError
   >;
-  /** Time since anything was received from a replica; undefined without a connection to it. */
+  /**
+   * Time since a replica was last heard; undefined without a connection to it. A stopped replica counts as silent, although
+   * its process replies for it: it neither votes nor stores anything.
+   */
   findSilence(replica: ReplicaId): Milliseconds | undefined;
   close(): void;
 }
@@ -153,6 +156,8 @@
     ReplicaId,
     Promise<Result<RemoteCalls, ConnectionError>>
   >();
+  /** Replicas that reply that they have stopped, and when they first did. */
+  const stoppedSince = new Map<ReplicaId, Milliseconds>();
   const startedAt = timers.now();
   let closed = false;
 
@@ -232,8 +237,11 @@
         callTimeoutMilliseconds,
         isPeerReply,
       ).andTee(reply => {
-        if (reply.kind === PeerReplyKind.Refused && reply.wrongIdentity)
-          options.handleReplaced(peer);
+        const refusal =
+          reply.kind === PeerReplyKind.Refused ? reply : undefined;
+        if (refusal?.wrongIdentity === true) options.handleReplaced(peer);
+        if (refusal?.isStopped !== true) stoppedSince.delete(peer);
+        else if (!stoppedSince.has(peer)) stoppedSince.set(peer, timers.now());
       }),
     administer: (leader, call) =>
       send(
@@ -244,9 +252,9 @@
       ),
     findSilence: replica => {
       const calls = openCalls.get(replica);
-      return calls === undefined
-        ? undefined
-        : timers.now() - calls.lastReceived();
+      if (calls === undefined) return undefined;
+      const heardUntil = stoppedSince.get(replica) ?? calls.lastReceived();
+      return timers.now() - heardUntil;
     },
     close: () => {
       closed = true;
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -13,6 +13,7 @@
   createFileLogDisk,
   createVolatileLogDisk,
   defaultLogTuning,
+  hasFailedForGood,
   type BootstrapStart,
   type JoinStart,
   type LogDisk,
@@ -91,11 +92,19 @@
   environment.logger.info('random numbers seeded', { seed });
   return startControl(
     composeOptions(settings, environment, join, seed, initialConfiguration),
-  ).andTee(({ state }) => {
-    environment.metrics.registerGauge(
+  ).andTee(({ state, log }) => {
+    const { metrics } = environment;
+    metrics.registerGauge(
       Gauge.EvacuatedDataCentres,
       () => state.evacuations.state.evacuations.length,
     );
+    metrics.registerGauge(Gauge.ReplicaFailed, () =>
+      Number(hasFailedForGood(log.status())),
+    );
+    metrics.registerGauge(
+      Gauge.ReplicaRecoveryAttempts,
+      () => log.status().recoveryAttempts ?? 0,
+    );
   });
 }
 
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -92,6 +92,10 @@
   LogIndex = 'log_index',
   /** 1 while this replica is the leader, otherwise 0. */
   Leading = 'leading',
+  /** 1 while this replica is stopped by an error that does not pass, otherwise 0. */
+  ReplicaFailed = 'replica_failed',
+  /** Failed attempts of this replica to open its log again after a fault of its disk; 0 unless it tries. */
+  ReplicaRecoveryAttempts = 'replica_recovery_attempts',
   /** Connected sidecars whose reports do not name the current version of the evacuation state. */
   SidecarsUnconfirmed = 'sidecars_unconfirmed',
   /** Number of data centres that a control replica knows to be evacuated. */
--- a/packages/replicated-log/src/adapters/file-log-disk.ts
+++ b/packages/replicated-log/src/adapters/file-log-disk.ts
@@ -88,7 +88,7 @@
         await prepareFolder();
         await closeHandle(file);
         const temporary = join(folder, file + temporarySuffix);
-        await writeAndSync(temporary, bytes);
+        await writeTemporary(temporary, bytes);
         await rename(temporary, join(folder, file));
         await syncFolder(folder);
       }),
@@ -125,6 +125,16 @@
   }
 }
 
+/** Leaves no file behind after a failure: it would use the last space of a full disk. */
+async function writeTemporary(path: string, bytes: Uint8Array): Promise<void> {
+  try {
+    await writeAndSync(path, bytes);
+  } catch (cause) {
+    await rm(path, { force: true });
+    throw cause;
+  }
+}
+
 async function writeAndSync(path: string, bytes: Uint8Array): Promise<void> {
   const handle = await open(path, 'w');
   try {
--- a/packages/replicated-log/src/core/applier.ts
+++ b/packages/replicated-log/src/core/applier.ts
@@ -38,12 +38,13 @@
     replica: Replica,
     stateMachine: StateMachine<Outcome>,
     publish: (event: LogEvent<Outcome>) => void,
+    appliedIndex: LogIndex,
   ) {
     this.#replica = replica;
     this.#stateMachine = stateMachine;
     this.#publish = publish;
     this.#snapshotTaker = new SnapshotTaker(replica, stateMachine);
-    this.#appliedIndex = replica.commitIndex;
+    this.#appliedIndex = appliedIndex;
   }
 
   /** Index of the last entry applied to the state machine. */
@@ -76,7 +77,9 @@
       this.#appliedIndex = entry.index;
       this.#applyEntry(entry);
     }
-    this.#snapshotTaker.takeIfDue(this.#appliedIndex);
+    // After a fault of the disk, the log may still lack entries that were applied before it.
+    if (this.#appliedIndex <= this.#replica.commitIndex)
+      this.#snapshotTaker.takeIfDue(this.#appliedIndex);
   }
 
   /** Replaces the state with a snapshot from the leader. */
--- a/packages/replicated-log/src/core/replies.ts
+++ b/packages/replicated-log/src/core/replies.ts
@@ -8,6 +8,7 @@
     kind: PeerReplyKind.Refused,
     reason: replica.failure?.message ?? 'The replica is stopped.',
     wrongIdentity: false,
+    isStopped: true,
   };
 }
 
--- a/packages/replicated-log/src/core/service.ts
+++ b/packages/replicated-log/src/core/service.ts
@@ -27,6 +27,7 @@
   type PeerReply,
 } from '../ports/peer-link.js';
 import type { StateMachine } from '../ports/state-machine.js';
+import type { RevocableDisk } from '../storage/revocable-disk.js';
 import { handleAppendEntries, handleHeartbeat } from './append-handler.js';
 import { Applier } from './applier.js';
 import { runElections } from './election.js';
@@ -44,12 +45,20 @@
 import { transferLeadership } from './transfer.js';
 import { handlePreVote, handleTimeoutNow, handleVote } from './vote-handler.js';
 
+/** State of the disk and of the state machine when a replica opens. */
+export interface OpenedState {
+  readonly access: RevocableDisk;
+  /** Index up to which the state machine has applied the entries. */
+  readonly appliedIndex: LogIndex;
+}
+
 /** Implements the public interface and dispatches peer messages to their handlers. */
 export class ReplicatedLogService<Outcome> implements ReplicatedLog<Outcome> {
   readonly #replica: Replica;
   readonly #bootstrap: Bootstrap;
   readonly #applier: Applier<Outcome>;
   readonly #snapshotReceiver: SnapshotReceiver;
+  readonly #access: RevocableDisk;
   readonly #listeners = new Set<(event: LogEvent<Outcome>) => void>();
   #loops: Promise<void> = Promise.resolve();
 
@@ -57,12 +66,19 @@
     replica: Replica,
     stateMachine: StateMachine<Outcome>,
     bootstrap: Bootstrap,
+    { access, appliedIndex }: OpenedState,
   ) {
     this.#replica = replica;
     this.#bootstrap = bootstrap;
-    this.#applier = new Applier(replica, stateMachine, event => {
-      this.#publish(event);
-    });
+    this.#access = access;
+    this.#applier = new Applier(
+      replica,
+      stateMachine,
+      event => {
+        this.#publish(event);
+      },
+      appliedIndex,
+    );
     this.#snapshotReceiver = new SnapshotReceiver(replica, this.#applier);
     replica.hooks = {
       onCommitted: () => {
@@ -80,6 +96,11 @@
     };
   }
 
+  /** Index of the last entry applied to the state machine. */
+  get appliedIndex(): LogIndex {
+    return this.#applier.appliedIndex;
+  }
+
   /** Starts the bootstrap and the election loop. */
   start(): void {
     this.#loops = this.#run();
@@ -164,10 +185,16 @@
     );
   }
 
+  /** Waits until a replica that has failed makes no more use of its disk, however long the disk takes. */
+  async release(): Promise<void> {
+    await this.#access.revoke();
+    await this.#loops;
+  }
+
   async #close(): Promise<void> {
     await this.#loops;
     await this.#replica.store.whenIdle();
-    await this.#replica.dependencies.disk.close();
+    await this.#access.revoke();
   }
 
   async #run(): Promise<void> {
--- a/packages/replicated-log/src/fakes/memory-log-disk.ts
+++ b/packages/replicated-log/src/fakes/memory-log-disk.ts
@@ -15,14 +15,18 @@
   hang(): void;
   /** Ends all faults and resumes blocked operations. */
   repair(): void;
-  /** Makes every later sync and replace fail. */
+  /** Makes every later sync and replace fail. What a failed sync covered is lost in a crash, even after a later sync. */
   failSyncs(): void;
+  /** Makes every later write fail, for `duration` if one is given. Appends leave a part of their bytes. */
+  refuseWrites(duration?: Milliseconds): void;
   /** Crashes the process during the write operation that follows `operations` further ones. */
   crashAfter(operations: number, onCrash: () => void): void;
   /** Number of write operations so far. */
   operations(): number;
-  /** Number of syncs so far. */
+  /** Number of syncs so far, those of replaced files included. */
   syncs(): number;
+  /** Number of syncs of appended files so far. */
+  syncsOfAppends(): number;
   /** Crashes the process: calls in flight never settle. */
   crash(): void;
   /** Returns the disk as the next process finds it: unsynced bytes are lost, torn or kept at random. */
@@ -39,6 +43,8 @@
   bytes: Uint8Array;
   /** Number of leading bytes that survive a crash. */
   syncedLength: number;
+  /** Bytes from here on were given up by a failed sync: only writing them again makes them survive a crash. */
+  lostFrom: number;
   /** Whether the directory entry survives a crash. */
   isNameSynced: boolean;
 }
@@ -58,16 +64,23 @@
   let hangingSyncs: Promise<void> | undefined;
   let releaseHanging: () => void = () => undefined;
   let shouldFailSyncs = false;
+  let isRefusingWrites = false;
   let isCrashed = false;
   let operationsLeft = Number.POSITIVE_INFINITY;
   let reportCrash: () => void = () => undefined;
   let operationCount = 0;
   let syncCount = 0;
+  let appendSyncCount = 0;
 
   const fileOf = (name: string): StoredFile => {
     const known = files.get(name);
     if (known !== undefined) return known;
-    const created = { bytes: emptyBytes, syncedLength: 0, isNameSynced: false };
+    const created = {
+      bytes: emptyBytes,
+      syncedLength: 0,
+      lostFrom: Infinity,
+      isNameSynced: false,
+    };
     files.set(name, created);
     return created;
   };
@@ -81,6 +94,7 @@
     if (syncDelay > 0) await sleep(timers, syncDelay);
     if (hangingSyncs !== undefined) await hangingSyncs;
     if (isCrashed) await neverSettle();
+    if (isRefusingWrites) return err(refusedWrite());
     return shouldFailSyncs ? err(syncFailure()) : ok();
   };
 
@@ -128,6 +142,10 @@
     append: (name, bytes) =>
       change(
         () => {
+          if (isRefusingWrites) {
+            appendBytes(name, bytes.subarray(0, bytes.length / 2));
+            return Promise.resolve(err(refusedWrite()));
+          }
           appendBytes(name, bytes);
           return Promise.resolve(ok());
         },
@@ -137,19 +155,27 @@
       ),
     sync: name =>
       change(async () => {
+        appendSyncCount += 1;
         const file = fileOf(name);
         const { length } = file.bytes;
         const waited = await waitForSync();
-        if (waited.isErr()) return waited;
-        file.syncedLength = Math.max(file.syncedLength, length);
+        if (waited.isErr()) {
+          file.lostFrom = Math.min(file.lostFrom, file.syncedLength);
+          return waited;
+        }
+        file.syncedLength = Math.max(
+          file.syncedLength,
+          Math.min(length, file.lostFrom),
+        );
         file.isNameSynced = true;
         return ok();
       }),
     truncate: (name, length) =>
       change(() => {
+        if (isRefusingWrites) return Promise.resolve(err(refusedWrite()));
         const file = fileOf(name);
         file.bytes = file.bytes.slice(0, length);
-        file.syncedLength = length;
+        file.syncedLength = Math.min(length, file.lostFrom);
         return Promise.resolve(ok());
       }),
     replace: (name, bytes) =>
@@ -160,6 +186,7 @@
         files.set(name, {
           bytes: copy,
           syncedLength: copy.length,
+          lostFrom: Infinity,
           isNameSynced: true,
         });
         syncNames();
@@ -167,6 +194,7 @@
       }),
     remove: name =>
       change(() => {
+        if (isRefusingWrites) return Promise.resolve(err(refusedWrite()));
         files.delete(name);
         return Promise.resolve(ok());
       }),
@@ -183,18 +211,27 @@
       hangingSyncs = undefined;
       syncDelay = 0;
       shouldFailSyncs = false;
+      isRefusingWrites = false;
       operationsLeft = Number.POSITIVE_INFINITY;
       releaseHanging();
     },
     failSyncs: () => {
       shouldFailSyncs = true;
     },
+    refuseWrites: duration => {
+      isRefusingWrites = true;
+      if (duration === undefined) return;
+      timers.after(duration, () => {
+        isRefusingWrites = false;
+      });
+    },
     crashAfter: (operations, onCrash) => {
       operationsLeft = operations;
       reportCrash = onCrash;
     },
     operations: () => operationCount,
     syncs: () => syncCount,
+    syncsOfAppends: () => appendSyncCount,
     crash: () => {
       isCrashed = true;
     },
@@ -219,7 +256,12 @@
   for (const [name, file] of files) {
     if (!file.isNameSynced && random.below(2) === 0) continue;
     const bytes = tearTail(file, random);
-    kept.set(name, { bytes, syncedLength: bytes.length, isNameSynced: true });
+    kept.set(name, {
+      bytes,
+      syncedLength: bytes.length,
+      lostFrom: Infinity,
+      isNameSynced: true,
+    });
   }
   return kept;
 }
@@ -245,5 +287,12 @@
   );
 }
 
+function refusedWrite(): StorageError {
+  return new StorageError(
+    'The fake disk takes no more bytes because the test called `refuseWrites`.',
+    { step: 'write file' },
+  );
+}
+
 /** Result of a call from a crashed process. */
 const neverSettle = (): Promise<never> => new Promise<never>(() => undefined);
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -29,7 +29,7 @@
   Follower = 'follower',
   Candidate = 'candidate',
   Leader = 'leader',
-  /** Stopped by `stop()` or by an error. Final: the log must be opened again. */
+  /** Stopped by `stop()` or by an error. Final, unless the replica recovers from a fault of its disk. */
   Stopped = 'stopped',
 }
 
@@ -141,6 +141,16 @@
   readonly stateProvedAt?: Milliseconds | undefined;
   /** Error that stopped the replica. */
   readonly failure?: CranberryError | undefined;
+  /** Number of attempts to open the log again after a fault of the disk; undefined unless the replica recovers from one. */
+  readonly recoveryAttempts?: number | undefined;
+}
+
+/** Whether an error that does not pass has stopped the replica: damaged data, or an identity that was replaced. */
+export function hasFailedForGood({
+  failure,
+  recoveryAttempts,
+}: LogStatus): boolean {
+  return failure !== undefined && recoveryAttempts === undefined;
 }
 
 /** Index of a committed command and the outcome of applying it. */
--- a/packages/replicated-log/src/model/model-cluster.ts
+++ b/packages/replicated-log/src/model/model-cluster.ts
@@ -11,7 +11,12 @@
   createFakePeerNetwork,
   type FakePeerNetwork,
 } from '../fakes/fake-peer-network.js';
-import { StartKind, type LogTuning, type ReplicatedLog } from '../log-types.js';
+import {
+  hasFailedForGood,
+  StartKind,
+  type LogTuning,
+  type ReplicatedLog,
+} from '../log-types.js';
 import { MemberChangeKind, MemberRole, type Member } from '../members.js';
 import { LogInvariants } from './log-invariants.js';
 import { ModelHost } from './model-host.js';
@@ -130,7 +135,7 @@
     return true;
   }
 
-  /** Ends all faults and restarts stopped or failed replicas. */
+  /** Ends all faults, and restarts replicas that are stopped or have failed for good; the others recover by themselves. */
   repair(): void {
     this.network.heal();
     this.network.setFaults({
@@ -140,7 +145,8 @@
     });
     for (const host of this.hosts) {
       host.disk.repair();
-      const hasFailed = host.log?.status().failure !== undefined;
+      const status = host.log?.status();
+      const hasFailed = status !== undefined && hasFailedForGood(status);
       const isOpen = host.isRunning && host.openError === undefined;
       if (isOpen && !hasFailed) continue;
       host.crash();
--- a/packages/replicated-log/src/model/operations.ts
+++ b/packages/replicated-log/src/model/operations.ts
@@ -20,6 +20,8 @@
   SlowAllDisks = 'slow-all-disks',
   HangDisk = 'hang-disk',
   FailSyncs = 'fail-syncs',
+  /** The disk refuses writes for a while. */
+  RefuseWrites = 'refuse-writes',
   Replace = 'replace',
   WipeUnderOldIdentity = 'wipe-under-old-identity',
   Transfer = 'transfer',
@@ -60,6 +62,7 @@
   { kind: OperationKind.SlowAllDisks, weight: 2, maximumAmount: 100 },
   { kind: OperationKind.HangDisk, weight: 1, maximumAmount: 0 },
   { kind: OperationKind.FailSyncs, weight: 1, maximumAmount: 0 },
+  { kind: OperationKind.RefuseWrites, weight: 3, maximumAmount: 3_000 },
   { kind: OperationKind.Replace, weight: 3, maximumAmount: 0 },
   { kind: OperationKind.WipeUnderOldIdentity, weight: 1, maximumAmount: 0 },
   { kind: OperationKind.Transfer, weight: 1, maximumAmount: 0 },
--- a/packages/replicated-log/src/model/run-operations.ts
+++ b/packages/replicated-log/src/model/run-operations.ts
@@ -90,6 +90,9 @@
     case OperationKind.FailSyncs:
       host.disk.failSyncs();
       return;
+    case OperationKind.RefuseWrites:
+      host.disk.refuseWrites(amount);
+      return;
     case OperationKind.Replace:
       if (canLoseDisk(cluster, host)) cluster.replaceHost(host);
       return;
--- a/packages/replicated-log/src/open-replicated-log.ts
+++ b/packages/replicated-log/src/open-replicated-log.ts
@@ -1,8 +1,10 @@
 /** Opens one replica of the log. */
 import { InvalidInputError, type StorageError } from '@cranberryturn/errors';
+import type { LogIndex } from '@cranberryturn/types';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
 import { Bootstrap } from './core/bootstrap.js';
+import { RecoveringLog } from './core/recovering-log.js';
 import { Replica } from './core/replica.js';
 import { ReplicatedLogService } from './core/service.js';
 import {
@@ -16,10 +18,14 @@
 import { HardStateWriter } from './storage/hard-state.js';
 import { openIdentity } from './storage/identity.js';
 import { openStore } from './storage/open-store.js';
+import { grantDisk, type RevocableDisk } from './storage/revocable-disk.js';
 import type { SegmentWriterEvents } from './storage/segment-writer.js';
 import { defaultLogTuning } from './tuning.js';
 
-/** Opens the log in a data folder and starts the replica. Fails when stored data is unreadable or corrupt. */
+/**
+ * Opens the log in a data folder and starts the replica. Fails when stored data is unreadable or corrupt. A replica that
+ * is stopped later by a fault of the disk opens the log again, with growing pauses.
+ */
 export function openReplicatedLog<Outcome>(
   options: ReplicatedLogOptions<Outcome>,
 ): ResultAsync<ReplicatedLog<Outcome>, OpenLogError> {
@@ -29,24 +35,52 @@
 async function openLog<Outcome>(
   options: ReplicatedLogOptions<Outcome>,
 ): Promise<Result<ReplicatedLog<Outcome>, OpenLogError>> {
-  const { disk, timers, random, link, stateMachine } = options;
   const checked = checkStart(options.start);
   if (checked.isErr()) return err(checked.error);
+  const opened = await openReplica(options, undefined);
+  return opened.map(service => {
+    service.start();
+    return new RecoveringLog(options.timers, service, async former => {
+      await former.release();
+      return await openReplica(options, former.appliedIndex);
+    });
+  });
+}
+
+async function openReplica<Outcome>(
+  options: ReplicatedLogOptions<Outcome>,
+  appliedIndex: LogIndex | undefined,
+): Promise<Result<ReplicatedLogService<Outcome>, OpenLogError>> {
+  const access = grantDisk(options.disk);
+  const opened = await openOnDisk(options, access, appliedIndex);
+  if (opened.isErr()) await access.revoke();
+  return opened;
+}
+
+/**
+ * Opens a replica from the disk. After a fault of the disk, the state machine already holds the entries up to
+ * `appliedIndex`, which are committed.
+ */
+async function openOnDisk<Outcome>(
+  options: ReplicatedLogOptions<Outcome>,
+  access: RevocableDisk,
+  appliedIndex: LogIndex | undefined,
+): Promise<Result<ReplicatedLogService<Outcome>, OpenLogError>> {
+  const { timers, random, link, stateMachine } = options;
   const tuning = { ...defaultLogTuning, ...options.tuning };
+  const { disk } = access;
   const identity = await openIdentity(disk, random, options.start);
   if (identity.isErr()) return err(identity.error);
   const events = new DeferredEvents();
-  const opened = await openStore(
-    disk,
-    timers,
-    events,
-    tuning.maximumSegmentBytes,
-  );
+  const opened = await openStore(disk, timers, events, {
+    maximumSegmentBytes: tuning.maximumSegmentBytes,
+    isAfterFault: appliedIndex !== undefined,
+  });
   if (opened.isErr()) return err(opened.error);
   const { store, hardState, snapshot } = opened.value;
-  if (snapshot !== undefined) {
-    stateMachine.restore(snapshot.state, snapshot.meta.last.index);
-  }
+  const isAhead =
+    snapshot !== undefined && snapshot.meta.last.index > (appliedIndex ?? 0);
+  if (isAhead) stateMachine.restore(snapshot.state, snapshot.meta.last.index);
   const hardStateWriter = new HardStateWriter(disk);
   // The file read above may come from a rename that is not synced yet. Writing the file again syncs the folder.
   const synced = await hardStateWriter.save(hardState);
@@ -64,9 +98,12 @@
   });
   events.replica = replica;
   const bootstrap = new Bootstrap(replica, disk, identity.value);
-  const service = new ReplicatedLogService(replica, stateMachine, bootstrap);
-  service.start();
-  return ok(service);
+  return ok(
+    new ReplicatedLogService(replica, stateMachine, bootstrap, {
+      access,
+      appliedIndex: Math.max(appliedIndex ?? 0, replica.commitIndex),
+    }),
+  );
 }
 
 /** Forwards events of the segment writer to the replica, which is created after the writer. */
--- a/packages/replicated-log/src/ports/peer-link.ts
+++ b/packages/replicated-log/src/ports/peer-link.ts
@@ -179,6 +179,8 @@
   readonly reason: string;
   /** Whether the message was addressed to another identity than that of this replica. */
   readonly wrongIdentity: boolean;
+  /** Whether the replica has stopped. Its process may go on, but takes no part in the log. */
+  readonly isStopped?: boolean | undefined;
 }
 
 /** Reply to a message between replicas. */
--- a/packages/replicated-log/src/storage/open-store.ts
+++ b/packages/replicated-log/src/storage/open-store.ts
@@ -23,16 +23,23 @@
   readonly snapshot: Snapshot | undefined;
 }
 
+/** Settings of a store. */
+export interface OpenStoreOptions {
+  readonly maximumSegmentBytes: number;
+  /** Whether a write or sync of this process has failed: what is read may not be on the disk. */
+  readonly isAfterFault: boolean;
+}
+
 /** Opens the log in a data folder. All recovered state is synced. */
 export async function openStore(
   disk: LogDisk,
   timers: TimerService,
   events: SegmentWriterEvents,
-  maximumSegmentBytes: number,
+  { maximumSegmentBytes, isAfterFault }: OpenStoreOptions,
 ): Promise<Result<OpenedStore, StorageError | CorruptionError>> {
   const snapshot = await readNewestSnapshot(disk);
   if (snapshot.isErr()) return err(snapshot.error);
-  const stored = await readSegments(disk);
+  const stored = await readSegments(disk, isAfterFault);
   if (stored.isErr()) return err(stored.error);
   const hardState = await readHardState(disk);
   if (hardState.isErr()) return err(hardState.error);
--- a/packages/replicated-log/src/storage/segment-reader.ts
+++ b/packages/replicated-log/src/storage/segment-reader.ts
@@ -38,15 +38,20 @@
   return filePrefix + String(number).padStart(numberDigits, '0');
 }
 
-/** Reads all segments. The returned records are synced. Damage below a synced length is an error. */
+/**
+ * Reads all segments. The returned records are synced. Damage below a synced length is an error. After a fault of the
+ * disk, the last segment is written anew: the system may return pages that it failed to write, and syncs them no more.
+ */
 export function readSegments(
   disk: LogDisk,
+  isAfterFault: boolean,
 ): ResultAsync<StoredRecords, StorageError | CorruptionError> {
-  return new ResultAsync(readAll(disk));
+  return new ResultAsync(readAll(disk, isAfterFault));
 }
 
 async function readAll(
   disk: LogDisk,
+  isAfterFault: boolean,
 ): Promise<Result<StoredRecords, StorageError | CorruptionError>> {
   const listed = await disk.list();
   if (listed.isErr()) return err(listed.error);
@@ -56,7 +61,7 @@
   let lastLength = 0;
   for (const [position, file] of files.entries()) {
     const isLast = position === files.length - 1;
-    const content = await readSegment(disk, file, isLast);
+    const content = await readSegment(disk, file, isLast, isAfterFault);
     if (content.isErr()) return err(content.error);
     for (const record of content.value.records) records.push(record);
     segments.push(describeSegment(file, content.value.records));
@@ -77,6 +82,7 @@
   disk: LogDisk,
   file: string,
   isLast: boolean,
+  isAfterFault: boolean,
 ): Promise<Result<SegmentContent, StorageError | CorruptionError>> {
   const read = await disk.read(file);
   if (read.isErr()) return err(read.error);
@@ -85,11 +91,15 @@
   if (content.end < bytes.length) {
     const isTorn = isLast && findSyncedLength(bytes, 0) <= content.end;
     if (!isTorn) return err(fileCorrupt(file, content.end));
-    const cut = await disk.truncate(file, content.end);
-    if (cut.isErr()) return err(cut.error);
+    if (!isAfterFault) {
+      const cut = await disk.truncate(file, content.end);
+      if (cut.isErr()) return err(cut.error);
+    }
   }
   if (isLast) {
-    const synced = await disk.sync(file);
+    const synced = isAfterFault
+      ? await disk.replace(file, bytes.subarray(0, content.end))
+      : await disk.sync(file);
     if (synced.isErr()) return err(synced.error);
   }
   return ok(content);
--- a/packages/replicated-log/src/storage/storage.test.ts
+++ b/packages/replicated-log/src/storage/storage.test.ts
@@ -104,3 +104,32 @@
   await reopenReplica(replica);
   t.is(host.openError?.name, 'CorruptionError');
 });
+
+// A sync that failed was taken for done after a later one: the system returns the pages, but does not write them any more.
+test('a fault of the disk that passes loses no acknowledged command in a later crash', async t => {
+  const refuse = ({ disk }: ModelHost): void => {
+    disk.refuseWrites(300);
+  };
+  const failSyncs = ({ disk }: ModelHost): void => {
+    disk.failSyncs();
+  };
+  for (const fault of [refuse, failSyncs]) {
+    for (let step = 0; step < 16; step += 1) {
+      const replica = await startSingleReplica(step);
+      const { cluster, host } = replica;
+      await proposeCommands(replica, step);
+      fault(host);
+      await proposeCommands(replica, 3);
+      await cluster.timers.advance(300);
+      host.disk.repair();
+      await cluster.timers.advance(2_000);
+      const name = `${fault.name} after ${String(step)} commands`;
+      t.not(host.leadingLog(), undefined, name);
+      await proposeCommands(replica, 2);
+      host.crash();
+      await reopenReplica(replica);
+      await cluster.recoverAndCheck();
+      t.deepEqual(cluster.invariants.violations, [], name);
+    }
+  }
+});
