Keep the runs of a dispatcher by session, and end them as their sidecar reports

Callers saw two runs of one task where the dispatcher took an announcement for the end of runs: no worker or another id while an order was on its way or a run was not known to have ended, or another session with the same process of a sidecar, which still executed what the earlier one had ordered. A job that ended sent no stop for a run whose worker was no longer announced.

Cause: runs were kept by the id of the worker, and an announcement, which says nothing of runs, ended them. That the users' runs at once came from it is suspected only.

A sidecar reports each accepted run once. So a run ends with its report, or with the session: the sidecar left it, was started anew, or was silent for longer than its orders are valid.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds, TargetId, TaskId } from '@cranberryturn/types';
 
 import { computeObjective } from './decide-admission.js';
+import type { SessionNumber } from './sidecar-session.js';
 import type { TransientJob, TransientJobEnd } from './transient-job.js';
 
 /** Phase of a task. */
@@ -33,8 +34,8 @@
   isWaiting: boolean;
   /** Worker of the latest run; undefined once that run has ended. */
   workerId: TargetId | undefined;
-  /** Number of the order of the latest run in the session with its sidecar. */
-  order: number;
+  /** Session with the sidecar of the latest run; undefined once that run has ended. */
+  sessionNumber: SessionNumber | undefined;
   /** When the latest run was sent to its worker. */
   placedAt: Milliseconds;
   /** Expected run time of the latest run on a worker of average speed. */
@@ -123,7 +124,7 @@
     returns: 0,
     isWaiting: false,
     workerId: undefined,
-    order: 0,
+    sessionNumber: undefined,
     placedAt: 0,
     expectedMilliseconds: 0,
     excludedWorkers: new Set(),
@@ -168,18 +169,18 @@
   return ready;
 }
 
-/** Placed tasks of the job by worker. */
-export function listTasksByWorker(
+/** Placed tasks of the job by the session with the sidecar that has them. */
+export function listTasksBySession(
   active: ActiveJob,
-): ReadonlyMap<TargetId, readonly TaskId[]> {
-  const byWorker = new Map<TargetId, TaskId[]>();
-  for (const { phase, workerId, taskId } of active.tasks) {
-    if (phase !== TaskPhase.Placed || workerId === undefined) continue;
-    const tasks = byWorker.get(workerId) ?? [];
+): ReadonlyMap<SessionNumber, readonly TaskId[]> {
+  const bySession = new Map<SessionNumber, TaskId[]>();
+  for (const { phase, sessionNumber, taskId } of active.tasks) {
+    if (phase !== TaskPhase.Placed || sessionNumber === undefined) continue;
+    const tasks = bySession.get(sessionNumber) ?? [];
     tasks.push(taskId);
-    byWorker.set(workerId, tasks);
+    bySession.set(sessionNumber, tasks);
   }
-  return byWorker;
+  return bySession;
 }
 
 /** Expected run time of the longest dependent chain of steps, in milliseconds. */
--- a/packages/transient-jobs/src/distribute-dispatcher-list.ts
+++ b/packages/transient-jobs/src/distribute-dispatcher-list.ts
@@ -4,7 +4,7 @@
 import type { DispatcherList, Milliseconds } from '@cranberryturn/types';
 import { type ToWorkerBody, ToWorkerKind } from '@cranberryturn/wire';
 
-import type { SidecarSession } from './sidecar-session.js';
+import type { SessionNumber, SidecarSession } from './sidecar-session.js';
 
 /**
  * Maximum delay of a changed list. Each dispatcher draws its own delay, so that most sidecars have
@@ -17,7 +17,7 @@
   readonly timers: TimerService;
   readonly random: RandomSource;
   readonly listDispatchers: () => DispatcherList;
-  readonly sessions: Iterable<SidecarSession>;
+  readonly sessions: ReadonlyMap<SessionNumber, SidecarSession>;
   readonly send: (session: SidecarSession, body: ToWorkerBody) => void;
 }
 
@@ -36,12 +36,12 @@
    */
   schedule(): void {
     const { timers, random, sessions } = this.#options;
-    for (const session of sessions)
+    for (const session of sessions.values())
       if (session.listVersion === 0) this.update(session);
     const delayMilliseconds = random.fraction() * maximumDelayMilliseconds;
     this.#timer ??= timers.after(delayMilliseconds, () => {
       this.#timer = undefined;
-      for (const session of sessions) this.update(session);
+      for (const session of sessions.values()) this.update(session);
     });
   }
 
--- a/packages/transient-jobs/src/distribute-evacuations.ts
+++ b/packages/transient-jobs/src/distribute-evacuations.ts
@@ -16,7 +16,7 @@
   setEvacuated,
   updateHeldBackProcessors,
 } from './known-worker.js';
-import type { SidecarSession } from './sidecar-session.js';
+import type { SessionNumber, SidecarSession } from './sidecar-session.js';
 
 /** Sidecars that have not confirmed a version after this time are named in the log, once for each version. */
 const confirmationMilliseconds: Milliseconds = 1_000;
@@ -34,7 +34,7 @@
   readonly logger: Logger;
   /** Undefined where evacuations are not enabled: nothing is sent, and no worker is marked. */
   readonly evacuations?: EvacuationSource | undefined;
-  readonly sessions: ReadonlySet<SidecarSession>;
+  readonly sessions: ReadonlyMap<SessionNumber, SidecarSession>;
   readonly send: (session: SidecarSession, body: ToWorkerBody) => void;
 }
 
@@ -89,7 +89,7 @@
         ageMilliseconds: Math.round(timers.wallClock() - since),
       })),
     });
-    for (const session of sessions) {
+    for (const session of sessions.values()) {
       if (session.known !== undefined) this.mark(session.known);
       this.notify(session);
     }
@@ -98,7 +98,7 @@
   /** Repeats overdue notices and raises the capacity of returning workers. */
   check(): void {
     const now = this.#options.timers.now();
-    for (const session of this.#options.sessions) {
+    for (const session of this.#options.sessions.values()) {
       this.notify(session);
       if (session.known !== undefined)
         updateHeldBackProcessors(session.known, now);
@@ -109,7 +109,7 @@
   /** Number of workers that were heard lately and would accept tasks without an evacuation. */
   countEvacuatedWorkers(): number {
     const now = this.#options.timers.now();
-    return [...this.#options.sessions].filter(
+    return [...this.#options.sessions.values()].filter(
       ({ known, isOpen }) =>
         isOpen && known !== undefined && isEvacuatedAndHeard(known, now),
     ).length;
@@ -124,7 +124,7 @@
     const { evacuations, sessions } = this.#options;
     if (evacuations === undefined) return [];
     const { version } = evacuations.current();
-    return [...sessions].filter(
+    return [...sessions.values()].filter(
       session => session.isOpen && !isConfirmed(session.evacuations, version),
     );
   }
--- a/packages/transient-jobs/src/evacuation-messages.test.ts
+++ b/packages/transient-jobs/src/evacuation-messages.test.ts
@@ -161,23 +161,25 @@
   const { run } = first(hosts).worker;
   const free = createKnownWorker({ ...run, workerId: 'free' }, load, 0);
   const waitingWork = [0, 1_000, 0, 0];
+  const sessionNumber = 7;
   const full = createKnownWorker(run, { ...load, waitingWork }, 0);
   const task = first(createActiveJob(createJob('job', 1), 0, 500, 0).tasks);
   Object.assign(task, {
     phase: TaskPhase.Placed,
     workerId: run.workerId,
+    sessionNumber,
     isWaiting: true,
   });
   const runs = new RunTracker();
-  runs.addRun(run.workerId, task);
-  const recalled: string[] = [];
+  runs.addRun(sessionNumber, task);
+  const recalled: number[] = [];
   const recall = () => {
     recallWaitingTasks(free, {
       timers,
       logger: createSilentLogger(),
       runs,
       workers: {
-        returnRuns: workerId => recalled.push(workerId),
+        returnRuns: session => recalled.push(session),
         findWorker: () => full,
       },
       containment: { restrictHosts: () => noRestriction },
@@ -188,5 +190,5 @@
   t.deepEqual(recalled, []);
   setEvacuated(full, false, 0);
   recall();
-  t.deepEqual(recalled, [run.workerId]);
+  t.deepEqual(recalled, [sessionNumber]);
 });
--- a/packages/transient-jobs/src/known-worker.ts
+++ b/packages/transient-jobs/src/known-worker.ts
@@ -15,6 +15,8 @@
   quickSamples,
 } from './return-ramp.js';
 
+import type { SessionNumber } from './sidecar-session.js';
+
 /** A placement order that the latest load report does not include yet. */
 interface UnreportedOrder {
   /** Sequence number of the order in the session. */
@@ -40,6 +42,8 @@
   readonly workerId: TargetId;
   /** Name of its sidecar, which outlasts the incarnations of the worker. */
   readonly host: string;
+  /** Session with its sidecar. */
+  sessionNumber: SessionNumber;
   worker: WorkerRun;
   load: WorkerLoad;
   /** Arrival of the last message of the sidecar. */
@@ -93,6 +97,7 @@
   return {
     workerId: worker.workerId,
     host,
+    sessionNumber: 0,
     worker,
     load,
     lastHeardAt: now,
--- a/packages/transient-jobs/src/recall-waiting-tasks.ts
+++ b/packages/transient-jobs/src/recall-waiting-tasks.ts
@@ -48,9 +48,9 @@
       mayUse(task, known),
   );
   for (const task of chooseTasks(known, movable)) {
-    const { job, taskId, workerId } = task;
+    const { job, taskId, workerId, sessionNumber } = task;
     runs.markRecalled(task);
-    if (workerId === undefined) continue;
+    if (sessionNumber === undefined) continue;
     logger.info('waiting task asked back', {
       requestId: job.job.requestId,
       jobId: job.job.jobId,
@@ -59,7 +59,8 @@
       free: known.workerId,
       freeProcessors: known.load.free.processors,
     });
-    workers.returnRuns(workerId, job.job.jobId, [taskId]);
+    const { jobId } = job.job;
+    workers.returnRuns(sessionNumber, { jobId, taskIds: [taskId] });
   }
 }
 
--- a/packages/transient-jobs/src/run-tracker.ts
+++ b/packages/transient-jobs/src/run-tracker.ts
@@ -1,16 +1,20 @@
-/** Tracks the runs of this dispatcher at each worker. */
-import type { RunKey, TargetId } from '@cranberryturn/types';
+/** Tracks the runs of this dispatcher in each session with a sidecar. */
+import type { RunKey } from '@cranberryturn/types';
 
 import type { ActiveTask } from './active-job.js';
+import type { SessionNumber } from './sidecar-session.js';
 
-/** Runs that were sent to a worker and have not ended. */
+/**
+ * Runs that were sent in a session and are not known to have ended. A session outlasts the incarnations of its worker, and
+ * its sidecar reports the end of each run once there is evidence of it.
+ */
 export class RunTracker {
-  readonly #tasksByWorker = new Map<TargetId, Set<ActiveTask>>();
+  readonly #tasksBySession = new Map<SessionNumber, Set<ActiveTask>>();
   /** Tasks that may be queued at their worker and were not recalled. */
   readonly #waitingTasks = new Set<ActiveTask>();
 
-  hasRunsAt(workerId: TargetId): boolean {
-    return this.#tasksByWorker.has(workerId);
+  hasRunsIn(session: SessionNumber): boolean {
+    return this.#tasksBySession.has(session);
   }
 
   /** Tasks that may be queued at their worker and were not recalled. */
@@ -24,22 +28,22 @@
     this.#waitingTasks.delete(task);
   }
 
-  addRun(workerId: TargetId, task: ActiveTask): void {
+  addRun(session: SessionNumber, task: ActiveTask): void {
     if (task.isWaiting) this.#waitingTasks.add(task);
-    const tasks = this.#tasksByWorker.get(workerId);
-    if (tasks === undefined) this.#tasksByWorker.set(workerId, new Set([task]));
+    const tasks = this.#tasksBySession.get(session);
+    if (tasks === undefined) this.#tasksBySession.set(session, new Set([task]));
     else tasks.add(task);
   }
 
   /** Removes and returns the task of a run; undefined for a run that is no longer tracked. */
-  removeEndedRun(workerId: TargetId, key: RunKey): ActiveTask | undefined {
-    const task = this.findTask(workerId, key);
-    if (task !== undefined) this.#remove(workerId, task);
+  removeEndedRun(session: SessionNumber, key: RunKey): ActiveTask | undefined {
+    const task = this.findTask(session, key);
+    if (task !== undefined) this.#remove(session, task);
     return task;
   }
 
-  findTask(workerId: TargetId, key: RunKey): ActiveTask | undefined {
-    for (const task of this.#tasksByWorker.get(workerId) ?? []) {
+  findTask(session: SessionNumber, key: RunKey): ActiveTask | undefined {
+    for (const task of this.#tasksBySession.get(session) ?? []) {
       const isSame =
         task.taskId === key.taskId &&
         task.run === key.run &&
@@ -49,19 +53,17 @@
     return undefined;
   }
 
-  /** Removes and returns the tasks of orders up to `lastOrder` at a worker that has lost their runs. */
-  removeLostRuns(workerId: TargetId, lastOrder: number): readonly ActiveTask[] {
-    const lost = [...(this.#tasksByWorker.get(workerId) ?? [])].filter(
-      ({ order }) => order <= lastOrder,
-    );
-    for (const task of lost) this.#remove(workerId, task);
-    return lost;
+  /** Removes and returns the tasks of a session whose runs have all ended. */
+  removeSession(session: SessionNumber): readonly ActiveTask[] {
+    const ended = [...(this.#tasksBySession.get(session) ?? [])];
+    for (const task of ended) this.#remove(session, task);
+    return ended;
   }
 
-  #remove(workerId: TargetId, task: ActiveTask): void {
-    const tasks = this.#tasksByWorker.get(workerId);
+  #remove(session: SessionNumber, task: ActiveTask): void {
+    const tasks = this.#tasksBySession.get(session);
     tasks?.delete(task);
     this.#waitingTasks.delete(task);
-    if (tasks?.size === 0) this.#tasksByWorker.delete(workerId);
+    if (tasks?.size === 0) this.#tasksBySession.delete(session);
   }
 }
--- a/packages/transient-jobs/src/sidecar-session.ts
+++ b/packages/transient-jobs/src/sidecar-session.ts
@@ -1,10 +1,5 @@
 /** The session of this dispatcher with one process of a sidecar. */
-import type {
-  LogIndex,
-  Milliseconds,
-  ServiceName,
-  TargetId,
-} from '@cranberryturn/types';
+import type { LogIndex, Milliseconds, ServiceName } from '@cranberryturn/types';
 import type {
   FromWorkerKind,
   FromWorkerMessage,
@@ -24,8 +19,12 @@
   noCoordination,
 } from './known-worker.js';
 
+/** Number of a session, which no other session of this dispatcher has. */
+export type SessionNumber = number;
+
 /** The session with one process of a sidecar. */
 export interface SidecarSession extends SidecarStamps {
+  readonly number: SessionNumber;
   readonly peer: PeerIdentity;
   readonly send: (message: ToWorkerMessage) => void;
   known: KnownWorker | undefined;
@@ -35,8 +34,6 @@
   service: ServiceName | undefined;
   lastHeardAt: Milliseconds;
   lastSentAt: Milliseconds;
-  /** Worker that is no longer announced, while orders for it may be on their way. */
-  formerWorkerId: TargetId | undefined;
   /** Number of placement orders sent in this session. */
   orders: number;
   /** Version of the list of dispatchers that the sidecar is known to have. */
@@ -49,11 +46,13 @@
 
 /** Creates the state of a session that opens now. */
 export function createSidecarSession(
+  number: SessionNumber,
   peer: PeerIdentity,
   send: (message: ToWorkerMessage) => void,
   now: Milliseconds,
 ): SidecarSession {
   return {
+    number,
     peer,
     send,
     known: undefined,
@@ -62,7 +61,6 @@
     ...createSidecarStamps(),
     lastHeardAt: now,
     lastSentAt: now,
-    formerWorkerId: undefined,
     orders: 0,
     listVersion: 0,
     evacuations: createEvacuationNotices(),
@@ -70,6 +68,21 @@
   };
 }
 
+/**
+ * Lists the sessions with earlier processes of the sidecar, which announces a worker only once no run of them is active
+ * there. An earlier session with the same process is kept until its runs have ended.
+ */
+export function listEarlierProcesses(
+  sessions: Iterable<SidecarSession>,
+  { peer }: SidecarSession,
+): readonly SidecarSession[] {
+  return [...sessions].filter(
+    other =>
+      other.peer.name === peer.name &&
+      other.peer.incarnation !== peer.incarnation,
+  );
+}
+
 /** Counts the workers of open sessions that accept tasks now. */
 export function countUsable(
   sessions: Iterable<SidecarSession>,
--- a/packages/transient-jobs/src/stop-stalled-runs.ts
+++ b/packages/transient-jobs/src/stop-stalled-runs.ts
@@ -22,7 +22,7 @@
   stalledRuns: readonly StalledRun[],
 ): void {
   for (const stalledRun of stalledRuns) {
-    const task = runs.findTask(known.workerId, stalledRun);
+    const task = runs.findTask(known.sessionNumber, stalledRun);
     if (task === undefined || task.job.end !== undefined) continue;
     if (!placer.hasOtherWorker(task)) continue;
     logger.info('run that stands still is stopped', {
@@ -31,6 +31,7 @@
       ...stalledRun,
     });
     task.excludedWorkers.add(known.workerId);
-    workers.stopRuns(known.workerId, stalledRun.jobId, [stalledRun.taskId]);
+    const { jobId, taskId } = stalledRun;
+    workers.stopRuns(known.sessionNumber, { jobId, taskIds: [taskId] });
   }
 }
--- a/packages/transient-jobs/src/task-placer.ts
+++ b/packages/transient-jobs/src/task-placer.ts
@@ -224,10 +224,11 @@
       task.phase = TaskPhase.Placed;
       task.run += 1;
       task.workerId = known.workerId;
+      task.sessionNumber = known.sessionNumber;
       task.placedAt = now;
       task.expectedMilliseconds = estimateMilliseconds;
       task.isWaiting = waitMilliseconds > 0;
-      runs.addRun(known.workerId, task);
+      runs.addRun(known.sessionNumber, task);
     }
     const mayWait =
       runsAlone ||
@@ -247,7 +248,7 @@
       ...grant,
       loadAgeMilliseconds: Math.round(now - known.lastHeardAt),
     });
-    const order = workers.placeRuns(
+    workers.placeRuns(
       known.workerId,
       composeOrder(
         active,
@@ -255,7 +256,6 @@
         tasks,
       ),
     );
-    for (const task of tasks) task.order = order;
   }
 }
 
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -1,12 +1,7 @@
 /** Runs transient jobs at one dispatcher: admission, placement, retries and results. */
 import { Counter, Distribution } from '@cranberryturn/metrics';
 import { sleep } from '@cranberryturn/timers';
-import type {
-  JobId,
-  Milliseconds,
-  RunEnd,
-  TargetId,
-} from '@cranberryturn/types';
+import type { JobId, Milliseconds, RunEnd } from '@cranberryturn/types';
 import { type Connection, defaultRunValidity } from '@cranberryturn/wire';
 
 import {
@@ -14,7 +9,7 @@
   type ActiveTask,
   computeCriticalPath,
   createActiveJob,
-  listTasksByWorker,
+  listTasksBySession,
   TaskPhase,
 } from './active-job.js';
 import { CrashContainment } from './crashes/crash-containment.js';
@@ -32,6 +27,7 @@
 import { LoopWatch } from './loop-watch.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
 import { RunTracker } from './run-tracker.js';
+import type { SessionNumber } from './sidecar-session.js';
 import { stopStalledRuns } from './stop-stalled-runs.js';
 import { handleRunEnd } from './handle-run-end.js';
 import { type Placement, TaskPlacer } from './task-placer.js';
@@ -74,8 +70,8 @@
     this.workers = new WorkerDirectory({
       ...options,
       validity: options.validity ?? defaultRunValidity,
-      runEnded: (workerId, end) => {
-        this.#handleRunEnd(workerId, end);
+      runEnded: (session, end) => {
+        this.#handleRunEnd(session, end);
       },
       runsStalled: (known, runs) => {
         stopStalledRuns(
@@ -89,8 +85,8 @@
           runs,
         );
       },
-      workerLost: (workerId, lastOrder) => {
-        for (const task of this.#runs.removeLostRuns(workerId, lastOrder))
+      runsLost: session => {
+        for (const task of this.#runs.removeSession(session))
           this.#returnTask(task);
       },
       workerCrashed: (sidecar, crash) => {
@@ -109,7 +105,7 @@
           containment: this.#containment,
         });
       },
-      hasRunsAt: workerId => this.#runs.hasRunsAt(workerId),
+      hasRunsIn: session => this.#runs.hasRunsIn(session),
     });
     this.#placer = new TaskPlacer({
       ...options,
@@ -244,10 +240,11 @@
     return submitted;
   }
 
-  #handleRunEnd(workerId: TargetId, end: RunEnd): void {
-    const task = this.#runs.removeEndedRun(workerId, end);
-    if (task === undefined) return;
-    task.workerId = undefined;
+  #handleRunEnd(session: SessionNumber, end: RunEnd): void {
+    const task = this.#runs.removeEndedRun(session, end);
+    const workerId = task?.workerId;
+    if (task === undefined || workerId === undefined) return;
+    clearWorker(task);
     if (task.job.end !== undefined) return;
     const jobEnd = handleRunEnd(
       {
@@ -273,7 +270,7 @@
 
   /** Places a task again whose worker was lost. No run of the task is active any more. */
   #returnTask(task: ActiveTask): void {
-    task.workerId = undefined;
+    clearWorker(task);
     if (task.job.end !== undefined) return;
     task.phase = TaskPhase.Waiting;
     this.#starter.placeTasks(task.job);
@@ -292,8 +289,8 @@
       active.resolveEnd(end);
       return;
     }
-    for (const [workerId, tasks] of listTasksByWorker(active)) {
-      this.workers.stopRuns(workerId, job.jobId, tasks);
+    for (const [session, taskIds] of listTasksBySession(active)) {
+      this.workers.stopRuns(session, { jobId: job.jobId, taskIds });
     }
     const elapsedMilliseconds = timers.now() - active.admittedAt;
     metrics.record(
@@ -310,3 +307,8 @@
     active.resolveEnd(end);
   }
 }
+
+function clearWorker(task: ActiveTask): void {
+  task.workerId = undefined;
+  task.sessionNumber = undefined;
+}
--- a/packages/transient-jobs/src/worker-directory-options.ts
+++ b/packages/transient-jobs/src/worker-directory-options.ts
@@ -8,7 +8,6 @@
   DispatcherList,
   RunEnd,
   StalledRun,
-  TargetId,
   WorkerCrash,
 } from '@cranberryturn/types';
 
@@ -16,26 +15,24 @@
 
 import type { EvacuationSource } from './distribute-evacuations.js';
 import type { KnownWorker } from './known-worker.js';
+import type { SessionNumber } from './sidecar-session.js';
 
 /** Events at the workers, and the query that the directory needs in return. */
 export interface WorkerEvents {
-  readonly runEnded: (workerId: TargetId, end: RunEnd) => void;
+  readonly runEnded: (session: SessionNumber, end: RunEnd) => void;
   readonly runsStalled: (
     known: KnownWorker,
     runs: readonly StalledRun[],
   ) => void;
-  /**
-   * The runs of the orders up to `lastOrder` at the worker have been lost, as it was lost or a sidecar was silent for too long. Later
-   * orders of the session are on their way, and their runs may still start.
-   */
-  readonly workerLost: (workerId: TargetId, lastOrder: number) => void;
+  /** All runs of the session have ended: its sidecar has left it or was started anew, or was silent for too long. */
+  readonly runsLost: (session: SessionNumber) => void;
   /** A worker was announced, or a new incarnation of a known worker. */
   readonly workerAnnounced: () => void;
   /** A worker reported its load. Called after every message of its sidecar. */
   readonly loadReported: (known: KnownWorker) => void;
   /** The worker of a sidecar has crashed. Reports are repeated, and arrive for earlier incarnations too. */
   readonly workerCrashed: (sidecar: string, crash: WorkerCrash) => void;
-  readonly hasRunsAt: (workerId: TargetId) => boolean;
+  readonly hasRunsIn: (session: SessionNumber) => boolean;
 }
 
 /** Dependencies and event handlers of the directory. */
--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -7,6 +7,7 @@
   ServiceName,
   TargetId,
   TaskId,
+  WorkerLoad,
   WorkerRun,
 } from '@cranberryturn/types';
 import {
@@ -28,11 +29,12 @@
   updateLoad,
   recordOrder,
 } from './known-worker.js';
-import { loseFormerWorker, reportLateEnds } from './former-worker.js';
 import { reportWorkerEvents } from './report-worker-events.js';
 import {
   countUsable,
   createSidecarSession,
+  listEarlierProcesses,
+  type SessionNumber,
   type SidecarSession,
   updateCoordination,
 } from './sidecar-session.js';
@@ -40,6 +42,12 @@
 import type { WorkerDirectoryOptions } from './worker-directory-options.js';
 
 const checkIntervalMilliseconds: Milliseconds = 100;
+/** Some tasks of one job. */
+export interface TasksOfJob {
+  readonly jobId: JobId;
+  readonly taskIds: readonly TaskId[];
+}
+
 /** The workers that one dispatcher can reach through their sidecars. */
 export class WorkerDirectory {
   /** Sends the state of evacuations to the sidecars. */
@@ -47,11 +55,12 @@
   /** Sends the list of dispatchers to the sidecars. */
   readonly dispatcherList: DispatcherListDistributor;
   readonly #options: WorkerDirectoryOptions;
-  readonly #sessions = new Set<SidecarSession>();
+  readonly #sessions = new Map<SessionNumber, SidecarSession>();
   readonly #sessionsByWorker = new Map<TargetId, SidecarSession>();
   readonly #acceptor;
   readonly #ticker;
   readonly #leases: SidecarLeases;
+  #lastSessionNumber: SessionNumber = 0;
 
   constructor(options: WorkerDirectoryOptions) {
     this.#options = options;
@@ -87,7 +96,8 @@
       startSession: (peer, send) => this.#startSession(peer, send),
     });
     this.#ticker = options.timers.every(checkIntervalMilliseconds, () => {
-      for (const session of this.#sessions) this.#leases.check(session);
+      for (const session of this.#sessions.values())
+        this.#leases.check(session);
       this.evacuations.check();
     });
   }
@@ -98,15 +108,17 @@
   }
 
   *listWorkers(service: string): Iterable<KnownWorker> {
-    for (const { known, isOpen } of this.#sessions) {
+    for (const { known, isOpen } of this.#sessions.values()) {
       if (isOpen && known?.worker.service === service) yield known;
     }
   }
 
   /** Names of the sidecars whose workers serve the service, or did before they were lost. */
   listHosts(service: ServiceName): readonly string[] {
-    const sessions = [...this.#sessions].filter(one => one.service === service);
-    return [...new Set(sessions.map(({ peer }) => peer.name))];
+    const hosts = [...this.#sessions.values()].flatMap(one =>
+      one.service === service ? [one.peer.name] : [],
+    );
+    return [...new Set(hosts)];
   }
 
   /** Finds an announced worker whose session is open. */
@@ -116,40 +128,28 @@
 
   /** Number of workers that accept tasks now. */
   countUsableWorkers(): number {
-    return countUsable(this.#sessions, this.#options.timers.now());
+    return countUsable(this.#sessions.values(), this.#options.timers.now());
   }
 
-  /** Returns the number of the order in the session with its sidecar. */
-  placeRuns(workerId: TargetId, order: RunOrder): number {
+  placeRuns(workerId: TargetId, order: RunOrder): void {
     const session = this.#findSession(workerId);
-    if (session?.known === undefined) return 0;
+    if (session?.known === undefined) return;
     session.orders += 1;
     // An outstanding grant of this dispatcher already reserves the resources of its order.
     if (order.grant?.coordinator !== this.#options.dispatcherId)
       recordOrder(session.known, session.orders, order);
     this.#send(session, { kind: ToWorkerKind.PlaceRuns, order });
-    return session.orders;
   }
 
-  stopRuns(workerId: TargetId, jobId: JobId, taskIds: readonly TaskId[]): void {
-    this.#send(this.#findSession(workerId), {
-      kind: ToWorkerKind.StopRuns,
-      jobId,
-      taskIds,
-    });
+  stopRuns(session: SessionNumber, tasks: TasksOfJob): void {
+    const kind = ToWorkerKind.StopRuns;
+    this.#send(this.#findOpenSession(session), { kind, ...tasks });
   }
 
   /** Recalls runs that have not started; runs that have started are not affected. */
-  returnRuns(
-    workerId: TargetId,
-    jobId: JobId,
-    taskIds: readonly TaskId[],
-  ): void {
-    this.#send(this.#findSession(workerId), {
-      kind: ToWorkerKind.ReturnRuns,
-      jobId,
-      taskIds,
-    });
+  returnRuns(session: SessionNumber, tasks: TasksOfJob): void {
+    const kind = ToWorkerKind.ReturnRuns;
+    this.#send(this.#findOpenSession(session), { kind, ...tasks });
   }
 
   close(): void {
@@ -164,6 +164,11 @@
     return session?.isOpen === true ? session : undefined;
   }
 
+  #findOpenSession(number: SessionNumber): SidecarSession | undefined {
+    const session = this.#sessions.get(number);
+    return session?.isOpen === true ? session : undefined;
+  }
+
   #send(session: SidecarSession | undefined, body: ToWorkerBody): void {
     if (session === undefined) return;
     session.lastSentAt = this.#options.timers.now();
@@ -176,8 +181,14 @@
   ): SessionListener<FromWorkerMessage> {
     const { timers, logger } = this.#options;
     const sidecar = peer.name;
-    const session = createSidecarSession(peer, send, timers.now());
-    this.#sessions.add(session);
+    this.#lastSessionNumber += 1;
+    const session = createSidecarSession(
+      this.#lastSessionNumber,
+      peer,
+      send,
+      timers.now(),
+    );
+    this.#sessions.set(session.number, session);
     return {
       messageReceived: message => {
         this.#handleMessage(session, message);
@@ -207,7 +218,7 @@
     if (message.kind === FromWorkerKind.Announce) {
       // Before the announcement, which may place runs at once.
       this.evacuations.notify(session);
-      this.#handleAnnouncement(session, message.worker, message);
+      this.#handleAnnouncement(session, message.worker, message.load);
       this.dispatcherList.update(session);
     }
     if (message.kind === FromWorkerKind.Leave) this.#endSession(session);
@@ -225,37 +236,35 @@
       for (const crash of message.crashes)
         this.#options.workerCrashed(session.peer.name, crash);
     }
-    if (session.known === undefined) {
-      reportLateEnds(session, message, this.#options);
-      return;
-    }
-    reportWorkerEvents(session.known, message, this.#options);
-    this.#options.loadReported(session.known);
+    reportWorkerEvents(session, message, this.#options);
+    if (session.known !== undefined) this.#options.loadReported(session.known);
   }
 
-  /** Sidecars announce a worker only once no run of an earlier incarnation or sidecar process is active there. */
+  /**
+   * Applies an announcement. It says nothing about runs: the sidecar reports the end of each, also at a worker that it no
+   * longer announces.
+   */
   #handleAnnouncement(
     session: SidecarSession,
     worker: WorkerRun | undefined,
-    { load, orders }: FromWorkerMessage,
+    load: WorkerLoad,
   ): void {
     const { timers, logger, workerAnnounced } = this.#options;
-    if (worker !== undefined) this.#dropEarlierSessions(session);
+    const others = worker === undefined ? [] : this.#sessions.values();
+    for (const earlier of listEarlierProcesses(others, session))
+      this.#dropSession(earlier);
     const { known } = session;
     if (known?.worker.incarnation === worker?.incarnation) {
       // Its capacity may have changed.
       if (known && worker) known.worker = worker;
       return;
     }
-    // The sidecar had not received later orders when it sent this; they are started or refused.
-    this.#forgetWorker(session, orders);
+    this.#forgetWorker(session);
     if (worker === undefined) return;
-    if (session.formerWorkerId !== worker.workerId)
-      loseFormerWorker(session, this.#options);
-    session.formerWorkerId = undefined;
     logger.info('worker announced', { ...worker });
     const { name } = session.peer;
     session.known = createKnownWorker(worker, load, timers.now(), name);
+    session.known.sessionNumber = session.number;
     session.known.coordination = session.coordination;
     session.known.echoReceivedAt = session.echoReceivedAt;
     session.service = worker.service;
@@ -264,17 +273,10 @@
     workerAnnounced();
   }
 
-  #dropEarlierSessions(session: SidecarSession): void {
-    for (const other of this.#sessions) {
-      if (other.peer.name === session.peer.name && other !== session)
-        this.#dropSession(other);
-    }
-  }
-
   #dropSession(session: SidecarSession): void {
-    this.#forgetWorker(session, Infinity);
-    loseFormerWorker(session, this.#options);
-    this.#sessions.delete(session);
+    this.#forgetWorker(session);
+    this.#sessions.delete(session.number);
+    this.#options.runsLost(session.number);
   }
 
   /** Ends the session of a sidecar that leaves it; no run of this dispatcher is left there. */
@@ -286,23 +288,21 @@
     this.#acceptor.endSession(session.peer);
   }
 
-  /** Forgets the worker of a session, whose runs of the orders up to `lastOrder` have been lost. */
-  #forgetWorker(session: SidecarSession, lastOrder: number): void {
+  /** Places no further tasks on the worker of a session. */
+  #forgetWorker(session: SidecarSession): void {
     const { known } = session;
     if (known === undefined) return;
     session.known = undefined;
-    session.formerWorkerId = known.workerId;
     if (this.#sessionsByWorker.get(known.workerId) === session) {
       this.#sessionsByWorker.delete(known.workerId);
     }
     this.#options.logger.info('worker no longer announced', {
       worker: known.workerId,
     });
-    this.#options.workerLost(known.workerId, lastOrder);
   }
 
-  #hasRuns({ known }: SidecarSession): boolean {
-    return known !== undefined && this.#options.hasRunsAt(known.workerId);
+  #hasRuns({ number }: SidecarSession): boolean {
+    return this.#options.hasRunsIn(number);
   }
 
   #handleSilence(session: SidecarSession): void {
@@ -310,14 +310,13 @@
       this.#dropSession(session);
       return;
     }
-    loseFormerWorker(session, this.#options);
-    if (!this.#hasRuns(session) || session.known === undefined) return;
+    if (!this.#hasRuns(session)) return;
     this.#options.logger.warn('sidecar silent for longer than its lease', {
       sidecar: session.peer.name,
       silenceMilliseconds: Math.round(
         this.#options.timers.now() - session.lastHeardAt,
       ),
     });
-    this.#options.workerLost(session.known.workerId, Infinity);
+    this.#options.runsLost(session.number);
   }
 }
