Take a run for ended only on evidence of the worker's life that it is in

Cause: one class, "gone" taken for "ended". The executor of a worker was closed on hearsay, and closing it ended its runs.

A message proposes a life, and only a reply of the worker establishes it. Runs of a life that is over stay unsettled until the next one has answered an order with a later fencing token, which refuses earlier orders, and does not list them; what it lists is stopped. Ends take their evidence as a discriminated union, which the log names. A departure withdraws the offer only. Clocks in reports count up to what the replies allow, as they can be of another writer.

The fakes answered as every life at once.

--- a/packages/transient-jobs/src/fakes/fake-host.ts
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -13,6 +13,7 @@
 import {
   createFakeWorker,
   type FakeWorker,
+  openLifePort,
   startWorkerGate,
   type WorkerGate,
 } from '@cranberryturn/worker-gate';
@@ -38,6 +39,12 @@
   restartSidecar(): Promise<void>;
   /** Crashes the worker and starts a new incarnation. */
   restartWorker(): void;
+  /** Crashes the worker and starts a new incarnation, which does not report yet. */
+  restartUnnoticed(): void;
+  /** Sends a report of the worker. */
+  report(): void;
+  /** Sends a report that another writer composed, under its own id or under that of the worker. */
+  reportOther(isSameId: boolean): void;
   /** Changes the processors that the worker reports while it runs. */
   resize(processors: number): void;
 }
@@ -113,7 +120,11 @@
       metrics: createMetrics({ role: 'sidecar', process: name, timers }),
       evacuations: options.dataCentres !== undefined,
       reportsStartedWork: options.scarcity !== undefined,
-      openWorker: () => wrapWorker(suspension, host.worker.port),
+      openWorker: expected =>
+        wrapWorker(
+          suspension,
+          openLifePort(expected, () => host.worker),
+        ),
     });
   };
 
@@ -150,9 +161,23 @@
       report();
     },
     restartWorker: () => {
+      host.restartUnnoticed();
+      report();
+    },
+    restartUnnoticed: () => {
       host.worker.crash();
       host.worker = startWorker();
-      report();
+    },
+    report,
+    reportOther: isSameId => {
+      const { run } = host.worker;
+      const workerId = isSameId ? run.workerId : 'worker-of-another-writer';
+      host.gate.workerReported({
+        worker: { ...run, workerId, incarnation: `${workerId}@later` },
+        bornAt: incarnations + 1_000,
+        sequence: 1,
+        draining: false,
+      });
     },
     resize: report,
   };
--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -41,6 +41,10 @@
   ResumeSidecar = 'resume-sidecar',
   RestartSidecar = 'restart-sidecar',
   RestartWorker = 'restart-worker',
+  RestartUnnoticed = 'restart-unnoticed',
+  Report = 'report',
+  ReportOther = 'report-other',
+  Leave = 'leave',
   Silence = 'silence',
   DelayStart = 'delay-start',
   DelayStop = 'delay-stop',
@@ -193,6 +197,18 @@
     case Action.RestartWorker:
       host.restartWorker();
       break;
+    case Action.RestartUnnoticed:
+      host.restartUnnoticed();
+      break;
+    case Action.Report:
+      host.report();
+      break;
+    case Action.ReportOther:
+      host.reportOther(step.job % 2 === 0);
+      break;
+    case Action.Leave:
+      host.gate.workerLeft(worker.run.workerId);
+      break;
     case Action.Silence:
       worker.isSilent = !worker.isSilent;
       break;
--- a/packages/worker-gate/src/active-run.ts
+++ b/packages/worker-gate/src/active-run.ts
@@ -42,6 +42,8 @@
   readonly dueAt: Milliseconds;
   readonly deadlineAt: Milliseconds;
   startedAt: Milliseconds;
+  /** When the worker was first known to have the run: it accepted the start order, or listed the run. */
+  confirmedAt: Milliseconds | undefined;
   /** Set once the run has to stop. */
   stopReason: RunEndReason | undefined;
   /** Whether a stop order is being sent. */
@@ -97,6 +99,7 @@
     dueAt: now + order.dueMilliseconds,
     deadlineAt: now + order.remainingMilliseconds,
     startedAt: now,
+    confirmedAt: undefined,
     stopReason: undefined,
     isStopping: false,
     progress: 0,
--- a/packages/worker-gate/src/dispatcher-reports.ts
+++ b/packages/worker-gate/src/dispatcher-reports.ts
@@ -8,13 +8,13 @@
   RunOrder,
   WorkerCrash,
   WorkerLoad,
+  WorkerRun,
 } from '@cranberryturn/types';
 import { type FromWorkerBody, FromWorkerKind } from '@cranberryturn/wire';
 
 import type { DispatcherSession } from './dispatcher-session.js';
 import type { DispatcherSessions } from './dispatcher-sessions.js';
 import { SessionPhase } from './session-phase.js';
-import type { WorkerExecutor } from './worker-executor.js';
 
 /**
  * Interval after which a load report to a dispatcher without runs here is due; the next check sends
@@ -41,8 +41,12 @@
   /** Maximum time between messages to a dispatcher with runs here. */
   readonly heartbeatMilliseconds: Milliseconds;
   readonly sessions: () => DispatcherSessions;
-  /** Executor of the current incarnation of the worker; undefined when there is none. */
-  readonly executor: () => WorkerExecutor | undefined;
+  /** Load of the worker; undefined when there is none. */
+  readonly load: () => WorkerLoad | undefined;
+  /** Whether a run of the dispatcher is queued or active, or not known to have ended. */
+  readonly hasWorkFor: (dispatcher: DispatcherId) => boolean;
+  /** The worker to offer; undefined when there is none. */
+  readonly offered: () => WorkerRun | undefined;
   /** Highest version of the evacuation state received; undefined before the first. */
   readonly evacuationVersion: () => EvacuationVersion | undefined;
 }
@@ -86,10 +90,8 @@
 
   /** Announces the worker, or that none is ready, to one dispatcher. */
   announceWorker(session: DispatcherSession): void {
-    const executor = this.#options.executor();
-    const isOffered =
-      executor?.lease.isReady === true && session.phase !== SessionPhase.Left;
-    const worker = isOffered ? executor.worker : undefined;
+    const worker =
+      session.phase === SessionPhase.Left ? undefined : this.#options.offered();
     this.send(session, { kind: FromWorkerKind.Announce, worker });
   }
 
@@ -194,10 +196,11 @@
   }
 
   #sendDueHeartbeats(): void {
-    const { timers, sessions, executor, heartbeatMilliseconds } = this.#options;
+    const { timers, sessions, hasWorkFor, heartbeatMilliseconds } =
+      this.#options;
     const now = timers.now();
     for (const session of sessions().listConnected()) {
-      const hasWork = executor()?.hasWorkFor(session.dispatcherId) ?? false;
+      const hasWork = hasWorkFor(session.dispatcherId);
       const intervalMilliseconds = hasWork
         ? heartbeatMilliseconds
         : idleHeartbeatMilliseconds;
@@ -207,7 +210,7 @@
   }
 
   #composeLoad({ phase }: DispatcherSession): WorkerLoad {
-    const load = this.#options.executor()?.load ?? noLoad;
+    const load = this.#options.load() ?? noLoad;
     return phase === SessionPhase.Open ? load : { ...load, closed: true };
   }
 }
--- /dev/null
+++ b/packages/worker-gate/src/end-missing-runs.ts
@@ -0,0 +1,26 @@
+/** Ends runs that the worker no longer lists. */
+import { RunPhase } from './active-run.js';
+import { nameRun, type WorkerStatus } from './ports/worker.js';
+import { EvidenceKind } from './run-evidence.js';
+import type { WorkerExecutor } from './worker-executor.js';
+
+/** A run that is missing in this many consecutive status reports is considered lost. */
+const maximumMissingReports = 3;
+
+/** Counts the reports without a run. Only those count that were asked for after the worker had confirmed the run. */
+export function endMissingRuns(
+  executor: WorkerExecutor,
+  status: WorkerStatus,
+  sentAt: number,
+): void {
+  const listed = new Set(status.running.map(nameRun));
+  for (const run of executor.listActiveRuns()) {
+    const { confirmedAt } = run;
+    if (run.phase !== RunPhase.Running) continue;
+    if (confirmedAt === undefined || confirmedAt >= sentAt) continue;
+    const isListed = listed.has(`${run.task}.${String(run.run)}`);
+    run.missingReports = isListed ? 0 : run.missingReports + 1;
+    if (run.missingReports < maximumMissingReports) continue;
+    executor.endRun(run, { kind: EvidenceKind.Unlisted });
+  }
+}
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -31,6 +31,7 @@
 } from './fake-dispatcher.js';
 import { createFakeWorker } from './fake-worker.js';
 import type { FakeWorker } from './fake-worker-state.js';
+import { openLifePort } from './open-life-port.js';
 
 /** Address of the first dispatcher; the ports of the others follow. */
 export const dispatcherAddress = { address: '10.0.0.1', port: 7_700 };
@@ -41,6 +42,7 @@
 export interface GateFixture {
   readonly timers: ManualTimerService;
   readonly network: MemoryNetwork;
+  /** The life of the worker that answers. */
   readonly worker: FakeWorker;
   readonly gate: WorkerGate;
   readonly dispatchers: readonly FakeDispatcher[];
@@ -58,6 +60,8 @@
   listStarts(): readonly string[];
   /** Freezes the sidecar for good: its worker and its dispatchers receive nothing more from it. */
   freezeSidecar(): void;
+  /** Starts another life of the worker at its address, which does not report yet. The earlier one is over. */
+  startLife(worker: WorkerRun): FakeWorker;
   /** Starts another sidecar process for the same worker. */
   restartGate(): WorkerGate;
   /** Sends a report of the worker to the gate. */
@@ -96,12 +100,9 @@
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, 1);
   const run = createWorkerRun(processors);
-  const worker = createFakeWorker({
-    timers,
-    run,
-    need: oneProcessor,
-    clockRate,
-  });
+  const startWorker = (life: WorkerRun): FakeWorker =>
+    createFakeWorker({ timers, run: life, need: oneProcessor, clockRate });
+  const worker = startWorker(run);
   const dispatchers: FakeDispatcher[] = [];
   const seeds: NetworkAddress[] = [];
   for (let number = 0; number < numberOfDispatchers; number += 1) {
@@ -142,11 +143,11 @@
       metrics,
       validity,
       evacuations,
-      openWorker: () => worker.port,
+      openWorker: expected => openLifePort(expected, () => fixture.worker),
     });
   };
 
-  const fixture: GateFixture & { gate: WorkerGate } = {
+  const fixture: GateFixture & { gate: WorkerGate; worker: FakeWorker } = {
     timers,
     network,
     worker,
@@ -164,11 +165,16 @@
     send: dispatcher.send,
     place: dispatcher.place,
     freezeSidecar: () => {
-      worker.isSilent = true;
+      fixture.worker.isSilent = true;
       for (const { name } of dispatchers) network.partition('sidecar-1', name);
     },
     listStarts: () =>
-      worker.starts.map(start => `${start.jobId}/${String(start.run)}`),
+      fixture.worker.starts.map(start => `${start.jobId}/${String(start.run)}`),
+    startLife: life => {
+      fixture.worker.crash();
+      fixture.worker = startWorker(life);
+      return fixture.worker;
+    },
     restartGate: () => {
       fixture.gate = startGate();
       return fixture.gate;
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -1,15 +1,10 @@
 /** Renews the lease of one incarnation of a worker while it has active runs, and processes the ends of runs. */
 import { rethrowLater, sleep } from '@cranberryturn/timers';
-import {
-  type Milliseconds,
-  RunEndReason,
-  type RunKey,
-  RunOutcome,
-} from '@cranberryturn/types';
+import type { Milliseconds, RunKey } from '@cranberryturn/types';
 
-import { RunPhase } from './active-run.js';
+import { endMissingRuns } from './end-missing-runs.js';
 import { computeOrderValidity, type OrderValidity } from './order-validity.js';
-import { nameTask, WorkerRefusal, type WorkerStatus } from './ports/worker.js';
+import { WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { recordProgress } from './record-progress.js';
 import { ReplyTimeout } from './reply-timeout.js';
 import { watchMissedEnds } from './watch-missed-ends.js';
@@ -19,8 +14,6 @@
 const silentPauseMilliseconds: Milliseconds = 300;
 /** Replies may be this late although the lease of the worker has not expired. */
 const expiryMarginMilliseconds: Milliseconds = 80;
-/** A run that is missing in this many consecutive status reports is considered lost. */
-const maximumMissingReports = 3;
 
 /** Keeps the lease of one incarnation of a worker. */
 export interface LeaseKeeper {
@@ -59,11 +52,20 @@
   let isReady = false;
   /** Set by an order without a reply, until the worker replies again. */
   let isSuspected = false;
+  let hasAnswered = false;
   let hasNoLeftovers = false;
   let isStopped = false;
   let wakeUp: (() => void) | undefined;
 
   const recordClock = (clock: Milliseconds, sentAt: Milliseconds): void => {
+    if (executor.clock.isOfOtherLife(clock, sentAt)) {
+      logger.warn('clock of the worker is behind; another life answers', {
+        worker: worker.workerId,
+        clock,
+      });
+      executor.options.otherLifeAnswered();
+      return;
+    }
     if (executor.clock.observe(clock, sentAt)) executor.handleSuspension();
   };
 
@@ -71,9 +73,19 @@
     ordersEndAt = Math.max(ordersEndAt, endsAt);
   };
 
-  const handleStatus = (status: WorkerStatus, sentAt: Milliseconds): void => {
+  const handleStatus = (
+    status: WorkerStatus,
+    sentAt: Milliseconds,
+    fencingToken: number,
+  ): void => {
     lastStatusAt = timers.now();
+    if (!hasAnswered) {
+      hasAnswered = true;
+      executor.options.answered();
+    }
     recordClock(status.clock, sentAt);
+    if (isStopped) return;
+    executor.options.statusReceived(status, fencingToken);
     for (const ended of status.ended) {
       if (ended.sequence <= acknowledgedSequence) continue;
       acknowledgedSequence = ended.sequence;
@@ -119,7 +131,8 @@
     }
     confirmedSequence = Math.max(confirmedSequence, sentSequence);
     clearSuspicion();
-    handleStatus(reply.value.status, sentAt);
+    handleStatus(reply.value.status, sentAt, fencingToken);
+    if (isStopped) return undefined;
     if (!isReady && hasNoLeftovers) {
       isReady = true;
       logger.info('worker answers', { worker: worker.workerId });
@@ -135,7 +148,7 @@
   ): void => {
     if (refusal === WorkerRefusal.Fenced) fencing.raiseAbove(fencingToken);
     if (refusal === WorkerRefusal.OtherIncarnation)
-      executor.close(RunEndReason.WorkerGone);
+      executor.options.otherLifeAnswered();
   };
 
   const clearSuspicion = (): void => {
@@ -194,12 +207,17 @@
   /** Stops runs that an earlier process of this sidecar left active. */
   const stopLeftovers = async (): Promise<void> => {
     while (!isStopped && !hasNoLeftovers) {
+      const fencingToken = fencing.token;
       const status = await renewSafely(0);
       if (status === undefined) {
         await sleep(timers, failurePauseMilliseconds);
         continue;
       }
-      hasNoLeftovers = status.running.length === 0;
+      // An order of an earlier life or process that arrives after this reply has to be refused.
+      hasNoLeftovers =
+        status.running.length === 0 &&
+        status.isPartial !== true &&
+        fencingToken === fencing.token;
       await Promise.all(status.running.map(run => stopLeftover(run)));
     }
   };
@@ -245,8 +263,9 @@
   const readMissedEnds = async (): Promise<void> => {
     if (!isReady || isSuspected) return;
     const sentAt = timers.now();
+    const fencingToken = fencing.token;
     const reply = await port.renewLease({
-      fencingToken: fencing.token,
+      fencingToken,
       acknowledgedSequence,
       waitMilliseconds: 0,
       replyTimeout: replyTimeout.current(),
@@ -254,7 +273,9 @@
     });
     if (isStopped || reply.isErr()) return;
     reportAnswered(sentAt);
-    if (reply.value.accepted) handleStatus(reply.value.status, sentAt);
+    if (reply.value.accepted)
+      handleStatus(reply.value.status, sentAt, fencingToken);
+    else handleRefusal(reply.value.refusal, fencingToken);
   };
   const missedEndsWatch = watchMissedEnds(timers, {
     listActiveRuns: () => executor.listActiveRuns(),
@@ -297,23 +318,3 @@
     },
   };
 }
-
-/** Ends runs that the worker no longer lists. */
-function endMissingRuns(
-  executor: WorkerExecutor,
-  status: WorkerStatus,
-  sentAt: Milliseconds,
-): void {
-  const listed = new Set(
-    status.running.map(
-      run => `${nameTask(run.jobId, run.taskId)}.${String(run.run)}`,
-    ),
-  );
-  for (const run of executor.listActiveRuns()) {
-    if (run.phase !== RunPhase.Running || run.startedAt >= sentAt) continue;
-    const isListed = listed.has(`${run.task}.${String(run.run)}`);
-    run.missingReports = isListed ? 0 : run.missingReports + 1;
-    if (run.missingReports < maximumMissingReports) continue;
-    executor.endRun(run, RunOutcome.Interrupted, RunEndReason.WorkerGone);
-  }
-}
--- a/packages/worker-gate/src/ports/worker.ts
+++ b/packages/worker-gate/src/ports/worker.ts
@@ -114,3 +114,8 @@
 export function nameTask(jobId: JobId, taskId: TaskId): string {
   return `${jobId}.${taskId}`;
 }
+
+/** Composes the name of one run of a task. */
+export function nameRun({ jobId, taskId, run }: RunKey): string {
+  return `${nameTask(jobId, taskId)}.${String(run)}`;
+}
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -1,10 +1,11 @@
 /** Starts one run on a worker, and resolves start orders without a reply. */
 import type { Milliseconds } from '@cranberryturn/types';
-import { RunEndReason, RunOutcome } from '@cranberryturn/types';
+import { RunEndReason } from '@cranberryturn/types';
 
 import { type ActiveRun, RunPhase } from './active-run.js';
 import { computeOrderValidity } from './order-validity.js';
 import { WorkerRefusal, type WorkerReply } from './ports/worker.js';
+import { EvidenceKind } from './run-evidence.js';
 import { stopRun } from './stop-run.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
@@ -20,16 +21,12 @@
   for (let attempt = 0; attempt < maximumAttempts; attempt += 1) {
     // An order that the worker has refused so far has started nothing.
     if (executor.options.evacuations.isClosed()) {
-      executor.endRun(run, RunOutcome.NotStarted, RunEndReason.Evacuated);
+      endNotStarted(executor, run, RunEndReason.Evacuated);
       return;
     }
     const validity = computeOrderValidity(executor);
     if (validity === undefined) {
-      executor.endRun(
-        run,
-        RunOutcome.NotStarted,
-        RunEndReason.DispatcherSilent,
-      );
+      endNotStarted(executor, run, RunEndReason.DispatcherSilent);
       return;
     }
     const { fencing, port } = executor.options;
@@ -48,13 +45,15 @@
       replyTimeout: executor.lease.replyTimeout(),
     });
     if (reply.isOk()) executor.lease.reportAnswered(sentAt);
-    if (run.phase === RunPhase.Ended) return;
+    // A run of an earlier life ends as the next one tells.
+    if (run.phase === RunPhase.Ended || executor.isClosed) return;
     if (reply.isErr()) {
       executor.lease.reportUnanswered(sentAt);
       await resolveUnansweredStart(executor, run);
       return;
     }
     recordClock(executor, reply.value, sentAt);
+    if (executor.isClosed) return;
     if (reply.value.accepted) {
       markRunning(executor, run, sentAt);
       return;
@@ -62,7 +61,15 @@
     if (!handleRefusal(executor, run, reply.value.refusal, fencingToken))
       return;
   }
-  executor.endRun(run, RunOutcome.NotStarted, RunEndReason.WorkerRefused);
+  endNotStarted(executor, run, RunEndReason.WorkerRefused);
+}
+
+function endNotStarted(
+  executor: WorkerExecutor,
+  run: ActiveRun,
+  reason: RunEndReason,
+): void {
+  executor.endRun(run, { kind: EvidenceKind.NotStarted, reason });
 }
 
 /** Logs the right under which an order is sent, by which a run that must not execute is traced to its cause. */
@@ -98,6 +105,7 @@
 ): void {
   run.phase = RunPhase.Running;
   run.startedAt = startedAt;
+  run.confirmedAt = executor.options.timers.now();
   if (run.stopReason !== undefined) void stopRun(executor, run);
 }
 
@@ -109,7 +117,7 @@
   fencingToken: number,
 ): boolean {
   if (run.stopReason !== undefined) {
-    executor.endRun(run, RunOutcome.NotStarted, run.stopReason);
+    endNotStarted(executor, run, run.stopReason);
     return false;
   }
   switch (refusal) {
@@ -126,13 +134,13 @@
       return false;
     case WorkerRefusal.Unhealthy:
       executor.pauseStarts(unhealthyPauseMilliseconds);
-      executor.endRun(run, RunOutcome.NotStarted, RunEndReason.WorkerRefused);
+      endNotStarted(executor, run, RunEndReason.WorkerRefused);
       return false;
     case WorkerRefusal.Invalid:
-      executor.endRun(run, RunOutcome.NotStarted, RunEndReason.WorkerRefused);
+      endNotStarted(executor, run, RunEndReason.WorkerRefused);
       return false;
     case WorkerRefusal.OtherIncarnation:
-      executor.close(RunEndReason.WorkerGone);
+      executor.options.otherLifeAnswered();
       return false;
   }
 }
@@ -152,7 +160,7 @@
     worker: executor.worker.workerId,
   });
   const status = await executor.lease.readStatus();
-  if (run.phase === RunPhase.Ended) return;
+  if (run.phase === RunPhase.Ended || executor.isClosed) return;
   if (status?.running.some(other => isSameRun(other, run)) === true) {
     markRunning(executor, run, run.startedAt);
     return;
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -24,16 +24,14 @@
 import { EvacuationGuard } from './evacuation-guard.js';
 import { Fencing } from './fencing.js';
 import { QueuePresences } from './queue-presence.js';
+import { type EndEvidence, EvidenceKind } from './run-evidence.js';
 import { SessionPhase } from './session-phase.js';
 import { watchConnections } from './watch-connections.js';
 import { WorkerExecutor } from './worker-executor.js';
+import type { LifeEvents } from './worker-executor-options.js';
 import type { WorkerGate, WorkerGateOptions } from './worker-gate-options.js';
-import {
-  isOlderReport,
-  isOtherIncarnation,
-  isRepeatedReport,
-  type WorkerReport,
-} from './worker-report.js';
+import { WorkerLives } from './worker-lives.js';
+import type { WorkerReport } from './worker-report.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
 /** Time for the worker to confirm stops at the end of a planned stop. */
@@ -55,16 +53,14 @@
         reports.reportCrashes(session, crashes.listRecent().slice(-1));
     },
   });
-  let executor: WorkerExecutor | undefined;
-  let latestReport: WorkerReport | undefined;
-  /** The last report before the worker left; delivered again, it must not bring the worker back. */
-  let reportBeforeLeave: WorkerReport | undefined;
   let isStopping = false;
   const reports = new DispatcherReports({
     timers,
     heartbeatMilliseconds: validity.heartbeatMilliseconds,
     sessions: () => sessions,
-    executor: () => executor,
+    load: () => lives.executor?.load,
+    offered: () => lives.offered,
+    hasWorkFor: dispatcher => lives.hasWorkFor(dispatcher),
     evacuationVersion: () => evacuations.version,
   });
   const evacuations = new EvacuationGuard({
@@ -73,6 +69,7 @@
     logger,
     countConnectedDispatchers: () => sessions.listConnected().length,
     changed: () => {
+      const { executor } = lives;
       logger.info('state of evacuations applied', {
         evacuationVersion: evacuations.version,
         worker: executor?.worker.workerId,
@@ -86,14 +83,19 @@
     },
   });
 
-  const runEnded = (dispatcher: DispatcherId, end: RunEnd): void => {
+  const runEnded = (
+    dispatcher: DispatcherId,
+    end: RunEnd,
+    evidence: EndEvidence,
+  ): void => {
     metrics.count(chooseRunCounter(end.outcome));
     const isEvacuated = end.reason === RunEndReason.Evacuated;
     if (isEvacuated) metrics.count(Counter.RunsReturnedEvacuated);
     logger.info('run ended', {
       dispatcher,
-      worker: executor?.worker.workerId,
+      worker: lives.executor?.worker.workerId,
       ...end,
+      evidence: evidence.kind,
       ...(isEvacuated ? { evacuationVersion: evacuations.version } : {}),
     });
     const session = sessions.findSession(dispatcher);
@@ -105,6 +107,7 @@
     session: DispatcherSession,
     message: ToWorkerMessage,
   ): void => {
+    const { executor } = lives;
     leases.renew(session.dispatcherId, message.echo, timers.now());
     switch (message.kind) {
       case ToWorkerKind.PlaceRuns:
@@ -145,6 +148,7 @@
       dispatcher: session.dispatcherId,
       grant: order.grant,
     });
+    const { executor } = lives;
     const hasLeft = session.phase === SessionPhase.Left;
     if (executor !== undefined && !isStopping && !hasLeft) {
       executor.acceptOrder(order);
@@ -153,7 +157,10 @@
     const reason =
       isStopping || hasLeft ? RunEndReason.Draining : RunEndReason.WorkerGone;
     for (const end of createRefusals(order, reason))
-      runEnded(session.dispatcherId, end);
+      runEnded(session.dispatcherId, end, {
+        kind: EvidenceKind.NotStarted,
+        reason,
+      });
   };
 
   const sessions: DispatcherSessions = new DispatcherSessions({
@@ -178,21 +185,21 @@
     },
     sessionLost: session => {
       leases.endLease(session.dispatcherId);
-      executor?.stopRuns(RunEndReason.DispatcherSilent, {
+      lives.executor?.stopRuns(RunEndReason.DispatcherSilent, {
         dispatcher: session.dispatcherId,
       });
     },
-    hasWorkFor: dispatcher => executor?.hasWorkFor(dispatcher) ?? false,
+    hasWorkFor: dispatcher => lives.hasWorkFor(dispatcher),
   });
 
-  const openExecutor = ({ worker, bornAt }: WorkerReport): void => {
-    logger.info('worker found', { ...worker });
-    // Orders to an earlier incarnation that arrive late are refused once this one has received an order.
-    fencing.advance();
+  const openExecutor = (
+    { worker, bornAt }: WorkerReport,
+    events: LifeEvents,
+  ): WorkerExecutor => {
     const opened: WorkerExecutor = new WorkerExecutor({
       worker,
       port: watchConnections(options.openWorker(worker, bornAt), timers, () => {
-        if (latestReport?.draining === true) return;
+        if (opened.isDraining) return;
         const runs = opened.listActiveRuns();
         crashes.record(worker, runs, CrashEvidence.ConnectionRefused);
       }),
@@ -220,36 +227,24 @@
       capacityFreed: () => {
         reports.reportToAll();
       },
-      incarnationEnded: reason => {
-        logger.warn('worker lost', { worker: worker.workerId, reason });
-        if (executor === opened) executor = undefined;
-        reports.announceToAll();
-      },
+      ...events,
     });
-    executor = opened;
+    return opened;
   };
 
-  const workerReported = (report: WorkerReport): boolean => {
-    if (latestReport !== undefined && isOlderReport(report, latestReport))
-      return false;
-    if (isRepeatedReport(report, reportBeforeLeave)) return false;
-    const earlier = latestReport;
-    latestReport = report;
-    const { draining } = report;
-    if (earlier !== undefined && isOtherIncarnation(report, earlier)) {
-      executor?.close(RunEndReason.WorkerGone);
-      const hasLeft = earlier.draining || earlier === reportBeforeLeave;
-      if (!hasLeft) crashes.recordReplacement(earlier.worker);
-    }
-    if (executor === undefined && !isStopping) openExecutor(report);
-    if (report.clock !== undefined) executor?.clock.record(report.clock);
-    executor?.changeCapacity(report.worker.capacity);
-    if (draining) executor?.drain();
-    return true;
-  };
+  const lives = new WorkerLives({
+    timers,
+    logger,
+    fencing,
+    crashes,
+    openExecutor,
+    changed: () => {
+      reports.announceToAll();
+    },
+  });
 
   const waitUntilIdle = async (until: Milliseconds): Promise<void> => {
-    while (executor?.isIdle === false && timers.now() < until)
+    while (!lives.isIdle && timers.now() < until)
       await sleep(timers, stopPollMilliseconds);
   };
 
@@ -258,31 +253,30 @@
     reports.stop();
     evacuations.close();
     sessions.close();
-    executor?.kill();
+    lives.kill();
   };
 
   return {
-    workerReported,
+    workerReported: report => lives.receive(report),
     workerLeft: workerId => {
-      if (latestReport?.worker.workerId === workerId)
-        reportBeforeLeave = latestReport;
-      if (executor?.worker.workerId === workerId)
-        executor.close(RunEndReason.WorkerGone);
+      lives.leave(workerId);
     },
     changeSeeds: dispatchers => {
       sessions.changeSeeds(dispatchers);
     },
-    getExecutor: () => executor,
+    getExecutor: () => lives.executor,
     listSessions: () => sessions.listConnected(),
     stop: async graceMilliseconds => {
       isStopping = true;
+      lives.beginStop();
+      const { executor } = lives;
       executor?.drain();
       const stopAt = timers.now() + graceMilliseconds;
       await waitUntilIdle(stopAt);
       executor?.stopRuns(RunEndReason.Draining, {});
       await waitUntilIdle(timers.now() + stopConfirmationMilliseconds);
       // A run that is not known to have ended is not reported: its dispatcher waits until it must have ended.
-      if (executor?.isIdle === true) executor.close(RunEndReason.Draining);
+      if (lives.isIdle) executor?.close();
       await sleep(timers, stopPollMilliseconds);
       kill();
     },
--- a/packages/worker-gate/src/stop-run.ts
+++ b/packages/worker-gate/src/stop-run.ts
@@ -1,10 +1,10 @@
 /** Stops one run on a worker, and retries until the run is known to be inactive. */
 import { sleep } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
-import { RunEndReason, RunOutcome } from '@cranberryturn/types';
 
 import { type ActiveRun, RunPhase } from './active-run.js';
 import { WorkerRefusal } from './ports/worker.js';
+import { EvidenceKind } from './run-evidence.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
 const retryPauseMilliseconds: Milliseconds = 30;
@@ -58,7 +58,7 @@
       executor.options.fencing.raiseAbove(fencingToken);
       return;
     case WorkerRefusal.OtherIncarnation:
-      executor.close(RunEndReason.WorkerGone);
+      executor.options.otherLifeAnswered();
       return;
     case WorkerRefusal.OldRun:
     case WorkerRefusal.Late:
@@ -80,9 +80,8 @@
     const isAtWork = status?.running.some(
       other => other.jobId === run.order.jobId && other.taskId === run.taskId,
     );
-    if (isAtWork === false) {
-      const reason = run.stopReason ?? RunEndReason.WorkerSilent;
-      executor.endRun(run, RunOutcome.NotStarted, reason);
+    if (isAtWork === false && status?.isPartial !== true) {
+      executor.endRun(run, { kind: EvidenceKind.Stopped });
       return;
     }
     await sleep(executor.options.timers, retryPauseMilliseconds);
--- a/packages/worker-gate/src/worker-clock.ts
+++ b/packages/worker-gate/src/worker-clock.ts
@@ -6,6 +6,10 @@
 const maximumDrift = 0.02;
 /** Minimum suspension that is detected; a reply to a busy process may stay unread for nearly this long. */
 const minimumSuspensionMilliseconds: Milliseconds = 250;
+/** Workers report whole milliseconds. */
+const clockResolutionMilliseconds: Milliseconds = 1;
+/** Differences below this say nothing about the life of the worker, as clocks drift and replies are delayed. */
+const clockToleranceMilliseconds: Milliseconds = 100;
 /** Readings older than this are not kept, but for the newest of them. */
 const readingRetentionMilliseconds: Milliseconds = 2_000;
 /** A reading soon after another is kept only if it shows the clock to be ahead by more than this. */
@@ -25,13 +29,42 @@
   #readings: ClockReading[] = [];
   /** The newest reading in a reply. */
   #lastReply: ClockReading | undefined;
+  /**
+   * Upper bound of the clock less that of this process: the worker read its clock after the order was sent, and its clock
+   * is never fast.
+   */
+  #maximumLead: Milliseconds = -Infinity;
 
   constructor(timers: TimerService) {
     this.#timers = timers;
   }
 
-  /** Records the clock in a report of the worker, which may have been delayed. */
-  record(clock: Milliseconds): void {
+  /**
+   * Records the clock in a report, which may have been delayed. A report can be of another writer: one that is ahead of
+   * what the replies of the worker allow would make orders valid for too long, and does not count.
+   */
+  recordReport(clock: Milliseconds): void {
+    const lead = clock - this.#timers.now();
+    if (lead <= this.#maximumLead + clockResolutionMilliseconds)
+      this.#record(clock);
+  }
+
+  /**
+   * Whether a reply to an order sent at `sentAt` cannot be of this incarnation: its clock is behind what earlier readings
+   * show. A later incarnation starts a new clock.
+   */
+  isOfOtherLife(clock: Milliseconds, sentAt: Milliseconds): boolean {
+    return this.#readings.some(
+      reading =>
+        reading.readAt <= sentAt &&
+        clock <
+          reading.clock +
+            (sentAt - reading.readAt) * (1 - maximumDrift) -
+            clockToleranceMilliseconds,
+    );
+  }
+
+  #record(clock: Milliseconds): void {
     const readAt = this.#timers.now();
     const last = this.#readings.at(-1);
     if (last !== undefined && isRedundant({ clock, readAt }, last)) return;
@@ -49,7 +82,12 @@
    */
   observe(clock: Milliseconds, sentAt: Milliseconds): boolean {
     const now = this.#timers.now();
-    this.record(clock);
+    this.#record(clock);
+    // A suspension of this process, whose clock stands still meanwhile, makes earlier bounds void.
+    const isVoid = clock - now > this.#maximumLead;
+    this.#maximumLead = isVoid
+      ? clock - sentAt
+      : Math.min(this.#maximumLead, clock - sentAt);
     const previous = this.#lastReply;
     if (previous !== undefined && clock < previous.clock) return false;
     this.#lastReply = { clock, readAt: now };
--- a/packages/worker-gate/src/worker-executor-options.ts
+++ b/packages/worker-gate/src/worker-executor-options.ts
@@ -4,7 +4,6 @@
 import type {
   DispatcherId,
   RunEnd,
-  RunEndReason,
   StalledRun,
   WorkerRun,
 } from '@cranberryturn/types';
@@ -15,11 +14,22 @@
 import type { DispatcherLeases } from './dispatcher-leases.js';
 import type { StartRule } from './evacuation-guard.js';
 import type { Fencing } from './fencing.js';
-import type { WorkerPort } from './ports/worker.js';
+import type { WorkerPort, WorkerStatus } from './ports/worker.js';
+import type { EndEvidence } from './run-evidence.js';
 import type { QueuePresences } from './queue-presence.js';
 
+/** What the replies of the worker say about its lives. */
+export interface LifeEvents {
+  /** The worker has answered as the life of this executor. Called once. */
+  readonly answered: () => void;
+  /** Another life has answered, so the life of this executor does not exist any more, or never did. */
+  readonly otherLifeAnswered: () => void;
+  /** The worker has told its runs, in reply to an order with the fencing token. */
+  readonly statusReceived: (status: WorkerStatus, fencingToken: number) => void;
+}
+
 /** Options of the executor for one incarnation of a worker. */
-export interface WorkerExecutorOptions {
+export interface WorkerExecutorOptions extends LifeEvents {
   readonly worker: WorkerRun;
   readonly port: WorkerPort;
   readonly timers: TimerService;
@@ -33,18 +43,20 @@
   /** Measures the presence of queues, over the incarnations of the worker. */
   readonly presences: QueuePresences;
   /** Called once for each run that ends. */
-  readonly runEnded: (dispatcher: DispatcherId, end: RunEnd) => void;
+  readonly runEnded: (
+    dispatcher: DispatcherId,
+    end: RunEnd,
+    evidence: EndEvidence,
+  ) => void;
   /** Called for active runs that make no progress. */
   readonly runsStalled: (
     dispatcher: DispatcherId,
     runs: readonly StalledRun[],
   ) => void;
-  /** Called with the active runs when this incarnation is lost, before they end. */
+  /** Called with the runs that end with this incarnation, before they end. */
   readonly runsLost: (runs: readonly ActiveRun[]) => void;
   /** Called when the worker replies again, is silent or drains. */
   readonly stateChanged: () => void;
   /** Called when a worker that was full has free capacity again. */
   readonly capacityFreed: () => void;
-  /** Called once when this incarnation of the worker has ended. */
-  readonly incarnationEnded: (reason: RunEndReason) => void;
 }
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -5,7 +5,6 @@
   type Milliseconds,
   RunEndReason,
   type RunOrder,
-  RunOutcome,
   type WorkerLoad,
   type WorkerResources,
   type WorkerRun,
@@ -14,7 +13,6 @@
 import {
   type ActiveRun,
   createRuns,
-  createRunEnd,
   isSelected,
   RunPhase,
   type RunSelection,
@@ -23,11 +21,12 @@
 import { composeLoad } from './compose-load.js';
 import { areStartsHeld, isStartHeld } from './order-validity.js';
 import { findRunRefusal } from './find-run-refusal.js';
-import { interpretOutcome } from './interpret-outcome.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
 import { logSuspension } from './log-suspension.js';
-import { type EndedRun, nameTask } from './ports/worker.js';
+import type { EndedRun } from './ports/worker.js';
 import { resizeWorker } from './resize-worker.js';
+import { RunEnds } from './run-ends.js';
+import { type EndEvidence, EvidenceKind } from './run-evidence.js';
 import { RunTable } from './run-table.js';
 import { StartPause } from './start-pause.js';
 import { startRun } from './start-run.js';
@@ -35,18 +34,21 @@
 import { watchOverdueRuns } from './watch-overdue-runs.js';
 import { WorkerClock } from './worker-clock.js';
 import type { WorkerExecutorOptions } from './worker-executor-options.js';
+import type { WorkerReport } from './worker-report.js';
 
-/** Executor for one incarnation of a worker. Each accepted run is reported exactly once when it ends. */
+/** Executor for one incarnation of a worker. Each accepted run is reported exactly once, when there is evidence of its end. */
 export class WorkerExecutor {
   readonly options: WorkerExecutorOptions;
   readonly clock: WorkerClock;
   #worker: WorkerRun;
   readonly #runs: RunTable;
+  readonly #ends: RunEnds;
   readonly #lease: LeaseKeeper;
   readonly #overdueTimer: TimerSubscription;
   readonly #startPause: StartPause;
   #isDraining = false;
   #isClosed = false;
+  #hasLeft = false;
 
   constructor(options: WorkerExecutorOptions) {
     this.options = options;
@@ -54,18 +56,21 @@
     this.clock = new WorkerClock(options.timers);
     this.#runs = new RunTable(options);
     this.#lease = keepLease(this);
+    this.#ends = new RunEnds(options, this.#runs, () => {
+      this.#lease.wake();
+      // Freed capacity is used in the same turn of the event loop, before the next order arrives.
+      queueMicrotask(() => {
+        this.startWaitingRuns();
+      });
+    });
     this.#startPause = new StartPause({
       timers: options.timers,
       readClock: () => this.#lease.readStatus(),
-      ended: () => {
-        this.startWaitingRuns();
-      },
+      ended: this.startWaitingRuns.bind(this),
     });
     this.#overdueTimer = watchOverdueRuns(options, {
       isIdle: () => this.isIdle,
-      refuseWaitingRuns: (reason, matches) => {
-        this.#refuseWaitingRuns(reason, matches);
-      },
+      refuseWaitingRuns: this.#ends.refuseWaiting.bind(this.#ends),
       stopMatchingRuns: (reason, matches) => {
         this.#stopMatchingRuns(reason, matches);
       },
@@ -87,11 +92,14 @@
 
   get load(): WorkerLoad {
     const measured = this.#runs.measureLoad(this.options.timers.now());
-    const isClosed =
-      this.#isDraining || this.#isClosed || this.#lease.isSuspected;
+    const isClosed = !this.#isOpen || this.#lease.isSuspected;
     return composeLoad(measured, isClosed, this.options.evacuations);
   }
 
+  get #isOpen(): boolean {
+    return !this.#isClosed && !this.#isDraining && !this.#hasLeft;
+  }
+
   /** Runs that are starting or running. */
   listActiveRuns(): readonly ActiveRun[] {
     return this.#runs.listActiveRuns();
@@ -112,12 +120,12 @@
     for (const run of runs) {
       const refusal = this.#findRefusal(run);
       if (refusal === undefined) this.#queueRun(run);
-      else this.endRun(run, RunOutcome.NotStarted, refusal);
+      else this.endRun(run, { kind: EvidenceKind.NotStarted, reason: refusal });
     }
     admitArrivedRuns(runs, () => {
       this.startWaitingRuns();
       if (order.mayWait || this.#isClosed || isStartHeld(this, lease)) return;
-      this.#refuseWaitingRuns(RunEndReason.NoRoom, run => run.order === order);
+      this.#ends.refuseWaiting(RunEndReason.NoRoom, run => run.order === order);
     });
   }
 
@@ -129,7 +137,7 @@
   /** Returns the selected runs that are still queued; active runs are not affected. */
   returnWaitingRuns(selection: RunSelection): void {
     const matches = (run: ActiveRun): boolean => isSelected(run, selection);
-    this.#refuseWaitingRuns(RunEndReason.NoRoom, matches);
+    this.#ends.refuseWaiting(RunEndReason.NoRoom, matches);
   }
 
   /**
@@ -142,7 +150,7 @@
     this.#worker = resized;
     this.#runs.capacity.resize(capacity);
     this.options.stateChanged();
-    this.#refuseWaitingRuns(
+    this.#ends.refuseWaiting(
       RunEndReason.NoCapacity,
       ({ order }) => !this.#runs.capacity.canEverHold(order.need),
     );
@@ -153,7 +161,7 @@
   drain(): void {
     if (this.#isDraining) return;
     this.#isDraining = true;
-    this.#refuseWaitingRuns(RunEndReason.Draining, () => true);
+    this.#ends.refuseWaiting(RunEndReason.Draining, () => true);
     this.options.stateChanged();
   }
 
@@ -161,9 +169,9 @@
   startWaitingRuns(): void {
     const { timers, leases, evacuations } = this.options;
     const now = timers.now();
-    if (this.#isClosed || this.#isDraining) return;
+    if (!this.#isOpen) return;
     if (evacuations.isClosed()) {
-      this.#refuseWaitingRuns(RunEndReason.Evacuated, () => true);
+      this.#ends.refuseWaiting(RunEndReason.Evacuated, () => true);
       return;
     }
     if (!this.#lease.isReady || this.#lease.isSuspected) return;
@@ -185,15 +193,12 @@
   /** Queues a run again that the worker refused to start; no run starts for the length of the pause. */
   requeue(run: ActiveRun, pauseMilliseconds: Milliseconds): void {
     if (run.phase === RunPhase.Ended) return;
-    this.#releaseRun(run);
+    this.#ends.release(run);
     this.pauseStarts(pauseMilliseconds);
     run.phase = RunPhase.Waiting;
-    if (run.stopReason === undefined && !this.#isClosed) {
-      this.#runs.waiting.add(run);
-      return;
-    }
-    const reason = run.stopReason ?? RunEndReason.WorkerGone;
-    this.endRun(run, RunOutcome.NotStarted, reason);
+    const { stopReason: reason } = run;
+    if (reason === undefined) this.#runs.waiting.add(run);
+    else this.endRun(run, { kind: EvidenceKind.NotStarted, reason });
   }
 
   /** Starts no runs for the length of the pause. */
@@ -201,28 +206,19 @@
     this.#startPause.begin(pauseMilliseconds);
   }
 
-  /** Ends a run and reports the end to its dispatcher; a run that has ended is left as it is. */
-  endRun(run: ActiveRun, outcome: RunOutcome, reason?: RunEndReason): void {
-    if (run.phase === RunPhase.Ended) return;
-    const end = createRunEnd(run, outcome, reason, this.options.timers.now());
-    this.#releaseRun(run);
-    run.phase = RunPhase.Ended;
-    this.options.runEnded(run.dispatcher, end);
+  /** Ends a run upon evidence, and reports the end to its dispatcher; a run that has ended is left as it is. */
+  endRun(run: ActiveRun, evidence: EndEvidence): void {
+    this.#ends.end(run, evidence);
   }
 
   /** Handles an end that the worker reported. */
   handleRunEnd(ended: EndedRun): void {
-    const run = this.#runs.findActiveRun(nameTask(ended.jobId, ended.taskId));
-    if (run?.run !== ended.run) return;
-    // The reply to the start order was lost, or arrives after the end.
-    if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
-    const { outcome, reason } = interpretOutcome(ended.end, run.stopReason);
-    this.endRun(run, outcome, reason);
+    this.#ends.endListed(ended);
   }
 
   /** Handles an order without a reply: queued runs return to their dispatchers, active runs go on. */
   handleUnansweredOrder(): void {
-    this.#refuseWaitingRuns(RunEndReason.WorkerSilent, () => true);
+    this.#ends.refuseWaiting(RunEndReason.WorkerSilent, () => true);
     this.options.stateChanged();
   }
 
@@ -230,27 +226,58 @@
   handleSuspension(): void {
     logSuspension(this.options.logger, this.worker, this.#runs);
     this.options.leases.endAllLeases(this.options.timers.now());
-    this.#refuseWaitingRuns(RunEndReason.Suspended, () => true);
+    this.#ends.refuseWaiting(RunEndReason.Suspended, () => true);
     this.#stopMatchingRuns(RunEndReason.DispatcherSilent, () => true);
   }
 
   /** Handles a worker silent for longer than its lease: no run is active there any more. */
   handleLeaseExpiry(): void {
-    this.#interruptActiveRuns(RunEndReason.WorkerSilent);
-    this.#refuseWaitingRuns(RunEndReason.WorkerSilent, () => true);
+    const runs = this.listActiveRuns();
+    this.options.runsLost(runs);
+    for (const run of runs) this.endRun(run, { kind: EvidenceKind.LeaseOver });
+    this.#ends.refuseWaiting(RunEndReason.WorkerSilent, () => true);
+    this.options.stateChanged();
+  }
+
+  /** Whether the worker answers, as far as is known. */
+  get isAnswering(): boolean {
+    return this.#lease.isReady && !this.#lease.isSuspected;
+  }
+
+  /** Whether the worker has reported that it is about to leave. */
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
+  /** Whether the worker is said to have left, and has not reported since. */
+  get hasLeft(): boolean {
+    return this.#hasLeft;
+  }
+
+  /** Applies a report of the worker. */
+  applyReport({ worker, clock, draining }: WorkerReport): void {
+    if (clock !== undefined) this.clock.recordReport(clock);
+    this.changeCapacity(worker.capacity);
+    if (draining) this.drain();
+    if (!this.#hasLeft) return;
+    this.#hasLeft = false;
     this.options.stateChanged();
   }
 
-  /** Ends all runs of an incarnation that no longer executes any. */
-  close(reason: RunEndReason): void {
+  /** Starts no further runs until the worker reports again, and returns the queued ones. Active runs go on. */
+  leave(): void {
+    this.#hasLeft = true;
+    this.#ends.refuseWaiting(RunEndReason.WorkerGone, () => true);
+    this.options.stateChanged();
+  }
+
+  /** Sends no further orders, as the incarnation is over. Queued runs return; active runs keep their state. */
+  close(): void {
     if (this.#isClosed) return;
-    this.#isClosed = true;
-    this.#overdueTimer.cancel();
-    this.#lease.stop();
-    this.#interruptActiveRuns(reason);
-    this.#refuseWaitingRuns(reason, () => true);
-    this.options.port.close();
-    this.options.incarnationEnded(reason);
+    this.kill();
+    for (const run of this.listActiveRuns())
+      run.stopReason ??= RunEndReason.WorkerGone;
+    this.#ends.refuseWaiting(RunEndReason.WorkerGone, () => true);
   }
 
   /** Stops the executor as a crash of this process would: runs at the worker stay active, and no end is reported. */
@@ -267,10 +294,10 @@
       worker: this.#worker,
       capacity: this.#runs.capacity,
       waitingRuns: this.#runs.waiting.size,
-      isClosed: this.#isClosed,
+      isClosed: this.#isClosed || this.#hasLeft,
       isDraining: this.#isDraining,
       isEvacuated: evacuations.isClosed(),
-      isAnswering: this.#lease.isReady && !this.#lease.isSuspected,
+      isAnswering: this.isAnswering,
       isLeased: leases.canStart(run.lease, timers.now()),
     });
   }
@@ -278,7 +305,7 @@
   /** Queues a run. Earlier runs of its task, of any dispatcher, are stopped and end before the new run starts. */
   #queueRun(run: ActiveRun): void {
     if (this.#runs.isDuplicate(run)) return;
-    this.#refuseWaitingRuns(
+    this.#ends.refuseWaiting(
       RunEndReason.Cancelled,
       other => other.task === run.task,
     );
@@ -294,39 +321,15 @@
     reason: RunEndReason,
     matches: (run: ActiveRun) => boolean,
   ): void {
-    this.#refuseWaitingRuns(reason, matches);
+    this.#ends.refuseWaiting(reason, matches);
     for (const run of this.listActiveRuns()) {
       if (matches(run)) this.#stopActiveRun(run, reason);
     }
   }
 
-  #interruptActiveRuns(reason: RunEndReason): void {
-    const runs = this.listActiveRuns();
-    this.options.runsLost(runs);
-    for (const run of runs) this.endRun(run, RunOutcome.Interrupted, reason);
-  }
-
   #stopActiveRun(run: ActiveRun, reason: RunEndReason): void {
     run.stopReason ??= reason;
     // A starting run is stopped once the worker has replied.
     if (run.phase === RunPhase.Running) void stopRun(this, run);
   }
-
-  #refuseWaitingRuns(
-    reason: RunEndReason,
-    matches: (run: ActiveRun) => boolean,
-  ): void {
-    for (const run of this.#runs.waiting.takeMatching(matches)) {
-      this.endRun(run, RunOutcome.NotStarted, reason);
-    }
-  }
-
-  #releaseRun(run: ActiveRun): void {
-    if (!this.#runs.releaseRun(run, this.options.timers.now())) return;
-    this.#lease.wake();
-    // Freed capacity is used in the same turn of the event loop, before the next order arrives.
-    queueMicrotask(() => {
-      this.startWaitingRuns();
-    });
-  }
 }
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -154,10 +154,12 @@
 });
 
 test('a new incarnation of the worker ends the runs of the earlier one', async t => {
-  const { place, report, worker, timers, ends } = await startGateFixture(1);
+  const fixture = await startGateFixture(1);
+  const { place, report, worker, timers, ends } = fixture;
   worker.runMilliseconds = 5_000;
   place({ jobId: 'job' });
   await timers.advance(50);
+  fixture.startLife(createWorkerRun(1, 2));
   report(createWorkerRun(1, 2));
   await timers.advance(50);
   t.deepEqual(
@@ -167,7 +169,8 @@
 });
 
 test('a late report of an earlier incarnation is ignored', async t => {
-  const { gate, timers } = await startGateFixture(1);
+  const { gate, timers, startLife } = await startGateFixture(1);
+  startLife(createWorkerRun(1, 5));
   gate.workerReported({
     worker: createWorkerRun(1, 5),
     bornAt: 5,
--- a/packages/worker-gate/src/worker-report.ts
+++ b/packages/worker-gate/src/worker-report.ts
@@ -14,31 +14,10 @@
   readonly draining: boolean;
 }
 
-/** Whether a report is `known` delivered again, or an earlier one of the same incarnation. */
-export function isRepeatedReport(
-  report: WorkerReport,
-  known: WorkerReport | undefined,
-): boolean {
-  return (
-    report.worker.incarnation === known?.worker.incarnation &&
-    report.sequence <= known.sequence
-  );
-}
-
-/** Whether two reports are of different incarnations of the worker. */
-export function isOtherIncarnation(
+/** Whether two reports of one life name the same service, which a life does not change. */
+export function isSameService(
   { worker }: WorkerReport,
   other: WorkerReport,
 ): boolean {
-  return worker.incarnation !== other.worker.incarnation;
-}
-
-/** Whether a report is out of date: reports can arrive out of order, also across incarnations at one address. */
-export function isOlderReport(
-  report: WorkerReport,
-  latest: WorkerReport,
-): boolean {
-  return isOtherIncarnation(report, latest)
-    ? report.bornAt < latest.bornAt
-    : report.sequence < latest.sequence;
+  return worker.service === other.worker.service;
 }
