Let no renewal extend a run that has to stop

Cause: the lease of a worker holds for all its runs, and is renewed as far as the least echo among their dispatchers allows. A run that had to stop counted with the live lease of its dispatcher, so the renewals for others kept it active.

The lease of a run stays as it is once the run has to stop. Three stops that are lost in a row cost the other runs nothing, by a test; when all are lost, the others end with the lease (docs/decisions/run-validity.md).

--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -52,6 +52,7 @@
   LoseAnswer = 'lose-answer',
   LoseAllAnswers = 'lose-all-answers',
   LoseStop = 'lose-stop',
+  LoseAllStops = 'lose-all-stops',
   LoseRenewals = 'lose-renewals',
   Advance = 'advance',
 }
@@ -230,6 +231,9 @@
     case Action.LoseStop:
       worker.shouldLoseNextStop = true;
       break;
+    case Action.LoseAllStops:
+      worker.stopsToLose = worker.stopsToLose > 0 ? 0 : Infinity;
+      break;
     case Action.LoseRenewals:
       worker.loseWaitingRenewals();
       break;
--- a/packages/worker-gate/src/active-run.ts
+++ b/packages/worker-gate/src/active-run.ts
@@ -31,8 +31,8 @@
   readonly taskId: TaskId;
   readonly order: RunOrder;
   readonly dispatcher: DispatcherId;
-  /** The lease of the dispatcher process that ordered the run. */
-  readonly lease: DispatcherLease;
+  /** The lease of the dispatcher process that ordered the run; once the run has to stop, the lease as it was then. */
+  lease: DispatcherLease;
   /** Run number that the dispatcher assigned. */
   readonly orderedRun: number;
   /** Run number sent to the worker; raised when the worker has seen a later run of the task. */
@@ -42,6 +42,8 @@
   readonly dueAt: Milliseconds;
   readonly deadlineAt: Milliseconds;
   startedAt: Milliseconds;
+  /** The latest deadline of its start orders on the clock of the worker; undefined before the first order. */
+  orderDeadline: Milliseconds | undefined;
   /** When the worker was first known to have the run: it accepted the start order, or listed the run. */
   confirmedAt: Milliseconds | undefined;
   /** Set once the run has to stop. */
@@ -99,6 +101,7 @@
     dueAt: now + order.dueMilliseconds,
     deadlineAt: now + order.remainingMilliseconds,
     startedAt: now,
+    orderDeadline: undefined,
     confirmedAt: undefined,
     stopReason: undefined,
     isStopping: false,
@@ -110,6 +113,15 @@
   }));
 }
 
+/**
+ * Records that a run has to stop. Its lease is not renewed any more: renewals for the other runs of its worker must not keep
+ * it active while its stop orders are unanswered, as its caller may send the job again.
+ */
+export function requestStop(run: ActiveRun, reason: RunEndReason): void {
+  run.stopReason ??= reason;
+  run.lease = { echo: run.lease.echo };
+}
+
 /** Creates the reports that no run of an order was started, nor will be. */
 export function createRefusals(
   { jobId, requestId, tasks }: RunOrder,
--- a/packages/worker-gate/src/fakes/fake-worker-state.ts
+++ b/packages/worker-gate/src/fakes/fake-worker-state.ts
@@ -42,6 +42,8 @@
   shouldLoseNextReply: boolean;
   /** Fault: the next stop order is neither executed nor replied to. */
   shouldLoseNextStop: boolean;
+  /** Fault: so many further stop orders are neither executed nor replied to. */
+  stopsToLose: number;
   /** Fault: the reply to the renewals that wait now is lost. */
   loseWaitingRenewals(): void;
   /** Fault: orders are executed, and their replies are lost. */
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -187,9 +187,10 @@
     worker.nextStopDelayMilliseconds = undefined;
     if (delay !== undefined)
       return await carryOutLate(order, delay, () => stop(order));
-    if (!worker.shouldLoseNextStop)
+    if (!worker.shouldLoseNextStop && worker.stopsToLose === 0)
       return await sendReply(order, () => stop(order));
     worker.shouldLoseNextStop = false;
+    worker.stopsToLose = Math.max(0, worker.stopsToLose - 1);
     return await failWithTimeout(timers, run.workerId, order);
   };
 
@@ -246,6 +247,7 @@
     nextRenewalDelayMilliseconds: undefined,
     shouldLoseNextReply: false,
     shouldLoseNextStop: false,
+    stopsToLose: 0,
     losesReplies: false,
     replyDelayMilliseconds: 1,
     isUnhealthy: false,
--- a/packages/worker-gate/src/order-validity.ts
+++ b/packages/worker-gate/src/order-validity.ts
@@ -33,14 +33,32 @@
   return { deadline: Math.floor(deadline), endsAt: echo + orderMilliseconds };
 }
 
-/** Whether no run starts for now: an active run without a lease has to end first, as a start order would extend it. */
+/** Minimum remaining lease of the worker to start a run, as for the lease of its dispatcher. */
+const minimumStartMilliseconds: Milliseconds = 100;
+
+/**
+ * Whether no run starts for now: an active run without a lease has to end first, as a start order would extend it, and so
+ * has a run whose stop is not answered and with whose lease that of the worker is about to end.
+ */
 export function areStartsHeld(executor: OrderContext): boolean {
   return (
     executor.listActiveRuns().length > 0 &&
-    computeOrderValidity(executor) === undefined
+    (computeOrderValidity(executor) === undefined || isStopOverdue(executor))
   );
 }
 
+function isStopOverdue(executor: OrderContext): boolean {
+  const { timers, validity } = executor.options;
+  const startsUntil =
+    timers.now() - validity.orderMilliseconds + minimumStartMilliseconds;
+  return executor
+    .listActiveRuns()
+    .some(
+      ({ stopReason, lease }) =>
+        stopReason !== undefined && lease.echo < startsUntil,
+    );
+}
+
 /** Whether runs under a lease wait although they might fit. */
 export function isStartHeld(
   executor: OrderContext,
--- a/packages/worker-gate/src/run-ends.ts
+++ b/packages/worker-gate/src/run-ends.ts
@@ -47,13 +47,18 @@
     this.end(run, { kind: EvidenceKind.Listed, end: ended.end });
   }
 
+  /** Ends a run for which no order was sent, or whose orders were all refused. */
+  endNotStarted(run: ActiveRun, reason: RunEndReason): void {
+    this.end(run, { kind: EvidenceKind.NotStarted, reason });
+  }
+
   /** Returns the queued runs that match. */
   refuseWaiting(
     reason: RunEndReason,
     matches: (run: ActiveRun) => boolean,
   ): void {
     for (const run of this.#runs.waiting.takeMatching(matches))
-      this.end(run, { kind: EvidenceKind.NotStarted, reason });
+      this.endNotStarted(run, reason);
   }
 
   /** Releases the capacity of a run, if it has any. */
--- a/packages/worker-gate/src/run-evidence.ts
+++ b/packages/worker-gate/src/run-evidence.ts
@@ -18,6 +18,8 @@
   Unlisted = 'unlisted',
   /** The worker has accepted a stop, upon which no order starts the run, and does not list it. */
   Stopped = 'stopped',
+  /** The deadline of all its start orders has passed on the clock of the worker, which does not list it. */
+  OrderExpired = 'order-expired',
   /** The lease of the worker is over by its own clock. */
   LeaseOver = 'lease-over',
   /** A later life of the worker answers, does not list the run, and refuses earlier orders. */
@@ -34,6 +36,7 @@
       readonly kind:
         | EvidenceKind.Unlisted
         | EvidenceKind.Stopped
+        | EvidenceKind.OrderExpired
         | EvidenceKind.LeaseOver
         | EvidenceKind.LaterLife
         | EvidenceKind.DeadlinePassed;
@@ -50,6 +53,7 @@
     case EvidenceKind.Listed:
       return interpretOutcome(evidence.end, stopReason);
     case EvidenceKind.Stopped:
+    case EvidenceKind.OrderExpired:
       return {
         outcome: RunOutcome.NotStarted,
         reason: stopReason ?? RunEndReason.WorkerSilent,
--- a/packages/worker-gate/src/run-validity.test.ts
+++ b/packages/worker-gate/src/run-validity.test.ts
@@ -1,5 +1,6 @@
 /** Runs of a dispatcher that is no longer heard end before its callers send their jobs again, whatever fails meanwhile. */
-import type { Milliseconds } from '@cranberryturn/types';
+import { type Milliseconds, RunOutcome } from '@cranberryturn/types';
+import { ToWorkerKind } from '@cranberryturn/wire';
 import test from 'ava';
 
 import { type GateFixture, startGateFixture } from './fakes/gate-fixture.js';
@@ -105,6 +106,74 @@
   fixture.gate.kill();
 });
 
+// A stop without an answer left the run alive through the lease that was renewed for the other runs of its worker.
+test('a run whose stop orders are all lost is not active when its caller sends the job again', async t => {
+  const late: string[] = [];
+  for (const startDelay of [undefined, 100, 400, 700]) {
+    for (const runBefore of listMoments(100, 800, 100)) {
+      const fixture = await startWithSlowClock(3, 2);
+      const { timers, worker } = fixture;
+      fixture.dispatchers[1]?.place({ jobId: 'other' });
+      await timers.advance(100);
+      worker.nextStartDelayMilliseconds = startDelay;
+      fixture.place({ jobId: 'stopped' });
+      await timers.advance(runBefore);
+      worker.stopsToLose = Infinity;
+      sendStop(fixture, 'stopped');
+      const until = timers.now() + resendMilliseconds;
+      const watchUntil = until + resendMilliseconds;
+      while (timers.now() < watchUntil) {
+        await timers.advance(tickMilliseconds);
+        const isActive = worker.activeRuns.has('stopped.0.0.0');
+        if (timers.now() < until || !isActive) continue;
+        late.push(
+          `stopped after ${String(runBefore)} ms, start delayed by ${String(startDelay)}`,
+        );
+        break;
+      }
+      fixture.gate.kill();
+    }
+  }
+  t.deepEqual(late, []);
+});
+
+test('a worker whose stop orders were all lost starts runs again once the lease has ended', async t => {
+  const fixture = await startWithSlowClock(2);
+  const { timers, worker, ends } = fixture;
+  worker.nextStartDelayMilliseconds = 5_000;
+  worker.stopsToLose = Infinity;
+  fixture.place({ jobId: 'stopped' });
+  await timers.advance(300);
+  sendStop(fixture, 'stopped');
+  await timers.advance(resendMilliseconds);
+  t.deepEqual(
+    ends.map(({ jobId, outcome }) => [jobId, outcome]),
+    [['stopped', RunOutcome.NotStarted]],
+  );
+  fixture.place({ jobId: 'next' });
+  await timers.advance(100);
+  t.deepEqual(fixture.listStarts(), ['next/1']);
+  fixture.gate.kill();
+});
+
+test('three stop orders that are lost in a row cost the other runs of the worker nothing', async t => {
+  const fixture = await startWithSlowClock(2, 2);
+  const { timers, worker } = fixture;
+  fixture.place({ jobId: 'stopped' });
+  fixture.dispatchers[1]?.place({ jobId: 'other' });
+  await timers.advance(500);
+  worker.stopsToLose = 3;
+  sendStop(fixture, 'stopped');
+  await timers.advance(3_000);
+  t.deepEqual([...worker.activeRuns.keys()], ['other.0.0.0']);
+  fixture.gate.kill();
+});
+
+/** Ends a job of the first dispatcher, as after an answer to its caller. */
+function sendStop({ send }: GateFixture, jobId: string): void {
+  send({ kind: ToWorkerKind.StopRuns, jobId, taskIds: ['0.0.0'] });
+}
+
 /** A worker with a slow clock, whose runs end by themselves only after the test. */
 async function startWithSlowClock(
   processors: number,
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -33,6 +33,7 @@
     const fencingToken = fencing.token;
     const sentAt = executor.options.timers.now();
     executor.lease.reportOrder(validity);
+    run.orderDeadline = Math.max(run.orderDeadline ?? 0, validity.deadline);
     logStart(executor, run, sentAt);
     const reply = await port.startRun({
       jobId: run.order.jobId,
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -14,6 +14,7 @@
   type ActiveRun,
   createRuns,
   isSelected,
+  requestStop,
   RunPhase,
   type RunSelection,
 } from './active-run.js';
@@ -120,7 +121,7 @@
     for (const run of runs) {
       const refusal = this.#findRefusal(run);
       if (refusal === undefined) this.#queueRun(run);
-      else this.endRun(run, { kind: EvidenceKind.NotStarted, reason: refusal });
+      else this.#ends.endNotStarted(run, refusal);
     }
     admitArrivedRuns(runs, () => {
       this.startWaitingRuns();
@@ -196,9 +197,8 @@
     this.#ends.release(run);
     this.pauseStarts(pauseMilliseconds);
     run.phase = RunPhase.Waiting;
-    const { stopReason: reason } = run;
-    if (reason === undefined) this.#runs.waiting.add(run);
-    else this.endRun(run, { kind: EvidenceKind.NotStarted, reason });
+    if (run.stopReason === undefined) this.#runs.waiting.add(run);
+    else this.#ends.endNotStarted(run, run.stopReason);
   }
 
   /** Starts no runs for the length of the pause. */
@@ -232,9 +232,9 @@
 
   /** Handles a worker silent for longer than its lease: no run is active there any more. */
   handleLeaseExpiry(): void {
-    const runs = this.listActiveRuns();
-    this.options.runsLost(runs);
-    for (const run of runs) this.endRun(run, { kind: EvidenceKind.LeaseOver });
+    this.options.runsLost(this.listActiveRuns());
+    for (const run of this.listActiveRuns())
+      this.endRun(run, { kind: EvidenceKind.LeaseOver });
     this.#ends.refuseWaiting(RunEndReason.WorkerSilent, () => true);
     this.options.stateChanged();
   }
@@ -328,7 +328,7 @@
   }
 
   #stopActiveRun(run: ActiveRun, reason: RunEndReason): void {
-    run.stopReason ??= reason;
+    requestStop(run, reason);
     // A starting run is stopped once the worker has replied.
     if (run.phase === RunPhase.Running) void stopRun(this, run);
   }
