--- a/packages/wire/src/fakes/memory-network.ts
+++ b/packages/wire/src/fakes/memory-network.ts
@@ -19,6 +19,8 @@
   readonly to: string;
   /** While true, frames in both directions are dropped and neither end notices. */
   isSilent: boolean;
+  /** Frames to the process of this name are dropped, and neither end notices; undefined without such a fault. */
+  silentTowards: string | undefined;
   /** Closes the connection at both ends. */
   disconnect(): void;
 }
@@ -61,13 +63,16 @@
 
   const deliver = (
     link: MemoryConnection,
+    receiver: string,
     queue: FrameQueue,
     frame: Uint8Array,
   ): void => {
-    if (link.isSilent) return;
+    const isLost = (): boolean =>
+      link.isSilent || link.silentTowards === receiver;
+    if (isLost()) return;
     const copy = Uint8Array.from(frame);
     timers.after(delayMilliseconds, () => {
-      if (link.isSilent) return;
+      if (isLost()) return;
       deliveredFrames += 1;
       queue.push(copy);
     });
@@ -80,6 +85,7 @@
       from: self.name,
       to: listener.identity.name,
       isSilent: false,
+      silentTowards: undefined,
       disconnect: () => {
         dialerQueue.end();
         listenerQueue.end();
@@ -94,12 +100,12 @@
     ): Connection => ({
       peer,
       send: frame => {
-        deliver(link, outgoing, frame);
+        deliver(link, peer.name, outgoing, frame);
       },
       receive: () => incoming.read(),
       close: () => {
         incoming.end();
-        if (!link.isSilent) outgoing.end();
+        if (!link.isSilent && link.silentTowards !== peer.name) outgoing.end();
       },
     });
     listener.handler(end(self, listenerQueue, dialerQueue));
