--- a/packages/transient-jobs/src/fakes/fake-host.ts
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -13,7 +13,7 @@
 import {
   createFakeWorker,
   type FakeWorker,
-  openLifePort,
+  openIncarnationPort,
   startWorkerGate,
   type WorkerGate,
 } from '@cranberryturn/worker-gate';
@@ -123,7 +123,7 @@
       openWorker: expected =>
         wrapWorker(
           suspension,
-          openLifePort(expected, () => host.worker),
+          openIncarnationPort(expected, () => host.worker),
         ),
     });
   };
--- a/packages/transient-jobs/src/orders-in-transit.test.ts
+++ b/packages/transient-jobs/src/orders-in-transit.test.ts
@@ -125,7 +125,7 @@
   t.is(orders.length, 1);
 });
 
-// The sidecar may still wait for the end of the run, which an order has started in a later life of the worker.
+// The sidecar may still wait for the end of the run, which an order has started in a later incarnation of the worker.
 test('an order that had arrived before the worker was lost is sent again once its run is reported as ended, and not before', async t => {
   const { timers, dispatchers, orders, worker, announce, reportEnd } =
     await start();
--- a/packages/worker-gate/src/crash-reports.test.ts
+++ b/packages/worker-gate/src/crash-reports.test.ts
@@ -46,7 +46,7 @@
     })),
   );
   await fixture.timers.advance(2_000);
-  fixture.startLife(createWorkerRun(2, 2));
+  fixture.startIncarnation(createWorkerRun(2, 2));
   fixture.report(createWorkerRun(2, 2));
   await fixture.timers.advance(10);
   t.is(listReports(fixture).length, 1);
@@ -61,7 +61,7 @@
   fixture.worker.isSilent = true;
   await fixture.timers.advance(2_000);
   t.deepEqual(listReports(fixture), []);
-  fixture.startLife(createWorkerRun(2, 2));
+  fixture.startIncarnation(createWorkerRun(2, 2));
   fixture.report(createWorkerRun(2, 2));
   await fixture.timers.advance(10);
   t.deepEqual(
@@ -77,7 +77,7 @@
   await fixture.timers.advance(2_000);
   fixture.worker.isSilent = false;
   await fixture.timers.advance(2_000);
-  fixture.startLife(createWorkerRun(2, 2));
+  fixture.startIncarnation(createWorkerRun(2, 2));
   fixture.report(createWorkerRun(2, 2));
   await fixture.timers.advance(10);
   t.deepEqual(listReports(fixture), []);
@@ -89,7 +89,7 @@
   fixture.report(createWorkerRun(2), true);
   fixture.worker.isSilent = true;
   await fixture.timers.advance(2_000);
-  fixture.startLife(createWorkerRun(2, 2));
+  fixture.startIncarnation(createWorkerRun(2, 2));
   fixture.report(createWorkerRun(2, 2));
   await fixture.timers.advance(10);
   t.deepEqual(listReports(fixture), []);
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -31,7 +31,7 @@
 } from './fake-dispatcher.js';
 import { createFakeWorker } from './fake-worker.js';
 import type { FakeWorker } from './fake-worker-state.js';
-import { openLifePort } from './open-life-port.js';
+import { openIncarnationPort } from './open-incarnation-port.js';
 
 /** Address of the first dispatcher; the ports of the others follow. */
 export const dispatcherAddress = { address: '10.0.0.1', port: 7_700 };
@@ -42,7 +42,7 @@
 export interface GateFixture {
   readonly timers: ManualTimerService;
   readonly network: MemoryNetwork;
-  /** The life of the worker that answers. */
+  /** The incarnation of the worker that answers. */
   readonly worker: FakeWorker;
   readonly gate: WorkerGate;
   readonly dispatchers: readonly FakeDispatcher[];
@@ -60,15 +60,15 @@
   listStarts(): readonly string[];
   /** Freezes the sidecar for good: its worker and its dispatchers receive nothing more from it. */
   freezeSidecar(): void;
-  /** Starts another life of the worker at its address, which does not report yet. The earlier one is over. */
-  startLife(worker: WorkerRun): FakeWorker;
+  /** Starts another incarnation of the worker at its address, which does not report yet. The earlier one is over. */
+  startIncarnation(worker: WorkerRun): FakeWorker;
   /** Starts another sidecar process for the same worker. */
   restartGate(): WorkerGate;
   /** Sends a report of the worker to the gate. */
   report(worker: WorkerRun, draining?: boolean): void;
 }
 
-/** Creates the description of the worker; `life` numbers its incarnations. */
+/** Creates the description of the worker; `incarnation` numbers its incarnations. */
 export function createWorkerRun(
   processors: number,
   incarnationNumber = 1,
@@ -100,8 +100,13 @@
   const timers = createManualTimerService();
   const network = createMemoryNetwork(timers, 1);
   const run = createWorkerRun(processors);
-  const startWorker = (life: WorkerRun): FakeWorker =>
-    createFakeWorker({ timers, run: life, need: oneProcessor, clockRate });
+  const startWorker = (incarnation: WorkerRun): FakeWorker =>
+    createFakeWorker({
+      timers,
+      run: incarnation,
+      need: oneProcessor,
+      clockRate,
+    });
   const worker = startWorker(run);
   const dispatchers: FakeDispatcher[] = [];
   const seeds: NetworkAddress[] = [];
@@ -143,7 +148,8 @@
       metrics,
       validity,
       evacuations,
-      openWorker: expected => openLifePort(expected, () => fixture.worker),
+      openWorker: expected =>
+        openIncarnationPort(expected, () => fixture.worker),
     });
   };
 
@@ -170,9 +176,9 @@
     },
     listStarts: () =>
       fixture.worker.starts.map(start => `${start.jobId}/${String(start.run)}`),
-    startLife: life => {
+    startIncarnation: incarnation => {
       fixture.worker.crash();
-      fixture.worker = startWorker(life);
+      fixture.worker = startWorker(incarnation);
       return fixture.worker;
     },
     restartGate: () => {
--- a/packages/worker-gate/src/fakes/open-life-port.ts
+++ b/packages/worker-gate/src/fakes/open-incarnation-port.ts
@@ -1,4 +1,4 @@
-/** Port to the address of a worker, at which one life after the other answers. */
+/** Port to the address of a worker, at which one incarnation after the other answers. */
 import type { WorkerRun } from '@cranberryturn/types';
 import { ok, ResultAsync } from 'neverthrow';
 
@@ -6,10 +6,10 @@
 import type { FakeWorker } from './fake-worker-state.js';
 
 /**
- * Opens a port. As on the platform, an order names only the id of the worker, which all its lives share, and only the
+ * Opens a port. As on the platform, an order names only the id of the worker, which all its incarnations share, and only the
  * reply to a renewal tells which of them has answered. The one that answers carries the order out.
  */
-export function openLifePort(
+export function openIncarnationPort(
   { workerId, incarnation }: WorkerRun,
   findAnswering: () => FakeWorker,
 ): WorkerPort {
--- a/packages/worker-gate/src/index.ts
+++ b/packages/worker-gate/src/index.ts
@@ -6,4 +6,4 @@
 export type { DispatcherSession } from './dispatcher-session.js';
 export * from './fakes/fake-worker-state.js';
 export * from './fakes/fake-worker.js';
-export * from './fakes/open-life-port.js';
+export * from './fakes/open-incarnation-port.js';
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -58,12 +58,15 @@
   let wakeUp: (() => void) | undefined;
 
   const recordClock = (clock: Milliseconds, sentAt: Milliseconds): void => {
-    if (executor.clock.isOfOtherLife(clock, sentAt)) {
-      logger.warn('clock of the worker is behind; another life answers', {
-        worker: worker.workerId,
-        clock,
-      });
-      executor.options.otherLifeAnswered();
+    if (executor.clock.isOfOtherIncarnation(clock, sentAt)) {
+      logger.warn(
+        'clock of the worker is behind; another incarnation answers',
+        {
+          worker: worker.workerId,
+          clock,
+        },
+      );
+      executor.options.otherIncarnationAnswered();
       return;
     }
     if (executor.clock.observe(clock, sentAt)) executor.handleSuspension();
@@ -148,7 +151,7 @@
   ): void => {
     if (refusal === WorkerRefusal.Fenced) fencing.raiseAbove(fencingToken);
     if (refusal === WorkerRefusal.OtherIncarnation)
-      executor.options.otherLifeAnswered();
+      executor.options.otherIncarnationAnswered();
   };
 
   const clearSuspicion = (): void => {
@@ -213,7 +216,7 @@
         await sleep(timers, failurePauseMilliseconds);
         continue;
       }
-      // An order of an earlier life or process that arrives after this reply has to be refused.
+      // An order of an earlier incarnation or process that arrives after this reply has to be refused.
       hasNoLeftovers =
         status.running.length === 0 &&
         status.isPartial !== true &&
--- a/packages/worker-gate/src/run-evidence.ts
+++ b/packages/worker-gate/src/run-evidence.ts
@@ -22,8 +22,8 @@
   OrderExpired = 'order-expired',
   /** The lease of the worker is over by its own clock. */
   LeaseOver = 'lease-over',
-  /** A later life of the worker answers, does not list the run, and refuses earlier orders. */
-  LaterLife = 'later-life',
+  /** A later incarnation of the worker answers, does not list the run, and refuses earlier orders. */
+  LaterIncarnation = 'later-incarnation',
   /** The deadline of the caller has passed, and the run is not renewed. Its task is not started again. */
   DeadlinePassed = 'deadline-passed',
 }
@@ -38,7 +38,7 @@
         | EvidenceKind.Stopped
         | EvidenceKind.OrderExpired
         | EvidenceKind.LeaseOver
-        | EvidenceKind.LaterLife
+        | EvidenceKind.LaterIncarnation
         | EvidenceKind.DeadlinePassed;
     };
 
@@ -64,7 +64,7 @@
         reason: RunEndReason.WorkerSilent,
       };
     case EvidenceKind.Unlisted:
-    case EvidenceKind.LaterLife:
+    case EvidenceKind.LaterIncarnation:
       return {
         outcome: RunOutcome.Interrupted,
         reason: RunEndReason.WorkerGone,
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -46,7 +46,7 @@
       replyTimeout: executor.lease.replyTimeout(),
     });
     if (reply.isOk()) executor.lease.reportAnswered(sentAt);
-    // A run of an earlier life ends as the next one tells.
+    // A run of an earlier incarnation ends as the next one tells.
     if (run.phase === RunPhase.Ended || executor.isClosed) return;
     if (reply.isErr()) {
       executor.lease.reportUnanswered(sentAt);
@@ -141,7 +141,7 @@
       endNotStarted(executor, run, RunEndReason.WorkerRefused);
       return false;
     case WorkerRefusal.OtherIncarnation:
-      executor.options.otherLifeAnswered();
+      executor.options.otherIncarnationAnswered();
       return false;
   }
 }
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -28,9 +28,9 @@
 import { SessionPhase } from './session-phase.js';
 import { watchConnections } from './watch-connections.js';
 import { WorkerExecutor } from './worker-executor.js';
-import type { LifeEvents } from './worker-executor-options.js';
+import type { IncarnationEvents } from './worker-executor-options.js';
 import type { WorkerGate, WorkerGateOptions } from './worker-gate-options.js';
-import { WorkerLives } from './worker-lives.js';
+import { WorkerIncarnations } from './worker-incarnations.js';
 import type { WorkerReport } from './worker-report.js';
 
 const stopPollMilliseconds: Milliseconds = 20;
@@ -58,9 +58,9 @@
     timers,
     heartbeatMilliseconds: validity.heartbeatMilliseconds,
     sessions: () => sessions,
-    load: () => lives.executor?.load,
-    offered: () => lives.offered,
-    hasWorkFor: dispatcher => lives.hasWorkFor(dispatcher),
+    load: () => incarnations.executor?.load,
+    offered: () => incarnations.offered,
+    hasWorkFor: dispatcher => incarnations.hasWorkFor(dispatcher),
     evacuationVersion: () => evacuations.version,
   });
   const evacuations = new EvacuationGuard({
@@ -69,7 +69,7 @@
     logger,
     countConnectedDispatchers: () => sessions.listConnected().length,
     changed: () => {
-      const { executor } = lives;
+      const { executor } = incarnations;
       logger.info('state of evacuations applied', {
         evacuationVersion: evacuations.version,
         worker: executor?.worker.workerId,
@@ -93,7 +93,7 @@
     if (isEvacuated) metrics.count(Counter.RunsReturnedEvacuated);
     logger.info('run ended', {
       dispatcher,
-      worker: lives.executor?.worker.workerId,
+      worker: incarnations.executor?.worker.workerId,
       ...end,
       evidence: evidence.kind,
       ...(isEvacuated ? { evacuationVersion: evacuations.version } : {}),
@@ -107,7 +107,7 @@
     session: DispatcherSession,
     message: ToWorkerMessage,
   ): void => {
-    const { executor } = lives;
+    const { executor } = incarnations;
     leases.renew(session.dispatcherId, message.echo, timers.now());
     switch (message.kind) {
       case ToWorkerKind.PlaceRuns:
@@ -148,7 +148,7 @@
       dispatcher: session.dispatcherId,
       grant: order.grant,
     });
-    const { executor } = lives;
+    const { executor } = incarnations;
     const hasLeft = session.phase === SessionPhase.Left;
     if (executor !== undefined && !isStopping && !hasLeft) {
       executor.acceptOrder(order);
@@ -185,16 +185,16 @@
     },
     sessionLost: session => {
       leases.endLease(session.dispatcherId);
-      lives.executor?.stopRuns(RunEndReason.DispatcherSilent, {
+      incarnations.executor?.stopRuns(RunEndReason.DispatcherSilent, {
         dispatcher: session.dispatcherId,
       });
     },
-    hasWorkFor: dispatcher => lives.hasWorkFor(dispatcher),
+    hasWorkFor: dispatcher => incarnations.hasWorkFor(dispatcher),
   });
 
   const openExecutor = (
     { worker, bornAt }: WorkerReport,
-    events: LifeEvents,
+    events: IncarnationEvents,
   ): WorkerExecutor => {
     const opened: WorkerExecutor = new WorkerExecutor({
       worker,
@@ -232,7 +232,7 @@
     return opened;
   };
 
-  const lives = new WorkerLives({
+  const incarnations = new WorkerIncarnations({
     timers,
     logger,
     fencing,
@@ -244,7 +244,7 @@
   });
 
   const waitUntilIdle = async (until: Milliseconds): Promise<void> => {
-    while (!lives.isIdle && timers.now() < until)
+    while (!incarnations.isIdle && timers.now() < until)
       await sleep(timers, stopPollMilliseconds);
   };
 
@@ -253,30 +253,30 @@
     reports.stop();
     evacuations.close();
     sessions.close();
-    lives.kill();
+    incarnations.kill();
   };
 
   return {
-    workerReported: report => lives.receive(report),
+    workerReported: report => incarnations.receive(report),
     workerLeft: workerId => {
-      lives.leave(workerId);
+      incarnations.leave(workerId);
     },
     changeSeeds: dispatchers => {
       sessions.changeSeeds(dispatchers);
     },
-    getExecutor: () => lives.executor,
+    getExecutor: () => incarnations.executor,
     listSessions: () => sessions.listConnected(),
     stop: async graceMilliseconds => {
       isStopping = true;
-      lives.beginStop();
-      const { executor } = lives;
+      incarnations.beginStop();
+      const { executor } = incarnations;
       executor?.drain();
       const stopAt = timers.now() + graceMilliseconds;
       await waitUntilIdle(stopAt);
       executor?.stopRuns(RunEndReason.Draining, {});
       await waitUntilIdle(timers.now() + stopConfirmationMilliseconds);
       // A run that is not known to have ended is not reported: its dispatcher waits until it must have ended.
-      if (lives.isIdle) executor?.close();
+      if (incarnations.isIdle) executor?.close();
       await sleep(timers, stopPollMilliseconds);
       kill();
     },
--- a/packages/worker-gate/src/stop-run.ts
+++ b/packages/worker-gate/src/stop-run.ts
@@ -58,7 +58,7 @@
       executor.options.fencing.raiseAbove(fencingToken);
       return;
     case WorkerRefusal.OtherIncarnation:
-      executor.options.otherLifeAnswered();
+      executor.options.otherIncarnationAnswered();
       return;
     case WorkerRefusal.OldRun:
     case WorkerRefusal.Late:
--- a/packages/worker-gate/src/worker-clock.ts
+++ b/packages/worker-gate/src/worker-clock.ts
@@ -8,7 +8,7 @@
 const minimumSuspensionMilliseconds: Milliseconds = 250;
 /** Workers report whole milliseconds. */
 const clockResolutionMilliseconds: Milliseconds = 1;
-/** Differences below this say nothing about the life of the worker, as clocks drift and replies are delayed. */
+/** Differences below this say nothing about the incarnation of the worker, as clocks drift and replies are delayed. */
 const clockToleranceMilliseconds: Milliseconds = 100;
 /** Readings older than this are not kept, but for the newest of them. */
 const readingRetentionMilliseconds: Milliseconds = 2_000;
@@ -53,7 +53,7 @@
    * Whether a reply to an order sent at `sentAt` cannot be of this incarnation: its clock is behind what earlier readings
    * show. A later incarnation starts a new clock.
    */
-  isOfOtherLife(clock: Milliseconds, sentAt: Milliseconds): boolean {
+  isOfOtherIncarnation(clock: Milliseconds, sentAt: Milliseconds): boolean {
     return this.#readings.some(
       reading =>
         reading.readAt <= sentAt &&
--- a/packages/worker-gate/src/worker-executor-options.ts
+++ b/packages/worker-gate/src/worker-executor-options.ts
@@ -18,18 +18,18 @@
 import type { EndEvidence } from './run-evidence.js';
 import type { QueuePresences } from './queue-presence.js';
 
-/** What the replies of the worker say about its lives. */
-export interface LifeEvents {
-  /** The worker has answered as the life of this executor. Called once. */
+/** What the replies of the worker say about its incarnations. */
+export interface IncarnationEvents {
+  /** The worker has answered as the incarnation of this executor. Called once. */
   readonly answered: () => void;
-  /** Another life has answered, so the life of this executor does not exist any more, or never did. */
-  readonly otherLifeAnswered: () => void;
+  /** Another incarnation has answered, so the incarnation of this executor does not exist any more, or never did. */
+  readonly otherIncarnationAnswered: () => void;
   /** The worker has told its runs, in reply to an order with the fencing token. */
   readonly statusReceived: (status: WorkerStatus, fencingToken: number) => void;
 }
 
 /** Options of the executor for one incarnation of a worker. */
-export interface WorkerExecutorOptions extends LifeEvents {
+export interface WorkerExecutorOptions extends IncarnationEvents {
   readonly worker: WorkerRun;
   readonly port: WorkerPort;
   readonly timers: TimerService;
--- a/packages/worker-gate/src/worker-gate.test.ts
+++ b/packages/worker-gate/src/worker-gate.test.ts
@@ -159,7 +159,7 @@
   worker.runMilliseconds = 5_000;
   place({ jobId: 'job' });
   await timers.advance(50);
-  fixture.startLife(createWorkerRun(1, 2));
+  fixture.startIncarnation(createWorkerRun(1, 2));
   report(createWorkerRun(1, 2));
   await timers.advance(50);
   t.deepEqual(
@@ -169,8 +169,8 @@
 });
 
 test('a late report of an earlier incarnation is ignored', async t => {
-  const { gate, timers, startLife } = await startGateFixture(1);
-  startLife(createWorkerRun(1, 5));
+  const { gate, timers, startIncarnation } = await startGateFixture(1);
+  startIncarnation(createWorkerRun(1, 5));
   gate.workerReported({
     worker: createWorkerRun(1, 5),
     bornAt: 5,
--- a/packages/worker-gate/src/worker-lives.test.ts
+++ b/packages/worker-gate/src/worker-incarnations.test.ts
@@ -87,16 +87,16 @@
   await checkSoundWorker(t, fixture);
 });
 
-test('a departure of an earlier life that comes late does not end the runs of the next one', async t => {
+test('a departure of an earlier incarnation that comes late does not end the runs of the next one', async t => {
   const fixture = await startBusyWorker();
   fixture.gate.workerLeft('worker-1');
   await checkSoundWorker(t, fixture);
 });
 
-test('a run that a start order has started in an unnoticed later life is not reported as ended while it is active', async t => {
+test('a run that a start order has started in an unnoticed later incarnation is not reported as ended while it is active', async t => {
   const fixture = await startGateFixture(2);
   await fixture.timers.advance(3_000);
-  const reborn = fixture.startLife(createWorkerRun(2, 2));
+  const reborn = fixture.startIncarnation(createWorkerRun(2, 2));
   reborn.runMilliseconds = runMilliseconds;
   fixture.place({ jobId: 'job' });
   await fixture.timers.advance(1_000);
@@ -113,9 +113,9 @@
   t.deepEqual(findLastOffered(fixture), reborn.run);
 });
 
-test('a start order that a later life carries out late starts nothing once its run is reported as ended', async t => {
+test('a start order that a later incarnation carries out late starts nothing once its run is reported as ended', async t => {
   const fixture = await startGateFixture(2);
-  const reborn = fixture.startLife(createWorkerRun(2, 2));
+  const reborn = fixture.startIncarnation(createWorkerRun(2, 2));
   reborn.nextStartDelayMilliseconds = 700;
   fixture.place({ jobId: 'job' });
   await fixture.timers.advance(300);
@@ -132,7 +132,7 @@
 /** One event of the random test. */
 type Event = (fixture: GateFixture, amount: number) => void;
 
-let lives = 1;
+let incarnations = 1;
 const events: readonly Event[] = [
   ({ place, timers }) => {
     place({
@@ -147,8 +147,8 @@
     });
   },
   fixture => {
-    lives += 1;
-    fixture.startLife(createWorkerRun(2, lives)).runMilliseconds =
+    incarnations += 1;
+    fixture.startIncarnation(createWorkerRun(2, incarnations)).runMilliseconds =
       runMilliseconds;
   },
   fixture => {
@@ -161,10 +161,10 @@
     fixture.report(otherWriter);
   },
   (fixture, amount) => {
-    fixture.report(createWorkerRun(2, lives + 1 + amount));
+    fixture.report(createWorkerRun(2, incarnations + 1 + amount));
   },
   (fixture, amount) => {
-    fixture.report(createWorkerRun(2, Math.max(1, lives - amount)));
+    fixture.report(createWorkerRun(2, Math.max(1, incarnations - amount)));
   },
   ({ gate }) => {
     gate.workerLeft('worker-1');
--- a/packages/worker-gate/src/worker-lives.ts
+++ b/packages/worker-gate/src/worker-incarnations.ts
@@ -1,6 +1,6 @@
 /**
- * Knows with which life of the worker the sidecar deals. What a message says of the worker proposes a life; only a reply of
- * the worker itself establishes it, and only then the earlier life is over.
+ * Knows with which incarnation of the worker the sidecar deals. A message about the worker proposes an incarnation; only a
+ * reply of the worker establishes it, and only then the earlier one is over.
  */
 import type { Logger } from '@cranberryturn/logger';
 import type { TimerService } from '@cranberryturn/timers';
@@ -15,58 +15,58 @@
 import { nameRun, type WorkerStatus } from './ports/worker.js';
 import { EvidenceKind } from './run-evidence.js';
 import type { WorkerExecutor } from './worker-executor.js';
-import type { LifeEvents } from './worker-executor-options.js';
+import type { IncarnationEvents } from './worker-executor-options.js';
 import { isSameService, type WorkerReport } from './worker-report.js';
 
-/** Reported lives that have not answered yet; another writer must not fill the memory. */
+/** Reported incarnations that have not answered yet; another writer must not fill the memory. */
 const maximumCandidates = 4;
 
-/** Dependencies of the lives of one worker. */
-export interface WorkerLivesOptions {
+/** Dependencies of the incarnations of one worker. */
+export interface WorkerIncarnationsOptions {
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly fencing: Fencing;
   readonly crashes: CrashReports;
-  /** Opens the executor of a reported life. It asks the worker at once, and is not ready before the worker has answered. */
+  /** Opens the executor of a reported incarnation. It asks the worker at once, and is not ready before the worker has answered. */
   readonly openExecutor: (
     report: WorkerReport,
-    events: LifeEvents,
+    events: IncarnationEvents,
   ) => WorkerExecutor;
   /** The worker that is offered has changed. */
   readonly changed: () => void;
 }
 
-/** One life of the worker. */
-interface Life {
+/** One incarnation of the worker. */
+interface KnownIncarnation {
   readonly executor: WorkerExecutor;
-  /** The newest report of this life. */
+  /** The newest report of this incarnation. */
   report: WorkerReport;
 }
 
-/** A life that is over, some of whose runs are not known to have ended: an order may have reached the next life. */
-interface FormerLife {
+/** An incarnation that is over. Its runs may not have ended, as their orders may have reached the next one. */
+interface FormerIncarnation {
   readonly executor: WorkerExecutor;
   readonly worker: WorkerRun;
-  /** Fencing token that no order to this life exceeds. */
+  /** Fencing token that no order to this incarnation exceeds. */
   readonly fencingToken: number;
   readonly hasLeft: boolean;
 }
 
-/** The lives of one worker: the current one, those that were reported and have not answered, and those that are over. */
-export class WorkerLives {
-  readonly #options: WorkerLivesOptions;
-  readonly #candidates = new Map<Incarnation, Life>();
-  #current: Life | undefined;
-  #former: readonly FormerLife[] = [];
+/** The incarnations of one worker: the current one, those that were reported and have not answered, and those that are over. */
+export class WorkerIncarnations {
+  readonly #options: WorkerIncarnationsOptions;
+  readonly #candidates = new Map<Incarnation, KnownIncarnation>();
+  #current: KnownIncarnation | undefined;
+  #former: readonly FormerIncarnation[] = [];
   /** The last report before the worker left; delivered again, it must not bring the worker back. */
   #reportBeforeLeave: WorkerReport | undefined;
   #isStopping = false;
 
-  constructor(options: WorkerLivesOptions) {
+  constructor(options: WorkerIncarnationsOptions) {
     this.#options = options;
   }
 
-  /** Executor of the life that answers; undefined before a worker has answered. */
+  /** Executor of the incarnation that answers; undefined before a worker has answered. */
   get executor(): WorkerExecutor | undefined {
     return this.#current?.executor;
   }
@@ -105,7 +105,7 @@
 
   /**
    * Offers the worker no more, as somebody says that it has left; its next report offers it again. The message does not
-   * name the life, so active runs go on until the worker tells their ends, or no longer answers.
+   * name the incarnation, so active runs go on until the worker tells their ends, or no longer answers.
    */
   leave(workerId: string): void {
     const current = this.#current;
@@ -114,7 +114,7 @@
     current.executor.leave();
   }
 
-  /** Opens no further life. */
+  /** Opens no further incarnation. */
   beginStop(): void {
     this.#isStopping = true;
   }
@@ -131,7 +131,7 @@
     return this.executor === undefined ? former : [this.executor, ...former];
   }
 
-  #update(current: Life, report: WorkerReport): boolean {
+  #update(current: KnownIncarnation, report: WorkerReport): boolean {
     const { executor } = current;
     if (!isSameService(report, current.report)) return false;
     if (executor.hasLeft && isRepeated(report, this.#reportBeforeLeave))
@@ -148,21 +148,21 @@
       bornAt: report.bornAt,
       known: this.executor?.worker.incarnation,
     });
-    // Orders to an earlier life that arrive late are refused once this one has received an order.
+    // Orders to an earlier incarnation that arrive late are refused once this one has received an order.
     fencing.advance();
     const executor = this.#options.openExecutor(report, {
       answered: () => {
-        this.#establish(life);
+        this.#establish(opened);
       },
-      otherLifeAnswered: () => {
-        this.#refute(life);
+      otherIncarnationAnswered: () => {
+        this.#refute(opened);
       },
       statusReceived: (status, fencingToken) => {
         this.#settle(status, fencingToken);
       },
     });
-    const life: Life = { executor, report };
-    this.#candidates.set(report.worker.incarnation, life);
+    const opened: KnownIncarnation = { executor, report };
+    this.#candidates.set(report.worker.incarnation, opened);
     const [oldest] = this.#candidates.keys();
     if (this.#candidates.size <= maximumCandidates || oldest === undefined)
       return;
@@ -170,34 +170,34 @@
     this.#candidates.delete(oldest);
   }
 
-  /** A reported life has answered, so each earlier one at its address is over. */
-  #establish(life: Life): void {
-    const { incarnation } = life.executor.worker;
-    if (this.#candidates.get(incarnation) !== life) return;
+  /** A reported incarnation has answered, so each earlier one at its address is over. */
+  #establish(known: KnownIncarnation): void {
+    const { incarnation } = known.executor.worker;
+    if (this.#candidates.get(incarnation) !== known) return;
     this.#candidates.delete(incarnation);
     this.#endCurrent();
-    // Orders to the earlier life that are still on their way start nothing once this one has received a later token.
+    // Orders to the earlier incarnation that are still on their way start nothing once this one has received a later token.
     if (this.#former.length > 0) this.#options.fencing.advance();
-    this.#options.logger.info('worker found', { ...life.executor.worker });
-    this.#current = life;
-    life.executor.applyReport(life.report);
+    this.#options.logger.info('worker found', {
+      ...known.executor.worker,
+    });
+    this.#current = known;
+    known.executor.applyReport(known.report);
   }
 
-  /** Another life answers than the one that was asked. */
-  #refute(life: Life): void {
-    const { workerId, incarnation } = life.executor.worker;
-    if (this.#candidates.get(incarnation) === life) {
+  /** Another incarnation answers than the one that was asked. */
+  #refute(known: KnownIncarnation): void {
+    const { workerId, incarnation } = known.executor.worker;
+    if (this.#candidates.get(incarnation) === known) {
       this.#options.logger.warn('reported worker is not the one that answers', {
         worker: workerId,
         incarnation,
       });
       this.#candidates.delete(incarnation);
-      life.executor.close();
+      known.executor.close();
       return;
     }
-    if (this.#current !== life) return;
-    this.#endCurrent();
-    this.#options.changed();
+    if (this.#current === known) this.#endCurrent();
   }
 
   #endCurrent(): void {
@@ -209,12 +209,12 @@
     const { worker } = executor;
     executor.close();
     const runs = executor.listActiveRuns();
-    logger.warn('life of the worker is over', {
+    logger.warn('incarnation of the worker is over', {
       worker: worker.workerId,
       incarnation: worker.incarnation,
       unsettledRuns: runs.length,
     });
-    const former: FormerLife = {
+    const former: FormerIncarnation = {
       executor,
       worker,
       fencingToken: fencing.token,
@@ -229,7 +229,7 @@
     changed();
   }
 
-  /** Ends the runs of earlier lives that the worker does not have, by its reply to an order with the fencing token. */
+  /** Ends the runs of earlier incarnations that the worker does not have, by its reply to an order with the fencing token. */
   #settle(status: WorkerStatus, fencingToken: number): void {
     if (this.#former.length === 0) return;
     const running = new Set(status.running.map(nameRun));
@@ -240,10 +240,10 @@
         continue;
       const lost = executor
         .listActiveRuns()
-        .filter(run => !running.has(`${run.task}.${String(run.run)}`));
+        .filter(({ task, run }) => !running.has(`${task}.${String(run)}`));
       this.#recordCrash(former, lost);
       for (const run of lost)
-        executor.endRun(run, { kind: EvidenceKind.LaterLife });
+        executor.endRun(run, { kind: EvidenceKind.LaterIncarnation });
     }
     this.#former = this.#former.filter(
       ({ executor, fencingToken: last }) =>
@@ -252,7 +252,7 @@
   }
 
   #recordCrash(
-    { worker, hasLeft, executor }: FormerLife,
+    { worker, hasLeft, executor }: FormerIncarnation,
     lost: ReturnType<WorkerExecutor['listActiveRuns']>,
   ): void {
     const { crashes } = this.#options;
@@ -261,14 +261,14 @@
   }
 
   /** Nobody waits for the runs any more, and they were not renewed since. */
-  #giveUp(former: FormerLife): void {
+  #giveUp(former: FormerIncarnation): void {
     for (const run of former.executor.listActiveRuns())
       former.executor.endRun(run, { kind: EvidenceKind.DeadlinePassed });
     this.#former = this.#former.filter(one => one !== former);
   }
 }
 
-/** Whether a report is `known` delivered again, or an earlier one of the same life. */
+/** Whether a report is `known` delivered again, or an earlier one of the same incarnation. */
 function isRepeated(
   report: WorkerReport,
   known: WorkerReport | undefined,
@@ -279,9 +279,9 @@
   );
 }
 
-/** Replaces the report of a life, unless it is older than the one that is known. */
-function replaceReport(life: Life, report: WorkerReport): boolean {
-  if (report.sequence < life.report.sequence) return false;
-  life.report = report;
+/** Replaces the report of an incarnation, unless it is older than the one that is known. */
+function replaceReport(known: KnownIncarnation, report: WorkerReport): boolean {
+  if (report.sequence < known.report.sequence) return false;
+  known.report = report;
   return true;
 }
--- a/packages/worker-gate/src/worker-report.ts
+++ b/packages/worker-gate/src/worker-report.ts
@@ -14,7 +14,7 @@
   readonly draining: boolean;
 }
 
-/** Whether two reports of one life name the same service, which a life does not change. */
+/** Whether two reports of one incarnation name the same service, which an incarnation does not change. */
 export function isSameService(
   { worker }: WorkerReport,
   other: WorkerReport,
