Show that the gauges of a replica rise

They are registered by a function of their own now, whose test shows each of its values, and the list of what that run can't show names them.

--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -13,7 +13,6 @@
   createFileLogDisk,
   createVolatileLogDisk,
   defaultLogTuning,
-  hasFailedForGood,
   type BootstrapStart,
   type JoinStart,
   type LogDisk,
@@ -40,6 +39,7 @@
 import type { ControlNode, ControlOptions } from './control-node.js';
 import type { GroupOptions } from './group-options.js';
 import { measureSyncs } from './measure-syncs.js';
+import { registerReplicaMetrics } from './register-replica-metrics.js';
 import { startControl } from './start-control.js';
 
 const seedBound = 2 ** 31;
@@ -98,13 +98,7 @@
       Gauge.EvacuatedDataCentres,
       () => state.evacuations.state.evacuations.length,
     );
-    metrics.registerGauge(Gauge.ReplicaFailed, () =>
-      Number(hasFailedForGood(log.status())),
-    );
-    metrics.registerGauge(
-      Gauge.ReplicaRecoveryAttempts,
-      () => log.status().recoveryAttempts ?? 0,
-    );
+    registerReplicaMetrics(metrics, () => log.status());
   });
 }
 
--- a/packages/local/src/every-metric.test.ts
+++ b/packages/local/src/every-metric.test.ts
@@ -64,6 +64,12 @@
   Distribution.CapacityWaitMilliseconds,
 ];
 
+/** The disk of the local system has no faults. That these rise is shown in register-replica-metrics.test.ts of control. */
+const diskFaultMetrics: readonly string[] = [
+  Gauge.ReplicaFailed,
+  Gauge.ReplicaRecoveryAttempts,
+];
+
 test('every declared metric rises above zero in a short run', async t => {
   t.log(`seed ${String(seed)}`);
   const measuredSystem = new MeasuredSystem();
@@ -131,8 +137,8 @@
     names => Object.values(names),
   );
   t.deepEqual(
-    declared.filter(name => !measuredSystem.observedMetrics.has(name)),
-    transientJobMetrics,
+    declared.filter(name => !measuredSystem.observedMetrics.has(name)).sort(),
+    [...transientJobMetrics, ...diskFaultMetrics].sort(),
   );
 });
 
