Log until when leases hold, and why a dispatcher counts runs as ended

A run that outlives its dispatcher could not be traced: start orders named the age of the echo only, renewals had no line, and the processes behind a session were not named. Start orders and extensions of a lease (at most four a second) now state the deadline, sessions name the process of the peer, and a dispatcher says on what it counts all runs of a session as ended, also for a session that has ended, which had no line at all.

--- a/packages/transient-jobs/src/worker-directory.ts
+++ b/packages/transient-jobs/src/worker-directory.ts
@@ -29,6 +29,7 @@
   updateLoad,
   recordOrder,
 } from './known-worker.js';
+import { reportEndedRuns, RunsEndedReason } from './report-ended-runs.js';
 import { reportWorkerEvents } from './report-worker-events.js';
 import {
   countUsable,
@@ -180,7 +181,7 @@
     send: (message: ToWorkerMessage) => void,
   ): SessionListener<FromWorkerMessage> {
     const { timers, logger } = this.#options;
-    const sidecar = peer.name;
+    const identity = { sidecar: peer.name, incarnation: peer.incarnation };
     this.#lastSessionNumber += 1;
     const session = createSidecarSession(
       this.#lastSessionNumber,
@@ -195,13 +196,13 @@
       },
       hasWork: () => this.#hasRuns(session),
       connected: () => {
-        logger.info('sidecar connected', { sidecar });
+        logger.info('sidecar connected', identity);
       },
       suspected: () => {
-        logger.warn('sidecar not heard', { sidecar });
+        logger.warn('sidecar not heard', identity);
       },
       ended: reason => {
-        logger.info('session with sidecar ended', { sidecar, reason });
+        logger.info('session with sidecar ended', { ...identity, reason });
         session.isOpen = false;
       },
     };
@@ -252,7 +253,7 @@
     const { timers, logger, workerAnnounced } = this.#options;
     const others = worker === undefined ? [] : this.#sessions.values();
     for (const earlier of listEarlierProcesses(others, session))
-      this.#dropSession(earlier);
+      this.#dropSession(earlier, RunsEndedReason.SidecarReplaced);
     const { known } = session;
     if (known?.worker.incarnation === worker?.incarnation) {
       // Its capacity may have changed.
@@ -273,9 +274,14 @@
     workerAnnounced();
   }
 
-  #dropSession(session: SidecarSession): void {
+  #dropSession(session: SidecarSession, reason: RunsEndedReason): void {
     this.#forgetWorker(session);
     this.#sessions.delete(session.number);
+    this.#countRunsAsEnded(session, reason);
+  }
+
+  #countRunsAsEnded(session: SidecarSession, reason: RunsEndedReason): void {
+    if (this.#hasRuns(session)) reportEndedRuns(session, reason, this.#options);
     this.#options.runsLost(session.number);
   }
 
@@ -284,7 +290,7 @@
     this.#options.logger.info('sidecar leaves the session', {
       sidecar: session.peer.name,
     });
-    this.#dropSession(session);
+    this.#dropSession(session, RunsEndedReason.SidecarLeft);
     this.#acceptor.endSession(session.peer);
   }
 
@@ -307,16 +313,10 @@
 
   #handleSilence(session: SidecarSession): void {
     if (!session.isOpen) {
-      this.#dropSession(session);
+      this.#dropSession(session, RunsEndedReason.SidecarSilent);
       return;
     }
     if (!this.#hasRuns(session)) return;
-    this.#options.logger.warn('sidecar silent for longer than its lease', {
-      sidecar: session.peer.name,
-      silenceMilliseconds: Math.round(
-        this.#options.timers.now() - session.lastHeardAt,
-      ),
-    });
-    this.#options.runsLost(session.number);
+    this.#countRunsAsEnded(session, RunsEndedReason.SidecarSilent);
   }
 }
--- a/packages/worker-gate/src/dispatcher-session.ts
+++ b/packages/worker-gate/src/dispatcher-session.ts
@@ -13,6 +13,8 @@
 /** The session with one dispatcher. */
 export interface DispatcherSession {
   readonly dispatcherId: DispatcherId;
+  /** The process of the dispatcher. */
+  readonly incarnation: string;
   readonly send: (message: FromWorkerMessage) => void;
   /** Whether the session has a live connection. */
   isConnected: boolean;
@@ -61,7 +63,7 @@
     sessionLost,
     hasWorkFor,
   } = dependencies;
-  const { dispatcherId } = session;
+  const { dispatcherId, incarnation } = session;
   let reconnectTimer: TimerSubscription | undefined;
   return {
     messageReceived: message => {
@@ -72,7 +74,7 @@
       reconnectTimer?.cancel();
       session.isConnected = true;
       session.connectedAt = timers.now();
-      logger.info('dispatcher connected', { dispatcherId });
+      logger.info('dispatcher connected', { dispatcherId, incarnation });
       sessionOpened(session);
     },
     suspected: () => {
@@ -91,7 +93,11 @@
     ended: reason => {
       reconnectTimer?.cancel();
       session.isConnected = false;
-      logger.info('session with dispatcher ended', { dispatcherId, reason });
+      logger.info('session with dispatcher ended', {
+        dispatcherId,
+        incarnation,
+        reason,
+      });
       sessionLost(session);
     },
   };
--- a/packages/worker-gate/src/dispatcher-sessions.ts
+++ b/packages/worker-gate/src/dispatcher-sessions.ts
@@ -291,6 +291,7 @@
       startSession: (peer, send) => {
         const session: DispatcherSession = {
           dispatcherId: peer.name,
+          incarnation: peer.incarnation,
           send,
           isConnected: false,
           connectedAt: timers.now(),
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds, RunKey } from '@cranberryturn/types';
 
 import { endMissingRuns } from './end-missing-runs.js';
+import { createExtensionLog } from './log-extensions.js';
 import { computeOrderValidity, type OrderValidity } from './order-validity.js';
 import { WorkerRefusal, type WorkerStatus } from './ports/worker.js';
 import { recordProgress } from './record-progress.js';
@@ -48,6 +49,7 @@
   /** When the newest order was sent that the worker has replied to. */
   let answeredSentAt = Number.NEGATIVE_INFINITY;
   const replyTimeout = new ReplyTimeout();
+  const logExtension = createExtensionLog(executor.options, worker.workerId);
   let lastStatusAt = timers.now();
   let isReady = false;
   /** Set by an order without a reply, until the worker replies again. */
@@ -72,8 +74,9 @@
     if (executor.clock.observe(clock, sentAt)) executor.handleSuspension();
   };
 
-  const recordOrder = ({ endsAt }: OrderValidity): void => {
-    ordersEndAt = Math.max(ordersEndAt, endsAt);
+  const recordOrder = (order: OrderValidity): void => {
+    ordersEndAt = Math.max(ordersEndAt, order.endsAt);
+    logExtension(order);
   };
 
   const handleStatus = (
@@ -233,13 +236,8 @@
   const hasWork = (): boolean => executor.listActiveRuns().length > 0;
 
   const waitForWork = async (): Promise<void> => {
-    if (
-      hasWork() ||
-      acknowledgedSequence > confirmedSequence ||
-      !isReady ||
-      isSuspected
-    )
-      return;
+    const hasEnds = acknowledgedSequence > confirmedSequence;
+    if (hasWork() || hasEnds || !isReady || isSuspected) return;
     await new Promise<void>(resolve => {
       wakeUp = resolve;
     });
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -3,7 +3,7 @@
 import { RunEndReason } from '@cranberryturn/types';
 
 import { type ActiveRun, RunPhase } from './active-run.js';
-import { computeOrderValidity } from './order-validity.js';
+import { computeOrderValidity, type OrderValidity } from './order-validity.js';
 import { WorkerRefusal, type WorkerReply } from './ports/worker.js';
 import { EvidenceKind } from './run-evidence.js';
 import { stopRun } from './stop-run.js';
@@ -34,7 +34,7 @@
     const sentAt = executor.options.timers.now();
     executor.lease.reportOrder(validity);
     run.orderDeadline = Math.max(run.orderDeadline ?? 0, validity.deadline);
-    logStart(executor, run, sentAt);
+    logStart(executor, run, validity, sentAt);
     const reply = await port.startRun({
       jobId: run.order.jobId,
       taskId: run.taskId,
@@ -77,6 +77,7 @@
 function logStart(
   { options: { logger }, worker }: WorkerExecutor,
   run: ActiveRun,
+  { deadline, endsAt }: OrderValidity,
   now: Milliseconds,
 ): void {
   logger.info('start order sent', {
@@ -86,6 +87,8 @@
     dispatcher: run.dispatcher,
     worker: worker.workerId,
     echoAgeMilliseconds: Math.round(now - run.lease.echo),
+    deadline,
+    endsInMilliseconds: Math.round(endsAt - now),
     waitedMilliseconds: Math.round(now - run.receivedAt),
   });
 }
