--- a/packages/transient-jobs/src/fakes/fake-host.ts
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -3,10 +3,11 @@
 import { createMetrics } from '@cranberryturn/metrics';
 import { createRandomSource } from '@cranberryturn/random';
 import type { ManualTimerService } from '@cranberryturn/timers';
-import type { WorkerRun } from '@cranberryturn/types';
+import type { Milliseconds, WorkerRun } from '@cranberryturn/types';
 import {
   createSuspension,
   type MemoryNetwork,
+  ProcessEnd,
   ProcessRole,
   type Suspension,
 } from '@cranberryturn/wire';
@@ -35,6 +36,14 @@
   gate: WorkerGate;
   /** Suspends the sidecar process while true; it then receives what was sent to it meanwhile. */
   suspension: Suspension;
+  /** Whether the sidecar process runs. */
+  readonly isUp: boolean;
+  /** Orders of the sidecar reach the worker after a random time of up to this, also when it has been killed meanwhile. */
+  maximumOrderDelay: Milliseconds;
+  /** Kills the sidecar process. The worker and its runs go on. */
+  killSidecar(end: ProcessEnd, closeDelay: Milliseconds): void;
+  /** Starts a sidecar process whose monotonic clock shows `clockStart`; the worker does not report to it yet. */
+  startSidecar(clockStart: Milliseconds): void;
   /** Kills the sidecar process and starts a new one, to which the worker reports. */
   restartSidecar(): Promise<void>;
   /** Crashes the worker and starts a new incarnation. */
@@ -68,6 +77,7 @@
   let processes = 0;
   let sequence = 0;
   const { dataCentres = ['dong-da'] } = options;
+  const random = createRandomSource(number);
   let suspension = createSuspension(timers);
 
   const startWorker = (): FakeWorker => {
@@ -124,11 +134,14 @@
         wrapWorker(
           suspension,
           openIncarnationPort(expected, () => host.worker),
+          timers,
+          () => random.below(host.maximumOrderDelay + 1),
         ),
     });
   };
 
   const report = (processors?: number): void => {
+    if (suspension.hasEnded) return;
     sequence += 1;
     const { run } = host.worker;
     const capacity = {
@@ -148,16 +161,24 @@
     worker: startWorker(),
     gate: startGate(),
     suspension,
-    restartSidecar: async () => {
-      for (const connection of network.connections) {
-        if (connection.from === name) connection.disconnect();
-      }
-      host.gate.kill();
+    get isUp() {
+      return !suspension.hasEnded;
+    },
+    maximumOrderDelay: 0,
+    killSidecar: (end, closeDelay) => {
       suspension.end();
-      await timers.advance(10);
-      suspension = createSuspension(timers);
+      network.endProcess(name, end, closeDelay);
+      host.gate.kill();
+    },
+    startSidecar: clockStart => {
+      suspension = createSuspension(timers, clockStart);
       host.suspension = suspension;
       host.gate = startGate();
+    },
+    restartSidecar: async () => {
+      host.killSidecar(ProcessEnd.Reset, 0);
+      await timers.advance(10);
+      host.startSidecar(timers.now());
       report();
     },
     restartWorker: () => {
--- a/packages/transient-jobs/src/fakes/jobs-fixture.ts
+++ b/packages/transient-jobs/src/fakes/jobs-fixture.ts
@@ -9,12 +9,14 @@
 import {
   type DispatcherList,
   type EvacuationState,
+  type Milliseconds,
   noEvacuations,
 } from '@cranberryturn/types';
 import {
   createMemoryNetwork,
   createSuspension,
   type MemoryNetwork,
+  ProcessEnd,
   ProcessRole,
   type Suspension,
 } from '@cranberryturn/wire';
@@ -49,6 +51,12 @@
   control: { state: EvacuationState; isProved: boolean };
   /** Tells the process a state that control has proved. */
   hear(state: EvacuationState): void;
+  /** Whether the process runs. */
+  readonly isUp: boolean;
+  /** Kills the process. */
+  kill(end: ProcessEnd, closeDelay: Milliseconds): void;
+  /** Starts a process whose monotonic clock shows `clockStart`, and which control has told nothing. */
+  start(clockStart: Milliseconds): Promise<void>;
   /** Crashes the process and starts a new one, which control has told nothing. */
   restart(): Promise<void>;
 }
@@ -183,7 +191,6 @@
     timers,
   });
   let processes = 0;
-  let closeListener: () => Promise<void> = () => Promise.resolve();
   let suspension = createSuspension(timers);
 
   let control = { state: noEvacuations, isProved: true };
@@ -213,15 +220,11 @@
         ? { current: () => known.state, isProved: () => known.isProved }
         : undefined,
     });
-    const listener = await identity.listen(
-      { address, port: firstPort + number },
-      connection => {
-        if (connection.peer.role === ProcessRole.Dispatcher)
-          jobs.acceptDispatcher(connection);
-        else jobs.accept(connection);
-      },
-    );
-    closeListener = () => listener._unsafeUnwrap().close();
+    await identity.listen({ address, port: firstPort + number }, connection => {
+      if (connection.peer.role === ProcessRole.Dispatcher)
+        jobs.acceptDispatcher(connection);
+      else jobs.accept(connection);
+    });
     return jobs;
   };
 
@@ -237,15 +240,24 @@
       Object.assign(dispatcher.control, { state, isProved: true });
       dispatcher.jobs.workers.evacuations.applyChange();
     },
-    restart: async () => {
-      dispatcher.jobs.workers.close();
-      await closeListener();
+    get isUp() {
+      return !suspension.hasEnded;
+    },
+    kill: (end, closeDelay) => {
       suspension.end();
-      suspension = createSuspension(timers);
+      network.endProcess(name, end, closeDelay);
+      dispatcher.jobs.workers.close();
+    },
+    start: async clockStart => {
+      suspension = createSuspension(timers, clockStart);
       control = { state: noEvacuations, isProved: false };
       dispatcher.control = control;
       dispatcher.jobs = await start();
     },
+    restart: async () => {
+      dispatcher.kill(ProcessEnd.Reset, 0);
+      await dispatcher.start(timers.now());
+    },
   };
   return dispatcher;
 }
--- a/packages/wire/src/fakes/memory-network.ts
+++ b/packages/wire/src/fakes/memory-network.ts
@@ -13,6 +13,14 @@
   PeerIdentity,
 } from '../ports/connection.js';
 
+/** What the peers of a process notice when it ends. */
+export enum ProcessEnd {
+  /** They read what it had sent, then the end of the connection. */
+  Reset = 'reset',
+  /** Its host has lost its power: they hear nothing more. */
+  Silence = 'silence',
+}
+
 /** One connection of a memory network, with its fault controls. */
 export interface MemoryConnection {
   readonly from: string;
@@ -23,6 +31,11 @@
   silentTowards: string | undefined;
   /** Closes the connection at both ends. */
   disconnect(): void;
+  /**
+   * Ends the process of this name, which reads and sends nothing more. What it had sent is still delivered; its peer
+   * reads the end of the connection after it, and after a delay.
+   */
+  endProcess(name: string, end: ProcessEnd, delay: Milliseconds): void;
 }
 
 /** A network in memory with fault injection. */
@@ -37,6 +50,8 @@
   partition(first: string, second: string): void;
   /** Lets two processes open new connections again; silent ones stay silent. */
   heal(first: string, second: string): void;
+  /** Ends a process: it listens no more, and its connections end as `MemoryConnection.endProcess` says. */
+  endProcess(name: string, end: ProcessEnd, delay: Milliseconds): void;
   /** Frames delivered so far. */
   countDeliveredFrames(): number;
 }
@@ -81,6 +96,7 @@
   const connect = (self: PeerIdentity, listener: MemoryListener) => {
     const dialerQueue = new FrameQueue();
     const listenerQueue = new FrameQueue();
+    let isProcessEnded = false;
     const link: MemoryConnection = {
       from: self.name,
       to: listener.identity.name,
@@ -90,6 +106,19 @@
         dialerQueue.end();
         listenerQueue.end();
       },
+      endProcess: (name, end, delay) => {
+        if (isProcessEnded) return;
+        isProcessEnded = true;
+        const [own, other] =
+          name === self.name
+            ? [dialerQueue, listenerQueue]
+            : [listenerQueue, dialerQueue];
+        own.end();
+        if (end === ProcessEnd.Reset)
+          timers.after(delayMilliseconds + delay, () => {
+            if (!link.isSilent) other.end();
+          });
+      },
     };
     connections.push(link);
     listener.accepted.push(link);
@@ -120,13 +149,16 @@
     const isPartitioned = (): boolean =>
       partitionedPairs.has(composePairKey(self.name, listener.identity.name));
     if (isPartitioned()) return errAsync(createDialError(address));
-    const opened = new Promise<Connection>(resolve => {
+    const opened = new Promise<Connection | undefined>(resolve => {
       timers.after(delayMilliseconds * 2, () => {
-        resolve(connect(self, listener));
+        const isListening = listeners.get(address.port) === listener;
+        resolve(isListening ? connect(self, listener) : undefined);
       });
     });
     return ResultAsync.fromSafePromise(opened).andThen(connection =>
-      closedPorts.has(address.port) || isPartitioned()
+      connection === undefined ||
+      closedPorts.has(address.port) ||
+      isPartitioned()
         ? err(createDialError(address))
         : ok(connection),
     );
@@ -148,6 +180,15 @@
     heal: (first, second) => {
       partitionedPairs.delete(composePairKey(first, second));
     },
+    endProcess: (name, end, delay) => {
+      for (const [port, { identity }] of listeners) {
+        if (identity.name === name) listeners.delete(port);
+      }
+      for (const link of connections) {
+        if (link.from === name || link.to === name)
+          link.endProcess(name, end, delay);
+      }
+    },
     countDeliveredFrames: () => deliveredFrames,
     join: self => ({
       dial: address => dial(self, address),
--- a/packages/wire/src/fakes/suspension.ts
+++ b/packages/wire/src/fakes/suspension.ts
@@ -1,12 +1,16 @@
 /** Suspends a process of a test, as a paused process: its timers and frames wait, and its clocks go on. */
 import type { TimerService } from '@cranberryturn/timers';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import { ResultAsync } from 'neverthrow';
 
 import type { Connection, Network } from '../ports/connection.js';
 
+type DialResult = Awaited<ReturnType<Network['dial']>>;
+
 /** The suspension of one process, which uses these timers and this network. */
 export interface Suspension {
   readonly timers: TimerService;
+  readonly hasEnded: boolean;
   wrapNetwork(network: Network): Network;
   /** Delays a reply from outside until this process reads it. */
   receive<Reply, Failure>(
@@ -20,8 +24,12 @@
   end(): void;
 }
 
-/** Creates the suspension of a process that runs. */
-export function createSuspension(timers: TimerService): Suspension {
+/** Creates the suspension of a process that runs. Its monotonic clock shows `clockStart` now, that of the test by default. */
+export function createSuspension(
+  timers: TimerService,
+  clockStart: Milliseconds = timers.now(),
+): Suspension {
+  const clockOffset = clockStart - timers.now();
   let pending: (() => void)[] | undefined;
   let pendingReads: (() => void)[] | undefined;
   let hasEnded = false;
@@ -41,6 +49,12 @@
   };
   const wrapConnection = (connection: Connection): Connection => ({
     ...connection,
+    send: frame => {
+      if (!hasEnded) connection.send(frame);
+    },
+    close: reason => {
+      if (!hasEnded) connection.close(reason);
+    },
     receive: async function* () {
       for await (const frame of connection.receive()) {
         if (pendingReads !== undefined || hasEnded) await whenReading();
@@ -48,6 +62,15 @@
       }
     },
   });
+  const dial = async (
+    network: Network,
+    address: NetworkAddress,
+  ): Promise<DialResult> => {
+    const dialled = await network.dial(address);
+    if (!hasEnded) return dialled.map(wrapConnection);
+    if (dialled.isOk()) dialled.value.close();
+    return await new Promise<never>(() => undefined);
+  };
   const receive = <Reply, Failure>(
     reply: ResultAsync<Reply, Failure>,
   ): ResultAsync<Reply, Failure> =>
@@ -59,8 +82,12 @@
       })(),
     );
   return {
+    get hasEnded() {
+      return hasEnded;
+    },
     timers: {
       ...timers,
+      now: () => timers.now() + clockOffset,
       after: (delay, callback) =>
         timers.after(delay, () => {
           run(callback);
@@ -76,7 +103,7 @@
     },
     wrapNetwork: network => ({
       ...network,
-      dial: address => network.dial(address).map(wrapConnection),
+      dial: address => new ResultAsync(dial(network, address)),
       listen: (address, handler) =>
         network.listen(address, connection => {
           run(() => {
--- a/packages/worker-gate/src/fakes/fake-worker-state.ts
+++ b/packages/worker-gate/src/fakes/fake-worker-state.ts
@@ -1,10 +1,10 @@
 /** State and faults of the in-memory worker. */
 import type { Milliseconds, WorkerRun } from '@cranberryturn/types';
 
-import type {
-  EndedRun,
-  StartRunOrder,
-  WorkerPort,
+import {
+  type EndedRun,
+  type StartRunOrder,
+  type WorkerPort,
   WorkerRunOutcome,
 } from '../ports/worker.js';
 
@@ -13,6 +13,8 @@
   readonly startedAt: Milliseconds;
   endsAt: Milliseconds;
   end: WorkerRunOutcome;
+  /** Whether its lease has ended; no order keeps it active any more. */
+  hasExpired: boolean;
 }
 
 /** A fake worker: its runs, its history, and the faults to inject. */
@@ -54,6 +56,12 @@
   isUnhealthy: boolean;
   /** How far the clock of the worker is ahead of its sidecar's, which stood still during a suspension. */
   clockAheadMilliseconds: Milliseconds;
+  /** Time that a stop takes. */
+  stopMilliseconds: Milliseconds;
+  /** Time from the end of the lease until the runs have ended; they are listed as active meanwhile. */
+  expiryMilliseconds: Milliseconds;
+  /** When the lease ends, on the clock of the test. */
+  readonly leaseEndsAt: Milliseconds;
   /** Run time of the tasks that start from now on. */
   runMilliseconds: Milliseconds;
   /** Run time of one task; `runMilliseconds` where it chooses none. */
@@ -64,3 +72,22 @@
   /** Drops all active runs without reporting their ends; further orders fail with a connection error. */
   crash(): void;
 }
+
+/** Ends a run, at this time at the latest, as its lease is over. */
+export function expireRun(run: FakeRun, endsAt: Milliseconds): void {
+  if (run.hasExpired) return;
+  run.hasExpired = true;
+  if (endsAt > run.endsAt) return;
+  run.endsAt = endsAt;
+  run.end = WorkerRunOutcome.Expired;
+}
+
+/** Stops a run, which takes some time. */
+export function stopRun(
+  run: FakeRun,
+  now: Milliseconds,
+  stopMilliseconds: Milliseconds,
+): void {
+  run.endsAt = Math.min(run.endsAt, now + stopMilliseconds);
+  if (run.endsAt > now && !run.hasExpired) run.end = WorkerRunOutcome.Stopped;
+}
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -19,12 +19,17 @@
   type WorkerOrder,
   type WorkerReply,
 } from '../ports/worker.js';
-import type { FakeRun, FakeWorker } from './fake-worker-state.js';
+import { composeStatus } from './compose-status.js';
+import {
+  expireRun,
+  type FakeRun,
+  type FakeWorker,
+  stopRun,
+} from './fake-worker-state.js';
 import { createConnectionError, failWithTimeout } from './worker-errors.js';
 
 const defaultReplyTimeoutMilliseconds: Milliseconds = 250;
 const maximumLeaseMilliseconds: Milliseconds = 1_000;
-const stopDurationMilliseconds: Milliseconds = 20;
 const tickMilliseconds: Milliseconds = 5;
 
 /** Creates a fake worker. `need` is the resources that each task uses, `clockRate` is below 1 for a slow clock. */
@@ -64,8 +69,9 @@
 
   const step = (): void => {
     if (clock() >= leaseEndsAt) {
-      for (const name of worker.activeRuns.keys())
-        endRun(name, WorkerRunOutcome.Expired);
+      const endsAt = timers.now() + worker.expiryMilliseconds;
+      for (const activeRun of worker.activeRuns.values())
+        expireRun(activeRun, endsAt);
     }
     for (const [name, activeRun] of worker.activeRuns) {
       if (activeRun.endsAt <= timers.now()) endRun(name, activeRun.end);
@@ -107,6 +113,7 @@
         timers.now() +
         (worker.chooseRunMilliseconds?.(order) ?? worker.runMilliseconds),
       end: worker.nextOutcome,
+      hasExpired: false,
     };
     worker.activeRuns.set(name, activeRun);
     worker.starts.push(activeRun);
@@ -126,14 +133,8 @@
       name,
       Math.max(highestClosedRuns.get(name) ?? 0, order.run),
     );
-    if (activeRun?.run === order.run) {
-      activeRun.endsAt = Math.min(
-        activeRun.endsAt,
-        timers.now() + stopDurationMilliseconds,
-      );
-      if (activeRun.endsAt > timers.now())
-        activeRun.end = WorkerRunOutcome.Stopped;
-    }
+    if (activeRun?.run === order.run)
+      stopRun(activeRun, timers.now(), worker.stopMilliseconds);
     return { accepted: true, clock: clock() };
   };
 
@@ -250,6 +251,11 @@
     stopsToLose: 0,
     losesReplies: false,
     replyDelayMilliseconds: 1,
+    stopMilliseconds: 20,
+    expiryMilliseconds: 0,
+    get leaseEndsAt() {
+      return timers.now() + (leaseEndsAt - clock()) / clockRate;
+    },
     isUnhealthy: false,
     runMilliseconds: 100,
     clockAheadMilliseconds: 0,
@@ -279,30 +285,8 @@
                 return await failWithTimeout(timers, run.workerId, order);
               }
               if (hasCrashed) return err(createConnectionError(run.workerId));
-              return ok({
-                accepted: true,
-                status: {
-                  clock: clock(),
-                  isPartial: worker.hasUnreadableLists,
-                  running: (worker.hasUnreadableLists
-                    ? []
-                    : [...worker.activeRuns.values()]
-                  ).map(
-                    ({ jobId, taskId, run: number, startedAt, endsAt }) => ({
-                      jobId,
-                      taskId,
-                      run: number,
-                      progress: roundProgress(
-                        timers.now() - startedAt,
-                        endsAt - startedAt,
-                      ),
-                    }),
-                  ),
-                  ended: worker.ended.filter(
-                    end => end.sequence > worker.acknowledgedSequence,
-                  ),
-                },
-              });
+              const status = composeStatus(worker, clock(), timers.now());
+              return ok({ accepted: true, status });
             },
           ),
         ),
@@ -312,8 +296,3 @@
   const ticker = timers.every(tickMilliseconds, step);
   return worker;
 }
-
-/** Workers report progress in hundredths. */
-function roundProgress(elapsed: Milliseconds, whole: Milliseconds): number {
-  return Math.floor((elapsed / whole) * 100) / 100;
-}
