Show that a queued run starts under the longer lease of another dispatcher

The lease of a worker never becomes shorter. A run that starts under an older echo than that of the run before it is active until the lease of the earlier one ends: startWaitingRuns looks only at the echo of the run itself, and computeOrderValidity only at the runs that are active now.

--- a/packages/worker-gate/src/run-validity.test.ts
+++ b/packages/worker-gate/src/run-validity.test.ts
@@ -74,6 +74,29 @@
   t.deepEqual(late, []);
 });
 
+// Leases never become shorter: the run took over the one that the worker had from a dispatcher that was heard later.
+test('a queued run of a silent dispatcher does not start under the longer lease of a run before it', async t => {
+  const late: string[] = [];
+  for (const startAfter of listMoments(50, 850, 100)) {
+    const fixture = await startWithSlowClock(1, 2);
+    const { timers, worker } = fixture;
+    worker.runMilliseconds = startAfter;
+    fixture.dispatchers[1]?.place({ jobId: 'live' });
+    await timers.advance(tickMilliseconds);
+    worker.runMilliseconds = longRunMilliseconds;
+    fixture.place({ jobId: 'silent' });
+    await timers.advance(tickMilliseconds);
+    fixture.isRenewingLease = false;
+    await timers.advance(startAfter + 2 * tickMilliseconds);
+    fixture.freezeSidecar();
+    const found = await findLateRun(fixture, 'silent');
+    if (found !== undefined)
+      late.push(`queued for ${String(startAfter)} ms: ${found}`);
+    fixture.gate.kill();
+  }
+  t.deepEqual(late, []);
+});
+
 test('a lost stop order does not leave a run of a silent dispatcher active beside those of a live one', async t => {
   const fixture = await startSharedWorker();
   t.deepEqual(fixture.listStarts(), ['silent/1', 'live/1']);
