Log the runs that an earlier process of a sidecar left

Runs that the next process finds at its worker were stopped without a line, so a record did not tell whether a run ended by its stop or by its lease.

--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -1,6 +1,6 @@
 /** Renews the lease of one incarnation of a worker while it has active runs, and processes the ends of runs. */
 import { rethrowLater, sleep } from '@cranberryturn/timers';
-import type { Milliseconds, RunKey } from '@cranberryturn/types';
+import type { Milliseconds } from '@cranberryturn/types';
 
 import { endMissingRuns } from './end-missing-runs.js';
 import { createExtensionLog } from './log-extensions.js';
@@ -210,29 +210,6 @@
     }
   };
 
-  /** Stops runs that an earlier process of this sidecar left active. */
-  const stopLeftovers = async (): Promise<void> => {
-    while (!isStopped && !hasNoLeftovers) {
-      const fencingToken = fencing.token;
-      const status = await renewSafely(0);
-      if (status === undefined) {
-        await sleep(timers, failurePauseMilliseconds);
-        continue;
-      }
-      // An order of an earlier incarnation or process that arrives after this reply has to be refused.
-      hasNoLeftovers =
-        status.running.length === 0 &&
-        status.isPartial !== true &&
-        fencingToken === fencing.token;
-      await Promise.all(status.running.map(run => stopLeftover(run)));
-    }
-  };
-
-  const stopLeftover = async (run: RunKey): Promise<void> => {
-    const fencingToken = fencing.token;
-    await port.stopRun({ ...run, fencingToken });
-  };
-
   const hasWork = (): boolean => executor.listActiveRuns().length > 0;
 
   const waitForWork = async (): Promise<void> => {
@@ -244,7 +221,12 @@
   };
 
   const runRenewalLoop = async (): Promise<void> => {
-    await stopLeftovers();
+    hasNoLeftovers = await executor.options.leftovers.stopAll({
+      port,
+      workerId: worker.workerId,
+      readStatus: () => renewSafely(0),
+      isStopped: () => isStopped,
+    });
     while (!isStopped) {
       await waitForWork();
       // After a lost reply, the worker is asked at once whether it replies.
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -23,6 +23,7 @@
 import { DispatcherSessions } from './dispatcher-sessions.js';
 import { EvacuationGuard } from './evacuation-guard.js';
 import { Fencing } from './fencing.js';
+import { LeftoverRuns } from './leftover-runs.js';
 import { QueuePresences } from './queue-presence.js';
 import { type EndEvidence, EvidenceKind } from './run-evidence.js';
 import { SessionPhase } from './session-phase.js';
@@ -42,6 +43,7 @@
   const { timers, logger, metrics, validity = defaultRunValidity } = options;
   const fencing = new Fencing(timers);
   const leases = new DispatcherLeases(validity);
+  const leftovers = new LeftoverRuns({ timers, logger, fencing });
   const presences = new QueuePresences();
   const crashes = new CrashReports({
     timers,
@@ -208,6 +210,7 @@
       logger,
       fencing,
       leases,
+      leftovers,
       evacuations: evacuations.createRule(worker.dataCentre),
       validity,
       reportsStartedWork: options.reportsStartedWork,
--- a/packages/worker-gate/src/worker-executor-options.ts
+++ b/packages/worker-gate/src/worker-executor-options.ts
@@ -15,6 +15,7 @@
 import type { StartRule } from './evacuation-guard.js';
 import type { Fencing } from './fencing.js';
 import type { WorkerPort, WorkerStatus } from './ports/worker.js';
+import type { LeftoverRuns } from './leftover-runs.js';
 import type { EndEvidence } from './run-evidence.js';
 import type { QueuePresences } from './queue-presence.js';
 
@@ -36,6 +37,8 @@
   readonly logger: Logger;
   readonly fencing: Fencing;
   readonly leases: DispatcherLeases;
+  /** Runs at the worker that this process did not order there. */
+  readonly leftovers: LeftoverRuns;
   readonly evacuations: StartRule;
   readonly validity: RunValidity;
   /** Whether load reports name the work started by priority; dispatchers use it where admission under scarcity is enabled. */
