Stop the runs of an earlier process of a sidecar once the next one starts

A sidecar learned of its worker by the worker's next report, up to 1,500 ms after its own start, and stopped what an earlier process had left only then, when the leases had ended by themselves: with real processes and a report 1,400 ms after the start, 8 of 8 times all 20 runs ended as lapsed, 1,020 ms after the start. The address of the worker is in the settings, so the sidecar asks it once it listens: without a deadline, an acknowledgement or the name of an incarnation. It stops what is listed until nothing is, or until the incarnation of a report has answered. Nothing is offered by it.

Under the manual clock the runs end within 100 ms of the start, within 150 ms where the wall clock was set back by an hour. Real processes were played on the same machine beside much load only (load average 24 to 40, a start took 1.1 to 1.7 s), where the leases still ended first.

--- a/packages/worker-gate/src/dispatcher-session.ts
+++ b/packages/worker-gate/src/dispatcher-session.ts
@@ -5,6 +5,7 @@
 import type { DispatcherId, Milliseconds } from '@cranberryturn/types';
 import type { FromWorkerMessage, ToWorkerMessage } from '@cranberryturn/wire';
 
+import type { RunSelection } from './active-run.js';
 import { SessionPhase } from './session-phase.js';
 
 /** Time to replace a lost connection before the runs of its dispatcher are stopped. */
@@ -102,3 +103,11 @@
     },
   };
 }
+
+/** Selects runs of the dispatcher of a session. */
+export function selectRuns(
+  { dispatcherId }: DispatcherSession,
+  { jobId, taskIds }: Pick<Required<RunSelection>, 'jobId' | 'taskIds'>,
+): RunSelection {
+  return { dispatcher: dispatcherId, jobId, taskIds };
+}
--- a/packages/worker-gate/src/fakes/gate-fixture.ts
+++ b/packages/worker-gate/src/fakes/gate-fixture.ts
@@ -150,6 +150,7 @@
       evacuations,
       openWorker: expected =>
         openIncarnationPort(expected, () => fixture.worker),
+      openUnreportedWorker: () => fixture.worker.port,
     });
   };
 
--- a/packages/worker-gate/src/start-worker-gate.ts
+++ b/packages/worker-gate/src/start-worker-gate.ts
@@ -14,11 +14,11 @@
   ToWorkerKind,
 } from '@cranberryturn/wire';
 
-import { createRefusals, type RunSelection } from './active-run.js';
+import { createRefusals } from './active-run.js';
 import { chooseRunCounter } from './choose-run-counter.js';
 import { CrashEvidence, CrashReports } from './crash-reports.js';
 import { DispatcherLeases } from './dispatcher-leases.js';
-import type { DispatcherSession } from './dispatcher-session.js';
+import { type DispatcherSession, selectRuns } from './dispatcher-session.js';
 import { DispatcherReports } from './dispatcher-reports.js';
 import { DispatcherSessions } from './dispatcher-sessions.js';
 import { EvacuationGuard } from './evacuation-guard.js';
@@ -30,6 +30,7 @@
 import { watchConnections } from './watch-connections.js';
 import { WorkerExecutor } from './worker-executor.js';
 import type { IncarnationEvents } from './worker-executor-options.js';
+import { UnreportedWorker } from './unreported-worker.js';
 import type { WorkerGate, WorkerGateOptions } from './worker-gate-options.js';
 import { WorkerIncarnations } from './worker-incarnations.js';
 import type { WorkerReport } from './worker-report.js';
@@ -44,6 +45,11 @@
   const fencing = new Fencing(timers);
   const leases = new DispatcherLeases(validity);
   const leftovers = new LeftoverRuns({ timers, logger, fencing });
+  const unreported = new UnreportedWorker({
+    openPort: options.openUnreportedWorker,
+    leftovers,
+    fencing,
+  });
   const presences = new QueuePresences();
   const crashes = new CrashReports({
     timers,
@@ -231,6 +237,10 @@
         reports.reportToAll();
       },
       ...events,
+      answered: () => {
+        unreported.close();
+        events.answered();
+      },
     });
     return opened;
   };
@@ -255,18 +265,16 @@
     isStopping = true;
     reports.stop();
     evacuations.close();
+    unreported.close();
     sessions.close();
     incarnations.kill();
   };
 
   return {
+    stopLeftovers: unreported.stopLeftovers.bind(unreported),
     workerReported: report => incarnations.receive(report),
-    workerLeft: workerId => {
-      incarnations.leave(workerId);
-    },
-    changeSeeds: dispatchers => {
-      sessions.changeSeeds(dispatchers);
-    },
+    workerLeft: incarnations.leave.bind(incarnations),
+    changeSeeds: sessions.changeSeeds.bind(sessions),
     getExecutor: () => incarnations.executor,
     listSessions: () => sessions.listConnected(),
     stop: async graceMilliseconds => {
@@ -286,10 +294,3 @@
     kill,
   };
 }
-
-function selectRuns(
-  { dispatcherId }: DispatcherSession,
-  { jobId, taskIds }: Pick<Required<RunSelection>, 'jobId' | 'taskIds'>,
-): RunSelection {
-  return { dispatcher: dispatcherId, jobId, taskIds };
-}
--- a/packages/worker-gate/src/worker-gate-options.ts
+++ b/packages/worker-gate/src/worker-gate-options.ts
@@ -13,6 +13,7 @@
 
 import type { DispatcherSession } from './dispatcher-session.js';
 import type { WorkerPort } from './ports/worker.js';
+import type { UnreportedWorkerPort } from './unreported-worker.js';
 import type { WorkerExecutor } from './worker-executor.js';
 import type { WorkerReport } from './worker-report.js';
 
@@ -36,10 +37,17 @@
   readonly evacuations?: boolean | undefined;
   /** Opens a port to one incarnation of the worker. `bornAt` is its start on the clock of the worker. */
   readonly openWorker: (worker: WorkerRun, bornAt: Milliseconds) => WorkerPort;
+  /** Opens a port to whichever incarnation of the worker answers, for use before the worker has reported. */
+  readonly openUnreportedWorker?: (() => UnreportedWorkerPort) | undefined;
 }
 
 /** A running gate. */
 export interface WorkerGate {
+  /**
+   * Stops the runs that an earlier process of this sidecar left, without waiting for a report of the worker. To be called
+   * once it is certain that the earlier process has ended.
+   */
+  stopLeftovers(): void;
   /** Applies a report of the worker. False when a later report is known, also of a later incarnation. */
   workerReported(report: WorkerReport): boolean;
   /** Ends the current incarnation, as the worker has announced its departure. */
