--- a/packages/worker-gate/src/leftover-runs.ts
+++ b/packages/worker-gate/src/leftover-runs.ts
@@ -65,17 +65,16 @@
         pause = Math.max(pause, Math.min(pause * 2, maximumPauseMilliseconds));
         continue;
       }
+      if (status.running.length > 0 || status.isPartial === true) {
+        await this.#stopListed(worker, status.running);
+        await sleep(timers, stopPauseMilliseconds);
+        continue;
+      }
       // An order of an earlier incarnation or process that arrives after this reply has to be refused.
-      const isEmpty =
-        status.running.length === 0 &&
-        status.isPartial !== true &&
-        fencingToken === fencing.token;
-      if (isEmpty) {
+      if (fencingToken === fencing.token) {
         this.#logEnd(worker);
         return true;
       }
-      await this.#stopListed(worker, status.running);
-      await sleep(timers, stopPauseMilliseconds);
     }
     return false;
   }
