Start no run under a lease that is longer than the echo of its dispatcher allows

A run could outlive its dispatcher, sidecar and caller by more than resend_ms, so that it was active beside its repetition. Cause: the lease of a worker holds for all its runs and never becomes shorter. Orders were bounded by the oldest echo among the active runs, but a run that had been queued, or whose order was late, started under an echo up to 820 ms old while the worker already had a lease from the newer echo of another dispatcher. It inherited that lease.

A run now starts only once the latest deadline of all orders to its worker is one that its own echo allows; until then it waits for a newer echo. When runs count as ended is unchanged.

--- a/packages/wire/src/messages/run-validity.ts
+++ b/packages/wire/src/messages/run-validity.ts
@@ -21,6 +21,11 @@
 export interface RunValidity {
   /** No order to the worker is valid for longer, so each run has ended by this time and the time of a stop. */
   readonly orderMilliseconds: Milliseconds;
+  /**
+   * Longest lease of a worker that one order grants. No run starts under a lease that is longer than the echo of its dispatcher
+   * allows, and leases never become shorter; so dispatchers that are heard as usual need not wait for the end of one.
+   */
+  readonly grantMilliseconds: Milliseconds;
   /** After this time the sidecar stops the runs of a silent dispatcher, so that it can renew those of the others. */
   readonly renewalMilliseconds: Milliseconds;
   /** After this time, counted from the last stamp received, a dispatcher considers the runs of a silent sidecar ended. */
@@ -38,6 +43,9 @@
 /** After a silent dispatcher is noticed: a stop, and as many checks for its confirmation and the next renewal. */
 const checksBeforeExpiry = 3;
 const maximumHeartbeatInterval: Milliseconds = 250;
+/** Age of the echo of a dispatcher without runs that is heard as usual. */
+const usualEchoAge: Milliseconds = 450;
+const minimumGrantShare = 0.5;
 /** Heartbeats within the time for which runs are renewed, so that one or two of them may be late. */
 const heartbeatsPerRenewal = 3;
 
@@ -66,6 +74,10 @@
     checksBeforeExpiry * leaseCheckInterval;
   return {
     orderMilliseconds,
+    grantMilliseconds: Math.max(
+      orderMilliseconds - usualEchoAge,
+      orderMilliseconds * minimumGrantShare,
+    ),
     renewalMilliseconds,
     endedMilliseconds,
     heartbeatMilliseconds: Math.min(
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -20,6 +20,8 @@
 export interface LeaseKeeper {
   /** Whether the worker has replied within its lease, and no run of an earlier sidecar process is active there. */
   readonly isReady: boolean;
+  /** The latest deadline of all orders sent so far, on the clock of the worker; minus infinity before the first. */
+  readonly deadline: Milliseconds;
   /** Whether an order and all later ones had no reply; no run is started until the worker replies again. */
   readonly isSuspected: boolean;
   /** Reports that an order sent at `sentAt` had no reply. */
@@ -46,6 +48,7 @@
   let confirmedSequence = 0;
   /** When the last of the orders sent so far ends, whether it was answered or not. */
   let ordersEndAt = timers.now();
+  let latestDeadline = -Infinity;
   /** When the newest order was sent that the worker has replied to. */
   let answeredSentAt = Number.NEGATIVE_INFINITY;
   const replyTimeout = new ReplyTimeout();
@@ -76,6 +79,7 @@
 
   const recordOrder = (order: OrderValidity): void => {
     ordersEndAt = Math.max(ordersEndAt, order.endsAt);
+    latestDeadline = Math.max(latestDeadline, order.deadline);
     logExtension(order);
   };
 
@@ -280,6 +284,9 @@
     get isSuspected() {
       return isSuspected;
     },
+    get deadline() {
+      return latestDeadline;
+    },
     reportUnanswered: sentAt => {
       replyTimeout.observeMissing();
       suspectWorker(sentAt);
--- a/packages/worker-gate/src/order-validity.ts
+++ b/packages/worker-gate/src/order-validity.ts
@@ -1,19 +1,20 @@
-/** Decides until when an order to a worker is valid. */
+/** Decides until when an order to a worker is valid, and which runs may start under the lease that the worker has. */
 import type { Milliseconds } from '@cranberryturn/types';
 
+import type { ActiveRun } from './active-run.js';
 import type { DispatcherLease } from './dispatcher-leases.js';
 import type { WorkerExecutor } from './worker-executor.js';
 
 type OrderContext = Pick<
   WorkerExecutor,
-  'listActiveRuns' | 'clock' | 'options'
+  'listActiveRuns' | 'clock' | 'options' | 'lease'
 >;
 
 /** The end of the validity of an order. */
 export interface OrderValidity {
   /** On the clock of the worker. */
   readonly deadline: Milliseconds;
-  /** On the clock of this process, the latest time at which the deadline can be reached. */
+  /** On the clock of this process, the time by which the lease that it grants has ended. */
   readonly endsAt: Milliseconds;
 }
 
@@ -26,11 +27,18 @@
 ): OrderValidity | undefined {
   const runs = executor.listActiveRuns();
   if (runs.length === 0) return undefined;
+  const { clock, options } = executor;
+  const { orderMilliseconds, grantMilliseconds } = options.validity;
+  const now = options.timers.now();
   const echo = Math.min(...runs.map(({ lease }) => lease.echo));
-  const { orderMilliseconds } = executor.options.validity;
-  const deadline = executor.clock.computeDeadline(echo, orderMilliseconds);
-  if (deadline === undefined) return undefined;
-  return { deadline: Math.floor(deadline), endsAt: echo + orderMilliseconds };
+  const allowed = clock.computeDeadline(echo, orderMilliseconds);
+  const granted = clock.computeDeadline(now, grantMilliseconds);
+  if (allowed === undefined || granted === undefined) return undefined;
+  return {
+    deadline: Math.floor(Math.min(allowed, granted)),
+    // An incarnation that is not known yet reads the deadline on another clock.
+    endsAt: echo + orderMilliseconds,
+  };
 }
 
 /** Minimum remaining lease of the worker to start a run, as for the lease of its dispatcher. */
@@ -59,10 +67,37 @@
     );
 }
 
+/**
+ * Whether a run may start under the lease that the worker has: leases never become shorter, and one that was granted for
+ * other dispatchers may be longer than the echo of its own allows.
+ */
+function isLeaseCovered(
+  { clock, options, lease }: OrderContext,
+  { echo }: DispatcherLease,
+): boolean {
+  const { orderMilliseconds } = options.validity;
+  const allowed = clock.computeDeadline(echo, orderMilliseconds);
+  return allowed !== undefined && lease.deadline <= allowed;
+}
+
+/** Whether a queued run may start now. */
+export function mayStart(
+  executor: OrderContext,
+  { deadlineAt, lease }: ActiveRun,
+): boolean {
+  const { timers, leases } = executor.options;
+  const now = timers.now();
+  return (
+    deadlineAt > now &&
+    leases.canStart(lease, now) &&
+    isLeaseCovered(executor, lease)
+  );
+}
+
 /** Whether runs under a lease wait although they might fit. */
 export function isStartHeld(
   executor: OrderContext,
-  { echo }: DispatcherLease,
+  lease: DispatcherLease,
 ): boolean {
-  return areStartsHeld(executor) || !executor.clock.hasReadingBefore(echo);
+  return areStartsHeld(executor) || !isLeaseCovered(executor, lease);
 }
--- a/packages/worker-gate/src/worker-executor.ts
+++ b/packages/worker-gate/src/worker-executor.ts
@@ -20,7 +20,7 @@
 } from './active-run.js';
 import { admitArrivedRuns } from './admit-arrived-runs.js';
 import { composeLoad } from './compose-load.js';
-import { areStartsHeld, isStartHeld } from './order-validity.js';
+import { areStartsHeld, isStartHeld, mayStart } from './order-validity.js';
 import { findRunRefusal } from './find-run-refusal.js';
 import { keepLease, type LeaseKeeper } from './keep-lease.js';
 import { logSuspension } from './log-suspension.js';
@@ -168,7 +168,7 @@
 
   /** Starts queued runs while the worker has capacity, the most urgent first; in an evacuation, returns them all. */
   startWaitingRuns(): void {
-    const { timers, leases, evacuations } = this.options;
+    const { timers, evacuations } = this.options;
     const now = timers.now();
     if (!this.#isOpen) return;
     if (evacuations.isClosed()) {
@@ -178,13 +178,7 @@
     if (!this.#lease.isReady || this.#lease.isSuspected) return;
     if (this.#startPause.isPaused() || areStartsHeld(this)) return;
     for (;;) {
-      const run = this.#runs.takeNextRun(
-        now,
-        one =>
-          one.deadlineAt > now &&
-          leases.canStart(one.lease, now) &&
-          this.clock.hasReadingBefore(one.lease.echo),
-      );
+      const run = this.#runs.takeNextRun(now, one => mayStart(this, one));
       if (run === undefined) break;
       void startRun(this, run);
     }
