Let more runs wait in the model test

With two processors a worker and few submissions, hardly any run waited at a sidecar while its dispatcher was killed. Now half of the sequences have one processor a worker, and those with killed processes submit more often.

--- a/packages/transient-jobs/src/transient-jobs-model.test.ts
+++ b/packages/transient-jobs/src/transient-jobs-model.test.ts
@@ -23,7 +23,6 @@
 
 const dispatchers = 2;
 const workers = 3;
-const processors = 2;
 const jobNames = 4;
 const seed = Number(process.env.MODEL_SEED ?? 20_261_203);
 const runs = Number(process.env.MODEL_RUNS ?? 60);
@@ -41,6 +40,8 @@
 const anyAction = fc.constantFrom(...Object.values(Action), ...frequentActions);
 /** Faults around the end of all processes. */
 const restartAction = fc.constantFrom(
+  ...frequentActions,
+  ...frequentActions,
   ...frequentActions,
   Action.KillAll,
   Action.KillAll,
@@ -69,7 +70,10 @@
     dispatcher: fc.nat(dispatchers - 1),
     nextDispatcher: fc.nat(dispatchers - 1),
     worker: fc.nat(workers - 1),
-    milliseconds: fc.integer({ min: 20, max: 1_500 }),
+    milliseconds: fc.oneof(
+      fc.integer({ min: 20, max: 200 }),
+      fc.integer({ min: 20, max: 1_500 }),
+    ),
     orderDelayMilliseconds: fc.integer({ min: 20, max: 2_500 }),
     deliveryMilliseconds: fc.constantFrom(0, 60, closeDeliveryMilliseconds),
     resumeOrder: fc.constantFrom(...Object.values(ResumeOrder)),
@@ -81,7 +85,9 @@
 const createSequenceArbitrary = (action: fc.Arbitrary<Action>) =>
   fc.record({
     clockRate: fc.constantFrom(1, 0.98),
-    runMilliseconds: fc.constantFrom(700, 3_000),
+    /** With one for each worker, most tasks wait. */
+    processors: fc.constantFrom(1, 2),
+    runMilliseconds: fc.constantFrom(300, 700, 3_000),
     /** Time that a stop and the end of a lease take; the worker of the model adds up to 5 ms. */
     stopMilliseconds: fc.constantFrom(0, 20, 45),
     steps: fc.array(createStepArbitrary(action), {
@@ -96,7 +102,13 @@
     await fc.assert(
       fc.asyncProperty(
         createSequenceArbitrary(action),
-        async ({ clockRate, runMilliseconds, stopMilliseconds, steps }) => {
+        async ({
+          clockRate,
+          processors,
+          runMilliseconds,
+          stopMilliseconds,
+          steps,
+        }) => {
           const fixture = await startJobsFixture({
             dispatchers,
             workers,
