Test that a run of a dispatcher that has lost its power is not active beside its repetition

A run waits at its sidecar while its dispatcher loses its power, starts 0.5 s later, and takes over the lease that its worker has from another dispatcher. The sidecar ends right after the start. The caller comes back resend_ms after its connection ended, and the run was active beside the repetition.

--- a/packages/transient-jobs/src/restarts.test.ts
+++ b/packages/transient-jobs/src/restarts.test.ts
@@ -250,3 +250,34 @@
   t.log('reserve in ms with an exact and a slow clock', reserves);
   t.true(Math.min(...reserves) > 0);
 });
+
+// It took over the lease that its worker had from another dispatcher, and its sidecar ended before it sent a stop.
+test('a run that starts after its dispatcher has lost its power is not active beside its repetition', async t => {
+  const fixture = await startJobsFixture({
+    dispatchers: 2,
+    workers: 2,
+    processors: 1,
+  });
+  const { timers, hosts, dispatchers, violations } = fixture;
+  await timers.advance(200);
+  const [silent, live] = [first(dispatchers), getItem(dispatchers, 1)];
+  const jobs = [createJob('before', 2), createJob('waiting', 1)];
+  const callers = new FakeCallers(fixture, jobs);
+  watchEndedCallers(fixture, callers);
+  for (const { worker } of hosts) worker.runMilliseconds = 600;
+  callers.submit(0, live);
+  await timers.advance(20);
+  for (const { worker } of hosts)
+    worker.runMilliseconds = 2 * settledMilliseconds;
+  callers.submit(1, silent);
+  await timers.advance(60);
+  callers.dispatcherCrashed(silent, live);
+  silent.kill(ProcessEnd.Silence, 0);
+  await timers.advance(530);
+  const host = hosts.find(({ worker }) =>
+    worker.activeRuns.has('waiting.0.0.0'),
+  );
+  host?.killSidecar(ProcessEnd.Reset, 0);
+  await timers.advance(settledMilliseconds);
+  t.deepEqual(violations, []);
+});
