Let restarted sidecars of the model ask their workers at once

The fake host of the model restarted sidecars without the question that the program asks at its start.

--- a/packages/transient-jobs/src/fakes/fake-host.ts
+++ b/packages/transient-jobs/src/fakes/fake-host.ts
@@ -137,6 +137,10 @@
           timers,
           () => random.below(host.maximumOrderDelay + 1),
         ),
+      openUnreportedWorker: () =>
+        wrapWorker(suspension, host.worker.port, timers, () =>
+          random.below(host.maximumOrderDelay + 1),
+        ),
     });
   };
 
@@ -174,6 +178,7 @@
       suspension = createSuspension(timers, clockStart);
       host.suspension = suspension;
       host.gate = startGate();
+      host.gate.stopLeftovers();
     },
     restartSidecar: async () => {
       host.killSidecar(ProcessEnd.Reset, 0);
