Raise the fencing token once more with the first answer of a worker

Tokens are times of the wall clock at the start of a process. A process that starts at the millisecond of an earlier one, on a clock that was set back, has its token, so that late start orders of the earlier process were carried out after the worker had been found without runs. The new test fails without the rise; 117 tests of worker-gate pass.

--- a/packages/worker-gate/src/leftover-runs.ts
+++ b/packages/worker-gate/src/leftover-runs.ts
@@ -45,6 +45,7 @@
   readonly #startedAt: Milliseconds;
   /** Names of the leftover runs that were listed and have not ended. */
   readonly #found = new Set<string>();
+  #hasAnswer = false;
 
   constructor(options: LeftoverRunsOptions) {
     this.#options = options;
@@ -65,6 +66,9 @@
         pause = Math.max(pause, Math.min(pause * 2, maximumPauseMilliseconds));
         continue;
       }
+      // The wall clock may have been set back to the start of an earlier process, whose token is the same then.
+      if (!this.#hasAnswer) fencing.advance();
+      this.#hasAnswer = true;
       if (status.running.length > 0 || status.isPartial === true) {
         await this.#stopListed(worker, status.running);
         await sleep(timers, stopPauseMilliseconds);
--- a/packages/worker-gate/src/unreported-worker.test.ts
+++ b/packages/worker-gate/src/unreported-worker.test.ts
@@ -26,6 +26,8 @@
   readonly worker: FakeWorker;
   readonly unreported: UnreportedWorker;
   readonly questions: RenewOrder[];
+  /** Sends a start order of the earlier process. */
+  readonly sendStart: (jobId: string) => void;
 }
 
 /** A worker with two runs of an earlier process, whose wall clock was ahead by `clockAhead`, and the next process. */
@@ -36,8 +38,8 @@
   worker.runMilliseconds = runMilliseconds;
   const logger = createSilentLogger();
   const fencingToken = new Fencing(timers).token + clockAhead;
-  for (const jobId of ['one', 'two']) {
-    const started = worker.port.startRun({
+  const sendStart = (jobId: string): void => {
+    void worker.port.startRun({
       jobId,
       taskId: '0.0.0',
       run: 1,
@@ -45,10 +47,11 @@
       deadline: 1_120,
       fencingToken,
     });
-    await timers.advance(1);
-    await started;
-  }
+  };
+  sendStart('one');
+  sendStart('two');
   const fencing = new Fencing(timers);
+  await timers.advance(2);
   const leftovers = new LeftoverRuns({ timers, logger, fencing });
   const questions: RenewOrder[] = [];
   const openPort = () => ({
@@ -59,7 +62,7 @@
     },
   });
   const unreported = new UnreportedWorker({ openPort, leftovers, fencing });
-  return { timers, worker, unreported, questions };
+  return { timers, worker, unreported, questions, sendStart };
 }
 
 test('runs of an earlier process do not go on until the next report of the worker', async t => {
@@ -81,6 +84,18 @@
   t.is(worker.activeRuns.size, 0);
 });
 
+test('a late start order of an earlier process with the same wall clock starts no run once none is listed', async t => {
+  const { timers, worker, unreported, sendStart } = await restartSidecar();
+  worker.nextStartDelayMilliseconds = 300;
+  sendStart('late');
+  unreported.stopLeftovers();
+  await timers.advance(900);
+  t.deepEqual(
+    worker.starts.map(({ jobId }) => jobId),
+    ['one', 'two'],
+  );
+});
+
 test('a worker that is down is not asked without pause, and its runs are stopped once it answers', async t => {
   const { timers, worker, unreported, questions } = await restartSidecar();
   worker.isSilent = true;
