Found the log without a founding member that was replaced before it took part

A founder of control that is killed before its identity is on the disk, and started again with bootstrap=false, joins under a new identity. The other two asked it for its data folder, took the refusal for a sign that their own folders had been replaced, and stopped for good.

A founding member in whose place another identity answers is no longer waited for, as long as a majority is left; the leader then replaces it like a lost voter. So that no lost folder goes unnoticed with fewer members to ask, a member now has the folder of another one on its disk before it answers, and answers a later folder with the first one. Before, folders were recorded once all had answered. The addresses of the founding members come from the identity, also before the bootstrap is done.

--- a/packages/control/src/form-group.test.ts
+++ b/packages/control/src/form-group.test.ts
@@ -1,5 +1,6 @@
 import { createSilentLogger } from '@cranberryturn/logger';
 import { MemberRole } from '@cranberryturn/replicated-log';
+import { createManualTimerService } from '@cranberryturn/timers';
 import test from 'ava';
 
 import { AdministrationMethod } from './administration-calls.js';
@@ -7,9 +8,11 @@
   type ClusterFixture,
   getReplicaId,
   requireLeader,
+  seed,
   settleWithin,
   startCluster,
 } from './fakes/cluster-fixture.js';
+import { createControlCluster } from './fakes/control-cluster.js';
 
 function startGroup(size = 3): Promise<ClusterFixture> {
   return startCluster({ size, minimumVoters: 3 });
@@ -143,6 +146,28 @@
   }
 });
 
+test('founders that are killed before they have an identity and join after their restart do not stop the group', async t => {
+  for (const killed of ['c1', 'c2', 'c3']) {
+    const timers = createManualTimerService();
+    const cluster = createControlCluster({
+      timers,
+      seed,
+      size: 3,
+      minimumVoters: 3,
+    });
+    const starts = ['c1', 'c2', 'c3'].map(host =>
+      host === killed ? cluster.startBlank(host) : cluster.start(host),
+    );
+    await timers.advance(2_000);
+    await Promise.all(starts);
+    await timers.advance(4_000);
+    const fixture = { timers, cluster };
+    await publish(fixture, 2);
+    t.is(listVoters(fixture).length, 3);
+    t.true(listVoters(fixture).includes(`${killed}-blank`));
+  }
+});
+
 test('a host that loses its disk twice in a row becomes a voter', async t => {
   const fixture = await startGroup();
   const { cluster, timers } = fixture;
--- a/packages/replicated-log/src/core/bootstrap.ts
+++ b/packages/replicated-log/src/core/bootstrap.ts
@@ -1,4 +1,4 @@
-/** Bootstrap of a log: a replica votes only once every founding member has reported its data folder. */
+/** Bootstrap of a log: a replica votes only once every founding member has reported its data folder, or was replaced. */
 import { ConflictError } from '@cranberryturn/errors';
 import type { ReplicaId } from '@cranberryturn/types';
 
@@ -6,7 +6,6 @@
 import {
   PeerMessageKind,
   PeerReplyKind,
-  type IdentifiedReply,
   type PeerReply,
 } from '../ports/peer-link.js';
 import {
@@ -15,8 +14,24 @@
   type Identity,
 } from '../storage/identity.js';
 import { callPeer } from './peer-calls.js';
+import { stoppedReply } from './replies.js';
 import type { Replica } from './replica.js';
 
+/** What is known of another founding member. */
+enum FounderState {
+  Unknown = 'unknown',
+  Identified = 'identified',
+  /** Another identity runs at its address, so it has lost its data folder or never had one. */
+  Replaced = 'replaced',
+  /** It has recorded another data folder for this replica. */
+  Conflicting = 'conflicting',
+}
+
+type FounderReport = { readonly replicaId: ReplicaId } & (
+  | { readonly state: FounderState.Identified; readonly folderId: string }
+  | { readonly state: Exclude<FounderState, FounderState.Identified> }
+);
+
 /**
  * Bootstraps one replica. A founding member that lost its data folder learns from another member
  * that a different folder is on record, and stops instead of voting a second time.
@@ -25,6 +40,8 @@
   readonly #replica: Replica;
   readonly #disk: LogDisk;
   #identity: Identity;
+  /** Resolves after the latest write of the identity. */
+  #written: Promise<boolean> = Promise.resolve(true);
 
   constructor(replica: Replica, disk: LogDisk, identity: Identity) {
     this.#replica = replica;
@@ -39,14 +56,15 @@
   }
 
   /**
-   * Identifies this replica to the other founding members and retries until all have replied.
-   * Skipped when an earlier run has stored the replies.
+   * Identifies this replica to the other founding members and retries until all have replied or are
+   * replaced. Skipped when an earlier run has stored the replies.
    */
   async run(): Promise<void> {
     const replica = this.#replica;
+    // The settings of a restart may not name the founding members any more.
+    replica.store.setInitialMembers(this.#identity.foundingMembers);
     while (!replica.isStopped) {
       if (this.isDone) {
-        replica.store.setInitialMembers(this.#identity.foundingMembers);
         replica.postponeElection();
         return;
       }
@@ -55,42 +73,69 @@
         await replica.changed.wait(replica.tuning.heartbeatInterval);
         continue;
       }
-      const founded = { ...this.#identity, founders };
-      const written = await writeIdentity(this.#disk, founded);
-      if (written.isErr()) {
-        replica.fail(written.error);
-        return;
-      }
-      this.#identity = founded;
+      await this.#change(identity => ({ ...identity, founders }));
     }
   }
 
-  /** Replies to the identify message of another founding member. */
-  answerIdentify(from: ReplicaId): IdentifiedReply {
-    const known = this.#identity.founders?.find(
-      founder => founder.replicaId === from,
+  /**
+   * Replies to the identify message of another founding member. Its folder is on the disk before the
+   * reply, because it may vote from then on.
+   */
+  async answerIdentify(from: ReplicaId, folderId: string): Promise<PeerReply> {
+    const isRecorded = await this.#change(identity =>
+      recordFolder(identity, { replicaId: from, folderId }),
     );
+    if (!isRecorded || this.#replica.isStopped)
+      return stoppedReply(this.#replica);
     return {
       kind: PeerReplyKind.Identified,
       folderId: this.#identity.folderId,
-      knownFolderId: known?.folderId,
+      knownFolderId: findFolder(this.#identity, from)?.folderId,
     };
   }
 
+  /** Writes a change of the identity after earlier ones. Resolves with false when the write has failed. */
+  #change(compose: (identity: Identity) => Identity): Promise<boolean> {
+    this.#written = this.#written.then(async () => {
+      const changed = compose(this.#identity);
+      if (changed === this.#identity) return true;
+      const written = await writeIdentity(this.#disk, changed);
+      if (written.isErr()) {
+        this.#replica.fail(written.error);
+        return false;
+      }
+      this.#identity = changed;
+      return true;
+    });
+    return this.#written;
+  }
+
   async #identifyFounders(): Promise<readonly FounderFolder[] | undefined> {
     const { replicaId, folderId, foundingMembers } = this.#identity;
     const others = foundingMembers.filter(
       member => member.replicaId !== replicaId,
     );
-    const answers = await Promise.all(
+    const reports = await Promise.all(
       others.map(member => this.#identifyFounder(member.replicaId)),
     );
-    const folders = answers.filter(answer => answer !== undefined);
-    if (folders.length < others.length) return undefined;
+    const failure = findFailure(replicaId, reports);
+    if (failure !== undefined) {
+      this.#replica.fail(failure);
+      return undefined;
+    }
+    const isComplete = reports.every(
+      ({ state }) => state !== FounderState.Unknown,
+    );
+    if (!isComplete) return undefined;
+    const folders = reports.flatMap(report =>
+      report.state === FounderState.Identified
+        ? [{ replicaId: report.replicaId, folderId: report.folderId }]
+        : [],
+    );
     return [{ replicaId, folderId }, ...folders];
   }
 
-  async #identifyFounder(peer: ReplicaId): Promise<FounderFolder | undefined> {
+  async #identifyFounder(peer: ReplicaId): Promise<FounderReport> {
     const { folderId } = this.#identity;
     const reply = await callPeer(this.#replica, peer, {
       kind: PeerMessageKind.Identify,
@@ -98,21 +143,64 @@
       term: this.#replica.term,
       folderId,
     });
-    if (reply.isErr()) return undefined;
-    if (isKnownByOtherFolder(reply.value, folderId)) {
-      this.#replica.fail(folderReplaced(this.#identity.replicaId, peer));
-      return undefined;
-    }
-    if (reply.value.kind !== PeerReplyKind.Identified) return undefined;
-    return { replicaId: peer, folderId: reply.value.folderId };
+    if (reply.isErr()) return { state: FounderState.Unknown, replicaId: peer };
+    return composeReport(peer, reply.value, folderId);
   }
 }
 
-/** True when the peer has recorded another data folder for this replica. */
-function isKnownByOtherFolder(reply: PeerReply, folderId: string): boolean {
-  if (reply.kind === PeerReplyKind.Refused) return reply.wrongIdentity;
-  if (reply.kind !== PeerReplyKind.Identified) return false;
-  return reply.knownFolderId !== undefined && reply.knownFolderId !== folderId;
+function composeReport(
+  peer: ReplicaId,
+  reply: PeerReply,
+  ownFolderId: string,
+): FounderReport {
+  if (reply.kind === PeerReplyKind.Refused && reply.wrongIdentity)
+    return { state: FounderState.Replaced, replicaId: peer };
+  if (reply.kind !== PeerReplyKind.Identified)
+    return { state: FounderState.Unknown, replicaId: peer };
+  const { folderId, knownFolderId = ownFolderId } = reply;
+  return knownFolderId === ownFolderId
+    ? { state: FounderState.Identified, replicaId: peer, folderId }
+    : { state: FounderState.Conflicting, replicaId: peer };
+}
+
+/** Records the folder of a founding member, unless one is on record. */
+function recordFolder(identity: Identity, folder: FounderFolder): Identity {
+  const { foundingMembers, answeredFounders = [] } = identity;
+  const isFounder = foundingMembers.some(
+    ({ replicaId }) => replicaId === folder.replicaId,
+  );
+  if (!isFounder || findFolder(identity, folder.replicaId) !== undefined)
+    return identity;
+  return { ...identity, answeredFounders: [...answeredFounders, folder] };
+}
+
+/** A folder that was answered first counts: its replica may have voted since. */
+function findFolder(
+  { answeredFounders = [], founders = [] }: Identity,
+  replicaId: ReplicaId,
+): FounderFolder | undefined {
+  return [...answeredFounders, ...founders].find(
+    founder => founder.replicaId === replicaId,
+  );
+}
+
+/** Finds why this replica must not vote. Replaced founding members cannot tell whether it has voted before. */
+function findFailure(
+  replicaId: ReplicaId,
+  reports: readonly FounderReport[],
+): ConflictError | undefined {
+  const conflicting = reports.find(
+    report => report.state === FounderState.Conflicting,
+  );
+  if (conflicting !== undefined)
+    return folderReplaced(replicaId, conflicting.replicaId);
+  const replaced = reports.flatMap(report =>
+    report.state === FounderState.Replaced ? [report.replicaId] : [],
+  );
+  const members = reports.length + 1;
+  return members - replaced.length > members / 2
+    ? undefined
+    : majorityReplaced(replicaId, replaced);
 }
 
 function folderReplaced(replicaId: ReplicaId, peer: ReplicaId): ConflictError {
@@ -121,3 +209,13 @@
     { step: 'bootstrap replicated log', peer },
   );
 }
+
+function majorityReplaced(
+  replicaId: ReplicaId,
+  replaced: readonly ReplicaId[],
+): ConflictError {
+  return new ConflictError(
+    `The log cannot be founded with replica "${replicaId}": other replicas run in the place of ${replaced.map(one => `"${one}"`).join(', ')}, so less than a majority of the founding members is left. If the log exists, start this replica with an empty data folder so that it joins under a new identity, then replace "${replicaId}" with the new replica. Otherwise start all founding members with empty data folders.`,
+    { step: 'bootstrap replicated log', peer: replaced.join(', ') },
+  );
+}
--- a/packages/replicated-log/src/core/service.ts
+++ b/packages/replicated-log/src/core/service.ts
@@ -150,7 +150,7 @@
     if (replica.isStopped) return stoppedReply(replica);
     if (message.to !== replica.replicaId) return wrongIdentityReply(replica);
     if (message.kind === PeerMessageKind.Identify) {
-      return this.#bootstrap.answerIdentify(from);
+      return await this.#bootstrap.answerIdentify(from, message.folderId);
     }
     if (!this.#bootstrap.isDone) return notBootstrappedReply();
     switch (message.kind) {
--- a/packages/replicated-log/src/model/check-model.ts
+++ b/packages/replicated-log/src/model/check-model.ts
@@ -12,6 +12,8 @@
   readonly runs: number;
   readonly seed: number;
   readonly replicas: number;
+  /** Whether the operations begin while the replicas found the log. By default they begin once it has a leader. */
+  readonly beginsWithFounding?: boolean;
   /** Whether to search for a shorter failing sequence after a failure. May take minutes. */
   readonly shouldShrink: boolean;
 }
@@ -25,12 +27,15 @@
 
 /** Runs random sequences. The result is deterministic for the same parameters. */
 export async function checkModel(check: ModelCheck): Promise<ModelReport> {
-  const { runs, seed, replicas } = check;
+  const { runs, seed, replicas, beginsWithFounding = false } = check;
   const property = fc.asyncProperty(
     fc.integer({ min: 0, max: maximumSeed }),
     arbitraryOperations(maximumOperations),
     async (runSeed, operations) => {
-      const violations = await runOperations(replicas, runSeed, operations);
+      const violations = await runOperations(
+        { replicas, seed: runSeed, beginsWithFounding },
+        operations,
+      );
       if (violations.length > 0) throw new Error(violations.join('; '));
     },
   );
--- a/packages/replicated-log/src/model/model-cluster.ts
+++ b/packages/replicated-log/src/model/model-cluster.ts
@@ -67,9 +67,14 @@
     );
   }
 
+  /** Starts all hosts, which found the log. */
+  open(): void {
+    for (const host of this.hosts) host.open();
+  }
+
   /** Starts all hosts and waits for a leader. */
   async start(): Promise<void> {
-    for (const host of this.hosts) host.open();
+    this.open();
     await this.tickUntil(() => this.leader() !== undefined);
   }
 
--- a/packages/replicated-log/src/model/model-host.ts
+++ b/packages/replicated-log/src/model/model-host.ts
@@ -40,6 +40,8 @@
   openError: CranberryError | undefined;
   replicaId: ReplicaId | undefined;
   readonly #environment: ModelEnvironment;
+  /** Identities that this host has had. Its replica refuses messages to the former ones. */
+  readonly #identities = new Set<ReplicaId>();
   #start: BootstrapStart | JoinStart;
   #processNumber = 0;
   #isRunning = false;
@@ -53,7 +55,9 @@
     this.name = name;
     this.#start = start;
     this.disk = createMemoryLogDisk(environment.timers);
-    if (start.kind === StartKind.Bootstrap) this.replicaId = start.replicaId;
+    if (start.kind !== StartKind.Bootstrap) return;
+    this.replicaId = start.replicaId;
+    this.#identities.add(start.replicaId);
   }
 
   /** Whether the process is running, including while the log opens. */
@@ -137,9 +141,11 @@
     const { replicaId } = log.status();
     this.log = log;
     this.replicaId = replicaId;
-    this.#environment.network.attach(replicaId, (from, message) =>
-      log.handlePeerMessage(from, message),
-    );
+    this.#identities.add(replicaId);
+    for (const identity of this.#identities)
+      this.#environment.network.attach(identity, (from, message) =>
+        log.handlePeerMessage(from, message),
+      );
     this.#recordLeadership(log);
     log.subscribe(event => {
       if (event.kind === LogEventKind.RoleChanged) this.#recordLeadership(log);
@@ -153,9 +159,8 @@
   }
 
   #endProcess(): void {
-    if (this.replicaId !== undefined) {
-      this.#environment.network.detach(this.replicaId);
-    }
+    for (const identity of this.#identities)
+      this.#environment.network.detach(identity);
     this.#isRunning = false;
     this.openError = undefined;
     void this.log?.stop();
--- a/packages/replicated-log/src/model/run-operations.ts
+++ b/packages/replicated-log/src/model/run-operations.ts
@@ -8,14 +8,22 @@
 const electionLimitMilliseconds: Milliseconds = 1_500;
 const electionStepMilliseconds: Milliseconds = 10;
 
-/** Runs one sequence and returns the violated invariants. Deterministic for the same size, seed and operations. */
+/** The cluster that a sequence runs on. */
+export interface ModelRun {
+  readonly replicas: number;
+  readonly seed: number;
+  /** Whether the operations begin while the replicas found the log. */
+  readonly beginsWithFounding: boolean;
+}
+
+/** Runs one sequence and returns the violated invariants. Deterministic for the same run and operations. */
 export async function runOperations(
-  size: number,
-  seed: number,
+  { replicas, seed, beginsWithFounding }: ModelRun,
   operations: readonly Operation[],
 ): Promise<readonly string[]> {
-  const cluster = new ModelCluster(size, seed);
-  await cluster.start();
+  const cluster = new ModelCluster(replicas, seed);
+  if (beginsWithFounding) cluster.open();
+  else await cluster.start();
   for (const operation of operations) {
     runOperation(cluster, operation);
     if (operation.kind === OperationKind.Tick) {
--- a/packages/replicated-log/src/ports/peer-link.ts
+++ b/packages/replicated-log/src/ports/peer-link.ts
@@ -129,7 +129,7 @@
   readonly kind: PeerReplyKind.Identified;
   /** Data folder of the replying replica. */
   readonly folderId: string;
-  /** Data folder that the replying replica has recorded for the sender; undefined until its bootstrap is done. */
+  /** Data folder that the replying replica has on record for the sender; undefined only in replies of earlier versions and to other replicas. */
   readonly knownFolderId?: string | undefined;
 }
 
--- a/packages/replicated-log/src/storage/identity.ts
+++ b/packages/replicated-log/src/storage/identity.ts
@@ -31,8 +31,10 @@
   readonly folderId: string;
   /** Founding members of the log; empty for a replica that joined. */
   readonly foundingMembers: readonly Member[];
-  /** Data folders of the founding members; undefined until all have replied. */
+  /** Data folders of the founding members; undefined until all have replied or are replaced. */
   readonly founders?: readonly FounderFolder[] | undefined;
+  /** Data folders of the founding members that this replica has answered. Absent in files of earlier versions. */
+  readonly answeredFounders?: readonly FounderFolder[] | undefined;
 }
 
 /**
