Cancel jobs at whichever dispatcher has them

Only the dispatcher that works on a job knows it, and nothing asked the others.

A dispatcher without the job now asks all others of its list at once, for at most 700 ms: 200 when one has ended it, 410 when none has it, 503 while one that may have it has not answered. Each remembers the job for 10 s and does not start it, so that a submission that crosses the cancel runs nothing. A job that ended in the last 5 s where somebody was asked is gone also while another dispatcher is silent; clients that close their connection and cancel would else get 503 while a host is down. The submission of a cancelled job is answered 200 with the state "cancelled"; 504 made clients submit it again.

Without the question to the others four of the six tests in job-cancels.test.ts fail, without the memory of cancels the one on crossing submissions.

orders-in-transit.test.ts now also checks the outcome of its cancel, which is a promise.

--- a/packages/transient-jobs/src/active-job.ts
+++ b/packages/transient-jobs/src/active-job.ts
@@ -195,3 +195,9 @@
   }
   return Math.max(0, ...ends);
 }
+
+/** Notes that no run of a task is placed at a worker. */
+export function clearWorker(task: ActiveTask): void {
+  task.workerId = undefined;
+  task.sessionNumber = undefined;
+}
--- a/packages/transient-jobs/src/describe-end.ts
+++ b/packages/transient-jobs/src/describe-end.ts
@@ -1,6 +1,7 @@
 /** Represents admissions and ends of jobs for callers, log lines and counters. */
 import type { Logger } from '@cranberryturn/logger';
-import { Counter, type Metrics } from '@cranberryturn/metrics';
+import { Counter, Distribution, type Metrics } from '@cranberryturn/metrics';
+import type { TimerService } from '@cranberryturn/timers';
 import type { Milliseconds } from '@cranberryturn/types';
 
 import type { ActiveJob } from './active-job.js';
@@ -66,14 +67,43 @@
   return createEndedJob(end);
 }
 
+/** Counts and logs the end of a job that was started. */
+export function reportEnd(
+  {
+    timers,
+    logger,
+    metrics,
+  }: {
+    readonly timers: TimerService;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+  },
+  { job, admittedAt }: ActiveJob,
+  end: TransientJobEnd,
+): void {
+  const elapsedMilliseconds = timers.now() - admittedAt;
+  metrics.record(
+    Distribution.ResponseMilliseconds,
+    elapsedMilliseconds,
+    job.queue.service,
+  );
+  metrics.count(chooseEndCounter(end));
+  logger.info('job ended', {
+    ...describeJobForLog(job),
+    ...end,
+    elapsedMilliseconds: Math.round(elapsedMilliseconds),
+  });
+}
+
 /** Chooses the counter for an end. */
-export function chooseEndCounter({ kind }: TransientJobEnd): Counter {
+function chooseEndCounter({ kind }: TransientJobEnd): Counter {
   switch (kind) {
     case TransientJobEndKind.Completed:
       return Counter.JobsCompleted;
     case TransientJobEndKind.Refused:
       return Counter.JobsRefused;
     case TransientJobEndKind.Abandoned:
+    case TransientJobEndKind.Cancelled:
       return Counter.JobsCancelled;
     case TransientJobEndKind.Failed:
     case TransientJobEndKind.GivenUp:
--- a/packages/transient-jobs/src/shared-queue/coordinator-links.ts
+++ b/packages/transient-jobs/src/dispatcher-links.ts
@@ -1,6 +1,6 @@
 /**
- * The sessions of one dispatcher with those that coordinate workers, which it dials when it first needs one, and with
- * those whose requests it answers. Messages to this dispatcher itself take no session.
+ * The sessions of one dispatcher with others that it requests something from, which it dials when it first needs one,
+ * and with those whose requests it answers. Messages to this dispatcher itself take no session.
  */
 import type { Logger } from '@cranberryturn/logger';
 import type { RandomSource } from '@cranberryturn/random';
@@ -14,16 +14,16 @@
 import type { DispatcherId, DispatcherList } from '@cranberryturn/types';
 import {
   type Connection,
+  type DispatcherAnswer,
+  type DispatcherRequest,
   formatAddress,
-  type FromCoordinatorMessage,
-  isFromCoordinatorMessage,
-  isToCoordinatorMessage,
+  isDispatcherAnswer,
+  isDispatcherRequest,
   type Network,
-  type ToCoordinatorMessage,
 } from '@cranberryturn/wire';
 
 /** Dependencies and event handlers of the links. */
-export interface CoordinatorLinksOptions {
+export interface DispatcherLinksOptions {
   readonly dispatcherId: DispatcherId;
   /** Dials other dispatchers; without it, only this dispatcher itself is reached. */
   readonly network: Network | undefined;
@@ -32,46 +32,44 @@
   readonly times: SessionTimes;
   readonly logger: Logger;
   readonly listDispatchers: () => DispatcherList;
-  /** A dispatcher has sent a message to the coordinator at this one. */
   readonly requested: (
     dispatcher: DispatcherId,
-    message: ToCoordinatorMessage,
+    message: DispatcherRequest,
   ) => void;
   /** The session with a dispatcher has ended, and with it its requests. */
   readonly requesterLost: (dispatcher: DispatcherId) => void;
   readonly answered: (
-    coordinator: DispatcherId,
-    message: FromCoordinatorMessage,
+    dispatcher: DispatcherId,
+    message: DispatcherAnswer,
   ) => void;
-  /** A coordinator is silent or its connection has ended. */
-  readonly coordinatorLost: (coordinator: DispatcherId) => void;
+  /** A dispatcher that was dialled can be reached. */
+  readonly connected: (dispatcher: DispatcherId) => void;
+  /** A dispatcher that was dialled is silent, or its connection has ended. */
+  readonly disconnected: (dispatcher: DispatcherId) => void;
 }
 
-interface CoordinatorLink {
+interface DispatcherLink {
   readonly address: string;
-  readonly dialer: SessionDialer<ToCoordinatorMessage, FromCoordinatorMessage>;
+  readonly dialer: SessionDialer<DispatcherRequest, DispatcherAnswer>;
   isConnected: boolean;
 }
 
 /** The links of one dispatcher. */
-export class CoordinatorLinks {
-  readonly #options: CoordinatorLinksOptions;
-  readonly #links = new Map<DispatcherId, CoordinatorLink>();
+export class DispatcherLinks {
+  readonly #options: DispatcherLinksOptions;
+  readonly #links = new Map<DispatcherId, DispatcherLink>();
   readonly #requesters = new Map<
     DispatcherId,
-    (message: FromCoordinatorMessage) => void
+    (message: DispatcherAnswer) => void
   >();
   readonly #acceptor;
 
-  constructor(options: CoordinatorLinksOptions) {
+  constructor(options: DispatcherLinksOptions) {
     this.#options = options;
-    this.#acceptor = acceptSessions<
-      FromCoordinatorMessage,
-      ToCoordinatorMessage
-    >({
+    this.#acceptor = acceptSessions<DispatcherAnswer, DispatcherRequest>({
       timers: options.timers,
       times: options.times,
-      isMessage: isToCoordinatorMessage,
+      isMessage: isDispatcherRequest,
       startSession: ({ name }, send) => {
         this.#requesters.set(name, send);
         return {
@@ -95,30 +93,24 @@
     void this.#acceptor.acceptConnection(connection);
   }
 
-  /** Dials a coordinator that is not dialled yet. */
-  prepare(coordinator: DispatcherId): void {
-    if (!this.#links.has(coordinator)) this.#findLink(coordinator);
+  /** Dials a dispatcher that is not dialled yet. */
+  prepare(dispatcher: DispatcherId): void {
+    if (!this.#links.has(dispatcher)) this.#findLink(dispatcher);
   }
 
-  /** Whether a coordinator can be reached now. */
-  isConnected(coordinator: DispatcherId): boolean {
-    if (coordinator === this.#options.dispatcherId) return true;
-    return this.#findLink(coordinator)?.isConnected === true;
+  /** Whether a dispatcher can be reached now; one that is not dialled yet is dialled. */
+  isConnected(dispatcher: DispatcherId): boolean {
+    if (dispatcher === this.#options.dispatcherId) return true;
+    return this.#findLink(dispatcher)?.isConnected === true;
   }
 
-  sendToCoordinator(
-    coordinator: DispatcherId,
-    message: ToCoordinatorMessage,
-  ): void {
+  sendRequest(dispatcher: DispatcherId, message: DispatcherRequest): void {
     const { dispatcherId, requested } = this.#options;
-    if (coordinator === dispatcherId) requested(dispatcherId, message);
-    else this.#links.get(coordinator)?.dialer.current()?.send(message);
+    if (dispatcher === dispatcherId) requested(dispatcherId, message);
+    else this.#links.get(dispatcher)?.dialer.current()?.send(message);
   }
 
-  sendToRequester(
-    dispatcher: DispatcherId,
-    message: FromCoordinatorMessage,
-  ): void {
+  sendAnswer(dispatcher: DispatcherId, message: DispatcherAnswer): void {
     const { dispatcherId, answered } = this.#options;
     if (dispatcher === dispatcherId) answered(dispatcherId, message);
     else this.#requesters.get(dispatcher)?.(message);
@@ -130,44 +122,45 @@
     this.#acceptor.close();
   }
 
-  #findLink(coordinator: DispatcherId): CoordinatorLink | undefined {
+  #findLink(dispatcher: DispatcherId): DispatcherLink | undefined {
     const { listDispatchers, network } = this.#options;
     const listed = listDispatchers().dispatchers.find(
-      one => one.dispatcherId === coordinator,
+      one => one.dispatcherId === dispatcher,
     );
-    const known = this.#links.get(coordinator);
+    const known = this.#links.get(dispatcher);
     if (listed === undefined || network === undefined) return known;
     const address = formatAddress(listed.address);
     if (known?.address === address) return known;
     known?.dialer.close();
-    const link = this.#dial(coordinator, network, listed.address);
-    this.#links.set(coordinator, link);
+    const link = this.#dial(dispatcher, network, listed.address);
+    this.#links.set(dispatcher, link);
     return link;
   }
 
   #dial(
-    coordinator: DispatcherId,
+    dispatcher: DispatcherId,
     network: Network,
     address: Parameters<typeof formatAddress>[0],
-  ): CoordinatorLink {
+  ): DispatcherLink {
     const { timers, random, times, logger, answered } = this.#options;
-    const { coordinatorLost } = this.#options;
+    const { connected, disconnected } = this.#options;
     const setConnected = (isConnected: boolean): void => {
       link.isConnected = isConnected;
-      logger.info('link to coordinator', { coordinator, isConnected });
-      if (!isConnected) coordinatorLost(coordinator);
+      logger.info('link to dispatcher', { dispatcher, isConnected });
+      if (isConnected) connected(dispatcher);
+      else disconnected(dispatcher);
     };
-    const dialer = openSession<ToCoordinatorMessage, FromCoordinatorMessage>({
+    const dialer = openSession<DispatcherRequest, DispatcherAnswer>({
       network,
       address,
       timers,
       random,
       times,
-      isMessage: isFromCoordinatorMessage,
-      accepts: ({ name }) => name === coordinator,
+      isMessage: isDispatcherAnswer,
+      accepts: ({ name }) => name === dispatcher,
       startSession: () => ({
         messageReceived: message => {
-          answered(coordinator, message);
+          answered(dispatcher, message);
         },
         connected: () => {
           setConnected(true);
@@ -180,7 +173,7 @@
         },
       }),
     });
-    const link: CoordinatorLink = {
+    const link: DispatcherLink = {
       address: formatAddress(address),
       dialer,
       isConnected: false,
--- a/packages/transient-jobs/src/job-registry.ts
+++ b/packages/transient-jobs/src/job-registry.ts
@@ -37,11 +37,16 @@
     return this.#activeJobs.get(jobId);
   }
 
-  /** Finds the end of a job that completed or failed recently. */
+  /** Finds the end of a job that completed, failed or was cancelled recently. */
   findRecentEnd(jobId: JobId): TransientJobEnd | undefined {
     return this.#endedJobs.get(jobId)?.finalEnd;
   }
 
+  /** Whether a job has ended here recently, in any way. */
+  hasEndedRecently(jobId: JobId): boolean {
+    return this.#endedJobs.has(jobId);
+  }
+
   /** Highest run number of a recent submission of the job; 0 when there was none. */
   findHighestRun(jobId: JobId): number {
     return this.#endedJobs.get(jobId)?.highestRun ?? 0;
@@ -57,7 +62,8 @@
     this.#activeJobs.delete(jobId);
     const isFinal =
       end.kind === TransientJobEndKind.Completed ||
-      end.kind === TransientJobEndKind.Failed;
+      end.kind === TransientJobEndKind.Failed ||
+      end.kind === TransientJobEndKind.Cancelled;
     const ended: EndedJob = {
       finalEnd: isFinal ? end : undefined,
       highestRun: Math.max(...active.tasks.map(task => task.run)),
--- a/packages/transient-jobs/src/job-starter.ts
+++ b/packages/transient-jobs/src/job-starter.ts
@@ -3,11 +3,11 @@
  * by load reports.
  */
 import type { Milliseconds } from '@cranberryturn/types';
-import type { Connection } from '@cranberryturn/wire';
 
 import { type ActiveJob, TaskPhase } from './active-job.js';
 import type { CrashContainment } from './crashes/crash-containment.js';
 import { createRefusal, reportAdmission } from './describe-end.js';
+import type { DispatcherLinks } from './dispatcher-links.js';
 import { type ExpectedPlacement, findJobRefusal } from './find-job-refusal.js';
 import type { KnownWorker } from './known-worker.js';
 import { PlacementRetry } from './placement-retry.js';
@@ -34,6 +34,7 @@
   readonly workers: WorkerDirectory;
   readonly placer: TaskPlacer;
   readonly containment: CrashContainment;
+  readonly links: DispatcherLinks;
   readonly listActiveJobs: () => readonly ActiveJob[];
   /** Ends a job that is refused after it was started; none of its tasks was placed. */
   readonly endJob: (active: ActiveJob, end: TransientJobEnd) => void;
@@ -41,13 +42,13 @@
 
 /** Admits jobs and gets their tasks placed. */
 export class JobStarter {
+  /** Undefined where each dispatcher places its tasks by load reports. */
+  readonly sharedQueue: SharedQueue | undefined;
   readonly #options: JobStarterOptions;
   readonly #suspensionPause: SuspensionPause;
   readonly #retry: PlacementRetry;
   /** Undefined where admission under scarcity is disabled. */
   readonly #scarcity: ScarcityControl | undefined;
-  /** Undefined where each dispatcher places its tasks by load reports. */
-  readonly #sharedQueue: SharedQueue | undefined;
 
   constructor(options: JobStarterOptions) {
     const { timers, logger, scarcity } = options;
@@ -57,7 +58,7 @@
       this.placeAllJobs();
     });
     this.#scarcity = scarcity && new ScarcityControl({ ...options, scarcity });
-    this.#sharedQueue = this.#createSharedQueue();
+    this.sharedQueue = this.#createSharedQueue();
   }
 
   /** Whether placement is paused because this process has just resumed from a suspension. */
@@ -65,15 +66,9 @@
     return this.#suspensionPause.isPaused();
   }
 
-  /** Serves the connection of another dispatcher, which requests capacity, until it ends. */
-  acceptDispatcher(connection: Connection): void {
-    if (this.#sharedQueue === undefined) connection.close();
-    else this.#sharedQueue.accept(connection);
-  }
-
   /** Plans a new job without starting it. Undefined where its capacity is to be requested. */
   planJob(active: ActiveJob): Placement | undefined {
-    return this.#sharedQueue?.isAvailable(active) === true
+    return this.sharedQueue?.isAvailable(active) === true
       ? undefined
       : this.#options.placer.planJob(active);
   }
@@ -117,26 +112,26 @@
       this.#retry.schedule(settleMilliseconds);
       return;
     }
-    if (this.#sharedQueue !== undefined) {
+    if (this.sharedQueue !== undefined) {
       for (const requested of listCapacityRequests(active, this.#options))
-        this.#sharedQueue.request(requested);
+        this.sharedQueue.request(requested);
     }
     this.#placeByReports(active);
   }
 
   /** Uses capacity that a worker has reported free. */
   workerReported(known: KnownWorker): void {
-    this.#sharedQueue?.workerReported(known);
+    this.sharedQueue?.workerReported(known);
   }
 
   /** Withdraws the requests of a job that has ended. */
   withdraw(active: ActiveJob): void {
-    this.#sharedQueue?.withdraw(active);
+    this.sharedQueue?.withdraw(active);
   }
 
   close(): void {
     this.#retry.cancel();
-    this.#sharedQueue?.close();
+    this.sharedQueue?.close();
   }
 
   #createSharedQueue(): SharedQueue | undefined {
--- a/packages/transient-jobs/src/malformed-messages.test.ts
+++ b/packages/transient-jobs/src/malformed-messages.test.ts
@@ -1,6 +1,10 @@
 import { createRandomSource } from '@cranberryturn/random';
 import { defaultSessionTimes, openSession } from '@cranberryturn/sessions';
-import { ProcessRole, ToCoordinatorKind } from '@cranberryturn/wire';
+import {
+  JobCancelKind,
+  ProcessRole,
+  ToCoordinatorKind,
+} from '@cranberryturn/wire';
 import test, { type ExecutionContext } from 'ava';
 
 import {
@@ -77,6 +81,8 @@
   },
   { kind: ToCoordinatorKind.Withdraw, requests: 1 },
   { kind: ToCoordinatorKind.ReturnGrants, grants: ['1'] },
+  { kind: JobCancelKind.Request, cancel: -1, jobId: 'job-1' },
+  { kind: JobCancelKind.Request, cancel: 1, jobId: 7 },
 ];
 
 /** Sends the messages as a peer that is not one of the fixture, while a job runs; each closes its connection. */
--- a/packages/transient-jobs/src/orders-in-transit.test.ts
+++ b/packages/transient-jobs/src/orders-in-transit.test.ts
@@ -19,6 +19,7 @@
 import { address, firstPort, times } from './fakes/fake-host.js';
 import { first } from './fakes/get-item.js';
 import { createJob, startJobsFixture } from './fakes/jobs-fixture.js';
+import { CancelOutcome } from './job-cancels.js';
 
 const load: WorkerLoad = {
   free: { processors: 8, memoryMebibytes: 65_536, accelerators: 0 },
@@ -161,7 +162,7 @@
   await timers.advance(50);
   announce(undefined, 1);
   await timers.advance(50);
-  jobs.cancel('job');
+  t.is(await jobs.cancel('job'), CancelOutcome.Ended);
   await timers.advance(50);
   t.is(stops.length, 1);
 });
--- a/packages/transient-jobs/src/shared-queue/capacity-client-options.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-client-options.ts
@@ -12,9 +12,9 @@
 } from '@cranberryturn/types';
 
 import type { ActiveJob, ActiveTask } from '../active-job.js';
+import type { DispatcherLinks } from '../dispatcher-links.js';
 import type { KnownWorker } from '../known-worker.js';
 import type { JobStep } from '../transient-job.js';
-import type { CoordinatorLinks } from './coordinator-links.js';
 
 /** Tasks to request capacity for, which are placed alike. */
 export interface RequestedTasks {
@@ -36,7 +36,7 @@
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly links: Pick<CoordinatorLinks, 'isConnected' | 'sendToCoordinator'>;
+  readonly links: Pick<DispatcherLinks, 'isConnected' | 'sendRequest'>;
   readonly listWorkers: (service: ServiceName) => Iterable<KnownWorker>;
   readonly findWorker: (workerId: TargetId) => KnownWorker | undefined;
   /** Capacity was granted for some tasks; they are placed at once. */
--- a/packages/transient-jobs/src/shared-queue/capacity-client.ts
+++ b/packages/transient-jobs/src/shared-queue/capacity-client.ts
@@ -84,7 +84,7 @@
     };
     this.#requests.set(number, open);
     for (const task of requested.tasks) task.phase = TaskPhase.Requested;
-    links.sendToCoordinator(coordinator, {
+    links.sendRequest(coordinator, {
       kind: ToCoordinatorKind.Request,
       request: {
         ...requested.request,
@@ -257,7 +257,7 @@
   }
 
   #sendWithdrawal(coordinator: DispatcherId, request: number): void {
-    this.#options.links.sendToCoordinator(coordinator, {
+    this.#options.links.sendRequest(coordinator, {
       kind: ToCoordinatorKind.Withdraw,
       requests: [request],
     });
@@ -268,7 +268,7 @@
     grants: readonly CapacityGrant[],
   ): void {
     if (grants.length === 0) return;
-    this.#options.links.sendToCoordinator(coordinator, {
+    this.#options.links.sendRequest(coordinator, {
       kind: ToCoordinatorKind.ReturnGrants,
       grants: grants.map(({ grant }) => grant),
     });
--- a/packages/transient-jobs/src/shared-queue/shared-queue.ts
+++ b/packages/transient-jobs/src/shared-queue/shared-queue.ts
@@ -2,12 +2,13 @@
 import type { TimerService } from '@cranberryturn/timers';
 import type { DispatcherId } from '@cranberryturn/types';
 import {
-  type Connection,
+  type FromCoordinatorMessage,
   type ToCoordinatorMessage,
   ToCoordinatorKind,
 } from '@cranberryturn/wire';
 
 import type { ActiveJob } from '../active-job.js';
+import type { DispatcherLinks } from '../dispatcher-links.js';
 import type { KnownWorker } from '../known-worker.js';
 import type { TransientJobsOptions } from '../transient-jobs-options.js';
 import type { WorkerDirectory } from '../worker-directory.js';
@@ -17,7 +18,6 @@
   RequestedTasks,
 } from './capacity-client-options.js';
 import { CapacityCoordinator } from './capacity-coordinator.js';
-import { CoordinatorLinks } from './coordinator-links.js';
 
 /** Dependencies and event handlers of the shared queues. */
 export interface SharedQueueOptions
@@ -29,34 +29,20 @@
     > {
   readonly timers: TimerService;
   readonly workers: Pick<WorkerDirectory, 'listWorkers' | 'findWorker'>;
+  readonly links: DispatcherLinks;
 }
 
 /** The shared queues, as one dispatcher takes part in them. */
 export class SharedQueue {
   readonly #dispatcherId: DispatcherId;
-  readonly #links: CoordinatorLinks;
+  readonly #links: DispatcherLinks;
   readonly #coordinator: CapacityCoordinator;
   readonly #client: CapacityClient;
 
   constructor(options: SharedQueueOptions) {
-    const { dispatcherId, workers, network } = options;
+    const { dispatcherId, workers, links } = options;
     this.#dispatcherId = dispatcherId;
-    this.#links = new CoordinatorLinks({
-      ...options,
-      network,
-      requested: (dispatcher, message) => {
-        this.#handleRequest(dispatcher, message);
-      },
-      requesterLost: dispatcher => {
-        this.#coordinator.dropDispatcher(dispatcher);
-      },
-      answered: (coordinator, message) => {
-        this.#client.handle(coordinator, message);
-      },
-      coordinatorLost: coordinator => {
-        this.#client.coordinatorLost(coordinator);
-      },
-    });
+    this.#links = links;
     this.#coordinator = new CapacityCoordinator({
       ...options,
       listWorkers: service =>
@@ -64,22 +50,16 @@
           this.#coordinates(known),
         ),
       send: (dispatcher, message) => {
-        this.#links.sendToRequester(dispatcher, message);
+        links.sendAnswer(dispatcher, message);
       },
     });
     this.#client = new CapacityClient({
       ...options,
-      links: this.#links,
       listWorkers: service => workers.listWorkers(service),
       findWorker: workerId => workers.findWorker(workerId),
     });
   }
 
-  /** Serves the connection of another dispatcher until it ends. */
-  accept(connection: Connection): void {
-    this.#links.accept(connection);
-  }
-
   /** Requests capacity. False without a coordinator that can grant it. */
   request(requested: RequestedTasks): boolean {
     return this.#client.request(requested);
@@ -104,17 +84,10 @@
 
   close(): void {
     this.#coordinator.close();
-    this.#links.close();
-  }
-
-  #coordinates({ coordination }: KnownWorker): boolean {
-    return coordination.coordinator === this.#dispatcherId;
   }
 
-  #handleRequest(
-    dispatcher: DispatcherId,
-    message: ToCoordinatorMessage,
-  ): void {
+  /** Handles a message of a dispatcher to the coordinator at this one. */
+  handleRequest(dispatcher: DispatcherId, message: ToCoordinatorMessage): void {
     switch (message.kind) {
       case ToCoordinatorKind.Request:
         this.#coordinator.request(dispatcher, message.request);
@@ -127,4 +100,25 @@
         return;
     }
   }
+
+  /** Drops the requests of a dispatcher whose session has ended. */
+  dropRequester(dispatcher: DispatcherId): void {
+    this.#coordinator.dropDispatcher(dispatcher);
+  }
+
+  handleAnswer(
+    coordinator: DispatcherId,
+    message: FromCoordinatorMessage,
+  ): void {
+    this.#client.handle(coordinator, message);
+  }
+
+  /** Places the tasks of the requests at a coordinator that cannot be reached. */
+  coordinatorLost(coordinator: DispatcherId): void {
+    this.#client.coordinatorLost(coordinator);
+  }
+
+  #coordinates({ coordination }: KnownWorker): boolean {
+    return coordination.coordinator === this.#dispatcherId;
+  }
 }
--- a/packages/transient-jobs/src/transient-job.ts
+++ b/packages/transient-jobs/src/transient-job.ts
@@ -45,8 +45,10 @@
   Failed = 'failed',
   /** No task was started, and none will be. */
   Refused = 'refused',
-  /** All callers have disconnected, or one of them cancelled the job. */
+  /** All callers have disconnected. */
   Abandoned = 'abandoned',
+  /** A caller cancelled the job. */
+  Cancelled = 'cancelled',
   /** The dispatcher gave the job up while tasks may have run; the caller may submit the job again. */
   GivenUp = 'given-up',
   /** The deadline of the caller passed. */
@@ -64,5 +66,6 @@
       readonly retryAfterMilliseconds: Milliseconds | undefined;
     }
   | { readonly kind: TransientJobEndKind.Abandoned }
+  | { readonly kind: TransientJobEndKind.Cancelled }
   | { readonly kind: TransientJobEndKind.GivenUp; readonly reason: string }
   | { readonly kind: TransientJobEndKind.TimedOut };
--- a/packages/transient-jobs/src/transient-jobs.ts
+++ b/packages/transient-jobs/src/transient-jobs.ts
@@ -1,5 +1,5 @@
 /** Runs transient jobs at one dispatcher: admission, placement, retries and results. */
-import { Counter, Distribution } from '@cranberryturn/metrics';
+import { Counter } from '@cranberryturn/metrics';
 import { sleep } from '@cranberryturn/timers';
 import type { JobId, Milliseconds, RunEnd } from '@cranberryturn/types';
 import { type Connection, defaultRunValidity } from '@cranberryturn/wire';
@@ -7,6 +7,7 @@
 import {
   type ActiveJob,
   type ActiveTask,
+  clearWorker,
   computeCriticalPath,
   createActiveJob,
   listTasksBySession,
@@ -16,15 +17,17 @@
 import { recallWaitingTasks } from './recall-waiting-tasks.js';
 import { attachCaller } from './attach-caller.js';
 import {
-  chooseEndCounter,
-  describeJobForLog,
-  createRefusal,
   createEndedJob,
+  createRefusal,
+  describeJobForLog,
+  reportEnd,
   reportRefusal,
 } from './describe-end.js';
+import type { CancelOutcome } from './job-cancels.js';
 import { JobRegistry } from './job-registry.js';
 import { JobStarter } from './job-starter.js';
 import { LoopWatch } from './loop-watch.js';
+import { PeerDispatchers } from './peer-dispatchers.js';
 import { RunTimeEstimates } from './run-time-estimates.js';
 import { RunTracker } from './run-tracker.js';
 import type { SessionNumber } from './sidecar-session.js';
@@ -55,6 +58,7 @@
   readonly #containment: CrashContainment;
   readonly #estimates = new RunTimeEstimates();
   readonly #placer: TaskPlacer;
+  readonly #peers: PeerDispatchers;
   readonly #starter: JobStarter;
   readonly #loopWatch: LoopWatch;
   #isStopping = false;
@@ -114,8 +118,15 @@
       estimates: this.#estimates,
       containment: this.#containment,
     });
+    this.#peers = new PeerDispatchers({
+      ...options,
+      findSharedQueue: () => this.#starter.sharedQueue,
+      endJob: jobId => this.#endCancelledJob(jobId),
+      hasEndedRecently: jobId => this.#jobs.hasEndedRecently(jobId),
+    });
     this.#starter = new JobStarter({
       ...options,
+      links: this.#peers.links,
       workers: this.workers,
       placer: this.#placer,
       containment: this.#containment,
@@ -140,9 +151,9 @@
     this.workers.accept(connection);
   }
 
-  /** Serves the connection of another dispatcher, which requests capacity, until it ends. */
+  /** Serves the connection of another dispatcher until it ends. */
   acceptDispatcher(connection: Connection): void {
-    this.#starter.acceptDispatcher(connection);
+    this.#peers.links.accept(connection);
   }
 
   /** Whether placement is paused because this process has just resumed from a suspension. */
@@ -162,6 +173,10 @@
     }
     const recentEnd = this.#jobs.findRecentEnd(job.jobId);
     if (recentEnd !== undefined) return createEndedJob(recentEnd);
+    if (this.#peers.cancels.isCancelled(job.jobId))
+      return reportRefusal(this.#options, job, {
+        kind: TransientJobEndKind.Cancelled,
+      });
     const criticalPathMilliseconds = computeCriticalPath(job, declared =>
       this.#placer.estimateRunTime({ job }, declared),
     );
@@ -187,12 +202,9 @@
     return this.#startJob(active, placement);
   }
 
-  /** Cancels a job for all of its callers. False when the job is not in progress here. */
-  cancel(jobId: JobId): boolean {
-    const active = this.#jobs.findActiveJob(jobId);
-    if (active === undefined) return false;
-    this.#endJob(active, { kind: TransientJobEndKind.Abandoned });
-    return true;
+  /** Cancels a job for all of its callers, at whichever dispatcher it is in progress. */
+  cancel(jobId: JobId): Promise<CancelOutcome> {
+    return this.#peers.cancels.cancel(jobId);
   }
 
   /**
@@ -213,6 +225,7 @@
       });
     }
     this.#starter.close();
+    this.#peers.links.close();
     this.#loopWatch.close();
     this.workers.close();
   }
@@ -260,6 +273,13 @@
     else this.#starter.placeTasks(task.job);
   }
 
+  #endCancelledJob(jobId: JobId): boolean {
+    const active = this.#jobs.findActiveJob(jobId);
+    if (active === undefined) return false;
+    this.#endJob(active, { kind: TransientJobEndKind.Cancelled });
+    return true;
+  }
+
   /** Fails a job under one of whose tasks too many workers have crashed. */
   #giveUpCrashedJob(jobId: JobId): void {
     const active = this.#jobs.findActiveJob(jobId);
@@ -278,7 +298,6 @@
 
   #endJob(active: ActiveJob, end: TransientJobEnd): void {
     if (active.end !== undefined) return;
-    const { timers, metrics, logger } = this.#options;
     const { job } = active;
     active.end = end;
     active.expiry?.cancel();
@@ -292,23 +311,7 @@
     for (const [session, taskIds] of listTasksBySession(active)) {
       this.workers.stopRuns(session, { jobId: job.jobId, taskIds });
     }
-    const elapsedMilliseconds = timers.now() - active.admittedAt;
-    metrics.record(
-      Distribution.ResponseMilliseconds,
-      elapsedMilliseconds,
-      job.queue.service,
-    );
-    metrics.count(chooseEndCounter(end));
-    logger.info('job ended', {
-      ...describeJobForLog(job),
-      ...end,
-      elapsedMilliseconds: Math.round(elapsedMilliseconds),
-    });
+    reportEnd(this.#options, active, end);
     active.resolveEnd(end);
   }
 }
-
-function clearWorker(task: ActiveTask): void {
-  task.workerId = undefined;
-  task.sessionNumber = undefined;
-}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -17,6 +17,8 @@
 export * from './messages/control-messages.js';
 export * from './messages/dispatcher-message-checks.js';
 export * from './messages/dispatcher-messages.js';
+export * from './messages/job-cancel-message-checks.js';
+export * from './messages/job-cancel-messages.js';
 export * from './messages/propagation-times.js';
 export * from './messages/run-message-checks.js';
 export * from './messages/run-messages.js';
