Renew often enough that one lost renewal ends no run

Since one order grants 605 ms, a renewal that was lost while replies are waited for 250 ms (a sidecar that has just started, or a busy host) ended all runs of its worker: the next order left 491 ms after it, and 405 ms of the lease were left. The wait of a renewal now follows from the grant (136 ms in place of 200). The fake worker fails a renewal after its wait and the reply timeout, as the port of the platform does; it left out the wait, so that no test could show this.

--- a/packages/wire/src/messages/run-validity.test.ts
+++ b/packages/wire/src/messages/run-validity.test.ts
@@ -3,7 +3,9 @@
 import {
   defaultExecutionBounds,
   deriveRunValidity,
+  certainLeaseShare,
   leaseCheckInterval,
+  lostRenewalMilliseconds,
 } from './run-validity.js';
 
 test('the validity of runs adds up to less than the resend time of callers, and leaves time for stops and heartbeats', t => {
@@ -38,3 +40,11 @@
     }
   }
 });
+
+test('a lease outlasts one lost renewal', t => {
+  const { grantMilliseconds, renewalWaitMilliseconds } = deriveRunValidity(
+    defaultExecutionBounds,
+  );
+  const untilNext = 2 * renewalWaitMilliseconds + lostRenewalMilliseconds;
+  t.true(untilNext <= grantMilliseconds * certainLeaseShare);
+});
--- a/packages/wire/src/messages/run-validity.ts
+++ b/packages/wire/src/messages/run-validity.ts
@@ -51,9 +51,13 @@
 /** Heartbeats within the time for which runs are renewed, so that one or two of them may be late. */
 const heartbeatsPerRenewal = 3;
 
-/** Well below the lease that is left under a dispatcher heard as usual, so that a renewal may be lost. */
 const maximumRenewalWait: Milliseconds = 200;
+const minimumRenewalWait: Milliseconds = 50;
 const renewalsPerLease = 3;
+/** From the end of the wait of a renewal that is lost until the next one arrives: the longest reply timeout, and a question. */
+export const lostRenewalMilliseconds: Milliseconds = 320;
+/** Share of a lease that is certain, as it is computed for a slow clock. */
+export const certainLeaseShare = 0.98;
 
 /** Bounds of a deployment that states none. */
 export const defaultExecutionBounds: ExecutionBounds = {
@@ -75,12 +79,13 @@
     orderMilliseconds -
     stopMilliseconds -
     checksBeforeExpiry * leaseCheckInterval;
+  const grantMilliseconds = Math.max(
+    orderMilliseconds - usualEchoAge,
+    orderMilliseconds * minimumGrantShare,
+  );
   return {
     orderMilliseconds,
-    grantMilliseconds: Math.max(
-      orderMilliseconds - usualEchoAge,
-      orderMilliseconds * minimumGrantShare,
-    ),
+    grantMilliseconds,
     renewalMilliseconds,
     endedMilliseconds,
     heartbeatMilliseconds: Math.min(
@@ -90,10 +95,20 @@
     renewalWaitMilliseconds: Math.min(
       maximumRenewalWait,
       Math.floor(leaseMilliseconds / renewalsPerLease),
+      chooseRenewalWait(grantMilliseconds),
     ),
   };
 }
 
+/** A lease outlasts the renewal that is lost after the one that granted it, where it is long enough for that. */
+function chooseRenewalWait(grantMilliseconds: Milliseconds): Milliseconds {
+  const certain = grantMilliseconds * certainLeaseShare;
+  return Math.max(
+    minimumRenewalWait,
+    Math.floor((certain - lostRenewalMilliseconds) / 2),
+  );
+}
+
 /** Validity of runs with the default bounds. */
 export const defaultRunValidity: RunValidity = deriveRunValidity(
   defaultExecutionBounds,
--- a/packages/worker-gate/src/fakes/fake-worker.ts
+++ b/packages/worker-gate/src/fakes/fake-worker.ts
@@ -281,7 +281,6 @@
               const lost = losses;
               await wait(order.waitMilliseconds);
               if (lost !== losses && order.waitMilliseconds > 0) {
-                await sleep(timers, order.waitMilliseconds);
                 return await failWithTimeout(timers, run.workerId, order);
               }
               if (hasCrashed) return err(createConnectionError(run.workerId));
--- a/packages/worker-gate/src/fakes/worker-errors.ts
+++ b/packages/worker-gate/src/fakes/worker-errors.ts
@@ -8,13 +8,15 @@
 
 const replyTimeoutMilliseconds: Milliseconds = 250;
 
-/** Fails once the reply timeout of the order has passed. */
+/** Fails once the wait of a renewal and the reply timeout of the order have passed. */
 export async function failWithTimeout(
   timers: TimerService,
   peer: string,
-  { replyTimeout = replyTimeoutMilliseconds }: WorkerOrder,
+  order: WorkerOrder & { readonly waitMilliseconds?: Milliseconds },
 ): Promise<Result<never, WorkerCallError>> {
-  await sleep(timers, replyTimeout);
+  const { replyTimeout = replyTimeoutMilliseconds, waitMilliseconds = 0 } =
+    order;
+  await sleep(timers, waitMilliseconds + replyTimeout);
   return err(
     new TimeoutError('The worker did not reply in time.', {
       step: 'call worker',
