Count with the longest lease of a worker whose earlier orders are not known

An executor knew of no lease before its first order. A renewal to an earlier incarnation that the next one carried out, before it had seen the higher fencing token, could give that one a lease of up to hold_max_ms; where that is longer than v, a run started under it.

--- a/packages/wire/src/messages/run-validity.ts
+++ b/packages/wire/src/messages/run-validity.ts
@@ -26,6 +26,8 @@
    * allows, and leases never become shorter; so dispatchers that are heard as usual need not wait for the end of one.
    */
   readonly grantMilliseconds: Milliseconds;
+  /** Longest lease that a worker grants, whatever the deadline of an order. */
+  readonly leaseMilliseconds: Milliseconds;
   /** After this time the sidecar stops the runs of a silent dispatcher, so that it can renew those of the others. */
   readonly renewalMilliseconds: Milliseconds;
   /** After this time, counted from the last stamp received, a dispatcher considers the runs of a silent sidecar ended. */
@@ -86,6 +88,7 @@
   return {
     orderMilliseconds,
     grantMilliseconds,
+    leaseMilliseconds,
     renewalMilliseconds,
     endedMilliseconds,
     heartbeatMilliseconds: Math.min(
--- a/packages/worker-gate/src/keep-lease.ts
+++ b/packages/worker-gate/src/keep-lease.ts
@@ -49,6 +49,7 @@
   /** When the last of the orders sent so far ends, whether it was answered or not. */
   let ordersEndAt = timers.now();
   let latestDeadline = -Infinity;
+  let lastClock = -Infinity;
   /** When the newest order was sent that the worker has replied to. */
   let answeredSentAt = Number.NEGATIVE_INFINITY;
   const replyTimeout = new ReplyTimeout();
@@ -94,6 +95,7 @@
       executor.options.answered();
     }
     recordClock(status.clock, sentAt);
+    lastClock = status.clock;
     if (isStopped) return;
     executor.options.statusReceived(status, fencingToken);
     for (const ended of status.ended) {
@@ -231,6 +233,8 @@
       readStatus: () => renewSafely(0),
       isStopped: () => isStopped,
     });
+    // Orders of another process, or to an earlier incarnation on its clock, may have extended the lease until then.
+    latestDeadline = lastClock + validity.leaseMilliseconds;
     while (!isStopped) {
       await waitForWork();
       // After a lost reply, the worker is asked at once whether it replies.
