--- a/packages/worker-gate/src/log-extensions.ts
+++ b/packages/worker-gate/src/log-extensions.ts
@@ -17,14 +17,14 @@
   worker: TargetId,
 ): (order: OrderValidity) => void {
   let loggedAt: Milliseconds = -Infinity;
-  return ({ deadline, endsAt }) => {
+  return ({ deadline, grantedUntil }) => {
     const now = timers.now();
     if (now - loggedAt < minimumIntervalMilliseconds) return;
     loggedAt = now;
     logger.info('lease extended', {
       worker,
       deadline,
-      endsInMilliseconds: Math.round(endsAt - now),
+      endsInMilliseconds: Math.round(grantedUntil - now),
     });
   };
 }
--- a/packages/worker-gate/src/order-validity.ts
+++ b/packages/worker-gate/src/order-validity.ts
@@ -14,7 +14,9 @@
 export interface OrderValidity {
   /** On the clock of the worker. */
   readonly deadline: Milliseconds;
-  /** On the clock of this process, the time by which the lease that it grants has ended. */
+  /** On the clock of this process, the latest time at which the worker that is known reaches the deadline. */
+  readonly grantedUntil: Milliseconds;
+  /** On the clock of this process, the time by which the lease has ended at any incarnation of the worker. */
   readonly endsAt: Milliseconds;
 }
 
@@ -36,7 +38,7 @@
   if (allowed === undefined || granted === undefined) return undefined;
   return {
     deadline: Math.floor(Math.min(allowed, granted)),
-    // An incarnation that is not known yet reads the deadline on another clock.
+    grantedUntil: Math.min(echo + orderMilliseconds, now + grantMilliseconds),
     endsAt: echo + orderMilliseconds,
   };
 }
--- a/packages/worker-gate/src/run-validity.test.ts
+++ b/packages/worker-gate/src/run-validity.test.ts
@@ -97,6 +97,24 @@
   t.deepEqual(late, []);
 });
 
+test('a run that was held for its echo starts once its dispatcher is heard again', async t => {
+  const fixture = await startWithSlowClock(1, 2);
+  const { timers, worker } = fixture;
+  worker.runMilliseconds = 300;
+  fixture.dispatchers[1]?.place({ jobId: 'live' });
+  await timers.advance(tickMilliseconds);
+  worker.runMilliseconds = longRunMilliseconds;
+  fixture.place({ jobId: 'held' });
+  await timers.advance(tickMilliseconds);
+  fixture.isRenewingLease = false;
+  await timers.advance(335);
+  t.false(worker.activeRuns.has('held.0.0.0'));
+  fixture.isRenewingLease = true;
+  await timers.advance(100);
+  t.true(worker.activeRuns.has('held.0.0.0'));
+  fixture.gate.kill();
+});
+
 test('a lost stop order does not leave a run of a silent dispatcher active beside those of a live one', async t => {
   const fixture = await startSharedWorker();
   t.deepEqual(fixture.listStarts(), ['silent/1', 'live/1']);
--- a/packages/worker-gate/src/start-run.ts
+++ b/packages/worker-gate/src/start-run.ts
@@ -77,7 +77,7 @@
 function logStart(
   { options: { logger }, worker }: WorkerExecutor,
   run: ActiveRun,
-  { deadline, endsAt }: OrderValidity,
+  { deadline, grantedUntil }: OrderValidity,
   now: Milliseconds,
 ): void {
   logger.info('start order sent', {
@@ -88,7 +88,7 @@
     worker: worker.workerId,
     echoAgeMilliseconds: Math.round(now - run.lease.echo),
     deadline,
-    endsInMilliseconds: Math.round(endsAt - now),
+    endsInMilliseconds: Math.round(grantedUntil - now),
     waitedMilliseconds: Math.round(now - run.receivedAt),
   });
 }
--- a/packages/worker-gate/src/worker-clock.ts
+++ b/packages/worker-gate/src/worker-clock.ts
@@ -102,12 +102,6 @@
     );
   }
 
-  /** Whether a deadline can be computed for the stamp. */
-  hasReadingBefore(stamp: Milliseconds): boolean {
-    const [first] = this.#readings;
-    return first !== undefined && first.readAt <= stamp;
-  }
-
   /**
    * Time on the clock of the worker that is reached at most `duration` after `stamp`, a time of this process. Only
    * readings from before the stamp count: had this process been suspended between the stamp and a reading, its clock
