Bound the memory of arriving bodies for the whole process

Clients saw connections break: many bodies at once, in large or tiny chunks, unfinished or far over the limit, ended processes, which ran out of memory or exceeded that of their machine by a multiple.

Cause: a body was collected whole, chunk by chunk, before its size was compared with a limit, or with none at control and the sidecar. A chunk of one byte costs some hundred bytes until the body is joined, and nothing bounded all bodies of a process together.

Each listener now receives bodies itself, in one buffer, before it passes the request on. It refuses a body over the limit when that is announced, before the client is told to go on, or on the byte above the limit. A refused request was not passed on, so "has not run" is true. The dispatcher's own body limit is replaced by this, and its table of jobs shares the bound; the test of that limit moved to the listener.

--- a/packages/dispatcher/src/callers/handle-caller-requests.ts
+++ b/packages/dispatcher/src/callers/handle-caller-requests.ts
@@ -4,10 +4,14 @@
 import type {
   ClusterConfiguration,
   JobId,
+  JobRequest,
   JobResult,
   TeamName,
 } from '@cranberryturn/types';
+import { holdForWork } from '@cranberryturn/program';
+import type { HttpBindings } from '@hono/node-server';
 import type { Context } from 'hono';
+import { err, type Result } from 'neverthrow';
 
 import type { JobService } from '../job-service.js';
 import {
@@ -30,6 +34,8 @@
 
 /** Dependencies of the handlers. */
 export interface CallerRequestOptions {
+  /** Maximum size of a body. */
+  readonly bodyBytes: number;
   readonly jobs: JobService;
   readonly configuration: () => ClusterConfiguration;
   /** Finds the result of a job at the other dispatchers, and cancels the job there on request. */
@@ -41,10 +47,25 @@
 
 const isBodyReadKey = 'isBodyRead';
 
-async function readBody(context: Context): Promise<string> {
-  const text = await context.req.text();
+/**
+ * Parses the body of a submission, or composes its refusal. The text must not be held while the job is in progress. The
+ * listener has received the body already.
+ */
+async function receiveBody(
+  { bodyBytes }: CallerRequestOptions,
+  context: Context,
+  parse: (text: string) => Result<JobRequest, string>,
+): Promise<Result<JobRequest, CallerResponse>> {
+  // Hono would keep the text that its own method returns.
+  const text = await context.req.raw.text();
   context.set(isBodyReadKey, true);
-  return text;
+  // From here on, the table of jobs counts it.
+  holdForWork((context.env as Partial<HttpBindings> | undefined)?.incoming, 0);
+  if (Buffer.byteLength(text) > bodyBytes)
+    return err(composeTooLargeResponse(bodyBytes));
+  return parse(text).mapErr(reason =>
+    composeRefusal(CallerStatus.BadRequest, reason),
+  );
 }
 
 /** Whether the body arrived whole, after which an error does not mean that nothing was started. */
@@ -58,11 +79,10 @@
   context: Context,
   team: TeamName,
 ): Promise<CallerResponse> {
-  const text = await readBody(context);
-  const job = parseJob(text, composeSubmissionContext(options, context, team));
-  if (job.isErr()) {
-    return composeRefusal(CallerStatus.BadRequest, job.error);
-  }
+  const job = await receiveBody(options, context, text =>
+    parseJob(text, composeSubmissionContext(options, context, team)),
+  );
+  if (job.isErr()) return job.error;
   const outcome = await options.jobs.submitJob(
     job.value,
     chooseRequestId(context),
@@ -79,20 +99,19 @@
   context: Context,
   team: TeamName,
 ): Promise<CallerResponse> {
-  const text = await readBody(context);
   const requestId = chooseRequestId(context);
   const key = context.req.header(idempotencyKeyHeader);
   const isIdempotent = key === undefined;
   const callerJobId = isIdempotent ? randomUUID() : `key:${key}`;
-  const request = parseRequest(
-    text,
-    composeSubmissionContext(options, context, team),
-    callerJobId,
-    isIdempotent,
+  const request = await receiveBody(options, context, text =>
+    parseRequest(
+      text,
+      composeSubmissionContext(options, context, team),
+      callerJobId,
+      isIdempotent,
+    ),
   );
-  if (request.isErr()) {
-    return composeRefusal(CallerStatus.BadRequest, request.error);
-  }
+  if (request.isErr()) return request.error;
   const outcome = isIdempotent
     ? await options.jobs.runRequest(request.value, requestId)
     : await options.jobs.submitJob(request.value, requestId);
@@ -155,6 +174,13 @@
   return context.req.header(requestIdHeader) ?? randomUUID();
 }
 
+function composeTooLargeResponse(bytes: number): CallerResponse {
+  return composeRefusal(
+    CallerStatus.TooLarge,
+    `The body is larger than ${String(bytes)} bytes; split the job.`,
+  );
+}
+
 function composeRunningResponse(): CallerResponse {
   return {
     status: CallerStatus.Ok,
--- a/packages/dispatcher/src/callers/serve-callers.ts
+++ b/packages/dispatcher/src/callers/serve-callers.ts
@@ -28,7 +28,6 @@
   composeRetryAfter,
   composeUnexpectedFailure,
 } from './responses.js';
-import { limitBody } from './limit-body.js';
 
 /** A team of callers, with the digests of its bearer tokens. */
 export interface CallerTeam {
@@ -40,7 +39,6 @@
 export interface ServeCallersOptions extends CallerRequestOptions {
   readonly teams: readonly CallerTeam[];
   readonly metrics: Metrics;
-  readonly bodyBytes: number;
   /** Whether `/readyz` succeeds, so that the load balancer routes callers to this dispatcher. */
   readonly isReady: () => boolean;
 }
@@ -65,12 +63,6 @@
       'content-type': metricsContentType,
     }),
   );
-  app.use(
-    '/v1/*',
-    limitBody(options.bodyBytes, context =>
-      send(context, composeTooLargeResponse(options.bodyBytes)),
-    ),
-  );
   app.post('/v1/services/:service/jobs', context =>
     respondForTeam(context, findTeam, options.metrics, team =>
       submitJob(options, context, team),
@@ -129,13 +121,6 @@
   );
 }
 
-function composeTooLargeResponse(bytes: number): CallerResponse {
-  return composeRefusal(
-    CallerStatus.TooLarge,
-    `The body is larger than ${String(bytes)} bytes; split the job.`,
-  );
-}
-
 function composeUnreadableBodyResponse(message: string): CallerResponse {
   return composeRefusal(
     CallerStatus.BadRequest,
--- a/packages/dispatcher/src/dispatcher-parts.ts
+++ b/packages/dispatcher/src/dispatcher-parts.ts
@@ -1,4 +1,5 @@
 /** Creates the components of a dispatcher and connects them. */
+import type { HeldMemory } from '@cranberryturn/held-memory';
 import { createScheduler, type Scheduler } from '@cranberryturn/scheduling';
 import { defaultSessionTimes } from '@cranberryturn/sessions';
 import { type PauseWatch, watchPauses } from '@cranberryturn/timers';
@@ -34,6 +35,7 @@
 /** Creates the components, which refer to each other. */
 export function createDispatcherParts(
   options: DispatcherOptions,
+  memory: HeldMemory,
 ): DispatcherParts {
   const { timers, network, control, metrics, decisions, self } = options;
   const subsets = new SessionSubsets(control.roster, options.targetsPerService);
@@ -78,6 +80,7 @@
     links,
     targets,
     retention: options.retention,
+    memory,
     isRegistered: () => isRegistered(parts),
     metrics,
     decisions,
--- a/packages/dispatcher/src/job-service.ts
+++ b/packages/dispatcher/src/job-service.ts
@@ -1,4 +1,5 @@
 /** Runs jobs from admission to their result. */
+import type { HeldMemory } from '@cranberryturn/held-memory';
 import {
   digestJobBody,
   type JobEntry,
@@ -65,6 +66,8 @@
   readonly links: DispatcherLinks;
   readonly targets: TargetDirectory;
   readonly retention: ResultRetention;
+  /** Shared with the listeners of the process; by default the limit of `retention`, alone. */
+  readonly memory?: HeldMemory | undefined;
   /** Whether this run is registered at control, through which other dispatchers find the owner of a job. */
   readonly isRegistered: () => boolean;
   readonly metrics: Metrics;
--- a/packages/dispatcher/src/open-jobs.ts
+++ b/packages/dispatcher/src/open-jobs.ts
@@ -1,4 +1,5 @@
 /** The jobs that a dispatcher knows: those being claimed, running ones, and kept results. */
+import type { HeldMemory } from '@cranberryturn/held-memory';
 import {
   type JobEntry,
   JobTable,
@@ -23,6 +24,8 @@
   readonly timers: TimerService;
   readonly control: ControlPort;
   readonly retention: ResultRetention;
+  /** Shared with the listeners of the process; by default the limit of `retention`, alone. */
+  readonly memory?: HeldMemory | undefined;
   readonly reporter: JobReporter;
   readonly pauses: Pick<PauseWatch, 'hasPausedSince'>;
 }
@@ -37,7 +40,11 @@
 
   constructor(options: OpenJobsOptions) {
     this.#options = options;
-    this.#table = new JobTable(options.timers, options.retention);
+    this.#table = new JobTable(
+      options.timers,
+      options.retention,
+      options.memory,
+    );
   }
 
   /** Number of jobs without a result. */
--- a/packages/dispatcher/src/start-dispatcher-role.ts
+++ b/packages/dispatcher/src/start-dispatcher-role.ts
@@ -127,7 +127,6 @@
     () => targets.acceptor.sessions().length,
   );
   metrics.registerGauge(Gauge.JobsOpen, () => jobs.inFlight);
-  metrics.registerGauge(Gauge.HeldBytes, () => jobs.heldBytes);
   metrics.registerGauge(
     Gauge.TasksQueued,
     () => scheduler.status().queuedTasks,
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -1,6 +1,10 @@
 /** Starts and stops a dispatcher. */
 import type { CranberryError } from '@cranberryturn/errors';
-import { type HttpListener, listenForHttp } from '@cranberryturn/program';
+import {
+  createIntake,
+  type HttpListener,
+  listenForHttp,
+} from '@cranberryturn/program';
 import type { Scheduler } from '@cranberryturn/scheduling';
 import { sleep } from '@cranberryturn/timers';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
@@ -31,6 +35,7 @@
 import type { TargetDirectory } from './target-directory.js';
 
 const drainPollMilliseconds: Milliseconds = 20;
+const tooLargeAdvice = 'split the job';
 const defaultGraceMilliseconds: Milliseconds = 60_000;
 
 /** A running dispatcher. */
@@ -58,7 +63,14 @@
 async function start(
   options: DispatcherOptions,
 ): Promise<Result<Dispatcher, CranberryError>> {
-  const parts = createDispatcherParts(options);
+  const { limits, retention } = options;
+  const intake = createIntake({
+    ...options,
+    limits: {
+      heldBytes: retention.heldBytes ?? Infinity,
+    },
+  });
+  const parts = createDispatcherParts(options, intake.held);
   const peers = await options.network.listen(options.peers, connection => {
     routeConnection(parts, connection);
   });
@@ -69,7 +81,7 @@
       jobs: parts.jobs,
       teams: options.teams,
       metrics: options.metrics,
-      bodyBytes: options.limits.bodyBytes,
+      bodyBytes: limits.bodyBytes,
       configuration: () => options.control.configuration.current(),
       findElsewhere: (jobId, cancel) =>
         findResultElsewhere(
@@ -81,8 +93,11 @@
       isReady: () => isReady && isRegistered(parts),
     }),
     address: options.callers,
-    bodyTimeoutMilliseconds: options.limits.bodyTimeoutMilliseconds,
-    connections: options.limits.callersConnections,
+    bodyTimeoutMilliseconds: limits.bodyTimeoutMilliseconds,
+    connections: limits.callersConnections,
+    bodyBytes: () => limits.bodyBytes,
+    tooLargeAdvice,
+    intake,
   });
   if (callers.isErr()) {
     await peers.value.close();
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -1,4 +1,5 @@
 /** Holds the jobs of one dispatcher: those in flight, and results kept for resubmissions. */
+import { HeldMemory, type Reservation } from '@cranberryturn/held-memory';
 import type { TimerService } from '@cranberryturn/timers';
 import {
   type BodyDigest,
@@ -7,7 +8,7 @@
   type Milliseconds,
 } from '@cranberryturn/types';
 
-import { HeldBytes, measureResultSize } from './held-bytes.js';
+import { measureResultSize } from './measure-sizes.js';
 
 /** Limits on the results that are kept, and on all that is held. */
 export interface ResultRetention {
@@ -43,24 +44,31 @@
   readonly #entries = new Map<JobId, StoredEntry>();
   /** Finished entries, oldest first. */
   readonly #finished = new Set<StoredEntry>();
-  readonly #held: HeldBytes;
+  readonly #memory: HeldMemory;
+  readonly #held: Reservation;
   #resultBytes = 0;
 
-  constructor(timers: TimerService, retention: ResultRetention) {
+  /** `memory` is shared with the listeners of the process. */
+  constructor(
+    timers: TimerService,
+    retention: ResultRetention,
+    memory = new HeldMemory(retention.heldBytes ?? Infinity),
+  ) {
     this.#timers = timers;
     this.#retention = retention;
-    this.#held = new HeldBytes(retention.heldBytes ?? Infinity);
+    this.#memory = memory;
+    this.#held = memory.reservePinned();
   }
 
   /** Size of the bodies of jobs in flight and of all answers, in UTF-16 code units. */
   get heldBytes(): number {
-    return this.#held.held;
+    return this.#held.bytes;
   }
 
   /** Whether a body of this size stays within the limit of held bytes. */
   hasRoomFor(bodyBytes: number): boolean {
     this.#evictOldResults();
-    return this.#held.hasRoomFor(bodyBytes);
+    return this.#memory.hasRoomFor(bodyBytes);
   }
 
   find(jobId: JobId): JobEntry | undefined {
@@ -87,7 +95,7 @@
       finishedAt: 0,
       bytes: bodyBytes,
     };
-    this.#held.add(bodyBytes);
+    this.#addBytes(bodyBytes);
     this.#entries.set(jobId, entry);
     return entry;
   }
@@ -117,7 +125,7 @@
     const entry = this.#entries.get(jobId);
     if (entry === undefined) return;
     this.#entries.delete(jobId);
-    this.#held.release(entry.bytes);
+    this.#addBytes(-entry.bytes);
     entry.resolve(result);
   }
 
@@ -129,12 +137,16 @@
       this.#finished.delete(entry);
       this.#entries.delete(entry.jobId);
       this.#resultBytes -= entry.bytes;
-      this.#held.release(entry.bytes);
+      this.#addBytes(-entry.bytes);
     }
   }
 
   #resize(entry: StoredEntry, bytes: number): void {
-    this.#held.add(bytes - entry.bytes);
+    this.#addBytes(bytes - entry.bytes);
     entry.bytes = bytes;
   }
+
+  #addBytes(bytes: number): void {
+    this.#held.record(this.#held.bytes + bytes);
+  }
 }
--- a/packages/jobs/src/held-bytes.ts
+++ b/packages/jobs/src/measure-sizes.ts
@@ -1,34 +1,7 @@
-/** Counts the size of the bodies and answers that a dispatcher holds. */
+/** Measures the bodies and answers that a dispatcher holds. */
 import type { JobRequest, JobResult } from '@cranberryturn/types';
 import { JobOutcome } from '@cranberryturn/types';
 
-/** Counts held bytes against a limit, which the caller checks before adding. */
-export class HeldBytes {
-  readonly #limit: number;
-  #held = 0;
-
-  constructor(limit: number) {
-    this.#limit = limit;
-  }
-
-  get held(): number {
-    return this.#held;
-  }
-
-  /** Whether this many more bytes stay within the limit. */
-  hasRoomFor(bytes: number): boolean {
-    return this.#held + bytes <= this.#limit;
-  }
-
-  add(bytes: number): void {
-    this.#held += bytes;
-  }
-
-  release(bytes: number): void {
-    this.#held -= bytes;
-  }
-}
-
 /** Measures a submitted body in UTF-16 code units, as the strings are held. */
 export function measureRequestSize(request: JobRequest): number {
   return request.tasks.reduce(
--- a/packages/local/src/every-metric.test.ts
+++ b/packages/local/src/every-metric.test.ts
@@ -17,6 +17,7 @@
 import { request } from 'undici';
 
 import { MeasuredSystem } from './fakes/measured-system.js';
+import { composeRequestHead, openRawCaller } from './fakes/raw-caller.js';
 import {
   getCallersAddress,
   composeJob,
@@ -92,12 +93,18 @@
     tasks: [{ taskId: 'a', payload: 1, declared: { processors: 4_000 } }],
   });
   await submitJob({ ...system, tokens: {} }, composeJob('no token'));
+  const tooLarge = openRawCaller(
+    getCallersAddress(system),
+    composeRequestHead(jobsPath, undefined, Number.MAX_SAFE_INTEGER),
+  );
+  t.is((await tooLarge.reply).status, 413);
   await measuredSystem.waitForMetrics(
     Counter.JobsCompleted,
     Counter.JobsJoined,
     Counter.JobsFailed,
     Counter.JobsRefused,
     Counter.TokensRefused,
+    Counter.CallersRefused,
     Counter.ElectionsStarted,
     Distribution.SyncMilliseconds,
     Gauge.AnswersHeldBytes,
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -57,6 +57,8 @@
   CapacityGrantsExpired = 'capacity_grants_expired',
   /** Requests for capacity that their coordinator did not answer in time; their tasks were placed by load reports. */
   CapacityRequestsUnanswered = 'capacity_requests_unanswered',
+  /** Requests refused, and connections closed, at the limits on what callers can make a process hold. */
+  CallersRefused = 'callers_refused',
 }
 
 /** Kinds of messages that did no useful work. */
@@ -86,7 +88,7 @@
   TargetsKnown = 'targets_known',
   TargetsEjectedNow = 'targets_ejected_now',
   AnswersHeldBytes = 'answers_held_bytes',
-  /** Total size of the request bodies in flight and the answers that a dispatcher keeps. */
+  /** Memory held for callers: arriving bodies, requests in progress, responses that are not read yet, kept answers. */
   HeldBytes = 'held_bytes',
   ConfigurationVersion = 'configuration_version',
   LogIndex = 'log_index',
--- a/packages/program/src/adapters/early-listener.test.ts
+++ b/packages/program/src/adapters/early-listener.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 import { Hono } from 'hono';
 
+import { createTestIntake } from '../fakes/create-test-intake.js';
 import {
   type HeldAddress,
   holdLoopbackAddress,
@@ -21,6 +22,8 @@
     address: { address, port },
     bodyTimeoutMilliseconds: 5_000,
     connections: 10,
+    bodyBytes: () => 1_000,
+    intake: createTestIntake(),
     earlyListener,
   });
 }
--- a/packages/program/src/adapters/http-listener.ts
+++ b/packages/program/src/adapters/http-listener.ts
@@ -1,13 +1,18 @@
 /** HTTP listener on the server of Node.js. */
-import type { Server } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
 import { ConnectionError } from '@cranberryturn/errors';
 import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
 import { formatAddress } from '@cranberryturn/wire';
-import { createAdaptorServer } from '@hono/node-server';
+import { getRequestListener } from '@hono/node-server';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 
+import type { Intake } from '../intake/intake.js';
+import {
+  type HandleRequest,
+  receiveRequests,
+} from '../intake/receive-requests.js';
 import type { EarlyListener } from './early-listener.js';
 import { refuseUnreadableRequests } from './refuse-unreadable-requests.js';
 
@@ -24,6 +29,12 @@
   readonly bodyTimeoutMilliseconds: Milliseconds;
   /** Maximum number of concurrent connections; further ones are closed. */
   readonly connections: number;
+  /** Returns the maximum size of a request body. */
+  readonly bodyBytes: () => number;
+  /** What a caller can do about a body that is too large. */
+  readonly tooLargeAdvice?: string | undefined;
+  /** Limits that all listeners of the process share. */
+  readonly intake: Intake;
   /** Port that was opened while the program loaded; replaces opening `address`. */
   readonly earlyListener?: EarlyListener | undefined;
 }
@@ -48,18 +59,20 @@
 function listen(
   options: HttpListenerOptions,
 ): Promise<Result<HttpListener, ConnectionError>> {
-  const { app, address, bodyTimeoutMilliseconds, connections, earlyListener } =
-    options;
+  const { app, address, bodyTimeoutMilliseconds, earlyListener } = options;
   return new Promise(resolve => {
-    const server = createAdaptorServer({
-      fetch: (request, bindings) => app.fetch(request, bindings),
-      serverOptions: {
-        requestTimeout: bodyTimeoutMilliseconds,
-        headersTimeout: bodyTimeoutMilliseconds,
-        connectionsCheckingInterval: bodyTimeoutMilliseconds / 4,
-      },
-    }) as Server;
-    server.maxConnections = connections;
+    const server = createServer({
+      requestTimeout: bodyTimeoutMilliseconds,
+      headersTimeout: bodyTimeoutMilliseconds,
+      connectionsCheckingInterval: bodyTimeoutMilliseconds / 4,
+    });
+    receiveRequests(server, {
+      ...options,
+      handle: getRequestListener((request, bindings) =>
+        app.fetch(request, bindings),
+      ) as HandleRequest,
+    });
+    server.maxConnections = options.connections;
     refuseUnreadableRequests(server);
     // The listener stays: an accept that fails later, for lack of file descriptors, must not end the process.
     server.on('error', cause => {
--- a/packages/program/src/adapters/refuse-unreadable-requests.ts
+++ b/packages/program/src/adapters/refuse-unreadable-requests.ts
@@ -2,16 +2,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { composeResponse, type Refusal } from '../intake/refuse-request.js';
+
 /** Error that Node.js reports for a request that it cannot read. */
 interface RequestReadError extends Error {
   readonly code?: string;
 }
 
-interface Refusal {
-  readonly status: string;
-  readonly reason: string;
-}
-
 /** Requests of each connection whose response is not finished. */
 type UnansweredRequests = WeakMap<Socket, Set<IncomingMessage>>;
 
@@ -77,15 +74,3 @@
     reason: `The request is not valid HTTP/1.1: ${message}`,
   };
 }
-
-function composeResponse({ status, reason }: Refusal): string {
-  const body = JSON.stringify({ outcome: 'failed', reason, started: 'no' });
-  return [
-    `HTTP/1.1 ${status}`,
-    'content-type: application/json',
-    `content-length: ${String(Buffer.byteLength(body))}`,
-    'connection: close',
-    '',
-    body,
-  ].join('\r\n');
-}
--- /dev/null
+++ b/packages/program/src/intake/caller-connection.ts
@@ -0,0 +1,187 @@
+/** One connection of a caller: its requests, the memory that it holds, and whether it can give way. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { Reservation } from '@cranberryturn/held-memory';
+
+import { type Intake, IntakeRefusal } from './intake.js';
+import { type Refusal, refuseRequest } from './refuse-request.js';
+
+/** What the process does for a request. */
+enum RequestState {
+  /** The body arrives. */
+  Receiving,
+  /** The app has the whole request and has not ended the response. */
+  InProgress,
+}
+
+/** A request whose response is not finished. */
+export interface CallerRequest {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly headBytes: number;
+  state: RequestState;
+  /** Memory that the connection holds for the request. */
+  bytes: number;
+  /** Ends the reception of the body. */
+  stopReceiving: () => void;
+}
+
+/** Refusal of a single request, with a response. */
+export type RequestRefusal =
+  | {
+      readonly kind: IntakeRefusal.BodyTooLarge;
+      /** What is wrong, and what the caller can do. */
+      readonly reason: string;
+    }
+  | { readonly kind: IntakeRefusal.BodyGaveWay | IntakeRefusal.NoMemory };
+
+/** A connection gives way unless it only waits for the app: ordinary callers send whole requests, one after the other. */
+export class CallerConnection {
+  readonly socket: Socket;
+  readonly #intake: Intake;
+  readonly #reservation: Reservation;
+  readonly #requests = new Set<CallerRequest>();
+  #isYielding = false;
+  #isClosing = false;
+
+  constructor(socket: Socket, intake: Intake) {
+    this.socket = socket;
+    this.#intake = intake;
+    this.#reservation = intake.held.reserve(() => {
+      this.#giveWay();
+    });
+    this.#reservation.pin();
+    socket.once('close', () => {
+      this.#end();
+    });
+  }
+
+  /** Whether requests are read no further. */
+  get isClosing(): boolean {
+    return this.#isClosing || this.socket.destroyed;
+  }
+
+  /** Adds a request that begins to arrive; undefined when it was refused. */
+  beginRequest(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    headBytes: number,
+  ): CallerRequest | undefined {
+    const request: CallerRequest = {
+      incoming,
+      outgoing,
+      headBytes,
+      state: RequestState.Receiving,
+      bytes: 0,
+      stopReceiving: () => undefined,
+    };
+    this.#requests.add(request);
+    outgoing.once('close', () => {
+      this.#endRequest(request);
+    });
+    this.#update();
+    if (this.resizeRequest(request, headBytes)) return request;
+    this.refuse({ kind: IntakeRefusal.NoMemory });
+    return undefined;
+  }
+
+  /** Changes the memory that the request holds; false when there is no room. */
+  resizeRequest(request: CallerRequest, bytes: number): boolean {
+    if (this.#isClosing) return false;
+    const total = this.#reservation.bytes + bytes - request.bytes;
+    if (!this.#reservation.resize(total)) return false;
+    request.bytes = bytes;
+    return true;
+  }
+
+  /** The whole request has arrived. */
+  beginWork(request: CallerRequest): void {
+    request.state = RequestState.InProgress;
+    this.#update();
+  }
+
+  /** Refuses a request of which nothing was done, and closes the connection. */
+  refuse(refusal: RequestRefusal): void {
+    const description = describeRefusal(refusal);
+    // A caller would mistake the refusal for the response to an earlier request.
+    const [request, ...others] = this.#requests;
+    if (request === undefined || others.length > 0) {
+      this.#close(refusal.kind);
+      return;
+    }
+    if (this.isClosing) return;
+    this.#intake.report(refusal.kind);
+    this.#isClosing = true;
+    this.#releaseAll();
+    refuseRequest(request.incoming, description, this.#intake.timers);
+  }
+
+  #giveWay(): void {
+    this.refuse({ kind: IntakeRefusal.BodyGaveWay });
+  }
+
+  #close(refusal: IntakeRefusal): void {
+    if (this.socket.destroyed) return;
+    if (!this.#isClosing) this.#intake.report(refusal);
+    this.#isClosing = true;
+    this.#releaseAll();
+    this.socket.destroy();
+  }
+
+  #endRequest(request: CallerRequest): void {
+    if (!this.#requests.delete(request)) return;
+    this.#reservation.record(this.#reservation.bytes - request.bytes);
+    this.#update();
+  }
+
+  #isReceiving(): boolean {
+    for (const { state } of this.#requests)
+      if (state === RequestState.Receiving) return true;
+    return false;
+  }
+
+  /** Whether all unanswered requests are whole, and the app works on one of them. */
+  #waitsForApp(): boolean {
+    if (this.#isReceiving()) return false;
+    for (const { state } of this.#requests)
+      if (state === RequestState.InProgress) return true;
+    return false;
+  }
+
+  #update(): void {
+    if (this.#isClosing) return;
+    const waitsForApp = this.#waitsForApp();
+    const isYielding = !waitsForApp && this.#requests.size > 0;
+    if (isYielding !== this.#isYielding) {
+      this.#isYielding = isYielding;
+      if (isYielding) this.#reservation.unpin();
+      else this.#reservation.pin();
+    }
+  }
+
+  #releaseAll(): void {
+    this.#reservation.release();
+    for (const { stopReceiving } of this.#requests) stopReceiving();
+    this.#requests.clear();
+  }
+
+  #end(): void {
+    this.#isClosing = true;
+    this.#releaseAll();
+  }
+}
+
+function describeRefusal(refusal: RequestRefusal): Refusal {
+  switch (refusal.kind) {
+    case IntakeRefusal.BodyTooLarge:
+      return { status: '413 Content Too Large', reason: refusal.reason };
+    case IntakeRefusal.BodyGaveWay:
+    case IntakeRefusal.NoMemory:
+      return {
+        status: '503 Service Unavailable',
+        reason: 'This process holds as much as it may; send the request again.',
+        retryAfterSeconds: 1,
+      };
+  }
+}
--- a/packages/program/src/serve-operations.ts
+++ b/packages/program/src/serve-operations.ts
@@ -6,16 +6,19 @@
 import type { ResultAsync } from 'neverthrow';
 
 import { type HttpListener, listenForHttp } from './adapters/http-listener.js';
+import type { Intake } from './intake/intake.js';
 
 const httpStatusOk = 200;
 const httpStatusServiceUnavailable = 503;
 const requestTimeoutMilliseconds: Milliseconds = 5_000;
 const maximumConnections = 64;
+const maximumBodyBytes = 1_024;
 
 /** Address and data sources of the operations interface. */
 export interface OperationsOptions {
   readonly address: NetworkAddress;
   readonly metrics: Metrics;
+  readonly intake: Intake;
   /** Whether the role accepts work; must turn false at the beginning of a planned stop. */
   readonly isReady: () => boolean;
 }
@@ -43,5 +46,7 @@
     address: options.address,
     bodyTimeoutMilliseconds: requestTimeoutMilliseconds,
     connections: maximumConnections,
+    bodyBytes: () => maximumBodyBytes,
+    intake: options.intake,
   });
 }
--- a/packages/settings/src/schemas/dispatcher-settings.ts
+++ b/packages/settings/src/schemas/dispatcher-settings.ts
@@ -5,6 +5,7 @@
   advertisedListenAddressSchema,
   controlPeerSchema,
   heartbeatSchema,
+  heldBytesSchema,
   listenAddressSchema,
   logSchema,
   nameSchema,
@@ -32,12 +33,8 @@
     bodyTimeoutMilliseconds: z.int().min(100).max(600_000).default(10_000),
     /** Maximum number of concurrent connections of callers. */
     callersConnections: z.int().min(1).max(100_000).default(4_096),
-    /** Maximum total size of the admitted request bodies and kept answers in memory. */
-    heldBytes: z
-      .int()
-      .min(bytesPerMebibyte)
-      .max(16_384 * bytesPerMebibyte)
-      .default(256 * bytesPerMebibyte),
+    /** Maximum total size of arriving and admitted bodies, unread responses and kept answers in memory. */
+    heldBytes: heldBytesSchema.default(256 * bytesPerMebibyte),
   })
   .prefault({});
 
--- a/packages/settings/src/schemas/shared.ts
+++ b/packages/settings/src/schemas/shared.ts
@@ -111,6 +111,12 @@
 /** Validated log settings, with defaults filled in. */
 export type LogSettings = z.output<typeof logSchema>;
 
+/** Memory that callers can make a process hold. */
+export const heldBytesSchema = z
+  .int()
+  .min(bytesPerMebibyte)
+  .max(16_384 * bytesPerMebibyte);
+
 /** Maximum age and total size of the answers kept after their tasks finished. */
 export const retentionSchema = z
   .strictObject({
--- a/packages/sidecar/src/start-sidecar-role.ts
+++ b/packages/sidecar/src/start-sidecar-role.ts
@@ -9,6 +9,8 @@
   registerWastedSessionMessages,
   type RoleEnvironment,
   type RunningRole,
+  createIntake,
+  operationsLimits,
   serveOperations,
 } from '@cranberryturn/program';
 import { createRandomSource } from '@cranberryturn/random';
@@ -127,7 +129,18 @@
 ): ResultAsync<RunningRole, CranberryError> {
   let isStopping = false;
   const isReady = (): boolean => !isStopping && sidecar.sessions().length > 0;
-  return serveOperations({ address: settings.operations, metrics, isReady })
+  const intake = createIntake({
+    timers,
+    logger,
+    metrics,
+    limits: operationsLimits,
+  });
+  return serveOperations({
+    address: settings.operations,
+    metrics,
+    intake,
+    isReady,
+  })
     .map(operations => ({
       addresses: { operations: operations.address },
       stop: async () => {
