Close connections with many unanswered requests

A client that sent thousands of small requests on each of 20 connections without waiting for responses ended a dispatcher: each became a job at once, as nothing limits how many requests of a connection are in progress, and the HTTP server only pauses for responses that are written.

A connection may have 64 unanswered requests by default (requestsPerConnection); one more closes it. Its client sees a broken connection, which promises nothing about the requests before.

--- a/packages/dispatcher/src/dispatcher-options.ts
+++ b/packages/dispatcher/src/dispatcher-options.ts
@@ -22,6 +22,8 @@
   readonly bodyBytes: number;
   readonly bodyTimeoutMilliseconds: Milliseconds;
   readonly callersConnections: number;
+  /** Requests of one connection that may wait for their responses at the same time; 64 when undefined. */
+  readonly requestsPerConnection?: number | undefined;
 }
 
 /** Dependencies and settings of a dispatcher. */
--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -2,6 +2,7 @@
 import type { CranberryError } from '@cranberryturn/errors';
 import {
   createIntake,
+  defaultRequestsPerConnection,
   type HttpListener,
   listenForHttp,
 } from '@cranberryturn/program';
@@ -68,6 +69,8 @@
     ...options,
     limits: {
       heldBytes: retention.heldBytes ?? Infinity,
+      requestsPerConnection:
+        limits.requestsPerConnection ?? defaultRequestsPerConnection,
     },
   });
   const parts = createDispatcherParts(options, intake.held);
--- a/packages/program/src/intake/caller-connection.ts
+++ b/packages/program/src/intake/caller-connection.ts
@@ -68,6 +68,10 @@
     outgoing: ServerResponse,
     headBytes: number,
   ): CallerRequest | undefined {
+    if (this.#requests.size >= this.#intake.limits.requestsPerConnection) {
+      this.#close(IntakeRefusal.TooManyRequests);
+      return undefined;
+    }
     const request: CallerRequest = {
       incoming,
       outgoing,
--- a/packages/program/src/intake/intake-limits.ts
+++ b/packages/program/src/intake/intake-limits.ts
@@ -6,6 +6,8 @@
 export interface IntakeLimits {
   /** Bound for bodies that arrive, requests in progress and responses that are not sent yet. */
   readonly heldBytes: number;
+  /** Requests of one connection that may wait for their responses at the same time; one more closes it. */
+  readonly requestsPerConnection: number;
 }
 
 /** Limits of a listener for callers and of its process. */
@@ -13,6 +15,8 @@
   readonly connections: number;
 }
 
+export const defaultRequestsPerConnection = 64;
+
 /** Resident memory of a process without load (100 MiB), and what the garbage collector leaves for a while. */
 const processBytes = 140 * bytesPerMebibyte;
 /** Of the rest, a share each for held memory and for connections; the remainder is for work and garbage. */
@@ -44,10 +48,12 @@
       Math.max(minimumHeldBytes, Math.floor(shareBytes)),
     ),
     connections: Math.max(1, connections),
+    requestsPerConnection: defaultRequestsPerConnection,
   };
 }
 
 /** Limits of a process that serves only its operations. */
 export const operationsLimits: IntakeLimits = {
   heldBytes: minimumHeldBytes,
+  requestsPerConnection: defaultRequestsPerConnection,
 };
--- a/packages/program/src/intake/intake.ts
+++ b/packages/program/src/intake/intake.ts
@@ -22,6 +22,8 @@
   BodyGaveWay = 'body-gave-way',
   /** Requests in progress hold all memory. */
   NoMemory = 'no-memory',
+  /** More requests of one connection waited for responses than allowed. */
+  TooManyRequests = 'too-many-requests',
 }
 
 /** Limits and reports of one process. */
--- a/packages/program/src/intake/receive-requests.test.ts
+++ b/packages/program/src/intake/receive-requests.test.ts
@@ -148,6 +148,17 @@
   t.is(intake.countRefused(), 0);
 });
 
+test('a connection with too many unanswered requests is closed, and others are served', async t => {
+  const { intake, open, isServed } = await serve(t, {
+    requestsPerConnection: 3,
+  });
+  const socket = open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(4));
+  t.is(await text(socket).catch(() => ''), '');
+  t.is(intake.countRefused(), 1);
+  t.true(await isServed());
+  t.is(intake.held.bytes, 0);
+});
+
 test('a process logs one line a second, with the number of callers by reason', async t => {
   const timers = createManualTimerService();
   const lines: object[] = [];
--- a/packages/settings/src/schemas/dispatcher-settings.ts
+++ b/packages/settings/src/schemas/dispatcher-settings.ts
@@ -10,6 +10,7 @@
   logSchema,
   nameSchema,
   pathSchema,
+  requestsPerConnectionSchema,
   retentionSchema,
   seedSchema,
   stopSchema,
@@ -33,6 +34,8 @@
     bodyTimeoutMilliseconds: z.int().min(100).max(600_000).default(10_000),
     /** Maximum number of concurrent connections of callers. */
     callersConnections: z.int().min(1).max(100_000).default(4_096),
+    /** Requests of one connection that may wait for their responses at the same time. */
+    requestsPerConnection: requestsPerConnectionSchema,
     /** Maximum total size of arriving and admitted bodies, unread responses and kept answers in memory. */
     heldBytes: heldBytesSchema.default(256 * bytesPerMebibyte),
   })
--- a/packages/settings/src/schemas/shared.ts
+++ b/packages/settings/src/schemas/shared.ts
@@ -111,6 +111,13 @@
 /** Validated log settings, with defaults filled in. */
 export type LogSettings = z.output<typeof logSchema>;
 
+/** Requests of one connection that may wait for their responses at the same time; one more closes it. */
+export const requestsPerConnectionSchema = z
+  .int()
+  .min(1)
+  .max(10_000)
+  .default(64);
+
 /** Memory that callers can make a process hold. */
 export const heldBytesSchema = z
   .int()
