Give up responses that nobody reads

A client that sent 20,000 requests on each of 20 connections and read no response ended a dispatcher, and control held more than its machine has: responses waited without bound for a client that does not read.

A response that the system has not taken counts as held memory once the app has ended it. It gives way like an unfinished body, and its connection is closed after 30 s. What the system has taken at once, as an ordinary response, costs nothing.

--- a/packages/dispatcher/src/start-dispatcher.ts
+++ b/packages/dispatcher/src/start-dispatcher.ts
@@ -3,6 +3,7 @@
 import {
   createIntake,
   defaultRequestsPerConnection,
+  defaultResponseTimeout,
   type HttpListener,
   listenForHttp,
 } from '@cranberryturn/program';
@@ -71,6 +72,7 @@
       heldBytes: retention.heldBytes ?? Infinity,
       requestsPerConnection:
         limits.requestsPerConnection ?? defaultRequestsPerConnection,
+      responseTimeoutMilliseconds: defaultResponseTimeout,
     },
   });
   const parts = createDispatcherParts(options, intake.held);
--- a/packages/program/src/intake/caller-connection.ts
+++ b/packages/program/src/intake/caller-connection.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 
 import type { Reservation } from '@cranberryturn/held-memory';
+import type { TimerSubscription } from '@cranberryturn/timers';
 
 import { type Intake, IntakeRefusal } from './intake.js';
 import { type Refusal, refuseRequest } from './refuse-request.js';
@@ -13,6 +14,8 @@
   Receiving,
   /** The app has the whole request and has not ended the response. */
   InProgress,
+  /** The response is on its way to the caller. */
+  Responding,
 }
 
 /** A request whose response is not finished. */
@@ -44,6 +47,7 @@
   readonly #requests = new Set<CallerRequest>();
   #isYielding = false;
   #isClosing = false;
+  #responseTimeout: TimerSubscription | undefined;
 
   constructor(socket: Socket, intake: Intake) {
     this.socket = socket;
@@ -105,6 +109,19 @@
     this.#update();
   }
 
+  /** The app has ended the response, of which the caller may have read only a part. */
+  endWork(request: CallerRequest): void {
+    const { headBytes, outgoing } = request;
+    // The system has taken the whole response; the request ends right after this.
+    if (!this.#requests.has(request) || outgoing.writableLength === 0) return;
+    request.state = RequestState.Responding;
+    if (!this.resizeRequest(request, headBytes + outgoing.writableLength)) {
+      this.#close(IntakeRefusal.ResponseUnread);
+      return;
+    }
+    this.#update();
+  }
+
   /** Refuses a request of which nothing was done, and closes the connection. */
   refuse(refusal: RequestRefusal): void {
     const description = describeRefusal(refusal);
@@ -122,7 +139,8 @@
   }
 
   #giveWay(): void {
-    this.refuse({ kind: IntakeRefusal.BodyGaveWay });
+    if (!this.#isReceiving()) this.#close(IntakeRefusal.ResponseUnread);
+    else this.refuse({ kind: IntakeRefusal.BodyGaveWay });
   }
 
   #close(refusal: IntakeRefusal): void {
@@ -162,10 +180,26 @@
       if (isYielding) this.#reservation.unpin();
       else this.#reservation.pin();
     }
+    this.#updateTimeout(isYielding && !this.#isReceiving());
+  }
+
+  #updateTimeout(isResponding: boolean): void {
+    if (isResponding === (this.#responseTimeout !== undefined)) return;
+    this.#responseTimeout?.cancel();
+    this.#responseTimeout = undefined;
+    if (!isResponding) return;
+    const { timers, limits } = this.#intake;
+    this.#responseTimeout = timers.after(
+      limits.responseTimeoutMilliseconds,
+      () => {
+        this.#close(IntakeRefusal.ResponseUnread);
+      },
+    );
   }
 
   #releaseAll(): void {
     this.#reservation.release();
+    this.#responseTimeout?.cancel();
     for (const { stopReceiving } of this.#requests) stopReceiving();
     this.#requests.clear();
   }
--- a/packages/program/src/intake/intake-limits.ts
+++ b/packages/program/src/intake/intake-limits.ts
@@ -1,4 +1,6 @@
 /** Limits on what callers can make one process hold. */
+import type { Milliseconds } from '@cranberryturn/types';
+
 const bytesPerKibibyte = 1_024;
 const bytesPerMebibyte = 1_048_576;
 
@@ -8,6 +10,8 @@
   readonly heldBytes: number;
   /** Requests of one connection that may wait for their responses at the same time; one more closes it. */
   readonly requestsPerConnection: number;
+  /** Time for a caller to read a response; then its connection is closed. */
+  readonly responseTimeoutMilliseconds: Milliseconds;
 }
 
 /** Limits of a listener for callers and of its process. */
@@ -16,6 +20,7 @@
 }
 
 export const defaultRequestsPerConnection = 64;
+export const defaultResponseTimeout: Milliseconds = 30_000;
 
 /** Resident memory of a process without load (100 MiB), and what the garbage collector leaves for a while. */
 const processBytes = 140 * bytesPerMebibyte;
@@ -49,6 +54,7 @@
     ),
     connections: Math.max(1, connections),
     requestsPerConnection: defaultRequestsPerConnection,
+    responseTimeoutMilliseconds: defaultResponseTimeout,
   };
 }
 
@@ -56,4 +62,5 @@
 export const operationsLimits: IntakeLimits = {
   heldBytes: minimumHeldBytes,
   requestsPerConnection: defaultRequestsPerConnection,
+  responseTimeoutMilliseconds: defaultResponseTimeout,
 };
--- a/packages/program/src/intake/intake.ts
+++ b/packages/program/src/intake/intake.ts
@@ -24,6 +24,8 @@
   NoMemory = 'no-memory',
   /** More requests of one connection waited for responses than allowed. */
   TooManyRequests = 'too-many-requests',
+  /** The caller did not read a response in time, or until memory was needed. */
+  ResponseUnread = 'response-unread',
 }
 
 /** Limits and reports of one process. */
--- a/packages/program/src/intake/receive-requests.test.ts
+++ b/packages/program/src/intake/receive-requests.test.ts
@@ -159,6 +159,34 @@
   t.is(intake.held.bytes, 0);
 });
 
+test('a connection whose client reads no response is closed after a time', async t => {
+  const { intake, open, isServed } = await serve(t, {
+    heldBytes: 64 * mebibyte,
+    responseTimeoutMilliseconds: 100,
+  });
+  const socket = open('GET /large HTTP/1.1\r\nhost: a\r\n\r\n');
+  socket.pause();
+  while (intake.countRefused() === 0) await new Promise(setImmediate);
+  t.is(intake.held.bytes, 0);
+  t.true(await isServed());
+  socket.destroy();
+});
+
+test('unread responses give way when the memory of the process is held', async t => {
+  const { intake, open, isServed } = await serve(t, {
+    heldBytes: 24 * mebibyte,
+  });
+  const sockets = [1, 2, 3].map(() => {
+    const socket = open('GET /large HTTP/1.1\r\nhost: a\r\n\r\n');
+    socket.pause();
+    return socket;
+  });
+  while (intake.countRefused() < 2) await new Promise(setImmediate);
+  t.true(intake.held.bytes <= 24 * mebibyte);
+  t.true(await isServed());
+  for (const socket of sockets) socket.destroy();
+});
+
 test('a process logs one line a second, with the number of callers by reason', async t => {
   const timers = createManualTimerService();
   const lines: object[] = [];
--- a/packages/program/src/intake/receive-requests.ts
+++ b/packages/program/src/intake/receive-requests.ts
@@ -75,6 +75,7 @@
   ): Promise<void> => {
     connection.beginWork(request);
     await handle(request.incoming, request.outgoing);
+    connection.endWork(request);
   };
   const refuseBody = (
     connection: CallerConnection,
