Let connections that wait give way to new ones

A new connection now replaces the one that has been without a request in progress for the longest time; only when all have one, the new one is closed.

--- a/packages/program/src/adapters/early-listener.ts
+++ b/packages/program/src/adapters/early-listener.ts
@@ -6,6 +6,9 @@
 import type { Server as HttpServer } from 'node:http';
 import { createServer, type Socket } from 'node:net';
 
+/** Further callers are closed; the bytes that waiting ones have sent count as memory of the process. */
+const maximumWaitingSockets = 1_000;
+
 /** Open port that accepts connections without reading from them. */
 export interface EarlyListener {
   /** The address given to `listenEarly`. */
@@ -36,6 +39,7 @@
       socket.on('error', forget);
     },
   );
+  listener.maxConnections = maximumWaitingSockets;
   let listenError: Error | undefined;
   listener.on('error', error => {
     listenError = error;
--- a/packages/program/src/adapters/http-listener.ts
+++ b/packages/program/src/adapters/http-listener.ts
@@ -27,7 +27,10 @@
   readonly address: NetworkAddress;
   /** Timeout for receiving a whole request, headers included. */
   readonly bodyTimeoutMilliseconds: Milliseconds;
-  /** Maximum number of concurrent connections; further ones are closed. */
+  /**
+   * Maximum number of concurrent connections. A further one replaces the connection that has been without a request in
+   * progress for the longest time.
+   */
   readonly connections: number;
   /** Returns the maximum size of a request body. */
   readonly bodyBytes: () => number;
@@ -72,7 +75,6 @@
         app.fetch(request, bindings),
       ) as HandleRequest,
     });
-    server.maxConnections = options.connections;
     refuseUnreadableRequests(server);
     // The listener stays: an accept that fails later, for lack of file descriptors, must not end the process.
     server.on('error', cause => {
--- a/packages/program/src/intake/caller-connection.ts
+++ b/packages/program/src/intake/caller-connection.ts
@@ -39,23 +39,32 @@
     }
   | { readonly kind: IntakeRefusal.BodyGaveWay | IntakeRefusal.NoMemory };
 
+/** Notifies the table that a connection can give way to a new one, or no longer. */
+export type NotifyWaiting = (
+  connection: CallerConnection,
+  isWaiting: boolean,
+) => void;
+
 /** A connection gives way unless it only waits for the app: ordinary callers send whole requests, one after the other. */
 export class CallerConnection {
   readonly socket: Socket;
   readonly #intake: Intake;
+  readonly #notifyWaiting: NotifyWaiting;
   readonly #reservation: Reservation;
   readonly #requests = new Set<CallerRequest>();
   #isYielding = false;
   #isClosing = false;
   #responseTimeout: TimerSubscription | undefined;
 
-  constructor(socket: Socket, intake: Intake) {
+  constructor(socket: Socket, intake: Intake, notifyWaiting: NotifyWaiting) {
     this.socket = socket;
     this.#intake = intake;
+    this.#notifyWaiting = notifyWaiting;
     this.#reservation = intake.held.reserve(() => {
       this.#giveWay();
     });
     this.#reservation.pin();
+    notifyWaiting(this, true);
     socket.once('close', () => {
       this.#end();
     });
@@ -138,6 +147,11 @@
     refuseRequest(request.incoming, description, this.#intake.timers);
   }
 
+  /** Closes the connection for a new one. */
+  giveWayToConnection(): void {
+    this.#close(IntakeRefusal.ConnectionGaveWay);
+  }
+
   #giveWay(): void {
     if (!this.#isReceiving()) this.#close(IntakeRefusal.ResponseUnread);
     else this.refuse({ kind: IntakeRefusal.BodyGaveWay });
@@ -174,6 +188,7 @@
   #update(): void {
     if (this.#isClosing) return;
     const waitsForApp = this.#waitsForApp();
+    this.#notifyWaiting(this, !waitsForApp);
     const isYielding = !waitsForApp && this.#requests.size > 0;
     if (isYielding !== this.#isYielding) {
       this.#isYielding = isYielding;
@@ -206,6 +221,7 @@
 
   #end(): void {
     this.#isClosing = true;
+    this.#notifyWaiting(this, false);
     this.#releaseAll();
   }
 }
--- a/packages/program/src/intake/intake.ts
+++ b/packages/program/src/intake/intake.ts
@@ -26,6 +26,10 @@
   TooManyRequests = 'too-many-requests',
   /** The caller did not read a response in time, or until memory was needed. */
   ResponseUnread = 'response-unread',
+  /** The connection had no request in progress for the longest time when another one arrived. */
+  ConnectionGaveWay = 'connection-gave-way',
+  /** All connections have requests in progress. */
+  NoConnection = 'no-connection',
 }
 
 /** Limits and reports of one process. */
--- a/packages/program/src/intake/receive-requests.test.ts
+++ b/packages/program/src/intake/receive-requests.test.ts
@@ -187,6 +187,28 @@
   for (const socket of sockets) socket.destroy();
 });
 
+test('the connection that waits for the longest time gives way to a new one, and none with a request in progress', async t => {
+  const { intake, open, isServed } = await serve(t, { connections: 3 });
+  const working = open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n');
+  while (intake.held.bytes === 0) await new Promise(setImmediate);
+  const silent = [open('GET / HT'), open('GET / HT')];
+  const isFirstClosed = once((silent[0] as Socket).resume(), 'close');
+  t.true(await isServed());
+  await isFirstClosed;
+  t.true(await isServed());
+  t.false(working.destroyed);
+  working.destroy();
+});
+
+test('a new connection is closed when all others have requests in progress', async t => {
+  const { intake, open } = await serve(t, { connections: 1 });
+  const working = open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n');
+  while (intake.held.bytes === 0) await new Promise(setImmediate);
+  t.is(await text(open('')).catch(() => ''), '');
+  t.false(working.destroyed);
+  working.destroy();
+});
+
 test('a process logs one line a second, with the number of callers by reason', async t => {
   const timers = createManualTimerService();
   const lines: object[] = [];
--- a/packages/program/src/intake/receive-requests.ts
+++ b/packages/program/src/intake/receive-requests.ts
@@ -31,6 +31,8 @@
 /** Limits of one listener. */
 export interface ReceiverOptions {
   readonly intake: Intake;
+  /** Maximum number of concurrent connections. */
+  readonly connections: number;
   /** Returns the maximum size of a body. */
   readonly bodyBytes: () => number;
   /** What a caller can do about a body that is too large. */
@@ -59,12 +61,32 @@
   server: Server,
   options: ReceiverOptions,
 ): void {
-  const { intake, bodyBytes, handle } = options;
+  const { intake, connections, bodyBytes, handle } = options;
   const { tooLargeAdvice = 'send a smaller one' } = options;
   const maximumShareBytes = intake.held.maximumBytes * maximumShare;
   const open = new Map<Socket, CallerConnection>();
+  /** Connections that can give way to a new one, those that wait for the longest time first. */
+  const waiting = new Set<CallerConnection>();
+
+  const notifyWaiting = (
+    connection: CallerConnection,
+    isWaiting: boolean,
+  ): void => {
+    if (isWaiting) waiting.add(connection);
+    else waiting.delete(connection);
+  };
   const accept = (socket: Socket): void => {
-    open.set(socket, new CallerConnection(socket, intake));
+    if (open.size >= connections) {
+      const [longest] = waiting;
+      if (longest === undefined) {
+        intake.report(IntakeRefusal.NoConnection);
+        socket.destroy();
+        return;
+      }
+      open.delete(longest.socket);
+      longest.giveWayToConnection();
+    }
+    open.set(socket, new CallerConnection(socket, intake, notifyWaiting));
     socket.once('close', () => {
       open.delete(socket);
     });
