Serve the administration interface of control within limits

The administration interface had a server of its own without a limit on connections, on requests in a row or on unread responses, and looked at the size of a body only after the token.

--- a/packages/control/src/adapters/serve-administration.ts
+++ b/packages/control/src/adapters/serve-administration.ts
@@ -1,10 +1,6 @@
 /** Serves the administration API of a replica over HTTP. */
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-
-import { serve } from '@hono/node-server';
 import { ConfirmOutcomeKind } from '@cranberryturn/configuration';
-import { ConnectionError } from '@cranberryturn/errors';
+import type { ConnectionError } from '@cranberryturn/errors';
 import { Counter, Gauge, type Metrics } from '@cranberryturn/metrics';
 import {
   hasFailedForGood,
@@ -12,17 +8,32 @@
   LogEventKind,
   ReplicaRole,
 } from '@cranberryturn/replicated-log';
+import type { Logger } from '@cranberryturn/logger';
+import {
+  createIntake,
+  defaultResponseTimeout,
+  listenForHttp,
+} from '@cranberryturn/program';
+import {
+  type AdministrationLimits,
+  administrationLimitsSchema,
+} from '@cranberryturn/settings';
 import type { TimerService } from '@cranberryturn/timers';
-import type { NetworkAddress } from '@cranberryturn/types';
-import { formatAddress, maximumProofAge } from '@cranberryturn/wire';
-import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import type { Milliseconds, NetworkAddress } from '@cranberryturn/types';
+import { maximumProofAge } from '@cranberryturn/wire';
+import type { ResultAsync } from 'neverthrow';
 
-import { createAdministrationApi } from '../administration-api.js';
+import {
+  createAdministrationApi,
+  maximumBodyBytes,
+} from '../administration-api.js';
 import type { Operator } from '../administration-responses.js';
 import type { ControlNode } from '../control-node.js';
 import { OperationOutcomeKind } from '../control-operations.js';
 import type { EntryOutcome } from '../control-state.js';
 
+const bodyTimeout: Milliseconds = 30_000;
+
 /** A running administration server. */
 export interface AdministrationServer {
   readonly address: NetworkAddress;
@@ -38,6 +49,9 @@
   readonly operators: readonly Operator[];
   readonly metrics: Metrics;
   readonly timers: TimerService;
+  readonly logger?: Logger | undefined;
+  /** Defaults of the settings when undefined. */
+  readonly limits?: AdministrationLimits | undefined;
 }
 
 /**
@@ -61,15 +75,27 @@
       metrics.count(Counter.TokensRefused);
     },
   });
-  return new ResultAsync(listen(app.fetch, address)).map(server => ({
-    address: {
-      address: address.address,
-      port: (server.address() as AddressInfo).port,
-    },
+  const { connections, ...limits } =
+    options.limits ?? administrationLimitsSchema.parse(undefined);
+  return listenForHttp({
+    app,
+    address,
+    bodyTimeoutMilliseconds: bodyTimeout,
+    connections,
+    bodyBytes: () => maximumBodyBytes,
+    intake: createIntake({
+      ...options,
+      limits: {
+        ...limits,
+        responseTimeoutMilliseconds: defaultResponseTimeout,
+      },
+    }),
+  }).map(listener => ({
+    address: listener.address,
     beginStop: () => {
       isStopping = true;
     },
-    close: () => closeServer(server),
+    close: () => listener.close(),
   }));
 }
 
@@ -117,37 +143,3 @@
       outcome.outcome.kind === ConfirmOutcomeKind.Accepted,
   ).length;
 }
-
-function listen(
-  fetch: Parameters<typeof serve>[0]['fetch'],
-  address: NetworkAddress,
-): Promise<Result<Server, ConnectionError>> {
-  return new Promise(resolve => {
-    const server = serve(
-      { fetch, hostname: address.address, port: address.port },
-      () => {
-        resolve(ok(server));
-      },
-    ) as Server;
-    server.on('error', cause => {
-      resolve(
-        err(
-          new ConnectionError(
-            `Cannot listen on ${formatAddress(address)} for operators; choose a free port as "administration" in the settings.`,
-            { step: 'listen for operators' },
-            cause,
-          ),
-        ),
-      );
-    });
-  });
-}
-
-function closeServer(server: Server): Promise<void> {
-  return new Promise(resolve => {
-    server.close(() => {
-      resolve();
-    });
-    server.closeIdleConnections();
-  });
-}
--- a/packages/control/src/administration-api.ts
+++ b/packages/control/src/administration-api.ts
@@ -23,7 +23,7 @@
 import { addEvacuationRoutes } from './evacuation-routes.js';
 import type { EvacuationService } from './order-evacuations.js';
 
-const maximumBodyBytes = 65_536;
+export const maximumBodyBytes = 65_536;
 const maximumHistoryChanges = 1_000;
 const defaultHistoryChanges = 50;
 
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -64,7 +64,7 @@
 /** Settings of a replica that runs without the administration API. */
 export type ControlReplicaSettings = Omit<
   ControlSettings,
-  'administration' | 'operators' | 'log' | 'stop'
+  'administration' | 'operators' | 'limits' | 'log' | 'stop'
 > & {
   /** By default what the default bounds allow. */
   readonly propagation?: PropagationTimes | undefined;
@@ -110,7 +110,12 @@
   if (started.isErr()) return err(started.error);
   const node = started.value;
   const served = await serveAdministration(
-    { ...environment, node, operators: settings.operators },
+    {
+      ...environment,
+      node,
+      operators: settings.operators,
+      limits: settings.limits,
+    },
     settings.administration,
   );
   if (served.isErr()) {
--- a/packages/settings/src/schemas/control-settings.ts
+++ b/packages/settings/src/schemas/control-settings.ts
@@ -4,17 +4,20 @@
 import {
   advertisedListenAddressSchema,
   controlPeerSchema,
+  heldBytesSchema,
   listenAddressSchema,
   logSchema,
   nameSchema,
   operatorsSchema,
   pathSchema,
   peerAddressSchema,
+  requestsPerConnectionSchema,
   seedSchema,
   stopSchema,
   createUniqueArraySchema,
 } from './shared.js';
 
+const bytesPerMebibyte = 1_048_576;
 const maximumControlHosts = 7;
 
 const snapshotsSchema = z
@@ -40,6 +43,17 @@
   )
   .prefault({});
 
+/** Limits of the HTTP interface for operators. */
+export const administrationLimitsSchema = z
+  .strictObject({
+    /** Maximum number of concurrent connections of operators. */
+    connections: z.int().min(1).max(100_000).default(1_024),
+    requestsPerConnection: requestsPerConnectionSchema,
+    /** Maximum total size of requests and of responses that are not read yet. */
+    heldBytes: heldBytesSchema.default(64 * bytesPerMebibyte),
+  })
+  .prefault({});
+
 const peersSchema = z.strictObject({
   /** Listening address for other replicas and dispatchers. */
   listen: advertisedListenAddressSchema,
@@ -63,6 +77,9 @@
   toleratedDataCentres: z.int().min(0).max(maximumControlHosts).default(0),
 });
 
+/** Validated limits of the HTTP interface for operators. */
+export type AdministrationLimits = z.output<typeof administrationLimitsSchema>;
+
 /** Schema of the settings of a control replica. */
 export const controlSettingsSchema = z
   .strictObject({
@@ -85,6 +102,7 @@
     /** Listening address of the HTTP interface for operators, health checks and metrics. */
     administration: listenAddressSchema,
     operators: operatorsSchema.min(1),
+    limits: administrationLimitsSchema,
     /** When absent, every process that reaches the ports is trusted. */
     sharedKeyFile: pathSchema.optional(),
     /** File with the configuration that the first leader of an empty log proposes. */
