--- a/packages/held-memory/src/held-memory.test.ts
+++ b/packages/held-memory/src/held-memory.test.ts
@@ -2,28 +2,28 @@
 
 import { HeldMemory } from './held-memory.js';
 
-/** Reserves memory, and notes who gave way. */
+/** Reserves memory, and notes what is evicted. */
 function reserveAll(sizes: readonly number[], maximumBytes: number) {
   const memory = new HeldMemory(maximumBytes);
-  const gaveWay: number[] = [];
+  const evicted: number[] = [];
   const reservations = sizes.map((bytes, position) => {
     const reservation = memory.reserve(() => {
-      gaveWay.push(position);
+      evicted.push(position);
     });
     reservation.resize(bytes);
     return reservation;
   });
-  return { memory, gaveWay, reservations };
+  return { memory, evicted, reservations };
 }
 
-test('stalled reservations give way to a new one, the oldest first, and only as many as needed', t => {
-  const { memory, gaveWay } = reserveAll([40, 40, 20, 30], 100);
-  t.deepEqual(gaveWay, [0]);
+test('stalled reservations are evicted for a new one, the oldest first, and only as many as needed', t => {
+  const { memory, evicted } = reserveAll([40, 40, 20, 30], 100);
+  t.deepEqual(evicted, [0]);
   t.is(memory.bytes, 90);
 });
 
-test('pinned reservations do not give way, and the requester is refused', t => {
-  const { memory, gaveWay, reservations } = reserveAll([60, 40], 100);
+test('pinned reservations are not evicted, and the requester is refused', t => {
+  const { memory, evicted, reservations } = reserveAll([60, 40], 100);
   for (const reservation of reservations) reservation.pin();
   const refused = memory.reserve(() => undefined);
   t.false(refused.resize(1));
@@ -31,23 +31,23 @@
   reservations[0]?.unpin();
   refused.release();
   t.true(memory.reserve(() => undefined).resize(1));
-  t.deepEqual(gaveWay, [0]);
+  t.deepEqual(evicted, [0]);
   t.is(memory.bytes, 41);
 });
 
-test('the oldest reservation does not make younger ones give way', t => {
-  const { memory, gaveWay, reservations } = reserveAll([50, 50], 100);
+test('the oldest reservation does not evict younger ones', t => {
+  const { memory, evicted, reservations } = reserveAll([50, 50], 100);
   t.false(reservations[0]?.resize(60));
-  t.deepEqual(gaveWay, []);
+  t.deepEqual(evicted, []);
   t.is(memory.bytes, 100);
 });
 
 test('a reservation whose wait begins anew is the newest', t => {
-  const { memory, gaveWay, reservations } = reserveAll([50, 50], 100);
+  const { memory, evicted, reservations } = reserveAll([50, 50], 100);
   reservations[0]?.pin();
   reservations[0]?.unpin();
   memory.reserve(() => undefined).resize(50);
-  t.deepEqual(gaveWay, [1]);
+  t.deepEqual(evicted, [1]);
 });
 
 test('what was released counts no longer and cannot grow again', t => {
--- a/packages/held-memory/src/held-memory.ts
+++ b/packages/held-memory/src/held-memory.ts
@@ -1,18 +1,18 @@
-/** Reservations from one bound; those that wait for their callers give way to others. */
+/** Reservations from one bound; those that wait for their callers are evicted for others. */
 
 /** A part of the held memory. */
 export interface Reservation {
   readonly bytes: number;
   /**
-   * Changes the size, and lets older reservations that are not pinned give way to an increase. Returns false when
-   * that makes too little room; the size stays as it was then.
+   * Changes the size, and evicts older reservations that are not pinned for an increase. Returns false when that makes
+   * too little room; the size stays as it was then.
    */
   resize(bytes: number): boolean;
   /** Changes the size even beyond the bound, for what exists already. */
   record(bytes: number): void;
-  /** Does not give way from now on. */
+  /** Protects the reservation from eviction. */
   pin(): void;
-  /** Gives way from now on, as the newest reservation. */
+  /** Allows the eviction of the reservation, as the newest one. */
   unpin(): void;
   release(): void;
 }
@@ -21,8 +21,8 @@
 export class HeldMemory {
   readonly maximumBytes: number;
   #bytes = 0;
-  /** Reservations that can give way, oldest first. */
-  readonly #yielding = new Set<HeldReservation>();
+  /** Reservations that can be evicted, oldest first. */
+  readonly #evictable = new Set<HeldReservation>();
 
   constructor(maximumBytes: number) {
     this.maximumBytes = maximumBytes;
@@ -32,25 +32,25 @@
     return this.#bytes;
   }
 
-  /** Whether this many more bytes stay within the bound without that any reservation gives way. */
+  /** Whether this many more bytes stay within the bound without an eviction. */
   hasRoomFor(bytes: number): boolean {
     return this.#bytes + bytes <= this.maximumBytes;
   }
 
-  /** Creates an empty reservation. `giveWay` has to stop using the memory; the reservation is released after it. */
-  reserve(giveWay: () => void): Reservation {
-    const reservation = new HeldReservation(giveWay, {
+  /** Creates an empty reservation. `handleEviction` has to stop using the memory, which was released. */
+  reserve(handleEviction: () => void): Reservation {
+    const reservation = new HeldReservation(handleEviction, {
       add: bytes => {
         this.#bytes += bytes;
       },
       makeRoom: (growth, requester) => this.#makeRoom(growth, requester),
-      yielding: this.#yielding,
+      evictable: this.#evictable,
     });
-    this.#yielding.add(reservation);
+    this.#evictable.add(reservation);
     return reservation;
   }
 
-  /** Creates an empty reservation that never gives way. */
+  /** Creates an empty reservation that is never evicted. */
   reservePinned(): Reservation {
     const reservation = this.reserve(() => undefined);
     reservation.pin();
@@ -59,9 +59,9 @@
 
   #makeRoom(growth: number, requester: HeldReservation): boolean {
     while (!this.hasRoomFor(growth)) {
-      const [oldest] = this.#yielding;
+      const [oldest] = this.#evictable;
       if (oldest === undefined || oldest === requester) return false;
-      oldest.giveWay();
+      oldest.evict();
     }
     return true;
   }
@@ -70,17 +70,17 @@
 interface Ledger {
   add(bytes: number): void;
   makeRoom(growth: number, requester: HeldReservation): boolean;
-  readonly yielding: Set<HeldReservation>;
+  readonly evictable: Set<HeldReservation>;
 }
 
 class HeldReservation implements Reservation {
-  readonly #giveWay: () => void;
+  readonly #handleEviction: () => void;
   readonly #ledger: Ledger;
   #bytes = 0;
   #isReleased = false;
 
-  constructor(giveWay: () => void, ledger: Ledger) {
-    this.#giveWay = giveWay;
+  constructor(handleEviction: () => void, ledger: Ledger) {
+    this.#handleEviction = handleEviction;
     this.#ledger = ledger;
   }
 
@@ -103,23 +103,23 @@
   }
 
   pin(): void {
-    this.#ledger.yielding.delete(this);
+    this.#ledger.evictable.delete(this);
   }
 
   unpin(): void {
     if (this.#isReleased) return;
-    this.#ledger.yielding.delete(this);
-    this.#ledger.yielding.add(this);
+    this.#ledger.evictable.delete(this);
+    this.#ledger.evictable.add(this);
   }
 
   release(): void {
     this.record(0);
     this.#isReleased = true;
-    this.#ledger.yielding.delete(this);
+    this.#ledger.evictable.delete(this);
   }
 
-  giveWay(): void {
+  evict(): void {
     this.release();
-    this.#giveWay();
+    this.#handleEviction();
   }
 }
--- a/packages/program/src/intake/caller-connection.ts
+++ b/packages/program/src/intake/caller-connection.ts
@@ -1,4 +1,4 @@
-/** One connection of a caller: its requests, the memory that it holds, and whether it can give way. */
+/** One connection of a caller: its requests, the memory that it holds, and whether it can be evicted. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -37,22 +37,22 @@
       /** What is wrong, and what the caller can do. */
       readonly reason: string;
     }
-  | { readonly kind: IntakeRefusal.BodyGaveWay | IntakeRefusal.NoMemory };
+  | { readonly kind: IntakeRefusal.BodyEvicted | IntakeRefusal.NoMemory };
 
-/** Notifies the table that a connection can give way to a new one, or no longer. */
+/** Notifies the listener that a connection can be evicted for a new one, or no longer. */
 export type NotifyWaiting = (
   connection: CallerConnection,
   isWaiting: boolean,
 ) => void;
 
-/** A connection gives way unless it only waits for the app: ordinary callers send whole requests, one after the other. */
+/** A connection can be evicted unless it only waits for the app: ordinary callers send one whole request after the other. */
 export class CallerConnection {
   readonly socket: Socket;
   readonly #intake: Intake;
   readonly #notifyWaiting: NotifyWaiting;
   readonly #reservation: Reservation;
   readonly #requests = new Set<CallerRequest>();
-  #isYielding = false;
+  #isEvictable = false;
   #isClosing = false;
   #responseTimeout: TimerSubscription | undefined;
 
@@ -61,7 +61,7 @@
     this.#intake = intake;
     this.#notifyWaiting = notifyWaiting;
     this.#reservation = intake.held.reserve(() => {
-      this.#giveWay();
+      this.#handleEviction();
     });
     this.#reservation.pin();
     notifyWaiting(this, true);
@@ -148,13 +148,13 @@
   }
 
   /** Closes the connection for a new one. */
-  giveWayToConnection(): void {
-    this.#close(IntakeRefusal.ConnectionGaveWay);
+  evict(): void {
+    this.#close(IntakeRefusal.ConnectionEvicted);
   }
 
-  #giveWay(): void {
+  #handleEviction(): void {
     if (!this.#isReceiving()) this.#close(IntakeRefusal.ResponseUnread);
-    else this.refuse({ kind: IntakeRefusal.BodyGaveWay });
+    else this.refuse({ kind: IntakeRefusal.BodyEvicted });
   }
 
   #close(refusal: IntakeRefusal): void {
@@ -189,13 +189,13 @@
     if (this.#isClosing) return;
     const waitsForApp = this.#waitsForApp();
     this.#notifyWaiting(this, !waitsForApp);
-    const isYielding = !waitsForApp && this.#requests.size > 0;
-    if (isYielding !== this.#isYielding) {
-      this.#isYielding = isYielding;
-      if (isYielding) this.#reservation.unpin();
+    const isEvictable = !waitsForApp && this.#requests.size > 0;
+    if (isEvictable !== this.#isEvictable) {
+      this.#isEvictable = isEvictable;
+      if (isEvictable) this.#reservation.unpin();
       else this.#reservation.pin();
     }
-    this.#updateTimeout(isYielding && !this.#isReceiving());
+    this.#updateTimeout(isEvictable && !this.#isReceiving());
   }
 
   #updateTimeout(isResponding: boolean): void {
@@ -230,7 +230,7 @@
   switch (refusal.kind) {
     case IntakeRefusal.BodyTooLarge:
       return { status: '413 Content Too Large', reason: refusal.reason };
-    case IntakeRefusal.BodyGaveWay:
+    case IntakeRefusal.BodyEvicted:
     case IntakeRefusal.NoMemory:
       return {
         status: '503 Service Unavailable',
--- a/packages/program/src/intake/intake.ts
+++ b/packages/program/src/intake/intake.ts
@@ -19,7 +19,7 @@
   /** The body is larger than the limit. */
   BodyTooLarge = 'body-too-large',
   /** The body was incomplete for the longest time when memory was needed. */
-  BodyGaveWay = 'body-gave-way',
+  BodyEvicted = 'body-evicted',
   /** Requests in progress hold all memory. */
   NoMemory = 'no-memory',
   /** More requests of one connection waited for responses than allowed. */
@@ -27,7 +27,7 @@
   /** The caller did not read a response in time, or until memory was needed. */
   ResponseUnread = 'response-unread',
   /** The connection had no request in progress for the longest time when another one arrived. */
-  ConnectionGaveWay = 'connection-gave-way',
+  ConnectionEvicted = 'connection-evicted',
   /** All connections have requests in progress. */
   NoConnection = 'no-connection',
 }
--- a/packages/program/src/intake/receive-requests.test.ts
+++ b/packages/program/src/intake/receive-requests.test.ts
@@ -122,7 +122,7 @@
   t.regex(response, /^HTTP\/1\.1 413 .*"started":"no"/s);
 });
 
-test('stalled bodies give way to a whole request when the memory of the process is held', async t => {
+test('stalled bodies are evicted for a whole request when the memory of the process is held', async t => {
   const { intake, open, isServed } = await serve(t, {
     heldBytes: 64_000,
     bodyBytes: 30_000,
@@ -172,7 +172,7 @@
   socket.destroy();
 });
 
-test('unread responses give way when the memory of the process is held', async t => {
+test('unread responses are evicted when the memory of the process is held', async t => {
   const { intake, open, isServed } = await serve(t, {
     heldBytes: 24 * mebibyte,
   });
@@ -187,7 +187,7 @@
   for (const socket of sockets) socket.destroy();
 });
 
-test('the connection that waits for the longest time gives way to a new one, and none with a request in progress', async t => {
+test('the connection that waits for the longest time is evicted for a new one, and none with a request in progress', async t => {
   const { intake, open, isServed } = await serve(t, { connections: 3 });
   const working = open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n');
   while (intake.held.bytes === 0) await new Promise(setImmediate);
--- a/packages/program/src/intake/receive-requests.ts
+++ b/packages/program/src/intake/receive-requests.ts
@@ -65,7 +65,7 @@
   const { tooLargeAdvice = 'send a smaller one' } = options;
   const maximumShareBytes = intake.held.maximumBytes * maximumShare;
   const open = new Map<Socket, CallerConnection>();
-  /** Connections that can give way to a new one, those that wait for the longest time first. */
+  /** Connections that can be evicted for a new one, those that wait for the longest time first. */
   const waiting = new Set<CallerConnection>();
 
   const notifyWaiting = (
@@ -84,7 +84,7 @@
         return;
       }
       open.delete(longest.socket);
-      longest.giveWayToConnection();
+      longest.evict();
     }
     open.set(socket, new CallerConnection(socket, intake, notifyWaiting));
     socket.once('close', () => {
