--- a/packages/program/src/intake/receive-requests.test.ts
+++ b/packages/program/src/intake/receive-requests.test.ts
@@ -3,6 +3,7 @@
 import { connect, type Socket } from 'node:net';
 import { text } from 'node:stream/consumers';
 
+import type { HttpBindings } from '@hono/node-server';
 import { createManualTimerService } from '@cranberryturn/timers';
 import test, { type ExecutionContext } from 'ava';
 import { Hono } from 'hono';
@@ -11,12 +12,14 @@
 import { createTestIntake } from '../fakes/create-test-intake.js';
 import { createIntake, IntakeRefusal } from './intake.js';
 import { deriveIntakeLimits, type IntakeLimits } from './intake-limits.js';
+import { holdForWork } from './receive-requests.js';
 
 const maximumBytes = 1_000;
 const mebibyte = 1_048_576;
+const workBytes = 40_000;
 const largeResponse = 'x'.repeat(16 * mebibyte);
 
-/** Serves bodies back at `/`, a request without a response at `/wait`, and a response that no buffer holds at `/large`. */
+/** Serves bodies at `/`, requests without a response at `/wait` and `/work`, and a response that no buffer holds at `/large`. */
 async function serve(
   t: ExecutionContext,
   limits: Partial<IntakeLimits> & {
@@ -27,12 +30,17 @@
   const { connections = 10, bodyBytes = maximumBytes, ...shared } = limits;
   const intake = createTestIntake(shared);
   const arrived: string[] = [];
-  const app = new Hono();
+  const app = new Hono<{ Bindings: HttpBindings }>();
   app.all('/', async context => {
     arrived.push(await context.req.text());
     return context.text('served');
   });
   app.get('/wait', () => new Promise(() => undefined));
+  app.post('/work', context =>
+    holdForWork(context.env.incoming, workBytes)
+      ? new Promise(() => undefined)
+      : context.body(null, 503),
+  );
   app.get('/large', context => context.text(largeResponse));
   const listening = await listenForHttp({
     app,
@@ -187,6 +195,21 @@
   for (const socket of sockets) socket.destroy();
 });
 
+test('work on requests counts as held memory until they end, and is refused without room', async t => {
+  const { intake, open } = await serve(t, { heldBytes: 100_000 });
+  const work = 'POST /work HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}';
+  const working = [open(work), open(work)];
+  while (intake.held.bytes < 2 * workBytes) await new Promise(setImmediate);
+  const [refused] = (await once(open(work), 'data')) as [Buffer];
+  t.regex(refused.toString(), /^HTTP\/1\.1 503/);
+  working[0]?.destroy();
+  while (intake.held.bytes > workBytes + 10_000)
+    await new Promise(setImmediate);
+  open(work);
+  while (intake.held.bytes < 2 * workBytes) await new Promise(setImmediate);
+  t.is(intake.countRefused(), 1);
+});
+
 test('the connection that waits for the longest time is evicted for a new one, and none with a request in progress', async t => {
   const { intake, open, isServed } = await serve(t, { connections: 3 });
   const working = open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n');
