Review: start the case deployments until the first configuration is acknowledged

The library told the machines 0.5 s after their start that the first start was over. Now it waits for the first configuration, and a script that is ended early, or takes 115 s, ends its processes.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -12,6 +12,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath, URL } from 'node:url';
+import { setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { send } from './client.mjs';
@@ -58,6 +59,24 @@
   join(repository, 'target', `cranberry-platform-${role}.mjs`);
 const heap = { dispatcher: 160, control: 160, sidecar: 96 };
 
+/** Processes and folders that are left; a script that is ended early, or takes too long, ends them too. */
+const children = new Set();
+const folders = new Set();
+const longestMs = 115000;
+
+process.once('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+  if (process.env.KEEP !== undefined) return;
+  for (const folder of folders)
+    rmSync(folder, { recursive: true, force: true });
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+  process.once(signal, () => process.exit(2));
+setTimeout(() => {
+  console.error('the script took too long');
+  process.exit(2);
+}, longestMs).unref();
+
 class Program {
   constructor({ role, machine, args, environment, log }) {
     Object.assign(this, { role, machine, args, environment, log });
@@ -80,6 +99,8 @@
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
     this.child = child;
+    children.add(child);
+    child.once('exit', () => children.delete(child));
     this.exited = new Promise(resolve => {
       child.once('exit', (code, signal) => resolve({ code, signal }));
     });
@@ -119,6 +140,7 @@
   WorkerClass = Worker,
 }) {
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
+  folders.add(folder);
   const network = `127.${randomInt(1, 250)}.${randomInt(1, 250)}`;
   const zones = ['lisboa-a', 'lisboa-b', 'porto-a'];
   const seeds = [];
@@ -230,15 +252,19 @@
   writeSettings(true);
   for (const machine of all) machine.start();
   await Promise.all(served.map(one => one.start()));
-  await sleep(500);
-  writeSettings(false);
-  return { ...machines, workers: served, stop };
+  return {
+    ...machines,
+    workers: served,
+    /** The first start is over: processes that start from now on find disks that are in use. */
+    endFirstStart: () => writeSettings(false),
+    stop,
+  };
 }
 
 /** The operator: sends a configuration until it is acknowledged, to one daemon after the other. */
 export async function publish(deployment, document, record) {
   const body = JSON.stringify(document);
-  for (let attempt = 0; attempt < 40; attempt += 1) {
+  for (let attempt = 0; attempt < 80; attempt += 1) {
     const { ip } = deployment.fronts[attempt % deployment.fronts.length];
     const answer = await send({
       ip,
@@ -250,6 +276,7 @@
     });
     if (answer.status === 200) {
       record('configuration', { version: document.version, by: ip });
+      deployment.endFirstStart();
       return;
     }
     await sleep(250);
