--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -16,10 +16,13 @@
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { performance } from 'node:perf_hooks';
+import { clearTimeout, setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
 export const root = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
+/** A script may take 120 s. */
+const longestMilliseconds = 118_000;
 export { sleep };
 export const now = () => performance.now();
 
@@ -234,6 +237,19 @@
     return handle;
   };
 
+  /** Ends the processes of a script that is ended itself, or takes too long. */
+  const giveUp = () => {
+    for (const one of processes) {
+      one.signal('SIGCONT');
+      one.signal('SIGKILL');
+    }
+    rmSync(folder, { recursive: true, force: true });
+    process.exit(2);
+  };
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+    process.once(signal, giveUp);
+  const limit = setTimeout(giveUp, longestMilliseconds);
+
   const positions = count => Array.from({ length: count }, (_, one) => one);
   return {
     network,
@@ -255,6 +271,7 @@
       for (const one of processes) one.writeSettings();
     },
     stop: async ({ keep = false } = {}) => {
+      clearTimeout(limit);
       await Promise.all(processes.map(one => one.kill()));
       if (!keep) rmSync(folder, { recursive: true, force: true });
     },
