Move the identity on the disk into a class of its own

The bootstrap wrote changes of the identity file itself. The founding of a log by seeds will write to the same file, and two writers would overwrite each other. No change of behaviour.

--- a/packages/replicated-log/src/core/bootstrap.ts
+++ b/packages/replicated-log/src/core/bootstrap.ts
@@ -2,20 +2,16 @@
 import { ConflictError } from '@cranberryturn/errors';
 import type { ReplicaId } from '@cranberryturn/types';
 
-import type { LogDisk } from '../ports/log-disk.js';
 import {
   PeerMessageKind,
   PeerReplyKind,
   type PeerReply,
 } from '../ports/peer-link.js';
-import {
-  writeIdentity,
-  type FounderFolder,
-  type Identity,
-} from '../storage/identity.js';
+import type { FounderFolder, Identity } from '../storage/identity.js';
 import { callPeer } from './peer-calls.js';
 import { stoppedReply } from './replies.js';
 import type { Replica } from './replica.js';
+import type { StoredIdentity } from './stored-identity.js';
 
 /** What is known of another founding member. */
 enum FounderState {
@@ -38,21 +34,17 @@
  */
 export class Bootstrap {
   readonly #replica: Replica;
-  readonly #disk: LogDisk;
-  #identity: Identity;
-  /** Resolves after the latest write of the identity. */
-  #written: Promise<boolean> = Promise.resolve(true);
+  readonly #stored: StoredIdentity;
 
-  constructor(replica: Replica, disk: LogDisk, identity: Identity) {
+  constructor(replica: Replica, stored: StoredIdentity) {
     this.#replica = replica;
-    this.#disk = disk;
-    this.#identity = identity;
+    this.#stored = stored;
   }
 
   /** Whether the data folder is confirmed as the one of this identity. Until then the replica refuses messages. */
   get isDone(): boolean {
-    const joined = this.#identity.foundingMembers.length === 0;
-    return joined || this.#identity.founders !== undefined;
+    const joined = this.#stored.identity.foundingMembers.length === 0;
+    return joined || this.#stored.identity.founders !== undefined;
   }
 
   /**
@@ -62,7 +54,7 @@
   async run(): Promise<void> {
     const replica = this.#replica;
     // The settings of a restart may not name the founding members any more.
-    replica.store.setInitialMembers(this.#identity.foundingMembers);
+    replica.store.setInitialMembers(this.#stored.identity.foundingMembers);
     while (!replica.isStopped) {
       if (this.isDone) {
         replica.postponeElection();
@@ -73,7 +65,7 @@
         await replica.changed.wait(replica.tuning.heartbeatInterval);
         continue;
       }
-      await this.#change(identity => ({ ...identity, founders }));
+      await this.#stored.change(identity => ({ ...identity, founders }));
     }
   }
 
@@ -82,36 +74,20 @@
    * reply, because it may vote from then on.
    */
   async answerIdentify(from: ReplicaId, folderId: string): Promise<PeerReply> {
-    const isRecorded = await this.#change(identity =>
+    const isRecorded = await this.#stored.change(identity =>
       recordFolder(identity, { replicaId: from, folderId }),
     );
     if (!isRecorded || this.#replica.isStopped)
       return stoppedReply(this.#replica);
     return {
       kind: PeerReplyKind.Identified,
-      folderId: this.#identity.folderId,
-      knownFolderId: findFolder(this.#identity, from)?.folderId,
+      folderId: this.#stored.identity.folderId,
+      knownFolderId: findFolder(this.#stored.identity, from)?.folderId,
     };
   }
 
-  /** Writes a change of the identity after earlier ones. Resolves with false when the write has failed. */
-  #change(compose: (identity: Identity) => Identity): Promise<boolean> {
-    this.#written = this.#written.then(async () => {
-      const changed = compose(this.#identity);
-      if (changed === this.#identity) return true;
-      const written = await writeIdentity(this.#disk, changed);
-      if (written.isErr()) {
-        this.#replica.fail(written.error);
-        return false;
-      }
-      this.#identity = changed;
-      return true;
-    });
-    return this.#written;
-  }
-
   async #identifyFounders(): Promise<readonly FounderFolder[] | undefined> {
-    const { replicaId, folderId, foundingMembers } = this.#identity;
+    const { replicaId, folderId, foundingMembers } = this.#stored.identity;
     const others = foundingMembers.filter(
       member => member.replicaId !== replicaId,
     );
@@ -136,7 +112,7 @@
   }
 
   async #identifyFounder(peer: ReplicaId): Promise<FounderReport> {
-    const { folderId } = this.#identity;
+    const { folderId } = this.#stored.identity;
     const reply = await callPeer(this.#replica, peer, {
       kind: PeerMessageKind.Identify,
       to: peer,
--- a/packages/replicated-log/src/open-replicated-log.ts
+++ b/packages/replicated-log/src/open-replicated-log.ts
@@ -7,6 +7,7 @@
 import { RecoveringLog } from './core/recovering-log.js';
 import { Replica } from './core/replica.js';
 import { ReplicatedLogService } from './core/service.js';
+import { StoredIdentity } from './core/stored-identity.js';
 import {
   StartKind,
   type BootstrapStart,
@@ -97,7 +98,8 @@
     hardState,
   });
   events.replica = replica;
-  const bootstrap = new Bootstrap(replica, disk, identity.value);
+  const stored = new StoredIdentity(replica, disk, identity.value);
+  const bootstrap = new Bootstrap(replica, stored);
   return ok(
     new ReplicatedLogService(replica, stateMachine, bootstrap, {
       access,
