Let the seeds decide which hosts with a disk found the control log

Cause: the founding members were the seeds, whoever they are. A seed without a disk never founds, it joins under an identity of its own. A seed with a disk found these identities in the place of its fellow founders, took them for replaced ones, and stopped for good with less than a majority; hosts with a disk that no seed names never founded at all.

Change: the seeds are the acceptors of one decision, after single-decree Paxos. Hosts with a disk register with them and propose, and a majority of the seeds decides which of these hosts are the founding members. A seed answers only in the process that was told of the first start; one without a disk that is started again has forgotten what it has accepted, so it takes no part any more. Whoever learns of the decision tells the founding members, as the seeds may be gone. Identities hold the name of the data folder, so that a founding member that lost its disk is not mistaken for its successor. The log of control says how far the founding is.

Why it works: two majorities of the seeds share one that has not forgotten, so that no second list of founding members can be decided, and each replica begins with the list that was decided or with none. Founding takes as many hosts as outlast the tolerated losses, so the first acknowledgement does not rest on one disk.

--- a/packages/control/src/adapters/check-peer-messages.ts
+++ b/packages/control/src/adapters/check-peer-messages.ts
@@ -23,15 +23,15 @@
 
 const isBytes: ShapeCheck = value => value instanceof Uint8Array;
 const isPosition = isRecord({ index: isCount, term: isCount });
-const isMembers = isListOf(
-  isRecord({
-    replicaId: isText,
-    role: isOneOf(MemberRole),
-    address: isText,
-    dataCentre: isOptional(isText),
-    isStandby: isOptional(isFlag),
-  }),
-);
+const isMember = isRecord({
+  replicaId: isText,
+  role: isOneOf(MemberRole),
+  address: isText,
+  dataCentre: isOptional(isText),
+  isStandby: isOptional(isFlag),
+});
+const isMembers = isListOf(isMember);
+const isBallot = isRecord({ round: isCount, proposer: isText });
 
 const isEntryBase = isRecord({
   index: isCount,
@@ -74,6 +74,13 @@
     chunk: isBytes,
   }),
   [PeerMessageKind.TimeoutNow]: isRecord({}),
+  [PeerMessageKind.RegisterFounder]: isRecord({ candidate: isMember }),
+  [PeerMessageKind.PrepareFounding]: isRecord({ ballot: isBallot }),
+  [PeerMessageKind.AcceptFounding]: isRecord({
+    ballot: isBallot,
+    members: isMembers,
+  }),
+  [PeerMessageKind.Founded]: isRecord({ members: isMembers }),
 });
 
 /** Whether a decoded value is a `PeerMessage`. */
@@ -102,6 +109,12 @@
     installed: isFlag,
   }),
   [PeerReplyKind.TimeoutNowAnswer]: isRecord({ term: isCount }),
+  [PeerReplyKind.SeedAnswer]: isRecord({
+    candidates: isMembers,
+    promised: isOptional(isBallot),
+    accepted: isOptional(isRecord({ ballot: isBallot, members: isMembers })),
+  }),
+  [PeerReplyKind.FoundedAnswer]: isRecord({}),
   [PeerReplyKind.Refused]: isRecord({
     reason: isText,
     wrongIdentity: isFlag,
--- a/packages/control/src/fakes/control-cluster.ts
+++ b/packages/control/src/fakes/control-cluster.ts
@@ -8,26 +8,26 @@
 import { createRandomSource } from '@cranberryturn/random';
 import {
   createMemoryLogDisk,
-  type BootstrapStart,
-  type JoinStart,
+  type LogStart,
   type LogTuning,
   type MemoryLogDisk,
-  MemberRole,
   openReplicatedLog,
   ReplicaRole,
   StartKind,
 } from '@cranberryturn/replicated-log';
 import type { TimerService } from '@cranberryturn/timers';
 import type { ControlHostConfiguration } from '@cranberryturn/types';
-import {
-  formatAddress,
-  ProcessRole,
-  type Suspension,
-} from '@cranberryturn/wire';
+import { ProcessRole, type Suspension } from '@cranberryturn/wire';
 
+import { createFounderChoice } from '../choose-founders.js';
 import type { ControlNode } from '../control-node.js';
 import type { ControlRetention } from '../control-state.js';
 import { startControl } from '../start-control.js';
+import {
+  composeBootstrapStart,
+  composeFirstStart,
+  composeInitialConfiguration,
+} from './compose-start.js';
 import { createFaultyNetwork, type FaultyNetwork } from './faulty-network.js';
 import { createSuspendableProcesses } from './suspendable-processes.js';
 
@@ -70,6 +70,12 @@
    * group at the seeds, which are the founding hosts by default.
    */
   startBlank(host: string, seeds?: readonly string[]): Promise<ControlNode>;
+  /** Starts a replica for the first time of the whole system: the seeds decide who founds the log. */
+  startFirst(
+    host: string,
+    seeds: readonly string[],
+    hasDisk: boolean,
+  ): Promise<ControlNode>;
   /** Starts an observer on an empty disk. */
   startObserver(host: string, seeds?: readonly string[]): Promise<ControlNode>;
   /** Returns the suspension of the latest run of a process, by its name; the cluster must be suspendable. */
@@ -134,7 +140,7 @@
 
   const startReplica = async (
     host: string,
-    start: BootstrapStart | JoinStart,
+    start: LogStart,
     { seeds = founders, isObserver = false } = {},
   ): Promise<ControlNode> => {
     const processTimers = processes.start(host);
@@ -157,17 +163,14 @@
           timers: processTimers,
           random: createRandomSource(random.below(incarnationBound)),
           start,
+          chooseFounders: createFounderChoice({
+            minimumVoters: options.minimumVoters ?? 1,
+            toleratedDataCentres: options.toleratedDataCentres ?? 0,
+          }),
           tuning: options.tuning,
         }),
       peers,
-      initialConfiguration: {
-        services: [],
-        teams: [],
-        workers: [],
-        drainedRacks: [],
-        drainedDataCentres: [],
-        controlHosts: peers.map(peer => ({ ...peer, host: peer.replicaId })),
-      },
+      initialConfiguration: composeInitialConfiguration(peers),
       ...(options.retention === undefined
         ? {}
         : { retention: options.retention }),
@@ -202,21 +205,23 @@
     network,
     leader,
     start: (host, seeds = founders) =>
+      startReplica(host, composeBootstrapStart(host, peers), {
+        seeds: [...seeds],
+      }),
+    startBlank: (host, seeds = founders) =>
+      startReplica(host, { kind: StartKind.Join, host }, { seeds: [...seeds] }),
+    startFirst: (host, seeds, hasDisk) =>
       startReplica(
         host,
-        {
-          kind: StartKind.Bootstrap,
-          replicaId: host,
-          members: peers.map(peer => ({
-            replicaId: peer.replicaId,
-            role: MemberRole.Voter,
-            address: formatAddress(peer.address),
-          })),
-        },
-        { seeds: [...seeds] },
+        composeFirstStart({
+          host,
+          address: composeAddress(host),
+          dataCentre: options.findDataCentre?.(host),
+          seeds: seeds.map(composeAddress),
+          hasDisk,
+        }),
+        { seeds: [...seeds], isObserver: !hasDisk },
       ),
-    startBlank: (host, seeds = founders) =>
-      startReplica(host, { kind: StartKind.Join, host }, { seeds: [...seeds] }),
     startObserver: (host, seeds = founders) => {
       disks.delete(host);
       return startReplica(
--- a/packages/control/src/group-options.ts
+++ b/packages/control/src/group-options.ts
@@ -23,7 +23,10 @@
 export function findToleratedLosses({
   minimumVoters,
   toleratedDataCentres,
-}: GroupOptions): ToleratedLosses {
+}: Pick<
+  GroupOptions,
+  'minimumVoters' | 'toleratedDataCentres'
+>): ToleratedLosses {
   return {
     hosts: Math.floor((minimumVoters - 1) / 2),
     dataCentres: toleratedDataCentres,
--- a/packages/control/src/start-control-role.ts
+++ b/packages/control/src/start-control-role.ts
@@ -13,9 +13,8 @@
   createFileLogDisk,
   createVolatileLogDisk,
   defaultLogTuning,
-  type BootstrapStart,
-  type JoinStart,
   type LogDisk,
+  type LogStart,
   MemberRole,
   openReplicatedLog,
   StartKind,
@@ -38,6 +37,7 @@
 import { serveAdministration } from './adapters/serve-administration.js';
 import type { ControlNode, ControlOptions } from './control-node.js';
 import type { GroupOptions } from './group-options.js';
+import { createFounderChoice } from './choose-founders.js';
 import { measureSyncs } from './measure-syncs.js';
 import { registerReplicaMetrics } from './register-replica-metrics.js';
 import { startControl } from './start-control.js';
@@ -68,6 +68,11 @@
 > & {
   /** By default what the default bounds allow. */
   readonly propagation?: PropagationTimes | undefined;
+  /**
+   * Set if the seeds of the group decide which hosts with a disk found the log: whether the whole system starts for the
+   * first time. Must not be true for a process of a host that has started before.
+   */
+  readonly isFirstStart?: boolean | undefined;
 };
 
 /** Starts the replica without its administration API, for programs that offer their own. */
@@ -154,6 +159,10 @@
         timers,
         random,
         start: composeStart(settings),
+        chooseFounders: createFounderChoice({
+          minimumVoters: settings.group?.minimumVoters ?? 1,
+          toleratedDataCentres: settings.group?.toleratedDataCentres ?? 0,
+        }),
         tuning: composeTuning(settings),
       }),
     peers: settings.peers.members.map(({ replicaId, address, port }) => ({
@@ -196,9 +205,20 @@
   return { role: ProcessRole.Control, name, incarnation };
 }
 
-function composeStart(
-  settings: ControlReplicaSettings,
-): BootstrapStart | JoinStart {
+function composeStart(settings: ControlReplicaSettings): LogStart {
+  const group = composeGroup(settings);
+  const { isFirstStart } = settings;
+  if (isFirstStart !== undefined && group !== undefined) {
+    return {
+      kind: StartKind.Seeded,
+      host: settings.host,
+      address: formatAddress(group.self),
+      dataCentre: group.dataCentre,
+      seeds: group.seeds.map(formatAddress),
+      hasDisk: !group.isObserver,
+      isFirstStart,
+    };
+  }
   if (settings.joining) return { kind: StartKind.Join, host: settings.host };
   return {
     kind: StartKind.Bootstrap,
--- a/packages/control/src/start-control.ts
+++ b/packages/control/src/start-control.ts
@@ -39,6 +39,7 @@
 import type { JoiningReplica, JoinReply } from './peer-protocol.js';
 import { reconcileMembers } from './reconcile-members.js';
 import { logEvacuations } from './log-evacuations.js';
+import { logFounding } from './log-founding.js';
 import { logRoleChange } from './log-role-change.js';
 import { createEvacuationService } from './order-evacuations.js';
 import { recordClaim } from './record-claim.js';
@@ -244,6 +245,9 @@
     case LogEventKind.Restored:
       node.feed.scheduleUpdate();
       return;
+    case LogEventKind.FoundingChanged:
+      logFounding(options.logger, event.founding);
+      return;
     case LogEventKind.RoleChanged:
       logRoleChange(options.logger, event.status);
       node.feed.scheduleUpdate();
--- a/packages/replicated-log/src/binaries/model.ts
+++ b/packages/replicated-log/src/binaries/model.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
-/** Runs the model-based test of the replicated log: `--runs N --seed S [--replicas 3|5] [--founding] [--shrink]`. */
+/** Runs the model-based test of the replicated log: `--runs N --seed S [--replicas 3|5] [--founding | --seeds] [--shrink]`. */
 import { parseArgs } from 'node:util';
 
 import { checkModel } from '../model/check-model.js';
+import { ModelBeginning } from '../model/run-operations.js';
 
 const { values } = parseArgs({
   options: {
@@ -10,15 +11,21 @@
     seed: { type: 'string', default: '1' },
     replicas: { type: 'string', default: '3' },
     founding: { type: 'boolean', default: false },
+    seeds: { type: 'boolean', default: false },
     shrink: { type: 'boolean', default: false },
   },
 });
 
+function chooseBeginning(): ModelBeginning {
+  if (values.seeds) return ModelBeginning.Seeds;
+  return values.founding ? ModelBeginning.Founding : ModelBeginning.Group;
+}
+
 const report = await checkModel({
   runs: Number(values.runs),
   seed: Number(values.seed),
   replicas: Number(values.replicas),
-  beginsWithFounding: values.founding,
+  beginning: chooseBeginning(),
   shouldShrink: values.shrink,
 });
 console.log(report.text);
--- a/packages/replicated-log/src/core/replica.ts
+++ b/packages/replicated-log/src/core/replica.ts
@@ -9,7 +9,11 @@
   Term,
 } from '@cranberryturn/types';
 
-import { ReplicaRole, type LogTuning } from '../log-types.js';
+import {
+  type FoundingStatus,
+  type LogTuning,
+  ReplicaRole,
+} from '../log-types.js';
 import { MemberRole, type Member } from '../members.js';
 import type { LogDisk } from '../ports/log-disk.js';
 import type { PeerLink } from '../ports/peer-link.js';
@@ -40,6 +44,8 @@
   onRoleChanged(): void;
   /** This replica is no longer the leader: the outcome of pending proposals is unknown. */
   onLeadershipLost(): void;
+  /** The founding of the log went on, or came to a halt. */
+  onFoundingChanged(status: FoundingStatus): void;
 }
 
 /** Part of the interval between first elections that is random. */
@@ -53,6 +59,7 @@
     onCommitted: () => undefined,
     onRoleChanged: () => undefined,
     onLeadershipLost: () => undefined,
+    onFoundingChanged: () => undefined,
   };
   /** Notified when the role, the election deadline or the failure changes. */
   readonly changed: Signal;
--- a/packages/replicated-log/src/core/replies.ts
+++ b/packages/replicated-log/src/core/replies.ts
@@ -30,3 +30,13 @@
     wrongIdentity: false,
   };
 }
+
+/** Reply of a host that takes no part in the founding of a log. */
+export function notSeedReply(): RefusedReply {
+  return {
+    kind: PeerReplyKind.Refused,
+    reason:
+      'This host does not take part in the founding of the log: it is no seed, has been started again, or belongs to a group.',
+    wrongIdentity: false,
+  };
+}
--- a/packages/replicated-log/src/core/service.ts
+++ b/packages/replicated-log/src/core/service.ts
@@ -25,6 +25,7 @@
   PeerMessageKind,
   type PeerMessage,
   type PeerReply,
+  type SeedMessage,
 } from '../ports/peer-link.js';
 import type { StateMachine } from '../ports/state-machine.js';
 import type { RevocableDisk } from '../storage/revocable-disk.js';
@@ -32,6 +33,7 @@
 import { Applier } from './applier.js';
 import { runElections } from './election.js';
 import type { Bootstrap } from './bootstrap.js';
+import type { Founding } from './founding.js';
 import { changeMembers } from './membership.js';
 import { proposeCommand } from './proposals.js';
 import { confirmLeadership } from './read-index.js';
@@ -52,10 +54,17 @@
   readonly appliedIndex: LogIndex;
 }
 
+/** How the replica becomes part of a log. At most one of the two has anything to do. */
+export interface ReplicaStart {
+  readonly bootstrap: Bootstrap;
+  readonly founding: Founding;
+}
+
 /** Implements the public interface and dispatches peer messages to their handlers. */
 export class ReplicatedLogService<Outcome> implements ReplicatedLog<Outcome> {
   readonly #replica: Replica;
   readonly #bootstrap: Bootstrap;
+  readonly #founding: Founding;
   readonly #applier: Applier<Outcome>;
   readonly #snapshotReceiver: SnapshotReceiver;
   readonly #access: RevocableDisk;
@@ -65,11 +74,12 @@
   constructor(
     replica: Replica,
     stateMachine: StateMachine<Outcome>,
-    bootstrap: Bootstrap,
+    { bootstrap, founding }: ReplicaStart,
     { access, appliedIndex }: OpenedState,
   ) {
     this.#replica = replica;
     this.#bootstrap = bootstrap;
+    this.#founding = founding;
     this.#access = access;
     this.#applier = new Applier(
       replica,
@@ -93,6 +103,9 @@
       onLeadershipLost: () => {
         this.#applier.failPendingProposals();
       },
+      onFoundingChanged: status => {
+        this.#publish({ kind: LogEventKind.FoundingChanged, founding: status });
+      },
     };
   }
 
@@ -148,10 +161,14 @@
   ): Promise<PeerReply> {
     const replica = this.#replica;
     if (replica.isStopped) return stoppedReply(replica);
+    if (isSeedMessage(message))
+      return await this.#founding.answerAsSeed(message);
     if (message.to !== replica.replicaId) return wrongIdentityReply(replica);
     if (message.kind === PeerMessageKind.Identify) {
       return await this.#bootstrap.answerIdentify(from, message.folderId);
     }
+    if (message.kind === PeerMessageKind.Founded)
+      return await this.#founding.answerFounded(message);
     if (!this.#bootstrap.isDone) return notBootstrappedReply();
     switch (message.kind) {
       case PeerMessageKind.PreVote:
@@ -199,6 +216,7 @@
 
   async #run(): Promise<void> {
     await this.#bootstrap.run();
+    await this.#founding.run();
     await runElections(this.#replica);
   }
 
@@ -218,6 +236,7 @@
       leadershipProvedAt: this.#provedAt(),
       stateProvedAt: this.#stateProvedAt(),
       failure,
+      founding: this.#founding.status,
     };
   }
 
@@ -242,6 +261,14 @@
   }
 }
 
+function isSeedMessage(message: PeerMessage): message is SeedMessage {
+  return (
+    message.kind === PeerMessageKind.RegisterFounder ||
+    message.kind === PeerMessageKind.PrepareFounding ||
+    message.kind === PeerMessageKind.AcceptFounding
+  );
+}
+
 /** Resolves with true when the work ends within the limit. The work is not cancelled otherwise. */
 function completesWithin(
   timers: TimerService,
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -58,6 +58,8 @@
   Bootstrap = 'found',
   /** Creates a new identity and waits until a leader adds the replica as a learner. */
   Join = 'join',
+  /** As joining, but the log may not exist yet: the seeds decide which hosts with a disk found it. */
+  Seeded = 'seeded',
 }
 
 /** Bootstraps a new log. Every founding member must be given the same list, all of them voters. */
@@ -73,6 +75,37 @@
   readonly host: HostName;
 }
 
+/**
+ * Joins the log or, as long as there is none, takes part in its founding. A host with a disk may become a founding member
+ * in any of its processes, but a seed answers only in the process that was told of the first start of the whole system: the
+ * next one may have forgotten what it has accepted.
+ */
+export interface SeededStart {
+  readonly kind: StartKind.Seeded;
+  readonly host: HostName;
+  /** Network address of this host, which is also its name among the seeds. */
+  readonly address: ReplicaId;
+  readonly dataCentre?: string | undefined;
+  /** Network addresses of the seeds; the same at all hosts. They need no disk. */
+  readonly seeds: readonly ReplicaId[];
+  /** Whether this host can keep a vote, so that it may be a founding member. */
+  readonly hasDisk: boolean;
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
+}
+
+/** How a replica with an empty data folder starts. */
+export type LogStart = BootstrapStart | JoinStart | SeededStart;
+
+/**
+ * Chooses the founding members among the hosts that have registered with the seeds. Returns an empty list to
+ * wait for further ones. `waited` is the time since a majority of the seeds first answered.
+ */
+export type ChooseFounders = (
+  candidates: readonly Member[],
+  waited: Milliseconds,
+) => readonly Member[];
+
 /** Intervals, timeouts and size limits. Times are in milliseconds. */
 export interface LogTuning {
   readonly heartbeatInterval: Milliseconds;
@@ -117,7 +150,9 @@
   readonly timers: TimerService;
   /** Must be seeded differently in each process: identities and election timeouts are drawn from it. */
   readonly random: RandomSource;
-  readonly start: BootstrapStart | JoinStart;
+  readonly start: LogStart;
+  /** Needed by a host with a disk that starts with seeds; a host without it proposes no founding members. */
+  readonly chooseFounders?: ChooseFounders | undefined;
   readonly tuning?: Partial<LogTuning> | undefined;
 }
 
@@ -143,6 +178,30 @@
   readonly failure?: CranberryError | undefined;
   /** Number of attempts to open the log again after a fault of the disk; undefined unless the replica recovers from one. */
   readonly recoveryAttempts?: number | undefined;
+  /** State of the founding; undefined at a replica that takes no part in it. */
+  readonly founding?: FoundingStatus | undefined;
+}
+
+/** Steps of a host with a disk while the log is founded. */
+export enum FoundingStep {
+  /** Less than a majority of the seeds answers. */
+  AwaitsSeeds = 'awaits-seeds',
+  /** Too few hosts with a disk have registered. */
+  AwaitsHosts = 'awaits-hosts',
+  /** Asks the seeds to decide on founding members. */
+  Proposes = 'proposes',
+  /** Knows the founding members. */
+  Decided = 'decided',
+}
+
+/** How far the founding is, for log lines. */
+export interface FoundingStatus {
+  readonly step: FoundingStep;
+  readonly seeds: number;
+  /** Seeds that answered last. */
+  readonly answering: number;
+  /** Hosts with a disk that have registered or, once decided, the founding members. */
+  readonly hosts: readonly ReplicaId[];
 }
 
 /** Whether an error that does not pass has stopped the replica: damaged data, or an identity that was replaced. */
@@ -172,6 +231,7 @@
   Applied = 'applied',
   Restored = 'restored',
   RoleChanged = 'role-changed',
+  FoundingChanged = 'founding-changed',
 }
 
 /** A command was applied to the state machine. */
@@ -193,9 +253,18 @@
   readonly status: LogStatus;
 }
 
+/** The founding of the log went on, or came to a halt. */
+export interface FoundingChangedEvent {
+  readonly kind: LogEventKind.FoundingChanged;
+  readonly founding: FoundingStatus;
+}
+
 /** Event delivered to subscribers. */
 export type LogEvent<Outcome> =
-  AppliedEvent<Outcome> | RestoredEvent | RoleChangedEvent;
+  | AppliedEvent<Outcome>
+  | RestoredEvent
+  | RoleChangedEvent
+  | FoundingChangedEvent;
 
 /** Handle of a subscription. */
 export interface LogSubscription {
--- a/packages/replicated-log/src/model/check-model.ts
+++ b/packages/replicated-log/src/model/check-model.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 
 import { arbitraryOperations, type Operation } from './operations.js';
-import { runOperations } from './run-operations.js';
+import { ModelBeginning, runOperations } from './run-operations.js';
 
 const maximumOperations = 24;
 const maximumSeed = 0x7fff_ffff;
@@ -12,8 +12,7 @@
   readonly runs: number;
   readonly seed: number;
   readonly replicas: number;
-  /** Whether the operations begin while the replicas found the log. By default they begin once it has a leader. */
-  readonly beginsWithFounding?: boolean;
+  readonly beginning?: ModelBeginning;
   /** Whether to search for a shorter failing sequence after a failure. May take minutes. */
   readonly shouldShrink: boolean;
 }
@@ -27,13 +26,13 @@
 
 /** Runs random sequences. The result is deterministic for the same parameters. */
 export async function checkModel(check: ModelCheck): Promise<ModelReport> {
-  const { runs, seed, replicas, beginsWithFounding = false } = check;
+  const { runs, seed, replicas, beginning = ModelBeginning.Group } = check;
   const property = fc.asyncProperty(
     fc.integer({ min: 0, max: maximumSeed }),
-    arbitraryOperations(maximumOperations),
+    arbitraryOperations(maximumOperations, beginning === ModelBeginning.Seeds),
     async (runSeed, operations) => {
       const violations = await runOperations(
-        { replicas, seed: runSeed, beginsWithFounding },
+        { replicas, seed: runSeed, beginning },
         operations,
       );
       if (violations.length > 0) throw new Error(violations.join('; '));
--- a/packages/replicated-log/src/model/log-invariants.ts
+++ b/packages/replicated-log/src/model/log-invariants.ts
@@ -18,12 +18,18 @@
   readonly #acknowledged = new Map<string, LogIndex>();
   readonly #rejected = new Set<string>();
   #highestAcknowledged: LogIndex = 0;
+  #founders: readonly ReplicaId[] | undefined;
 
   /** Highest acknowledged index. */
   get highestAcknowledged(): LogIndex {
     return this.#highestAcknowledged;
   }
 
+  /** Founding members that the seeds have decided on, as far as any host knows. */
+  get founders(): readonly ReplicaId[] | undefined {
+    return this.#founders;
+  }
+
   /** All acknowledged commands with their index. */
   acknowledged(): ReadonlyMap<string, LogIndex> {
     return this.#acknowledged;
@@ -59,6 +65,15 @@
     this.#leaders.set(term, replicaId);
   }
 
+  /** Checks that all hosts learn of the same founding members. */
+  recordFounders(host: string, founders: readonly ReplicaId[]): void {
+    this.#founders ??= founders;
+    if (this.#founders.join() === founders.join()) return;
+    this.#addViolation(
+      `${host} knows the founding members ${founders.join()}, another host ${this.#founders.join()}`,
+    );
+  }
+
   /** Checks that an acknowledged command was applied at the acknowledged index. */
   recordAcknowledged(text: string, index: LogIndex): void {
     this.#acknowledged.set(text, index);
--- a/packages/replicated-log/src/model/model-cluster.ts
+++ b/packages/replicated-log/src/model/model-cluster.ts
@@ -14,13 +14,15 @@
 import {
   hasFailedForGood,
   StartKind,
+  type LogStart,
   type LogTuning,
   type ReplicatedLog,
 } from '../log-types.js';
 import { MemberChangeKind, MemberRole, type Member } from '../members.js';
 import { LogInvariants } from './log-invariants.js';
-import { ModelHost } from './model-host.js';
+import { ModelHost, type ModelEnvironment } from './model-host.js';
 
+const oldIdentityMilliseconds: Milliseconds = 2_000;
 const retryIntervalMilliseconds: Milliseconds = 150;
 const recoveryStepMilliseconds: Milliseconds = 200;
 const recoveryLimitMilliseconds: Milliseconds = 30_000;
@@ -35,6 +37,18 @@
   proposeTimeout: 2_000,
 };
 
+/** Composes how a host starts for the first time. */
+export type ComposeStart = (
+  host: ReplicaId,
+  members: readonly Member[],
+) => LogStart;
+
+const composeBootstrapStart: ComposeStart = (replicaId, members) => ({
+  kind: StartKind.Bootstrap,
+  replicaId,
+  members,
+});
+
 /** Hosts, network, clock and invariants of one run. */
 export class ModelCluster {
   readonly timers: ManualTimerService = createManualTimerService();
@@ -42,6 +56,7 @@
   readonly network: FakePeerNetwork;
   readonly invariants = new LogInvariants();
   readonly hosts: ModelHost[];
+  protected readonly environment: ModelEnvironment;
   /** Hosts whose previous replica is being replaced. */
   readonly replacing = new Set<ModelHost>();
   #isStopped = false;
@@ -51,22 +66,29 @@
     size: number,
     seed: number,
     tuning: Partial<LogTuning> = smallTuning,
+    composeStart: ComposeStart = composeBootstrapStart,
   ) {
     this.random = createRandomSource(seed);
     this.network = createFakePeerNetwork(this.timers, this.random);
     const { timers, random, network, invariants } = this;
-    const world = { timers, random, network, invariants, tuning };
+    this.environment = { timers, random, network, invariants, tuning };
     const members = foundingMembers(size);
     this.hosts = members.map(
       ({ replicaId }) =>
-        new ModelHost(world, replicaId, {
-          kind: StartKind.Bootstrap,
+        new ModelHost(
+          this.environment,
           replicaId,
-          members,
-        }),
+          composeStart(replicaId, members),
+        ),
     );
   }
 
+  /** Whether a further disk may be lost, so that a quorum keeps its data. */
+  canLoseDisk(host: ModelHost): boolean {
+    const toleratedLosses = Math.ceil(this.hosts.length / 2) - 1;
+    return this.replacing.size < toleratedLosses && !this.replacing.has(host);
+  }
+
   /** Starts all hosts, which found the log. */
   open(): void {
     for (const host of this.hosts) host.open();
@@ -119,12 +141,34 @@
 
   /** Wipes the disk of a host and replaces its replica with one under a new identity. */
   replaceHost(host: ModelHost): void {
-    const previous = host.replicaId;
-    host.wipe();
+    this.loseDisk(host);
     host.joinOnNextStart();
     host.open();
     this.replacing.add(host);
-    if (previous !== undefined) void this.#replaceMember(host, previous);
+    void this.makeVoter(host);
+  }
+
+  /**
+   * Restarts a host with an empty disk under its old identity, which must not vote, and replaces the
+   * host later.
+   */
+  wipeUnderOldIdentity(host: ModelHost): void {
+    this.loseDisk(host);
+    host.open();
+    this.replacing.add(host);
+    this.timers.after(oldIdentityMilliseconds, () => {
+      this.replaceHost(host);
+    });
+  }
+
+  /** Ends the process of a host and wipes its disk. */
+  loseDisk(host: ModelHost): void {
+    host.wipe();
+  }
+
+  /** Partitions a host from all others, under all of its names. */
+  isolate(host: ModelHost): void {
+    for (const name of host.networkNames) this.network.isolate(name);
   }
 
   /** Advances time until `condition` holds. Resolves with false after `limit`. */
@@ -162,6 +206,11 @@
   /** Repairs everything, then checks that the log commits again and no acknowledged command was lost. */
   async recoverAndCheck(): Promise<void> {
     this.repair();
+    await this.checkRecovered();
+  }
+
+  /** Checks that the log commits again and no acknowledged command was lost, then ends all processes. */
+  protected async checkRecovered(): Promise<void> {
     const isReplaced = await this.tickUntil(() => this.replacing.size === 0);
     if (!isReplaced)
       this.invariants.recordStuck(
@@ -208,15 +257,16 @@
     );
   }
 
-  async #replaceMember(host: ModelHost, previous: ReplicaId): Promise<void> {
+  /** Makes the replica of a host a voter, and removes those that it replaces. */
+  protected async makeVoter(host: ModelHost): Promise<void> {
     while (!this.#isStopped) {
       const leader = this.leader();
       const added = host.replicaId;
       const isDone =
         leader !== undefined &&
         added !== undefined &&
-        (await runReplacementStep(leader, added, previous));
-      if (isDone) {
+        (await runReplacementStep(leader, added, host.networkNames));
+      if (isDone && host.replicaId === added) {
         this.replacing.delete(host);
         return;
       }
@@ -229,7 +279,7 @@
 async function runReplacementStep(
   leader: ReplicatedLog<number>,
   added: ReplicaId,
-  previous: ReplicaId,
+  identities: readonly ReplicaId[],
 ): Promise<boolean> {
   const { members, commitIndex } = leader.status();
   const member = members.find(known => known.replicaId === added);
@@ -248,8 +298,10 @@
     });
     return false;
   }
-  const isMember = members.some(known => known.replicaId === previous);
-  if (isMember) {
+  const previous = members
+    .map(({ replicaId }) => replicaId)
+    .find(known => known !== added && identities.includes(known));
+  if (previous !== undefined) {
     await leader.changeMembers({
       kind: MemberChangeKind.Remove,
       replicaId: previous,
--- a/packages/replicated-log/src/model/model-host.ts
+++ b/packages/replicated-log/src/model/model-host.ts
@@ -10,11 +10,13 @@
   type MemoryLogDisk,
 } from '../fakes/memory-log-disk.js';
 import {
+  FoundingStep,
   LogEventKind,
   ReplicaRole,
   StartKind,
-  type BootstrapStart,
-  type JoinStart,
+  type ChooseFounders,
+  type FoundingStatus,
+  type LogStart,
   type LogTuning,
   type ReplicatedLog,
 } from '../log-types.js';
@@ -29,6 +31,7 @@
   readonly network: FakePeerNetwork;
   readonly invariants: LogInvariants;
   readonly tuning: Partial<LogTuning>;
+  chooseFounders?: ChooseFounders | undefined;
 }
 
 /** A host with a disk and at most one running replica. */
@@ -42,29 +45,36 @@
   readonly #environment: ModelEnvironment;
   /** Identities that this host has had. Its replica refuses messages to the former ones. */
   readonly #identities = new Set<ReplicaId>();
-  #start: BootstrapStart | JoinStart;
+  #start: LogStart;
   #processNumber = 0;
   #isRunning = false;
 
-  constructor(
-    environment: ModelEnvironment,
-    name: string,
-    start: BootstrapStart | JoinStart,
-  ) {
+  constructor(environment: ModelEnvironment, name: string, start: LogStart) {
     this.#environment = environment;
     this.name = name;
     this.#start = start;
     this.disk = createMemoryLogDisk(environment.timers);
+    if (start.kind === StartKind.Seeded) this.#identities.add(name);
     if (start.kind !== StartKind.Bootstrap) return;
     this.replicaId = start.replicaId;
     this.#identities.add(start.replicaId);
   }
 
+  /** Names under which this host is reached. */
+  get networkNames(): readonly string[] {
+    return [...this.#identities];
+  }
+
   /** Whether the process is running, including while the log opens. */
   get isRunning(): boolean {
     return this.#isRunning;
   }
 
+  /** Whether the process was started at least once. */
+  get hasStarted(): boolean {
+    return this.#processNumber > 0;
+  }
+
   /** Log of this host if its replica claims leadership. */
   leadingLog(): ReplicatedLog<number> | undefined {
     const isLeading = this.log?.status().role === ReplicaRole.Leader;
@@ -77,7 +87,11 @@
     this.#isRunning = true;
     this.#processNumber += 1;
     const processNumber = this.#processNumber;
-    const { timers, random, tuning } = this.#environment;
+    const { timers, random, tuning, chooseFounders } = this.#environment;
+    const start = this.#start;
+    // Only the first process of a host is told that the whole system starts for the first time.
+    if (start.kind === StartKind.Seeded)
+      this.#start = { ...start, isFirstStart: false };
     this.stateMachine = new RecordingStateMachine(entry => {
       this.#environment.invariants.recordApplied(
         this.replicaId ?? this.name,
@@ -95,7 +109,8 @@
       stateMachine: this.stateMachine,
       timers,
       random,
-      start: this.#start,
+      start,
+      chooseFounders,
       tuning,
     });
     void opening.match(
@@ -133,7 +148,8 @@
 
   /** Makes the next start join the log under a new identity. */
   joinOnNextStart(): void {
-    this.#start = { kind: StartKind.Join, host: this.name };
+    if (this.#start.kind === StartKind.Bootstrap)
+      this.#start = { kind: StartKind.Join, host: this.name };
     this.replicaId = undefined;
   }
 
@@ -147,8 +163,11 @@
         log.handlePeerMessage(from, message),
       );
     this.#recordLeadership(log);
+    this.#recordFounders(log.status().founding);
     log.subscribe(event => {
       if (event.kind === LogEventKind.RoleChanged) this.#recordLeadership(log);
+      if (event.kind === LogEventKind.FoundingChanged)
+        this.#recordFounders(event.founding);
     });
   }
 
@@ -158,6 +177,11 @@
     this.#environment.invariants.recordLeader(replicaId, term);
   }
 
+  #recordFounders(founding: FoundingStatus | undefined): void {
+    if (founding?.step === FoundingStep.Decided)
+      this.#environment.invariants.recordFounders(this.name, founding.hosts);
+  }
+
   #endProcess(): void {
     for (const identity of this.#identities)
       this.#environment.network.detach(identity);
--- a/packages/replicated-log/src/model/operations.ts
+++ b/packages/replicated-log/src/model/operations.ts
@@ -25,6 +25,8 @@
   Replace = 'replace',
   WipeUnderOldIdentity = 'wipe-under-old-identity',
   Transfer = 'transfer',
+  /** Kills the process of a seed without a disk. */
+  CrashWitness = 'crash-witness',
 }
 
 /** One operation. Each kind uses only the numbers that apply. */
@@ -68,23 +70,30 @@
   { kind: OperationKind.Transfer, weight: 1, maximumAmount: 0 },
 ];
 
+const witnessWeights: readonly Weight[] = [
+  { kind: OperationKind.CrashWitness, weight: 3, maximumAmount: 0 },
+];
+
 const leaderOrHost = { min: -1, max: 4 };
 const anyHost = { min: 0, max: 4 };
 
 /** Generates sequences of operations, weighted towards faults. */
 export function arbitraryOperations(
   maximumLength: number,
+  hasWitnesses = false,
 ): fc.Arbitrary<Operation[]> {
   const operation = fc.oneof(
-    ...weights.map(({ kind, weight, maximumAmount }) => ({
-      weight,
-      arbitrary: fc.record({
-        kind: fc.constant(kind),
-        host: fc.integer(leaderOrHost),
-        other: fc.integer(anyHost),
-        amount: fc.integer({ min: 0, max: maximumAmount }),
+    ...[...weights, ...(hasWitnesses ? witnessWeights : [])].map(
+      ({ kind, weight, maximumAmount }) => ({
+        weight,
+        arbitrary: fc.record({
+          kind: fc.constant(kind),
+          host: fc.integer(leaderOrHost),
+          other: fc.integer(anyHost),
+          amount: fc.integer({ min: 0, max: maximumAmount }),
+        }),
       }),
-    })),
+    ),
   );
   return fc.array(operation, {
     minLength: 5,
--- a/packages/replicated-log/src/model/run-operations.ts
+++ b/packages/replicated-log/src/model/run-operations.ts
@@ -4,6 +4,7 @@
 import { ModelCluster } from './model-cluster.js';
 import type { ModelHost } from './model-host.js';
 import { OperationKind, type Operation } from './operations.js';
+import { SeededCluster } from './seeded-cluster.js';
 
 const electionLimitMilliseconds: Milliseconds = 1_500;
 const electionStepMilliseconds: Milliseconds = 10;
@@ -12,18 +13,30 @@
 export interface ModelRun {
   readonly replicas: number;
   readonly seed: number;
-  /** Whether the operations begin while the replicas found the log. */
-  readonly beginsWithFounding: boolean;
+  readonly beginning: ModelBeginning;
+}
+
+/** When the operations begin. */
+export enum ModelBeginning {
+  /** Once the founding members have a leader. */
+  Group = 'in a group',
+  /** While founding members that are named found the log. */
+  Founding = 'from their founding on',
+  /** While the seeds decide who founds the log. */
+  Seeds = 'from the decision of the seeds on',
 }
 
 /** Runs one sequence and returns the violated invariants. Deterministic for the same run and operations. */
 export async function runOperations(
-  { replicas, seed, beginsWithFounding }: ModelRun,
+  { replicas, seed, beginning }: ModelRun,
   operations: readonly Operation[],
 ): Promise<readonly string[]> {
-  const cluster = new ModelCluster(replicas, seed);
-  if (beginsWithFounding) cluster.open();
-  else await cluster.start();
+  const cluster =
+    beginning === ModelBeginning.Seeds
+      ? new SeededCluster(replicas, seed)
+      : new ModelCluster(replicas, seed);
+  if (beginning === ModelBeginning.Group) await cluster.start();
+  else cluster.open();
   for (const operation of operations) {
     runOperation(cluster, operation);
     if (operation.kind === OperationKind.Tick) {
@@ -71,7 +84,7 @@
       for (const any of cluster.hosts) any.open();
       return;
     case OperationKind.Isolate:
-      if (host.replicaId) cluster.network.isolate(host.replicaId);
+      cluster.isolate(host);
       return;
     case OperationKind.CutOneWay:
       cutOneWay(cluster, host, other);
@@ -102,10 +115,14 @@
       host.disk.refuseWrites(amount);
       return;
     case OperationKind.Replace:
-      if (canLoseDisk(cluster, host)) cluster.replaceHost(host);
+      if (cluster.canLoseDisk(host)) cluster.replaceHost(host);
       return;
     case OperationKind.WipeUnderOldIdentity:
-      if (canLoseDisk(cluster, host)) wipeUnderOldIdentity(cluster, host);
+      if (cluster.canLoseDisk(host)) cluster.wipeUnderOldIdentity(host);
+      return;
+    case OperationKind.CrashWitness:
+      if (cluster instanceof SeededCluster)
+        cluster.crashWitness(operation.other);
       return;
     case OperationKind.Transfer:
       for (const log of leadingLogs(cluster)) void log.transferLeadership();
@@ -122,7 +139,7 @@
     await cluster.timers.advance(operation.amount);
     return;
   }
-  cluster.network.isolate(deposed.replicaId);
+  cluster.isolate(deposed);
   proposeEverywhere(cluster, operation.other);
   for (const any of cluster.hosts) any.open();
   const end = cluster.timers.now() + electionLimitMilliseconds;
@@ -166,24 +183,3 @@
   if (host.replicaId === undefined || other.replicaId === undefined) return;
   cluster.network.cutOneWay(host.replicaId, other.replicaId);
 }
-
-/** Limits the disks lost at the same time, so that a quorum keeps its data. */
-function canLoseDisk(cluster: ModelCluster, host: ModelHost): boolean {
-  const toleratedLosses = Math.ceil(cluster.hosts.length / 2) - 1;
-  return (
-    cluster.replacing.size < toleratedLosses && !cluster.replacing.has(host)
-  );
-}
-
-/**
- * Restarts the host with an empty disk under its old identity, which must not vote, and replaces
- * the host later.
- */
-function wipeUnderOldIdentity(cluster: ModelCluster, host: ModelHost): void {
-  host.wipe();
-  host.open();
-  cluster.replacing.add(host);
-  cluster.timers.after(2_000, () => {
-    cluster.replaceHost(host);
-  });
-}
--- a/packages/replicated-log/src/open-replicated-log.ts
+++ b/packages/replicated-log/src/open-replicated-log.ts
@@ -4,14 +4,14 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
 import { Bootstrap } from './core/bootstrap.js';
+import { Founding } from './core/founding.js';
 import { RecoveringLog } from './core/recovering-log.js';
 import { Replica } from './core/replica.js';
 import { ReplicatedLogService } from './core/service.js';
 import { StoredIdentity } from './core/stored-identity.js';
 import {
   StartKind,
-  type BootstrapStart,
-  type JoinStart,
+  type LogStart,
   type OpenLogError,
   type ReplicatedLog,
   type ReplicatedLogOptions,
@@ -99,9 +99,12 @@
   });
   events.replica = replica;
   const stored = new StoredIdentity(replica, disk, identity.value);
-  const bootstrap = new Bootstrap(replica, stored);
+  const replicaStart = {
+    bootstrap: new Bootstrap(replica, stored),
+    founding: new Founding(replica, stored, options.chooseFounders),
+  };
   return ok(
-    new ReplicatedLogService(replica, stateMachine, bootstrap, {
+    new ReplicatedLogService(replica, stateMachine, replicaStart, {
       access,
       appliedIndex: Math.max(appliedIndex ?? 0, replica.commitIndex),
     }),
@@ -121,10 +124,8 @@
   }
 }
 
-function checkStart(
-  start: BootstrapStart | JoinStart,
-): Result<void, InvalidInputError> {
-  if (start.kind === StartKind.Join) return ok();
+function checkStart(start: LogStart): Result<void, InvalidInputError> {
+  if (start.kind !== StartKind.Bootstrap) return ok();
   const isMember = start.members.some(
     member => member.replicaId === start.replicaId,
   );
--- a/packages/replicated-log/src/ports/peer-link.ts
+++ b/packages/replicated-log/src/ports/peer-link.ts
@@ -20,6 +20,10 @@
   AppendEntries = 'append-entries',
   InstallSnapshot = 'install-snapshot',
   TimeoutNow = 'timeout-now',
+  RegisterFounder = 'register-founder',
+  PrepareFounding = 'prepare-founding',
+  AcceptFounding = 'accept-founding',
+  Founded = 'founded',
 }
 
 interface PeerMessageBase {
@@ -102,6 +106,52 @@
   readonly kind: PeerMessageKind.TimeoutNow;
 }
 
+/** Orders the attempts to decide on the founding members: by round, then by proposer. */
+export interface Ballot {
+  readonly round: number;
+  readonly proposer: ReplicaId;
+}
+
+/** The founding members that a seed has accepted, and in which ballot. */
+export interface AcceptedFounders {
+  readonly ballot: Ballot;
+  readonly members: readonly Member[];
+}
+
+interface SeedMessageBase extends PeerMessageBase {
+  /** Seeds of which a majority decides. Seeds that were started with others take no part. */
+  readonly seeds: readonly ReplicaId[];
+}
+
+/** Tells a seed that the sender can found the log, and asks what the seed knows. */
+export interface RegisterFounderMessage extends SeedMessageBase {
+  readonly kind: PeerMessageKind.RegisterFounder;
+  readonly candidate: Member;
+}
+
+/** Asks a seed to take part in no ballot before this one. */
+export interface PrepareFoundingMessage extends SeedMessageBase {
+  readonly kind: PeerMessageKind.PrepareFounding;
+  readonly ballot: Ballot;
+}
+
+/** Asks a seed to accept founding members. */
+export interface AcceptFoundingMessage extends SeedMessageBase {
+  readonly kind: PeerMessageKind.AcceptFounding;
+  readonly ballot: Ballot;
+  readonly members: readonly Member[];
+}
+
+/** Tells a founding member what the seeds have decided. */
+export interface FoundedMessage extends PeerMessageBase {
+  readonly kind: PeerMessageKind.Founded;
+  readonly members: readonly Member[];
+}
+
+/** A message to a seed, which is addressed by its network address: its identity is not known. */
+export type SeedMessage =
+  RegisterFounderMessage | PrepareFoundingMessage | AcceptFoundingMessage;
+
 /** Message between replicas. */
 export type PeerMessage =
   | IdentifyMessage
@@ -110,7 +160,9 @@
   | HeartbeatMessage
   | AppendEntriesMessage
   | InstallSnapshotMessage
-  | TimeoutNowMessage;
+  | TimeoutNowMessage
+  | SeedMessage
+  | FoundedMessage;
 
 /** Kinds of replies. */
 export enum PeerReplyKind {
@@ -120,6 +172,8 @@
   AppendAnswer = 'append-answer',
   SnapshotAnswer = 'snapshot-answer',
   TimeoutNowAnswer = 'timeout-now-answer',
+  SeedAnswer = 'seed-answer',
+  FoundedAnswer = 'founded-answer',
   /** The receiver did not process the message: it is stopped, not ready, or has another identity. */
   Refused = 'refused',
 }
@@ -173,6 +227,23 @@
   readonly term: Term;
 }
 
+/**
+ * Reply of a seed: its state after the message. A ballot was promised or accepted if it is the one in
+ * the reply.
+ */
+export interface SeedAnswer {
+  readonly kind: PeerReplyKind.SeedAnswer;
+  /** Hosts that have registered lately, the newest identity of each. */
+  readonly candidates: readonly Member[];
+  readonly promised?: Ballot | undefined;
+  readonly accepted?: AcceptedFounders | undefined;
+}
+
+/** Reply of a founding member that knows the decision. */
+export interface FoundedAnswer {
+  readonly kind: PeerReplyKind.FoundedAnswer;
+}
+
 /** Reply to a message that was not processed. */
 export interface RefusedReply {
   readonly kind: PeerReplyKind.Refused;
@@ -191,6 +262,8 @@
   | AppendAnswer
   | SnapshotAnswer
   | TimeoutNowAnswer
+  | SeedAnswer
+  | FoundedAnswer
   | RefusedReply;
 
 /** Sends messages to other replicas. Any message may be lost, delayed or delivered twice. */
