Found the control log without hosts that do not come up

Cause: each founding member waited for an answer of each other one.

Change: hosts that have not registered 3 s after a majority of the seeds answers count as lost. Then one founding member more than the tolerated losses is enough, so what is acknowledged rests on a disk that none of the tolerated losses takes. A host that comes later joins.

Before this change "a host that never starts" and "nothing is acknowledged on a single disk", whose second host is the second of three, failed in found-log.test.ts; both pass now.

--- a/packages/control/src/choose-founders.ts
+++ b/packages/control/src/choose-founders.ts
@@ -1,5 +1,6 @@
 /** Chooses the hosts that found the log, among those with a disk that the seeds have heard of. */
 import type { ChooseFounders, Member } from '@cranberryturn/replicated-log';
+import type { Milliseconds } from '@cranberryturn/types';
 
 import { findToleratedLosses, type GroupOptions } from './group-options.js';
 import { findDataCentre, maximumVoters } from './group-view.js';
@@ -9,13 +10,19 @@
   tolerates,
 } from './tolerated-losses.js';
 
-/** Founds with voters that outlast the tolerated losses. */
+/** Longer than hosts that are switched on together differ in their start. */
+const incompleteFoundingDelay: Milliseconds = 3_000;
+
+/**
+ * Founds at once with voters that outlast the tolerated losses. Hosts that are missing after a delay count as lost; then
+ * one voter more than the tolerated losses take is enough, so that none of them can lose what was acknowledged.
+ */
 export function createFounderChoice(
   group: Pick<GroupOptions, 'minimumVoters' | 'toleratedDataCentres'>,
 ): ChooseFounders {
   const losses = findToleratedLosses(group);
   const find = (host: Member): string => findDataCentre({ losses }, host);
-  return candidates => {
+  return (candidates, waited) => {
     const wanted = chooseVoters({
       hosts: countByDataCentre(candidates.map(find)),
       losses,
@@ -29,6 +36,8 @@
     );
     const isComplete =
       founders.length >= group.minimumVoters && tolerates(wanted, losses);
-    return isComplete ? founders : [];
+    const isEnough =
+      waited >= incompleteFoundingDelay && founders.length > losses.hosts;
+    return isComplete || isEnough ? founders : [];
   };
 }
--- a/packages/control/src/found-log.test.ts
+++ b/packages/control/src/found-log.test.ts
@@ -90,11 +90,24 @@
   });
 }
 
+/** Guards against a founder that never comes up and keeps the others from serving. */
+for (const missing of ['c2', 'c4']) {
+  test(`a host that never starts does not keep the others from founding the log (${missing})`, async t => {
+    const fixture = createFixture();
+    const started = hosts.filter(host => host !== missing);
+    start(fixture, ['c1', 'c2', 'c4'], started);
+    t.true(await publish(fixture, 1));
+  });
+}
+
 /** Guards against a configuration that is lost with the one disk on which it was acknowledged. */
 test('nothing is acknowledged on a single disk while the loss of one is to be tolerated', async t => {
   const fixture = createFixture();
   start(fixture, ['c1'], ['c1', ...hostsWithoutDisk]);
   t.false(await publish(fixture, 1));
+  start(fixture, ['c1'], ['c2']);
+  t.true(await publish(fixture, 1));
+  t.deepEqual(listVoters(fixture), ['c1', 'c2']);
 });
 
 /** Guards against the loss of a configuration with the first host that is lost after its acknowledgement. */
@@ -111,6 +124,22 @@
   });
 }
 
+/** Guards against a second group of the hosts that come after the log was founded. */
+test('a host that starts late joins the group that was founded without it', async t => {
+  const fixture = createFixture();
+  const seeds = ['c2', 'c4', 'c5'];
+  start(
+    fixture,
+    seeds,
+    hosts.filter(host => host !== 'c2'),
+  );
+  t.true(await publish(fixture, 1));
+  start(fixture, seeds, ['c2']);
+  await fixture.timers.advance(8_000);
+  t.deepEqual(listVoters(fixture), hostsWithDisk);
+  t.is(fixture.cluster.findNode('c2')?.state.publication.version, 1);
+});
+
 /** Guards against a seed that answers a second time from an empty memory. */
 test('a seed without a disk that is started again before the founding does not take part in it', async t => {
   const fixture = createFixture();
