Do not let one of several hosts found the control log alone where no loss is tolerated

Where a deployment tolerates no loss, the host with a disk that registered first would have founded the log alone, and its first acknowledgements would have rested on one disk although others were starting. Founding now takes three hosts there too, or as many as there are after the delay of an incomplete founding. choose-founders.test.ts plays the choice without a network.

--- a/packages/control/src/choose-founders.ts
+++ b/packages/control/src/choose-founders.ts
@@ -10,6 +10,8 @@
   tolerates,
 } from './tolerated-losses.js';
 
+/** So many outlast the loss of one, also where no loss has to be tolerated. */
+const usualFounders = 3;
 /** Longer than hosts that are switched on together differ in their start. */
 const incompleteFoundingDelay: Milliseconds = 3_000;
 
@@ -35,7 +37,8 @@
         .slice(0, count),
     );
     const isComplete =
-      founders.length >= group.minimumVoters && tolerates(wanted, losses);
+      founders.length >= Math.max(group.minimumVoters, usualFounders) &&
+      tolerates(wanted, losses);
     const isEnough =
       waited >= incompleteFoundingDelay && founders.length > losses.hosts;
     return isComplete || isEnough ? founders : [];
