--- a/packages/replicated-log/src/fakes/fake-peer-network.ts
+++ b/packages/replicated-log/src/fakes/fake-peer-network.ts
@@ -33,6 +33,7 @@
   cutOneWay(from: ReplicaId, to: ReplicaId): void;
   /** Partitions a replica from all others in both directions. */
   isolate(replicaId: ReplicaId): void;
+  isIsolated(replicaId: ReplicaId): boolean;
   /** Ends all partitions. */
   heal(): void;
   setFaults(faults: LinkFaults): void;
@@ -97,6 +98,7 @@
     detach: replicaId => void handlers.delete(replicaId),
     cutOneWay: (from, to) => void cuts.add(cutKey(from, to)),
     isolate: replicaId => void isolated.add(replicaId),
+    isIsolated: replicaId => isolated.has(replicaId),
     heal: () => {
       cuts.clear();
       isolated.clear();
--- a/packages/replicated-log/src/model/model-host.ts
+++ b/packages/replicated-log/src/model/model-host.ts
@@ -155,8 +155,10 @@
 
   #attachLog(log: ReplicatedLog<number>): void {
     const { replicaId } = log.status();
+    const { network } = this.#environment;
     this.log = log;
     this.replicaId = replicaId;
+    if (this.networkNames.some(network.isIsolated)) network.isolate(replicaId);
     this.#identities.add(replicaId);
     for (const identity of this.#identities)
       this.#environment.network.attach(identity, (from, message) =>
--- a/packages/replicated-log/src/model/seeded-cluster.ts
+++ b/packages/replicated-log/src/model/seeded-cluster.ts
@@ -14,8 +14,8 @@
 const leaderSettlingTime: Milliseconds = 2_000;
 const witnessCount = 2;
 
-/** Which hosts are the seeds, and when each host starts. */
-interface SeededLayout {
+/** Which hosts are the seeds, sorted, and when each host starts. */
+export interface SeededLayout {
   readonly seeds: readonly ReplicaId[];
   /** A host that starts long after the others. */
   readonly late: ReplicaId | undefined;
@@ -40,8 +40,7 @@
   readonly witnesses: readonly ModelHost[];
   readonly #layout: SeededLayout;
 
-  constructor(size: number, seed: number) {
-    const layout = drawLayout(size, seed);
+  constructor(size: number, seed: number, layout = drawLayout(size, seed)) {
     super(size, seed, smallTuning, host => composeStart(layout, host, true));
     this.#layout = layout;
     this.environment.chooseFounders = chooseFounders(size);
