Count the wait for missing founding members from the last host that came

Hosts that are switched on together, but late, were to found the log as soon as the second of three had registered: the delay for those that are missing ran from the first answer of the seeds. The group of two that follows stands still when either disk is lost. The delay now begins again with each host that registers for the first time.

--- a/packages/control/src/choose-founders.ts
+++ b/packages/control/src/choose-founders.ts
@@ -12,7 +12,7 @@
 
 /** So many outlast the loss of one, also where no loss has to be tolerated. */
 const usualFounders = 3;
-/** Longer than hosts that are switched on together differ in their start. */
+/** Longer than hosts that are switched on together differ in their start, counted from the last of them. */
 const incompleteFoundingDelay: Milliseconds = 3_000;
 
 /**
--- a/packages/replicated-log/src/core/founding.ts
+++ b/packages/replicated-log/src/core/founding.ts
@@ -37,7 +37,6 @@
 /** Longer than a ballot with two syncs takes, so that hosts that start together do not interrupt each other. */
 const turnInterval: Milliseconds = 200;
 const announcementPause: Milliseconds = 200;
-
 /** A host that joins a running group hears from its leader within this time. */
 const joinDelay: Milliseconds = 2_000;
 
@@ -56,8 +55,10 @@
   readonly #seed: FoundingSeed;
   readonly #chooseFounders: ChooseFounders;
   readonly #createdAt: Milliseconds;
-  /** When a majority of the seeds first answered. */
-  #answeredSince: Milliseconds | undefined;
+  /** Hosts with a disk that have registered at any time. */
+  readonly #known = new Set<ReplicaId>();
+  /** When the last of them was new. */
+  #newestSince: Milliseconds;
   /** When it is the turn of this replica to propose. */
   #turnAt: Milliseconds | undefined;
   #status: FoundingStatus | undefined;
@@ -70,6 +71,7 @@
     this.#replica = replica;
     this.#stored = stored;
     this.#createdAt = replica.now();
+    this.#newestSince = this.#createdAt;
     this.#seed = new FoundingSeed(replica, stored);
     this.#chooseFounders = chooseFounders;
   }
@@ -135,15 +137,16 @@
       });
     };
     if (!isMajority(answers.length, seeds.length)) {
-      if (this.#measureAge() >= joinDelay) report(FoundingStep.AwaitsSeeds);
+      const age = this.#replica.now() - this.#createdAt;
+      if (age >= joinDelay) report(FoundingStep.AwaitsSeeds);
       return;
     }
     const now = this.#replica.now();
-    this.#answeredSince ??= now;
-    const founders = this.#chooseFounders(
-      candidates,
-      now - this.#answeredSince,
-    );
+    if (candidates.some(one => !this.#known.has(one.replicaId)))
+      this.#newestSince = now;
+    for (const one of candidates) this.#known.add(one.replicaId);
+    const waited = now - this.#newestSince;
+    const founders = this.#chooseFounders(candidates, waited);
     if (founders.length === 0) {
       report(FoundingStep.AwaitsHosts);
       return;
@@ -254,10 +257,6 @@
     return replies.filter(reply => reply?.kind === PeerReplyKind.SeedAnswer);
   }
 
-  #measureAge(): Milliseconds {
-    return this.#replica.now() - this.#createdAt;
-  }
-
   #report(status: FoundingStatus): void {
     if (JSON.stringify(status) === JSON.stringify(this.#status)) return;
     this.#status = status;
--- a/packages/replicated-log/src/log-types.ts
+++ b/packages/replicated-log/src/log-types.ts
@@ -99,7 +99,7 @@
 
 /**
  * Chooses the founding members among the hosts that have registered with the seeds. Returns an empty list to
- * wait for further ones. `waited` is the time since a majority of the seeds first answered.
+ * wait for further ones. `waited` is the time since the last of them registered for the first time.
  */
 export type ChooseFounders = (
   candidates: readonly Member[],
--- a/packages/replicated-log/src/seeded-founding.test.ts
+++ b/packages/replicated-log/src/seeded-founding.test.ts
@@ -7,8 +7,10 @@
 import {
   PeerMessageKind,
   PeerReplyKind,
+  type AcceptFoundingMessage,
   type Ballot,
   type PeerReply,
+  type PrepareFoundingMessage,
 } from './ports/peer-link.js';
 
 const foundingMilliseconds = 1_500;
@@ -31,35 +33,26 @@
   readonly seeds: readonly string[];
 }
 
-async function prepare(
+async function send(
   { cluster, seed, seeds }: SeedCall,
-  ballot: Ballot,
+  message:
+    | Pick<PrepareFoundingMessage, 'kind' | 'ballot'>
+    | Pick<AcceptFoundingMessage, 'kind' | 'ballot' | 'members'>,
 ): Promise<PeerReply | undefined> {
-  const reply = findHost(cluster, seed).log?.handlePeerMessage('proposer', {
-    kind: PeerMessageKind.PrepareFounding,
-    to: seed,
-    term: 0,
-    seeds,
-    ballot,
-  });
+  const { log } = findHost(cluster, seed);
+  const whole = { ...message, to: seed, term: 0, seeds };
+  const reply = log?.handlePeerMessage('proposer', whole);
   await cluster.timers.advance(50);
   return await reply;
 }
 
-async function accept(
-  { cluster, seed, seeds }: SeedCall,
-  ballot: Ballot,
-): Promise<PeerReply | undefined> {
-  const reply = findHost(cluster, seed).log?.handlePeerMessage('proposer', {
-    kind: PeerMessageKind.AcceptFounding,
-    to: seed,
-    term: 0,
-    seeds,
-    ballot,
-    members: [],
-  });
-  await cluster.timers.advance(50);
-  return await reply;
+function prepare(call: SeedCall, ballot: Ballot) {
+  return send(call, { kind: PeerMessageKind.PrepareFounding, ballot });
+}
+
+function accept(call: SeedCall, ballot: Ballot) {
+  const kind = PeerMessageKind.AcceptFounding;
+  return send(call, { kind, ballot, members: [] });
 }
 
 /** Opens one seed only, so that nobody proposes but the test. */
