--- a/packages/control/src/choose-founders.ts
+++ b/packages/control/src/choose-founders.ts
@@ -16,8 +16,8 @@
 const incompleteFoundingDelay: Milliseconds = 3_000;
 
 /**
- * Founds at once with voters that outlast the tolerated losses. Hosts that are missing after a delay count as lost; then
- * one voter more than the tolerated losses take is enough, so that none of them can lose what was acknowledged.
+ * Founds at once with voters that outlast the tolerated losses. Hosts that are missing after a delay count among these
+ * losses, so one voter more than the tolerated hosts is enough then. Nobody founds alone while a loss is to be tolerated.
  */
 export function createFounderChoice(
   group: Pick<GroupOptions, 'minimumVoters' | 'toleratedDataCentres'>,
